--- a/daemon/src/daemon/mod.rs
+++ b/daemon/src/daemon/mod.rs
@@ -71,6 +71,16 @@
     Term,
 }
 
+/// Ends a daemon the way SIGTERM does.
+pub struct Stopper(UnixStream);
+
+impl Stopper {
+    /// Ends it, once all that it has taken is answered.
+    pub fn stop(&mut self) -> io::Result<()> {
+        io::Write::write_all(&mut self.0, b"t")
+    }
+}
+
 /// The daemon.
 pub struct Daemon {
     clock: Clock,
@@ -80,6 +90,7 @@
     listener: Option<TcpListener>,
     accepting: bool,
     signal: UnixStream,
+    raised: UnixStream,
     connections: Slots<Connection>,
     clients: usize,
     links: BTreeMap<ServerId, Vec<Key>>,
@@ -110,7 +121,8 @@
         listener.set_nonblocking(true).map_err(text)?;
         let (signal, raised) = UnixStream::pair().map_err(text)?;
         signal.set_nonblocking(true).map_err(text)?;
-        signal_hook::low_level::pipe::register(signal_hook::consts::SIGTERM, raised).map_err(text)?;
+        let raise = raised.try_clone().map_err(text)?;
+        signal_hook::low_level::pipe::register(signal_hook::consts::SIGTERM, raise).map_err(text)?;
         let poll = Poll::new(256).map_err(text)?;
         poll.add(&listener, LISTENER, true, false).map_err(text)?;
         poll.add(&signal, SIGNAL, true, false).map_err(text)?;
@@ -137,6 +149,7 @@
             listener: Some(listener),
             accepting: true,
             signal,
+            raised,
             connections: Slots::new(limits.connections),
             clients: 0,
             links: BTreeMap::new(),
@@ -160,7 +173,12 @@
         daemon.call_bus(now);
         daemon.call_consul(now);
         daemon.settle(now);
-        log::info!("{} listens on {}", config.name, config.listen);
+        if let Some(address) = daemon.address() {
+            log::info!("{} listens on {address}", config.name);
+        }
+        if let Some(address) = daemon.cdni_address() {
+            log::info!("neighbours connect to {address}");
+        }
         Ok(daemon)
     }
 
@@ -169,6 +187,11 @@
         self.listener.as_ref()?.local_addr().ok()
     }
 
+    /// What ends it from another thread.
+    pub fn stopper(&self) -> io::Result<Stopper> {
+        self.raised.try_clone().map(Stopper)
+    }
+
     /// Serves until SIGTERM, and then until all is answered.
     pub fn run(&mut self) -> io::Result<()> {
         let mut ready = Vec::new();
--- /dev/null
+++ b/daemon/tests/common/mod.rs
@@ -0,0 +1,54 @@
+//! The one helper of the parsers' tests: what a parser makes of bytes, however they are cut.
+
+use linnetknot_daemon::wire::{Parser, WireError};
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use std::fmt::Debug;
+
+/// Runs from a fixed seed: every run tries the same cases.
+pub fn fixed(cases: u32) -> ProptestConfig {
+    ProptestConfig {
+        cases,
+        rng_seed: RngSeed::Fixed(0x11ae),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    }
+}
+
+/// All items of some bytes that come cut at these places, or the error that ends them.
+pub fn items<P: Parser>(mut parser: P, bytes: &[u8], cuts: &[usize]) -> Result<Vec<P::Item>, WireError> {
+    let mut places: Vec<usize> = cuts.iter().map(|cut| cut % (bytes.len() + 1)).collect();
+    places.extend([0, bytes.len()]);
+    places.sort_unstable();
+    let mut items = Vec::new();
+    for place in places.windows(2) {
+        let mut input = &bytes[place[0]..place[1]];
+        loop {
+            let (taken, item) = parser.parse(input)?;
+            input = &input[taken..];
+            match item {
+                Some(item) => items.push(item),
+                None => break assert!(input.is_empty(), "without an item all input is taken"),
+            }
+        }
+    }
+    Ok(items)
+}
+
+/// Whole and cut, valid bytes give the same; garbage in their midst gives an error or items, never a panic.
+pub fn check<P: Parser>(
+    new: impl Fn() -> P,
+    valid: &[u8],
+    cuts: &[usize],
+    garbage: &[u8],
+    join: impl Fn(Vec<P::Item>) -> Vec<P::Item>,
+) where
+    P::Item: Debug + PartialEq,
+{
+    let whole = items(new(), valid, &[]).map(&join);
+    assert!(whole.as_ref().is_ok_and(|items| !items.is_empty()), "{whole:?}");
+    assert_eq!(items(new(), valid, cuts).map(&join), whole);
+    let at = cuts.first().map_or(0, |cut| cut % (valid.len() + 1));
+    let _ = items(new(), garbage, cuts);
+    let _ = items(new(), &[&valid[..at], garbage, &valid[at..]].concat(), cuts);
+}
--- /dev/null
+++ b/daemon/tests/loopback.rs
@@ -0,0 +1,286 @@
+//! The daemon on loopback, with the stand-ins of the rehearsal kit around it.
+
+use linnetknot_daemon::config::Config;
+use linnetknot_daemon::daemon::{Daemon, Stopper};
+use linnetknot_rehearse::boxes::{Manner, StandIn};
+use linnetknot_rehearse::bus::{entry, Bus};
+use linnetknot_rehearse::clients::{call, exchange, Answer, WebServer};
+use linnetknot_rehearse::{settings, unix_ms};
+use serde_json::{json, Value};
+use std::net::{SocketAddr, TcpListener};
+use std::thread::JoinHandle;
+
+struct Rig {
+    front: SocketAddr,
+    cdni: SocketAddr,
+    stop: Stopper,
+    run: JoinHandle<std::io::Result<()>>,
+    bus: Bus,
+    boxes: Vec<StandIn>,
+    origin: StandIn,
+}
+
+const READY: &str = "ready";
+
+impl Rig {
+    fn start() -> Rig {
+        Rig::with(&["s-0a"], |_| {})
+    }
+
+    fn with(boxes: &[&'static str], change: impl Fn(&mut Value)) -> Rig {
+        let bus = Bus::start().unwrap();
+        let boxes: Vec<StandIn> = boxes.iter().map(|uid| StandIn::start(uid).unwrap()).collect();
+        let origin = StandIn::start("s-0f").unwrap();
+        let mut list: Vec<Value> = boxes.iter().map(|b| entry(b, "here", "box", READY)).collect();
+        list.push(entry(&origin, "hub", "origin", READY));
+        let known = json!({"offset": 0, "batch": [
+            {"offset": 0, "topology": {"rev": 1, "all": true, "targets": list}},
+        ]});
+        let mut config = json!({
+            "listen": "127.0.0.1:0", "bus": bus.address.to_string(), "known": known, "settings": settings(),
+            "limits": {"memory_mb": 192, "sockets": 256},
+        });
+        change(&mut config);
+        let mut config = Config::read(config.as_object().unwrap()).unwrap();
+        let cdni = json!({"cdni": {"listen": "127.0.0.1:0", "provider": "AS64500:0", "base": "http://cdn.example",
+            "footprint": ["127.0.0.0/8"], "neighbours": []}});
+        config.interconnect(cdni.as_object().unwrap()).unwrap();
+        // A daemon stays on the thread that started it.
+        let (tell, told) = std::sync::mpsc::channel();
+        let run = std::thread::spawn(move || {
+            let mut daemon = Daemon::start(config).unwrap();
+            let addresses = (daemon.address().unwrap(), daemon.cdni_address().unwrap());
+            tell.send((addresses, daemon.stopper().unwrap())).unwrap();
+            daemon.run()
+        });
+        let ((front, cdni), stop) = told.recv().unwrap();
+        Rig { front, cdni, stop, run, bus, boxes, origin }
+    }
+
+    fn web(&self) -> WebServer {
+        WebServer::connect(self.front).unwrap()
+    }
+
+    /// Stops the daemon, which must end well.
+    fn stop(mut self) {
+        self.stop.stop().unwrap();
+        self.run.join().unwrap().unwrap();
+    }
+}
+
+fn one(web: &mut WebServer, class: &str, object: &str) -> Answer {
+    web.ask(1, class, object, 2500).unwrap();
+    web.end().unwrap().1.expect("an answer")
+}
+
+fn object(n: u64) -> String {
+    format!("{n:016x}")
+}
+
+#[test]
+fn requests_of_one_connection_are_served_in_any_order_and_unchanged() {
+    let rig = Rig::start();
+    let mut web = rig.web();
+    // Records of two requests in turn, the second whole before the first.
+    let first = WebServer::request(
+        7,
+        "/invoke/photo",
+        &[("HTTP_REQUEST_ID", "0a"), ("HTTP_RESOURCE_KEY", "0b"), ("HTTP_BUDGET_MS", "2000")],
+        b"",
+    );
+    web.send(&first[..20]).unwrap();
+    web.send(&first[20..first.len() - 8]).unwrap();
+    web.ask(8, "photo", &object(2), 2500).unwrap();
+    let (id, answer) = web.end().unwrap();
+    assert_eq!((id, answer.unwrap().status), (8, 200));
+    web.send(&first[first.len() - 8..]).unwrap();
+    let (id, answer) = web.end().unwrap();
+    let answer = answer.unwrap();
+    assert_eq!((id, answer.status), (7, 200));
+    assert!(answer.body.starts_with(b"0b/0@"), "the bytes that the box gave");
+    // Many answers after each other: sums over what waits to be written must come back to nothing.
+    for n in 0..50 {
+        assert_eq!(one(&mut web, "photo", &object(n)).status, 200);
+    }
+    rig.stop();
+}
+
+#[test]
+fn a_write_goes_to_the_origin_with_its_body_and_key() {
+    let rig = Rig::start();
+    assert_eq!(one(&mut rig.web(), "post", &object(1)).status, 200);
+    let arrival = rig.origin.wait_for(|a| a.word == "fetch").unwrap();
+    assert_eq!(arrival.body, b"a comment");
+    assert_eq!(arrival.field("once"), Some("5c0f6e1a2b3d4c59a8b7c6d5e4f30211"));
+    assert_eq!((arrival.field("src"), rig.boxes[0].arrivals().len()), (None, 0));
+    rig.stop();
+}
+
+#[test]
+fn with_no_box_to_reach_a_request_is_refused_and_told_when_to_come_back() {
+    let rig = Rig::with(&["s-0a"], |config| {
+        // An address at which nothing listens any more: refused connections prove that nothing ran.
+        let free = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+        for target in config["known"]["batch"][0]["topology"]["targets"].as_array_mut().unwrap() {
+            target["endpoint"] = free.to_string().into();
+        }
+    });
+    for class in ["photo", "post"] {
+        let answer = one(&mut rig.web(), class, &object(1));
+        assert_eq!((answer.status, answer.header("back-off-ms")), (503, Some("200")), "{class}");
+    }
+    rig.stop();
+}
+
+#[test]
+fn a_silent_box_costs_one_answer_and_an_aborted_request_is_given_up_there() {
+    let rig = Rig::start();
+    rig.boxes[0].behave(Manner { mute: true, ..Manner::default() });
+    let mut web = rig.web();
+    web.ask(1, "photo", &object(1), 300).unwrap();
+    let (id, answer) = web.end().unwrap();
+    assert_eq!((id, answer.unwrap().status), (1, 503), "safe to repeat, so refused");
+    web.ask(2, "photo", &object(2), 60_000).unwrap();
+    let sent = rig.boxes[0].wait_for(|a| a.field("key") == Some(&object(2))).unwrap();
+    web.abort(2).unwrap();
+    assert_eq!(web.end().unwrap(), (2, None));
+    assert!(rig.boxes[0].wait_for(|a| a.word == "abort" && a.id == sent.id).is_some());
+    rig.stop();
+}
+
+#[test]
+fn what_is_not_understood_ends_a_request_or_its_connection_and_nothing_else() {
+    let rig = Rig::start();
+    let (mut web, mut other) = (rig.web(), rig.web());
+    web.send(&WebServer::request(1, "/invoke/photo", &[("HTTP_REQUEST_ID", "a,b")], b"")).unwrap();
+    assert_eq!(web.end().unwrap().1.unwrap().status, 400);
+    web.send(&WebServer::request(2, "/elsewhere", &[], b"")).unwrap();
+    assert_eq!(web.end().unwrap().1.unwrap().status, 404);
+    web.send(b"GET / HTTP/1.1\r\n\r\n").unwrap();
+    assert!(web.end().is_err(), "the connection is ended");
+    assert_eq!(one(&mut other, "photo", &object(1)).status, 200);
+    rig.stop();
+}
+
+#[test]
+fn health_is_good_once_there_are_boxes() {
+    let rig = Rig::with(&[], |config| config["known"] = Value::Null);
+    let mut web = rig.web();
+    let mut health = || {
+        web.send(&WebServer::request(1, "/_health", &[], b"")).unwrap();
+        web.end().unwrap().1.unwrap().status
+    };
+    assert_eq!(health(), 503);
+    rig.bus.list(true, vec![entry(&rig.origin, "hub", "origin", READY)]);
+    // Asked until the event has come: bounded by the patience of the test's runner alone.
+    while health() != 200 {}
+    rig.stop();
+}
+
+#[test]
+fn the_bus_is_called_again_behind_the_last_event_and_its_purges_bound_the_age() {
+    let rig = Rig::start();
+    let mut web = rig.web();
+    assert_eq!(rig.bus.call(0), Some(0));
+    let made = one(&mut web, "photo", &object(1)).made().unwrap();
+    // In the same millisecond no age tells the copy from one behind the purge.
+    while unix_ms() <= made + 1 {}
+    rig.bus.push(json!({"ban": {"url": object(1), "ts": made + 1}}));
+    while one(&mut web, "photo", &object(1)).made() == Some(made) {}
+    rig.bus.cut();
+    assert_eq!(rig.bus.call(1), Some(1));
+    rig.stop();
+}
+
+#[test]
+fn an_address_taken_over_by_another_box_gets_connections_of_its_own() {
+    let rig = Rig::start();
+    let mut web = rig.web();
+    assert_eq!(one(&mut web, "photo", &object(1)).status, 200);
+    let heir = rig.boxes[0].heir("s-0b");
+    rig.bus
+        .list(false, vec![entry(&rig.boxes[0], "here", "box", "gone"), entry(&heir, "here", "box", READY)]);
+    while rig.boxes[0].connections() < 2 {
+        assert_eq!(one(&mut web, "photo", &object(2)).status, 200);
+    }
+    rig.stop();
+}
+
+#[test]
+fn what_is_open_at_the_end_is_answered() {
+    let rig = Rig::start();
+    rig.boxes[0].behave(Manner { hold_ms: 150, ..Manner::default() });
+    let mut web = rig.web();
+    web.ask(1, "photo", &object(1), 2500).unwrap();
+    rig.boxes[0].wait_for(|a| a.word == "fetch").unwrap();
+    let Rig { mut stop, run, .. } = rig;
+    stop.stop().unwrap();
+    assert_eq!(web.end().unwrap().1.unwrap().status, 200);
+    run.join().unwrap().unwrap();
+}
+
+#[test]
+fn neighbours_get_the_specifications_errors() {
+    let rig = Rig::start();
+    let post = |path: &str, body: Value| call(rig.cdni, "POST", path, &body.to_string()).unwrap();
+    let url = format!("http://cdn.example/content/photo/{}", object(1));
+    let trigger = |kind: &str, selector: &str, value: &str| json!({"trigger": {"type": kind, selector: [value]}, "cdn-path": ["AS64501:0"]});
+    assert_eq!(exchange(rig.cdni, b"what?\r\n\r\n").unwrap().status, 400);
+    assert_eq!(call(rig.cdni, "PUT", "/cdni/triggers", "").unwrap().status, 405);
+    assert_eq!(post("/cdni/triggers", json!({"trigger": {"type": "purge"}})).status, 400);
+    let own = json!({"trigger": {"type": "purge", "content.urls": [url]}, "cdn-path": ["AS64500:0"]});
+    assert_eq!(post("/cdni/triggers", own).status, 403, "a loop");
+    for (command, status, error) in [
+        (trigger("purge", "content.urls", &url), "complete", None),
+        (trigger("invalidate", "content.ccid", "17"), "complete", None),
+        (trigger("purge", "content.urls", "http://elsewhere.example/x"), "failed", Some("ereject")),
+        (trigger("purge", "content.patterns", "*"), "failed", Some("ereject")),
+        (trigger("preposition", "content.urls", &url), "failed", Some("ereject")),
+    ] {
+        let answer = post("/cdni/triggers", command);
+        let value: Value = serde_json::from_slice(&answer.body).unwrap();
+        assert_eq!((answer.status, value["status"].as_str()), (201, Some(status)));
+        assert_eq!(value["errors"][0]["error"].as_str(), error);
+        let place = answer.header("location").unwrap().strip_prefix("http://cdn.example").unwrap();
+        assert_eq!(call(rig.cdni, "GET", place, "").unwrap().body, answer.body);
+        assert_eq!(call(rig.cdni, "DELETE", place, "").unwrap().status, 204);
+        assert_eq!(call(rig.cdni, "GET", place, "").unwrap().status, 404);
+    }
+    let redirect = |http: Value, path: &str| {
+        let answer = post("/cdni/redirect", json!({"http": http, "cdn-path": [path]}));
+        serde_json::from_slice::<Value>(&answer.body).unwrap()
+    };
+    let asked = |client: &str| json!({"c-ip": client, "cs-uri": url, "cs-method": "GET"});
+    let good = redirect(asked("127.0.0.1"), "AS64501:0");
+    assert_eq!(good["http"]["sc-(location)"], format!("{url}/0"));
+    assert_eq!(redirect(asked("10.0.0.1"), "AS64501:0")["error"]["error-code"], 504);
+    assert_eq!(redirect(asked("127.0.0.1"), "AS64500:0")["error"]["error-code"], 502);
+    assert_eq!(redirect(json!({}), "AS64501:0")["error"]["error-code"], 400);
+    let footprint = call(rig.cdni, "GET", "/cdni/footprint", "").unwrap();
+    assert!(String::from_utf8(footprint.body).unwrap().contains("127.0.0.0/8"));
+    assert_eq!(call(rig.cdni, "GET", "/content/photo/nothing", "").unwrap().status, 404);
+    rig.stop();
+}
+
+#[test]
+fn content_asked_for_by_cdni_goes_through_the_same_decisions() {
+    let rig = Rig::start();
+    let get = |headers: &str| {
+        let request = format!(
+            "GET /content/photo/{}/3?kb=40 HTTP/1.1\r\n{headers}Connection: close\r\n\r\n",
+            object(1)
+        );
+        exchange(rig.cdni, request.as_bytes()).unwrap()
+    };
+    let answer = get("");
+    assert_eq!((answer.status, answer.surplus), (200, false));
+    let arrival = rig.boxes[0].wait_for(|a| a.word == "fetch").unwrap();
+    assert_eq!(
+        (arrival.field("class"), arrival.field("part"), arrival.id.len()),
+        (Some("photo"), Some("3"), 16)
+    );
+    let tag = answer.header("etag").unwrap().to_owned();
+    get(&format!("If-None-Match: {tag}\r\n"));
+    assert!(rig.boxes[0].wait_for(|a| a.field("have") == Some(tag.trim_matches('"'))).is_some());
+    rig.stop();
+}
--- /dev/null
+++ b/daemon/tests/wire.rs
@@ -0,0 +1,117 @@
+//! The parsers against random cuts of valid messages and random garbage.
+
+mod common;
+
+use common::{check, fixed, items};
+use linnetknot_daemon::wire::{fastcgi, http, resp, sse, WireError};
+use proptest::collection::vec;
+use proptest::prelude::*;
+
+fn cuts() -> impl Strategy<Value = Vec<usize>> {
+    vec(any::<usize>(), 0..8)
+}
+
+fn bytes(most: usize) -> impl Strategy<Value = Vec<u8>> {
+    vec(any::<u8>(), 0..most)
+}
+
+/// Pieces of a body are cut where the input was: only their sum is the same.
+fn joined(pieces: Vec<http::Piece>) -> Vec<http::Piece> {
+    let mut out: Vec<http::Piece> = Vec::new();
+    for piece in pieces {
+        match (out.last_mut(), piece) {
+            (Some(http::Piece::Body(body)), http::Piece::Body(more)) => body.extend(more),
+            (_, piece) => out.push(piece),
+        }
+    }
+    out
+}
+
+proptest! {
+    #![proptest_config(fixed(128))]
+
+    #[test]
+    fn fastcgi_records(records in vec((any::<u8>(), any::<u16>(), bytes(300), any::<u8>()), 1..5), cuts in cuts(), garbage in bytes(99)) {
+        let mut valid = Vec::new();
+        for (kind, id, content, padding) in &records {
+            let start = valid.len();
+            fastcgi::write_record(&mut valid, *kind, *id, content);
+            valid[start + 6] = *padding;
+            valid.extend(vec![0; usize::from(*padding)]);
+        }
+        check(fastcgi::Records::default, &valid, &cuts, &garbage, |r| r);
+        let read = items(fastcgi::Records::default(), &valid, &cuts).unwrap();
+        let wrote: Vec<_> = records.into_iter().map(|(kind, id, content, _)| fastcgi::Record { kind, id, content }).collect();
+        prop_assert_eq!(read, wrote);
+    }
+
+    #[test]
+    fn fastcgi_pairs(pairs in vec(("[A-Z_]{0,200}", "[ -~]{0,200}"), 0..5), garbage in bytes(99)) {
+        let mut valid = Vec::new();
+        pairs.iter().for_each(|(name, value)| fastcgi::write_pair(&mut valid, name, value));
+        prop_assert_eq!(fastcgi::read_pairs(&valid), Ok(pairs));
+        let _ = fastcgi::read_pairs(&garbage);
+        let _ = fastcgi::read_begin(&garbage);
+    }
+
+    #[test]
+    fn resp_arrays(arrays in vec(vec(bytes(200), 1..5), 1..4), cuts in cuts(), garbage in bytes(99)) {
+        let mut valid = Vec::new();
+        for array in &arrays {
+            resp::write_array(&mut valid, &array.iter().map(Vec::as_slice).collect::<Vec<_>>());
+        }
+        check(|| resp::Arrays::new(200), &valid, &cuts, &garbage, |a| a);
+        prop_assert_eq!(items(resp::Arrays::new(200), &valid, &cuts).unwrap(), arrays);
+        let _ = resp::field(&garbage, "a");
+    }
+
+    #[test]
+    fn http_messages(body in bytes(300), chunk in 1..90usize, chunked: bool, cuts in cuts(), garbage in bytes(99)) {
+        let mut valid = Vec::new();
+        if chunked {
+            valid.extend_from_slice(b"POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n");
+            for part in body.chunks(chunk) {
+                valid.extend_from_slice(format!("{:x};x=y\r\n", part.len()).as_bytes());
+                valid.extend_from_slice(part);
+                valid.extend_from_slice(b"\r\n");
+            }
+            valid.extend_from_slice(b"0\r\nTrailer: x\r\n\r\n");
+        } else {
+            http::write_message(&mut valid, "POST /a HTTP/1.1", &[("Host", "a")], &body);
+        }
+        check(|| http::Messages::requests(512, 512), &valid, &cuts, &garbage, joined);
+        let read = joined(items(http::Messages::requests(512, 512), &valid, &cuts).unwrap());
+        let bodies: Vec<u8> = read.iter().filter_map(|p| if let http::Piece::Body(b) = p { Some(b.clone()) } else { None }).flatten().collect();
+        prop_assert_eq!((bodies, read.last()), (body, Some(&http::Piece::End)));
+    }
+
+    #[test]
+    fn sse_events(events in vec((any::<u16>(), "[ -~]{1,80}"), 1..5), cuts in cuts(), garbage in bytes(99)) {
+        let text: String = events.iter().map(|(id, data)| format!(": comment\nid: {id}\r\ndata: {data}\n\n")).collect();
+        check(|| sse::Events::new(128), text.as_bytes(), &cuts, &garbage, |e| e);
+        let read = items(sse::Events::new(128), text.as_bytes(), &cuts).unwrap();
+        let wrote: Vec<_> = events.into_iter().map(|(id, data)| sse::Event { id: id.to_string(), data }).collect();
+        prop_assert_eq!(read, wrote);
+    }
+}
+
+#[test]
+fn lengths_are_checked_before_anything_is_taken_for_them() {
+    assert_eq!(items(resp::Arrays::new(9), b"*1\r\n$10\r\n", &[]), Err(WireError::TooLong("a RESP string")));
+    assert_eq!(
+        items(resp::Arrays::new(9), b"*99999999999999\r\n", &[]),
+        Err(WireError::TooLong("a RESP array"))
+    );
+    let head = b"POST / HTTP/1.1\r\nContent-Length: 99999999999\r\n\r\n";
+    assert_eq!(items(http::Messages::requests(99, 99), head, &[]), Err(WireError::TooLong("an HTTP body")));
+    assert_eq!(items(sse::Events::new(9), b"data: 0123456789\n\n", &[]), Err(WireError::TooLong("a line")));
+}
+
+#[test]
+fn a_body_whose_end_is_told_twice_is_not_read() {
+    for second in ["Content-Length: 1", "Transfer-Encoding: chunked"] {
+        let text = format!("POST / HTTP/1.1\r\nContent-Length: 2\r\n{second}\r\n\r\n");
+        let read = items(http::Messages::requests(99, 99), text.as_bytes(), &[]);
+        assert_eq!(read, Err(WireError::Malformed("an HTTP body's length")));
+    }
+}
--- /dev/null
+++ b/rehearse/src/boxes.rs
@@ -0,0 +1,164 @@
+//! Stand-in boxes: they keep copies, honour the age that is asked for, and write down all that reaches them.
+
+use crate::unix_ms;
+use linnetknot_daemon::wire::{resp, Parser};
+use std::collections::BTreeMap;
+use std::io::{self, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
+use std::thread;
+use std::time::Duration;
+
+/// How a box behaves from now on.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Manner {
+    /// It waits so many milliseconds before it answers.
+    pub hold_ms: u64,
+    /// It answers nothing.
+    pub mute: bool,
+    /// It serves what it holds however old that is.
+    pub any_age: bool,
+}
+
+/// Something that reached a box.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Arrival {
+    /// When, in Unix milliseconds.
+    pub at: u64,
+    /// `fetch`, `abort` or a probe's word.
+    pub word: String,
+    /// The request.
+    pub id: String,
+    /// The fields.
+    pub fields: String,
+    /// The body.
+    pub body: Vec<u8>,
+}
+
+impl Arrival {
+    /// The value of a field.
+    pub fn field(&self, name: &str) -> Option<&str> {
+        resp::field(self.fields.as_bytes(), name)
+    }
+}
+
+#[derive(Default)]
+struct State {
+    manner: Manner,
+    arrivals: Vec<Arrival>,
+    made: BTreeMap<String, u64>,
+    connections: usize,
+}
+
+/// A stand-in box.
+#[derive(Clone)]
+pub struct StandIn {
+    /// Its id.
+    pub uid: &'static str,
+    /// Where it listens.
+    pub address: SocketAddr,
+    state: Arc<(Mutex<State>, Condvar)>,
+}
+
+impl StandIn {
+    /// Starts a box.
+    pub fn start(uid: &'static str) -> io::Result<Self> {
+        let listener = TcpListener::bind("127.0.0.1:0")?;
+        let stand_in = StandIn { uid, address: listener.local_addr()?, state: Arc::default() };
+        let served = stand_in.clone();
+        thread::spawn(move || {
+            for socket in listener.incoming().flatten() {
+                served.state().connections += 1;
+                let served = served.clone();
+                thread::spawn(move || served.serve(socket));
+            }
+        });
+        Ok(stand_in)
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// The same box under another id, as if it had taken over the address.
+    pub fn heir(&self, uid: &'static str) -> Self {
+        StandIn { uid, ..self.clone() }
+    }
+
+    /// Changes its manner.
+    pub fn behave(&self, manner: Manner) {
+        self.state().manner = manner;
+    }
+
+    /// How many connections it has taken.
+    pub fn connections(&self) -> usize {
+        self.state().connections
+    }
+
+    /// All that has reached it.
+    pub fn arrivals(&self) -> Vec<Arrival> {
+        self.state().arrivals.clone()
+    }
+
+    /// Waits until something that fits has reached it; none after ten seconds.
+    pub fn wait_for(&self, fits: impl Fn(&Arrival) -> bool) -> Option<Arrival> {
+        let waited = self
+            .state
+            .1
+            .wait_timeout_while(self.state(), Duration::from_secs(10), |s| !s.arrivals.iter().any(&fits));
+        let (state, _) = waited.unwrap_or_else(PoisonError::into_inner);
+        state.arrivals.iter().find(|a| fits(a)).cloned()
+    }
+
+    fn serve(&self, mut socket: TcpStream) -> Option<()> {
+        let mut arrays = resp::Arrays::new(1 << 20);
+        let mut bytes = [0; 4096];
+        loop {
+            let got = socket.read(&mut bytes).ok().filter(|n| *n > 0)?;
+            let mut input = &bytes[..got];
+            while !input.is_empty() {
+                let (taken, array) = arrays.parse(input).ok()?;
+                input = &input[taken..];
+                if let Some(array) = array {
+                    self.arrived(&array, &socket);
+                }
+            }
+        }
+    }
+
+    fn arrived(&self, array: &[Vec<u8>], socket: &TcpStream) {
+        let text =
+            |at: usize| array.get(at).map(|b| String::from_utf8_lossy(b).into_owned()).unwrap_or_default();
+        let body = array.get(3).cloned().unwrap_or_default();
+        let arrival = Arrival { at: unix_ms(), word: text(0), id: text(1), fields: text(2), body };
+        let mut state = self.state();
+        state.arrivals.push(arrival.clone());
+        self.state.1.notify_all();
+        let manner = state.manner;
+        if arrival.word != "fetch" || manner.mute {
+            return;
+        }
+        let name = format!("{}/{}", arrival.field("key").unwrap_or(""), arrival.field("part").unwrap_or(""));
+        let oldest = arrival.field("maxage").and_then(|v| v.parse::<u64>().ok()).filter(|v| *v > 0);
+        let held = state.made.get(&name).copied();
+        let good = held.filter(|made| manner.any_age || oldest.is_none_or(|age| made + age >= arrival.at));
+        let made = good.unwrap_or(arrival.at);
+        state.made.insert(name.clone(), made);
+        drop(state);
+        let Ok(mut socket) = socket.try_clone() else { return };
+        let mut answer = move || {
+            thread::sleep(Duration::from_millis(manner.hold_ms));
+            let how = if good.is_some() { "local" } else { "pulled" };
+            let fields = format!("how={how},ttfb=1,made={made},etag=t{made}");
+            let mut out = Vec::new();
+            let body = format!("{name}@{made}");
+            resp::write_array(&mut out, &[arrival.id.as_bytes(), b"200", fields.as_bytes(), body.as_bytes()]);
+            let _ = socket.write_all(&out);
+        };
+        if manner.hold_ms > 0 {
+            thread::spawn(answer);
+        } else {
+            answer();
+        }
+    }
+}
--- /dev/null
+++ b/rehearse/src/bus.rs
@@ -0,0 +1,115 @@
+//! A stand-in event bus.
+
+use crate::boxes::StandIn;
+use serde_json::{json, Value};
+use std::io::{self, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
+use std::thread;
+use std::time::Duration;
+
+#[derive(Default)]
+struct State {
+    events: Vec<Value>,
+    calls: Vec<u64>,
+    cuts: usize,
+}
+
+/// An event bus that numbers events from 1.
+#[derive(Clone)]
+pub struct Bus {
+    /// Where it listens.
+    pub address: SocketAddr,
+    state: Arc<(Mutex<State>, Condvar)>,
+}
+
+/// An entry of the list of boxes.
+pub fn entry(stand_in: &StandIn, zone: &str, kind: &str, state: &str) -> Value {
+    json!({
+        "uid": stand_in.uid, "endpoint": stand_in.address.to_string(), "az": zone, "model": kind,
+        "pod_group": 0, "state": state, "capacity_hint": 8, "boot_ms": 0,
+    })
+}
+
+impl Bus {
+    /// Starts a bus without events.
+    pub fn start() -> io::Result<Self> {
+        let listener = TcpListener::bind("127.0.0.1:0")?;
+        let bus = Bus { address: listener.local_addr()?, state: Arc::default() };
+        let served = bus.clone();
+        thread::spawn(move || {
+            for socket in listener.incoming().flatten() {
+                let served = served.clone();
+                thread::spawn(move || served.serve(socket));
+            }
+        });
+        Ok(bus)
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Tells the list of boxes, or changes to it.
+    pub fn list(&self, all: bool, entries: Vec<Value>) {
+        self.push(json!({"topology": {"rev": 1, "all": all, "targets": entries}}));
+    }
+
+    /// Tells an event, without its number.
+    pub fn push(&self, mut event: Value) {
+        let mut state = self.state();
+        event["offset"] = (state.events.len() + 1).into();
+        state.events.push(event);
+        self.state.1.notify_all();
+    }
+
+    /// Ends the connections of all who read.
+    pub fn cut(&self) {
+        self.state().cuts += 1;
+        self.state.1.notify_all();
+    }
+
+    /// Waits for a call, by its place; gives the number behind which it read on.
+    pub fn call(&self, place: usize) -> Option<u64> {
+        let waited = self
+            .state
+            .1
+            .wait_timeout_while(self.state(), Duration::from_secs(10), |s| s.calls.len() <= place);
+        waited.unwrap_or_else(PoisonError::into_inner).0.calls.get(place).copied()
+    }
+
+    fn serve(&self, mut socket: TcpStream) -> io::Result<()> {
+        let mut head = Vec::new();
+        while !head.ends_with(b"\r\n\r\n") {
+            let mut byte = [0];
+            socket.read_exact(&mut byte)?;
+            head.extend(byte);
+        }
+        let head = String::from_utf8_lossy(&head).to_lowercase();
+        let last =
+            head.lines().find_map(|l| l.strip_prefix("last-event-id:")).and_then(|v| v.trim().parse().ok());
+        let mut at = last.unwrap_or(0usize);
+        let cuts = {
+            let mut state = self.state();
+            state.calls.push(at as u64);
+            self.state.1.notify_all();
+            state.cuts
+        };
+        socket.write_all(b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n")?;
+        loop {
+            let waits = |s: &mut State| s.events.len() <= at && s.cuts == cuts;
+            let waited = self.state.1.wait_timeout_while(self.state(), Duration::from_secs(1), waits);
+            let (state, _) = waited.unwrap_or_else(PoisonError::into_inner);
+            if state.cuts != cuts {
+                return Ok(());
+            }
+            let mut out = ":\n\n".to_owned();
+            for (number, event) in state.events.iter().enumerate().skip(at) {
+                out += &format!("id: {}\ndata: {event}\n\n", number + 1);
+            }
+            at = state.events.len();
+            drop(state);
+            socket.write_all(out.as_bytes())?;
+        }
+    }
+}
--- /dev/null
+++ b/rehearse/src/clients.rs
@@ -0,0 +1,209 @@
+//! Stand-in clients: a web server that speaks FastCGI, and callers and takers of HTTP.
+
+use linnetknot_daemon::wire::fastcgi::{self, kind, Records};
+use linnetknot_daemon::wire::http::{write_message, Head, Messages, Piece};
+use linnetknot_daemon::wire::Parser;
+use std::collections::HashMap;
+use std::io::{self, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::mpsc;
+use std::thread;
+use std::time::Duration;
+
+/// How long a client waits for anything at the most.
+pub const PATIENCE: Duration = Duration::from_secs(10);
+
+fn bad(what: &str) -> io::Error {
+    io::Error::new(io::ErrorKind::InvalidData, what.to_owned())
+}
+
+/// An answer.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Answer {
+    /// Its status.
+    pub status: u16,
+    /// Names in lower case, and values.
+    pub headers: Vec<(String, String)>,
+    /// Its body.
+    pub body: Vec<u8>,
+    /// Bytes came behind it that belong to no answer.
+    pub surplus: bool,
+}
+
+impl Answer {
+    /// The value of a header.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.headers.iter().find(|(n, _)| n == name).map(|(_, v)| v.as_str())
+    }
+
+    /// When the copy that it brings left the stand-in origin.
+    pub fn made(&self) -> Option<u64> {
+        std::str::from_utf8(&self.body).ok()?.rsplit_once('@')?.1.parse().ok()
+    }
+}
+
+/// A web server's connection.
+pub struct WebServer {
+    socket: TcpStream,
+    records: Records,
+    input: Vec<u8>,
+    answers: HashMap<u16, Vec<u8>>,
+}
+
+impl WebServer {
+    /// Connects.
+    pub fn connect(to: SocketAddr) -> io::Result<Self> {
+        let socket = TcpStream::connect(to)?;
+        socket.set_read_timeout(Some(PATIENCE))?;
+        Ok(WebServer { socket, records: Records::default(), input: Vec::new(), answers: HashMap::new() })
+    }
+
+    /// The bytes of a request.
+    pub fn request(id: u16, path: &str, fields: &[(&str, &str)], body: &[u8]) -> Vec<u8> {
+        let (mut out, mut params) = (Vec::new(), Vec::new());
+        fastcgi::write_record(&mut out, kind::BEGIN, id, &[0, 1, fastcgi::KEEP_CONN, 0, 0, 0, 0, 0]);
+        fastcgi::write_pair(&mut params, "SCRIPT_NAME", path);
+        fields.iter().for_each(|(name, value)| fastcgi::write_pair(&mut params, name, value));
+        fastcgi::write_record(&mut out, kind::PARAMS, id, &params);
+        fastcgi::write_record(&mut out, kind::PARAMS, id, &[]);
+        if !body.is_empty() {
+            fastcgi::write_record(&mut out, kind::STDIN, id, body);
+        }
+        fastcgi::write_record(&mut out, kind::STDIN, id, &[]);
+        out
+    }
+
+    /// Sends bytes.
+    pub fn send(&mut self, bytes: &[u8]) -> io::Result<()> {
+        self.socket.write_all(bytes)
+    }
+
+    /// Asks for a part of an object.
+    pub fn ask(&mut self, id: u16, class: &str, object: &str, budget_ms: u64) -> io::Result<()> {
+        let (name, budget) = (format!("{:016x}", u64::from(id) + 1), budget_ms.to_string());
+        let fields = [
+            ("HTTP_REQUEST_ID", name.as_str()),
+            ("HTTP_RESOURCE_KEY", object),
+            ("HTTP_BUDGET_MS", &budget),
+            ("HTTP_FOOTPRINT_KB", "40"),
+            ("HTTP_ONCE_KEY", "5c0f6e1a2b3d4c59a8b7c6d5e4f30211"),
+        ];
+        let fields = if class == "post" { &fields[..] } else { &fields[..4] };
+        let body: &[u8] = if class == "post" { b"a comment" } else { b"" };
+        self.send(&Self::request(id, &format!("/invoke/{class}"), fields, body))
+    }
+
+    /// No longer waits for a request.
+    pub fn abort(&mut self, id: u16) -> io::Result<()> {
+        let mut out = Vec::new();
+        fastcgi::write_record(&mut out, kind::ABORT, id, &[]);
+        self.send(&out)
+    }
+
+    /// Waits for the end of any request: its number and, unless it was aborted, its answer.
+    pub fn end(&mut self) -> io::Result<(u16, Option<Answer>)> {
+        loop {
+            let (taken, record) = self.records.parse(&self.input).map_err(|e| bad(&e.to_string()))?;
+            self.input.drain(..taken);
+            match record {
+                Some(r) if r.kind == kind::STDOUT => self.answers.entry(r.id).or_default().extend(r.content),
+                Some(r) if r.kind == kind::END => {
+                    let answer = self.answers.remove(&r.id).map(|bytes| cgi(&bytes)).transpose()?;
+                    return Ok((r.id, answer));
+                }
+                Some(_) => {}
+                None => {
+                    let mut bytes = [0; 4096];
+                    let got = self.socket.read(&mut bytes)?;
+                    if got == 0 {
+                        return Err(io::ErrorKind::UnexpectedEof.into());
+                    }
+                    self.input.extend_from_slice(&bytes[..got]);
+                }
+            }
+        }
+    }
+}
+
+fn cgi(bytes: &[u8]) -> io::Result<Answer> {
+    let at = bytes
+        .windows(4)
+        .position(|w| w == b"\r\n\r\n")
+        .ok_or_else(|| bad("a CGI response without an end"))?;
+    let head = String::from_utf8_lossy(&bytes[..at]).into_owned();
+    let pairs = head.lines().filter_map(|l| l.split_once(": "));
+    let headers: Vec<_> = pairs.map(|(n, v)| (n.to_lowercase(), v.to_owned())).collect();
+    let status =
+        headers.iter().find(|(n, _)| n == "status").and_then(|(_, v)| v.split(' ').next()?.parse().ok());
+    let status = status.ok_or_else(|| bad("a CGI response without a status"))?;
+    Ok(Answer { status, headers, body: bytes[at + 4..].to_vec(), surplus: false })
+}
+
+/// Reads one message and, where the other side closes behind it, whether anything else came.
+fn message(
+    socket: &mut TcpStream,
+    messages: &mut Messages,
+    to_the_end: bool,
+) -> io::Result<(Head, Vec<u8>, bool)> {
+    let (mut input, mut head, mut body, mut whole, mut surplus) =
+        (Vec::new(), None, Vec::new(), false, false);
+    loop {
+        let (taken, piece) = messages.parse(&input).map_err(|e| bad(&e.to_string()))?;
+        input.drain(..taken);
+        match piece {
+            Some(_) if whole => surplus = true,
+            Some(Piece::Head(h)) => head = Some(h),
+            Some(Piece::Body(bytes)) => body.extend(bytes),
+            Some(Piece::End) => whole = true,
+            None => {
+                let mut bytes = [0; 4096];
+                let got = if whole && !to_the_end { 0 } else { socket.read(&mut bytes)? };
+                if got == 0 {
+                    let head = head.filter(|_| whole).ok_or(io::ErrorKind::UnexpectedEof)?;
+                    return Ok((head, body, surplus));
+                }
+                surplus |= whole;
+                input.extend_from_slice(&bytes[..got]);
+            }
+        }
+    }
+}
+
+/// Calls over HTTP, on a connection of its own that the other side closes.
+pub fn call(to: SocketAddr, method: &str, target: &str, body: &str) -> io::Result<Answer> {
+    let mut out = Vec::new();
+    let headers = [("Host", "localhost"), ("Connection", "close")];
+    write_message(&mut out, &format!("{method} {target} HTTP/1.1"), &headers, body.as_bytes());
+    exchange(to, &out)
+}
+
+/// Sends bytes and reads the one response to them.
+pub fn exchange(to: SocketAddr, bytes: &[u8]) -> io::Result<Answer> {
+    let mut socket = TcpStream::connect(to)?;
+    socket.set_read_timeout(Some(PATIENCE))?;
+    socket.write_all(bytes)?;
+    let (head, body, surplus) = message(&mut socket, &mut Messages::responses(1 << 16, 1 << 20), true)?;
+    let status = head.status().ok_or_else(|| bad("a response without a status"))?;
+    Ok(Answer { status, headers: head.headers, body, surplus })
+}
+
+/// A neighbour's HTTP interface: gives each request that comes, after it was answered with 201.
+pub fn neighbour() -> io::Result<(SocketAddr, mpsc::Receiver<(String, String)>)> {
+    let listener = TcpListener::bind("127.0.0.1:0")?;
+    let address = listener.local_addr()?;
+    let (tell, told) = mpsc::channel();
+    thread::spawn(move || {
+        for mut socket in listener.incoming().flatten() {
+            let Ok((head, body, _)) = message(&mut socket, &mut Messages::requests(1 << 16, 1 << 20), false)
+            else {
+                continue;
+            };
+            let _ = socket.write_all(b"HTTP/1.1 201 Created\r\nContent-Length: 0\r\n\r\n");
+            let target = head.request().map(|(_, target)| target.to_owned()).unwrap_or_default();
+            if tell.send((target, String::from_utf8_lossy(&body).into_owned())).is_err() {
+                return;
+            }
+        }
+    });
+    Ok((address, told))
+}
--- /dev/null
+++ b/rehearse/src/lib.rs
@@ -0,0 +1,58 @@
+//! A bounded rehearsal on loopback: stand-in boxes, a stand-in event bus and a stand-in CDNI neighbour play a
+//! purge and a drain against a real daemon, and every breach of the rules is reported.
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
+
+pub mod boxes;
+pub mod bus;
+pub mod clients;
+mod play;
+
+pub use play::{rehearse, settings, Plant};
+
+use std::fmt;
+use std::time::{SystemTime, UNIX_EPOCH};
+
+/// Unix time in milliseconds.
+pub fn unix_ms() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as u64
+}
+
+/// A broken rule.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Breach {
+    /// The rule.
+    pub rule: &'static str,
+    /// What broke it.
+    pub what: String,
+}
+
+/// What a rehearsal came to.
+#[derive(Clone, Debug, Default)]
+pub struct Report {
+    /// What was played, a line each.
+    pub played: Vec<String>,
+    /// All that broke a rule.
+    pub breaches: Vec<Breach>,
+}
+
+impl Report {
+    /// Notes a breach where something that must hold does not.
+    pub fn hold(&mut self, rule: &'static str, holds: bool, what: impl FnOnce() -> String) {
+        if !holds {
+            self.breaches.push(Breach { rule, what: what() });
+        }
+    }
+}
+
+impl fmt::Display for Report {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for line in &self.played {
+            writeln!(f, "played   {line}")?;
+        }
+        for breach in &self.breaches {
+            writeln!(f, "BREACH   {}: {}", breach.rule, breach.what)?;
+        }
+        writeln!(f, "{} breaches", self.breaches.len())
+    }
+}
--- /dev/null
+++ b/rehearse/src/play.rs
@@ -0,0 +1,322 @@
+//! The cases, and what must hold in them.
+
+use crate::boxes::{Arrival, Manner, StandIn};
+use crate::bus::{entry, Bus};
+use crate::clients::{call, neighbour, Answer, WebServer, PATIENCE};
+use crate::{unix_ms, Report};
+use serde_json::{json, Value};
+use std::collections::BTreeMap;
+use std::io::{self, BufRead, BufReader};
+use std::net::SocketAddr;
+use std::path::Path;
+use std::process::{Child, Command, Stdio};
+use std::sync::mpsc;
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// A fault that the stand-ins are made to show, to see that it is reported.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Plant {
+    /// The box serves copies of any age, also after a purge.
+    StaleCopies,
+    /// The drain never reaches the daemon.
+    DrainUntold,
+}
+
+/// Time from word of a purge until nothing older is served, and what sockets add to every time limit.
+const PURGE_GRACE_MS: u64 = 300 + 50;
+/// Time from word of a drain until nothing new goes there, with the same.
+const DRAIN_GRACE_MS: u64 = 1000 + 50;
+const OBJECT: &str = "00000000000000a1";
+const REDIRECTED: usize = 12;
+
+/// Settings of a small deployment: one location with boxes, one hub with the origin.
+pub fn settings() -> Value {
+    json!({
+        "categories": [
+            {"name": "photo", "aim-us": 300_000, "deadline-us": 2_500_000, "repeat": "pure", "worth": 1.0},
+            {"name": "post", "aim-us": 700_000, "deadline-us": 3_000_000, "repeat": "token", "dedup-scope": "all",
+             "window-us": 3_000_000, "worth": 3.0},
+        ],
+        "family-info": {
+            "in-pieces": [false, false], "never-kept": [false, true], "good-for-us": [8_000_000, 0],
+            "may-pass-by": true, "can-join": true, "mid-kind": -1, "source-kind": 1, "seats-by-zone": [0, 1],
+            "attached-to": [0, 0], "one-flow-kb-per-s": 4000, "purge-takes-us": 6_000_000,
+            "purge-slack-us": 300_000, "note-level": "all",
+        },
+        "kinds": ["box", "origin"], "localities": ["hub", "here"], "zone": "here", "weights": "rough",
+        "limits": {"try-limit": 6, "cancel": true, "max-retry-after-us": 2_000_000},
+        "rules": {"drain-grace-us": 1_000_000, "cold-share": 0.2, "ramp-time-us": 9_000_000, "fall-multiple": 2.5,
+            "tip-after-us": 3_000_000},
+    })
+}
+
+/// The daemon, ended with this.
+struct Running {
+    child: Child,
+    front: SocketAddr,
+    cdni: SocketAddr,
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+fn failed(what: impl Into<String>) -> io::Error {
+    io::Error::other(what.into())
+}
+
+fn start(daemon: &Path, bus: &Bus, peer: SocketAddr) -> io::Result<Running> {
+    // Named by the bus's port: rehearsals may run side by side in one process.
+    let folder = std::env::temp_dir().join(format!(
+        "linnetknot-rehearse-{}-{}",
+        std::process::id(),
+        bus.address.port()
+    ));
+    std::fs::create_dir_all(&folder)?;
+    let (config, interconnect) = (folder.join("config.json"), folder.join("interconnect.json"));
+    let text = json!({
+        "name": "rehearsed", "listen": "127.0.0.1:0", "seed": "1f", "bus": bus.address.to_string(),
+        "limits": {"memory_mb": 192, "sockets": 1024}, "settings": settings(),
+    });
+    std::fs::write(&config, text.to_string())?;
+    let text = json!({"cdni": {
+        "listen": "127.0.0.1:0", "provider": "AS64500:0", "base": "http://cdn.example",
+        "footprint": ["127.0.0.0/8"],
+        "neighbours": [{"provider": "AS64501:0", "address": peer.to_string(), "notices": "/notices",
+            "triggers": "/triggers", "content": "http://neighbour.example"}],
+    }});
+    std::fs::write(&interconnect, text.to_string())?;
+    let mut child = Command::new(daemon)
+        .env("ROUTER_CONFIG", &config)
+        .env("LINNETKNOT_INTERCONNECT", &interconnect)
+        .env("RUST_LOG", "info")
+        .stdin(Stdio::null())
+        .stderr(Stdio::piped())
+        .spawn()?;
+    let log = child.stderr.take().ok_or_else(|| failed("the daemon has no log"))?;
+    let (tell, told) = mpsc::channel();
+    thread::spawn(move || {
+        // Read to the end, so that the daemon is never held up by its log.
+        for line in BufReader::new(log).lines().map_while(Result::ok) {
+            let address = |mark: &str| line.split_once(mark)?.1.trim().parse::<SocketAddr>().ok();
+            let found = [(false, address(" listens on ")), (true, address("neighbours connect to "))];
+            for (cdni, address) in found.into_iter().filter_map(|(cdni, a)| Some((cdni, a?))) {
+                let _ = tell.send((cdni, address));
+            }
+        }
+    });
+    let mut addresses = BTreeMap::new();
+    while addresses.len() < 2 {
+        let (cdni, address) = told.recv_timeout(PATIENCE).map_err(|_| failed("the daemon did not start"))?;
+        addresses.insert(cdni, address);
+    }
+    let _ = std::fs::remove_dir_all(&folder);
+    Ok(Running { child, front: addresses[&false], cdni: addresses[&true] })
+}
+
+/// Plays both cases against a daemon's program and reports every breach. Errors are those of the play itself.
+pub fn rehearse(daemon: &Path, plant: Option<Plant>) -> io::Result<Report> {
+    let mut report = Report::default();
+    let boxes = [StandIn::start("s-0000000a")?, StandIn::start("s-0000000b")?];
+    let origin = StandIn::start("s-0000000f")?;
+    let bus = Bus::start()?;
+    let mut list: Vec<Value> = boxes.iter().map(|b| entry(b, "here", "box", "ready")).collect();
+    list.push(entry(&origin, "hub", "origin", "ready"));
+    bus.list(true, list);
+    let (peer, told) = neighbour()?;
+    let mut running = start(daemon, &bus, peer)?;
+    let until = Instant::now() + PATIENCE;
+    while call(running.cdni, "GET", "/health", "")?.status != 200 {
+        if Instant::now() > until {
+            return Err(failed("the daemon did not become ready"));
+        }
+        thread::sleep(Duration::from_millis(10));
+    }
+    if plant == Some(Plant::StaleCopies) {
+        boxes.iter().for_each(|b| b.behave(Manner { any_age: true, ..Manner::default() }));
+    }
+    purge(&running, &boxes, &mut report)?;
+    notices(&bus, &told, &mut report)?;
+    boxes.iter().for_each(|b| b.behave(Manner::default()));
+    drain(&running, &bus, &boxes, plant, &mut report)?;
+    attempts(&boxes, &origin, &mut report);
+    end(&mut running, &boxes, &mut report)?;
+    Ok(report)
+}
+
+fn content(to: SocketAddr, object: &str) -> io::Result<Answer> {
+    call(to, "GET", &format!("/content/photo/{object}/0?kb=40"), "")
+}
+
+/// A purge told by the neighbour: from its grace on, neither front serves an older copy.
+fn purge(running: &Running, boxes: &[StandIn], report: &mut Report) -> io::Result<()> {
+    let warm = content(running.cdni, OBJECT)?;
+    report.hold("one answer", warm.status == 200, || format!("the first copy was answered {}", warm.status));
+    // The purge must lie behind the copy by more than the clock's step.
+    thread::sleep(Duration::from_millis(5));
+    let purged = unix_ms();
+    let url = format!("http://cdn.example/content/photo/{OBJECT}");
+    let command = json!({"trigger": {"type": "purge", "content.urls": [url]}, "cdn-path": ["AS64501:0"]});
+    let made = call(running.cdni, "POST", "/cdni/triggers", &command.to_string())?;
+    let told = unix_ms();
+    report.hold("trigger", made.status == 201, || format!("the purge was answered {}", made.status));
+    let place = made.header("location").and_then(|l| l.strip_prefix("http://cdn.example")).unwrap_or("/");
+    let status = call(running.cdni, "GET", place, "")?;
+    let done = serde_json::from_slice::<Value>(&status.body).is_ok_and(|v| v["status"] == "complete");
+    report.hold("trigger", done, || format!("the status resource {place} does not tell a complete purge"));
+    let (mut server, mut asked) = (WebServer::connect(running.front)?, 0u16);
+    while unix_ms() < told + PURGE_GRACE_MS + 600 {
+        let sent = unix_ms();
+        asked += 1;
+        server.ask(asked, "photo", OBJECT, 2500)?;
+        let fronts = [("FastCGI", server.end()?.1), ("CDNI", Some(content(running.cdni, OBJECT)?))];
+        for (front, answer) in fronts {
+            let Some(answer) = answer else { continue };
+            let old = sent > told + PURGE_GRACE_MS && answer.made().is_some_and(|made| made < purged);
+            report.hold("purge", !old, || {
+                format!(
+                    "by {front}, {} ms after the purge was told, a copy from before it was served",
+                    sent - told
+                )
+            });
+            report.hold("one answer", !answer.surplus, || format!("bytes behind an answer by {front}"));
+        }
+        thread::sleep(Duration::from_millis(20));
+    }
+    let reached: usize = boxes.iter().map(|b| b.arrivals().len()).sum();
+    report.played.push(format!("a purge by CDNI, {asked} requests by each front, {reached} at the boxes"));
+    Ok(())
+}
+
+/// Our footprint and a purge of the bus reach the neighbour.
+fn notices(bus: &Bus, told: &mpsc::Receiver<(String, String)>, report: &mut Report) -> io::Result<()> {
+    bus.push(json!({"ban": {"url": "00000000000000ff", "ts": unix_ms()}}));
+    let (mut footprint, mut purge) = (false, false);
+    while !(footprint && purge) {
+        let Ok((target, body)) = told.recv_timeout(PATIENCE) else { break };
+        let body: Value = serde_json::from_str(&body).map_err(|e| failed(e.to_string()))?;
+        footprint |= target == "/notices" && body["capabilities"].as_array().is_some_and(|c| !c.is_empty());
+        let urls = body["trigger"]["content.urls"].to_string();
+        purge |=
+            target == "/triggers" && urls.contains("00000000000000ff") && body["cdn-path"][0] == "AS64500:0";
+    }
+    report.hold("notice", footprint, || "our footprint did not reach the neighbour".to_owned());
+    report.hold("notice", purge, || "a purge of the event bus did not reach the neighbour".to_owned());
+    report.played.push("notices to the neighbour: footprint and purge".to_owned());
+    Ok(())
+}
+
+/// Requests that were redirected here while their target box drains: one final answer each, and nothing new at
+/// the box from the grace on.
+fn drain(
+    running: &Running,
+    bus: &Bus,
+    boxes: &[StandIn],
+    plant: Option<Plant>,
+    report: &mut Report,
+) -> io::Result<()> {
+    boxes.iter().for_each(|b| b.behave(Manner { hold_ms: 150, ..Manner::default() }));
+    let mut clients = Vec::new();
+    for n in 0..REDIRECTED {
+        let uri = format!("http://cdn.example/content/photo/{:016x}/0?kb=40", 0xb000 + n);
+        let asked = json!({"http": {"c-ip": "127.0.0.9", "cs-uri": uri, "cs-method": "GET"}, "cdn-path": ["AS64501:0"]});
+        let answer = call(running.cdni, "POST", "/cdni/redirect", &asked.to_string())?;
+        let value: Value = serde_json::from_slice(&answer.body).map_err(|e| failed(e.to_string()))?;
+        let location =
+            value["http"]["sc-(location)"].as_str().and_then(|l| l.strip_prefix("http://cdn.example"));
+        let Some(target) = location.map(str::to_owned) else {
+            report.hold("redirection", false, || format!("no redirection but {value}"));
+            continue;
+        };
+        let to = running.cdni;
+        clients.push(thread::spawn(move || (n, call(to, "GET", &target, ""))));
+    }
+    // The box that the first of them waits at drains.
+    let keys: Vec<_> = (0..REDIRECTED).map(|n| format!("{:016x}", 0xb000 + n)).collect();
+    let redirected = |a: &Arrival| a.field("key").is_some_and(|key| keys.iter().any(|k| k == key));
+    let at = |b: &&StandIn| b.arrivals().iter().any(redirected);
+    let until = Instant::now() + PATIENCE;
+    let target = loop {
+        match boxes.iter().find(at) {
+            Some(target) => break target,
+            None if Instant::now() > until => return Err(failed("a redirected request reached no box")),
+            None => thread::sleep(Duration::from_millis(2)),
+        }
+    };
+    if plant != Some(Plant::DrainUntold) {
+        bus.list(false, vec![entry(target, "here", "box", "draining")]);
+    }
+    let drained = unix_ms();
+    for client in clients {
+        let (n, answer) = client.join().map_err(|_| failed("a client gave up"))?;
+        match answer {
+            Err(e) => report.hold("one answer", false, || format!("redirected request {n} got none: {e}")),
+            Ok(answer) => {
+                let known = matches!(answer.status, 200 | 502 | 503 | 504);
+                report.hold("one answer", known && !answer.surplus, || {
+                    format!(
+                        "redirected request {n} got {} with more behind it: {}",
+                        answer.status, answer.surplus
+                    )
+                });
+            }
+        }
+    }
+    boxes.iter().for_each(|b| b.behave(Manner::default()));
+    while unix_ms() < drained + DRAIN_GRACE_MS + 10 {
+        thread::sleep(Duration::from_millis(5));
+    }
+    for n in 0..2 * REDIRECTED {
+        let answer = content(running.cdni, &format!("{:016x}", 0xc000 + n))?;
+        report.hold("one answer", !answer.surplus, || {
+            format!("bytes behind the answer to request {n} after a drain")
+        });
+    }
+    for a in target.arrivals().iter().filter(|a| a.word == "fetch" && a.at > drained + DRAIN_GRACE_MS) {
+        report.hold("drain", false, || {
+            format!("{} reached {} {} ms after word that it drains", a.id, target.uid, a.at - drained)
+        });
+    }
+    report
+        .played
+        .push(format!("a drain under {REDIRECTED} redirected requests, {} after it", 2 * REDIRECTED));
+    Ok(())
+}
+
+/// No request had more than six attempts.
+fn attempts(boxes: &[StandIn], origin: &StandIn, report: &mut Report) {
+    let mut counts: BTreeMap<String, u32> = BTreeMap::new();
+    let all = boxes.iter().chain([origin]).flat_map(StandIn::arrivals);
+    all.filter(|a| a.word == "fetch").for_each(|a| *counts.entry(a.id).or_default() += 1);
+    for (id, count) in counts.iter().filter(|c| *c.1 > 6) {
+        report.hold("attempts", false, || format!("{id} was tried {count} times"));
+    }
+}
+
+/// A planned end: what is open is answered, and the daemon ends well.
+fn end(running: &mut Running, boxes: &[StandIn], report: &mut Report) -> io::Result<()> {
+    let before: usize = boxes.iter().map(|b| b.arrivals().len()).sum();
+    boxes.iter().for_each(|b| b.behave(Manner { hold_ms: 150, ..Manner::default() }));
+    let mut server = WebServer::connect(running.front)?;
+    server.ask(1, "photo", "00000000000000e1", 2500)?;
+    let fits = |a: &Arrival| a.field("key") == Some("00000000000000e1");
+    let until = Instant::now() + PATIENCE;
+    while boxes.iter().map(|b| b.arrivals().len()).sum::<usize>() == before && Instant::now() < until {
+        thread::sleep(Duration::from_millis(2));
+    }
+    report.hold("one answer", boxes.iter().any(|b| b.arrivals().iter().any(fits)), || {
+        "the last request strayed".into()
+    });
+    // The system's own command sends the signal: the standard library has none.
+    Command::new("kill").arg("-TERM").arg(running.child.id().to_string()).status()?;
+    let answer = server.end()?.1;
+    report.hold("end", answer.is_some(), || "an open request was not answered at the end".to_owned());
+    let status = running.child.wait()?;
+    report.hold("end", status.success(), || format!("the daemon ended with {status}"));
+    report.played.push("a planned end with a request open".to_owned());
+    Ok(())
+}
