--- a/daemon/src/core.rs
+++ b/daemon/src/core.rs
@@ -204,6 +204,9 @@
     /// Purges that hold for good.
     lasting: BTreeSet<(Option<String>, u64)>,
     most_lasting: usize,
+    /// Bytes of the bodies of all open requests.
+    bodies: usize,
+    most_bodies: usize,
     actions: Vec<Action>,
     commands: Vec<Command>,
     /// What was done so far.
@@ -220,6 +223,8 @@
             answer_ahead_us: limits.answer_ahead_us,
             lasting: BTreeSet::new(),
             most_lasting: limits.purges,
+            bodies: 0,
+            most_bodies: limits.bodies,
             actions: Vec::new(),
             commands: Vec::new(),
             counts: Counts::default(),
@@ -301,6 +306,10 @@
 
     /// Takes a request. A full table gives none: the front refuses it.
     pub fn ask(&mut self, now: Micros, client: Client, mut asked: Asked) -> Option<Ticket> {
+        let body = asked.body.len();
+        if self.bodies + body > self.most_bodies {
+            return None;
+        }
         let remaining_us = asked.remaining_us.saturating_sub(self.answer_ahead_us);
         let request = Request {
             id: 0,
@@ -318,6 +327,7 @@
         let open = Open { client, asked, deadline, attempts: 0, out: None, answered: false };
         let ticket = self.requests.insert(open).ok()?;
         self.counts.taken += 1;
+        self.bodies += body;
         self.commands.push(Command::Wake(deadline, Wake::Request(ticket)));
         self.feed(now, Event::Request(Request { id: ticket.to_u64(), ..request }));
         Some(ticket)
@@ -422,7 +432,8 @@
     /// Frees the slot of a request that is answered and has nothing out.
     fn tidy(&mut self, ticket: Ticket) {
         if self.requests.get(ticket).is_some_and(|open| open.answered && open.out.is_none()) {
-            self.requests.remove(ticket);
+            let body = self.requests.remove(ticket).map_or(0, |open| open.asked.body.len());
+            self.bodies -= body;
         }
     }
 
--- a/daemon/src/limits.rs
+++ b/daemon/src/limits.rs
@@ -19,6 +19,8 @@
     pub client_requests: usize,
     /// Bytes of a request's parameters.
     pub params: usize,
+    /// Bytes of the bodies of all open requests.
+    pub bodies: usize,
     /// Bytes of a request's body.
     pub body: usize,
     /// Bytes of an answer's body.
@@ -63,6 +65,8 @@
     pub accept_again_us: u64,
     /// An id that was given up stays barred on its connection for so long: its answer may be on the way.
     pub barred_us: u64,
+    /// A connection to a box that says nothing for so long, while it is asked, may lead nowhere any more.
+    pub suspect_us: u64,
     /// A connection to a box that takes none of what is written for so long is broken off.
     pub stalled_us: u64,
 }
@@ -79,7 +83,8 @@
             box_connections: 8,
             box_streams: 100,
             requests: 8192.min(memory / (16 << 10)),
-            client_requests: 256,
+            client_requests: 64,
+            bodies: memory / 4,
             params: 16 << 10,
             body: 64 << 10,
             object: 512 << 10,
@@ -103,6 +108,7 @@
             term_grace_us: 900_000,
             accept_again_us: 20_000,
             barred_us: 5_000_000,
+            suspect_us: 1_000_000,
             stalled_us: 500_000,
         }
     }
--- a/daemon/src/net/ring.rs
+++ b/daemon/src/net/ring.rs
@@ -2,7 +2,7 @@
 
 use std::io::{self, Read, Write};
 
-/// A bounded ring of bytes. Memory is taken with the first byte, so idle connections cost none.
+/// A bounded ring of bytes. Memory is taken with the first byte, so a connection that never speaks costs none.
 pub struct Ring {
     bytes: Vec<u8>,
     most: usize,
@@ -36,7 +36,7 @@
         &self.bytes[self.head..(self.head + self.len).min(self.bytes.len())]
     }
 
-    /// Drops bytes from the front; the memory of an emptied ring is given back.
+    /// Drops bytes from the front.
     pub fn consume(&mut self, n: usize) {
         let n = n.min(self.len);
         self.len -= n;
--- a/daemon/src/upstream.rs
+++ b/daemon/src/upstream.rs
@@ -37,6 +37,8 @@
     open: HashMap<String, Stream>,
     probes: u64,
     last_heard: Micros,
+    /// A connection is taken for suspect once it has been silent for so long.
+    suspect_us: Micros,
     /// Nothing came back for what was given up here: the other side may be gone without a word.
     suspect: bool,
     stalled: Option<(u64, Micros)>,
@@ -142,6 +144,7 @@
             open: HashMap::new(),
             probes: 0,
             last_heard: now,
+            suspect_us: limits.suspect_us,
             suspect: false,
             stalled: None,
         }
@@ -246,7 +249,8 @@
         }
         conn.output.push(&frame);
         if let Stream::Attempt(_, sent, _) = stream {
-            self.suspect |= self.last_heard < *sent;
+            let silent = self.last_heard < *sent && self.last_heard + self.suspect_us < now;
+            self.suspect |= silent;
         }
         *stream = Stream::GivenUp(now, Some((attempt, conn.written + conn.output.len() as u64)));
         true
--- /dev/null
+++ b/daemon/tests/core.rs
@@ -0,0 +1,149 @@
+//! The core alone: requests, attempts and outcomes without any wire.
+
+use linnetknot::{ListMode, Outcome, Server, State};
+use linnetknot_daemon::core::{
+    server_id, Answer, Asked, AttemptId, Client, Command, Content, Core, Ended, Entry, Wake,
+};
+use linnetknot_daemon::limits::Limits;
+use linnetknot_daemon::net::Key;
+use linnetknot_rehearse::settings;
+
+const NOW: u64 = 1_000_000_000;
+
+fn entry(uid: &str, zone: &str, kind: &str, state: State) -> Entry {
+    let (zone, kind) = (zone.to_owned(), kind.to_owned());
+    let server = Server { id: server_id(uid), zone, cell: 0, kind, weight: 8.0, state, started: None };
+    Entry { server, uid: uid.to_owned(), endpoint: ([127, 0, 0, 1], 9).into() }
+}
+
+fn core(limits: &Limits) -> Core {
+    let settings = linnetknot_settings::settings(settings().as_object().unwrap()).unwrap();
+    let mut core = Core::new(settings, 1, limits).unwrap();
+    let list = [("a", "here", "box"), ("b", "here", "box"), ("o", "hub", "origin")];
+    let list = list.map(|(uid, zone, kind)| entry(uid, zone, kind, State::Ready));
+    core.list(NOW, ListMode::Full, list.to_vec());
+    core.commands();
+    core
+}
+
+fn limits() -> Limits {
+    Limits::for_machine(1024, 192)
+}
+
+fn client(stream: u32) -> Client {
+    Client { connection: Key::from_u64(1), stream }
+}
+
+fn asked(body: usize) -> Asked {
+    let (class, object) = ("photo".to_owned(), "00000000000000a1".to_owned());
+    Asked { class, object, size_kb: 40.0, remaining_us: 1_000_000, body: vec![0; body], ..Asked::default() }
+}
+
+fn sent(commands: &[Command]) -> Option<AttemptId> {
+    commands.iter().find_map(|c| if let Command::Send(attempt) = c { Some(*attempt) } else { None })
+}
+
+fn answers(commands: &[Command]) -> Vec<Answer> {
+    let answer = |c: &Command| if let Command::Answer(_, answer) = c { Some(answer.clone()) } else { None };
+    commands.iter().filter_map(answer).collect()
+}
+
+fn served() -> Ended {
+    let content = Content::Object { bytes: b"x".to_vec(), tag: None };
+    Ended { content: Some(content), ..Outcome::Ok.into() }
+}
+
+#[test]
+fn a_second_outcome_of_an_attempt_gives_no_second_answer() {
+    let mut core = core(&limits());
+    core.ask(NOW, client(1), asked(0)).unwrap();
+    let attempt = sent(&core.commands()).unwrap();
+    core.ended(NOW + 10, attempt, served());
+    assert_eq!(answers(&core.commands()).len(), 1);
+    core.ended(NOW + 11, attempt, served());
+    core.wake(NOW + 2_000_000, Wake::Request(attempt.ticket));
+    assert_eq!((core.commands(), core.is_idle()), (vec![], true));
+}
+
+#[test]
+fn at_the_deadline_what_is_out_is_given_up_and_a_late_answer_changes_nothing() {
+    let mut core = core(&limits());
+    core.ask(NOW, client(1), asked(0)).unwrap();
+    let commands = core.commands();
+    let attempt = sent(&commands).unwrap();
+    let due = commands.iter().find_map(|c| match c {
+        Command::Wake(at, wake @ Wake::Request(_)) => Some((*at, *wake)),
+        _ => None,
+    });
+    let (at, wake) = due.unwrap();
+    assert_eq!(at, NOW + 1_000_000 - limits().answer_ahead_us, "the answer has a way to go");
+    core.wake(at, wake);
+    let commands = core.commands();
+    assert!(
+        commands.contains(&Command::GiveUp(attempt, server_id("a")))
+            || commands.contains(&Command::GiveUp(attempt, server_id("b")))
+    );
+    assert!(matches!(answers(&commands)[..], [Answer::Refused { wait_us: Some(_) }]));
+    core.ended(at + 1, attempt, served());
+    assert_eq!(answers(&core.commands()), []);
+}
+
+#[test]
+fn a_further_attempt_waits_until_the_one_before_is_over() {
+    let mut core = core(&limits());
+    core.ask(NOW, client(1), asked(0)).unwrap();
+    let first = sent(&core.commands()).unwrap();
+    // Ticks until the module takes the attempt for stuck and calls it off.
+    let (mut now, mut given_up) = (NOW, false);
+    while !given_up && now < NOW + 900_000 {
+        now += 50_000;
+        core.wake(now, Wake::Router(0));
+        let commands = core.commands();
+        assert_eq!(sent(&commands), None, "two attempts would be out at once");
+        given_up = commands.iter().any(|c| matches!(c, Command::GiveUp(a, _) if *a == first));
+    }
+    assert!(given_up);
+    // Its answer crosses the word that it is given up: too late, as the outcome says.
+    core.ended(now, first, served());
+    let commands = core.commands();
+    let second = sent(&commands).expect("a further attempt");
+    assert_eq!((answers(&commands), second.number), (vec![], 1));
+    core.ended(now, second, served());
+    assert_eq!(answers(&core.commands()).len(), 1);
+}
+
+#[test]
+fn a_client_that_left_is_owed_nothing_and_its_slot_is_free_once_nothing_is_out() {
+    let mut core = core(&limits());
+    let ticket = core.ask(NOW, client(1), asked(0)).unwrap();
+    let attempt = sent(&core.commands()).unwrap();
+    core.leave(NOW, ticket);
+    assert!(core.commands().iter().any(|c| matches!(c, Command::GiveUp(a, _) if *a == attempt)));
+    assert!(!core.is_idle());
+    core.ended(NOW, attempt, Outcome::Cancelled.into());
+    assert_eq!((answers(&core.commands()), core.is_idle()), (vec![], true));
+}
+
+#[test]
+fn full_tables_turn_requests_away_until_there_is_room() {
+    let mut core = core(&Limits { requests: 2, bodies: 100, ..limits() });
+    let first = core.ask(NOW, client(1), asked(60)).unwrap();
+    assert_eq!(core.ask(NOW, client(2), asked(60)), None, "their bodies are too many bytes");
+    core.ask(NOW, client(2), asked(0)).unwrap();
+    assert_eq!(core.ask(NOW, client(3), asked(0)), None);
+    let attempt = sent(&core.commands()).unwrap();
+    assert_eq!(attempt.ticket, first);
+    core.ended(NOW, attempt, served());
+    assert!(core.ask(NOW, client(3), asked(60)).is_some());
+}
+
+#[test]
+fn word_of_a_drain_takes_back_what_is_not_written_yet() {
+    let mut core = core(&limits());
+    core.list(NOW, ListMode::Delta, vec![entry("a", "here", "box", State::Draining)]);
+    assert_eq!(core.commands().first(), Some(&Command::Withdraw(server_id("a"))));
+    // What a full list does not name any more is gone.
+    core.list(NOW, ListMode::Full, vec![entry("a", "here", "box", State::Draining)]);
+    let withdrawn = core.commands();
+    assert!(withdrawn.contains(&Command::Withdraw(server_id("b"))) && !core.is_ready());
+}
--- a/daemon/tests/loopback.rs
+++ b/daemon/tests/loopback.rs
@@ -5,6 +5,7 @@
 use linnetknot_rehearse::boxes::{Manner, StandIn};
 use linnetknot_rehearse::bus::{entry, Bus};
 use linnetknot_rehearse::clients::{call, exchange, Answer, WebServer};
+use linnetknot_rehearse::consul::Agent;
 use linnetknot_rehearse::{settings, unix_ms};
 use serde_json::{json, Value};
 use std::net::{SocketAddr, TcpListener};
@@ -41,9 +42,10 @@
             "limits": {"memory_mb": 192, "sockets": 256},
         });
         change(&mut config);
+        let consul = config["consul"].take();
         let mut config = Config::read(config.as_object().unwrap()).unwrap();
         let cdni = json!({"cdni": {"listen": "127.0.0.1:0", "provider": "AS64500:0", "base": "http://cdn.example",
-            "footprint": ["127.0.0.0/8"], "neighbours": []}});
+            "footprint": ["127.0.0.0/8"], "neighbours": []}, "consul": consul});
         config.interconnect(cdni.as_object().unwrap()).unwrap();
         // A daemon stays on the thread that started it.
         let (tell, told) = std::sync::mpsc::channel();
@@ -284,3 +286,45 @@
     assert!(rig.boxes[0].wait_for(|a| a.field("have") == Some(tag.trim_matches('"'))).is_some());
     rig.stop();
 }
+
+#[test]
+fn consul_can_be_the_source_of_the_list() {
+    let agent = Agent::start().unwrap();
+    let rig = Rig::with(&["s-0a", "s-0b"], |config| {
+        config["known"] = Value::Null;
+        config["consul"] = json!({"address": agent.address.to_string(), "service": "pop-cache"});
+    });
+    let instance = |at: usize, status| (rig.boxes[at].uid, rig.boxes[at].address, "here", "box", status);
+    agent.register(&[instance(0, "passing"), instance(1, "critical")]);
+    let mut web = rig.web();
+    while one(&mut web, "photo", &object(1)).status != 200 {}
+    for n in 0..10 {
+        assert_eq!(one(&mut web, "photo", &object(n)).status, 200);
+    }
+    assert_eq!(rig.boxes[1].arrivals(), [], "its check is critical");
+    // The other way round: the list follows the checks.
+    agent.register(&[instance(1, "passing")]);
+    while rig.boxes[1].arrivals().is_empty() {
+        one(&mut web, "photo", &object(1));
+    }
+    let before = rig.boxes[0].arrivals().len();
+    for n in 0..10 {
+        assert_eq!(one(&mut web, "photo", &object(n)).status, 200);
+    }
+    assert_eq!(rig.boxes[0].arrivals().len(), before, "it is gone");
+    rig.stop();
+}
+
+#[test]
+fn connections_beyond_the_limit_wait_until_others_end() {
+    // Room for one client.
+    let rig = Rig::with(&["s-0a"], |config| config["limits"]["sockets"] = json!(3));
+    let mut first = rig.web();
+    assert_eq!(one(&mut first, "photo", &object(1)).status, 200);
+    let mut second = rig.web();
+    second.ask(1, "photo", &object(2), 2500).unwrap();
+    assert_eq!(one(&mut first, "photo", &object(1)).status, 200, "the listener does not keep the loop busy");
+    drop(first);
+    assert_eq!(second.end().unwrap().1.unwrap().status, 200);
+    rig.stop();
+}
--- /dev/null
+++ b/daemon/tests/upstream.rs
@@ -0,0 +1,155 @@
+//! Links to boxes: what becomes of attempts when connections end, and of ids that were given up.
+
+use linnetknot::{ListMode, Outcome, Server, ServerId, State};
+use linnetknot_daemon::core::{server_id, Asked, AttemptId, Client, Command, Core, Entry};
+use linnetknot_daemon::limits::Limits;
+use linnetknot_daemon::net::{Conn, Key};
+use linnetknot_daemon::upstream::{Link, Told};
+use linnetknot_rehearse::settings;
+use std::io::{Read, Write};
+use std::net::{TcpListener, TcpStream};
+
+const NOW: u64 = 1_000_000_000;
+
+struct Rig {
+    core: Core,
+    link: Link,
+    conn: Conn,
+    far: TcpStream,
+    limits: Limits,
+    server: ServerId,
+    told: Vec<Told>,
+}
+
+impl Rig {
+    fn new(up: bool) -> Rig {
+        let limits = Limits::for_machine(1024, 192);
+        let settings = linnetknot_settings::settings(settings().as_object().unwrap()).unwrap();
+        let mut core = Core::new(settings, 1, &limits).unwrap();
+        let server = Server {
+            id: server_id("a"),
+            zone: "here".into(),
+            cell: 0,
+            kind: "box".into(),
+            weight: 8.0,
+            state: State::Ready,
+            started: None,
+        };
+        let entry = Entry { server, uid: "a".into(), endpoint: ([127, 0, 0, 1], 9).into() };
+        core.list(NOW, ListMode::Full, vec![entry]);
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let near = TcpStream::connect(listener.local_addr().unwrap()).unwrap();
+        let (far, server) = (listener.accept().unwrap().0, server_id("a"));
+        let conn = Conn::new(near, up, limits.input_ring, limits.output_ring).unwrap();
+        Rig { core, link: Link::new(server, &limits, NOW), conn, far, limits, server, told: Vec::new() }
+    }
+
+    fn send(&mut self, id: &str) -> AttemptId {
+        let asked = Asked {
+            id: id.into(),
+            class: "photo".into(),
+            object: format!("{id}-object"),
+            size_kb: 40.0,
+            remaining_us: 2_000_000,
+            ..Asked::default()
+        };
+        self.core.commands();
+        self.core.ask(NOW, Client { connection: Key::from_u64(0), stream: 0 }, asked).unwrap();
+        let sent = |c: Command| if let Command::Send(attempt) = c { Some(attempt) } else { None };
+        let attempt = self.core.commands().into_iter().find_map(sent).unwrap();
+        self.link.send(attempt);
+        self.pump();
+        attempt
+    }
+
+    fn pump(&mut self) -> bool {
+        self.link.pump(NOW, &mut self.conn, &self.core, &self.limits, &mut self.told)
+    }
+
+    fn give_up(&mut self, attempt: AttemptId) {
+        assert!(self.link.give_up(NOW, attempt, &mut self.conn, &mut self.told));
+        self.pump();
+    }
+
+    /// What reached the other side so far, which is `marks` frames of this word.
+    fn reached(&mut self, word: &str, marks: usize) -> String {
+        let (mut text, mut bytes) = (String::new(), [0; 4096]);
+        while text.matches(word).count() < marks {
+            let got = self.far.read(&mut bytes).unwrap();
+            text += &String::from_utf8_lossy(&bytes[..got]);
+        }
+        text
+    }
+
+    fn ends(&mut self) -> Vec<(AttemptId, Outcome)> {
+        let end =
+            |t| if let Told::Ended(attempt, ended) = t { (attempt, ended.outcome) } else { panic!("{t:?}") };
+        self.told.drain(..).map(end).collect()
+    }
+}
+
+#[test]
+fn what_never_arrived_whole_has_not_run_and_what_did_may_have() {
+    let mut rig = Rig::new(true);
+    let (written, given_up) = (rig.send("01"), rig.send("02"));
+    rig.give_up(given_up);
+    assert_eq!(rig.ends(), [(given_up, Outcome::Cancelled)], "once the word of it is written");
+    rig.conn.up = false;
+    let queued = rig.send("03");
+    let mut told = Vec::new();
+    rig.link.broken(rig.conn.written, &mut told);
+    let outcome = |t: &Told| if let Told::Ended(attempt, e) = t { Some((*attempt, e.outcome)) } else { None };
+    let ends: Vec<_> = told.iter().filter_map(outcome).collect();
+    assert_eq!(ends, [(queued, Outcome::ConnectFailed), (written, Outcome::Reset)]);
+}
+
+#[test]
+fn nothing_is_written_of_what_is_given_up_or_withdrawn_before_the_connection_is_up() {
+    let mut rig = Rig::new(false);
+    let (given_up, kept, withdrawn) = (rig.send("01"), rig.send("02"), rig.send("03"));
+    rig.give_up(given_up);
+    assert_eq!(rig.ends(), [(given_up, Outcome::Cancelled)]);
+    rig.conn.up = true;
+    rig.pump();
+    let text = rig.reached("fetch", 2);
+    assert!(!text.contains("01-object") && text.contains("02-object") && text.contains("03-object"));
+    // The list says that the box drains: what still waits for it comes back unsent.
+    rig.conn.up = false;
+    let waiting = rig.send("04");
+    rig.link.withdraw(rig.server, &rig.core, &mut rig.told);
+    assert_eq!(rig.ends(), [(waiting, Outcome::Moot)]);
+    assert!(![kept, withdrawn].contains(&waiting) && !rig.link.is_idle());
+}
+
+#[test]
+fn an_id_that_was_given_up_is_barred_since_its_answer_may_be_on_the_way() {
+    let mut rig = Rig::new(true);
+    let attempt = rig.send("01");
+    rig.give_up(attempt);
+    assert_eq!(rig.reached("abort", 1).matches("fetch").count(), 1);
+    rig.ends();
+    // The answer crossed the abort. It is heard, so the connection is no suspect, but it ends nothing.
+    rig.far.write_all(b"*4\r\n$2\r\n02\r\n$3\r\n200\r\n$1\r\n-\r\n$0\r\n\r\n").unwrap();
+    while rig.conn.read() != linnetknot_daemon::net::Progress::Moved {}
+    rig.link.read(NOW, &mut rig.conn, &rig.core, &mut rig.told).unwrap();
+    assert_eq!(rig.told, []);
+    assert_eq!(rig.link.room_for("01", &rig.limits), None);
+    assert_eq!(rig.link.room_for("03", &rig.limits), Some(0));
+    rig.link.prune(NOW + rig.limits.barred_us + 1, &rig.limits);
+    assert_eq!(rig.link.room_for("01", &rig.limits), Some(0));
+}
+
+#[test]
+fn a_connection_that_nothing_comes_back_on_takes_no_further_attempts() {
+    let mut rig = Rig::new(true);
+    let attempt = rig.send("01");
+    assert_eq!(rig.link.room_for("02", &rig.limits), Some(1));
+    // Heard last before the attempt was sent: a short silence is a pause, a long one may be the end.
+    for (silent_us, room) in [(rig.limits.suspect_us, Some(0)), (rig.limits.suspect_us + 1, None)] {
+        rig.link = Link::new(rig.server, &rig.limits, NOW - silent_us);
+        rig.link.send(attempt);
+        rig.pump();
+        rig.give_up(attempt);
+        assert_eq!(rig.link.room_for("02", &rig.limits), room);
+    }
+}
--- /dev/null
+++ b/examples/toy.rs
@@ -0,0 +1,15 @@
+//! The boxes of `config.json`, for a first try: two that keep copies and an origin, until it is stopped.
+
+use linnetknot_rehearse::boxes::StandIn;
+
+fn main() -> std::io::Result<()> {
+    for (uid, address) in
+        [("s-00000001", "127.0.0.1:7001"), ("s-00000002", "127.0.0.1:7002"), ("s-0000000f", "127.0.0.1:7015")]
+    {
+        let toy = StandIn::start_at(uid, address)?;
+        println!("{} serves on {}", toy.uid, toy.address);
+    }
+    loop {
+        std::thread::park();
+    }
+}
--- a/rehearse/src/boxes.rs
+++ b/rehearse/src/boxes.rs
@@ -61,9 +61,14 @@
 }
 
 impl StandIn {
-    /// Starts a box.
+    /// Starts a box on a port of its own.
     pub fn start(uid: &'static str) -> io::Result<Self> {
-        let listener = TcpListener::bind("127.0.0.1:0")?;
+        Self::start_at(uid, "127.0.0.1:0")
+    }
+
+    /// Starts a box at an address.
+    pub fn start_at(uid: &'static str, address: &str) -> io::Result<Self> {
+        let listener = TcpListener::bind(address)?;
         let stand_in = StandIn { uid, address: listener.local_addr()?, state: Arc::default() };
         let served = stand_in.clone();
         thread::spawn(move || {
--- a/rehearse/src/lib.rs
+++ b/rehearse/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod boxes;
 pub mod bus;
 pub mod clients;
+pub mod consul;
 mod play;
 
 pub use play::{rehearse, settings, Plant};
