Count attempts called off as stuck as long, so that their bound can rise

At fault: Router::outcome learned 'long' from answers alone, so that each attempt that the bound cut off was missing from what the bound is learned from, and it could only sink. What is called off while its server answers others now counts as long.

--- a/daemon/src/limits.rs
+++ b/daemon/src/limits.rs
@@ -104,7 +104,7 @@
             repeat_us: 40_000,
             back_off_us: 200_000,
             connect_us: 400_000,
-            answer_ahead_us: 25_000,
+            answer_ahead_us: 10_000,
             bus_silence_us: 2_500_000,
             bus_again_us: 100_000,
             term_grace_us: 900_000,
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -781,7 +781,8 @@
         // Where a server answered others meanwhile, only this answer may be lost: the work ran, and the copy
         // is there by now, so the same server is asked again.
         let answered = |id: ServerId| self.servers.get(&id).is_some_and(|s| s.last_ok > attempt.sent);
-        let again = attempt.stuck && open.stuck == 1 && answered(server);
+        let slow = attempt.stuck && answered(server);
+        let again = slow && open.stuck == 1;
         let mute = attempt.source.filter(|id| attempt.stuck && !answered(*id));
         let capacity = self.servers.get(&server).map_or(0.0, |s| self.capacity(s));
         let hit = outcome == Outcome::Ok && matches!(note, Note::Hit | Note::Stale);
@@ -828,6 +829,11 @@
                 }
             }
             Outcome::Cancelled if attempt.stuck => {
+                // It counts as long as well: were only answers counted, cutting off their tail would lower
+                // the bound further, and a slow origin would have all its work called off and begun anew.
+                if slow {
+                    self.long[class] *= 1.0 + LONG_STEP * (1.0 - LONG_SHARE);
+                }
                 let muted = [Some(server).filter(|_| !again), mute];
                 muted.into_iter().flatten().for_each(|id| self.judge(now, id, Some(STUCK_WEIGHT)));
             }
--- a/tests/defences.rs
+++ b/tests/defences.rs
@@ -201,3 +201,27 @@
     let source = filled.expect("its part of the objects").fill.source;
     assert!((2..=4).contains(&source), "{source}");
 }
+
+#[test]
+fn what_is_called_off_as_slow_raises_the_bound_on_what_comes_after_it() {
+    let mut rig = Rig::new(settings(), fleet());
+    let mut waits = Vec::new();
+    for round in 0..4 {
+        let object = format!("/o/{round}");
+        let slow = sent(&rig.ask("video", &object, 60 * S).1).expect("an attempt");
+        let start = rig.now;
+        // Its server answers others meanwhile, so it is the work that is slow.
+        rig.now += 100 * MS;
+        let other = rig.send("video", &object);
+        assert_eq!(other.server, slow.server);
+        rig.end_with(other.request, 0, other.server, Outcome::Ok, Note::Hit);
+        while !rig.tick().contains(&Action::Cancel { request: slow.request, attempt: 0 }) {
+            rig.now += 50 * MS;
+        }
+        waits.push(rig.now - start);
+        let again =
+            sent(&rig.end(slow.request, 0, slow.server, Outcome::Cancelled)).expect("another attempt");
+        rig.end_with(again.request, 1, again.server, Outcome::Ok, Note::Hit);
+    }
+    assert!(waits.is_sorted() && waits[3] > waits[0] * 4 / 3, "{waits:?}");
+}
