--- a/daemon/tests/loopback.rs
+++ b/daemon/tests/loopback.rs
@@ -8,7 +8,7 @@
 use linnetknot_rehearse::consul::Agent;
 use linnetknot_rehearse::{settings, unix_ms};
 use serde_json::{json, Value};
-use std::net::{SocketAddr, TcpListener};
+use std::net::{SocketAddr, TcpListener, UdpSocket};
 use std::thread::JoinHandle;
 
 struct Rig {
@@ -328,3 +328,28 @@
     assert_eq!(second.end().unwrap().1.unwrap().status, 200);
     rig.stop();
 }
+
+#[test]
+fn a_purge_told_at_one_proxy_reaches_its_peers_and_none_is_taken_from_strangers() {
+    let (peer, stranger) = (UdpSocket::bind("127.0.0.1:0").unwrap(), UdpSocket::bind("127.0.0.1:0").unwrap());
+    let rig = Rig::with(&["s-0a"], |config| {
+        config["peer_listen"] = json!("127.0.0.1:0");
+        config["peers"] = json!([peer.local_addr().unwrap().to_string()]);
+    });
+    let mut web = rig.web();
+    let made: Vec<_> = [1, 3].iter().map(|n| one(&mut web, "photo", &object(*n)).made()).collect();
+    while unix_ms() <= made[1].unwrap() + 1 {}
+    let url = format!("http://cdn.example/content/photo/{}", object(2));
+    let command = json!({"trigger": {"type": "purge", "content.urls": [url]}, "cdn-path": ["AS64501:0"]});
+    assert_eq!(call(rig.cdni, "POST", "/cdni/triggers", &command.to_string()).unwrap().status, 201);
+    let mut bytes = [0; 512];
+    let (length, from) = peer.recv_from(&mut bytes).unwrap();
+    let text = std::str::from_utf8(&bytes[..length]).unwrap();
+    assert!(text.starts_with(&format!("purge object {} ", object(2))), "{text}");
+    let now = unix_ms() * 1000;
+    stranger.send_to(format!("purge object {} {now}", object(3)).as_bytes(), from).unwrap();
+    peer.send_to(format!("purge object {} {now}", object(1)).as_bytes(), from).unwrap();
+    while one(&mut web, "photo", &object(1)).made() == made[0] {}
+    assert_eq!(one(&mut web, "photo", &object(3)).made(), made[1]);
+    rig.stop();
+}
--- a/rehearse/src/boxes.rs
+++ b/rehearse/src/boxes.rs
@@ -1,10 +1,10 @@
 //! Stand-in boxes: they keep copies, honour the age that is asked for, and write down all that reaches them.
 
-use crate::unix_ms;
+use crate::{listen, unix_ms};
 use linnetknot_daemon::wire::{resp, Parser};
 use std::collections::BTreeMap;
 use std::io::{self, Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpStream};
 use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
 use std::thread;
 use std::time::Duration;
@@ -50,6 +50,8 @@
     connections: usize,
 }
 
+type Shared = Arc<(Mutex<State>, Condvar)>;
+
 /// A stand-in box.
 #[derive(Clone)]
 pub struct StandIn {
@@ -57,7 +59,7 @@
     pub uid: &'static str,
     /// Where it listens.
     pub address: SocketAddr,
-    state: Arc<(Mutex<State>, Condvar)>,
+    state: Shared,
 }
 
 impl StandIn {
@@ -68,17 +70,14 @@
 
     /// Starts a box at an address.
     pub fn start_at(uid: &'static str, address: &str) -> io::Result<Self> {
-        let listener = TcpListener::bind(address)?;
-        let stand_in = StandIn { uid, address: listener.local_addr()?, state: Arc::default() };
-        let served = stand_in.clone();
-        thread::spawn(move || {
-            for socket in listener.incoming().flatten() {
-                served.state().connections += 1;
-                let served = served.clone();
-                thread::spawn(move || served.serve(socket));
-            }
-        });
-        Ok(stand_in)
+        let state = Shared::default();
+        let served = state.clone();
+        let address = listen(address, move |socket| {
+            let stand_in = StandIn { uid, address: socket.local_addr().ok()?, state: served.clone() };
+            stand_in.state().connections += 1;
+            stand_in.serve(socket)
+        })?;
+        Ok(StandIn { uid, address, state })
     }
 
     fn state(&self) -> MutexGuard<'_, State> {
--- a/rehearse/src/bus.rs
+++ b/rehearse/src/bus.rs
@@ -1,11 +1,11 @@
 //! A stand-in event bus.
 
 use crate::boxes::StandIn;
+use crate::listen;
 use serde_json::{json, Value};
 use std::io::{self, Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpStream};
 use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
-use std::thread;
 use std::time::Duration;
 
 #[derive(Default)]
@@ -15,12 +15,14 @@
     cuts: usize,
 }
 
+type Shared = Arc<(Mutex<State>, Condvar)>;
+
 /// An event bus that numbers events from 1.
 #[derive(Clone)]
 pub struct Bus {
     /// Where it listens.
     pub address: SocketAddr,
-    state: Arc<(Mutex<State>, Condvar)>,
+    state: Shared,
 }
 
 /// An entry of the list of boxes.
@@ -34,16 +36,13 @@
 impl Bus {
     /// Starts a bus without events.
     pub fn start() -> io::Result<Self> {
-        let listener = TcpListener::bind("127.0.0.1:0")?;
-        let bus = Bus { address: listener.local_addr()?, state: Arc::default() };
-        let served = bus.clone();
-        thread::spawn(move || {
-            for socket in listener.incoming().flatten() {
-                let served = served.clone();
-                thread::spawn(move || served.serve(socket));
-            }
-        });
-        Ok(bus)
+        let state = Shared::default();
+        let served = state.clone();
+        let address = listen("127.0.0.1:0", move |socket| {
+            let address = socket.local_addr()?;
+            Bus { address, state: served.clone() }.serve(socket)
+        })?;
+        Ok(Bus { address, state })
     }
 
     fn state(&self) -> MutexGuard<'_, State> {
--- a/rehearse/src/consul.rs
+++ b/rehearse/src/consul.rs
@@ -1,40 +1,37 @@
 //! A stand-in Consul: the health and catalogue answers of one service, with blocking queries.
 
+use crate::listen;
 use serde_json::{json, Value};
 use std::io::{self, Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpStream};
 use std::sync::{Arc, Condvar, Mutex, PoisonError};
-use std::thread;
 use std::time::Duration;
 
-#[derive(Default)]
 struct State {
     index: u64,
     instances: Vec<(&'static str, SocketAddr, &'static str, &'static str, &'static str)>,
 }
 
+type Shared = Arc<(Mutex<State>, Condvar)>;
+
 /// A Consul agent that knows one service.
 #[derive(Clone)]
 pub struct Agent {
     /// Where it listens.
     pub address: SocketAddr,
-    state: Arc<(Mutex<State>, Condvar)>,
+    state: Shared,
 }
 
 impl Agent {
     /// Starts an agent that knows no instance.
     pub fn start() -> io::Result<Self> {
-        let listener = TcpListener::bind("127.0.0.1:0")?;
-        let agent = Agent { address: listener.local_addr()?, state: Arc::default() };
-        agent.state.0.lock().unwrap_or_else(PoisonError::into_inner).index = 1;
-        let served = agent.clone();
-        thread::spawn(move || {
-            for socket in listener.incoming().flatten() {
-                let served = served.clone();
-                thread::spawn(move || served.serve(socket));
-            }
-        });
-        Ok(agent)
+        let state: Shared = Arc::new((Mutex::new(State { index: 1, instances: Vec::new() }), Condvar::new()));
+        let served = state.clone();
+        let address = listen("127.0.0.1:0", move |socket| {
+            let address = socket.local_addr()?;
+            Agent { address, state: served.clone() }.serve(socket)
+        })?;
+        Ok(Agent { address, state })
     }
 
     /// Registers instances in place of those before: id, address, zone, kind and the status of their check.
--- a/rehearse/src/lib.rs
+++ b/rehearse/src/lib.rs
@@ -12,8 +12,30 @@
 pub use play::{rehearse, settings, Plant};
 
 use std::fmt;
+use std::io;
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::thread;
 use std::time::{SystemTime, UNIX_EPOCH};
 
+/// Serves each connection on a thread of its own, on a port of its own unless the address names one. What a
+/// connection ends with is its client's to see.
+pub(crate) fn listen<T>(
+    address: &str,
+    serve: impl Fn(TcpStream) -> T + Clone + Send + 'static,
+) -> io::Result<SocketAddr> {
+    let listener = TcpListener::bind(address)?;
+    let address = listener.local_addr()?;
+    thread::spawn(move || {
+        for socket in listener.incoming().flatten() {
+            let serve = serve.clone();
+            thread::spawn(move || {
+                serve(socket);
+            });
+        }
+    });
+    Ok(address)
+}
+
 /// Unix time in milliseconds.
 pub fn unix_ms() -> u64 {
     SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as u64
