Keep requests of one id off one connection, where one lost its answer

Checked: what reached the stand-in box. Ruled out: backpressure and lost wake-ups, since every other answer came within 20 ms. At fault: Link::room_for looked for the id among what is written only. While the connection was not up yet, both attempts were queued, and the second's entry in the map of open streams replaced the first's, whose request then stayed open until its deadline. Now what is queued counts too, so that the second takes a connection of its own.

--- a/daemon/src/daemon/boxes.rs
+++ b/daemon/src/daemon/boxes.rs
@@ -29,7 +29,7 @@
         let links = self.links.get(&server).map_or(&[][..], Vec::as_slice);
         let room = |key: &Key| match self.connections.get(*key) {
             Some(Connection { conn, kind: Kind::Box(link), .. }) => {
-                Some((!link.gave_up(id), !conn.up, link.room_for(id, &self.limits)?))
+                Some((!link.gave_up(id), !conn.up, link.room_for(id, &self.core, &self.limits)?))
             }
             _ => None,
         };
--- a/daemon/src/upstream.rs
+++ b/daemon/src/upstream.rs
@@ -179,10 +179,14 @@
     }
 
     /// Attempts on it, if it can take one more under this id.
-    pub fn room_for(&self, id: &str, limits: &Limits) -> Option<usize> {
+    pub fn room_for(&self, id: &str, core: &Core, limits: &Limits) -> Option<usize> {
         let live =
             self.open.values().filter(|s| !matches!(s, Stream::GivenUp(..))).count() + self.queue.len();
-        let free = self.open.get(id).is_none_or(|s| matches!(s, Stream::GivenUp(_, None)));
+        // Two clients may give one id: a second attempt under it here would take the first one's answer, also
+        // where both still wait for the connection.
+        let queued = |a: &AttemptId| core.sending(*a).is_some_and(|(asked, _)| asked.id == id);
+        let free = self.open.get(id).is_none_or(|s| matches!(s, Stream::GivenUp(_, None)))
+            && !self.queue.iter().any(queued);
         (!self.suspect && live < limits.box_streams && free).then_some(live)
     }
 
--- a/daemon/tests/loopback.rs
+++ b/daemon/tests/loopback.rs
@@ -363,7 +363,9 @@
     for id in 1..=32 {
         slow.ask(id, "photo", &object(u64::from(id)), 60_000).unwrap();
     }
-    assert_eq!(one(&mut other, "photo", &object(99)).body.len() / 1000, 240);
+    // Of another name than any of them.
+    other.ask(99, "photo", &object(99), 2500).unwrap();
+    assert_eq!(other.end().unwrap().1.unwrap().body.len() / 1000, 240);
     for _ in 1..=32 {
         let (id, answer) = slow.end().unwrap();
         let answer = answer.unwrap();
--- a/daemon/tests/upstream.rs
+++ b/daemon/tests/upstream.rs
@@ -73,6 +73,10 @@
         attempt
     }
 
+    fn room_for(&self, id: &str) -> Option<usize> {
+        self.link.room_for(id, &self.core, &self.limits)
+    }
+
     fn pump(&mut self) -> bool {
         self.link.pump(self.now, &mut self.conn, &self.core, &self.limits, &mut self.told)
     }
@@ -142,12 +146,12 @@
     rig.pump();
     assert_eq!(rig.ends(), [], "written, but a further attempt might overtake it");
     assert_eq!(rig.link.report_at(&rig.limits), Some(NOW + rig.limits.give_up_us));
-    assert_eq!(rig.link.room_for("01", &rig.limits), None);
+    assert_eq!(rig.room_for("01"), None);
     rig.now += rig.limits.give_up_us;
     rig.pump();
     assert_eq!(rig.ends(), [(attempt, Outcome::Cancelled)]);
     // A further attempt here comes behind the word of it, on the same connection.
-    assert!(rig.link.gave_up("01") && rig.link.room_for("01", &rig.limits).is_some());
+    assert!(rig.link.gave_up("01") && rig.room_for("01").is_some());
     rig.link.prune(NOW + rig.limits.forget_us + 1, &rig.limits);
     assert!(!rig.link.gave_up("01"));
 }
@@ -182,13 +186,22 @@
 fn a_connection_that_nothing_comes_back_on_takes_no_further_attempts() {
     let mut rig = Rig::new(true);
     let attempt = rig.send("01");
-    assert_eq!(rig.link.room_for("02", &rig.limits), Some(1));
+    assert_eq!(rig.room_for("02"), Some(1));
     // Heard last before the attempt was sent: a short silence is a pause, a long one may be the end.
     for (silent_us, room) in [(rig.limits.suspect_us, Some(0)), (rig.limits.suspect_us + 1, None)] {
         rig.link = Link::new(rig.server, &rig.limits, NOW - silent_us);
         rig.link.send(attempt);
         rig.pump();
         rig.give_up(attempt);
-        assert_eq!(rig.link.room_for("02", &rig.limits), room);
+        assert_eq!(rig.room_for("02"), room);
+    }
+}
+
+#[test]
+fn requests_of_one_id_never_share_a_connection() {
+    for up in [true, false] {
+        let mut rig = Rig::new(up);
+        rig.send("01");
+        assert_eq!((rig.room_for("01"), rig.room_for("02")), (None, Some(1)), "written: {up}");
     }
 }
