End a broken connection whose ring is full, on which the loop spun

Seen, in reading: a CDNI client that pipelines more than the ring holds while its first request is open, and then resets. At fault: Conn::read gave Blocked for a full ring whatever had happened, while epoll reports HUP and ERR of a socket that is watched for nothing; the loop turned without a wait until the open request ended. Checked: fronts and upstreams apart from CDNI always empty their rings, so only that front is affected. Conn::read now takes whether the event told of a break. The new test plays the case on a socket pair and fails without it.

--- a/daemon/src/daemon/mod.rs
+++ b/daemon/src/daemon/mod.rs
@@ -416,7 +416,7 @@
         }
         let mut over = false;
         if ready.read && c.conn.up {
-            let got = c.conn.read();
+            let got = c.conn.read(ready.broken);
             over = matches!(got, Progress::Ended | Progress::Broken);
             if let Err(e) = self.read(now, key) {
                 log::warn!("a connection is ended: {e}");
--- a/daemon/src/net/conn.rs
+++ b/daemon/src/net/conn.rs
@@ -77,9 +77,11 @@
     }
 
     /// Reads once. A full ring reads nothing, so the other side has to wait.
-    pub fn read(&mut self) -> Progress {
+    pub fn read(&mut self, broken: bool) -> Progress {
         if self.input.room() == 0 {
-            return Progress::Blocked;
+            // epoll goes on telling of a broken connection whatever is watched: the loop would spin on it for
+            // as long as the ring stays full, and nobody is left to answer.
+            return if broken { Progress::Broken } else { Progress::Blocked };
         }
         progress(self.input.read_from(&mut self.socket), Progress::Ended)
     }
@@ -105,3 +107,30 @@
         (std::mem::replace(&mut self.watched, wanted) != wanted).then_some(wanted)
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::super::Poll;
+    use super::*;
+    use std::io::Write;
+    use std::net::TcpListener;
+
+    #[test]
+    fn a_full_ring_makes_the_other_side_wait_but_not_where_that_is_gone() {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let mut far = TcpStream::connect(listener.local_addr().unwrap()).unwrap();
+        let mut conn = Conn::new(listener.accept().unwrap().0, true, 4, 4).unwrap();
+        far.write_all(b"123456").unwrap();
+        while conn.read(false) != Progress::Blocked || conn.input.room() > 0 {}
+        let mut poll = Poll::new(4).unwrap();
+        poll.add(conn.socket(), 7, false, false).unwrap();
+        sockopt::set_socket_linger(&far, Some(std::time::Duration::ZERO)).unwrap();
+        drop(far);
+        let mut ready = Vec::new();
+        while ready.is_empty() {
+            poll.wait(1_000_000, &mut ready).unwrap();
+        }
+        assert!(ready[0].broken && ready[0].read, "told of although nothing is watched");
+        assert_eq!((conn.read(false), conn.read(ready[0].broken)), (Progress::Blocked, Progress::Broken));
+    }
+}
--- a/daemon/src/net/poll.rs
+++ b/daemon/src/net/poll.rs
@@ -13,6 +13,8 @@
     pub read: bool,
     /// It can be written, is connected or is broken.
     pub write: bool,
+    /// It is broken, or both sides have ended it.
+    pub broken: bool,
 }
 
 /// An epoll set, level-triggered.
@@ -61,6 +63,7 @@
                 token: e.data.u64(),
                 read: has(epoll::EventFlags::IN | epoll::EventFlags::RDHUP | broken),
                 write: has(epoll::EventFlags::OUT | broken),
+                broken: has(broken),
             }
         }));
         Ok(())
--- a/daemon/tests/upstream.rs
+++ b/daemon/tests/upstream.rs
@@ -164,7 +164,7 @@
         let (mut answer, fields) = (Vec::new(), format!("how=local,made={made}"));
         resp::write_array(&mut answer, &[b"01", b"200", fields.as_bytes(), b"x"]);
         rig.far.write_all(&answer).unwrap();
-        while rig.conn.read() != Progress::Moved {}
+        while rig.conn.read(false) != Progress::Moved {}
         rig.link.read(NOW, &mut rig.conn, &rig.core, &mut rig.told).unwrap();
         rig.ends()
     };
