--- a/src/decide.rs
+++ b/src/decide.rs
@@ -143,7 +143,8 @@
     source: Option<ServerId>,
     sent: Micros,
     overdue_at: Micros,
-    held: f64, // Transfers that the server held, this one with them, as far as could be judged.
+    held: f64,  // Transfers that the server held, this one with them, as far as could be judged.
+    fills: f64, // Fills by the location's link when it was sent, this one with them.
     cancelled: bool,
     stuck_at: Micros, // When sharing no longer explains that it is still out; called off for that.
     stuck: bool,
@@ -190,6 +191,8 @@
     /// Fills that seem to be under way by the location's link from this router, now and on average.
     filling: f64,
     mean_filling: f64,
+    /// Recent fills by the location's link, whoever gave them: what they took tells its size.
+    link: Pace,
     /// By hash of the object, or of the group: when, and whether it holds for good.
     purged: BTreeMap<u64, (Micros, bool)>,
     ticking: bool,
@@ -242,6 +245,7 @@
             missing: 0.5,
             filling: 0.0,
             mean_filling: 0.0,
+            link: Pace::default(),
             purged: BTreeMap::new(),
             ticking: false,
         })
@@ -477,6 +481,7 @@
         let bound =
             STUCK_TIMES * self.long[open.class] * self.base_s(open) * f64::from(1 << open.stuck.min(4));
         let held = self.servers.get(&server).map_or(0.0, |s| self.held(s)) + 1.0;
+        let fills = self.fills() + 1.0;
         let Some(open) = self.open.get_mut(&id) else { return };
         let class = &self.settings.classes[open.class];
         let done = self.settings.rules.purge_done_us;
@@ -506,6 +511,7 @@
             sent: now,
             overdue_at: now + OVERDUE_US + (OVERDUE_TIMES * open.work_s * 1e6) as Micros,
             held,
+            fills,
             cancelled: false,
             stuck_at: now + (bound * 1e6) as Micros,
             stuck: false,
@@ -638,13 +644,26 @@
     }
 
     /// The location's link shares its pace among all fills: one that could not be in time would only make the
-    /// others late too, so the cache is just looked into. Never where the link's size is not told.
+    /// others late too, so the cache is just looked into. Where the link's size is not told, what it fits is
+    /// what its fills showed: without a bound, fills that come too late are begun anew and keep it jammed.
     fn link_full(&self, now: Micros, open: &Open) -> bool {
-        let link = self.settings.zones[self.settings.zone].link_kb_per_s;
-        let fills = self.filling + self.mean_filling * (self.routers() - 1.0) + 1.0;
-        let takes_s = open.work_s * fills * self.settings.flow_kb_per_s.max(1.0) / link.max(1e-3);
+        let told = self.settings.zones[self.settings.zone].link_kb_per_s;
+        let fits = if told > 0.0 {
+            told / self.settings.flow_kb_per_s.max(1.0)
+        } else {
+            match self.link.told(now) {
+                Some((stretch, held)) if stretch >= STRETCHED => held / stretch,
+                _ => return false,
+            }
+        };
+        let takes_s = open.work_s * (self.fills() + 1.0) / fits.max(1e-3);
         let margin = if open.sized { LINK_MARGIN } else { LINK_MARGIN_UNTOLD };
-        link > 0.0 && takes_s * 1e6 > margin * self.time_left(now, open) as f64
+        takes_s * 1e6 > margin * self.time_left(now, open) as f64
+    }
+
+    /// Fills by the location's link: this router's own, and the others' guessed.
+    fn fills(&self) -> f64 {
+        self.filling + self.mean_filling * (self.routers() - 1.0)
     }
 
     /// Share of its capacity that a server is sure to have by now, in a line from its cold share.
@@ -768,7 +787,9 @@
     }
 
     fn outcome(&mut self, now: Micros, event: Event, actions: &mut Vec<Action>) {
-        let Event::Outcome { request: id, attempt: number, outcome, took_us, settled, note, .. } = event
+        let Event::Outcome {
+            request: id, attempt: number, outcome, took_us, settled, note, waited_us, ..
+        } = event
         else {
             return;
         };
@@ -781,7 +802,8 @@
         // Where a server answered others meanwhile, only this answer may be lost: the work ran, and the copy
         // is there by now, so the same server is asked again.
         let answered = |id: ServerId| self.servers.get(&id).is_some_and(|s| s.last_ok > attempt.sent);
-        let slow = attempt.stuck && answered(server);
+        let alive = answered(server);
+        let slow = attempt.stuck && alive;
         let again = slow && open.stuck == 1;
         let mute = attempt.source.filter(|id| attempt.stuck && !answered(*id));
         let capacity = self.servers.get(&server).map_or(0.0, |s| self.capacity(s));
@@ -799,6 +821,13 @@
             }
             s.out = s.out.saturating_sub(1);
         }
+        // What came too late, or was called off, tells of the link as well: it had its share all the while.
+        let late = slow || outcome == Outcome::Timeout && alive;
+        let filled = outcome == Outcome::Ok && matches!(note, Note::Filled | Note::FilledByOrigin);
+        if sized && attempt.source.is_some() && (filled || late) {
+            let moving_s = took_us.saturating_sub(waited_us) as f64 / 1e6;
+            self.link.add(now, moving_s, work_s + WAY_S, (attempt.fills + self.fills()) / 2.0);
+        }
         let told = matches!(note, Note::SourceRefused | Note::SourceLost | Note::OriginFailed);
         // Where reasons are not told, cache or source failed: the blame is shared by their failures so far,
         // and the sound one is cleared by its other answers.
--- a/tests/defences.rs
+++ b/tests/defences.rs
@@ -225,3 +225,42 @@
     }
     assert!(waits.is_sorted() && waits[3] > waits[0] * 4 / 3, "{waits:?}");
 }
+
+#[test]
+fn what_a_link_of_untold_size_fits_is_learned_from_its_fills() {
+    let run = |took_ms: u64, outcome: Outcome| {
+        let mut s = settings();
+        s.zones[1].link_kb_per_s = 0.0;
+        let mut fleet = fleet();
+        fleet.iter_mut().for_each(|s| s.weight = 1000.0);
+        let mut rig = Rig::new(s, fleet);
+        let fills: Vec<Sent> = (0..40).map(|n| rig.send("video", &format!("/o/{n}"))).collect();
+        rig.now += 200 * MS;
+        used(&mut rig, 8); // The caches answer others meanwhile.
+        rig.tick();
+        rig.now += 600 * MS;
+        for s in &fills {
+            rig.handle(Event::Outcome {
+                request: s.request,
+                attempt: 0,
+                server: s.server,
+                outcome,
+                took_us: took_ms * MS,
+                settled: outcome == Outcome::Ok,
+                note: if outcome == Outcome::Ok { Note::Filled } else { Note::None },
+                waited_us: 20 * MS,
+                load: None,
+            });
+        }
+        let under_load = rig.send("video", "/o/next");
+        for _ in 0..2 {
+            rig.now += 2 * S;
+            rig.tick();
+        }
+        let calm = rig.send("video", "/o/last");
+        [under_load, calm].map(|s| s.fill.source != s.server)
+    };
+    assert_eq!(run(800, Outcome::Ok), [false, true], "only looked into, and filled once the link is free");
+    assert_eq!(run(800, Outcome::Timeout), [false, true], "what came too late tells of it too");
+    assert_eq!(run(130, Outcome::Ok), [true, true], "quick ones set no bound");
+}
