--- a/src/decide.rs
+++ b/src/decide.rs
@@ -802,8 +802,7 @@
         // Where a server answered others meanwhile, only this answer may be lost: the work ran, and the copy
         // is there by now, so the same server is asked again.
         let answered = |id: ServerId| self.servers.get(&id).is_some_and(|s| s.last_ok > attempt.sent);
-        let alive = answered(server);
-        let slow = attempt.stuck && alive;
+        let slow = attempt.stuck && answered(server);
         let again = slow && open.stuck == 1;
         let mute = attempt.source.filter(|id| attempt.stuck && !answered(*id));
         let capacity = self.servers.get(&server).map_or(0.0, |s| self.capacity(s));
@@ -821,10 +820,10 @@
             }
             s.out = s.out.saturating_sub(1);
         }
-        // What came too late, or was called off, tells of the link as well: it had its share all the while.
-        let late = slow || outcome == Outcome::Timeout && alive;
+        // What was called off as slow had its share of the link all the while. What timed out at the client's
+        // deadline may as well have waited for the origin, which says nothing of the link.
         let filled = outcome == Outcome::Ok && matches!(note, Note::Filled | Note::FilledByOrigin);
-        if sized && attempt.source.is_some() && (filled || late) {
+        if sized && attempt.source.is_some() && (filled || slow) {
             let moving_s = took_us.saturating_sub(waited_us) as f64 / 1e6;
             self.link.add(now, moving_s, work_s + WAY_S, (attempt.fills + self.fills()) / 2.0);
         }
