--- a/src/decide.rs
+++ b/src/decide.rs
@@ -41,6 +41,9 @@
 const LEAST_US: Micros = 5_000; // Least time in which an attempt can be answered.
 /// Advice to clients of refused requests: short, so that the next try can still be in time.
 const RETRY_AFTER_US: Micros = 200_000;
+const ORIGIN_FALL: f64 = 0.85; // Of the share of requests that may have the origin asked, with a late answer.
+const ORIGIN_STEP: f64 = 0.03; // Added to it with one in time.
+const ORIGIN_LEAST: f64 = 0.05; // Least: so many find out whether it is well again.
 const FILL_TRIES: u32 = 2; // Failed fills, untold ones twice, until it is only looked for in the caches.
 const CLEARLY: f64 = 2.0; // The second parent fills while the first's fills take so many times as long.
 const PACE_TOLD: f64 = 2.0; // Aged number of hits or fills from which their pace is told.
@@ -193,6 +196,8 @@
     mean_filling: f64,
     /// Recent fills by the location's link, whoever gave them: what they took tells its size.
     link: Pace,
+    /// Share of the requests that may have the origin asked: it falls while its answers come too late.
+    origin_share: f64,
     /// By hash of the object, or of the group: when, and whether it holds for good.
     purged: BTreeMap<u64, (Micros, bool)>,
     ticking: bool,
@@ -246,6 +251,7 @@
             filling: 0.0,
             mean_filling: 0.0,
             link: Pace::default(),
+            origin_share: 1.0,
             purged: BTreeMap::new(),
             ticking: false,
         })
@@ -482,6 +488,8 @@
             STUCK_TIMES * self.long[open.class] * self.base_s(open) * f64::from(1 << open.stuck.min(4));
         let held = self.servers.get(&server).map_or(0.0, |s| self.held(s)) + 1.0;
         let fills = self.fills() + 1.0;
+        // Drawn once for a request: further attempts must not be further chances.
+        let draw = mix(self.seed ^ mix(id)) as f64 / u64::MAX as f64;
         let Some(open) = self.open.get_mut(&id) else { return };
         let class = &self.settings.classes[open.class];
         let done = self.settings.rules.purge_done_us;
@@ -499,7 +507,7 @@
             keep: if class.write { 0 } else { 1 + u8::from(open.repeats >= REPEAT_COUNT) },
             max_age_us,
             join: self.settings.joins && !class.write,
-            only_held: false,
+            only_held: !class.write && source.is_some() && draw >= self.origin_share,
             bypass_parent: false,
             renew: class.fresh_us > 0 && open.repeats >= REPEAT_COUNT,
         };
@@ -661,6 +669,19 @@
         takes_s * 1e6 > margin * self.time_left(now, open) as f64
     }
 
+    /// More fills than the origin can give in time wait for each other there, and what its askers no longer
+    /// wait for is worked off all the same: it would be late for all, long after its trouble is over. So the
+    /// fewer requests may have it asked, the more of its answers are late; parents still give what they hold.
+    fn learn_origin(&mut self, note: Note, late: bool) {
+        self.origin_share = match note {
+            Note::FilledByOrigin if !late => (self.origin_share + ORIGIN_STEP).min(1.0),
+            Note::FilledByOrigin | Note::OriginFailed | Note::SourceLost => {
+                (self.origin_share * ORIGIN_FALL).max(ORIGIN_LEAST)
+            }
+            _ => return,
+        };
+    }
+
     /// Fills by the location's link: this router's own, and the others' guessed.
     fn fills(&self) -> f64 {
         self.filling + self.mean_filling * (self.routers() - 1.0)
@@ -695,6 +716,7 @@
         // A part smaller than one request is spent by turns: each router sends one with the chance that keeps
         // the sum of all, drawn once a window from its own seed, so that they don't come together.
         let window = now / r.fall_us.max(1);
+        // Drawn once for a request: further attempts must not be further chances.
         let draw = mix(self.seed ^ mix(window ^ mix(id))) as f64 / u64::MAX as f64;
         spent + work_s <= budget || spent == 0.0 && draw * work_s < budget
     }
@@ -827,6 +849,9 @@
             let moving_s = took_us.saturating_sub(waited_us) as f64 / 1e6;
             self.link.add(now, moving_s, work_s + WAY_S, (attempt.fills + self.fills()) / 2.0);
         }
+        if attempt.source.is_some() {
+            self.learn_origin(note, waited_us > self.settings.classes[class].aim_us);
+        }
         let told = matches!(note, Note::SourceRefused | Note::SourceLost | Note::OriginFailed);
         // Where reasons are not told, cache or source failed: the blame is shared by their failures so far,
         // and the sound one is cleared by its other answers.
--- a/tests/defences.rs
+++ b/tests/defences.rs
@@ -264,3 +264,38 @@
     assert_eq!(run(800, Outcome::Timeout), [true, true], "what timed out may have waited for the origin");
     assert_eq!(run(130, Outcome::Ok), [true, true], "quick ones set no bound");
 }
+
+#[test]
+fn while_the_origin_is_late_few_requests_may_have_it_asked() {
+    let mut rig = Rig::new(settings(), fleet());
+    let mut next = 0;
+    let mut asking = |rig: &mut Rig, waited_us: Micros, note: Note| {
+        let count = (0..100).filter(|_| {
+            next += 1;
+            let s = rig.send("video", &format!("/o/{next}"));
+            rig.now += 10 * MS;
+            rig.handle(Event::Outcome {
+                request: s.request,
+                attempt: 0,
+                server: s.server,
+                outcome: Outcome::Ok,
+                took_us: waited_us + 100 * MS,
+                settled: true,
+                note,
+                waited_us,
+                load: None,
+            });
+            rig.tick();
+            assert_ne!(s.fill.source, s.server);
+            !s.fill.only_held
+        });
+        count.count()
+    };
+    assert_eq!(asking(&mut rig, 100 * MS, Note::FilledByOrigin), 100);
+    asking(&mut rig, 900 * MS, Note::FilledByOrigin);
+    let late = asking(&mut rig, 900 * MS, Note::FilledByOrigin);
+    assert!((1..20).contains(&late), "{late}: a few find out whether it is well again");
+    assert!(asking(&mut rig, 10 * MS, Note::Filled) < 20, "a parent's own copies tell nothing of the origin");
+    asking(&mut rig, 100 * MS, Note::FilledByOrigin);
+    assert_eq!(asking(&mut rig, 100 * MS, Note::FilledByOrigin), 100);
+}
