--- a/daemon/src/config.rs
+++ b/daemon/src/config.rs
@@ -8,6 +8,7 @@
 use linnetknot_settings::{get, int_or, list, object, settings, text, text_or, wrong, Fields, Result};
 use serde_json::Value;
 use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
 
 /// What a daemon is told at its start.
 #[derive(Clone, Debug)]
@@ -41,6 +42,8 @@
     pub listen: SocketAddr,
     /// What it tells of itself.
     pub identity: Identity,
+    /// The file that its purges are kept in; none: they last as long as the daemon runs.
+    pub purges: Option<PathBuf>,
 }
 
 const INTERCONNECT: &str = "deploy/interconnect.json";
@@ -81,7 +84,8 @@
         neighbours,
         classes: read.map(|c| (c.name.clone(), c.deadline_us)).collect(),
     };
-    Ok(Some(Cdni { listen, identity }))
+    let purges = get(m, "purges").map(|_| text(m, "purges")).transpose()?.map(PathBuf::from);
+    Ok(Some(Cdni { listen, identity, purges }))
 }
 
 /// The object of a file.
@@ -109,7 +113,7 @@
         let mut config = Self::read(&m).map_err(|e| format!("{path}: {e}"))?;
         let named = std::env::var("LINNETKNOT_INTERCONNECT").ok();
         let path = named.as_deref().unwrap_or(INTERCONNECT);
-        if named.is_some() || std::path::Path::new(path).exists() {
+        if named.is_some() || Path::new(path).exists() {
             config.interconnect(&file(path)?).map_err(|e| format!("{path}: {e}"))?;
         }
         Ok(config)
--- a/daemon/src/daemon/feeds.rs
+++ b/daemon/src/daemon/feeds.rs
@@ -106,7 +106,7 @@
             // What does not come from a peer is not listened to.
             let purge = peers::read(&bytes[..length]).filter(|_| known.contains(&from));
             if let Some((object, group, at)) = purge {
-                self.core.purged_for_good(now, object, group, at);
+                self.purge_for_good(now, object, group, at);
             }
         }
     }
--- a/daemon/src/daemon/mod.rs
+++ b/daemon/src/daemon/mod.rs
@@ -6,6 +6,7 @@
 use crate::core::{Answer, Client, Command, Core, Wake};
 use crate::front::cdni::{self, Desk};
 use crate::front::fastcgi::{Input, Session};
+use crate::ledger::Ledger;
 use crate::limits::Limits;
 use crate::net::{connect, Clock, Conn, Deadlines, Due, Key, Poll, Progress, Ready, Slots};
 use crate::upstream::Link;
@@ -102,6 +103,7 @@
     consul: Option<(SocketAddr, Consul)>,
     peers: Option<(UdpSocket, Vec<SocketAddr>)>,
     desk: Option<(TcpListener, Desk)>,
+    ledger: Option<Ledger>,
     /// Payloads to neighbours that are on their way or wait to be tried again.
     posts: usize,
     /// What neighbours were last told of our being able to serve.
@@ -126,13 +128,17 @@
         let poll = Poll::new(256).map_err(text)?;
         poll.add(&listener, LISTENER, true, false).map_err(text)?;
         poll.add(&signal, SIGNAL, true, false).map_err(text)?;
-        let (mut desk, mut peers) = (None, None);
+        let (mut desk, mut peers, mut ledger) = (None, None, None);
         if let Some(cdni) = config.cdni {
             let listener =
                 TcpListener::bind(cdni.listen).map_err(|e| format!("cdni.listen: {}: {e}", cdni.listen))?;
             listener.set_nonblocking(true).map_err(text)?;
             poll.add(&listener, CDNI, true, false).map_err(text)?;
             desk = Some((listener, Desk::new(cdni.identity, config.seed, limits.triggers)));
+            if let Some(path) = cdni.purges {
+                let open = Ledger::open(&path);
+                ledger = Some(open.map_err(|e| format!("cdni.purges: {}: {e}", path.display()))?);
+            }
             // Peers are only told what the second front is told.
             if let Some((own, known)) = config.peers {
                 let socket = UdpSocket::bind(own).map_err(|e| format!("peer_listen: {own}: {e}"))?;
@@ -161,6 +167,7 @@
             consul: config.consul.map(|(to, service)| (to, Consul::new(service, 10))),
             peers,
             desk,
+            ledger,
             posts: 0,
             told_ready: false,
             waiting_answers: 0,
@@ -169,6 +176,10 @@
             limits,
         };
         let now = daemon.clock.now();
+        let kept = daemon.ledger.as_ref().map(Ledger::purges).unwrap_or_default();
+        for (object, group, at) in kept {
+            daemon.core.purged_for_good(now, object, group, at);
+        }
         config.known.1.into_iter().for_each(|event| daemon.news(now, event));
         daemon.call_bus(now);
         daemon.call_consul(now);
--- a/daemon/src/daemon/neighbours.rs
+++ b/daemon/src/daemon/neighbours.rs
@@ -124,12 +124,22 @@
                 if let Some(text) = peers::write(object.as_deref(), group, now) {
                     self.tell_peers(now, text, 2);
                 }
-                self.core.purged_for_good(now, object, group, now);
+                self.purge_for_good(now, object, group, now);
             }
             Effect::Post(post) => self.send_out(now, post),
         }
     }
 
+    /// A purge that the boxes hear nothing of: in force from here on, also for a proxy that starts again.
+    pub(super) fn purge_for_good(&mut self, now: Micros, object: Option<String>, group: u64, at: Micros) {
+        if !self.core.purged_for_good(now, object.clone(), group, at) {
+            return;
+        }
+        if let Some(Err(e)) = self.ledger.as_mut().map(|ledger| ledger.add(object.as_deref(), group, at)) {
+            log::error!("a purge is in force but not kept for the next start: {e}");
+        }
+    }
+
     pub(super) fn answer_cdni(&mut self, now: Micros, key: Key, answer: Answer) {
         let Some(Connection { kind: Kind::Cdni(session), .. }) = self.connections.get_mut(key) else {
             return;
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod core;
 pub mod daemon;
 pub mod front;
+pub mod ledger;
 pub mod limits;
 pub mod net;
 pub mod peers;
--- a/daemon/src/peers.rs
+++ b/daemon/src/peers.rs
@@ -5,6 +5,9 @@
 /// The longest datagram that the platform carries.
 pub const MOST: usize = 256;
 
+/// A purge: of an object, or with none of a group, and when.
+pub type Purge = (Option<String>, u64, Micros);
+
 /// A purge as a datagram.
 pub fn write(object: Option<&str>, group: u64, at: Micros) -> Option<String> {
     let text = match object {
@@ -15,7 +18,7 @@
 }
 
 /// Object, group and time of a purge, if the datagram is one.
-pub fn read(bytes: &[u8]) -> Option<(Option<String>, u64, Micros)> {
+pub fn read(bytes: &[u8]) -> Option<Purge> {
     let text = std::str::from_utf8(bytes).ok().filter(|t| t.len() <= MOST)?;
     let mut words = text.split(' ');
     let (Some("purge"), kind, what, at) = (words.next(), words.next()?, words.next()?, words.next()?) else {
--- a/daemon/tests/loopback.rs
+++ b/daemon/tests/loopback.rs
@@ -42,10 +42,10 @@
             "limits": {"memory_mb": 192, "sockets": 256},
         });
         change(&mut config);
-        let consul = config["consul"].take();
+        let (consul, purges) = (config["consul"].take(), config["purges"].take());
         let mut config = Config::read(config.as_object().unwrap()).unwrap();
         let cdni = json!({"cdni": {"listen": "127.0.0.1:0", "provider": "AS64500:0", "base": "http://cdn.example",
-            "footprint": ["127.0.0.0/8"], "neighbours": []}, "consul": consul});
+            "footprint": ["127.0.0.0/8"], "neighbours": [], "purges": purges}, "consul": consul});
         config.interconnect(cdni.as_object().unwrap()).unwrap();
         // A daemon stays on the thread that started it.
         let (tell, told) = std::sync::mpsc::channel();
@@ -354,6 +354,26 @@
     rig.stop();
 }
 
+#[test]
+fn a_purge_told_by_cdni_holds_for_a_daemon_that_starts_again() {
+    let path = std::env::temp_dir().join(format!("linnetknot-purges-{}", std::process::id()));
+    let kept = |config: &mut Value| config["purges"] = json!(path);
+    let rig = Rig::with(&["s-0a"], kept);
+    let url = format!("http://cdn.example/content/photo/{}", object(1));
+    let command = json!({"trigger": {"type": "purge", "content.urls": [url]}, "cdn-path": ["AS64501:0"]});
+    assert_eq!(call(rig.cdni, "POST", "/cdni/triggers", &command.to_string()).unwrap().status, 201);
+    rig.stop();
+    let rig = Rig::with(&["s-0a"], kept);
+    let mut web = rig.web();
+    for (n, bounded) in [(1, true), (2, false)] {
+        assert_eq!(one(&mut web, "photo", &object(n)).status, 200);
+        let asked = rig.boxes[0].wait_for(|a| a.field("key") == Some(&object(n))).unwrap();
+        assert_eq!(asked.field("maxage").is_some(), bounded, "{}", asked.fields);
+    }
+    rig.stop();
+    std::fs::remove_file(path).unwrap();
+}
+
 #[test]
 fn a_slow_reader_gets_its_answers_whole_and_holds_nobody_up() {
     let rig = Rig::start();
