--- a/src/decide.rs
+++ b/src/decide.rs
@@ -42,7 +42,8 @@
 /// Advice to clients of refused requests: short, so that the next try can still be in time.
 const RETRY_AFTER_US: Micros = 200_000;
 const ORIGIN_FALL: f64 = 0.85; // Of the share of requests that may have the origin asked, with a late answer.
-const ORIGIN_STEP: f64 = 0.03; // Added to it with one in time.
+const ORIGIN_FALL_MOST: f64 = 3.0; // Times that, the later the answer: a long queue is slow to show.
+const ORIGIN_STEP: f64 = 0.04; // Added to it with one in time.
 const ORIGIN_LEAST: f64 = 0.05; // Least: so many find out whether it is well again.
 const FILL_TRIES: u32 = 2; // Failed fills, untold ones twice, until it is only looked for in the caches.
 const CLEARLY: f64 = 2.0; // The second parent fills while the first's fills take so many times as long.
@@ -672,11 +673,12 @@
     /// More fills than the origin can give in time wait for each other there, and what its askers no longer
     /// wait for is worked off all the same: it would be late for all, long after its trouble is over. So the
     /// fewer requests may have it asked, the more of its answers are late; parents still give what they hold.
-    fn learn_origin(&mut self, note: Note, late: bool) {
+    /// `late`: the wait for the answer, over its class's aim.
+    fn learn_origin(&mut self, note: Note, late: f64) {
         self.origin_share = match note {
-            Note::FilledByOrigin if !late => (self.origin_share + ORIGIN_STEP).min(1.0),
+            Note::FilledByOrigin if late <= 1.0 => (self.origin_share + ORIGIN_STEP).min(1.0),
             Note::FilledByOrigin | Note::OriginFailed | Note::SourceLost => {
-                (self.origin_share * ORIGIN_FALL).max(ORIGIN_LEAST)
+                (self.origin_share * ORIGIN_FALL.powf(late.clamp(1.0, ORIGIN_FALL_MOST))).max(ORIGIN_LEAST)
             }
             _ => return,
         };
@@ -850,7 +852,7 @@
             self.link.add(now, moving_s, work_s + WAY_S, (attempt.fills + self.fills()) / 2.0);
         }
         if attempt.source.is_some() {
-            self.learn_origin(note, waited_us > self.settings.classes[class].aim_us);
+            self.learn_origin(note, waited_us as f64 / self.settings.classes[class].aim_us.max(1) as f64);
         }
         let told = matches!(note, Note::SourceRefused | Note::SourceLost | Note::OriginFailed);
         // Where reasons are not told, cache or source failed: the blame is shared by their failures so far,
--- a/tests/defences.rs
+++ b/tests/defences.rs
@@ -298,4 +298,9 @@
     assert!(asking(&mut rig, 10 * MS, Note::Filled) < 20, "a parent's own copies tell nothing of the origin");
     asking(&mut rig, 100 * MS, Note::FilledByOrigin);
     assert_eq!(asking(&mut rig, 100 * MS, Note::FilledByOrigin), 100);
+    let [little, much] = [600 * MS, 2 * S].map(|waited_us| {
+        let mut rig = Rig::new(settings(), fleet());
+        asking(&mut rig, waited_us, Note::FilledByOrigin)
+    });
+    assert!(much < little, "{much}, {little}: the later, the further it falls");
 }
