End a trial with its attempt, whatever the outcome, so that no server is barred for good

Seen, in reading, once fills were asked for from parents' own copies only: a marked server comes back by a single trial, which only Router::judge ended. A miss, a full cache without a place for the fill, a source's refusal or a withdrawn attempt judges nobody, or not that server, so the trial stayed open, is_well stayed false, and the server got nothing until all others failed. Misses have become frequent while the origin is late. Checked by a test of three trials in a row that end in a miss or in full: it fails at the second without this. Now Router::outcome ends the trial of the server and of its source before anything else.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -844,6 +844,12 @@
             }
             s.out = s.out.saturating_sub(1);
         }
+        // However it ended, a trial is over: left open by what judges nobody, it would bar the server for good.
+        for id in [Some(server), attempt.source].into_iter().flatten() {
+            if let Some(s) = self.servers.get_mut(&id) {
+                s.on_trial = false;
+            }
+        }
         // What was called off as slow had its share of the link all the while. What timed out at the client's
         // deadline may as well have waited for the origin, which says nothing of the link.
         let filled = outcome == Outcome::Ok && matches!(note, Note::Filled | Note::FilledByOrigin);
@@ -873,7 +879,6 @@
                         // Found in the cache: the source was never asked.
                         if let Some(s) = self.servers.get_mut(&source) {
                             s.charged.retain(|c| c.2 != id);
-                            s.on_trial = false;
                         }
                     } else if note != Note::None && note != Note::Joined {
                         self.judge(now, source, None);
--- a/tests/defences.rs
+++ b/tests/defences.rs
@@ -304,3 +304,28 @@
     });
     assert!(much < little, "{much}, {little}: the later, the further it falls");
 }
+
+#[test]
+fn a_trial_that_ends_without_a_verdict_is_followed_by_another() {
+    for (outcome, note) in [(Outcome::Miss, Note::SourceLacks), (Outcome::Full, Note::NoFillPlace)] {
+        let mut rig = Rig::new(Settings { direct: false, ..settings() }, fleet());
+        let first = rig.send("video", "/o/a");
+        rig.end(first.request, 0, first.server, Outcome::Reset);
+        for _ in 0..3 {
+            rig.now += 10 * S;
+            let mut tried = false;
+            for n in 0..40 {
+                let s = rig.send("video", &format!("/o/{n}"));
+                let trial = s.server == first.server;
+                tried |= trial;
+                let (outcome, note) = if trial { (outcome, note) } else { (Outcome::Ok, Note::Hit) };
+                let (mut attempt, mut out) = (0, Some(s));
+                while let Some(s) = out {
+                    out = sent(&rig.end_with(s.request, attempt, s.server, outcome, note));
+                    attempt += 1;
+                }
+            }
+            assert!(tried, "tried once its mark has run out");
+        }
+    }
+}
