--- a/src/decide.rs
+++ b/src/decide.rs
@@ -844,7 +844,7 @@
             }
             s.out = s.out.saturating_sub(1);
         }
-        // However it ended, a trial is over: left open by what judges nobody, it would bar the server for good.
+        // However it ended, a trial is over: left open by what judges nobody, it would bar the server.
         for id in [Some(server), attempt.source].into_iter().flatten() {
             if let Some(s) = self.servers.get_mut(&id) {
                 s.on_trial = false;
