--- a/daemon/src/config.rs
+++ b/daemon/src/config.rs
@@ -10,6 +10,9 @@
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 
+/// What a daemon is told at its start, and where it is read again from.
+pub type Source = Box<dyn Fn() -> Result<Config>>;
+
 /// What a daemon is told at its start.
 #[derive(Clone, Debug)]
 pub struct Config {
@@ -36,7 +39,7 @@
 }
 
 /// The second front: where it listens, and how it presents itself.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Cdni {
     /// Where neighbours and redirected clients connect.
     pub listen: SocketAddr,
@@ -133,6 +136,23 @@
         Ok(())
     }
 
+    /// The keys in which a new configuration differs although a running daemon can't follow it there: what they
+    /// say was built into sockets, tables and the decision module at the start. `seed` and `known` are another
+    /// with every start and mean nothing to a daemon that runs.
+    pub fn fixed_changes(&self, new: &Config) -> Vec<&'static str> {
+        let own = |c: &Config| c.peers.as_ref().map(|(own, _)| *own);
+        let changes = [
+            ("name", self.name != new.name),
+            ("listen", self.listen != new.listen),
+            ("limits", self.limits != new.limits),
+            ("settings", self.settings != new.settings),
+            ("peer_listen", own(self) != own(new)),
+            ("cdni", self.cdni != new.cdni),
+            ("consul", self.consul != new.consul),
+        ];
+        changes.into_iter().filter(|(_, changed)| *changed).map(|(key, _)| key).collect()
+    }
+
     /// Reads a configuration.
     pub fn read(m: &Fields) -> Result<Self> {
         let none = Fields::new();
--- /dev/null
+++ b/daemon/src/daemon/clients.rs
@@ -0,0 +1,193 @@
+//! Clients' connections on the platform's front: who is taken in, who has to leave, what they ask and are answered.
+
+use super::{Connection, Daemon, Kind, Timer, LISTENER};
+use crate::core::{Answer, Client};
+use crate::front::fastcgi::Input;
+use crate::net::{Conn, Key, Progress};
+use crate::wire::WireError;
+use linnetknot::Micros;
+use std::io;
+
+/// What a client's connection is at.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Standing {
+    /// It has asked for nothing yet.
+    Silent,
+    /// A request has come in part.
+    Half,
+    /// All that it asked for is answered.
+    Idle,
+    /// It waits for an answer, or one is on its way out.
+    Busy,
+}
+
+impl Daemon {
+    fn standing(c: &Connection) -> Option<Standing> {
+        let (busy, half, asked) = match &c.kind {
+            Kind::Client(s) => (s.is_waiting(), s.is_half(), s.has_asked()),
+            Kind::Cdni(s) => (!s.is_idle(), s.is_half(), s.has_asked()),
+            _ => return None,
+        };
+        Some(match (busy || !c.conn.output.is_empty(), half || !c.conn.input.is_empty(), asked) {
+            (true, ..) => Standing::Busy,
+            (_, true, _) => Standing::Half,
+            (.., true) => Standing::Idle,
+            _ => Standing::Silent,
+        })
+    }
+
+    /// Who has to leave for one more client, or none; an error where nobody can. Where the table is full, the one
+    /// that is likeliest to want nothing any more makes room: a crowd that says nothing, or clients that ask once
+    /// and keep their connection for good, must not shut all others out. One that came a moment ago is let be:
+    /// its request is on its way.
+    pub(super) fn room_for_client(&self, now: Micros) -> io::Result<Option<Key>> {
+        if self.clients < self.limits.clients && !self.connections.is_full() {
+            return Ok(None);
+        }
+        let settled = now.saturating_sub(self.limits.settle_us);
+        let leaves = |key: &Key| {
+            let c = self.connections.get(*key)?;
+            let standing = Self::standing(c).filter(|s| *s != Standing::Busy)?;
+            Some((standing, c.since)).filter(|(_, since)| *since <= settled)
+        };
+        let keys = self.connections.keys();
+        let first = keys.iter().filter_map(|key| Some((leaves(key)?, *key))).min();
+        first.map(|(_, key)| Some(key)).ok_or(io::ErrorKind::OutOfMemory.into())
+    }
+
+    /// Notes what a client's connection is at since when, after something was read or written there.
+    pub(super) fn note_client(&mut self, now: Micros, key: Key) {
+        let Some(c) = self.connections.get_mut(key) else { return };
+        let Some(standing) = Self::standing(c) else { return };
+        let half = standing == Standing::Half;
+        // A request that comes in crumbs stays the one that began with the first.
+        if standing == Standing::Busy || half && !std::mem::replace(&mut c.half, half) {
+            c.since = now;
+        }
+        c.half = half;
+    }
+
+    /// Ends a client's connection that holds its place for nothing. Usual clients end theirs sooner, so none of
+    /// their requests can cross this.
+    pub(super) fn look_at_client(&mut self, now: Micros, key: Key) {
+        let Some(c) = self.connections.get_mut(key) else { return };
+        let due = match Self::standing(c) {
+            None => return,
+            Some(Standing::Busy) => now + self.limits.client_look_us,
+            Some(Standing::Idle) => {
+                c.conn.input.release();
+                c.conn.output.release();
+                c.since + self.limits.client_idle_us
+            }
+            Some(Standing::Silent | Standing::Half) => c.since + self.limits.client_half_us,
+        };
+        if due <= now {
+            return self.close(now, key);
+        }
+        self.deadlines.set(due.min(now + self.limits.client_look_us), Timer::Client(key));
+    }
+
+    pub(super) fn accept(&mut self, now: Micros) {
+        while self.listener.is_some() {
+            // With no room left, connections wait in the kernel's queue: others end, and these are taken then.
+            let room = self.room_for_client(now);
+            let Some(listener) = &self.listener else { return };
+            let taken = room.and_then(|leaver| Ok((listener.accept()?.0, leaver)));
+            let (socket, leaver) = match taken {
+                Ok(taken) => taken,
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => break,
+                Err(e)
+                    if matches!(e.kind(), io::ErrorKind::Interrupted | io::ErrorKind::ConnectionAborted) =>
+                {
+                    continue
+                }
+                Err(e) => {
+                    // No place left: the listener would stay readable and the loop spin on it.
+                    log::debug!("accepting pauses: {e}");
+                    let _ = self.poll.change(listener, LISTENER, false, false);
+                    self.accepting = false;
+                    return self.accept_later(now);
+                }
+            };
+            let conn = Conn::new(socket, true, self.limits.input_ring, self.limits.output_ring);
+            if let Ok(conn) = conn {
+                self.take_in(now, conn, Kind::Client(Default::default()), leaver);
+            }
+        }
+        if let Some(listener) = self.listener.as_ref().filter(|_| !self.accepting) {
+            self.accepting = self.poll.change(listener, LISTENER, true, false).is_ok();
+        }
+    }
+
+    /// Accepts again in a moment. Both fronts may ask for it: were each to set a deadline of its own, every one
+    /// of them would set two more while the table stays full.
+    pub(super) fn accept_later(&mut self, now: Micros) {
+        if !std::mem::replace(&mut self.accepts_later, true) {
+            self.deadlines.set(now + self.limits.accept_again_us, Timer::Accept);
+        }
+    }
+
+    /// A client's connection, of either front, and who leaves for it.
+    pub(super) fn take_in(&mut self, now: Micros, conn: Conn, kind: Kind, leaver: Option<Key>) {
+        if let Some(leaver) = leaver {
+            self.close(now, leaver);
+        }
+        if let Some(key) = self.open(now, conn, kind) {
+            self.clients += 1;
+            self.deadlines.set(now + self.limits.client_half_us, Timer::Client(key));
+        }
+    }
+
+    /// Takes in what a client's connection asks.
+    pub(super) fn read_client(&mut self, now: Micros, key: Key) -> Result<(), WireError> {
+        loop {
+            let Some(c) = self.connections.get_mut(key) else { return Ok(()) };
+            let Kind::Client(session) = &mut c.kind else { return Ok(()) };
+            match session.read(&mut c.conn.input, &self.limits)? {
+                None => return Ok(()),
+                Some(Input::Leave(ticket)) => self.core.leave(now, ticket),
+                Some(Input::Health(stream)) => {
+                    let ready = self.core.is_ready() && !self.stopping;
+                    session.say(stream, if ready { "200 OK" } else { "503 Service Unavailable" });
+                }
+                Some(Input::Ask(stream, asked)) => {
+                    let client = Client { connection: key, stream: u32::from(stream) };
+                    let slow = self.waiting_answers > self.limits.waiting_answers;
+                    let ticket = if slow { None } else { self.core.ask(now, client, asked) };
+                    match ticket {
+                        Some(ticket) => session.taken(stream, ticket),
+                        None => session
+                            .answer(stream, &Answer::Refused { wait_us: Some(self.limits.back_off_us) }),
+                    }
+                }
+            }
+            // Answers given at once belong to requests that are already known as taken.
+            self.settle(now);
+        }
+    }
+
+    pub(super) fn answer(&mut self, now: Micros, client: Client, answer: Answer) {
+        let Some(c) = self.connections.get_mut(client.connection) else { return };
+        match &mut c.kind {
+            Kind::Client(session) => {
+                session.answer(client.stream as u16, &answer);
+                self.write_client(client.connection);
+            }
+            Kind::Cdni(_) => self.answer_cdni(now, client.connection, answer),
+            _ => {}
+        }
+    }
+
+    pub(super) fn write_client(&mut self, key: Key) {
+        let Some(c) = self.connections.get_mut(key) else { return };
+        let Kind::Client(session) = &mut c.kind else { return };
+        loop {
+            session.write(&mut c.conn.output);
+            if c.conn.write() != Progress::Moved {
+                break;
+            }
+        }
+        let before = std::mem::replace(&mut c.waiting, session.waiting());
+        self.waiting_answers = self.waiting_answers + c.waiting - before;
+    }
+}
--- a/daemon/src/daemon/feeds.rs
+++ b/daemon/src/daemon/feeds.rs
@@ -28,9 +28,18 @@
     }
 
     pub(super) fn call_bus(&mut self, now: Micros) {
-        let Some(bus) = self.bus else { return };
+        let Some(bus) = self.config.bus else { return };
         self.feed = self.call(now, bus, Kind::Bus(Feed::new(&self.limits, now)));
-        self.wake_bus(now + self.limits.bus_silence_us / 2);
+        let silent = if self.feed.is_some() { self.limits.bus_silence_us } else { self.limits.bus_again_us };
+        self.wake_bus(now + silent);
+    }
+
+    /// The bus is at another address: what it has to tell is asked for there at once, behind the last event.
+    pub(super) fn move_bus(&mut self, now: Micros) {
+        if let Some(old) = self.feed.take() {
+            self.close(now, old);
+        }
+        self.call_bus(now);
     }
 
     pub(super) fn wake_bus(&mut self, at: Micros) {
@@ -47,13 +56,13 @@
         });
         match read {
             None => self.call_bus(now),
-            Some((key, at)) if at + self.limits.bus_silence_us < now => {
+            Some((key, at)) if at + self.limits.bus_silence_us <= now => {
                 log::warn!("the event bus is silent and called again");
+                self.feed = None;
                 self.close(now, key);
+                self.call_bus(now);
             }
-            Some(_) => {
-                self.wake_bus(now + self.limits.bus_silence_us / 2);
-            }
+            Some((_, at)) => self.wake_bus(at + self.limits.bus_silence_us),
         }
     }
 
--- a/daemon/src/daemon/mod.rs
+++ b/daemon/src/daemon/mod.rs
@@ -1,11 +1,11 @@
 //! The loop: sockets and deadlines on one side, the core on the other.
 
 use crate::bus::{self, Feed};
-use crate::config::Config;
+use crate::config::{Config, Source};
 use crate::consul::{Call, Consul};
-use crate::core::{Answer, Client, Command, Core, Wake};
+use crate::core::{Command, Core, Wake};
 use crate::front::cdni::{self, Desk};
-use crate::front::fastcgi::{Input, Session};
+use crate::front::fastcgi::Session;
 use crate::ledger::Ledger;
 use crate::limits::Limits;
 use crate::net::{connect, Clock, Conn, Deadlines, Due, Key, Poll, Progress, Ready, Slots};
@@ -18,6 +18,7 @@
 use std::os::unix::net::UnixStream;
 
 mod boxes;
+mod clients;
 mod feeds;
 mod neighbours;
 
@@ -27,6 +28,7 @@
 const SIGNAL: u64 = u64::MAX - 1;
 const PEERS: u64 = u64::MAX - 2;
 const CDNI: u64 = u64::MAX - 3;
+const RELOAD: u64 = u64::MAX - 4;
 /// The longest wait of the loop where no deadline is near.
 const IDLE_US: Micros = 1_000_000;
 
@@ -42,6 +44,10 @@
 struct Connection {
     conn: Conn,
     kind: Kind,
+    /// A client's: when it was last waited for here, or what it is now at began.
+    since: Micros,
+    /// A client's: a request had come in part when that was last looked at.
+    half: bool,
     /// Bytes of waiting answers that the daemon's sum holds for it.
     waiting: usize,
 }
@@ -66,19 +72,50 @@
     Serve(Key),
     /// A purge is told to the peers once more, and so many times again.
     Repeat(String, u8),
+    /// A client's connection is looked at: it may hold its place for nothing.
+    Client(Key),
     /// Accepting goes on.
     Accept,
     /// The grace after SIGTERM is over.
     Term,
 }
 
-/// Ends a daemon the way SIGTERM does.
-pub struct Stopper(UnixStream);
+/// Does to a daemon what the signals do.
+pub struct Control {
+    term: UnixStream,
+    hup: UnixStream,
+}
 
-impl Stopper {
-    /// Ends it, once all that it has taken is answered.
+impl Control {
+    /// Ends it as SIGTERM does, once all that it has taken is answered.
     pub fn stop(&mut self) -> io::Result<()> {
-        io::Write::write_all(&mut self.0, b"t")
+        io::Write::write_all(&mut self.term, b"t")
+    }
+
+    /// Has it read its configuration again, as SIGHUP does.
+    pub fn reload(&mut self) -> io::Result<()> {
+        io::Write::write_all(&mut self.hup, b"h")
+    }
+}
+
+/// The two ends of what a signal is heard by: the one that is read, and the one that the signal writes to.
+struct Signal {
+    heard: UnixStream,
+    raised: UnixStream,
+}
+
+impl Signal {
+    fn register(signal: i32) -> io::Result<Self> {
+        let (heard, raised) = UnixStream::pair()?;
+        heard.set_nonblocking(true)?;
+        signal_hook::low_level::pipe::register(signal, raised.try_clone()?)?;
+        Ok(Signal { heard, raised })
+    }
+
+    /// Takes in what was raised: signals that come close together count as one.
+    fn clear(&mut self) {
+        let mut bytes = [0; 16];
+        while io::Read::read(&mut self.heard, &mut bytes).is_ok_and(|n| n > 0) {}
     }
 }
 
@@ -90,13 +127,16 @@
     poll: Poll,
     listener: Option<TcpListener>,
     accepting: bool,
-    signal: UnixStream,
-    raised: UnixStream,
+    accepts_later: bool,
+    term: Signal,
+    hup: Signal,
+    /// The configuration that is in force, and where a new one is read from.
+    config: Config,
+    source: Source,
     connections: Slots<Connection>,
     clients: usize,
     links: BTreeMap<ServerId, Vec<Key>>,
     deadlines: Deadlines<Timer>,
-    bus: Option<SocketAddr>,
     feed: Option<Key>,
     bus_timer: Option<Due>,
     last_event: u64,
@@ -114,22 +154,21 @@
 }
 
 impl Daemon {
-    /// Binds the sockets and replays the known events.
-    pub fn start(config: Config) -> Result<Self, String> {
+    /// Binds the sockets and replays the known events. On SIGHUP a new configuration is read from `source`.
+    pub fn start(mut config: Config, source: Source) -> Result<Self, String> {
         let text = |e: io::Error| e.to_string();
-        let limits = config.limits;
+        let limits = config.limits.clone();
         let listener =
             TcpListener::bind(config.listen).map_err(|e| format!("listen: {}: {e}", config.listen))?;
         listener.set_nonblocking(true).map_err(text)?;
-        let (signal, raised) = UnixStream::pair().map_err(text)?;
-        signal.set_nonblocking(true).map_err(text)?;
-        let raise = raised.try_clone().map_err(text)?;
-        signal_hook::low_level::pipe::register(signal_hook::consts::SIGTERM, raise).map_err(text)?;
+        let term = Signal::register(signal_hook::consts::SIGTERM).map_err(text)?;
+        let hup = Signal::register(signal_hook::consts::SIGHUP).map_err(text)?;
         let poll = Poll::new(256).map_err(text)?;
         poll.add(&listener, LISTENER, true, false).map_err(text)?;
-        poll.add(&signal, SIGNAL, true, false).map_err(text)?;
+        poll.add(&term.heard, SIGNAL, true, false).map_err(text)?;
+        poll.add(&hup.heard, RELOAD, true, false).map_err(text)?;
         let (mut desk, mut peers, mut ledger) = (None, None, None);
-        if let Some(cdni) = config.cdni {
+        if let Some(cdni) = config.cdni.clone() {
             let listener =
                 TcpListener::bind(cdni.listen).map_err(|e| format!("cdni.listen: {}: {e}", cdni.listen))?;
             listener.set_nonblocking(true).map_err(text)?;
@@ -140,31 +179,32 @@
                 ledger = Some(open.map_err(|e| format!("cdni.purges: {}: {e}", path.display()))?);
             }
             // Peers are only told what the second front is told.
-            if let Some((own, known)) = config.peers {
+            if let Some((own, known)) = config.peers.clone() {
                 let socket = UdpSocket::bind(own).map_err(|e| format!("peer_listen: {own}: {e}"))?;
                 socket.set_nonblocking(true).map_err(text)?;
                 poll.add(&socket, PEERS, true, false).map_err(text)?;
                 peers = Some((socket, known));
             }
         }
-        let core = Core::new(config.settings, config.seed, &limits).map_err(|e| e.to_string())?;
+        let core = Core::new(config.settings.clone(), config.seed, &limits).map_err(|e| e.to_string())?;
+        let (last_event, known) = std::mem::take(&mut config.known);
         let mut daemon = Daemon {
             clock: Clock::start(),
             core,
             poll,
             listener: Some(listener),
             accepting: true,
-            signal,
-            raised,
+            accepts_later: false,
+            term,
+            hup,
             connections: Slots::new(limits.connections),
             clients: 0,
             links: BTreeMap::new(),
             deadlines: Deadlines::default(),
-            bus: config.bus,
             feed: None,
             bus_timer: None,
-            last_event: config.known.0,
-            consul: config.consul.map(|(to, service)| (to, Consul::new(service, 10))),
+            last_event,
+            consul: config.consul.clone().map(|(to, service)| (to, Consul::new(service, 10))),
             peers,
             desk,
             ledger,
@@ -174,18 +214,20 @@
             stopping: false,
             grace_over: false,
             limits,
+            config,
+            source,
         };
         let now = daemon.clock.now();
         let kept = daemon.ledger.as_ref().map(Ledger::purges).unwrap_or_default();
         for (object, group, at) in kept {
             daemon.core.purged_for_good(now, object, group, at);
         }
-        config.known.1.into_iter().for_each(|event| daemon.news(now, event));
+        known.into_iter().for_each(|event| daemon.news(now, event));
         daemon.call_bus(now);
         daemon.call_consul(now);
         daemon.settle(now);
         if let Some(address) = daemon.address() {
-            log::info!("{} listens on {address}", config.name);
+            log::info!("{} listens on {address}", daemon.config.name);
         }
         if let Some(address) = daemon.cdni_address() {
             log::info!("neighbours connect to {address}");
@@ -198,9 +240,9 @@
         self.listener.as_ref()?.local_addr().ok()
     }
 
-    /// What ends it from another thread.
-    pub fn stopper(&self) -> io::Result<Stopper> {
-        self.raised.try_clone().map(Stopper)
+    /// What does to it from another thread what signals do.
+    pub fn control(&self) -> io::Result<Control> {
+        Ok(Control { term: self.term.raised.try_clone()?, hup: self.hup.raised.try_clone()? })
     }
 
     /// Serves until SIGTERM, and then until all is answered.
@@ -251,6 +293,7 @@
         match event.token {
             LISTENER => self.accept(now),
             SIGNAL => self.term(now),
+            RELOAD => self.reload(now),
             PEERS => self.hear_peers(now),
             CDNI => self.accept_cdni(now),
             token => self.serve(now, Key::from_u64(token), event),
@@ -268,6 +311,7 @@
                 }
             }
             Timer::Link(key) => self.look_at_link(now, key),
+            Timer::Client(key) => self.look_at_client(now, key),
             Timer::Bus => self.check_bus(now),
             Timer::Consul => self.call_consul(now),
             Timer::Answered(key) => self.unanswered(now, key),
@@ -275,6 +319,7 @@
             Timer::Post(courier) => self.post(now, courier),
             Timer::Repeat(text, left) => self.tell_peers(now, text, left),
             Timer::Accept => {
+                self.accepts_later = false;
                 self.accept(now);
                 self.accept_cdni(now);
             }
@@ -285,109 +330,48 @@
         }
     }
 
-    // ---- Clients ----
-
-    fn accept(&mut self, now: Micros) {
-        while let Some(listener) = &self.listener {
-            // Full tables leave connections in the kernel's queue: others end, and these are taken then.
-            let full = self.clients >= self.limits.clients || self.connections.is_full();
-            let taken = if full { Err(io::ErrorKind::OutOfMemory.into()) } else { listener.accept() };
-            let socket = match taken {
-                Ok((socket, _)) => socket,
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => break,
-                Err(e)
-                    if matches!(e.kind(), io::ErrorKind::Interrupted | io::ErrorKind::ConnectionAborted) =>
-                {
-                    continue
-                }
-                Err(e) => {
-                    // No descriptor left: the listener would stay readable and the loop spin on it.
-                    log::warn!("accepting pauses: {e}");
-                    let _ = self.poll.change(listener, LISTENER, false, false);
-                    self.accepting = false;
-                    self.deadlines.set(now + self.limits.accept_again_us, Timer::Accept);
-                    return;
-                }
-            };
-            let conn = Conn::new(socket, true, self.limits.input_ring, self.limits.output_ring);
-            if let Ok(conn) = conn {
-                if self.open(conn, Kind::Client(Session::default())).is_some() {
-                    self.clients += 1;
-                }
-            }
-        }
-        if let Some(listener) = self.listener.as_ref().filter(|_| !self.accepting) {
-            self.accepting = self.poll.change(listener, LISTENER, true, false).is_ok();
-        }
-    }
+    // ---- Signals ----
 
     fn term(&mut self, now: Micros) {
-        let mut bytes = [0; 16];
-        while io::Read::read(&mut self.signal, &mut bytes).is_ok_and(|n| n > 0) {}
+        self.term.clear();
         if !std::mem::replace(&mut self.stopping, true) {
             log::info!("SIGTERM: answering what is open");
             self.deadlines.set(now + self.limits.term_grace_us, Timer::Term);
         }
     }
 
-    /// Takes in what a client's connection asks.
-    fn read_client(&mut self, now: Micros, key: Key) -> Result<(), WireError> {
-        loop {
-            let Some(c) = self.connections.get_mut(key) else { return Ok(()) };
-            let Kind::Client(session) = &mut c.kind else { return Ok(()) };
-            match session.read(&mut c.conn.input, &self.limits)? {
-                None => return Ok(()),
-                Some(Input::Leave(ticket)) => self.core.leave(now, ticket),
-                Some(Input::Health(stream)) => {
-                    let ready = self.core.is_ready() && !self.stopping;
-                    session.say(stream, if ready { "200 OK" } else { "503 Service Unavailable" });
-                }
-                Some(Input::Ask(stream, asked)) => {
-                    let client = Client { connection: key, stream: u32::from(stream) };
-                    let slow = self.waiting_answers > self.limits.waiting_answers;
-                    let ticket = if slow { None } else { self.core.ask(now, client, asked) };
-                    match ticket {
-                        Some(ticket) => session.taken(stream, ticket),
-                        None => session
-                            .answer(stream, &Answer::Refused { wait_us: Some(self.limits.back_off_us) }),
-                    }
-                }
-            }
-            // Answers given at once belong to requests that are already known as taken.
-            self.settle(now);
+    /// Reads the configuration again. Nothing that is open is dropped for it, and a faulty file changes
+    /// nothing: a daemon that ended over it would take all its clients with it.
+    fn reload(&mut self, now: Micros) {
+        self.hup.clear();
+        let mut new = match (self.source)() {
+            Ok(new) => new,
+            Err(e) => return log::error!("SIGHUP: the configuration stays as it was: {e}"),
+        };
+        for key in self.config.fixed_changes(&new) {
+            log::warn!("SIGHUP: '{key}' has changed, which takes effect with the next start only");
         }
-    }
-
-    fn answer(&mut self, now: Micros, client: Client, answer: Answer) {
-        let Some(c) = self.connections.get_mut(client.connection) else { return };
-        match &mut c.kind {
-            Kind::Client(session) => {
-                session.answer(client.stream as u16, &answer);
-                self.write_client(client.connection);
-            }
-            Kind::Cdni(_) => self.answer_cdni(now, client.connection, answer),
-            _ => {}
+        if let (Some((_, known)), Some((_, peers))) = (&mut self.peers, &new.peers) {
+            known.clone_from(peers);
         }
-    }
-
-    fn write_client(&mut self, key: Key) {
-        let Some(c) = self.connections.get_mut(key) else { return };
-        let Kind::Client(session) = &mut c.kind else { return };
-        loop {
-            session.write(&mut c.conn.output);
-            if c.conn.write() != Progress::Moved {
-                break;
-            }
+        let moved = self.config.bus != new.bus;
+        self.config.bus = new.bus;
+        self.config.peers = new.peers.take().or(self.config.peers.take());
+        log::info!(
+            "SIGHUP: the configuration is read again{}",
+            if moved { "; the event bus has moved" } else { "" }
+        );
+        if moved {
+            self.move_bus(now);
         }
-        let before = std::mem::replace(&mut c.waiting, session.waiting());
-        self.waiting_answers = self.waiting_answers + c.waiting - before;
     }
 
     // ---- Connections ----
 
-    fn open(&mut self, conn: Conn, kind: Kind) -> Option<Key> {
+    fn open(&mut self, now: Micros, conn: Conn, kind: Kind) -> Option<Key> {
         let up = conn.up;
-        let key = self.connections.insert(Connection { conn, kind, waiting: 0 }).ok()?;
+        let key =
+            self.connections.insert(Connection { conn, kind, since: now, half: false, waiting: 0 }).ok()?;
         let c = self.connections.get(key)?;
         if let Err(e) = self.poll.add(c.conn.socket(), key.to_u64(), true, !up) {
             log::warn!("a connection can't be watched: {e}");
@@ -400,7 +384,7 @@
     fn call(&mut self, now: Micros, to: SocketAddr, kind: Kind) -> Option<Key> {
         let socket = connect(to).map_err(|e| log::warn!("no connection to {to}: {e}")).ok()?;
         let conn = Conn::new(socket, false, self.limits.input_ring, self.limits.output_ring).ok()?;
-        let key = self.open(conn, kind)?;
+        let key = self.open(now, conn, kind)?;
         self.deadlines.set(now + self.limits.connect_us, Timer::Connect(key));
         Some(key)
     }
@@ -412,7 +396,7 @@
             if c.conn.finish_connect().is_err() {
                 return self.close(now, key);
             }
-            match (&c.kind, self.bus, &self.consul) {
+            match (&c.kind, self.config.bus, &self.consul) {
                 (Kind::Bus(_), Some(bus), _) => {
                     c.conn.output.push(&bus::request(&bus.to_string(), self.last_event));
                 }
@@ -435,8 +419,9 @@
             }
         }
         if over || !self.write(now, key) {
-            self.close(now, key);
+            return self.close(now, key);
         }
+        self.note_client(now, key);
     }
 
     fn read(&mut self, now: Micros, key: Key) -> Result<(), WireError> {
@@ -537,10 +522,11 @@
             }
             Kind::Post(courier) => self.posted(now, courier),
             Kind::Consul(_) => self.consul_told(now, None),
-            Kind::Bus(_) => {
+            Kind::Bus(_) if self.feed == Some(key) => {
                 self.feed = None;
                 self.wake_bus(now + self.limits.bus_again_us);
             }
+            Kind::Bus(_) => {} // The one before the bus has moved.
         }
     }
 
@@ -558,6 +544,7 @@
                     Command::Answer(client, answer) => {
                         self.answer(now, client, answer);
                         self.watch(client.connection);
+                        self.note_client(now, client.connection);
                     }
                     Command::Wake(at, wake) => {
                         self.deadlines.set(at, Timer::Core(wake));
--- a/daemon/src/daemon/neighbours.rs
+++ b/daemon/src/daemon/neighbours.rs
@@ -53,23 +53,23 @@
     }
 
     pub(super) fn accept_cdni(&mut self, now: Micros) {
-        while let Some((listener, _)) = self.desk.as_ref().filter(|_| !self.grace_over) {
-            let full = self.clients >= self.limits.clients || self.connections.is_full();
-            let taken = if full { Err(std::io::ErrorKind::OutOfMemory.into()) } else { listener.accept() };
-            let socket = match taken {
-                Ok((socket, _)) => socket,
+        while self.desk.is_some() && !self.grace_over {
+            let room = self.room_for_client(now);
+            let Some((listener, _)) = &self.desk else { return };
+            let taken = room.and_then(|leaver| Ok((listener.accept()?.0, leaver)));
+            let (socket, leaver) = match taken {
+                Ok(taken) => taken,
                 Err(e) if e.kind() == std::io::ErrorKind::WouldBlock => break,
                 Err(e) => {
-                    log::warn!("accepting neighbours pauses: {e}");
+                    log::debug!("accepting neighbours pauses: {e}");
                     let _ = self.poll.change(listener, CDNI, false, false);
-                    self.deadlines.set(now + self.limits.accept_again_us, Timer::Accept);
-                    return;
+                    return self.accept_later(now);
                 }
             };
             let session = Session::new(self.limits.line, self.limits.body);
             let conn = Conn::new(socket, true, self.limits.input_ring, self.limits.output_ring);
             if let Ok(conn) = conn {
-                self.clients += usize::from(self.open(conn, Kind::Cdni(Box::new(session))).is_some());
+                self.take_in(now, conn, Kind::Cdni(Box::new(session)), leaver);
             }
         }
         if let Some((listener, _)) = &self.desk {
--- a/daemon/src/front/cdni/session.rs
+++ b/daemon/src/front/cdni/session.rs
@@ -18,6 +18,10 @@
     pub until: u64,
     out: Vec<u8>,
     at: usize,
+    /// A whole request has come by now.
+    asked: bool,
+    /// A request has come in part.
+    half: bool,
 }
 
 fn reason(status: u16) -> &'static str {
@@ -50,6 +54,8 @@
             until: 0,
             out: Vec::new(),
             at: 0,
+            asked: false,
+            half: false,
         }
     }
 
@@ -58,6 +64,16 @@
         self.waiting.is_none() && self.out.is_empty()
     }
 
+    /// Whether a request has come in part.
+    pub fn is_half(&self) -> bool {
+        self.half
+    }
+
+    /// Whether any whole request has come.
+    pub fn has_asked(&self) -> bool {
+        self.asked
+    }
+
     /// Whether the connection has done what it was for.
     pub fn is_over(&self) -> bool {
         !self.keep && self.is_idle()
@@ -73,11 +89,13 @@
         while self.keep && self.is_idle() {
             let (taken, piece) = self.messages.parse(input.front())?;
             input.consume(taken);
+            self.half |= taken > 0;
             match piece {
                 Some(Piece::Head(head)) => self.head = Some(head),
                 Some(Piece::Body(bytes)) => self.body.extend(bytes),
                 Some(Piece::End) => {
                     let Some(head) = self.head.take() else { continue };
+                    (self.asked, self.half) = (true, false);
                     self.keep = head.keeps_open();
                     return Ok(Some((head, std::mem::take(&mut self.body))));
                 }
--- a/daemon/src/front/fastcgi.rs
+++ b/daemon/src/front/fastcgi.rs
@@ -39,6 +39,8 @@
     open: HashMap<u16, Stream>,
     out: VecDeque<Outgoing>,
     waiting: usize,
+    /// A whole request has come by now.
+    asked: bool,
     /// It ends once all is written.
     closing: bool,
 }
@@ -115,6 +117,21 @@
         self.open.is_empty() && self.out.is_empty()
     }
 
+    /// Whether an answer is owed or on its way out.
+    pub fn is_waiting(&self) -> bool {
+        !self.out.is_empty() || self.open.values().any(|s| matches!(s, Stream::Waiting { .. }))
+    }
+
+    /// Whether a request has come in part.
+    pub fn is_half(&self) -> bool {
+        self.records.is_half() || self.open.values().any(|s| matches!(s, Stream::Reading { .. }))
+    }
+
+    /// Whether any whole request has come.
+    pub fn has_asked(&self) -> bool {
+        self.asked
+    }
+
     /// Whether the connection has done what it was for.
     pub fn is_over(&self) -> bool {
         self.closing && self.is_idle()
@@ -213,6 +230,7 @@
         params: &[u8],
         body: Vec<u8>,
     ) -> Result<Option<Input>, WireError> {
+        self.asked = true;
         self.open.insert(id, Stream::Waiting { keep, ticket: None });
         let pairs = wire::read_pairs(params)?;
         let path = pairs.iter().find(|(n, _)| n == "SCRIPT_NAME").map_or("", |(_, v)| v.as_str());
--- a/daemon/src/limits.rs
+++ b/daemon/src/limits.rs
@@ -63,6 +63,15 @@
     pub term_grace_us: u64,
     /// Wait before accepting again where no descriptor was left.
     pub accept_again_us: u64,
+    /// A client's connection that has asked for nothing, or for a request that does not become whole, is ended
+    /// after so long.
+    pub client_half_us: u64,
+    /// A client's connection on which all is answered is ended after so long: longer than usual clients keep one.
+    pub client_idle_us: u64,
+    /// How often a client's connection is looked at.
+    pub client_look_us: u64,
+    /// A client's connection makes no room for another in the first moments of being as it is.
+    pub settle_us: u64,
     /// An attempt that was given up is over so long after the word of it was written: it has a way to go.
     pub give_up_us: u64,
     /// What was given up on a connection is remembered there for so long.
@@ -76,12 +85,13 @@
 impl Limits {
     /// The bounds that fit a machine with so many descriptors and MB of memory.
     pub fn for_machine(descriptors: usize, memory_mb: usize) -> Self {
-        let clients = (descriptors * 2 / 5).max(1);
+        // The rest is for boxes, the bus and what the process itself has open.
+        let clients = (descriptors * 3 / 5).max(1);
         let memory = memory_mb.max(16) << 20;
         Limits {
             descriptors,
             clients,
-            connections: descriptors.saturating_sub(24).max(8),
+            connections: descriptors.saturating_sub(24).max(clients + 16),
             box_connections: 8,
             box_streams: 100,
             requests: 8192.min(memory / (16 << 10)),
@@ -105,10 +115,14 @@
             back_off_us: 200_000,
             connect_us: 400_000,
             answer_ahead_us: 10_000,
-            bus_silence_us: 2_500_000,
+            bus_silence_us: 2_000_000,
             bus_again_us: 100_000,
             term_grace_us: 900_000,
             accept_again_us: 20_000,
+            client_half_us: 2_000_000,
+            client_idle_us: 5_000_000,
+            client_look_us: 500_000,
+            settle_us: 150_000,
             give_up_us: 5_000,
             forget_us: 5_000_000,
             suspect_us: 1_000_000,
--- a/daemon/src/net/ring.rs
+++ b/daemon/src/net/ring.rs
@@ -26,6 +26,14 @@
         self.len == 0
     }
 
+    /// Gives back the memory of an empty ring: connections that have gone quiet must not add up.
+    pub fn release(&mut self) {
+        if self.len == 0 {
+            self.bytes = Vec::new();
+            self.head = 0;
+        }
+    }
+
     /// Bytes that still fit.
     pub fn room(&self) -> usize {
         self.most - self.len
--- a/daemon/src/wire/fastcgi.rs
+++ b/daemon/src/wire/fastcgi.rs
@@ -52,6 +52,13 @@
     skipped: usize,
 }
 
+impl Records {
+    /// Whether a record has come in part.
+    pub fn is_half(&self) -> bool {
+        !self.header.is_empty()
+    }
+}
+
 impl Parser for Records {
     type Item = Record;
 
--- a/daemon/tests/config.rs
+++ b/daemon/tests/config.rs
@@ -70,3 +70,14 @@
     config.interconnect(serde_json::from_str::<Value>(text).unwrap().as_object().unwrap()).unwrap();
     assert!(config.cdni.is_some());
 }
+
+#[test]
+fn what_a_running_daemon_can_not_follow_is_told_by_its_key() {
+    let old = read(&good()).unwrap();
+    let mut new = good();
+    (new["bus"], new["seed"], new["known"]) = (json!("127.0.0.1:1"), json!("7"), json!({"offset": 3}));
+    assert!(old.fixed_changes(&read(&new).unwrap()).is_empty());
+    (new["listen"], new["limits"], new["name"]) = (json!("127.0.0.1:9"), json!({"sockets": 99}), json!("n"));
+    new["settings"]["limits"]["try-limit"] = json!(2);
+    assert_eq!(old.fixed_changes(&read(&new).unwrap()), ["name", "listen", "limits", "settings"]);
+}
