--- a/daemon/src/core.rs
+++ b/daemon/src/core.rs
@@ -4,10 +4,10 @@
 use crate::limits::Limits;
 use crate::net::{Key, Slots};
 use linnetknot::{
-    Action, Event, Fill, ListMode, Load, Micros, Note, Outcome, Request, Router, Server, ServerId, Settings,
-    SettingsError, State,
+    Action, Event, Fill, ListMode, Load, Micros, Note, Outcome, Repeat, Request, Router, Server, ServerId,
+    Settings, SettingsError, State,
 };
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, HashSet};
 use std::net::SocketAddr;
 
 /// A request in the table.
@@ -199,6 +199,10 @@
 pub struct Core {
     router: Router,
     requests: Slots<Open>,
+    /// Ids of what is open: no two may be out under one.
+    ids: HashSet<String>,
+    /// Classes that carry a key.
+    keyed: Vec<String>,
     boxes: BTreeMap<ServerId, (String, SocketAddr, State)>,
     answer_ahead_us: Micros,
     /// Purges that hold for good.
@@ -216,7 +220,10 @@
 impl Core {
     /// A core without boxes.
     pub fn new(settings: Settings, seed: u64, limits: &Limits) -> Result<Self, SettingsError> {
+        let keyed = settings.classes.iter().filter(|c| c.repeat == Repeat::Keyed).map(|c| c.name.clone());
         Ok(Core {
+            ids: HashSet::new(),
+            keyed: keyed.collect(),
             router: Router::new(settings, seed)?,
             requests: Slots::new(limits.requests),
             boxes: BTreeMap::new(),
@@ -304,10 +311,12 @@
         self.most_lasting.saturating_sub(self.lasting.len())
     }
 
-    /// Takes a request. A full table gives none: the front refuses it.
+    /// Takes a request. None where the front has to refuse it: the table is full, it has the id of one that is open,
+    /// by which a box would take the two for one, or its class carries a key and it has none.
     pub fn ask(&mut self, now: Micros, client: Client, mut asked: Asked) -> Option<Ticket> {
         let body = asked.body.len();
-        if self.bodies + body > self.most_bodies {
+        let keyless = asked.once.is_none() && self.keyed.contains(&asked.class);
+        if self.bodies + body > self.most_bodies || keyless || self.ids.contains(&asked.id) {
             return None;
         }
         let remaining_us = asked.remaining_us.saturating_sub(self.answer_ahead_us);
@@ -325,7 +334,9 @@
         asked.remaining_us = remaining_us;
         let deadline = now + remaining_us;
         let open = Open { client, asked, deadline, attempts: 0, out: None, answered: false };
+        let id = open.asked.id.clone();
         let ticket = self.requests.insert(open).ok()?;
+        self.ids.insert(id);
         self.counts.taken += 1;
         self.bodies += body;
         self.commands.push(Command::Wake(deadline, Wake::Request(ticket)));
@@ -433,8 +444,10 @@
     /// Frees the slot of a request that is answered and has nothing out.
     fn tidy(&mut self, ticket: Ticket) {
         if self.requests.get(ticket).is_some_and(|open| open.answered && open.out.is_none()) {
-            let body = self.requests.remove(ticket).map_or(0, |open| open.asked.body.len());
-            self.bodies -= body;
+            if let Some(open) = self.requests.remove(ticket) {
+                self.ids.remove(&open.asked.id);
+                self.bodies -= open.asked.body.len();
+            }
         }
     }
 
--- a/daemon/src/daemon/boxes.rs
+++ b/daemon/src/daemon/boxes.rs
@@ -60,7 +60,8 @@
         };
         let (server, mut told) = (link.server, Vec::new());
         let sound = link.pump(now, conn, &self.core, &self.limits, &mut told);
-        if let Some(at) = link.report_at(&self.limits) {
+        let due = [link.report_at(&self.limits), link.half_at(&self.limits).filter(|_| sound)];
+        for at in due.into_iter().flatten() {
             self.deadlines.set(at, Timer::Link(key));
         }
         if conn.up && !conn.output.is_empty() {
--- a/daemon/src/front/fastcgi.rs
+++ b/daemon/src/front/fastcgi.rs
@@ -47,44 +47,55 @@
 
 /// Room for the record that ends a stream and the one that ends the request.
 const END_ROOM: usize = 8 + 16;
+/// Objects are in one of 256 groups.
+const MOST_GROUP: u64 = 255;
 /// No record is shorter than this unless it is the last: a slow reader is not sent crumbs.
 const LEAST_RECORD: usize = 1024;
 
-fn ask(params: &[u8], body: Vec<u8>) -> Result<Result<Asked, &'static str>, WireError> {
-    let pairs = wire::read_pairs(params)?;
-    let get = |name: &str| pairs.iter().find(|(n, _)| n == name).map(|(_, v)| v.as_str());
-    // What goes on to boxes stands in a list of fields: these would break out of it.
-    let plain =
-        |text: &str| !text.is_empty() && text.bytes().all(|b| b.is_ascii_graphic() && b != b',' && b != b'=');
-    let word = |name: &str| get(name).filter(|v| plain(v)).map(str::to_owned);
-    let number = |name: &str| get(name).and_then(|v| v.parse::<u64>().ok());
-    let once = get("HTTP_ONCE_KEY").filter(|v| !v.is_empty());
-    let have = get("HTTP_X_VER").filter(|v| !v.is_empty());
-    if once.into_iter().chain(have).any(|v| !plain(v)) {
-        return Ok(Err("a key or tag"));
-    }
-    let path = get("SCRIPT_NAME").and_then(|path| path.strip_prefix("/invoke/"));
-    let (Some(class), Some(id)) = (path.filter(|c| plain(c)), word("HTTP_REQUEST_ID")) else {
-        return Ok(Err("the class or Request-Id"));
+/// Whether a text is so many hexadecimal digits, as ids, objects, keys and tags are.
+fn hex(text: &str, digits: usize) -> bool {
+    text.len() == digits && text.bytes().all(|b| b.is_ascii_hexdigit())
+}
+
+/// What a request's parameters ask for, or which of them can't be used. Nothing of it may be guessed or passed on
+/// unread: boxes close a connection on what they can't read, with all that others have open on it, and the
+/// decision module learns from the figures.
+fn ask(pairs: &[(String, String)], body: Vec<u8>, limits: &Limits) -> Result<Asked, &'static str> {
+    let get =
+        |name: &str| pairs.iter().find(|(n, _)| n == name).map(|(_, v)| v.as_str()).filter(|v| !v.is_empty());
+    let digits = |name: &'static str, n: usize| match get(name) {
+        Some(v) if !hex(v, n) => Err(name),
+        v => Ok(v.map(str::to_owned)),
     };
-    let (Some(object), Some(left)) = (word("HTTP_RESOURCE_KEY"), number("HTTP_BUDGET_MS")) else {
-        return Ok(Err("Resource-Key or Budget-Ms"));
+    let number = |name: &'static str, most: u64| match get(name) {
+        None => Ok(None),
+        Some(v) if !v.bytes().all(|b| b.is_ascii_digit()) => Err(name),
+        Some(v) => v.parse::<u64>().ok().filter(|n| *n <= most).map(Some).ok_or(name),
     };
-    Ok(Ok(Asked {
-        id,
-        class: class.to_owned(),
-        object,
-        part: number("HTTP_X_PIECE").unwrap_or(0),
-        group: number("HTTP_X_LOT").unwrap_or(0),
-        size_kb: get("HTTP_FOOTPRINT_KB")
-            .and_then(|v| v.parse().ok())
-            .filter(|v: &f64| v.is_finite())
-            .unwrap_or(0.0),
-        remaining_us: left.saturating_mul(1000),
-        once: once.map(str::to_owned),
-        have: have.map(str::to_owned),
+    let size = match get("HTTP_FOOTPRINT_KB").map(str::parse::<f64>) {
+        None => 0.0,
+        Some(Ok(kb)) if kb >= 0.0 && kb <= limits.size_kb => kb,
+        Some(_) => return Err("HTTP_FOOTPRINT_KB"),
+    };
+    let class = get("SCRIPT_NAME").and_then(|path| path.strip_prefix("/invoke/")).filter(|class| {
+        !class.is_empty() && class.bytes().all(|b| b.is_ascii_alphanumeric() || b == b'-' || b == b'_')
+    });
+    if number("CONTENT_LENGTH", u64::MAX)?.is_some_and(|length| length != body.len() as u64) {
+        return Err("CONTENT_LENGTH");
+    }
+    let left = number("HTTP_BUDGET_MS", limits.budget_us / 1000)?.filter(|ms| *ms > 0);
+    Ok(Asked {
+        id: digits("HTTP_REQUEST_ID", 16)?.ok_or("HTTP_REQUEST_ID")?,
+        class: class.ok_or("SCRIPT_NAME")?.to_owned(),
+        object: digits("HTTP_RESOURCE_KEY", 16)?.ok_or("HTTP_RESOURCE_KEY")?,
+        part: number("HTTP_X_PIECE", limits.part)?.unwrap_or(0),
+        group: number("HTTP_X_LOT", MOST_GROUP)?.unwrap_or(0),
+        size_kb: size,
+        remaining_us: left.ok_or("HTTP_BUDGET_MS")? * 1000,
+        once: digits("HTTP_ONCE_KEY", 32)?,
+        have: digits("HTTP_X_VER", 16)?,
         body,
-    }))
+    })
 }
 
 fn response(answer: &Answer) -> Vec<u8> {
@@ -194,7 +205,7 @@
                 body.extend_from_slice(&r.content);
                 if r.content.is_empty() {
                     let (keep, params, body) = (*keep, std::mem::take(params), std::mem::take(body));
-                    return self.whole(r.id, keep, &params, body);
+                    return self.whole(r.id, keep, &params, body, limits);
                 }
             }
             // Streams of requests that are over, or that are not used here.
@@ -229,6 +240,7 @@
         keep: bool,
         params: &[u8],
         body: Vec<u8>,
+        limits: &Limits,
     ) -> Result<Option<Input>, WireError> {
         self.asked = true;
         self.open.insert(id, Stream::Waiting { keep, ticket: None });
@@ -237,10 +249,10 @@
         if path == "/_health" {
             return Ok(Some(Input::Health(id)));
         }
-        match ask(params, body)? {
+        match ask(&pairs, body, limits) {
             Ok(asked) => return Ok(Some(Input::Ask(id, asked))),
             Err(what) => {
-                log::warn!("a request was turned away for {what}");
+                log::info!("a request was turned away for {what}");
                 let status = if path.starts_with("/invoke/") { "400 Bad Request" } else { "404 Not Found" };
                 self.say(id, status);
             }
--- a/daemon/src/limits.rs
+++ b/daemon/src/limits.rs
@@ -23,6 +23,12 @@
     pub bodies: usize,
     /// Bytes of a request's body.
     pub body: usize,
+    /// The longest time that a client may say it waits.
+    pub budget_us: u64,
+    /// The highest part of an object.
+    pub part: u64,
+    /// The largest size of a part that a client may tell, in KB.
+    pub size_kb: f64,
     /// Bytes of an answer's body.
     pub object: usize,
     /// Bytes of all answers that wait for slow readers.
@@ -74,6 +80,8 @@
     pub settle_us: u64,
     /// An attempt that was given up is over so long after the word of it was written: it has a way to go.
     pub give_up_us: u64,
+    /// An answer from a box that has begun and brings nothing more for so long has stopped short.
+    pub half_answer_us: u64,
     /// What was given up on a connection is remembered there for so long.
     pub forget_us: u64,
     /// A connection to a box that says nothing for so long, while it is asked, may lead nowhere any more.
@@ -95,10 +103,13 @@
             box_connections: 8,
             box_streams: 100,
             requests: 8192.min(memory / (16 << 10)),
-            client_requests: 64,
+            client_requests: 32,
             bodies: memory / 4,
             params: 16 << 10,
-            body: 64 << 10,
+            body: 48_000,
+            budget_us: 120_000_000,
+            part: 65_535,
+            size_kb: 1e6,
             object: 512 << 10,
             waiting_answers: memory / 4,
             input_ring: 16 << 10,
@@ -124,6 +135,7 @@
             client_look_us: 500_000,
             settle_us: 150_000,
             give_up_us: 5_000,
+            half_answer_us: 300_000,
             forget_us: 5_000_000,
             suspect_us: 1_000_000,
             stalled_us: 500_000,
--- a/daemon/src/upstream.rs
+++ b/daemon/src/upstream.rs
@@ -196,6 +196,11 @@
         self.open.values().filter_map(written).min().map(|at| at + limits.give_up_us)
     }
 
+    /// When an answer that has come in part will have stopped short.
+    pub fn half_at(&self, limits: &Limits) -> Option<Micros> {
+        self.arrays.is_half().then(|| self.last_heard + limits.half_answer_us)
+    }
+
     /// Whether an attempt under this id was given up here not long ago.
     pub fn gave_up(&self, id: &str) -> bool {
         matches!(self.open.get(id), Some(Stream::GivenUp(..)))
@@ -270,6 +275,11 @@
                 }
             }
         }
+        // What comes behind an answer that stopped short would be taken for its rest: the connection serves no
+        // further use, also for all else that is open on it.
+        if self.half_at(limits).is_some_and(|at| at <= now) {
+            return false;
+        }
         // A side that takes no bytes would keep what is given up here from ever being over.
         let waiting = conn.up && !conn.output.is_empty();
         self.stalled =
--- a/daemon/src/wire/resp.rs
+++ b/daemon/src/wire/resp.rs
@@ -23,6 +23,11 @@
         Arrays { most, line: Vec::new(), lacking: None, length: None, items: Vec::new(), item: Vec::new() }
     }
 
+    /// Whether an array has come in part.
+    pub fn is_half(&self) -> bool {
+        self.lacking.is_some() || !self.line.is_empty()
+    }
+
     fn number(&mut self, mark: u8, most: usize, what: &'static str) -> Result<usize, WireError> {
         let line = std::mem::take(&mut self.line);
         let digits = line.strip_prefix(&[mark]).filter(|d| d.iter().all(u8::is_ascii_digit));
--- a/daemon/tests/core.rs
+++ b/daemon/tests/core.rs
@@ -7,6 +7,7 @@
 use linnetknot_daemon::limits::Limits;
 use linnetknot_daemon::net::Key;
 use linnetknot_rehearse::settings;
+use std::sync::atomic::{AtomicU64, Ordering};
 
 const NOW: u64 = 1_000_000_000;
 
@@ -36,7 +37,17 @@
 
 fn asked(body: usize) -> Asked {
     let (class, object) = ("photo".to_owned(), "00000000000000a1".to_owned());
-    Asked { class, object, size_kb: 40.0, remaining_us: 1_000_000, body: vec![0; body], ..Asked::default() }
+    static NEXT: AtomicU64 = AtomicU64::new(1);
+    let id = format!("{:016x}", NEXT.fetch_add(1, Ordering::Relaxed));
+    Asked {
+        id,
+        class,
+        object,
+        size_kb: 40.0,
+        remaining_us: 1_000_000,
+        body: vec![0; body],
+        ..Asked::default()
+    }
 }
 
 fn sent(commands: &[Command]) -> Option<AttemptId> {
@@ -159,3 +170,18 @@
     let withdrawn = core.commands();
     assert!(withdrawn.contains(&Command::Withdraw(server_id("b"))) && !core.is_ready());
 }
+
+#[test]
+fn the_id_of_an_open_request_and_a_keyed_class_without_a_key_are_not_taken() {
+    let mut core = core(&limits());
+    let first = asked(0);
+    let other = Asked { object: "00000000000000b2".into(), ..first.clone() };
+    core.ask(NOW, client(1), first).unwrap();
+    let attempt = sent(&core.commands()).unwrap();
+    assert_eq!(core.ask(NOW, client(2), other.clone()), None, "a box would take the two for one");
+    core.ended(NOW, attempt, served());
+    assert!(core.ask(NOW, client(2), other).is_some());
+    let post = Asked { class: "post".into(), ..asked(0) };
+    assert_eq!(core.ask(NOW, client(3), post.clone()), None);
+    assert!(core.ask(NOW, client(3), Asked { once: Some("5c".into()), ..post }).is_some());
+}
--- a/daemon/tests/loopback.rs
+++ b/daemon/tests/loopback.rs
@@ -94,7 +94,7 @@
     let first = WebServer::request(
         7,
         "/invoke/photo",
-        &[("HTTP_REQUEST_ID", "0a"), ("HTTP_RESOURCE_KEY", "0b"), ("HTTP_BUDGET_MS", "2000")],
+        &[("HTTP_REQUEST_ID", &object(10)), ("HTTP_RESOURCE_KEY", &object(11)), ("HTTP_BUDGET_MS", "2000")],
         b"",
     );
     web.send(&first[..20]).unwrap();
@@ -106,7 +106,7 @@
     let (id, answer) = web.end().unwrap();
     let answer = answer.unwrap();
     assert_eq!((id, answer.status), (7, 200));
-    assert!(answer.body.starts_with(b"0b/0@"), "the bytes that the box gave");
+    assert!(answer.body.starts_with(b"000000000000000b/0@"), "the bytes that the box gave");
     // Many answers after each other: sums over what waits to be written must come back to nothing.
     for n in 0..50 {
         assert_eq!(one(&mut web, "photo", &object(n)).status, 200);
@@ -161,8 +161,33 @@
 fn what_is_not_understood_ends_a_request_or_its_connection_and_nothing_else() {
     let rig = Rig::start();
     let (mut web, mut other) = (rig.web(), rig.web());
-    web.send(&WebServer::request(1, "/invoke/photo", &[("HTTP_REQUEST_ID", "a,b")], b"")).unwrap();
-    assert_eq!(web.end().unwrap().1.unwrap().status, 400);
+    let (id, key) = (object(1), object(2));
+    let good = [("HTTP_REQUEST_ID", id.as_str()), ("HTTP_RESOURCE_KEY", &key), ("HTTP_BUDGET_MS", "2000")];
+    for (name, value) in [
+        ("HTTP_REQUEST_ID", "a,b"),
+        ("HTTP_REQUEST_ID", ""),
+        ("HTTP_RESOURCE_KEY", "no such object!!"),
+        ("HTTP_BUDGET_MS", "-5"),
+        ("HTTP_BUDGET_MS", "0"),
+        ("HTTP_BUDGET_MS", "99999999999999999999"),
+        ("HTTP_X_PIECE", "x"),
+        ("HTTP_X_PIECE", "4294967296"),
+        ("HTTP_X_LOT", "256"),
+        ("HTTP_FOOTPRINT_KB", "NaN"),
+        ("HTTP_FOOTPRINT_KB", "-1"),
+        ("HTTP_FOOTPRINT_KB", "1e300"),
+        ("HTTP_ONCE_KEY", "a=b"),
+        ("HTTP_X_VER", "%00"),
+        ("CONTENT_LENGTH", "7"),
+        ("SCRIPT_NAME", "/invoke/a,b"),
+    ] {
+        let mut fields: Vec<_> = good.into_iter().filter(|(n, _)| *n != name).collect();
+        fields.push((name, value));
+        let path = if name == "SCRIPT_NAME" { value } else { "/invoke/photo" };
+        web.send(&WebServer::request(1, path, &fields, b"")).unwrap();
+        assert_eq!(web.end().unwrap().1.unwrap().status, 400, "{name}: {value}");
+    }
+    assert_eq!(rig.boxes[0].arrivals(), [], "nothing of it was passed on");
     web.send(&WebServer::request(2, "/elsewhere", &[], b"")).unwrap();
     assert_eq!(web.end().unwrap().1.unwrap().status, 404);
     web.send(b"GET / HTTP/1.1\r\n\r\n").unwrap();
--- a/daemon/tests/upstream.rs
+++ b/daemon/tests/upstream.rs
@@ -21,6 +21,7 @@
     server: ServerId,
     told: Vec<Told>,
     now: u64,
+    last: Vec<(String, AttemptId)>,
 }
 
 impl Rig {
@@ -52,6 +53,7 @@
             server,
             told: Vec::new(),
             now: NOW,
+            last: Vec::new(),
         }
     }
 
@@ -64,10 +66,16 @@
             remaining_us: 2_000_000,
             ..Asked::default()
         };
+        // The core takes no two of one id: the one before is over by now.
+        for (_, attempt) in self.last.iter().filter(|(last, _)| last == id) {
+            self.core.leave(self.now, attempt.ticket);
+            self.core.ended(self.now, *attempt, Outcome::Cancelled.into());
+        }
         self.core.commands();
         self.core.ask(self.now, Client { connection: Key::from_u64(0), stream: 0 }, asked).unwrap();
         let sent = |c: Command| if let Command::Send(attempt) = c { Some(attempt) } else { None };
         let attempt = self.core.commands().into_iter().find_map(sent).unwrap();
+        self.last.push((id.to_owned(), attempt));
         self.link.send(attempt);
         self.pump();
         attempt
@@ -205,3 +213,22 @@
         assert_eq!((rig.room_for("01"), rig.room_for("02")), (None, Some(1)), "written: {up}");
     }
 }
+
+#[test]
+fn an_answer_that_stops_short_ends_its_connection_and_all_on_it_may_have_run() {
+    let mut rig = Rig::new(true);
+    let attempts = [rig.send("01"), rig.send("02")];
+    rig.far.write_all(b"*4\r\n$2\r\n01\r\n$3\r\n200\r\n$0\r\n\r\n$9000\r\nbut no mo").unwrap();
+    while rig.conn.read(false) != Progress::Moved {}
+    rig.link.read(NOW, &mut rig.conn, &rig.core, &mut rig.told).unwrap();
+    assert_eq!(rig.link.half_at(&rig.limits), Some(NOW + rig.limits.half_answer_us));
+    rig.now += rig.limits.half_answer_us - 1;
+    assert!(rig.pump(), "the rest may come yet");
+    rig.now += 1;
+    assert!(!rig.pump(), "what comes now would be taken for the rest of it");
+    rig.link.broken(rig.conn.written, &mut rig.told);
+    let outcomes =
+        rig.told.iter().map(|t| if let Told::Ended(a, e) = t { Some((*a, e.outcome)) } else { None });
+    let ended = attempts.map(|a| Some((a, Outcome::Reset)));
+    assert_eq!(outcomes.collect::<Vec<_>>(), ended);
+}
--- a/rehearse/src/clients.rs
+++ b/rehearse/src/clients.rs
@@ -6,6 +6,7 @@
 use std::collections::HashMap;
 use std::io::{self, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::mpsc;
 use std::thread;
 use std::time::Duration;
@@ -80,7 +81,9 @@
 
     /// Asks for a part of an object.
     pub fn ask(&mut self, id: u16, class: &str, object: &str, budget_ms: u64) -> io::Result<()> {
-        let (name, budget) = (format!("{:016x}", u64::from(id) + 1), budget_ms.to_string());
+        static NEXT: AtomicU64 = AtomicU64::new(1);
+        let number = NEXT.fetch_add(1, Ordering::Relaxed);
+        let (name, budget) = (format!("{number:016x}"), budget_ms.to_string());
         let fields = [
             ("HTTP_REQUEST_ID", name.as_str()),
             ("HTTP_RESOURCE_KEY", object),
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -18,6 +18,9 @@
 const FAIL_STEP: f64 = 0.3; // Weight of one outcome in a server's failure share.
 const FAIL_LIMIT: f64 = 0.45; // Marked above this failure share: two in a row, or a lasting third.
 const GONE_WEIGHT: f64 = 2.0; // Not reached: marked at once, its process is down whatever the list says.
+/// A broken connection, whatever was out on it: if its process has ended too, that shows with the next one.
+const RESET_WEIGHT: f64 = 0.5;
+const ERRORS: u32 = 2; // So many servers that fail a request: it is the request that can't be used.
 /// Share of the time left that a fill may need by the link's sharing: what is late costs the others too.
 const LINK_MARGIN: f64 = 0.4;
 const LINK_MARGIN_UNTOLD: f64 = 0.5; // Sizes not told: a class is refused as a whole, so a little later.
@@ -133,6 +136,7 @@
     strikes: u32, // Marks in a row; above 0 the server is on trial once its mark has run out.
     on_trial: bool,
     last_ok: Micros,
+    reset_at: Micros, // When a connection to it last broke.
     out: usize,
     mean_out: f64, // Transfers to it from here, averaged over `MEAN_S`.
     hits: Pace,    // Its recent hits from here.
@@ -170,9 +174,11 @@
     out: Option<Attempt>,
     begun: bool,
     over: bool,
-    failed_fills: u32, // Attempts that failed by their source, or may have.
-    stuck: u32,        // Attempts called off as stuck.
-    missed: bool,      // Its cache was only looked into and holds no copy: it must be filled.
+    failed_fills: u32,       // Attempts that failed by their source, or may have.
+    stuck: u32,              // Attempts called off as stuck.
+    errors: u32,             // Attempts that servers failed without a reason.
+    erred: Option<ServerId>, // The server of the first of these: judged once another one serves the request.
+    missed: bool,            // Its cache was only looked into and holds no copy: it must be filled.
     tried: Vec<ServerId>,
     bad_sources: Vec<ServerId>,
     /// First attempt that may have run: when it was sent, and its server's zone and cell.
@@ -349,10 +355,11 @@
         let object = hash_text(&r.object);
         let unit = mix(object.wrapping_add(r.part.wrapping_mul(0x9e37_79b9_7f4a_7c15)));
         let sized = self.settings.flow_kb_per_s > 0.0 && r.size_kb > 0.0;
-        if sized {
-            self.learn_usual(class, r.size_kb / self.settings.flow_kb_per_s);
-        }
         let work_s = if sized { r.size_kb / self.settings.flow_kb_per_s } else { self.usual_s[class].0 };
+        // What could never be sent in time is no usual size: a client may claim any.
+        if sized && work_s * 1e6 <= self.settings.classes[class].deadline_us as f64 {
+            self.learn_usual(class, work_s);
+        }
         let c = &self.settings.classes[class];
         let aim_at = now + c.aim_us + (c.aim_stretch * work_s * 1e6) as Micros;
         let write = c.write;
@@ -395,8 +402,9 @@
         self.random = mix(self.random.wrapping_add(0x9e37_79b9_7f4a_7c15));
         let Some(open) = self.open.get(&id) else { return };
         let class = &self.settings.classes[open.class];
-        let late =
-            open.deadline.saturating_sub(now) < LEAST_US || open.attempts >= self.settings.max_attempts;
+        let late = open.deadline.saturating_sub(now) < LEAST_US
+            || open.attempts >= self.settings.max_attempts
+            || open.errors >= ERRORS;
         let barred = open.may_have_run.is_some_and(|(sent, ..)| match class.repeat {
             Repeat::Safe => false,
             Repeat::Keyed => now.saturating_sub(sent) + LEAST_US >= class.window_us,
@@ -598,7 +606,7 @@
 
     /// Time until the answer is wanted; once that is past, until the client gives up.
     fn time_left(&self, now: Micros, open: &Open) -> Micros {
-        let until = if now < open.aim_at { open.aim_at } else { open.deadline };
+        let until = if now < open.aim_at { open.aim_at.min(open.deadline) } else { open.deadline };
         until.saturating_sub(now)
     }
 
@@ -823,6 +831,7 @@
         let (class, over, work_s) = (open.class, open.over, open.work_s);
         let (server, sized) = (attempt.server, open.sized);
         open.stuck += u32::from(attempt.stuck);
+        let mut erred = open.erred.filter(|id| *id != server);
         // Where a server answered others meanwhile, only this answer may be lost: the work ran, and the copy
         // is there by now, so the same server is asked again.
         let answered = |id: ServerId| self.servers.get(&id).is_some_and(|s| s.last_ok > attempt.sent);
@@ -870,6 +879,7 @@
         let by_source = blame >= 0.5;
         match outcome {
             Outcome::Ok => {
+                erred.into_iter().for_each(|id| self.judge(now, id, Some(1.0)));
                 self.judge(now, server, None);
                 let over = took_s > self.long[class] * base_s;
                 self.long[class] *= 1.0 + LONG_STEP * (f64::from(u8::from(over)) - LONG_SHARE);
@@ -905,12 +915,19 @@
                 attempt.source.into_iter().for_each(|id| self.judge(now, id, Some(blame)));
             }
             Outcome::Timeout if now < attempt.overdue_at => {}
-            Outcome::ConnectFailed | Outcome::Reset => {
+            Outcome::ConnectFailed => {
                 self.judge(now, server, Some(GONE_WEIGHT));
-                if let Some(s) = self.servers.get_mut(&server) {
-                    s.lost |= outcome == Outcome::ConnectFailed;
+                self.servers.get_mut(&server).into_iter().for_each(|s| s.lost = true);
+            }
+            Outcome::Reset => {
+                // One break ends all that is out on a connection: it counts once.
+                let last = self.servers.get_mut(&server).map(|s| std::mem::replace(&mut s.reset_at, now));
+                if last.is_some_and(|last| last != now) {
+                    self.judge(now, server, Some(RESET_WEIGHT));
                 }
             }
+            // Whose fault it is, the server's or the request's, shows elsewhere.
+            Outcome::Error => erred = Some(server),
             _ => self.judge(now, server, Some(1.0)),
         }
         if settled || over {
@@ -927,6 +944,10 @@
         let by_source = by_source || lost && self.is_well(server, now);
         let Some(open) = self.open.get_mut(&id) else { return };
         open.bad_sources.extend(mute);
+        if outcome == Outcome::Error && !told && shared.is_none() {
+            open.errors += 1;
+            open.erred = open.erred.or(erred);
+        }
         // An untold failure may be the origin's behind the source: another fill would only add to its load.
         open.failed_fills += if shared.is_some() { 2 } else { u32::from(by_source || mute.is_some()) };
         if outcome == Outcome::Miss && attempt.source.is_none() {
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -125,19 +125,27 @@
     }
 
     pub fn ask(&mut self, class: &str, object: &str, remaining_us: Micros) -> (RequestId, Vec<Action>) {
+        self.ask_for(class, object, remaining_us, 500.0)
+    }
+
+    /// Asks for a part of a class `video` of this size.
+    pub fn ask_sized(&mut self, object: &str, size_kb: f64) -> (RequestId, Vec<Action>) {
+        self.ask_for("video", object, 5 * S, size_kb)
+    }
+
+    fn ask_for(
+        &mut self,
+        class: &str,
+        object: &str,
+        remaining_us: Micros,
+        size_kb: f64,
+    ) -> (RequestId, Vec<Action>) {
         let id = self.next;
         self.next += 1;
-        let actions = self.handle(Event::Request(Request {
-            id,
-            class: class.into(),
-            tenant: None,
-            object: object.into(),
-            part: 0,
-            group: 3,
-            size_kb: 500.0,
-            remaining_us,
-            repeated: false,
-        }));
+        let (class, object) = (class.into(), object.into());
+        let (tenant, part, group, repeated) = (None, 0, 3, false);
+        let request = Request { id, class, tenant, object, part, group, size_kb, remaining_us, repeated };
+        let actions = self.handle(Event::Request(request));
         (id, actions)
     }
 
--- a/tests/defences.rs
+++ b/tests/defences.rs
@@ -329,3 +329,42 @@
         }
     }
 }
+
+#[test]
+fn a_request_that_every_server_fails_is_given_up_and_held_against_none() {
+    let mut rig = Rig::new(settings(), fleet());
+    for n in 0..20 {
+        let s = rig.send("video", &format!("/o/unknown-{n}"));
+        let again = sent(&rig.end(s.request, 0, s.server, Outcome::Error)).expect("another attempt");
+        let actions = rig.end(s.request, 1, again.server, Outcome::Error);
+        assert!(matches!(actions[..], [Action::Refuse { .. }]), "{actions:?}");
+    }
+    let all = used(&mut rig, 60);
+    assert!((1..=4).all(|id| all.contains(&id)), "{all:?}");
+}
+
+#[test]
+fn one_broken_connection_counts_once_however_much_was_out_on_it() {
+    let mut rig = Rig::new(settings(), fleet());
+    let sent: Vec<_> =
+        (0..40).map(|n| rig.send("video", &format!("/o/{n}"))).filter(|s| s.server == 2).collect();
+    assert!(sent.len() >= 4);
+    for s in &sent {
+        rig.end(s.request, 0, 2, Outcome::Reset);
+    }
+    assert!(used(&mut rig, 60).contains(&2), "an answer that could not be read is not the end of a process");
+}
+
+#[test]
+fn sizes_that_could_never_be_sent_teach_nothing() {
+    let mut rig = Rig::new(settings(), fleet());
+    for n in 0..200 {
+        rig.now += MS;
+        rig.ask_sized(&format!("/o/huge-{n}"), 1e9);
+    }
+    // A cache that has just started takes what its budget fits, judged by what is usual.
+    let started = Server { started: Some(rig.now - 2 * S), ..server(2, "town", "cache") };
+    rig.handle(Event::List { mode: ListMode::Delta, servers: vec![started] });
+    let all = used(&mut rig, 60);
+    assert!(all.contains(&2), "{all:?}");
+}
