--- a/daemon/src/core.rs
+++ b/daemon/src/core.rs
@@ -260,6 +260,16 @@
         Some((&open.asked, &out.sending))
     }
 
+    /// Whether half of the table is taken.
+    pub fn is_crowded(&self) -> bool {
+        self.requests.is_half_full()
+    }
+
+    /// Whether a box takes new work, as far as the list tells.
+    pub fn takes_work(&self, id: ServerId) -> bool {
+        self.boxes.get(&id).is_some_and(|b| b.2 == State::Ready)
+    }
+
     /// Id on the wire and address of a box.
     pub fn location(&self, id: ServerId) -> Option<(&str, SocketAddr)> {
         self.boxes.get(&id).map(|(uid, endpoint, _)| (uid.as_str(), *endpoint))
@@ -280,6 +290,8 @@
             self.set_state(id, e.server.state);
             servers.push(e.server);
         }
+        // New boxes come under new ids all day long.
+        self.boxes.retain(|_, known| known.2 != State::Gone);
         self.feed(now, Event::List { mode, servers });
     }
 
--- a/daemon/src/daemon/boxes.rs
+++ b/daemon/src/daemon/boxes.rs
@@ -67,8 +67,11 @@
         if conn.up && !conn.output.is_empty() {
             self.deadlines.set(now + self.limits.stalled_us, Timer::Link(key));
         }
+        // What drains or is gone gets nothing new: once all that it owed has come, its connections are of no use,
+        // and where a machine has vanished nobody else would end them.
+        let done = link.is_idle() && !self.core.takes_work(server);
         self.tell(now, server, told);
-        sound
+        sound && !done
     }
 
     pub(super) fn look_at_link(&mut self, now: Micros, key: Key) {
--- a/daemon/src/daemon/clients.rs
+++ b/daemon/src/daemon/clients.rs
@@ -3,6 +3,7 @@
 use super::{Connection, Daemon, Kind, Timer, LISTENER};
 use crate::core::{Answer, Client};
 use crate::front::fastcgi::Input;
+use crate::limits::Limits;
 use crate::net::{Conn, Key, Progress};
 use crate::wire::WireError;
 use linnetknot::Micros;
@@ -21,6 +22,18 @@
     Busy,
 }
 
+/// When a connection ends that stays what it has been since then; none while answers are owed.
+fn leaves_at(standing: Standing, owed: usize, since: Micros, limits: &Limits) -> Option<Micros> {
+    let after = match standing {
+        Standing::Silent | Standing::Half => limits.client_half_us,
+        Standing::Idle => limits.client_idle_us,
+        Standing::Busy if owed > 0 => return None,
+        // All is said, and the client takes none of it.
+        Standing::Busy => limits.client_stalled_us,
+    };
+    Some(since + after)
+}
+
 impl Daemon {
     fn standing(c: &Connection) -> Option<Standing> {
         let (busy, half, asked) = match &c.kind {
@@ -36,6 +49,14 @@
         })
     }
 
+    fn owed(c: &Connection) -> usize {
+        match &c.kind {
+            Kind::Client(s) => s.owed(),
+            Kind::Cdni(s) => usize::from(s.waiting.is_some()),
+            _ => 0,
+        }
+    }
+
     /// Who has to leave for one more client, or none; an error where nobody can. Where the table is full, the one
     /// that is likeliest to want nothing any more makes room: a crowd that says nothing, or clients that ask once
     /// and keep their connection for good, must not shut all others out. One that came a moment ago is let be:
@@ -71,20 +92,18 @@
     /// their requests can cross this.
     pub(super) fn look_at_client(&mut self, now: Micros, key: Key) {
         let Some(c) = self.connections.get_mut(key) else { return };
-        let due = match Self::standing(c) {
-            None => return,
-            Some(Standing::Busy) => now + self.limits.client_look_us,
-            Some(Standing::Idle) => {
-                c.conn.input.release();
-                c.conn.output.release();
-                c.since + self.limits.client_idle_us
+        let Some(standing) = Self::standing(c) else { return };
+        if standing == Standing::Idle {
+            c.conn.input.release();
+            c.conn.output.release();
+        }
+        match leaves_at(standing, Self::owed(c), c.since, &self.limits) {
+            Some(due) if due <= now => self.close(now, key),
+            due => {
+                let look = now + self.limits.client_look_us;
+                self.deadlines.set(due.map_or(look, |due| due.min(look)), Timer::Client(key));
             }
-            Some(Standing::Silent | Standing::Half) => c.since + self.limits.client_half_us,
-        };
-        if due <= now {
-            return self.close(now, key);
         }
-        self.deadlines.set(due.min(now + self.limits.client_look_us), Timer::Client(key));
     }
 
     pub(super) fn accept(&mut self, now: Micros) {
@@ -153,7 +172,9 @@
                 Some(Input::Ask(stream, asked)) => {
                     let client = Client { connection: key, stream: u32::from(stream) };
                     let slow = self.waiting_answers > self.limits.waiting_answers;
-                    let ticket = if slow { None } else { self.core.ask(now, client, asked) };
+                    // One client's flood must leave room for the requests of the others.
+                    let flood = !self.limits.admits(session.owed(), self.core.is_crowded());
+                    let ticket = if slow || flood { None } else { self.core.ask(now, client, asked) };
                     match ticket {
                         Some(ticket) => session.taken(stream, ticket),
                         None => session
@@ -191,3 +212,20 @@
         self.waiting_answers = self.waiting_answers + c.waiting - before;
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn who_holds_a_place_for_nothing_leaves_and_who_is_owed_an_answer_does_not() {
+        let limits = Limits::for_machine(256, 32);
+        let at = |standing, owed| leaves_at(standing, owed, 7, &limits);
+        assert_eq!(at(Standing::Busy, 1), None);
+        assert_eq!(at(Standing::Busy, 0), Some(7 + limits.client_stalled_us), "it takes no answer");
+        // What is owed within three seconds of connecting, and what usual clients end by themselves after four.
+        assert!([Standing::Silent, Standing::Half].iter().all(|s| at(*s, 0) < Some(7 + 3_000_000)));
+        assert!(at(Standing::Idle, 0) > Some(7 + 4_000_000));
+        assert!(Standing::Silent < Standing::Half && Standing::Half < Standing::Idle);
+    }
+}
--- a/daemon/src/daemon/mod.rs
+++ b/daemon/src/daemon/mod.rs
@@ -12,7 +12,7 @@
 use crate::upstream::Link;
 use crate::wire::WireError;
 use linnetknot::{Micros, ServerId};
-use std::collections::BTreeMap;
+use std::collections::{btree_map::Entry, BTreeMap};
 use std::io;
 use std::net::{SocketAddr, TcpListener, UdpSocket};
 use std::os::unix::net::UnixStream;
@@ -41,6 +41,12 @@
     Post(Box<Courier>),
 }
 
+impl Kind {
+    fn is_client(&self) -> bool {
+        matches!(self, Kind::Client(_) | Kind::Cdni(_))
+    }
+}
+
 struct Connection {
     conn: Conn,
     kind: Kind,
@@ -414,7 +420,12 @@
             let got = c.conn.read(ready.broken);
             over = matches!(got, Progress::Ended | Progress::Broken);
             if let Err(e) = self.read(now, key) {
-                log::warn!("a connection is ended: {e}");
+                // Whoever sends garbage must not fill the log with it.
+                let client = self.connections.get(key).is_some_and(|c| c.kind.is_client());
+                log::log!(
+                    if client { log::Level::Debug } else { log::Level::Warn },
+                    "a connection is ended: {e}"
+                );
                 over = true;
             }
         }
@@ -509,11 +520,14 @@
             }
             Kind::Box(link) => {
                 let server = link.server;
-                if let Some(links) = self.links.get_mut(&server) {
-                    links.retain(|k| *k != key);
+                if let Entry::Occupied(mut links) = self.links.entry(server) {
+                    links.get_mut().retain(|k| *k != key);
+                    if links.get().is_empty() {
+                        links.remove();
+                    }
                 }
                 let mut told = Vec::new();
-                link.broken(c.conn.written, &mut told);
+                link.broken(c.conn.up, c.conn.written, &mut told);
                 self.tell(now, server, told);
             }
             Kind::Cdni(session) => {
--- a/daemon/src/front/fastcgi.rs
+++ b/daemon/src/front/fastcgi.rs
@@ -130,7 +130,12 @@
 
     /// Whether an answer is owed or on its way out.
     pub fn is_waiting(&self) -> bool {
-        !self.out.is_empty() || self.open.values().any(|s| matches!(s, Stream::Waiting { .. }))
+        !self.out.is_empty() || self.owed() > 0
+    }
+
+    /// How many answers are owed.
+    pub fn owed(&self) -> usize {
+        self.open.values().filter(|s| matches!(s, Stream::Waiting { .. })).count()
     }
 
     /// Whether a request has come in part.
--- a/daemon/src/limits.rs
+++ b/daemon/src/limits.rs
@@ -17,6 +17,8 @@
     pub requests: usize,
     /// Requests open on one client connection.
     pub client_requests: usize,
+    /// The same once half of the table is taken.
+    pub crowded_requests: usize,
     /// Bytes of a request's parameters.
     pub params: usize,
     /// Bytes of the bodies of all open requests.
@@ -74,6 +76,8 @@
     pub client_half_us: u64,
     /// A client's connection on which all is answered is ended after so long: longer than usual clients keep one.
     pub client_idle_us: u64,
+    /// A client that takes none of its answers for so long is ended.
+    pub client_stalled_us: u64,
     /// How often a client's connection is looked at.
     pub client_look_us: u64,
     /// A client's connection makes no room for another in the first moments of being as it is.
@@ -91,6 +95,12 @@
 }
 
 impl Limits {
+    /// Whether a client connection that is owed so many answers, its new one with them, may ask for one more: a
+    /// flood by one must leave room for the requests of the others.
+    pub fn admits(&self, owed: usize, crowded: bool) -> bool {
+        owed <= if crowded { self.crowded_requests } else { self.client_requests }
+    }
+
     /// The bounds that fit a machine with so many descriptors and MB of memory.
     pub fn for_machine(descriptors: usize, memory_mb: usize) -> Self {
         // The rest is for boxes, the bus and what the process itself has open.
@@ -104,6 +114,7 @@
             box_streams: 100,
             requests: 8192.min(memory / (16 << 10)),
             client_requests: 32,
+            crowded_requests: 4,
             bodies: memory / 4,
             params: 16 << 10,
             body: 48_000,
@@ -132,6 +143,7 @@
             accept_again_us: 20_000,
             client_half_us: 2_000_000,
             client_idle_us: 5_000_000,
+            client_stalled_us: 10_000_000,
             client_look_us: 500_000,
             settle_us: 150_000,
             give_up_us: 5_000,
@@ -142,3 +154,22 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn bounds_fit_the_least_machine_and_the_largest_and_a_flood_leaves_room() {
+        for (descriptors, memory_mb) in [(256, 32), (1024, 192)] {
+            let limits = Limits::for_machine(descriptors, memory_mb);
+            // Boxes, with parents, the origin and some that go, and the bus.
+            assert!(limits.connections - limits.clients >= 64 && limits.connections < descriptors);
+            assert!(limits.clients >= descriptors / 3, "what the front's web servers may hold");
+            assert!(limits.bodies + limits.waiting_answers <= memory_mb << 19);
+            let whole = limits.client_requests;
+            assert!(limits.admits(whole, false) && !limits.admits(whole + 1, false));
+            assert!(limits.admits(1, true) && !limits.admits(whole, true));
+        }
+    }
+}
--- a/daemon/src/net/slots.rs
+++ b/daemon/src/net/slots.rs
@@ -47,6 +47,11 @@
         self.len() >= self.most
     }
 
+    /// Whether half of the places are taken.
+    pub fn is_half_full(&self) -> bool {
+        self.len() * 2 >= self.most
+    }
+
     /// Adds an entry; gives it back where the table is full.
     pub fn insert(&mut self, value: T) -> Result<Key, T> {
         if let Some(slot) = self.free.pop() {
--- a/daemon/src/upstream.rs
+++ b/daemon/src/upstream.rs
@@ -391,18 +391,18 @@
         Ok(())
     }
 
-    /// The connection is over. What never arrived whole can't have run; the rest may have.
-    pub fn broken(self, written: u64, told: &mut Vec<Told>) {
+    /// The connection is over. What never arrived whole can't have run; the rest may have. Only one that never
+    /// came up tells that its box can't be reached.
+    pub fn broken(self, up: bool, written: u64, told: &mut Vec<Told>) {
+        let unsent = if up { Outcome::Moot } else { Outcome::ConnectFailed };
         for attempt in self.queue {
-            told.push(Told::Ended(attempt, Outcome::ConnectFailed.into()));
+            told.push(Told::Ended(attempt, unsent.into()));
         }
         let mut open: Vec<_> = self.open.into_iter().collect();
         open.sort_by(|a, b| a.0.cmp(&b.0));
         for (_, stream) in open {
             told.push(match stream {
-                Stream::Attempt(sent) if sent.whole > written => {
-                    Told::Ended(sent.attempt, Outcome::ConnectFailed.into())
-                }
+                Stream::Attempt(sent) if sent.whole > written => Told::Ended(sent.attempt, unsent.into()),
                 Stream::Attempt(sent) => Told::Ended(sent.attempt, Outcome::Reset.into()),
                 Stream::GivenUp(_, Some(r)) => Told::Ended(r.attempt, Outcome::Cancelled.into()),
                 Stream::GivenUp(_, None) => continue,
--- a/daemon/tests/core.rs
+++ b/daemon/tests/core.rs
@@ -169,6 +169,8 @@
     core.list(NOW, ListMode::Full, vec![entry("a", "here", "box", State::Draining)]);
     let withdrawn = core.commands();
     assert!(withdrawn.contains(&Command::Withdraw(server_id("b"))) && !core.is_ready());
+    assert!(core.location(server_id("a")).is_some(), "it finishes what it has");
+    assert_eq!(core.location(server_id("b")), None, "new boxes come under new ids all day long");
 }
 
 #[test]
--- a/daemon/tests/loopback.rs
+++ b/daemon/tests/loopback.rs
@@ -472,3 +472,18 @@
     }
     rig.stop();
 }
+
+#[test]
+fn the_connections_of_a_box_that_is_gone_end_once_nothing_is_open_on_them() {
+    let rig = Rig::with(&["s-0a", "s-0b"], |_| {});
+    let mut web = rig.web();
+    rig.boxes.iter().for_each(|b| b.behave(Manner { hold_ms: 250, ..Manner::default() }));
+    (1..=6).for_each(|n| web.ask(n, "photo", &object(u64::from(n)), 2500).unwrap());
+    rig.boxes[0].wait_for(|a| a.word == "fetch").unwrap();
+    rig.bus.list(false, vec![entry(&rig.boxes[0], "here", "box", "gone")]);
+    for _ in 1..=6 {
+        assert_eq!(web.end().unwrap().1.unwrap().status, 200, "what was out there is answered");
+    }
+    while rig.boxes[0].open() > 0 {}
+    rig.stop();
+}
--- a/daemon/tests/upstream.rs
+++ b/daemon/tests/upstream.rs
@@ -122,7 +122,7 @@
     rig.conn.up = false;
     let queued = rig.send("03");
     let mut told = Vec::new();
-    rig.link.broken(rig.conn.written, &mut told);
+    rig.link.broken(rig.conn.up, rig.conn.written, &mut told);
     let outcome = |t: &Told| if let Told::Ended(attempt, e) = t { Some((*attempt, e.outcome)) } else { None };
     let ends: Vec<_> = told.iter().filter_map(outcome).collect();
     assert_eq!(ends, [(queued, Outcome::ConnectFailed), (written, Outcome::Reset)]);
@@ -226,9 +226,17 @@
     assert!(rig.pump(), "the rest may come yet");
     rig.now += 1;
     assert!(!rig.pump(), "what comes now would be taken for the rest of it");
-    rig.link.broken(rig.conn.written, &mut rig.told);
+    rig.link.broken(rig.conn.up, rig.conn.written, &mut rig.told);
     let outcomes =
         rig.told.iter().map(|t| if let Told::Ended(a, e) = t { Some((*a, e.outcome)) } else { None });
     let ended = attempts.map(|a| Some((a, Outcome::Reset)));
     assert_eq!(outcomes.collect::<Vec<_>>(), ended);
 }
+
+#[test]
+fn a_connection_reset_when_it_has_just_come_up_is_no_sign_of_a_box_that_is_gone() {
+    let mut rig = Rig::new(false);
+    let queued = rig.send("01");
+    rig.link.broken(true, rig.conn.written, &mut rig.told);
+    assert!(matches!(&rig.told[..], [Told::Ended(a, e)] if *a == queued && e.outcome == Outcome::Moot));
+}
--- a/rehearse/src/boxes.rs
+++ b/rehearse/src/boxes.rs
@@ -50,6 +50,7 @@
     arrivals: Vec<Arrival>,
     made: BTreeMap<String, u64>,
     connections: usize,
+    ended: usize,
 }
 
 type Shared = Arc<(Mutex<State>, Condvar)>;
@@ -77,7 +78,9 @@
         let address = listen(address, move |socket| {
             let stand_in = StandIn { uid, address: socket.local_addr().ok()?, state: served.clone() };
             stand_in.state().connections += 1;
-            stand_in.serve(socket)
+            let served = stand_in.serve(socket);
+            stand_in.state().ended += 1;
+            served
         })?;
         Ok(StandIn { uid, address, state })
     }
@@ -101,6 +104,12 @@
         self.state().connections
     }
 
+    /// How many connections to it are open.
+    pub fn open(&self) -> usize {
+        let state = self.state();
+        state.connections - state.ended
+    }
+
     /// All that has reached it.
     pub fn arrivals(&self) -> Vec<Arrival> {
         self.state().arrivals.clone()
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -331,15 +331,14 @@
                     let out = known.out;
                     *known = Known { out, charged: std::mem::take(&mut known.charged), ..fresh };
                 }
-                Some(known) => {
-                    known.state = e.state;
-                    known.weight = fresh.weight;
-                }
+                Some(known) => (known.state, known.weight) = (e.state, fresh.weight),
                 None => {
                     self.servers.insert(e.id, fresh);
                 }
             }
         }
+        // An id that is gone never comes back by itself: what is known of it would only add up.
+        self.servers.retain(|_, s| s.state != State::Gone || s.out > 0);
         self.ready = [Role::Cache, Role::Parent, Role::Origin].map(|role| {
             let ready = self.servers.iter().filter(|(_, s)| s.role == role && s.state == State::Ready);
             ready.map(|(id, _)| *id).collect()
