--- a/src/decide.rs
+++ b/src/decide.rs
@@ -337,8 +337,7 @@
                 }
             }
         }
-        // An id that is gone never comes back by itself: what is known of it would only add up.
-        self.servers.retain(|_, s| s.state != State::Gone || s.out > 0);
+        self.servers.retain(|_, s| s.state != State::Gone || s.out > 0); // New ones come under new ids.
         self.ready = [Role::Cache, Role::Parent, Role::Origin].map(|role| {
             let ready = self.servers.iter().filter(|(_, s)| s.role == role && s.state == State::Ready);
             ready.map(|(id, _)| *id).collect()
@@ -837,6 +836,8 @@
         let slow = attempt.stuck && answered(server);
         let again = slow && open.stuck == 1;
         let mute = attempt.source.filter(|id| attempt.stuck && !answered(*id));
+        // A parent that is lost tells nothing of the origin: the others must go on asking it.
+        let by_origin = attempt.source.is_some_and(|id| note != Note::SourceLost || answered(id));
         let capacity = self.servers.get(&server).map_or(0.0, |s| self.capacity(s));
         let hit = outcome == Outcome::Ok && matches!(note, Note::Hit | Note::Stale);
         let took_s = took_us as f64 / 1e6;
@@ -865,7 +866,7 @@
             let moving_s = took_us.saturating_sub(waited_us) as f64 / 1e6;
             self.link.add(now, moving_s, work_s + WAY_S, (attempt.fills + self.fills()) / 2.0);
         }
-        if attempt.source.is_some() {
+        if by_origin {
             self.learn_origin(note, waited_us as f64 / self.settings.classes[class].aim_us.max(1) as f64);
         }
         let told = matches!(note, Note::SourceRefused | Note::SourceLost | Note::OriginFailed);
--- a/tests/defences.rs
+++ b/tests/defences.rs
@@ -368,3 +368,21 @@
     let all = used(&mut rig, 60);
     assert!(all.contains(&2), "{all:?}");
 }
+
+#[test]
+fn a_parent_that_is_lost_is_not_taken_for_an_origin_that_is_late() {
+    let mut rig = Rig::new(settings(), fleet());
+    for n in 0..60 {
+        rig.now += 2 * MS;
+        let s = rig.send("video", &format!("/o/{n}"));
+        let note = if s.fill.source == 11 { Note::SourceLost } else { Note::Filled };
+        let outcome = if s.fill.source == 11 { Outcome::Full } else { Outcome::Ok };
+        let mut again = sent(&rig.end_with(s.request, 0, s.server, outcome, note));
+        for attempt in 1..6 {
+            let Some(s) = again else { break };
+            again = sent(&rig.end_with(s.request, attempt, s.server, Outcome::Ok, Note::Filled));
+        }
+    }
+    let held = (0..40).filter(|n| rig.send("video", &format!("/p/{n}")).fill.only_held).count();
+    assert_eq!(held, 0, "the parent that is left asks the origin for what it lacks");
+}
