Keep what is believed of the boxes in a book of its own, with damping of flaps

Need: the list came straight from whichever source spoke last; a box whose check flips every 1.5 s got 13% of all work in bursts at each return, and nothing could tell why a box stood where it did.

Change: package membership/, sans-IO. The event bus goes through it relayed. Connections of a box that has moved are used no more.

--- a/daemon/src/core.rs
+++ b/daemon/src/core.rs
@@ -4,8 +4,8 @@
 use crate::limits::Limits;
 use crate::net::{Key, Slots};
 use linnetknot::{
-    Action, Event, Fill, ListMode, Load, Micros, Note, Outcome, Repeat, Request, Router, Server, ServerId,
-    Settings, SettingsError, State,
+    Action, Event, Fill, ListMode, Load, Micros, Note, Outcome, Repeat, Request, Router, ServerId, Settings,
+    SettingsError, State,
 };
 use std::collections::{BTreeMap, BTreeSet, HashSet};
 use std::net::SocketAddr;
@@ -144,21 +144,7 @@
     Withdraw(ServerId),
 }
 
-/// An entry of the list of boxes.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Entry {
-    /// What the module is told.
-    pub server: Server,
-    /// The box's id on the wire.
-    pub uid: String,
-    /// Where it listens.
-    pub endpoint: SocketAddr,
-}
-
-/// A number for a box's id, the same at every proxy: the module's order of boxes is hashed from it.
-pub fn server_id(uid: &str) -> ServerId {
-    uid.bytes().fold(0xcbf2_9ce4_8422_2325, |h, b| (h ^ u64::from(b)).wrapping_mul(0x100_0000_01b3))
-}
+pub use linnetknot_membership::{server_id, Entry};
 
 struct Out {
     number: u32,
--- a/daemon/src/daemon/boxes.rs
+++ b/daemon/src/daemon/boxes.rs
@@ -27,8 +27,9 @@
         let Some((asked, sending)) = self.core.sending(attempt) else { return };
         let (id, server) = (asked.id.as_str(), sending.server);
         let links = self.links.get(&server).map_or(&[][..], Vec::as_slice);
+        let endpoint = self.core.location(server).map(|(_, endpoint)| endpoint);
         let room = |key: &Key| match self.connections.get(*key) {
-            Some(Connection { conn, kind: Kind::Box(link), .. }) => {
+            Some(Connection { conn, kind: Kind::Box(link), .. }) if link.endpoint == endpoint => {
                 Some((!link.gave_up(id), !conn.up, link.room_for(id, &self.core, &self.limits)?))
             }
             _ => None,
@@ -65,7 +66,9 @@
     /// Begins a connection to a box.
     fn dial(&mut self, now: Micros, server: ServerId) -> Option<Key> {
         let (_, endpoint) = self.core.location(server)?;
-        let key = self.call(now, endpoint, Kind::Box(Link::new(server, &self.limits, now)))?;
+        let mut link = Link::new(server, &self.limits, now);
+        link.endpoint = Some(endpoint);
+        let key = self.call(now, endpoint, Kind::Box(link))?;
         self.links.entry(server).or_default().push(key);
         Some(key)
     }
@@ -85,7 +88,8 @@
         }
         // What drains or is gone gets nothing new: once all that it owed has come, its connections are of no use,
         // and where a machine has vanished nobody else would end them.
-        let done = link.is_idle() && !self.core.takes_work(server);
+        let moved = self.core.location(server).is_some_and(|(_, at)| link.endpoint != Some(at));
+        let done = link.is_idle() && (moved || !self.core.takes_work(server));
         self.tell(now, server, told);
         sound && !done
     }
@@ -131,7 +135,12 @@
     }
 
     pub(super) fn probe(&mut self, now: Micros, server: ServerId) {
-        let key = self.links.get(&server).and_then(|links| links.first()).copied();
+        let endpoint = self.core.location(server).map(|(_, endpoint)| endpoint);
+        let mut links = self.links.get(&server).into_iter().flatten().copied();
+        let key = links.find(|key| match self.connections.get(*key) {
+            Some(Connection { kind: Kind::Box(link), .. }) => link.endpoint == endpoint,
+            _ => false,
+        });
         let asked = key.and_then(|key| self.link(key)).is_some_and(|(conn, link)| link.probe(now, conn));
         match key.filter(|_| asked) {
             Some(key) => {
--- a/daemon/src/daemon/feeds.rs
+++ b/daemon/src/daemon/feeds.rs
@@ -1,11 +1,13 @@
 //! Where the list of boxes and purges come from: the event bus, Consul and the peers.
 
+use super::members::{BUS, CONSUL};
 use super::{Daemon, Kind, Timer};
 use crate::bus::{BusEvent, Feed, News};
 use crate::consul::Call;
 use crate::net::Key;
 use crate::peers;
 use linnetknot::{ListMode, Micros};
+use linnetknot_membership::{Evidence, Report};
 use std::io;
 
 impl Daemon {
@@ -13,7 +15,14 @@
         match event.news {
             // One source has the list: two would take each other's boxes for gone.
             Some(News::List(..)) if self.consul.is_some() => {}
-            Some(News::List(mode, entries)) => self.core.list(now, mode, entries),
+            Some(News::List(mode, entries)) => {
+                let reports = entries.into_iter().map(Report::from).collect();
+                let evidence = match mode {
+                    ListMode::Full => Evidence::Full(reports),
+                    _ => Evidence::Delta(reports),
+                };
+                self.evidence(now, BUS, evidence);
+            }
             Some(News::Purge { object, group, at }) => self.core.purged(now, object, group, at),
             None => log::debug!("event {} of the bus is of an unknown kind", event.offset),
         }
@@ -89,7 +98,8 @@
         let again = match told {
             Ok(entries) => {
                 if let Some(entries) = entries {
-                    self.core.list(now, ListMode::Full, entries);
+                    let reports = entries.into_iter().map(Report::from).collect();
+                    self.evidence(now, CONSUL, Evidence::Full(reports));
                 }
                 now
             }
--- a/daemon/src/daemon/mod.rs
+++ b/daemon/src/daemon/mod.rs
@@ -12,6 +12,7 @@
 use crate::upstream::Link;
 use crate::wire::WireError;
 use linnetknot::{Micros, ServerId};
+use linnetknot_membership::{Damping, Membership, Source as ListSource};
 use std::collections::{btree_map::Entry, BTreeMap};
 use std::io;
 use std::net::{SocketAddr, TcpListener, UdpSocket};
@@ -20,8 +21,10 @@
 mod boxes;
 mod clients;
 mod feeds;
+mod members;
 mod neighbours;
 
+use members::Said;
 use neighbours::Courier;
 
 const LISTENER: u64 = u64::MAX;
@@ -68,6 +71,8 @@
     Link(Key),
     /// The bus is called, or found silent.
     Bus,
+    /// A box under damping may be taken in again.
+    Members,
     /// Consul is asked.
     Consul,
     /// The answer on a connection must have come.
@@ -125,6 +130,15 @@
     }
 }
 
+/// Who tells of the boxes. The bus alone is relayed: on the platform the module hears it event by event.
+fn sources(config: &Config) -> Vec<ListSource> {
+    let mut sources = vec![ListSource { name: "bus".into(), relayed: true, damped: false }];
+    if config.consul.is_some() {
+        sources.push(ListSource { name: "consul".into(), relayed: false, damped: true });
+    }
+    sources
+}
+
 /// The daemon.
 pub struct Daemon {
     clock: Clock,
@@ -146,6 +160,10 @@
     feed: Option<Key>,
     bus_timer: Option<Due>,
     last_event: u64,
+    /// What is believed of the boxes, and when it is due to be looked at again.
+    members: Membership,
+    members_due: Option<Due>,
+    said: Said,
     consul: Option<(SocketAddr, Consul)>,
     peers: Option<(UdpSocket, Vec<SocketAddr>)>,
     desk: Option<(TcpListener, Desk)>,
@@ -210,6 +228,9 @@
             feed: None,
             bus_timer: None,
             last_event,
+            members: Membership::new(sources(&config), Damping::default(), limits.members()),
+            members_due: None,
+            said: Said::default(),
             consul: config.consul.clone().map(|(to, service)| (to, Consul::new(service, 10))),
             peers,
             desk,
@@ -319,6 +340,7 @@
             Timer::Link(key) => self.look_at_link(now, key),
             Timer::Client(key) => self.look_at_client(now, key),
             Timer::Bus => self.check_bus(now),
+            Timer::Members => self.review_members(now),
             Timer::Consul => self.call_consul(now),
             Timer::Answered(key) => self.unanswered(now, key),
             Timer::Serve(key) => self.serve_cdni(now, key),
--- a/daemon/src/limits.rs
+++ b/daemon/src/limits.rs
@@ -47,6 +47,12 @@
     pub line: usize,
     /// Bytes of one answer of Consul: the whole list.
     pub list: usize,
+    /// Boxes that all sources together may list.
+    pub boxes: usize,
+    /// Boxes that are gone, whose flaps are still held against them.
+    pub gone_boxes: usize,
+    /// Lines of the log that are remembered, so that each is said once.
+    pub said: usize,
     /// Purges that hold for good.
     pub purges: usize,
     /// Trigger status resources.
@@ -105,6 +111,11 @@
         owed <= if crowded { self.crowded_requests } else { self.client_requests }
     }
 
+    /// The bounds of the book of boxes.
+    pub fn members(&self) -> linnetknot_membership::Bounds {
+        linnetknot_membership::Bounds { boxes: self.boxes, remembered: self.gone_boxes }
+    }
+
     /// The bounds that fit a machine with so many descriptors and MB of memory.
     pub fn for_machine(descriptors: usize, memory_mb: usize) -> Self {
         // The rest is for boxes, the bus and what the process itself has open.
@@ -133,6 +144,9 @@
             output_ring: 64 << 10,
             line: 64 << 10,
             list: 1 << 20,
+            boxes: 20_000,
+            gone_boxes: 2_000,
+            said: 1_000,
             purges: 20_000,
             triggers: 1024,
             posts: 64,
--- a/daemon/src/upstream.rs
+++ b/daemon/src/upstream.rs
@@ -7,6 +7,7 @@
 use crate::wire::{resp, Parser, WireError};
 use linnetknot::{Load, Micros, Note, Outcome, ServerId};
 use std::collections::{HashMap, VecDeque};
+use std::net::SocketAddr;
 
 /// What is open on a link under an id.
 enum Stream {
@@ -60,6 +61,8 @@
 pub struct Link {
     /// The box.
     pub server: ServerId,
+    /// Where it leads: a box may move, and its older connections then lead to what was there before.
+    pub endpoint: Option<SocketAddr>,
     arrays: resp::Arrays,
     queue: VecDeque<AttemptId>,
     open: HashMap<String, Stream>,
@@ -167,6 +170,7 @@
     pub fn new(server: ServerId, limits: &Limits, now: Micros) -> Self {
         Link {
             server,
+            endpoint: None,
             arrays: resp::Arrays::new(limits.object),
             queue: VecDeque::new(),
             open: HashMap::new(),
--- /dev/null
+++ b/membership/tests/common/mod.rs
@@ -0,0 +1,59 @@
+//! What the tests of the book share: boxes, and the list as the decision module comes to see it.
+#![allow(dead_code)]
+
+use linnetknot::{ListMode, Micros, Server, State};
+use linnetknot_membership::{
+    server_id, Bounds, Damping, Entry, Evidence, Membership, Output, Reason, Report, Source, SourceId,
+};
+use std::collections::BTreeMap;
+
+pub const S: Micros = 1_000_000;
+pub const BUS: SourceId = SourceId(0);
+pub const CONSUL: SourceId = SourceId(1);
+
+pub fn entry(uid: &str, port: u16, state: State) -> Entry {
+    let (zone, kind) = ("here".to_owned(), "box".to_owned());
+    let server = Server { id: server_id(uid), zone, cell: 0, kind, weight: 8.0, state, started: None };
+    Entry { server, uid: uid.to_owned(), endpoint: ([127, 0, 0, 1], port).into() }
+}
+
+pub fn report(uid: &str, port: u16, state: State) -> Report {
+    let reason = if state == State::Ready { Reason::Told } else { Reason::Check("c".into()) };
+    Report { entry: entry(uid, port, state), reason }
+}
+
+pub fn source(name: &str, relayed: bool) -> Source {
+    Source { name: name.to_owned(), relayed, damped: !relayed }
+}
+
+/// A book with a relayed bus and a damped Consul.
+pub fn book() -> Membership {
+    let sources = vec![source("bus", true), source("consul", false)];
+    Membership::new(sources, Damping::default(), Bounds { boxes: 100, remembered: 8 })
+}
+
+/// The list as the module holds it, from the events alone.
+#[derive(Clone, Debug, Default)]
+pub struct Mirror(pub BTreeMap<String, Entry>);
+
+impl Mirror {
+    pub fn hear(&mut self, out: &Output) {
+        for (mode, entries) in &out.events {
+            if *mode == ListMode::Full {
+                self.0.retain(|uid, _| entries.iter().any(|e| e.uid == *uid));
+            }
+            for e in entries {
+                self.0.insert(e.uid.clone(), e.clone());
+            }
+            self.0.retain(|_, e| e.server.state != State::Gone);
+        }
+    }
+
+    pub fn state(&self, uid: &str) -> State {
+        self.0.get(uid).map_or(State::Gone, |e| e.server.state)
+    }
+}
+
+pub fn full(reports: Vec<Report>) -> Evidence {
+    Evidence::Full(reports)
+}
