Follow Consul by a sans-IO client of its own: blocking queries, failover, doubtful answers

Need: one instance with an unusable address had the whole answer thrown away again and again, so a draining box beside it kept 25% of the fresh work; a catalogue with its own Meta served nothing without a word in the log.

Change: package consul/, no sockets and no clock. Registration keeps the proxy registered with a TTL check.

--- /dev/null
+++ b/consul/src/backoff.rs
@@ -0,0 +1,74 @@
+//! Waits between tries: doubling, capped, and spread by chance, so that many proxies that lost one agent together do
+//! not come back to it together.
+
+use linnetknot::Micros;
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+
+/// Waits that grow with each failure in a row.
+#[derive(Clone, Debug)]
+pub struct Backoff {
+    least_us: Micros,
+    most_us: Micros,
+    failures: u32,
+    random: SmallRng,
+}
+
+impl Backoff {
+    /// The first wait is about `least_us`, and none is about more than `most_us`, in microseconds.
+    pub fn new(least_us: Micros, most_us: Micros, seed: u64) -> Self {
+        Backoff { least_us, most_us, failures: 0, random: SmallRng::seed_from_u64(seed) }
+    }
+
+    /// A try has failed: how long to wait before the next, from half to one and a half of the doubled wait.
+    pub fn failed(&mut self) -> Micros {
+        let wait = self.least_us.saturating_mul(1 << self.failures.min(20)).min(self.most_us);
+        self.failures += 1;
+        self.spread(wait)
+    }
+
+    /// A try has succeeded.
+    pub fn succeeded(&mut self) {
+        self.failures = 0;
+    }
+
+    /// Failures in a row.
+    pub fn failures(&self) -> u32 {
+        self.failures
+    }
+
+    /// A time from half to one and a half of this.
+    pub fn spread(&mut self, wait: Micros) -> Micros {
+        wait / 2 + self.random.random_range(0..=wait)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn waits_double_up_to_their_most_and_differ_from_proxy_to_proxy() {
+        let waits = |seed| {
+            let mut b = Backoff::new(100, 5_000, seed);
+            (0..12).map(|_| b.failed()).collect::<Vec<_>>()
+        };
+        for seed in 0..20 {
+            for (n, wait) in waits(seed).into_iter().enumerate() {
+                let middle = (100u64 << n).min(5_000);
+                assert!((middle / 2..=middle * 3 / 2).contains(&wait), "{n}: {wait}");
+            }
+        }
+        // A hundred that failed at one moment come back spread over the whole time.
+        let mut last: Vec<u64> = (0..100).map(|seed| waits(seed)[11]).collect();
+        last.sort_unstable();
+        let gap = last.windows(2).map(|w| w[1] - w[0]).max();
+        assert!(last[0] < 3_000 && last[99] > 7_000 && gap < Some(600), "{last:?}");
+        let mut b = Backoff::new(100, 5_000, 1);
+        (0..9).for_each(|_| {
+            b.failed();
+        });
+        b.succeeded();
+        assert!(b.failures() == 0 && b.failed() <= 150);
+    }
+}
--- /dev/null
+++ b/consul/src/lib.rs
@@ -0,0 +1,25 @@
+//! A sans-IO client of Consul's HTTP API, as far as a proxy needs it.
+//!
+//! [`Watch`] follows one service by blocking queries of the health API, with the catalogue as a second opinion, and
+//! turns the answers into evidence for the book of boxes. [`Registration`] keeps the proxy itself registered with a
+//! TTL check. Neither has a socket or a clock: whoever drives them sends the [`Call`]s that they give and hands
+//! back what came of each, with the time.
+//!
+//! The shapes and rules are those of Consul's published API pages: 'Blocking Queries', 'Consistency Modes', 'Health',
+//! 'Catalog', 'Agent Service' and 'Agent Check'.
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
+
+mod answer;
+mod backoff;
+mod http;
+mod mapping;
+mod register;
+mod watch;
+
+pub use answer::Skipped;
+pub use backoff::Backoff;
+pub use http::{Call, Failure, Response, Token, TokenError};
+pub use mapping::{Identity, Mapping, MetaKeys};
+pub use register::{Registrant, Registration, Step};
+pub use watch::{Consistency, Note, Options, Told, Watch};
--- /dev/null
+++ b/consul/tests/watch.rs
@@ -0,0 +1,544 @@
+//! The watch by scripts of answers in the API's shapes: each case of the blocking queries' rules, bad answers, lists
+//! that shrink at once, and agents that fail.
+
+use linnetknot::{Micros, State};
+use linnetknot_consul::*;
+use linnetknot_membership::{Evidence, Reason, Report};
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use serde_json::{json, Value};
+use std::collections::BTreeMap;
+
+const MS: Micros = 1000;
+
+fn mapping() -> Mapping {
+    let names = |names: &[&str]| names.iter().map(|n| (*n).to_owned()).collect();
+    let (zones, kinds) = (names(&["hub", "here"]), names(&["box", "origin"]));
+    Mapping { zone: "here".into(), kind: "box".into(), zones, kinds, ..Mapping::default() }
+}
+
+/// An instance as the health API gives it.
+fn instance(id: &str, port: u16, checks: &[(&str, &str)]) -> Value {
+    let checks: Vec<Value> = checks
+        .iter()
+        .map(|(id, status)| {
+            json!({"Node": "n1", "CheckID": id, "Name": "c", "Status": status, "Notes": "by hand",
+            "Output": "", "ServiceID": "", "ServiceTags": [], "Type": "ttl", "CreateIndex": 7})
+        })
+        .collect();
+    json!({
+        "Node": {"ID": "40e4a748", "Node": "n1", "Address": "10.1.10.12", "Datacenter": "dc1",
+            "TaggedAddresses": {"lan": "10.1.10.12", "wan": "192.0.2.12"}, "Meta": {"instance_type": "m"}},
+        "Service": {"ID": id, "Service": "pop-cache", "Tags": [], "Address": "", "Meta": {"az": "here"}, "Port": port,
+            "TaggedAddresses": {"wan": {"Address": "192.0.2.77", "Port": 9000}},
+            "Weights": {"Passing": 8, "Warning": 2}, "EnableTagOverride": false},
+        "Checks": checks,
+    })
+}
+
+fn ready(ids: &[&str]) -> Vec<Value> {
+    let one = |(n, id): (usize, &&str)| instance(id, 7000 + n as u16, &[("serfHealth", "passing")]);
+    ids.iter().enumerate().map(one).collect()
+}
+
+fn catalogue(ids: &[&str]) -> Vec<Value> {
+    ids.iter().map(|id| json!({"Node": "n1", "ServiceID": id, "ServiceName": "pop-cache"})).collect()
+}
+
+/// A watch, a clock, and the list as its evidence makes it.
+struct Rig {
+    watch: Watch,
+    now: Micros,
+    list: BTreeMap<String, Report>,
+    notes: Vec<Note>,
+}
+
+impl Rig {
+    fn new(change: impl Fn(&mut Options)) -> Rig {
+        let mut options = Options::default();
+        change(&mut options);
+        Rig { watch: Watch::new(options, mapping(), 7), now: 1_000_000, list: BTreeMap::new(), notes: vec![] }
+    }
+
+    /// Waits until the next call is due, and gives it.
+    fn call(&mut self) -> Call {
+        self.now = self.now.max(self.watch.due().expect("no call is out"));
+        self.watch.ask(self.now).expect("it is due")
+    }
+
+    fn hear(&mut self, told: Told) -> bool {
+        self.notes.extend(told.notes);
+        let changed = told.evidence.is_some();
+        let (whole, reports) = match told.evidence {
+            Some(Evidence::Full(reports)) => (true, reports),
+            Some(Evidence::Delta(reports)) => (false, reports),
+            None => return false,
+        };
+        if whole {
+            self.list.clear();
+        }
+        for r in reports {
+            self.list.insert(r.entry.uid.clone(), r);
+        }
+        self.list.retain(|_, r| r.entry.server.state != State::Gone);
+        changed
+    }
+
+    fn answer(&mut self, status: u16, headers: &[(&str, &str)], body: &[u8]) -> bool {
+        let headers: Vec<_> = headers.iter().map(|(n, v)| ((*n).to_owned(), (*v).to_owned())).collect();
+        let told = self.watch.answered(self.now, &Response { status, headers: &headers, body });
+        self.hear(told)
+    }
+
+    /// Asks, and answers with a list under this index. Gives the target that was asked for.
+    fn round(&mut self, index: u64, list: &[Value]) -> String {
+        let call = self.call();
+        self.answer(200, &[("x-consul-index", &index.to_string())], Value::from(list).to_string().as_bytes());
+        call.target
+    }
+
+    fn states(&self) -> Vec<(&str, State)> {
+        self.list.iter().map(|(uid, r)| (uid.as_str(), r.entry.server.state)).collect()
+    }
+
+    fn reason(&self, uid: &str) -> &Reason {
+        &self.list[uid].reason
+    }
+}
+
+const HEALTH: &str = "/v1/health/service/pop-cache";
+const CATALOGUE: &str = "/v1/catalog/service/pop-cache";
+
+#[test]
+fn queries_block_behind_the_index_and_start_anew_where_it_can_not_be_trusted() {
+    let mut rig = Rig::new(|_| {});
+    assert_eq!(rig.round(9, &ready(&["a"])), HEALTH);
+    for (to, next) in
+        [(9, "?index=9&wait=10000ms"), (3, ""), (4, "?index=4&wait=10000ms"), (0, "?index=1&wait=10000ms")]
+    {
+        rig.round(to, &ready(&["a"]));
+        assert_eq!(rig.watch.clone().ask(rig.now + 10_000_000).unwrap().target, format!("{HEALTH}{next}"));
+    }
+    assert!(matches!(
+        rig.notes[..],
+        [Note::IndexReset { from: 9, to: 3 }, Note::IndexReset { from: 4, to: 0 }]
+    ));
+    // A header that is missing, or no number, is as good as 0.
+    rig.call();
+    rig.answer(200, &[], b"[]");
+}
+
+#[test]
+fn options_stand_in_the_query_and_the_filter_in_that_of_the_health_api_only() {
+    let mut rig = Rig::new(|o| {
+        (o.datacenter, o.namespace) = (Some("dc2".into()), Some("media".into()));
+        (o.tags, o.filter) = (vec!["v 1".into()], Some("Service.Port != 1".into()));
+        o.consistency = Consistency::Stale;
+    });
+    let asked = rig.round(5, &ready(&["a", "b", "c"]));
+    assert_eq!(asked, format!("{HEALTH}?stale&dc=dc2&ns=media&tag=v+1&filter=Service.Port+%21%3D+1"));
+    rig.round(6, &ready(&["a", "b"]));
+    assert_eq!(rig.round(6, &catalogue(&["a", "b"])), format!("{CATALOGUE}?stale&dc=dc2&ns=media&tag=v+1"));
+}
+
+#[test]
+fn checks_maintenance_and_nodes_tell_who_drains_and_why() {
+    let mut rig = Rig::new(|_| {});
+    let with = |id: &str, checks: &[(&str, &str)]| instance(id, 7000, checks);
+    rig.round(
+        5,
+        &[
+            with("ok", &[("serfHealth", "passing"), ("c1", "passing")]),
+            with("warns", &[("c1", "warning")]),
+            with("fails", &[("serfHealth", "passing"), ("c1", "passing"), ("c2", "critical")]),
+            with("service", &[("c2", "critical"), ("_service_maintenance:service", "critical")]),
+            with("node", &[("serfHealth", "critical"), ("_node_maintenance", "critical")]),
+            with("lost", &[("c1", "critical"), ("serfHealth", "critical")]),
+            with("odd", &[("c1", "exploded")]),
+            with("bare", &[]),
+        ],
+    );
+    let drains: Vec<_> = rig.states().into_iter().filter(|s| s.1 == State::Draining).map(|s| s.0).collect();
+    assert_eq!(drains, ["fails", "lost", "node", "odd", "service"]);
+    assert_eq!(rig.reason("fails"), &Reason::Check("c2".into()));
+    assert_eq!(rig.reason("service"), &Reason::ServiceMaintenance("by hand".into()));
+    assert_eq!(rig.reason("node"), &Reason::NodeMaintenance("by hand".into()));
+    assert_eq!(rig.reason("lost"), &Reason::NodeLost);
+    assert_eq!(rig.reason("odd"), &Reason::Check("c1".into()));
+    let weight = |uid: &str| rig.list[uid].entry.server.weight;
+    assert_eq!((weight("ok"), weight("warns")), (8.0, 2.0), "the weights that Consul holds");
+}
+
+#[test]
+fn a_catalogue_made_by_others_is_read_by_its_own_keys_and_defaults() {
+    let mut theirs = instance("x", 7000, &[]);
+    theirs["Service"]["Meta"] = json!({"rack": "hub", "role": "origin", "slots": "40", "version": "3.1"});
+    let mut bare = instance("y", 7001, &[("c", "warning")]);
+    bare["Service"]["Meta"] = Value::Null;
+    bare["Service"]["Weights"] = json!({"Passing": 4, "Warning": 0});
+    let mut m = mapping();
+    (m.keys.zone, m.keys.kind, m.keys.capacity) = ("rack".into(), "role".into(), "slots".into());
+    let mut rig = Rig { watch: Watch::new(Options::default(), m, 7), ..Rig::new(|_| {}) };
+    rig.round(5, &[theirs.clone(), bare.clone()]);
+    let server = |rig: &Rig, uid: &str| rig.list[uid].entry.server.clone();
+    let x = server(&rig, "x");
+    assert_eq!((x.zone.as_str(), x.kind.as_str(), x.weight), ("hub", "origin", 40.0));
+    let y = server(&rig, "y");
+    assert_eq!(
+        (y.zone.as_str(), y.kind.as_str(), y.state),
+        ("here", "box", State::Draining),
+        "weighed with nothing"
+    );
+    // By the default keys nothing of theirs says anything: all boxes are ones of this place.
+    let mut rig = Rig::new(|_| {});
+    rig.round(5, &[theirs.clone()]);
+    assert_eq!((server(&rig, "x").zone.as_str(), server(&rig, "x").weight), ("here", 8.0));
+    // Addresses: the service's own, the node's, or a tagged one.
+    let endpoint = |tag: Option<&str>, one: &Value| {
+        let tagged_address = tag.map(str::to_owned);
+        let mut rig = Rig::new(|_| {});
+        rig.watch = Watch::new(Options::default(), Mapping { tagged_address, ..mapping() }, 7);
+        rig.round(5, std::slice::from_ref(one));
+        rig.list["x"].entry.endpoint.to_string()
+    };
+    assert_eq!(endpoint(None, &theirs), "10.1.10.12:7000");
+    assert_eq!(endpoint(Some("wan"), &theirs), "192.0.2.77:9000");
+    assert_eq!(endpoint(Some("lan"), &theirs), "10.1.10.12:7000", "the node's where the service has none");
+    theirs["Service"]["Address"] = "2001:db8::1".into();
+    assert_eq!(endpoint(Some("lan_ipv6"), &theirs), "[2001:db8::1]:7000");
+}
+
+#[test]
+fn one_bad_instance_costs_itself_only_and_is_named_with_its_key_once() {
+    let bad = |change: &dyn Fn(&mut Value)| {
+        let mut one = instance("bad", 7009, &[]);
+        change(&mut one);
+        one
+    };
+    for (key, one) in [
+        ("Node.Address", bad(&|i| i["Node"]["Address"] = "cache-9.example".into())),
+        ("Service.Address", bad(&|i| i["Service"]["Address"] = "0.0.0.0".into())),
+        ("Service.Port", bad(&|i| i["Service"]["Port"] = 0.into())),
+        ("Service.Port", bad(&|i| i["Service"]["Port"] = 70000.into())),
+        ("Service.Port", bad(&|i| i["Service"]["Port"] = "80".into())),
+        ("Service.Meta.az", bad(&|i| i["Service"]["Meta"]["az"] = "mars".into())),
+        ("Service.Meta.boot_ms", bad(&|i| i["Service"]["Meta"]["boot_ms"] = "soon".into())),
+        ("Service.Meta.capacity_hint", bad(&|i| i["Service"]["Meta"]["capacity_hint"] = "-1".into())),
+        ("Service.Meta", bad(&|i| i["Service"]["Meta"] = 3.into())),
+        ("Checks[0].Status", bad(&|i| i["Checks"] = json!([{"CheckID": "c", "Status": 1}]))),
+        ("Service.ID", bad(&|i| i["Service"]["ID"] = "a,b=c".into())),
+        ("Service.ID", bad(&|i| i["Service"]["ID"] = Value::Null)),
+        ("Service", bad(&|i| drop(i.as_object_mut().unwrap().remove("Service")))),
+        (".", json!(17)),
+    ] {
+        let mut rig = Rig::new(|_| {});
+        let mut list = ready(&["a", "b"]);
+        list.insert(1, one);
+        rig.round(5, &list);
+        assert_eq!(rig.states(), [("a", State::Ready), ("b", State::Ready)], "{key}");
+        let [Note::Skipped(s)] = &rig.notes[..] else { panic!("{key}: {:?}", rig.notes) };
+        assert!(s.key == key || key == "Service" && s.why.contains("Service"), "{key}: {s}");
+        // Another one goes critical meanwhile: that counts, and nothing is said twice.
+        list[0]["Checks"] = json!([{"CheckID": "c", "Status": "critical"}]);
+        rig.round(6, &list);
+        assert_eq!(rig.states(), [("a", State::Draining), ("b", State::Ready)], "{key}");
+        assert_eq!(rig.notes.len(), 1, "{key}: {:?}", rig.notes);
+    }
+    // One that ran and can't be used any more gets no fresh work.
+    let mut rig = Rig::new(|_| {});
+    rig.round(5, &ready(&["a", "b"]));
+    let mut list = ready(&["a", "b"]);
+    list[1]["Service"]["Port"] = 0.into();
+    rig.round(6, &list);
+    assert_eq!(rig.states(), [("a", State::Ready), ("b", State::Draining)]);
+    assert_eq!(rig.reason("b"), &Reason::Unusable("Service.Port".into()));
+}
+
+#[test]
+fn one_id_at_two_nodes_stays_with_the_one_that_had_it() {
+    let mut rig = Rig::new(|_| {});
+    let two = |first: u16, second: u16| [instance("a", first, &[]), instance("a", second, &[])];
+    rig.round(5, &two(1, 2));
+    rig.round(6, &two(2, 1));
+    assert_eq!(rig.list["a"].entry.endpoint.port(), 1);
+    assert!(matches!(&rig.notes[..], [Note::SameId { .. }]), "said once: {:?}", rig.notes);
+    let mut m = mapping();
+    m.identity = Identity::NodeAndService;
+    let mut rig = Rig { watch: Watch::new(Options::default(), m, 7), ..Rig::new(|_| {}) };
+    let mut list = two(1, 2);
+    list[1]["Node"]["Node"] = "n2".into();
+    rig.round(5, &list);
+    assert_eq!(rig.states().iter().map(|s| s.0).collect::<Vec<_>>(), ["n1/a", "n2/a"]);
+}
+
+#[test]
+fn who_is_left_out_drains_at_once_and_is_gone_once_the_catalogue_says_so() {
+    let mut rig = Rig::new(|_| {});
+    rig.round(5, &ready(&["a", "b", "c"]));
+    rig.round(6, &ready(&["a", "b"]));
+    assert_eq!(rig.states()[2], ("c", State::Draining));
+    assert_eq!(rig.reason("c"), &Reason::NoHealth);
+    assert_eq!(rig.round(1, &catalogue(&["a", "b", "c"])), CATALOGUE);
+    assert_eq!(rig.states()[2], ("c", State::Draining), "registered without health");
+    rig.round(7, &ready(&["a", "b"]));
+    rig.round(1, &catalogue(&["a", "b"]));
+    assert_eq!(rig.states(), [("a", State::Ready), ("b", State::Ready)]);
+    // With none left out, the catalogue is not asked.
+    assert!(rig.round(8, &ready(&["a", "b"])).starts_with(HEALTH));
+    assert!(rig.round(9, &ready(&["a", "b"])).starts_with(HEALTH));
+}
+
+#[test]
+fn an_answer_that_leaves_out_too_many_is_held_until_it_is_confirmed() {
+    let all = ["a", "b", "c", "d", "e"];
+    // Empty, and true.
+    let mut rig = Rig::new(|o| o.agents = 2);
+    rig.round(5, &ready(&all));
+    rig.round(6, &[]);
+    assert_eq!(rig.states().iter().filter(|s| s.1 == State::Ready).count(), 5, "nothing is lost yet");
+    assert!(matches!(rig.notes[..], [Note::Held { named: 0, ran: 5 }]));
+    let call = rig.call();
+    assert_eq!((call.target, call.agent), (format!("{CATALOGUE}?consistent"), 1), "from the other agent");
+    rig.answer(200, &[("x-consul-index", "6")], b"[]");
+    assert!(rig.list.is_empty() && rig.notes.last() == Some(&Note::Confirmed));
+    // Empty, and not true: a server that was restored from nothing.
+    let mut rig = Rig::new(|_| {});
+    rig.round(5, &ready(&all));
+    for _ in 0..2 {
+        rig.round(6, &[]);
+        rig.round(6, &catalogue(&all));
+        assert_eq!(rig.states().iter().filter(|s| s.1 == State::Ready).count(), 5);
+    }
+    assert!(
+        matches!(rig.notes[..], [Note::Held { .. }, Note::Contradicted { registered: 5 }]),
+        "{:?}",
+        rig.notes
+    );
+    // Where it is said again and again, the catalogue is the one that errs; still nobody is gone by it.
+    rig.round(6, &[]);
+    rig.round(6, &catalogue(&all));
+    rig.round(6, &[]);
+    assert!(rig.states().iter().all(|s| s.1 == State::Draining), "{:?}", rig.states());
+    // What a held answer says of those that it names counts at once.
+    let mut rig = Rig::new(|_| {});
+    rig.round(5, &ready(&all));
+    rig.round(6, &[instance("a", 7000, &[("c", "critical")])]);
+    assert_eq!(rig.states()[..2], [("a", State::Draining), ("b", State::Ready)]);
+    // The confirmation fails: the list holds.
+    rig.call();
+    rig.answer(500, &[], b"No cluster leader");
+    assert_eq!(rig.states().len(), 5);
+    assert_eq!(rig.round(7, &ready(&all)), HEALTH);
+    assert_eq!(rig.states()[0], ("a", State::Ready));
+    // A list that was kept over a restart is defended in the same way.
+    let kept: Vec<_> = rig.list.values().map(|r| r.entry.clone()).collect();
+    let mut rig = Rig::new(|_| {});
+    let Evidence::Full(reports) = rig.watch.remember(&kept) else { panic!("the whole list") };
+    assert_eq!((reports.len(), &reports[0].reason), (5, &Reason::Kept));
+    rig.list = reports.into_iter().map(|r| (r.entry.uid.clone(), r)).collect();
+    rig.round(1, &[]);
+    assert_eq!(rig.states().len(), 5);
+}
+
+#[test]
+fn failures_change_nothing_and_are_followed_by_the_next_agent_and_growing_waits() {
+    let list = Value::from(ready(&["a"])).to_string();
+    let cut = &list.as_bytes()[..list.len() - 9];
+    let mut rig = Rig::new(|o| o.agents = 3);
+    rig.round(5, &ready(&["a"]));
+    let start = rig.now;
+    let mut agents = Vec::new();
+    for n in 0..12 {
+        agents.push(rig.call().agent);
+        match n % 6 {
+            0 => rig.answer(500, &[], b"No cluster leader"),
+            1 => rig.answer(200, &[], cut),
+            2 => rig.answer(200, &[], b"{}"),
+            3 => rig.answer(403, &[], b"Permission denied: token with AccessorID '' lacks permission"),
+            4 => rig.answer(200, &[("x-consul-knownleader", "false")], list.as_bytes()),
+            _ => {
+                let told = rig.watch.failed(rig.now, Failure::TimedOut);
+                rig.hear(told)
+            }
+        };
+        assert_eq!(rig.states(), [("a", State::Ready)]);
+        if n == 1 {
+            assert!(rig.now - start < 100 * MS, "the other agents are asked at once");
+        }
+    }
+    assert_eq!(agents, [0, 1, 2, 0, 1, 2, 0, 1, 2, 0, 1, 2]);
+    let waited = rig.now - start;
+    assert!((5_000_000..25_000_000).contains(&waited), "{waited}");
+    assert!(rig
+        .notes
+        .iter()
+        .any(|n| matches!(n, Note::Failed { why, .. } if why.contains("No cluster leader"))));
+    rig.round(9, &ready(&["a", "b"]));
+    assert!(matches!(rig.notes.last(), Some(Note::Back { failures: 12, .. })));
+    assert_eq!(rig.list.len(), 2);
+    // The first agent is the one that was wanted: after a while it is tried again.
+    let mut rig = Rig::new(|o| o.agents = 2);
+    rig.call();
+    let told = rig.watch.failed(rig.now, Failure::Unreachable);
+    rig.hear(told);
+    rig.round(5, &ready(&["a"]));
+    assert_eq!(rig.call().agent, 1);
+    rig.now += 100_000_000;
+    rig.answer(200, &[("x-consul-index", "5")], list.as_bytes());
+    assert_eq!(rig.call().agent, 0);
+}
+
+#[test]
+fn an_agent_that_says_when_to_come_back_is_left_alone_until_then() {
+    let mut rig = Rig::new(|_| {});
+    rig.call();
+    rig.answer(429, &[("retry-after", "7")], b"Your IP is issuing too many concurrent connections");
+    let wait = rig.watch.due().unwrap() - rig.now;
+    assert!((7_000_000..8_000_000).contains(&wait), "{wait}");
+    rig.call();
+    rig.answer(503, &[("retry-after", "99999999")], b"");
+    assert!(rig.watch.due().unwrap() - rig.now < 61_000_000, "but not for as long as it likes");
+}
+
+#[test]
+fn a_stale_answer_counts_only_within_its_bound() {
+    let mut rig = Rig::new(|o| o.consistency = Consistency::Stale);
+    let list = Value::from(ready(&["a"])).to_string();
+    rig.call();
+    rig.answer(200, &[("x-consul-lastcontact", "400"), ("x-consul-index", "5")], list.as_bytes());
+    assert_eq!(rig.list.len(), 1);
+    assert!(rig.call().target.contains("stale"));
+    rig.answer(200, &[("x-consul-lastcontact", "1001"), ("x-consul-index", "6")], b"[]");
+    assert_eq!((rig.list.len(), rig.notes.last()), (1, Some(&Note::Stale(1_001_000))));
+    let call = rig.call();
+    assert!(!call.target.contains("stale"), "the leader is asked: {}", call.target);
+}
+
+#[test]
+fn answers_without_news_are_paced_and_long_ones_too() {
+    let mut rig = Rig::new(|_| {});
+    rig.round(5, &ready(&["a"]));
+    let start = rig.now;
+    for n in 0..60 {
+        // An index that moves all the time without a change.
+        rig.round(6 + n, &ready(&["a"]));
+    }
+    assert!(rig.now - start > 20_000_000, "{} ms for 60 answers", (rig.now - start) / MS);
+    // A change is followed at once all the same.
+    rig.round(99, &ready(&["a", "b"]));
+    assert!(rig.watch.due().unwrap() - rig.now <= 10 * MS);
+    // An agent that cuts the wait short to a second is asked again as soon as it has answered.
+    let call = rig.call();
+    assert!(call.timeout_us > 10_000_000);
+    rig.now += 1_000_000;
+    rig.answer(200, &[("x-consul-index", "99")], Value::from(ready(&["a", "b"])).to_string().as_bytes());
+    assert_eq!(rig.watch.due(), Some(rig.now));
+    rig.call();
+    let long = format!("{}{}", Value::from(ready(&["a", "b"])), " ".repeat(5_000_000));
+    rig.answer(200, &[("x-consul-index", "99")], long.as_bytes());
+    assert!(rig.watch.due().unwrap() >= rig.now + 50 * MS, "reading it took time from requests");
+}
+
+#[test]
+fn the_proxys_own_registration_follows_its_state_and_an_agent_that_forgot() {
+    let registrant = Registrant {
+        id: "edge/1".into(),
+        name: "edge-proxy".into(),
+        address: "127.0.0.1:6565".parse().unwrap(),
+        tags: vec!["v1".into()],
+        meta: BTreeMap::new(),
+        ttl_us: 9_000_000,
+        drop_after_us: Some(60_000_000),
+        answer_us: 1_000_000,
+        agents: 2,
+    };
+    let says = |status: u16, body: &'static str| Response { status, headers: &[], body: body.as_bytes() };
+    let json = |call: &Call| serde_json::from_slice::<Value>(&call.body).unwrap();
+    let mut r = Registration::new(registrant, 3);
+    let mut now = 1_000_000;
+    // Nobody answers at the first agent: the next one is asked.
+    assert_eq!(r.ask(now, false).unwrap().agent, 0);
+    assert!(matches!(r.failed(now, Failure::Unreachable), Some(Step::Failed(_))));
+    now = r.due(now, false).unwrap();
+    let call = r.ask(now, false).unwrap();
+    assert_eq!((call.method, call.target.as_str(), call.agent), ("PUT", "/v1/agent/service/register", 1));
+    let body = json(&call);
+    assert_eq!(
+        (&body["ID"], &body["Port"], &body["Address"]),
+        (&"edge/1".into(), &6565.into(), &"127.0.0.1".into())
+    );
+    assert_eq!(
+        body["Check"],
+        json!({"CheckID": "service:edge/1", "Name": "can serve", "TTL": "9000ms",
+        "Status": "critical", "DeregisterCriticalServiceAfter": "60000ms"})
+    );
+    assert_eq!(r.answered(now, &says(200, "")), Some(Step::Registered));
+    // It is kept within its TTL, and a change is told at once.
+    assert!((now + 1..now + 4_500_000).contains(&r.due(now, false).unwrap()));
+    assert_eq!(r.due(now, true), Some(now));
+    let call = r.ask(now, true).unwrap();
+    assert_eq!(call.target, "/v1/agent/check/update/service%3Aedge%2F1");
+    assert_eq!(json(&call)["Status"], "passing");
+    assert_eq!(r.answered(now, &says(200, "")), None);
+    // Failures in a row are said once, and do not use up the TTL.
+    let mut said = 0;
+    for _ in 0..5 {
+        let due = r.due(now, true).unwrap();
+        assert!(due <= now + 4_500_000);
+        now = due;
+        assert_eq!(r.ask(now, true).unwrap().agent, 1, "the service belongs to the agent that took it");
+        said += usize::from(r.failed(now, Failure::TimedOut).is_some());
+    }
+    assert_eq!(said, 1);
+    for forgot in
+        [says(404, "Unknown check ID \"service:edge/1\""), says(500, "Unknown check \"service:edge/1\"")]
+    {
+        now = r.due(now, true).unwrap();
+        r.ask(now, true).unwrap();
+        assert_eq!(r.answered(now, &forgot), Some(Step::Forgotten));
+        let call = r.ask(now, true).unwrap();
+        assert_eq!(
+            (call.target.as_str(), &json(&call)["Check"]["Status"]),
+            ("/v1/agent/service/register", &"passing".into())
+        );
+        assert_eq!(r.answered(now, &says(200, "")), Some(Step::Registered));
+    }
+    // At the end it deregisters, also where a call is out, and gives up in time where nobody answers.
+    let mut again = r.clone();
+    now = r.due(now, true).unwrap();
+    r.ask(now, true).unwrap();
+    r.leave(now);
+    assert_eq!(r.answered(now, &says(200, "")), None);
+    assert_eq!(r.ask(now, false).unwrap().target, "/v1/agent/service/deregister/edge%2F1");
+    assert_eq!(r.answered(now, &says(200, "")), Some(Step::Left));
+    assert!(r.has_left() && r.due(now, false).is_none());
+    let start = now;
+    again.leave(now);
+    while !again.has_left() {
+        now = again.due(now, false).unwrap();
+        again.ask(now, false).unwrap();
+        again.failed(now, Failure::Unreachable);
+    }
+    assert!(now - start < 500_000);
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 256, rng_seed: RngSeed::Fixed(0x11ae), failure_persistence: None, ..ProptestConfig::default()
+    })]
+
+    /// Any bytes in a valid answer's place, or in its midst, are an answer or a failure, never a panic, and a failure
+    /// changes nothing.
+    #[test]
+    fn garbage_is_no_list(garbage in proptest::collection::vec(any::<u8>(), 0..64), at in any::<usize>(), status in 100u16..600) {
+        let mut rig = Rig::new(|_| {});
+        rig.round(5, &ready(&["a", "b", "c"]));
+        let valid = Value::from(ready(&["a", "b", "c"])).to_string().into_bytes();
+        let at = at % valid.len();
+        for body in [garbage.clone(), [&valid[..at], &garbage[..], &valid[at..]].concat()] {
+            rig.call();
+            rig.answer(if at % 2 == 0 { 200 } else { status }, &[("x-consul-index", "6")], &body);
+            prop_assert!(!rig.list.is_empty());
+        }
+    }
+}
--- a/membership/src/evidence.rs
+++ b/membership/src/evidence.rs
@@ -50,6 +50,8 @@
     NodeLost,
     /// It is registered, but the source tells no health of it.
     NoHealth,
+    /// Its registration can't be used, for what stands under this key.
+    Unusable(String),
     /// The source's whole list does not name it any more.
     Unlisted,
     /// From a list kept over a restart.
@@ -75,6 +77,7 @@
             Self::NodeMaintenance(note) => write!(f, "node in maintenance: {note}"),
             Self::NodeLost => write!(f, "its node is not heard of any more"),
             Self::NoHealth => write!(f, "registered without health"),
+            Self::Unusable(key) => write!(f, "its registration can't be used: {key}"),
             Self::Unlisted => write!(f, "not listed any more"),
             Self::Kept => write!(f, "from the kept list"),
             Self::GoneElsewhere(source) => write!(f, "gone by {source}"),
