--- a/daemon/src/config.rs
+++ b/daemon/src/config.rs
@@ -3,6 +3,7 @@
 use crate::bus::{read_event, BusEvent};
 use crate::front::cdni::footprint::Network;
 use crate::front::cdni::{Identity, Neighbour};
+use crate::interconnect::{CdniFile, Consul, File, LogForm, NeighbourFile, State};
 use crate::limits::Limits;
 use linnetknot::Settings;
 use linnetknot_settings::{get, int_or, list, object, settings, text, text_or, wrong, Fields, Result};
@@ -34,8 +35,12 @@
     pub peers: Option<(SocketAddr, Vec<SocketAddr>)>,
     /// The second front.
     pub cdni: Option<Cdni>,
-    /// Consul as a source of the list: its address and the name of the service.
-    pub consul: Option<(SocketAddr, String)>,
+    /// Consul as a source of the list.
+    pub consul: Option<Consul>,
+    /// What outlives the process.
+    pub state: State,
+    /// The form of the log.
+    pub log: LogForm,
 }
 
 /// The second front: where it listens, and how it presents itself.
@@ -65,30 +70,30 @@
     Ok((int_or(known, "offset", 0)?, events))
 }
 
-fn cdni(m: &Fields, settings: &Settings) -> Result<Option<Cdni>> {
-    let Some(listen) = address(m, "listen")? else { return Ok(None) };
-    let networks = list(m, "footprint")?.iter().map(|v| v.as_str().and_then(Network::read));
-    let mut neighbours = Vec::new();
-    for v in list(m, "neighbours")? {
-        let n = v.as_object().ok_or_else(|| wrong("neighbours"))?;
-        neighbours.push(Neighbour {
-            provider: text(n, "provider")?,
-            address: address(n, "address")?.ok_or("field 'address' is missing")?,
-            triggers: text_or(n, "triggers", "/cdni/triggers")?,
-            notices: text(n, "notices")?,
-            content: text(n, "content")?,
-        });
+fn cdni(file: &CdniFile, settings: &Settings) -> Result<Option<Cdni>> {
+    let Some(listen) = file.listen else { return Ok(None) };
+    let said = |key: &str, value: &Option<String>| value.clone().ok_or(format!("cdni.{key} is missing"));
+    let mut footprint = Vec::new();
+    for (n, text) in file.footprint.iter().enumerate() {
+        let network = Network::read(text);
+        footprint.push(network.ok_or(format!("cdni.footprint[{n}]: '{text}' is no IPv4 network"))?);
     }
+    let neighbour = |n: &NeighbourFile| Neighbour {
+        provider: n.provider.clone(),
+        address: n.address,
+        triggers: n.triggers.clone(),
+        notices: n.notices.clone(),
+        content: n.content.clone(),
+    };
     let read = settings.classes.iter().filter(|c| !c.write);
     let identity = Identity {
-        provider: text(m, "provider")?,
-        base: text(m, "base")?,
-        footprint: networks.collect::<Option<_>>().ok_or_else(|| wrong("footprint"))?,
-        neighbours,
+        provider: said("provider", &file.provider)?,
+        base: said("base", &file.base)?,
+        footprint,
+        neighbours: file.neighbours.iter().map(neighbour).collect(),
         classes: read.map(|c| (c.name.clone(), c.deadline_us)).collect(),
     };
-    let purges = get(m, "purges").map(|_| text(m, "purges")).transpose()?.map(PathBuf::from);
-    Ok(Some(Cdni { listen, identity, purges }))
+    Ok(Some(Cdni { listen, identity, purges: file.purges.clone() }))
 }
 
 /// The object of a file.
@@ -122,20 +127,43 @@
         Ok(config)
     }
 
-    /// Reads where the second front listens and whether Consul is asked; both are off where nothing is said.
+    /// Reads the operators' own file: all that it tells of is off where it says nothing.
     pub fn interconnect(&mut self, m: &Fields) -> Result<()> {
-        if get(m, "cdni").is_some() {
-            self.cdni = cdni(object(m, "cdni")?, &self.settings).map_err(|e| format!("cdni: {e}"))?;
-        }
-        if get(m, "consul").is_some() {
-            let consul = object(m, "consul")?;
-            let to = address(consul, "address").map_err(|e| format!("consul: {e}"))?;
-            let service = text_or(consul, "service", "pop-cache").map_err(|e| format!("consul: {e}"))?;
-            self.consul = to.map(|to| (to, service));
-        }
+        let value = Value::Object(m.clone());
+        let file: File = serde_path_to_error::deserialize(value).map_err(|e| {
+            let path = e.path().to_string();
+            format!("{path}: {}", e.into_inner())
+        })?;
+        self.cdni = file.cdni.as_ref().map(|c| cdni(c, &self.settings)).transpose()?.flatten();
+        let consul = file.consul.as_ref().map(|c| c.check(&self.settings, &self.name));
+        self.consul = consul.transpose()?.flatten();
+        self.state = file.state.check()?;
+        self.log = file.log.form;
         Ok(())
     }
 
+    /// A configuration that says nothing, to check the operators' own file against where there is none: its one zone
+    /// has no name, so any name of a zone will do.
+    fn bare() -> Result<Self> {
+        let mut none = Fields::new();
+        none.insert("zone".to_owned(), "".into());
+        none.insert("localities".to_owned(), vec![""].into());
+        Ok(Config {
+            name: "linnetknot".to_owned(),
+            listen: ([127, 0, 0, 1], 0).into(),
+            seed: 0,
+            limits: Limits::for_machine(1024, 192),
+            bus: None,
+            known: (0, Vec::new()),
+            settings: settings(&none)?,
+            peers: None,
+            cdni: None,
+            consul: None,
+            state: State::default(),
+            log: LogForm::default(),
+        })
+    }
+
     /// The keys in which a new configuration differs although a running daemon can't follow it there: what they
     /// say was built into sockets, tables and the decision module at the start. `seed` and `known` are another
     /// with every start and mean nothing to a daemon that runs.
@@ -148,7 +176,8 @@
             ("settings", self.settings != new.settings),
             ("peer_listen", own(self) != own(new)),
             ("cdni", self.cdni != new.cdni),
-            ("consul", self.consul != new.consul),
+            ("state", self.state != new.state),
+            ("log", self.log != new.log),
         ];
         changes.into_iter().filter(|(_, changed)| *changed).map(|(key, _)| key).collect()
     }
@@ -189,6 +218,46 @@
             peers: address(m, "peer_listen")?.map(|own| (own, peers)),
             cdni: None,
             consul: None,
+            state: State::default(),
+            log: LogForm::default(),
         })
     }
 }
+
+/// Checks files without starting anything; without any, those that a start would read. For each its name, and what it
+/// is or what is wrong with it.
+pub fn check(files: &[PathBuf]) -> Vec<(String, Result<&'static str>)> {
+    if files.is_empty() {
+        let result = Config::from_env().map(|_| "a start would find nothing wrong");
+        return vec![("environment".to_owned(), result)];
+    }
+    // The operators' own file leans on the settings, so a configuration named beside it lends it these.
+    let mut lent = None;
+    let mut own = Vec::new();
+    let mut results = Vec::new();
+    for path in files {
+        let shown = path.display().to_string();
+        let read = file(&shown).and_then(|m| match get(&m, "settings").or(get(&m, "listen")).is_some() {
+            false => {
+                own.push((shown.clone(), m));
+                Ok(None)
+            }
+            true => Config::read(&m).map(Some).map_err(|e| format!("{shown}: {e}")),
+        });
+        match read {
+            Ok(None) => {}
+            Ok(Some(config)) => {
+                lent = Some(config);
+                results.push((shown, Ok("a configuration, sound")));
+            }
+            Err(e) => results.push((shown, Err(e))),
+        }
+    }
+    for (shown, m) in own {
+        let config = lent.clone().map_or_else(Config::bare, Ok);
+        let result = config.and_then(|mut config| config.interconnect(&m));
+        let result = result.map_err(|e| format!("{shown}: {e}"));
+        results.push((shown, result.map(|()| "an interconnect file, sound")));
+    }
+    results
+}
--- /dev/null
+++ b/daemon/src/daemon/feeds/bus.rs
@@ -0,0 +1,120 @@
+//! The event bus: one connection that is read for good, and begun anew where it ends or falls silent.
+
+use crate::bus::{request, BusEvent, Feed, News};
+use crate::daemon::exchange::{Effect, End, Exchange, Flow};
+use crate::daemon::members::BUS;
+use crate::daemon::Daemon;
+use crate::net::{Due, Key};
+use crate::wire::WireError;
+use linnetknot::{ListMode, Micros};
+use linnetknot_membership::{Evidence, Report};
+
+/// What the daemon knows of the bus.
+#[derive(Default)]
+pub(in crate::daemon) struct State {
+    key: Option<Key>,
+    timer: Option<Due>,
+    /// The last event heard.
+    pub(in crate::daemon) last: u64,
+    /// When something last came.
+    read_at: Micros,
+}
+
+/// One call.
+struct Call {
+    host: String,
+    last: u64,
+    feed: Feed,
+}
+
+impl Exchange for Call {
+    fn opening(&self) -> Vec<u8> {
+        request(&self.host, self.last)
+    }
+
+    fn read(&mut self, now: Micros, input: &[u8], effects: &mut Vec<Effect>) -> Result<Flow, WireError> {
+        let events = self.feed.read(now, input, &mut self.last)?;
+        let last = self.last;
+        effects.push(Box::new(move |daemon, now| {
+            (daemon.bus.last, daemon.bus.read_at) = (last, now);
+            events.into_iter().for_each(|event| daemon.heard(now, event));
+        }));
+        Ok(Flow::More)
+    }
+
+    fn ended(self: Box<Self>, end: End) -> Option<Effect> {
+        if let End::Unreadable(e) = end {
+            log::warn!("the event bus's connection is ended: {e}");
+        }
+        Some(Box::new(|daemon, now| {
+            daemon.bus.key = None;
+            daemon.wake_bus(now + daemon.limits.bus_again_us);
+        }))
+    }
+}
+
+impl Daemon {
+    pub(in crate::daemon) fn news(&mut self, now: Micros, event: BusEvent) {
+        match event.news {
+            // Unless told otherwise, one source has the list.
+            Some(News::List(..)) if self.config.consul.as_ref().is_some_and(|c| !c.beside_bus) => {}
+            Some(News::List(mode, entries)) => {
+                let reports = entries.into_iter().map(Report::from).collect();
+                let evidence = match mode {
+                    ListMode::Full => Evidence::Full(reports),
+                    _ => Evidence::Delta(reports),
+                };
+                self.evidence(now, BUS, evidence);
+            }
+            Some(News::Purge { object, group, at }) => self.core.purged(now, object, group, at),
+            None => log::debug!("event {} of the bus is of an unknown kind", event.offset),
+        }
+    }
+
+    /// An event that has just happened: neighbours hear of purges too.
+    fn heard(&mut self, now: Micros, event: BusEvent) {
+        if let Some(News::Purge { object, group, .. }) = &event.news {
+            self.pass_on(now, object.as_deref(), *group);
+        }
+        self.news(now, event);
+    }
+
+    pub(in crate::daemon) fn call_bus(&mut self, now: Micros) {
+        let Some(bus) = self.config.bus else { return };
+        let feed = Feed::new(&self.limits, now);
+        let call = Call { host: bus.to_string(), last: self.bus.last, feed };
+        self.bus.key = self.exchange(now, bus, Box::new(call), None);
+        self.bus.read_at = now;
+        let silent =
+            if self.bus.key.is_some() { self.limits.bus_silence_us } else { self.limits.bus_again_us };
+        self.wake_bus(now + silent);
+    }
+
+    /// The bus is at another address: what it has to tell is asked for there at once, behind the last event.
+    pub(in crate::daemon) fn move_bus(&mut self, now: Micros) {
+        if let Some(old) = self.bus.key.take() {
+            self.connections.remove(old);
+        }
+        self.call_bus(now);
+    }
+
+    fn wake_bus(&mut self, at: Micros) {
+        let due = self.later(at, |daemon, now| daemon.check_bus(now));
+        if let Some(due) = self.bus.timer.replace(due) {
+            self.deadlines.take_back(due);
+        }
+    }
+
+    /// A bus that has gone silent may have gone without a word: what it has to tell counts as told all the same.
+    fn check_bus(&mut self, now: Micros) {
+        match self.bus.key {
+            None => self.call_bus(now),
+            Some(key) if self.bus.read_at + self.limits.bus_silence_us <= now => {
+                log::warn!("the event bus is silent and called again");
+                self.connections.remove(key);
+                self.call_bus(now);
+            }
+            Some(_) => self.wake_bus(self.bus.read_at + self.limits.bus_silence_us),
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/daemon/feeds/consul/call.rs
@@ -0,0 +1,76 @@
+//! One call to an agent: a request, and its whole response.
+
+use crate::daemon::exchange::{Effect, End, Exchange, Flow};
+use crate::daemon::Daemon;
+use crate::wire::http::{Head, Messages, Piece};
+use crate::wire::{Parser, WireError};
+use linnetknot::Micros;
+use linnetknot_consul::Failure;
+
+/// What came of a call: head and body of the response, or none.
+pub(super) type Outcome = Result<(Head, Vec<u8>), Failure>;
+type Then = Box<dyn FnOnce(&mut Daemon, Micros, Outcome)>;
+
+/// One call.
+pub(super) struct Call {
+    request: Vec<u8>,
+    messages: Messages,
+    head: Option<Head>,
+    body: Vec<u8>,
+    then: Option<Then>,
+}
+
+impl Call {
+    /// A call with this request, and what is to be done with its outcome.
+    pub(super) fn new(
+        request: Vec<u8>,
+        most_line: usize,
+        most_body: usize,
+        then: impl FnOnce(&mut Daemon, Micros, Outcome) + 'static,
+    ) -> Box<Self> {
+        let messages = Messages::responses(most_line, most_body);
+        Box::new(Call { request, messages, head: None, body: Vec::new(), then: Some(Box::new(then)) })
+    }
+}
+
+impl Exchange for Call {
+    fn opening(&self) -> Vec<u8> {
+        self.request.clone()
+    }
+
+    fn read(&mut self, _: Micros, mut input: &[u8], effects: &mut Vec<Effect>) -> Result<Flow, WireError> {
+        loop {
+            let (taken, piece) = self.messages.parse(input)?;
+            input = &input[taken..];
+            match piece {
+                None => return Ok(Flow::More),
+                Some(Piece::Head(head)) => self.head = Some(head),
+                Some(Piece::Body(bytes)) => self.body.extend(bytes),
+                Some(Piece::End) => {
+                    let body = std::mem::take(&mut self.body);
+                    if let Some((head, then)) = self.head.take().zip(self.then.take()) {
+                        effects.push(Box::new(move |daemon, now| then(daemon, now, Ok((head, body)))));
+                    }
+                    return Ok(Flow::Done);
+                }
+            }
+        }
+    }
+
+    fn ended(mut self: Box<Self>, end: End) -> Option<Effect> {
+        let then = self.then.take()?;
+        let failure = match end {
+            // A body without a length goes on to the connection's end.
+            End::Closed if self.head.is_some() && self.messages.may_end() => {
+                let (head, body) = (self.head.take()?, self.body);
+                return Some(Box::new(move |daemon, now| then(daemon, now, Ok((head, body)))));
+            }
+            End::Unreachable => Failure::Unreachable,
+            End::Closed => Failure::CutOff,
+            End::TimedOut => Failure::TimedOut,
+            End::Unreadable(WireError::TooLong(_)) => Failure::TooLong,
+            End::Unreadable(WireError::Malformed(_)) => Failure::Malformed,
+        };
+        Some(Box::new(move |daemon, now| then(daemon, now, Err(failure))))
+    }
+}
--- /dev/null
+++ b/daemon/src/daemon/feeds/consul/mod.rs
@@ -0,0 +1,260 @@
+//! Consul in the daemon: the watches of its data centres, the proxy's own registration, and the list that is kept for
+//! the next start.
+
+mod call;
+mod kept;
+
+use crate::daemon::members::CONSUL;
+use crate::daemon::Daemon;
+use crate::interconnect::Consul;
+use crate::net::{Due, Key};
+use call::{Call, Outcome};
+pub(in crate::daemon) use kept::Keeper;
+use linnetknot::Micros;
+use linnetknot_consul::{Failure, Note, Registration, Response, Step, Token, Told, Watch};
+use linnetknot_membership::{Entry, Evidence, SourceId};
+use std::fs;
+use std::net::SocketAddr;
+
+struct Watched {
+    watch: Watch,
+    /// The call that is out.
+    key: Option<Key>,
+    timer: Option<Due>,
+}
+
+struct Registered {
+    registration: Registration,
+    key: Option<Key>,
+    timer: Option<Due>,
+}
+
+/// What the daemon knows of Consul.
+pub(in crate::daemon) struct State {
+    agents: Vec<SocketAddr>,
+    watches: Vec<Watched>,
+    registered: Option<Registered>,
+    token: Option<Token>,
+    most_answer: usize,
+}
+
+/// Reads the token's file. Its text shows in no message.
+fn token(consul: &Consul) -> Result<Option<Token>, String> {
+    let Some(path) = &consul.token_file else { return Ok(None) };
+    let text = fs::read_to_string(path).map_err(|e| format!("consul.token_file: {}: {e}", path.display()))?;
+    let token = Token::read(&text).map_err(|e| format!("consul.token_file: {}: {e}", path.display()))?;
+    Ok(Some(token))
+}
+
+impl State {
+    /// The state at the start. `listen` is where clients connect, which is what is registered.
+    pub(in crate::daemon) fn start(consul: &Consul, seed: u64, listen: SocketAddr) -> Result<Self, String> {
+        let watch = |(n, options)| {
+            let watch = Watch::new(options, consul.mapping.clone(), seed ^ (n as u64 + 1));
+            Watched { watch, key: None, timer: None }
+        };
+        let registered = consul.registrant(listen).map(|r| Registered {
+            registration: Registration::new(r, seed),
+            key: None,
+            timer: None,
+        });
+        Ok(State {
+            agents: consul.agents.clone(),
+            watches: consul.options.iter().cloned().enumerate().map(watch).collect(),
+            registered,
+            token: token(consul)?,
+            most_answer: consul.most_answer,
+        })
+    }
+}
+
+impl Daemon {
+    /// Begins whatever of Consul is due, and sees to it that the rest is begun in time.
+    pub(in crate::daemon) fn drive_consul(&mut self, now: Micros) {
+        let watches = self.consul.as_ref().map_or(0, |c| c.watches.len());
+        (0..watches).for_each(|n| self.drive_watch(now, n));
+        self.drive_registration(now);
+    }
+
+    fn drive_watch(&mut self, now: Micros, n: usize) {
+        let Some(state) = &mut self.consul else { return };
+        let Some(w) = state.watches.get_mut(n) else { return };
+        if let Some(timer) = w.timer.take() {
+            self.deadlines.take_back(timer);
+        }
+        let Some(call) = w.watch.ask(now) else {
+            if let Some(at) = w.watch.due() {
+                let timer = self.later(at, move |daemon, now| daemon.drive_watch(now, n));
+                if let Some(w) = self.consul.as_mut().and_then(|c| c.watches.get_mut(n)) {
+                    w.timer = Some(timer);
+                }
+            }
+            return;
+        };
+        let to = state.agents[call.agent.min(state.agents.len() - 1)];
+        let request = call.to_bytes(&to.to_string(), state.token.as_ref());
+        let then = move |daemon: &mut Daemon, now, outcome: Outcome| daemon.watch_told(now, n, outcome);
+        let exchange = Call::new(request, self.limits.line, state.most_answer, then);
+        let key = self.exchange(now, to, exchange, Some(call.timeout_us));
+        if let Some(w) = self.consul.as_mut().and_then(|c| c.watches.get_mut(n)) {
+            w.key = key;
+        }
+        if key.is_none() {
+            self.watch_told(now, n, Err(Failure::Unreachable));
+        }
+    }
+
+    fn watch_told(&mut self, now: Micros, n: usize, outcome: Outcome) {
+        let Some(w) = self.consul.as_mut().and_then(|c| c.watches.get_mut(n)) else { return };
+        w.key = None;
+        let Told { evidence, notes, confirmed } = match &outcome {
+            Ok((head, body)) => {
+                let response = Response { status: head.status().unwrap_or(0), headers: &head.headers, body };
+                w.watch.answered(now, &response)
+            }
+            Err(failure) => w.watch.failed(now, *failure),
+        };
+        let source = SourceId(CONSUL.0 + n);
+        let mut denied = false;
+        for note in notes {
+            denied |= matches!(note, Note::Denied { .. });
+            let level = match note {
+                Note::Back { .. } | Note::Confirmed | Note::IndexReset { .. } => log::Level::Info,
+                _ => log::Level::Warn,
+            };
+            log::log!(level, source = self.members.source(source); "Consul: {note}");
+        }
+        if denied {
+            // It may have been replaced since.
+            self.read_token();
+        }
+        if let Some(evidence) = evidence {
+            self.evidence(now, source, evidence);
+        }
+        if confirmed {
+            self.keep_list(now, n);
+        }
+        self.drive_watch(now, n);
+        // Whether this proxy can serve may have changed with the list.
+        self.drive_registration(now);
+    }
+
+    fn read_token(&mut self) {
+        let Some((state, consul)) = self.consul.as_mut().zip(self.config.consul.as_ref()) else { return };
+        match token(consul) {
+            Ok(token) => state.token = token,
+            Err(e) => log::warn!("the token stays as it was: {e}"),
+        }
+    }
+
+    pub(in crate::daemon) fn drive_registration(&mut self, now: Micros) {
+        let ready = self.core.is_ready() && !self.stopping;
+        let Some(state) = &mut self.consul else { return };
+        let Some(r) = &mut state.registered else { return };
+        let Some(call) = r.registration.ask(now, ready) else {
+            let due = r.registration.due(now, ready);
+            if due != r.timer.map(|t| t.0) {
+                if let Some(timer) = r.timer.take() {
+                    self.deadlines.take_back(timer);
+                }
+                let timer = due.map(|at| {
+                    self.later(at, |daemon, now| {
+                        if let Some(r) = daemon.consul.as_mut().and_then(|c| c.registered.as_mut()) {
+                            r.timer = None;
+                        }
+                        daemon.drive_registration(now);
+                    })
+                });
+                if let Some(r) = self.consul.as_mut().and_then(|c| c.registered.as_mut()) {
+                    r.timer = timer;
+                }
+            }
+            return;
+        };
+        let to = state.agents[call.agent.min(state.agents.len() - 1)];
+        let request = call.to_bytes(&to.to_string(), state.token.as_ref());
+        let then = |daemon: &mut Daemon, now, outcome: Outcome| daemon.registration_told(now, outcome);
+        let exchange = Call::new(request, self.limits.line, self.limits.line, then);
+        let key = self.exchange(now, to, exchange, Some(call.timeout_us));
+        if let Some(r) = self.consul.as_mut().and_then(|c| c.registered.as_mut()) {
+            r.key = key;
+        }
+        if key.is_none() {
+            self.registration_told(now, Err(Failure::Unreachable));
+        }
+    }
+
+    fn registration_told(&mut self, now: Micros, outcome: Outcome) {
+        let Some(r) = self.consul.as_mut().and_then(|c| c.registered.as_mut()) else { return };
+        r.key = None;
+        let step = match &outcome {
+            Ok((head, body)) => {
+                let response = Response { status: head.status().unwrap_or(0), headers: &head.headers, body };
+                r.registration.answered(now, &response)
+            }
+            Err(failure) => r.registration.failed(now, *failure),
+        };
+        match step {
+            Some(Step::Registered) => log::info!("registered in Consul"),
+            Some(Step::Forgotten) => {
+                log::warn!("the agent has forgotten the registration: it is taken up again")
+            }
+            Some(Step::Left) => log::info!("deregistered in Consul"),
+            Some(Step::Failed(why)) => log::warn!("the registration: the agent {why}"),
+            None => {}
+        }
+        self.drive_registration(now);
+    }
+
+    /// A kept list counts as what a watch was told last, so that an empty first answer can't wipe it out.
+    pub(super) fn remember_list(&mut self, n: usize, entries: &[Entry]) -> Option<Evidence> {
+        Some(self.consul.as_mut()?.watches.get_mut(n)?.watch.remember(entries))
+    }
+
+    /// About to end: clients are to go elsewhere.
+    pub(in crate::daemon) fn leave_consul(&mut self, now: Micros) {
+        if let Some(r) = self.consul.as_mut().and_then(|c| c.registered.as_mut()) {
+            r.registration.leave(now);
+        }
+        self.drive_registration(now);
+    }
+
+    /// Whether Consul needs nothing more of a proxy that ends.
+    pub(in crate::daemon) fn has_left_consul(&self) -> bool {
+        let registered = self.consul.as_ref().and_then(|c| c.registered.as_ref());
+        registered.is_none_or(|r| r.registration.has_left())
+    }
+
+    /// Another configuration of Consul. The list stays until an answer changes it. False: it needs a new start.
+    pub(in crate::daemon) fn reload_consul(&mut self, now: Micros, new: Option<Consul>) -> bool {
+        if self.config.consul == new {
+            self.read_token();
+            return true;
+        }
+        let (Some(old), Some(new)) = (&self.config.consul, new) else { return false };
+        if !old.can_become(&new) {
+            return false;
+        }
+        let token = match token(&new) {
+            Ok(token) => token,
+            Err(e) => {
+                log::error!("SIGHUP: 'consul' stays as it was: {e}");
+                return true;
+            }
+        };
+        let Some(state) = &mut self.consul else { return false };
+        let mut keys = Vec::new();
+        for (w, options) in state.watches.iter_mut().zip(&new.options) {
+            keys.extend(w.key.take());
+            w.watch.change(options.clone(), new.mapping.clone());
+        }
+        (state.agents, state.token, state.most_answer) = (new.agents.clone(), token, new.most_answer);
+        for key in keys {
+            self.connections.remove(key);
+        }
+        self.members.change_damping(new.damping);
+        self.config.consul = Some(new);
+        self.drive_consul(now);
+        true
+    }
+}
--- /dev/null
+++ b/daemon/src/daemon/feeds/peers.rs
@@ -0,0 +1,38 @@
+//! Datagrams of the peers.
+
+use crate::daemon::Daemon;
+use crate::peers;
+use linnetknot::Micros;
+use std::io;
+
+impl Daemon {
+    pub(in crate::daemon) fn hear_peers(&mut self, now: Micros) {
+        let mut bytes = [0; peers::MOST + 1];
+        while let Some((socket, known)) = &self.peers {
+            let (length, from) = match socket.recv_from(&mut bytes) {
+                Ok(received) => received,
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => return,
+                Err(_) => continue,
+            };
+            // What does not come from a peer is not listened to.
+            let purge = peers::read(&bytes[..length]).filter(|_| known.contains(&from));
+            if let Some((object, group, at)) = purge {
+                self.purge_for_good(now, object, group, at);
+            }
+        }
+    }
+
+    /// Sends a purge to the peers, and again: any datagram may be lost.
+    pub(in crate::daemon) fn tell_peers(&mut self, now: Micros, text: String, left: u8) {
+        let Some((socket, known)) = &self.peers else { return };
+        let own = socket.local_addr().ok();
+        for peer in known.iter().filter(|peer| Some(**peer) != own) {
+            let _ = socket.send_to(text.as_bytes(), peer);
+        }
+        if left > 0 {
+            self.later(now + self.limits.repeat_us, move |daemon, now| {
+                daemon.tell_peers(now, text, left - 1)
+            });
+        }
+    }
+}
--- a/daemon/src/daemon/members.rs
+++ b/daemon/src/daemon/members.rs
@@ -1,6 +1,6 @@
 //! The book of boxes in the daemon: evidence goes in, list events go to the core, changes go to the log.
 
-use super::{Daemon, Timer};
+use super::Daemon;
 use linnetknot::Micros;
 use linnetknot_membership::{Evidence, Notice, Output, SourceId};
 use std::collections::BTreeSet;
@@ -74,7 +74,7 @@
             if let Some(old) = self.members_due.take() {
                 self.deadlines.take_back(old);
             }
-            self.members_due = due.map(|at| self.deadlines.set(at, Timer::Members));
+            self.members_due = due.map(|at| self.later(at, |daemon, now| daemon.review_members(now)));
         }
     }
 }
--- a/daemon/src/daemon/mod.rs
+++ b/daemon/src/daemon/mod.rs
@@ -1,8 +1,6 @@
 //! The loop: sockets and deadlines on one side, the core on the other.
 
-use crate::bus::{self, Feed};
 use crate::config::{Config, Source};
-use crate::consul::{Call, Consul};
 use crate::core::{Command, Core, Wake};
 use crate::front::cdni::{self, Desk};
 use crate::front::fastcgi::Session;
@@ -20,12 +18,14 @@
 
 mod boxes;
 mod clients;
+mod exchange;
 mod feeds;
 mod members;
 mod neighbours;
 
+use exchange::{Effect, Exchange};
+use feeds::{bus, consul};
 use members::Said;
-use neighbours::Courier;
 
 const LISTENER: u64 = u64::MAX;
 const SIGNAL: u64 = u64::MAX - 1;
@@ -38,10 +38,9 @@
 enum Kind {
     Client(Session),
     Box(Link),
-    Bus(Feed),
-    Consul(Call),
     Cdni(Box<cdni::Session>),
-    Post(Box<Courier>),
+    /// What this side has begun.
+    Exchange(Box<dyn Exchange>),
 }
 
 impl Kind {
@@ -62,27 +61,16 @@
 }
 
 /// What has a deadline.
-#[derive(Clone, Debug)]
 enum Timer {
     Core(Wake),
     /// A connection begun from here must be up.
     Connect(Key),
     /// A link is looked at again: barred ids, stalled writing.
     Link(Key),
-    /// The bus is called, or found silent.
-    Bus,
-    /// A box under damping may be taken in again.
-    Members,
-    /// Consul is asked.
-    Consul,
-    /// The answer on a connection must have come.
-    Answered(Key),
-    /// A payload is sent to a neighbour once more.
-    Post(Box<Courier>),
+    /// Something else is to be done.
+    Task(Effect),
     /// A connection's next request, which waited for the answer to the one before.
     Serve(Key),
-    /// A purge is told to the peers once more, and so many times again.
-    Repeat(String, u8),
     /// A client's connection is looked at: it may hold its place for nothing.
     Client(Key),
     /// Accepting goes on.
@@ -133,8 +121,9 @@
 /// Who tells of the boxes. The bus alone is relayed: on the platform the module hears it event by event.
 fn sources(config: &Config) -> Vec<ListSource> {
     let mut sources = vec![ListSource { name: "bus".into(), relayed: true, damped: false }];
-    if config.consul.is_some() {
-        sources.push(ListSource { name: "consul".into(), relayed: false, damped: true });
+    for options in config.consul.iter().flat_map(|c| &c.options) {
+        let name = options.datacenter.as_ref().map_or("consul".to_owned(), |dc| format!("consul/{dc}"));
+        sources.push(ListSource { name, relayed: false, damped: true });
     }
     sources
 }
@@ -157,14 +146,13 @@
     clients: usize,
     links: BTreeMap<ServerId, Vec<Key>>,
     deadlines: Deadlines<Timer>,
-    feed: Option<Key>,
-    bus_timer: Option<Due>,
-    last_event: u64,
+    bus: bus::State,
     /// What is believed of the boxes, and when it is due to be looked at again.
     members: Membership,
     members_due: Option<Due>,
     said: Said,
-    consul: Option<(SocketAddr, Consul)>,
+    consul: Option<consul::State>,
+    keeper: Option<consul::Keeper>,
     peers: Option<(UdpSocket, Vec<SocketAddr>)>,
     desk: Option<(TcpListener, Desk)>,
     ledger: Option<Ledger>,
@@ -212,6 +200,12 @@
         }
         let core = Core::new(config.settings.clone(), config.seed, &limits).map_err(|e| e.to_string())?;
         let (last_event, known) = std::mem::take(&mut config.known);
+        let damping = config.consul.as_ref().map_or(Damping::default(), |c| c.damping);
+        let address = listener.local_addr().unwrap_or(config.listen);
+        let consul =
+            config.consul.as_ref().map(|c| consul::State::start(c, config.seed, address)).transpose()?;
+        let keeper = config.consul.as_ref().zip(config.state.directory.as_ref());
+        let keeper = keeper.map(|(c, folder)| consul::Keeper::start(folder, c.scopes())).transpose()?;
         let mut daemon = Daemon {
             clock: Clock::start(),
             core,
@@ -225,13 +219,12 @@
             clients: 0,
             links: BTreeMap::new(),
             deadlines: Deadlines::default(),
-            feed: None,
-            bus_timer: None,
-            last_event,
-            members: Membership::new(sources(&config), Damping::default(), limits.members()),
+            bus: bus::State::default(),
+            members: Membership::new(sources(&config), damping, limits.members()),
             members_due: None,
             said: Said::default(),
-            consul: config.consul.clone().map(|(to, service)| (to, Consul::new(service, 10))),
+            consul,
+            keeper,
             peers,
             desk,
             ledger,
@@ -250,8 +243,10 @@
             daemon.core.purged_for_good(now, object, group, at);
         }
         known.into_iter().for_each(|event| daemon.news(now, event));
+        daemon.bus.last = last_event;
+        daemon.recall_lists(now);
         daemon.call_bus(now);
-        daemon.call_consul(now);
+        daemon.drive_consul(now);
         daemon.settle(now);
         if let Some(address) = daemon.address() {
             log::info!("{} listens on {address}", daemon.config.name);
@@ -288,6 +283,7 @@
                 self.settle(now);
             }
         }
+        self.write_lists(self.clock.now());
         let c = self.core.counts;
         log::info!(
             "ended: {} taken, {} served, {} refused, {} failed, {} left, {} attempts",
@@ -302,7 +298,7 @@
     }
 
     fn is_done(&self) -> bool {
-        self.grace_over && self.core.is_idle() && self.waiting_answers == 0 && {
+        self.grace_over && self.has_left_consul() && self.core.is_idle() && self.waiting_answers == 0 && {
             let written = |key: &Key| {
                 let c = self.connections.get(*key);
                 c.is_none_or(|c| match &c.kind {
@@ -339,13 +335,8 @@
             }
             Timer::Link(key) => self.look_at_link(now, key),
             Timer::Client(key) => self.look_at_client(now, key),
-            Timer::Bus => self.check_bus(now),
-            Timer::Members => self.review_members(now),
-            Timer::Consul => self.call_consul(now),
-            Timer::Answered(key) => self.unanswered(now, key),
+            Timer::Task(task) => task(self, now),
             Timer::Serve(key) => self.serve_cdni(now, key),
-            Timer::Post(courier) => self.post(now, courier),
-            Timer::Repeat(text, left) => self.tell_peers(now, text, left),
             Timer::Accept => {
                 self.accepts_later = false;
                 self.accept(now);
@@ -365,6 +356,7 @@
         if !std::mem::replace(&mut self.stopping, true) {
             log::info!("SIGTERM: answering what is open");
             self.deadlines.set(now + self.limits.term_grace_us, Timer::Term);
+            self.leave_consul(now);
         }
     }
 
@@ -392,6 +384,9 @@
         if moved {
             self.move_bus(now);
         }
+        if !self.reload_consul(now, new.consul.take()) {
+            log::warn!("SIGHUP: 'consul' has changed, which takes effect with the next start only");
+        }
     }
 
     // ---- Connections ----
@@ -424,17 +419,8 @@
             if c.conn.finish_connect().is_err() {
                 return self.close(now, key);
             }
-            match (&c.kind, self.config.bus, &self.consul) {
-                (Kind::Bus(_), Some(bus), _) => {
-                    c.conn.output.push(&bus::request(&bus.to_string(), self.last_event));
-                }
-                (Kind::Consul(_), _, Some((to, consul))) => {
-                    c.conn.output.push(&consul.request(&to.to_string()));
-                }
-                (Kind::Post(courier), ..) => {
-                    c.conn.output.push(&courier.request());
-                }
-                _ => {}
+            if let Kind::Exchange(exchange) = &c.kind {
+                c.conn.output.push(&exchange.opening());
             }
         }
         let mut over = false;
@@ -462,23 +448,8 @@
         match &mut c.kind {
             Kind::Client(_) => self.read_client(now, key),
             Kind::Cdni(_) => self.read_cdni(now, key),
-            Kind::Post(courier) => {
-                let front = c.conn.input.front();
-                let taken = front.len();
-                let result = courier.read(front);
-                c.conn.input.consume(taken);
-                result
-            }
-            Kind::Consul(call) => {
-                let front = c.conn.input.front();
-                let taken = front.len();
-                let response = call.read(front)?;
-                c.conn.input.consume(taken);
-                if response.is_some() {
-                    // One query a connection: the next begins anew.
-                    self.connections.remove(key);
-                    self.consul_told(now, response);
-                }
+            Kind::Exchange(_) => {
+                self.read_exchange(now, key);
                 Ok(())
             }
             Kind::Box(link) => {
@@ -488,18 +459,6 @@
                 self.tell(now, server, told);
                 result
             }
-            Kind::Bus(feed) => {
-                let mut events = Vec::new();
-                let mut result = Ok(());
-                while !c.conn.input.is_empty() && result.is_ok() {
-                    let front = c.conn.input.front();
-                    let taken = front.len();
-                    result = feed.read(now, front, &mut self.last_event).map(|e| events.extend(e));
-                    c.conn.input.consume(taken);
-                }
-                events.into_iter().for_each(|event| self.heard(now, event));
-                result
-            }
         }
     }
 
@@ -516,8 +475,7 @@
             }
             Kind::Box(_) => self.pump(now, key),
             Kind::Cdni(_) => self.write_cdni(key),
-            Kind::Post(courier) => !courier.is_done() && c.conn.write() != Progress::Broken,
-            Kind::Bus(_) | Kind::Consul(_) => c.conn.write() != Progress::Broken,
+            Kind::Exchange(_) => c.conn.write() != Progress::Broken,
         };
         self.watch(key);
         sound
@@ -556,13 +514,12 @@
                 self.clients -= 1;
                 session.waiting.into_iter().for_each(|ticket| self.core.leave(now, ticket));
             }
-            Kind::Post(courier) => self.posted(now, courier),
-            Kind::Consul(_) => self.consul_told(now, None),
-            Kind::Bus(_) if self.feed == Some(key) => {
-                self.feed = None;
-                self.wake_bus(now + self.limits.bus_again_us);
+            Kind::Exchange(exchange) => {
+                let end = if c.conn.up { exchange::End::Closed } else { exchange::End::Unreachable };
+                if let Some(effect) = exchange.ended(end) {
+                    effect(self, now);
+                }
             }
-            Kind::Bus(_) => {} // The one before the bus has moved.
         }
     }
 
--- a/daemon/src/daemon/neighbours.rs
+++ b/daemon/src/daemon/neighbours.rs
@@ -1,8 +1,9 @@
 //! The second front's sockets: what neighbours and redirected clients ask, and what neighbours are sent.
 
+use super::exchange::{Effect, End, Exchange, Flow};
 use super::{Connection, Daemon, Kind, Timer, CDNI};
 use crate::core::{Answer, Client};
-use crate::front::cdni::{self, Effect, Post, Reply, Session, MEDIA};
+use crate::front::cdni::{self, Post, Reply, Session, MEDIA};
 use crate::net::{Conn, Key, Progress};
 use crate::peers;
 use crate::wire::http::{self, Messages, Piece};
@@ -10,39 +11,39 @@
 use linnetknot::Micros;
 
 /// A payload on its way to a neighbour.
-#[derive(Clone, Debug)]
-pub(super) struct Courier {
+struct Courier {
     post: Post,
     tries: u32,
-    status: Option<u16>,
     messages: Messages,
 }
 
 impl Courier {
-    /// The request that carries it.
-    pub(super) fn request(&self) -> Vec<u8> {
+    fn new(post: Post, tries: u32, most_line: usize) -> Self {
+        Courier { post, tries, messages: Messages::responses(most_line, usize::MAX) }
+    }
+}
+
+impl Exchange for Courier {
+    fn opening(&self) -> Vec<u8> {
         let mut out = Vec::new();
         let (host, media) = (self.post.address.to_string(), format!("{MEDIA}{}", self.post.ptype));
         let headers = [("Host", host.as_str()), ("Content-Type", media.as_str()), ("Connection", "close")];
-        http::write_message(
-            &mut out,
-            &format!("POST {} HTTP/1.1", self.post.path),
-            &headers,
-            self.post.body.as_bytes(),
-        );
+        let start = format!("POST {} HTTP/1.1", self.post.path);
+        http::write_message(&mut out, &start, &headers, self.post.body.as_bytes());
         out
     }
 
-    pub(super) fn read(&mut self, input: &[u8]) -> Result<(), WireError> {
-        if let (_, Some(Piece::Head(head))) = self.messages.parse(input)? {
-            self.status = head.status();
-        }
-        Ok(())
+    /// The neighbour's status is all that is wanted.
+    fn read(&mut self, _: Micros, input: &[u8], effects: &mut Vec<Effect>) -> Result<Flow, WireError> {
+        let (_, Some(Piece::Head(head))) = self.messages.parse(input)? else { return Ok(Flow::More) };
+        let (post, tries, status) = (self.post.clone(), self.tries, head.status());
+        effects.push(Box::new(move |daemon, now| daemon.posted(now, post, tries, status)));
+        Ok(Flow::Done)
     }
 
-    /// Whether the neighbour has answered: its status is all that is wanted.
-    pub(super) fn is_done(&self) -> bool {
-        self.status.is_some()
+    fn ended(self: Box<Self>, _: End) -> Option<Effect> {
+        let (post, tries) = (self.post, self.tries);
+        Some(Box::new(move |daemon, now| daemon.posted(now, post, tries, None)))
     }
 }
 
@@ -118,15 +119,15 @@
         }
     }
 
-    fn carry_out(&mut self, now: Micros, effect: Effect) {
+    fn carry_out(&mut self, now: Micros, effect: cdni::Effect) {
         match effect {
-            Effect::Purge(object, group) => {
+            cdni::Effect::Purge(object, group) => {
                 if let Some(text) = peers::write(object.as_deref(), group, now) {
                     self.tell_peers(now, text, 2);
                 }
                 self.purge_for_good(now, object, group, now);
             }
-            Effect::Post(post) => self.send_out(now, post),
+            cdni::Effect::Post(post) => self.send_out(now, post),
         }
     }
 
@@ -190,39 +191,33 @@
             return;
         }
         self.posts += 1;
-        let messages = Messages::responses(self.limits.line, usize::MAX);
-        self.post(now, Box::new(Courier { post, tries: 0, status: None, messages }));
+        self.post(now, post, 0);
     }
 
-    pub(super) fn post(&mut self, now: Micros, courier: Box<Courier>) {
-        let again = courier.clone();
-        match self.call(now, courier.post.address, Kind::Post(courier)) {
-            Some(key) => {
-                self.deadlines.set(now + self.limits.post_us, Timer::Answered(key));
-            }
-            None => self.posted(now, again),
+    fn post(&mut self, now: Micros, post: Post, tries: u32) {
+        let courier = Courier::new(post.clone(), tries, self.limits.line);
+        if self.exchange(now, post.address, Box::new(courier), Some(self.limits.post_us)).is_none() {
+            self.posted(now, post, tries, None);
         }
     }
 
     /// A try is over: by an answer, or without one.
-    pub(super) fn posted(&mut self, now: Micros, mut courier: Box<Courier>) {
-        courier.tries += 1;
-        match courier.status {
+    fn posted(&mut self, now: Micros, post: Post, tries: u32, status: Option<u16>) {
+        let tries = tries + 1;
+        match status {
             Some(200..=299) => self.posts -= 1,
             // Said no: the same payload would get the same answer.
             Some(status @ 400..=499) => {
-                log::warn!("{}{} answered {status}", courier.post.address, courier.post.path);
+                log::warn!("{}{} answered {status}", post.address, post.path);
                 self.posts -= 1;
             }
-            _ if courier.tries >= self.limits.post_tries => {
-                log::warn!("{}{} takes no payload", courier.post.address, courier.post.path);
+            _ if tries >= self.limits.post_tries => {
+                log::warn!("{}{} takes no payload", post.address, post.path);
                 self.posts -= 1;
             }
             _ => {
-                courier.status = None;
-                courier.messages = Messages::responses(self.limits.line, usize::MAX);
-                let wait = self.limits.repeat_us << courier.tries.min(6);
-                self.deadlines.set(now + wait, Timer::Post(courier));
+                let wait = self.limits.repeat_us << tries.min(6);
+                self.later(now + wait, move |daemon, now| daemon.post(now, post, tries));
             }
         }
     }
@@ -244,12 +239,13 @@
     fn a_request_without_an_answer_is_no_delivery() {
         let post =
             Post { address: ([127, 0, 0, 1], 9).into(), path: "/t".into(), ptype: "x", body: "{}".into() };
-        let mut courier = Courier { post, tries: 0, status: None, messages: Messages::responses(512, 512) };
-        let text = String::from_utf8(courier.request()).unwrap();
+        let mut courier = Courier::new(post, 0, 512);
+        let text = String::from_utf8(courier.opening()).unwrap();
         assert!(text.starts_with("POST /t HTTP/1.1\r\n") && text.ends_with("Content-Length: 2\r\n\r\n{}"));
-        courier.read(b"HTTP/1.1 201 Cre").unwrap();
-        assert!(!courier.is_done());
-        courier.read(b"ated\r\nContent-Length: 0\r\n\r\n").unwrap();
-        assert_eq!(courier.status, Some(201));
+        let mut effects = Vec::new();
+        assert_eq!(courier.read(0, b"HTTP/1.1 201 Cre", &mut effects), Ok(Flow::More));
+        assert!(effects.is_empty());
+        assert_eq!(courier.read(0, b"ated\r\nContent-Length: 0\r\n\r\n", &mut effects), Ok(Flow::Done));
+        assert_eq!(effects.len(), 1);
     }
 }
--- /dev/null
+++ b/daemon/src/interconnect.rs
@@ -0,0 +1,509 @@
+//! The operators' own file, `deploy/interconnect.json`: the second front, Consul, state and logs. All of it is off
+//! where nothing is said. The types here are its form; its JSON Schema, `docs/interconnect.schema.json`, is made
+//! from them (`linnetknot schema`).
+
+use linnetknot::{Micros, Settings};
+use linnetknot_consul::{Consistency, Identity, Mapping, MetaKeys, Options, Registrant};
+use linnetknot_membership::Damping;
+use schemars::JsonSchema;
+use serde::Deserialize;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+/// The operators' own file.
+#[derive(Clone, Debug, Default, Deserialize, JsonSchema)]
+#[serde(default, deny_unknown_fields)]
+#[schemars(title = "linnetknot interconnect")]
+pub struct File {
+    /// The second front.
+    pub cdni: Option<CdniFile>,
+    /// Consul as a source of the list of boxes.
+    pub consul: Option<ConsulFile>,
+    /// What outlives the process.
+    pub state: StateFile,
+    /// The log.
+    pub log: LogFile,
+}
+
+/// The second front: where it listens, and how it presents itself.
+#[derive(Clone, Debug, Default, Deserialize, JsonSchema)]
+#[serde(default, deny_unknown_fields)]
+pub struct CdniFile {
+    /// Where neighbours and redirected clients connect; null: the second front is off.
+    pub listen: Option<SocketAddr>,
+    /// Our CDN Provider ID.
+    pub provider: Option<String>,
+    /// Base of our URLs.
+    pub base: Option<String>,
+    /// What we can reach, as IPv4 networks.
+    pub footprint: Vec<String>,
+    /// Those we exchange messages with.
+    pub neighbours: Vec<NeighbourFile>,
+    /// The file that purges of this front are kept in; null: they last as long as the daemon runs.
+    pub purges: Option<PathBuf>,
+}
+
+/// A neighbouring network.
+#[derive(Clone, Debug, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct NeighbourFile {
+    /// Its CDN Provider ID.
+    pub provider: String,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Path of its trigger interface.
+    #[serde(default = "triggers")]
+    pub triggers: String,
+    /// Path at which it takes our footprint notices.
+    pub notices: String,
+    /// Base of its content's URLs, for clients in its footprint.
+    pub content: String,
+}
+
+fn triggers() -> String {
+    "/cdni/triggers".to_owned()
+}
+
+/// Consul as a source of the list of boxes.
+#[derive(Clone, Debug, Deserialize, JsonSchema)]
+#[serde(default, deny_unknown_fields)]
+pub struct ConsulFile {
+    /// The agent; null, with no `agents` either: Consul is off.
+    pub address: Option<SocketAddr>,
+    /// Further agents, in the order in which they are turned to.
+    pub agents: Vec<SocketAddr>,
+    /// Name of the boxes' service.
+    pub service: String,
+    /// Data centres to follow, each by queries of its own; none: the agent's own.
+    pub datacenters: Vec<String>,
+    /// Namespace; null: the token's own.
+    pub namespace: Option<String>,
+    /// Tags that an instance must all have.
+    pub tags: Vec<String>,
+    /// Filter expression of the health API.
+    pub filter: Option<String>,
+    /// Consistency mode of the queries.
+    pub consistency: ConsistencyFile,
+    /// A stale answer from a server that has not heard its leader for longer is not used, in milliseconds.
+    pub most_stale_ms: u64,
+    /// How long a query waits at the agent for a change, in seconds.
+    #[schemars(range(min = 1, max = 600))]
+    pub wait_s: u64,
+    /// How long a query that does not wait may take, in milliseconds.
+    #[schemars(range(min = 50, max = 60_000))]
+    pub answer_ms: u64,
+    /// The longest answer that is read, in MB.
+    #[schemars(range(min = 1, max = 1024))]
+    pub most_answer_mb: usize,
+    /// A file with the ACL token; it is read at the start, on SIGHUP and after a query was denied.
+    pub token_file: Option<PathBuf>,
+    /// What names a box.
+    pub identity: IdentityFile,
+    /// The keys of a service's `Meta` that are read.
+    pub meta: MetaFile,
+    /// Zone of an instance whose `Meta` names none; null: the proxy's own.
+    pub zone: Option<String>,
+    /// Kind of an instance whose `Meta` names none; null: a box like any other.
+    pub kind: Option<String>,
+    /// The tagged address to connect to, such as `lan_ipv4` or `wan`; null: the service's address, or its node's.
+    pub tagged_address: Option<String>,
+    /// An answer that names a smaller share of what ran is confirmed before it counts.
+    #[schemars(range(min = 0.0, max = 1.0))]
+    pub least_share: f64,
+    /// The event bus's list counts beside Consul's; else Consul alone has the list.
+    pub beside_bus: bool,
+    /// Damping of boxes whose health flaps.
+    pub damping: DampingFile,
+    /// The proxy's own registration; null: it is not registered.
+    pub register: Option<RegisterFile>,
+}
+
+impl Default for ConsulFile {
+    fn default() -> Self {
+        ConsulFile {
+            address: None,
+            agents: Vec::new(),
+            service: "pop-cache".to_owned(),
+            datacenters: Vec::new(),
+            namespace: None,
+            tags: Vec::new(),
+            filter: None,
+            consistency: ConsistencyFile::Default,
+            most_stale_ms: 1000,
+            wait_s: 10,
+            answer_ms: 2000,
+            most_answer_mb: 16,
+            token_file: None,
+            identity: IdentityFile::Service,
+            meta: MetaFile::default(),
+            zone: None,
+            kind: None,
+            tagged_address: None,
+            least_share: 0.5,
+            beside_bus: false,
+            damping: DampingFile::default(),
+            register: None,
+        }
+    }
+}
+
+/// Consul's consistency modes.
+#[derive(Clone, Copy, Debug, Deserialize, JsonSchema)]
+#[serde(rename_all = "kebab-case")]
+pub enum ConsistencyFile {
+    /// By the leader, which may be an old one for a moment.
+    Default,
+    /// By the leader, which makes sure that it is one.
+    Consistent,
+    /// By any server, bounded by `most_stale_ms`.
+    Stale,
+}
+
+/// What names a box.
+#[derive(Clone, Copy, Debug, Deserialize, JsonSchema)]
+#[serde(rename_all = "kebab-case")]
+pub enum IdentityFile {
+    /// The id of the service instance.
+    Service,
+    /// The name of the node.
+    Node,
+    /// Both, as `NODE/SERVICE`.
+    NodeAndService,
+}
+
+/// The keys of a service's `Meta` that are read.
+#[derive(Clone, Debug, Deserialize, JsonSchema)]
+#[serde(default, deny_unknown_fields)]
+pub struct MetaFile {
+    /// Zone.
+    pub zone: String,
+    /// Kind.
+    pub kind: String,
+    /// Cell: boxes that share which keys they have seen.
+    pub cell: String,
+    /// Capacity, in transfers at full pace; without it the service's weights hold.
+    pub capacity: String,
+    /// Unix millisecond of its start.
+    pub started_ms: String,
+}
+
+impl Default for MetaFile {
+    fn default() -> Self {
+        let MetaKeys { zone, kind, cell, capacity, started_ms } = MetaKeys::default();
+        MetaFile { zone, kind, cell, capacity, started_ms }
+    }
+}
+
+/// Damping of boxes whose health flaps: each loss adds 1 to a penalty that halves with time.
+#[derive(Clone, Debug, Deserialize, JsonSchema)]
+#[serde(default, deny_unknown_fields)]
+pub struct DampingFile {
+    /// Time in which a penalty halves, in seconds.
+    pub half_life_s: f64,
+    /// A box that comes back with this penalty is held back.
+    pub suppress: f64,
+    /// It is taken in again below this.
+    pub reuse: f64,
+    /// Longest time that a box is held back after its last loss, in seconds.
+    pub most_suppressed_s: f64,
+    /// Share of the boxes of one zone and kind that may be held back at once.
+    #[schemars(range(min = 0.0, max = 1.0))]
+    pub most_share: f64,
+}
+
+impl Default for DampingFile {
+    fn default() -> Self {
+        let d = Damping::default();
+        DampingFile {
+            half_life_s: d.half_life_us as f64 / 1e6,
+            suppress: d.suppress,
+            reuse: d.reuse,
+            most_suppressed_s: d.most_us as f64 / 1e6,
+            most_share: d.most_share,
+        }
+    }
+}
+
+/// The proxy's own registration.
+#[derive(Clone, Debug, Deserialize, JsonSchema)]
+#[serde(default, deny_unknown_fields)]
+pub struct RegisterFile {
+    /// Name of the service under which it is registered.
+    pub name: String,
+    /// Id of the instance; null: the proxy's name.
+    pub id: Option<String>,
+    /// The address that is registered; null: the one that it listens on.
+    pub address: Option<SocketAddr>,
+    /// Tags.
+    pub tags: Vec<String>,
+    /// Meta.
+    pub meta: BTreeMap<String, String>,
+    /// The check turns critical if it is not updated for so long, in seconds.
+    #[schemars(range(min = 1, max = 3600))]
+    pub ttl_s: u64,
+    /// The agent drops the registration once it was critical for so long, in seconds; null: never.
+    pub drop_after_s: Option<u64>,
+}
+
+impl Default for RegisterFile {
+    fn default() -> Self {
+        RegisterFile {
+            name: "edge-proxy".to_owned(),
+            id: None,
+            address: None,
+            tags: Vec::new(),
+            meta: BTreeMap::new(),
+            ttl_s: 10,
+            drop_after_s: None,
+        }
+    }
+}
+
+/// What outlives the process.
+#[derive(Clone, Debug, Deserialize, JsonSchema)]
+#[serde(default, deny_unknown_fields)]
+pub struct StateFile {
+    /// The folder for it; null: nothing does.
+    pub directory: Option<PathBuf>,
+    /// A kept list of boxes that is older is not used, in seconds.
+    pub most_age_s: u64,
+}
+
+impl Default for StateFile {
+    fn default() -> Self {
+        StateFile { directory: None, most_age_s: 86_400 }
+    }
+}
+
+/// The log.
+#[derive(Clone, Debug, Default, Deserialize, JsonSchema)]
+#[serde(default, deny_unknown_fields)]
+pub struct LogFile {
+    /// Its form.
+    pub form: LogForm,
+}
+
+/// Forms of the log.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize, JsonSchema)]
+#[serde(rename_all = "kebab-case")]
+pub enum LogForm {
+    /// Lines for people.
+    #[default]
+    Text,
+    /// One JSON object a line.
+    Json,
+}
+
+/// Consul as the daemon uses it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Consul {
+    /// Agents, in the order in which they are turned to.
+    pub agents: Vec<SocketAddr>,
+    /// What is watched: one set of options a data centre.
+    pub options: Vec<Options>,
+    /// How instances are read.
+    pub mapping: Mapping,
+    /// The file with the token.
+    pub token_file: Option<PathBuf>,
+    /// The longest answer that is read.
+    pub most_answer: usize,
+    /// The bus's list counts too.
+    pub beside_bus: bool,
+    /// Damping.
+    pub damping: Damping,
+    register: Option<(Registrant, bool)>,
+}
+
+/// What outlives the process.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct State {
+    /// The folder for it.
+    pub directory: Option<PathBuf>,
+    /// The greatest age of a kept list.
+    pub most_age_us: Micros,
+}
+
+/// A message that names the key at fault by its full path.
+type Result<T> = std::result::Result<T, String>;
+
+fn range<T: PartialOrd + std::fmt::Display>(key: &str, value: T, least: T, most: T) -> Result<T> {
+    if value >= least && value <= most {
+        Ok(value)
+    } else {
+        Err(format!("{key}: {value} is not from {least} to {most}"))
+    }
+}
+
+fn seconds(key: &str, s: f64) -> Result<Micros> {
+    Ok((range(key, s, 0.001, 1e6)? * 1e6) as Micros)
+}
+
+/// A word that stands in an address of the agent: an empty one would ask for something else.
+fn word(key: &str, text: &str) -> Result<()> {
+    match text.is_empty() || text.len() > 256 || text.chars().any(char::is_control) {
+        true => Err(format!("{key}: '{}' can't be used", text.escape_default())),
+        false => Ok(()),
+    }
+}
+
+impl ConsulFile {
+    /// What the daemon uses, checked; none where no agent is named.
+    pub fn check(&self, settings: &Settings, name: &str) -> Result<Option<Consul>> {
+        let agents: Vec<SocketAddr> = self.address.iter().chain(&self.agents).copied().collect();
+        if agents.is_empty() {
+            return Ok(None);
+        }
+        word("consul.service", &self.service)?;
+        for (key, texts) in [("datacenters", &self.datacenters), ("tags", &self.tags)] {
+            for (n, text) in texts.iter().enumerate() {
+                word(&format!("consul.{key}[{n}]"), text)?;
+            }
+        }
+        range("consul.datacenters", self.datacenters.len(), 0, 16)?;
+        let options = Options {
+            service: self.service.clone(),
+            datacenter: None,
+            namespace: self.namespace.clone(),
+            tags: self.tags.clone(),
+            filter: self.filter.clone(),
+            consistency: match self.consistency {
+                ConsistencyFile::Default => Consistency::Default,
+                ConsistencyFile::Consistent => Consistency::Consistent,
+                ConsistencyFile::Stale => Consistency::Stale,
+            },
+            most_stale_us: self.most_stale_ms.saturating_mul(1000),
+            wait_us: range("consul.wait_s", self.wait_s, 1, 600)? * 1_000_000,
+            answer_us: range("consul.answer_ms", self.answer_ms, 50, 60_000)? * 1000,
+            agents: agents.len(),
+            least_share: range("consul.least_share", self.least_share, 0.0, 1.0)?,
+            ..Options::default()
+        };
+        let zones = settings.zones.iter().map(|z| z.name.clone()).filter(|name| !name.is_empty());
+        let zones: Vec<String> = zones.collect();
+        if let Some(zone) = self.zone.as_ref().filter(|zone| !zones.is_empty() && !zones.contains(zone)) {
+            return Err(format!(
+                "consul.zone: '{zone}' is none of the settings' zones ({})",
+                zones.join(", ")
+            ));
+        }
+        let own = settings.zones.get(settings.zone).map(|z| z.name.clone()).unwrap_or_default();
+        let meta = &self.meta;
+        let mapping = Mapping {
+            identity: match self.identity {
+                IdentityFile::Service => Identity::Service,
+                IdentityFile::Node => Identity::Node,
+                IdentityFile::NodeAndService => Identity::NodeAndService,
+            },
+            keys: MetaKeys {
+                zone: meta.zone.clone(),
+                kind: meta.kind.clone(),
+                cell: meta.cell.clone(),
+                capacity: meta.capacity.clone(),
+                started_ms: meta.started_ms.clone(),
+            },
+            zone: self.zone.clone().unwrap_or(own),
+            kind: self.kind.clone().unwrap_or_default(),
+            zones,
+            // Any kind that is neither the origin nor a parent is a cache.
+            kinds: Vec::new(),
+            tagged_address: self.tagged_address.clone(),
+        };
+        let each = |dc: &String| Options { datacenter: Some(dc.clone()), ..options.clone() };
+        let options = match self.datacenters.is_empty() {
+            true => vec![options.clone()],
+            false => self.datacenters.iter().map(each).collect(),
+        };
+        let d = &self.damping;
+        let damping = Damping {
+            half_life_us: seconds("consul.damping.half_life_s", d.half_life_s)?,
+            suppress: d.suppress,
+            reuse: d.reuse,
+            most_us: seconds("consul.damping.most_suppressed_s", d.most_suppressed_s)?,
+            most_share: d.most_share,
+        };
+        damping.check().map_err(|(key, why)| match key {
+            "half_life" | "most_suppressed" => format!("consul.damping.{key}_s {why}"),
+            key => format!("consul.damping.{key} {why}"),
+        })?;
+        let register = self.register.as_ref().map(|r| r.check(name, agents.len())).transpose()?;
+        Ok(Some(Consul {
+            agents,
+            options,
+            mapping,
+            token_file: self.token_file.clone(),
+            most_answer: range("consul.most_answer_mb", self.most_answer_mb, 1, 1024)? << 20,
+            beside_bus: self.beside_bus,
+            damping,
+            register,
+        }))
+    }
+}
+
+impl RegisterFile {
+    fn check(&self, name: &str, agents: usize) -> Result<(Registrant, bool)> {
+        word("consul.register.name", &self.name)?;
+        let id = self.id.clone().unwrap_or_else(|| name.to_owned());
+        word("consul.register.id", &id)?;
+        let size: usize = self.tags.iter().map(String::len).sum::<usize>()
+            + self.meta.iter().map(|(k, v)| k.len() + v.len()).sum::<usize>();
+        range("consul.register: bytes of 'tags' and 'meta'", size, 0, 16 << 10)?;
+        let registrant = Registrant {
+            id,
+            name: self.name.clone(),
+            address: self.address.unwrap_or(([0, 0, 0, 0], 0).into()),
+            tags: self.tags.clone(),
+            meta: self.meta.clone(),
+            ttl_us: range("consul.register.ttl_s", self.ttl_s, 1, 3600)? * 1_000_000,
+            drop_after_us: self.drop_after_s.map(|s| s.saturating_mul(1_000_000)),
+            answer_us: 1_000_000,
+            agents,
+        };
+        Ok((registrant, self.address.is_some()))
+    }
+}
+
+impl Consul {
+    /// What is registered, where clients connect to `listen` unless the file says otherwise.
+    pub fn registrant(&self, listen: SocketAddr) -> Option<Registrant> {
+        let (registrant, named) = self.register.as_ref()?;
+        let address = if *named { registrant.address } else { listen };
+        Some(Registrant { address, ..registrant.clone() })
+    }
+
+    /// Whether a running daemon can follow a change to this: the sources of its list and its own registration are
+    /// those of its start.
+    pub fn can_become(&self, new: &Consul) -> bool {
+        let sources = |c: &Consul| c.options.iter().map(|o| o.datacenter.clone()).collect::<Vec<_>>();
+        let registered = |c: &Consul| {
+            c.register.as_ref().map(|(r, named)| (Registrant { agents: 0, ..r.clone() }, *named))
+        };
+        sources(self) == sources(new)
+            && registered(self) == registered(new)
+            && self.beside_bus == new.beside_bus
+    }
+
+    /// What a list of each data centre is the list of.
+    pub fn scopes(&self) -> Vec<String> {
+        let scope = |o: &Options| {
+            let dc = o.datacenter.as_deref().unwrap_or("");
+            let namespace = o.namespace.as_deref().unwrap_or("");
+            format!("consul {dc} {namespace} {}", o.service)
+        };
+        self.options.iter().map(scope).collect()
+    }
+}
+
+impl StateFile {
+    /// What the daemon uses.
+    pub fn check(&self) -> Result<State> {
+        let most_age_us = range("state.most_age_s", self.most_age_s, 1, 1 << 32)? * 1_000_000;
+        Ok(State { directory: self.directory.clone(), most_age_us })
+    }
+}
+
+/// The file's JSON Schema.
+pub fn schema() -> String {
+    let schema = schemars::schema_for!(File);
+    serde_json::to_string_pretty(&schema).unwrap_or_default() + "\n"
+}
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -7,12 +7,14 @@
 
 pub mod bus;
 pub mod config;
-pub mod consul;
 pub mod core;
 pub mod daemon;
+pub mod disk;
 pub mod front;
+pub mod interconnect;
 pub mod ledger;
 pub mod limits;
+pub mod logging;
 pub mod net;
 pub mod peers;
 pub mod upstream;
--- a/daemon/src/limits.rs
+++ b/daemon/src/limits.rs
@@ -45,7 +45,7 @@
     pub output_ring: usize,
     /// Bytes of one line or event of text.
     pub line: usize,
-    /// Bytes of one answer of Consul: the whole list.
+    /// Bytes of a kept list of boxes.
     pub list: usize,
     /// Boxes that all sources together may list.
     pub boxes: usize,
@@ -63,8 +63,10 @@
     pub post_tries: u32,
     /// A neighbour must have taken a payload within this.
     pub post_us: u64,
-    /// Consul must answer a query within this, its own waiting included.
-    pub consul_us: u64,
+    /// A list that has changed is written down after this, so that many changes are written once.
+    pub keep_soon_us: u64,
+    /// One that stays as it is is written down so often, so that its time tells how old it is.
+    pub keep_seldom_us: u64,
     /// Wait between the datagrams that repeat a purge to the peers: any of them may be lost.
     pub repeat_us: u64,
     /// When a client comes back that a full table turned away.
@@ -143,7 +145,7 @@
             input_ring: 16 << 10,
             output_ring: 64 << 10,
             line: 64 << 10,
-            list: 1 << 20,
+            list: 16 << 20,
             boxes: 20_000,
             gone_boxes: 2_000,
             said: 1_000,
@@ -152,7 +154,8 @@
             posts: 64,
             post_tries: 3,
             post_us: 1_000_000,
-            consul_us: 20_000_000,
+            keep_soon_us: 500_000,
+            keep_seldom_us: 60_000_000,
             repeat_us: 40_000,
             back_off_us: 200_000,
             connect_us: 400_000,
--- /dev/null
+++ b/daemon/src/logging.rs
@@ -0,0 +1,85 @@
+//! The log on standard error: lines for people, or one JSON object a line.
+
+use crate::interconnect::LogForm;
+use env_logger::fmt::Formatter;
+use log::kv::{self, Key, Value, VisitSource};
+use log::Record;
+use serde_json::Map;
+use std::io::{self, Write};
+use std::time::{SystemTime, UNIX_EPOCH};
+
+/// A record's key-values as JSON.
+struct Fields(Map<String, serde_json::Value>);
+
+impl<'kvs> VisitSource<'kvs> for Fields {
+    fn visit_pair(&mut self, key: Key<'kvs>, value: Value<'kvs>) -> Result<(), kv::Error> {
+        let number = value.to_u64().map(Into::into).or_else(|| value.to_i64().map(Into::into));
+        let json = number.or_else(|| value.to_f64().map(Into::into));
+        let json = json.or_else(|| value.to_bool().map(Into::into));
+        self.0.insert(key.to_string(), json.unwrap_or_else(|| value.to_string().into()));
+        Ok(())
+    }
+}
+
+/// A record as one JSON object. What a record brings under a name of the form's own is kept under `kv`.
+pub fn json(record: &Record<'_>, unix_ms: u64) -> String {
+    let mut fields = Fields(Map::new());
+    // Nothing here fails: what can't be a JSON value is kept as text.
+    let _ = record.key_values().visit(&mut fields);
+    let mut line = Map::new();
+    line.insert("ts_ms".into(), unix_ms.into());
+    line.insert("level".into(), record.level().as_str().into());
+    line.insert("target".into(), record.target().into());
+    line.insert("message".into(), record.args().to_string().into());
+    let mut taken = Map::new();
+    for (key, value) in fields.0 {
+        let place = if line.contains_key(&key) { &mut taken } else { &mut line };
+        place.insert(key, value);
+    }
+    if !taken.is_empty() {
+        line.insert("kv".into(), taken.into());
+    }
+    serde_json::Value::Object(line).to_string()
+}
+
+/// Starts the log in this form. `RUST_LOG` names the level, `info` by default.
+pub fn start(form: LogForm) {
+    let mut builder = env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info"));
+    if form == LogForm::Json {
+        builder.format(|out: &mut Formatter, record: &Record<'_>| -> io::Result<()> {
+            let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+            writeln!(out, "{}", json(record, unix.as_millis() as u64))
+        });
+    }
+    // A second start would be one in a test.
+    let _ = builder.try_init();
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_record_is_one_json_object_with_its_key_values() {
+        let pairs: [(&str, Value<'_>); 4] = [
+            ("box", "s-\"1\n".into()),
+            ("penalty", 1.5f64.into()),
+            ("n", 7u64.into()),
+            ("level", "mine".into()),
+        ];
+        let record = Record::builder()
+            .args(format_args!("a line\nof two"))
+            .level(log::Level::Warn)
+            .target("t")
+            .key_values(&pairs)
+            .build();
+        let line = json(&record, 12);
+        assert!(!line.contains('\n'), "one line: {line}");
+        let value: serde_json::Value = serde_json::from_str(&line).unwrap();
+        assert_eq!(
+            value,
+            serde_json::json!({"ts_ms": 12, "level": "WARN", "target": "t", "message": "a line\nof two",
+                "box": "s-\"1\n", "penalty": 1.5, "n": 7, "kv": {"level": "mine"}})
+        );
+    }
+}
--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -1,19 +1,65 @@
-//! Starts the daemon: reads the configuration, runs the loop, turns errors into an exit code.
+//! Starts the daemon, or checks what it would be started with. Everything else is the library's.
 #![forbid(unsafe_code)]
 
-use linnetknot_daemon::{config::Config, daemon::Daemon};
+use clap::{Parser, Subcommand};
+use linnetknot_daemon::{config, config::Config, daemon::Daemon, interconnect, logging};
+use std::path::PathBuf;
 use std::process::ExitCode;
 
+/// An edge proxy for sites of large-object caches. Without a command it starts, configured by the files that
+/// ROUTER_CONFIG and LINNETKNOT_INTERCONNECT name.
+#[derive(Parser)]
+#[command(name = "linnetknot", version)]
+struct Arguments {
+    #[command(subcommand)]
+    command: Option<Command>,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// Checks files without starting: configurations, and the operators' own (deploy/interconnect.json). Exits with 1
+    /// if any is faulty, after a message that names the key.
+    Check {
+        /// The files; without any, those that a start would read.
+        files: Vec<PathBuf>,
+    },
+    /// Prints the JSON Schema of the operators' own file.
+    Schema,
+}
+
+fn serve() -> Result<(), String> {
+    let config = Config::from_env();
+    logging::start(config.as_ref().map_or(Default::default(), |c| c.log));
+    let mut daemon =
+        Daemon::start(config?, Box::new(Config::from_env)).map_err(|e| format!("could not start: {e}"))?;
+    daemon.run().map_err(|e| format!("the event loop failed: {e}"))
+}
+
 fn main() -> ExitCode {
-    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info")).init();
-    let started = Config::from_env().and_then(|config| {
-        Daemon::start(config, Box::new(Config::from_env)).map_err(|e| format!("could not start: {e}"))
-    });
-    match started.and_then(|mut daemon| daemon.run().map_err(|e| format!("the event loop failed: {e}"))) {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(message) => {
-            log::error!("{message}");
-            ExitCode::FAILURE
+    match Arguments::parse().command {
+        None => match serve() {
+            Ok(()) => ExitCode::SUCCESS,
+            Err(message) => {
+                log::error!("{message}");
+                ExitCode::FAILURE
+            }
+        },
+        Some(Command::Check { files }) => {
+            let mut sound = true;
+            for (file, result) in config::check(&files) {
+                match result {
+                    Ok(what) => println!("{file}: {what}"),
+                    Err(e) => {
+                        sound = false;
+                        eprintln!("{e}");
+                    }
+                }
+            }
+            ExitCode::from(u8::from(!sound))
+        }
+        Some(Command::Schema) => {
+            print!("{}", interconnect::schema());
+            ExitCode::SUCCESS
         }
     }
 }
--- a/daemon/tests/loopback.rs
+++ b/daemon/tests/loopback.rs
@@ -49,11 +49,14 @@
         let (consul, purges) = (config["consul"].take(), config["purges"].take());
         let file = Arc::new(Mutex::new(config));
         let source = file.clone();
-        let read = move || Config::read(source.lock().unwrap().as_object().unwrap());
-        let mut config = read().unwrap();
-        let cdni = json!({"cdni": {"listen": "127.0.0.1:0", "provider": "AS64500:0", "base": "http://cdn.example",
+        let own = json!({"cdni": {"listen": "127.0.0.1:0", "provider": "AS64500:0", "base": "http://cdn.example",
             "footprint": ["127.0.0.0/8"], "neighbours": [], "purges": purges}, "consul": consul});
-        config.interconnect(cdni.as_object().unwrap()).unwrap();
+        let read = move || {
+            let mut config = Config::read(source.lock().unwrap().as_object().unwrap())?;
+            config.interconnect(own.as_object().unwrap())?;
+            Ok(config)
+        };
+        let config = read().unwrap();
         // A daemon stays on the thread that started it.
         let (tell, told) = std::sync::mpsc::channel();
         let run = std::thread::spawn(move || {
--- a/membership/src/book.rs
+++ b/membership/src/book.rs
@@ -210,6 +210,17 @@
         given.filter(|g| g.standing != Standing::Gone).map(|g| (&g.entry, g.standing))
     }
 
+    /// What a source itself says of the boxes that it lists, whatever became of that.
+    pub fn told_by(&self, source: SourceId) -> impl Iterator<Item = &Entry> {
+        let words = self.members.values().filter_map(move |m| m.words.get(&source));
+        words.filter(|w| w.entry.server.state != State::Gone).map(|w| &w.entry)
+    }
+
+    /// Other figures of damping, from here on.
+    pub fn change_damping(&mut self, damping: Damping) {
+        self.damping = damping;
+    }
+
     /// Where a box stands; `Gone` for one that is not known.
     pub fn standing(&self, uid: &str) -> Standing {
         self.members.get(uid).and_then(|m| m.given.as_ref()).map_or(Standing::Gone, |g| g.standing)
