--- a/daemon/tests/loopback.rs
+++ b/daemon/tests/loopback.rs
@@ -1,93 +1,15 @@
 //! The daemon on loopback, with the stand-ins of the rehearsal kit around it.
 
-use linnetknot_daemon::config::Config;
-use linnetknot_daemon::daemon::{Control, Daemon};
-use linnetknot_rehearse::boxes::{Manner, StandIn};
+mod rig;
+
+use linnetknot_rehearse::boxes::Manner;
 use linnetknot_rehearse::bus::{entry, Bus};
-use linnetknot_rehearse::clients::{call, exchange, Answer, WebServer};
-use linnetknot_rehearse::consul::Agent;
-use linnetknot_rehearse::{settings, unix_ms};
+use linnetknot_rehearse::clients::{call, exchange, WebServer};
+use linnetknot_rehearse::unix_ms;
+use rig::{object, one, Rig, READY};
 use serde_json::{json, Value};
 use std::io::ErrorKind;
-use std::net::{SocketAddr, TcpListener, UdpSocket};
-use std::sync::{Arc, Mutex};
-use std::thread::JoinHandle;
-
-struct Rig {
-    front: SocketAddr,
-    cdni: SocketAddr,
-    control: Control,
-    /// What the daemon reads on SIGHUP.
-    file: Arc<Mutex<Value>>,
-    run: JoinHandle<std::io::Result<()>>,
-    bus: Bus,
-    boxes: Vec<StandIn>,
-    origin: StandIn,
-}
-
-const READY: &str = "ready";
-
-impl Rig {
-    fn start() -> Rig {
-        Rig::with(&["s-0a"], |_| {})
-    }
-
-    fn with(boxes: &[&'static str], change: impl Fn(&mut Value)) -> Rig {
-        let bus = Bus::start().unwrap();
-        let boxes: Vec<StandIn> = boxes.iter().map(|uid| StandIn::start(uid).unwrap()).collect();
-        let origin = StandIn::start("s-0f").unwrap();
-        let mut list: Vec<Value> = boxes.iter().map(|b| entry(b, "here", "box", READY)).collect();
-        list.push(entry(&origin, "hub", "origin", READY));
-        let known = json!({"offset": 0, "batch": [
-            {"offset": 0, "topology": {"rev": 1, "all": true, "targets": list}},
-        ]});
-        let mut config = json!({
-            "listen": "127.0.0.1:0", "bus": bus.address.to_string(), "known": known, "settings": settings(),
-            "limits": {"memory_mb": 192, "sockets": 256},
-        });
-        change(&mut config);
-        let (consul, purges) = (config["consul"].take(), config["purges"].take());
-        let file = Arc::new(Mutex::new(config));
-        let source = file.clone();
-        let own = json!({"cdni": {"listen": "127.0.0.1:0", "provider": "AS64500:0", "base": "http://cdn.example",
-            "footprint": ["127.0.0.0/8"], "neighbours": [], "purges": purges}, "consul": consul});
-        let read = move || {
-            let mut config = Config::read(source.lock().unwrap().as_object().unwrap())?;
-            config.interconnect(own.as_object().unwrap())?;
-            Ok(config)
-        };
-        let config = read().unwrap();
-        // A daemon stays on the thread that started it.
-        let (tell, told) = std::sync::mpsc::channel();
-        let run = std::thread::spawn(move || {
-            let mut daemon = Daemon::start(config, Box::new(read)).unwrap();
-            let addresses = (daemon.address().unwrap(), daemon.cdni_address().unwrap());
-            tell.send((addresses, daemon.control().unwrap())).unwrap();
-            daemon.run()
-        });
-        let ((front, cdni), control) = told.recv().unwrap();
-        Rig { front, cdni, control, file, run, bus, boxes, origin }
-    }
-
-    fn web(&self) -> WebServer {
-        WebServer::connect(self.front).unwrap()
-    }
-
-    /// Stops the daemon, which must end well.
-    fn stop(mut self) {
-        self.control.stop().unwrap();
-        self.run.join().unwrap().unwrap();
-    }
-}
-
-fn one(web: &mut WebServer, class: &str, object: &str) -> Answer {
-    web.ask(1, class, object, 2500).unwrap();
-    web.end().unwrap().1.expect("an answer")
-}
-
-fn object(n: u64) -> String {
-    format!("{n:016x}")
-}
+use std::net::{TcpListener, UdpSocket};
 
 #[test]
 fn requests_of_one_connection_are_served_in_any_order_and_unchanged() {
@@ -322,34 +244,6 @@
     rig.stop();
 }
 
-#[test]
-fn consul_can_be_the_source_of_the_list() {
-    let agent = Agent::start().unwrap();
-    let rig = Rig::with(&["s-0a", "s-0b"], |config| {
-        config["known"] = Value::Null;
-        config["consul"] = json!({"address": agent.address.to_string(), "service": "pop-cache"});
-    });
-    let instance = |at: usize, status| (rig.boxes[at].uid, rig.boxes[at].address, "here", "box", status);
-    agent.register(&[instance(0, "passing"), instance(1, "critical")]);
-    let mut web = rig.web();
-    while one(&mut web, "photo", &object(1)).status != 200 {}
-    for n in 0..10 {
-        assert_eq!(one(&mut web, "photo", &object(n)).status, 200);
-    }
-    assert_eq!(rig.boxes[1].arrivals(), [], "its check is critical");
-    // The other way round: the list follows the checks.
-    agent.register(&[instance(1, "passing")]);
-    while rig.boxes[1].arrivals().is_empty() {
-        one(&mut web, "photo", &object(1));
-    }
-    let before = rig.boxes[0].arrivals().len();
-    for n in 0..10 {
-        assert_eq!(one(&mut web, "photo", &object(n)).status, 200);
-    }
-    assert_eq!(rig.boxes[0].arrivals().len(), before, "it is gone");
-    rig.stop();
-}
-
 #[test]
 fn in_a_full_table_an_idle_client_makes_room_and_one_that_waits_for_its_answer_does_not() {
     // Room for one client.
--- /dev/null
+++ b/daemon/tests/rig/mod.rs
@@ -0,0 +1,94 @@
+//! The daemon on loopback, with the stand-ins of the rehearsal kit around it.
+#![allow(dead_code)]
+
+use linnetknot_daemon::config::Config;
+use linnetknot_daemon::daemon::{Control, Daemon};
+use linnetknot_rehearse::boxes::StandIn;
+use linnetknot_rehearse::bus::{entry, Bus};
+use linnetknot_rehearse::clients::{Answer, WebServer};
+use linnetknot_rehearse::settings;
+use serde_json::{json, Value};
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::thread::JoinHandle;
+
+/// A daemon on a thread of its own, with stand-ins around it.
+pub struct Rig {
+    pub front: SocketAddr,
+    pub cdni: SocketAddr,
+    pub control: Control,
+    /// What the daemon reads on SIGHUP.
+    pub file: Arc<Mutex<Value>>,
+    pub run: JoinHandle<std::io::Result<()>>,
+    pub bus: Bus,
+    pub boxes: Vec<StandIn>,
+    pub origin: StandIn,
+}
+
+pub const READY: &str = "ready";
+
+impl Rig {
+    pub fn start() -> Rig {
+        Rig::with(&["s-0a"], |_| {})
+    }
+
+    pub fn with(boxes: &[&'static str], change: impl Fn(&mut Value)) -> Rig {
+        let bus = Bus::start().unwrap();
+        let boxes: Vec<StandIn> = boxes.iter().map(|uid| StandIn::start(uid).unwrap()).collect();
+        let origin = StandIn::start("s-0f").unwrap();
+        let mut list: Vec<Value> = boxes.iter().map(|b| entry(b, "here", "box", READY)).collect();
+        list.push(entry(&origin, "hub", "origin", READY));
+        let known = json!({"offset": 0, "batch": [
+            {"offset": 0, "topology": {"rev": 1, "all": true, "targets": list}},
+        ]});
+        let mut config = json!({
+            "listen": "127.0.0.1:0", "bus": bus.address.to_string(), "known": known, "settings": settings(),
+            "limits": {"memory_mb": 192, "sockets": 256},
+        });
+        change(&mut config);
+        let file = Arc::new(Mutex::new(config));
+        let source = file.clone();
+        let read = move || {
+            let mut file = source.lock().unwrap().clone();
+            let mut own = json!({"cdni": {"listen": "127.0.0.1:0", "provider": "AS64500:0",
+                "base": "http://cdn.example", "footprint": ["127.0.0.0/8"], "purges": file["purges"].take()}});
+            own["consul"] = file["consul"].take();
+            if file["state"].is_object() {
+                own["state"] = file["state"].take();
+            }
+            let mut config = Config::read(file.as_object().unwrap())?;
+            config.interconnect(own.as_object().unwrap())?;
+            Ok(config)
+        };
+        let config = read().unwrap();
+        // A daemon stays on the thread that started it.
+        let (tell, told) = std::sync::mpsc::channel();
+        let run = std::thread::spawn(move || {
+            let mut daemon = Daemon::start(config, Box::new(read)).unwrap();
+            let addresses = (daemon.address().unwrap(), daemon.cdni_address().unwrap());
+            tell.send((addresses, daemon.control().unwrap())).unwrap();
+            daemon.run()
+        });
+        let ((front, cdni), control) = told.recv().unwrap();
+        Rig { front, cdni, control, file, run, bus, boxes, origin }
+    }
+
+    pub fn web(&self) -> WebServer {
+        WebServer::connect(self.front).unwrap()
+    }
+
+    /// Stops the daemon, which must end well.
+    pub fn stop(mut self) {
+        self.control.stop().unwrap();
+        self.run.join().unwrap().unwrap();
+    }
+}
+
+pub fn one(web: &mut WebServer, class: &str, object: &str) -> Answer {
+    web.ask(1, class, object, 2500).unwrap();
+    web.end().unwrap().1.expect("an answer")
+}
+
+pub fn object(n: u64) -> String {
+    format!("{n:016x}")
+}
--- a/rehearse/src/lib.rs
+++ b/rehearse/src/lib.rs
@@ -6,8 +6,8 @@
 pub mod boxes;
 pub mod bus;
 pub mod clients;
-pub mod consul;
 mod play;
+pub mod stand_ins;
 
 pub use play::{rehearse, settings, Plant};
 
--- /dev/null
+++ b/rehearse/src/stand_ins/consul.rs
@@ -0,0 +1,302 @@
+//! A stand-in Consul agent: the health, catalogue and agent endpoints of the HTTP API, with the shapes, headers and
+//! blocking queries of its pages, and the ways in which an agent fails.
+
+use crate::listen;
+use serde_json::{json, Value};
+use std::collections::BTreeMap;
+use std::io::{self, Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+/// How an agent behaves from now on, also towards queries that wait.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Manner {
+    /// It answers.
+    #[default]
+    Well,
+    /// As `Well`, in chunks.
+    Chunked,
+    /// Its servers have no leader: 500.
+    Leaderless,
+    /// It wants a token that it was not given: 403.
+    Denied,
+    /// It limits the rate of calls: 429, and when to come back.
+    Busy,
+    /// It answers with something that is not JSON.
+    Garbage,
+    /// It breaks off in the middle of an answer.
+    CutOff,
+    /// Its answer goes on and on.
+    Endless,
+    /// It takes calls and says nothing.
+    Mute,
+    /// It ends every connection at once.
+    Gone,
+}
+
+/// A call that reached the agent.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Asked {
+    /// Method.
+    pub method: String,
+    /// Path and query.
+    pub target: String,
+    /// The token that came with it.
+    pub token: Option<String>,
+    /// Body.
+    pub body: String,
+}
+
+#[derive(Default)]
+struct State {
+    manner: Manner,
+    turns: u64,
+    index: u64,
+    /// The instances, as they are written.
+    instances: Vec<String>,
+    /// Ids that the catalogue names although the health API does not, and whether it names those of health.
+    catalogue: Vec<(String, String)>,
+    token: Option<String>,
+    /// Registrations by other programs: id, and the status of the check.
+    registered: BTreeMap<String, (Value, String)>,
+    asked: Vec<Asked>,
+    /// How many calls there were when the instances or the index last changed.
+    changed_at: usize,
+}
+
+type Shared = Arc<(Mutex<State>, Condvar)>;
+
+/// An agent.
+#[derive(Clone)]
+pub struct Agent {
+    /// Where it listens.
+    pub address: SocketAddr,
+    state: Shared,
+}
+
+/// An instance with the node's check and one of its own.
+pub fn instance(id: &str, address: SocketAddr, status: &str) -> Value {
+    let (ip, port) = (address.ip().to_string(), address.port());
+    let check = |check: &str, status: &str| {
+        json!({"Node": "n1", "CheckID": check, "Name": check, "Status": status, "Notes": "", "Output": "",
+            "ServiceID": "", "ServiceName": "", "ServiceTags": [], "Type": "tcp"})
+    };
+    json!({
+        "Node": {"ID": "40e4a748-2192-161a-0510-9bf59fe950b5", "Node": "n1", "Address": ip, "Datacenter": "dc1",
+            "TaggedAddresses": {"lan": ip, "wan": ip}, "Meta": {"consul-network-segment": ""}},
+        "Service": {"ID": id, "Service": "pop-cache", "Tags": [], "Address": "", "Port": port,
+            "TaggedAddresses": {"lan_ipv4": {"Address": ip, "Port": port}},
+            "Meta": {"az": "here", "model": "box", "capacity_hint": "8"},
+            "Weights": {"Passing": 1, "Warning": 1}, "EnableTagOverride": false,
+            "Proxy": {"MeshGateway": {}, "Expose": {}}, "Connect": {}},
+        "Checks": [check("serfHealth", "passing"), check("service:own", status)],
+    })
+}
+
+impl Agent {
+    /// Starts an agent that knows no instance.
+    pub fn start() -> io::Result<Self> {
+        let state = Shared::default();
+        state.0.lock().unwrap_or_else(PoisonError::into_inner).index = 1;
+        let served = state.clone();
+        let address = listen("127.0.0.1:0", move |socket| {
+            let address = socket.local_addr()?;
+            Agent { address, state: served.clone() }.serve(socket)
+        })?;
+        Ok(Agent { address, state })
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn change(&self, change: impl FnOnce(&mut State)) {
+        change(&mut self.state());
+        self.state.1.notify_all();
+    }
+
+    /// Registers instances in place of those before, and moves the index on.
+    pub fn register(&self, instances: &[Value]) {
+        let written = instances.iter().map(Value::to_string).collect();
+        let named = |i: &Value| {
+            let text = |v: &Value| v.as_str().unwrap_or("").to_owned();
+            (text(&i["Node"]["Node"]), text(&i["Service"]["ID"]))
+        };
+        let catalogue = instances.iter().map(named).collect();
+        self.change(|s| {
+            (s.index, s.changed_at) = (s.index + 1, s.asked.len());
+            (s.instances, s.catalogue) = (written, catalogue);
+        });
+    }
+
+    /// Changes one of the instances, by its place, and moves the index on.
+    pub fn update(&self, place: usize, instance: &Value) {
+        self.change(|s| {
+            (s.index, s.changed_at) = (s.index + 1, s.asked.len());
+            s.instances[place] = instance.to_string();
+        });
+    }
+
+    /// The health API names no instance any more, though all are registered.
+    pub fn lose_health(&self) {
+        self.change(|s| {
+            (s.index, s.changed_at) = (s.index + 1, s.asked.len());
+            s.instances.clear();
+        });
+    }
+
+    /// The index is set, as by servers that were restored.
+    pub fn set_index(&self, index: u64) {
+        self.change(|s| (s.index, s.changed_at) = (index, s.asked.len()));
+    }
+
+    /// Changes its manner.
+    pub fn behave(&self, manner: Manner) {
+        self.change(|s| (s.manner, s.turns) = (manner, s.turns + 1));
+    }
+
+    /// Calls must bring this token from now on.
+    pub fn want_token(&self, token: &str) {
+        self.change(|s| s.token = Some(token.to_owned()));
+    }
+
+    /// Forgets the registrations of other programs.
+    pub fn forget(&self) {
+        self.change(|s| s.registered.clear());
+    }
+
+    /// All calls so far.
+    pub fn asked(&self) -> Vec<Asked> {
+        self.state().asked.clone()
+    }
+
+    /// Waits until the calls so far fit; false after twenty seconds.
+    pub fn wait_for(&self, fits: impl Fn(&[Asked]) -> bool) -> bool {
+        let waits = |s: &mut State| !fits(&s.asked);
+        let waited = self.state.1.wait_timeout_while(self.state(), Duration::from_secs(20), waits);
+        !waited.unwrap_or_else(PoisonError::into_inner).1.timed_out()
+    }
+
+    /// Waits until a query has been made behind the present index: whoever made it has read all that there is.
+    pub fn wait_until_read(&self) -> bool {
+        let (behind, since) = {
+            let state = self.state();
+            (format!("index={}&", state.index), state.changed_at)
+        };
+        self.wait_for(|asked| asked[since..].iter().any(|a| a.target.contains(&behind)))
+    }
+
+    /// Waits until a registration's check has this status; none: until it is not registered.
+    pub fn wait_for_check(&self, id: &str, status: Option<&str>) -> bool {
+        let waits = |s: &mut State| s.registered.get(id).map(|(_, status)| status.as_str()) != status;
+        let waited = self.state.1.wait_timeout_while(self.state(), Duration::from_secs(10), waits);
+        !waited.unwrap_or_else(PoisonError::into_inner).1.timed_out()
+    }
+
+    fn serve(&self, mut socket: TcpStream) -> io::Result<()> {
+        if self.state().manner == Manner::Gone {
+            return Ok(());
+        }
+        let mut head = Vec::new();
+        while !head.ends_with(b"\r\n\r\n") {
+            let mut byte = [0];
+            socket.read_exact(&mut byte)?;
+            head.extend(byte);
+        }
+        let head = String::from_utf8_lossy(&head).into_owned();
+        let header = |name: &str| {
+            let lines = head.lines().filter_map(|l| l.split_once(':'));
+            lines.into_iter().find(|(n, _)| n.eq_ignore_ascii_case(name)).map(|(_, v)| v.trim().to_owned())
+        };
+        let length = header("content-length").and_then(|v| v.parse().ok()).unwrap_or(0);
+        let mut body = vec![0; length];
+        socket.read_exact(&mut body)?;
+        let mut words = head.split(' ').map(str::to_owned);
+        let (method, target) = (words.next().unwrap_or_default(), words.next().unwrap_or_default());
+        let body = String::from_utf8_lossy(&body).into_owned();
+        let asked = Asked { method, target, token: header("x-consul-token"), body };
+        self.change(|s| s.asked.push(asked.clone()));
+        self.answer(&asked, &mut socket)
+    }
+
+    fn answer(&self, asked: &Asked, socket: &mut TcpStream) -> io::Result<()> {
+        let (path, query) = asked.target.split_once('?').unwrap_or((&asked.target, ""));
+        let value = |name: &str| {
+            let mut pairs = query.split('&').filter_map(|p| p.split_once('='));
+            pairs.find(|(n, _)| *n == name).map(|(_, v)| v)
+        };
+        let state = self.state();
+        let turns = state.turns;
+        let index: u64 = value("index").and_then(|v| v.parse().ok()).unwrap_or(0);
+        let wait = value("wait").and_then(|v| v.strip_suffix("ms")?.parse().ok()).unwrap_or(300_000);
+        let waits = |s: &mut State| {
+            s.turns == turns
+                && (s.manner == Manner::Mute || index > 0 && s.index == index && s.manner != Manner::Gone)
+        };
+        let waited = self.state.1.wait_timeout_while(state, Duration::from_millis(wait), waits);
+        let (mut state, _) = waited.unwrap_or_else(PoisonError::into_inner);
+        let denied = state.token.is_some() && state.token != asked.token;
+        let (status, body) = match state.manner {
+            Manner::Gone | Manner::Mute => return Ok(()),
+            Manner::Leaderless => ("500 Internal Server Error", "No cluster leader".to_owned()),
+            Manner::Busy => ("429 Too Many Requests", "rate limit exceeded".to_owned()),
+            Manner::Denied => ("403 Forbidden", "Permission denied".to_owned()),
+            _ if denied => ("403 Forbidden", "Permission denied: token lacks 'service:read'".to_owned()),
+            Manner::Garbage => ("200 OK", "<html>welcome</html>".to_owned()),
+            _ if asked.method == "PUT" => Self::put(&mut state, path, &asked.body),
+            _ if path.starts_with("/v1/catalog/service/") => {
+                let one = |(node, id): &(String, String)| json!({"Node": node, "ServiceID": id});
+                ("200 OK", state.catalogue.iter().map(one).collect::<Value>().to_string())
+            }
+            _ => ("200 OK", format!("[{}]", state.instances.join(","))),
+        };
+        let (index, manner) = (state.index, state.manner);
+        drop(state);
+        self.state.1.notify_all();
+        let mut out =
+            format!("HTTP/1.1 {status}\r\nContent-Type: application/json\r\nX-Consul-Index: {index}\r\n");
+        out += "X-Consul-KnownLeader: true\r\nX-Consul-LastContact: 0\r\n";
+        match manner {
+            Manner::Busy => out += "Retry-After: 1\r\n",
+            Manner::Endless => {
+                out += "Transfer-Encoding: chunked\r\n\r\n";
+                socket.write_all(out.as_bytes())?;
+                let chunk = format!("10000\r\n{}\r\n", " ".repeat(0x10000));
+                // Until whoever reads has had enough, or a GB has gone.
+                return (0..0x4000).try_for_each(|_| socket.write_all(chunk.as_bytes()));
+            }
+            Manner::Chunked => {
+                out += "Transfer-Encoding: chunked\r\n\r\n";
+                for part in body.as_bytes().chunks(100) {
+                    out += &format!("{:x}\r\n{}\r\n", part.len(), String::from_utf8_lossy(part));
+                }
+                return socket.write_all((out + "0\r\n\r\n").as_bytes());
+            }
+            _ => {}
+        }
+        out += &format!("Content-Length: {}\r\n\r\n", body.len());
+        let whole = out + &body;
+        let sent = if manner == Manner::CutOff { whole.len() - body.len() / 2 - 1 } else { whole.len() };
+        socket.write_all(&whole.as_bytes()[..sent])
+    }
+
+    fn put(state: &mut State, path: &str, body: &str) -> (&'static str, String) {
+        let said: Value = serde_json::from_str(body).unwrap_or(Value::Null);
+        let text = |v: &Value| v.as_str().unwrap_or("").to_owned();
+        if path == "/v1/agent/service/register" {
+            let status = text(&said["Check"]["Status"]);
+            state.registered.insert(text(&said["ID"]), (said, status));
+        } else if let Some(id) = path.strip_prefix("/v1/agent/check/update/service%3A") {
+            match state.registered.get_mut(id) {
+                Some(known) => known.1 = text(&said["Status"]),
+                None => return ("404 Not Found", format!("Unknown check ID \"service:{id}\"")),
+            }
+        } else if let Some(id) = path.strip_prefix("/v1/agent/service/deregister/") {
+            state.registered.remove(id);
+        } else {
+            return ("404 Not Found", String::new());
+        }
+        ("200 OK", String::new())
+    }
+}
--- /dev/null
+++ b/rehearse/src/stand_ins/mod.rs
@@ -0,0 +1,3 @@
+//! Stand-ins for outside systems, from their published specifications.
+
+pub mod consul;
