--- a/consul/src/answer.rs
+++ b/consul/src/answer.rs
@@ -3,7 +3,6 @@
 
 use linnetknot_membership::Reason;
 use serde::Deserialize;
-use serde_json::value::RawValue;
 use std::collections::BTreeMap;
 use std::fmt;
 
@@ -118,40 +117,120 @@
     }
 }
 
-/// An answer that can't be used as a whole.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct NotAList(pub String);
-
-/// The parts of a list, unread.
-pub(crate) fn parts(body: &[u8]) -> Result<Vec<&RawValue>, NotAList> {
-    serde_json::from_slice(body).map_err(|e| NotAList(e.to_string()))
+/// Splits a JSON list into its elements as its bytes come, so that a long answer is read in small steps and never held
+/// as a whole. What stands in an element is for whoever reads it to check.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Elements {
+    place: Place,
+    depth: u32,
+    quoted: bool,
+    escaped: bool,
+    /// The beginning of an element that has come in part.
+    part: Vec<u8>,
 }
 
-/// One part of a health answer.
-pub(crate) fn instance(raw: &RawValue) -> Result<Instance, Skipped> {
-    let mut de = serde_json::Deserializer::from_str(raw.get());
-    serde_path_to_error::deserialize(&mut de).map_err(|e| {
-        let key = e.path().to_string();
-        Skipped { uid: salvage(raw).unwrap_or_else(|| "?".into()), key, why: e.into_inner().to_string() }
-    })
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+enum Place {
+    #[default]
+    BeforeList,
+    /// Behind `[`, where the list may also end.
+    First,
+    /// Behind a comma.
+    Next,
+    Inside,
+    AfterList,
 }
 
-/// What can still be told of an instance that can't be read: its id.
-fn salvage(raw: &RawValue) -> Option<String> {
-    #[derive(Deserialize)]
-    struct Id {
-        #[serde(rename = "ID")]
-        id: String,
+/// The longest element: an instance with its checks takes some KB.
+const MOST_ELEMENT: usize = 1 << 20;
+
+impl Elements {
+    /// Takes bytes in, and gives each element that has become whole.
+    pub fn read(
+        &mut self,
+        bytes: &[u8],
+        mut each: impl FnMut(&[u8]) -> Result<(), String>,
+    ) -> Result<(), String> {
+        let mut from = 0;
+        for (at, &b) in bytes.iter().enumerate() {
+            if self.place == Place::Inside {
+                if self.quoted {
+                    match b {
+                        _ if self.escaped => self.escaped = false,
+                        b'\\' => self.escaped = true,
+                        b'"' => self.quoted = false,
+                        _ => {}
+                    }
+                    continue;
+                }
+                match b {
+                    b'"' => self.quoted = true,
+                    b'{' | b'[' => self.depth += 1,
+                    b'}' | b']' if self.depth > 0 => self.depth -= 1,
+                    b',' | b']' if self.depth == 0 => {
+                        self.part.extend_from_slice(&bytes[from..at]);
+                        each(&self.part)?;
+                        self.part.clear();
+                        self.place = if b == b',' { Place::Next } else { Place::AfterList };
+                    }
+                    _ => {}
+                }
+                continue;
+            }
+            self.place = match (self.place, b) {
+                (place, b' ' | b'\t' | b'\r' | b'\n') => place,
+                (Place::BeforeList, b'[') => Place::First,
+                (Place::First, b']') => Place::AfterList,
+                (Place::First | Place::Next, b',' | b']' | b'}') => return Err("a list is malformed".into()),
+                (Place::First | Place::Next, _) => {
+                    from = at;
+                    self.quoted = b == b'"';
+                    self.depth = u32::from(matches!(b, b'{' | b'['));
+                    Place::Inside
+                }
+                _ => return Err("it is no list".into()),
+            };
+        }
+        if self.place == Place::Inside {
+            self.part.extend_from_slice(&bytes[from..]);
+            if self.part.len() > MOST_ELEMENT {
+                return Err("an instance is too long".into());
+            }
+        }
+        Ok(())
     }
-    #[derive(Deserialize)]
-    #[serde(rename_all = "PascalCase")]
-    struct Only {
-        service: Id,
+
+    /// Whether the list is whole.
+    pub fn is_whole(&self) -> bool {
+        self.place == Place::AfterList
     }
-    Some(serde_json::from_str::<Only>(raw.get()).ok()?.service.id)
 }
 
-/// One part of a catalogue answer: node and id of what is registered.
+/// What is wrong with an element: it costs itself, or the whole answer where it is no JSON at all.
+pub(crate) enum Bad {
+    Instance(Skipped),
+    Answer(String),
+}
+
+/// One element of a health answer.
+pub(crate) fn instance(raw: &[u8]) -> Result<Instance, Bad> {
+    let mut de = serde_json::Deserializer::from_slice(raw);
+    let read: Result<Instance, _> = serde_path_to_error::deserialize(&mut de);
+    match read {
+        Ok(instance) => de.end().map(|()| instance).map_err(|e| Bad::Answer(e.to_string())),
+        Err(e) if e.inner().is_data() => {
+            let key = e.path().to_string();
+            // What can still be told of it is its id, if it is JSON at all.
+            let value: serde_json::Value =
+                serde_json::from_slice(raw).map_err(|e| Bad::Answer(e.to_string()))?;
+            let uid = value["Service"]["ID"].as_str().unwrap_or("?").to_owned();
+            Err(Bad::Instance(Skipped { uid, key, why: e.into_inner().to_string() }))
+        }
+        Err(e) => Err(Bad::Answer(e.into_inner().to_string())),
+    }
+}
+
+/// One element of a catalogue answer: node and id of what is registered.
 #[derive(Debug, Deserialize)]
 pub(crate) struct Registered {
     #[serde(rename = "Node", default)]
@@ -160,6 +239,42 @@
     pub id: String,
 }
 
-pub(crate) fn registered(raw: &RawValue) -> Option<Registered> {
-    serde_json::from_str(raw.get()).ok()
+pub(crate) fn registered(raw: &[u8]) -> Result<Registered, String> {
+    serde_json::from_slice(raw).map_err(|e| e.to_string())
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn split(text: &str, cut: usize) -> Result<Vec<String>, String> {
+        let (mut elements, mut out) = (Elements::default(), Vec::new());
+        for part in [&text.as_bytes()[..cut], &text.as_bytes()[cut..]] {
+            elements.read(part, |raw| {
+                out.push(String::from_utf8_lossy(raw).trim().to_owned());
+                Ok(())
+            })?;
+        }
+        if elements.is_whole() {
+            Ok(out)
+        } else {
+            Err("cut off".into())
+        }
+    }
+
+    #[test]
+    fn a_list_is_split_into_its_elements_however_it_is_cut() {
+        let text = r#" [ {"a":"]},[\"\\\"","b":[1,{"c":2}]} , [] ,17, "x,]" ,{} ] "#;
+        let want = [r#"{"a":"]},[\"\\\"","b":[1,{"c":2}]}"#, "[]", "17", r#""x,]""#, "{}"];
+        for cut in 0..=text.len() {
+            assert_eq!(split(text, cut).unwrap(), want, "cut at {cut}");
+        }
+        for end in 0..text.trim_end().len() {
+            assert!(split(&text[..end], end / 2).is_err(), "ends at {end}");
+        }
+        assert_eq!(split("[]", 1).unwrap(), Vec::<String>::new());
+        for bad in ["", "{}", "[1,]", "[,1]", "[1]]", "[1] x", "null", "[}"] {
+            assert!(split(bad, 0).is_err(), "{bad}");
+        }
+    }
 }
--- a/consul/src/watch.rs
+++ b/consul/src/watch.rs
@@ -10,15 +10,18 @@
 //!   agent where there is one, leaves them out too.
 //! - A call that fails changes nothing: the last list holds, and the next agent is asked.
 
-use crate::answer::{instance, parts, registered, Skipped};
+use crate::answer::{instance, registered, Bad, Elements, Skipped};
 use crate::backoff::Backoff;
 use crate::http::{segment, target, Call, Failure, Response};
 use crate::mapping::Mapping;
 use linnetknot::{Micros, State};
 use linnetknot_membership::{Entry, Evidence, Reason, Report};
+use std::collections::hash_map::{DefaultHasher, HashMap};
 use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
+use std::hash::Hasher;
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 /// Consul's consistency modes.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -200,7 +203,7 @@
 const GAP_US: Micros = 10_000;
 const MOST_GAP_US: Micros = 500_000;
 /// Reading an answer takes time from requests: so many bytes of it a microsecond at most, on average.
-const BYTES_PER_US: u64 = 100;
+const BYTES_PER_US: u64 = 40;
 /// The longest wait that an agent may ask for.
 const MOST_RETRY_AFTER_US: Micros = 60_000_000;
 /// After an answer that was too stale, the leader is asked for so long.
@@ -219,7 +222,7 @@
     out: Option<Micros>,
     next_at: Micros,
     /// What was told last, without those that are gone.
-    last: BTreeMap<String, Report>,
+    last: BTreeMap<String, Arc<Report>>,
     spoke: bool,
     /// Boxes of `last` that the last answer left out.
     missing: BTreeSet<String>,
@@ -232,6 +235,23 @@
     skipped: BTreeSet<(String, String)>,
     doubles: BTreeSet<String>,
     fresh_until: Micros,
+    reading: Reading,
+    /// What the elements of the last answer came to, by the hash of their text: most are the same in the next one.
+    read: HashMap<u64, Arc<Report>>,
+}
+
+/// An answer that has come in part.
+#[derive(Clone, Debug, Default)]
+struct Reading {
+    elements: Elements,
+    bytes: u64,
+    failed: Option<String>,
+    read: HashMap<u64, Arc<Report>>,
+    named: BTreeMap<String, Arc<Report>>,
+    /// Of an id that is there twice: who keeps it, and who does not.
+    doubles: BTreeMap<String, (SocketAddr, SocketAddr)>,
+    skipped: BTreeMap<String, Skipped>,
+    registered: BTreeSet<String>,
 }
 
 impl Watch {
@@ -257,15 +277,17 @@
             skipped: BTreeSet::new(),
             doubles: BTreeSet::new(),
             fresh_until: 0,
+            reading: Reading::default(),
+            read: HashMap::new(),
         }
     }
 
     /// Begins from a list that was kept: it counts as told, so that an empty first answer can't wipe it out.
     pub fn remember(&mut self, entries: &[Entry]) -> Evidence {
         let kept = entries.iter().map(|e| Report { entry: e.clone(), reason: Reason::Kept });
-        self.last = kept.map(|r| (r.entry.uid.clone(), r)).collect();
+        self.last = kept.map(|r| (r.entry.uid.clone(), Arc::new(r))).collect();
         self.spoke = true;
-        Evidence::Full(self.last.values().cloned().collect())
+        self.whole()
     }
 
     /// Other options and another mapping: the list that was told stays until an answer changes it. The end of a call
@@ -277,6 +299,7 @@
         (self.o, self.mapping) = (options, mapping);
         (self.index, self.asks, self.next_at) = (0, Asks::Health, 0);
         (self.held, self.out) = (None, None);
+        self.read.clear();
     }
 
     /// When the next call is due; none while one is out.
@@ -290,6 +313,7 @@
             return None;
         }
         self.out = Some(now);
+        self.reading = Reading::default();
         if self.agent != 0 && self.held.is_none() && now >= self.home_at {
             self.agent = 0;
             self.home_at = now + self.backoff.spread(self.o.home_us);
@@ -353,9 +377,60 @@
         told
     }
 
-    /// The call was answered.
+    /// A part of the body of an answer with status 200, while the call is out. What it says counts once the answer is
+    /// whole.
+    pub fn read(&mut self, bytes: &[u8]) {
+        let r = &mut self.reading;
+        r.bytes += bytes.len() as u64;
+        if self.out.is_none() || r.failed.is_some() {
+            return;
+        }
+        let (asks, mapping, last, known) = (self.asks, &self.mapping, &self.last, &self.read);
+        let Reading { elements, read, named, doubles, skipped, registered: found, .. } = r;
+        let result = elements.read(bytes, |raw| {
+            if asks == Asks::Catalogue {
+                let r = registered(raw)?;
+                found.insert(mapping.uid(&r.node, &r.id));
+                return Ok(());
+            }
+            let mut hasher = DefaultHasher::new();
+            hasher.write(raw);
+            let hash = hasher.finish();
+            let report = match known.get(&hash) {
+                Some(report) => report.clone(),
+                None => match instance(raw).and_then(|i| mapping.report(&i).map_err(Bad::Instance)) {
+                    Ok(report) => Arc::new(report),
+                    Err(Bad::Instance(s)) => {
+                        skipped.insert(s.uid.clone(), s);
+                        return Ok(());
+                    }
+                    Err(Bad::Answer(why)) => return Err(why),
+                },
+            };
+            read.insert(hash, report.clone());
+            let uid = report.entry.uid.clone();
+            let Some(first) = named.get_mut(&uid) else {
+                named.insert(uid, report);
+                return Ok(());
+            };
+            // Two boxes under one id: the one that had it keeps it, else the one that is ready, else the first.
+            let had = last.get(&uid).map(|r| r.entry.endpoint);
+            let rank = |r: &Report| (had != Some(r.entry.endpoint), r.entry.server.state != State::Ready);
+            let mut other = report;
+            if rank(&other) < rank(first) {
+                std::mem::swap(first, &mut other);
+            }
+            if first.entry.endpoint != other.entry.endpoint {
+                doubles.insert(uid, (first.entry.endpoint, other.entry.endpoint));
+            }
+            Ok(())
+        });
+        r.failed = result.err();
+    }
+
+    /// The call was answered. The body is what `read` was not given yet.
     pub fn answered(&mut self, now: Micros, response: &Response<'_>) -> Told {
-        let Some(asked) = self.out.take() else { return Told::default() };
+        let Some(asked) = self.out else { return Told::default() };
         match response.status {
             200 => {}
             401 | 403 => {
@@ -381,35 +456,57 @@
         let contact = response.header("x-consul-lastcontact").and_then(|v| v.trim().parse::<u64>().ok());
         let behind = contact.unwrap_or(0).saturating_mul(1000);
         if stale && behind > self.o.most_stale_us {
+            self.out = None;
             self.fresh_until = now + FRESH_US;
             self.next_at = now + GAP_US;
             return Told { notes: vec![Note::Stale(behind)], ..Told::default() };
         }
-        let list = match parts(response.body) {
-            Ok(list) => list,
-            Err(e) => return self.fail(now, format!("gives no list: {}", e.0), 0),
-        };
+        self.read(response.body);
+        self.out = None;
+        let reading = std::mem::take(&mut self.reading);
+        if let Some(why) = reading.failed {
+            return self.fail(now, format!("gives no list: {why}"), 0);
+        }
+        if !reading.elements.is_whole() {
+            return self.fail(now, "gives no list: it is not whole".into(), 0);
+        }
         let mut told = Told::default();
         if self.backoff.failures() > 0 {
             told.notes.push(Note::Back { agent: self.agent, failures: self.backoff.failures() });
         }
         self.backoff.succeeded();
         self.failed = None;
-        let before = self.last.clone();
+        let bytes = reading.bytes;
+        let mut words = Vec::new();
         match self.asks {
-            Asks::Health => self.health(response, &list, &mut told),
-            Asks::Catalogue => self.catalogue(&list, &mut told),
+            Asks::Health => self.health(response, reading, &mut words, &mut told),
+            Asks::Catalogue => self.catalogue(&reading.registered, &mut words, &mut told),
+        }
+        let changed = !words.is_empty();
+        if !std::mem::replace(&mut self.spoke, true) {
+            told.evidence = Some(self.whole());
+        } else if changed {
+            told.evidence = Some(Evidence::Delta(words));
         }
-        let changed = self.tell(before, &mut told);
         self.unchanged = if changed { 0 } else { self.unchanged.saturating_add(1) };
         let gap = (GAP_US << self.unchanged.saturating_sub(1).min(6)).min(MOST_GAP_US);
-        let gap = gap.max(response.body.len() as u64 / BYTES_PER_US);
+        let gap = gap.max(bytes / BYTES_PER_US);
         // Paced by when it was asked: an answer that was long in coming may be followed at once.
         self.next_at = if self.asks == Asks::Catalogue { now } else { now.max(asked + gap) };
         told
     }
 
-    fn health(&mut self, response: &Response<'_>, list: &[&serde_json::value::RawValue], told: &mut Told) {
+    fn whole(&self) -> Evidence {
+        Evidence::Full(self.last.values().map(|r| Report::clone(r)).collect())
+    }
+
+    fn health(
+        &mut self,
+        response: &Response<'_>,
+        reading: Reading,
+        words: &mut Vec<Report>,
+        told: &mut Told,
+    ) {
         let to = response.header("x-consul-index").and_then(|v| v.trim().parse().ok()).unwrap_or(0);
         let from = self.index;
         self.index = match to {
@@ -421,53 +518,27 @@
         if to < from {
             told.notes.push(Note::IndexReset { from, to });
         }
-        let mut named: BTreeMap<String, Report> = BTreeMap::new();
-        let mut doubles = BTreeSet::new();
-        let mut skipped = BTreeMap::new();
-        for raw in list {
-            let report = match instance(raw).and_then(|i| self.mapping.report(&i)) {
-                Ok(report) => report,
-                Err(s) => {
-                    if !self.skipped.contains(&(s.uid.clone(), s.key.clone())) {
-                        told.notes.push(Note::Skipped(s.clone()));
-                    }
-                    skipped.insert(s.uid.clone(), s);
-                    continue;
-                }
-            };
-            let uid = report.entry.uid.clone();
-            let Some(first) = named.get_mut(&uid) else {
-                named.insert(uid, report);
-                continue;
-            };
-            // Two boxes under one id: the one that had it keeps it, else the one that is ready, else the first.
-            let had = self.last.get(&uid).map(|r| r.entry.endpoint);
-            let rank = |r: &Report| (had != Some(r.entry.endpoint), r.entry.server.state != State::Ready);
-            let mut other = report;
-            if rank(&other) < rank(first) {
-                std::mem::swap(first, &mut other);
-            }
-            if first.entry.endpoint != other.entry.endpoint && doubles.insert(uid.clone()) {
-                let (kept, refused) = (first.entry.endpoint, other.entry.endpoint);
-                if !self.doubles.contains(&uid) {
-                    told.notes.push(Note::SameId { uid, kept, refused });
-                }
+        let Reading { read, mut named, doubles, skipped, .. } = reading;
+        self.read = read;
+        for (uid, (kept, refused)) in &doubles {
+            if !self.doubles.contains(uid) {
+                told.notes.push(Note::SameId { uid: uid.clone(), kept: *kept, refused: *refused });
             }
         }
-        self.doubles = doubles;
+        self.doubles = doubles.into_keys().collect();
+        for s in skipped.values().filter(|s| !self.skipped.contains(&(s.uid.clone(), s.key.clone()))) {
+            told.notes.push(Note::Skipped(s.clone()));
+        }
         self.skipped = skipped.values().map(|s| (s.uid.clone(), s.key.clone())).collect();
         for (uid, s) in &skipped {
             // It is still registered, but nothing is known of it that could be used.
             if let Some(known) = self.last.get(uid).filter(|_| !named.contains_key(uid)) {
-                let mut report = known.clone();
-                report.entry.server.state = State::Draining;
-                report.reason = Reason::Unusable(s.key.clone());
-                named.insert(uid.clone(), report);
+                named.insert(uid.clone(), drained(known, Reason::Unusable(s.key.clone())));
             }
         }
         let ran = self.last.len();
-        let left = self.last.keys().filter(|uid| named.contains_key(*uid)).count();
         self.missing = self.last.keys().filter(|uid| !named.contains_key(*uid)).cloned().collect();
+        let left = ran - self.missing.len();
         let shrunk = ran > 0 && (left == 0 || (left as f64) < self.o.least_share * ran as f64);
         if shrunk && self.contradictions < CONTRADICTIONS {
             if self.held.is_none() && self.contradictions == 0 {
@@ -479,22 +550,25 @@
             }
         } else {
             self.contradictions = 0;
+            told.confirmed = true;
             for uid in &self.missing {
-                if let Some(report) = self.last.get_mut(uid) {
-                    report.entry.server.state = State::Draining;
-                    report.reason = Reason::NoHealth;
+                if let Some(report) = self.last.get(uid) {
+                    named.insert(uid.clone(), drained(report, Reason::NoHealth));
                 }
             }
-            told.confirmed = true;
         }
-        self.last.extend(named);
+        for (uid, report) in named {
+            let same = self.last.get(&uid).is_some_and(|r| Arc::ptr_eq(r, &report) || *r == report);
+            if !same {
+                words.push(Report::clone(&report));
+                self.last.insert(uid, report);
+            }
+        }
         self.asks = if self.missing.is_empty() { Asks::Health } else { Asks::Catalogue };
     }
 
-    fn catalogue(&mut self, list: &[&serde_json::value::RawValue], told: &mut Told) {
+    fn catalogue(&mut self, known: &BTreeSet<String>, words: &mut Vec<Report>, told: &mut Told) {
         self.asks = Asks::Health;
-        let known = list.iter().filter_map(|raw| registered(raw));
-        let known: BTreeSet<String> = known.map(|r| self.mapping.uid(&r.node, &r.id)).collect();
         let missing = std::mem::take(&mut self.missing);
         if let Some((left, ran)) = self.held.take() {
             let registered = left + missing.iter().filter(|uid| known.contains(*uid)).count();
@@ -512,38 +586,27 @@
             told.confirmed = true;
         }
         for uid in missing {
+            let Some(report) = self.last.get(&uid) else { continue };
             if known.contains(&uid) {
                 // Registered without health: its agent is on the way out, or a filter leaves it out.
-                if let Some(report) = self.last.get_mut(&uid) {
-                    report.entry.server.state = State::Draining;
-                    report.reason = Reason::NoHealth;
+                let report = drained(report, Reason::NoHealth);
+                if self.last.get(&uid) != Some(&report) {
+                    words.push(Report::clone(&report));
+                    self.last.insert(uid, report);
                 }
             } else {
+                let mut report = Report::clone(report);
+                (report.entry.server.state, report.reason) = (State::Gone, Reason::Unlisted);
+                words.push(report);
                 self.last.remove(&uid);
             }
         }
     }
+}
 
-    /// Puts what has changed since `before` into words; false if nothing has.
-    fn tell(&mut self, before: BTreeMap<String, Report>, told: &mut Told) -> bool {
-        if !std::mem::replace(&mut self.spoke, true) {
-            told.evidence = Some(Evidence::Full(self.last.values().cloned().collect()));
-            return true;
-        }
-        let mut words: Vec<Report> = Vec::new();
-        for (uid, mut report) in before.iter().map(|(uid, r)| (uid, r.clone())) {
-            if !self.last.contains_key(uid) {
-                report.entry.server.state = State::Gone;
-                report.reason = Reason::Unlisted;
-                words.push(report);
-            }
-        }
-        let news = self.last.iter().filter(|(uid, r)| before.get(*uid) != Some(r));
-        words.extend(news.map(|(_, r)| r.clone()));
-        let changed = !words.is_empty();
-        if changed {
-            told.evidence = Some(Evidence::Delta(words));
-        }
-        changed
-    }
+/// The same box, to be given no fresh work for this reason.
+fn drained(report: &Report, reason: Reason) -> Arc<Report> {
+    let mut report = report.clone();
+    (report.entry.server.state, report.reason) = (State::Draining, reason);
+    Arc::new(report)
 }
--- /dev/null
+++ b/daemon/examples/figures.rs
@@ -0,0 +1,385 @@
+//! Figures of the list from Consul, on loopback with a scripted agent: the tables of docs/FIGURES.md.
+//!
+//!     cargo build --release && cargo run --release -p linnetknot-daemon --example figures -- drain
+//!
+//! `--daemon` names another program to measure in the same way, such as an older build.
+
+use clap::{Parser, ValueEnum};
+use hdrhistogram::Histogram;
+use linnetknot_rehearse::boxes::{Arrival, StandIn};
+use linnetknot_rehearse::clients::{WebServer, PATIENCE};
+use linnetknot_rehearse::stand_ins::consul::{instance, Agent, Manner};
+use linnetknot_rehearse::{settings, unix_ms};
+use serde_json::{json, Value};
+use std::io::{self, BufRead, BufReader};
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+use std::{fs, thread};
+
+#[derive(Clone, Copy, ValueEnum)]
+enum What {
+    /// From a change at the agent to the last fresh request and the last fill.
+    Drain,
+    /// Work sent to a box whose check flips every 1.5 s, beside its steady share.
+    Flap,
+    /// 5,000 instances: time, memory and what ten thousand changes a minute cost.
+    Size,
+    /// From a start with no agent to the first request served.
+    Restart,
+}
+
+/// Measures a daemon against a scripted Consul agent and stand-in boxes.
+#[derive(Parser)]
+struct Arguments {
+    what: What,
+    /// The daemon; by default the one built beside this program.
+    #[arg(long)]
+    daemon: Option<PathBuf>,
+    /// Rounds, or seconds, to measure.
+    #[arg(long, default_value_t = 40)]
+    rounds: u32,
+}
+
+struct Running {
+    child: Child,
+    front: SocketAddr,
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+const READY: &str = "passing";
+/// Between an answer and the next request of a client.
+const PAUSE: Duration = Duration::from_millis(2);
+
+fn start(daemon: &Path, folder: &Path, consul: Value, kept: bool) -> io::Result<Running> {
+    fs::create_dir_all(folder)?;
+    let (config, own) = (folder.join("config.json"), folder.join("interconnect.json"));
+    let mut settings = settings();
+    settings["kinds"] = json!(["box", "origin", "hub"]);
+    settings["family-info"]["mid-kind"] = 2.into();
+    let text = json!({"name": "figures", "listen": "127.0.0.1:0", "seed": "1f", "settings": settings,
+        "limits": {"memory_mb": 512, "sockets": 1024}});
+    fs::write(&config, text.to_string())?;
+    let mut text = json!({"consul": consul});
+    if kept {
+        text["state"] = json!({"directory": folder});
+    }
+    fs::write(&own, text.to_string())?;
+    let mut child = Command::new(daemon)
+        .env("ROUTER_CONFIG", &config)
+        .env("LINNETKNOT_INTERCONNECT", &own)
+        .env("RUST_LOG", "info")
+        .stderr(Stdio::piped())
+        .spawn()?;
+    let log = child.stderr.take().ok_or_else(|| io::Error::other("no log"))?;
+    let (tell, told) = std::sync::mpsc::channel();
+    thread::spawn(move || {
+        for line in BufReader::new(log).lines().map_while(Result::ok) {
+            if let Some(Ok(address)) = line.split_once(" listens on ").map(|l| l.1.trim().parse()) {
+                let _ = tell.send(address);
+            }
+        }
+    });
+    let front = told.recv_timeout(PATIENCE).map_err(io::Error::other)?;
+    Ok(Running { child, front })
+}
+
+fn object(n: u64) -> String {
+    format!("{n:016x}")
+}
+
+/// Clients that ask, each for one thing after the other, until told to stop.
+struct Load {
+    stop: Arc<AtomicBool>,
+    asked: Arc<AtomicU64>,
+    refused: Arc<AtomicU64>,
+    took_us: Arc<Mutex<Histogram<u64>>>,
+    clients: Vec<thread::JoinHandle<()>>,
+}
+
+impl Load {
+    fn start(front: SocketAddr, clients: u64, pause: Duration) -> Load {
+        let took_us = Arc::new(Mutex::new(Histogram::new(3).expect("three digits are allowed")));
+        let (stop, asked, refused) = Default::default();
+        let mut load = Load { stop, asked, refused, took_us, clients: Vec::new() };
+        for c in 0..clients {
+            let (stop, asked, refused) = (load.stop.clone(), load.asked.clone(), load.refused.clone());
+            let took_us = load.took_us.clone();
+            load.clients.push(thread::spawn(move || {
+                let Ok(mut web) = WebServer::connect(front) else { return };
+                for n in 0.. {
+                    if stop.load(Ordering::Relaxed) {
+                        return;
+                    }
+                    let begun = Instant::now();
+                    let answer = web.ask(1, "photo", &object(n * 37 + c * 11), 2500).and_then(|()| web.end());
+                    let Ok((_, Some(answer))) = answer else { return };
+                    asked.fetch_add(1, Ordering::Relaxed);
+                    refused.fetch_add(u64::from(answer.status != 200), Ordering::Relaxed);
+                    let us = begun.elapsed().as_micros() as u64;
+                    let _ = took_us.lock().map(|mut h| h.record(us.max(1)));
+                    thread::sleep(pause);
+                }
+            }));
+        }
+        load
+    }
+
+    /// p50 and p99 since the last call, in milliseconds.
+    fn quantiles(&self) -> (f64, f64) {
+        let mut h = self.took_us.lock().expect("no client panics while it records");
+        let at = |q: f64| h.value_at_quantile(q) as f64 / 1e3;
+        let both = (at(0.5), at(0.99));
+        h.reset();
+        both
+    }
+
+    fn end(self) -> (u64, u64) {
+        self.stop.store(true, Ordering::Relaxed);
+        for client in self.clients {
+            let _ = client.join();
+        }
+        (self.asked.load(Ordering::Relaxed), self.refused.load(Ordering::Relaxed))
+    }
+}
+
+fn boxes(uids: &[&'static str]) -> io::Result<Vec<StandIn>> {
+    uids.iter().map(|uid| StandIn::start(uid)).collect()
+}
+
+/// What was fetched from a box since then, by what fits: how long after that, in ms.
+fn since(b: &StandIn, at: u64, fits: impl Fn(&Arrival) -> bool) -> Vec<u64> {
+    let arrivals = b.arrivals();
+    arrivals.iter().filter(|a| a.word == "fetch" && a.at >= at && fits(a)).map(|a| a.at - at).collect()
+}
+
+fn fetches(b: &StandIn) -> usize {
+    since(b, 0, |_| true).len()
+}
+
+fn row(name: &str, h: &Histogram<u64>) {
+    let at = |q| h.value_at_quantile(q);
+    println!("| {name} | {} | {} | {} | {} |", h.len(), at(0.5), at(0.99), h.max());
+}
+
+fn drain(daemon: &Path, folder: &Path, rounds: u32) -> io::Result<()> {
+    let agent = Agent::start()?;
+    let (edge, hubs) = (boxes(&["e-0", "e-1", "e-2", "e-3"])?, boxes(&["h-0", "h-1"])?);
+    let status = |drains: bool| if drains { "critical" } else { READY };
+    let list = |drained: Option<(usize, usize)>| -> Vec<Value> {
+        let one =
+            |(n, b): (usize, &StandIn)| instance(b.uid, b.address, status(drained.is_some_and(|d| d.0 == n)));
+        let hub = |(n, b): (usize, &StandIn)| {
+            let mut hub = instance(b.uid, b.address, status(drained.is_some_and(|d| d.1 == n)));
+            hub["Service"]["Meta"] = json!({"az": "hub", "model": "hub", "capacity_hint": "64"});
+            hub
+        };
+        edge.iter().enumerate().map(one).chain(hubs.iter().enumerate().map(hub)).collect()
+    };
+    // Damping is off in effect: each round drains what was drained a few rounds before.
+    let consul = json!({"address": agent.address.to_string(),
+        "damping": {"half_life_s": 0.001, "most_suppressed_s": 1}});
+    agent.register(&list(None));
+    let running = start(daemon, folder, consul, false)?;
+    agent.wait_until_read();
+    // At full pace boxes that all are ramped up at once, as each round drains one, could not carry the load.
+    let load = Load::start(running.front, 8, 10 * PAUSE);
+    let mut last =
+        [Histogram::<u64>::new(3), Histogram::new(3)].map(|h| h.expect("three digits are allowed"));
+    let mut before = (0, 0);
+    for round in 0..rounds as usize {
+        thread::sleep(Duration::from_millis(1500));
+        let (b, h) = (round % edge.len(), round % hubs.len());
+        let from = |a: &Arrival| a.field("src") == Some(hubs[h].uid);
+        let at = unix_ms();
+        before.0 += since(&edge[b], at - 1000, |_| true).len();
+        before.1 += edge.iter().map(|e| since(e, at - 1000, from).len()).sum::<usize>();
+        agent.register(&list(Some((b, h))));
+        thread::sleep(Duration::from_millis(1300));
+        let fresh = since(&edge[b], at, |_| true).into_iter().max();
+        let fills = edge.iter().flat_map(|e| since(e, at, from)).max();
+        last[0].record(fresh.unwrap_or(0)).map_err(io::Error::other)?;
+        last[1].record(fills.unwrap_or(0)).map_err(io::Error::other)?;
+        agent.register(&list(None));
+    }
+    let (asked, refused) = load.end();
+    let rounds = rounds.max(1) as usize;
+    println!("{asked} requests, {refused} refused; in the second before each drain the box got {} and the hub cache was", before.0 / rounds);
+    println!("named as a source {} times, on average\n", before.1 / rounds);
+    println!(
+        "| ms from the change at the agent | rounds | p50 | p99 | most |\n| --- | --- | --- | --- | --- |"
+    );
+    row("last fresh request at the box", &last[0]);
+    row("last fill from the hub cache", &last[1]);
+    Ok(())
+}
+
+fn flap(daemon: &Path, folder: &Path, rounds: u32) -> io::Result<()> {
+    let agent = Agent::start()?;
+    let edge = boxes(&["e-0", "e-1", "e-2", "e-3"])?;
+    let list = |status: &str| -> Vec<Value> {
+        let one = |(n, b): (usize, &StandIn)| instance(b.uid, b.address, if n == 0 { status } else { READY });
+        edge.iter().enumerate().map(one).collect()
+    };
+    agent.register(&list(READY));
+    let running = start(daemon, folder, json!({"address": agent.address.to_string()}), false)?;
+    agent.wait_until_read();
+    let load = Load::start(running.front, 8, PAUSE);
+    thread::sleep(Duration::from_secs(3));
+    let steady = fetches(&edge[0]) as f64 / 3.0;
+    let begun = unix_ms();
+    let mut passing = true;
+    let before: Vec<usize> = edge.iter().map(fetches).collect();
+    while unix_ms() < begun + u64::from(rounds) * 1000 {
+        passing = !passing;
+        agent.register(&list(if passing { READY } else { "critical" }));
+        thread::sleep(Duration::from_millis(1500));
+    }
+    let got: Vec<usize> =
+        edge.iter().map(fetches).zip(before).map(|(after, before)| after - before).collect();
+    let mut seconds = vec![0u64; rounds as usize + 2];
+    for at in since(&edge[0], begun, |_| true) {
+        if let Some(n) = seconds.get_mut((at / 1000) as usize) {
+            *n += 1;
+        }
+    }
+    // From here it stays passing: how long until it carries half of its part again.
+    agent.register(&list(READY));
+    let (steady_at, mut back, mut seen) = (unix_ms(), None, fetches(&edge[0]));
+    while back.is_none() && unix_ms() < steady_at + 60_000 {
+        thread::sleep(Duration::from_millis(500));
+        let now = fetches(&edge[0]);
+        if (now - seen) as f64 * 2.0 >= steady / 2.0 {
+            back = Some((unix_ms() - steady_at) as f64 / 1e3);
+        }
+        seen = now;
+    }
+    let (asked, refused) = load.end();
+    let most = seconds.iter().max().copied().unwrap_or(0);
+    let share = got[0] as f64 / got.iter().sum::<usize>().max(1) as f64;
+    let back = back.map_or("not within 60".to_owned(), |s| format!("{s:.1}"));
+    println!("{asked} requests, {refused} refused; steady share of the box: {steady:.0} a second; by seconds: {seconds:?}\n");
+    println!("| flips for s | share of all work | most in a second, of its steady share | half of its part again after s |");
+    println!("| --- | --- | --- | --- |");
+    println!("| {rounds} | {:.1}% | {:.2} | {back} |", share * 100.0, most as f64 / steady.max(1.0));
+    Ok(())
+}
+
+/// CPU time in ms, and resident memory now and at most in kB.
+fn used(pid: u32) -> (u64, u64, u64) {
+    let stat = fs::read_to_string(format!("/proc/{pid}/stat")).unwrap_or_default();
+    let fields: Vec<&str> = stat.rsplit(')').next().unwrap_or("").split_whitespace().collect();
+    let ticks = |at: usize| fields.get(at).and_then(|f| f.parse::<u64>().ok()).unwrap_or(0);
+    let status = fs::read_to_string(format!("/proc/{pid}/status")).unwrap_or_default();
+    let kb = |name: &str| {
+        let line = status.lines().find_map(|l| l.strip_prefix(name));
+        line.and_then(|l| l.split_whitespace().next()?.parse().ok()).unwrap_or(0)
+    };
+    ((ticks(11) + ticks(12)) * 10, kb("VmRSS:"), kb("VmHWM:"))
+}
+
+fn size(daemon: &Path, folder: &Path, rounds: u32) -> io::Result<()> {
+    const FAR: usize = 5000;
+    let agent = Agent::start()?;
+    let edge = boxes(&["e-0", "e-1", "e-2", "e-3"])?;
+    let far = |n: usize, status: &str| {
+        let address = ([127, 1, (n / 250) as u8, (n % 250) as u8], 7000).into();
+        let mut far = instance(&format!("far-{n}"), address, status);
+        far["Service"]["Meta"]["az"] = "hub".into();
+        far
+    };
+    let mut list: Vec<Value> = edge.iter().map(|b| instance(b.uid, b.address, READY)).collect();
+    agent.register(&list);
+    let running = start(daemon, folder, json!({"address": agent.address.to_string()}), true)?;
+    agent.wait_until_read();
+    let pid = running.child.id();
+    let load = Load::start(running.front, 8, PAUSE);
+    thread::sleep(Duration::from_secs(5));
+    let calm = load.quantiles();
+    let before = used(pid);
+    list.extend((0..FAR).map(|n| far(n, READY)));
+    let bytes = Value::from(list.clone()).to_string().len();
+    let begun = Instant::now();
+    agent.register(&list);
+    if !agent.wait_until_read() {
+        return Err(io::Error::other("the list was not read"));
+    }
+    let took = begun.elapsed();
+    thread::sleep(Duration::from_millis(300));
+    let after = used(pid);
+    println!("| {FAR} instances, {:.1} MB of JSON | |\n| --- | --- |", bytes as f64 / 1e6);
+    println!("| from the change to the next query | {} ms |", took.as_millis());
+    println!("| CPU of the daemon meanwhile, with its requests | {} ms |", after.0 - before.0);
+    println!("| resident memory before, after, at most | {}, {}, {} kB |", before.1, after.1, after.2);
+    let _ = load.quantiles();
+    let (asked, begun, cpu) = (agent.asked().len(), Instant::now(), used(pid).0);
+    let changes = rounds as usize * 10_000 / 60;
+    for n in 0..changes {
+        let at = n * 7 % FAR;
+        agent.update(edge.len() + at, &far(at, if n % 2 == 0 { "critical" } else { READY }));
+        thread::sleep(Duration::from_millis(6 * n as u64).saturating_sub(begun.elapsed()));
+    }
+    let (busy, s) = (load.quantiles(), begun.elapsed().as_secs_f64());
+    let queries = (agent.asked().len() - asked) as f64 / s;
+    println!("| changes a second, queries a second | {:.0}, {queries:.1} |", changes as f64 / s);
+    println!("| CPU of the daemon meanwhile | {:.0}% of a core |", (used(pid).0 - cpu) as f64 / s / 10.0);
+    println!("| requests' p50 and p99 with 4 boxes and no changes | {:.2}, {:.2} ms |", calm.0, calm.1);
+    println!("| requests' p50 and p99 meanwhile | {:.2}, {:.2} ms |", busy.0, busy.1);
+    println!("| resident memory at the end, at most | {}, {} kB |", used(pid).1, used(pid).2);
+    let (asked, refused) = load.end();
+    println!("| requests, refused | {asked}, {refused} |");
+    Ok(())
+}
+
+fn restart(daemon: &Path, folder: &Path, rounds: u32) -> io::Result<()> {
+    let agent = Agent::start()?;
+    let edge = boxes(&["e-0", "e-1"])?;
+    let list: Vec<Value> = edge.iter().map(|b| instance(b.uid, b.address, READY)).collect();
+    agent.register(&list);
+    let consul = json!({"address": agent.address.to_string()});
+    let running = start(daemon, folder, consul.clone(), true)?;
+    agent.wait_until_read();
+    while !folder.join("boxes-0.list").exists() {
+        thread::sleep(Duration::from_millis(10));
+    }
+    drop(running);
+    agent.behave(Manner::Gone);
+    let mut took = Histogram::<u64>::new(3).map_err(io::Error::other)?;
+    let mut failed = 0;
+    for n in 0..rounds {
+        let begun = Instant::now();
+        let running = start(daemon, folder, consul.clone(), true)?;
+        let mut web = WebServer::connect(running.front)?;
+        web.ask(1, "photo", &object(u64::from(n)), 2500)?;
+        failed += u32::from(web.end()?.1.is_none_or(|a| a.status != 200));
+        took.record(begun.elapsed().as_millis() as u64).map_err(io::Error::other)?;
+    }
+    println!("{failed} of {rounds} first requests were not served\n");
+    println!("| ms from the start to the first answer | starts | p50 | p99 | most |\n| --- | --- | --- | --- | --- |");
+    row("after kill -9, the agent away, from the kept list", &took);
+    Ok(())
+}
+
+fn main() -> io::Result<()> {
+    let arguments = Arguments::parse();
+    let beside = std::env::current_exe()?.parent().and_then(Path::parent).map(|p| p.join("linnetknot"));
+    let daemon = arguments.daemon.or(beside).unwrap_or_default();
+    let folder = std::env::temp_dir().join(format!("linnetknot-figures-{}", std::process::id()));
+    let result = match arguments.what {
+        What::Drain => drain(&daemon, &folder, arguments.rounds),
+        What::Flap => flap(&daemon, &folder, arguments.rounds),
+        What::Size => size(&daemon, &folder, arguments.rounds),
+        What::Restart => restart(&daemon, &folder, arguments.rounds),
+    };
+    let _ = fs::remove_dir_all(&folder);
+    result
+}
--- a/daemon/src/daemon/feeds/consul/call.rs
+++ b/daemon/src/daemon/feeds/consul/call.rs
@@ -9,6 +9,7 @@
 
 /// What came of a call: head and body of the response, or none.
 pub(super) type Outcome = Result<(Head, Vec<u8>), Failure>;
+type Parts = fn(&mut Daemon, usize, &[u8]);
 type Then = Box<dyn FnOnce(&mut Daemon, Micros, Outcome)>;
 
 /// One call.
@@ -17,6 +18,9 @@
     messages: Messages,
     head: Option<Head>,
     body: Vec<u8>,
+    /// Who takes the parts of a body with status 200 as they come.
+    parts: Option<Parts>,
+    number: usize,
     then: Option<Then>,
 }
 
@@ -29,7 +33,14 @@
         then: impl FnOnce(&mut Daemon, Micros, Outcome) + 'static,
     ) -> Box<Self> {
         let messages = Messages::responses(most_line, most_body);
-        Box::new(Call { request, messages, head: None, body: Vec::new(), then: Some(Box::new(then)) })
+        let then: Option<Then> = Some(Box::new(then));
+        Box::new(Call { request, messages, head: None, body: Vec::new(), parts: None, number: 0, then })
+    }
+
+    /// Hands the parts of a body with status 200 on as they come, with the number given here.
+    pub(super) fn in_parts(mut self: Box<Self>, number: usize, parts: Parts) -> Box<Self> {
+        (self.number, self.parts) = (number, Some(parts));
+        self
     }
 }
 
@@ -45,7 +56,13 @@
             match piece {
                 None => return Ok(Flow::More),
                 Some(Piece::Head(head)) => self.head = Some(head),
-                Some(Piece::Body(bytes)) => self.body.extend(bytes),
+                Some(Piece::Body(bytes)) => match (self.parts, self.head.as_ref().and_then(Head::status)) {
+                    (Some(parts), Some(200)) => {
+                        let number = self.number;
+                        effects.push(Box::new(move |daemon, _| parts(daemon, number, &bytes)));
+                    }
+                    _ => self.body.extend(bytes),
+                },
                 Some(Piece::End) => {
                     let body = std::mem::take(&mut self.body);
                     if let Some((head, then)) = self.head.take().zip(self.then.take()) {
--- a/daemon/src/daemon/feeds/consul/mod.rs
+++ b/daemon/src/daemon/feeds/consul/mod.rs
@@ -95,6 +95,7 @@
         let request = call.to_bytes(&to.to_string(), state.token.as_ref());
         let then = move |daemon: &mut Daemon, now, outcome: Outcome| daemon.watch_told(now, n, outcome);
         let exchange = Call::new(request, self.limits.line, state.most_answer, then);
+        let exchange = exchange.in_parts(n, Daemon::watch_reads);
         let key = self.exchange(now, to, exchange, Some(call.timeout_us));
         if let Some(w) = self.consul.as_mut().and_then(|c| c.watches.get_mut(n)) {
             w.key = key;
@@ -104,6 +105,13 @@
         }
     }
 
+    /// A part of an answer: read as it comes, so that a long one takes the loop's time in small steps.
+    fn watch_reads(&mut self, n: usize, bytes: &[u8]) {
+        if let Some(w) = self.consul.as_mut().and_then(|c| c.watches.get_mut(n)) {
+            w.watch.read(bytes);
+        }
+    }
+
     fn watch_told(&mut self, now: Micros, n: usize, outcome: Outcome) {
         let Some(w) = self.consul.as_mut().and_then(|c| c.watches.get_mut(n)) else { return };
         w.key = None;
