--- a/rehearse/src/lib.rs
+++ b/rehearse/src/lib.rs
@@ -7,6 +7,9 @@
 pub mod bus;
 pub mod clients;
 mod play;
+pub mod record;
+pub mod rules;
+pub mod score;
 pub mod stand_ins;
 
 pub use play::{rehearse, settings, Plant};
--- /dev/null
+++ b/rehearse/src/record.rs
@@ -0,0 +1,206 @@
+//! What a rehearsal writes down: who was asked what, what reached which box, what was told to whom. Plain data with
+//! times, so that rules and scores are judged from the records alone, after the fact and without a socket.
+
+/// Unix time or duration in microseconds.
+pub type Micros = u64;
+
+/// How often a request may take effect.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Repeat {
+    /// At will.
+    Safe,
+    /// Once for a key: repeats within so long are dropped.
+    Keyed(Micros),
+    /// Once.
+    Unsafe,
+}
+
+/// A class of requests.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Class {
+    /// Its name.
+    pub name: String,
+    /// How often one may take effect.
+    pub repeat: Repeat,
+    /// An answer within this time, and `stretch` times its own sending time, is in time.
+    pub aim_us: Micros,
+    /// See `aim_us`.
+    pub stretch: f64,
+    /// Worth of one.
+    pub worth: f64,
+    /// Share of the worth that a late answer earns.
+    pub late_worth: f64,
+}
+
+/// A client's try of a request.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Asked {
+    /// Its id, new with every try.
+    pub id: String,
+    /// The first try that this one repeats; its own id for a first try.
+    pub first: String,
+    /// Its class, by its place.
+    pub class: usize,
+    /// Which proxy it went to.
+    pub proxy: usize,
+    /// The object.
+    pub object: String,
+    /// Group of the object.
+    pub group: u64,
+    /// The idempotency key.
+    pub key: Option<String>,
+    /// Sending time of its answer.
+    pub work_us: Micros,
+    /// When its last byte was written.
+    pub at: Micros,
+    /// When the client gives up.
+    pub until: Micros,
+    /// No answer is owed from then on: the client took it back, or the proxy's process ended by the rehearsal's hand.
+    pub released: Option<Micros>,
+}
+
+/// A final answer, as its client read it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Final {
+    /// Served: when its copy was made, and whether its bytes are those of the part.
+    Served {
+        /// When the origin gave the copy out; none: not told.
+        made: Option<Micros>,
+        /// Its bytes are whole and unchanged.
+        whole: bool,
+    },
+    /// Refused, and whether the client was told when to come back.
+    Refused {
+        /// It was.
+        advised: bool,
+    },
+    /// Failed.
+    Failed,
+}
+
+/// A final answer and when it was whole.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Answered {
+    /// The try.
+    pub id: String,
+    /// When.
+    pub at: Micros,
+    /// What.
+    pub answer: Final,
+}
+
+/// How an attempt ended at its box.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ended {
+    /// It ran.
+    Ran,
+    /// Turned away unseen: it never ran.
+    Unseen,
+    /// Given up by the proxy, or its connection ended: it may have run.
+    GivenUp,
+}
+
+/// An attempt that arrived whole at a box.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Attempt {
+    /// The try.
+    pub id: String,
+    /// The proxy that sent it.
+    pub proxy: usize,
+    /// The box, hub cache or origin.
+    pub target: String,
+    /// The source named for its fill.
+    pub source: Option<String>,
+    /// When its first byte came, and its last.
+    pub first_byte: Micros,
+    /// See `first_byte`.
+    pub at: Micros,
+    /// How it ended, and when; none: it never did.
+    pub ended: Option<(Micros, Ended)>,
+    /// Its sending time, as work for the target; 0 for one that only looked.
+    pub work_us: Micros,
+    /// Work that its fill was for its source; 0 where none was asked.
+    pub fill_us: Micros,
+}
+
+/// What a proxy is told, or counts as told.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Word {
+    /// A box takes work, again or for the first time.
+    Ready(String),
+    /// A box drains or is gone.
+    Out(String),
+    /// An object, or with none a group, was purged at this time.
+    Purged {
+        /// The object.
+        object: Option<String>,
+        /// The group.
+        group: u64,
+        /// When.
+        at: Micros,
+    },
+}
+
+/// A word to one proxy.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Told {
+    /// The proxy.
+    pub proxy: usize,
+    /// When.
+    pub at: Micros,
+    /// What.
+    pub word: Word,
+}
+
+/// A box or hub cache that started during the rehearsal.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Cold {
+    /// Its id.
+    pub uid: String,
+    /// When it started.
+    pub at: Micros,
+    /// What it can give when warm, in transfers at full pace.
+    pub capacity: f64,
+    /// Share of that at its start.
+    pub share: f64,
+    /// When it is warm, from its start.
+    pub warm_us: Micros,
+    /// Asked for more than this multiple of its present capacity for `fall_us`, it falls over.
+    pub multiple: f64,
+    /// See `multiple`.
+    pub fall_us: Micros,
+}
+
+/// The figures of the rules, with what sockets add to every time limit.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Limits {
+    /// Nothing new to a box later than this after word that it drains or is gone.
+    pub drain_us: Micros,
+    /// Nothing older than a purge later than this after word of it.
+    pub purge_us: Micros,
+    /// Attempts for a request.
+    pub attempts: usize,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Limits { drain_us: 1_050_000, purge_us: 350_000, attempts: 6 }
+    }
+}
+
+/// All that a rehearsal wrote down.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Record {
+    /// Classes.
+    pub classes: Vec<Class>,
+    /// Tries.
+    pub asked: Vec<Asked>,
+    /// Final answers.
+    pub answered: Vec<Answered>,
+    /// Attempts.
+    pub attempts: Vec<Attempt>,
+    /// Words.
+    pub told: Vec<Told>,
+    /// Boxes that started.
+    pub cold: Vec<Cold>,
+}
--- /dev/null
+++ b/rehearse/src/rules/cold.rs
@@ -0,0 +1,83 @@
+//! Cold boxes and hub caches: the work sent to one in any window, by all proxies together, stays under the multiple of
+//! what it can do in that window.
+
+use super::{Breach, Case};
+use crate::record::{Cold, Micros};
+
+/// What a box can do between two times, in microseconds of work: its capacity rises in a line until it is warm.
+fn able(c: &Cold, from: Micros, to: Micros) -> f64 {
+    // The integral of the line up to a time from its start.
+    let upto = |at: Micros| {
+        let t = at.saturating_sub(c.at) as f64;
+        let warm = c.warm_us.max(1) as f64;
+        let rising = t.min(warm);
+        let line = c.share * rising + (1.0 - c.share) * rising * rising / (2.0 * warm);
+        c.capacity * (line + (t - rising))
+    };
+    upto(to) - upto(from)
+}
+
+pub(super) fn check(case: &Case<'_>, out: &mut Vec<Breach>) {
+    for c in &case.record.cold {
+        let mut work: Vec<(Micros, f64)> = Vec::new();
+        for a in &case.record.attempts {
+            if a.target == c.uid && a.at >= c.at {
+                work.push((a.at, a.work_us as f64));
+            }
+            if a.source.as_ref() == Some(&c.uid) && a.at >= c.at && a.fill_us > 0 {
+                work.push((a.at, a.fill_us as f64));
+            }
+        }
+        work.sort_by_key(|w| w.0);
+        let end = c.at + c.warm_us;
+        let (mut first, mut sum) = (0, 0.0);
+        for n in 0..work.len() {
+            sum += work[n].1;
+            // The window that ends with this arrival; one that reaches back before the start is no shorter for that.
+            while work[first].0 + c.fall_us < work[n].0 {
+                sum -= work[first].1;
+                first += 1;
+            }
+            let from = work[n].0.saturating_sub(c.fall_us).max(c.at);
+            let may = c.multiple * able(c, from, from + c.fall_us);
+            if work[n].0 <= end && sum > may {
+                out.push(Breach {
+                    rule: "cold boxes",
+                    request: None,
+                    target: Some(c.uid.clone()),
+                    at: work[n].0,
+                    evidence: format!(
+                        "{:.0} ms of work in {} ms, {:.0} ms may be sent, {} ms after its start",
+                        sum / 1e3,
+                        c.fall_us / 1000,
+                        may / 1e3,
+                        (work[n].0 - c.at) / 1000
+                    ),
+                });
+                break;
+            }
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn what_a_cold_box_can_do_is_the_area_under_its_line() {
+        let c = Cold {
+            uid: "a".into(),
+            at: 100,
+            capacity: 2.0,
+            share: 0.2,
+            warm_us: 1000,
+            multiple: 1.0,
+            fall_us: 100,
+        };
+        assert!((able(&c, 100, 1100) - 2.0 * 600.0).abs() < 1e-6);
+        assert!((able(&c, 1100, 1200) - 200.0).abs() < 1e-6, "warm");
+        assert!((able(&c, 100, 101) - 0.4).abs() < 0.01);
+        assert_eq!(able(&c, 0, 100), 0.0, "before its start it can do nothing");
+    }
+}
--- /dev/null
+++ b/rehearse/tests/rules.rs
@@ -0,0 +1,204 @@
+//! The rules and the score from records alone: a sound record breaks none, and each planted fault is named.
+
+use linnetknot_rehearse::record::*;
+use linnetknot_rehearse::rules::{judge, Breach, RULES};
+use linnetknot_rehearse::score::score;
+use std::collections::BTreeSet;
+
+const MS: Micros = 1000;
+const S: Micros = 1_000_000;
+
+fn class(name: &str, repeat: Repeat, worth: f64) -> Class {
+    Class { name: name.into(), repeat, aim_us: 300 * MS, stretch: 2.0, worth, late_worth: 0.2 }
+}
+
+fn asked(id: &str, class: usize, at: Micros) -> Asked {
+    let key = (class == 1).then(|| format!("key-{id}"));
+    let (id, object) = (id.to_owned(), "o".to_owned());
+    let (first, work_us, until) = (id.clone(), 50 * MS, at + 2 * S);
+    Asked { id, first, class, proxy: 0, object, group: 3, key, work_us, at, until, released: None }
+}
+
+fn attempt(id: &str, target: &str, at: Micros, took: Micros, ended: Ended) -> Attempt {
+    Attempt {
+        id: id.into(),
+        proxy: 0,
+        target: target.into(),
+        source: None,
+        first_byte: at,
+        at,
+        ended: Some((at + took, ended)),
+        work_us: 50 * MS,
+        fill_us: 0,
+    }
+}
+
+fn served(id: &str, at: Micros, made: Micros) -> Answered {
+    Answered { id: id.into(), at, answer: Final::Served { made: Some(made), whole: true } }
+}
+
+fn told(at: Micros, word: Word) -> Told {
+    Told { proxy: 0, at, word }
+}
+
+/// Two requests, a retry behind a refusal, a post, a drain, a purge and a cold box, all as they should be.
+fn sound() -> Record {
+    let mut retry = asked("c2", 0, 31 * S);
+    retry.first = "c1".into();
+    Record {
+        classes: vec![
+            class("photo", Repeat::Safe, 1.0),
+            class("post", Repeat::Keyed(3 * S), 3.0),
+            class("pay", Repeat::Unsafe, 3.0),
+        ],
+        asked: vec![
+            asked("a", 0, 10 * S),
+            asked("b", 1, 20 * S),
+            asked("c1", 0, 30 * S),
+            retry,
+            asked("d", 2, 40 * S),
+        ],
+        answered: vec![
+            served("a", 10 * S + 80 * MS, 9 * S),
+            served("b", 20 * S + 900 * MS, 20 * S),
+            Answered { id: "c1".into(), at: 30 * S + MS, answer: Final::Refused { advised: true } },
+            served("c2", 31 * S + 90 * MS, 30 * S),
+            Answered { id: "d".into(), at: 41 * S, answer: Final::Failed },
+        ],
+        attempts: vec![
+            attempt("a", "box-1", 10 * S, 70 * MS, Ended::Ran),
+            attempt("b", "origin", 20 * S, 100 * MS, Ended::GivenUp),
+            attempt("b", "origin", 20 * S + 200 * MS, 600 * MS, Ended::Ran),
+            attempt("c2", "box-2", 31 * S, 80 * MS, Ended::Ran),
+            attempt("d", "origin", 40 * S, 10 * MS, Ended::Unseen),
+            attempt("d", "origin", 40 * S + 20 * MS, 10 * MS, Ended::Ran),
+        ],
+        told: vec![
+            told(25 * S, Word::Out("box-1".into())),
+            told(29 * S, Word::Purged { object: Some("o".into()), group: 0, at: 28 * S }),
+        ],
+        cold: vec![Cold {
+            uid: "box-2".into(),
+            at: 30 * S,
+            capacity: 8.0,
+            share: 0.15,
+            warm_us: 13 * S,
+            multiple: 2.5,
+            fall_us: 3 * S,
+        }],
+    }
+}
+
+fn broken(record: &Record) -> Vec<Breach> {
+    judge(record, &Limits::default())
+}
+
+/// A fault, and the rule that it breaks.
+type Fault = (&'static str, fn(&mut Record));
+
+const FAULTS: [Fault; 17] = [
+    ("one answer", |r| drop(r.answered.remove(0))),
+    ("one answer", |r| r.answered[0].at = 12 * S + 1),
+    ("one answer", |r| r.answered.push(served("a", 11 * S, 9 * S))),
+    ("one answer", |r| r.answered.push(served("nobody's", 11 * S, 9 * S))),
+    ("whole bytes", |r| r.answered[0].answer = Final::Served { made: Some(9 * S), whole: false }),
+    ("advice", |r| r.answered[2].answer = Final::Refused { advised: false }),
+    ("one out", |r| r.attempts[1].ended = Some((20 * S + 250 * MS, Ended::GivenUp))),
+    ("one out", |r| r.attempts[1].ended = None),
+    ("six attempts", |r| {
+        r.attempts
+            .extend((1..7).map(|n| attempt("a", "box-3", 10 * S + (70 + n * 9) * MS, 5 * MS, Ended::Unseen)));
+    }),
+    ("repeats", |r| r.attempts[2].at = 23 * S),
+    ("repeats", |r| r.attempts[4].ended = Some((40 * S + 10 * MS, Ended::GivenUp))),
+    ("repeats", |r| r.attempts[0].id = "unknown".into()),
+    ("drains", |r| r.attempts[3].target = "box-1".into()),
+    ("drains", |r| r.attempts[3].source = Some("box-1".into())),
+    // A second word does not begin the grace anew.
+    ("drains", |r| {
+        r.told.push(told(30 * S + 900 * MS, Word::Out("box-1".into())));
+        r.attempts[3].target = "box-1".into();
+    }),
+    ("cold boxes", |r| {
+        let fills = (0..40).map(|n| {
+            let mut a = attempt("c2", "box-9", 31 * S + 100 * MS + n, 0, Ended::Unseen);
+            (a.source, a.fill_us) = (Some("box-2".into()), 400 * MS);
+            a
+        });
+        r.attempts.extend(fills);
+    }),
+    ("purges", |r| r.answered[3] = served("c2", 31 * S + 90 * MS, 28 * S - 1)),
+];
+
+#[test]
+fn a_sound_record_breaks_no_rule_and_each_fault_is_named_with_its_evidence() {
+    assert_eq!(broken(&sound()), []);
+    let mut named = BTreeSet::new();
+    for (n, (rule, plant)) in FAULTS.iter().enumerate() {
+        let mut record = sound();
+        plant(&mut record);
+        let breaches = broken(&record);
+        let of: Vec<&Breach> = breaches.iter().filter(|b| b.rule == *rule).collect();
+        assert!(!of.is_empty(), "fault {n} breaks '{rule}': {breaches:?}");
+        assert!(of.iter().all(|b| b.request.is_some() || b.target.is_some()), "{of:?}");
+        assert!(of.iter().all(|b| b.at >= 9 * S && !b.evidence.is_empty()), "{of:?}");
+        // Forty fills are also more than six attempts; all other faults break their rule alone.
+        let others = breaches.iter().filter(|b| b.rule != *rule).count();
+        assert!(others == 0 || *rule == "cold boxes", "fault {n}: {breaches:?}");
+        named.insert(*rule);
+    }
+    assert_eq!(named.len(), RULES.len(), "each rule is broken by some fault");
+    assert!(RULES.iter().all(|(rule, _)| named.contains(rule)));
+}
+
+#[test]
+fn what_lies_within_a_grace_or_was_released_is_no_breach() {
+    let mut record = sound();
+    // Sent 1 s after word of the drain, and 300 ms after word of a purge.
+    record.told = vec![
+        told(9 * S, Word::Out("box-1".into())),
+        told(10 * S - 350 * MS, Word::Purged { object: None, group: 3, at: 9 * S + 1 }),
+    ];
+    record.cold.clear();
+    assert_eq!(broken(&record), []);
+    // One ms more, and both are.
+    record.told.iter_mut().for_each(|t| t.at -= 51 * MS);
+    let rules: Vec<&str> = broken(&record).iter().map(|b| b.rule).collect();
+    assert_eq!(rules, ["drains", "purges"]);
+    // Ready again in between: its word holds.
+    record.told.push(told(9 * S + MS, Word::Ready("box-1".into())));
+    assert_eq!(broken(&record).iter().map(|b| b.rule).collect::<Vec<_>>(), ["purges"]);
+    // A client that took its request back is owed nothing, and two answers are too many all the same.
+    let mut record = sound();
+    record.answered.remove(0);
+    record.asked[0].released = Some(11 * S);
+    assert_eq!(broken(&record), []);
+    // A cold box may be given what it can bear.
+    let mut record = sound();
+    record.attempts[3].work_us = 7 * S;
+    assert_eq!(broken(&record), [], "8 x 2.5 x 3 s at 15% and rising is more than that");
+    record.attempts[3].work_us = 20 * S;
+    assert_eq!(broken(&record)[0].rule, "cold boxes");
+}
+
+#[test]
+fn the_score_is_worth_in_time_over_worth_asked_with_retries_counted_as_one() {
+    let out = score(&sound());
+    // a in time; b late, of which a fifth counts; c served by its retry, late by its first try; d failed.
+    let earned = 1.0 + 3.0 * 0.2 + 0.2;
+    assert!((out.whole.asked - 8.0).abs() < 1e-9 && (out.whole.earned - earned).abs() < 1e-9, "{out:?}");
+    assert!((out.whole.late - (2.4 + 0.8)).abs() < 1e-9);
+    assert_eq!((out.whole.failed, out.whole.refused, out.whole.unanswered), (3.0, 0.0, 0.0));
+    assert_eq!(out.classes.iter().map(|c| c.asked).collect::<Vec<_>>(), [2.0, 3.0, 3.0]);
+    assert_eq!((out.seconds.len(), out.seconds[0].asked, out.seconds[1].asked), (31, 1.0, 0.0));
+    assert_eq!(out.worst.unwrap().1, 0.0, "the seconds of which only the failed one is a part");
+    // Without its retry, c is refused; without any answer, unanswered.
+    let mut record = sound();
+    (record.asked.remove(3), record.answered.remove(3));
+    assert_eq!(score(&record).whole.refused, 1.0);
+    record.answered.clear();
+    assert_eq!(score(&record).whole.unanswered, 8.0);
+    // Nothing asked is no score at all, rather than a good one.
+    assert_eq!(score(&Record::default()).whole.score(), None);
+    assert_eq!(score(&Record::default()).worst, None);
+}
