--- a/rehearse/src/lib.rs
+++ b/rehearse/src/lib.rs
@@ -6,9 +6,11 @@
 pub mod boxes;
 pub mod bus;
 pub mod clients;
+pub mod load;
 mod play;
 pub mod record;
 pub mod rules;
+pub mod scenario;
 pub mod score;
 pub mod stand_ins;
 
--- /dev/null
+++ b/rehearse/src/load.rs
@@ -0,0 +1,186 @@
+//! What is asked for in a rehearsal, drawn ahead from a seed: an open loop, whose arrivals never wait for answers, so
+//! that a slow answer does not hide the requests behind it. The same scenario and seed give the same plan.
+
+use crate::scenario::{ClassLoad, Scenario, What};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use rand_distr::{Distribution, Exp, LogNormal, Zipf};
+
+/// A request that is to be sent.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Arrival {
+    /// When, in microseconds from the beginning.
+    pub at: u64,
+    /// Its class, by its place in the scenario.
+    pub class: usize,
+    /// The object.
+    pub object: u64,
+    /// The part.
+    pub part: u64,
+    /// Size of the part, in KB.
+    pub size_kb: f64,
+    /// How long its client waits, in microseconds.
+    pub budget: u64,
+    /// The proxy that its client comes to.
+    pub proxy: u32,
+    /// The idempotency key.
+    pub key: Option<u64>,
+}
+
+/// A purge that is to be told.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Purge {
+    /// When, in microseconds from the beginning.
+    pub at: u64,
+    /// The object, or else the group.
+    pub what: Result<u64, u64>,
+}
+
+/// All that a rehearsal asks and purges, in the order of time.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Plan {
+    /// Requests.
+    pub arrivals: Vec<Arrival>,
+    /// Purges.
+    pub purges: Vec<Purge>,
+}
+
+/// Groups of objects, as the platform numbers them.
+pub const GROUPS: u64 = 256;
+
+fn mix(mut x: u64) -> u64 {
+    x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    x ^ (x >> 31)
+}
+
+/// Group of an object.
+pub fn group(object: u64) -> u64 {
+    mix(object) % GROUPS
+}
+
+/// The factor of the load at a time, in seconds.
+pub fn factor(shape: &[(f64, f64)], at: f64) -> f64 {
+    let after = shape.iter().position(|(t, _)| *t > at);
+    match (shape, after) {
+        ([], _) => 1.0,
+        (all, None) => all[all.len() - 1].1,
+        (all, Some(0)) => all[0].1,
+        (all, Some(n)) => {
+            let ((t0, f0), (t1, f1)) = (all[n - 1], all[n]);
+            f0 + (f1 - f0) * (at - t0) / (t1 - t0)
+        }
+    }
+}
+
+/// A class's objects and sizes.
+struct Source<'a> {
+    class: &'a ClassLoad,
+    place: usize,
+    popularity: Option<Zipf<f64>>,
+    sizes: Option<LogNormal<f64>>,
+    once: u64,
+}
+
+impl<'a> Source<'a> {
+    fn new(place: usize, class: &'a ClassLoad) -> Self {
+        Source {
+            class,
+            place,
+            popularity: Zipf::new(class.objects as f64, class.zipf).ok(),
+            sizes: LogNormal::new(class.median_kb.max(0.001).ln(), class.sigma).ok(),
+            once: 0,
+        }
+    }
+
+    fn object(&mut self, random: &mut ChaCha8Rng, at: f64) -> u64 {
+        let (c, tag) = (self.class, (self.place as u64 + 1) << 56);
+        if random.random_bool(c.once) {
+            self.once += 1;
+            return mix(tag ^ (1 << 55) ^ self.once);
+        }
+        let rank = self.popularity.as_ref().map_or(1.0, |z| z.sample(random)) as u64;
+        // The order moves on: what stands at a rank is another object some seconds later.
+        mix(tag ^ (rank + (c.drift * at) as u64))
+    }
+
+    /// Size of a part: the same whenever it is asked for.
+    fn size_kb(&self, object: u64, part: u64) -> f64 {
+        let mut own = ChaCha8Rng::seed_from_u64(mix(object ^ mix(part)));
+        self.sizes.as_ref().map_or(self.class.median_kb, |s| s.sample(&mut own))
+    }
+}
+
+/// Draws the plan of a scenario.
+pub fn plan(scenario: &Scenario, seed: u64) -> Plan {
+    let mut plan = Plan::default();
+    let end = scenario.seconds;
+    for (place, class) in scenario.load.classes.iter().enumerate() {
+        // Each class and the purges have a stream of chance of their own: a change of one leaves the others alone.
+        let mut random = ChaCha8Rng::seed_from_u64(seed);
+        random.set_stream(place as u64 + 1);
+        let mut source = Source::new(place, class);
+        let parts = (class.parts.0 + class.parts.1) as f64 / 2.0;
+        let Ok(gaps) = Exp::new(scenario.load.rate * class.share / parts) else { continue };
+        let mut at = gaps.sample(&mut random);
+        while at < end {
+            // Thinned to the shape: what comes at full rate is kept by the factor of its moment.
+            let kept = random.random_bool(factor(&scenario.load.shape, at).clamp(0.0, 1.0));
+            let mut object = source.object(&mut random, at);
+            for (n, f) in scenario.faults.iter().enumerate() {
+                if let What::HotObject { class: hot, share } = &f.what {
+                    let now = *hot == class.name && (f.at..f.at + f.lasts).contains(&at);
+                    if now && random.random_bool(*share) {
+                        object = mix(0x4007 ^ mix(n as u64));
+                    }
+                }
+            }
+            let proxy = random.random_range(0..scenario.proxies.max(1));
+            let count = random.random_range(class.parts.0..=class.parts.1);
+            let mut part_at = at;
+            for part in 0..if kept { count } else { 0 } {
+                if part_at >= end {
+                    break;
+                }
+                let key = class.keyed.then(|| random.random());
+                plan.arrivals.push(Arrival {
+                    at: (part_at * 1e6) as u64,
+                    class: place,
+                    object,
+                    part,
+                    size_kb: source.size_kb(object, part),
+                    budget: class.budget_ms * 1000,
+                    proxy,
+                    key,
+                });
+                part_at += random.random_range(class.gap.0..=class.gap.1);
+            }
+            at += gaps.sample(&mut random);
+        }
+    }
+    plan.arrivals.sort_by(|a, b| (a.at, a.class, a.object, a.part).cmp(&(b.at, b.class, b.object, b.part)));
+    purges(scenario, seed, &mut plan);
+    plan
+}
+
+fn purges(scenario: &Scenario, seed: u64, plan: &mut Plan) {
+    let mut random = ChaCha8Rng::seed_from_u64(seed);
+    random.set_stream(0);
+    if let (Ok(gaps), false) = (Exp::new(scenario.load.purges), plan.arrivals.is_empty()) {
+        let mut at = if scenario.load.purges > 0.0 { gaps.sample(&mut random) } else { f64::INFINITY };
+        while at < scenario.seconds {
+            // Families purge what is looked at: popular objects more often.
+            let object = plan.arrivals[random.random_range(0..plan.arrivals.len())].object;
+            plan.purges.push(Purge { at: (at * 1e6) as u64, what: Ok(object) });
+            at += gaps.sample(&mut random);
+        }
+    }
+    for f in &scenario.faults {
+        if let What::MassPurge { share } = f.what {
+            let all = 0..GROUPS;
+            let struck = all.filter(|g| (mix(seed ^ mix(*g)) as f64) < share * u64::MAX as f64);
+            plan.purges.extend(struck.map(|g| Purge { at: (f.at * 1e6) as u64, what: Err(g) }));
+        }
+    }
+    plan.purges.sort_by_key(|p| p.at);
+}
--- a/rehearse/src/rules/purges.rs
+++ b/rehearse/src/rules/purges.rs
@@ -4,9 +4,12 @@
 use crate::record::{Final, Micros, Word};
 use std::collections::BTreeMap;
 
+/// What is purged: an object, or else a group.
+type What<'a> = Result<&'a str, u64>;
+
 pub(super) fn check(case: &Case<'_>, out: &mut Vec<Breach>) {
     // By proxy and what is purged: when it was told, and of which time the purge is.
-    let mut purges: BTreeMap<(usize, Result<&str, u64>), Vec<(Micros, Micros)>> = BTreeMap::new();
+    let mut purges: BTreeMap<(usize, What<'_>), Vec<(Micros, Micros)>> = BTreeMap::new();
     for t in &case.record.told {
         if let Word::Purged { object, group, at } = &t.word {
             let what = object.as_deref().ok_or(*group);
--- /dev/null
+++ b/rehearse/src/scenario.rs
@@ -0,0 +1,184 @@
+//! The form of a scenario: JSON, read with the path of the key at fault, its JSON Schema made from the types.
+
+use schemars::JsonSchema;
+use serde::{Deserialize, Serialize};
+
+/// A scenario: how long it lasts, what is asked for, and what goes wrong when.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct Scenario {
+    /// Its name.
+    pub name: String,
+    /// What it is for, in a sentence.
+    pub about: String,
+    /// How long clients ask, in seconds.
+    pub seconds: f64,
+    /// Proxies that clients come to.
+    pub proxies: u32,
+    /// What is asked for.
+    pub load: Load,
+    /// What goes wrong, and when.
+    #[serde(default)]
+    pub faults: Vec<Fault>,
+}
+
+/// What is asked for.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct Load {
+    /// Requests a second at factor 1, over all classes.
+    pub rate: f64,
+    /// The evening's rise and fall: at these seconds these factors, in lines between them; 1 throughout if empty.
+    #[serde(default)]
+    pub shape: Vec<(f64, f64)>,
+    /// Classes.
+    pub classes: Vec<ClassLoad>,
+    /// Purges of single objects, a second.
+    #[serde(default)]
+    pub purges: f64,
+}
+
+/// What is asked for of one class.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct ClassLoad {
+    /// Its name, as the settings have it.
+    pub name: String,
+    /// Its share of all requests.
+    pub share: f64,
+    /// Objects among which requests choose.
+    pub objects: u64,
+    /// Exponent of their popularity, by Zipf's law.
+    pub zipf: f64,
+    /// Share of requests for objects that nobody else asks for.
+    #[serde(default)]
+    pub once: f64,
+    /// Places by which the order of popularity moves on, a second.
+    #[serde(default)]
+    pub drift: f64,
+    /// Parts of an object, asked for in turn: least and most.
+    #[serde(default = "one_part")]
+    pub parts: (u64, u64),
+    /// Seconds between parts: least and most.
+    #[serde(default)]
+    pub gap: (f64, f64),
+    /// Median size of a part, in KB.
+    pub median_kb: f64,
+    /// Spread of the sizes: the standard deviation of their logarithm.
+    #[serde(default)]
+    pub sigma: f64,
+    /// How long clients wait, in milliseconds.
+    pub budget_ms: u64,
+    /// Requests carry a key.
+    #[serde(default)]
+    pub keyed: bool,
+}
+
+fn one_part() -> (u64, u64) {
+    (1, 1)
+}
+
+/// Something that goes wrong.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct Fault {
+    /// When it begins, in seconds.
+    pub at: f64,
+    /// How long it lasts, in seconds; 0 for what happens at once.
+    #[serde(default)]
+    pub lasts: f64,
+    /// What.
+    pub what: What,
+}
+
+/// What can go wrong in what is asked for.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[serde(rename_all = "kebab-case", deny_unknown_fields)]
+pub enum What {
+    /// A share of all groups is purged at once.
+    MassPurge {
+        /// The share.
+        share: f64,
+    },
+    /// One new object of a class draws this share of its requests.
+    HotObject {
+        /// The class.
+        class: String,
+        /// The share.
+        share: f64,
+    },
+}
+
+impl Scenario {
+    /// Reads a scenario. The message names the key at fault by its path.
+    pub fn read(text: &str) -> Result<Self, String> {
+        let mut de = serde_json::Deserializer::from_str(text);
+        let scenario: Scenario = serde_path_to_error::deserialize(&mut de).map_err(|e| {
+            let path = e.path().to_string();
+            format!("{path}: {}", e.into_inner())
+        })?;
+        de.end().map_err(|e| e.to_string())?;
+        scenario.check().map(|()| scenario)
+    }
+
+    fn check(&self) -> Result<(), String> {
+        let within = |key: String, value: f64, least: f64, most: f64| {
+            if value.is_finite() && (least..=most).contains(&value) {
+                Ok(())
+            } else {
+                Err(format!("{key}: {value} is not from {least} to {most}"))
+            }
+        };
+        within("seconds".into(), self.seconds, 1.0, 3600.0)?;
+        within("proxies".into(), f64::from(self.proxies), 1.0, 64.0)?;
+        within("load.rate".into(), self.load.rate, 0.1, 100_000.0)?;
+        within("load.purges".into(), self.load.purges, 0.0, 1000.0)?;
+        // All arrivals are drawn ahead and held.
+        within("load.rate times seconds".into(), self.load.rate * self.seconds, 1.0, 5e6)?;
+        let mut last = -1.0;
+        for (n, (at, factor)) in self.load.shape.iter().enumerate() {
+            within(format!("load.shape[{n}][1]"), *factor, 0.0, 1.0)?;
+            if *at <= last {
+                return Err(format!("load.shape[{n}][0]: {at} does not come after {last}"));
+            }
+            last = *at;
+        }
+        let sum: f64 = self.load.classes.iter().map(|c| c.share).sum();
+        within("load.classes: sum of 'share'".into(), sum, 0.999, 1.001)?;
+        for (n, c) in self.load.classes.iter().enumerate() {
+            let key = |key: &str| format!("load.classes[{n}].{key}");
+            within(key("share"), c.share, 0.0, 1.0)?;
+            within(key("objects"), c.objects as f64, 1.0, 1e9)?;
+            within(key("zipf"), c.zipf, 0.0, 5.0)?;
+            within(key("once"), c.once, 0.0, 1.0)?;
+            within(key("drift"), c.drift, 0.0, 1e6)?;
+            within(key("parts[0]"), c.parts.0 as f64, 1.0, 1000.0)?;
+            within(key("parts[1]"), c.parts.1 as f64, c.parts.0 as f64, 1000.0)?;
+            within(key("gap[0]"), c.gap.0, 0.0, 60.0)?;
+            within(key("gap[1]"), c.gap.1, c.gap.0, 60.0)?;
+            within(key("median_kb"), c.median_kb, 0.0, 1e6)?;
+            within(key("sigma"), c.sigma, 0.0, 3.0)?;
+            within(key("budget_ms"), c.budget_ms as f64, 1.0, 120_000.0)?;
+        }
+        for (n, f) in self.faults.iter().enumerate() {
+            let key = |key: &str| format!("faults[{n}].{key}");
+            within(key("at"), f.at, 0.0, self.seconds)?;
+            within(key("lasts"), f.lasts, 0.0, self.seconds)?;
+            match &f.what {
+                What::MassPurge { share } => within(key("what.mass-purge.share"), *share, 0.0, 1.0)?,
+                What::HotObject { class, share } => {
+                    within(key("what.hot-object.share"), *share, 0.0, 1.0)?;
+                    if !self.load.classes.iter().any(|c| c.name == *class) {
+                        return Err(format!("{}: there is no class '{class}'", key("what.hot-object.class")));
+                    }
+                }
+            }
+        }
+        Ok(())
+    }
+}
+
+/// The form's JSON Schema.
+pub fn schema() -> String {
+    serde_json::to_string_pretty(&schemars::schema_for!(Scenario)).unwrap_or_default() + "\n"
+}
--- /dev/null
+++ b/rehearse/tests/load.rs
@@ -0,0 +1,133 @@
+//! Scenarios and the plans drawn from them.
+
+use linnetknot_rehearse::load::{factor, group, plan, Arrival, Plan, GROUPS};
+use linnetknot_rehearse::scenario::{schema, Fault, Scenario, What};
+use std::collections::BTreeMap;
+
+const EVENING: &str = include_str!("../scenarios/chuseok-evening.json");
+
+fn evening() -> Scenario {
+    Scenario::read(EVENING).unwrap()
+}
+
+fn of(plan: &Plan, class: usize) -> Vec<&Arrival> {
+    plan.arrivals.iter().filter(|a| a.class == class).collect()
+}
+
+#[test]
+fn one_seed_gives_one_plan_and_a_change_of_one_class_leaves_the_others_alone() {
+    let scenario = evening();
+    let first = plan(&scenario, 7);
+    assert_eq!(first, plan(&scenario, 7));
+    assert_ne!(first, plan(&scenario, 8));
+    let mut other = scenario.clone();
+    other.load.classes[1].zipf = 0.3;
+    let changed = plan(&other, 7);
+    assert_eq!(of(&first, 0), of(&changed, 0));
+    assert_ne!(of(&first, 1), of(&changed, 1));
+    assert!(first.arrivals.windows(2).all(|w| w[0].at <= w[1].at), "in the order of time");
+    assert!(first.arrivals.iter().all(|a| a.at < 60_000_000 && a.proxy < 3 && a.size_kb > 0.0));
+}
+
+#[test]
+fn the_load_rises_and_falls_and_parts_come_in_turn() {
+    let scenario = evening();
+    let shape = &scenario.load.shape;
+    assert_eq!((factor(shape, 0.0), factor(shape, 10.0), factor(shape, 30.0)), (0.4, 0.7, 1.0));
+    assert_eq!((factor(shape, 90.0), factor(&[], 3.0)), (0.6, 1.0));
+    let plan = plan(&scenario, 3);
+    let within = |from: u64, to: u64| {
+        plan.arrivals.iter().filter(|a| (from * 1_000_000..to * 1_000_000).contains(&a.at)).count() as f64
+    };
+    // 210 a second at the top; videos that began earlier go on into it.
+    let top = within(28, 44) / 16.0;
+    assert!((170.0..250.0).contains(&top), "{top} a second");
+    assert!(within(0, 8) / 8.0 < 0.65 * top);
+    // Each part of a video lies a gap behind the one before.
+    let mut behind: BTreeMap<(u64, u32, u64), Vec<u64>> = BTreeMap::new();
+    for a in of(&plan, 0) {
+        behind.entry((a.object, a.proxy, a.part)).or_default().push(a.at);
+    }
+    let second = of(&plan, 0).into_iter().filter(|a| a.part > 0);
+    for a in second {
+        let before = &behind[&(a.object, a.proxy, a.part - 1)];
+        let gap = before.iter().any(|at| (380_000..=740_001).contains(&a.at.saturating_sub(*at)));
+        assert!(gap, "part {} of {:x} follows none", a.part, a.object);
+    }
+    // The same part has the same size whoever asks for it, and only posts carry keys, each its own.
+    let mut sizes = BTreeMap::new();
+    for a in &plan.arrivals {
+        let first = sizes.entry((a.class, a.object, a.part)).or_insert(a.size_kb);
+        assert_eq!(*first, a.size_kb);
+        assert_eq!(a.key.is_some(), a.class == 2);
+    }
+    let keys: std::collections::BTreeSet<_> = plan.arrivals.iter().filter_map(|a| a.key).collect();
+    assert_eq!(keys.len(), of(&plan, 2).len());
+}
+
+#[test]
+fn popular_objects_a_hot_one_and_purges_are_drawn_as_the_scenario_says() {
+    let mut scenario = evening();
+    scenario.load.classes[1].once = 0.5;
+    let out = plan(&scenario, 5);
+    let mut counts: BTreeMap<u64, usize> = BTreeMap::new();
+    of(&out, 1).iter().for_each(|a| *counts.entry(a.object).or_default() += 1);
+    let once = counts.values().filter(|n| **n == 1).count() as f64 / of(&out, 1).len() as f64;
+    assert!((0.45..0.75).contains(&once), "half, and the tail of the rest: {once}");
+    // Among the videos begun while it lasts, three in ten are of the hot one.
+    let within = 25_000_000..40_000_000;
+    let begun = |class: usize| of(&out, class).into_iter().filter(|a| a.part == 0 && within.contains(&a.at));
+    let mut counts: BTreeMap<u64, usize> = BTreeMap::new();
+    begun(0).for_each(|a| *counts.entry(a.object).or_default() += 1);
+    let share = *counts.values().max().unwrap() as f64 / begun(0).count() as f64;
+    assert!((0.2..0.5).contains(&share), "{share}");
+    let groups = out.purges.iter().filter(|p| p.what.is_err()).count() as f64;
+    assert!((0.3..0.5).contains(&(groups / GROUPS as f64)), "{groups} of {GROUPS}");
+    assert!(out.purges.iter().filter(|p| p.what.is_err()).all(|p| p.at == 40_000_000));
+    let objects: Vec<u64> = out.purges.iter().filter_map(|p| p.what.ok()).collect();
+    assert!((15..60).contains(&objects.len()) && objects.iter().all(|o| group(*o) < GROUPS));
+    scenario.load.purges = 0.0;
+    scenario.faults.clear();
+    assert_eq!(plan(&scenario, 5).purges, []);
+}
+
+#[test]
+fn scenarios_are_refused_by_the_path_of_the_key() {
+    for (from, to, path) in [
+        ("\"seconds\": 60", "\"seconds\": 0", "seconds: 0 is not from 1 to 3600"),
+        ("\"seconds\": 60", "\"second\": 60", "second: unknown field"),
+        ("\"rate\": 210", "\"rate\": 1e5", "load.rate times seconds: "),
+        ("\"rate\": 210", "\"rate\": \"fast\"", "load.rate: invalid type"),
+        ("[20, 1.0]", "[0, 1.0]", "load.shape[1][0]: 0 does not come after 0"),
+        ("[20, 1.0]", "[20, 2.0]", "load.shape[1][1]: 2 is not from 0 to 1"),
+        ("\"share\": 0.55", "\"share\": 0.5", "load.classes: sum of 'share'"),
+        ("\"parts\": [9, 19]", "\"parts\": [9, 3]", "load.classes[0].parts[1]: 3 is not from 9"),
+        ("\"median_kb\": 180,", "", "load.classes[1]: missing field `median_kb`"),
+        (
+            "\"class\": \"video-part\"",
+            "\"class\": \"film\"",
+            "faults[0].what.hot-object.class: there is no class",
+        ),
+        ("\"mass-purge\"", "\"meteor\"", "faults[1].what: unknown variant `meteor`"),
+        ("\"share\": 0.4 }", "\"share\": 4 }", "faults[1].what.mass-purge.share: 4 is not"),
+    ] {
+        let text = EVENING.replacen(from, to, 1);
+        assert_ne!(text, EVENING, "{from}");
+        let message = Scenario::read(&text).unwrap_err();
+        assert!(message.starts_with(path), "{path} | {message}");
+    }
+    assert!(Scenario::read(&EVENING[..EVENING.len() / 2]).is_err());
+    // What is written can be read again.
+    let mut scenario = evening();
+    scenario.faults.push(Fault { at: 1.0, lasts: 0.0, what: What::MassPurge { share: 0.1 } });
+    assert_eq!(Scenario::read(&serde_json::to_string(&scenario).unwrap()), Ok(scenario));
+}
+
+/// After a change of the types: `linnetknot-rehearse schema > docs/scenario.schema.json`.
+#[test]
+fn the_schema_in_the_docs_is_that_of_the_types() {
+    assert!(
+        schema() == include_str!("../../docs/scenario.schema.json"),
+        "docs/scenario.schema.json is not up to date"
+    );
+}
--- a/rehearse/tests/rules.rs
+++ b/rehearse/tests/rules.rs
@@ -194,7 +194,8 @@
     assert_eq!(out.worst.unwrap().1, 0.0, "the seconds of which only the failed one is a part");
     // Without its retry, c is refused; without any answer, unanswered.
     let mut record = sound();
-    (record.asked.remove(3), record.answered.remove(3));
+    record.asked.remove(3);
+    record.answered.remove(3);
     assert_eq!(score(&record).whole.refused, 1.0);
     record.answered.clear();
     assert_eq!(score(&record).whole.unanswered, 8.0);
