--- a/rehearse/src/load.rs
+++ b/rehearse/src/load.rs
@@ -158,7 +158,7 @@
             at += gaps.sample(&mut random);
         }
     }
-    plan.arrivals.sort_by(|a, b| (a.at, a.class, a.object, a.part).cmp(&(b.at, b.class, b.object, b.part)));
+    plan.arrivals.sort_by_key(|a| (a.at, a.class, a.object, a.part));
     purges(scenario, seed, &mut plan);
     plan
 }
--- a/rehearse/src/record.rs
+++ b/rehearse/src/record.rs
@@ -171,6 +171,27 @@
     pub fall_us: Micros,
 }
 
+impl Cold {
+    /// What it can do between two times, in microseconds of work: its capacity rises in a line until it is warm.
+    pub fn able(&self, from: Micros, to: Micros) -> f64 {
+        // The integral of the line up to a time from its start.
+        let upto = |at: Micros| {
+            let t = at.saturating_sub(self.at) as f64;
+            let warm = self.warm_us.max(1) as f64;
+            let rising = t.min(warm);
+            let line = self.share * rising + (1.0 - self.share) * rising * rising / (2.0 * warm);
+            self.capacity * (line + (t - rising))
+        };
+        upto(to) - upto(from)
+    }
+
+    /// What it can give at a time, in transfers at full pace.
+    pub fn capacity_at(&self, at: Micros) -> f64 {
+        let age = at.saturating_sub(self.at) as f64 / self.warm_us.max(1) as f64;
+        self.capacity * (self.share + (1.0 - self.share) * age).min(1.0)
+    }
+}
+
 /// The figures of the rules, with what sockets add to every time limit.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Limits {
--- a/rehearse/src/rules/cold.rs
+++ b/rehearse/src/rules/cold.rs
@@ -2,20 +2,7 @@
 //! what it can do in that window.
 
 use super::{Breach, Case};
-use crate::record::{Cold, Micros};
-
-/// What a box can do between two times, in microseconds of work: its capacity rises in a line until it is warm.
-fn able(c: &Cold, from: Micros, to: Micros) -> f64 {
-    // The integral of the line up to a time from its start.
-    let upto = |at: Micros| {
-        let t = at.saturating_sub(c.at) as f64;
-        let warm = c.warm_us.max(1) as f64;
-        let rising = t.min(warm);
-        let line = c.share * rising + (1.0 - c.share) * rising * rising / (2.0 * warm);
-        c.capacity * (line + (t - rising))
-    };
-    upto(to) - upto(from)
-}
+use crate::record::Micros;
 
 pub(super) fn check(case: &Case<'_>, out: &mut Vec<Breach>) {
     for c in &case.record.cold {
@@ -39,7 +26,7 @@
                 first += 1;
             }
             let from = work[n].0.saturating_sub(c.fall_us).max(c.at);
-            let may = c.multiple * able(c, from, from + c.fall_us);
+            let may = c.multiple * c.able(from, from + c.fall_us);
             if work[n].0 <= end && sum > may {
                 out.push(Breach {
                     rule: "cold boxes",
@@ -62,7 +49,7 @@
 
 #[cfg(test)]
 mod tests {
-    use super::*;
+    use crate::record::Cold;
 
     #[test]
     fn what_a_cold_box_can_do_is_the_area_under_its_line() {
@@ -75,9 +62,9 @@
             multiple: 1.0,
             fall_us: 100,
         };
-        assert!((able(&c, 100, 1100) - 2.0 * 600.0).abs() < 1e-6);
-        assert!((able(&c, 1100, 1200) - 200.0).abs() < 1e-6, "warm");
-        assert!((able(&c, 100, 101) - 0.4).abs() < 0.01);
-        assert_eq!(able(&c, 0, 100), 0.0, "before its start it can do nothing");
+        assert!((c.able(100, 1100) - 2.0 * 600.0).abs() < 1e-6);
+        assert!((c.able(1100, 1200) - 200.0).abs() < 1e-6, "warm");
+        assert!((c.able(100, 101) - 0.4).abs() < 0.01);
+        assert_eq!(c.able(0, 100), 0.0, "before its start it can do nothing");
     }
 }
--- /dev/null
+++ b/rehearse/src/stand_ins/link.rs
@@ -0,0 +1,99 @@
+//! A link that its transfers share evenly, none faster than its own full pace: the outgoing link of a box, or a site's
+//! link for fills. Sans-IO: whoever drives it asks when the next transfer ends.
+
+use crate::record::Micros;
+use std::collections::{BTreeMap, HashMap};
+
+/// A link.
+///
+/// What one transfer was given is the same for all that are on it, so a single figure, `given`, grows with time, and a
+/// transfer ends when the figure has grown by its work. Each step costs the logarithm of the transfers, not their
+/// number.
+#[derive(Clone, Debug)]
+pub struct Link {
+    /// In transfers at full pace.
+    capacity: f64,
+    /// What a transfer that was there all along has been given, in microseconds at full pace.
+    given: f64,
+    at: Micros,
+    /// By the figure at which each ends, and by the order in which they came. The bits of a positive float order as
+    /// it does.
+    ends: BTreeMap<(u64, u64), u64>,
+    places: HashMap<u64, (u64, u64)>,
+    next: u64,
+}
+
+impl Link {
+    /// An idle link.
+    pub fn new(capacity: f64) -> Self {
+        let (ends, places) = Default::default();
+        Link { capacity: capacity.max(1e-6), given: 0.0, at: 0, ends, places, next: 0 }
+    }
+
+    /// Transfers on it.
+    pub fn len(&self) -> usize {
+        self.ends.len()
+    }
+
+    /// Whether it is idle.
+    pub fn is_empty(&self) -> bool {
+        self.ends.is_empty()
+    }
+
+    /// Pace of each transfer: 1 is full.
+    fn pace(&self) -> f64 {
+        (self.capacity / self.ends.len().max(1) as f64).min(1.0)
+    }
+
+    /// Lets time pass; gives the transfers that have ended by then, each with its time, in order.
+    pub fn advance(&mut self, now: Micros) -> Vec<(u64, Micros)> {
+        let mut ended = Vec::new();
+        while let Some((&place, &id)) = self.ends.first_key_value() {
+            // Each end makes the others faster, so they are taken one by one.
+            let wait = (f64::from_bits(place.0) - self.given).max(0.0) / self.pace();
+            let end = self.at as f64 + wait;
+            if end > now as f64 {
+                break;
+            }
+            self.given = self.given.max(f64::from_bits(place.0));
+            self.at = (end as Micros).max(self.at);
+            self.ends.remove(&place);
+            self.places.remove(&id);
+            ended.push((id, self.at));
+        }
+        if now > self.at {
+            if !self.ends.is_empty() {
+                self.given += (now - self.at) as f64 * self.pace();
+            }
+            self.at = now;
+        }
+        ended
+    }
+
+    /// Begins a transfer of so many microseconds at full pace. `advance` must have been called up to now.
+    pub fn begin(&mut self, id: u64, work_us: Micros) {
+        self.next += 1;
+        let place = ((self.given + work_us as f64).to_bits(), self.next);
+        if let Some(old) = self.places.insert(id, place) {
+            self.ends.remove(&old);
+        }
+        self.ends.insert(place, id);
+    }
+
+    /// Calls a transfer off: its share is the others'.
+    pub fn call_off(&mut self, id: u64) -> bool {
+        self.places.remove(&id).is_some_and(|place| self.ends.remove(&place).is_some())
+    }
+
+    /// Another capacity, from here on: a box that is cold, or warms up.
+    pub fn change(&mut self, capacity: f64) {
+        self.capacity = capacity.max(1e-6);
+    }
+
+    /// When the next transfer ends, if nothing changes.
+    pub fn next_due(&self) -> Option<Micros> {
+        let (place, _) = self.ends.first_key_value()?;
+        let wait = (f64::from_bits(place.0) - self.given).max(0.0) / self.pace();
+        Some(self.at + wait.ceil() as Micros)
+    }
+}
