--- a/daemon/tests/rehearsal.rs
+++ b/daemon/tests/rehearsal.rs
@@ -1,5 +1,7 @@
 //! The rehearsal kit against the real daemon: it finds nothing wrong, and finds what was planted.
 
+use linnetknot_rehearse::player::{self, play};
+use linnetknot_rehearse::scenario::{ClassLoad, Load, Scenario};
 use linnetknot_rehearse::{rehearse, Plant};
 use std::path::Path;
 
@@ -22,3 +24,62 @@
         assert!(report.breaches.iter().all(|b| b.rule == rule), "{plant:?}: {report}");
     }
 }
+
+/// A few seconds of photos, posts and purges, with few objects, so that what is purged is asked for again.
+fn short() -> Scenario {
+    let class = |name: &str, share, keyed| ClassLoad {
+        name: name.into(),
+        share,
+        objects: 20,
+        zipf: 1.0,
+        once: 0.1,
+        drift: 0.0,
+        parts: (1, 1),
+        gap: (0.0, 0.0),
+        median_kb: 40.0,
+        sigma: 0.5,
+        budget_ms: 1500,
+        keyed,
+    };
+    Scenario {
+        name: "short".into(),
+        about: "for the tests".into(),
+        seconds: 4.0,
+        proxies: 2,
+        load: Load {
+            rate: 100.0,
+            shape: vec![],
+            classes: vec![class("photo", 0.9, false), class("post", 0.1, true)],
+            purges: 4.0,
+        },
+        faults: vec![],
+    }
+}
+
+#[test]
+fn a_played_load_is_served_and_breaks_no_rule() {
+    let out = play(daemon(), &short(), 3, None).expect("it is played");
+    assert_eq!(out.breaches, []);
+    assert_eq!(out.has_seen(), Ok(()));
+    assert!(out.asked > 300 && out.score.whole.score() > Some(0.9), "{out:?}");
+    assert!(out.writes.0 > 20 && out.writes.1 == 0, "{:?}", out.writes);
+}
+
+#[test]
+fn faults_planted_under_a_played_load_are_named() {
+    for (plant, rule) in [(player::Plant::PurgesUntold, "purges"), (player::Plant::WrongBytes, "whole bytes")]
+    {
+        let out = play(daemon(), &short(), 3, Some(plant)).expect("it is played");
+        assert!(out.breaches.len() > 1 && out.breaches.iter().all(|b| b.rule == rule), "{plant:?}: {out:?}");
+    }
+}
+
+#[test]
+fn a_play_that_could_not_see_proves_nothing() {
+    assert!(play(Path::new("/nonexistent/linnetknot"), &short(), 3, None).is_err());
+    let mut out = play(daemon(), &Scenario { seconds: 1.0, ..short() }, 3, None).expect("it is played");
+    out.lag_us.0 = player::MOST_LAG_US + 1;
+    assert!(out.has_seen().unwrap_err().contains("late"));
+    out.score.whole.asked = 0.0;
+    assert!(out.has_seen().unwrap_err().contains("nothing was asked"));
+}
--- a/rehearse/src/clients.rs
+++ b/rehearse/src/clients.rs
@@ -74,6 +74,11 @@
         out
     }
 
+    /// A second hold on its socket, to write to it while another thread waits for answers.
+    pub fn writer(&self) -> io::Result<TcpStream> {
+        self.socket.try_clone()
+    }
+
     /// Sends bytes.
     pub fn send(&mut self, bytes: &[u8]) -> io::Result<()> {
         self.socket.write_all(bytes)
--- a/rehearse/src/lib.rs
+++ b/rehearse/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod clients;
 pub mod load;
 mod play;
+pub mod player;
 pub mod record;
 pub mod rules;
 pub mod scenario;
--- a/rehearse/src/main.rs
+++ b/rehearse/src/main.rs
@@ -3,6 +3,7 @@
 
 use clap::{Parser, Subcommand};
 use linnetknot_rehearse::load::{plan, Plan};
+use linnetknot_rehearse::player::{self, Outcome};
 use linnetknot_rehearse::scenario::{schema, Scenario};
 use std::collections::BTreeSet;
 use std::io::Write;
@@ -27,6 +28,17 @@
         #[arg(long)]
         daemon: Option<PathBuf>,
     },
+    /// Plays a scenario: proxies, boxes that behave, hub caches, an origin and the planned load, on this machine.
+    Play {
+        /// The scenario.
+        file: PathBuf,
+        /// The same seed gives the same plan.
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// The daemon; by default the one that stands beside this program.
+        #[arg(long)]
+        daemon: Option<PathBuf>,
+    },
     /// Checks scenario files: a message names the key at fault.
     Check {
         /// The files.
@@ -45,9 +57,66 @@
     Schema,
 }
 
+/// The daemon that is named, or the one beside this program.
+fn beside(daemon: Option<PathBuf>) -> PathBuf {
+    let own = || std::env::current_exe().map(|own| own.with_file_name("linnetknot")).unwrap_or_default();
+    daemon.unwrap_or_else(own)
+}
+
+fn play(file: &Path, seed: u64, daemon: Option<PathBuf>) -> ExitCode {
+    let daemon = beside(daemon);
+    let played = read(file).and_then(|scenario| {
+        let outcome = player::play(&daemon, &scenario, seed, None);
+        Ok((outcome.map_err(|e| format!("could not be played with {}: {e}", daemon.display()))?, scenario))
+    });
+    match played {
+        Err(e) => {
+            eprintln!("{e}");
+            ExitCode::from(2)
+        }
+        Ok((outcome, scenario)) => {
+            say(&result(&scenario, &outcome));
+            if let Err(why) = outcome.has_seen() {
+                eprintln!("the rehearsal proves nothing: {why}");
+                return ExitCode::from(2);
+            }
+            ExitCode::from(u8::from(!outcome.breaches.is_empty()))
+        }
+    }
+}
+
+/// What a rehearsal came to, as tables.
+fn result(scenario: &Scenario, o: &Outcome) -> String {
+    let share = |s: f64, of: f64| format!("{:.1}%", 100.0 * s / of.max(1e-9));
+    let mut out = format!(
+        "{}: {} requests sent, {:.1} ms late at most (p99 {:.1}); {} writes ran, {} of them again\n\n",
+        scenario.name,
+        o.asked,
+        o.lag_us.1 as f64 / 1e3,
+        o.lag_us.0 as f64 / 1e3,
+        o.writes.0,
+        o.writes.1
+    );
+    out += "| | worth asked | in time | late | refused | failed | unanswered |\n";
+    out += "| --- | --- | --- | --- | --- | --- | --- |\n";
+    let names = scenario.load.classes.iter().map(|c| c.name.as_str());
+    let rows = std::iter::once(("all", &o.score.whole)).chain(names.zip(&o.score.classes));
+    for (name, s) in rows {
+        let [a, b, c, d, e] =
+            [s.earned, s.late, s.refused, s.failed, s.unanswered].map(|x| share(x, s.asked));
+        out += &format!("| {name} | {:.0} | {a} | {b} | {c} | {d} | {e} |\n", s.asked);
+    }
+    if let Some((second, score)) = o.score.worst {
+        out += &format!("\nworst ten seconds: from second {second}, {score:.3}\n");
+    }
+    for b in o.breaches.iter().take(50) {
+        out += &format!("BREACH {b}\n");
+    }
+    out + &format!("{} breaches\n", o.breaches.len())
+}
+
 fn run(daemon: Option<PathBuf>) -> ExitCode {
-    let beside = || std::env::current_exe().map(|own| own.with_file_name("linnetknot")).unwrap_or_default();
-    let daemon = daemon.unwrap_or_else(beside);
+    let daemon = beside(daemon);
     match linnetknot_rehearse::rehearse(&daemon, None) {
         Err(e) => {
             eprintln!("the rehearsal could not be played with {}: {e}", daemon.display());
@@ -99,6 +168,7 @@
     match Arguments::parse().command {
         None => run(None),
         Some(Command::Run { daemon }) => run(daemon),
+        Some(Command::Play { file, seed, daemon }) => play(&file, seed, daemon),
         Some(Command::Check { files }) => {
             let mut sound = true;
             for file in &files {
--- /dev/null
+++ b/rehearse/src/player.rs
@@ -0,0 +1,477 @@
+//! Plays a scenario's plan against real daemons and a served world, and judges the record that remains.
+
+use crate::bus::Bus;
+use crate::clients::{WebServer, PATIENCE};
+use crate::load::{group, plan, Arrival, Plan};
+use crate::record::{Answered, Asked, Class, Final, Limits, Micros, Record, Repeat, Told, Word};
+use crate::rules::{judge, Breach};
+use crate::scenario::Scenario;
+use crate::score::{score, Score};
+use crate::stand_ins::served::{made_of, unix_us, Knows, Served};
+use crate::stand_ins::world::{Figures, Kind, Site, World};
+use serde_json::{json, Value};
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap, HashMap};
+use std::io::{self, BufRead, BufReader, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::path::Path;
+use std::process::{Child, Command, Stdio};
+use std::sync::mpsc::{self, Receiver, Sender};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// What a rehearsal came to.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Outcome {
+    /// Requests sent, retries with them.
+    pub asked: usize,
+    /// How much later than planned requests were sent, p99 and most, in microseconds.
+    pub lag_us: (Micros, Micros),
+    /// The score.
+    pub score: Score,
+    /// The rules that were broken.
+    pub breaches: Vec<Breach>,
+    /// Writes that ran, and those among them that ran under a key that had run before.
+    pub writes: (u64, u64),
+}
+
+impl Outcome {
+    /// Whether it has seen anything, or why not: a rehearsal that could not see must not pass for a good one.
+    pub fn has_seen(&self) -> Result<(), String> {
+        if self.score.whole.score().is_none() {
+            return Err("nothing was asked".into());
+        }
+        if self.score.whole.unanswered >= self.score.whole.asked {
+            return Err("nothing was answered".into());
+        }
+        if self.lag_us.0 > MOST_LAG_US {
+            return Err(format!("the load came {} ms late (p99)", self.lag_us.0 / 1000));
+        }
+        Ok(())
+    }
+}
+
+/// A load generator that is later than this has measured itself.
+pub const MOST_LAG_US: Micros = 50_000;
+const FLOW_KB_PER_S: f64 = 4000.0;
+const PHOTO_FRESH_US: Micros = 8_000_000;
+const RETRIES: u32 = 2;
+/// A connection is given up by its client before the proxy does so.
+const IDLE: Duration = Duration::from_secs(3);
+
+struct Proxy {
+    child: Child,
+    front: SocketAddr,
+}
+
+impl Drop for Proxy {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+fn settings(scenario: &Scenario) -> Value {
+    let classes = &scenario.load.classes;
+    let category = |c: &crate::scenario::ClassLoad| {
+        let aim_ms = if c.keyed { 700 } else { 300 };
+        json!({"name": c.name, "aim-us": aim_ms * 1000, "aim-stretch": 2.0, "deadline-us": c.budget_ms * 1000,
+            "repeat": if c.keyed { "token" } else { "pure" }, "dedup-scope": "all", "window-us": 3_000_000,
+            "worth": if c.keyed { 3.0 } else { 1.0 }, "late-worth": 0.1})
+    };
+    let each = |of: &dyn Fn(&crate::scenario::ClassLoad) -> Value| classes.iter().map(of).collect::<Value>();
+    json!({
+        "categories": classes.iter().map(category).collect::<Value>(),
+        "family-info": {
+            "in-pieces": each(&|c| (c.parts.1 > 1).into()), "never-kept": each(&|c| c.keyed.into()),
+            "good-for-us": each(&|c| fresh_us(c).into()), "may-pass-by": true, "can-join": true, "mid-kind": 2,
+            "source-kind": 1, "seats-by-zone": [0, scenario.proxies], "attached-to": [0, 0],
+            "one-flow-kb-per-s": FLOW_KB_PER_S, "purge-takes-us": 6_000_000, "purge-slack-us": 300_000,
+            "note-level": "all",
+        },
+        "kinds": ["box", "origin", "hub"], "localities": ["hub", "here"], "zone": "here", "weights": "rough",
+        "limits": {"try-limit": 6, "cancel": true, "retry-after": true, "max-retry-after-us": 2_000_000},
+        "rules": {"drain-grace-us": 1_000_000, "cold-share": 0.15, "ramp-time-us": 13_000_000, "fall-multiple": 2.5,
+            "tip-after-us": 3_000_000},
+    })
+}
+
+fn fresh_us(c: &crate::scenario::ClassLoad) -> Micros {
+    if c.keyed || c.parts.1 > 1 {
+        0
+    } else {
+        PHOTO_FRESH_US
+    }
+}
+
+fn start(daemon: &Path, folder: &Path, n: usize, config: &Value) -> io::Result<Proxy> {
+    let file = folder.join(format!("proxy-{n}.json"));
+    std::fs::write(&file, config.to_string())?;
+    // Nothing of the operators' own file: a rehearsal is of the platform's side.
+    let own = folder.join("interconnect.json");
+    std::fs::write(&own, "{}")?;
+    let mut child = Command::new(daemon)
+        .env("ROUTER_CONFIG", &file)
+        .env("LINNETKNOT_INTERCONNECT", &own)
+        .env("RUST_LOG", "info")
+        .stdin(Stdio::null())
+        .stderr(Stdio::piped())
+        .spawn()?;
+    let log = child.stderr.take().ok_or_else(|| io::Error::other("a daemon has no log"))?;
+    let (tell, told) = mpsc::channel();
+    thread::spawn(move || {
+        for line in BufReader::new(log).lines().map_while(Result::ok) {
+            if let Some(Ok(address)) = line.split_once(" listens on ").map(|l| l.1.trim().parse()) {
+                let _ = tell.send(address);
+            }
+        }
+    });
+    match told.recv_timeout(PATIENCE) {
+        Ok(front) => Ok(Proxy { child, front }),
+        Err(_) => {
+            let _ = child.kill();
+            let _ = child.wait();
+            Err(io::Error::other(format!("proxy {n} did not start")))
+        }
+    }
+}
+
+/// The nodes of a rehearsal: four boxes a proxy, two hub caches and an origin.
+fn world(scenario: &Scenario) -> (World, Vec<(String, &'static str, &'static str, f64)>) {
+    let boxes = 4 * scenario.proxies as usize;
+    let site = Site {
+        link: 6.0 * boxes as f64,
+        fill_pace: 3.0,
+        near_us: 8_000,
+        far_us: 30_000,
+        origin_us: 40_000,
+        key_us: 3_000_000,
+    };
+    let mut world = World::new(site);
+    let mut nodes = Vec::new();
+    let figures = |capacity: f64, memory_kb: u64, fills: usize| Figures {
+        slots: 60,
+        waiting: 40,
+        capacity,
+        memory_kb,
+        fills,
+        fill_timeout_us: 2_500_000,
+    };
+    for n in 0..boxes {
+        let uid = format!("s-{n:08x}");
+        world.start(&uid, Kind::Box, figures(12.0, 120_000, 32), None);
+        nodes.push((uid, "here", "box", 12.0));
+    }
+    for n in 0..2 {
+        let uid = format!("h-{n:08x}");
+        world.start(&uid, Kind::Hub, figures(200.0, 2_000_000, 400), None);
+        nodes.push((uid, "hub", "hub", 200.0));
+    }
+    world.start("o-00000000", Kind::Origin, figures(100.0, 0, 64), None);
+    nodes.push(("o-00000000".to_owned(), "hub", "origin", 100.0));
+    (world, nodes)
+}
+
+/// A try that is to be sent.
+#[derive(Clone)]
+struct Try {
+    arrival: Arrival,
+    first: String,
+    number: u32,
+}
+
+/// What the readers of answers share with who sends.
+struct Clients {
+    record: Mutex<(Vec<Answered>, HashMap<String, Try>)>,
+    again: Sender<(Micros, Try)>,
+}
+
+struct Connection {
+    writer: TcpStream,
+    /// Ids of what is open on it, by its number there.
+    open: Arc<Mutex<HashMap<u16, String>>>,
+    used: Instant,
+}
+
+impl Clients {
+    /// Reads the answers of one connection until it ends.
+    fn read(&self, mut web: WebServer, open: &Mutex<HashMap<u16, String>>) {
+        loop {
+            let ended = match web.end() {
+                Ok((number, answer)) => (number, answer),
+                Err(e) if matches!(e.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::TimedOut) => {
+                    if open.lock().unwrap_or_else(PoisonError::into_inner).is_empty() {
+                        return;
+                    }
+                    continue;
+                }
+                Err(_) => return,
+            };
+            let at = unix_us();
+            let Some(id) = open.lock().unwrap_or_else(PoisonError::into_inner).remove(&ended.0) else {
+                continue;
+            };
+            let Some(answer) = ended.1 else { continue };
+            let mut record = self.record.lock().unwrap_or_else(PoisonError::into_inner);
+            let Some(of) = record.1.get(&id).cloned() else { continue };
+            let part = (of.arrival.object, of.arrival.part);
+            let wait_ms = answer.header("back-off-ms").and_then(|v| v.parse::<u64>().ok());
+            let answer = match answer.status {
+                200 => {
+                    let made = made_of(part, &answer.body);
+                    Final::Served { made: made.map(|ms| ms * 1000 + 999), whole: made.is_some() }
+                }
+                429 | 503 => Final::Refused { advised: wait_ms.is_some() },
+                _ => Final::Failed,
+            };
+            record.0.push(Answered { id, at, answer });
+            drop(record);
+            if matches!(answer, Final::Refused { .. }) && of.number < RETRIES {
+                let again = Try { number: of.number + 1, ..of };
+                let _ = self.again.send((at + wait_ms.unwrap_or(200) * 1000, again));
+            }
+        }
+    }
+}
+
+/// Sends what is planned, and what is tried again, when its time comes.
+struct Pacer {
+    scenario: Scenario,
+    fronts: Vec<SocketAddr>,
+    clients: Arc<Clients>,
+    connections: Vec<Vec<Connection>>,
+    asked: Vec<Asked>,
+    lags: Vec<Micros>,
+    seed: u64,
+}
+
+impl Pacer {
+    fn connection(&mut self, proxy: usize) -> io::Result<usize> {
+        let open = |c: &Connection| c.open.lock().unwrap_or_else(PoisonError::into_inner).len();
+        let of = &mut self.connections[proxy];
+        of.retain(|c| c.used.elapsed() < IDLE || open(c) > 0);
+        let free = |(_, c): &(usize, &Connection)| open(c) < 32 && c.used.elapsed() < IDLE;
+        if let Some((n, _)) =
+            of.iter().enumerate().filter(free).min_by_key(|(_, c)| open(c)).filter(|(_, c)| {
+                // A few connections are kept, so that one that ends takes little with it.
+                open(c) < 4 || of.len() >= 16
+            })
+        {
+            return Ok(n);
+        }
+        let web = WebServer::connect(self.fronts[proxy])?;
+        let (writer, open) = (web.writer()?, Arc::new(Mutex::new(HashMap::new())));
+        let (clients, shared) = (self.clients.clone(), open.clone());
+        thread::spawn(move || clients.read(web, &shared));
+        of.push(Connection { writer, open, used: Instant::now() });
+        Ok(of.len() - 1)
+    }
+
+    fn send(&mut self, due: Micros, one: Try) -> io::Result<()> {
+        let a = &one.arrival;
+        let class = self.scenario.load.classes[a.class].clone();
+        let id = format!("{:016x}", (self.seed << 40) ^ (self.asked.len() as u64 + 1));
+        let (object, part, lot) =
+            (format!("{:016x}", a.object), a.part.to_string(), group(a.object).to_string());
+        let (budget, kb) = ((a.budget / 1000).to_string(), format!("{:.1}", a.size_kb));
+        let key = a.key.map(|k| format!("{k:032x}"));
+        let mut fields = vec![
+            ("HTTP_REQUEST_ID", id.as_str()),
+            ("HTTP_RESOURCE_KEY", &object),
+            ("HTTP_X_PIECE", &part),
+            ("HTTP_X_LOT", &lot),
+            ("HTTP_BUDGET_MS", &budget),
+            ("HTTP_FOOTPRINT_KB", &kb),
+        ];
+        fields.extend(key.as_ref().map(|k| ("HTTP_ONCE_KEY", k.as_str())));
+        let body: &[u8] = if class.keyed { b"a comment" } else { b"" };
+        let proxy = a.proxy as usize;
+        let n = self.connection(proxy)?;
+        let c = &mut self.connections[proxy][n];
+        let number = {
+            let mut open = c.open.lock().unwrap_or_else(PoisonError::into_inner);
+            let number = (1..=u16::MAX).find(|n| !open.contains_key(n)).unwrap_or(1);
+            open.insert(number, id.clone());
+            number
+        };
+        let first = if one.first.is_empty() { id.clone() } else { one.first.clone() };
+        let known = Try { first: first.clone(), ..one.clone() };
+        self.clients.record.lock().unwrap_or_else(PoisonError::into_inner).1.insert(id.clone(), known);
+        let bytes = WebServer::request(number, &format!("/invoke/{}", class.name), &fields, body);
+        c.writer.write_all(&bytes)?;
+        c.used = Instant::now();
+        let at = unix_us();
+        self.lags.push(at.saturating_sub(due));
+        self.asked.push(Asked {
+            id,
+            first,
+            class: a.class,
+            proxy,
+            object,
+            group: group(a.object),
+            key,
+            work_us: (a.size_kb / FLOW_KB_PER_S * 1e6) as Micros,
+            at,
+            until: at + a.budget,
+            released: None,
+        });
+        Ok(())
+    }
+
+    fn play(
+        &mut self,
+        plan: &Plan,
+        start: Micros,
+        again: &Receiver<(Micros, Try)>,
+        mut purge: impl FnMut(usize),
+    ) -> io::Result<()> {
+        let mut later: BinaryHeap<Reverse<(Micros, u64)>> = BinaryHeap::new();
+        let mut tries: HashMap<u64, Try> = HashMap::new();
+        let (mut next, mut purged, mut count) = (0, 0, 0);
+        let longest = plan.arrivals.iter().map(|a| a.budget).max().unwrap_or(0);
+        let end = start + (self.scenario.seconds * 1e6) as Micros + longest;
+        loop {
+            while let Ok((at, one)) = again.try_recv() {
+                count += 1;
+                later.push(Reverse((at, count)));
+                tries.insert(count, one);
+            }
+            let now = unix_us();
+            if now >= end {
+                return Ok(());
+            }
+            while plan.purges.get(purged).is_some_and(|p| start + p.at <= now) {
+                purge(purged);
+                purged += 1;
+            }
+            while let Some(a) = plan.arrivals.get(next).filter(|a| start + a.at <= now) {
+                next += 1;
+                self.send(start + a.at, Try { arrival: a.clone(), first: String::new(), number: 0 })?;
+            }
+            while let Some(Reverse((at, n))) = later.peek().copied().filter(|r| r.0 .0 <= now) {
+                later.pop();
+                if let Some(one) = tries.remove(&n) {
+                    self.send(at, one)?;
+                }
+            }
+            thread::sleep(Duration::from_micros(500));
+        }
+    }
+}
+
+/// A fault of the stand-ins' own, to see that it is found.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Plant {
+    /// Purges count as told, but neither proxies nor nodes hear of them.
+    PurgesUntold,
+    /// Every tenth answer's bytes are another part's.
+    WrongBytes,
+}
+
+/// Plays a scenario with this daemon. Errors are those of the play itself.
+pub fn play(daemon: &Path, scenario: &Scenario, seed: u64, plant: Option<Plant>) -> io::Result<Outcome> {
+    let plan = plan(scenario, seed);
+    let folder =
+        std::env::temp_dir().join(format!("linnetknot-play-{}-{seed}-{}", std::process::id(), unix_us()));
+    std::fs::create_dir_all(&folder)?;
+    let result = play_in(&folder, daemon, scenario, (seed, plant), &plan);
+    let _ = std::fs::remove_dir_all(&folder);
+    result
+}
+
+fn play_in(
+    folder: &Path,
+    daemon: &Path,
+    scenario: &Scenario,
+    (seed, plant): (u64, Option<Plant>),
+    plan: &Plan,
+) -> io::Result<Outcome> {
+    let proxies = scenario.proxies as usize;
+    let (world, nodes) = world(scenario);
+    let uids: Vec<String> = nodes.iter().map(|n| n.0.clone()).collect();
+    let parts = plan.arrivals.iter().map(|a| ((a.object, a.part), (a.size_kb, group(a.object)))).collect();
+    let classes = scenario.load.classes.iter().map(|c| (c.name.clone(), (fresh_us(c), c.keyed))).collect();
+    let spoil = plant == Some(Plant::WrongBytes);
+    let knows = Knows { parts, flow_kb_per_s: FLOW_KB_PER_S, classes, spoil };
+    let served = Served::start(world, &uids, proxies, knows)?;
+    let bus = Bus::start()?;
+    let mut running = Vec::new();
+    for n in 0..proxies {
+        let target = |(uid, zone, kind, capacity): &(String, &str, &str, f64)| {
+            let at: BTreeMap<_, _> =
+                served.addresses.iter().filter(|((p, _), _)| *p == n).map(|((_, u), a)| (u, a)).collect();
+            json!({"uid": uid, "endpoint": at[uid].to_string(), "az": zone, "model": kind, "pod_group": 0,
+                "state": "ready", "capacity_hint": capacity, "boot_ms": 0})
+        };
+        let known = json!({"offset": 0, "batch": [{"offset": 0, "topology": {"rev": 1, "all": true,
+            "targets": nodes.iter().map(target).collect::<Value>()}}]});
+        let config = json!({"name": format!("p{n}"), "listen": "127.0.0.1:0", "seed": format!("{:x}", seed * 64 + n as u64 + 1),
+            "bus": bus.address.to_string(), "known": known, "settings": settings(scenario),
+            "limits": {"memory_mb": 192, "sockets": 1024}});
+        running.push(start(daemon, folder, n, &config)?);
+    }
+    let fronts: Vec<SocketAddr> = running.iter().map(|p| p.front).collect();
+    let (tell, again) = mpsc::channel();
+    let clients = Arc::new(Clients { record: Mutex::default(), again: tell });
+    let mut sender = Pacer {
+        scenario: scenario.clone(),
+        fronts,
+        clients: clients.clone(),
+        connections: (0..proxies).map(|_| Vec::new()).collect(),
+        asked: Vec::new(),
+        lags: Vec::new(),
+        seed,
+    };
+    let mut told = Vec::new();
+    let begin = unix_us() + 200_000;
+    sender.play(plan, begin, &again, |n| {
+        let p = &plan.purges[n];
+        let at = unix_us();
+        let (object, lot) = (p.what.ok().map(|o| format!("{o:016x}")), p.what.err().unwrap_or(0));
+        let ban = match &object {
+            Some(object) => json!({"ban": {"url": object, "ts": at / 1000}}),
+            None => json!({"ban": {"tag": lot, "ts": at / 1000}}),
+        };
+        if plant != Some(Plant::PurgesUntold) {
+            bus.push(ban);
+        }
+        let word = Word::Purged { object, group: lot, at: at / 1000 * 1000 };
+        told.extend((0..proxies).map(|proxy| Told { proxy, at, word: word.clone() }));
+        // The nodes hear of it by themselves, each in its own time.
+        let (what, uids) = (p.what, uids.clone());
+        if plant == Some(Plant::PurgesUntold) {
+            return;
+        }
+        served.change(move |world, _| uids.iter().for_each(|uid| world.purge(uid, what, at)));
+    })?;
+    let world = served.end()?;
+    drop(running);
+    let class = |c: &crate::scenario::ClassLoad| Class {
+        name: c.name.clone(),
+        repeat: if c.keyed { Repeat::Keyed(3_000_000) } else { Repeat::Safe },
+        aim_us: if c.keyed { 700_000 } else { 300_000 },
+        stretch: 2.0,
+        worth: if c.keyed { 3.0 } else { 1.0 },
+        late_worth: 0.1,
+    };
+    let answered = std::mem::take(&mut clients.record.lock().unwrap_or_else(PoisonError::into_inner).0);
+    let record = Record {
+        classes: scenario.load.classes.iter().map(class).collect(),
+        asked: sender.asked,
+        answered,
+        attempts: world.attempts,
+        told,
+        cold: Vec::new(),
+    };
+    sender.lags.sort_unstable();
+    let lag =
+        |q: f64| sender.lags.get((sender.lags.len() as f64 * q) as usize).or(sender.lags.last()).copied();
+    Ok(Outcome {
+        asked: record.asked.len(),
+        lag_us: (lag(0.99).unwrap_or(0), lag(1.0).unwrap_or(0)),
+        score: score(&record),
+        breaches: judge(&record, &Limits::default()),
+        writes: world.writes,
+    })
+}
--- a/rehearse/src/stand_ins/mod.rs
+++ b/rehearse/src/stand_ins/mod.rs
@@ -3,4 +3,5 @@
 pub mod consul;
 pub mod link;
 pub mod memory;
+pub mod served;
 pub mod world;
--- a/rehearse/src/stand_ins/world.rs
+++ b/rehearse/src/stand_ins/world.rs
@@ -100,6 +100,8 @@
         waited_us: Micros,
         /// When the copy was made.
         made: Micros,
+        /// The part.
+        part: Part,
     },
     /// The node has fallen over: all its connections are reset.
     Fell(String),
@@ -303,8 +305,8 @@
                 let Some(open) = node.open.remove(&request) else { continue };
                 let Phase::Sending { how, made, waited_us } = open.phase else { continue };
                 self.attempts[open.attempt].ended = Some((at, Ended::Ran));
-                let Fetch { connection, id, .. } = open.fetch;
-                out.push(Out::Answer { connection, id, word: "200", how, waited_us, made });
+                let Fetch { connection, id, part, .. } = open.fetch;
+                out.push(Out::Answer { connection, id, word: "200", how, waited_us, made, part });
             }
             self.admit(now, uid, out);
         }
@@ -349,7 +351,7 @@
                     return;
                 };
                 self.attempts[open.attempt].ended = Some((now, Ended::Ran));
-                let Fetch { connection, id, write, .. } = open.fetch;
+                let Fetch { connection, id, write, part, .. } = open.fetch;
                 let key = write.flatten();
                 let known = key.as_ref().and_then(|k| self.keys.get(k)).copied();
                 if known.is_none_or(|at| now >= at + self.site.key_us) {
@@ -357,7 +359,15 @@
                     self.writes.1 += u64::from(known.is_some());
                     self.keys.extend(key.map(|k| (k, now)));
                 }
-                out.push(Out::Answer { connection, id, word: "200", how: "local", waited_us: 0, made: now });
+                out.push(Out::Answer {
+                    connection,
+                    id,
+                    word: "200",
+                    how: "local",
+                    waited_us: 0,
+                    made: now,
+                    part,
+                });
             }
             Timer::Goes(uid) => {
                 if let Some(node) = self.nodes.get_mut(&uid) {
@@ -455,8 +465,8 @@
     ) {
         let Some(open) = self.nodes.get_mut(uid).and_then(|n| n.open.remove(&request)) else { return };
         self.attempts[open.attempt].ended = Some((now, Ended::Unseen));
-        let Fetch { connection, id, .. } = open.fetch;
-        out.push(Out::Answer { connection, id, word, how, waited_us: now - open.since, made: 0 });
+        let Fetch { connection, id, part, .. } = open.fetch;
+        out.push(Out::Answer { connection, id, word, how, waited_us: now - open.since, made: 0, part });
     }
 
     /// Begins what waits, as far as there are slots.
