Start daemons of the kit in one place: player and figures shared thirty lines

Cause: starting a daemon, reading its address from its log and ending it stood in player.rs and in the figures' example. Change: rehearse/src/process.rs holds it; a daemon that does not come up is ended with its value as well.

--- a/daemon/examples/figures.rs
+++ b/daemon/examples/figures.rs
@@ -7,14 +7,14 @@
 use clap::{Parser, ValueEnum};
 use hdrhistogram::Histogram;
 use linnetknot_rehearse::boxes::{Arrival, StandIn};
-use linnetknot_rehearse::clients::{WebServer, PATIENCE};
+use linnetknot_rehearse::clients::WebServer;
+use linnetknot_rehearse::process::Process;
 use linnetknot_rehearse::stand_ins::consul::{instance, Agent, Manner};
 use linnetknot_rehearse::{settings, unix_ms};
 use serde_json::{json, Value};
-use std::io::{self, BufRead, BufReader};
+use std::io;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
@@ -44,53 +44,21 @@
     rounds: u32,
 }
 
-struct Running {
-    child: Child,
-    front: SocketAddr,
-}
-
-impl Drop for Running {
-    fn drop(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-    }
-}
-
 const READY: &str = "passing";
 /// Between an answer and the next request of a client.
 const PAUSE: Duration = Duration::from_millis(2);
 
-fn start(daemon: &Path, folder: &Path, consul: Value, kept: bool) -> io::Result<Running> {
-    fs::create_dir_all(folder)?;
-    let (config, own) = (folder.join("config.json"), folder.join("interconnect.json"));
+fn start(daemon: &Path, folder: &Path, consul: Value, kept: bool) -> io::Result<Process> {
     let mut settings = settings();
     settings["kinds"] = json!(["box", "origin", "hub"]);
     settings["family-info"]["mid-kind"] = 2.into();
-    let text = json!({"name": "figures", "listen": "127.0.0.1:0", "seed": "1f", "settings": settings,
+    let config = json!({"name": "figures", "listen": "127.0.0.1:0", "seed": "1f", "settings": settings,
         "limits": {"memory_mb": 512, "sockets": 1024}});
-    fs::write(&config, text.to_string())?;
-    let mut text = json!({"consul": consul});
+    let mut own = json!({"consul": consul});
     if kept {
-        text["state"] = json!({"directory": folder});
+        own["state"] = json!({"directory": folder});
     }
-    fs::write(&own, text.to_string())?;
-    let mut child = Command::new(daemon)
-        .env("ROUTER_CONFIG", &config)
-        .env("LINNETKNOT_INTERCONNECT", &own)
-        .env("RUST_LOG", "info")
-        .stderr(Stdio::piped())
-        .spawn()?;
-    let log = child.stderr.take().ok_or_else(|| io::Error::other("no log"))?;
-    let (tell, told) = std::sync::mpsc::channel();
-    thread::spawn(move || {
-        for line in BufReader::new(log).lines().map_while(Result::ok) {
-            if let Some(Ok(address)) = line.split_once(" listens on ").map(|l| l.1.trim().parse()) {
-                let _ = tell.send(address);
-            }
-        }
-    });
-    let front = told.recv_timeout(PATIENCE).map_err(io::Error::other)?;
-    Ok(Running { child, front })
+    Process::start(daemon, folder, "figures", &config, &own)
 }
 
 fn object(n: u64) -> String {
--- a/rehearse/src/lib.rs
+++ b/rehearse/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod load;
 mod play;
 pub mod player;
+pub mod process;
 pub mod record;
 pub mod rules;
 pub mod scenario;
--- a/rehearse/src/player.rs
+++ b/rehearse/src/player.rs
@@ -1,8 +1,9 @@
 //! Plays a scenario's plan against real daemons and a served world, and judges the record that remains.
 
 use crate::bus::Bus;
-use crate::clients::{WebServer, PATIENCE};
+use crate::clients::WebServer;
 use crate::load::{group, plan, Arrival, Plan};
+use crate::process::Process;
 use crate::record::{Answered, Asked, Class, Final, Limits, Micros, Record, Repeat, Told, Word};
 use crate::rules::{judge, Breach};
 use crate::scenario::Scenario;
@@ -12,10 +13,9 @@
 use serde_json::{json, Value};
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap, HashMap};
-use std::io::{self, BufRead, BufReader, Write};
+use std::io::{self, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::path::Path;
-use std::process::{Child, Command, Stdio};
 use std::sync::mpsc::{self, Receiver, Sender};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::thread;
@@ -60,18 +60,6 @@
 /// A connection is given up by its client before the proxy does so.
 const IDLE: Duration = Duration::from_secs(3);
 
-struct Proxy {
-    child: Child,
-    front: SocketAddr,
-}
-
-impl Drop for Proxy {
-    fn drop(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-    }
-}
-
 fn settings(scenario: &Scenario) -> Value {
     let classes = &scenario.load.classes;
     let category = |c: &crate::scenario::ClassLoad| {
@@ -105,38 +93,6 @@
     }
 }
 
-fn start(daemon: &Path, folder: &Path, n: usize, config: &Value) -> io::Result<Proxy> {
-    let file = folder.join(format!("proxy-{n}.json"));
-    std::fs::write(&file, config.to_string())?;
-    // Nothing of the operators' own file: a rehearsal is of the platform's side.
-    let own = folder.join("interconnect.json");
-    std::fs::write(&own, "{}")?;
-    let mut child = Command::new(daemon)
-        .env("ROUTER_CONFIG", &file)
-        .env("LINNETKNOT_INTERCONNECT", &own)
-        .env("RUST_LOG", "info")
-        .stdin(Stdio::null())
-        .stderr(Stdio::piped())
-        .spawn()?;
-    let log = child.stderr.take().ok_or_else(|| io::Error::other("a daemon has no log"))?;
-    let (tell, told) = mpsc::channel();
-    thread::spawn(move || {
-        for line in BufReader::new(log).lines().map_while(Result::ok) {
-            if let Some(Ok(address)) = line.split_once(" listens on ").map(|l| l.1.trim().parse()) {
-                let _ = tell.send(address);
-            }
-        }
-    });
-    match told.recv_timeout(PATIENCE) {
-        Ok(front) => Ok(Proxy { child, front }),
-        Err(_) => {
-            let _ = child.kill();
-            let _ = child.wait();
-            Err(io::Error::other(format!("proxy {n} did not start")))
-        }
-    }
-}
-
 /// The nodes of a rehearsal: four boxes a proxy, two hub caches and an origin.
 fn world(scenario: &Scenario) -> (World, Vec<(String, &'static str, &'static str, f64)>) {
     let boxes = 4 * scenario.proxies as usize;
@@ -409,7 +365,8 @@
         let config = json!({"name": format!("p{n}"), "listen": "127.0.0.1:0", "seed": format!("{:x}", seed * 64 + n as u64 + 1),
             "bus": bus.address.to_string(), "known": known, "settings": settings(scenario),
             "limits": {"memory_mb": 192, "sockets": 1024}});
-        running.push(start(daemon, folder, n, &config)?);
+        // Nothing of the operators' own file: a rehearsal is of the platform's side.
+        running.push(Process::start(daemon, folder, &format!("p{n}"), &config, &json!({}))?);
     }
     let fronts: Vec<SocketAddr> = running.iter().map(|p| p.front).collect();
     let (tell, again) = mpsc::channel();
