Tell each attempt and each final answer in the log at level debug

Change: under the target linnetknot::trace the core tells of each attempt its box, source, outcome, note and times, and of each final answer its class, size, attempts and the time that was left. Off at the usual level; RUST_LOG=linnetknot::trace=debug turns it on.

--- a/daemon/src/core.rs
+++ b/daemon/src/core.rs
@@ -10,6 +10,9 @@
 use std::collections::{BTreeMap, BTreeSet, HashSet};
 use std::net::SocketAddr;
 
+/// Log target under which each attempt and each final answer is told, at the level debug.
+const TRACE: &str = "linnetknot::trace";
+
 /// A request in the table.
 pub type Ticket = Key;
 
@@ -75,6 +78,17 @@
     Failed,
 }
 
+impl Answer {
+    /// Its name in the log.
+    pub fn name(&self) -> &'static str {
+        match self {
+            Answer::Served(_) => "served",
+            Answer::Refused { .. } => "refused",
+            Answer::Failed => "failed",
+        }
+    }
+}
+
 /// An attempt, by its request and its place among that request's attempts.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct AttemptId {
@@ -358,8 +372,20 @@
         let Ended { outcome, note, waited_us, load, content } = ended;
         // What was in transit when it was given up is how it ended, all the same.
         let outcome = if outcome == Outcome::Cancelled { out.given_up.unwrap_or(outcome) } else { outcome };
+        log::debug!(
+            target: TRACE,
+            request = open.asked.id.as_str(),
+            number = attempt.number,
+            "box" = self.boxes.get(&out.sending.server).map_or("-", |b| b.0.as_str()),
+            source = out.sending.fill.map_or("-", |f| self.boxes.get(&f.source).map_or("-", |b| b.0.as_str())),
+            outcome:? = outcome,
+            note:? = note,
+            waited_us = waited_us,
+            took_us = now.saturating_sub(out.sent);
+            "an attempt has ended"
+        );
         if let Some(content) = content.filter(|_| outcome == Outcome::Ok && !open.answered) {
-            self.finish(attempt.ticket, Answer::Served(content));
+            self.finish(now, attempt.ticket, Answer::Served(content));
         }
         let settled = self.requests.get(attempt.ticket).is_none_or(|open| open.answered);
         let event = Event::Outcome {
@@ -412,7 +438,7 @@
         if self.requests.get(ticket).is_some_and(|open| !open.answered) {
             // Guards the promise of one answer against a module that holds a request past its end.
             log::warn!("a request was still unanswered at its deadline");
-            self.finish(ticket, Answer::Failed);
+            self.finish(now, ticket, Answer::Failed);
             self.feed(now, Event::Left { request: ticket.to_u64() });
             self.tidy(ticket);
         }
@@ -428,9 +454,20 @@
     }
 
     /// The one place where answers are given: a request that has its answer gets no second one.
-    fn finish(&mut self, ticket: Ticket, answer: Answer) {
+    fn finish(&mut self, now: Micros, ticket: Ticket, answer: Answer) {
         let Some(open) = self.requests.get_mut(ticket).filter(|open| !open.answered) else { return };
         open.answered = true;
+        log::debug!(
+            target: TRACE,
+            request = open.asked.id.as_str(),
+            class = open.asked.class.as_str(),
+            kb = open.asked.size_kb,
+            attempts = open.attempts,
+            left_us = open.deadline.saturating_sub(now),
+            of_us = open.asked.remaining_us,
+            answer = answer.name();
+            "a request is answered"
+        );
         match answer {
             Answer::Served(_) => self.counts.served += 1,
             Answer::Refused { .. } => self.counts.refused += 1,
@@ -485,11 +522,11 @@
                 self.give_up(attempt, Outcome::Cancelled);
             }
             Action::Refuse { request, retry_after_us } => {
-                self.finish(Key::from_u64(request), Answer::Refused { wait_us: retry_after_us });
+                self.finish(now, Key::from_u64(request), Answer::Refused { wait_us: retry_after_us });
                 self.tidy(Key::from_u64(request));
             }
             Action::Fail { request } => {
-                self.finish(Key::from_u64(request), Answer::Failed);
+                self.finish(now, Key::from_u64(request), Answer::Failed);
                 self.tidy(Key::from_u64(request));
             }
             Action::Timer { at, tag } => self.commands.push(Command::Wake(at, Wake::Router(tag))),
