Let what a crowded link's fills told fade in a second, so that an idle link is used again

Cause: link_full() in src/decide.rs takes the link's size from `held / stretch` of fills whose weight falls by half in 10 s. A proxy among 3 sees 30 fills a second and they outweigh the old ones at once; one among 16 sees two, the crowd's fills count for 10 s more, and all 16 hold back alike.

Change: fills tell of the link by halves of 1 s, and with none at all the link is taken to fit twice as much after each second. The aged sums move to src/aging.rs: they decide nothing.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -3,9 +3,10 @@
 //! Reading order: constants, what is remembered, the ordinary path (`route`, `pick_cache`, `pick_source`),
 //! then the defences: health by symptom, silence, crowding, cold budgets, further attempts and giving up.
 
+use crate::aging::{faded, Counts, Pace};
 use crate::checks::SettingsError;
 use crate::interface::*;
-use std::collections::{btree_map, BTreeMap, HashMap, VecDeque};
+use std::collections::{btree_map, BTreeMap, VecDeque};
 
 // ---- Constants. Times in microseconds unless the name says otherwise. ----
 
@@ -37,6 +38,11 @@
 const OVERDUE_TIMES: f64 = 2.0; // See `OVERDUE_US`.
 const OVERDUE_COUNT: usize = 2; // So many overdue and no answer since the first was sent: silent.
 const STRETCHED: f64 = 1.3; // Hits that take more, over their sending time, show a link shared by too many.
+/// Fills tell of the link for so long, by halves: each of many routers sees few, and old ones would hide that the
+/// link has room again.
+const LINK_HALF_S: f64 = 1.0;
+const LINK_OPENS_S: f64 = 1.0; // With no fills at all the link is taken to fit twice as much after this.
+const LINK_TOLD: f64 = 1.5; // As `PACE_TOLD`, however long ago they were.
 const USUAL_STEP: f64 = 0.01; // Weight of one request in the usual sending time of its class.
 const WAY_S: f64 = 0.02; // Time of a hit besides its sending time.
 const MEAN_S: f64 = 3.0; // Own transfers are averaged over so many seconds to guess the other routers'.
@@ -57,59 +63,6 @@
 
 // ---- What is remembered ----
 
-/// Aged counts in a bounded table.
-#[derive(Default)]
-struct Counts {
-    entries: HashMap<u64, (f64, Micros)>,
-    total: (f64, Micros),
-}
-
-fn aged((count, at): (f64, Micros), now: Micros) -> f64 {
-    count * (-(now.saturating_sub(at) as f64) / 1e6 / HALF_LIFE_S).exp2()
-}
-
-impl Counts {
-    /// Counts a request; gives the key's count with it.
-    fn add(&mut self, key: u64, now: Micros) -> f64 {
-        self.total = (aged(self.total, now) + 1.0, now);
-        let entry = self.entries.entry(key).or_insert((0.0, now));
-        *entry = (aged(*entry, now) + 1.0, now);
-        let count = entry.0;
-        let mut floor = 0.25;
-        while self.entries.len() > TABLE_SIZE {
-            // What goes depends on each entry alone, never on the order of the table.
-            self.entries.retain(|_, e| aged(*e, now) >= floor);
-            floor *= 2.0;
-        }
-        count
-    }
-}
-
-/// Aged sums over a server's hits or fills: time taken, sending time, transfers held meanwhile, their number.
-#[derive(Clone, Copy, Default)]
-struct Pace {
-    took_s: f64,
-    work_s: f64,
-    held: f64,
-    number: f64,
-    at: Micros,
-}
-
-impl Pace {
-    fn add(&mut self, now: Micros, took_s: f64, work_s: f64, held: f64) {
-        let old = aged((1.0, self.at), now);
-        let (took_s, work_s) = (self.took_s * old + took_s, self.work_s * old + work_s);
-        *self =
-            Pace { took_s, work_s, held: self.held * old + held, number: self.number * old + 1.0, at: now };
-    }
-
-    /// Time taken over sending time, and transfers held, once a few of them tell.
-    fn told(&self, now: Micros) -> Option<(f64, f64)> {
-        let enough = aged((self.number, self.at), now) >= PACE_TOLD;
-        enough.then(|| (self.took_s / self.work_s.max(1e-9), self.held / self.number))
-    }
-}
-
 #[derive(Clone, Copy, Default, PartialEq, Eq)]
 enum Role {
     #[default]
@@ -250,8 +203,8 @@
             ready: Default::default(),
             seed,
             open: BTreeMap::new(),
-            objects: Counts::default(),
-            parts: Counts::default(),
+            objects: Counts::new(HALF_LIFE_S, TABLE_SIZE),
+            parts: Counts::new(HALF_LIFE_S, TABLE_SIZE),
             long: vec![4.0; usual_s.len()],
             usual_s,
             missing: 0.5,
@@ -428,7 +381,7 @@
     /// top of the shared hash order that are not full, else the next in the order.
     fn pick_cache(&self, now: Micros, open: &Open, ranked: &Ranked) -> Option<Target> {
         let all = &ranked.caches;
-        let share = open.count / aged(self.objects.total, now).max(PRIOR_REQUESTS);
+        let share = open.count / self.objects.total(now).max(PRIOR_REQUESTS);
         let copies = (share * all.len() as f64).ceil().max(1.0) as usize;
         let able = |id: &&ServerId| {
             let fits = !open.tried.contains(id) && self.is_well(**id, now) && self.has_room(**id, now, open);
@@ -472,7 +425,7 @@
         sources.retain(|id| !open.bad_sources.contains(id) && self.has_room(*id, now, open));
         let mut well = sources.iter().filter(|id| self.is_well(**id, now));
         let (first, second) = (well.next(), well.next());
-        let pace = |id: Option<&ServerId>| self.servers.get(id?)?.fills.told(now);
+        let pace = |id: Option<&ServerId>| self.servers.get(id?)?.fills.told(now, HALF_LIFE_S, PACE_TOLD);
         let slower = pace(first).zip(pace(second)).is_some_and(|(a, b)| a.0 > CLEARLY * b.0);
         first.filter(|_| !slower).or(second).or(sources.first()).copied()
     }
@@ -635,7 +588,7 @@
     /// Capacity in transfers as recent hits showed it: where each took longer than its size explains, the
     /// link was shared by more transfers than it fits.
     fn shown_capacity(&self, now: Micros, s: &Known) -> f64 {
-        match s.hits.told(now) {
+        match s.hits.told(now, HALF_LIFE_S, PACE_TOLD) {
             Some((stretch, held)) if stretch >= STRETCHED => (held / stretch).max(0.2),
             Some((_, held)) => self.capacity(s).max(held),
             None => self.capacity(s),
@@ -666,8 +619,10 @@
         let fits = if told > 0.0 {
             told / self.settings.flow_kb_per_s.max(1.0)
         } else {
-            match self.link.told(now) {
-                Some((stretch, held)) if stretch >= STRETCHED => held / stretch,
+            match self.link.shown(LINK_TOLD) {
+                Some((stretch, held)) if stretch >= STRETCHED => {
+                    held / stretch / faded((1.0, self.link.at), now, LINK_OPENS_S)
+                }
                 _ => return false,
             }
         };
@@ -849,7 +804,7 @@
         let held_now = self.servers.get(&server).map_or(0.0, |s| self.held(s));
         if let Some(s) = self.servers.get_mut(&server) {
             if hit {
-                s.hits.add(now, took_s, work_s + WAY_S, (attempt.held + held_now) / 2.0);
+                s.hits.add(now, HALF_LIFE_S, took_s, work_s + WAY_S, (attempt.held + held_now) / 2.0);
             }
             s.out = s.out.saturating_sub(1);
         }
@@ -864,7 +819,7 @@
         let filled = outcome == Outcome::Ok && matches!(note, Note::Filled | Note::FilledByOrigin);
         if sized && attempt.source.is_some() && (filled || slow) {
             let moving_s = took_us.saturating_sub(waited_us) as f64 / 1e6;
-            self.link.add(now, moving_s, work_s + WAY_S, (attempt.fills + self.fills()) / 2.0);
+            self.link.add(now, LINK_HALF_S, moving_s, work_s + WAY_S, (attempt.fills + self.fills()) / 2.0);
         }
         if by_origin {
             self.learn_origin(note, waited_us as f64 / self.settings.classes[class].aim_us.max(1) as f64);
@@ -893,7 +848,7 @@
                     } else if note != Note::None && note != Note::Joined {
                         self.judge(now, source, None);
                         if let Some(s) = self.servers.get_mut(&source).filter(|_| sized) {
-                            s.fills.add(now, took_s, work_s + WAY_S, 0.0);
+                            s.fills.add(now, HALF_LIFE_S, took_s, work_s + WAY_S, 0.0);
                         }
                     }
                 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -61,6 +61,7 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+mod aging;
 mod checks;
 mod decide;
 pub mod interface;
--- a/tests/scale.rs
+++ b/tests/scale.rs
@@ -180,3 +180,41 @@
     assert!(servers.contains(&78), "it is ready");
     assert!(!servers.contains(&5), "a cache of another location");
 }
+
+/// A router among sixteen sees few fills: what those told of a crowded link must not outlive the crowd, or all
+/// sixteen hold back from a link that lies idle.
+#[test]
+fn a_crowded_link_is_left_alone_and_used_again_within_seconds_by_a_router_with_few_fills() {
+    let mut settings = settings();
+    settings.zones.iter_mut().for_each(|z| z.link_kb_per_s = 0.0);
+    settings.zones[1].routers = 16;
+    let mut rig = Rig::new(settings, fleet());
+    let filled = |rig: &mut Rig, n: usize| {
+        let s = rig.send("video", &format!("/o/{n}"));
+        (s.fill.source != s.server).then_some(s)
+    };
+    // Parts of 0.1 s of sending: in a second of crowd eight fills take four times as long.
+    let out: Vec<Sent> = (0..8).filter_map(|n| filled(&mut rig, n)).collect();
+    assert_eq!(out.len(), 8, "nothing is known of the link yet");
+    for s in out {
+        rig.now += 60 * MS;
+        rig.tick();
+        rig.handle(Event::Outcome {
+            request: s.request,
+            attempt: 0,
+            server: s.server,
+            outcome: Outcome::Ok,
+            took_us: 480 * MS,
+            settled: true,
+            note: Note::Filled,
+            waited_us: 0,
+            load: None,
+        });
+    }
+    assert!(filled(&mut rig, 100).is_none(), "the link is crowded");
+    for _ in 0..60 {
+        rig.now += 50 * MS;
+        rig.tick();
+    }
+    assert!(filled(&mut rig, 101).is_some(), "nothing has come by the link for three seconds");
+}
