Count what a slow origin leaves unanswered, so that proxies with few requests ask it for less

Cause: learn_origin() in src/decide.rs is given the note of an answer, and time-outs and attempts called off have none, so a proxy's share of fills that may ask the origin never falls in a jam. Among three proxies enough late answers come; one of a hundred sees none.

Change: an attempt that may have had the origin asked and ended unanswered after its class's aim counts as a late answer, where its cache answered others meanwhile.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -109,6 +109,7 @@
     cancelled: bool,
     stuck_at: Micros, // When sharing no longer explains that it is still out; called off for that.
     stuck: bool,
+    asks: bool, // Its source may have the origin asked.
 }
 
 #[derive(Default)]
@@ -483,6 +484,8 @@
             cancelled: false,
             stuck_at: now + (bound * 1e6) as Micros,
             stuck: false,
+            asks: !fill.only_held
+                && source.is_some_and(|id| self.servers.get(&id).is_some_and(|s| s.role != Role::Cache)),
         };
         open.attempts += 1;
         self.filling += self.missing;
@@ -793,6 +796,11 @@
         let mute = attempt.source.filter(|id| attempt.stuck && !answered(*id));
         // A parent that is lost tells nothing of the origin: the others must go on asking it.
         let by_origin = attempt.source.is_some_and(|id| note != Note::SourceLost || answered(id));
+        // Nothing came back while it was wanted, though the cache is well: an origin that is asked for more than it
+        // can do shows that first, and many routers see nothing else of it.
+        let aim_us = self.settings.classes[class].aim_us.max(1);
+        let ended = matches!(outcome, Outcome::Timeout | Outcome::Cancelled);
+        let unanswered = attempt.asks && ended && took_us > aim_us && answered(server);
         let capacity = self.servers.get(&server).map_or(0.0, |s| self.capacity(s));
         let hit = outcome == Outcome::Ok && matches!(note, Note::Hit | Note::Stale);
         let took_s = took_us as f64 / 1e6;
@@ -821,8 +829,10 @@
             let moving_s = took_us.saturating_sub(waited_us) as f64 / 1e6;
             self.link.add(now, LINK_HALF_S, moving_s, work_s + WAY_S, (attempt.fills + self.fills()) / 2.0);
         }
-        if by_origin {
-            self.learn_origin(note, waited_us as f64 / self.settings.classes[class].aim_us.max(1) as f64);
+        if unanswered {
+            self.learn_origin(Note::OriginFailed, took_us as f64 / aim_us as f64);
+        } else if by_origin {
+            self.learn_origin(note, waited_us as f64 / aim_us as f64);
         }
         let told = matches!(note, Note::SourceRefused | Note::SourceLost | Note::OriginFailed);
         // Where reasons are not told, cache or source failed: the blame is shared by their failures so far,
--- a/tests/scale.rs
+++ b/tests/scale.rs
@@ -218,3 +218,49 @@
     }
     assert!(filled(&mut rig, 101).is_some(), "nothing has come by the link for three seconds");
 }
+
+/// One of a hundred routers sees hardly an answer of an origin that is asked for more than it can do: what does not
+/// come back has to tell it.
+#[test]
+fn an_origin_that_leaves_fills_unanswered_is_asked_for_less_where_the_caches_are_well() {
+    let asked = |cache_answers: bool| {
+        let mut settings = settings();
+        settings.zones[1].link_kb_per_s = 1e9;
+        let mut rig = Rig::new(settings, fleet());
+        let end = |rig: &mut Rig, s: Sent, outcome, note, took_us| {
+            rig.handle(Event::Outcome {
+                request: s.request,
+                attempt: 0,
+                server: s.server,
+                outcome,
+                took_us,
+                settled: outcome == Outcome::Ok,
+                note,
+                waited_us: 0,
+                load: None,
+            })
+        };
+        for n in 0..30 {
+            let fill = rig.send("video", &format!("/o/{n}"));
+            let others: Vec<Sent> = (0..12).map(|m| rig.send("video", &format!("/hit/{m}"))).collect();
+            rig.now += 200 * MS;
+            for s in others {
+                let outcome = if cache_answers { Outcome::Ok } else { Outcome::Miss };
+                end(&mut rig, s, outcome, Note::Hit, 110 * MS);
+            }
+            rig.now += 800 * MS;
+            end(&mut rig, fill, Outcome::Timeout, Note::None, S);
+        }
+        let asks = (0..100).filter(|n| {
+            let s = rig.send("video", &format!("/p/{n}"));
+            rig.now += 110 * MS;
+            end(&mut rig, s, Outcome::Ok, Note::Hit, 110 * MS);
+            assert_ne!(s.fill.source, s.server, "the link has room");
+            !s.fill.only_held
+        });
+        asks.count()
+    };
+    let share = asked(true);
+    assert!((1..20).contains(&share), "{share} of 100 may have the origin asked");
+    assert_eq!(asked(false), 100, "caches that answer nothing tell nothing of the origin");
+}
