Give a doubtful connection's place at a box up to the one that takes over from it

Ruled out: its queue (fills are answered in 90 ms meanwhile), the writes' number (30 a second).

Cause: a connection that was silent for 1 s when an attempt on it was given up is suspect, takes nothing more (Link::room_for), and Daemon::send dials another, but the suspect one was kept open for as long as the box kept it. One place a proxy is nothing; a hundred hold all of them, and bar each other for good.

Change: before it dials in place of suspect connections, a proxy ends those on which nothing is open. The log tells connections begun and ended at level debug, which is how this was counted.

--- a/daemon/src/core.rs
+++ b/daemon/src/core.rs
@@ -10,8 +10,8 @@
 use std::collections::{BTreeMap, BTreeSet, HashSet};
 use std::net::SocketAddr;
 
-/// Log target under which each attempt and each final answer is told, at the level debug.
-const TRACE: &str = "linnetknot::trace";
+/// Log target under which each attempt, each final answer and each connection to a box is told, at the level debug.
+pub(crate) const TRACE: &str = "linnetknot::trace";
 
 /// A request in the table.
 pub type Ticket = Key;
--- a/daemon/src/daemon/boxes.rs
+++ b/daemon/src/daemon/boxes.rs
@@ -1,7 +1,7 @@
 //! Links to boxes: which connection an attempt takes, and what becomes of it.
 
 use super::{Connection, Daemon, Kind, Timer};
-use crate::core::AttemptId;
+use crate::core::{AttemptId, TRACE};
 use crate::net::{Conn, Key};
 use crate::upstream::{Link, Told};
 use linnetknot::{Micros, Outcome, ServerId};
@@ -41,7 +41,17 @@
         let shared = best.is_some_and(|((.., live), _)| live >= self.limits.box_shared);
         let spare = self.connections.room() > self.limits.spare_connections;
         let ahead = shared && spare && links.len() < self.limits.box_connections && links.iter().all(up);
-        let fresh = best.is_none() && links.len() < self.limits.box_connections;
+        // A connection that may lead nowhere gives its place up to the one that takes over from it: places at a box are
+        // scarce where many proxies hold some, and what is kept in vain by all bars all.
+        let idle = |key: &&Key| match self.connections.get(**key) {
+            Some(Connection { kind: Kind::Box(link), .. }) => link.is_suspect() && link.is_idle(),
+            _ => false,
+        };
+        let vain: Vec<Key> = links.iter().filter(idle).copied().collect();
+        let fresh = best.is_none() && links.len() - vain.len() < self.limits.box_connections;
+        if fresh {
+            vain.into_iter().for_each(|key| self.close(now, key));
+        }
         let key = match best {
             Some((_, key)) => Some(key),
             None if fresh => self.dial(now, server),
@@ -69,7 +79,10 @@
         let mut link = Link::new(server, &self.limits, now);
         link.endpoint = Some(endpoint);
         let key = self.call(now, endpoint, Kind::Box(link))?;
-        self.links.entry(server).or_default().push(key);
+        let links = self.links.entry(server).or_default();
+        links.push(key);
+        let (number, uid) = (links.len(), self.core.location(server).map_or("-", |(uid, _)| uid));
+        log::debug!(target: TRACE, "box" = uid, number = number; "a connection is begun");
         Some(key)
     }
 
--- a/daemon/src/daemon/mod.rs
+++ b/daemon/src/daemon/mod.rs
@@ -1,7 +1,7 @@
 //! The loop: sockets and deadlines on one side, the core on the other.
 
 use crate::config::{Config, Source};
-use crate::core::{Command, Core, Wake};
+use crate::core::{Command, Core, Wake, TRACE};
 use crate::front::cdni::{self, Desk};
 use crate::front::fastcgi::Session;
 use crate::ledger::Ledger;
@@ -500,6 +500,8 @@
             }
             Kind::Box(link) => {
                 let server = link.server;
+                let uid = self.core.location(server).map_or("-", |(uid, _)| uid);
+                log::debug!(target: TRACE, "box" = uid, up = c.conn.up; "a connection has ended");
                 if let Entry::Occupied(mut links) = self.links.entry(server) {
                     links.get_mut().retain(|k| *k != key);
                     if links.get().is_empty() {
--- a/daemon/src/upstream.rs
+++ b/daemon/src/upstream.rs
@@ -215,6 +215,11 @@
         self.queue.is_empty() && self.open.values().all(|s| matches!(s, Stream::GivenUp(_, None)))
     }
 
+    /// Whether it was silent for so long that it may lead nowhere any more.
+    pub fn is_suspect(&self) -> bool {
+        self.suspect
+    }
+
     /// Queues an attempt. Nothing is written before the connection is up and takes it whole, so that what is
     /// given up or withdrawn until then never reaches the box.
     pub fn send(&mut self, attempt: AttemptId) {
--- a/daemon/tests/loopback.rs
+++ b/daemon/tests/loopback.rs
@@ -400,3 +400,24 @@
     assert!((3..=8).contains(&rig.boxes[0].connections()), "{}", rig.boxes[0].connections());
     rig.stop();
 }
+
+/// Of a hundred proxies each keeps one connection more with every silence, and the box's places are taken for good.
+#[test]
+fn a_connection_that_a_silent_box_left_doubtful_is_given_up_for_the_one_that_follows_it() {
+    let rig = Rig::start();
+    rig.origin.behave(Manner { mute: true, ..Manner::default() });
+    let mut web = rig.web();
+    for n in 1..=4 {
+        // Longer than a pause: what is given up then leaves its connection in doubt.
+        web.ask(n, "post", &object(u64::from(n)), 1_100).unwrap();
+        assert_eq!(web.end().unwrap().1.unwrap().status, 503, "asking again is harmless: it carries a key");
+    }
+    rig.origin.wait_for(|a| a.field("key") == Some(&object(3))).unwrap();
+    assert_eq!(rig.origin.connections(), 4, "each of them is tried on a new one");
+    // The last two: what was given up a moment ago is still being told on the one before.
+    let until = std::time::Instant::now() + std::time::Duration::from_secs(10);
+    while rig.origin.open() > 2 {
+        assert!(std::time::Instant::now() < until, "{} are kept", rig.origin.open());
+    }
+    rig.stop();
+}
