Let an answer of the origin speak for the time since the one before, by proxies that see few

The origin could give 260 a second and gives 150.

Cause: learn_origin() in src/decide.rs moves its share by a fixed step for each answer. Among three proxies each has 30 a second; one of a hundred has one or two, and less the lower its share, so it is late by ten seconds both ways.

Change: the weight of an answer grows with the time since the one before, by 10 a second for one second at most; dense answers count as before.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -54,6 +54,9 @@
 const ORIGIN_FALL_MOST: f64 = 3.0; // Times that, the later the answer: a long queue is slow to show.
 const ORIGIN_STEP: f64 = 0.04; // Added to it with one in time.
 const ORIGIN_LEAST: f64 = 0.05; // Least: so many find out whether it is well again.
+/// An answer speaks for so many more for each second since the one before: a router among many sees few, and would
+/// follow the origin for seconds where one among three does at once.
+const ORIGIN_PER_S: f64 = 10.0;
 const FILL_TRIES: u32 = 2; // Failed fills, untold ones twice, until it is only looked for in the caches.
 const CLEARLY: f64 = 2.0; // The second parent fills while the first's fills take so many times as long.
 const PACE_TOLD: f64 = 2.0; // Aged number of hits or fills from which their pace is told.
@@ -159,6 +162,7 @@
     link: Pace,
     /// Share of the requests that may have the origin asked: it falls while its answers come too late.
     origin_share: f64,
+    origin_at: Micros, // When that was last learned.
     /// By hash of the object, or of the group: when, and whether it holds for good.
     purged: BTreeMap<u64, (Micros, bool)>,
     ticking: bool,
@@ -213,6 +217,7 @@
             mean_filling: 0.0,
             link: Pace::default(),
             origin_share: 1.0,
+            origin_at: Micros::MAX, // The first answer speaks for itself alone.
             purged: BTreeMap::new(),
             ticking: false,
         })
@@ -638,14 +643,18 @@
     /// wait for is worked off all the same: it would be late for all, long after its trouble is over. So the
     /// fewer requests may have it asked, the more of its answers are late; parents still give what they hold.
     /// `late`: the wait for the answer, over its class's aim.
-    fn learn_origin(&mut self, note: Note, late: f64) {
+    fn learn_origin(&mut self, now: Micros, note: Note, late: f64) {
+        let since_s = now.saturating_sub(self.origin_at).min(1_000_000) as f64 / 1e6;
+        let weight = 1.0 + ORIGIN_PER_S * since_s;
         self.origin_share = match note {
-            Note::FilledByOrigin if late <= 1.0 => (self.origin_share + ORIGIN_STEP).min(1.0),
+            Note::FilledByOrigin if late <= 1.0 => (self.origin_share + ORIGIN_STEP * weight).min(1.0),
             Note::FilledByOrigin | Note::OriginFailed | Note::SourceLost => {
-                (self.origin_share * ORIGIN_FALL.powf(late.clamp(1.0, ORIGIN_FALL_MOST))).max(ORIGIN_LEAST)
+                let fall = ORIGIN_FALL.powf(late.clamp(1.0, ORIGIN_FALL_MOST) * weight);
+                (self.origin_share * fall).max(ORIGIN_LEAST)
             }
             _ => return,
         };
+        self.origin_at = now;
     }
 
     /// Fills by the location's link: this router's own, and the others' guessed.
@@ -830,9 +839,9 @@
             self.link.add(now, LINK_HALF_S, moving_s, work_s + WAY_S, (attempt.fills + self.fills()) / 2.0);
         }
         if unanswered {
-            self.learn_origin(Note::OriginFailed, took_us as f64 / aim_us as f64);
+            self.learn_origin(now, Note::OriginFailed, took_us as f64 / aim_us as f64);
         } else if by_origin {
-            self.learn_origin(note, waited_us as f64 / aim_us as f64);
+            self.learn_origin(now, note, waited_us as f64 / aim_us as f64);
         }
         let told = matches!(note, Note::SourceRefused | Note::SourceLost | Note::OriginFailed);
         // Where reasons are not told, cache or source failed: the blame is shared by their failures so far,
--- a/tests/scale.rs
+++ b/tests/scale.rs
@@ -264,3 +264,40 @@
     assert!((1..20).contains(&share), "{share} of 100 may have the origin asked");
     assert_eq!(asked(false), 100, "caches that answer nothing tell nothing of the origin");
 }
+
+/// One of a hundred routers has an answer of the origin every half second or so: a few of them have to do what dozens
+/// do among three, or the origin stays crowded for seconds and then idle for ten more.
+#[test]
+fn a_router_with_few_answers_of_the_origin_follows_it_down_and_up_within_six_of_them() {
+    let mut settings = settings();
+    settings.zones[1].link_kb_per_s = 1e9;
+    let mut rig = Rig::new(settings, fleet());
+    let mut next = 0;
+    let mut end = |rig: &mut Rig, note: Note, waited_us: Micros| {
+        next += 1;
+        let s = rig.send("video", &format!("/o/{next}"));
+        rig.now += 110 * MS + waited_us;
+        rig.handle(Event::Outcome {
+            request: s.request,
+            attempt: 0,
+            server: s.server,
+            outcome: Outcome::Ok,
+            took_us: 110 * MS + waited_us,
+            settled: true,
+            note,
+            waited_us,
+            load: None,
+        });
+        !s.fill.only_held
+    };
+    let mut follow = |waited_us: Micros| {
+        for _ in 0..6 {
+            rig.now += 500 * MS;
+            end(&mut rig, Note::FilledByOrigin, waited_us);
+        }
+        (0..100).filter(|_| end(&mut rig, Note::Hit, 0)).count()
+    };
+    assert_eq!(follow(100 * MS), 100);
+    assert!(follow(900 * MS) < 15, "late answers");
+    assert!(follow(100 * MS) > 85, "it is well again");
+}
