End the start where a group of none or a number outside it is configured

Need: a proxy takes its share of what all may do together; a group-size of 0 or a rank outside the group was passed over in silence.

Change: both are checked where the settings are read, for the daemon and the drill, and the message names the key.

--- a/settings/src/lib.rs
+++ b/settings/src/lib.rs
@@ -93,6 +93,15 @@
         Some(v) => v.as_object().ok_or_else(|| wrong(key)),
     };
     let (family, limits, rules) = (sub("family-info")?, sub("limits")?, sub("rules")?);
+    // Shares of what all proxies may do together are taken by these: nonsense here would be nonsense in all of them.
+    let group = int_or(m, "group-size", u64::MAX)?;
+    if group == 0 {
+        return Err("field 'group-size' is 0: a group has this proxy at least".into());
+    }
+    let rank = int_or(m, "rank", 0)?;
+    if rank >= group {
+        return Err(format!("field 'rank' is {rank}, outside a 'group-size' of {group}"));
+    }
     let mut classes = Vec::new();
     for (i, v) in list(m, "categories")?.iter().enumerate() {
         let c = v.as_object().ok_or_else(|| wrong("categories"))?;
