Take out state kept twice and the half-lives handed to both ends of a sum

Need: a last reading of the whole change found the bus's feed noting when it was read, which the daemon notes too and alone looks at; the registration's call noted and never looked at; a time that no exchange uses; four places that take a box's link from a connection's key; and a pace that was handed its half-life when it takes in and again when it tells, so that the two could differ.

Change: each is gone; the half-life is part of a sum's type. Nothing is decided otherwise.

--- a/daemon/src/bus.rs
+++ b/daemon/src/bus.rs
@@ -80,7 +80,6 @@
 pub struct Feed {
     http: http::Messages,
     events: sse::Events,
-    read: Micros,
 }
 
 /// The request that reads on behind an event.
@@ -94,24 +93,17 @@
 
 impl Feed {
     /// A call just begun.
-    pub fn new(limits: &Limits, now: Micros) -> Self {
+    pub fn new(limits: &Limits) -> Self {
         let http = http::Messages::responses(limits.line, usize::MAX);
-        Feed { http, events: sse::Events::new(limits.line), read: now }
-    }
-
-    /// When something last came.
-    pub fn last_read(&self) -> Micros {
-        self.read
+        Feed { http, events: sse::Events::new(limits.line) }
     }
 
     /// Takes bytes in: how many, and the events that became whole, those after `last` only.
     pub fn read(
         &mut self,
-        now: Micros,
         mut input: &[u8],
         last: &mut u64,
     ) -> std::result::Result<Vec<BusEvent>, WireError> {
-        self.read = now;
         let mut events = Vec::new();
         loop {
             let (taken, piece) = self.http.parse(input)?;
--- a/daemon/src/daemon/boxes.rs
+++ b/daemon/src/daemon/boxes.rs
@@ -23,30 +23,33 @@
         }
     }
 
+    /// A connection to a box, to look at.
+    fn peek(&self, key: Key) -> Option<(&Conn, &Link)> {
+        match self.connections.get(key)? {
+            Connection { conn, kind: Kind::Box(link), .. } => Some((conn, link)),
+            _ => None,
+        }
+    }
+
     pub(super) fn send(&mut self, now: Micros, attempt: AttemptId) {
         let Some((asked, sending)) = self.core.sending(attempt) else { return };
         let (id, server) = (asked.id.as_str(), sending.server);
         let links = self.links.get(&server).map_or(&[][..], Vec::as_slice);
         let endpoint = self.core.location(server).map(|(_, endpoint)| endpoint);
-        let room = |key: &Key| match self.connections.get(*key) {
-            Some(Connection { conn, kind: Kind::Box(link), .. }) if link.endpoint == endpoint => {
-                Some((!link.gave_up(id), !conn.up, link.room_for(id, &self.core, &self.limits)?))
-            }
-            _ => None,
+        let room = |key: &Key| {
+            let (conn, link) = self.peek(*key).filter(|(_, link)| link.endpoint == endpoint)?;
+            Some((!link.gave_up(id), !conn.up, link.room_for(id, &self.core, &self.limits)?))
         };
         let best = links.iter().filter_map(|key| Some((room(key)?, *key))).min();
         // One answer that can't be read ends all that is open on its connection: the more of them, the less is
         // lost at once. The next one is begun ahead, so that no attempt waits for it.
-        let up = |key: &Key| self.connections.get(*key).is_some_and(|c| c.conn.up);
+        let up = |key: &Key| self.peek(*key).is_some_and(|(conn, _)| conn.up);
         let shared = best.is_some_and(|((.., live), _)| live >= self.limits.box_shared);
         let spare = self.connections.room() > self.limits.spare_connections;
         let ahead = shared && spare && links.len() < self.limits.box_connections && links.iter().all(up);
         // A connection that may lead nowhere gives its place up to the one that takes over from it: places at a box are
         // scarce where many proxies hold some, and what is kept in vain by all bars all.
-        let idle = |key: &&Key| match self.connections.get(**key) {
-            Some(Connection { kind: Kind::Box(link), .. }) => link.is_suspect() && link.is_idle(),
-            _ => false,
-        };
+        let idle = |key: &&Key| self.peek(**key).is_some_and(|(_, link)| link.is_suspect() && link.is_idle());
         let vain: Vec<Key> = links.iter().filter(idle).copied().collect();
         let fresh = best.is_none() && links.len() - vain.len() < self.limits.box_connections;
         if fresh {
@@ -149,10 +152,7 @@
     pub(super) fn probe(&mut self, now: Micros, server: ServerId) {
         let endpoint = self.core.location(server).map(|(_, endpoint)| endpoint);
         let mut links = self.links.get(&server).into_iter().flatten().copied();
-        let key = links.find(|key| match self.connections.get(*key) {
-            Some(Connection { kind: Kind::Box(link), .. }) => link.endpoint == endpoint,
-            _ => false,
-        });
+        let key = links.find(|key| self.peek(*key).is_some_and(|(_, link)| link.endpoint == endpoint));
         let asked = key.and_then(|key| self.link(key)).is_some_and(|(conn, link)| link.probe(now, conn));
         match key.filter(|_| asked) {
             Some(key) => {
--- a/daemon/src/daemon/exchange.rs
+++ b/daemon/src/daemon/exchange.rs
@@ -38,7 +38,7 @@
     /// What is written once the connection is up.
     fn opening(&self) -> Vec<u8>;
     /// Takes in all of `input`.
-    fn read(&mut self, now: Micros, input: &[u8], effects: &mut Vec<Effect>) -> Result<Flow, WireError>;
+    fn read(&mut self, input: &[u8], effects: &mut Vec<Effect>) -> Result<Flow, WireError>;
     /// The connection has ended before `Flow::Done`.
     fn ended(self: Box<Self>, end: End) -> Option<Effect>;
 }
@@ -72,7 +72,7 @@
         while !c.conn.input.is_empty() && result == Ok(Flow::More) {
             let front = c.conn.input.front();
             let taken = front.len();
-            result = exchange.read(now, front, &mut effects);
+            result = exchange.read(front, &mut effects);
             c.conn.input.consume(taken);
         }
         if result == Ok(Flow::Done) {
--- a/daemon/src/daemon/feeds/bus.rs
+++ b/daemon/src/daemon/feeds/bus.rs
@@ -32,8 +32,8 @@
         request(&self.host, self.last)
     }
 
-    fn read(&mut self, now: Micros, input: &[u8], effects: &mut Vec<Effect>) -> Result<Flow, WireError> {
-        let events = self.feed.read(now, input, &mut self.last)?;
+    fn read(&mut self, input: &[u8], effects: &mut Vec<Effect>) -> Result<Flow, WireError> {
+        let events = self.feed.read(input, &mut self.last)?;
         let last = self.last;
         effects.push(Box::new(move |daemon, now| {
             (daemon.bus.last, daemon.bus.read_at) = (last, now);
@@ -81,7 +81,7 @@
 
     pub(in crate::daemon) fn call_bus(&mut self, now: Micros) {
         let Some(bus) = self.config.bus else { return };
-        let feed = Feed::new(&self.limits, now);
+        let feed = Feed::new(&self.limits);
         let call = Call { host: bus.to_string(), last: self.bus.last, feed };
         self.bus.key = self.exchange(now, bus, Box::new(call), None);
         self.bus.read_at = now;
--- a/daemon/src/daemon/feeds/consul/call.rs
+++ b/daemon/src/daemon/feeds/consul/call.rs
@@ -49,7 +49,7 @@
         self.request.clone()
     }
 
-    fn read(&mut self, _: Micros, mut input: &[u8], effects: &mut Vec<Effect>) -> Result<Flow, WireError> {
+    fn read(&mut self, mut input: &[u8], effects: &mut Vec<Effect>) -> Result<Flow, WireError> {
         loop {
             let (taken, piece) = self.messages.parse(input)?;
             input = &input[taken..];
--- a/daemon/src/daemon/feeds/consul/mod.rs
+++ b/daemon/src/daemon/feeds/consul/mod.rs
@@ -25,7 +25,6 @@
 
 struct Registered {
     registration: Registration,
-    key: Option<Key>,
     timer: Option<Due>,
 }
 
@@ -53,11 +52,9 @@
             let watch = Watch::new(options, consul.mapping.clone(), seed ^ (n as u64 + 1));
             Watched { watch, key: None, timer: None }
         };
-        let registered = consul.registrant(listen).map(|r| Registered {
-            registration: Registration::new(r, seed),
-            key: None,
-            timer: None,
-        });
+        let registered = consul
+            .registrant(listen)
+            .map(|r| Registered { registration: Registration::new(r, seed), timer: None });
         Ok(State {
             agents: consul.agents.clone(),
             watches: consul.options.iter().cloned().enumerate().map(watch).collect(),
@@ -184,9 +181,6 @@
         let then = |daemon: &mut Daemon, now, outcome: Outcome| daemon.registration_told(now, outcome);
         let exchange = Call::new(request, self.limits.line, self.limits.line, then);
         let key = self.exchange(now, to, exchange, Some(call.timeout_us));
-        if let Some(r) = self.consul.as_mut().and_then(|c| c.registered.as_mut()) {
-            r.key = key;
-        }
         if key.is_none() {
             self.registration_told(now, Err(Failure::Unreachable));
         }
@@ -194,7 +188,6 @@
 
     fn registration_told(&mut self, now: Micros, outcome: Outcome) {
         let Some(r) = self.consul.as_mut().and_then(|c| c.registered.as_mut()) else { return };
-        r.key = None;
         let step = match &outcome {
             Ok((head, body)) => {
                 let response = Response { status: head.status().unwrap_or(0), headers: &head.headers, body };
--- a/daemon/src/daemon/neighbours.rs
+++ b/daemon/src/daemon/neighbours.rs
@@ -34,7 +34,7 @@
     }
 
     /// The neighbour's status is all that is wanted.
-    fn read(&mut self, _: Micros, input: &[u8], effects: &mut Vec<Effect>) -> Result<Flow, WireError> {
+    fn read(&mut self, input: &[u8], effects: &mut Vec<Effect>) -> Result<Flow, WireError> {
         let (_, Some(Piece::Head(head))) = self.messages.parse(input)? else { return Ok(Flow::More) };
         let (post, tries, status) = (self.post.clone(), self.tries, head.status());
         effects.push(Box::new(move |daemon, now| daemon.posted(now, post, tries, status)));
@@ -243,9 +243,9 @@
         let text = String::from_utf8(courier.opening()).unwrap();
         assert!(text.starts_with("POST /t HTTP/1.1\r\n") && text.ends_with("Content-Length: 2\r\n\r\n{}"));
         let mut effects = Vec::new();
-        assert_eq!(courier.read(0, b"HTTP/1.1 201 Cre", &mut effects), Ok(Flow::More));
+        assert_eq!(courier.read(b"HTTP/1.1 201 Cre", &mut effects), Ok(Flow::More));
         assert!(effects.is_empty());
-        assert_eq!(courier.read(0, b"ated\r\nContent-Length: 0\r\n\r\n", &mut effects), Ok(Flow::Done));
+        assert_eq!(courier.read(b"ated\r\nContent-Length: 0\r\n\r\n", &mut effects), Ok(Flow::Done));
         assert_eq!(effects.len(), 1);
     }
 }
--- a/src/aging.rs
+++ b/src/aging.rs
@@ -45,9 +45,10 @@
     }
 }
 
-/// Aged sums over hits or fills: time taken, sending time, transfers held meanwhile, their number.
+/// Aged sums over hits or fills: time taken, sending time, transfers held meanwhile, their number. They fall by half in
+/// so many milliseconds.
 #[derive(Clone, Copy, Default)]
-pub(crate) struct Pace {
+pub(crate) struct Pace<const HALF_MS: u64> {
     took_s: f64,
     work_s: f64,
     held: f64,
@@ -56,18 +57,20 @@
     pub(crate) at: Micros,
 }
 
-impl Pace {
-    /// Takes one in; the older ones have fallen by half in each `half_s`.
-    pub(crate) fn add(&mut self, now: Micros, half_s: f64, took_s: f64, work_s: f64, held: f64) {
-        let old = faded((1.0, self.at), now, half_s);
+impl<const HALF_MS: u64> Pace<HALF_MS> {
+    const HALF_S: f64 = HALF_MS as f64 / 1e3;
+
+    /// Takes one in.
+    pub(crate) fn add(&mut self, now: Micros, took_s: f64, work_s: f64, held: f64) {
+        let old = faded((1.0, self.at), now, Self::HALF_S);
         let (took_s, work_s) = (self.took_s * old + took_s, self.work_s * old + work_s);
         *self =
             Pace { took_s, work_s, held: self.held * old + held, number: self.number * old + 1.0, at: now };
     }
 
     /// Time taken over sending time, and transfers held, while so many of them still tell.
-    pub(crate) fn told(&self, now: Micros, half_s: f64, number: f64) -> Option<(f64, f64)> {
-        self.shown(number / faded((1.0, self.at), now, half_s))
+    pub(crate) fn told(&self, now: Micros, number: f64) -> Option<(f64, f64)> {
+        self.shown(number / faded((1.0, self.at), now, Self::HALF_S))
     }
 
     /// The same once there were so many of them, however long ago.
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -40,7 +40,7 @@
 const STRETCHED: f64 = 1.3; // Hits that take more, over their sending time, show a link shared by too many.
 /// Fills tell of the link for so long, by halves: each of many routers sees few, and old ones would hide that the
 /// link has room again.
-const LINK_HALF_S: f64 = 1.0;
+const LINK_HALF_MS: u64 = 1_000;
 const LINK_OPENS_S: f64 = 1.0; // With no fills at all the link is taken to fit twice as much after this.
 const LINK_TOLD: f64 = 1.5; // As `PACE_TOLD`, however long ago they were.
 const USUAL_STEP: f64 = 0.01; // Weight of one request in the usual sending time of its class.
@@ -59,6 +59,7 @@
 const ORIGIN_PER_S: f64 = 10.0;
 const FILL_TRIES: u32 = 2; // Failed fills, untold ones twice, until it is only looked for in the caches.
 const CLEARLY: f64 = 2.0; // The second parent fills while the first's fills take so many times as long.
+const PACE_HALF_MS: u64 = 10_000; // Hits and fills of one server tell of its pace for so long, by halves.
 const PACE_TOLD: f64 = 2.0; // Aged number of hits or fills from which their pace is told.
 const WATCH_AGAIN_US: Micros = 1_000_000; // Wait before the list is asked for again after a failed call.
 const TICK_TAG: u64 = 0; // Tag of the recurring timer.
@@ -94,9 +95,9 @@
     last_ok: Micros,
     reset_at: Micros, // When a connection to it last broke.
     out: usize,
-    mean_out: f64, // Transfers to it from here, averaged over `MEAN_S`.
-    hits: Pace,    // Its recent hits from here.
-    fills: Pace,   // Recent fills from it whose size was told.
+    mean_out: f64,             // Transfers to it from here, averaged over `MEAN_S`.
+    hits: Pace<PACE_HALF_MS>,  // Its recent hits from here.
+    fills: Pace<PACE_HALF_MS>, // Recent fills from it whose size was told.
     /// What was sent to it while cold: when, and its work in seconds.
     charged: VecDeque<(Micros, f64, RequestId)>,
 }
@@ -159,7 +160,7 @@
     filling: f64,
     mean_filling: f64,
     /// Recent fills by the location's link, whoever gave them: what they took tells its size.
-    link: Pace,
+    link: Pace<LINK_HALF_MS>,
     /// Share of the requests that may have the origin asked: it falls while its answers come too late.
     origin_share: f64,
     origin_at: Micros, // When that was last learned.
@@ -431,7 +432,7 @@
         sources.retain(|id| !open.bad_sources.contains(id) && self.has_room(*id, now, open));
         let mut well = sources.iter().filter(|id| self.is_well(**id, now));
         let (first, second) = (well.next(), well.next());
-        let pace = |id: Option<&ServerId>| self.servers.get(id?)?.fills.told(now, HALF_LIFE_S, PACE_TOLD);
+        let pace = |id: Option<&ServerId>| self.servers.get(id?)?.fills.told(now, PACE_TOLD);
         let slower = pace(first).zip(pace(second)).is_some_and(|(a, b)| a.0 > CLEARLY * b.0);
         first.filter(|_| !slower).or(second).or(sources.first()).copied()
     }
@@ -596,7 +597,7 @@
     /// Capacity in transfers as recent hits showed it: where each took longer than its size explains, the
     /// link was shared by more transfers than it fits.
     fn shown_capacity(&self, now: Micros, s: &Known) -> f64 {
-        match s.hits.told(now, HALF_LIFE_S, PACE_TOLD) {
+        match s.hits.told(now, PACE_TOLD) {
             Some((stretch, held)) if stretch >= STRETCHED => (held / stretch).max(0.2),
             Some((_, held)) => self.capacity(s).max(held),
             None => self.capacity(s),
@@ -821,7 +822,7 @@
         let held_now = self.servers.get(&server).map_or(0.0, |s| self.held(s));
         if let Some(s) = self.servers.get_mut(&server) {
             if hit {
-                s.hits.add(now, HALF_LIFE_S, took_s, work_s + WAY_S, (attempt.held + held_now) / 2.0);
+                s.hits.add(now, took_s, work_s + WAY_S, (attempt.held + held_now) / 2.0);
             }
             s.out = s.out.saturating_sub(1);
         }
@@ -836,7 +837,7 @@
         let filled = outcome == Outcome::Ok && matches!(note, Note::Filled | Note::FilledByOrigin);
         if sized && attempt.source.is_some() && (filled || slow) {
             let moving_s = took_us.saturating_sub(waited_us) as f64 / 1e6;
-            self.link.add(now, LINK_HALF_S, moving_s, work_s + WAY_S, (attempt.fills + self.fills()) / 2.0);
+            self.link.add(now, moving_s, work_s + WAY_S, (attempt.fills + self.fills()) / 2.0);
         }
         if unanswered {
             self.learn_origin(now, Note::OriginFailed, took_us as f64 / aim_us as f64);
@@ -867,7 +868,7 @@
                     } else if note != Note::None && note != Note::Joined {
                         self.judge(now, source, None);
                         if let Some(s) = self.servers.get_mut(&source).filter(|_| sized) {
-                            s.fills.add(now, HALF_LIFE_S, took_s, work_s + WAY_S, 0.0);
+                            s.fills.add(now, took_s, work_s + WAY_S, 0.0);
                         }
                     }
                 }
