Tell peers of an origin that is clearly late, one voice a zone

The lines: `learn_origin` in src/decide.rs hears of nothing but its own answers.

Change: hearsay/, sans-IO: a datagram of 24 bytes with a version, the sender's start, a number and a checksum; when to tell (an answer twice its aim late, twice a second, not while another of the zone has just spoken) and what to make of it (the mean over all zones for a second, silent ones as well). It only lowers the share that may ask the origin. `Event::Heard` and `Router::found` in the module, `peers.tell` in the operators' file. Torn, foreign, long, old and strangers' words are dropped and counted.

--- a/daemon/src/config.rs
+++ b/daemon/src/config.rs
@@ -33,6 +33,8 @@
     pub settings: Settings,
     /// Where peers send to, and where they are sent to.
     pub peers: Option<(SocketAddr, Vec<SocketAddr>)>,
+    /// Peers are told of an origin that is late, and listened to.
+    pub tell: bool,
     /// The second front.
     pub cdni: Option<Cdni>,
     /// Consul as a source of the list.
@@ -137,6 +139,7 @@
         self.cdni = file.cdni.as_ref().map(|c| cdni(c, &self.settings)).transpose()?.flatten();
         let consul = file.consul.as_ref().map(|c| c.check(&self.settings, &self.name));
         self.consul = consul.transpose()?.flatten();
+        self.tell = file.peers.tell;
         self.state = file.state.check()?;
         self.log = file.log.form;
         Ok(())
@@ -157,6 +160,7 @@
             known: (0, Vec::new()),
             settings: settings(&none)?,
             peers: None,
+            tell: false,
             cdni: None,
             consul: None,
             state: State::default(),
@@ -175,6 +179,7 @@
             ("limits", self.limits != new.limits),
             ("settings", self.settings != new.settings),
             ("peer_listen", own(self) != own(new)),
+            ("peers.tell", self.tell != new.tell),
             ("cdni", self.cdni != new.cdni),
             ("state", self.state != new.state),
             ("log", self.log != new.log),
@@ -216,6 +221,7 @@
             known: known(m).map_err(|e| format!("known: {e}"))?,
             settings: parsed,
             peers: address(m, "peer_listen")?.map(|own| (own, peers)),
+            tell: false,
             cdni: None,
             consul: None,
             state: State::default(),
--- a/daemon/src/core.rs
+++ b/daemon/src/core.rs
@@ -156,6 +156,8 @@
     Probe(ServerId),
     /// A box drains or is gone: what is not written for it, or for a fill from it, must not be any more.
     Withdraw(ServerId),
+    /// The origin is late: others should know that this share of the requests may have it asked here.
+    Found(f64),
 }
 
 pub use linnetknot_membership::{server_id, Entry};
@@ -411,9 +413,15 @@
             load,
         };
         self.feed(now, event);
+        self.commands.extend(self.router.found().map(Command::Found));
         self.tidy(attempt.ticket);
     }
 
+    /// Other proxies find the origin late.
+    pub fn heard(&mut self, now: Micros, origin_share: f64, until: Micros) {
+        self.feed(now, Event::Heard { origin_share, for_us: until.saturating_sub(now) });
+    }
+
     /// A probe ended.
     pub fn probed(
         &mut self,
--- a/daemon/src/daemon/feeds/peers.rs
+++ b/daemon/src/daemon/feeds/peers.rs
@@ -1,5 +1,6 @@
 //! Datagrams of the peers.
 
+use crate::core::TRACE;
 use crate::daemon::Daemon;
 use crate::peers;
 use linnetknot::Micros;
@@ -15,13 +16,38 @@
                 Err(_) => continue,
             };
             // What does not come from a peer is not listened to.
-            let purge = peers::read(&bytes[..length]).filter(|_| known.contains(&from));
+            let peer = known.contains(&from);
+            let word =
+                self.hearsay.as_mut().is_some_and(|h| h.hear(now, peer.then_some(from), &bytes[..length]));
+            if word {
+                self.heed(now);
+                continue;
+            }
+            let purge = peers::read(&bytes[..length]).filter(|_| peer);
             if let Some((object, group, at)) = purge {
                 self.purge_for_good(now, object, group, at);
             }
         }
     }
 
+    /// What others find of the origin, as far as enough of them agree.
+    fn heed(&mut self, now: Micros) {
+        if let Some((share, until)) = self.hearsay.as_ref().and_then(|h| h.origin(now)) {
+            self.core.heard(now, share, until);
+        }
+    }
+
+    /// The origin is late for this proxy.
+    pub(in crate::daemon) fn tell_found(&mut self, now: Micros, share: f64) {
+        let Some(word) = self.hearsay.as_mut().and_then(|h| h.found(now, share)) else { return };
+        log::debug!(target: TRACE, share = share; "peers are told of a late origin");
+        let Some((socket, known)) = &self.peers else { return };
+        let own = socket.local_addr().ok();
+        for peer in known.iter().filter(|peer| Some(**peer) != own) {
+            let _ = socket.send_to(&word, peer);
+        }
+    }
+
     /// Sends a purge to the peers, and again: any datagram may be lost.
     pub(in crate::daemon) fn tell_peers(&mut self, now: Micros, text: String, left: u8) {
         let Some((socket, known)) = &self.peers else { return };
--- a/daemon/src/daemon/mod.rs
+++ b/daemon/src/daemon/mod.rs
@@ -10,6 +10,7 @@
 use crate::upstream::Link;
 use crate::wire::WireError;
 use linnetknot::{Micros, ServerId};
+use linnetknot_hearsay::{Figures, Hearsay, Place};
 use linnetknot_membership::{Damping, Membership, Source as ListSource};
 use std::collections::{btree_map::Entry, BTreeMap};
 use std::io;
@@ -154,6 +155,7 @@
     consul: Option<consul::State>,
     keeper: Option<consul::Keeper>,
     peers: Option<(UdpSocket, Vec<SocketAddr>)>,
+    hearsay: Option<Hearsay>,
     desk: Option<(TcpListener, Desk)>,
     ledger: Option<Ledger>,
     /// Payloads to neighbours that are on their way or wait to be tried again.
@@ -190,14 +192,18 @@
                 let open = Ledger::open(&path);
                 ledger = Some(open.map_err(|e| format!("cdni.purges: {}: {e}", path.display()))?);
             }
-            // Peers are only told what the second front is told.
-            if let Some((own, known)) = config.peers.clone() {
-                let socket = UdpSocket::bind(own).map_err(|e| format!("peer_listen: {own}: {e}"))?;
-                socket.set_nonblocking(true).map_err(text)?;
-                poll.add(&socket, PEERS, true, false).map_err(text)?;
-                peers = Some((socket, known));
-            }
         }
+        // Peers are told what the second front is told, and of an origin that is late.
+        let talks = desk.is_some() || config.tell;
+        if let Some((own, known)) = config.peers.clone().filter(|_| talks) {
+            let socket = UdpSocket::bind(own).map_err(|e| format!("peer_listen: {own}: {e}"))?;
+            socket.set_nonblocking(true).map_err(text)?;
+            poll.add(&socket, PEERS, true, false).map_err(text)?;
+            peers = Some((socket, known));
+        }
+        let clock = Clock::start();
+        let place = Place::of(&config.settings);
+        let hearsay = config.tell.then(|| Hearsay::new(Figures::default(), place, clock.now()));
         let core = Core::new(config.settings.clone(), config.seed, &limits).map_err(|e| e.to_string())?;
         let (last_event, known) = std::mem::take(&mut config.known);
         let damping = config.consul.as_ref().map_or(Damping::default(), |c| c.damping);
@@ -207,7 +213,7 @@
         let keeper = config.consul.as_ref().zip(config.state.directory.as_ref());
         let keeper = keeper.map(|(c, folder)| consul::Keeper::start(folder, c.scopes())).transpose()?;
         let mut daemon = Daemon {
-            clock: Clock::start(),
+            clock,
             core,
             poll,
             listener: Some(listener),
@@ -226,6 +232,7 @@
             consul,
             keeper,
             peers,
+            hearsay,
             desk,
             ledger,
             posts: 0,
@@ -294,6 +301,19 @@
             c.left,
             c.attempts
         );
+        if let Some(t) = self.hearsay.as_ref().map(Hearsay::tally) {
+            log::info!(
+                told = t.told,
+                spared = t.spared,
+                heard = t.heard,
+                old = t.old,
+                torn = t.torn,
+                version = t.version,
+                too_long = t.too_long,
+                strangers = t.stranger;
+                "words of a late origin to and from peers"
+            );
+        }
         Ok(())
     }
 
@@ -373,6 +393,7 @@
         }
         if let (Some((_, known)), Some((_, peers))) = (&mut self.peers, &new.peers) {
             known.clone_from(peers);
+            self.hearsay.iter_mut().for_each(|h| h.keep(|peer| peers.contains(peer)));
         }
         let moved = self.config.bus != new.bus;
         self.config.bus = new.bus;
@@ -544,6 +565,7 @@
                         self.deadlines.set(at, Timer::Core(wake));
                     }
                     Command::Probe(server) => self.probe(now, server),
+                    Command::Found(share) => self.tell_found(now, share),
                     Command::Withdraw(server) => self.withdraw(now, server),
                 }
             }
--- a/daemon/src/interconnect.rs
+++ b/daemon/src/interconnect.rs
@@ -20,12 +20,22 @@
     pub cdni: Option<CdniFile>,
     /// Consul as a source of the list of boxes.
     pub consul: Option<ConsulFile>,
+    /// What the proxies of the fleet tell each other.
+    pub peers: PeersFile,
     /// What outlives the process.
     pub state: StateFile,
     /// The log.
     pub log: LogFile,
 }
 
+/// What the proxies of the fleet tell each other.
+#[derive(Clone, Debug, Default, Deserialize, JsonSchema)]
+#[serde(default, deny_unknown_fields)]
+pub struct PeersFile {
+    /// Of an origin that is late: datagrams of 24 bytes to all `peers`, while it lasts. The same at all of them.
+    pub tell: bool,
+}
+
 /// The second front: where it listens, and how it presents itself.
 #[derive(Clone, Debug, Default, Deserialize, JsonSchema)]
 #[serde(default, deny_unknown_fields)]
--- a/daemon/tests/loopback.rs
+++ b/daemon/tests/loopback.rs
@@ -2,6 +2,7 @@
 
 mod rig;
 
+use linnetknot_hearsay::Word;
 use linnetknot_rehearse::boxes::Manner;
 use linnetknot_rehearse::bus::{entry, Bus};
 use linnetknot_rehearse::clients::{call, exchange, WebServer};
@@ -305,6 +306,56 @@
     rig.stop();
 }
 
+/// What one proxy finds out by a single answer, each of the others would have to find out by one of its own.
+#[test]
+fn a_late_origin_is_heard_of_from_peers_alone_and_told_to_them() {
+    let (peer, stranger) = (UdpSocket::bind("127.0.0.1:0").unwrap(), UdpSocket::bind("127.0.0.1:0").unwrap());
+    let rig = Rig::with(&["s-0a"], |config| {
+        config["peer_listen"] = json!("127.0.0.1:0");
+        config["peers"] = json!([peer.local_addr().unwrap().to_string()]);
+        config["tell"] = json!(true);
+    });
+    let mut web = rig.web();
+    // Whether the origin may be asked for a copy that the box lacks.
+    let mut is_asked = |n: u64| {
+        web.ask(1, "photo", &object(n), 2500).unwrap();
+        web.end().unwrap();
+        let arrival = rig.boxes[0].wait_for(|a| a.field("key") == Some(&object(n))).unwrap();
+        !arrival.field("flags").unwrap_or("").contains("no-fetch")
+    };
+    rig.boxes[0].behave(Manner { origin_ms: 2_400, ..Manner::default() });
+    assert!(is_asked(1));
+    let mut bytes = [0; 512];
+    let (length, from) = peer.recv_from(&mut bytes).unwrap();
+    let told = Word::read(&bytes[..length]).unwrap();
+    assert!(told.number == 1 && told.origin < 0.7, "{told:?}");
+    rig.boxes[0].behave(Manner { origin_ms: 1, ..Manner::default() });
+    // It is well again: by its own answers the daemon goes back to asking for all.
+    let mut next = 2;
+    let mut in_a_row = 0;
+    while in_a_row < 60 {
+        in_a_row = if is_asked(next) { in_a_row + 1 } else { 0 };
+        next += 1;
+    }
+    let late = Word { start: told.start, number: 1, origin: 0.0, zone: told.zone }.write();
+    stranger.send_to(&late, from).unwrap();
+    peer.send_to(&late[..20], from).unwrap();
+    // Once this is in force, what came before it was heard.
+    let made = one(&mut rig.web(), "photo", &object(1)).made();
+    while unix_ms() <= made.unwrap() + 1 {}
+    peer.send_to(format!("purge object {} {}", object(1), unix_ms() * 1000).as_bytes(), from).unwrap();
+    while one(&mut rig.web(), "photo", &object(1)).made() == made {}
+    assert!((next..next + 20).all(&mut is_asked), "neither a stranger's word nor a torn one counts");
+    next += 20;
+    let mut number = 1;
+    while is_asked(next) {
+        let word = Word { start: told.start, number, origin: 0.0, zone: told.zone };
+        peer.send_to(&word.write(), from).unwrap();
+        (number, next) = (number + 1, next + 1);
+    }
+    rig.stop();
+}
+
 #[test]
 fn a_purge_told_at_one_proxy_reaches_its_peers_and_none_is_taken_from_strangers() {
     let (peer, stranger) = (UdpSocket::bind("127.0.0.1:0").unwrap(), UdpSocket::bind("127.0.0.1:0").unwrap());
--- a/daemon/tests/rig/mod.rs
+++ b/daemon/tests/rig/mod.rs
@@ -53,6 +53,7 @@
             let mut own = json!({"cdni": {"listen": "127.0.0.1:0", "provider": "AS64500:0",
                 "base": "http://cdn.example", "footprint": ["127.0.0.0/8"], "purges": file["purges"].take()}});
             own["consul"] = file["consul"].take();
+            own["peers"] = json!({"tell": file["tell"].take() == true});
             if file["state"].is_object() {
                 own["state"] = file["state"].take();
             }
--- a/rehearse/src/boxes.rs
+++ b/rehearse/src/boxes.rs
@@ -16,6 +16,8 @@
     pub hold_ms: u64,
     /// Bytes that its answers hold besides what they tell.
     pub padding: usize,
+    /// It says that what it fetched came from the origin, after so many milliseconds; 0: from a hub.
+    pub origin_ms: u64,
     /// It answers nothing.
     pub mute: bool,
     /// It serves what it holds however old that is, and calls it new.
@@ -154,9 +156,11 @@
         let Ok(mut socket) = socket.try_clone() else { return };
         let mut answer = move || {
             thread::sleep(Duration::from_millis(manner.hold_ms));
-            let how = if good.is_some() { "local" } else { "pulled" };
+            let fetched = if manner.origin_ms > 0 { "pulled_far" } else { "pulled" };
+            let how = if good.is_some() { "local" } else { fetched };
+            let waited = manner.origin_ms.max(1);
             let told = if manner.any_age { arrival.at } else { made };
-            let fields = format!("how={how},ttfb=1,made={told},etag=t{made}");
+            let fields = format!("how={how},ttfb={waited},made={told},etag=t{made}");
             let mut out = Vec::new();
             let body = format!("{}{name}@{made}", ".".repeat(manner.padding));
             resp::write_array(&mut out, &[arrival.id.as_bytes(), b"200", fields.as_bytes(), body.as_bytes()]);
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -38,8 +38,8 @@
 const OVERDUE_TIMES: f64 = 2.0; // See `OVERDUE_US`.
 const OVERDUE_COUNT: usize = 2; // So many overdue and no answer since the first was sent: silent.
 const STRETCHED: f64 = 1.3; // Hits that take more, over their sending time, show a link shared by too many.
-/// Fills tell of the link for so long, by halves: each of many routers sees few, and old ones would hide that the
-/// link has room again.
+/// Fills tell of the link for so long, by halves: each of many routers sees few, and old ones would hide that
+/// the link has room again.
 const LINK_HALF_MS: u64 = 1_000;
 const LINK_OPENS_S: f64 = 1.0; // With no fills at all the link is taken to fit twice as much after this.
 const LINK_TOLD: f64 = 1.5; // As `PACE_TOLD`, however long ago they were.
@@ -54,9 +54,10 @@
 const ORIGIN_FALL_MOST: f64 = 3.0; // Times that, the later the answer: a long queue is slow to show.
 const ORIGIN_STEP: f64 = 0.04; // Added to it with one in time.
 const ORIGIN_LEAST: f64 = 0.05; // Least: so many find out whether it is well again.
-/// An answer speaks for so many more for each second since the one before: a router among many sees few, and would
-/// follow the origin for seconds where one among three does at once.
+/// An answer speaks for so many more for each second since the one before: a router among many sees few, and
+/// would follow the origin for seconds where one among three does at once.
 const ORIGIN_PER_S: f64 = 10.0;
+const ORIGIN_TOLD: f64 = 2.0; // An answer so many times its aim late is told to others: less may be chance.
 const FILL_TRIES: u32 = 2; // Failed fills, untold ones twice, until it is only looked for in the caches.
 const CLEARLY: f64 = 2.0; // The second parent fills while the first's fills take so many times as long.
 const PACE_HALF_MS: u64 = 10_000; // Hits and fills of one server tell of its pace for so long, by halves.
@@ -163,7 +164,9 @@
     link: Pace<LINK_HALF_MS>,
     /// Share of the requests that may have the origin asked: it falls while its answers come too late.
     origin_share: f64,
-    origin_at: Micros, // When that was last learned.
+    origin_at: Micros,    // When that was last learned.
+    found: Option<f64>,   // What it fell to by an answer that others should know of.
+    heard: (f64, Micros), // What it may be at most by what others found, and until when.
     /// By hash of the object, or of the group: when, and whether it holds for good.
     purged: BTreeMap<u64, (Micros, bool)>,
     ticking: bool,
@@ -219,6 +222,8 @@
             link: Pace::default(),
             origin_share: 1.0,
             origin_at: Micros::MAX, // The first answer speaks for itself alone.
+            found: None,
+            heard: (1.0, 0),
             purged: BTreeMap::new(),
             ticking: false,
         })
@@ -247,6 +252,7 @@
             Event::Timer { tag: TICK_TAG } => self.tick(now, actions),
             Event::Timer { tag: WATCH_TAG } => actions.push(Action::Watch),
             Event::Timer { .. } | Event::Probed { .. } => {}
+            Event::Heard { origin_share, for_us } => self.heard = (origin_share, now + for_us),
             Event::Purged { object, group, age_us, lasting } => {
                 let at = now.saturating_sub(age_us);
                 let key = object.map_or(group_key(group), |object| hash_text(&object));
@@ -256,6 +262,12 @@
         }
     }
 
+    /// The share of its requests that this router lets ask the origin, if since the last call an answer was
+    /// so late that others should know. It follows from its own answers alone: what is heard is not told on.
+    pub fn found(&mut self) -> Option<f64> {
+        self.found.take()
+    }
+
     fn list(&mut self, full: bool, entries: Vec<Server>) {
         if full {
             let named: Vec<ServerId> = entries.iter().map(|e| e.id).collect();
@@ -457,6 +469,8 @@
         let fills = self.fills() + 1.0;
         // Drawn once for a request: further attempts must not be further chances.
         let draw = mix(self.seed ^ mix(id)) as f64 / u64::MAX as f64;
+        let heard = if now < self.heard.1 { self.heard.0.max(ORIGIN_LEAST) } else { 1.0 };
+        let asked = self.origin_share.min(heard);
         let Some(open) = self.open.get_mut(&id) else { return };
         let class = &self.settings.classes[open.class];
         let done = self.settings.rules.purge_done_us;
@@ -474,7 +488,7 @@
             keep: if class.write { 0 } else { 1 + u8::from(open.repeats >= REPEAT_COUNT) },
             max_age_us,
             join: self.settings.joins && !class.write,
-            only_held: !class.write && source.is_some() && draw >= self.origin_share,
+            only_held: !class.write && source.is_some() && draw >= asked,
             bypass_parent: false,
             renew: class.fresh_us > 0 && open.repeats >= REPEAT_COUNT,
         };
@@ -806,8 +820,8 @@
         let mute = attempt.source.filter(|id| attempt.stuck && !answered(*id));
         // A parent that is lost tells nothing of the origin: the others must go on asking it.
         let by_origin = attempt.source.is_some_and(|id| note != Note::SourceLost || answered(id));
-        // Nothing came back while it was wanted, though the cache is well: an origin that is asked for more than it
-        // can do shows that first, and many routers see nothing else of it.
+        // Nothing came back while it was wanted, though the cache is well: an origin that is asked for more
+        // than it can do shows that first, and many routers see nothing else of it.
         let aim_us = self.settings.classes[class].aim_us.max(1);
         let ended = matches!(outcome, Outcome::Timeout | Outcome::Cancelled);
         let unanswered = attempt.asks && ended && took_us > aim_us && answered(server);
@@ -842,7 +856,10 @@
         if unanswered {
             self.learn_origin(now, Note::OriginFailed, took_us as f64 / aim_us as f64);
         } else if by_origin {
-            self.learn_origin(now, note, waited_us as f64 / aim_us as f64);
+            let late = waited_us as f64 / aim_us as f64;
+            self.learn_origin(now, note, late);
+            let clear = note == Note::FilledByOrigin && late >= ORIGIN_TOLD;
+            self.found = clear.then_some(self.origin_share).or(self.found);
         }
         let told = matches!(note, Note::SourceRefused | Note::SourceLost | Note::OriginFailed);
         // Where reasons are not told, cache or source failed: the blame is shared by their failures so far,
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -384,6 +384,13 @@
         /// The server's report.
         load: Option<Load>,
     },
+    /// Other routers find the origin late: makes this one more cautious while it counts, never less.
+    Heard {
+        /// Share of the requests that may have the origin asked at most, by what they found.
+        origin_share: f64,
+        /// How long that counts.
+        for_us: Micros,
+    },
     /// An object, or with no object a whole group, was purged.
     Purged {
         /// The object.
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,6 +1,8 @@
 //! Settings, lists and requests for the tests of the module.
 #![allow(dead_code)]
 
+pub mod world;
+
 use linnetknot::*;
 
 pub const MS: Micros = 1_000;
