Give cold boxes 0.55 of what they bear, by the mean of the window

Each refusal logged with the state of all boxes: in locations 3, 8 and 14 all boxes are new and none has room by its cold budget although they hold 1 to 2 transfers of the 3.5 that fit. Their hits take 0.8 of the usual time, those of the old boxes up to 3.4 times. The lines: `cold_room` uses 0.4 of the budget at the warmth of the window's start, 3 s ago, which is half of the present one, and each of 16 proxies loses what is left below one large request.

Ruled out: the link (not full in these locations), marks and time (all boxes well and in time), rounding by chance (tried, docs/design/fleet.md), capacity by hits in place of warmth (noise).

Change: 0.55, at the warmth of the window's middle.

Tests on one virtual time, up to 96 routers (tests/common/world.rs): a zone lost and back cold, three in five boxes replaced, discovery late, wrong and absent, all copies void. The first fails without this change, the last with the link's half-life of 10 s again.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -46,7 +46,7 @@
 const USUAL_STEP: f64 = 0.01; // Weight of one request in the usual sending time of its class.
 const WAY_S: f64 = 0.02; // Time of a hit besides its sending time.
 const MEAN_S: f64 = 3.0; // Own transfers are averaged over so many seconds to guess the other routers'.
-const COLD_USE: f64 = 0.4; // Used share of a cold server's budget: the rest is slack for sizes and chance.
+const COLD_USE: f64 = 0.55; // Used share of a cold server's budget: the rest is slack for sizes and chance.
 const LEAST_US: Micros = 5_000; // Least time in which an attempt can be answered.
 /// Advice to clients of refused requests: short, so that the next try can still be in time.
 const RETRY_AFTER_US: Micros = 200_000;
@@ -696,7 +696,8 @@
             Role::Parent => (r.parent_fall_multiple, all),
             _ => (r.fall_multiple, self.settings.zones[self.settings.zone].routers),
         };
-        let warmth = self.warmth(s, now.saturating_sub(r.fall_us));
+        // What it can do in the window's mean: by the time this is judged it can do more.
+        let warmth = self.warmth(s, now.saturating_sub(r.fall_us / 2));
         if warmth >= 1.0 || s.role == Role::Origin {
             return true;
         }
