Take no box away by a list that is empty, partial, stale or torn

Need: of discovery's answers the issue asks that none which is empty, partial, stale or at odds with itself empties a list. Seen by a test on loopback: one event with `all` and no targets left the daemon without a box, and one entry that could not be read hid all others of its event. The lines: `read_event` in daemon/src/bus.rs ends at the first bad entry, and `News::List` went to the book of boxes as it came; `rev` was not read.

Change: membership/src/vet.rs, sans-IO, before the book. Each thing passed over is logged with the event's number. In the configuration a list that can't be read still ends the start.

--- a/daemon/src/bus.rs
+++ b/daemon/src/bus.rs
@@ -4,6 +4,7 @@
 use crate::limits::Limits;
 use crate::wire::{http, sse, Parser, WireError};
 use linnetknot::{ListMode, Micros, Server, State};
+use linnetknot_membership::Answer;
 use linnetknot_settings::{
     flag, get, int, int_or, list, num_or, object, text, text_or, wrong, Fields, Result,
 };
@@ -13,7 +14,7 @@
 #[derive(Clone, Debug, PartialEq)]
 pub enum News {
     /// The list of boxes, or changes to it.
-    List(ListMode, Vec<Entry>),
+    List(Answer),
     /// An object, or with none a whole group, was purged at this Unix time.
     Purge {
         /// The object.
@@ -62,9 +63,13 @@
     let news = if get(m, "topology").is_some() {
         let topology = object(m, "topology")?;
         let mode = if flag(topology, "all")? { ListMode::Full } else { ListMode::Delta };
-        let entries =
-            list(topology, "targets")?.iter().map(|v| entry(v.as_object().ok_or_else(|| wrong("targets"))?));
-        Some(News::List(mode, entries.collect::<Result<_>>()?))
+        let rev = get(topology, "rev").map(|_| int(topology, "rev")).transpose()?;
+        let targets = list(topology, "targets")?;
+        let read = |v: &Value| entry(v.as_object().ok_or_else(|| wrong("targets"))?);
+        // One that can't be read must not hide what the others say.
+        let entries: Vec<Entry> = targets.iter().filter_map(|v| read(v).ok()).collect();
+        let unreadable = targets.len() - entries.len();
+        Some(News::List(Answer { rev, mode, entries, unreadable }))
     } else if get(m, "ban").is_some() {
         let ban = object(m, "ban")?;
         let object = get(ban, "url").map(|_| text(ban, "url")).transpose()?;
--- a/daemon/src/config.rs
+++ b/daemon/src/config.rs
@@ -1,6 +1,6 @@
 //! The one place where configuration is read, given defaults and checked. Every message names the faulty key.
 
-use crate::bus::{read_event, BusEvent};
+use crate::bus::{read_event, BusEvent, News};
 use crate::front::cdni::footprint::Network;
 use crate::front::cdni::{Identity, Neighbour};
 use crate::interconnect::{CdniFile, Consul, File, LogForm, NeighbourFile, State};
@@ -68,7 +68,11 @@
         return Ok((0, Vec::new()));
     }
     let known = object(m, "known")?;
-    let events = list(known, "batch")?.iter().map(read_event).collect::<Result<_>>()?;
+    let events: Vec<BusEvent> = list(known, "batch")?.iter().map(read_event).collect::<Result<_>>()?;
+    // Heard later, what can't be read is passed over; here it is a fault of the configuration.
+    if events.iter().any(|e| matches!(&e.news, Some(News::List(answer)) if answer.unreadable > 0)) {
+        return Err(wrong("targets"));
+    }
     Ok((int_or(known, "offset", 0)?, events))
 }
 
--- a/daemon/src/daemon/feeds/bus.rs
+++ b/daemon/src/daemon/feeds/bus.rs
@@ -58,7 +58,11 @@
         match event.news {
             // Unless told otherwise, one source has the list.
             Some(News::List(..)) if self.config.consul.as_ref().is_some_and(|c| !c.beside_bus) => {}
-            Some(News::List(mode, entries)) => {
+            Some(News::List(answer)) => {
+                let (mode, entries, passed) = self.vetting.vet(answer, self.members.told_by(BUS));
+                for passed in passed {
+                    log::warn!("event {} of the bus: {passed}", event.offset);
+                }
                 let reports = entries.into_iter().map(Report::from).collect();
                 let evidence = match mode {
                     ListMode::Full => Evidence::Full(reports),
--- a/daemon/src/daemon/mod.rs
+++ b/daemon/src/daemon/mod.rs
@@ -11,7 +11,7 @@
 use crate::wire::WireError;
 use linnetknot::{Micros, ServerId};
 use linnetknot_hearsay::{Figures, Hearsay, Place};
-use linnetknot_membership::{Damping, Membership, Source as ListSource};
+use linnetknot_membership::{Damping, Membership, Source as ListSource, Vetting};
 use std::collections::{btree_map::Entry, BTreeMap};
 use std::io;
 use std::net::{SocketAddr, TcpListener, UdpSocket};
@@ -150,6 +150,8 @@
     bus: bus::State,
     /// What is believed of the boxes, and when it is due to be looked at again.
     members: Membership,
+    /// What of the bus's lists is believed.
+    vetting: Vetting,
     members_due: Option<Due>,
     said: Said,
     consul: Option<consul::State>,
@@ -227,6 +229,7 @@
             deadlines: Deadlines::default(),
             bus: bus::State::default(),
             members: Membership::new(sources(&config), damping, limits.members()),
+            vetting: Vetting::default(),
             members_due: None,
             said: Said::default(),
             consul,
--- a/daemon/tests/loopback.rs
+++ b/daemon/tests/loopback.rs
@@ -166,6 +166,32 @@
     rig.stop();
 }
 
+/// One empty answer must not leave a proxy, nor all that hear it, without a box.
+#[test]
+fn lists_that_are_empty_torn_or_stale_take_no_box_away_and_a_box_named_as_gone_goes() {
+    let rig = Rig::with(&["s-0a", "s-0b"], |_| {});
+    let topology = |rev: u64, all: bool, targets: Vec<Value>| json!({"topology": {"rev": rev, "all": all, "targets": targets}});
+    let first = |state: &str| entry(&rig.boxes[0], "here", "box", state);
+    rig.bus.push(topology(2, true, vec![]));
+    rig.bus.push(topology(3, true, vec![json!({"uid": "s-0a", "state": "asleep"})]));
+    rig.bus.push(topology(4, false, vec![first("gone")]));
+    rig.bus.push(topology(1, false, vec![first(READY)]));
+    let mut web = rig.web();
+    // Once a request that the first box would have got goes to the second, all of it has been heard.
+    let place = |n: u64| {
+        rig.boxes.iter().position(|b| b.arrivals().iter().any(|a| a.field("key") == Some(&object(n))))
+    };
+    let mut in_a_row = 0;
+    for n in 1.. {
+        assert_eq!(one(&mut web, "photo", &object(n)).status, 200);
+        in_a_row = if place(n) == Some(1) { in_a_row + 1 } else { 0 };
+        if in_a_row == 40 {
+            break;
+        }
+    }
+    rig.stop();
+}
+
 #[test]
 fn what_is_open_at_the_end_is_answered() {
     let rig = Rig::start();
--- a/membership/src/lib.rs
+++ b/membership/src/lib.rs
@@ -17,9 +17,11 @@
 mod damping;
 mod evidence;
 pub mod kept;
+mod vet;
 
 pub use book::{Bounds, Membership, Output};
 pub use damping::{BadFigure, Damping, Penalty};
 pub use evidence::{
     server_id, Change, Entry, Evidence, Explanation, Notice, Reason, Report, Source, SourceId, Standing,
 };
+pub use vet::{Answer, PassedOver, Vetting};
--- /dev/null
+++ b/membership/src/vet.rs
@@ -0,0 +1,162 @@
+//! What of a pushed list is believed, before it becomes evidence.
+//!
+//! A proxy that takes every answer of discovery at its word empties its list by one that came out empty, and a
+//! hundred proxies that do so send all they have to the few boxes that are left. An answer may always take single
+//! boxes away by naming them. What it may not do is take most of a zone's boxes away by leaving them out, bring
+//! boxes back by news older than what is known, or be both ready and gone.
+//!
+//! [`Vetting`] is sans-IO and keeps one number; what it passes over is returned for the log.
+
+use crate::evidence::Entry;
+use linnetknot::{ListMode, State};
+use std::collections::BTreeMap;
+use std::fmt;
+
+/// Something of an answer that was not believed.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum PassedOver {
+    /// The answer is older than one that was heard: of it only what takes boxes away counts.
+    Stale {
+        /// Its revision.
+        rev: u64,
+        /// The highest one heard.
+        known: u64,
+    },
+    /// It names a box more than once; the more cautious word counts.
+    Contradiction(String),
+    /// It leaves out more than half of the ready boxes of a zone and kind; they are kept.
+    LeftOut {
+        /// The zone.
+        zone: String,
+        /// The kind.
+        kind: String,
+        /// How many are kept.
+        kept: usize,
+    },
+    /// This much of it could not be read, so what it leaves out may be what could not be read.
+    Unreadable(usize),
+}
+
+impl fmt::Display for PassedOver {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Stale { rev, known } => {
+                write!(f, "a list of revision {rev} is older than {known}: only what it takes away counts")
+            }
+            Self::Contradiction(uid) => write!(f, "a list names {uid} twice: the more cautious word counts"),
+            Self::LeftOut { zone, kind, kept } => {
+                write!(
+                    f,
+                    "a list leaves out more than half of zone '{zone}', kind '{kind}': {kept} boxes are kept"
+                )
+            }
+            Self::Unreadable(n) => {
+                write!(f, "{n} entries of a list can't be read: it takes away what it names only")
+            }
+        }
+    }
+}
+
+/// An answer as it came.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Answer {
+    /// Its revision, where the source numbers them.
+    pub rev: Option<u64>,
+    /// Whether it means to be the whole list.
+    pub mode: ListMode,
+    /// Its entries, as far as they could be read.
+    pub entries: Vec<Entry>,
+    /// Entries that could not be read.
+    pub unreadable: usize,
+}
+
+/// Vets the answers of one source.
+#[derive(Clone, Debug, Default)]
+pub struct Vetting {
+    rev: Option<u64>,
+}
+
+/// Lower is more cautious.
+fn rank(state: State) -> u8 {
+    match state {
+        State::Gone => 0,
+        State::Draining => 1,
+        State::Ready => 2,
+    }
+}
+
+impl Vetting {
+    /// Takes an answer; gives the mode and entries to believe, and what was passed over. `listed`: what the source is
+    /// believed to list so far.
+    pub fn vet<'a>(
+        &mut self,
+        answer: Answer,
+        listed: impl Iterator<Item = &'a Entry>,
+    ) -> (ListMode, Vec<Entry>, Vec<PassedOver>) {
+        let Answer { rev, mut mode, entries, unreadable } = answer;
+        let mut passed = Vec::new();
+        let mut entries = one_word_each(entries, &mut passed);
+        match (rev, self.rev) {
+            (Some(rev), Some(known)) if rev < known => {
+                entries.retain(|e| e.server.state != State::Ready);
+                mode = ListMode::Delta;
+                passed.push(PassedOver::Stale { rev, known });
+            }
+            _ => self.rev = rev.or(self.rev),
+        }
+        if unreadable > 0 {
+            passed.push(PassedOver::Unreadable(unreadable));
+            mode = ListMode::Delta;
+        }
+        if mode == ListMode::Full {
+            entries.extend(left_out(&entries, listed, &mut passed));
+        }
+        (mode, entries, passed)
+    }
+}
+
+/// Each box once, in the order of the last word on it. A box that was gone and has started since is no contradiction.
+fn one_word_each(entries: Vec<Entry>, passed: &mut Vec<PassedOver>) -> Vec<Entry> {
+    let mut kept: Vec<Entry> = Vec::with_capacity(entries.len());
+    let mut places: BTreeMap<String, usize> = BTreeMap::new();
+    for entry in entries {
+        let Some(place) = places.get(&entry.uid).copied() else {
+            places.insert(entry.uid.clone(), kept.len());
+            kept.push(entry);
+            continue;
+        };
+        let old = &mut kept[place];
+        let newer = entry.server.started > old.server.started;
+        if newer || rank(entry.server.state) <= rank(old.server.state) {
+            *old = entry;
+        } else {
+            passed.push(PassedOver::Contradiction(entry.uid));
+        }
+    }
+    kept
+}
+
+/// Ready boxes of the zones and kinds of which a whole list leaves out more than half.
+fn left_out<'a>(
+    entries: &[Entry],
+    listed: impl Iterator<Item = &'a Entry>,
+    passed: &mut Vec<PassedOver>,
+) -> Vec<Entry> {
+    let mut groups: BTreeMap<(&str, &str), (usize, Vec<&Entry>)> = BTreeMap::new();
+    for entry in listed.filter(|e| e.server.state == State::Ready) {
+        let (count, missing) = groups.entry((&entry.server.zone, &entry.server.kind)).or_default();
+        *count += 1;
+        if !entries.iter().any(|e| e.uid == entry.uid) {
+            missing.push(entry);
+        }
+    }
+    let mut kept = Vec::new();
+    for ((zone, kind), (count, missing)) in groups {
+        if 2 * missing.len() > count {
+            let (zone, kind) = (zone.to_owned(), kind.to_owned());
+            passed.push(PassedOver::LeftOut { zone, kind, kept: missing.len() });
+            kept.extend(missing.into_iter().cloned());
+        }
+    }
+    kept
+}
