Tell how long clients waited in a rehearsal, by class and from when each was due

Change: `Asked::due` is recorded beside the time of sending; rehearse/src/latency.rs counts each request's wait from there to the answer that served it, over all its tries, in HdrHistogram; what was never served is counted apart. `play` prints a table.

--- a/rehearse/src/lib.rs
+++ b/rehearse/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod boxes;
 pub mod bus;
 pub mod clients;
+pub mod latency;
 pub mod load;
 mod play;
 pub mod player;
--- a/rehearse/src/main.rs
+++ b/rehearse/src/main.rs
@@ -106,6 +106,13 @@
             [s.earned, s.late, s.refused, s.failed, s.unanswered].map(|x| share(x, s.asked));
         out += &format!("| {name} | {:.0} | {a} | {b} | {c} | {d} | {e} |\n", s.asked);
     }
+    out += "\n| ms, from when it was due | served | p50 | p90 | p99 | p99.9 | most |\n";
+    out += "| --- | --- | --- | --- | --- | --- | --- |\n";
+    for (class, w) in scenario.load.classes.iter().zip(&o.waits) {
+        let [a, b, c, d, e] =
+            [w.p50, w.p90, w.p99, w.p999, w.most].map(|us| format!("{:.1}", us as f64 / 1e3));
+        out += &format!("| {} | {} of {} | {a} | {b} | {c} | {d} | {e} |\n", class.name, w.served, w.asked);
+    }
     if let Some((second, score)) = o.score.worst {
         out += &format!("\nworst ten seconds: from second {second}, {score:.3}\n");
     }
--- a/rehearse/src/player.rs
+++ b/rehearse/src/player.rs
@@ -2,6 +2,7 @@
 
 use crate::bus::Bus;
 use crate::clients::WebServer;
+use crate::latency::{waits, Waits};
 use crate::load::{group, plan, Arrival, Plan};
 use crate::process::Process;
 use crate::record::{Answered, Asked, Class, Final, Limits, Micros, Record, Repeat, Told, Word};
@@ -30,6 +31,8 @@
     pub lag_us: (Micros, Micros),
     /// The score.
     pub score: Score,
+    /// How long clients waited, by class.
+    pub waits: Vec<Waits>,
     /// The rules that were broken.
     pub breaches: Vec<Breach>,
     /// Writes that ran, and those among them that ran under a key that had run before.
@@ -268,6 +271,7 @@
             group: group(a.object),
             key,
             work_us: (a.size_kb / FLOW_KB_PER_S * 1e6) as Micros,
+            due,
             at,
             until: at + a.budget,
             released: None,
@@ -428,6 +432,7 @@
         asked: record.asked.len(),
         lag_us: (lag(0.99).unwrap_or(0), lag(1.0).unwrap_or(0)),
         score: score(&record),
+        waits: waits(&record),
         breaches: judge(&record, &Limits::default()),
         writes: world.writes,
     })
--- a/rehearse/src/record.rs
+++ b/rehearse/src/record.rs
@@ -51,6 +51,8 @@
     pub key: Option<String>,
     /// Sending time of its answer.
     pub work_us: Micros,
+    /// When it was due to be sent.
+    pub due: Micros,
     /// When its last byte was written.
     pub at: Micros,
     /// When the client gives up.
--- a/rehearse/tests/rules.rs
+++ b/rehearse/tests/rules.rs
@@ -1,5 +1,6 @@
 //! The rules and the score from records alone: a sound record breaks none, and each planted fault is named.
 
+use linnetknot_rehearse::latency::{waits, Waits};
 use linnetknot_rehearse::record::*;
 use linnetknot_rehearse::rules::{judge, Breach, RULES};
 use linnetknot_rehearse::score::score;
@@ -16,7 +17,7 @@
     let key = (class == 1).then(|| format!("key-{id}"));
     let (id, object) = (id.to_owned(), "o".to_owned());
     let (first, work_us, until) = (id.clone(), 50 * MS, at + 2 * S);
-    Asked { id, first, class, proxy: 0, object, group: 3, key, work_us, at, until, released: None }
+    Asked { id, first, class, proxy: 0, object, group: 3, key, work_us, due: at, at, until, released: None }
 }
 
 fn attempt(id: &str, target: &str, at: Micros, took: Micros, ended: Ended) -> Attempt {
@@ -203,3 +204,32 @@
     assert_eq!(score(&Record::default()).whole.score(), None);
     assert_eq!(score(&Record::default()).worst, None);
 }
+
+#[test]
+fn waits_count_from_when_a_request_was_due_and_over_all_its_tries() {
+    let class_of = |record: &Record, n: usize| waits(record)[n];
+    let near = |us: Micros, ms: u64| us.abs_diff(ms * MS) <= ms * MS / 500;
+    let mut record = Record { classes: vec![class("photo", Repeat::Safe, 1.0)], ..Record::default() };
+    assert_eq!(class_of(&record, 0), Waits::default());
+    // A hundred in time, each 20 ms; the load generator is held up before the last, which waits 2 s all the same.
+    for n in 0..100 {
+        let (id, at) = (format!("{n}"), (10 + n) * S);
+        record.asked.push(asked(&id, 0, at));
+        record.answered.push(served(&id, at + 20 * MS, at));
+    }
+    let held_up = Asked { due: 198 * S, ..asked("late", 0, 200 * S) };
+    record.asked.push(held_up);
+    record.answered.push(served("late", 200 * S + 20 * MS, 200 * S));
+    // Refused at first and served by its retry; and one never served.
+    let retry = Asked { first: "again".into(), ..asked("retry", 0, 301 * S) };
+    record.asked.extend([asked("again", 0, 300 * S), retry, asked("never", 0, 400 * S)]);
+    record.answered.push(Answered {
+        id: "again".into(),
+        at: 300 * S,
+        answer: Final::Refused { advised: true },
+    });
+    record.answered.push(served("retry", 301 * S + 500 * MS, 301 * S));
+    let w = class_of(&record, 0);
+    assert_eq!((w.asked, w.served), (103, 102));
+    assert!(near(w.p50, 20) && near(w.p90, 20) && near(w.p99, 1500) && near(w.most, 2020), "{w:?}");
+}
