--- a/rehearse/src/lib.rs
+++ b/rehearse/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod player;
 pub mod process;
 pub mod record;
+pub mod report;
 pub mod rules;
 pub mod scenario;
 pub mod score;
--- a/rehearse/src/main.rs
+++ b/rehearse/src/main.rs
@@ -4,6 +4,7 @@
 use clap::{Parser, Subcommand};
 use linnetknot_rehearse::load::{plan, Plan};
 use linnetknot_rehearse::player::{self, Outcome};
+use linnetknot_rehearse::report::{compare, Report};
 use linnetknot_rehearse::scenario::{schema, Scenario};
 use std::collections::BTreeSet;
 use std::io::Write;
@@ -38,6 +39,17 @@
         /// The daemon; by default the one that stands beside this program.
         #[arg(long)]
         daemon: Option<PathBuf>,
+        /// Writes the result to this file too, for `compare`.
+        #[arg(long)]
+        json: Option<PathBuf>,
+    },
+    /// Puts the results of two rehearsals of one scenario side by side. Exits with 1 where the second broke a rule, with
+    /// 2 where they can't be compared.
+    Compare {
+        /// The first.
+        a: PathBuf,
+        /// The second.
+        b: PathBuf,
     },
     /// Checks scenario files: a message names the key at fault.
     Check {
@@ -63,7 +75,7 @@
     daemon.unwrap_or_else(own)
 }
 
-fn play(file: &Path, seed: u64, daemon: Option<PathBuf>) -> ExitCode {
+fn play(file: &Path, seed: u64, daemon: Option<PathBuf>, json: Option<PathBuf>) -> ExitCode {
     let daemon = beside(daemon);
     let played = read(file).and_then(|scenario| {
         let outcome = player::play(&daemon, &scenario, seed, None);
@@ -76,6 +88,11 @@
         }
         Ok((outcome, scenario)) => {
             say(&result(&scenario, &outcome));
+            let text = Report::of(&scenario, seed, &outcome).write();
+            if let Some(Err(e)) = json.as_ref().map(|json| std::fs::write(json, text)) {
+                eprintln!("the result can't be written: {e}");
+                return ExitCode::from(2);
+            }
             if let Err(why) = outcome.has_seen() {
                 eprintln!("the rehearsal proves nothing: {why}");
                 return ExitCode::from(2);
@@ -136,6 +153,23 @@
     }
 }
 
+fn side_by_side(a: &Path, b: &Path) -> ExitCode {
+    let report = |path: &Path| {
+        let text = std::fs::read_to_string(path).map_err(|e| e.to_string());
+        text.and_then(|text| Report::read(&text)).map_err(|e| format!("{}: {e}", path.display()))
+    };
+    match report(a).and_then(|a| report(b).and_then(|b| Ok((compare(&a, &b)?, b)))) {
+        Err(e) => {
+            eprintln!("{e}");
+            ExitCode::from(2)
+        }
+        Ok((text, b)) => {
+            say(&text);
+            ExitCode::from(u8::from(!b.breaches.is_empty()))
+        }
+    }
+}
+
 fn read(path: &Path) -> Result<Scenario, String> {
     let shown = path.display();
     let text = std::fs::read_to_string(path).map_err(|e| format!("{shown}: {e}"))?;
@@ -175,7 +209,8 @@
     match Arguments::parse().command {
         None => run(None),
         Some(Command::Run { daemon }) => run(daemon),
-        Some(Command::Play { file, seed, daemon }) => play(&file, seed, daemon),
+        Some(Command::Play { file, seed, daemon, json }) => play(&file, seed, daemon, json),
+        Some(Command::Compare { a, b }) => side_by_side(&a, &b),
         Some(Command::Check { files }) => {
             let mut sound = true;
             for file in &files {
--- /dev/null
+++ b/rehearse/src/report.rs
@@ -0,0 +1,135 @@
+//! A rehearsal's result as a file that outlives it, and two of them side by side. Decides nothing.
+
+use crate::latency::Waits;
+use crate::player::Outcome;
+use crate::scenario::Scenario;
+use crate::score::Shares;
+use serde::{Deserialize, Serialize};
+
+/// The form of the file; another one is refused.
+const FORM: u32 = 1;
+
+/// What a rehearsal came to. Shares are of the worth asked, waits in milliseconds from when a request was due.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Report {
+    /// The form of this file.
+    pub form: u32,
+    /// The scenario.
+    pub scenario: String,
+    /// The seed of its load.
+    pub seed: u64,
+    /// Requests sent, retries with them.
+    pub asked: usize,
+    /// How late the load itself was, p99.
+    pub lag_ms: f64,
+    /// Why it proves nothing, if so.
+    pub unseen: Option<String>,
+    /// The whole run.
+    pub whole: Part,
+    /// By class.
+    pub classes: Vec<Part>,
+    /// The ten seconds that earned least of what they asked: their first second, and the share.
+    pub worst: Option<(usize, f64)>,
+    /// The rules that were broken, with their evidence.
+    pub breaches: Vec<String>,
+}
+
+/// One class, or all.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Part {
+    /// Its name.
+    pub name: String,
+    /// Worth asked.
+    pub asked: f64,
+    /// Answered in time.
+    pub in_time: f64,
+    /// Lost to late answers.
+    pub late: f64,
+    /// Lost to refusals.
+    pub refused: f64,
+    /// Lost to failures.
+    pub failed: f64,
+    /// Lost to no answer at all.
+    pub unanswered: f64,
+    /// Waits of a class: p50, p99 and the longest; none for all classes together.
+    pub waits_ms: Option<[f64; 3]>,
+}
+
+fn part(name: &str, s: &Shares, waits: Option<&Waits>) -> Part {
+    let share = |of: f64| if s.asked > 0.0 { of / s.asked } else { 0.0 };
+    Part {
+        name: name.to_owned(),
+        asked: s.asked,
+        in_time: share(s.earned),
+        late: share(s.late),
+        refused: share(s.refused),
+        failed: share(s.failed),
+        unanswered: share(s.unanswered),
+        waits_ms: waits.map(|w| [w.p50, w.p99, w.most].map(|us| us as f64 / 1e3)),
+    }
+}
+
+impl Report {
+    /// The report of an outcome.
+    pub fn of(scenario: &Scenario, seed: u64, o: &Outcome) -> Self {
+        let classes = scenario.load.classes.iter().zip(o.score.classes.iter().zip(&o.waits));
+        Report {
+            form: FORM,
+            scenario: scenario.name.clone(),
+            seed,
+            asked: o.asked,
+            lag_ms: o.lag_us.0 as f64 / 1e3,
+            unseen: o.has_seen().err(),
+            whole: part("all", &o.score.whole, None),
+            classes: classes.map(|(c, (s, w))| part(&c.name, s, Some(w))).collect(),
+            worst: o.score.worst,
+            breaches: o.breaches.iter().map(ToString::to_string).collect(),
+        }
+    }
+
+    /// Reads a report; the message names what is wrong.
+    pub fn read(text: &str) -> Result<Self, String> {
+        let mut json = serde_json::Deserializer::from_str(text);
+        let report: Report = serde_path_to_error::deserialize(&mut json).map_err(|e| e.to_string())?;
+        match report.form {
+            FORM => Ok(report),
+            other => Err(format!("form: {other} is not known here, {FORM} is")),
+        }
+    }
+
+    /// The file's text.
+    pub fn write(&self) -> String {
+        serde_json::to_string_pretty(self).map(|text| text + "\n").unwrap_or_default()
+    }
+}
+
+/// Two reports of one scenario side by side; a message where they can't be compared.
+pub fn compare(a: &Report, b: &Report) -> Result<String, String> {
+    if a.scenario != b.scenario {
+        return Err(format!("'{}' and '{}' are two scenarios", a.scenario, b.scenario));
+    }
+    for (name, report) in [("first", a), ("second", b)] {
+        if let Some(why) = &report.unseen {
+            return Err(format!("the {name} proves nothing: {why}"));
+        }
+    }
+    let mut out = format!("{}, seeds {} and {}\n\n", a.scenario, a.seed, b.seed);
+    out += "| | in time | | late | | refused | | failed or unanswered | | p99 ms | |\n";
+    out += "| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |\n";
+    for x in std::iter::once(&a.whole).chain(&a.classes) {
+        let Some(y) = std::iter::once(&b.whole).chain(&b.classes).find(|y| y.name == x.name) else {
+            continue;
+        };
+        let share = |f: &dyn Fn(&Part) -> f64| format!("{:.1}% | {:.1}%", 100.0 * f(x), 100.0 * f(y));
+        let p99 = |p: &Part| p.waits_ms.map_or("-".to_owned(), |w| format!("{:.0}", w[1]));
+        let [earned, late] = [share(&|p| p.in_time), share(&|p| p.late)];
+        let [refused, lost] = [share(&|p| p.refused), share(&|p| p.failed + p.unanswered)];
+        out +=
+            &format!("| {} | {earned} | {late} | {refused} | {lost} | {} | {} |\n", x.name, p99(x), p99(y));
+    }
+    let worst = |r: &Report| r.worst.map_or("-".to_owned(), |w| format!("{:.3}", w.1));
+    out += &format!("\nworst ten seconds: {} and {}\n", worst(a), worst(b));
+    Ok(out + &format!("breaches: {} and {}\n", a.breaches.len(), b.breaches.len()))
+}
--- /dev/null
+++ b/rehearse/tests/report.rs
@@ -0,0 +1,71 @@
+//! Results as files, and two of them side by side.
+
+use linnetknot_rehearse::report::{compare, Part, Report};
+
+fn part(name: &str, in_time: f64, p99: Option<f64>) -> Part {
+    let refused = 1.0 - in_time;
+    let waits_ms = p99.map(|p99| [50.0, p99, 2.0 * p99]);
+    Part {
+        name: name.into(),
+        asked: 100.0,
+        in_time,
+        late: 0.0,
+        refused,
+        failed: 0.0,
+        unanswered: 0.0,
+        waits_ms,
+    }
+}
+
+fn report(in_time: f64, breaches: &[&str]) -> Report {
+    Report {
+        form: 1,
+        scenario: "evening".into(),
+        seed: 7,
+        asked: 100,
+        lag_ms: 0.5,
+        unseen: None,
+        whole: part("all", in_time, None),
+        classes: vec![part("photo", in_time, Some(120.0))],
+        worst: Some((3, in_time / 2.0)),
+        breaches: breaches.iter().map(|b| b.to_string()).collect(),
+    }
+}
+
+#[test]
+fn a_report_comes_back_as_it_was_and_a_faulty_one_is_refused_by_its_key() {
+    let good = report(0.9, &["cold boxes: s-0a"]);
+    assert_eq!(Report::read(&good.write()).unwrap(), good);
+    for (from, to, key) in [
+        ("\"form\": 1", "\"form\": 2", "form"),
+        ("\"seed\": 7", "\"seed\": \"x\"", "seed"),
+        ("\"asked\": 100,\n  \"lag_ms\"", "\"lag_ms\"", "asked"),
+        ("\"name\": \"photo\"", "\"name\": 3", "classes[0].name"),
+        ("\"worst\"", "\"best\"", "best"),
+    ] {
+        let text = good.write();
+        assert!(text.contains(from), "{from}");
+        let message = Report::read(&text.replacen(from, to, 1)).unwrap_err();
+        assert!(message.contains(key), "{key}: {message}");
+    }
+}
+
+#[test]
+fn two_reports_stand_side_by_side_class_by_class() {
+    let text = compare(&report(0.9, &[]), &report(0.75, &["x"])).unwrap();
+    for line in [
+        "| photo | 90.0% | 75.0% | 0.0% | 0.0% | 10.0% | 25.0% | 0.0% | 0.0% | 120 | 120 |",
+        "worst ten seconds: 0.450 and 0.375",
+        "breaches: 0 and 1",
+    ] {
+        assert!(text.contains(line), "{line} in\n{text}");
+    }
+}
+
+#[test]
+fn what_proves_nothing_or_is_another_scenario_is_not_compared() {
+    let other = Report { scenario: "calm".into(), ..report(0.9, &[]) };
+    assert!(compare(&report(0.9, &[]), &other).unwrap_err().contains("two scenarios"));
+    let blind = Report { unseen: Some("nothing was asked".into()), ..report(0.9, &[]) };
+    assert!(compare(&blind, &report(0.9, &[])).unwrap_err().contains("the first proves nothing"));
+}
