--- a/daemon/src/bus.rs
+++ b/daemon/src/bus.rs
@@ -67,9 +67,14 @@
         let targets = list(topology, "targets")?;
         let read = |v: &Value| entry(v.as_object().ok_or_else(|| wrong("targets"))?);
         // One that can't be read must not hide what the others say.
-        let entries: Vec<Entry> = targets.iter().filter_map(|v| read(v).ok()).collect();
-        let unreadable = targets.len() - entries.len();
-        Some(News::List(Answer { rev, mode, entries, unreadable }))
+        let mut answer = Answer { rev, mode, entries: Vec::new(), unreadable: Vec::new() };
+        for target in targets {
+            match read(target) {
+                Ok(entry) => answer.entries.push(entry),
+                Err(fault) => answer.unreadable.push(fault),
+            }
+        }
+        Some(News::List(answer))
     } else if get(m, "ban").is_some() {
         let ban = object(m, "ban")?;
         let object = get(ban, "url").map(|_| text(ban, "url")).transpose()?;
--- a/daemon/src/config.rs
+++ b/daemon/src/config.rs
@@ -6,6 +6,7 @@
 use crate::interconnect::{CdniFile, Consul, File, LogForm, NeighbourFile, State};
 use crate::limits::Limits;
 use linnetknot::Settings;
+use linnetknot_membership::Answer;
 use linnetknot_settings::{get, int_or, list, object, settings, text, text_or, wrong, Fields, Result};
 use serde_json::Value;
 use std::net::SocketAddr;
@@ -70,8 +71,10 @@
     let known = object(m, "known")?;
     let events: Vec<BusEvent> = list(known, "batch")?.iter().map(read_event).collect::<Result<_>>()?;
     // Heard later, what can't be read is passed over; here it is a fault of the configuration.
-    if events.iter().any(|e| matches!(&e.news, Some(News::List(answer)) if answer.unreadable > 0)) {
-        return Err(wrong("targets"));
+    for event in &events {
+        if let Some(News::List(Answer { unreadable, .. })) = &event.news {
+            unreadable.first().map_or(Ok(()), |fault| Err(fault.clone()))?;
+        }
     }
     Ok((int_or(known, "offset", 0)?, events))
 }
--- a/daemon/src/daemon/feeds/peers.rs
+++ b/daemon/src/daemon/feeds/peers.rs
@@ -16,16 +16,17 @@
                 Err(_) => continue,
             };
             // What does not come from a peer is not listened to.
-            let peer = known.contains(&from);
-            let word =
-                self.hearsay.as_mut().is_some_and(|h| h.hear(now, peer.then_some(from), &bytes[..length]));
-            if word {
-                self.heed(now);
+            if !known.contains(&from) {
+                self.dropped.0 += 1;
                 continue;
             }
-            let purge = peers::read(&bytes[..length]).filter(|_| peer);
-            if let Some((object, group, at)) = purge {
+            let bytes = &bytes[..length];
+            if self.hearsay.as_mut().is_some_and(|h| h.hear(now, from, bytes)) {
+                self.heed(now);
+            } else if let Some((object, group, at)) = peers::read(bytes) {
                 self.purge_for_good(now, object, group, at);
+            } else {
+                self.dropped.1 += 1;
             }
         }
     }
@@ -41,20 +42,23 @@
     pub(in crate::daemon) fn tell_found(&mut self, now: Micros, share: f64) {
         let Some(word) = self.hearsay.as_mut().and_then(|h| h.found(now, share)) else { return };
         log::debug!(target: TRACE, share = share; "peers are told of a late origin");
+        self.send_to_peers(&word);
+    }
+
+    fn send_to_peers(&self, datagram: &[u8]) {
         let Some((socket, known)) = &self.peers else { return };
         let own = socket.local_addr().ok();
         for peer in known.iter().filter(|peer| Some(**peer) != own) {
-            let _ = socket.send_to(&word, peer);
+            let _ = socket.send_to(datagram, peer);
         }
     }
 
     /// Sends a purge to the peers, and again: any datagram may be lost.
     pub(in crate::daemon) fn tell_peers(&mut self, now: Micros, text: String, left: u8) {
-        let Some((socket, known)) = &self.peers else { return };
-        let own = socket.local_addr().ok();
-        for peer in known.iter().filter(|peer| Some(**peer) != own) {
-            let _ = socket.send_to(text.as_bytes(), peer);
+        if self.peers.is_none() {
+            return;
         }
+        self.send_to_peers(text.as_bytes());
         if left > 0 {
             self.later(now + self.limits.repeat_us, move |daemon, now| {
                 daemon.tell_peers(now, text, left - 1)
--- a/daemon/src/daemon/mod.rs
+++ b/daemon/src/daemon/mod.rs
@@ -10,7 +10,7 @@
 use crate::upstream::Link;
 use crate::wire::WireError;
 use linnetknot::{Micros, ServerId};
-use linnetknot_hearsay::{Figures, Hearsay, Place};
+use linnetknot_hearsay::{Hearsay, Place};
 use linnetknot_membership::{Damping, Membership, Source as ListSource, Vetting};
 use std::collections::{btree_map::Entry, BTreeMap};
 use std::io;
@@ -158,6 +158,8 @@
     keeper: Option<consul::Keeper>,
     peers: Option<(UdpSocket, Vec<SocketAddr>)>,
     hearsay: Option<Hearsay>,
+    /// Datagrams dropped: from nobody who is a peer, and of no known kind.
+    dropped: (u64, u64),
     desk: Option<(TcpListener, Desk)>,
     ledger: Option<Ledger>,
     /// Payloads to neighbours that are on their way or wait to be tried again.
@@ -205,7 +207,7 @@
         }
         let clock = Clock::start();
         let place = Place::of(&config.settings);
-        let hearsay = config.tell.then(|| Hearsay::new(Figures::default(), place, clock.now()));
+        let hearsay = config.tell.then(|| Hearsay::new(place, clock.now()));
         let core = Core::new(config.settings.clone(), config.seed, &limits).map_err(|e| e.to_string())?;
         let (last_event, known) = std::mem::take(&mut config.known);
         let damping = config.consul.as_ref().map_or(Damping::default(), |c| c.damping);
@@ -236,6 +238,7 @@
             keeper,
             peers,
             hearsay,
+            dropped: (0, 0),
             desk,
             ledger,
             posts: 0,
@@ -304,6 +307,10 @@
             c.left,
             c.attempts
         );
+        if self.peers.is_some() {
+            let (strangers, foreign) = self.dropped;
+            log::info!(strangers = strangers, foreign = foreign; "datagrams that were dropped");
+        }
         if let Some(t) = self.hearsay.as_ref().map(Hearsay::tally) {
             log::info!(
                 told = t.told,
@@ -312,8 +319,7 @@
                 old = t.old,
                 torn = t.torn,
                 version = t.version,
-                too_long = t.too_long,
-                strangers = t.stranger;
+                too_long = t.too_long;
                 "words of a late origin to and from peers"
             );
         }
--- a/daemon/src/peers.rs
+++ b/daemon/src/peers.rs
@@ -2,8 +2,7 @@
 
 use linnetknot::Micros;
 
-/// The longest datagram that the platform carries.
-pub const MOST: usize = 256;
+pub use linnetknot_hearsay::MOST;
 
 /// A purge: of an object, or with none of a group, and when.
 pub type Purge = (Option<String>, u64, Micros);
--- a/hearsay/src/lib.rs
+++ b/hearsay/src/lib.rs
@@ -11,38 +11,28 @@
 //!   nothing of any box.
 //! - Each zone has one voice, a silent one finds nothing: one zone of twelve, which may have its own trouble, lowers
 //!   the share by a twelfth at most.
-//! - A word counts for `Figures::fresh_us` after it was heard, and heard twice it counts once. One that is older
+//! - A word counts for `FRESH_US` after it was heard, and heard twice it counts once. One that is older
 //!   than what is known of its sender is dropped.
 //! - Nothing heard is told on: a proxy speaks of its own answers only, so no rumour feeds itself.
-//! - One proxy speaks once in `Figures::pause_us` at most, and not at all while another of its zone has just done
+//! - One proxy speaks once in `PAUSE_US` at most, and not at all while another of its zone has just done
 //!   so: the datagrams of a trouble grow with the zones and the proxies, not with the square of the proxies.
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
 mod word;
 
-pub use word::{Unusable, Word, LENGTH};
+pub use word::{Unusable, Word, LENGTH, MOST};
 
 use linnetknot::{Micros, Settings};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
-/// When to tell and how long to believe.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Figures {
-    /// A share above this is no trouble, and not told.
-    pub trouble: f64,
-    /// How long a word counts.
-    pub fresh_us: Micros,
-    /// Least time between two own words.
-    pub pause_us: Micros,
-}
-
-impl Default for Figures {
-    fn default() -> Self {
-        Figures { trouble: 0.7, fresh_us: 1_000_000, pause_us: 500_000 }
-    }
-}
+/// A share above this is no trouble, and not told.
+const TROUBLE: f64 = 0.7;
+/// How long a word counts.
+pub const FRESH_US: Micros = 1_000_000;
+/// Least time between two words of one proxy.
+pub const PAUSE_US: Micros = 500_000;
 
 /// Where a proxy stands in the fleet.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -71,12 +61,8 @@
     pub spared: u64,
     /// Words taken in.
     pub heard: u64,
-    /// From nobody who is a peer.
-    pub stranger: u64,
     /// Longer than a datagram between proxies may be.
     pub too_long: u64,
-    /// Not of this form at all.
-    pub foreign: u64,
     /// Cut short or damaged.
     pub torn: u64,
     /// Of a version that is not known here.
@@ -88,7 +74,7 @@
 impl Tally {
     /// All that was dropped.
     pub fn dropped(&self) -> u64 {
-        self.stranger + self.too_long + self.foreign + self.torn + self.version + self.old
+        self.too_long + self.torn + self.version + self.old
     }
 }
 
@@ -103,7 +89,6 @@
 
 /// What one proxy has heard from the others, and has told them.
 pub struct Hearsay {
-    figures: Figures,
     place: Place,
     start: Micros,
     number: u32,
@@ -116,26 +101,15 @@
 impl Hearsay {
     /// Nothing heard yet. `start`: the Unix time at which this proxy started; it tells its words from those of the
     /// process before it at the same address.
-    pub fn new(figures: Figures, place: Place, start: Micros) -> Self {
-        Hearsay {
-            figures,
-            place,
-            start,
-            number: 0,
-            told_at: None,
-            last: BTreeMap::new(),
-            tally: Tally::default(),
-        }
+    pub fn new(place: Place, start: Micros) -> Self {
+        Hearsay { place, start, number: 0, told_at: None, last: BTreeMap::new(), tally: Tally::default() }
     }
 
-    /// Takes in a datagram. True: it was a word, whether or not it was of use.
-    pub fn hear(&mut self, now: Micros, from: Option<SocketAddr>, bytes: &[u8]) -> bool {
+    /// Takes in a peer's datagram. False: it is of another kind; else it was a word, whether or not it was of use.
+    pub fn hear(&mut self, now: Micros, from: SocketAddr, bytes: &[u8]) -> bool {
         let word = match Word::read(bytes) {
             Ok(word) => word,
-            Err(Unusable::Foreign) => {
-                self.tally.foreign += 1;
-                return false;
-            }
+            Err(Unusable::Foreign) => return false,
             Err(e) => {
                 *match e {
                     Unusable::TooLong => &mut self.tally.too_long,
@@ -145,10 +119,6 @@
                 return true;
             }
         };
-        let Some(from) = from else {
-            self.tally.stranger += 1;
-            return true;
-        };
         let news = |last: &Last| (last.start, last.number) < (word.start, word.number);
         if self.last.get(&from).is_some_and(|last| !news(last)) {
             self.tally.old += 1;
@@ -175,7 +145,7 @@
                 *said = (l.at, l.origin);
             }
         }
-        let until = zones.values().map(|s| s.0).max()? + self.figures.fresh_us;
+        let until = zones.values().map(|s| s.0).max()? + FRESH_US;
         let missing: f64 = zones.values().map(|s| 1.0 - s.1).sum();
         // A sender may name a zone that there is not.
         Some(((1.0 - missing / f64::from(self.place.zones)).max(0.0), until))
@@ -184,12 +154,11 @@
     /// An answer was late, and this proxy lets so many of its requests ask the origin: the datagram for all others,
     /// if they should know and have not been told from this zone just now.
     pub fn found(&mut self, now: Micros, origin: f64) -> Option<[u8; LENGTH]> {
-        let f = self.figures;
-        if origin > f.trouble || self.told_at.is_some_and(|at| now < at + f.pause_us) {
+        if origin > TROUBLE || self.told_at.is_some_and(|at| now < at + PAUSE_US) {
             return None;
         }
         let zone = self.place.zone;
-        if self.fresh(now).any(|l| l.zone == zone && l.origin <= f.trouble) {
+        if self.fresh(now).any(|l| l.zone == zone && l.origin <= TROUBLE) {
             self.tally.spared += 1;
             return None;
         }
@@ -205,7 +174,6 @@
     }
 
     fn fresh(&self, now: Micros) -> impl Iterator<Item = &Last> {
-        let fresh_us = self.figures.fresh_us;
-        self.last.values().filter(move |l| now < l.at + fresh_us)
+        self.last.values().filter(move |l| now < l.at + FRESH_US)
     }
 }
--- a/hearsay/src/word.rs
+++ b/hearsay/src/word.rs
@@ -14,8 +14,8 @@
 
 /// Bytes of a word.
 pub const LENGTH: usize = 24;
-/// The longest datagram between proxies.
-const MOST: usize = 256;
+/// The longest datagram that the platform carries between proxies.
+pub const MOST: usize = 256;
 const MAGIC: &[u8; 3] = b"LKW";
 const VERSION: u8 = 1;
 
--- a/membership/src/vet.rs
+++ b/membership/src/vet.rs
@@ -33,8 +33,8 @@
         /// How many are kept.
         kept: usize,
     },
-    /// This much of it could not be read, so what it leaves out may be what could not be read.
-    Unreadable(usize),
+    /// These faults kept entries of it from being read, so what it leaves out may be what could not be read.
+    Unreadable(Vec<String>),
 }
 
 impl fmt::Display for PassedOver {
@@ -50,8 +50,9 @@
                     "a list leaves out more than half of zone '{zone}', kind '{kind}': {kept} boxes are kept"
                 )
             }
-            Self::Unreadable(n) => {
-                write!(f, "{n} entries of a list can't be read: it takes away what it names only")
+            Self::Unreadable(faults) => {
+                let (n, first) = (faults.len(), faults.first().map_or("", String::as_str));
+                write!(f, "{n} entries of a list can't be read ({first}): it takes away what it names only")
             }
         }
     }
@@ -66,8 +67,8 @@
     pub mode: ListMode,
     /// Its entries, as far as they could be read.
     pub entries: Vec<Entry>,
-    /// Entries that could not be read.
-    pub unreadable: usize,
+    /// What was wrong with each entry that could not be read.
+    pub unreadable: Vec<String>,
 }
 
 /// Vets the answers of one source.
@@ -104,7 +105,7 @@
             }
             _ => self.rev = rev.or(self.rev),
         }
-        if unreadable > 0 {
+        if !unreadable.is_empty() {
             passed.push(PassedOver::Unreadable(unreadable));
             mode = ListMode::Delta;
         }
--- a/rehearse/src/report.rs
+++ b/rehearse/src/report.rs
@@ -100,8 +100,8 @@
     }
 
     /// The file's text.
-    pub fn write(&self) -> String {
-        serde_json::to_string_pretty(self).map(|text| text + "\n").unwrap_or_default()
+    pub fn write(&self) -> Result<String, String> {
+        serde_json::to_string_pretty(self).map(|text| text + "\n").map_err(|e| e.to_string())
     }
 }
 
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -114,7 +114,8 @@
     cancelled: bool,
     stuck_at: Micros, // When sharing no longer explains that it is still out; called off for that.
     stuck: bool,
-    asks: bool, // Its source may have the origin asked.
+    fetches: bool, // Its source is a parent or the origin.
+    asks: bool,    // It may have the origin asked.
 }
 
 #[derive(Default)]
@@ -133,11 +134,11 @@
     out: Option<Attempt>,
     begun: bool,
     over: bool,
-    failed_fills: u32,       // Attempts that failed by their source, or may have.
-    stuck: u32,              // Attempts called off as stuck.
-    errors: u32,             // Attempts that servers failed without a reason.
+    failed_fills: u32, // Attempts that failed by their source, or may have, or that a parent lacked.
+    stuck: u32,        // Attempts called off as stuck.
+    errors: u32,       // Attempts that servers failed without a reason.
     erred: Option<ServerId>, // The server of the first of these: judged once another one serves the request.
-    missed: bool,            // Its cache was only looked into and holds no copy: it must be filled.
+    missed: bool,      // Its cache was only looked into and holds no copy: it must be filled.
     tried: Vec<ServerId>,
     bad_sources: Vec<ServerId>,
     /// First attempt that may have run: when it was sent, and its server's zone and cell.
@@ -470,7 +471,7 @@
         // Drawn once for a request: further attempts must not be further chances.
         let draw = mix(self.seed ^ mix(id)) as f64 / u64::MAX as f64;
         let heard = if now < self.heard.1 { self.heard.0.max(ORIGIN_LEAST) } else { 1.0 };
-        let asked = self.origin_share.min(heard);
+        let fetches = source.is_some_and(|id| self.servers.get(&id).is_some_and(|s| s.role != Role::Cache));
         let Some(open) = self.open.get_mut(&id) else { return };
         let class = &self.settings.classes[open.class];
         let done = self.settings.rules.purge_done_us;
@@ -488,7 +489,7 @@
             keep: if class.write { 0 } else { 1 + u8::from(open.repeats >= REPEAT_COUNT) },
             max_age_us,
             join: self.settings.joins && !class.write,
-            only_held: !class.write && source.is_some() && draw >= asked,
+            only_held: !class.write && source.is_some() && draw >= self.origin_share.min(heard),
             bypass_parent: false,
             renew: class.fresh_us > 0 && open.repeats >= REPEAT_COUNT,
         };
@@ -504,8 +505,8 @@
             cancelled: false,
             stuck_at: now + (bound * 1e6) as Micros,
             stuck: false,
-            asks: !fill.only_held
-                && source.is_some_and(|id| self.servers.get(&id).is_some_and(|s| s.role != Role::Cache)),
+            fetches,
+            asks: fetches && !fill.only_held,
         };
         open.attempts += 1;
         self.filling += self.missing;
@@ -944,9 +945,9 @@
         // An untold failure may be the origin's behind the source: another fill would only add to its load.
         open.failed_fills += if shared.is_some() { 2 } else { u32::from(by_source || mute.is_some()) };
         if by_source || outcome == Outcome::Miss || note == Note::SourceLacks {
-            // What two sources lack hardly any other holds, and the cache has just been looked into.
+            // What two parents lack hardly any other holds, and the cache has just been looked into.
             open.missed |= outcome == Outcome::Miss;
-            open.failed_fills += u32::from(outcome == Outcome::Miss && attempt.source.is_some());
+            open.failed_fills += u32::from(outcome == Outcome::Miss && attempt.fetches);
             open.bad_sources.extend(attempt.source);
         } else if !self.settings.classes[class].write && !again {
             open.tried.push(server);
--- a/tests/scale.rs
+++ b/tests/scale.rs
@@ -319,3 +319,20 @@
     let last = lacks(&mut rig, 1);
     assert!(matches!(last[..], [Action::Refuse { .. }]), "{last:?}");
 }
+
+/// A sibling that lacks it is the ordinary case where caches fill each other: it must not use up the parents' tries.
+#[test]
+fn what_a_sibling_lacks_is_still_looked_for_at_two_parents() {
+    let mut servers = fleet();
+    servers[0].started = Some(T0 - 9 * S);
+    let config = Settings { siblings: Siblings::Location, direct: false, ..settings() };
+    let mut rig = Rig::new(config, servers);
+    let by_sibling = (0..40).map(|n| rig.send("video", &format!("/o/{n}"))).find(|s| s.fill.source <= 4);
+    let first = by_sibling.expect("the cold cache is filled by another");
+    let lacks = rig.end_with(first.request, 0, first.server, Outcome::Miss, Note::SourceLacks);
+    let second = sent(&lacks).expect("a parent is asked");
+    let refused = rig.end_with(second.request, 1, second.server, Outcome::Full, Note::SourceRefused);
+    let third = sent(&refused).expect("so is the other");
+    assert_eq!([second.fill.source, third.fill.source].iter().collect::<BTreeSet<_>>().len(), 2);
+    assert!(second.fill.source > 10 && third.fill.source > 10);
+}
