Hear signals through a pipe instead of a pair of Unix sockets

Change: the SIGTERM and SIGHUP wake-ups are pipe2(O_NONBLOCK|O_CLOEXEC); signal-hook writes to a pipe as well.

--- a/daemon/src/daemon/mod.rs
+++ b/daemon/src/daemon/mod.rs
@@ -12,10 +12,11 @@
 use linnetknot::{Micros, ServerId};
 use linnetknot_hearsay::{Hearsay, Place};
 use linnetknot_membership::{Damping, Membership, Source as ListSource, Vetting};
+use rustix::fd::OwnedFd;
+use rustix::pipe::{pipe_with, PipeFlags};
 use std::collections::{btree_map::Entry, BTreeMap};
 use std::io;
 use std::net::{SocketAddr, TcpListener, UdpSocket};
-use std::os::unix::net::UnixStream;
 
 mod boxes;
 mod clients;
@@ -82,32 +83,32 @@
 
 /// Does to a daemon what the signals do.
 pub struct Control {
-    term: UnixStream,
-    hup: UnixStream,
+    term: OwnedFd,
+    hup: OwnedFd,
 }
 
 impl Control {
     /// Ends it as SIGTERM does, once all that it has taken is answered.
     pub fn stop(&mut self) -> io::Result<()> {
-        io::Write::write_all(&mut self.term, b"t")
+        rustix::io::write(&self.term, b"t").map(drop).map_err(io::Error::from)
     }
 
     /// Has it read its configuration again, as SIGHUP does.
     pub fn reload(&mut self) -> io::Result<()> {
-        io::Write::write_all(&mut self.hup, b"h")
+        rustix::io::write(&self.hup, b"h").map(drop).map_err(io::Error::from)
     }
 }
 
-/// The two ends of what a signal is heard by: the one that is read, and the one that the signal writes to.
+/// The two ends of the pipe that a signal is heard by: the one that is read, and the one that the signal writes to.
+/// A pipe and not a pair of Unix sockets: some platforms that run the daemon allow sockets of TCP and UDP alone.
 struct Signal {
-    heard: UnixStream,
-    raised: UnixStream,
+    heard: OwnedFd,
+    raised: OwnedFd,
 }
 
 impl Signal {
     fn register(signal: i32) -> io::Result<Self> {
-        let (heard, raised) = UnixStream::pair()?;
-        heard.set_nonblocking(true)?;
+        let (heard, raised) = pipe_with(PipeFlags::NONBLOCK | PipeFlags::CLOEXEC)?;
         signal_hook::low_level::pipe::register(signal, raised.try_clone()?)?;
         Ok(Signal { heard, raised })
     }
@@ -115,7 +116,7 @@
     /// Takes in what was raised: signals that come close together count as one.
     fn clear(&mut self) {
         let mut bytes = [0; 16];
-        while io::Read::read(&mut self.heard, &mut bytes).is_ok_and(|n| n > 0) {}
+        while rustix::io::read(&self.heard, &mut bytes).is_ok_and(|n| n > 0) {}
     }
 }
 
