Open an operators' door: ready, drains and pop-cache bans, kept under $TMPDIR

The daemon only moves bytes (door.rs: own listener, 32 slots of its own, the oldest caller leaves when full, 5 s for a whole call) and carries out the effect of each call. A ban is laid over every list the sources give the core (the box is Gone to the module until the call back, whatever the bus says); the call back hands the core the box as its sources list it, so the module takes it in as new and cold. State is written to two copies, each to a fresh file renamed over its name; the higher sequence of the whole copies stands at the next start. Also: ROUTER_SOCKET_FD names an inherited listener (taken with listenfd, which is told through LISTEN_FDS before any thread starts); at SIGTERM such a process stops accepting at once and ends kept connections after their next answer.

Tests: ops unit tests (parser, bans, drains, torn copies); daemon/tests/door.rs on loopback: 40 callers that hold the door while ready answers in under 1 s, bad calls each get a 4xx and a close, a drain ends kept and idle connections and in-service brings ready back, a ban holds in the next process and lifts with one call back.

--- a/daemon/src/config.rs
+++ b/daemon/src/config.rs
@@ -22,6 +22,10 @@
     pub name: String,
     /// Where clients connect.
     pub listen: SocketAddr,
+    /// The operators' door; none: there is none.
+    pub ops: Option<SocketAddr>,
+    /// Where the operators' bans and drains are kept for the next process: `$TMPDIR`.
+    pub ops_folder: PathBuf,
     /// For random numbers.
     pub seed: u64,
     /// The bounds that follow from the machine.
@@ -122,7 +126,7 @@
     pub fn from_env() -> Result<Self> {
         let path = std::env::var("ROUTER_CONFIG").map_err(|_| "the variable ROUTER_CONFIG names no file")?;
         let mut m = file(&path)?;
-        for (key, variable) in [("name", "ROUTER_NAME"), ("listen", "ROUTER_LISTEN")] {
+        for (key, variable) in [("name", "ROUTER_NAME"), ("listen", "ROUTER_LISTEN"), ("ops", "ROUTER_OPS")] {
             if let (None, Ok(said)) = (get(&m, key), std::env::var(variable)) {
                 m.insert(key.to_owned(), said.into());
             }
@@ -161,6 +165,8 @@
         Ok(Config {
             name: "linnetknot".to_owned(),
             listen: ([127, 0, 0, 1], 0).into(),
+            ops: None,
+            ops_folder: std::env::temp_dir(),
             seed: 0,
             limits: Limits::for_machine(1024, 192),
             bus: None,
@@ -183,6 +189,7 @@
         let changes = [
             ("name", self.name != new.name),
             ("listen", self.listen != new.listen),
+            ("ops", self.ops != new.ops),
             ("limits", self.limits != new.limits),
             ("settings", self.settings != new.settings),
             ("peer_listen", own(self) != own(new)),
@@ -219,6 +226,8 @@
         Ok(Config {
             name: text_or(m, "name", "linnetknot")?,
             listen: address(m, "listen")?.ok_or("field 'listen' is missing")?,
+            ops: address(m, "ops")?,
+            ops_folder: std::env::temp_dir(),
             seed: u64::from_str_radix(&seed, 16).map_err(|_| wrong("seed"))?,
             limits: Limits {
                 back_off_us: parsed.max_retry_after_us.min(200_000),
--- a/daemon/src/daemon/clients.rs
+++ b/daemon/src/daemon/clients.rs
@@ -152,6 +152,9 @@
             self.close(now, leaver);
         }
         if let Some(key) = self.open(now, conn, kind) {
+            if !self.ops.in_service() {
+                self.close_when_answered(key);
+            }
             self.clients += 1;
             self.deadlines.set(now + self.limits.client_half_us, Timer::Client(key));
         }
@@ -166,7 +169,7 @@
                 None => return Ok(()),
                 Some(Input::Leave(ticket)) => self.core.leave(now, ticket),
                 Some(Input::Health(stream)) => {
-                    let ready = self.core.is_ready() && !self.stopping;
+                    let ready = self.core.is_ready() && !self.stopping && self.ops.in_service();
                     session.say(stream, if ready { "200 OK" } else { "503 Service Unavailable" });
                 }
                 Some(Input::Ask(stream, asked)) => {
--- /dev/null
+++ b/daemon/src/daemon/door.rs
@@ -0,0 +1,226 @@
+//! The operators' door in the daemon: its listener and connections, and carrying out what its calls decide.
+//!
+//! Which calls are taken and what they change is `linnetknot_ops`'s; here bytes are moved, bans are laid over
+//! what the sources tell the core, drains close client connections, and the state is kept under `$TMPDIR`.
+//! The door has slots of its own, so that callers that hold connections without a whole call, or a flood of
+//! clients, never keep an operator out: where its slots are full, the caller that came first leaves.
+
+use super::{Connection, Daemon, Kind, Timer};
+use crate::net::{Conn, Key};
+use linnetknot::{ListMode, Micros, State};
+use linnetknot_ops::{store, Call, Drain, Effect, Parser, Reply};
+use std::io;
+
+/// Door connections at a time.
+pub(super) const MOST_CALLERS: usize = 32;
+/// A caller has this long for its whole call, in microseconds; callers that hold a connection for 4 s without
+/// one must not outlast the door's slots.
+const CALL_US: Micros = 5_000_000;
+/// Bytes of a door connection's rings: room for the longest head, and for an answer.
+const INPUT: usize = linnetknot_ops::door::MOST_HEAD + 1024;
+const OUTPUT: usize = 1024;
+
+/// One caller's connection.
+pub(super) struct Caller {
+    parser: Parser,
+    /// Its one answer is on its way: the connection ends once that is written.
+    answered: bool,
+}
+
+impl Caller {
+    /// Whether all is said.
+    pub(super) fn is_over(&self) -> bool {
+        self.answered
+    }
+}
+
+impl Daemon {
+    /// Takes in the callers that wait.
+    pub(super) fn accept_door(&mut self, now: Micros) {
+        loop {
+            let Some(listener) = &self.door else { return };
+            let socket = match listener.accept() {
+                Ok((socket, _)) => socket,
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => return,
+                Err(e)
+                    if matches!(e.kind(), io::ErrorKind::Interrupted | io::ErrorKind::ConnectionAborted) =>
+                {
+                    continue
+                }
+                Err(e) => {
+                    // Out of descriptors: make room by the oldest caller, and take the next one then.
+                    log::debug!("the door can't accept: {e}");
+                    if !self.make_room_at_door() {
+                        return;
+                    }
+                    continue;
+                }
+            };
+            if self.callers >= MOST_CALLERS {
+                self.make_room_at_door();
+            }
+            let Ok(conn) = Conn::new(socket, true, INPUT, OUTPUT) else { continue };
+            let caller = Caller { parser: Parser::new(), answered: false };
+            if let Some(key) = self.open(now, conn, Kind::Door(Box::new(caller))) {
+                self.callers += 1;
+                self.deadlines.set(now + CALL_US, Timer::Door(key));
+            }
+        }
+    }
+
+    /// Ends the caller that has been there longest; false where there is none.
+    fn make_room_at_door(&mut self) -> bool {
+        let keys = self.connections.keys();
+        let door = |key: &Key| {
+            Some((self.connections.get(*key).filter(|c| matches!(c.kind, Kind::Door(_)))?.since, *key))
+        };
+        let Some((_, oldest)) = keys.iter().filter_map(door).min() else { return false };
+        self.close(0, oldest);
+        true
+    }
+
+    /// A caller's time for its call is over.
+    pub(super) fn door_timeout(&mut self, now: Micros, key: Key) {
+        if self.connections.get(key).is_some_and(|c| matches!(c.kind, Kind::Door(_))) {
+            self.close(now, key);
+        }
+    }
+
+    /// Reads what a caller sent, and answers once the call is whole or can't be.
+    pub(super) fn read_door(&mut self, now: Micros, key: Key, ended: bool) {
+        let Some(c) = self.connections.get_mut(key) else { return };
+        let Kind::Door(caller) = &mut c.kind else { return };
+        let mut got = Ok(None);
+        while !c.conn.input.is_empty() && matches!(got, Ok(None)) {
+            let front = c.conn.input.front();
+            let n = front.len();
+            got = caller.parser.feed(front);
+            c.conn.input.consume(n);
+        }
+        // Bytes after the answer are nobody's.
+        c.conn.input.consume(c.conn.input.len());
+        let reply = match got {
+            Ok(Some(call)) => self.called(now, call),
+            Err(e) => Reply::refused(e),
+            Ok(None) if !ended => return,
+            Ok(None) => match caller.parser.end() {
+                Some(e) => Reply::refused(e),
+                None => {
+                    // It said nothing and has gone: nothing is owed, and the connection ends.
+                    caller.answered = true;
+                    return;
+                }
+            },
+        };
+        let Some(c) = self.connections.get_mut(key) else { return };
+        let Kind::Door(caller) = &mut c.kind else { return };
+        if !std::mem::replace(&mut caller.answered, true) {
+            c.conn.output.push(&reply.to_bytes());
+        }
+    }
+
+    /// Whether the process could serve, the operators aside.
+    pub(super) fn can_serve(&self) -> bool {
+        self.core.is_ready() && !self.stopping
+    }
+
+    /// Carries out a call.
+    fn called(&mut self, now: Micros, call: Call) -> Reply {
+        let shown = format!("{call:?}");
+        let members = &self.members;
+        let known = |id: &str| members.listed().any(|(e, _)| e.uid == id);
+        let ready = self.can_serve();
+        let (reply, effect) = self.ops.call(now, call, known, ready);
+        if let Some(effect) = effect {
+            log::info!(call = shown.as_str(), status = reply.status; "the operators' door: {}", reply.text);
+            self.keep_ops();
+            match effect {
+                Effect::Ban(id) => self.ban(now, &id),
+                Effect::Unban(id) => self.unban(now, &id),
+                Effect::Drain => self.start_drain(now),
+                Effect::Resume => {}
+            }
+        }
+        reply
+    }
+
+    /// Keeps the operators' state for the next process.
+    pub(super) fn keep_ops(&self) {
+        if let Err(e) = store::save(&self.ops_folder, self.ops.kept()) {
+            log::error!(folder = self.ops_folder.display().to_string().as_str(); "the operators' state can't be kept: {e}");
+        }
+    }
+
+    /// Nothing new to a pop cache: to the core it is gone, whatever its sources say, until the call back.
+    fn ban(&mut self, now: Micros, id: &str) {
+        let listed = self.members.listed().find(|(e, _)| e.uid == id).map(|(e, _)| e.clone());
+        if let Some(mut entry) = listed {
+            entry.server.state = State::Gone;
+            self.core.list(now, ListMode::Delta, vec![entry]);
+        }
+    }
+
+    /// The pop cache is back as its sources tell of it; the module takes it for a new one, cold.
+    fn unban(&mut self, now: Micros, id: &str) {
+        let listed = self.members.listed().find(|(e, _)| e.uid == id).map(|(e, _)| e.clone());
+        if let Some(entry) = listed.filter(|e| e.server.state != State::Gone) {
+            self.core.list(now, ListMode::Delta, vec![entry]);
+        }
+    }
+
+    /// Takes the banned pop caches out of what a source tells the core.
+    pub(super) fn without_bans(
+        &self,
+        mode: ListMode,
+        entries: Vec<linnetknot_membership::Entry>,
+    ) -> Vec<linnetknot_membership::Entry> {
+        let banned = |e: &linnetknot_membership::Entry| self.ops.is_banned(&e.uid);
+        match mode {
+            ListMode::Full => entries.into_iter().filter(|e| !banned(e)).collect(),
+            _ => entries
+                .into_iter()
+                .map(|mut e| {
+                    if banned(&e) {
+                        e.server.state = State::Gone;
+                    }
+                    e
+                })
+                .collect(),
+        }
+    }
+
+    /// Out of service: every client connection ends once its answers are out, and idle ones at the sweeps.
+    pub(super) fn start_drain(&mut self, now: Micros) {
+        for key in self.connections.keys() {
+            self.close_when_answered(key);
+        }
+        // Idle connections are not closed at once: the front sends on them until it has heard the first no.
+        if let Some(at) = self.ops.next_sweep(now) {
+            self.later(at, |daemon, now| daemon.sweep(now));
+        }
+    }
+
+    /// A client connection is to end once all that it asked is answered.
+    pub(super) fn close_when_answered(&mut self, key: Key) {
+        if let Some(Connection { kind: Kind::Client(session), .. }) = self.connections.get_mut(key) {
+            session.close_when_answered();
+        }
+    }
+
+    /// Closes the client connections that have nothing open, while the process drains, and looks again later.
+    pub(super) fn sweep(&mut self, now: Micros) {
+        let Drain::Draining(_) = self.ops.drain() else { return };
+        for key in self.connections.keys() {
+            let idle = self.connections.get(key).is_some_and(|c| match &c.kind {
+                Kind::Client(s) => s.is_idle() && c.conn.output.is_empty() && c.conn.input.is_empty(),
+                _ => false,
+            });
+            if idle {
+                self.close(now, key);
+            }
+        }
+        if let Some(at) = self.ops.next_sweep(now) {
+            self.later(at, |daemon, now| daemon.sweep(now));
+        }
+    }
+}
--- a/daemon/src/daemon/mod.rs
+++ b/daemon/src/daemon/mod.rs
@@ -20,6 +20,7 @@
 
 mod boxes;
 mod clients;
+mod door;
 mod exchange;
 mod feeds;
 mod members;
@@ -34,6 +35,7 @@
 const PEERS: u64 = u64::MAX - 2;
 const CDNI: u64 = u64::MAX - 3;
 const RELOAD: u64 = u64::MAX - 4;
+const DOOR: u64 = u64::MAX - 5;
 /// The longest wait of the loop where no deadline is near.
 const IDLE_US: Micros = 1_000_000;
 
@@ -43,6 +45,8 @@
     Cdni(Box<cdni::Session>),
     /// What this side has begun.
     Exchange(Box<dyn Exchange>),
+    /// An operator's call at the door.
+    Door(Box<door::Caller>),
 }
 
 impl Kind {
@@ -79,6 +83,8 @@
     Accept,
     /// The grace after SIGTERM is over.
     Term,
+    /// A caller at the door has had its time.
+    Door(Key),
 }
 
 /// Does to a daemon what the signals do.
@@ -170,6 +176,33 @@
     waiting_answers: usize,
     stopping: bool,
     grace_over: bool,
+    /// The operators' door, its callers, and what they decided.
+    door: Option<TcpListener>,
+    callers: usize,
+    ops: linnetknot_ops::Operations,
+    /// Where that is kept for the next process: `$TMPDIR`.
+    ops_folder: std::path::PathBuf,
+    /// The clients' listener came from the process that started this one, and is shared with the next.
+    inherited: bool,
+}
+
+/// The clients' listener: the one that `$ROUTER_SOCKET_FD` names, inherited from the platform, or one of its own.
+fn client_listener(config: &Config) -> Result<(TcpListener, bool), String> {
+    let Ok(fd) = std::env::var("ROUTER_SOCKET_FD") else {
+        let listener =
+            TcpListener::bind(config.listen).map_err(|e| format!("listen: {}: {e}", config.listen))?;
+        return Ok((listener, false));
+    };
+    let fd: u32 = fd.parse().map_err(|_| format!("ROUTER_SOCKET_FD: '{fd}' is no descriptor"))?;
+    // listenfd takes descriptors as systemd hands them over; this is told before any thread is started.
+    std::env::set_var("LISTEN_FDS", "1");
+    std::env::set_var("LISTEN_FDS_FIRST_FD", fd.to_string());
+    std::env::remove_var("LISTEN_PID");
+    let taken = listenfd::ListenFd::from_env().take_tcp_listener(0);
+    let listener = taken
+        .map_err(|e| format!("ROUTER_SOCKET_FD: descriptor {fd}: {e}"))?
+        .ok_or(format!("ROUTER_SOCKET_FD: descriptor {fd} is no listening TCP socket"))?;
+    Ok((listener, true))
 }
 
 impl Daemon {
@@ -177,8 +210,7 @@
     pub fn start(mut config: Config, source: Source) -> Result<Self, String> {
         let text = |e: io::Error| e.to_string();
         let limits = config.limits.clone();
-        let listener =
-            TcpListener::bind(config.listen).map_err(|e| format!("listen: {}: {e}", config.listen))?;
+        let (listener, inherited) = client_listener(&config)?;
         listener.set_nonblocking(true).map_err(text)?;
         let term = Signal::register(signal_hook::consts::SIGTERM).map_err(text)?;
         let hup = Signal::register(signal_hook::consts::SIGHUP).map_err(text)?;
@@ -186,6 +218,12 @@
         poll.add(&listener, LISTENER, true, false).map_err(text)?;
         poll.add(&term.heard, SIGNAL, true, false).map_err(text)?;
         poll.add(&hup.heard, RELOAD, true, false).map_err(text)?;
+        let door =
+            config.ops.map(|at| TcpListener::bind(at).map_err(|e| format!("ops: {at}: {e}"))).transpose()?;
+        if let Some(door) = &door {
+            door.set_nonblocking(true).map_err(text)?;
+            poll.add(door, DOOR, true, false).map_err(text)?;
+        }
         let (mut desk, mut peers, mut ledger) = (None, None, None);
         if let Some(cdni) = config.cdni.clone() {
             let listener =
@@ -207,6 +245,8 @@
             peers = Some((socket, known));
         }
         let clock = Clock::start();
+        let ops_folder = config.ops_folder.clone();
+        let ops = linnetknot_ops::Operations::new(linnetknot_ops::store::load(&ops_folder), clock.now());
         let place = Place::of(&config.settings);
         let hearsay = config.tell.then(|| Hearsay::new(place, clock.now()));
         let core = Core::new(config.settings.clone(), config.seed, &limits).map_err(|e| e.to_string())?;
@@ -247,6 +287,11 @@
             waiting_answers: 0,
             stopping: false,
             grace_over: false,
+            door,
+            callers: 0,
+            ops,
+            ops_folder,
+            inherited,
             limits,
             config,
             source,
@@ -268,6 +313,17 @@
         if let Some(address) = daemon.cdni_address() {
             log::info!("neighbours connect to {address}");
         }
+        if let Some(address) = daemon.door_address() {
+            log::info!("the operators' door is at {address}");
+        }
+        let bans: Vec<&str> = daemon.ops.bans().collect();
+        if !bans.is_empty() || !daemon.ops.in_service() {
+            log::warn!(bans = bans.join(" ").as_str(), in_service = daemon.ops.in_service(); "kept by the operators");
+        }
+        if !daemon.ops.in_service() {
+            let now = daemon.clock.now();
+            daemon.start_drain(now);
+        }
         Ok(daemon)
     }
 
@@ -276,6 +332,11 @@
         self.listener.as_ref()?.local_addr().ok()
     }
 
+    /// Where operators call.
+    pub fn door_address(&self) -> Option<SocketAddr> {
+        self.door.as_ref()?.local_addr().ok()
+    }
+
     /// What does to it from another thread what signals do.
     pub fn control(&self) -> io::Result<Control> {
         Ok(Control { term: self.term.raised.try_clone()?, hup: self.hup.raised.try_clone()? })
@@ -349,6 +410,7 @@
             RELOAD => self.reload(now),
             PEERS => self.hear_peers(now),
             CDNI => self.accept_cdni(now),
+            DOOR => self.accept_door(now),
             token => self.serve(now, Key::from_u64(token), event),
         }
         self.settle(now);
@@ -376,6 +438,7 @@
                 self.grace_over = true;
                 self.listener = None;
             }
+            Timer::Door(key) => self.door_timeout(now, key),
         }
     }
 
@@ -385,6 +448,14 @@
         self.term.clear();
         if !std::mem::replace(&mut self.stopping, true) {
             log::info!("SIGTERM: answering what is open");
+            if self.inherited {
+                // The next process accepts on the same socket: whatever this one took now it would have to answer
+                // on its way out, and each kept connection ends after its next answer instead of being cut.
+                self.listener = None;
+                for key in self.connections.keys() {
+                    self.close_when_answered(key);
+                }
+            }
             self.deadlines.set(now + self.limits.term_grace_us, Timer::Term);
             self.leave_consul(now);
         }
@@ -457,8 +528,10 @@
         let mut over = false;
         if ready.read && c.conn.up {
             let got = c.conn.read(ready.broken);
-            over = matches!(got, Progress::Ended | Progress::Broken);
-            if let Err(e) = self.read(now, key) {
+            let ended = matches!(got, Progress::Ended | Progress::Broken);
+            // A caller at the door may end its half once its call is sent: its answer is still owed.
+            over = ended && !(matches!(c.kind, Kind::Door(_)) && got == Progress::Ended);
+            if let Err(e) = self.read(now, key, ended) {
                 // Whoever sends garbage must not fill the log with it.
                 let client = self.connections.get(key).is_some_and(|c| c.kind.is_client());
                 log::log!(
@@ -474,7 +547,7 @@
         self.note_client(now, key);
     }
 
-    fn read(&mut self, now: Micros, key: Key) -> Result<(), WireError> {
+    fn read(&mut self, now: Micros, key: Key, ended: bool) -> Result<(), WireError> {
         let Some(c) = self.connections.get_mut(key) else { return Ok(()) };
         match &mut c.kind {
             Kind::Client(_) => self.read_client(now, key),
@@ -483,6 +556,10 @@
                 self.read_exchange(now, key);
                 Ok(())
             }
+            Kind::Door(_) => {
+                self.read_door(now, key, ended);
+                Ok(())
+            }
             Kind::Box(link) => {
                 let mut told = Vec::new();
                 let result = link.read(now, &mut c.conn, &self.core, &mut told);
@@ -507,6 +584,10 @@
             Kind::Box(_) => self.pump(now, key),
             Kind::Cdni(_) => self.write_cdni(key),
             Kind::Exchange(_) => c.conn.write() != Progress::Broken,
+            Kind::Door(caller) => {
+                let over = caller.is_over();
+                c.conn.write() != Progress::Broken && !(over && c.conn.output.is_empty())
+            }
         };
         self.watch(key);
         sound
@@ -546,6 +627,7 @@
                 self.clients -= 1;
                 session.waiting.into_iter().for_each(|ticket| self.core.leave(now, ticket));
             }
+            Kind::Door(_) => self.callers -= 1,
             Kind::Exchange(exchange) => {
                 let end = if c.conn.up { exchange::End::Closed } else { exchange::End::Unreachable };
                 if let Some(effect) = exchange.ended(end) {
--- a/daemon/src/front/fastcgi.rs
+++ b/daemon/src/front/fastcgi.rs
@@ -153,6 +153,11 @@
         self.closing && self.is_idle()
     }
 
+    /// Ends the connection once all that is open is answered, as a drain does.
+    pub fn close_when_answered(&mut self) {
+        self.closing = true;
+    }
+
     /// Bytes of answers that wait to be written.
     pub fn waiting(&self) -> usize {
         self.waiting
--- /dev/null
+++ b/daemon/tests/door.rs
@@ -0,0 +1,173 @@
+//! The operators' door on loopback: its calls, bad callers, drains, and bans that outlive the process.
+
+mod rig;
+
+use linnetknot_rehearse::clients::call;
+use rig::{object, one, Rig};
+use serde_json::json;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::path::{Path, PathBuf};
+use std::time::{Duration, Instant};
+
+/// A folder of its own for the state that a test's daemons keep.
+fn folder(name: &str) -> PathBuf {
+    let folder = std::env::temp_dir().join(format!("linnetknot-door-{name}-{}", std::process::id()));
+    let _ = std::fs::remove_dir_all(&folder);
+    std::fs::create_dir_all(&folder).unwrap();
+    folder
+}
+
+fn with_door(boxes: &[&'static str], folder: &Path) -> Rig {
+    let folder = folder.display().to_string();
+    Rig::with(boxes, move |c| {
+        c["ops"] = json!("127.0.0.1:0");
+        c["ops_folder"] = json!(folder);
+    })
+}
+
+fn status(door: SocketAddr, method: &str, target: &str) -> u16 {
+    call(door, method, target, "").unwrap().status
+}
+
+/// Waits, without sleeping, for a call to be answered so.
+fn until(door: SocketAddr, target: &str, wanted: u16) -> Duration {
+    let start = Instant::now();
+    while status(door, "GET", target) != wanted {
+        assert!(start.elapsed() < Duration::from_secs(5), "{target} never said {wanted}");
+    }
+    start.elapsed()
+}
+
+/// What the door answers to these bytes, and whether it closed the connection after.
+fn raw(door: SocketAddr, bytes: &[u8]) -> (String, bool) {
+    let mut socket = TcpStream::connect(door).unwrap();
+    socket.set_read_timeout(Some(Duration::from_secs(3))).unwrap();
+    socket.write_all(bytes).unwrap();
+    let mut got = Vec::new();
+    let closed = socket.read_to_end(&mut got).is_ok();
+    (String::from_utf8_lossy(&got).into_owned(), closed)
+}
+
+#[test]
+fn the_door_answers_beside_callers_that_hold_it_and_refuses_bad_calls() {
+    let folder = folder("calls");
+    let rig = with_door(&["s-0a"], &folder);
+    let door = rig.door.expect("a door");
+    until(door, "/control/ready", 200);
+    // Forty callers that hold a connection without a whole call: more than the door has slots.
+    let holders: Vec<TcpStream> = (0..40)
+        .map(|_| {
+            let mut s = TcpStream::connect(door).unwrap();
+            s.write_all(b"GET /control/re").unwrap();
+            s
+        })
+        .collect();
+    let start = Instant::now();
+    assert_eq!(status(door, "GET", "/control/ready"), 200);
+    assert!(start.elapsed() < Duration::from_secs(1), "answered in {:?}", start.elapsed());
+    let bad: [(&[u8], &str); 8] = [
+        (b"DELETE /control/ready HTTP/1.1\r\n\r\n", "405"),
+        (b"GET /control/nothing HTTP/1.1\r\n\r\n", "404"),
+        (b"POST /control/in-service HTTP/1.1\r\nContent-Length: 4\r\n\r\nbody", "413"),
+        (b"\x16\x03\x01\x00\xa5\x01\x00\x00\xa1\x03\x03", "400"),
+        (b"GET /control/ready HTTP/3\r\n\r\n", "400"),
+        (b"POST /control/pop-caches/s-zz/offline HTTP/1.1\r\n\r\n", "404"),
+        (b"POST /control/pop-caches/s-zz/online HTTP/1.1\r\n\r\n", "404"),
+        (b"POST /control/out-of", "400"),
+    ];
+    for (bytes, wanted) in bad {
+        let mut socket = TcpStream::connect(door).unwrap();
+        socket.set_read_timeout(Some(Duration::from_secs(3))).unwrap();
+        socket.write_all(bytes).unwrap();
+        if bytes.ends_with(b"out-of") {
+            // A call cut off: the caller ends its half.
+            socket.shutdown(std::net::Shutdown::Write).unwrap();
+        }
+        let mut got = Vec::new();
+        socket.read_to_end(&mut got).expect("the door closes the connection");
+        let got = String::from_utf8_lossy(&got);
+        assert!(got.starts_with(&format!("HTTP/1.1 {wanted} ")), "{bytes:?}: {got}");
+    }
+    let long = format!("GET /{} HTTP/1.1\r\n", "x".repeat(2000));
+    let (got, closed) = raw(door, long.as_bytes());
+    assert!(got.starts_with("HTTP/1.1 414 ") && closed, "{got}");
+    // The daemon still serves, and the door still answers.
+    let mut web = rig.web();
+    assert_eq!(one(&mut web, "photo", &object(1)).status, 200);
+    assert_eq!(status(door, "GET", "/control/ready"), 200);
+    drop(holders);
+    rig.stop();
+}
+
+#[test]
+fn a_drain_says_no_closes_client_connections_and_in_service_ends_it() {
+    let folder = folder("drain");
+    let rig = with_door(&["s-0a"], &folder);
+    let door = rig.door.expect("a door");
+    until(door, "/control/ready", 200);
+    let mut kept = rig.web();
+    let mut idle = rig.web();
+    assert_eq!(one(&mut kept, "photo", &object(1)).status, 200);
+    assert_eq!(one(&mut idle, "photo", &object(2)).status, 200);
+    assert_eq!(status(door, "POST", "/control/out-of-service"), 200);
+    assert_eq!(status(door, "GET", "/control/ready"), 503);
+    // A kept connection is served once more, and then ended.
+    assert_eq!(one(&mut kept, "photo", &object(3)).status, 200);
+    assert!(kept.end().is_err(), "the connection ends after its answer");
+    // An idle one is ended by a sweep, well within the 4 s of a drain.
+    let start = Instant::now();
+    assert!(idle.end().is_err(), "the idle connection is closed");
+    assert!(start.elapsed() < Duration::from_secs(2), "closed after {:?}", start.elapsed());
+    // New connections in a drain are served, and ended.
+    let mut late = rig.web();
+    assert_eq!(one(&mut late, "photo", &object(4)).status, 200);
+    assert!(late.end().is_err());
+    assert!(linnetknot_ops::store::load(&folder).out_of_service, "the drain is kept");
+    assert_eq!(status(door, "POST", "/control/in-service"), 200);
+    assert!(until(door, "/control/ready", 200) < Duration::from_secs(2));
+    let mut after = rig.web();
+    assert_eq!(one(&mut after, "photo", &object(5)).status, 200);
+    assert_eq!(one(&mut after, "photo", &object(6)).status, 200, "connections are kept again");
+    rig.stop();
+}
+
+#[test]
+fn a_banned_box_gets_nothing_even_in_the_next_process_until_the_call_back() {
+    let folder = folder("ban");
+    let rig = with_door(&["s-0a", "s-0b"], &folder);
+    let door = rig.door.expect("a door");
+    until(door, "/control/ready", 200);
+    let mut web = rig.web();
+    for n in 0..40 {
+        assert_eq!(one(&mut web, "photo", &object(n)).status, 200);
+    }
+    let used = |rig: &Rig, uid: usize| rig.boxes[uid].arrivals().iter().filter(|a| a.word == "fetch").count();
+    assert!(used(&rig, 0) > 0 && used(&rig, 1) > 0, "both boxes serve before the ban");
+    assert_eq!(status(door, "POST", "/control/pop-caches/s-0a/offline"), 200);
+    assert_eq!(status(door, "POST", "/control/pop-caches/s-0a/offline"), 200, "twice out");
+    let before = used(&rig, 0);
+    for n in 100..140 {
+        assert_eq!(one(&mut web, "photo", &object(n)).status, 200);
+    }
+    assert_eq!(used(&rig, 0), before, "nothing new to a banned box");
+    rig.stop();
+    // The next process finds the ban where the first kept it.
+    let rig = with_door(&["s-0a", "s-0b"], &folder);
+    let door = rig.door.expect("a door");
+    until(door, "/control/ready", 200);
+    let mut web = rig.web();
+    for n in 200..240 {
+        assert_eq!(one(&mut web, "photo", &object(n)).status, 200);
+    }
+    assert_eq!(used(&rig, 0), 0, "the ban carried over");
+    assert_eq!(status(door, "POST", "/control/pop-caches/s-0a/online"), 200, "one call back");
+    let mut back = false;
+    for n in 300..400 {
+        assert_eq!(one(&mut web, "photo", &object(n)).status, 200);
+        back |= used(&rig, 0) > 0;
+    }
+    assert!(back, "the box is used again after the call back");
+    rig.stop();
+    let _ = std::fs::remove_dir_all(&folder);
+}
--- a/daemon/tests/rig/mod.rs
+++ b/daemon/tests/rig/mod.rs
@@ -16,6 +16,8 @@
 pub struct Rig {
     pub front: SocketAddr,
     pub cdni: SocketAddr,
+    /// The operators' door, where the configuration has one.
+    pub door: Option<SocketAddr>,
     pub control: Control,
     /// What the daemon reads on SIGHUP.
     pub file: Arc<Mutex<Value>>,
@@ -53,12 +55,16 @@
             let mut own = json!({"cdni": {"listen": "127.0.0.1:0", "provider": "AS64500:0",
                 "base": "http://cdn.example", "footprint": ["127.0.0.0/8"], "purges": file["purges"].take()}});
             own["consul"] = file["consul"].take();
+            let folder = file["ops_folder"].take();
             own["peers"] = json!({"tell": file["tell"].take() == true});
             if file["state"].is_object() {
                 own["state"] = file["state"].take();
             }
             let mut config = Config::read(file.as_object().unwrap())?;
             config.interconnect(own.as_object().unwrap())?;
+            if let Some(folder) = folder.as_str() {
+                config.ops_folder = folder.into();
+            }
             Ok(config)
         };
         let config = read().unwrap();
@@ -66,12 +72,13 @@
         let (tell, told) = std::sync::mpsc::channel();
         let run = std::thread::spawn(move || {
             let mut daemon = Daemon::start(config, Box::new(read)).unwrap();
-            let addresses = (daemon.address().unwrap(), daemon.cdni_address().unwrap());
+            let addresses =
+                (daemon.address().unwrap(), daemon.cdni_address().unwrap(), daemon.door_address());
             tell.send((addresses, daemon.control().unwrap())).unwrap();
             daemon.run()
         });
-        let ((front, cdni), control) = told.recv().unwrap();
-        Rig { front, cdni, control, file, run, bus, boxes, origin }
+        let ((front, cdni, door), control) = told.recv().unwrap();
+        Rig { front, cdni, door, control, file, run, bus, boxes, origin }
     }
 
     pub fn web(&self) -> WebServer {
--- /dev/null
+++ b/ops/src/door.rs
@@ -0,0 +1,344 @@
+//! The door's wire: HTTP/1.1, one call a connection, read incrementally and bounded.
+//!
+//! The parser owns no socket: bytes go in as they come, and out comes a whole [`Call`], a typed [`DoorError`]
+//! that ends the connection with a 4xx, or nothing yet. It guards against callers that send a line or a head of
+//! any length, bodies where none belongs, bytes that are no HTTP, and calls that are cut off.
+
+use std::fmt;
+
+/// The longest request line, in bytes.
+pub const MOST_LINE: usize = 1024;
+/// The longest head, request line and headers together, in bytes.
+pub const MOST_HEAD: usize = 8192;
+/// The most headers of a call.
+pub const MOST_HEADERS: usize = 64;
+/// The longest id of a pop cache, in bytes.
+pub const MOST_ID: usize = 128;
+
+/// A whole call of an operator.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Call {
+    /// `GET /control/ready`: whether the process is ready to serve.
+    Ready,
+    /// `POST /control/pop-caches/ID/offline`: nothing more to that pop cache.
+    Offline(String),
+    /// `POST /control/pop-caches/ID/online`: use it again.
+    Online(String),
+    /// `POST /control/out-of-service`: drain.
+    OutOfService,
+    /// `POST /control/in-service`: back to work.
+    InService,
+}
+
+/// Why a call is not taken. Each ends its connection after the answer of [`DoorError::status`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum DoorError {
+    /// The request line is over [`MOST_LINE`].
+    LineTooLong,
+    /// The head is over [`MOST_HEAD`], or has more than [`MOST_HEADERS`] headers.
+    HeadTooLarge,
+    /// Bytes that are no HTTP/1.x request.
+    Malformed,
+    /// A version other than HTTP/1.0 or HTTP/1.1.
+    Version,
+    /// A known path with a method it does not take.
+    Method,
+    /// A path that is no call, or an id that can't be one.
+    NotFound,
+    /// A body, or a header that announces one: no call has any.
+    Body,
+    /// The connection ended before the call was whole.
+    Cut,
+}
+
+impl DoorError {
+    /// The status that it is answered with.
+    pub fn status(self) -> u16 {
+        match self {
+            DoorError::LineTooLong => 414,
+            DoorError::HeadTooLarge => 431,
+            DoorError::Method => 405,
+            DoorError::NotFound => 404,
+            DoorError::Body => 413,
+            DoorError::Malformed | DoorError::Version | DoorError::Cut => 400,
+        }
+    }
+}
+
+impl fmt::Display for DoorError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let what = match self {
+            DoorError::LineTooLong => "the request line is too long",
+            DoorError::HeadTooLarge => "the head is too large",
+            DoorError::Malformed => "not an HTTP request",
+            DoorError::Version => "not HTTP/1.0 or HTTP/1.1",
+            DoorError::Method => "the method does not fit the path",
+            DoorError::NotFound => "no such call",
+            DoorError::Body => "a call has no body",
+            DoorError::Cut => "the call was cut off",
+        };
+        f.write_str(what)
+    }
+}
+
+impl std::error::Error for DoorError {}
+
+/// Reads one call from the bytes of a connection as they come.
+#[derive(Debug, Default)]
+pub struct Parser {
+    head: Vec<u8>,
+    done: bool,
+}
+
+/// Where the head ends, after its blank line.
+fn head_end(bytes: &[u8]) -> Option<usize> {
+    let crlf = bytes.windows(4).position(|w| w == b"\r\n\r\n").map(|at| at + 4);
+    let lf = bytes.windows(2).position(|w| w == b"\n\n").map(|at| at + 2);
+    match (crlf, lf) {
+        (Some(a), Some(b)) => Some(a.min(b)),
+        (a, b) => a.or(b),
+    }
+}
+
+/// Whether an id can name a pop cache: letters, digits and `-._:`.
+fn is_id(id: &str) -> bool {
+    !id.is_empty()
+        && id.len() <= MOST_ID
+        && id.bytes().all(|b| b.is_ascii_alphanumeric() || matches!(b, b'-' | b'.' | b'_' | b':'))
+}
+
+/// The call of a method and a path.
+fn route(method: &str, path: &str) -> Result<Call, DoorError> {
+    let (wanted, call) = match path {
+        "/control/ready" => ("GET", Call::Ready),
+        "/control/out-of-service" => ("POST", Call::OutOfService),
+        "/control/in-service" => ("POST", Call::InService),
+        _ => {
+            let rest = path.strip_prefix("/control/pop-caches/").ok_or(DoorError::NotFound)?;
+            let (id, verb) = rest.rsplit_once('/').ok_or(DoorError::NotFound)?;
+            if !is_id(id) {
+                return Err(DoorError::NotFound);
+            }
+            match verb {
+                "offline" => ("POST", Call::Offline(id.to_owned())),
+                "online" => ("POST", Call::Online(id.to_owned())),
+                _ => return Err(DoorError::NotFound),
+            }
+        }
+    };
+    // A HEAD of the ready call is a GET without a body, as HTTP has it.
+    if method == wanted || (wanted == "GET" && method == "HEAD") {
+        Ok(call)
+    } else {
+        Err(DoorError::Method)
+    }
+}
+
+/// Reads a whole head, and what came after it.
+fn parse(head: &[u8], after: usize) -> Result<Call, DoorError> {
+    let text = std::str::from_utf8(head).map_err(|_| DoorError::Malformed)?;
+    let mut lines = text.split('\n').map(|l| l.strip_suffix('\r').unwrap_or(l));
+    let line = lines.next().ok_or(DoorError::Malformed)?;
+    let mut parts = line.split(' ');
+    let (Some(method), Some(target), Some(version), None) =
+        (parts.next(), parts.next(), parts.next(), parts.next())
+    else {
+        return Err(DoorError::Malformed);
+    };
+    if method.is_empty() || !method.bytes().all(|b| b.is_ascii_uppercase()) || !target.starts_with('/') {
+        return Err(DoorError::Malformed);
+    }
+    if !version.starts_with("HTTP/") {
+        return Err(DoorError::Malformed);
+    }
+    if version != "HTTP/1.1" && version != "HTTP/1.0" {
+        return Err(DoorError::Version);
+    }
+    let mut count = 0;
+    for header in lines.filter(|l| !l.is_empty()) {
+        count += 1;
+        if count > MOST_HEADERS {
+            return Err(DoorError::HeadTooLarge);
+        }
+        let (name, value) = header.split_once(':').ok_or(DoorError::Malformed)?;
+        if name.is_empty() || name.bytes().any(|b| b.is_ascii_whitespace() || b.is_ascii_control()) {
+            return Err(DoorError::Malformed);
+        }
+        let value = value.trim();
+        if name.eq_ignore_ascii_case("transfer-encoding") {
+            return Err(DoorError::Body);
+        }
+        if name.eq_ignore_ascii_case("content-length") {
+            match value.parse::<u64>() {
+                Ok(0) => {}
+                Ok(_) => return Err(DoorError::Body),
+                Err(_) => return Err(DoorError::Malformed),
+            }
+        }
+    }
+    if after > 0 {
+        return Err(DoorError::Body);
+    }
+    route(method, target)
+}
+
+impl Parser {
+    /// A parser that has seen nothing.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Takes the bytes that came. A whole call, or an error, comes once; after that, bytes are not looked at.
+    pub fn feed(&mut self, bytes: &[u8]) -> Result<Option<Call>, DoorError> {
+        if self.done {
+            return Ok(None);
+        }
+        let room = MOST_HEAD + 1 - self.head.len().min(MOST_HEAD + 1);
+        self.head.extend_from_slice(&bytes[..bytes.len().min(room)]);
+        let result = match head_end(&self.head) {
+            Some(end) => parse(&self.head[..end], self.head.len() - end).map(Some),
+            None => {
+                let line = self.head.iter().position(|b| *b == b'\n').unwrap_or(self.head.len());
+                if line > MOST_LINE {
+                    Err(DoorError::LineTooLong)
+                } else if self.head.len() > MOST_HEAD {
+                    Err(DoorError::HeadTooLarge)
+                } else if self.head.first().is_some_and(|b| !b.is_ascii_uppercase()) {
+                    // No method begins so: whoever sends this sends no HTTP.
+                    Err(DoorError::Malformed)
+                } else {
+                    Ok(None)
+                }
+            }
+        };
+        self.done = !matches!(result, Ok(None));
+        result
+    }
+
+    /// The connection has ended: what a caller that sent part of a call is owed.
+    pub fn end(&mut self) -> Option<DoorError> {
+        (!std::mem::replace(&mut self.done, true) && !self.head.is_empty()).then_some(DoorError::Cut)
+    }
+}
+
+/// An answer of the door.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Reply {
+    /// Its status: 2xx is yes, 4xx and 5xx are no.
+    pub status: u16,
+    /// A line of text for whoever reads it.
+    pub text: String,
+}
+
+impl Reply {
+    /// An answer with a status and a line.
+    pub fn new(status: u16, text: impl Into<String>) -> Self {
+        Reply { status, text: text.into() }
+    }
+
+    /// The answer to a call that is not taken.
+    pub fn refused(error: DoorError) -> Self {
+        Reply::new(error.status(), error.to_string())
+    }
+
+    /// The bytes on the wire; the connection closes after them.
+    pub fn to_bytes(&self) -> Vec<u8> {
+        let reason = match self.status {
+            200 => "OK",
+            400 => "Bad Request",
+            404 => "Not Found",
+            405 => "Method Not Allowed",
+            409 => "Conflict",
+            413 => "Payload Too Large",
+            414 => "URI Too Long",
+            431 => "Request Header Fields Too Large",
+            503 => "Service Unavailable",
+            _ => "Other",
+        };
+        let body = format!("{}\n", self.text);
+        format!(
+            "HTTP/1.1 {} {reason}\r\nContent-Type: text/plain\r\nContent-Length: {}\r\nConnection: close\r\n\r\n{body}",
+            self.status,
+            body.len()
+        )
+        .into_bytes()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn whole(text: &str) -> Result<Option<Call>, DoorError> {
+        Parser::new().feed(text.as_bytes())
+    }
+
+    #[test]
+    fn each_call_is_read_and_in_crumbs_too() {
+        assert_eq!(whole("GET /control/ready HTTP/1.1\r\nHost: x\r\n\r\n"), Ok(Some(Call::Ready)));
+        assert_eq!(whole("POST /control/out-of-service HTTP/1.1\r\n\r\n"), Ok(Some(Call::OutOfService)));
+        assert_eq!(
+            whole("POST /control/in-service HTTP/1.0\r\nContent-Length: 0\r\n\r\n"),
+            Ok(Some(Call::InService))
+        );
+        let offline = "POST /control/pop-caches/pc-7.a/offline HTTP/1.1\r\n\r\n";
+        assert_eq!(whole(offline), Ok(Some(Call::Offline("pc-7.a".into()))));
+        let mut parser = Parser::new();
+        let bytes = b"POST /control/pop-caches/b2/online HTTP/1.1\r\nHost: y\r\n\r\n";
+        for (n, b) in bytes.iter().enumerate() {
+            let got = parser.feed(&[*b]);
+            let last = n + 1 == bytes.len();
+            assert_eq!(got, if last { Ok(Some(Call::Online("b2".into()))) } else { Ok(None) }, "at {n}");
+        }
+        assert_eq!(parser.end(), None, "nothing is owed for a call that was whole");
+    }
+
+    #[test]
+    fn bad_calls_are_typed_errors_with_a_4xx() {
+        let cases = [
+            ("DELETE /control/ready HTTP/1.1\r\n\r\n", DoorError::Method),
+            ("GET /control/out-of-service HTTP/1.1\r\n\r\n", DoorError::Method),
+            ("GET /nothing HTTP/1.1\r\n\r\n", DoorError::NotFound),
+            ("POST /control/pop-caches/a b/offline HTTP/1.1\r\n\r\n", DoorError::Malformed),
+            ("POST /control/pop-caches/%2e/offline HTTP/1.1\r\n\r\n", DoorError::NotFound),
+            ("POST /control/pop-caches//offline HTTP/1.1\r\n\r\n", DoorError::NotFound),
+            ("POST /control/in-service HTTP/1.1\r\nContent-Length: 3\r\n\r\nabc", DoorError::Body),
+            ("POST /control/in-service HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n", DoorError::Body),
+            ("POST /control/in-service HTTP/1.1\r\n\r\nextra", DoorError::Body),
+            ("GET /control/ready HTTP/2.0\r\n\r\n", DoorError::Version),
+            ("GET /control/ready HTTP/1.1\r\nno colon\r\n\r\n", DoorError::Malformed),
+            ("\x16\x03\x01\x02\x00", DoorError::Malformed),
+        ];
+        for (text, error) in cases {
+            assert_eq!(whole(text), Err(error), "{text:?}");
+            assert!((400..500).contains(&error.status()));
+        }
+        let long = format!("GET /{} HTTP/1.1\r\n", "a".repeat(MOST_LINE + 10));
+        assert_eq!(whole(&long), Err(DoorError::LineTooLong));
+        let mut parser = Parser::new();
+        assert_eq!(parser.feed(b"GET /control/ready HTTP/1.1\r\n"), Ok(None));
+        let header = b"X-Filler: aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa\r\n";
+        let mut last = Ok(None);
+        for _ in 0..MOST_HEAD / header.len() + 2 {
+            last = parser.feed(header);
+            if last.is_err() {
+                break;
+            }
+        }
+        assert_eq!(last, Err(DoorError::HeadTooLarge));
+        let many = format!("GET /control/ready HTTP/1.1\r\n{}\r\n", "A: b\r\n".repeat(MOST_HEADERS + 1));
+        assert_eq!(whole(&many), Err(DoorError::HeadTooLarge));
+        let mut cut = Parser::new();
+        assert_eq!(cut.feed(b"POST /control/out-of"), Ok(None));
+        assert_eq!(cut.end(), Some(DoorError::Cut));
+        assert_eq!(Parser::new().end(), None, "a connection that said nothing is owed nothing");
+    }
+
+    #[test]
+    fn a_reply_says_its_length_and_closes() {
+        let bytes = String::from_utf8(Reply::new(404, "no such pop cache").to_bytes()).unwrap();
+        assert!(bytes.starts_with("HTTP/1.1 404 Not Found\r\n"));
+        assert!(bytes.contains("Content-Length: 18\r\n") && bytes.contains("Connection: close\r\n"));
+        assert!(bytes.ends_with("\r\n\r\nno such pop cache\n"));
+    }
+}
