Bind the peers' UDP address shared, so that the next process of an upgrade can start

Change: peer_listen is bound with SO_REUSEADDR and SO_REUSEPORT (net::bind_shared_udp); the kernel shares datagrams between the two processes during the overlap, which hearsay bears as it bears loss. Not taken: starting without peers and binding later, which leaves the new process deaf for the whole overlap. Test: door.rs starts a second daemon on the same peer address beside the first, moves a ban over, and serves.

--- a/daemon/src/daemon/mod.rs
+++ b/daemon/src/daemon/mod.rs
@@ -6,7 +6,7 @@
 use crate::front::fastcgi::Session;
 use crate::ledger::Ledger;
 use crate::limits::Limits;
-use crate::net::{connect, Clock, Conn, Deadlines, Due, Key, Poll, Progress, Ready, Slots};
+use crate::net::{bind_shared_udp, connect, Clock, Conn, Deadlines, Due, Key, Poll, Progress, Ready, Slots};
 use crate::upstream::Link;
 use crate::wire::WireError;
 use linnetknot::{Micros, ServerId};
@@ -239,7 +239,7 @@
         // Peers are told what the second front is told, and of an origin that is late.
         let talks = desk.is_some() || config.tell;
         if let Some((own, known)) = config.peers.clone().filter(|_| talks) {
-            let socket = UdpSocket::bind(own).map_err(|e| format!("peer_listen: {own}: {e}"))?;
+            let socket = bind_shared_udp(own).map_err(|e| format!("peer_listen: {own}: {e}"))?;
             socket.set_nonblocking(true).map_err(text)?;
             poll.add(&socket, PEERS, true, false).map_err(text)?;
             peers = Some((socket, known));
--- a/daemon/src/net/conn.rs
+++ b/daemon/src/net/conn.rs
@@ -43,6 +43,18 @@
     }
 }
 
+/// A UDP socket bound so that the next process of an upgrade can bind the same address while this one still runs:
+/// both set `SO_REUSEPORT`, and the kernel shares the datagrams out between them until the old one ends.
+pub fn bind_shared_udp(at: SocketAddr) -> io::Result<std::net::UdpSocket> {
+    let family = if at.is_ipv4() { AddressFamily::INET } else { AddressFamily::INET6 };
+    let socket =
+        net::socket_with(family, SocketType::DGRAM, SocketFlags::NONBLOCK | SocketFlags::CLOEXEC, None)?;
+    sockopt::set_socket_reuseaddr(&socket, true)?;
+    sockopt::set_socket_reuseport(&socket, true)?;
+    net::bind(&socket, &at)?;
+    Ok(std::net::UdpSocket::from(socket))
+}
+
 /// Begins a connection without waiting for it.
 pub fn connect(to: SocketAddr) -> io::Result<TcpStream> {
     let family = if to.is_ipv4() { AddressFamily::INET } else { AddressFamily::INET6 };
--- a/daemon/src/net/mod.rs
+++ b/daemon/src/net/mod.rs
@@ -8,7 +8,7 @@
 mod slots;
 
 pub use clock::Clock;
-pub use conn::{connect, Conn, Progress};
+pub use conn::{bind_shared_udp, connect, Conn, Progress};
 pub use deadlines::{Deadlines, Due};
 pub use poll::{Poll, Ready};
 pub use ring::Ring;
--- a/daemon/tests/door.rs
+++ b/daemon/tests/door.rs
@@ -171,3 +171,38 @@
     rig.stop();
     let _ = std::fs::remove_dir_all(&folder);
 }
+
+#[test]
+fn the_next_process_of_an_upgrade_starts_beside_the_old_one_on_the_same_addresses() {
+    // The platform starts the next process with all as before but the door's address: peers' datagrams come to
+    // the same address, which the old process still holds.
+    let taken = std::net::UdpSocket::bind("127.0.0.1:0").unwrap();
+    let peers = taken.local_addr().unwrap().to_string();
+    drop(taken);
+    let folder = folder("upgrade");
+    let shown = folder.display().to_string();
+    let start = |peers: String, shown: String| {
+        Rig::with(&["s-0a", "s-0b"], move |c| {
+            c["ops"] = json!("127.0.0.1:0");
+            c["ops_folder"] = json!(shown);
+            c["peer_listen"] = json!(peers);
+            c["tell"] = json!(true);
+        })
+    };
+    let old = start(peers.clone(), shown.clone());
+    let old_door = old.door.unwrap();
+    until(old_door, "/control/ready", 200);
+    assert_eq!(status(old_door, "POST", "/control/pop-caches/s-0a/offline"), 200);
+    let new = start(peers, shown);
+    let new_door = new.door.unwrap();
+    until(new_door, "/control/ready", 200);
+    old.stop();
+    // The ban that the old process was told holds in the new one, which serves from the box that is left.
+    let mut web = new.web();
+    for n in 0..20 {
+        assert_eq!(one(&mut web, "photo", &object(n)).status, 200);
+    }
+    assert!(new.boxes[0].arrivals().iter().all(|a| a.word != "fetch"), "the ban carried over");
+    new.stop();
+    let _ = std::fs::remove_dir_all(&folder);
+}
