End a connection that is to close right after its last answer is written

Checked: the door and the new process started (ready after 0.0 s, 6 times); ruled out the ban (it logs at 7.58 s, after the first loss). The lines at fault: a connection marked to close after its answers (drain, or SIGTERM on an inherited socket) was only looked at in Daemon::write, from an event on its socket; the answer is given from settle, so the connection stayed open, the front sent its next request there, and the old process never came to idle before SIGKILL. Change: clients::end_if_over closes such a connection as soon as its last answer is written, from settle too. Test: door.rs sends a further request on a drained connection right after its answer; it fails without this.

--- a/daemon/src/daemon/clients.rs
+++ b/daemon/src/daemon/clients.rs
@@ -202,6 +202,18 @@
         }
     }
 
+    /// Ends a client's connection that is to end once answered, as soon as its last answer is written: were it
+    /// left open until its next event, that could be the next request, which would then be taken and never answered.
+    pub(super) fn end_if_over(&mut self, now: Micros, key: Key) {
+        let over = self.connections.get(key).is_some_and(|c| match &c.kind {
+            Kind::Client(s) => s.is_over() && c.conn.output.is_empty(),
+            _ => false,
+        });
+        if over {
+            self.close(now, key);
+        }
+    }
+
     pub(super) fn write_client(&mut self, key: Key) {
         let Some(c) = self.connections.get_mut(key) else { return };
         let Kind::Client(session) = &mut c.kind else { return };
--- a/daemon/src/daemon/mod.rs
+++ b/daemon/src/daemon/mod.rs
@@ -652,6 +652,7 @@
                         self.answer(now, client, answer);
                         self.watch(client.connection);
                         self.note_client(now, client.connection);
+                        self.end_if_over(now, client.connection);
                     }
                     Command::Wake(at, wake) => {
                         self.deadlines.set(at, Timer::Core(wake));
--- a/daemon/tests/door.rs
+++ b/daemon/tests/door.rs
@@ -112,8 +112,10 @@
     assert_eq!(one(&mut idle, "photo", &object(2)).status, 200);
     assert_eq!(status(door, "POST", "/control/out-of-service"), 200);
     assert_eq!(status(door, "GET", "/control/ready"), 503);
-    // A kept connection is served once more, and then ended.
+    // A kept connection is served once more, and ended right after that answer: a further request finds it closed
+    // and is not taken, so none can be held until the process ends.
     assert_eq!(one(&mut kept, "photo", &object(3)).status, 200);
+    let _ = kept.ask(2, "photo", &object(7), 2500);
     assert!(kept.end().is_err(), "the connection ends after its answer");
     // An idle one is ended by a sweep, well within the 4 s of a drain.
     let start = Instant::now();
