Turn further requests away on a busy connection that is to close, and close idle ones at SIGTERM

Checked and ruled out: the new processes were ready at once (6 starts, 0.0 s) and every other old process ended within 0.9 to 2 s. The lines at fault: clients.rs took every request that came on a connection marked to close; the front multiplexes on its kept connections, so a busy one never came to idle, never closed, and held requests at SIGKILL. Idle connections at SIGTERM stayed open until the process ended, taking requests meanwhile. Change: a closing connection that already owes an answer, or any in the end after SIGTERM, or after 1.5 s of a drain, turns a new request away at once (503 with a back-off; the front sends it elsewhere); at SIGTERM on an inherited socket idle client connections are closed at once. Not taken: reading no more from such a connection, which leaves requests unread and costs a reset each. Test: door.rs, a second request on a busy drained connection gets 503 and the connection then ends.

--- a/daemon/src/daemon/clients.rs
+++ b/daemon/src/daemon/clients.rs
@@ -7,8 +7,13 @@
 use crate::net::{Conn, Key, Progress};
 use crate::wire::WireError;
 use linnetknot::Micros;
+use linnetknot_ops::Drain;
 use std::io;
 
+/// In a drain, a connection that is to close takes requests for so long after the call; by 4 s none may have one
+/// from the last 2 s.
+const LAST_TAKEN_US: Micros = 1_500_000;
+
 /// What a client's connection is at.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Standing {
@@ -177,7 +182,14 @@
                     let slow = self.waiting_answers > self.limits.waiting_answers;
                     // One client's flood must leave room for the requests of the others.
                     let flood = !self.limits.admits(session.owed(), self.core.is_crowded());
-                    let ticket = if slow || flood { None } else { self.core.ask(now, client, asked) };
+                    // (What is owed counts this request.) A connection that is to close takes no more while it is busy, or late in a drain or an end:
+                    // it would never come to idle, and what it held would be cut when the process ends or the
+                    // drain is over. The front sends what is turned away to another proxy.
+                    let late = self.stopping
+                        || matches!(self.ops.drain(), Drain::Draining(since) if now > since + LAST_TAKEN_US);
+                    let leaving = session.is_closing() && (session.owed() > 1 || late);
+                    let ticket =
+                        if slow || flood || leaving { None } else { self.core.ask(now, client, asked) };
                     match ticket {
                         Some(ticket) => session.taken(stream, ticket),
                         None => session
@@ -206,7 +218,9 @@
     /// left open until its next event, that could be the next request, which would then be taken and never answered.
     pub(super) fn end_if_over(&mut self, now: Micros, key: Key) {
         let over = self.connections.get(key).is_some_and(|c| match &c.kind {
-            Kind::Client(s) => s.is_over() && c.conn.output.is_empty(),
+            Kind::Client(s) => {
+                s.is_over() && !s.is_half() && c.conn.output.is_empty() && c.conn.input.is_empty()
+            }
             _ => false,
         });
         if over {
--- a/daemon/src/daemon/mod.rs
+++ b/daemon/src/daemon/mod.rs
@@ -454,6 +454,7 @@
                 self.listener = None;
                 for key in self.connections.keys() {
                     self.close_when_answered(key);
+                    self.end_if_over(now, key);
                 }
             }
             self.deadlines.set(now + self.limits.term_grace_us, Timer::Term);
--- a/daemon/src/front/fastcgi.rs
+++ b/daemon/src/front/fastcgi.rs
@@ -153,6 +153,11 @@
         self.closing && self.is_idle()
     }
 
+    /// Whether the connection is to end once all that is open is answered.
+    pub fn is_closing(&self) -> bool {
+        self.closing
+    }
+
     /// Ends the connection once all that is open is answered, as a drain does.
     pub fn close_when_answered(&mut self) {
         self.closing = true;
--- a/daemon/tests/door.rs
+++ b/daemon/tests/door.rs
@@ -208,3 +208,25 @@
     new.stop();
     let _ = std::fs::remove_dir_all(&folder);
 }
+
+#[test]
+fn a_busy_connection_in_a_drain_turns_further_requests_away_and_ends() {
+    let folder = folder("busy");
+    let rig = with_door(&["s-0a"], &folder);
+    let door = rig.door.expect("a door");
+    until(door, "/control/ready", 200);
+    let mut web = rig.web();
+    assert_eq!(one(&mut web, "photo", &object(1)).status, 200);
+    assert_eq!(status(door, "POST", "/control/out-of-service"), 200);
+    rig.boxes[0].behave(linnetknot_rehearse::boxes::Manner { hold_ms: 300, ..Default::default() });
+    // Two requests on one kept connection: the first is taken, the second comes while it is open.
+    web.ask(1, "photo", &object(2), 2500).unwrap();
+    web.ask(2, "photo", &object(3), 2500).unwrap();
+    let mut answers = [web.end().unwrap(), web.end().unwrap()];
+    answers.sort_by_key(|(id, _)| *id);
+    assert_eq!(answers[0].1.as_ref().map(|a| a.status), Some(200), "the first is served");
+    assert_eq!(answers[1].1.as_ref().map(|a| a.status), Some(503), "the second is turned away at once");
+    assert!(web.end().is_err(), "and the connection ends after the last answer");
+    rig.stop();
+    let _ = std::fs::remove_dir_all(&folder);
+}
