Put new settings in force at SIGHUP: classes appear and vanish, requests keep theirs

Design: Router::retune (src/decide/retune.rs, a child of the policy module; decide.rs itself gains one line and loses a section marker) checks the settings whole, then puts the new classes first and keeps each old class that requests under way hold behind them under a name no request can carry, with what was learned of it; figures learned of a class go on under its name. Fewer attempts bind at once, which never exceeds what a class allowed when its request began. Not taken: a new router at each reload, which forgets every box's state and learned figure. Tests: tests/retune.rs (new, vanished and held classes; broken settings change nothing); door.rs reloads a broken file and then one with a new class over loopback.

--- a/daemon/src/core.rs
+++ b/daemon/src/core.rs
@@ -246,6 +246,16 @@
         })
     }
 
+    /// New settings from a reload, checked whole: where they are not sound nothing changes. Requests under way
+    /// keep the class they started with.
+    pub fn retune(&mut self, settings: Settings) -> Result<(), SettingsError> {
+        let keyed = settings.classes.iter().filter(|c| c.repeat == Repeat::Keyed).map(|c| c.name.clone());
+        let keyed = keyed.collect();
+        self.router.retune(settings)?;
+        self.keyed = keyed;
+        Ok(())
+    }
+
     /// What is to be done, in order.
     pub fn commands(&mut self) -> Vec<Command> {
         std::mem::take(&mut self.commands)
--- a/daemon/tests/door.rs
+++ b/daemon/tests/door.rs
@@ -230,3 +230,32 @@
     rig.stop();
     let _ = std::fs::remove_dir_all(&folder);
 }
+
+#[test]
+fn new_settings_at_sighup_bring_a_class_and_a_broken_file_changes_nothing() {
+    let folder = folder("retune");
+    let mut rig = with_door(&["s-0a"], &folder);
+    let door = rig.door.expect("a door");
+    until(door, "/control/ready", 200);
+    let mut web = rig.web();
+    assert_eq!(one(&mut web, "poster", &object(1)).status, 503, "no such class yet");
+    // A broken file: a deadline not over 0. The old settings stay, whole.
+    rig.file.lock().unwrap()["settings"]["categories"][0]["deadline-us"] = json!(0);
+    rig.control.reload().unwrap();
+    assert_eq!(one(&mut web, "photo", &object(2)).status, 200);
+    {
+        let mut file = rig.file.lock().unwrap();
+        file["settings"]["categories"][0]["deadline-us"] = json!(2_500_000);
+        let poster = json!({"name": "poster", "aim-us": 300_000, "deadline-us": 2_000_000, "repeat": "pure",
+            "worth": 1.0});
+        file["settings"]["categories"].as_array_mut().unwrap().push(poster);
+    }
+    rig.control.reload().unwrap();
+    let start = Instant::now();
+    while one(&mut web, "poster", &object(3)).status != 200 {
+        assert!(start.elapsed() < Duration::from_secs(3), "the new class was never taken");
+    }
+    assert_eq!(one(&mut web, "photo", &object(4)).status, 200, "the old class stays");
+    rig.stop();
+    let _ = std::fs::remove_dir_all(&folder);
+}
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -66,7 +66,7 @@
 const TICK_TAG: u64 = 0; // Tag of the recurring timer.
 const WATCH_TAG: u64 = 1; // Tag of the timer to ask for the list again.
 
-// ---- What is remembered ----
+mod retune;
 
 #[derive(Clone, Copy, Default, PartialEq, Eq)]
 enum Role {
--- /dev/null
+++ b/tests/retune.rs
@@ -0,0 +1,56 @@
+//! New settings for a router that runs: classes appear and vanish, requests under way keep theirs, and settings
+//! that are not sound change nothing.
+
+mod common;
+use common::*;
+use linnetknot::*;
+
+fn refused(actions: &[Action]) -> bool {
+    actions.iter().any(|a| matches!(a, Action::Refuse { .. }))
+}
+
+#[test]
+fn a_new_class_is_taken_and_one_that_vanished_is_not_while_its_requests_go_on() {
+    let mut rig = Rig::new(settings(), fleet());
+    let (_, actions) = rig.ask("poster", "/p/1", 5 * S);
+    assert!(refused(&actions), "no such class yet");
+    let under_way = rig.send("page", "/o/1");
+    let mut new = settings();
+    new.classes.retain(|c| c.name != "page");
+    new.classes.push(Class { deadline_us: 2 * S, ..class("poster") });
+    rig.router.retune(new).expect("sound settings");
+    let (_, actions) = rig.ask("poster", "/p/2", 5 * S);
+    assert!(sent(&actions).is_some(), "the new class is taken: {actions:?}");
+    let (_, actions) = rig.ask("page", "/o/2", 5 * S);
+    assert!(refused(&actions), "a class that vanished takes no new request");
+    // The page under way still ends as its class lets it: a failure is tried again elsewhere.
+    let actions = rig.end(under_way.request, 0, under_way.server, Outcome::Error);
+    let again = sent(&actions).expect("tried again, as its class allows");
+    assert_ne!(again.server, under_way.server);
+    let actions = rig.end_with(again.request, 1, again.server, Outcome::Ok, Note::Hit);
+    assert_eq!(finals(&actions), 0, "served, not refused or failed");
+    // A second reload forgets the class that no request holds any more, and the name can be used again.
+    let mut back = settings();
+    back.max_attempts = 1;
+    rig.router.retune(back).unwrap();
+    let page = rig.send("page", "/o/3");
+    let actions = rig.end(page.request, 0, page.server, Outcome::Error);
+    assert!(sent(&actions).is_none(), "one attempt at most now");
+    assert_eq!(finals(&actions), 1);
+}
+
+#[test]
+fn settings_that_are_not_sound_leave_the_router_as_it_was() {
+    let mut rig = Rig::new(settings(), fleet());
+    for broken in [
+        Settings { classes: vec![], ..settings() },
+        Settings { max_attempts: 0, ..settings() },
+        Settings { classes: vec![Class { deadline_us: 0, ..class("video") }], ..settings() },
+    ] {
+        assert!(rig.router.retune(broken).is_err());
+    }
+    let (_, actions) = rig.ask("video", "/o/1", 5 * S);
+    assert!(sent(&actions).is_some(), "the old classes stand");
+    let (_, actions) = rig.ask("nothing", "/o/2", 5 * S);
+    assert!(refused(&actions));
+}
