--- a/src/decide/retune.rs
+++ b/src/decide/retune.rs
@@ -3,8 +3,8 @@
 //! Classes may appear and vanish, and attempts may be fewer. A request under way keeps the class it started
 //! with: its deadline, aims and the figures learned of it. So the old classes that requests still hold stay
 //! behind the new ones, under a name that no request can carry, until a later reload finds none holding them.
-//! New requests find the new classes by name. Fewer attempts bind at once, also for requests under way: that is
-//! never more than their class allowed when they began.
+//! New requests find the new classes by name. Fewer attempts bind at once, also for requests under way:
+//! that is never more than their class allowed when they began.
 
 use super::Router;
 use crate::checks::SettingsError;
