Test an upgrade with two processes on one inherited listening socket

Change: daemon/tests/handover.rs starts the daemon binary twice on one listener, handed over as standard input and named by ROUTER_SOCKET_FD=0 (std hands a descriptor to a child that way without unsafe; the platform's descriptor 3 takes the same path), waits for each door's ready, sends SIGTERM to the old one (rustix, a dev-dependency), and asks on new connections until it has ended: every request is served, the old process exits 0, the new one serves alone after. Without the inherited socket the daemon would bind 127.0.0.1:1 and never be ready.

--- /dev/null
+++ b/daemon/tests/handover.rs
@@ -0,0 +1,100 @@
+//! An upgrade on loopback: two processes of the daemon on one inherited listening socket, the old one ended by
+//! SIGTERM while clients go on connecting. The socket is handed over as a descriptor named by
+//! `$ROUTER_SOCKET_FD`, here standard input, which std can hand to a child without `unsafe`.
+
+use linnetknot_rehearse::boxes::StandIn;
+use linnetknot_rehearse::bus::{entry, Bus};
+use linnetknot_rehearse::clients::{call, WebServer};
+use linnetknot_rehearse::settings;
+use serde_json::json;
+use std::net::{SocketAddr, TcpListener};
+use std::os::fd::OwnedFd;
+use std::process::{Child, Command, Stdio};
+use std::time::{Duration, Instant};
+
+fn free_address() -> SocketAddr {
+    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
+}
+
+fn start(
+    listener: &TcpListener,
+    config: &std::path::Path,
+    door: SocketAddr,
+    folder: &std::path::Path,
+) -> Child {
+    let socket = OwnedFd::from(listener.try_clone().unwrap());
+    Command::new(env!("CARGO_BIN_EXE_linnetknot"))
+        .env("ROUTER_CONFIG", config)
+        .env("ROUTER_SOCKET_FD", "0")
+        .env("ROUTER_OPS", door.to_string())
+        .env("TMPDIR", folder)
+        .env_remove("LINNETKNOT_INTERCONNECT")
+        .stdin(Stdio::from(socket))
+        .stdout(Stdio::null())
+        .stderr(Stdio::null())
+        .spawn()
+        .unwrap()
+}
+
+fn ready(door: SocketAddr) {
+    let start = Instant::now();
+    while call(door, "GET", "/control/ready", "").map(|a| a.status).unwrap_or(0) != 200 {
+        assert!(start.elapsed() < Duration::from_secs(6), "not ready within 6 s");
+    }
+}
+
+fn served(front: SocketAddr, n: u64) -> u16 {
+    let mut web = WebServer::connect(front).unwrap();
+    web.ask(1, "photo", &format!("{n:016x}"), 2500).unwrap();
+    web.end().unwrap().1.map_or(0, |a| a.status)
+}
+
+fn term(child: &Child) {
+    let pid = rustix::process::Pid::from_child(child);
+    rustix::process::kill_process(pid, rustix::process::Signal::TERM).unwrap();
+}
+
+#[test]
+fn two_processes_share_the_inherited_socket_and_the_old_one_ends_at_sigterm() {
+    let folder = std::env::temp_dir().join(format!("linnetknot-handover-{}", std::process::id()));
+    let _ = std::fs::remove_dir_all(&folder);
+    std::fs::create_dir_all(&folder).unwrap();
+    let bus = Bus::start().unwrap();
+    let boxes = [StandIn::start("s-0a").unwrap(), StandIn::start("s-0b").unwrap()];
+    let origin = StandIn::start("s-0f").unwrap();
+    let mut list: Vec<_> = boxes.iter().map(|b| entry(b, "here", "box", "ready")).collect();
+    list.push(entry(&origin, "hub", "origin", "ready"));
+    let known =
+        json!({"offset": 0, "batch": [{"offset": 0, "topology": {"rev": 1, "all": true, "targets": list}}]});
+    let config = json!({"listen": "127.0.0.1:1", "bus": bus.address.to_string(), "known": known,
+        "settings": settings(), "limits": {"memory_mb": 192, "sockets": 256}});
+    let path = folder.join("config.json");
+    std::fs::write(&path, config.to_string()).unwrap();
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let front = listener.local_addr().unwrap();
+    let (door_old, door_new) = (free_address(), free_address());
+    let mut old = start(&listener, &path, door_old, &folder);
+    ready(door_old);
+    assert_eq!(served(front, 1), 200);
+    let mut new = start(&listener, &path, door_new, &folder);
+    ready(door_new);
+    term(&old);
+    // Clients go on connecting while the old process ends: every one is served, by one process or the other.
+    let mut n = 2;
+    let status = loop {
+        assert_eq!(served(front, n), 200, "request {n}");
+        n += 1;
+        if let Some(status) = old.try_wait().unwrap() {
+            break status;
+        }
+        assert!(n < 100_000, "the old process never ended");
+    };
+    assert!(status.success(), "the old process ends well: {status}");
+    for m in n..n + 20 {
+        assert_eq!(served(front, m), 200, "served by the new process alone");
+    }
+    term(&new);
+    assert!(new.wait().unwrap().success());
+    drop(listener);
+    let _ = std::fs::remove_dir_all(&folder);
+}
