Let a connection's first request through at SIGTERM, and close no connection that asked nothing

Checked: the shared listener keeps its queue when the old process drops its descriptor, so no connection is lost there. The lines at fault: Daemon::term closed every idle client connection at once, also one accepted a moment before whose request had not come yet (reset); and clients.rs turned away every request after SIGTERM on a closing connection, also the first one of a fresh connection, which the front sent before it could know.

--- a/daemon/src/daemon/clients.rs
+++ b/daemon/src/daemon/clients.rs
@@ -170,6 +170,8 @@
         loop {
             let Some(c) = self.connections.get_mut(key) else { return Ok(()) };
             let Kind::Client(session) = &mut c.kind else { return Ok(()) };
+            // The first request of a connection was sent before the front could know that this one ends.
+            let first = !session.has_asked();
             match session.read(&mut c.conn.input, &self.limits)? {
                 None => return Ok(()),
                 Some(Input::Leave(ticket)) => self.core.leave(now, ticket),
@@ -187,7 +189,7 @@
                     // drain is over. The front sends what is turned away to another proxy.
                     let late = self.stopping
                         || matches!(self.ops.drain(), Drain::Draining(since) if now > since + LAST_TAKEN_US);
-                    let leaving = session.is_closing() && (session.owed() > 1 || late);
+                    let leaving = session.is_closing() && (session.owed() > 1 || late && !first);
                     let ticket =
                         if slow || flood || leaving { None } else { self.core.ask(now, client, asked) };
                     match ticket {
@@ -218,9 +220,8 @@
     /// left open until its next event, that could be the next request, which would then be taken and never answered.
     pub(super) fn end_if_over(&mut self, now: Micros, key: Key) {
         let over = self.connections.get(key).is_some_and(|c| match &c.kind {
-            Kind::Client(s) => {
-                s.is_over() && !s.is_half() && c.conn.output.is_empty() && c.conn.input.is_empty()
-            }
+            // One that has asked nothing yet was taken a moment ago, and its request is on its way.
+            Kind::Client(s) => s.is_over() && s.has_asked() && Self::is_quiet(c),
             _ => false,
         });
         if over {
@@ -228,6 +229,16 @@
         }
     }
 
+    /// Whether nothing of a client's connection is open, half read or unwritten.
+    pub(super) fn is_quiet(c: &Connection) -> bool {
+        match &c.kind {
+            Kind::Client(s) => {
+                s.is_idle() && !s.is_half() && c.conn.output.is_empty() && c.conn.input.is_empty()
+            }
+            _ => false,
+        }
+    }
+
     pub(super) fn write_client(&mut self, key: Key) {
         let Some(c) = self.connections.get_mut(key) else { return };
         let Kind::Client(session) = &mut c.kind else { return };
--- a/daemon/src/daemon/door.rs
+++ b/daemon/src/daemon/door.rs
@@ -8,6 +8,7 @@
 use super::{Connection, Daemon, Kind, Timer};
 use crate::net::{Conn, Key};
 use linnetknot::{ListMode, Micros, State};
+use linnetknot_ops::state::SWEEP_US;
 use linnetknot_ops::{store, Call, Drain, Effect, Parser, Reply};
 use std::io;
 
@@ -211,8 +212,9 @@
     pub(super) fn sweep(&mut self, now: Micros) {
         let Drain::Draining(_) = self.ops.drain() else { return };
         for key in self.connections.keys() {
+            // A connection that has asked nothing yet is let be for a sweep: its request may be on its way.
             let idle = self.connections.get(key).is_some_and(|c| match &c.kind {
-                Kind::Client(s) => s.is_idle() && c.conn.output.is_empty() && c.conn.input.is_empty(),
+                Kind::Client(s) => Self::is_quiet(c) && (s.has_asked() || c.since + SWEEP_US <= now),
                 _ => false,
             });
             if idle {
