--- a/daemon/src/daemon/clients.rs
+++ b/daemon/src/daemon/clients.rs
@@ -9,10 +9,7 @@
 use linnetknot::Micros;
 use linnetknot_ops::Drain;
 use std::io;
-
-/// In a drain, a connection that is to close takes requests for so long after the call; by 4 s none may have one
-/// from the last 2 s.
-const LAST_TAKEN_US: Micros = 1_500_000;
+use std::net::{TcpListener, TcpStream};
 
 /// What a client's connection is at.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -111,27 +108,31 @@
         }
     }
 
+    /// Takes one connection from a listener: none where none waits, an error where no descriptor is left.
+    pub(super) fn accept_one(listener: &TcpListener) -> io::Result<Option<TcpStream>> {
+        loop {
+            match listener.accept() {
+                Ok((socket, _)) => return Ok(Some(socket)),
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => return Ok(None),
+                Err(e)
+                    if matches!(e.kind(), io::ErrorKind::Interrupted | io::ErrorKind::ConnectionAborted) => {}
+                Err(e) => return Err(e),
+            }
+        }
+    }
+
     pub(super) fn accept(&mut self, now: Micros) {
         while self.listener.is_some() {
             // With no room left, connections wait in the kernel's queue: others end, and these are taken then.
-            let room = self.room_for_client(now);
+            let leaver = match self.room_for_client(now) {
+                Ok(leaver) => leaver,
+                Err(e) => return self.pause_accepting(now, e),
+            };
             let Some(listener) = &self.listener else { return };
-            let taken = room.and_then(|leaver| Ok((listener.accept()?.0, leaver)));
-            let (socket, leaver) = match taken {
-                Ok(taken) => taken,
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => break,
-                Err(e)
-                    if matches!(e.kind(), io::ErrorKind::Interrupted | io::ErrorKind::ConnectionAborted) =>
-                {
-                    continue
-                }
-                Err(e) => {
-                    // No place left: the listener would stay readable and the loop spin on it.
-                    log::debug!("accepting pauses: {e}");
-                    let _ = self.poll.change(listener, LISTENER, false, false);
-                    self.accepting = false;
-                    return self.accept_later(now);
-                }
+            let socket = match Self::accept_one(listener) {
+                Ok(Some(socket)) => socket,
+                Ok(None) => break,
+                Err(e) => return self.pause_accepting(now, e),
             };
             let conn = Conn::new(socket, true, self.limits.input_ring, self.limits.output_ring);
             if let Ok(conn) = conn {
@@ -143,6 +144,16 @@
         }
     }
 
+    /// No place left: the listener would stay readable and the loop spin on it.
+    fn pause_accepting(&mut self, now: Micros, e: io::Error) {
+        log::debug!("accepting pauses: {e}");
+        if let Some(listener) = &self.listener {
+            let _ = self.poll.change(listener, LISTENER, false, false);
+        }
+        self.accepting = false;
+        self.accept_later(now);
+    }
+
     /// Accepts again in a moment. Both fronts may ask for it: were each to set a deadline of its own, every one
     /// of them would set two more while the table stays full.
     pub(super) fn accept_later(&mut self, now: Micros) {
@@ -188,7 +199,7 @@
                     // it would never come to idle, and what it held would be cut when the process ends or the
                     // drain is over. The front sends what is turned away to another proxy.
                     let late = self.stopping
-                        || matches!(self.ops.drain(), Drain::Draining(since) if now > since + LAST_TAKEN_US);
+                        || matches!(self.ops.drain(), Drain::Draining(since) if now > since + self.limits.drain_last_taken_us);
                     let leaving = session.is_closing() && (session.owed() > 1 || late && !first);
                     let ticket =
                         if slow || flood || leaving { None } else { self.core.ask(now, client, asked) };
--- a/daemon/src/daemon/door.rs
+++ b/daemon/src/daemon/door.rs
@@ -10,16 +10,6 @@
 use linnetknot::{ListMode, Micros, State};
 use linnetknot_ops::state::SWEEP_US;
 use linnetknot_ops::{store, Call, Drain, Effect, Parser, Reply};
-use std::io;
-
-/// Door connections at a time.
-pub(super) const MOST_CALLERS: usize = 32;
-/// A caller has this long for its whole call, in microseconds; callers that hold a connection for 4 s without
-/// one must not outlast the door's slots.
-const CALL_US: Micros = 5_000_000;
-/// Bytes of a door connection's rings: room for the longest head, and for an answer.
-const INPUT: usize = linnetknot_ops::door::MOST_HEAD + 1024;
-const OUTPUT: usize = 1024;
 
 /// One caller's connection.
 pub(super) struct Caller {
@@ -40,43 +30,40 @@
     pub(super) fn accept_door(&mut self, now: Micros) {
         loop {
             let Some(listener) = &self.door else { return };
-            let socket = match listener.accept() {
-                Ok((socket, _)) => socket,
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => return,
-                Err(e)
-                    if matches!(e.kind(), io::ErrorKind::Interrupted | io::ErrorKind::ConnectionAborted) =>
-                {
-                    continue
-                }
+            let socket = match Self::accept_one(listener) {
+                Ok(Some(socket)) => socket,
+                Ok(None) => return,
+                // Out of descriptors: make room by the oldest caller, and take the next one then.
                 Err(e) => {
-                    // Out of descriptors: make room by the oldest caller, and take the next one then.
                     log::debug!("the door can't accept: {e}");
-                    if !self.make_room_at_door() {
+                    if !self.make_room_at_door(now) {
                         return;
                     }
                     continue;
                 }
             };
-            if self.callers >= MOST_CALLERS {
-                self.make_room_at_door();
+            if self.callers >= self.limits.door_callers {
+                self.make_room_at_door(now);
             }
-            let Ok(conn) = Conn::new(socket, true, INPUT, OUTPUT) else { continue };
+            let Ok(conn) = Conn::new(socket, true, self.limits.door_input, self.limits.door_output) else {
+                continue;
+            };
             let caller = Caller { parser: Parser::new(), answered: false };
             if let Some(key) = self.open(now, conn, Kind::Door(Box::new(caller))) {
                 self.callers += 1;
-                self.deadlines.set(now + CALL_US, Timer::Door(key));
+                self.deadlines.set(now + self.limits.door_call_us, Timer::Door(key));
             }
         }
     }
 
     /// Ends the caller that has been there longest; false where there is none.
-    fn make_room_at_door(&mut self) -> bool {
+    fn make_room_at_door(&mut self, now: Micros) -> bool {
         let keys = self.connections.keys();
         let door = |key: &Key| {
             Some((self.connections.get(*key).filter(|c| matches!(c.kind, Kind::Door(_)))?.since, *key))
         };
         let Some((_, oldest)) = keys.iter().filter_map(door).min() else { return false };
-        self.close(0, oldest);
+        self.close(now, oldest);
         true
     }
 
@@ -145,10 +132,16 @@
         reply
     }
 
-    /// Keeps the operators' state for the next process.
+    /// Keeps the operators' state for the next process: both copies in turn, each put in place whole. This is
+    /// done before the yes, on the loop, and not by the disk worker: the yes promises that the state outlives the
+    /// process, and the worker's queue may refuse a job. Calls that change something are few.
     pub(super) fn keep_ops(&self) {
-        if let Err(e) = store::save(&self.ops_folder, self.ops.kept()) {
-            log::error!(folder = self.ops_folder.display().to_string().as_str(); "the operators' state can't be kept: {e}");
+        let bytes = store::encode(self.ops.kept());
+        for path in store::copies(&self.ops_folder) {
+            if let Err(e) = crate::disk::replace(&path, &bytes) {
+                log::error!(file = path.display().to_string().as_str(); "the operators' state can't be kept: {e}");
+                return;
+            }
         }
     }
 
--- a/daemon/src/limits.rs
+++ b/daemon/src/limits.rs
@@ -104,6 +104,18 @@
     pub suspect_us: u64,
     /// A connection to a box that takes none of what is written for so long is broken off.
     pub stalled_us: u64,
+    /// Callers at the operators' door at a time; where all places are taken the one there longest leaves.
+    pub door_callers: usize,
+    /// A caller at the door has this long for its whole call: callers that hold a connection for 4 s with none
+    /// must not keep the places.
+    pub door_call_us: u64,
+    /// Bytes of a door connection's ring for what comes in: the longest head the door reads, and some.
+    pub door_input: usize,
+    /// Bytes of a door connection's ring for its one answer.
+    pub door_output: usize,
+    /// In a drain, a client connection that is to close takes requests for so long after the call (by 4 s none may
+    /// have one from the last 2 s).
+    pub drain_last_taken_us: u64,
 }
 
 impl Limits {
@@ -174,6 +186,11 @@
             forget_us: 5_000_000,
             suspect_us: 1_000_000,
             stalled_us: 500_000,
+            door_callers: 32,
+            door_call_us: 5_000_000,
+            door_input: 9 << 10,
+            door_output: 1 << 10,
+            drain_last_taken_us: 1_500_000,
         }
     }
 }
@@ -193,6 +210,11 @@
             let whole = limits.client_requests;
             assert!(limits.admits(whole, false) && !limits.admits(whole + 1, false));
             assert!(limits.admits(1, true) && !limits.admits(whole, true));
+            assert!(
+                limits.door_input > linnetknot_ops::door::MOST_HEAD,
+                "the door reads its longest head whole"
+            );
+            assert!(limits.drain_last_taken_us + 2_000_000 < 4_000_000);
         }
     }
 }
--- a/ops/src/door.rs
+++ b/ops/src/door.rs
@@ -248,7 +248,6 @@
             400 => "Bad Request",
             404 => "Not Found",
             405 => "Method Not Allowed",
-            409 => "Conflict",
             413 => "Payload Too Large",
             414 => "URI Too Long",
             431 => "Request Header Fields Too Large",
--- a/ops/src/state.rs
+++ b/ops/src/state.rs
@@ -50,14 +50,14 @@
 #[derive(Debug)]
 pub struct Operations {
     kept: Kept,
-    drain: Drain,
+    /// When the drain that `kept` tells of began here; of no meaning while in service.
+    drained_at: Micros,
 }
 
 impl Operations {
     /// The state of a process that starts with what an earlier one kept; a drain that was kept goes on from `now`.
     pub fn new(kept: Kept, now: Micros) -> Self {
-        let drain = if kept.out_of_service { Drain::Draining(now) } else { Drain::Serving };
-        Operations { kept, drain }
+        Operations { kept, drained_at: now }
     }
 
     /// What is to be kept, after a call that changed it.
@@ -77,17 +77,21 @@
 
     /// Where the process stands with its clients.
     pub fn drain(&self) -> Drain {
-        self.drain
+        if self.kept.out_of_service {
+            Drain::Draining(self.drained_at)
+        } else {
+            Drain::Serving
+        }
     }
 
     /// Whether the operators have it in service.
     pub fn in_service(&self) -> bool {
-        self.drain == Drain::Serving
+        !self.kept.out_of_service
     }
 
     /// When idle client connections are next to be closed, where it drains.
     pub fn next_sweep(&self, now: Micros) -> Option<Micros> {
-        match self.drain {
+        match self.drain() {
             Drain::Serving => None,
             Drain::Draining(since) => Some(now.max(since) + SWEEP_US),
         }
@@ -122,13 +126,12 @@
                 (Reply::new(404, format!("no pop cache is called {id}")), None)
             }
             Call::OutOfService if self.in_service() => {
-                self.drain = Drain::Draining(now);
+                self.drained_at = now;
                 self.kept.out_of_service = true;
                 (Reply::new(200, "out of service"), Some(Effect::Drain))
             }
             Call::OutOfService => (Reply::new(200, "out of service"), None),
             Call::InService if !self.in_service() => {
-                self.drain = Drain::Serving;
                 self.kept.out_of_service = false;
                 (Reply::new(200, "in service"), Some(Effect::Resume))
             }
--- a/ops/src/store.rs
+++ b/ops/src/store.rs
@@ -1,18 +1,22 @@
 //! Keeping [`Kept`] under `$TMPDIR` so that bans and drains outlive the process and carry over an upgrade.
 //!
-//! Two copies are written in turn, each to a fresh file that is then renamed over its name, so a copy is always
-//! whole or absent. A copy that can't be read (torn by a crash of the file system, or by hand) is passed over: the
+//! Two copies are written in turn by the daemon, each put in place whole (a fresh file renamed over its name), so
+//! a copy is always whole or absent. A copy that can't be read (torn by a crash of the file system, or by hand) is passed over: the
 //! other one, whole, stands, and of two whole copies the one with the higher sequence. A torn file never lifts a ban.
 
 use crate::state::Kept;
-use std::io::{self, Write};
 use std::path::{Path, PathBuf};
 
-/// The two copies in a folder.
-fn copies(folder: &Path) -> [PathBuf; 2] {
+/// The two copies in a folder, in the order they are written.
+pub fn copies(folder: &Path) -> [PathBuf; 2] {
     [folder.join("linnetknot-ops.json"), folder.join("linnetknot-ops.json.2")]
 }
 
+/// The bytes of one copy.
+pub fn encode(kept: &Kept) -> Vec<u8> {
+    serde_json::to_vec(kept).expect("a set of strings, a number and a flag are JSON")
+}
+
 /// Reads a copy: none where it is absent or not whole.
 fn read(path: &Path) -> Option<Kept> {
     serde_json::from_slice(&std::fs::read(path).ok()?).ok()
@@ -23,19 +27,6 @@
     copies(folder).iter().filter_map(|p| read(p)).max_by_key(|k| k.sequence).unwrap_or_default()
 }
 
-/// Keeps the state in a folder, both copies in turn. The caller logs the error; the state in memory stands.
-pub fn save(folder: &Path, kept: &Kept) -> io::Result<()> {
-    let bytes = serde_json::to_vec(kept).map_err(io::Error::other)?;
-    for path in copies(folder) {
-        let fresh = path.with_extension(format!("new{}", std::process::id()));
-        let mut file = std::fs::File::create(&fresh)?;
-        file.write_all(&bytes)?;
-        file.sync_all()?;
-        std::fs::rename(&fresh, &path)?;
-    }
-    Ok(())
-}
-
 #[cfg(test)]
 mod tests {
     use super::*;
@@ -53,7 +44,9 @@
         assert_eq!(load(&folder), Kept::default());
         let mut kept = Kept { sequence: 1, ..Kept::default() };
         kept.bans.insert("pc1".into());
-        save(&folder, &kept).unwrap();
+        let save =
+            |kept: &Kept| copies(&folder).iter().for_each(|p| std::fs::write(p, encode(kept)).unwrap());
+        save(&kept);
         assert_eq!(load(&folder), kept);
         let [first, second] = copies(&folder);
         std::fs::write(&first, b"{\"sequence\":2,\"bans\":[").unwrap();
@@ -63,7 +56,7 @@
         let mut newer = kept.clone();
         newer.sequence = 5;
         newer.out_of_service = true;
-        save(&folder, &newer).unwrap();
+        save(&newer);
         std::fs::write(&second, serde_json::to_vec(&kept).unwrap()).unwrap();
         assert_eq!(load(&folder), newer, "of two whole copies the later stands");
         std::fs::remove_dir_all(&folder).unwrap();
