Give each rehearsal play its own folder and say why a daemon did not start

Checked and ruled out here: 30 runs of the rehearsal tests, ten binaries at a time on 8 cores, and 6 runs, three at a time on one core (29 s each), all passed; slowness alone does not do it. No test writes the operators' state to the default folder ($TMPDIR), so no kept drain or ban reaches a played daemon; all addresses are port 0.

Found: play() (rehearse/src/player.rs) named its folder by process, seed and microsecond. Three tests of that binary play seed 3 at the same time; two of them plan the same scenario for the same time first. A probe printed their folders 0.8 to 13 ms apart; where two met in one microsecond, both would write p0.json into one folder, and a daemon could read a file half written by the other and end at once.

Change: a play's folder carries a number from a process-wide counter; Process::start keeps the last 12 lines of the daemon's log and, where it did not start, says whether it ended (with its exit status) or kept silent for 10 s, and what it said last. A test starts /bin/false and reads its end in the error.

--- a/rehearse/src/player.rs
+++ b/rehearse/src/player.rs
@@ -17,6 +17,7 @@
 use std::io::{self, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::path::Path;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::mpsc::{self, Receiver, Sender};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::thread;
@@ -332,8 +333,10 @@
 /// Plays a scenario with this daemon. Errors are those of the play itself.
 pub fn play(daemon: &Path, scenario: &Scenario, seed: u64, plant: Option<Plant>) -> io::Result<Outcome> {
     let plan = plan(scenario, seed);
-    let folder =
-        std::env::temp_dir().join(format!("linnetknot-play-{}-{seed}-{}", std::process::id(), unix_us()));
+    // Plays may run side by side in one process, with the same seed and in the same microsecond: each has a number.
+    static PLAYS: AtomicU64 = AtomicU64::new(0);
+    let n = PLAYS.fetch_add(1, Ordering::Relaxed);
+    let folder = std::env::temp_dir().join(format!("linnetknot-play-{}-{seed}-{n}", std::process::id()));
     std::fs::create_dir_all(&folder)?;
     let result = play_in(&folder, daemon, scenario, (seed, plant), &plan);
     let _ = std::fs::remove_dir_all(&folder);
--- a/rehearse/src/process.rs
+++ b/rehearse/src/process.rs
@@ -2,11 +2,13 @@
 
 use crate::clients::PATIENCE;
 use serde_json::Value;
+use std::collections::VecDeque;
 use std::io::{self, BufRead, BufReader};
 use std::net::SocketAddr;
 use std::path::Path;
 use std::process::{Child, Command, Stdio};
-use std::sync::mpsc;
+use std::sync::mpsc::{self, RecvTimeoutError};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::thread;
 
 /// A running daemon.
@@ -47,9 +49,17 @@
         let nowhere = ([127, 0, 0, 1], 0).into();
         let mut process = Process { child, front: nowhere, cdni: nowhere };
         let (tell, told) = mpsc::channel();
+        let last = Arc::new(Mutex::new(VecDeque::new()));
+        let kept = last.clone();
         thread::spawn(move || {
             // Read to the end, so that the daemon is never held up by its log.
             for line in log.into_iter().flat_map(|l| BufReader::new(l).lines()).map_while(Result::ok) {
+                let mut kept = kept.lock().unwrap_or_else(PoisonError::into_inner);
+                if kept.len() == LAST_LINES {
+                    kept.pop_front();
+                }
+                kept.push_back(line.clone());
+                drop(kept);
                 let address = |mark: &str| line.split_once(mark)?.1.trim().parse::<SocketAddr>().ok();
                 for found in
                     [address(" listens on "), address("neighbours connect to ")].into_iter().flatten()
@@ -59,10 +69,47 @@
             }
         });
         // It says first where clients connect, and then where neighbours do, if they can.
-        let failed = |_| io::Error::other(format!("the daemon '{name}' did not start"));
-        process.front = told.recv_timeout(PATIENCE).map_err(failed)?;
         let second = own["cdni"]["listen"].is_string();
-        process.cdni = if second { told.recv_timeout(PATIENCE).map_err(failed)? } else { process.front };
-        Ok(process)
+        let heard = told.recv_timeout(PATIENCE).and_then(|front| {
+            process.front = front;
+            process.cdni = if second { told.recv_timeout(PATIENCE)? } else { front };
+            Ok(())
+        });
+        match heard {
+            Ok(()) => Ok(process),
+            Err(waited) => Err(process.why_not(name, waited, &last)),
+        }
+    }
+
+    /// Why a daemon did not say where it listens: how it ended, if it did, and the last it said.
+    fn why_not(&mut self, name: &str, waited: RecvTimeoutError, last: &Mutex<VecDeque<String>>) -> io::Error {
+        let ended = match waited {
+            // Its log ended: the process has ended or is about to.
+            RecvTimeoutError::Disconnected => match self.child.wait() {
+                Ok(status) => format!("it ended ({status})"),
+                Err(e) => format!("its end can't be learnt: {e}"),
+            },
+            RecvTimeoutError::Timeout => format!("it said nothing of it in {} s", PATIENCE.as_secs()),
+        };
+        let said = last.lock().unwrap_or_else(PoisonError::into_inner);
+        let said = said.iter().map(String::as_str).collect::<Vec<_>>().join("\n  ");
+        io::Error::other(format!("the daemon '{name}' did not start: {ended}; its last words:\n  {said}"))
+    }
+}
+
+/// Lines of a daemon's log kept to say why it did not start.
+const LAST_LINES: usize = 12;
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_daemon_that_ends_at_once_is_told_with_its_end() {
+        let folder = std::env::temp_dir().join(format!("linnetknot-process-{}", std::process::id()));
+        let started = Process::start(Path::new("/bin/false"), &folder, "ends", &Value::Null, &Value::Null);
+        let _ = std::fs::remove_dir_all(&folder);
+        let said = started.err().expect("nothing listens").to_string();
+        assert!(said.contains("'ends' did not start: it ended (exit status: 1)"), "{said}");
     }
 }
