Put the site's figures in the scenario: boxes, hub caches, origin and links

Change: Scenario gains `site` (SiteForm, NodeForm for box, hub and origin), each figure bounded and refused by its key's path (site.hub.capacity, ...), left out it is the small site that was built in. player::world builds the nodes from it; the settings given to the proxies and the stand-ins' pace read it too.

--- a/daemon/tests/rehearsal.rs
+++ b/daemon/tests/rehearsal.rs
@@ -1,7 +1,7 @@
 //! The rehearsal kit against the real daemon: it finds nothing wrong, and finds what was planted.
 
 use linnetknot_rehearse::player::{self, play};
-use linnetknot_rehearse::scenario::{ClassLoad, Load, Scenario};
+use linnetknot_rehearse::scenario::{ClassLoad, Load, Scenario, SiteForm};
 use linnetknot_rehearse::{rehearse, Plant};
 use std::path::Path;
 
@@ -52,6 +52,7 @@
             classes: vec![class("photo", 0.9, false), class("post", 0.1, true)],
             purges: 4.0,
         },
+        site: SiteForm::default(),
         faults: vec![],
     }
 }
--- a/rehearse/src/player.rs
+++ b/rehearse/src/player.rs
@@ -7,7 +7,7 @@
 use crate::process::Process;
 use crate::record::{Answered, Asked, Class, Final, Limits, Micros, Record, Repeat, Told, Word};
 use crate::rules::{judge, Breach};
-use crate::scenario::Scenario;
+use crate::scenario::{NodeForm, Scenario};
 use crate::score::{score, Score};
 use crate::stand_ins::served::{made_of, unix_us, Knows, Served};
 use crate::stand_ins::world::{Figures, Kind, Site, World};
@@ -58,8 +58,6 @@
 
 /// A load generator that is later than this has measured itself.
 pub const MOST_LAG_US: Micros = 50_000;
-const FLOW_KB_PER_S: f64 = 4000.0;
-const PHOTO_FRESH_US: Micros = 8_000_000;
 const RETRIES: u32 = 2;
 /// A connection is given up by its client before the proxy does so.
 const IDLE: Duration = Duration::from_secs(3);
@@ -77,9 +75,9 @@
         "categories": classes.iter().map(category).collect::<Value>(),
         "family-info": {
             "in-pieces": each(&|c| (c.parts.1 > 1).into()), "never-kept": each(&|c| c.keyed.into()),
-            "good-for-us": each(&|c| fresh_us(c).into()), "may-pass-by": true, "can-join": true, "mid-kind": 2,
+            "good-for-us": each(&|c| fresh_us(scenario, c).into()), "may-pass-by": true, "can-join": true, "mid-kind": 2,
             "source-kind": 1, "seats-by-zone": [0, scenario.proxies], "attached-to": [0, 0],
-            "one-flow-kb-per-s": FLOW_KB_PER_S, "purge-takes-us": 6_000_000, "purge-slack-us": 300_000,
+            "one-flow-kb-per-s": scenario.site.flow_kb_per_s, "purge-takes-us": 6_000_000, "purge-slack-us": 300_000,
             "note-level": "all",
         },
         "kinds": ["box", "origin", "hub"], "localities": ["hub", "here"], "zone": "here", "weights": "rough",
@@ -89,47 +87,47 @@
     })
 }
 
-fn fresh_us(c: &crate::scenario::ClassLoad) -> Micros {
+fn fresh_us(scenario: &Scenario, c: &crate::scenario::ClassLoad) -> Micros {
     if c.keyed || c.parts.1 > 1 {
         0
     } else {
-        PHOTO_FRESH_US
+        ms(scenario.site.photo_fresh_ms)
     }
 }
 
-/// The nodes of a rehearsal: four boxes a proxy, two hub caches and an origin.
-fn world(scenario: &Scenario) -> (World, Vec<(String, &'static str, &'static str, f64)>) {
-    let boxes = 4 * scenario.proxies as usize;
+fn ms(ms: f64) -> Micros {
+    (ms * 1e3) as Micros
+}
+
+/// The nodes of a rehearsal as its site has them: boxes for each proxy, hub caches and an origin.
+pub fn world(scenario: &Scenario) -> (World, Vec<(String, &'static str, &'static str, f64)>) {
+    let form = &scenario.site;
+    let boxes = form.boxes(scenario.proxies);
     let site = Site {
-        link: 6.0 * boxes as f64,
-        fill_pace: 3.0,
-        near_us: 8_000,
-        far_us: 30_000,
-        origin_us: 40_000,
-        key_us: 3_000_000,
+        link: form.link_per_box * boxes as f64,
+        fill_pace: form.fill_pace,
+        near_us: ms(form.near_ms),
+        far_us: ms(form.far_ms),
+        origin_us: ms(form.origin_ms),
+        key_us: ms(form.key_ms),
     };
     let mut world = World::new(site);
     let mut nodes = Vec::new();
-    let figures = |capacity: f64, memory_kb: u64, fills: usize| Figures {
-        slots: 60,
-        waiting: 40,
-        capacity,
-        memory_kb,
-        fills,
-        fill_timeout_us: 2_500_000,
+    let figures = |node: &NodeForm| Figures {
+        slots: node.slots as usize,
+        waiting: node.waiting as usize,
+        capacity: node.capacity,
+        memory_kb: node.memory_kb,
+        fills: node.fills as usize,
+        fill_timeout_us: node.fill_timeout_ms * 1000,
     };
-    for n in 0..boxes {
-        let uid = format!("s-{n:08x}");
-        world.start(&uid, Kind::Box, figures(12.0, 120_000, 32), None);
-        nodes.push((uid, "here", "box", 12.0));
-    }
-    for n in 0..2 {
-        let uid = format!("h-{n:08x}");
-        world.start(&uid, Kind::Hub, figures(200.0, 2_000_000, 400), None);
-        nodes.push((uid, "hub", "hub", 200.0));
+    let uids = (0..boxes).map(|n| (format!("s-{n:08x}"), Kind::Box, "here", "box", &form.edge_box));
+    let hubs = (0..form.hubs).map(|n| (format!("h-{n:08x}"), Kind::Hub, "hub", "hub", &form.hub));
+    let origin = std::iter::once(("o-00000000".to_owned(), Kind::Origin, "hub", "origin", &form.origin));
+    for (uid, kind, zone, model, node) in uids.chain(hubs).chain(origin) {
+        world.start(&uid, kind, figures(node), None);
+        nodes.push((uid, zone, model, node.capacity));
     }
-    world.start("o-00000000", Kind::Origin, figures(100.0, 0, 64), None);
-    nodes.push(("o-00000000".to_owned(), "hub", "origin", 100.0));
     (world, nodes)
 }
 
@@ -271,7 +269,7 @@
             object,
             group: group(a.object),
             key,
-            work_us: (a.size_kb / FLOW_KB_PER_S * 1e6) as Micros,
+            work_us: (a.size_kb / self.scenario.site.flow_kb_per_s * 1e6) as Micros,
             due,
             at,
             until: at + a.budget,
@@ -354,9 +352,10 @@
     let (world, nodes) = world(scenario);
     let uids: Vec<String> = nodes.iter().map(|n| n.0.clone()).collect();
     let parts = plan.arrivals.iter().map(|a| ((a.object, a.part), (a.size_kb, group(a.object)))).collect();
-    let classes = scenario.load.classes.iter().map(|c| (c.name.clone(), (fresh_us(c), c.keyed))).collect();
+    let classes =
+        scenario.load.classes.iter().map(|c| (c.name.clone(), (fresh_us(scenario, c), c.keyed))).collect();
     let spoil = plant == Some(Plant::WrongBytes);
-    let knows = Knows { parts, flow_kb_per_s: FLOW_KB_PER_S, classes, spoil };
+    let knows = Knows { parts, flow_kb_per_s: scenario.site.flow_kb_per_s, classes, spoil };
     let served = Served::start(world, &uids, proxies, knows)?;
     let bus = Bus::start()?;
     let mut running = Vec::new();
--- a/rehearse/src/scenario.rs
+++ b/rehearse/src/scenario.rs
@@ -17,6 +17,9 @@
     pub proxies: u32,
     /// What is asked for.
     pub load: Load,
+    /// The boxes, hub caches and origin behind the proxies; the figures of a small site where left out.
+    #[serde(default)]
+    pub site: SiteForm,
     /// What goes wrong, and when.
     #[serde(default)]
     pub faults: Vec<Fault>,
@@ -78,6 +81,84 @@
     (1, 1)
 }
 
+/// The nodes behind the proxies and what joins them. Each figure left out is that of a small site: four boxes a
+/// proxy, two hub caches and an origin of few workers.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[serde(default, deny_unknown_fields)]
+pub struct SiteForm {
+    /// Edge boxes for each proxy.
+    pub boxes_per_proxy: u32,
+    /// Hub caches, shared by all proxies.
+    pub hubs: u32,
+    /// Each edge box.
+    #[serde(rename = "box")]
+    pub edge_box: NodeForm,
+    /// Each hub cache.
+    pub hub: NodeForm,
+    /// The origin store; its `fills` are its workers and its memory is none.
+    pub origin: NodeForm,
+    /// The one link in that all fills share, in transfers to a client at full pace, for each box.
+    pub link_per_box: f64,
+    /// How many times as fast as a transfer to a client a fill can be.
+    pub fill_pace: f64,
+    /// One transfer to a client at full pace, in KB a second.
+    pub flow_kb_per_s: f64,
+    /// The way to a hub cache and back, in milliseconds.
+    pub near_ms: f64,
+    /// The way to the origin and back, in milliseconds.
+    pub far_ms: f64,
+    /// The origin's answer when it is not crowded, in milliseconds.
+    pub origin_ms: f64,
+    /// How long the origin drops a repeat of a key, in milliseconds.
+    pub key_ms: f64,
+    /// How long a photo may be served from a copy, in milliseconds; parts and posts are never kept.
+    pub photo_fresh_ms: f64,
+}
+
+/// The figures of one kind of node.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct NodeForm {
+    /// Requests in work at a time.
+    pub slots: u32,
+    /// Requests that wait for a slot; one more is answered 503.
+    pub waiting: u32,
+    /// Its outgoing link, in transfers to a client at full pace; the proxies are told it as the capacity hint.
+    pub capacity: f64,
+    /// Its memory of objects, in KB.
+    pub memory_kb: u64,
+    /// Fills at a time; of the origin, workers.
+    pub fills: u32,
+    /// A fill is given up where nothing has come for this long, in milliseconds.
+    pub fill_timeout_ms: u64,
+}
+
+impl NodeForm {
+    const fn of(capacity: f64, memory_kb: u64, fills: u32) -> Self {
+        NodeForm { slots: 60, waiting: 40, capacity, memory_kb, fills, fill_timeout_ms: 2500 }
+    }
+}
+
+impl Default for SiteForm {
+    fn default() -> Self {
+        SiteForm {
+            boxes_per_proxy: 4,
+            hubs: 2,
+            edge_box: NodeForm::of(12.0, 120_000, 32),
+            hub: NodeForm::of(200.0, 2_000_000, 400),
+            origin: NodeForm::of(100.0, 0, 64),
+            link_per_box: 6.0,
+            fill_pace: 3.0,
+            flow_kb_per_s: 4000.0,
+            near_ms: 8.0,
+            far_ms: 30.0,
+            origin_ms: 40.0,
+            key_ms: 3000.0,
+            photo_fresh_ms: 8000.0,
+        }
+    }
+}
+
 /// Something that goes wrong.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields)]
@@ -160,6 +241,7 @@
             within(key("sigma"), c.sigma, 0.0, 3.0)?;
             within(key("budget_ms"), c.budget_ms as f64, 1.0, 120_000.0)?;
         }
+        self.site.check(&within)?;
         for (n, f) in self.faults.iter().enumerate() {
             let key = |key: &str| format!("faults[{n}].{key}");
             within(key("at"), f.at, 0.0, self.seconds)?;
@@ -178,6 +260,37 @@
     }
 }
 
+impl SiteForm {
+    fn check(&self, within: &dyn Fn(String, f64, f64, f64) -> Result<(), String>) -> Result<(), String> {
+        let key = |key: &str| format!("site.{key}");
+        within(key("boxes_per_proxy"), f64::from(self.boxes_per_proxy), 1.0, 64.0)?;
+        within(key("hubs"), f64::from(self.hubs), 0.0, 16.0)?;
+        for (name, node) in [("box", &self.edge_box), ("hub", &self.hub), ("origin", &self.origin)] {
+            let key = |k: &str| format!("site.{name}.{k}");
+            within(key("slots"), f64::from(node.slots), 1.0, 10_000.0)?;
+            within(key("waiting"), f64::from(node.waiting), 0.0, 100_000.0)?;
+            within(key("capacity"), node.capacity, 0.1, 1e5)?;
+            within(key("memory_kb"), node.memory_kb as f64, 0.0, 1e9)?;
+            within(key("fills"), f64::from(node.fills), 1.0, 10_000.0)?;
+            within(key("fill_timeout_ms"), node.fill_timeout_ms as f64, 1.0, 600_000.0)?;
+        }
+        within(key("link_per_box"), self.link_per_box, 0.1, 1e4)?;
+        within(key("fill_pace"), self.fill_pace, 0.1, 100.0)?;
+        within(key("flow_kb_per_s"), self.flow_kb_per_s, 1.0, 1e7)?;
+        for (name, ms) in [("near_ms", self.near_ms), ("far_ms", self.far_ms), ("origin_ms", self.origin_ms)]
+        {
+            within(key(name), ms, 0.0, 60_000.0)?;
+        }
+        within(key("key_ms"), self.key_ms, 0.0, 3_600_000.0)?;
+        within(key("photo_fresh_ms"), self.photo_fresh_ms, 0.0, 86_400_000.0)
+    }
+
+    /// The edge boxes in all.
+    pub fn boxes(&self, proxies: u32) -> usize {
+        (self.boxes_per_proxy * proxies) as usize
+    }
+}
+
 /// The form's JSON Schema.
 pub fn schema() -> String {
     serde_json::to_string_pretty(&schemars::schema_for!(Scenario)).unwrap_or_default() + "\n"
--- a/rehearse/tests/load.rs
+++ b/rehearse/tests/load.rs
@@ -109,6 +109,10 @@
             "\"class\": \"film\"",
             "faults[0].what.hot-object.class: there is no class",
         ),
+        ("\"boxes_per_proxy\": 4", "\"boxes_per_proxy\": 0", "site.boxes_per_proxy: 0 is not from 1"),
+        ("\"capacity\": 200", "\"capacity\": -1", "site.hub.capacity: -1 is not from 0.1"),
+        ("\"fills\": 64,", "", "site.origin: missing field `fills`"),
+        ("\"near_ms\": 8", "\"near\": 8", "site.near: unknown field `near`"),
         ("\"mass-purge\"", "\"meteor\"", "faults[1].what: unknown variant `meteor`"),
         ("\"share\": 0.4 }", "\"share\": 4 }", "faults[1].what.mass-purge.share: 4 is not"),
     ] {
@@ -132,3 +136,22 @@
         "docs/scenario.schema.json is not up to date"
     );
 }
+
+#[test]
+fn the_site_stands_in_the_scenario_and_is_that_of_a_small_site_where_left_out() {
+    let scenario = evening();
+    let (_, nodes) = linnetknot_rehearse::player::world(&scenario);
+    let count = |model: &str| nodes.iter().filter(|n| n.2 == model).count();
+    assert_eq!((count("box"), count("hub"), count("origin")), (12, 2, 1));
+    let mut bigger = scenario.clone();
+    bigger.site.boxes_per_proxy = 6;
+    bigger.site.hubs = 0;
+    bigger.site.edge_box.capacity = 20.0;
+    let (_, nodes) = linnetknot_rehearse::player::world(&bigger);
+    assert_eq!(nodes.len(), 18 + 1);
+    assert!(nodes.iter().filter(|n| n.2 == "box").all(|n| n.3 == 20.0 && n.1 == "here"));
+    // Without a site the figures are the same as those the evening writes out.
+    let mut text: serde_json::Value = serde_json::from_str(EVENING).unwrap();
+    text.as_object_mut().unwrap().remove("site");
+    assert_eq!(Scenario::read(&text.to_string()).unwrap(), scenario);
+}
