Play faults of boxes, origin and bus as a timetable in rehearsals

A scenario could only purge at once and make one object hot; nothing went wrong with boxes, the origin or the event bus, and drains had no planted fault under a played load.

The player carries the steps out on the served world, which now ends the connections of a node that died; each proxy has a bus of its own, so that a drain or a return names the address at which that proxy reaches the box. Returns are recorded as cold boxes for the checker. Plant::DrainsUntold records the word and tells no bus.

--- a/daemon/tests/rehearsal.rs
+++ b/daemon/tests/rehearsal.rs
@@ -1,7 +1,7 @@
 //! The rehearsal kit against the real daemon: it finds nothing wrong, and finds what was planted.
 
 use linnetknot_rehearse::player::{self, play};
-use linnetknot_rehearse::scenario::{ClassLoad, Load, Scenario, SiteForm};
+use linnetknot_rehearse::scenario::{ClassLoad, Fault, Load, Scenario, SiteForm, What};
 use linnetknot_rehearse::{rehearse, Plant};
 use std::path::Path;
 
@@ -84,3 +84,38 @@
     out.score.whole.asked = 0.0;
     assert!(out.has_seen().unwrap_err().contains("nothing was asked"));
 }
+
+/// Boxes that drain, die and come back cold, a stall, a slow origin and a broken bus, under a played load.
+fn troubled() -> Scenario {
+    let fault = |at, lasts, what| Fault { at, lasts, what };
+    Scenario {
+        seconds: 6.0,
+        faults: vec![
+            fault(1.0, 2.5, What::BoxDrains { boxes: 1, first: 0 }),
+            fault(1.5, 2.0, What::BoxDies { boxes: 3, first: 1 }),
+            fault(2.0, 1.0, What::BoxStalls { boxes: 2, first: 4 }),
+            fault(2.5, 1.5, What::SlowOrigin { times: 5.0 }),
+            fault(3.0, 0.0, What::BusBreaks),
+        ],
+        ..short()
+    }
+}
+
+#[test]
+fn faults_of_boxes_origin_and_bus_are_played_and_break_no_rule() {
+    let out = play(daemon(), &troubled(), 3, None).expect("it is played");
+    assert_eq!(out.breaches, []);
+    assert_eq!(out.has_seen(), Ok(()));
+    assert!(out.asked > 450 && out.score.whole.score() > Some(0.6), "{out:?}");
+}
+
+#[test]
+fn a_drain_that_the_proxies_never_hear_of_is_named() {
+    let out = play(daemon(), &troubled(), 3, Some(player::Plant::DrainsUntold)).expect("it is played");
+    assert!(
+        !out.breaches.is_empty() && out.breaches.iter().all(|b| b.rule == "drains"),
+        "{:?}",
+        out.breaches
+    );
+    assert!(out.breaches.iter().all(|b| b.target.as_deref() == Some("s-00000000")), "{:?}", out.breaches);
+}
--- a/rehearse/src/lib.rs
+++ b/rehearse/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod scenario;
 pub mod score;
 pub mod stand_ins;
+pub mod timetable;
 
 pub use play::{rehearse, settings, Plant};
 
--- a/rehearse/src/player.rs
+++ b/rehearse/src/player.rs
@@ -5,12 +5,13 @@
 use crate::latency::{waits, Waits};
 use crate::load::{group, plan, Arrival, Plan};
 use crate::process::Process;
-use crate::record::{Answered, Asked, Class, Final, Limits, Micros, Record, Repeat, Told, Word};
+use crate::record::{Answered, Asked, Class, Cold, Final, Limits, Micros, Record, Repeat, Told, Word};
 use crate::rules::{judge, Breach};
 use crate::scenario::{NodeForm, Scenario};
 use crate::score::{score, Score};
 use crate::stand_ins::served::{made_of, unix_us, Knows, Served};
 use crate::stand_ins::world::{Figures, Kind, Site, World};
+use crate::timetable::{timetable, Step};
 use serde_json::{json, Value};
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap, HashMap};
@@ -59,6 +60,12 @@
 /// A load generator that is later than this has measured itself.
 pub const MOST_LAG_US: Micros = 50_000;
 const RETRIES: u32 = 2;
+/// What the proxies are told of cold boxes, and what the stand-ins do: a share at the start, warm after a time, and
+/// over by a multiple of what they can do for a while.
+const COLD_SHARE: f64 = 0.15;
+const RAMP_US: Micros = 13_000_000;
+const FALL_MULTIPLE: f64 = 2.5;
+const TIP_AFTER_US: Micros = 3_000_000;
 /// A connection is given up by its client before the proxy does so.
 const IDLE: Duration = Duration::from_secs(3);
 
@@ -82,8 +89,8 @@
         },
         "kinds": ["box", "origin", "hub"], "localities": ["hub", "here"], "zone": "here", "weights": "rough",
         "limits": {"try-limit": 6, "cancel": true, "retry-after": true, "max-retry-after-us": 2_000_000},
-        "rules": {"drain-grace-us": 1_000_000, "cold-share": 0.15, "ramp-time-us": 13_000_000, "fall-multiple": 2.5,
-            "tip-after-us": 3_000_000},
+        "rules": {"drain-grace-us": 1_000_000, "cold-share": COLD_SHARE, "ramp-time-us": RAMP_US,
+            "fall-multiple": FALL_MULTIPLE, "tip-after-us": TIP_AFTER_US},
     })
 }
 
@@ -99,6 +106,30 @@
     (ms * 1e3) as Micros
 }
 
+fn figures(node: &NodeForm) -> Figures {
+    Figures {
+        slots: node.slots as usize,
+        waiting: node.waiting as usize,
+        capacity: node.capacity,
+        memory_kb: node.memory_kb,
+        fills: node.fills as usize,
+        fill_timeout_us: node.fill_timeout_ms * 1000,
+    }
+}
+
+/// A box started anew during the play: cold by the rules that the proxies are given.
+fn cold(uid: &str, at: Micros, capacity: f64) -> Cold {
+    Cold {
+        uid: uid.to_owned(),
+        at,
+        capacity,
+        share: COLD_SHARE,
+        warm_us: RAMP_US,
+        multiple: FALL_MULTIPLE,
+        fall_us: TIP_AFTER_US,
+    }
+}
+
 /// The nodes of a rehearsal as its site has them: boxes for each proxy, hub caches and an origin.
 pub fn world(scenario: &Scenario) -> (World, Vec<(String, &'static str, &'static str, f64)>) {
     let form = &scenario.site;
@@ -113,14 +144,6 @@
     };
     let mut world = World::new(site);
     let mut nodes = Vec::new();
-    let figures = |node: &NodeForm| Figures {
-        slots: node.slots as usize,
-        waiting: node.waiting as usize,
-        capacity: node.capacity,
-        memory_kb: node.memory_kb,
-        fills: node.fills as usize,
-        fill_timeout_us: node.fill_timeout_ms * 1000,
-    };
     let uids = (0..boxes).map(|n| (format!("s-{n:08x}"), Kind::Box, "here", "box", &form.edge_box));
     let hubs = (0..form.hubs).map(|n| (format!("h-{n:08x}"), Kind::Hub, "hub", "hub", &form.hub));
     let origin = std::iter::once(("o-00000000".to_owned(), Kind::Origin, "hub", "origin", &form.origin));
@@ -280,14 +303,14 @@
 
     fn play(
         &mut self,
-        plan: &Plan,
+        (plan, steps): (&Plan, &[(Micros, Step)]),
         start: Micros,
         again: &Receiver<(Micros, Try)>,
-        mut purge: impl FnMut(usize),
+        mut due: impl FnMut(Due<'_>),
     ) -> io::Result<()> {
         let mut later: BinaryHeap<Reverse<(Micros, u64)>> = BinaryHeap::new();
         let mut tries: HashMap<u64, Try> = HashMap::new();
-        let (mut next, mut purged, mut count) = (0, 0, 0);
+        let (mut next, mut purged, mut count, mut done) = (0, 0, 0, 0);
         let longest = plan.arrivals.iter().map(|a| a.budget).max().unwrap_or(0);
         let end = start + (self.scenario.seconds * 1e6) as Micros + longest;
         loop {
@@ -301,9 +324,13 @@
                 return Ok(());
             }
             while plan.purges.get(purged).is_some_and(|p| start + p.at <= now) {
-                purge(purged);
+                due(Due::Purge(purged));
                 purged += 1;
             }
+            while let Some((_, step)) = steps.get(done).filter(|s| start + s.0 <= now) {
+                due(Due::Step(step));
+                done += 1;
+            }
             while let Some(a) = plan.arrivals.get(next).filter(|a| start + a.at <= now) {
                 next += 1;
                 self.send(start + a.at, Try { arrival: a.clone(), first: String::new(), number: 0 })?;
@@ -319,6 +346,14 @@
     }
 }
 
+/// What falls due in a play besides requests.
+enum Due<'a> {
+    /// The purge of the plan at this place.
+    Purge(usize),
+    /// A step of the timetable.
+    Step(&'a Step),
+}
+
 /// A fault of the stand-ins' own, to see that it is found.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Plant {
@@ -326,6 +361,8 @@
     PurgesUntold,
     /// Every tenth answer's bytes are another part's.
     WrongBytes,
+    /// Drains count as told, but the proxies never hear of them.
+    DrainsUntold,
 }
 
 /// Plays a scenario with this daemon. Errors are those of the play itself.
@@ -357,9 +394,10 @@
     let spoil = plant == Some(Plant::WrongBytes);
     let knows = Knows { parts, flow_kb_per_s: scenario.site.flow_kb_per_s, classes, spoil };
     let served = Served::start(world, &uids, proxies, knows)?;
-    let bus = Bus::start()?;
+    // One bus for each proxy: each is told the addresses at which it reaches the nodes.
+    let buses = (0..proxies).map(|_| Bus::start()).collect::<io::Result<Vec<_>>>()?;
     let mut running = Vec::new();
-    for n in 0..proxies {
+    for (n, bus) in buses.iter().enumerate() {
         let target = |(uid, zone, kind, capacity): &(String, &str, &str, f64)| {
             let at: BTreeMap<_, _> =
                 served.addresses.iter().filter(|((p, _), _)| *p == n).map(|((_, u), a)| (u, a)).collect();
@@ -386,9 +424,53 @@
         lags: Vec::new(),
         seed,
     };
-    let mut told = Vec::new();
+    let (mut told, mut started) = (Vec::new(), Vec::new());
     let begin = unix_us() + 200_000;
-    sender.play(plan, begin, &again, |n| {
+    let steps = timetable(scenario);
+    let entry = |proxy: usize, uid: &str, state: &str, boot_ms: Micros| {
+        let endpoint = served.addresses[&(proxy, uid.to_owned())].to_string();
+        json!({"uid": uid, "endpoint": endpoint, "az": "here", "model": "box", "pod_group": 0, "state": state,
+            "capacity_hint": scenario.site.edge_box.capacity, "boot_ms": boot_ms})
+    };
+    sender.play((plan, &steps), begin, &again, |due| {
+        let n = match due {
+            Due::Purge(n) => n,
+            Due::Step(step) => {
+                let at = unix_us();
+                // The proxies are told of a drain, and of a box that is back, each on its own bus.
+                let told_of = match step {
+                    Step::Drain(uid) => Some((uid, Word::Out(uid.clone()), "draining", 0)),
+                    Step::Back(uid) => Some((uid, Word::Ready(uid.clone()), "ready", at / 1000)),
+                    _ => None,
+                };
+                if let Some((uid, word, state, boot_ms)) = told_of {
+                    for (proxy, bus) in buses.iter().enumerate() {
+                        if state == "ready" || plant != Some(Plant::DrainsUntold) {
+                            bus.list(false, vec![entry(proxy, uid, state, boot_ms)]);
+                        }
+                        told.push(Told { proxy, at, word: word.clone() });
+                    }
+                }
+                if matches!(step, Step::CutBus) {
+                    buses.iter().for_each(Bus::cut);
+                }
+                if let Step::Back(uid) = step {
+                    started.push(cold(uid, at, scenario.site.edge_box.capacity));
+                }
+                let (step, form) = (step.clone(), scenario.site.edge_box.clone());
+                served.change(move |world, now| match step {
+                    Step::Down(uid) => world.stop(now, &uid),
+                    Step::Back(uid) => {
+                        world.stop(now, &uid);
+                        world.start(&uid, Kind::Box, figures(&form), Some(cold(&uid, now, form.capacity)));
+                    }
+                    Step::Stall(uid, lasts) => world.stall(now, &uid, lasts),
+                    Step::Origin(times) => world.slow_origin(times),
+                    Step::Drain(_) | Step::CutBus => {}
+                });
+                return;
+            }
+        };
         let p = &plan.purges[n];
         let at = unix_us();
         let (object, lot) = (p.what.ok().map(|o| format!("{o:016x}")), p.what.err().unwrap_or(0));
@@ -397,7 +479,7 @@
             None => json!({"ban": {"tag": lot, "ts": at / 1000}}),
         };
         if plant != Some(Plant::PurgesUntold) {
-            bus.push(ban);
+            buses.iter().for_each(|bus| bus.push(ban.clone()));
         }
         let word = Word::Purged { object, group: lot, at: at / 1000 * 1000 };
         told.extend((0..proxies).map(|proxy| Told { proxy, at, word: word.clone() }));
@@ -425,7 +507,7 @@
         answered,
         attempts: world.attempts,
         told,
-        cold: Vec::new(),
+        cold: started,
     };
     sender.lags.sort_unstable();
     let lag =
--- a/rehearse/src/scenario.rs
+++ b/rehearse/src/scenario.rs
@@ -188,6 +188,39 @@
         /// The share.
         share: f64,
     },
+    /// Boxes are told to drain; where the fault lasts, they are told ready again after it, started anew
+    /// with an empty memory and cold.
+    BoxDrains {
+        /// How many.
+        boxes: u32,
+        /// The place of the first of them among all boxes, from 0.
+        #[serde(default)]
+        first: u32,
+    },
+    /// Boxes die without a word: their connections are reset and new ones refused. Where the fault
+    /// lasts, another box takes each address after it, cold, and is told as ready with its late start.
+    BoxDies {
+        /// How many.
+        boxes: u32,
+        /// The place of the first of them among all boxes, from 0.
+        #[serde(default)]
+        first: u32,
+    },
+    /// Boxes take requests and send nothing for as long as the fault lasts.
+    BoxStalls {
+        /// How many.
+        boxes: u32,
+        /// The place of the first of them among all boxes, from 0.
+        #[serde(default)]
+        first: u32,
+    },
+    /// The origin answers this many times as slowly for as long as the fault lasts.
+    SlowOrigin {
+        /// The factor.
+        times: f64,
+    },
+    /// The event bus ends the connections of all who read.
+    BusBreaks,
 }
 
 impl Scenario {
@@ -248,6 +281,15 @@
             within(key("lasts"), f.lasts, 0.0, self.seconds)?;
             match &f.what {
                 What::MassPurge { share } => within(key("what.mass-purge.share"), *share, 0.0, 1.0)?,
+                What::BoxDrains { boxes, first }
+                | What::BoxDies { boxes, first }
+                | What::BoxStalls { boxes, first } => {
+                    let all = self.site.boxes(self.proxies) as f64;
+                    within(key("what.first"), f64::from(*first), 0.0, all - 1.0)?;
+                    within(key("what.boxes"), f64::from(*boxes), 1.0, all - f64::from(*first))?;
+                }
+                What::SlowOrigin { times } => within(key("what.slow-origin.times"), *times, 1.0, 1000.0)?,
+                What::BusBreaks => {}
                 What::HotObject { class, share } => {
                     within(key("what.hot-object.share"), *share, 0.0, 1.0)?;
                     if !self.load.classes.iter().any(|c| c.name == *class) {
--- a/rehearse/src/stand_ins/served.rs
+++ b/rehearse/src/stand_ins/served.rs
@@ -132,7 +132,17 @@
             Message::Got { connection, node, proxy, words } => {
                 self.got(now, connection, &node, proxy, &words)
             }
-            Message::Change(change) => change(&mut self.world, now),
+            Message::Change(change) => {
+                change(&mut self.world, now);
+                // A node that has died resets what was open to it.
+                let world = &self.world;
+                self.sockets.retain(|_, (node, socket)| {
+                    world.is_up(node) || {
+                        let _ = socket.shutdown(Shutdown::Both);
+                        false
+                    }
+                });
+            }
             Message::End => {}
         }
     }
--- a/rehearse/tests/load.rs
+++ b/rehearse/tests/load.rs
@@ -155,3 +155,18 @@
     text.as_object_mut().unwrap().remove("site");
     assert_eq!(Scenario::read(&text.to_string()).unwrap(), scenario);
 }
+
+#[test]
+fn every_shipped_scenario_is_sound_and_named_as_its_file() {
+    let folder = std::path::Path::new(env!("CARGO_MANIFEST_DIR")).join("scenarios");
+    let mut names = Vec::new();
+    for file in std::fs::read_dir(&folder).unwrap().map(|f| f.unwrap().path()) {
+        let scenario =
+            Scenario::read(&std::fs::read_to_string(&file).unwrap()).unwrap_or_else(|e| panic!("{e}"));
+        assert_eq!(Some(scenario.name.as_str()), file.file_stem().and_then(|s| s.to_str()));
+        names.push(scenario.name);
+    }
+    names.sort();
+    let shipped = ["bus-broken", "calm", "chuseok-evening", "flapping-box", "slow-origin", "stalled-box"];
+    assert_eq!(names, shipped);
+}
