Kill and stop proxies under load in rehearsals; run shipped scenarios by name

Change: faults proxy-killed (SIGKILL) and proxy-stopped (SIGTERM), each started again on its address after the fault's length (a stopped one once it has ended). Clients of a proxy that is down go to the next one, as a balancer would; what none took is counted apart (`unsent`, in the result and its file, 0 in older files). What was open at a killed proxy is released at the kill; a stopped proxy still owes all it took.

--- a/daemon/tests/rehearsal.rs
+++ b/daemon/tests/rehearsal.rs
@@ -119,3 +119,31 @@
     );
     assert!(out.breaches.iter().all(|b| b.target.as_deref() == Some("s-00000000")), "{:?}", out.breaches);
 }
+
+/// A proxy killed and started again, then another told to end under load and started again.
+fn crashed() -> Scenario {
+    let fault = |at, lasts, what| Fault { at, lasts, what };
+    Scenario {
+        seconds: 6.0,
+        faults: vec![
+            fault(1.0, 1.5, What::ProxyKilled { proxies: 1, first: 0 }),
+            fault(3.5, 1.0, What::ProxyStopped { proxies: 1, first: 1 }),
+        ],
+        ..short()
+    }
+}
+
+#[test]
+fn proxies_killed_and_stopped_under_load_break_no_rule_and_come_back() {
+    let out = play(daemon(), &crashed(), 3, None).expect("it is played");
+    assert_eq!(out.breaches, []);
+    assert_eq!(out.has_seen(), Ok(()));
+    assert!(out.asked > 450 && out.unsent == 0, "{out:?}");
+    // What was open at the killed proxy is lost, and named where it is counted as owed.
+    let out = play(daemon(), &crashed(), 3, Some(player::Plant::KillsOwed)).expect("it is played");
+    assert!(
+        !out.breaches.is_empty() && out.breaches.iter().all(|b| b.rule == "one answer"),
+        "{:?}",
+        out.breaches
+    );
+}
--- a/rehearse/src/main.rs
+++ b/rehearse/src/main.rs
@@ -6,6 +6,7 @@
 use linnetknot_rehearse::player::{self, Outcome};
 use linnetknot_rehearse::report::{compare, Report};
 use linnetknot_rehearse::scenario::{schema, Scenario};
+use linnetknot_rehearse::shipped;
 use std::collections::BTreeSet;
 use std::io::Write;
 use std::path::{Path, PathBuf};
@@ -23,12 +24,24 @@
 
 #[derive(Subcommand)]
 enum Command {
-    /// Plays a purge by CDNI, a drain under redirected requests and a planned end, some five seconds.
+    /// Plays scenarios in turn: shipped ones by name (`all` for every one, see `list`) or files. Without any, it
+    /// plays a purge by CDNI, a drain under redirected requests and a planned end, some five seconds.
     Run {
+        /// Names of shipped scenarios, `all`, or files.
+        scenarios: Vec<String>,
+        /// The same seed gives the same plan and timetable.
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
         /// The daemon; by default the one that stands beside this program.
         #[arg(long)]
         daemon: Option<PathBuf>,
+        /// Writes each result to this file too, for `compare`; with several scenarios the name of each is put
+        /// before the file's extension.
+        #[arg(long)]
+        json: Option<PathBuf>,
     },
+    /// Lists the shipped scenarios.
+    List,
     /// Plays a scenario: proxies, boxes that behave, hub caches, an origin and the planned load, on this machine.
     Play {
         /// The scenario.
@@ -75,16 +88,36 @@
     daemon.unwrap_or_else(own)
 }
 
-fn play(file: &Path, seed: u64, daemon: Option<PathBuf>, json: Option<PathBuf>) -> ExitCode {
+/// Plays the chosen scenarios in turn; the exit status is the worst of theirs.
+fn run_all(asked: &[String], seed: u64, daemon: Option<PathBuf>, json: Option<PathBuf>) -> ExitCode {
+    let chosen = shipped::chosen(asked);
+    let several = chosen.len() > 1;
+    let mut worst = 0;
+    for name in &chosen {
+        let scenario = shipped::named(name).unwrap_or_else(|| read(Path::new(name)));
+        let to = json.as_ref().filter(|_| several).map(|to| {
+            let stem = to.file_stem().unwrap_or_default().to_string_lossy();
+            let extension = to.extension().map(|e| format!(".{}", e.to_string_lossy())).unwrap_or_default();
+            to.with_file_name(format!(
+                "{stem}-{}{extension}",
+                Path::new(name).file_stem().unwrap_or_default().to_string_lossy()
+            ))
+        });
+        worst = worst.max(play(scenario, seed, daemon.clone(), to.or_else(|| json.clone())));
+    }
+    ExitCode::from(worst)
+}
+
+fn play(scenario: Result<Scenario, String>, seed: u64, daemon: Option<PathBuf>, json: Option<PathBuf>) -> u8 {
     let daemon = beside(daemon);
-    let played = read(file).and_then(|scenario| {
+    let played = scenario.and_then(|scenario| {
         let outcome = player::play(&daemon, &scenario, seed, None);
         Ok((outcome.map_err(|e| format!("could not be played with {}: {e}", daemon.display()))?, scenario))
     });
     match played {
         Err(e) => {
             eprintln!("{e}");
-            ExitCode::from(2)
+            2
         }
         Ok((outcome, scenario)) => {
             say(&result(&scenario, &outcome));
@@ -94,13 +127,13 @@
             };
             if let Some(Err(e)) = json.as_ref().map(keep) {
                 eprintln!("the result can't be written: {e}");
-                return ExitCode::from(2);
+                return 2;
             }
             if let Err(why) = outcome.has_seen() {
                 eprintln!("the rehearsal proves nothing: {why}");
-                return ExitCode::from(2);
+                return 2;
             }
-            ExitCode::from(u8::from(!outcome.breaches.is_empty()))
+            u8::from(!outcome.breaches.is_empty())
         }
     }
 }
@@ -109,9 +142,10 @@
 fn result(scenario: &Scenario, o: &Outcome) -> String {
     let share = |s: f64, of: f64| format!("{:.1}%", 100.0 * s / of.max(1e-9));
     let mut out = format!(
-        "{}: {} requests sent, {:.1} ms late at most (p99 {:.1}); {} writes ran, {} of them again\n\n",
+        "{}: {} requests sent, {} taken by no proxy, {:.1} ms late at most (p99 {:.1}); {} writes ran, {} of them again\n\n",
         scenario.name,
         o.asked,
+        o.unsent,
         o.lag_us.1 as f64 / 1e3,
         o.lag_us.0 as f64 / 1e3,
         o.writes.0,
@@ -211,8 +245,18 @@
 fn main() -> ExitCode {
     match Arguments::parse().command {
         None => run(None),
-        Some(Command::Run { daemon }) => run(daemon),
-        Some(Command::Play { file, seed, daemon, json }) => play(&file, seed, daemon, json),
+        Some(Command::Run { scenarios, daemon, .. }) if scenarios.is_empty() => run(daemon),
+        Some(Command::Run { scenarios, seed, daemon, json }) => run_all(&scenarios, seed, daemon, json),
+        Some(Command::List) => {
+            for (name, text) in shipped::SHIPPED {
+                let about = Scenario::read(text).map_or_else(|e| format!("unsound: {e}"), |s| s.about);
+                println!("{name:<16} {about}");
+            }
+            ExitCode::SUCCESS
+        }
+        Some(Command::Play { file, seed, daemon, json }) => {
+            ExitCode::from(play(read(&file), seed, daemon, json))
+        }
         Some(Command::Compare { a, b }) => side_by_side(&a, &b),
         Some(Command::Check { files }) => {
             let mut sound = true;
--- a/rehearse/src/player.rs
+++ b/rehearse/src/player.rs
@@ -17,7 +17,7 @@
 use std::collections::{BTreeMap, BinaryHeap, HashMap};
 use std::io::{self, Write};
 use std::net::{SocketAddr, TcpStream};
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::mpsc::{self, Receiver, Sender};
 use std::sync::{Arc, Mutex, PoisonError};
@@ -39,6 +39,8 @@
     pub breaches: Vec<Breach>,
     /// Writes that ran, and those among them that ran under a key that had run before.
     pub writes: (u64, u64),
+    /// Requests of the plan that no proxy took: all were down, or the connection broke as it was written.
+    pub unsent: usize,
 }
 
 impl Outcome {
@@ -220,6 +222,13 @@
 struct Pacer {
     scenario: Scenario,
     fronts: Vec<SocketAddr>,
+    /// Proxies that clients may come to: not killed, not told to end, or started again since.
+    up: Vec<bool>,
+    proxies: Proxies,
+    /// Requests that no proxy took: all were down, or the connection broke as it was written.
+    unsent: usize,
+    /// What was open at a killed proxy is owed no more; false only to plant a fault.
+    release_killed: bool,
     clients: Arc<Clients>,
     connections: Vec<Vec<Connection>>,
     asked: Vec<Asked>,
@@ -227,7 +236,93 @@
     seed: u64,
 }
 
+/// The proxies' processes, and what it takes to start one again.
+struct Proxies {
+    running: Vec<Option<Process>>,
+    /// Told to end; a restart waits for the end.
+    ending: Vec<Option<Process>>,
+    configs: Vec<Value>,
+    daemon: PathBuf,
+    folder: PathBuf,
+    /// Proxies started again, as they come up.
+    back: (Sender<Restarted>, Receiver<Restarted>),
+}
+
+/// A proxy started again, by its place.
+type Restarted = (usize, io::Result<Process>);
+
 impl Pacer {
+    /// The proxy that takes a request meant for this one: itself if it is up, else the next that is, as a balancer
+    /// in front of them would do.
+    fn route(&self, proxy: usize) -> Option<usize> {
+        let all = self.up.len();
+        (0..all).map(|k| (proxy + k) % all).find(|p| self.up[*p])
+    }
+
+    /// Carries out a step on a proxy's process.
+    fn process(&mut self, now: Micros, step: &Step) -> io::Result<()> {
+        let p = &mut self.proxies;
+        match *step {
+            Step::Kill(n) => {
+                if let Some(mut process) = p.running[n].take() {
+                    process.child.kill()?;
+                    process.child.wait()?;
+                }
+                self.up[n] = false;
+                // What was open there is owed no more: the rehearsal ended it.
+                let open: std::collections::HashSet<String> = self.connections[n]
+                    .drain(..)
+                    .flat_map(|c| {
+                        c.open
+                            .lock()
+                            .unwrap_or_else(PoisonError::into_inner)
+                            .values()
+                            .cloned()
+                            .collect::<Vec<_>>()
+                    })
+                    .collect();
+                let owed = |a: &&mut Asked| a.proxy == n && open.contains(&a.id);
+                for asked in self.asked.iter_mut().filter(owed).filter(|_| self.release_killed) {
+                    asked.released.get_or_insert(now);
+                }
+            }
+            Step::Term(n) => {
+                if let Some(process) = p.running[n].take() {
+                    let pid = rustix::process::Pid::from_child(&process.child);
+                    rustix::process::kill_process(pid, rustix::process::Signal::TERM)?;
+                    p.ending[n] = Some(process);
+                }
+                // Its connections stay, to read what it still answers; nothing new is sent on them.
+                self.up[n] = false;
+            }
+            Step::Restart(n) => {
+                let ending = p.ending[n].take();
+                let mut config = p.configs[n].clone();
+                config["listen"] = self.fronts[n].to_string().into();
+                let (daemon, folder, tell) = (p.daemon.clone(), p.folder.clone(), p.back.0.clone());
+                thread::spawn(move || {
+                    if let Some(mut old) = ending {
+                        let _ = old.child.wait();
+                    }
+                    let started = Process::start(&daemon, &folder, &format!("p{n}"), &config, &json!({}));
+                    let _ = tell.send((n, started));
+                });
+            }
+            _ => {}
+        }
+        Ok(())
+    }
+
+    /// Takes in the proxies that have come up again; one that could not start ends the play.
+    fn restarted(&mut self) -> io::Result<()> {
+        while let Ok((n, started)) = self.proxies.back.1.try_recv() {
+            self.proxies.running[n] = Some(started?);
+            self.connections[n].clear();
+            self.up[n] = true;
+        }
+        Ok(())
+    }
+
     fn connection(&mut self, proxy: usize) -> io::Result<usize> {
         let open = |c: &Connection| c.open.lock().unwrap_or_else(PoisonError::into_inner).len();
         let of = &mut self.connections[proxy];
@@ -267,8 +362,14 @@
         ];
         fields.extend(key.as_ref().map(|k| ("HTTP_ONCE_KEY", k.as_str())));
         let body: &[u8] = if class.keyed { b"a comment" } else { b"" };
-        let proxy = a.proxy as usize;
-        let n = self.connection(proxy)?;
+        let Some(proxy) = self.route(a.proxy as usize) else {
+            self.unsent += 1;
+            return Ok(());
+        };
+        let Ok(n) = self.connection(proxy) else {
+            self.unsent += 1;
+            return Ok(());
+        };
         let c = &mut self.connections[proxy][n];
         let number = {
             let mut open = c.open.lock().unwrap_or_else(PoisonError::into_inner);
@@ -280,7 +381,14 @@
         let known = Try { first: first.clone(), ..one.clone() };
         self.clients.record.lock().unwrap_or_else(PoisonError::into_inner).1.insert(id.clone(), known);
         let bytes = WebServer::request(number, &format!("/invoke/{}", class.name), &fields, body);
-        c.writer.write_all(&bytes)?;
+        if c.writer.write_all(&bytes).is_err() {
+            // Not taken: the proxy ended this connection.
+            c.open.lock().unwrap_or_else(PoisonError::into_inner).remove(&number);
+            self.clients.record.lock().unwrap_or_else(PoisonError::into_inner).1.remove(&id);
+            self.connections[proxy].remove(n);
+            self.unsent += 1;
+            return Ok(());
+        }
         c.used = Instant::now();
         let at = unix_us();
         self.lags.push(at.saturating_sub(due));
@@ -327,8 +435,12 @@
                 due(Due::Purge(purged));
                 purged += 1;
             }
+            self.restarted()?;
             while let Some((_, step)) = steps.get(done).filter(|s| start + s.0 <= now) {
-                due(Due::Step(step));
+                match step {
+                    Step::Kill(_) | Step::Term(_) | Step::Restart(_) => self.process(now, step)?,
+                    _ => due(Due::Step(step)),
+                }
                 done += 1;
             }
             while let Some(a) = plan.arrivals.get(next).filter(|a| start + a.at <= now) {
@@ -363,6 +475,8 @@
     WrongBytes,
     /// Drains count as told, but the proxies never hear of them.
     DrainsUntold,
+    /// What was open at a proxy that the rehearsal killed is still counted as owed.
+    KillsOwed,
 }
 
 /// Plays a scenario with this daemon. Errors are those of the play itself.
@@ -396,7 +510,7 @@
     let served = Served::start(world, &uids, proxies, knows)?;
     // One bus for each proxy: each is told the addresses at which it reaches the nodes.
     let buses = (0..proxies).map(|_| Bus::start()).collect::<io::Result<Vec<_>>>()?;
-    let mut running = Vec::new();
+    let (mut running, mut configs) = (Vec::new(), Vec::new());
     for (n, bus) in buses.iter().enumerate() {
         let target = |(uid, zone, kind, capacity): &(String, &str, &str, f64)| {
             let at: BTreeMap<_, _> =
@@ -410,14 +524,26 @@
             "bus": bus.address.to_string(), "known": known, "settings": settings(scenario),
             "limits": {"memory_mb": 192, "sockets": 1024}});
         // Nothing of the operators' own file: a rehearsal is of the platform's side.
-        running.push(Process::start(daemon, folder, &format!("p{n}"), &config, &json!({}))?);
+        running.push(Some(Process::start(daemon, folder, &format!("p{n}"), &config, &json!({}))?));
+        configs.push(config);
     }
-    let fronts: Vec<SocketAddr> = running.iter().map(|p| p.front).collect();
+    let fronts: Vec<SocketAddr> = running.iter().flatten().map(|p| p.front).collect();
     let (tell, again) = mpsc::channel();
     let clients = Arc::new(Clients { record: Mutex::default(), again: tell });
     let mut sender = Pacer {
         scenario: scenario.clone(),
         fronts,
+        up: vec![true; proxies],
+        proxies: Proxies {
+            running,
+            ending: (0..proxies).map(|_| None).collect(),
+            configs,
+            daemon: daemon.to_owned(),
+            folder: folder.to_owned(),
+            back: mpsc::channel(),
+        },
+        unsent: 0,
+        release_killed: plant != Some(Plant::KillsOwed),
         clients: clients.clone(),
         connections: (0..proxies).map(|_| Vec::new()).collect(),
         asked: Vec::new(),
@@ -466,7 +592,7 @@
                     }
                     Step::Stall(uid, lasts) => world.stall(now, &uid, lasts),
                     Step::Origin(times) => world.slow_origin(times),
-                    Step::Drain(_) | Step::CutBus => {}
+                    _ => {}
                 });
                 return;
             }
@@ -491,7 +617,7 @@
         served.change(move |world, _| uids.iter().for_each(|uid| world.purge(uid, what, at)));
     })?;
     let world = served.end()?;
-    drop(running);
+    drop(sender.proxies);
     let class = |c: &crate::scenario::ClassLoad| Class {
         name: c.name.clone(),
         repeat: if c.keyed { Repeat::Keyed(3_000_000) } else { Repeat::Safe },
@@ -519,5 +645,6 @@
         waits: waits(&record),
         breaches: judge(&record, &Limits::default()),
         writes: world.writes,
+        unsent: sender.unsent,
     })
 }
--- a/rehearse/src/report.rs
+++ b/rehearse/src/report.rs
@@ -21,6 +21,10 @@
     pub seed: u64,
     /// Requests sent, retries with them.
     pub asked: usize,
+    /// Requests of the plan that no proxy took (all down, or the connection broke as it was written); 0 in files
+    /// written before it was counted.
+    #[serde(default)]
+    pub unsent: usize,
     /// How late the load itself was, p99.
     pub lag_ms: f64,
     /// Why it proves nothing, if so.
@@ -80,6 +84,7 @@
             scenario: scenario.name.clone(),
             seed,
             asked: o.asked,
+            unsent: o.unsent,
             lag_ms: o.lag_us.0 as f64 / 1e3,
             unseen: o.has_seen().err(),
             whole: part("all", &o.score.whole, None),
@@ -131,5 +136,6 @@
     }
     let worst = |r: &Report| r.worst.map_or("-".to_owned(), |w| format!("{:.3}", w.1));
     out += &format!("\nworst ten seconds: {} and {}\n", worst(a), worst(b));
+    out += &format!("taken by no proxy: {} and {}\n", a.unsent, b.unsent);
     Ok(out + &format!("breaches: {} and {}\n", a.breaches.len(), b.breaches.len()))
 }
--- a/rehearse/src/scenario.rs
+++ b/rehearse/src/scenario.rs
@@ -221,6 +221,24 @@
     },
     /// The event bus ends the connections of all who read.
     BusBreaks,
+    /// Proxies are killed (SIGKILL); where the fault lasts, each is started again after it on its address, with the
+    /// configuration that it had. Clients go to the next proxy meanwhile.
+    ProxyKilled {
+        /// How many.
+        proxies: u32,
+        /// The place of the first of them, from 0.
+        #[serde(default)]
+        first: u32,
+    },
+    /// Proxies are told to end (SIGTERM) under load: what they took is still theirs to answer. Where the fault lasts,
+    /// each is started again after it, once it has ended.
+    ProxyStopped {
+        /// How many.
+        proxies: u32,
+        /// The place of the first of them, from 0.
+        #[serde(default)]
+        first: u32,
+    },
 }
 
 impl Scenario {
@@ -290,6 +308,11 @@
                 }
                 What::SlowOrigin { times } => within(key("what.slow-origin.times"), *times, 1.0, 1000.0)?,
                 What::BusBreaks => {}
+                What::ProxyKilled { proxies, first } | What::ProxyStopped { proxies, first } => {
+                    let all = f64::from(self.proxies);
+                    within(key("what.first"), f64::from(*first), 0.0, all - 1.0)?;
+                    within(key("what.proxies"), f64::from(*proxies), 1.0, all - f64::from(*first))?;
+                }
                 What::HotObject { class, share } => {
                     within(key("what.hot-object.share"), *share, 0.0, 1.0)?;
                     if !self.load.classes.iter().any(|c| c.name == *class) {
--- a/rehearse/src/timetable.rs
+++ b/rehearse/src/timetable.rs
@@ -21,6 +21,12 @@
     Origin(f64),
     /// The event bus ends the connections of its readers.
     CutBus,
+    /// A proxy's process is killed.
+    Kill(usize),
+    /// A proxy's process is told to end.
+    Term(usize),
+    /// A proxy is started again, once its process has ended.
+    Restart(usize),
 }
 
 /// The uid of the box at this place; the player names boxes so.
@@ -52,6 +58,14 @@
                 steps.extend(end.map(|end| (end, Step::Origin(1.0))));
             }
             What::BusBreaks => steps.push((at, Step::CutBus)),
+            What::ProxyKilled { proxies, first } | What::ProxyStopped { proxies, first } => {
+                let killed = matches!(f.what, What::ProxyKilled { .. });
+                let which = (*first..first + proxies).map(|n| n as usize);
+                steps.extend(which.clone().map(|n| (at, if killed { Step::Kill(n) } else { Step::Term(n) })));
+                steps.extend(
+                    end.into_iter().flat_map(|end| which.clone().map(move |n| (end, Step::Restart(n)))),
+                );
+            }
             What::MassPurge { .. } | What::HotObject { .. } => {}
         }
     }
@@ -79,6 +93,8 @@
             fault(12.0, 1.5, What::SlowOrigin { times: 4.0 }),
             fault(3.0, 2.0, What::BoxStalls { boxes: 1, first: 11 }),
             fault(15.0, 0.0, What::BusBreaks),
+            fault(16.0, 2.0, What::ProxyKilled { proxies: 2, first: 1 }),
+            fault(17.0, 0.0, What::ProxyStopped { proxies: 1, first: 0 }),
         ]);
         let steps = timetable(&scenario);
         let (a, b) = (box_uid(0), box_uid(1));
@@ -94,6 +110,11 @@
                 (15_000_000, Step::Back(a)),
                 (15_000_000, Step::Back(b)),
                 (15_000_000, Step::CutBus),
+                (16_000_000, Step::Kill(1)),
+                (16_000_000, Step::Kill(2)),
+                (17_000_000, Step::Term(0)),
+                (18_000_000, Step::Restart(1)),
+                (18_000_000, Step::Restart(2)),
             ]
         );
         assert_eq!(timetable(&with(vec![])), []);
@@ -109,5 +130,8 @@
         text["faults"] = serde_json::json!([{"at": 1, "what": {"box-stalls": {"boxes": 3, "first": 10}}}]);
         let message = Scenario::read(&text.to_string()).unwrap_err();
         assert!(message.starts_with("faults[0].what.boxes: 3 is not from 1 to 2"), "{message}");
+        text["faults"] = serde_json::json!([{"at": 1, "what": {"proxy-killed": {"proxies": 1, "first": 3}}}]);
+        let message = Scenario::read(&text.to_string()).unwrap_err();
+        assert!(message.starts_with("faults[0].what.first: 3 is not from 0 to 2"), "{message}");
     }
 }
--- a/rehearse/tests/load.rs
+++ b/rehearse/tests/load.rs
@@ -167,6 +167,7 @@
         names.push(scenario.name);
     }
     names.sort();
-    let shipped = ["bus-broken", "calm", "chuseok-evening", "flapping-box", "slow-origin", "stalled-box"];
+    let mut shipped: Vec<_> = linnetknot_rehearse::shipped::SHIPPED.iter().map(|s| s.0).collect();
+    shipped.sort();
     assert_eq!(names, shipped);
 }
--- a/rehearse/tests/report.rs
+++ b/rehearse/tests/report.rs
@@ -23,6 +23,7 @@
         scenario: "evening".into(),
         seed: 7,
         asked: 100,
+        unsent: 0,
         lag_ms: 0.5,
         unseen: None,
         whole: part("all", in_time, None),
@@ -36,10 +37,14 @@
 fn a_report_comes_back_as_it_was_and_a_faulty_one_is_refused_by_its_key() {
     let good = report(0.9, &["cold boxes: s-0a"]);
     assert_eq!(Report::read(&good.write().unwrap()).unwrap(), good);
+    // A file written before requests taken by no proxy were counted is read with none.
+    let older = good.write().unwrap().replacen("\n  \"unsent\": 0,", "", 1);
+    assert_ne!(older, good.write().unwrap());
+    assert_eq!(Report::read(&older).unwrap(), good);
     for (from, to, key) in [
         ("\"form\": 1", "\"form\": 2", "form"),
         ("\"seed\": 7", "\"seed\": \"x\"", "seed"),
-        ("\"asked\": 100,\n  \"lag_ms\"", "\"lag_ms\"", "asked"),
+        ("\"asked\": 100,\n  \"unsent\"", "\"unsent\"", "asked"),
         ("\"name\": \"photo\"", "\"name\": 3", "classes[0].name"),
         ("\"worst\"", "\"best\"", "best"),
     ] {
