End rehearsals by Ctrl-C with the result still written; a progress bar on a terminal

Until now SIGINT reached the daemons too (one process group) and killed the kit before it could end them or write anything.

Change: player::Watch (a stop flag and a progress callback) and play_watched; at the flag the pacer releases what is open and returns the seconds played (Outcome and report: `interrupted`, absent in older files). The daemons get a process group of their own. The command line sets the flag at SIGINT (signal-hook), draws the bar with indicatif, begins no further scenario, and exits with 1 where a rule was broken before the key, else 2.

--- a/daemon/tests/rehearsal.rs
+++ b/daemon/tests/rehearsal.rs
@@ -147,3 +147,19 @@
         out.breaches
     );
 }
+
+#[test]
+fn a_play_ended_by_hand_is_judged_on_what_happened_until_then() {
+    let stop = std::sync::atomic::AtomicBool::new(false);
+    let progress = |seconds: f64, _| {
+        if seconds >= 1.0 {
+            stop.store(true, std::sync::atomic::Ordering::Relaxed);
+        }
+    };
+    let watch = player::Watch { stop: Some(&stop), progress: Some(&progress) };
+    let out = player::play_watched(daemon(), &short(), 3, None, watch).expect("it is played");
+    let at = out.interrupted.expect("it was ended");
+    assert!((1.0..2.0).contains(&at), "{at}");
+    assert_eq!(out.breaches, [], "what was open at the end is owed no more");
+    assert!(out.asked > 50 && out.asked < 300, "{}", out.asked);
+}
--- a/rehearse/src/main.rs
+++ b/rehearse/src/main.rs
@@ -2,15 +2,19 @@
 #![forbid(unsafe_code)]
 
 use clap::{Parser, Subcommand};
+use indicatif::{ProgressBar, ProgressStyle};
 use linnetknot_rehearse::load::{plan, Plan};
-use linnetknot_rehearse::player::{self, Outcome};
+use linnetknot_rehearse::player::{self, Outcome, Watch};
 use linnetknot_rehearse::report::{compare, Report};
 use linnetknot_rehearse::scenario::{schema, Scenario};
 use linnetknot_rehearse::shipped;
+use signal_hook::consts::SIGINT;
 use std::collections::BTreeSet;
 use std::io::Write;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, LazyLock};
 
 /// Rehearses against a linnetknot daemon on loopback. Without a command it plays `run`.
 ///
@@ -94,6 +98,10 @@
     let several = chosen.len() > 1;
     let mut worst = 0;
     for name in &chosen {
+        if STOP.load(Ordering::Relaxed) {
+            eprintln!("ended by hand: {name} and those after it are not played");
+            return ExitCode::from(worst.max(2));
+        }
         let scenario = shipped::named(name).unwrap_or_else(|| read(Path::new(name)));
         let to = json.as_ref().filter(|_| several).map(|to| {
             let stem = to.file_stem().unwrap_or_default().to_string_lossy();
@@ -111,7 +119,21 @@
 fn play(scenario: Result<Scenario, String>, seed: u64, daemon: Option<PathBuf>, json: Option<PathBuf>) -> u8 {
     let daemon = beside(daemon);
     let played = scenario.and_then(|scenario| {
-        let outcome = player::play(&daemon, &scenario, seed, None);
+        // A bar on a terminal only; indicatif draws nothing into a pipe.
+        let bar = ProgressBar::new(scenario.seconds.ceil() as u64);
+        bar.set_style(
+            ProgressStyle::with_template("{msg:<16} [{bar:40}] {pos}/{len} s, {prefix} requests")
+                .map_err(|e| e.to_string())?
+                .progress_chars("=> "),
+        );
+        bar.set_message(scenario.name.clone());
+        let progress = |seconds: f64, asked: usize| {
+            bar.set_position(seconds.max(0.0) as u64);
+            bar.set_prefix(asked.to_string());
+        };
+        let watch = Watch { stop: Some(&**STOP), progress: Some(&progress) };
+        let outcome = player::play_watched(&daemon, &scenario, seed, None, watch);
+        bar.finish_and_clear();
         Ok((outcome.map_err(|e| format!("could not be played with {}: {e}", daemon.display()))?, scenario))
     });
     match played {
@@ -133,7 +155,14 @@
                 eprintln!("the rehearsal proves nothing: {why}");
                 return 2;
             }
-            u8::from(!outcome.breaches.is_empty())
+            match outcome.interrupted {
+                // What was broken before the end stands; what was not seen, nobody knows.
+                Some(at) if outcome.breaches.is_empty() => {
+                    eprintln!("ended by hand after {at:.1} s: no rule broken until then, which proves nothing whole");
+                    2
+                }
+                _ => u8::from(!outcome.breaches.is_empty()),
+            }
         }
     }
 }
@@ -242,7 +271,16 @@
     let _ = std::io::stdout().lock().write_all(text.as_bytes());
 }
 
+/// Set at Ctrl-C: the play that runs ends, its report is still written, and no other is begun.
+static STOP: LazyLock<Arc<AtomicBool>> = LazyLock::new(Arc::default);
+
 fn main() -> ExitCode {
+    // Ctrl-C only sets the flag: the kit must live on to end the daemons, which are in a group of their own and
+    // hear nothing of it.
+    let heard = signal_hook::flag::register(SIGINT, STOP.clone());
+    if let Err(e) = heard {
+        eprintln!("Ctrl-C can't be heard: {e}");
+    }
     match Arguments::parse().command {
         None => run(None),
         Some(Command::Run { scenarios, daemon, .. }) if scenarios.is_empty() => run(daemon),
--- a/rehearse/src/player.rs
+++ b/rehearse/src/player.rs
@@ -18,7 +18,7 @@
 use std::io::{self, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::path::{Path, PathBuf};
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::mpsc::{self, Receiver, Sender};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::thread;
@@ -41,6 +41,8 @@
     pub writes: (u64, u64),
     /// Requests of the plan that no proxy took: all were down, or the connection broke as it was written.
     pub unsent: usize,
+    /// Where it was ended by hand: after so many seconds of its load.
+    pub interrupted: Option<f64>,
 }
 
 impl Outcome {
@@ -414,22 +416,48 @@
         (plan, steps): (&Plan, &[(Micros, Step)]),
         start: Micros,
         again: &Receiver<(Micros, Try)>,
+        watch: &Watch<'_>,
         mut due: impl FnMut(Due<'_>),
-    ) -> io::Result<()> {
+    ) -> io::Result<Option<f64>> {
         let mut later: BinaryHeap<Reverse<(Micros, u64)>> = BinaryHeap::new();
         let mut tries: HashMap<u64, Try> = HashMap::new();
         let (mut next, mut purged, mut count, mut done) = (0, 0, 0, 0);
         let longest = plan.arrivals.iter().map(|a| a.budget).max().unwrap_or(0);
         let end = start + (self.scenario.seconds * 1e6) as Micros + longest;
+        let mut told = Instant::now();
         loop {
+            let now = unix_us();
+            if watch.stop.is_some_and(|stop| stop.load(Ordering::Relaxed)) {
+                // Ended by hand: clients give up on what is open, so it is owed no more.
+                let open: std::collections::HashSet<String> = self
+                    .connections
+                    .iter()
+                    .flatten()
+                    .flat_map(|c| {
+                        c.open
+                            .lock()
+                            .unwrap_or_else(PoisonError::into_inner)
+                            .values()
+                            .cloned()
+                            .collect::<Vec<_>>()
+                    })
+                    .collect();
+                for asked in self.asked.iter_mut().filter(|a| open.contains(&a.id)) {
+                    asked.released.get_or_insert(now);
+                }
+                return Ok(Some(now.saturating_sub(start) as f64 / 1e6));
+            }
+            if let Some(progress) = watch.progress.filter(|_| told.elapsed() >= Duration::from_millis(100)) {
+                told = Instant::now();
+                progress(now.saturating_sub(start) as f64 / 1e6, self.asked.len());
+            }
             while let Ok((at, one)) = again.try_recv() {
                 count += 1;
                 later.push(Reverse((at, count)));
                 tries.insert(count, one);
             }
-            let now = unix_us();
             if now >= end {
-                return Ok(());
+                return Ok(None);
             }
             while plan.purges.get(purged).is_some_and(|p| start + p.at <= now) {
                 due(Due::Purge(purged));
@@ -479,15 +507,36 @@
     KillsOwed,
 }
 
+/// What watches a play from outside.
+#[derive(Clone, Copy, Default)]
+pub struct Watch<'a> {
+    /// Set, by a handler of SIGINT say, to end the play at once: what is open then is owed no more, and the outcome
+    /// is judged on what happened until then.
+    pub stop: Option<&'a AtomicBool>,
+    /// Told some ten times a second how far the play is: seconds from the start of its load, and requests sent.
+    pub progress: Option<&'a dyn Fn(f64, usize)>,
+}
+
 /// Plays a scenario with this daemon. Errors are those of the play itself.
 pub fn play(daemon: &Path, scenario: &Scenario, seed: u64, plant: Option<Plant>) -> io::Result<Outcome> {
+    play_watched(daemon, scenario, seed, plant, Watch::default())
+}
+
+/// Plays a scenario as `play` does, watched.
+pub fn play_watched(
+    daemon: &Path,
+    scenario: &Scenario,
+    seed: u64,
+    plant: Option<Plant>,
+    watch: Watch<'_>,
+) -> io::Result<Outcome> {
     let plan = plan(scenario, seed);
     // Plays may run side by side in one process, with the same seed and in the same microsecond: each has a number.
     static PLAYS: AtomicU64 = AtomicU64::new(0);
     let n = PLAYS.fetch_add(1, Ordering::Relaxed);
     let folder = std::env::temp_dir().join(format!("linnetknot-play-{}-{seed}-{n}", std::process::id()));
     std::fs::create_dir_all(&folder)?;
-    let result = play_in(&folder, daemon, scenario, (seed, plant), &plan);
+    let result = play_in(&folder, daemon, scenario, (seed, plant, watch), &plan);
     let _ = std::fs::remove_dir_all(&folder);
     result
 }
@@ -496,7 +545,7 @@
     folder: &Path,
     daemon: &Path,
     scenario: &Scenario,
-    (seed, plant): (u64, Option<Plant>),
+    (seed, plant, watch): (u64, Option<Plant>, Watch<'_>),
     plan: &Plan,
 ) -> io::Result<Outcome> {
     let proxies = scenario.proxies as usize;
@@ -558,7 +607,7 @@
         json!({"uid": uid, "endpoint": endpoint, "az": "here", "model": "box", "pod_group": 0, "state": state,
             "capacity_hint": scenario.site.edge_box.capacity, "boot_ms": boot_ms})
     };
-    sender.play((plan, &steps), begin, &again, |due| {
+    let interrupted = sender.play((plan, &steps), begin, &again, &watch, |due| {
         let n = match due {
             Due::Purge(n) => n,
             Due::Step(step) => {
@@ -646,5 +695,6 @@
         breaches: judge(&record, &Limits::default()),
         writes: world.writes,
         unsent: sender.unsent,
+        interrupted,
     })
 }
--- a/rehearse/src/process.rs
+++ b/rehearse/src/process.rs
@@ -5,6 +5,7 @@
 use std::collections::VecDeque;
 use std::io::{self, BufRead, BufReader};
 use std::net::SocketAddr;
+use std::os::unix::process::CommandExt;
 use std::path::Path;
 use std::process::{Child, Command, Stdio};
 use std::sync::mpsc::{self, RecvTimeoutError};
@@ -42,6 +43,8 @@
             .env("LINNETKNOT_INTERCONNECT", &own_file)
             .env("RUST_LOG", "info")
             .stdin(Stdio::null())
+            // A group of its own: Ctrl-C at a terminal is for the kit, which then ends its daemons.
+            .process_group(0)
             .stderr(Stdio::piped())
             .spawn()?;
         let log = child.stderr.take();
--- a/rehearse/src/report.rs
+++ b/rehearse/src/report.rs
@@ -25,6 +25,9 @@
     /// written before it was counted.
     #[serde(default)]
     pub unsent: usize,
+    /// Where it was ended by hand: after so many seconds; none in older files.
+    #[serde(default)]
+    pub interrupted: Option<f64>,
     /// How late the load itself was, p99.
     pub lag_ms: f64,
     /// Why it proves nothing, if so.
@@ -85,6 +88,7 @@
             seed,
             asked: o.asked,
             unsent: o.unsent,
+            interrupted: o.interrupted,
             lag_ms: o.lag_us.0 as f64 / 1e3,
             unseen: o.has_seen().err(),
             whole: part("all", &o.score.whole, None),
--- a/rehearse/tests/report.rs
+++ b/rehearse/tests/report.rs
@@ -24,6 +24,7 @@
         seed: 7,
         asked: 100,
         unsent: 0,
+        interrupted: None,
         lag_ms: 0.5,
         unseen: None,
         whole: part("all", in_time, None),
