--- a/rehearse/src/shipped.rs
+++ b/rehearse/src/shipped.rs
@@ -3,7 +3,7 @@
 use crate::scenario::Scenario;
 
 /// Each shipped scenario: its name and its file.
-pub const SHIPPED: [(&str, &str); 8] = [
+pub const SHIPPED: [(&str, &str); 9] = [
     ("calm", include_str!("../scenarios/calm.json")),
     ("chuseok-evening", include_str!("../scenarios/chuseok-evening.json")),
     ("stalled-box", include_str!("../scenarios/stalled-box.json")),
@@ -12,6 +12,7 @@
     ("flapping-box", include_str!("../scenarios/flapping-box.json")),
     ("half-crash", include_str!("../scenarios/half-crash.json")),
     ("rolling-restart", include_str!("../scenarios/rolling-restart.json")),
+    ("mass-purge", include_str!("../scenarios/mass-purge.json")),
 ];
 
 /// A shipped scenario by its name; none where there is no such one.
