--- a/rehearse/src/main.rs
+++ b/rehearse/src/main.rs
@@ -43,6 +43,9 @@
         /// before the file's extension.
         #[arg(long)]
         json: Option<PathBuf>,
+        /// Plays each scenario in this share of its time: shape and faults closer together, rates as they are.
+        #[arg(long, default_value_t = 1.0)]
+        time_scale: f64,
     },
     /// Lists the shipped scenarios.
     List,
@@ -93,7 +96,12 @@
 }
 
 /// Plays the chosen scenarios in turn; the exit status is the worst of theirs.
-fn run_all(asked: &[String], seed: u64, daemon: Option<PathBuf>, json: Option<PathBuf>) -> ExitCode {
+fn run_all(
+    asked: &[String],
+    (seed, scale): (u64, f64),
+    daemon: Option<PathBuf>,
+    json: Option<PathBuf>,
+) -> ExitCode {
     let chosen = shipped::chosen(asked);
     let several = chosen.len() > 1;
     let mut worst = 0;
@@ -103,6 +111,7 @@
             return ExitCode::from(worst.max(2));
         }
         let scenario = shipped::named(name).unwrap_or_else(|| read(Path::new(name)));
+        let scenario = scenario.and_then(|s| if scale == 1.0 { Ok(s) } else { s.scaled(scale) });
         let to = json.as_ref().filter(|_| several).map(|to| {
             let stem = to.file_stem().unwrap_or_default().to_string_lossy();
             let extension = to.extension().map(|e| format!(".{}", e.to_string_lossy())).unwrap_or_default();
@@ -284,7 +293,9 @@
     match Arguments::parse().command {
         None => run(None),
         Some(Command::Run { scenarios, daemon, .. }) if scenarios.is_empty() => run(daemon),
-        Some(Command::Run { scenarios, seed, daemon, json }) => run_all(&scenarios, seed, daemon, json),
+        Some(Command::Run { scenarios, seed, daemon, json, time_scale }) => {
+            run_all(&scenarios, (seed, time_scale), daemon, json)
+        }
         Some(Command::List) => {
             for (name, text) in shipped::SHIPPED {
                 let about = Scenario::read(text).map_or_else(|e| format!("unsound: {e}"), |s| s.about);
--- a/rehearse/src/scenario.rs
+++ b/rehearse/src/scenario.rs
@@ -242,6 +242,20 @@
 }
 
 impl Scenario {
+    /// The same scenario in another length of time: its seconds, the points of its shape and its faults' times and
+    /// lengths by `factor`; rates, sizes and clients' gaps as they are, so that a second is as busy as before. A
+    /// factor that would leave it shorter than a second, or above an hour, is refused.
+    pub fn scaled(&self, factor: f64) -> Result<Self, String> {
+        let mut scaled = self.clone();
+        scaled.seconds *= factor;
+        scaled.load.shape.iter_mut().for_each(|(at, _)| *at *= factor);
+        for f in &mut scaled.faults {
+            f.at *= factor;
+            f.lasts *= factor;
+        }
+        scaled.check().map_err(|e| format!("--time-scale {factor}: {e}")).map(|()| scaled)
+    }
+
     /// Reads a scenario. The message names the key at fault by its path.
     pub fn read(text: &str) -> Result<Self, String> {
         let mut de = serde_json::Deserializer::from_str(text);
--- a/rehearse/tests/load.rs
+++ b/rehearse/tests/load.rs
@@ -171,3 +171,19 @@
     shipped.sort();
     assert_eq!(names, shipped);
 }
+
+#[test]
+fn a_scaled_scenario_keeps_its_shape_and_its_rates() {
+    let evening = evening();
+    let quarter = evening.scaled(0.25).unwrap();
+    assert_eq!((quarter.seconds, quarter.load.shape[1], quarter.load.rate), (15.0, (5.0, 1.0), 210.0));
+    assert_eq!((quarter.faults[0].at, quarter.faults[0].lasts), (6.25, 3.75));
+    let (whole, short) = (plan(&evening, 3), plan(&quarter, 3));
+    let rate = |p: &Plan, seconds: f64| p.arrivals.len() as f64 / seconds;
+    let ratio = rate(&short, 15.0) / rate(&whole, 60.0);
+    assert!((0.8..1.25).contains(&ratio), "as busy a second: {ratio}");
+    assert!(evening
+        .scaled(0.001)
+        .unwrap_err()
+        .starts_with("--time-scale 0.001: seconds: 0.06 is not from 1"));
+}
