Mend the reading: proxies' state derived, one release, one list entry, saves by process

Change: `up` is gone, routing reads `running`; Pacer::release(now, which proxies); one `listed` closure for every entry of a bus, taking the node's own zone, model and capacity; world() names boxes by box_uid; replace() writes beside ".PID.new", and its test checks that nothing is left beside the file; the tests' scenarios come from one `with(faults)`.

--- a/daemon/src/disk.rs
+++ b/daemon/src/disk.rs
@@ -25,8 +25,10 @@
 
 /// Puts a file in place so that it is there whole, or as it was before: also where the power fails half-way.
 pub fn replace(path: &Path, bytes: &[u8]) -> io::Result<()> {
+    // Named by the process: the old and the new one of an upgrade may put the same file in place at once, and one
+    // must not write into the other's half-written file.
     let mut beside = path.as_os_str().to_owned();
-    beside.push(".new");
+    beside.push(format!(".{}.new", std::process::id()));
     let mut file = File::create(&beside)?;
     file.write_all(bytes)?;
     file.sync_all()?;
@@ -93,7 +95,8 @@
         }
         drop(disk);
         assert_eq!(fs::read(&path).unwrap(), vec![19; 1000], "all that was given is written at the end");
-        assert!(!folder.join("list.new").exists());
+        assert!(!folder.join(format!("list.{}.new", std::process::id())).exists());
+        assert_eq!(fs::read_dir(&folder).unwrap().count(), 1, "nothing is left beside it");
         // The folder is gone: the worker goes on, and what it is given later is written once the folder is back.
         fs::remove_dir_all(&folder).unwrap();
         let disk = Disk::start("test").unwrap();
--- a/daemon/tests/rehearsal.rs
+++ b/daemon/tests/rehearsal.rs
@@ -85,20 +85,21 @@
     assert!(out.has_seen().unwrap_err().contains("nothing was asked"));
 }
 
+/// The short load for six seconds, with these faults: when, how long, what.
+fn with(faults: &[(f64, f64, What)]) -> Scenario {
+    let faults = faults.iter().map(|(at, lasts, what)| Fault { at: *at, lasts: *lasts, what: what.clone() });
+    Scenario { seconds: 6.0, faults: faults.collect(), ..short() }
+}
+
 /// Boxes that drain, die and come back cold, a stall, a slow origin and a broken bus, under a played load.
 fn troubled() -> Scenario {
-    let fault = |at, lasts, what| Fault { at, lasts, what };
-    Scenario {
-        seconds: 6.0,
-        faults: vec![
-            fault(1.0, 2.5, What::BoxDrains { boxes: 1, first: 0 }),
-            fault(1.5, 2.0, What::BoxDies { boxes: 3, first: 1 }),
-            fault(2.0, 1.0, What::BoxStalls { boxes: 2, first: 4 }),
-            fault(2.5, 1.5, What::SlowOrigin { times: 5.0 }),
-            fault(3.0, 0.0, What::BusBreaks),
-        ],
-        ..short()
-    }
+    with(&[
+        (1.0, 2.5, What::BoxDrains { boxes: 1, first: 0 }),
+        (1.5, 2.0, What::BoxDies { boxes: 3, first: 1 }),
+        (2.0, 1.0, What::BoxStalls { boxes: 2, first: 4 }),
+        (2.5, 1.5, What::SlowOrigin { times: 5.0 }),
+        (3.0, 0.0, What::BusBreaks),
+    ])
 }
 
 #[test]
@@ -122,15 +123,10 @@
 
 /// A proxy killed and started again, then another told to end under load and started again.
 fn crashed() -> Scenario {
-    let fault = |at, lasts, what| Fault { at, lasts, what };
-    Scenario {
-        seconds: 6.0,
-        faults: vec![
-            fault(1.0, 1.5, What::ProxyKilled { proxies: 1, first: 0 }),
-            fault(3.5, 1.0, What::ProxyStopped { proxies: 1, first: 1 }),
-        ],
-        ..short()
-    }
+    with(&[
+        (1.0, 1.5, What::ProxyKilled { proxies: 1, first: 0 }),
+        (3.5, 1.0, What::ProxyStopped { proxies: 1, first: 1 }),
+    ])
 }
 
 #[test]
--- a/rehearse/src/player.rs
+++ b/rehearse/src/player.rs
@@ -11,10 +11,10 @@
 use crate::score::{score, Score};
 use crate::stand_ins::served::{made_of, unix_us, Knows, Served};
 use crate::stand_ins::world::{Figures, Kind, Site, World};
-use crate::timetable::{timetable, Step};
+use crate::timetable::{box_uid, timetable, Step};
 use serde_json::{json, Value};
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, BinaryHeap, HashMap};
+use std::collections::{BinaryHeap, HashMap};
 use std::io::{self, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::path::{Path, PathBuf};
@@ -148,7 +148,7 @@
     };
     let mut world = World::new(site);
     let mut nodes = Vec::new();
-    let uids = (0..boxes).map(|n| (format!("s-{n:08x}"), Kind::Box, "here", "box", &form.edge_box));
+    let uids = (0..boxes as u32).map(|n| (box_uid(n), Kind::Box, "here", "box", &form.edge_box));
     let hubs = (0..form.hubs).map(|n| (format!("h-{n:08x}"), Kind::Hub, "hub", "hub", &form.hub));
     let origin = std::iter::once(("o-00000000".to_owned(), Kind::Origin, "hub", "origin", &form.origin));
     for (uid, kind, zone, model, node) in uids.chain(hubs).chain(origin) {
@@ -224,8 +224,6 @@
 struct Pacer {
     scenario: Scenario,
     fronts: Vec<SocketAddr>,
-    /// Proxies that clients may come to: not killed, not told to end, or started again since.
-    up: Vec<bool>,
     proxies: Proxies,
     /// Requests that no proxy took: all were down, or the connection broke as it was written.
     unsent: usize,
@@ -257,8 +255,22 @@
     /// The proxy that takes a request meant for this one: itself if it is up, else the next that is, as a balancer
     /// in front of them would do.
     fn route(&self, proxy: usize) -> Option<usize> {
-        let all = self.up.len();
-        (0..all).map(|k| (proxy + k) % all).find(|p| self.up[*p])
+        // Up: its process runs, neither killed nor told to end, or started again since.
+        let (running, all) = (&self.proxies.running, self.proxies.running.len());
+        (0..all).map(|k| (proxy + k) % all).find(|p| running[*p].is_some())
+    }
+
+    /// What is open at the proxies that `at` picks is owed no more from `now`: its client has left, or the rehearsal
+    /// ended the process that took it.
+    fn release(&mut self, now: Micros, at: impl Fn(usize) -> bool) {
+        let ids = |c: &Connection| {
+            c.open.lock().unwrap_or_else(PoisonError::into_inner).values().cloned().collect::<Vec<_>>()
+        };
+        let of = self.connections.iter().enumerate().filter(|(proxy, _)| at(*proxy));
+        let open: std::collections::HashSet<String> = of.flat_map(|(_, c)| c.iter().flat_map(ids)).collect();
+        for asked in self.asked.iter_mut().filter(|a| open.contains(&a.id)) {
+            asked.released.get_or_insert(now);
+        }
     }
 
     /// Carries out a step on a proxy's process.
@@ -270,23 +282,11 @@
                     process.child.kill()?;
                     process.child.wait()?;
                 }
-                self.up[n] = false;
                 // What was open there is owed no more: the rehearsal ended it.
-                let open: std::collections::HashSet<String> = self.connections[n]
-                    .drain(..)
-                    .flat_map(|c| {
-                        c.open
-                            .lock()
-                            .unwrap_or_else(PoisonError::into_inner)
-                            .values()
-                            .cloned()
-                            .collect::<Vec<_>>()
-                    })
-                    .collect();
-                let owed = |a: &&mut Asked| a.proxy == n && open.contains(&a.id);
-                for asked in self.asked.iter_mut().filter(owed).filter(|_| self.release_killed) {
-                    asked.released.get_or_insert(now);
+                if self.release_killed {
+                    self.release(now, |proxy| proxy == n);
                 }
+                self.connections[n].clear();
             }
             Step::Term(n) => {
                 if let Some(process) = p.running[n].take() {
@@ -295,7 +295,6 @@
                     p.ending[n] = Some(process);
                 }
                 // Its connections stay, to read what it still answers; nothing new is sent on them.
-                self.up[n] = false;
             }
             Step::Restart(n) => {
                 let ending = p.ending[n].take();
@@ -320,7 +319,6 @@
         while let Ok((n, started)) = self.proxies.back.1.try_recv() {
             self.proxies.running[n] = Some(started?);
             self.connections[n].clear();
-            self.up[n] = true;
         }
         Ok(())
     }
@@ -429,22 +427,7 @@
             let now = unix_us();
             if watch.stop.is_some_and(|stop| stop.load(Ordering::Relaxed)) {
                 // Ended by hand: clients give up on what is open, so it is owed no more.
-                let open: std::collections::HashSet<String> = self
-                    .connections
-                    .iter()
-                    .flatten()
-                    .flat_map(|c| {
-                        c.open
-                            .lock()
-                            .unwrap_or_else(PoisonError::into_inner)
-                            .values()
-                            .cloned()
-                            .collect::<Vec<_>>()
-                    })
-                    .collect();
-                for asked in self.asked.iter_mut().filter(|a| open.contains(&a.id)) {
-                    asked.released.get_or_insert(now);
-                }
+                self.release(now, |_| true);
                 return Ok(Some(now.saturating_sub(start) as f64 / 1e6));
             }
             if let Some(progress) = watch.progress.filter(|_| told.elapsed() >= Duration::from_millis(100)) {
@@ -559,16 +542,20 @@
     let served = Served::start(world, &uids, proxies, knows)?;
     // One bus for each proxy: each is told the addresses at which it reaches the nodes.
     let buses = (0..proxies).map(|_| Bus::start()).collect::<io::Result<Vec<_>>>()?;
+    // A node as a proxy's bus lists it: at the address at which that proxy reaches it.
+    let listed = |proxy: usize,
+                  (uid, zone, model, capacity): &(String, &str, &str, f64),
+                  state: &str,
+                  boot_ms| {
+        let endpoint = served.addresses[&(proxy, uid.clone())].to_string();
+        json!({"uid": uid, "endpoint": endpoint, "az": zone, "model": model, "pod_group": 0, "state": state,
+            "capacity_hint": capacity, "boot_ms": boot_ms})
+    };
     let (mut running, mut configs) = (Vec::new(), Vec::new());
     for (n, bus) in buses.iter().enumerate() {
-        let target = |(uid, zone, kind, capacity): &(String, &str, &str, f64)| {
-            let at: BTreeMap<_, _> =
-                served.addresses.iter().filter(|((p, _), _)| *p == n).map(|((_, u), a)| (u, a)).collect();
-            json!({"uid": uid, "endpoint": at[uid].to_string(), "az": zone, "model": kind, "pod_group": 0,
-                "state": "ready", "capacity_hint": capacity, "boot_ms": 0})
-        };
+        let targets = nodes.iter().map(|node| listed(n, node, "ready", 0)).collect::<Value>();
         let known = json!({"offset": 0, "batch": [{"offset": 0, "topology": {"rev": 1, "all": true,
-            "targets": nodes.iter().map(target).collect::<Value>()}}]});
+            "targets": targets}}]});
         let config = json!({"name": format!("p{n}"), "listen": "127.0.0.1:0", "seed": format!("{:x}", seed * 64 + n as u64 + 1),
             "bus": bus.address.to_string(), "known": known, "settings": settings(scenario),
             "limits": {"memory_mb": 192, "sockets": 1024}});
@@ -582,7 +569,6 @@
     let mut sender = Pacer {
         scenario: scenario.clone(),
         fronts,
-        up: vec![true; proxies],
         proxies: Proxies {
             running,
             ending: (0..proxies).map(|_| None).collect(),
@@ -602,11 +588,6 @@
     let (mut told, mut started) = (Vec::new(), Vec::new());
     let begin = unix_us() + 200_000;
     let steps = timetable(scenario);
-    let entry = |proxy: usize, uid: &str, state: &str, boot_ms: Micros| {
-        let endpoint = served.addresses[&(proxy, uid.to_owned())].to_string();
-        json!({"uid": uid, "endpoint": endpoint, "az": "here", "model": "box", "pod_group": 0, "state": state,
-            "capacity_hint": scenario.site.edge_box.capacity, "boot_ms": boot_ms})
-    };
     let interrupted = sender.play((plan, &steps), begin, &again, &watch, |due| {
         let n = match due {
             Due::Purge(n) => n,
@@ -618,10 +599,11 @@
                     Step::Back(uid) => Some((uid, Word::Ready(uid.clone()), "ready", at / 1000)),
                     _ => None,
                 };
-                if let Some((uid, word, state, boot_ms)) = told_of {
+                let node = told_of.as_ref().and_then(|(uid, ..)| nodes.iter().find(|n| n.0 == **uid));
+                if let (Some((_, word, state, boot_ms)), Some(node)) = (told_of, node) {
                     for (proxy, bus) in buses.iter().enumerate() {
                         if state == "ready" || plant != Some(Plant::DrainsUntold) {
-                            bus.list(false, vec![entry(proxy, uid, state, boot_ms)]);
+                            bus.list(false, vec![listed(proxy, node, state, boot_ms)]);
                         }
                         told.push(Told { proxy, at, word: word.clone() });
                     }
