Fill from the origin while no hub cache is well and has room, within its share

Both hub caches vanish without a word at 11.9 and 16.4 s; one is back cold at 26 s, the other at 42 s. Checked with a probe that printed each second what the module believes and why each request was given up: from 17 to 29 s all refusals are 'missed' with the link held for full (25 fills 'under way' at two dead hub caches) or with both sources failed, the origin's share at 0.05 though it was well; from 29 to 42 s all are 'no room at a parent', the one that is back cold, while the origin stood idle. Ruled out: marks of boxes, cold boxes' room, attempts, lateness. At fault in src/decide.rs: pick_source named the origin only where a parent was 'lost', which needs a refused connection to it, and proxies connect to boxes alone; a parent without room or marked left no source. outcome counted what a dead parent left unanswered against the origin.

Change: pick_source falls to the origin where no parent is well and has room, bounded by the share that may ask it (drawn once a request, as before); only then to a marked parent.

--- a/daemon/tests/loopback.rs
+++ b/daemon/tests/loopback.rs
@@ -348,7 +348,7 @@
         web.ask(1, "photo", &object(n), 2500).unwrap();
         web.end().unwrap();
         let arrival = rig.boxes[0].wait_for(|a| a.field("key") == Some(&object(n))).unwrap();
-        !arrival.field("flags").unwrap_or("").contains("no-fetch")
+        arrival.field("src").is_some() && !arrival.field("flags").unwrap_or("").contains("no-fetch")
     };
     rig.boxes[0].behave(Manner { origin_ms: 2_400, ..Manner::default() });
     assert!(is_asked(1));
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -130,6 +130,7 @@
     repeats: f64,
     aim_at: Micros,
     deadline: Micros,
+    draw: f64, // From 0 to 1: below the origin's share it may have the origin asked.
     attempts: u32,
     out: Option<Attempt>,
     begun: bool,
@@ -347,6 +348,7 @@
             repeats,
             aim_at,
             deadline: now + r.remaining_us,
+            draw: mix(self.seed ^ mix(r.id)) as f64 / u64::MAX as f64,
             ..Open::default()
         };
         if let btree_map::Entry::Vacant(place) = self.open.entry(r.id) {
@@ -430,24 +432,26 @@
         (fits && able && self.in_time(first, now, open)).then_some(first)
     }
 
-    /// Fills come from the first hashed parent that takes work, the second while the first is clearly slower;
-    /// from the origin only while no parent can be reached. When the origin is slow or stopped, the fills of
-    /// all parents fail: whoever then tries source after source, or the origin itself, keeps it down.
+    /// Fills come from the first hashed parent that takes work, the second while that is clearly slower; from
+    /// the origin while none does, by no more requests than may have it asked, as it may be slow or stopped.
     fn pick_source(&self, now: Micros, open: &Open, ranked: &Ranked) -> Option<ServerId> {
         if open.failed_fills >= FILL_TRIES || self.link_full(now, open) {
             return None;
         }
-        let mut sources: Vec<ServerId> = ranked.parents.clone();
-        sources.retain(|id| !self.is_lost(*id));
-        if sources.is_empty() {
-            sources.extend(ranked.origin);
-        }
-        sources.retain(|id| !open.bad_sources.contains(id) && self.has_room(*id, now, open));
-        let mut well = sources.iter().filter(|id| self.is_well(**id, now));
+        let fits = |id: &&ServerId| !open.bad_sources.contains(id) && self.has_room(**id, now, open);
+        let mut well = ranked.parents.iter().filter(fits).filter(|id| self.is_well(**id, now));
         let (first, second) = (well.next(), well.next());
         let pace = |id: Option<&ServerId>| self.servers.get(id?)?.fills.told(now, PACE_TOLD);
         let slower = pace(first).zip(pace(second)).is_some_and(|(a, b)| a.0 > CLEARLY * b.0);
-        first.filter(|_| !slower).or(second).or(sources.first()).copied()
+        let origin = || ranked.origin.iter().find(|id| fits(id) && self.may_ask(now, open));
+        let marked = || ranked.parents.iter().find(|id| fits(id) && !self.is_lost(**id));
+        first.filter(|_| !slower).or(second).or_else(origin).or_else(marked).copied()
+    }
+
+    /// Whether a request may have the origin asked: so many may, and further attempts are no further chances.
+    fn may_ask(&self, now: Micros, open: &Open) -> bool {
+        let heard = if now < self.heard.1 { self.heard.0.max(ORIGIN_LEAST) } else { 1.0 };
+        open.draw < self.origin_share.min(heard)
     }
 
     fn rank(&self, unit: u64) -> Ranked {
@@ -468,9 +472,7 @@
             STUCK_TIMES * self.long[open.class] * self.base_s(open) * f64::from(1 << open.stuck.min(4));
         let held = self.servers.get(&server).map_or(0.0, |s| self.held(s)) + 1.0;
         let fills = self.fills() + 1.0;
-        // Drawn once for a request: further attempts must not be further chances.
-        let draw = mix(self.seed ^ mix(id)) as f64 / u64::MAX as f64;
-        let heard = if now < self.heard.1 { self.heard.0.max(ORIGIN_LEAST) } else { 1.0 };
+        let may_ask = self.may_ask(now, open);
         let fetches = source.is_some_and(|id| self.servers.get(&id).is_some_and(|s| s.role != Role::Cache));
         let Some(open) = self.open.get_mut(&id) else { return };
         let class = &self.settings.classes[open.class];
@@ -489,7 +491,7 @@
             keep: if class.write { 0 } else { 1 + u8::from(open.repeats >= REPEAT_COUNT) },
             max_age_us,
             join: self.settings.joins && !class.write,
-            only_held: !class.write && source.is_some() && draw >= self.origin_share.min(heard),
+            only_held: !class.write && source.is_some() && !may_ask,
             bypass_parent: false,
             renew: class.fresh_us > 0 && open.repeats >= REPEAT_COUNT,
         };
@@ -782,12 +784,11 @@
                 Self::mark(s, now);
             }
         }
-        if !self.settings.cancel {
-            return;
-        }
         for (id, o) in &mut self.open {
             let safe = self.settings.classes[o.class].repeat == Repeat::Safe && !o.begun;
-            let Some(a) = o.out.as_mut().filter(|a| safe && !a.cancelled) else { continue };
+            let Some(a) = o.out.as_mut().filter(|a| self.settings.cancel && safe && !a.cancelled) else {
+                continue;
+            };
             let silent = |id: &ServerId| {
                 self.servers.get(id).is_some_and(|s| now < s.marked_until && s.last_ok < a.sent)
             };
@@ -810,8 +811,8 @@
         let Some(base_s) = self.open.get(&id).map(|open| self.base_s(open)) else { return };
         let Some(open) = self.open.get_mut(&id) else { return };
         let Some(attempt) = open.out.take_if(|a| a.number == number) else { return };
-        let (class, over, work_s) = (open.class, open.over, open.work_s);
-        let (server, sized) = (attempt.server, open.sized);
+        let (class, over, work_s, sized) = (open.class, open.over, open.work_s, open.sized);
+        let server = attempt.server;
         open.stuck += u32::from(attempt.stuck);
         let mut erred = open.erred.filter(|id| *id != server);
         // Where a server answered others meanwhile, only this answer may be lost: the work ran, and the copy
@@ -822,11 +823,12 @@
         let mute = attempt.source.filter(|id| attempt.stuck && !answered(*id));
         // A parent that is lost tells nothing of the origin: the others must go on asking it.
         let by_origin = attempt.source.is_some_and(|id| note != Note::SourceLost || answered(id));
-        // Nothing came back while it was wanted, though the cache is well: an origin that is asked for more
-        // than it can do shows that first, and many routers see nothing else of it.
+        // Nothing came back while it was wanted, though the cache is well and the source not marked: an origin
+        // asked for more than it can do shows that first, and many routers see nothing else of it.
         let aim_us = self.settings.classes[class].aim_us.max(1);
         let ended = matches!(outcome, Outcome::Timeout | Outcome::Cancelled);
-        let unanswered = attempt.asks && ended && took_us > aim_us && answered(server);
+        let sound = answered(server) && attempt.source.is_none_or(|id| answered(id) || self.is_well(id, now));
+        let unanswered = attempt.asks && ended && took_us > aim_us && sound;
         let capacity = self.servers.get(&server).map_or(0.0, |s| self.capacity(s));
         let hit = outcome == Outcome::Ok && matches!(note, Note::Hit | Note::Stale);
         let took_s = took_us as f64 / 1e6;
@@ -928,15 +930,14 @@
             self.open.remove(&id);
             return;
         }
+        let lost = outcome == Outcome::Cancelled && attempt.source.is_some_and(|id| !self.is_well(id, now));
+        let by_source = by_source || lost && self.is_well(server, now);
         let Some(open) = self.open.get_mut(&id) else { return };
         let ran = !matches!(outcome, Outcome::Full | Outcome::ConnectFailed | Outcome::Moot | Outcome::Miss);
         if ran && open.may_have_run.is_none() {
             let place = self.servers.get(&server).map_or((usize::MAX, u64::MAX), |s| (s.zone, s.cell));
             open.may_have_run = Some((attempt.sent, place.0, place.1));
         }
-        let lost = outcome == Outcome::Cancelled && attempt.source.is_some_and(|id| !self.is_well(id, now));
-        let by_source = by_source || lost && self.is_well(server, now);
-        let Some(open) = self.open.get_mut(&id) else { return };
         open.bad_sources.extend(mute);
         if outcome == Outcome::Error && !told && shared.is_none() {
             open.errors += 1;
@@ -983,9 +984,9 @@
             Repeat::Unsafe => open.may_have_run.is_none(),
         };
         if refusable {
-            let advice = RETRY_AFTER_US.min(self.settings.max_retry_after_us);
+            let most = self.settings.max_retry_after_us;
             // Given also where clients are not said to follow it: it does them no harm.
-            let retry_after_us = (self.settings.max_retry_after_us > 0).then_some(advice);
+            let retry_after_us = (most > 0).then_some(RETRY_AFTER_US.min(most));
             actions.push(Action::Refuse { request: id, retry_after_us });
         } else {
             actions.push(Action::Fail { request: id });
--- a/tests/common/world.rs
+++ b/tests/common/world.rs
@@ -83,6 +83,13 @@
     pub seconds: Vec<Second>,
     /// What a location's link fits at full pace, in transfers.
     pub link_fits: f64,
+    /// How long a box waits for a source that is not there before it says so.
+    pub fill_timeout_us: Micros,
+    /// Share of the requests that are writes, which must not run twice; and those that ran.
+    pub writes: f64,
+    ran: BTreeSet<RequestId>,
+    /// Answers carry load reports.
+    reports: bool,
     links: Vec<f64>,
     /// What the origin can do a second.
     pub origin_per_s: f64,
@@ -99,18 +106,35 @@
 impl World {
     /// A fleet of so many proxies and boxes in so many locations; each proxy is asked at this rate.
     pub fn new(zones: usize, seats: usize, caches: usize, rate_per_s: f64, seed: u64) -> Self {
-        let rules = settings().rules;
+        Self::shaped(zones, seats, caches, rate_per_s, seed, |_| ())
+    }
+
+    /// The same under settings of another shape.
+    pub fn shaped(
+        zones: usize,
+        seats: usize,
+        caches: usize,
+        rate_per_s: f64,
+        seed: u64,
+        shape: impl FnOnce(&mut Settings),
+    ) -> Self {
         let zone = |name: String, routers| Zone { name, routers, hub: 0, link_kb_per_s: 0.0 };
         let mut list = vec![zone("hub".into(), 0)];
         list.extend((1..=zones).map(|n| zone(format!("zone-{n}"), seats as u32)));
         let video = Class { aim_us: 400 * MS, deadline_us: DEADLINE_US, ..class("video") };
-        let config = Settings { zones: list, classes: vec![video], direct: false, ..settings() };
+        let mut config = Settings { zones: list, classes: vec![video], direct: false, ..settings() };
+        shape(&mut config);
+        let reports = config.reports == Reports::Answers;
         let mut world = World {
             now: T0,
             seats: Vec::new(),
             boxes: BTreeMap::new(),
             seconds: Vec::new(),
             link_fits: 30.0,
+            fill_timeout_us: 5 * MS,
+            writes: 0.0,
+            ran: BTreeSet::new(),
+            reports,
             links: vec![0.0; zones + 1],
             origin_per_s: 1e6,
             origin_free: 0,
@@ -119,7 +143,7 @@
             queue: BTreeMap::new(),
             number: 0,
             random: seed | 1,
-            rules,
+            rules: config.rules.clone(),
         };
         for z in 1..=zones {
             (0..caches).for_each(|n| world.put(z as u64 * 10 + n as u64, z, 8.0, None));
@@ -247,9 +271,10 @@
         let out = Out { object, attempts: 0, answered: false, deadline, at, sent: None };
         self.seats[n].out.insert(id, out);
         self.later(DEADLINE_US, Happening::Deadline(n, id));
+        let write = self.writes > 0.0 && self.unit() < self.writes;
         let request = Request {
             id,
-            class: "video".into(),
+            class: if write { "activate" } else { "video" }.into(),
             tenant: None,
             object: format!("/o/{object}"),
             part: 0,
@@ -320,12 +345,19 @@
             settled,
             note,
             waited_us,
-            load: None,
+            load: self.reports.then(|| self.load(sent.server)),
         };
         self.feed(n, event);
         self.tidy(n, id);
     }
 
+    /// What a server reports of itself: what it holds, and how full its location's link is.
+    fn load(&self, server: ServerId) -> Load {
+        let b = &self.boxes[&server];
+        let link = self.links.get(b.zone).map(|l| l / self.link_fits);
+        Load { inflight: Some(b.active), link_use: link, ..Load::default() }
+    }
+
     fn finish(&mut self, n: usize, id: RequestId, served: bool) {
         let Some(out) = self.seats[n].out.get_mut(&id) else { return };
         assert!(!out.answered, "two final answers");
@@ -384,6 +416,9 @@
             None
         } else if !up {
             Some((MS, Outcome::ConnectFailed, Note::None, 0))
+        } else if server == ORIGIN {
+            assert!(self.ran.insert(id), "a write that must not run twice");
+            Some((80 * MS, Outcome::Ok, Note::Hit, 0))
         } else if held {
             Some((self.sending(server), Outcome::Ok, Note::Hit, 0))
         } else if let Some(source) = source {
@@ -417,7 +452,7 @@
         let moving = (WORK_S * shared * 1e6) as Micros;
         let b = self.boxes.get_mut(&source).expect("a source of the list");
         if !b.up || b.vanished {
-            return (5 * MS, Outcome::Full, Note::SourceLost, 0);
+            return (self.fill_timeout_us, Outcome::Full, Note::SourceLost, 0);
         }
         if b.holds.contains(&object) && source != ORIGIN {
             return (10 * MS + moving, Outcome::Ok, Note::Filled, 10 * MS);
