End only this side's half of a client's connection, so that slow readers lose no answer

The front sends on open connections for 0.2 s more; a request that reaches a closed socket is met with a reset, which strikes what is still in the kernel for a client that reads 1 MB a second, and the answer ends short. Reproduced by tests on sockets and with two processes: 'answer 0 was lost: Connection reset by peer'. Ruled out: the new process's start on the inherited socket (it takes connections only once its loop runs, and what waits in the kernel's queue is taken by either process). Found beside it: the listener stayed in epoll after it was dropped, as the next process holds it too, and woke the old process for each connection.

Change: such a connection's output half is ended and what comes is thrown away until the client ends its own half, for 1 s at most; it is the first to make room where the table is full, and holds an ending process back for no longer than 3.2 s after SIGTERM. The dropped listener leaves epoll.

Measured: the test of two processes loses its first answer before the mend and none after.

--- a/daemon/src/daemon/clients.rs
+++ b/daemon/src/daemon/clients.rs
@@ -14,6 +14,8 @@
 /// What a client's connection is at.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Standing {
+    /// It was ended here, and its client may still read.
+    Parting,
     /// It has asked for nothing yet.
     Silent,
     /// A request has come in part.
@@ -29,6 +31,7 @@
     let after = match standing {
         Standing::Silent | Standing::Half => limits.client_half_us,
         Standing::Idle => limits.client_idle_us,
+        Standing::Parting => limits.client_parting_us,
         Standing::Busy if owed > 0 => return None,
         // All is said, and the client takes none of it.
         Standing::Busy => limits.client_stalled_us,
@@ -41,6 +44,7 @@
         let (busy, half, asked) = match &c.kind {
             Kind::Client(s) => (s.is_waiting(), s.is_half(), s.has_asked()),
             Kind::Cdni(s) => (!s.is_idle(), s.is_half(), s.has_asked()),
+            Kind::Parting => return Some(Standing::Parting),
             _ => return None,
         };
         Some(match (busy || !c.conn.output.is_empty(), half || !c.conn.input.is_empty(), asked) {
@@ -100,6 +104,7 @@
             c.conn.output.release();
         }
         match leaves_at(standing, Self::owed(c), c.since, &self.limits) {
+            Some(due) if due <= now && standing == Standing::Idle => self.part(now, key),
             Some(due) if due <= now => self.close(now, key),
             due => {
                 let look = now + self.limits.client_look_us;
@@ -236,10 +241,29 @@
             _ => false,
         });
         if over {
-            self.close(now, key);
+            self.part(now, key);
         }
     }
 
+    /// Ends a client's connection on which all is answered and written. Closed at once, it would answer a request
+    /// that crosses the end with a reset, and that takes along what a slow client has not read of its answers. So
+    /// only this side's half ends; the rest does when the client ends its own, or after a while.
+    pub(super) fn part(&mut self, now: Micros, key: Key) {
+        let Some(c) = self.connections.get_mut(key) else { return };
+        let said = match &c.kind {
+            Kind::Client(s) => s.is_idle(),
+            Kind::Cdni(s) => s.is_idle(),
+            _ => false,
+        };
+        if !said || !c.conn.output.is_empty() || c.conn.end_output().is_err() {
+            return self.close(now, key);
+        }
+        c.conn.input.consume(c.conn.input.len());
+        self.waiting_answers -= std::mem::take(&mut c.waiting);
+        (c.kind, c.since) = (Kind::Parting, now);
+        self.watch(key);
+    }
+
     /// Whether nothing of a client's connection is open, half read or unwritten.
     pub(super) fn is_quiet(c: &Connection) -> bool {
         match &c.kind {
@@ -277,6 +301,7 @@
         // What is owed within three seconds of connecting, and what usual clients end by themselves after four.
         assert!([Standing::Silent, Standing::Half].iter().all(|s| at(*s, 0) < Some(7 + 3_000_000)));
         assert!(at(Standing::Idle, 0) > Some(7 + 4_000_000));
+        assert!(Standing::Parting < Standing::Silent, "the first to make room");
         assert!(Standing::Silent < Standing::Half && Standing::Half < Standing::Idle);
     }
 }
--- a/daemon/src/daemon/door.rs
+++ b/daemon/src/daemon/door.rs
@@ -211,7 +211,7 @@
                 _ => false,
             });
             if idle {
-                self.close(now, key);
+                self.part(now, key);
             }
         }
         if let Some(at) = self.ops.next_sweep(now) {
--- a/daemon/src/daemon/mod.rs
+++ b/daemon/src/daemon/mod.rs
@@ -43,6 +43,8 @@
     Client(Session),
     Box(Link),
     Cdni(Box<cdni::Session>),
+    /// A client's that this side has ended, with all answered: what still comes is thrown away.
+    Parting,
     /// What this side has begun.
     Exchange(Box<dyn Exchange>),
     /// An operator's call at the door.
@@ -51,7 +53,7 @@
 
 impl Kind {
     fn is_client(&self) -> bool {
-        matches!(self, Kind::Client(_) | Kind::Cdni(_))
+        matches!(self, Kind::Client(_) | Kind::Cdni(_) | Kind::Parting)
     }
 }
 
@@ -175,6 +177,8 @@
     told_ready: bool,
     waiting_answers: usize,
     stopping: bool,
+    /// When SIGTERM came, if it has.
+    term_at: Micros,
     grace_over: bool,
     /// The operators' door, its callers, and what they decided.
     door: Option<TcpListener>,
@@ -286,6 +290,7 @@
             told_ready: false,
             waiting_answers: 0,
             stopping: false,
+            term_at: Micros::MAX,
             grace_over: false,
             door,
             callers: 0,
@@ -389,12 +394,14 @@
     }
 
     fn is_done(&self) -> bool {
+        let now = self.clock.now();
         self.grace_over && self.has_left_consul() && self.core.is_idle() && self.waiting_answers == 0 && {
             let written = |key: &Key| {
                 let c = self.connections.get(*key);
                 c.is_none_or(|c| match &c.kind {
                     Kind::Client(s) => s.is_idle() && c.conn.output.is_empty(),
                     Kind::Cdni(s) => s.is_idle() && c.conn.output.is_empty(),
+                    Kind::Parting => now >= self.term_at.saturating_add(self.limits.term_parting_us),
                     _ => true,
                 })
             };
@@ -436,7 +443,7 @@
             }
             Timer::Term => {
                 self.grace_over = true;
-                self.listener = None;
+                self.drop_listener();
             }
             Timer::Door(key) => self.door_timeout(now, key),
         }
@@ -448,10 +455,11 @@
         self.term.clear();
         if !std::mem::replace(&mut self.stopping, true) {
             log::info!("SIGTERM: answering what is open");
+            self.term_at = now;
             if self.inherited {
                 // The next process accepts on the same socket: whatever this one took now it would have to answer
                 // on its way out, and each kept connection ends after its next answer instead of being cut.
-                self.listener = None;
+                self.drop_listener();
                 for key in self.connections.keys() {
                     self.close_when_answered(key);
                     self.end_if_over(now, key);
@@ -462,6 +470,16 @@
         }
     }
 
+    /// Accepts no more. The next process may hold the same socket: were it still watched here, each connection
+    /// that comes would wake this one in vain.
+    fn drop_listener(&mut self) {
+        if let Some(listener) = self.listener.take() {
+            if let Err(e) = self.poll.remove(&listener) {
+                log::debug!("the listener was not watched: {e}");
+            }
+        }
+    }
+
     /// Reads the configuration again. Nothing that is open is dropped for it, and a faulty file changes
     /// nothing: a daemon that ended over it would take all its clients with it.
     fn reload(&mut self, now: Micros) {
@@ -563,9 +581,12 @@
                 over = true;
             }
         }
-        if over || !self.write(now, key) {
+        if over {
             return self.close(now, key);
         }
+        if !self.write(now, key) {
+            return self.part(now, key);
+        }
         self.note_client(now, key);
     }
 
@@ -582,6 +603,10 @@
                 self.read_door(now, key, ended);
                 Ok(())
             }
+            Kind::Parting => {
+                c.conn.input.consume(c.conn.input.len());
+                Ok(())
+            }
             Kind::Box(link) => {
                 let mut told = Vec::new();
                 let result = link.read(now, &mut c.conn, &self.core, &mut told);
@@ -606,6 +631,7 @@
             Kind::Box(_) => self.pump(now, key),
             Kind::Cdni(_) => self.write_cdni(key),
             Kind::Exchange(_) => c.conn.write() != Progress::Broken,
+            Kind::Parting => true,
             Kind::Door(caller) => {
                 let over = caller.is_over();
                 c.conn.write() != Progress::Broken && !(over && c.conn.output.is_empty())
@@ -649,6 +675,7 @@
                 self.clients -= 1;
                 session.waiting.into_iter().for_each(|ticket| self.core.leave(now, ticket));
             }
+            Kind::Parting => self.clients -= 1,
             Kind::Door(_) => self.callers -= 1,
             Kind::Exchange(exchange) => {
                 let end = if c.conn.up { exchange::End::Closed } else { exchange::End::Unreachable };
--- a/daemon/src/limits.rs
+++ b/daemon/src/limits.rs
@@ -88,6 +88,10 @@
     pub client_half_us: u64,
     /// A client's connection on which all is answered is ended after so long: longer than usual clients keep one.
     pub client_idle_us: u64,
+    /// A client's connection that was ended here with all answered is kept so long for the client to read the rest.
+    pub client_parting_us: u64,
+    /// Such connections hold the process back for no longer than this after SIGTERM.
+    pub term_parting_us: u64,
     /// A client that takes none of its answers for so long is ended.
     pub client_stalled_us: u64,
     /// How often a client's connection is looked at.
@@ -178,6 +182,8 @@
             accept_again_us: 20_000,
             client_half_us: 2_000_000,
             client_idle_us: 5_000_000,
+            client_parting_us: 1_000_000,
+            term_parting_us: 3_200_000,
             client_stalled_us: 10_000_000,
             client_look_us: 500_000,
             settle_us: 150_000,
@@ -215,6 +221,7 @@
                 "the door reads its longest head whole"
             );
             assert!(limits.drain_last_taken_us + 2_000_000 < 4_000_000);
+            assert!(limits.term_parting_us < 3_700_000, "SIGKILL may come then");
         }
     }
 }
--- a/daemon/src/net/conn.rs
+++ b/daemon/src/net/conn.rs
@@ -113,6 +113,12 @@
         moved
     }
 
+    /// Ends this side's half: the other side reads all that was written and then the end. Unlike closing, that
+    /// sends no reset when more comes in, and a reset would strike from the kernel what is still on its way out.
+    pub fn end_output(&self) -> io::Result<()> {
+        self.socket.shutdown(std::net::Shutdown::Write)
+    }
+
     /// What to watch for from now on, if that has changed.
     pub fn watch(&mut self) -> Option<(bool, bool)> {
         let wanted = (self.input.room() > 0, !self.up || !self.output.is_empty());
@@ -127,6 +133,34 @@
     use std::io::Write;
     use std::net::TcpListener;
 
+    #[test]
+    fn an_ended_half_delivers_all_though_more_comes_in_where_a_close_would_not() {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let whole = vec![7; 1 << 20];
+        let read = |ends: fn(Conn) -> Option<Conn>| {
+            let mut far = TcpStream::connect(listener.local_addr().unwrap()).unwrap();
+            sockopt::set_socket_recv_buffer_size(&far, 4096).unwrap();
+            let mut conn = Conn::new(listener.accept().unwrap().0, true, 4096, 2 << 20).unwrap();
+            conn.output.push(&whole);
+            conn.write();
+            let written = conn.written;
+            let kept = ends(conn);
+            // A further request crosses the end, while most of the answer is not read.
+            far.write_all(b"crossing").unwrap();
+            let mut got = Vec::new();
+            let end = std::io::Read::read_to_end(&mut far, &mut got).map_err(|e| e.kind());
+            drop(kept);
+            (got.len() as u64, written, end.is_ok())
+        };
+        let (got, written, ended) = read(|conn| {
+            conn.end_output().unwrap();
+            Some(conn)
+        });
+        assert!(written > 100_000 && got == written && ended, "{got} of {written}");
+        let (got, written, ended) = read(|_| None);
+        assert!(got < written && !ended, "else this test proves nothing: {got} of {written}");
+    }
+
     #[test]
     fn a_full_ring_makes_the_other_side_wait_but_not_where_that_is_gone() {
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
--- a/daemon/src/net/poll.rs
+++ b/daemon/src/net/poll.rs
@@ -46,6 +46,11 @@
         Ok(epoll::modify(&self.fd, socket, epoll::EventData::new_u64(token), flags(read, write))?)
     }
 
+    /// Watches a socket no more. Closing is not enough for one that another process holds too.
+    pub fn remove(&self, socket: impl AsFd) -> io::Result<()> {
+        Ok(epoll::delete(&self.fd, socket)?)
+    }
+
     /// Waits for events, or for so many microseconds.
     pub fn wait(&mut self, most_us: u64, out: &mut Vec<Ready>) -> io::Result<()> {
         self.events.clear();
--- a/daemon/tests/handover.rs
+++ b/daemon/tests/handover.rs
@@ -2,7 +2,7 @@
 //! SIGTERM while clients go on connecting. The socket is handed over as a descriptor named by
 //! `$ROUTER_SOCKET_FD`, here standard input, which std can hand to a child without `unsafe`.
 
-use linnetknot_rehearse::boxes::StandIn;
+use linnetknot_rehearse::boxes::{Manner, StandIn};
 use linnetknot_rehearse::bus::{entry, Bus};
 use linnetknot_rehearse::clients::{call, WebServer};
 use linnetknot_rehearse::settings;
@@ -54,30 +54,58 @@
     rustix::process::kill_process(pid, rustix::process::Signal::TERM).unwrap();
 }
 
+/// Two boxes, an origin, a bus, and what the platform hands to each process that it starts.
+struct Site {
+    folder: std::path::PathBuf,
+    config: std::path::PathBuf,
+    listener: TcpListener,
+    front: SocketAddr,
+    boxes: [StandIn; 2],
+    _bus: Bus,
+}
+
+impl Site {
+    fn new(name: &str) -> Site {
+        let folder = std::env::temp_dir().join(format!("linnetknot-{name}-{}", std::process::id()));
+        let _ = std::fs::remove_dir_all(&folder);
+        std::fs::create_dir_all(&folder).unwrap();
+        let bus = Bus::start().unwrap();
+        let boxes = [StandIn::start("s-0a").unwrap(), StandIn::start("s-0b").unwrap()];
+        let origin = StandIn::start("s-0f").unwrap();
+        let mut list: Vec<_> = boxes.iter().map(|b| entry(b, "here", "box", "ready")).collect();
+        list.push(entry(&origin, "hub", "origin", "ready"));
+        let known = json!({"offset": 0, "batch": [{"offset": 0, "topology": {"rev": 1, "all": true, "targets": list}}]});
+        let config = json!({"listen": "127.0.0.1:1", "bus": bus.address.to_string(), "known": known,
+            "settings": settings(), "limits": {"memory_mb": 192, "sockets": 256}});
+        let path = folder.join("config.json");
+        std::fs::write(&path, config.to_string()).unwrap();
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let front = listener.local_addr().unwrap();
+        Site { folder, config: path, listener, front, boxes, _bus: bus }
+    }
+
+    /// Starts a process and waits until it is ready.
+    fn start(&self) -> (Child, SocketAddr) {
+        let door = free_address();
+        let child = start(&self.listener, &self.config, door, &self.folder);
+        ready(door);
+        (child, door)
+    }
+}
+
+impl Drop for Site {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
 #[test]
 fn two_processes_share_the_inherited_socket_and_the_old_one_ends_at_sigterm() {
-    let folder = std::env::temp_dir().join(format!("linnetknot-handover-{}", std::process::id()));
-    let _ = std::fs::remove_dir_all(&folder);
-    std::fs::create_dir_all(&folder).unwrap();
-    let bus = Bus::start().unwrap();
-    let boxes = [StandIn::start("s-0a").unwrap(), StandIn::start("s-0b").unwrap()];
-    let origin = StandIn::start("s-0f").unwrap();
-    let mut list: Vec<_> = boxes.iter().map(|b| entry(b, "here", "box", "ready")).collect();
-    list.push(entry(&origin, "hub", "origin", "ready"));
-    let known =
-        json!({"offset": 0, "batch": [{"offset": 0, "topology": {"rev": 1, "all": true, "targets": list}}]});
-    let config = json!({"listen": "127.0.0.1:1", "bus": bus.address.to_string(), "known": known,
-        "settings": settings(), "limits": {"memory_mb": 192, "sockets": 256}});
-    let path = folder.join("config.json");
-    std::fs::write(&path, config.to_string()).unwrap();
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    let front = listener.local_addr().unwrap();
-    let (door_old, door_new) = (free_address(), free_address());
-    let mut old = start(&listener, &path, door_old, &folder);
-    ready(door_old);
+    let site = Site::new("handover");
+    let front = site.front;
+    let (mut old, _) = site.start();
     assert_eq!(served(front, 1), 200);
-    let mut new = start(&listener, &path, door_new, &folder);
-    ready(door_new);
+    let (mut new, _) = site.start();
     term(&old);
     // Clients go on connecting while the old process ends: every one is served, by one process or the other.
     let mut n = 2;
@@ -95,6 +123,41 @@
     }
     term(&new);
     assert!(new.wait().unwrap().success());
-    drop(listener);
-    let _ = std::fs::remove_dir_all(&folder);
+}
+
+/// A request that crosses the end of its connection must not cost the answers that a slow client has not read yet: a
+/// closed socket meets it with a reset, which strikes from the kernel what is still on its way out.
+#[test]
+fn an_answer_that_a_slow_client_reads_while_the_old_process_ends_comes_whole() {
+    const BYTES: usize = 240_000;
+    let site = Site::new("slow");
+    let (mut old, door) = site.start();
+    site.boxes.iter().for_each(|b| b.behave(Manner { padding: BYTES, ..Manner::default() }));
+    let mut slow: Vec<WebServer> = (0..4)
+        .map(|n| {
+            let mut web = WebServer::connect(site.front).unwrap();
+            rustix::net::sockopt::set_socket_recv_buffer_size(web.writer().unwrap(), 4096).unwrap();
+            web.ask(1, "photo", &format!("{n:016x}"), 2500).unwrap();
+            // The answer has begun to come: all of it that the kernel takes is written.
+            web.writer().unwrap().peek(&mut [0]).unwrap();
+            web
+        })
+        .collect();
+    let (mut new, _) = site.start();
+    term(&old);
+    // Once the old process says no it has heard the signal, and ended what was answered.
+    while call(door, "GET", "/control/ready", "").is_ok_and(|a| a.status == 200) {}
+    for (n, web) in slow.iter_mut().enumerate() {
+        web.ask(2, "photo", &format!("{:016x}", 100 + n), 2500).unwrap();
+    }
+    for (n, web) in slow.iter_mut().enumerate() {
+        let (number, answer) = web.end().unwrap_or_else(|e| panic!("answer {n} was lost: {e}"));
+        let answer = answer.expect("an answer");
+        assert_eq!((number, answer.status), (1, 200));
+        assert!(answer.body.len() >= BYTES, "answer {n} has {} bytes", answer.body.len());
+    }
+    drop(slow);
+    assert!(old.wait().unwrap().success(), "the old process ends well");
+    term(&new);
+    assert!(new.wait().unwrap().success());
 }
