Read loosely what Consul's mapping does not need, so that no such detail hides a box

Seen: answers in the form of the API's public page ({"lan": {"address": ..}}) voided every instance, though no tagged address is configured. Checked: the instance was read as a whole by strict types (consul/src/answer.rs, Instance down), so any field of another form cost the box; the same held for weights, notes, metadata, a check's id and the catalogue's Node. Ruled out: the agent answers (only their status is read).

Change: each field is read by itself and judged only where the mapping in force asks for it, its error by its path; both spellings of a tagged address. More than half of an answer unusable is one line at the level error.

Measured: the pages' own forms, a table of 15 cases and 256 cases of any JSON in 14 places leave the box; the first failed before.

--- a/consul/src/answer.rs
+++ b/consul/src/answer.rs
@@ -2,7 +2,9 @@
 //! itself and nothing else.
 
 use linnetknot_membership::Reason;
-use serde::Deserialize;
+use serde::de::DeserializeOwned;
+use serde::{Deserialize, Deserializer};
+use serde_json::Value;
 use std::collections::BTreeMap;
 use std::fmt;
 
@@ -23,97 +25,155 @@
     }
 }
 
-#[derive(Debug, Deserialize)]
-#[serde(rename_all = "PascalCase")]
+/// A value that is read only where the mapping in force needs it. Anything may stand in the others: a detail that
+/// nobody uses must not hide a box.
+#[derive(Clone, Debug, Default)]
+pub(crate) enum Field<T> {
+    /// Nothing is said, or `null`.
+    #[default]
+    Absent,
+    Is(T),
+    /// What stands there is something else, and why it can't be read.
+    Unreadable(String),
+}
+
+impl<'de, T: DeserializeOwned> Deserialize<'de> for Field<T> {
+    fn deserialize<D: Deserializer<'de>>(from: D) -> Result<Self, D::Error> {
+        Ok(match Value::deserialize(from)? {
+            Value::Null => Field::Absent,
+            value => T::deserialize(value).map_or_else(|e| Field::Unreadable(e.to_string()), Field::Is),
+        })
+    }
+}
+
+impl<T> Field<T> {
+    /// Where the value is needed: none where nothing is said, or what is wrong with it.
+    pub fn needed(&self) -> Result<Option<&T>, String> {
+        match self {
+            Field::Absent => Ok(None),
+            Field::Is(value) => Ok(Some(value)),
+            Field::Unreadable(why) => Err(why.clone()),
+        }
+    }
+
+    /// Where it is of use but not needed.
+    pub fn known(&self) -> Option<&T> {
+        if let Field::Is(value) = self {
+            Some(value)
+        } else {
+            None
+        }
+    }
+}
+
+#[derive(Debug, Default, Deserialize)]
+#[serde(rename_all = "PascalCase", default)]
 pub(crate) struct Instance {
-    pub node: Node,
-    pub service: Service,
-    pub checks: Option<Vec<Check>>,
+    pub node: Field<Node>,
+    pub service: Field<Service>,
+    pub checks: Field<Vec<Field<Check>>>,
 }
 
-#[derive(Debug, Deserialize)]
-#[serde(rename_all = "PascalCase")]
+#[derive(Debug, Default, Deserialize)]
+#[serde(rename_all = "PascalCase", default)]
 pub(crate) struct Node {
-    #[serde(default)]
-    pub node: String,
-    #[serde(default)]
-    pub address: String,
-    pub tagged_addresses: Option<BTreeMap<String, String>>,
+    pub node: Field<String>,
+    pub address: Field<String>,
+    pub tagged_addresses: Field<BTreeMap<String, Field<String>>>,
 }
 
-#[derive(Debug, Deserialize)]
-#[serde(rename_all = "PascalCase")]
+#[derive(Debug, Default, Deserialize)]
+#[serde(rename_all = "PascalCase", default)]
 pub(crate) struct Service {
     #[serde(rename = "ID")]
-    pub id: String,
-    pub address: Option<String>,
-    #[serde(default)]
-    pub port: i64,
-    pub tagged_addresses: Option<BTreeMap<String, Tagged>>,
-    pub meta: Option<BTreeMap<String, String>>,
-    pub weights: Option<Weights>,
+    pub id: Field<String>,
+    pub address: Field<String>,
+    pub port: Field<i64>,
+    pub tagged_addresses: Field<BTreeMap<String, Field<Tagged>>>,
+    pub meta: Field<BTreeMap<String, Field<String>>>,
+    pub weights: Field<Weights>,
 }
 
-#[derive(Debug, Deserialize)]
-#[serde(rename_all = "PascalCase")]
+/// A service's tagged address. The API's pages write its keys in both ways.
+#[derive(Debug, Default, Deserialize)]
+#[serde(rename_all = "PascalCase", default)]
 pub(crate) struct Tagged {
-    pub address: String,
-    #[serde(default)]
-    pub port: i64,
+    #[serde(alias = "address")]
+    pub address: Field<String>,
+    #[serde(alias = "port")]
+    pub port: Field<i64>,
 }
 
-#[derive(Clone, Copy, Debug, Deserialize)]
-#[serde(rename_all = "PascalCase")]
+#[derive(Debug, Default, Deserialize)]
+#[serde(rename_all = "PascalCase", default)]
 pub(crate) struct Weights {
-    #[serde(default = "one")]
-    pub passing: f64,
-    #[serde(default = "one")]
-    pub warning: f64,
+    pub passing: Field<f64>,
+    pub warning: Field<f64>,
 }
 
-fn one() -> f64 {
-    1.0
+#[derive(Debug, Default, Deserialize)]
+#[serde(rename_all = "PascalCase", default)]
+pub(crate) struct Check {
+    #[serde(rename = "CheckID")]
+    pub id: Field<String>,
+    pub status: Field<String>,
+    pub notes: Field<String>,
 }
 
-impl Default for Weights {
-    fn default() -> Self {
-        Weights { passing: 1.0, warning: 1.0 }
-    }
+/// A check, as far as it counts.
+pub(crate) struct Standing<'a> {
+    id: &'a str,
+    status: &'a str,
+    notes: &'a str,
 }
 
-#[derive(Debug, Deserialize)]
-#[serde(rename_all = "PascalCase")]
-pub(crate) struct Check {
-    #[serde(rename = "CheckID", default)]
-    pub id: String,
-    pub status: String,
-    #[serde(default)]
-    pub notes: String,
+impl Instance {
+    /// Its checks. What each of them says is needed; what it is called and its notes only make a better reason.
+    pub fn checks(&self) -> Result<Vec<Standing<'_>>, (String, String)> {
+        let all = self.checks.needed().map_err(|why| ("Checks".to_owned(), why))?;
+        all.into_iter()
+            .flatten()
+            .enumerate()
+            .map(|(n, check)| {
+                let at = |key: &str, why: String| (format!("Checks[{n}]{key}"), why);
+                let check = check.needed().map_err(|why| at("", why))?.ok_or(at("", MISSING.to_owned()))?;
+                let status = check.status.needed().map_err(|why| at(".Status", why))?;
+                Ok(Standing {
+                    id: check.id.known().map_or("", String::as_str),
+                    status: status.ok_or(at(".Status", MISSING.to_owned()))?,
+                    notes: check.notes.known().map_or("", String::as_str),
+                })
+            })
+            .collect()
+    }
 }
 
+/// Why a key that is needed can't be used where nothing stands there.
+pub(crate) const MISSING: &str = "it is missing";
+
 /// What an instance's checks come to.
-pub(crate) struct Checks<'a>(pub &'a [Check]);
+pub(crate) struct Checks<'a>(pub &'a [Standing<'a>]);
 
 impl<'a> Checks<'a> {
     /// Why the instance must get no fresh work, if it must not. What the operators did by hand comes first: it
     /// says most.
     pub fn fault(&self) -> Option<Reason> {
-        let failing = || self.0.iter().filter(|c| !matches!(c.status.as_str(), "passing" | "warning"));
-        let by = |of: &dyn Fn(&Check) -> Option<Reason>| failing().find_map(of);
-        by(&|c| c.id.starts_with("_node_maintenance").then(|| Reason::NodeMaintenance(c.notes.clone())))
+        let failing = || self.0.iter().filter(|c| !matches!(c.status, "passing" | "warning"));
+        let by = |of: &dyn Fn(&Standing) -> Option<Reason>| failing().find_map(of);
+        by(&|c| c.id.starts_with("_node_maintenance").then(|| Reason::NodeMaintenance(c.notes.to_owned())))
             .or_else(|| {
                 by(&|c| {
                     c.id.starts_with("_service_maintenance")
-                        .then(|| Reason::ServiceMaintenance(c.notes.clone()))
+                        .then(|| Reason::ServiceMaintenance(c.notes.to_owned()))
                 })
             })
             .or_else(|| by(&|c| (c.id == "serfHealth").then_some(Reason::NodeLost)))
-            .or_else(|| by(&|c| Some(Reason::Check(c.id.clone()))))
+            .or_else(|| by(&|c| Some(Reason::Check(c.id.to_owned()))))
     }
 
     /// A check that warns.
     pub fn warning(&self) -> Option<&'a str> {
-        self.0.iter().find(|c| c.status == "warning").map(|c| c.id.as_str())
+        self.0.iter().find(|c| c.status == "warning").map(|c| c.id)
     }
 }
 
@@ -214,29 +274,24 @@
 
 /// One element of a health answer.
 pub(crate) fn instance(raw: &[u8]) -> Result<Instance, Bad> {
-    let mut de = serde_json::Deserializer::from_slice(raw);
-    let read: Result<Instance, _> = serde_path_to_error::deserialize(&mut de);
-    match read {
-        Ok(instance) => de.end().map(|()| instance).map_err(|e| Bad::Answer(e.to_string())),
-        Err(e) if e.inner().is_data() => {
-            let key = e.path().to_string();
-            // What can still be told of it is its id, if it is JSON at all.
-            let value: serde_json::Value =
-                serde_json::from_slice(raw).map_err(|e| Bad::Answer(e.to_string()))?;
-            let uid = value["Service"]["ID"].as_str().unwrap_or("?").to_owned();
-            Err(Bad::Instance(Skipped { uid, key, why: e.into_inner().to_string() }))
+    match serde_json::from_slice(raw) {
+        Ok(instance) => Ok(instance),
+        Err(e) if e.is_data() => {
+            let (uid, key) = ("?".to_owned(), ".".to_owned());
+            Err(Bad::Instance(Skipped { uid, key, why: e.to_string() }))
         }
-        Err(e) => Err(Bad::Answer(e.into_inner().to_string())),
+        Err(e) => Err(Bad::Answer(e.to_string())),
     }
 }
 
 /// One element of a catalogue answer: node and id of what is registered.
-#[derive(Debug, Deserialize)]
+#[derive(Debug, Default, Deserialize)]
+#[serde(default)]
 pub(crate) struct Registered {
-    #[serde(rename = "Node", default)]
-    pub node: String,
+    #[serde(rename = "Node")]
+    pub node: Field<String>,
     #[serde(rename = "ServiceID")]
-    pub id: String,
+    pub id: Field<String>,
 }
 
 pub(crate) fn registered(raw: &[u8]) -> Result<Registered, String> {
--- a/consul/src/mapping.rs
+++ b/consul/src/mapping.rs
@@ -1,7 +1,7 @@
 //! How a catalogue's instances become boxes: where each property is found, and what it is where nothing is said.
 //! A catalogue made by others has its own words, so every name is a setting.
 
-use crate::answer::{Checks, Instance, Skipped};
+use crate::answer::{Checks, Field, Instance, Node, Service, Skipped, Weights, MISSING};
 use linnetknot::{Micros, Server, State};
 use linnetknot_membership::{server_id, Entry, Reason, Report};
 use std::collections::BTreeMap;
@@ -59,6 +59,13 @@
     pub tagged_address: Option<String>,
 }
 
+/// The part of an instance in which a key stands.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Part {
+    Node,
+    Service,
+}
+
 /// The longest id of a box.
 const MOST_ID: usize = 128;
 
@@ -69,55 +76,87 @@
 }
 
 impl Mapping {
-    /// The id of an instance as a box.
-    pub(crate) fn uid(&self, node: &str, service: &str) -> String {
-        match self.identity {
-            Identity::Service => service.to_owned(),
-            Identity::Node => node.to_owned(),
-            Identity::NodeAndService => format!("{node}/{service}"),
-        }
+    /// The id of an instance as a box, or what of it is at fault: the place of `node` or of `service`.
+    pub(crate) fn uid(
+        &self,
+        node: &Field<String>,
+        service: &Field<String>,
+    ) -> Result<String, (Part, String)> {
+        let text = |part, field: &Field<String>| match field.needed() {
+            Ok(Some(text)) => Ok(text.clone()),
+            Ok(None) => Err((part, MISSING.to_owned())),
+            Err(why) => Err((part, why)),
+        };
+        Ok(match self.identity {
+            Identity::Service => text(Part::Service, service)?,
+            Identity::Node => text(Part::Node, node)?,
+            Identity::NodeAndService => {
+                format!("{}/{}", text(Part::Node, node)?, text(Part::Service, service)?)
+            }
+        })
     }
 
-    /// An instance as a word on a box, or the key at fault.
+    /// An instance as a word on a box, or the key at fault. Only what this mapping needs can be at fault.
     pub(crate) fn report(&self, i: &Instance) -> Result<Report, Skipped> {
-        let (node, service) = (&i.node, &i.service);
-        let uid = self.uid(&node.node, &service.id);
+        let (no_node, no_service) = (Node::default(), Service::default());
+        let node = i.node.known().unwrap_or(&no_node);
+        let service = i.service.known().unwrap_or(&no_service);
+        let nameless = |key: &str, why| Skipped { uid: "?".to_owned(), key: key.to_owned(), why };
+        // A part that can't be read at all is at fault itself, where anything of it is needed.
+        let whole = |part: Part, why: String| match (part, i.node.needed(), i.service.needed()) {
+            (Part::Node, Err(why), _) => ("Node", why),
+            (Part::Service, _, Err(why)) => ("Service", why),
+            (Part::Service, _, Ok(None)) => ("Service", MISSING.to_owned()),
+            (Part::Node, ..) => ("Node.Node", why),
+            (Part::Service, ..) => ("Service.ID", why),
+        };
+        let uid = self.uid(&node.node, &service.id).map_err(|(part, why)| {
+            let (key, why) = whole(part, why);
+            nameless(key, why)
+        })?;
         let bad = |key: &str, why: String| Skipped { uid: uid.clone(), key: key.to_owned(), why };
         if !is_usable(&uid) {
             let key = if self.identity == Identity::Node { "Node.Node" } else { "Service.ID" };
             return Err(bad(key, format!("'{}' can't be the id of a box", uid.escape_default())));
         }
         let none = BTreeMap::new();
-        let meta = service.meta.as_ref().unwrap_or(&none);
-        let number = |key: &str| match meta.get(key).map(|text| (text, text.trim().parse::<f64>())) {
+        let meta = service.meta.needed().map_err(|why| bad("Service.Meta", why))?.unwrap_or(&none);
+        let said = |key: &str| match meta.get(key).map_or(Ok(None), Field::needed) {
+            Ok(text) => Ok(text.map(String::as_str)),
+            Err(why) => Err(bad(&format!("Service.Meta.{key}"), why)),
+        };
+        let number = |key: &str| match said(key)?.map(|text| (text, text.trim().parse::<f64>())) {
             None => Ok(None),
             Some((_, Ok(n))) if n.is_finite() && n >= 0.0 => Ok(Some(n)),
             Some((text, _)) => {
                 Err(bad(&format!("Service.Meta.{key}"), format!("'{}' is no figure", text.escape_default())))
             }
         };
-        let word = |key: &str, default: &str| meta.get(key).map_or(default, String::as_str).to_owned();
-        let (zone, kind) = (word(&self.keys.zone, &self.zone), word(&self.keys.kind, &self.kind));
+        let word = |key: &str, default: &str| Ok::<_, Skipped>(said(key)?.unwrap_or(default).to_owned());
+        let (zone, kind) = (word(&self.keys.zone, &self.zone)?, word(&self.keys.kind, &self.kind)?);
         if !self.zones.is_empty() && !self.zones.contains(&zone) {
             let known = self.zones.join(", ");
             let why = format!("'{}' is no zone of this deployment ({known})", zone.escape_default());
             return Err(bad(&format!("Service.Meta.{}", self.keys.zone), why));
         }
-        let endpoint = self.endpoint(i).map_err(|(key, why)| bad(key, why))?;
-        let checks = i.checks.as_deref().unwrap_or_default();
-        let (mut state, mut reason) = match Checks(checks).fault() {
+        let endpoint = self.endpoint(node, service).map_err(|(key, why)| bad(&key, why))?;
+        let checks = i.checks().map_err(|(key, why)| bad(&key, why))?;
+        let (mut state, mut reason) = match Checks(&checks).fault() {
             None => (State::Ready, Reason::Told),
             Some(reason) => (State::Draining, reason),
         };
-        let warned = Checks(checks).warning();
-        let weights = service.weights.unwrap_or_default();
+        let warned = Checks(&checks).warning();
+        // Weights that can't be read are as those that are not told: a box with a wrong share is better than none.
+        let weigh = |of: fn(&Weights) -> &Field<f64>| {
+            service.weights.known().and_then(|w| of(w).known().copied()).unwrap_or(1.0)
+        };
         let told = number(&self.keys.capacity)?.filter(|n| *n > 0.0);
-        let passing = weights.passing.max(0.0);
+        let (passing, warning) = (weigh(|w| &w.passing).max(0.0), weigh(|w| &w.warning));
         let weight = match (told, warned) {
             (None, None) => passing,
-            (None, Some(_)) => weights.warning,
+            (None, Some(_)) => warning,
             (Some(told), None) => told,
-            (Some(told), Some(_)) if passing > 0.0 => told * weights.warning / passing,
+            (Some(told), Some(_)) if passing > 0.0 => told * warning / passing,
             (Some(told), Some(_)) => told,
         };
         if let (Some(check), State::Ready, false) = (warned, state, weight > 0.0) {
@@ -138,27 +177,46 @@
         Ok(Report { entry: Entry { server, uid, endpoint }, reason })
     }
 
-    fn endpoint(&self, i: &Instance) -> Result<SocketAddr, (&'static str, String)> {
-        let (node, service) = (&i.node, &i.service);
-        let none = BTreeMap::new();
-        let tagged = self.tagged_address.as_deref().and_then(|tag| {
-            let tagged = service.tagged_addresses.as_ref().unwrap_or(&none).get(tag);
-            let own = tagged.map(|t| ("Service.TaggedAddresses", t.address.as_str(), t.port));
-            let of_node = node.tagged_addresses.as_ref().and_then(|t| t.get(tag));
-            own.or_else(|| of_node.map(|t| ("Node.TaggedAddresses", t.as_str(), service.port)))
-        });
-        let plain = match service.address.as_deref().filter(|a| !a.is_empty()) {
-            Some(address) => ("Service.Address", address, service.port),
-            None => ("Node.Address", node.address.as_str(), service.port),
-        };
-        let (key, address, port) = tagged.unwrap_or(plain);
+    fn endpoint(&self, node: &Node, service: &Service) -> Result<SocketAddr, (String, String)> {
+        let (mut address, mut key) = (None, String::new());
+        let mut port = (&service.port, "Service.Port".to_owned());
+        if let Some(tag) = self.tagged_address.as_deref() {
+            let at = |part: &str, why| (format!("{part}.TaggedAddresses.{tag}"), why);
+            let own = service.tagged_addresses.needed().map_err(|why| at("Service", why))?;
+            let own = own.and_then(|all| all.get(tag)).map_or(Ok(None), Field::needed);
+            if let Some(tagged) = own.map_err(|why| at("Service", why))? {
+                key = format!("Service.TaggedAddresses.{tag}.Address");
+                address = tagged.address.needed().map_err(|why| (key.clone(), why))?;
+                port = (&tagged.port, format!("Service.TaggedAddresses.{tag}.Port"));
+            } else {
+                let of_node = node.tagged_addresses.needed().map_err(|why| at("Node", why))?;
+                let of_node = of_node.and_then(|all| all.get(tag)).map_or(Ok(None), Field::needed);
+                address = of_node.map_err(|why| at("Node", why))?;
+                key = format!("Node.TaggedAddresses.{tag}");
+            }
+        }
+        if address.is_none() {
+            let own = service.address.needed().map_err(|why| ("Service.Address".to_owned(), why))?;
+            address = own.filter(|a| !a.is_empty());
+            key = "Service.Address".to_owned();
+        }
+        if address.is_none() {
+            key = "Node.Address".to_owned();
+            address = node.address.needed().map_err(|why| (key.clone(), why))?;
+        }
+        let address = address.ok_or((key.clone(), MISSING.to_owned()))?;
         let ip: IpAddr = address.parse().map_err(|_| {
-            (key, format!("'{}' is no IP address, and names are not looked up", address.escape_default()))
+            (
+                key.clone(),
+                format!("'{}' is no IP address, and names are not looked up", address.escape_default()),
+            )
         })?;
         if ip.is_unspecified() || ip.is_multicast() {
             return Err((key, format!("{ip} is no address of a box")));
         }
-        let port = u16::try_from(port).ok().filter(|p| *p > 0);
-        Ok(SocketAddr::new(ip, port.ok_or(("Service.Port", "it is no port to connect to".to_owned()))?))
+        let (port, key) = port;
+        let number = port.needed().map_err(|why| (key.clone(), why))?;
+        let port = number.and_then(|p| u16::try_from(*p).ok()).filter(|p| *p > 0);
+        Ok(SocketAddr::new(ip, port.ok_or((key, "it is no port to connect to".to_owned()))?))
     }
 }
--- a/consul/src/watch.rs
+++ b/consul/src/watch.rs
@@ -126,6 +126,15 @@
     },
     /// An instance can't be used.
     Skipped(Skipped),
+    /// More than half of an answer's instances can't be used: rather the mapping is wrong than each of them.
+    MostlyUnusable {
+        /// How many can't be used.
+        unusable: usize,
+        /// Of how many.
+        of: usize,
+        /// One of them, and the key at fault there.
+        first: Skipped,
+    },
     /// An id is registered twice, and one of the two is passed over.
     SameId {
         /// The id.
@@ -169,6 +178,13 @@
             }
             Self::Denied { agent, says } => write!(f, "agent {agent} denies the query: {says}"),
             Self::Skipped(s) => write!(f, "{s}"),
+            Self::MostlyUnusable { unusable, of, first } => write!(
+                f,
+                "{unusable} of {of} instances can't be used, as with '{}': {}: {}; see 'consul' in the configuration",
+                first.uid.escape_default(),
+                first.key,
+                first.why
+            ),
             Self::SameId { uid, kept, refused } => write!(
                 f,
                 "id '{uid}' is registered at {kept} and {refused}: the latter is passed over (see 'identity')"
@@ -233,6 +249,8 @@
     backoff: Backoff,
     failed: Option<String>,
     skipped: BTreeSet<(String, String)>,
+    /// More than half of the instances of the last answer could not be used.
+    mostly_unusable: bool,
     doubles: BTreeSet<String>,
     fresh_until: Micros,
     reading: Reading,
@@ -251,6 +269,8 @@
     /// Of an id that is there twice: who keeps it, and who does not.
     doubles: BTreeMap<String, (SocketAddr, SocketAddr)>,
     skipped: BTreeMap<String, Skipped>,
+    /// Instances that can't be used, those that have no id with them.
+    unusable: usize,
     registered: BTreeSet<String>,
 }
 
@@ -275,6 +295,7 @@
             unchanged: 0,
             failed: None,
             skipped: BTreeSet::new(),
+            mostly_unusable: false,
             doubles: BTreeSet::new(),
             fresh_until: 0,
             reading: Reading::default(),
@@ -386,11 +407,12 @@
             return;
         }
         let (asks, mapping, last, known) = (self.asks, &self.mapping, &self.last, &self.read);
-        let Reading { elements, read, named, doubles, skipped, registered: found, .. } = r;
+        let Reading { elements, read, named, doubles, skipped, unusable, registered: found, .. } = r;
         let result = elements.read(bytes, |raw| {
             if asks == Asks::Catalogue {
                 let r = registered(raw)?;
-                found.insert(mapping.uid(&r.node, &r.id));
+                // Left out, it would count as gone: an answer that can't tell which box it names tells nothing.
+                found.insert(mapping.uid(&r.node, &r.id).map_err(|(part, why)| format!("{part:?}: {why}"))?);
                 return Ok(());
             }
             let mut hasher = DefaultHasher::new();
@@ -401,6 +423,7 @@
                 None => match instance(raw).and_then(|i| mapping.report(&i).map_err(Bad::Instance)) {
                     Ok(report) => Arc::new(report),
                     Err(Bad::Instance(s)) => {
+                        *unusable += 1;
                         skipped.insert(s.uid.clone(), s);
                         return Ok(());
                     }
@@ -518,7 +541,13 @@
         if to < from {
             told.notes.push(Note::IndexReset { from, to });
         }
-        let Reading { read, mut named, doubles, skipped, .. } = reading;
+        let Reading { read, mut named, doubles, skipped, unusable, .. } = reading;
+        let of = unusable + named.len() + doubles.len();
+        let mostly = 2 * unusable > of;
+        if let (true, false, Some(first)) = (mostly, self.mostly_unusable, skipped.values().next()) {
+            told.notes.push(Note::MostlyUnusable { unusable, of, first: first.clone() });
+        }
+        self.mostly_unusable = mostly;
         self.read = read;
         for (uid, (kept, refused)) in &doubles {
             if !self.doubles.contains(uid) {
--- a/consul/tests/watch.rs
+++ b/consul/tests/watch.rs
@@ -258,6 +258,107 @@
     assert_eq!(rig.reason("b"), &Reason::Unusable("Service.Port".into()));
 }
 
+type Change = Box<dyn Fn(&mut Value)>;
+
+/// The forms of the API's public pages, and whatever else may stand where the mapping looks for nothing.
+#[test]
+fn what_the_mapping_does_not_need_hides_no_box_in_whatever_form_it_is() {
+    let cases: Vec<(&str, Change)> = vec![
+        (
+            "tagged addresses in small letters",
+            Box::new(|i| {
+                i["Service"]["TaggedAddresses"] = json!({"lan": {"address": "10.1.10.12", "port": 8000},
+                    "wan": {"address": "198.18.1.2", "port": 80}})
+            }),
+        ),
+        ("no tagged addresses", Box::new(|i| i["Service"]["TaggedAddresses"] = Value::Null)),
+        ("tagged by text", Box::new(|i| i["Service"]["TaggedAddresses"] = json!("10.1.10.12"))),
+        ("the node's, as a list", Box::new(|i| i["Node"]["TaggedAddresses"] = json!(["10.1.10.12"]))),
+        ("weights as text", Box::new(|i| i["Service"]["Weights"] = json!({"Passing": "8", "Warning": "1"}))),
+        ("no weights", Box::new(|i| i["Service"]["Weights"] = json!(false))),
+        ("foreign metadata", Box::new(|i| i["Service"]["Meta"]["rack"] = json!({"row": 7}))),
+        ("the node's metadata", Box::new(|i| i["Node"]["Meta"] = json!([1, 2]))),
+        ("a check's notes", Box::new(|i| i["Checks"][0]["Notes"] = json!({"en": "fine"}))),
+        ("a check's id", Box::new(|i| i["Checks"][0]["CheckID"] = json!(17))),
+        ("a check's definition", Box::new(|i| i["Checks"][0]["Definition"] = json!({"Interval": "10s"}))),
+        ("a node's name, where the service names the box", Box::new(|i| i["Node"]["Node"] = json!(4))),
+        ("a proxy's part", Box::new(|i| i["Service"]["Proxy"] = json!({"MeshGateway": {}, "Expose": {}}))),
+        ("a socket", Box::new(|i| i["Service"]["SocketPath"] = json!(""))),
+        ("a node without an address, where the service has one", {
+            Box::new(|i| {
+                i["Service"]["Address"] = "10.1.10.13".into();
+                i["Node"] = json!("n1");
+            })
+        }),
+    ];
+    for (name, change) in cases {
+        let mut rig = Rig::new(|_| {});
+        let mut one = instance("a", 7000, &[("c", "passing")]);
+        change(&mut one);
+        rig.round(5, &[one]);
+        assert_eq!(rig.states(), [("a", State::Ready)], "{name}: {:?}", rig.notes);
+        assert!(rig.notes.is_empty(), "{name}: {:?}", rig.notes);
+    }
+    // Where a tagged address is configured, both spellings are read, and what is wrong there is told by its path.
+    let endpoint = |tagged: Value| {
+        let mut rig = Rig::new(|_| {});
+        let m = Mapping { tagged_address: Some("wan".into()), ..mapping() };
+        rig.watch = Watch::new(Options::default(), m, 7);
+        let mut one = instance("a", 7000, &[]);
+        one["Service"]["TaggedAddresses"] = tagged;
+        rig.round(5, &[one]);
+        match &rig.notes[..] {
+            [.., Note::Skipped(s)] => s.key.clone(),
+            _ => rig.list["a"].entry.endpoint.to_string(),
+        }
+    };
+    assert_eq!(endpoint(json!({"wan": {"address": "192.0.2.9", "port": 81}})), "192.0.2.9:81");
+    assert_eq!(endpoint(json!({"wan": {"Address": "192.0.2.9", "Port": 81}, "lan": 3})), "192.0.2.9:81");
+    assert_eq!(endpoint(json!({"wan": {"address": 7}})), "Service.TaggedAddresses.wan.Address");
+    assert_eq!(endpoint(json!({"wan": {"address": "192.0.2.9"}})), "Service.TaggedAddresses.wan.Port");
+    assert_eq!(endpoint(json!({"wan": "192.0.2.9"})), "Service.TaggedAddresses.wan");
+    assert_eq!(endpoint(json!({})), "192.0.2.12:7000", "the node's");
+}
+
+#[test]
+fn more_than_half_that_can_not_be_used_is_said_once_and_loudly() {
+    let mut rig = Rig::new(|_| {});
+    let mut list = ready(&["a", "b", "c"]);
+    list[0]["Service"]["Port"] = 0.into();
+    rig.round(5, &list);
+    let loud = |rig: &Rig| rig.notes.iter().filter(|n| matches!(n, Note::MostlyUnusable { .. })).count();
+    assert_eq!(loud(&rig), 0, "one of three");
+    (1..3).for_each(|n| list[n]["Service"]["Port"] = json!("none"));
+    for index in 6..9 {
+        rig.round(index, &list);
+        assert_eq!(loud(&rig), 1);
+    }
+    rig.round(9, &ready(&["a", "b", "c"]));
+    rig.round(10, &list);
+    assert_eq!(loud(&rig), 2, "it was well between");
+    // Without an id they can't be told apart, and count each all the same.
+    let mut rig = Rig::new(|_| {});
+    list.iter_mut().for_each(|i| i["Service"]["ID"] = Value::Null);
+    rig.round(5, &list);
+    let note = rig.notes.iter().find(|n| matches!(n, Note::MostlyUnusable { unusable: 3, of: 3, .. }));
+    assert!(note.is_some_and(|n| n.to_string().contains("Service.ID")), "{:?}", rig.notes);
+}
+
+#[test]
+fn a_catalogue_answer_that_can_not_name_a_box_does_not_make_it_gone() {
+    let mut rig = Rig::new(|_| {});
+    rig.round(5, &ready(&["a", "b"]));
+    rig.round(6, &ready(&["a"]));
+    let mut all = catalogue(&["a", "b"]);
+    all[1]["ServiceID"] = json!(7);
+    rig.round(7, &all);
+    assert_eq!(rig.states(), [("a", State::Ready), ("b", State::Draining)]);
+    let mut foreign = catalogue(&["a", "b"]);
+    (foreign[0]["Node"], foreign[1]["ServiceTags"]) = (json!(3), json!("x"));
+    rig.round(8, &foreign);
+    assert_eq!(rig.states(), [("a", State::Ready), ("b", State::Draining)]);
+}
+
 #[test]
 fn one_id_at_two_nodes_stays_with_the_one_that_had_it() {
     let mut rig = Rig::new(|_| {});
@@ -526,11 +627,68 @@
     assert!(now - start < 500_000);
 }
 
+/// Any JSON.
+fn any_json() -> impl Strategy<Value = Value> {
+    let leaf = prop_oneof![
+        Just(Value::Null),
+        any::<bool>().prop_map(Value::from),
+        any::<i64>().prop_map(Value::from),
+        any::<f64>().prop_map(Value::from),
+        ".{0,12}".prop_map(Value::from),
+    ];
+    leaf.prop_recursive(3, 24, 4, |inner| {
+        let key = prop_oneof![Just("Address".to_owned()), Just("address".to_owned()), "[a-z]{0,6}"];
+        prop_oneof![
+            proptest::collection::vec(inner.clone(), 0..4).prop_map(Value::from),
+            proptest::collection::btree_map(key, inner, 0..4)
+                .prop_map(|m| Value::Object(m.into_iter().collect())),
+        ]
+    })
+}
+
+/// Places that the default mapping does not need, of an instance whose service has its own address.
+const NOT_NEEDED: [&[&str]; 14] = [
+    &["Node"],
+    &["Node", "Node"],
+    &["Node", "Address"],
+    &["Node", "Meta"],
+    &["Node", "TaggedAddresses"],
+    &["Service", "TaggedAddresses"],
+    &["Service", "Weights"],
+    &["Service", "Tags"],
+    &["Service", "Proxy"],
+    &["Service", "Meta", "rack"],
+    &["Checks", "0", "CheckID"],
+    &["Checks", "0", "Notes"],
+    &["Checks", "0", "Definition"],
+    &["Unheard"],
+];
+
 proptest! {
     #![proptest_config(ProptestConfig {
         cases: 256, rng_seed: RngSeed::Fixed(0x11ae), failure_persistence: None, ..ProptestConfig::default()
     })]
 
+    /// Whatever stands where nothing is needed, the box stays, and its state is its checks'.
+    #[test]
+    fn any_json_where_nothing_is_needed_leaves_the_box(place in 0..NOT_NEEDED.len(), put in any_json(), fails in any::<bool>()) {
+        let mut one = instance("a", 7000, &[("c", if fails { "critical" } else { "passing" })]);
+        one["Service"]["Address"] = "10.1.10.13".into();
+        let mut at = &mut one;
+        for key in NOT_NEEDED[place] {
+            at = match key.parse::<usize>() {
+                Ok(n) => &mut at[n],
+                Err(_) => &mut at[*key],
+            };
+        }
+        *at = put;
+        let mut rig = Rig::new(|_| {});
+        rig.round(5, &[one]);
+        let state = if fails { State::Draining } else { State::Ready };
+        prop_assert_eq!(rig.states(), [("a", state)], "{:?}", rig.notes);
+        prop_assert_eq!(rig.list["a"].entry.endpoint.to_string(), "10.1.10.13:7000");
+    }
+
     /// Any bytes in a valid answer's place, or in its midst, are an answer or a failure, never a panic, and a failure
     /// changes nothing.
     #[test]
--- a/daemon/src/daemon/feeds/consul/mod.rs
+++ b/daemon/src/daemon/feeds/consul/mod.rs
@@ -125,6 +125,7 @@
             denied |= matches!(note, Note::Denied { .. });
             let level = match note {
                 Note::Back { .. } | Note::Confirmed | Note::IndexReset { .. } => log::Level::Info,
+                Note::MostlyUnusable { .. } => log::Level::Error,
                 _ => log::Level::Warn,
             };
             log::log!(level, source = self.members.source(source); "Consul: {note}");
--- a/daemon/tests/config.rs
+++ b/daemon/tests/config.rs
@@ -1,5 +1,6 @@
 //! Configuration: what is read, what is taken where nothing is said, and messages that name the faulty key.
 
+use linnetknot::{Repeat, Reports, Siblings};
 use linnetknot_daemon::config::Config;
 use linnetknot_daemon::interconnect;
 use linnetknot_rehearse::settings;
@@ -22,6 +23,51 @@
     assert_eq!(config.settings.rules.purge_done_us, 6_050_000);
 }
 
+/// The second deployment: no peers at all, loads in answers only, second copies allowed, writes that must never run
+/// twice, links told. `linnetknot check` takes it as it is.
+#[test]
+fn a_configuration_of_the_second_deployment_is_sound_without_peers() {
+    let config = json!({
+        "name": "n0", "listen": "127.0.0.1:0", "seed": "8c1f30d27a5be964", "bus": "127.0.0.1:8500",
+        "limits": {"cores": 0.2, "memory_mb": 32, "sockets": 256},
+        "known": {"offset": 3, "batch": []},
+        "flow_bytes_per_s": 310_000, "link_bytes_per_s": 1_240_000,
+        "settings": {
+            "categories": [
+                {"name": "media", "aim-us": 600_000, "aim-stretch": 2.0, "deadline-us": 5_000_000, "worth": 2.0,
+                 "late-worth": 0.15, "repeat": "pure"},
+                {"name": "forms", "aim-us": 250_000, "aim-stretch": 2.0, "deadline-us": 2_500_000, "worth": 1.0,
+                 "late-worth": 0.2, "repeat": "pure"},
+                {"name": "activate", "aim-us": 800_000, "deadline-us": 3_000_000, "worth": 3.0, "repeat": "side_effect"},
+            ],
+            "family-info": {"attached-to": [0, 1, 0, 1], "can-join": true, "good-for-us": [0, 12_000_000, 0],
+                "in-pieces": [true, false, false], "may-pass-by": true, "mid-kind": 2, "neighbours": "location",
+                "never-kept": [false, false, true], "note-level": "all", "old-copy-worth": [0.7, 0.7, 0.7],
+                "one-flow-kb-per-s": 9000.0, "parent-cold-from": 0.1, "purge-slack-us": 500_000,
+                "purge-takes-us": 6_000_000, "seats-by-zone": [0, 0, 1, 2], "source-kind": 3,
+                "upper-cold-us": 21_000_000, "upper-fall-multiple": 2.0, "usable-after-us": [0, 10_000_000, 0],
+                "zone-link-kb-per-s": [0.0, 0.0, 81_000.0, 92_000.0]},
+            "kinds": ["small", "large", "parent", "origin"], "localities": ["north", "south", "o-1", "o-2"],
+            "zone": "o-2", "weights": "rough", "discovery": "push", "telemetry": {"source": "inline"},
+            "limits": {"try-limit": 6, "cancel": true, "probing": false, "peers": false, "second-copies": true,
+                "retry-after": true, "max-retry-after-us": 500_000},
+            "rules": {"drain-grace-us": 500_000, "cold-share": 0.15, "ramp-time-us": 18_000_000,
+                "fall-multiple": 4.0, "tip-after-us": 2_000_000},
+        }
+    });
+    let read = read(&config).unwrap();
+    assert!(read.peers.is_none());
+    let s = &read.settings;
+    assert_eq!((s.reports, s.siblings), (Reports::Answers, Siblings::Location));
+    assert_eq!((s.classes[2].repeat, s.classes[2].write), (Repeat::Unsafe, true));
+    assert_eq!((s.rules.drain_grace_us, s.rules.purge_grace_us), (500_000, 500_000));
+    let file = std::env::temp_dir().join(format!("linnetknot-second-{}.json", std::process::id()));
+    std::fs::write(&file, config.to_string()).unwrap();
+    let said = linnetknot_daemon::config::check(std::slice::from_ref(&file));
+    let _ = std::fs::remove_file(&file);
+    assert!(matches!(&said[..], [(_, Ok(_))]), "{said:?}");
+}
+
 #[test]
 fn messages_name_the_faulty_key() {
     for (key, value) in [
