--- /dev/null
+++ b/rehearse/src/fleet.rs
@@ -0,0 +1,198 @@
+//! Several daemons as processes of their own, with gates between every two of them: the ground on which tests and
+//! plays let links fail, peers stand still and processes die in the middle of their work.
+//!
+//! Each proxy has a folder of its own, its disk: what outlives its process. It survives a kill and is lost only where
+//! a test says so.
+
+use crate::boxes::StandIn;
+use crate::bus::{entry, Bus};
+use crate::clients::{call, Answer, WebServer, PATIENCE};
+use crate::gates::Gates;
+use crate::process::Process;
+use crate::settings;
+use rustix::process::{kill_process, Pid, Signal};
+use serde_json::{json, Value};
+use std::io;
+use std::net::{SocketAddr, UdpSocket};
+use std::path::{Path, PathBuf};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Instant;
+
+/// How a process is to come back.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Disk {
+    /// With what it had written.
+    Kept,
+    /// On a new machine: nothing is left.
+    Lost,
+}
+
+/// One proxy of a fleet.
+struct Member {
+    process: Option<Process>,
+    /// A bus of its own: what one proxy is told by the platform, another need not be.
+    bus: Bus,
+    disk: PathBuf,
+    config: Value,
+}
+
+/// Daemons with gates between them, and the boxes and origin that they share.
+pub struct Fleet {
+    daemon: PathBuf,
+    members: Vec<Member>,
+    /// The gates, to set the weather.
+    pub gates: Gates,
+    /// The boxes.
+    pub boxes: Vec<StandIn>,
+    _origin: StandIn,
+    folder: PathBuf,
+}
+
+/// Free ports of the loopback: the sockets are held until all are found, so that no two are the same.
+pub(crate) fn free_ports(n: usize) -> io::Result<Vec<SocketAddr>> {
+    let held = (0..n).map(|_| UdpSocket::bind("127.0.0.1:0")).collect::<io::Result<Vec<_>>>()?;
+    held.iter().map(UdpSocket::local_addr).collect()
+}
+
+impl Fleet {
+    /// Starts so many daemons; the seed draws what their gates do. `change` may alter each one's configuration.
+    pub fn start(
+        daemon: &Path,
+        proxies: usize,
+        seed: u64,
+        change: impl Fn(usize, &mut Value),
+    ) -> io::Result<Self> {
+        static FLEETS: AtomicU64 = AtomicU64::new(0);
+        let n = FLEETS.fetch_add(1, Ordering::Relaxed);
+        let folder = std::env::temp_dir().join(format!("linnetknot-fleet-{}-{n}", std::process::id()));
+        let boxes = ["s-0a", "s-0b"].into_iter().map(StandIn::start).collect::<io::Result<Vec<_>>>()?;
+        let origin = StandIn::start("s-0f")?;
+        let mut targets: Vec<Value> = boxes.iter().map(|b| entry(b, "here", "box", "ready")).collect();
+        targets.push(entry(&origin, "hub", "origin", "ready"));
+        let ports = free_ports(proxies)?;
+        let gates = Gates::between(&ports, seed)?;
+        let mut members = Vec::new();
+        for (n, own) in ports.iter().enumerate() {
+            let bus = Bus::start()?;
+            let disk = folder.join(format!("disk-{n}"));
+            let peer = |p: usize| gates.address((n, p)).unwrap_or(*own).to_string();
+            let known = json!({"offset": 0, "batch": [{"offset": 0, "topology": {"rev": 1, "all": true, "targets": targets}}]});
+            let mut config = json!({
+                "name": format!("p{n}"), "listen": "127.0.0.1:0", "bus": bus.address.to_string(), "known": known,
+                "seed": format!("{:x}", seed * 64 + n as u64 + 1), "settings": settings(),
+                "limits": {"memory_mb": 192, "sockets": 256},
+                "peer_listen": own.to_string(), "peers": (0..proxies).map(peer).collect::<Value>(),
+            });
+            change(n, &mut config);
+            members.push(Member { process: None, bus, disk, config });
+        }
+        let mut fleet = Fleet { daemon: daemon.to_owned(), members, gates, boxes, _origin: origin, folder };
+        (0..proxies).try_for_each(|n| fleet.begin(n))?;
+        Ok(fleet)
+    }
+
+    fn begin(&mut self, n: usize) -> io::Result<()> {
+        let m = &mut self.members[n];
+        std::fs::create_dir_all(&m.disk)?;
+        let own = json!({"cdni": {"listen": "127.0.0.1:0", "provider": "AS64500:0", "base": "http://cdn.example",
+            "footprint": ["127.0.0.0/8"], "purges": m.disk.join("purges").display().to_string()}});
+        m.process = Some(Process::start(&self.daemon, &self.folder, &format!("p{n}"), &m.config, &own)?);
+        Ok(())
+    }
+
+    /// How many proxies there are.
+    pub fn len(&self) -> usize {
+        self.members.len()
+    }
+
+    /// Whether there is none.
+    pub fn is_empty(&self) -> bool {
+        self.members.is_empty()
+    }
+
+    /// The event bus of a proxy.
+    pub fn bus(&self, n: usize) -> &Bus {
+        &self.members[n].bus
+    }
+
+    /// A proxy that runs.
+    pub fn process(&self, n: usize) -> io::Result<&Process> {
+        self.members[n].process.as_ref().ok_or_else(|| io::Error::other(format!("p{n} does not run")))
+    }
+
+    fn signal(&self, n: usize, signal: Signal) -> io::Result<()> {
+        Ok(kill_process(Pid::from_child(&self.process(n)?.child), signal)?)
+    }
+
+    /// A proxy stands still: its process runs no more until it goes on, and knows nothing of it.
+    pub fn stall(&self, n: usize) -> io::Result<()> {
+        self.signal(n, Signal::STOP)
+    }
+
+    /// A proxy goes on where it stood still.
+    pub fn go_on(&self, n: usize) -> io::Result<()> {
+        self.signal(n, Signal::CONT)
+    }
+
+    /// Kills a proxy's process (SIGKILL).
+    pub fn kill(&mut self, n: usize) -> io::Result<()> {
+        // Ending a process kills it and waits for it.
+        self.members[n].process.take().map(drop).ok_or_else(|| io::Error::other(format!("p{n} does not run")))
+    }
+
+    /// Tells a proxy to end (SIGTERM) and waits until it has: whether it ended well.
+    pub fn end(&mut self, n: usize) -> io::Result<bool> {
+        self.signal(n, Signal::TERM)?;
+        match self.members[n].process.take() {
+            Some(mut process) => Ok(process.child.wait()?.success()),
+            None => Ok(false),
+        }
+    }
+
+    /// Starts a proxy again under its name, its process ended before.
+    pub fn restart(&mut self, n: usize, disk: Disk) -> io::Result<()> {
+        if self.members[n].process.is_some() {
+            return Err(io::Error::other(format!("p{n} still runs")));
+        }
+        if disk == Disk::Lost {
+            match std::fs::remove_dir_all(&self.members[n].disk) {
+                Err(e) if e.kind() != io::ErrorKind::NotFound => return Err(e),
+                _ => {}
+            }
+        }
+        self.begin(n)
+    }
+
+    /// Asks a proxy for a photo.
+    pub fn ask(&self, n: usize, object: &str) -> io::Result<Answer> {
+        let mut web = WebServer::connect(self.process(n)?.front)?;
+        web.ask(1, "photo", object, 2500)?;
+        web.end()?.1.ok_or_else(|| io::Error::other("it was aborted"))
+    }
+
+    /// A neighbour tells one proxy to purge a photo: the status of its answer.
+    pub fn purge(&self, n: usize, object: &str) -> io::Result<u16> {
+        let url = format!("http://cdn.example/content/photo/{object}");
+        let command = json!({"trigger": {"type": "purge", "content.urls": [url]}, "cdn-path": ["AS64501:0"]});
+        Ok(call(self.process(n)?.cdni, "POST", "/cdni/triggers", &command.to_string())?.status)
+    }
+
+    /// Asks a proxy for a photo until the copy that it serves is a newer one than this, or patience ends: whether it
+    /// is.
+    pub fn serves_newer(&self, n: usize, object: &str, than: u64) -> io::Result<bool> {
+        let start = Instant::now();
+        while start.elapsed() < PATIENCE {
+            if self.ask(n, object)?.made().is_some_and(|made| made > than) {
+                return Ok(true);
+            }
+        }
+        Ok(false)
+    }
+}
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        self.members.iter_mut().for_each(|m| m.process = None);
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
--- /dev/null
+++ b/rehearse/src/gates/stream.rs
@@ -0,0 +1,229 @@
+//! A gate for streams: connections to its address go on to another, each direction by its own weather.
+
+use super::weather::{Flow, Pass, Weather};
+use crate::stand_ins::served::unix_us;
+use rustix::net::sockopt;
+use std::io::{self, Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::thread;
+use std::time::Duration;
+
+/// How often a direction that stands still is looked at again.
+const LOOK: Duration = Duration::from_millis(2);
+const CHUNK: usize = 16 << 10;
+
+/// Weather there and back.
+#[derive(Clone, Copy, Debug, Default)]
+struct Both {
+    there: Weather,
+    back: Weather,
+}
+
+/// A gate in front of an address.
+pub struct StreamGate {
+    /// Where to connect in place of the address behind it.
+    pub address: SocketAddr,
+    weather: Arc<Mutex<Both>>,
+    over: Arc<AtomicBool>,
+}
+
+impl StreamGate {
+    /// A clear gate in front of an address.
+    pub fn to(behind: SocketAddr) -> io::Result<Self> {
+        let listener = TcpListener::bind("127.0.0.1:0")?;
+        let address = listener.local_addr()?;
+        let weather = Arc::new(Mutex::new(Both::default()));
+        let over = Arc::new(AtomicBool::new(false));
+        let (shared, ended) = (weather.clone(), over.clone());
+        thread::spawn(move || {
+            for near in listener.incoming().flatten() {
+                if ended.load(Ordering::Relaxed) {
+                    return;
+                }
+                let (shared, ended) = (shared.clone(), ended.clone());
+                thread::spawn(move || join(near, behind, &shared, &ended));
+            }
+        });
+        Ok(StreamGate { address, weather, over })
+    }
+
+    /// Sets the weather from who connects to who is behind, for all connections.
+    pub fn there(&self, weather: Weather) {
+        self.weather.lock().unwrap_or_else(PoisonError::into_inner).there = weather;
+    }
+
+    /// Sets the weather from who is behind to who connects, for all connections.
+    pub fn back(&self, weather: Weather) {
+        self.weather.lock().unwrap_or_else(PoisonError::into_inner).back = weather;
+    }
+}
+
+impl Drop for StreamGate {
+    fn drop(&mut self) {
+        self.over.store(true, Ordering::Relaxed);
+        // Wakes the listener, so that it ends too.
+        let _ = TcpStream::connect(self.address);
+    }
+}
+
+/// Joins a connection with one to the address behind.
+fn join(
+    near: TcpStream,
+    behind: SocketAddr,
+    weather: &Arc<Mutex<Both>>,
+    over: &Arc<AtomicBool>,
+) -> Option<()> {
+    let now = || *weather.lock().unwrap_or_else(PoisonError::into_inner);
+    // Whoever is half-open takes connections and does nothing with them; over a cut link they never come up.
+    while now().there.half_open || now().there.cut {
+        if over.load(Ordering::Relaxed) {
+            return None;
+        }
+        thread::sleep(LOOK);
+    }
+    let far = TcpStream::connect(behind).ok()?;
+    let (near_in, far_in) = (near.try_clone().ok()?, far.try_clone().ok()?);
+    let (shared, ended) = (weather.clone(), over.clone());
+    thread::spawn(move || {
+        let now = || shared.lock().unwrap_or_else(PoisonError::into_inner).back;
+        pump(far_in, near_in, now, &ended);
+    });
+    pump(near, far, || now().there, over);
+    Some(())
+}
+
+/// Ends a connection with a reset.
+fn reset(socket: &TcpStream) {
+    let _ = sockopt::set_socket_linger(socket, Some(Duration::ZERO));
+    let _ = socket.shutdown(Shutdown::Both);
+}
+
+/// Passes what comes on until one side ends it.
+fn pump(mut from: TcpStream, mut to: TcpStream, weather: impl Fn() -> Weather, over: &AtomicBool) {
+    let mut flow = Flow::default();
+    let mut bytes = vec![0; CHUNK];
+    let _ = from.set_read_timeout(Some(Duration::from_millis(50)));
+    while !over.load(Ordering::Relaxed) {
+        let now = weather();
+        // Asked before it is read: what stands still here fills the sender's window, as on a real link.
+        let most = match flow.may(unix_us(), &now, CHUNK) {
+            Pass::Bytes(n) => n,
+            Pass::Nothing => {
+                thread::sleep(LOOK);
+                continue;
+            }
+            Pass::Reset => {
+                reset(&from);
+                reset(&to);
+                return;
+            }
+        };
+        match from.read(&mut bytes[..most]) {
+            Ok(0) => {
+                let _ = to.shutdown(Shutdown::Write);
+                return;
+            }
+            Ok(n) => {
+                if now.delay_ms + now.jitter_ms > 0.0 {
+                    thread::sleep(Duration::from_micros(((now.delay_ms + now.jitter_ms / 2.0) * 1e3) as u64));
+                }
+                if to.write_all(&bytes[..n]).is_err() {
+                    let _ = from.shutdown(Shutdown::Both);
+                    return;
+                }
+                flow.passed(n);
+            }
+            Err(e) if matches!(e.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::TimedOut) => {}
+            Err(_) => {
+                reset(&to);
+                return;
+            }
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// A gate in front of a server that sends everything back, and a connection through it.
+    fn through() -> (StreamGate, TcpStream) {
+        let server = TcpListener::bind("127.0.0.1:0").unwrap();
+        let gate = StreamGate::to(server.local_addr().unwrap()).unwrap();
+        thread::spawn(move || {
+            for mut socket in server.incoming().flatten() {
+                thread::spawn(move || {
+                    let mut back = socket.try_clone().unwrap();
+                    let _ = io::copy(&mut socket, &mut back);
+                });
+            }
+        });
+        let near = TcpStream::connect(gate.address).unwrap();
+        near.set_read_timeout(Some(Duration::from_secs(10))).unwrap();
+        (gate, near)
+    }
+
+    fn echo(near: &mut TcpStream, text: &[u8]) -> io::Result<Vec<u8>> {
+        near.write_all(text)?;
+        let mut got = vec![0; text.len()];
+        near.read_exact(&mut got).map(|()| got)
+    }
+
+    #[test]
+    fn a_clear_gate_passes_all_both_ways_and_tells_the_end() {
+        let (_gate, mut near) = through();
+        let text = vec![7; 200_000];
+        let mut other = near.try_clone().unwrap();
+        let sent = text.clone();
+        let sender =
+            thread::spawn(move || other.write_all(&sent).and_then(|()| other.shutdown(Shutdown::Write)));
+        let mut got = Vec::new();
+        near.read_to_end(&mut got).unwrap();
+        sender.join().unwrap().unwrap();
+        assert_eq!(got, text);
+    }
+
+    #[test]
+    fn over_a_cut_nothing_comes_and_all_of_it_once_that_is_over() {
+        let (gate, mut near) = through();
+        assert_eq!(echo(&mut near, b"clear").unwrap(), b"clear");
+        gate.back(Weather::CUT);
+        near.set_read_timeout(Some(Duration::from_millis(200))).unwrap();
+        // What the gate was reading when it was cut may still pass; the next does not.
+        let _ = echo(&mut near, b"a");
+        let lost = echo(&mut near, b"b").unwrap_err().kind();
+        assert!(matches!(lost, io::ErrorKind::WouldBlock | io::ErrorKind::TimedOut), "{lost}");
+        gate.back(Weather::default());
+        near.set_read_timeout(Some(Duration::from_secs(10))).unwrap();
+        let mut got = [0];
+        while got != *b"b" {
+            near.read_exact(&mut got).unwrap();
+        }
+    }
+
+    #[test]
+    fn a_reset_comes_in_the_midst_of_a_frame() {
+        let (gate, mut near) = through();
+        gate.there(Weather { reset_after: 10, ..Weather::default() });
+        let mut got = Vec::new();
+        near.write_all(b"twelve bytes").unwrap();
+        let end = near.read_to_end(&mut got).map_err(|e| e.kind());
+        assert!(got.len() <= 10, "{got:?}");
+        assert!(
+            !matches!(end, Err(io::ErrorKind::WouldBlock | io::ErrorKind::TimedOut)),
+            "it ended: {end:?}"
+        );
+    }
+
+    #[test]
+    fn a_half_open_gate_takes_a_connection_and_says_nothing() {
+        let (gate, _) = through();
+        gate.there(Weather { half_open: true, ..Weather::default() });
+        let mut near = TcpStream::connect(gate.address).unwrap();
+        near.set_read_timeout(Some(Duration::from_millis(200))).unwrap();
+        let silent = echo(&mut near, b"hello").unwrap_err().kind();
+        assert!(matches!(silent, io::ErrorKind::WouldBlock | io::ErrorKind::TimedOut), "{silent}");
+    }
+}
--- a/rehearse/src/lib.rs
+++ b/rehearse/src/lib.rs
@@ -6,6 +6,8 @@
 pub mod boxes;
 pub mod bus;
 pub mod clients;
+pub mod fleet;
+pub mod gates;
 pub mod latency;
 pub mod load;
 mod play;
--- a/rehearse/src/player.rs
+++ b/rehearse/src/player.rs
@@ -2,6 +2,8 @@
 
 use crate::bus::Bus;
 use crate::clients::WebServer;
+use crate::fleet::free_ports;
+use crate::gates::Gates;
 use crate::latency::{waits, Waits};
 use crate::load::{group, plan, Arrival, Plan};
 use crate::process::Process;
@@ -241,6 +243,12 @@
 /// The proxies' processes, and what it takes to start one again.
 struct Proxies {
     running: Vec<Option<Process>>,
+    /// Those that stand still: they run, and nobody goes to them.
+    frozen: Vec<bool>,
+    /// Of those that have peers: what stands between them.
+    gates: Option<Gates>,
+    /// The operators' own file of each.
+    own: Value,
     /// Told to end; a restart waits for the end.
     ending: Vec<Option<Process>>,
     configs: Vec<Value>,
@@ -259,7 +267,8 @@
     fn route(&self, proxy: usize) -> Option<usize> {
         // Up: its process runs, neither killed nor told to end, or started again since.
         let (running, all) = (&self.proxies.running, self.proxies.running.len());
-        (0..all).map(|k| (proxy + k) % all).find(|p| running[*p].is_some())
+        let takes = |p: &usize| running[*p].is_some() && !self.proxies.frozen[*p];
+        (0..all).map(|k| (proxy + k) % all).find(takes)
     }
 
     /// What is open at the proxies that `at` picks is owed no more from `now`: its client has left, or the rehearsal
@@ -278,7 +287,33 @@
     /// Carries out a step on a proxy's process.
     fn process(&mut self, now: Micros, step: &Step) -> io::Result<()> {
         let p = &mut self.proxies;
+        let signal = |p: &Proxies, n: usize, signal| match &p.running[n] {
+            Some(process) => {
+                Ok(rustix::process::kill_process(rustix::process::Pid::from_child(&process.child), signal)?)
+            }
+            None => io::Result::Ok(()),
+        };
         match *step {
+            Step::Freeze(n) => {
+                signal(p, n, rustix::process::Signal::STOP)?;
+                p.frozen[n] = true;
+                // Whoever stands still can answer nobody: its clients turn to the next one.
+                self.release(now, |proxy| proxy == n);
+                self.connections[n].clear();
+            }
+            Step::Thaw(n) => {
+                signal(p, n, rustix::process::Signal::CONT)?;
+                p.frozen[n] = false;
+            }
+            Step::Links(ref which, weather, one_way) => {
+                for (a, b) in p.gates.iter().flat_map(Gates::directions) {
+                    let sends = which.contains(&a) && !which.contains(&b);
+                    let hears = which.contains(&b) && !which.contains(&a);
+                    if let (true, Some(gates)) = (sends || hears && !one_way, &p.gates) {
+                        gates.set((a, b), weather);
+                    }
+                }
+            }
             Step::Kill(n) => {
                 if let Some(mut process) = p.running[n].take() {
                     process.child.kill()?;
@@ -303,11 +338,12 @@
                 let mut config = p.configs[n].clone();
                 config["listen"] = self.fronts[n].to_string().into();
                 let (daemon, folder, tell) = (p.daemon.clone(), p.folder.clone(), p.back.0.clone());
+                let own = p.own.clone();
                 thread::spawn(move || {
                     if let Some(mut old) = ending {
                         let _ = old.child.wait();
                     }
-                    let started = Process::start(&daemon, &folder, &format!("p{n}"), &config, &json!({}));
+                    let started = Process::start(&daemon, &folder, &format!("p{n}"), &config, &own);
                     let _ = tell.send((n, started));
                 });
             }
@@ -452,6 +488,7 @@
             while let Some((_, step)) = steps.get(done).filter(|s| start + s.0 <= now) {
                 match step {
                     Step::Kill(_) | Step::Term(_) | Step::Restart(_) => self.process(now, step)?,
+                    Step::Freeze(_) | Step::Thaw(_) | Step::Links(..) => self.process(now, step)?,
                     _ => due(Due::Step(step)),
                 }
                 done += 1;
@@ -554,15 +591,23 @@
             "capacity_hint": capacity, "boot_ms": boot_ms})
     };
     let (mut running, mut configs) = (Vec::new(), Vec::new());
+    let ports = if scenario.peers { free_ports(proxies)? } else { Vec::new() };
+    let gates = scenario.peers.then(|| Gates::between(&ports, seed)).transpose()?;
+    // Nothing else of the operators' own file: a rehearsal is of the platform's side.
+    let own = if scenario.peers { json!({"peers": {"tell": true}}) } else { json!({}) };
     for (n, bus) in buses.iter().enumerate() {
         let targets = nodes.iter().map(|node| listed(n, node, "ready", 0)).collect::<Value>();
         let known = json!({"offset": 0, "batch": [{"offset": 0, "topology": {"rev": 1, "all": true,
             "targets": targets}}]});
-        let config = json!({"name": format!("p{n}"), "listen": "127.0.0.1:0", "seed": format!("{:x}", seed * 64 + n as u64 + 1),
+        let mut config = json!({"name": format!("p{n}"), "listen": "127.0.0.1:0", "seed": format!("{:x}", seed * 64 + n as u64 + 1),
             "bus": bus.address.to_string(), "known": known, "settings": settings(scenario),
             "limits": {"memory_mb": 192, "sockets": 1024}});
-        // Nothing of the operators' own file: a rehearsal is of the platform's side.
-        running.push(Some(Process::start(daemon, folder, &format!("p{n}"), &config, &json!({}))?));
+        if let Some(gates) = &gates {
+            let peer = |p: usize| gates.address((n, p)).unwrap_or(ports[n]).to_string();
+            config["peer_listen"] = ports[n].to_string().into();
+            config["peers"] = (0..proxies).map(peer).collect();
+        }
+        running.push(Some(Process::start(daemon, folder, &format!("p{n}"), &config, &own)?));
         configs.push(config);
     }
     let fronts: Vec<SocketAddr> = running.iter().flatten().map(|p| p.front).collect();
@@ -573,6 +618,9 @@
         fronts,
         proxies: Proxies {
             running,
+            frozen: vec![false; proxies],
+            gates,
+            own,
             ending: (0..proxies).map(|_| None).collect(),
             configs,
             daemon: daemon.to_owned(),
--- a/rehearse/src/scenario.rs
+++ b/rehearse/src/scenario.rs
@@ -1,5 +1,6 @@
 //! The form of a scenario: JSON, read with the path of the key at fault, its JSON Schema made from the types.
 
+use crate::gates::Weather;
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
 
@@ -20,6 +21,9 @@
     /// The boxes, hub caches and origin behind the proxies; the figures of a small site where left out.
     #[serde(default)]
     pub site: SiteForm,
+    /// The proxies talk to each other, as peers on the platform do, each pair through a gate of the kit's own.
+    #[serde(default)]
+    pub peers: bool,
     /// What goes wrong, and when.
     #[serde(default)]
     pub faults: Vec<Fault>,
@@ -237,6 +241,29 @@
         #[serde(default)]
         first: u32,
     },
+    /// Proxies stand still (SIGSTOP) for as long as the fault lasts, and then go on as if nothing had been. Clients go
+    /// to the next proxy meanwhile; what they had open is lost to them.
+    ProxyStalled {
+        /// How many.
+        proxies: u32,
+        /// The place of the first of them, from 0.
+        #[serde(default)]
+        first: u32,
+    },
+    /// The links between these proxies and all others have this weather for as long as the fault lasts; needs
+    /// `peers`.
+    Links {
+        /// How many.
+        proxies: u32,
+        /// The place of the first of them, from 0.
+        #[serde(default)]
+        first: u32,
+        /// What the links do.
+        weather: Weather,
+        /// Only what these proxies send, not what is sent to them.
+        #[serde(default)]
+        one_way: bool,
+    },
     /// Proxies are told to end (SIGTERM) under load: what they took is still theirs to answer. Where the fault lasts,
     /// each is started again after it, once it has ended.
     ProxyStopped {
@@ -329,7 +356,22 @@
                 }
                 What::SlowOrigin { times } => within(key("what.slow-origin.times"), *times, 1.0, 1000.0)?,
                 What::BusBreaks => {}
-                What::ProxyKilled { proxies, first } | What::ProxyStopped { proxies, first } => {
+                What::ProxyKilled { proxies, first }
+                | What::ProxyStopped { proxies, first }
+                | What::ProxyStalled { proxies, first }
+                | What::Links { proxies, first, .. } => {
+                    if let What::Links { weather, .. } = &f.what {
+                        weather.check().map_err(|e| format!("{}.{e}", key("what.links.weather")))?;
+                        if !self.peers {
+                            return Err(format!(
+                                "{}: the proxies have no links: 'peers' is off",
+                                key("what.links")
+                            ));
+                        }
+                    }
+                    if matches!(f.what, What::ProxyStalled { .. }) && f.lasts <= 0.0 {
+                        return Err(format!("{}: a stall must end", key("lasts")));
+                    }
                     let all = f64::from(self.proxies);
                     within(key("what.first"), f64::from(*first), 0.0, all - 1.0)?;
                     within(key("what.proxies"), f64::from(*proxies), 1.0, all - f64::from(*first))?;
--- a/rehearse/src/shipped.rs
+++ b/rehearse/src/shipped.rs
@@ -3,7 +3,7 @@
 use crate::scenario::Scenario;
 
 /// Each shipped scenario: its name and its file.
-pub const SHIPPED: [(&str, &str); 9] = [
+pub const SHIPPED: [(&str, &str); 10] = [
     ("calm", include_str!("../scenarios/calm.json")),
     ("chuseok-evening", include_str!("../scenarios/chuseok-evening.json")),
     ("stalled-box", include_str!("../scenarios/stalled-box.json")),
@@ -13,6 +13,7 @@
     ("half-crash", include_str!("../scenarios/half-crash.json")),
     ("rolling-restart", include_str!("../scenarios/rolling-restart.json")),
     ("mass-purge", include_str!("../scenarios/mass-purge.json")),
+    ("links-lost", include_str!("../scenarios/links-lost.json")),
 ];
 
 /// A shipped scenario by its name; none where there is no such one.
--- a/rehearse/src/timetable.rs
+++ b/rehearse/src/timetable.rs
@@ -3,6 +3,7 @@
 //! Sans-IO: the player carries each step out on the served world and the event buses. Steps come in the order of
 //! their time; of two at one time, in the order of the faults that make them.
 
+use crate::gates::Weather;
 use crate::record::Micros;
 use crate::scenario::{Scenario, What};
 
@@ -27,6 +28,13 @@
     Term(usize),
     /// A proxy is started again, once its process has ended.
     Restart(usize),
+    /// A proxy's process stands still.
+    Freeze(usize),
+    /// It goes on.
+    Thaw(usize),
+    /// The links of these proxies with all others have this weather from now on; only those away from them where
+    /// it is one way.
+    Links(Vec<usize>, Weather, bool),
 }
 
 /// The uid of the box at this place; the player names boxes so.
@@ -66,6 +74,17 @@
                     end.into_iter().flat_map(|end| which.clone().map(move |n| (end, Step::Restart(n)))),
                 );
             }
+            What::ProxyStalled { proxies, first } => {
+                for n in (*first..first + proxies).map(|n| n as usize) {
+                    steps.push((at, Step::Freeze(n)));
+                    steps.extend(end.map(|end| (end, Step::Thaw(n))));
+                }
+            }
+            What::Links { proxies, first, weather, one_way } => {
+                let which: Vec<usize> = (*first..first + proxies).map(|n| n as usize).collect();
+                steps.extend(end.map(|end| (end, Step::Links(which.clone(), Weather::default(), *one_way))));
+                steps.push((at, Step::Links(which, *weather, *one_way)));
+            }
             What::MassPurge { .. } | What::HotObject { .. } => {}
         }
     }
@@ -95,6 +114,8 @@
             fault(15.0, 0.0, What::BusBreaks),
             fault(16.0, 2.0, What::ProxyKilled { proxies: 2, first: 1 }),
             fault(17.0, 0.0, What::ProxyStopped { proxies: 1, first: 0 }),
+            fault(20.0, 2.0, What::ProxyStalled { proxies: 1, first: 2 }),
+            fault(21.0, 3.0, What::Links { proxies: 1, first: 0, weather: Weather::CUT, one_way: true }),
         ]);
         let steps = timetable(&scenario);
         let (a, b) = (box_uid(0), box_uid(1));
@@ -115,6 +136,10 @@
                 (17_000_000, Step::Term(0)),
                 (18_000_000, Step::Restart(1)),
                 (18_000_000, Step::Restart(2)),
+                (20_000_000, Step::Freeze(2)),
+                (21_000_000, Step::Links(vec![0], Weather::CUT, true)),
+                (22_000_000, Step::Thaw(2)),
+                (24_000_000, Step::Links(vec![0], Weather::default(), true)),
             ]
         );
         assert_eq!(timetable(&with(vec![])), []);
@@ -130,6 +155,18 @@
         text["faults"] = serde_json::json!([{"at": 1, "what": {"box-stalls": {"boxes": 3, "first": 10}}}]);
         let message = Scenario::read(&text.to_string()).unwrap_err();
         assert!(message.starts_with("faults[0].what.boxes: 3 is not from 1 to 2"), "{message}");
+        let links = |weather: serde_json::Value| serde_json::json!([{"at": 1, "lasts": 1, "what": {"links": {"proxies": 1, "weather": weather}}}]);
+        text["faults"] = links(serde_json::json!({"drop": 0.5}));
+        let message = Scenario::read(&text.to_string()).unwrap_err();
+        assert!(message.starts_with("faults[0].what.links: the proxies have no links"), "{message}");
+        text["peers"] = true.into();
+        assert!(Scenario::read(&text.to_string()).is_ok());
+        text["faults"] = links(serde_json::json!({"drop": 7}));
+        let message = Scenario::read(&text.to_string()).unwrap_err();
+        assert!(message.starts_with("faults[0].what.links.weather.drop: 7 is not from 0 to 1"), "{message}");
+        text["faults"] = serde_json::json!([{"at": 1, "what": {"proxy-stalled": {"proxies": 1}}}]);
+        let message = Scenario::read(&text.to_string()).unwrap_err();
+        assert!(message.starts_with("faults[0].lasts: a stall must end"), "{message}");
         text["faults"] = serde_json::json!([{"at": 1, "what": {"proxy-killed": {"proxies": 1, "first": 3}}}]);
         let message = Scenario::read(&text.to_string()).unwrap_err();
         assert!(message.starts_with("faults[0].what.first: 3 is not from 0 to 2"), "{message}");
