Close a stand-in's listener with its last holder, so that long series leave no sockets

Ruled out: connections (their threads end with the daemons).

Change: listen gives a holder that shuts the socket when it goes; the accept loop ends then. 'one out' says by how much the attempts overlap.

--- a/rehearse/src/boxes.rs
+++ b/rehearse/src/boxes.rs
@@ -1,6 +1,6 @@
 //! Stand-in boxes: they keep copies, honour the age that is asked for, and write down all that reaches them.
 
-use crate::{listen, read_commands, unix_ms};
+use crate::{listen, read_commands, unix_ms, Listening};
 use linnetknot_daemon::wire::resp;
 use std::collections::BTreeMap;
 use std::io::{self, Write};
@@ -65,6 +65,8 @@
     /// Where it listens.
     pub address: SocketAddr,
     state: Shared,
+    /// Held by all that it was cloned to, not by the threads that serve it.
+    _listening: Option<Arc<Listening>>,
 }
 
 impl StandIn {
@@ -77,14 +79,15 @@
     pub fn start_at(uid: &'static str, address: &str) -> io::Result<Self> {
         let state = Shared::default();
         let served = state.clone();
-        let address = listen(address, move |socket| {
-            let stand_in = StandIn { uid, address: socket.local_addr().ok()?, state: served.clone() };
+        let listening = listen(address, move |socket| {
+            let stand_in =
+                StandIn { uid, address: socket.local_addr().ok()?, state: served.clone(), _listening: None };
             stand_in.state().connections += 1;
             let served = stand_in.serve(socket);
             stand_in.state().ended += 1;
             served
         })?;
-        Ok(StandIn { uid, address, state })
+        Ok(StandIn { uid, address: listening.address, state, _listening: Some(Arc::new(listening)) })
     }
 
     fn state(&self) -> MutexGuard<'_, State> {
--- a/rehearse/src/bus.rs
+++ b/rehearse/src/bus.rs
@@ -1,7 +1,7 @@
 //! A stand-in event bus.
 
 use crate::boxes::StandIn;
-use crate::listen;
+use crate::{listen, Listening};
 use serde_json::{json, Value};
 use std::io::{self, Read, Write};
 use std::net::{SocketAddr, TcpStream};
@@ -23,6 +23,8 @@
     /// Where it listens.
     pub address: SocketAddr,
     state: Shared,
+    /// Held by all that it was cloned to, not by the threads that serve it.
+    _listening: Option<Arc<Listening>>,
 }
 
 /// An entry of the list of boxes.
@@ -38,11 +40,11 @@
     pub fn start() -> io::Result<Self> {
         let state = Shared::default();
         let served = state.clone();
-        let address = listen("127.0.0.1:0", move |socket| {
+        let listening = listen("127.0.0.1:0", move |socket| {
             let address = socket.local_addr()?;
-            Bus { address, state: served.clone() }.serve(socket)
+            Bus { address, state: served.clone(), _listening: None }.serve(socket)
         })?;
-        Ok(Bus { address, state })
+        Ok(Bus { address: listening.address, state, _listening: Some(Arc::new(listening)) })
     }
 
     fn state(&self) -> MutexGuard<'_, State> {
--- a/rehearse/src/rules/attempts.rs
+++ b/rehearse/src/rules/attempts.rs
@@ -18,8 +18,13 @@
         let mut before: Option<&Attempt> = None;
         for a in of {
             if let Some(b) = before.filter(|b| b.ended.is_none_or(|(end, _)| end > a.at)) {
-                let since = a.at - b.at;
-                out.push(breach("one out", a, format!("one at {} has been out for {since} us", b.target)));
+                let more = match b.ended {
+                    Some((end, how)) => format!("for {} us more ({how:?})", end - a.at),
+                    None => "for good".to_owned(),
+                };
+                let evidence =
+                    format!("one at {} has been out for {} us and is {more}", b.target, a.at - b.at);
+                out.push(breach("one out", a, evidence));
             }
             if before.is_none_or(|b| b.ended.is_some_and(|b| a.ended.is_none_or(|a| a.0 >= b.0))) {
                 before = Some(a);
--- a/rehearse/src/stand_ins/consul.rs
+++ b/rehearse/src/stand_ins/consul.rs
@@ -1,7 +1,7 @@
 //! A stand-in Consul agent: the health, catalogue and agent endpoints of the HTTP API, with the shapes, headers and
 //! blocking queries of its pages, and the ways in which an agent fails.
 
-use crate::listen;
+use crate::{listen, Listening};
 use serde_json::{json, Value};
 use std::collections::BTreeMap;
 use std::io::{self, Read, Write};
@@ -73,6 +73,8 @@
     /// Where it listens.
     pub address: SocketAddr,
     state: Shared,
+    /// Held by all that it was cloned to, not by the threads that serve it.
+    _listening: Option<Arc<Listening>>,
 }
 
 /// An instance with the node's check and one of its own.
@@ -100,11 +102,11 @@
         let state = Shared::default();
         state.0.lock().unwrap_or_else(PoisonError::into_inner).index = 1;
         let served = state.clone();
-        let address = listen("127.0.0.1:0", move |socket| {
+        let listening = listen("127.0.0.1:0", move |socket| {
             let address = socket.local_addr()?;
-            Agent { address, state: served.clone() }.serve(socket)
+            Agent { address, state: served.clone(), _listening: None }.serve(socket)
         })?;
-        Ok(Agent { address, state })
+        Ok(Agent { address: listening.address, state, _listening: Some(Arc::new(listening)) })
     }
 
     fn state(&self) -> MutexGuard<'_, State> {
--- a/rehearse/src/stand_ins/served.rs
+++ b/rehearse/src/stand_ins/served.rs
@@ -3,7 +3,7 @@
 
 use super::world::{Fetch, Out, World};
 use crate::record::Micros;
-use crate::{listen, read_commands};
+use crate::{listen, read_commands, Listening};
 use linnetknot_daemon::wire::resp;
 use std::collections::{BTreeMap, HashMap};
 use std::io::{self, Write};
@@ -45,6 +45,7 @@
     pub addresses: BTreeMap<(usize, String), SocketAddr>,
     tell: Sender<Message>,
     world: JoinHandle<World>,
+    _listeners: Vec<Listening>,
 }
 
 /// Unix time in microseconds.
@@ -57,11 +58,11 @@
     pub fn start(world: World, nodes: &[String], proxies: usize, knows: Knows) -> io::Result<Self> {
         let (tell, told) = mpsc::channel();
         let next = Arc::new(AtomicU64::new(1));
-        let mut addresses = BTreeMap::new();
+        let (mut addresses, mut listeners) = (BTreeMap::new(), Vec::new());
         for proxy in 0..proxies {
             for node in nodes {
                 let (tell, next, name) = (tell.clone(), next.clone(), node.clone());
-                let address = listen("127.0.0.1:0", move |socket: TcpStream| {
+                let listening = listen("127.0.0.1:0", move |socket: TcpStream| {
                     let connection = next.fetch_add(1, Ordering::Relaxed);
                     socket.set_nodelay(true).ok()?;
                     tell.send(Message::Opened(connection, name.clone(), socket.try_clone().ok()?)).ok()?;
@@ -71,7 +72,8 @@
                     });
                     tell.send(Message::Closed(connection)).ok()
                 })?;
-                addresses.insert((proxy, node.clone()), address);
+                addresses.insert((proxy, node.clone()), listening.address);
+                listeners.push(listening);
             }
         }
         let world = thread::spawn(move || {
@@ -88,7 +90,7 @@
                 }
             }
         });
-        Ok(Served { addresses, tell, world })
+        Ok(Served { addresses, tell, world, _listeners: listeners })
     }
 
     /// Changes the world.
