Copy neighbours' purges between daemons, and let tests end them at named points

Need: daemon/tests/between.rs showed that a proxy behind a cut, one that was away and one whose disk is lost never hear of a purge.

A log goes on in its life only where its file was closed in order: after a crash a place in it could be given twice. daemon/src/points.rs: named points at which a process dies or stands still, by the feature 'points', which the tests' own dependency turns on and no release build has (the fail crate).

Tested with several processes of the program: a one-way cut, a process that was away, a writer that lost its disk, a split of 2 and 3 with restarts on both sides, each purge once in each file, and a writer that dies before its line, after it and after it told its peers, with its disk and without: what was answered 201 holds at all, anything else at all or at none.

--- a/copies/src/lib.rs
+++ b/copies/src/lib.rs
@@ -120,7 +120,16 @@
     /// The logs of a proxy: its own goes on in this life, behind what `book` holds of it.
     pub fn new(own: Log, book: Book, seed: u64, options: Options) -> Self {
         let random = seed ^ own.0.rotate_left(17) ^ own.1 | 1;
-        Copies { own, book, options, random, due: 0, allowance: options.per_period, next: None, tally: Tally::default() }
+        Copies {
+            own,
+            book,
+            options,
+            random,
+            due: 0,
+            allowance: options.per_period,
+            next: None,
+            tally: Tally::default(),
+        }
     }
 
     /// What it has.
@@ -176,7 +185,8 @@
     fn some_ends(&mut self) -> Vec<(Log, Seq)> {
         let all = self.book.ends();
         let from = self.next.and_then(|next| all.iter().position(|(log, _)| *log >= next)).unwrap_or(0);
-        let some: Vec<_> = all.iter().cycle().skip(from).take(all.len().min(wire::MOST_ENDS)).copied().collect();
+        let some: Vec<_> =
+            all.iter().cycle().skip(from).take(all.len().min(wire::MOST_ENDS)).copied().collect();
         self.next = all.get((from + some.len()) % all.len().max(1)).map(|(log, _)| *log);
         some
     }
@@ -194,7 +204,8 @@
                 if ends.len() as u64 == all {
                     // Logs that the peer does not have at all.
                     let logs = self.book.ends().into_iter().map(|(log, _)| log);
-                    let lacks: Vec<Log> = logs.filter(|log| !ends.iter().any(|(named, _)| named == log)).collect();
+                    let lacks: Vec<Log> =
+                        logs.filter(|log| !ends.iter().any(|(named, _)| named == log)).collect();
                     lacks.into_iter().for_each(|log| self.send(log, 0, &mut heard.replies));
                 } else if settled {
                     // What it named of its many is the same here: the difference is elsewhere.
--- a/copies/src/wire.rs
+++ b/copies/src/wire.rs
@@ -102,7 +102,9 @@
         if words.next() != Some(MARK) {
             return Err(Unreadable::Version);
         }
-        Self::rest(&mut words).filter(|_| words.next().is_none() && bytes.len() <= MOST).ok_or(Unreadable::Torn)
+        Self::rest(&mut words)
+            .filter(|_| words.next().is_none() && bytes.len() <= MOST)
+            .ok_or(Unreadable::Torn)
     }
 
     fn rest<'a>(words: &mut impl Iterator<Item = &'a str>) -> Option<Self> {
--- a/copies/tests/fleet.rs
+++ b/copies/tests/fleet.rs
@@ -250,7 +250,10 @@
         net.cut.clear();
         net.run(15 * S);
         assert_eq!(net.behind(), 0, "seed {seed}");
-        assert!(net.members.iter().all(|m| m.disk.sum() == net.members[0].disk.sum()), "seed {seed}: one book");
+        assert!(
+            net.members.iter().all(|m| m.disk.sum() == net.members[0].disk.sum()),
+            "seed {seed}: one book"
+        );
     }
 }
 
--- a/daemon/src/config.rs
+++ b/daemon/src/config.rs
@@ -40,6 +40,8 @@
     pub peers: Option<(SocketAddr, Vec<SocketAddr>)>,
     /// Peers are told of an origin that is late, and listened to.
     pub tell: bool,
+    /// Purges that neighbours told are copied from peer to peer until all have them.
+    pub copies: bool,
     /// The second front.
     pub cdni: Option<Cdni>,
     /// Consul as a source of the list.
@@ -151,6 +153,10 @@
         let consul = file.consul.as_ref().map(|c| c.check(&self.settings, &self.name));
         self.consul = consul.transpose()?.flatten();
         self.tell = file.peers.tell;
+        self.copies = file.peers.copies;
+        if self.copies && self.cdni.as_ref().is_none_or(|c| c.purges.is_none()) {
+            return Err("peers.copies: 'cdni.purges' names no file to keep them in".into());
+        }
         self.state = file.state.check()?;
         self.log = file.log.form;
         Ok(())
@@ -174,6 +180,7 @@
             settings: settings(&none)?,
             peers: None,
             tell: false,
+            copies: false,
             cdni: None,
             consul: None,
             state: State::default(),
@@ -194,6 +201,7 @@
             ("settings", self.settings != new.settings),
             ("peer_listen", own(self) != own(new)),
             ("peers.tell", self.tell != new.tell),
+            ("peers.copies", self.copies != new.copies),
             ("cdni", self.cdni != new.cdni),
             ("state", self.state != new.state),
             ("log", self.log != new.log),
@@ -238,6 +246,7 @@
             settings: parsed,
             peers: address(m, "peer_listen")?.map(|own| (own, peers)),
             tell: false,
+            copies: false,
             cdni: None,
             consul: None,
             state: State::default(),
--- a/daemon/src/daemon/feeds/peers.rs
+++ b/daemon/src/daemon/feeds/peers.rs
@@ -2,9 +2,11 @@
 
 use crate::core::TRACE;
 use crate::daemon::Daemon;
-use crate::peers;
+use crate::{ledger, peers};
 use linnetknot::Micros;
+use linnetknot_copies::{Datagram, Entry, Unreadable};
 use std::io;
+use std::net::SocketAddr;
 
 impl Daemon {
     pub(in crate::daemon) fn hear_peers(&mut self, now: Micros) {
@@ -21,6 +23,9 @@
                 continue;
             }
             let bytes = &bytes[..length];
+            if self.hear_copies(now, from, bytes) {
+                continue;
+            }
             if self.hearsay.as_mut().is_some_and(|h| h.hear(now, from, bytes)) {
                 self.heed(now);
             } else if let Some((object, group, at)) = peers::read(bytes) {
@@ -45,14 +50,80 @@
         self.send_to_peers(&word);
     }
 
-    fn send_to_peers(&self, datagram: &[u8]) {
-        let Some((socket, known)) = &self.peers else { return };
+    /// Takes in a word of the peers' logs; false where it is none, or they are not copied here.
+    fn hear_copies(&mut self, now: Micros, from: SocketAddr, bytes: &[u8]) -> bool {
+        if !self.config.copies {
+            return false;
+        }
+        let datagram = match Datagram::read(bytes) {
+            Ok(datagram) => datagram,
+            Err(Unreadable::Foreign) => return false,
+            Err(e) => {
+                log::debug!(peer:% = from; "{e}");
+                self.dropped.1 += 1;
+                return true;
+            }
+        };
+        let Some(ledger) = &mut self.ledger else { return true };
+        let heard = ledger.hear(datagram);
+        // What there is no room to keep is in force all the same, as far as the module has room.
+        for entry in heard.new.iter().chain(&heard.early).chain(&heard.refused) {
+            let (object, group, at) = ledger::purge(entry);
+            if !self.core.purged_for_good(now, object, group, at) {
+                log::error!(writer = entry.log.0, seq = entry.seq; "there is no room for a purge that a peer told");
+            }
+        }
+        if !heard.new.is_empty() {
+            log::debug!(target: TRACE, peer:% = from, entries = heard.new.len(); "a peer told of purges");
+        }
+        for reply in heard.replies.iter().filter_map(Datagram::write) {
+            self.send_to_peer(from, &reply);
+        }
+        true
+    }
+
+    /// Tells all peers of a new entry at once; those whom that misses get it with the logs.
+    pub(in crate::daemon) fn tell_entry(&mut self, entry: Entry) {
+        if let Some(bytes) = Datagram::Entry(entry).write().filter(|_| self.config.copies) {
+            self.send_to_peers(&bytes);
+        }
+    }
+
+    /// Tells a peer how far the logs are had here, and again after a while.
+    pub(in crate::daemon) fn copy_purges(&mut self, now: Micros) {
+        if !self.config.copies || self.peers.is_none() {
+            return;
+        }
+        let peers = self.other_peers();
+        let Some(ledger) = &mut self.ledger else { return };
+        let words = ledger.tick(now, peers.len());
+        let due = ledger.due();
+        for (place, word) in words {
+            if let (Some(peer), Some(bytes)) = (peers.get(place), word.write()) {
+                self.send_to_peer(*peer, &bytes);
+            }
+        }
+        self.later(due, |daemon, now| daemon.copy_purges(now));
+    }
+
+    /// The peers besides this proxy itself.
+    fn other_peers(&self) -> Vec<SocketAddr> {
+        let Some((socket, known)) = &self.peers else { return Vec::new() };
         let own = socket.local_addr().ok();
-        for peer in known.iter().filter(|peer| Some(**peer) != own) {
+        known.iter().filter(|peer| Some(**peer) != own).copied().collect()
+    }
+
+    fn send_to_peer(&self, peer: SocketAddr, datagram: &[u8]) {
+        if let Some((socket, _)) = &self.peers {
+            // A datagram may be lost anyway: one that can't be sent is one of those.
             let _ = socket.send_to(datagram, peer);
         }
     }
 
+    fn send_to_peers(&self, datagram: &[u8]) {
+        self.other_peers().into_iter().for_each(|peer| self.send_to_peer(peer, datagram));
+    }
+
     /// Sends a purge to the peers, and again: any datagram may be lost.
     pub(in crate::daemon) fn tell_peers(&mut self, now: Micros, text: String, left: u8) {
         if self.peers.is_none() {
--- a/daemon/src/daemon/mod.rs
+++ b/daemon/src/daemon/mod.rs
@@ -236,7 +236,8 @@
             poll.add(&listener, CDNI, true, false).map_err(text)?;
             desk = Some((listener, Desk::new(cdni.identity, config.seed, limits.triggers)));
             if let Some(path) = cdni.purges {
-                let open = Ledger::open(&path);
+                let writer = linnetknot_membership::server_id(&config.name);
+                let open = Ledger::open(&path, writer, Clock::start().now(), limits.copies());
                 ledger = Some(open.map_err(|e| format!("cdni.purges: {}: {e}", path.display()))?);
             }
         }
@@ -308,6 +309,7 @@
         }
         known.into_iter().for_each(|event| daemon.news(now, event));
         daemon.bus.last = last_event;
+        daemon.copy_purges(now);
         daemon.recall_lists(now);
         daemon.call_bus(now);
         daemon.drive_consul(now);
@@ -364,6 +366,12 @@
             }
         }
         self.write_lists(self.clock.now());
+        let tally = self.ledger.as_ref().filter(|_| self.config.copies).map(Ledger::tally);
+        if let Some(Err(e)) = self.ledger.take().map(Ledger::close) {
+            log::warn!(
+                "the file of purges is not closed, and the next start begins a new life of its log: {e}"
+            );
+        }
         let c = self.core.counts;
         log::info!(
             "ended: {} taken, {} served, {} refused, {} failed, {} left, {} attempts",
@@ -378,6 +386,16 @@
             let (strangers, foreign) = self.dropped;
             log::info!(strangers = strangers, foreign = foreign; "datagrams that were dropped");
         }
+        if let Some(t) = tally {
+            log::info!(
+                sent = t.sent,
+                learned = t.learned,
+                known = t.known,
+                early = t.early,
+                refused = t.refused;
+                "entries of logs copied to and from peers"
+            );
+        }
         if let Some(t) = self.hearsay.as_ref().map(Hearsay::tally) {
             log::info!(
                 told = t.told,
--- a/daemon/src/daemon/neighbours.rs
+++ b/daemon/src/daemon/neighbours.rs
@@ -9,6 +9,7 @@
 use crate::wire::http::{self, Messages, Piece};
 use crate::wire::{Parser, WireError};
 use linnetknot::Micros;
+use linnetknot_copies::Entry;
 
 /// A payload on its way to a neighbour.
 struct Courier {
@@ -122,23 +123,38 @@
     fn carry_out(&mut self, now: Micros, effect: cdni::Effect) {
         match effect {
             cdni::Effect::Purge(object, group) => {
-                if let Some(text) = peers::write(object.as_deref(), group, now) {
+                let text = peers::write(object.as_deref(), group, now);
+                // The entry goes first: a peer that knows it does not write the datagram behind it into a log of its
+                // own, as it must for peers of an earlier version.
+                if let Some(entry) = self.purge_for_good(now, object, group, now) {
+                    self.tell_entry(entry);
+                }
+                if let Some(text) = text {
                     self.tell_peers(now, text, 2);
                 }
-                self.purge_for_good(now, object, group, now);
+                fail::fail_point!("peers-told");
             }
             cdni::Effect::Post(post) => self.send_out(now, post),
         }
     }
 
-    /// A purge that the boxes hear nothing of: in force from here on, also for a proxy that starts again.
-    pub(super) fn purge_for_good(&mut self, now: Micros, object: Option<String>, group: u64, at: Micros) {
+    /// A purge that the boxes hear nothing of: in force from here on, also for a proxy that starts again. Gives its
+    /// entry in this proxy's log, where that is new.
+    pub(super) fn purge_for_good(
+        &mut self,
+        now: Micros,
+        object: Option<String>,
+        group: u64,
+        at: Micros,
+    ) -> Option<Entry> {
         if !self.core.purged_for_good(now, object.clone(), group, at) {
-            return;
+            return None;
         }
-        if let Some(Err(e)) = self.ledger.as_mut().map(|ledger| ledger.add(object.as_deref(), group, at)) {
+        let added = self.ledger.as_mut()?.add(object.as_deref(), group, at);
+        added.unwrap_or_else(|e| {
             log::error!("a purge is in force but not kept for the next start: {e}");
-        }
+            None
+        })
     }
 
     pub(super) fn answer_cdni(&mut self, now: Micros, key: Key, answer: Answer) {
--- a/daemon/src/interconnect.rs
+++ b/daemon/src/interconnect.rs
@@ -34,6 +34,9 @@
 pub struct PeersFile {
     /// Of an origin that is late: datagrams of 24 bytes to all `peers`, while it lasts. The same at all of them.
     pub tell: bool,
+    /// Logs of what neighbours told: each proxy has those of all, also when it was away or lost its disk. Needs
+    /// `cdni.purges` and `peers` in the configuration. The same at all of them.
+    pub copies: bool,
 }
 
 /// The second front: where it listens, and how it presents itself.
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -17,5 +17,7 @@
 pub mod logging;
 pub mod net;
 pub mod peers;
+#[cfg(feature = "points")]
+pub mod points;
 pub mod upstream;
 pub mod wire;
--- a/daemon/src/limits.rs
+++ b/daemon/src/limits.rs
@@ -55,6 +55,8 @@
     pub said: usize,
     /// Purges that hold for good.
     pub purges: usize,
+    /// Logs of purges: proxies by their lives.
+    pub purge_logs: usize,
     /// Trigger status resources.
     pub triggers: usize,
     /// Payloads on their way to neighbours.
@@ -134,6 +136,11 @@
         linnetknot_membership::Bounds { boxes: self.boxes, remembered: self.gone_boxes }
     }
 
+    /// The bounds of the logs of purges.
+    pub fn copies(&self) -> linnetknot_copies::Options {
+        linnetknot_copies::Options { entries: self.purges, logs: self.purge_logs, ..Default::default() }
+    }
+
     /// The bounds that fit a machine with so many descriptors and MB of memory.
     pub fn for_machine(descriptors: usize, memory_mb: usize) -> Self {
         // The rest is for boxes, the bus and what the process itself has open.
@@ -166,6 +173,7 @@
             gone_boxes: 2_000,
             said: 1_000,
             purges: 20_000,
+            purge_logs: 1_024,
             triggers: 1024,
             posts: 64,
             post_tries: 3,
--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -28,6 +28,8 @@
 }
 
 fn serve() -> Result<(), String> {
+    #[cfg(feature = "points")]
+    linnetknot_daemon::points::arm()?;
     let config = Config::from_env();
     logging::start(config.as_ref().map_or(Default::default(), |c| c.log));
     let mut daemon =
--- a/daemon/tests/rehearsal.rs
+++ b/daemon/tests/rehearsal.rs
@@ -46,6 +46,7 @@
         about: "for the tests".into(),
         seconds: 4.0,
         proxies: 2,
+        peers: false,
         load: Load {
             rate: 100.0,
             shape: vec![],
--- a/rehearse/src/fleet.rs
+++ b/rehearse/src/fleet.rs
@@ -40,6 +40,7 @@
 pub struct Fleet {
     daemon: PathBuf,
     members: Vec<Member>,
+    copies: bool,
     /// The gates, to set the weather.
     pub gates: Gates,
     /// The boxes.
@@ -55,13 +56,8 @@
 }
 
 impl Fleet {
-    /// Starts so many daemons; the seed draws what their gates do. `change` may alter each one's configuration.
-    pub fn start(
-        daemon: &Path,
-        proxies: usize,
-        seed: u64,
-        change: impl Fn(usize, &mut Value),
-    ) -> io::Result<Self> {
+    /// Starts so many daemons, which copy what neighbours told or do not; the seed draws what their gates do.
+    pub fn start(daemon: &Path, proxies: usize, seed: u64, copies: bool) -> io::Result<Self> {
         static FLEETS: AtomicU64 = AtomicU64::new(0);
         let n = FLEETS.fetch_add(1, Ordering::Relaxed);
         let folder = std::env::temp_dir().join(format!("linnetknot-fleet-{}-{n}", std::process::id()));
@@ -77,26 +73,29 @@
             let disk = folder.join(format!("disk-{n}"));
             let peer = |p: usize| gates.address((n, p)).unwrap_or(*own).to_string();
             let known = json!({"offset": 0, "batch": [{"offset": 0, "topology": {"rev": 1, "all": true, "targets": targets}}]});
-            let mut config = json!({
+            let config = json!({
                 "name": format!("p{n}"), "listen": "127.0.0.1:0", "bus": bus.address.to_string(), "known": known,
                 "seed": format!("{:x}", seed * 64 + n as u64 + 1), "settings": settings(),
                 "limits": {"memory_mb": 192, "sockets": 256},
                 "peer_listen": own.to_string(), "peers": (0..proxies).map(peer).collect::<Value>(),
             });
-            change(n, &mut config);
             members.push(Member { process: None, bus, disk, config });
         }
-        let mut fleet = Fleet { daemon: daemon.to_owned(), members, gates, boxes, _origin: origin, folder };
-        (0..proxies).try_for_each(|n| fleet.begin(n))?;
+        let mut fleet =
+            Fleet { daemon: daemon.to_owned(), copies, members, gates, boxes, _origin: origin, folder };
+        (0..proxies).try_for_each(|n| fleet.begin(n, ""))?;
         Ok(fleet)
     }
 
-    fn begin(&mut self, n: usize) -> io::Result<()> {
+    fn begin(&mut self, n: usize, points: &str) -> io::Result<()> {
         let m = &mut self.members[n];
         std::fs::create_dir_all(&m.disk)?;
         let own = json!({"cdni": {"listen": "127.0.0.1:0", "provider": "AS64500:0", "base": "http://cdn.example",
-            "footprint": ["127.0.0.0/8"], "purges": m.disk.join("purges").display().to_string()}});
-        m.process = Some(Process::start(&self.daemon, &self.folder, &format!("p{n}"), &m.config, &own)?);
+            "footprint": ["127.0.0.0/8"], "purges": m.disk.join("purges").display().to_string()},
+            "peers": {"copies": self.copies}});
+        let name = format!("p{n}");
+        let started = Process::start_armed(&self.daemon, &self.folder, &name, (&m.config, &own), points);
+        m.process = Some(started?);
         Ok(())
     }
 
@@ -151,6 +150,11 @@
 
     /// Starts a proxy again under its name, its process ended before.
     pub fn restart(&mut self, n: usize, disk: Disk) -> io::Result<()> {
+        self.restart_armed(n, disk, "")
+    }
+
+    /// As `restart`, with points armed (`Process::start_armed`).
+    pub fn restart_armed(&mut self, n: usize, disk: Disk, points: &str) -> io::Result<()> {
         if self.members[n].process.is_some() {
             return Err(io::Error::other(format!("p{n} still runs")));
         }
@@ -160,7 +164,12 @@
                 _ => {}
             }
         }
-        self.begin(n)
+        self.begin(n, points)
+    }
+
+    /// What stands on a proxy's disk: the file of the purges that it keeps.
+    pub fn kept(&self, n: usize) -> io::Result<String> {
+        std::fs::read_to_string(self.members[n].disk.join("purges"))
     }
 
     /// Asks a proxy for a photo.
--- a/rehearse/src/process.rs
+++ b/rehearse/src/process.rs
@@ -33,6 +33,18 @@
     /// Starts a daemon with this configuration and operators' own file, written to a folder under this name, and waits
     /// until it listens.
     pub fn start(program: &Path, folder: &Path, name: &str, config: &Value, own: &Value) -> io::Result<Self> {
+        Self::start_armed(program, folder, name, (config, own), "")
+    }
+
+    /// As `start`, with points armed at which it stops dead or stands still (the daemon's `points`); a daemon without
+    /// points passes them over.
+    pub fn start_armed(
+        program: &Path,
+        folder: &Path,
+        name: &str,
+        (config, own): (&Value, &Value),
+        points: &str,
+    ) -> io::Result<Self> {
         std::fs::create_dir_all(folder)?;
         let (config_file, own_file) =
             (folder.join(format!("{name}.json")), folder.join(format!("{name}-own.json")));
@@ -42,6 +54,7 @@
             .env("ROUTER_CONFIG", &config_file)
             .env("LINNETKNOT_INTERCONNECT", &own_file)
             .env("RUST_LOG", "info")
+            .env("LINNETKNOT_POINTS", points)
             .stdin(Stdio::null())
             // A group of its own: Ctrl-C at a terminal is for the kit, which then ends its daemons.
             .process_group(0)
