Answer no at the operators' door where a ban or drain can't be kept for the next process

At fault: daemon/src/daemon/door.rs, called and keep_ops. Ruled out: the two copies and their order (a process that dies between the two leaves one whole; tested now).

Change: a call whose state can't be put in place changes nothing and is answered 503. Points before, between and after the two copies; a test of processes that die at each: the ban is there whole or not at all, and a yes holds after a kill.

--- a/daemon/src/daemon/door.rs
+++ b/daemon/src/daemon/door.rs
@@ -118,10 +118,16 @@
         let members = &self.members;
         let known = |id: &str| members.listed().any(|(e, _)| e.uid == id);
         let ready = self.can_serve();
+        let before = self.ops.clone();
         let (reply, effect) = self.ops.call(now, call, known, ready);
         if let Some(effect) = effect {
+            if !self.keep_ops() {
+                // A yes would promise what the next process does not know of. One copy may have been put in place.
+                self.ops = before;
+                self.keep_ops();
+                return Reply::new(503, "it can't be kept for the next process, so nothing has changed");
+            }
             log::info!(call = shown.as_str(), status = reply.status; "the operators' door: {}", reply.text);
-            self.keep_ops();
             match effect {
                 Effect::Ban(id) => self.ban(now, &id),
                 Effect::Unban(id) => self.unban(now, &id),
@@ -135,14 +141,18 @@
     /// Keeps the operators' state for the next process: both copies in turn, each put in place whole. This is
     /// done before the yes, on the loop, and not by the disk worker: the yes promises that the state outlives the
     /// process, and the worker's queue may refuse a job. Calls that change something are few.
-    pub(super) fn keep_ops(&self) {
+    pub(super) fn keep_ops(&self) -> bool {
+        fail::fail_point!("door-keeps");
         let bytes = store::encode(self.ops.kept());
         for path in store::copies(&self.ops_folder) {
             if let Err(e) = crate::disk::replace(&path, &bytes) {
                 log::error!(file = path.display().to_string().as_str(); "the operators' state can't be kept: {e}");
-                return;
+                return false;
             }
+            fail::fail_point!("door-kept-once");
         }
+        fail::fail_point!("door-kept");
+        true
     }
 
     /// Nothing new to a pop cache: to the core it is gone, whatever its sources say, until the call back.
--- a/daemon/tests/handover.rs
+++ b/daemon/tests/handover.rs
@@ -21,6 +21,7 @@
     config: &std::path::Path,
     door: SocketAddr,
     folder: &std::path::Path,
+    points: &str,
 ) -> Child {
     let socket = OwnedFd::from(listener.try_clone().unwrap());
     Command::new(env!("CARGO_BIN_EXE_linnetknot"))
@@ -28,6 +29,7 @@
         .env("ROUTER_SOCKET_FD", "0")
         .env("ROUTER_OPS", door.to_string())
         .env("TMPDIR", folder)
+        .env("LINNETKNOT_POINTS", points)
         .env_remove("LINNETKNOT_INTERCONNECT")
         .stdin(Stdio::from(socket))
         .stdout(Stdio::null())
@@ -86,8 +88,13 @@
 
     /// Starts a process and waits until it is ready.
     fn start(&self) -> (Child, SocketAddr) {
+        self.start_armed("")
+    }
+
+    /// The same with points armed at which it dies.
+    fn start_armed(&self, points: &str) -> (Child, SocketAddr) {
         let door = free_address();
-        let child = start(&self.listener, &self.config, door, &self.folder);
+        let child = start(&self.listener, &self.config, door, &self.folder, points);
         ready(door);
         (child, door)
     }
@@ -161,3 +168,55 @@
     term(&new);
     assert!(new.wait().unwrap().success());
 }
+
+/// How many of twenty requests reach the first box.
+fn reach_the_first(site: &Site, from: u64) -> usize {
+    let before = site.boxes[0].arrivals().len();
+    for n in from..from + 20 {
+        served(site.front, n);
+    }
+    site.boxes[0].arrivals().len() - before
+}
+
+/// A process that dies at any point of a ban leaves a state that the next one starts with, whole: the ban or none. One
+/// that the operators were told yes of holds.
+#[test]
+fn a_process_that_dies_in_the_midst_of_a_ban_leaves_it_whole_or_not_at_all() {
+    for (point, holds) in [("door-keeps", Some(false)), ("door-kept-once", None), ("door-kept", Some(true))] {
+        let site = Site::new(point);
+        let (mut old, door) = site.start_armed(&format!("{point}=die"));
+        assert!(reach_the_first(&site, 1) > 0);
+        assert!(call(door, "POST", "/control/pop-caches/s-0a/offline", "").is_err(), "{point}: it died");
+        assert!(!old.wait().unwrap().success());
+        let (mut next, door) = site.start();
+        let banned = reach_the_first(&site, 100) == 0;
+        assert!(holds.is_none_or(|holds| holds == banned), "{point}: {banned}");
+        // It goes on from there: one more ban and its yes, and the yes holds after a kill.
+        assert_eq!(call(door, "POST", "/control/pop-caches/s-0a/offline", "").unwrap().status, 200);
+        next.kill().unwrap();
+        next.wait().unwrap();
+        let (mut last, _) = site.start();
+        assert_eq!(reach_the_first(&site, 200), 0, "{point}");
+        term(&last);
+        assert!(last.wait().unwrap().success());
+    }
+}
+
+#[test]
+fn a_ban_that_can_not_be_kept_is_no_ban_and_the_operators_are_told_no() {
+    let site = Site::new("full");
+    let (mut only, door) = site.start();
+    // A folder stands where each of its two files would have to: nothing can be put in their place.
+    let files: Vec<_> = linnetknot_ops::store::copies(&site.folder).into_iter().collect();
+    for file in &files {
+        let _ = std::fs::remove_file(file);
+        std::fs::create_dir_all(file.join("in the way")).unwrap();
+    }
+    assert_eq!(call(door, "POST", "/control/pop-caches/s-0a/offline", "").unwrap().status, 503);
+    assert!(reach_the_first(&site, 1) > 0, "nothing has changed");
+    files.iter().for_each(|file| std::fs::remove_dir_all(file).unwrap());
+    assert_eq!(call(door, "POST", "/control/pop-caches/s-0a/offline", "").unwrap().status, 200);
+    assert_eq!(reach_the_first(&site, 100), 0);
+    term(&only);
+    assert!(only.wait().unwrap().success());
+}
--- a/ops/src/state.rs
+++ b/ops/src/state.rs
@@ -47,7 +47,7 @@
 }
 
 /// The operators' state of one process.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct Operations {
     kept: Kept,
     /// When the drain that `kept` tells of began here; of no meaning while in service.
