--- a/daemon/src/net/conn.rs
+++ b/daemon/src/net/conn.rs
@@ -139,7 +139,7 @@
         let whole = vec![7; 1 << 20];
         let read = |ends: fn(Conn) -> Option<Conn>| {
             let mut far = TcpStream::connect(listener.local_addr().unwrap()).unwrap();
-            sockopt::set_socket_recv_buffer_size(&far, 4096).unwrap();
+            sockopt::set_socket_recv_buffer_size(&far, 64 << 10).unwrap();
             let mut conn = Conn::new(listener.accept().unwrap().0, true, 4096, 2 << 20).unwrap();
             conn.output.push(&whole);
             conn.write();
--- a/daemon/tests/handover.rs
+++ b/daemon/tests/handover.rs
@@ -143,7 +143,7 @@
     let mut slow: Vec<WebServer> = (0..4)
         .map(|n| {
             let mut web = WebServer::connect(site.front).unwrap();
-            rustix::net::sockopt::set_socket_recv_buffer_size(web.writer().unwrap(), 4096).unwrap();
+            rustix::net::sockopt::set_socket_recv_buffer_size(web.writer().unwrap(), 32 << 10).unwrap();
             web.ask(1, "photo", &format!("{n:016x}"), 2500).unwrap();
             // The answer has begun to come: all of it that the kernel takes is written.
             web.writer().unwrap().peek(&mut [0]).unwrap();
