Judge floors by what each proxy asks for: shared boxes hid a proxy without word

Cause: found on reading the change again. The tests of several processes looked at the copies that proxies served, but the boxes are shared: one proxy that holds a floor has the box fetch anew for all, so a proxy that never heard passed too. At fault: rehearse/src/fleet.rs (serves_newer) and daemon/tests/between.rs, whose waits had no bound either and hung where they should fail. Also: signals were sent in three ways, methods of Gates and Fleet had no caller, and a test's name promised an order that it did not look at.

Change: holds_floor and hears look at the age that the proxy itself asks its box for; the proxy behind a cut is asserted to have no word; waits end; Process::signal is the one way; set_both, bus, len and is_empty are gone.

--- a/daemon/tests/between.rs
+++ b/daemon/tests/between.rs
@@ -2,10 +2,11 @@
 //! processes killed and started again. What each of them was told of a purge is what it must keep, and what it was
 //! not told of it can't.
 
+use linnetknot_rehearse::clients::PATIENCE;
 use linnetknot_rehearse::fleet::{Disk, Fleet};
 use linnetknot_rehearse::gates::Weather;
 use std::path::Path;
-use std::time::{SystemTime, UNIX_EPOCH};
+use std::time::Instant;
 
 const DAEMON: &str = env!("CARGO_BIN_EXE_linnetknot");
 
@@ -22,11 +23,16 @@
     format!("{n:016x}")
 }
 
-/// Every proxy has served this copy, and its millisecond is over: a purge told now is later.
-fn warm(fleet: &Fleet, object: &str) -> u64 {
-    let made = (0..fleet.len()).map(|n| fleet.ask(n, object).unwrap().made().unwrap()).max().unwrap();
-    while SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis() as u64 <= made + 1 {}
-    made
+/// Waits until something is so; a test whose cause has gone must fail and not stand still.
+fn until(what: &str, mut so: impl FnMut() -> bool) {
+    let start = Instant::now();
+    while !so() {
+        assert!(start.elapsed() < PATIENCE, "never: {what}");
+    }
+}
+
+fn floor(fleet: &Fleet, n: usize, object: &str) -> bool {
+    fleet.holds_floor(n, object).unwrap()
 }
 
 #[test]
@@ -38,15 +44,14 @@
     }
     for n in 0..3 {
         let object = object(n);
-        let made = warm(&fleet, &object);
         assert_eq!(fleet.purge(n as usize, &object).unwrap(), 201);
         // Each datagram goes three times, and by this seed one of the three comes on every link.
         for proxy in 0..4 {
-            assert!(fleet.serves_newer(proxy, &object, made).unwrap(), "p{proxy}, purge {n}");
+            assert!(fleet.hears(proxy, &object).unwrap(), "p{proxy}, purge {n}");
         }
     }
     // All three have gone by then.
-    while (1..4).any(|b| fleet.gates.tally((0, b)).sent < 3) {}
+    until("all three are sent", || (1..4).all(|b| fleet.gates.tally((0, b)).sent >= 3));
     let lost: u64 = (1..4).map(|b| fleet.gates.tally((0, b)).lost).sum();
     assert!(lost > 0, "else the links were clear");
 }
@@ -57,41 +62,37 @@
 fn a_one_way_cut_keeps_a_purge_from_one_process_and_from_no_other() {
     let fleet = fleet(3, 5);
     let (object, after) = (object(1), object(2));
-    let made = warm(&fleet, &object);
     fleet.gates.set((0, 2), Weather::CUT);
     assert_eq!(fleet.purge(0, &object).unwrap(), 201);
-    assert!(fleet.serves_newer(0, &object, made).unwrap() && fleet.serves_newer(1, &object, made).unwrap());
+    assert!(fleet.hears(0, &object).unwrap() && fleet.hears(1, &object).unwrap());
     assert!(fleet.gates.tally((0, 2)).came == 0 && fleet.gates.tally((0, 1)).came > 0);
+    assert!(!floor(&fleet, 2, &object), "what is behind the cut has no word");
     // The other way is open: what it tells is heard.
-    let made = warm(&fleet, &after);
     assert_eq!(fleet.purge(2, &after).unwrap(), 201);
-    assert!(fleet.serves_newer(0, &after, made).unwrap());
+    assert!(fleet.hears(0, &after).unwrap());
 }
 
 #[test]
-fn a_process_that_stood_still_hears_what_was_told_meanwhile_before_it_serves() {
+fn a_process_that_stood_still_hears_what_was_told_meanwhile() {
     let fleet = fleet(3, 7);
     let object = object(3);
-    let made = warm(&fleet, &object);
     fleet.stall(1).unwrap();
     assert_eq!(fleet.purge(0, &object).unwrap(), 201);
-    assert!(fleet.serves_newer(2, &object, made).unwrap());
+    assert!(fleet.hears(2, &object).unwrap());
     // All three datagrams have reached its socket.
-    while fleet.gates.tally((0, 1)).came < 3 {}
+    until("all three came", || fleet.gates.tally((0, 1)).came >= 3);
     fleet.go_on(1).unwrap();
-    assert!(fleet.serves_newer(1, &object, made).unwrap(), "it goes on and has heard");
+    assert!(fleet.hears(1, &object).unwrap(), "it goes on and has heard");
 }
 
 #[test]
 fn a_killed_process_keeps_the_purges_of_its_disk_and_loses_them_with_it() {
     let mut fleet = fleet(3, 9);
     let object = object(4);
-    let made = warm(&fleet, &object);
     assert_eq!(fleet.purge(0, &object).unwrap(), 201);
     for n in 0..3 {
-        assert!(fleet.serves_newer(n, &object, made).unwrap(), "p{n}");
+        assert!(fleet.hears(n, &object).unwrap(), "p{n}");
     }
-    // Boxes that answer with any copy and call it new are caught by the floor alone, which the disk has.
     fleet.kill(0).unwrap();
     fleet.restart(0, Disk::Kept).unwrap();
     assert!(floor(&fleet, 0, &object), "the floor is asked for after a kill");
@@ -103,23 +104,13 @@
     }
 }
 
-/// Whether a proxy holds a floor for this object: it asks its box for no copy older than something.
-fn floor(fleet: &Fleet, n: usize, object: &str) -> bool {
-    let before: Vec<usize> = fleet.boxes.iter().map(|b| b.arrivals().len()).collect();
-    fleet.ask(n, object).unwrap();
-    let mut new = fleet.boxes.iter().zip(before).flat_map(|(b, before)| b.arrivals().split_off(before));
-    let asked = new.rfind(|a| a.field("key") == Some(object)).expect("a box was asked");
-    asked.field("maxage").is_some()
-}
-
 #[test]
 fn with_copies_a_purge_comes_to_a_process_behind_a_one_way_cut_by_way_of_another() {
     let fleet = copying(3, 21);
     let object = object(1);
-    let made = warm(&fleet, &object);
     fleet.gates.set((0, 2), Weather::CUT);
     assert_eq!(fleet.purge(0, &object).unwrap(), 201);
-    assert!(fleet.serves_newer(2, &object, made).unwrap(), "from 0 to 1 to 2");
+    assert!(fleet.hears(2, &object).unwrap(), "from 0 to 1 to 2");
     assert_eq!(fleet.gates.tally((0, 2)).came, 0);
 }
 
@@ -127,13 +118,12 @@
 fn with_copies_a_process_that_was_away_hears_what_was_told_meanwhile() {
     let mut fleet = copying(3, 22);
     let object = object(2);
-    let made = warm(&fleet, &object);
     fleet.kill(1).unwrap();
     assert_eq!(fleet.purge(0, &object).unwrap(), 201);
     // The datagrams are sent three times within 80 ms; it comes back when all of them are gone.
-    while fleet.gates.tally((0, 1)).sent < 4 {}
+    until("all of them are sent", || fleet.gates.tally((0, 1)).sent >= 4);
     fleet.restart(1, Disk::Kept).unwrap();
-    assert!(fleet.serves_newer(1, &object, made).unwrap());
+    assert!(fleet.hears(1, &object).unwrap());
 }
 
 /// The writer's machine is lost with its disk, right after its yes: the promise holds at the others, and at the
@@ -150,16 +140,11 @@
     }
     fleet.kill(0).unwrap();
     fleet.restart(0, Disk::Lost).unwrap();
-    let start = std::time::Instant::now();
-    while !objects.iter().all(|o| floor(&fleet, 0, o)) {
-        assert!(start.elapsed().as_secs() < 10, "p0 has not learned its own promises again");
-    }
+    until("p0 learns its own promises again", || objects.iter().all(|o| floor(&fleet, 0, o)));
     // It goes on writing, in a new life; both lives are everywhere.
     let later = object(40);
     assert_eq!(fleet.purge(0, &later).unwrap(), 201);
-    while !(1..3).all(|n| floor(&fleet, n, &later)) {
-        assert!(start.elapsed().as_secs() < 20, "the new life is not heard");
-    }
+    until("the new life is heard", || (1..3).all(|n| floor(&fleet, n, &later)));
 }
 
 #[test]
@@ -177,10 +162,7 @@
     fleet.restart(4, Disk::Kept).unwrap();
     assert!((0..2).all(|n| !floor(&fleet, n, &object(102))), "nothing passes the split");
     fleet.gates.split(&[0, 1], Weather::default());
-    let start = std::time::Instant::now();
-    while !(0..5).all(|n| (0..5).all(|o| floor(&fleet, n, &object(100 + o)))) {
-        assert!(start.elapsed().as_secs() < 20, "the sides do not agree");
-    }
+    until("the sides agree", || (0..5).all(|n| (0..5).all(|o| floor(&fleet, n, &object(100 + o)))));
 }
 
 #[test]
@@ -191,15 +173,12 @@
         assert_eq!(fleet.purge(n % 4, object).unwrap(), 201);
     }
     for n in 0..4 {
-        let entries = || fleet.kept(n).unwrap().lines().filter(|l| l.starts_with("copies1 entry")).count();
-        let start = std::time::Instant::now();
-        while entries() < all.len() {
-            assert!(start.elapsed().as_secs() < 10, "p{n} has {} of {}", entries(), all.len());
-        }
-        assert_eq!(entries(), all.len(), "p{n}");
+        until("each purge is in each file", || entries(&fleet, n).len() >= all.len());
+        assert_eq!(entries(&fleet, n).len(), all.len(), "p{n}");
     }
     // All texts that repeat them have come by then, and were known.
-    while (0..4).any(|a| (0..4).any(|b| a != b && fleet.gates.tally((a, b)).came < 5 * 4)) {}
+    let came = |a, b| a == b || fleet.gates.tally((a, b)).came >= 5 * 4;
+    until("all texts came", || (0..4).all(|a| (0..4).all(|b| came(a, b))));
     assert!((0..4).all(|n| fleet.kept(n).unwrap().lines().count() == 1 + all.len()));
 }
 
@@ -221,10 +200,9 @@
             let mut fleet = copying(3, 30 + seed as u64);
             let (first, second) = (object(300), object(301));
             assert_eq!(fleet.purge(0, &first).unwrap(), 201);
-            while !(0..3).all(|n| entries(&fleet, n).len() == 1) {}
+            until("all have the first", || (0..3).all(|n| entries(&fleet, n).len() == 1));
             fleet.kill(0).unwrap();
             fleet.restart_armed(0, disk, &format!("{point}=die")).unwrap();
-            let start = std::time::Instant::now();
             // On a new machine its own promise comes back, which passes the armed point as well: it dies of that.
             let said = fleet.purge(0, &second);
             assert!(said.is_err(), "{point}: it died before it could say yes, and said {said:?}");
@@ -232,13 +210,10 @@
             fleet.restart(0, Disk::Kept).unwrap();
             let holds =
                 |fleet: &Fleet, n, object: &str| entries(fleet, n).iter().any(|l| l.ends_with(object));
-            loop {
+            until(&format!("{point} {disk:?}: all agree, on the first too"), || {
                 let all: Vec<_> = (0..3).map(|n| entries(&fleet, n)).collect();
-                if all.iter().all(|e| *e == all[0]) && holds(&fleet, 0, &first) {
-                    break;
-                }
-                assert!(start.elapsed().as_secs() < 20, "{point} {disk:?}: {all:?}");
-            }
+                all.iter().all(|e| *e == all[0]) && holds(&fleet, 0, &first)
+            });
             assert!((0..3).all(|n| floor(&fleet, n, &first)), "{point} {disk:?}: the first was promised");
             if disk == Disk::Kept {
                 assert_eq!(holds(&fleet, 1, &second), written || told, "{point} {disk:?}");
--- a/rehearse/src/fleet.rs
+++ b/rehearse/src/fleet.rs
@@ -10,7 +10,7 @@
 use crate::gates::Gates;
 use crate::process::Process;
 use crate::settings;
-use rustix::process::{kill_process, Pid, Signal};
+use rustix::process::Signal;
 use serde_json::{json, Value};
 use std::io;
 use std::net::{SocketAddr, UdpSocket};
@@ -31,7 +31,7 @@
 struct Member {
     process: Option<Process>,
     /// A bus of its own: what one proxy is told by the platform, another need not be.
-    bus: Bus,
+    _bus: Bus,
     disk: PathBuf,
     config: Value,
 }
@@ -79,7 +79,7 @@
                 "limits": {"memory_mb": 192, "sockets": 256},
                 "peer_listen": own.to_string(), "peers": (0..proxies).map(peer).collect::<Value>(),
             });
-            members.push(Member { process: None, bus, disk, config });
+            members.push(Member { process: None, _bus: bus, disk, config });
         }
         let mut fleet =
             Fleet { daemon: daemon.to_owned(), copies, members, gates, boxes, _origin: origin, folder };
@@ -99,28 +99,13 @@
         Ok(())
     }
 
-    /// How many proxies there are.
-    pub fn len(&self) -> usize {
-        self.members.len()
-    }
-
-    /// Whether there is none.
-    pub fn is_empty(&self) -> bool {
-        self.members.is_empty()
-    }
-
-    /// The event bus of a proxy.
-    pub fn bus(&self, n: usize) -> &Bus {
-        &self.members[n].bus
-    }
-
     /// A proxy that runs.
     pub fn process(&self, n: usize) -> io::Result<&Process> {
         self.members[n].process.as_ref().ok_or_else(|| io::Error::other(format!("p{n} does not run")))
     }
 
     fn signal(&self, n: usize, signal: Signal) -> io::Result<()> {
-        Ok(kill_process(Pid::from_child(&self.process(n)?.child), signal)?)
+        self.process(n)?.signal(signal)
     }
 
     /// A proxy stands still: its process runs no more until it goes on, and knows nothing of it.
@@ -186,12 +171,22 @@
         Ok(call(self.process(n)?.cdni, "POST", "/cdni/triggers", &command.to_string())?.status)
     }
 
-    /// Asks a proxy for a photo until the copy that it serves is a newer one than this, or patience ends: whether it
-    /// is.
-    pub fn serves_newer(&self, n: usize, object: &str, than: u64) -> io::Result<bool> {
+    /// Whether a proxy holds a floor for a photo: it asks its box for no copy older than something. What it serves
+    /// tells less, as the boxes are shared: one proxy that holds a floor has the box fetch anew for all.
+    pub fn holds_floor(&self, n: usize, object: &str) -> io::Result<bool> {
+        let before: Vec<usize> = self.boxes.iter().map(|b| b.arrivals().len()).collect();
+        self.ask(n, object)?;
+        let mut new = self.boxes.iter().zip(before).flat_map(|(b, before)| b.arrivals().split_off(before));
+        let asked = new.rfind(|a| a.field("key") == Some(object));
+        let asked = asked.ok_or_else(|| io::Error::other(format!("p{n} asked no box")))?;
+        Ok(asked.field("maxage").is_some())
+    }
+
+    /// Waits until a proxy holds a floor for a photo, or patience ends: whether it does.
+    pub fn hears(&self, n: usize, object: &str) -> io::Result<bool> {
         let start = Instant::now();
         while start.elapsed() < PATIENCE {
-            if self.ask(n, object)?.made().is_some_and(|made| made > than) {
+            if self.holds_floor(n, object)? {
                 return Ok(true);
             }
         }
--- a/rehearse/src/gates/mod.rs
+++ b/rehearse/src/gates/mod.rs
@@ -119,12 +119,6 @@
         lock(&self.state).weather.insert(direction, weather);
     }
 
-    /// Sets the weather of both directions between two proxies.
-    pub fn set_both(&self, a: usize, b: usize, weather: Weather) {
-        self.set((a, b), weather);
-        self.set((b, a), weather);
-    }
-
     /// Splits the proxies in two: nothing passes between those of one side and all others, until they are joined.
     pub fn split(&self, side: &[usize], weather: Weather) {
         for (a, b) in self.addresses.keys() {
--- a/rehearse/src/player.rs
+++ b/rehearse/src/player.rs
@@ -14,6 +14,7 @@
 use crate::stand_ins::served::{made_of, unix_us, Knows, Served};
 use crate::stand_ins::world::{Figures, Kind, Site, World};
 use crate::timetable::{box_uid, timetable, Step};
+use rustix::process::Signal;
 use serde_json::{json, Value};
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap};
@@ -287,22 +288,18 @@
     /// Carries out a step on a proxy's process.
     fn process(&mut self, now: Micros, step: &Step) -> io::Result<()> {
         let p = &mut self.proxies;
-        let signal = |p: &Proxies, n: usize, signal| match &p.running[n] {
-            Some(process) => {
-                Ok(rustix::process::kill_process(rustix::process::Pid::from_child(&process.child), signal)?)
-            }
-            None => io::Result::Ok(()),
-        };
+        let signal =
+            |p: &Proxies, n: usize, signal| p.running[n].as_ref().map_or(Ok(()), |p| p.signal(signal));
         match *step {
             Step::Freeze(n) => {
-                signal(p, n, rustix::process::Signal::STOP)?;
+                signal(p, n, Signal::STOP)?;
                 p.frozen[n] = true;
                 // Whoever stands still can answer nobody: its clients turn to the next one.
                 self.release(now, |proxy| proxy == n);
                 self.connections[n].clear();
             }
             Step::Thaw(n) => {
-                signal(p, n, rustix::process::Signal::CONT)?;
+                signal(p, n, Signal::CONT)?;
                 p.frozen[n] = false;
             }
             Step::Links(ref which, weather, one_way) => {
@@ -327,8 +324,7 @@
             }
             Step::Term(n) => {
                 if let Some(process) = p.running[n].take() {
-                    let pid = rustix::process::Pid::from_child(&process.child);
-                    rustix::process::kill_process(pid, rustix::process::Signal::TERM)?;
+                    process.signal(Signal::TERM)?;
                     p.ending[n] = Some(process);
                 }
                 // Its connections stay, to read what it still answers; nothing new is sent on them.
--- a/rehearse/src/process.rs
+++ b/rehearse/src/process.rs
@@ -1,6 +1,7 @@
 //! A daemon as a process of its own, ended with its value.
 
 use crate::clients::PATIENCE;
+use rustix::process::{kill_process, Pid, Signal};
 use serde_json::Value;
 use std::collections::VecDeque;
 use std::io::{self, BufRead, BufReader};
@@ -30,6 +31,11 @@
 }
 
 impl Process {
+    /// Sends it a signal.
+    pub fn signal(&self, signal: Signal) -> io::Result<()> {
+        Ok(kill_process(Pid::from_child(&self.child), signal)?)
+    }
+
     /// Starts a daemon with this configuration and operators' own file, written to a folder under this name, and waits
     /// until it listens.
     pub fn start(program: &Path, folder: &Path, name: &str, config: &Value, own: &Value) -> io::Result<Self> {
