--- a/copies/src/book.rs
+++ b/copies/src/book.rs
@@ -132,6 +132,12 @@
         })
     }
 
+    /// When something was last purged, by whoever's log.
+    pub fn latest(&self, what: &What) -> Option<Micros> {
+        let of = |t: &Track| t.last.get(what).and_then(|seq| t.live.get(seq)).map(|(_, at)| *at);
+        self.tracks.values().filter_map(of).max()
+    }
+
     /// All entries in force, log by log.
     pub fn entries(&self) -> impl Iterator<Item = Entry> + '_ {
         self.tracks.keys().flat_map(|log| self.behind(*log, 0))
--- a/copies/src/lib.rs
+++ b/copies/src/lib.rs
@@ -132,6 +132,11 @@
         }
     }
 
+    /// Its own log.
+    pub fn own(&self) -> Log {
+        self.own
+    }
+
     /// What it has.
     pub fn book(&self) -> &Book {
         &self.book
--- a/daemon/src/daemon/clients.rs
+++ b/daemon/src/daemon/clients.rs
@@ -188,11 +188,12 @@
             let Kind::Client(session) = &mut c.kind else { return Ok(()) };
             // The first request of a connection was sent before the front could know that this one ends.
             let first = !session.has_asked();
+            let stopping = self.term_at.is_some();
             match session.read(&mut c.conn.input, &self.limits)? {
                 None => return Ok(()),
                 Some(Input::Leave(ticket)) => self.core.leave(now, ticket),
                 Some(Input::Health(stream)) => {
-                    let ready = self.core.is_ready() && !self.stopping && self.ops.in_service();
+                    let ready = self.core.is_ready() && !stopping && self.ops.in_service();
                     session.say(stream, if ready { "200 OK" } else { "503 Service Unavailable" });
                 }
                 Some(Input::Ask(stream, asked)) => {
@@ -203,7 +204,7 @@
                     // (What is owed counts this request.) A connection that is to close takes no more while it is busy, or late in a drain or an end:
                     // it would never come to idle, and what it held would be cut when the process ends or the
                     // drain is over. The front sends what is turned away to another proxy.
-                    let late = self.stopping
+                    let late = stopping
                         || matches!(self.ops.drain(), Drain::Draining(since) if now > since + self.limits.drain_last_taken_us);
                     let leaving = session.is_closing() && (session.owed() > 1 || late && !first);
                     let ticket =
--- a/daemon/src/daemon/door.rs
+++ b/daemon/src/daemon/door.rs
@@ -109,7 +109,7 @@
 
     /// Whether the process could serve, the operators aside.
     pub(super) fn can_serve(&self) -> bool {
-        self.core.is_ready() && !self.stopping
+        self.core.is_ready() && !self.is_stopping()
     }
 
     /// Carries out a call.
--- a/daemon/src/daemon/feeds/consul/mod.rs
+++ b/daemon/src/daemon/feeds/consul/mod.rs
@@ -154,7 +154,7 @@
     }
 
     pub(in crate::daemon) fn drive_registration(&mut self, now: Micros) {
-        let ready = self.core.is_ready() && !self.stopping;
+        let ready = self.can_serve();
         let Some(state) = &mut self.consul else { return };
         let Some(r) = &mut state.registered else { return };
         let Some(call) = r.registration.ask(now, ready) else {
--- a/daemon/src/daemon/mod.rs
+++ b/daemon/src/daemon/mod.rs
@@ -176,9 +176,8 @@
     /// What neighbours were last told of our being able to serve.
     told_ready: bool,
     waiting_answers: usize,
-    stopping: bool,
     /// When SIGTERM came, if it has.
-    term_at: Micros,
+    term_at: Option<Micros>,
     grace_over: bool,
     /// The operators' door, its callers, and what they decided.
     door: Option<TcpListener>,
@@ -228,6 +227,7 @@
             door.set_nonblocking(true).map_err(text)?;
             poll.add(door, DOOR, true, false).map_err(text)?;
         }
+        let clock = Clock::start();
         let (mut desk, mut peers, mut ledger) = (None, None, None);
         if let Some(cdni) = config.cdni.clone() {
             let listener =
@@ -237,7 +237,7 @@
             desk = Some((listener, Desk::new(cdni.identity, config.seed, limits.triggers)));
             if let Some(path) = cdni.purges {
                 let writer = linnetknot_membership::server_id(&config.name);
-                let open = Ledger::open(&path, writer, Clock::start().now(), limits.copies());
+                let open = Ledger::open(&path, writer, clock.now(), limits.copies());
                 ledger = Some(open.map_err(|e| format!("cdni.purges: {}: {e}", path.display()))?);
             }
         }
@@ -249,7 +249,6 @@
             poll.add(&socket, PEERS, true, false).map_err(text)?;
             peers = Some((socket, known));
         }
-        let clock = Clock::start();
         let ops_folder = config.ops_folder.clone();
         let ops = linnetknot_ops::Operations::new(linnetknot_ops::store::load(&ops_folder), clock.now());
         let place = Place::of(&config.settings);
@@ -290,8 +289,7 @@
             posts: 0,
             told_ready: false,
             waiting_answers: 0,
-            stopping: false,
-            term_at: Micros::MAX,
+            term_at: None,
             grace_over: false,
             door,
             callers: 0,
@@ -411,6 +409,11 @@
         Ok(())
     }
 
+    /// Whether SIGTERM has come.
+    fn is_stopping(&self) -> bool {
+        self.term_at.is_some()
+    }
+
     fn is_done(&self) -> bool {
         let now = self.clock.now();
         self.grace_over && self.has_left_consul() && self.core.is_idle() && self.waiting_answers == 0 && {
@@ -419,7 +422,7 @@
                 c.is_none_or(|c| match &c.kind {
                     Kind::Client(s) => s.is_idle() && c.conn.output.is_empty(),
                     Kind::Cdni(s) => s.is_idle() && c.conn.output.is_empty(),
-                    Kind::Parting => now >= self.term_at.saturating_add(self.limits.term_parting_us),
+                    Kind::Parting => self.term_at.is_some_and(|at| now >= at + self.limits.term_parting_us),
                     _ => true,
                 })
             };
@@ -471,9 +474,9 @@
 
     fn term(&mut self, now: Micros) {
         self.term.clear();
-        if !std::mem::replace(&mut self.stopping, true) {
+        if !self.is_stopping() {
+            self.term_at = Some(now);
             log::info!("SIGTERM: answering what is open");
-            self.term_at = now;
             if self.inherited {
                 // The next process accepts on the same socket: whatever this one took now it would have to answer
                 // on its way out, and each kept connection ends after its next answer instead of being cut.
--- a/daemon/src/daemon/neighbours.rs
+++ b/daemon/src/daemon/neighbours.rs
@@ -81,7 +81,7 @@
 
     pub(super) fn read_cdni(&mut self, now: Micros, key: Key) -> Result<(), WireError> {
         loop {
-            let ready = self.core.is_ready() && !self.stopping;
+            let ready = self.can_serve();
             let Some(Connection { conn, kind: Kind::Cdni(session), .. }) = self.connections.get_mut(key)
             else {
                 return Ok(());
@@ -187,7 +187,7 @@
 
     /// Tells neighbours of our footprint when our being able to serve has changed.
     pub(super) fn notify(&mut self, now: Micros) {
-        let ready = self.core.is_ready() && !self.stopping;
+        let ready = self.can_serve();
         if std::mem::replace(&mut self.told_ready, ready) == ready {
             return;
         }
--- a/daemon/src/ledger.rs
+++ b/daemon/src/ledger.rs
@@ -4,10 +4,7 @@
 
 use crate::peers::{self, Purge};
 use linnetknot::Micros;
-use linnetknot_copies::{
-    Book, Copies, Datagram, Entry, Heard, Life, Log, Options, Taken, Tally, What, Writer,
-};
-use std::collections::BTreeMap;
+use linnetknot_copies::{Book, Copies, Datagram, Entry, Heard, Life, Options, Taken, Tally, What, Writer};
 use std::fs::{self, File};
 use std::io::{self, Write};
 use std::path::{Path, PathBuf};
@@ -18,9 +15,6 @@
     file: File,
     lines: usize,
     copies: Copies,
-    own: Log,
-    /// The latest purge of each, whoever wrote it.
-    last: BTreeMap<What, Micros>,
 }
 
 /// The last line of a file whose process ended in order.
@@ -78,13 +72,9 @@
             }
         }
         let own = (writer, life.filter(|_| closed).unwrap_or(now));
-        let last = BTreeMap::new();
         let copies = Copies::new(own, book, now, options);
-        let file = Self::write(path, own, copies.book())?;
-        let mut ledger =
-            Ledger { path: path.to_owned(), file, lines: copies.book().len(), copies, own, last };
-        let entries: Vec<Entry> = ledger.copies.book().entries().collect();
-        entries.iter().for_each(|e| ledger.note(e));
+        let file = Self::write(path, &copies)?;
+        let mut ledger = Ledger { path: path.to_owned(), file, lines: copies.book().len(), copies };
         for (object, group, at) in bare {
             ledger.add(object.as_deref(), group, at)?;
         }
@@ -92,38 +82,28 @@
     }
 
     /// The file as a whole, put in its place at once.
-    fn write(path: &Path, own: Log, book: &Book) -> io::Result<File> {
+    fn write(path: &Path, copies: &Copies) -> io::Result<File> {
         let mut beside = path.as_os_str().to_owned();
         beside.push(".new");
         let mut file = File::create(&beside)?;
-        let mut bytes = format!("life {:x}\n", own.1).into_bytes();
-        book.entries().filter_map(|e| line(&e)).for_each(|l| bytes.extend(l));
+        let mut bytes = format!("life {:x}\n", copies.own().1).into_bytes();
+        copies.book().entries().filter_map(|e| line(&e)).for_each(|l| bytes.extend(l));
         file.write_all(&bytes)?;
         fs::rename(&beside, path)?;
         Ok(file)
     }
 
-    fn note(&mut self, entry: &Entry) {
-        let last = self.last.entry(entry.what.clone()).or_insert(0);
-        *last = entry.at.max(*last);
-    }
-
-    /// What stands in it: for each object or group its last purge.
+    /// What stands in it. Of one that several logs have, the latest counts for whoever takes them all.
     pub fn purges(&self) -> Vec<Purge> {
-        let as_purge = |(what, at): (&What, &Micros)| match what {
-            What::Object(object) => (Some(object.clone()), 0, *at),
-            What::Group(group) => (None, *group, *at),
-        };
-        self.last.iter().map(as_purge).collect()
+        self.copies.book().entries().map(|entry| purge(&entry)).collect()
     }
 
     /// Puts an entry into the file. It outlives the process from here on, and the machine once the system has written
     /// it: the loop does not wait for a disk, and what a machine loses its peers have.
     fn keep(&mut self, entry: &Entry) -> io::Result<()> {
-        self.note(entry);
         self.lines += 1;
         if self.lines > 2 * self.copies.book().len() + SLACK {
-            self.file = Self::write(&self.path, self.own, self.copies.book())?;
+            self.file = Self::write(&self.path, &self.copies)?;
             self.lines = self.copies.book().len();
             return Ok(());
         }
@@ -144,7 +124,7 @@
     /// them.
     pub fn add(&mut self, object: Option<&str>, group: u64, at: Micros) -> io::Result<Option<Entry>> {
         let what = what(object, group);
-        if self.last.get(&what).is_some_and(|known| *known >= at) {
+        if self.copies.book().latest(&what).is_some_and(|known| known >= at) {
             return Ok(None);
         }
         let entry = self.copies.add(what, at).map_err(io::Error::other)?;
@@ -201,7 +181,7 @@
         let cut = b"copies1 entry 1 4d 5dd 5de 9 object 0b";
         fs::OpenOptions::new().append(true).open(&path).unwrap().write_all(cut).unwrap();
         let mut again = open(&path, 78).unwrap();
-        let both = [(Some("0a".into()), 0, 1500), (None, 7, 3)];
+        let both = [(None, 7, 3), (Some("0a".into()), 0, 1500)];
         assert_eq!(again.purges(), both, "a line cut off is no purge");
         let next = again.add(Some("0b"), 0, 9).unwrap().unwrap();
         assert_eq!((next.log, next.seq), ((1, 78), 1), "a place that others may know is not given again");
@@ -219,11 +199,15 @@
         let path = std::env::temp_dir().join(format!("linnetknot-ledger-old-{}", std::process::id()));
         fs::write(&path, "purge object 0a 5\npurge group 7 6\npurge object 0a 9\npurge object 0b 1").unwrap();
         let ledger = open(&path, 77).unwrap();
-        let purges = [(Some("0a".into()), 0, 9), (None, 7, 6)];
+        let purges = [(None, 7, 6), (Some("0a".into()), 0, 9)];
         assert_eq!(ledger.purges(), purges);
         ledger.close().unwrap();
         let again = open(&path, 99).unwrap();
-        assert_eq!((again.purges(), again.own), (purges.to_vec(), (1, 77)), "and has its life from then on");
+        assert_eq!(
+            (again.purges(), again.copies.own()),
+            (purges.to_vec(), (1, 77)),
+            "and has its life from then on"
+        );
         fs::remove_file(&path).unwrap();
     }
 
@@ -241,8 +225,10 @@
         assert_eq!((new.log, new.seq), ((1, 77), 1));
         ledger.close().unwrap();
         let again = open(&path, 99).unwrap();
-        assert_eq!(again.own, (1, 77), "the life of the file, not of the log that came back");
-        assert_eq!(again.purges().len(), 2);
+        assert_eq!(again.copies.own(), (1, 77), "the life of the file, not of the log that came back");
+        let theirs = || (None, 3, 8);
+        let all = [theirs(), (Some("0c".into()), 0, 9), theirs()];
+        assert_eq!(again.purges(), all, "by each life that has it");
         fs::remove_file(&path).unwrap();
     }
 }
--- a/daemon/tests/between.rs
+++ b/daemon/tests/between.rs
@@ -221,3 +221,21 @@
         }
     }
 }
+
+/// The writer stands still after it told its peers and before its yes: they have the purge, and the neighbour has its
+/// yes once the writer goes on.
+#[test]
+fn a_writer_that_stands_still_before_its_yes_gives_it_when_it_goes_on() {
+    let mut fleet = copying(3, 40);
+    fleet.kill(0).unwrap();
+    fleet.restart_armed(0, Disk::Kept, "peers-told=stall").unwrap();
+    let (fleet, object) = (&fleet, object(310));
+    std::thread::scope(|scope| {
+        let said = scope.spawn(|| fleet.purge(0, &object));
+        assert!(fleet.hears(1, &object).unwrap() && fleet.hears(2, &object).unwrap());
+        assert!(!said.is_finished(), "no yes from a process that stands still");
+        fleet.go_on(0).unwrap();
+        assert_eq!(said.join().unwrap().unwrap(), 201);
+    });
+    assert!(floor(fleet, 0, &object));
+}
--- a/rehearse/src/gates/weather.rs
+++ b/rehearse/src/gates/weather.rs
@@ -48,6 +48,16 @@
         half_open: false,
     };
 
+    /// What concerns streams alone, by its key.
+    pub fn of_streams(&self) -> Option<&'static str> {
+        let said = [
+            ("trickle", self.trickle > 0),
+            ("reset_after", self.reset_after > 0),
+            ("half_open", self.half_open),
+        ];
+        said.into_iter().find(|(_, said)| *said).map(|(key, _)| key)
+    }
+
     /// What can't be, by its key.
     pub fn check(&self) -> Result<(), String> {
         for (key, share) in [("drop", self.drop), ("duplicate", self.duplicate), ("reorder", self.reorder)] {
--- a/rehearse/src/main.rs
+++ b/rehearse/src/main.rs
@@ -7,7 +7,7 @@
 use linnetknot_rehearse::player::{self, Outcome, Watch};
 use linnetknot_rehearse::report::{compare, Report};
 use linnetknot_rehearse::scenario::{schema, Scenario};
-use linnetknot_rehearse::series::{side_by_side as all_at_once, Seeds, Summary, Verdict};
+use linnetknot_rehearse::series::{all_at_once, Seeds, Summary, Verdict};
 use linnetknot_rehearse::shipped;
 use signal_hook::consts::SIGINT;
 use std::collections::BTreeSet;
@@ -200,18 +200,12 @@
                 eprintln!("the result can't be written: {e}");
                 return 2;
             }
-            if let Err(why) = outcome.has_seen() {
+            // What was broken before an end by hand stands; what was not seen, nobody knows.
+            let verdict = Verdict::of(Ok(outcome));
+            if let Verdict::Nothing(why) = &verdict {
                 eprintln!("the rehearsal proves nothing: {why}");
-                return 2;
-            }
-            match outcome.interrupted {
-                // What was broken before the end stands; what was not seen, nobody knows.
-                Some(at) if outcome.breaches.is_empty() => {
-                    eprintln!("ended by hand after {at:.1} s: no rule broken until then, which proves nothing whole");
-                    2
-                }
-                _ => u8::from(!outcome.breaches.is_empty()),
             }
+            verdict.status()
         }
     }
 }
--- a/rehearse/src/scenario.rs
+++ b/rehearse/src/scenario.rs
@@ -368,6 +368,18 @@
                                 key("what.links")
                             ));
                         }
+                        if let Some(stream) = weather.of_streams() {
+                            let at = key("what.links.weather");
+                            return Err(format!(
+                                "{at}.{stream}: the proxies send each other datagrams, no streams"
+                            ));
+                        }
+                        if *proxies >= self.proxies {
+                            return Err(format!(
+                                "{}: there are no others than these",
+                                key("what.links.proxies")
+                            ));
+                        }
                     }
                     if matches!(f.what, What::ProxyStalled { .. }) && f.lasts <= 0.0 {
                         return Err(format!("{}: a stall must end", key("lasts")));
--- a/rehearse/src/series.rs
+++ b/rehearse/src/series.rs
@@ -85,7 +85,7 @@
 pub type Verdicts = BTreeMap<u64, Verdict>;
 
 /// Plays each job, so many at a time, in order of their beginning. `play` is called from several threads.
-pub fn side_by_side<J: Sync, R: Send>(jobs: &[J], at_once: usize, play: impl Fn(&J) -> R + Sync) -> Vec<R> {
+pub fn all_at_once<J: Sync, R: Send>(jobs: &[J], at_once: usize, play: impl Fn(&J) -> R + Sync) -> Vec<R> {
     let next = AtomicUsize::new(0);
     let done = Mutex::new(BTreeMap::new());
     thread::scope(|scope| {
@@ -186,7 +186,7 @@
         let (running, most) = (AtomicUsize::new(0), AtomicUsize::new(0));
         let meet = std::sync::Barrier::new(3);
         let jobs: Vec<u64> = (0..9).collect();
-        let doubled = side_by_side(&jobs, 3, |n| {
+        let doubled = all_at_once(&jobs, 3, |n| {
             let now = running.fetch_add(1, Ordering::SeqCst) + 1;
             most.fetch_max(now, Ordering::SeqCst);
             // Three must be there together, or this never ends.
@@ -196,6 +196,6 @@
         });
         assert_eq!(doubled, jobs.iter().map(|n| n * 2).collect::<Vec<_>>(), "in the jobs' order");
         assert_eq!(most.load(Ordering::SeqCst), 3);
-        assert!(side_by_side(&Vec::<u64>::new(), 3, |n| *n).is_empty());
+        assert!(all_at_once(&Vec::<u64>::new(), 3, |n| *n).is_empty());
     }
 }
--- a/rehearse/src/timetable.rs
+++ b/rehearse/src/timetable.rs
@@ -164,6 +164,13 @@
         text["faults"] = links(serde_json::json!({"drop": 7}));
         let message = Scenario::read(&text.to_string()).unwrap_err();
         assert!(message.starts_with("faults[0].what.links.weather.drop: 7 is not from 0 to 1"), "{message}");
+        text["faults"] = links(serde_json::json!({"trickle": 7}));
+        let message = Scenario::read(&text.to_string()).unwrap_err();
+        assert!(message.starts_with("faults[0].what.links.weather.trickle: the proxies send"), "{message}");
+        text["faults"] =
+            serde_json::json!([{"at": 1, "what": {"links": {"proxies": 3, "weather": {"cut": true}}}}]);
+        let message = Scenario::read(&text.to_string()).unwrap_err();
+        assert!(message.starts_with("faults[0].what.links.proxies: there are no others"), "{message}");
         text["faults"] = serde_json::json!([{"at": 1, "what": {"proxy-stalled": {"proxies": 1}}}]);
         let message = Scenario::read(&text.to_string()).unwrap_err();
         assert!(message.starts_with("faults[0].lasts: a stall must end"), "{message}");
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -749,8 +749,8 @@
     /// called off and goes elsewhere.
     fn tick(&mut self, now: Micros, actions: &mut Vec<Action>) {
         actions.push(Action::Timer { at: now + TICK_US, tag: TICK_TAG });
-        if self.purged.len() > PURGES {
-            let mut at: Vec<Micros> = self.purged.values().map(|p| p.0).collect();
+        let mut at: Vec<Micros> = self.purged.values().filter(|p| !p.1).map(|p| p.0).collect();
+        if at.len() > PURGES {
             let done = now.saturating_sub(self.settings.rules.purge_done_us);
             let done = done.min(*at.select_nth_unstable(PURGES / 2).1);
             self.purged.retain(|_, (at, lasting)| *lasting || *at > done);
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -244,6 +244,22 @@
     assert_eq!(rig.send("video", "/o/a").fill.max_age_us, Some(10 * S), "the later one is the stricter");
 }
 
+/// Those that last are as many as an operator's limits allow, and bounded there.
+#[test]
+fn purges_that_last_take_no_room_from_those_that_need_not() {
+    let mut rig = Rig::new(settings(), fleet());
+    let purge = |n: u64, lasting| Event::Purged {
+        object: Some(format!("/o/{n}")),
+        group: 3,
+        age_us: 60 * S - n,
+        lasting,
+    };
+    rig.handle(purge(0, false));
+    (1..=20_000).for_each(|n| drop(rig.handle(purge(n, true))));
+    rig.tick();
+    assert_eq!(rig.send("video", "/o/0").fill.max_age_us, Some(60 * S));
+}
+
 #[test]
 fn a_refused_client_is_told_when_to_come_back_also_where_none_is_said_to_listen() {
     let mut rig =
