Add the store: redb behind a worker thread, with group commit and a word for each write

Need: what a proxy promises must be on its disk before it says so, and the loop must not wait for a disk. The ledger's file was written on the loop and never synced.

Tests stop the medium at every operation of a run and lose or tear what was not synced: acknowledged equals present, no group is there in part.

--- /dev/null
+++ b/store/src/file.rs
@@ -0,0 +1,230 @@
+//! The file: spaces of keys and values, written in groups that are there whole or not at all.
+
+use redb::{
+    AccessGuard, Database, DatabaseError, ReadOnlyTable, ReadableDatabase, ReadableTable, StorageBackend,
+    StorageError, TableDefinition, TableError,
+};
+use std::fmt;
+use std::panic::{catch_unwind, AssertUnwindSafe};
+use std::path::Path;
+
+/// The version of the format. Another is refused by name.
+pub const FORMAT: &[u8] = b"linnetknot state 1";
+/// Where the version stands.
+const HEAD: Space = Space("head");
+const VERSION: &[u8] = b"format";
+
+/// A space of keys of its own in the file.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Space(pub &'static str);
+
+impl Space {
+    fn table(self) -> TableDefinition<'static, &'static [u8], &'static [u8]> {
+        TableDefinition::new(self.0)
+    }
+}
+
+/// A key put in its space with its value, or taken out.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Write {
+    /// The space.
+    pub space: Space,
+    /// The key.
+    pub key: Vec<u8>,
+    /// The value; none takes the key out.
+    pub value: Option<Vec<u8>>,
+}
+
+/// Why the file can't be used.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Fault {
+    /// It can't be opened, read or written: the system's word for it.
+    Disk(String),
+    /// Another process has it open.
+    Busy,
+    /// What stands in it is damaged, or it is no store at all.
+    Damaged(String),
+    /// Another version of the program wrote it, in this format.
+    Format(String),
+}
+
+impl fmt::Display for Fault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Fault::Disk(why) => write!(f, "the disk: {why}"),
+            Fault::Busy => f.write_str("another process has it open"),
+            Fault::Damaged(why) => write!(
+                f,
+                "it is damaged ({why}); move it away and start again: what was promised comes back from the peers"
+            ),
+            Fault::Format(found) => {
+                let known = String::from_utf8_lossy(FORMAT);
+                write!(f, "its format is '{found}', this program's is '{known}'; start the program that wrote it")
+            }
+        }
+    }
+}
+
+impl std::error::Error for Fault {}
+
+fn fault(e: redb::Error) -> Fault {
+    match e {
+        redb::Error::Corrupted(why) => Fault::Damaged(why),
+        redb::Error::DatabaseAlreadyOpen => Fault::Busy,
+        redb::Error::UpgradeRequired(version) => Fault::Format(format!("redb file {version}")),
+        redb::Error::RepairAborted => Fault::Damaged("its repair was broken off".into()),
+        // What is no store at all comes as invalid data.
+        redb::Error::Io(e) if e.kind() == std::io::ErrorKind::InvalidData => Fault::Damaged(e.to_string()),
+        e => Fault::Disk(e.to_string()),
+    }
+}
+
+/// The store's own checks failed, which it says by a panic.
+fn broken() -> Fault {
+    Fault::Damaged("its structure does not hold".into())
+}
+
+/// A key and its value.
+pub type Pair = (Vec<u8>, Vec<u8>);
+
+type Guard<'a> = AccessGuard<'a, &'static [u8]>;
+type Opener = Box<dyn FnMut() -> Result<Database, DatabaseError> + Send>;
+
+/// The file.
+pub struct Store {
+    /// None after a write failed, until it is opened again: the store takes no more once one did.
+    db: Option<Database>,
+    opener: Opener,
+}
+
+impl fmt::Debug for Store {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Store").field("sound", &self.db.is_some()).finish()
+    }
+}
+
+impl Store {
+    /// Opens the file at a path, or begins it. A damaged one is refused and left as it is.
+    pub fn open(path: &Path) -> Result<Self, Fault> {
+        if !path.exists() {
+            Self::begin(path)?;
+        }
+        let path = path.to_owned();
+        Self::by(Box::new(move || Database::open(&path)))
+    }
+
+    /// Begins a file beside its place and puts it there once it is whole: a file whose first words were cut off by a
+    /// crash could not be told from a damaged one.
+    fn begin(path: &Path) -> Result<(), Fault> {
+        let disk = |e: std::io::Error| Fault::Disk(e.to_string());
+        let mut beside = path.as_os_str().to_owned();
+        beside.push(".new");
+        match std::fs::remove_file(&beside) {
+            Err(e) if e.kind() != std::io::ErrorKind::NotFound => return Err(disk(e)),
+            _ => {}
+        }
+        let made = std::path::PathBuf::from(&beside);
+        drop(Self::by(Box::new(move || Database::create(&made)))?);
+        std::fs::rename(&beside, path).map_err(disk)?;
+        match path.parent().filter(|p| !p.as_os_str().is_empty()) {
+            Some(folder) => std::fs::File::open(folder).and_then(|f| f.sync_all()).map_err(disk),
+            None => Ok(()),
+        }
+    }
+
+    /// Opens a store on a medium of the caller's, as tests do that lose what was not synced.
+    pub fn on<B: StorageBackend>(mut medium: impl FnMut() -> B + Send + 'static) -> Result<Self, Fault> {
+        Self::by(Box::new(move || Database::builder().create_with_backend(medium())))
+    }
+
+    fn by(opener: Opener) -> Result<Self, Fault> {
+        let mut store = Store { db: None, opener };
+        store.reopen()?;
+        match store.get(HEAD, VERSION)? {
+            None if store.is_new()? => {
+                let version = Write { space: HEAD, key: VERSION.to_vec(), value: Some(FORMAT.to_vec()) };
+                store.commit(&[version])?;
+            }
+            Some(found) if found == FORMAT => {}
+            Some(found) => return Err(Fault::Format(String::from_utf8_lossy(&found).into_owned())),
+            None => return Err(Fault::Damaged("it names no format".into())),
+        }
+        Ok(store)
+    }
+
+    /// Opens the file anew where it is not open.
+    fn reopen(&mut self) -> Result<&Database, Fault> {
+        if self.db.is_none() {
+            let opener = &mut self.opener;
+            // A file that was changed from outside may have the store panic where it trusts what it wrote.
+            let opened = catch_unwind(AssertUnwindSafe(opener)).map_err(|_| broken())?;
+            self.db = Some(opened.map_err(|e| fault(e.into()))?);
+        }
+        self.db.as_ref().ok_or(Fault::Busy)
+    }
+
+    fn is_new(&mut self) -> Result<bool, Fault> {
+        let read = self.reopen()?.begin_read().map_err(|e| fault(e.into()))?;
+        let mut tables = read.list_tables().map_err(|e| fault(e.into()))?;
+        Ok(tables.next().is_none())
+    }
+
+    /// The value of a key.
+    pub fn get(&mut self, space: Space, key: &[u8]) -> Result<Option<Vec<u8>>, Fault> {
+        self.read(space, |table| Ok(table.get(key)?.map(|value| value.value().to_vec()))).map(Option::flatten)
+    }
+
+    /// All keys of a space with their values, in the keys' order.
+    pub fn all(&mut self, space: Space) -> Result<Vec<Pair>, Fault> {
+        let all = self.read(space, |table| {
+            let pair = |pair: Result<(Guard<'_>, Guard<'_>), StorageError>| {
+                pair.map(|(key, value)| (key.value().to_vec(), value.value().to_vec()))
+            };
+            table.iter()?.map(pair).collect()
+        })?;
+        Ok(all.unwrap_or_default())
+    }
+
+    /// Reads a space; none where nothing was ever written to it.
+    fn read<T>(
+        &mut self,
+        space: Space,
+        take: impl FnOnce(&ReadOnlyTable<&'static [u8], &'static [u8]>) -> Result<T, StorageError>,
+    ) -> Result<Option<T>, Fault> {
+        let db = self.reopen()?;
+        let read = || -> Result<Option<T>, redb::Error> {
+            match db.begin_read()?.open_table(space.table()) {
+                Ok(table) => Ok(Some(take(&table)?)),
+                Err(TableError::TableDoesNotExist(_)) => Ok(None),
+                Err(e) => Err(e.into()),
+            }
+        };
+        catch_unwind(AssertUnwindSafe(read)).map_err(|_| broken())?.map_err(fault)
+    }
+
+    /// Writes a group: all of it is on the disk when this returns, or none of it ever is. After an error it may be
+    /// either, as the disk may have taken what it would not confirm.
+    pub fn commit(&mut self, group: &[Write]) -> Result<(), Fault> {
+        let db = self.reopen()?;
+        let write = || -> Result<(), redb::Error> {
+            // The store's default is to sync with each commit.
+            let transaction = db.begin_write()?;
+            for Write { space, key, value } in group {
+                let mut table = transaction.open_table(space.table())?;
+                match value {
+                    Some(value) => drop(table.insert(key.as_slice(), value.as_slice())?),
+                    None => drop(table.remove(key.as_slice())?),
+                }
+            }
+            Ok(transaction.commit()?)
+        };
+        let written = catch_unwind(AssertUnwindSafe(write))
+            .map_err(|_| broken())
+            .and_then(|result| result.map_err(fault));
+        if written.is_err() {
+            // After a failed write the store refuses all others; opened again it stands as of its last whole group.
+            self.db = None;
+        }
+        written
+    }
+}
--- /dev/null
+++ b/store/tests/crash.rs
@@ -0,0 +1,251 @@
+//! The store on a medium that stops at its n-th operation and then loses what was not synced: what was acknowledged is
+//! there, and of a group that was not acknowledged all is there or nothing.
+
+use linnetknot_store::{Done, Fault, Keeper, Space, Store, Write, GROUP};
+use redb::StorageBackend;
+use std::sync::{Arc, Mutex};
+
+const SPACE: Space = Space("test");
+
+/// A change that the medium was told of and that is not synced.
+#[derive(Clone, Debug)]
+enum Change {
+    Length(usize),
+    Bytes(usize, Vec<u8>),
+}
+
+#[derive(Debug, Default)]
+struct Disk {
+    /// What a reader sees while the power is on.
+    seen: Vec<u8>,
+    /// What is there for good.
+    lasting: Vec<u8>,
+    unsynced: Vec<Change>,
+    /// Operations until it stops; none: it goes on.
+    left: Option<u64>,
+    operations: u64,
+}
+
+fn apply(bytes: &mut Vec<u8>, change: &Change) {
+    match change {
+        Change::Length(length) => bytes.resize(*length, 0),
+        Change::Bytes(at, new) => {
+            bytes.resize(bytes.len().max(at + new.len()), 0);
+            bytes[*at..at + new.len()].copy_from_slice(new);
+        }
+    }
+}
+
+impl Disk {
+    fn operate(&mut self) -> Result<(), std::io::Error> {
+        if self.left == Some(0) {
+            return Err(std::io::Error::other("the medium has stopped"));
+        }
+        self.left = self.left.map(|left| left - 1);
+        self.operations += 1;
+        Ok(())
+    }
+
+    fn change(&mut self, change: Change) -> Result<(), std::io::Error> {
+        self.operate()?;
+        apply(&mut self.seen, &change);
+        self.unsynced.push(change);
+        Ok(())
+    }
+
+    /// The power goes: of what was not synced some is there, by the seed, one of them in part.
+    fn lose(&mut self, mut seed: u64) {
+        for change in std::mem::take(&mut self.unsynced) {
+            seed = seed.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
+            match (seed >> 60, change) {
+                (0..=6, change) => apply(&mut self.lasting, &change),
+                (7..=8, Change::Bytes(at, bytes)) => {
+                    // Torn at a sector, which a disk writes whole.
+                    let part = (bytes.len() / 2) & !511;
+                    apply(&mut self.lasting, &Change::Bytes(at, bytes[..part].to_vec()));
+                }
+                _ => {}
+            }
+        }
+        self.seen.clone_from(&self.lasting);
+        self.left = None;
+    }
+}
+
+#[derive(Clone, Debug, Default)]
+struct Medium(Arc<Mutex<Disk>>);
+
+impl StorageBackend for Medium {
+    fn len(&self) -> Result<u64, std::io::Error> {
+        Ok(self.0.lock().unwrap().seen.len() as u64)
+    }
+
+    fn read(&self, offset: u64, out: &mut [u8]) -> Result<(), std::io::Error> {
+        let disk = self.0.lock().unwrap();
+        let part = disk.seen.get(offset as usize..offset as usize + out.len());
+        out.copy_from_slice(part.ok_or_else(|| std::io::Error::from(std::io::ErrorKind::UnexpectedEof))?);
+        Ok(())
+    }
+
+    fn set_len(&self, length: u64) -> Result<(), std::io::Error> {
+        self.0.lock().unwrap().change(Change::Length(length as usize))
+    }
+
+    fn sync_data(&self) -> Result<(), std::io::Error> {
+        let mut disk = self.0.lock().unwrap();
+        disk.operate()?;
+        disk.lasting = disk.seen.clone();
+        disk.unsynced.clear();
+        Ok(())
+    }
+
+    fn write(&self, offset: u64, data: &[u8]) -> Result<(), std::io::Error> {
+        self.0.lock().unwrap().change(Change::Bytes(offset as usize, data.to_vec()))
+    }
+}
+
+fn put(key: u64, value: u64) -> Write {
+    let (key, value) = (key.to_be_bytes().to_vec(), Some(value.to_be_bytes().to_vec()));
+    Write { space: SPACE, key, value }
+}
+
+fn open(medium: &Medium) -> Result<Store, Fault> {
+    let medium = medium.clone();
+    Store::on(move || medium.clone())
+}
+
+/// Groups of three keys, each overwriting one of an earlier group and taking one out; gives the groups that were
+/// acknowledged.
+fn run(medium: &Medium) -> u64 {
+    let Ok(mut store) = open(medium) else { return 0 };
+    for group in 1..=12u64 {
+        let gone = Write { space: SPACE, key: (1000 + group - 1).to_be_bytes().to_vec(), value: None };
+        if store.commit(&[put(1, group), put(1000 + group, group), put(2, group), gone]).is_err() {
+            return group - 1;
+        }
+    }
+    12
+}
+
+#[test]
+fn stopped_at_every_operation_the_acknowledged_is_present_and_no_group_is_half() {
+    let calm = Medium::default();
+    assert_eq!(run(&calm), 12);
+    let all = calm.0.lock().unwrap().operations;
+    assert!(all > 50, "{all} operations");
+    // A crash while a file is begun leaves none in its place (`a_file_of_another_kind..`).
+    let begun = Medium::default();
+    drop(open(&begun).unwrap());
+    let begun = begun.0.lock().unwrap().operations;
+    let mut kept_on = 0;
+    for n in begun..all {
+        for seed in 0..4 {
+            let medium = Medium::default();
+            medium.0.lock().unwrap().left = Some(n);
+            let acknowledged = run(&medium);
+            medium.0.lock().unwrap().lose(n * 4 + seed);
+            let mut store = open(&medium).unwrap_or_else(|e| panic!("stopped at {n}, seed {seed}: {e}"));
+            let kept = store.all(SPACE).unwrap();
+            let number = |key: u64| {
+                let found = kept.iter().find(|(k, _)| k[..] == key.to_be_bytes());
+                found.map_or(0, |(_, value)| u64::from_be_bytes(value[..].try_into().unwrap()))
+            };
+            let group = number(1);
+            assert!(
+                group == acknowledged || group == acknowledged + 1,
+                "stopped at {n}: {group}, {acknowledged} acknowledged"
+            );
+            assert_eq!(
+                (number(2), number(1000 + group)),
+                (group, group),
+                "stopped at {n}: a group is there in part"
+            );
+            assert_eq!(
+                kept.len(),
+                if group == 0 { 0 } else { 3 },
+                "stopped at {n}: what was taken out is back"
+            );
+            kept_on += u64::from(group > acknowledged);
+            store.commit(&[put(1, 99)]).unwrap();
+        }
+    }
+    assert!(kept_on < all, "else each stop came after its sync");
+}
+
+#[test]
+fn a_failed_write_is_told_and_the_next_is_taken_once_the_disk_is_back() {
+    let medium = Medium::default();
+    let mut store = open(&medium).unwrap();
+    store.commit(&[put(1, 1)]).unwrap();
+    medium.0.lock().unwrap().left = Some(1);
+    assert!(matches!(store.commit(&[put(1, 2)]), Err(Fault::Disk(_))));
+    assert!(store.commit(&[put(1, 3)]).is_err(), "the disk is still away");
+    medium.0.lock().unwrap().left = None;
+    store.commit(&[put(1, 4)]).unwrap();
+    let all = store.all(SPACE).unwrap();
+    assert_eq!(all, [(1u64.to_be_bytes().to_vec(), 4u64.to_be_bytes().to_vec())]);
+}
+
+#[test]
+fn many_writes_share_a_sync_and_a_full_queue_takes_nothing() {
+    let medium = Medium::default();
+    let store = open(&medium).unwrap();
+    // The disk is held, so that the writes pile up behind it.
+    let held = medium.0.lock().unwrap();
+    let before = held.operations;
+    let (wake, woken) = std::sync::mpsc::channel();
+    let mut keeper = Keeper::start("test", store, 100, move || wake.send(()).unwrap()).unwrap();
+    let given = (1..=100).map(|n| keeper.give(put(n, n))).collect::<Vec<_>>();
+    assert_eq!(given, (1..=100).map(Some).collect::<Vec<_>>());
+    assert_eq!((keeper.give(put(101, 1)), keeper.room()), (None, 0), "bounded");
+    assert_eq!(keeper.done(), None);
+    drop(held);
+    let mut words = Vec::new();
+    while words.last().is_none_or(|d: &Done| d.to < 100) {
+        woken.recv_timeout(std::time::Duration::from_secs(10)).unwrap();
+        words.extend(std::iter::from_fn(|| keeper.done()));
+    }
+    assert!(words.iter().all(|d| d.result.is_ok()));
+    assert!(words.len() <= 3, "{} syncs for 100 writes", words.len());
+    assert!(medium.0.lock().unwrap().operations > before && keeper.room() == 100);
+    assert!(keeper.give(put(7, 8)).is_some(), "there is room again");
+    let (mut store, last) = keeper.close().unwrap();
+    assert_eq!((store.all(SPACE).unwrap().len(), last.len()), (100, 1));
+    const { assert!(GROUP >= 100) };
+}
+
+#[test]
+fn a_file_of_another_kind_a_damaged_one_and_one_in_use_are_refused_by_name() {
+    let folder = std::env::temp_dir().join(format!("linnetknot-store-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).unwrap();
+    let path = folder.join("state");
+    std::fs::write(&path, "purge object 0a 5\n").unwrap();
+    let foreign = Store::open(&path).unwrap_err();
+    assert!(matches!(foreign, Fault::Damaged(_)), "{foreign:?}");
+    assert_eq!(std::fs::read(&path).unwrap(), b"purge object 0a 5\n", "left as it was");
+    std::fs::remove_file(&path).unwrap();
+    // What a crash left of a file that was begun is no file.
+    std::fs::write(folder.join("state.new"), [0x5a; 4096]).unwrap();
+    let mut store = Store::open(&path).unwrap();
+    assert!(!folder.join("state.new").exists());
+    store.commit(&(0..200).map(|n| put(n, n)).collect::<Vec<_>>()).unwrap();
+    assert_eq!(Store::open(&path).unwrap_err(), Fault::Busy);
+    drop(store);
+    assert_eq!(Store::open(&path).unwrap().all(SPACE).unwrap().len(), 200, "closed and opened");
+    // Another format.
+    let mut store = Store::open(&path).unwrap();
+    let other =
+        Write { space: Space("head"), key: b"format".to_vec(), value: Some(b"linnetknot state 9".to_vec()) };
+    store.commit(&[other]).unwrap();
+    drop(store);
+    let said = Store::open(&path).unwrap_err().to_string();
+    assert!(said.contains("linnetknot state 9"), "{said}");
+    // Cut off: nothing is read from half a file.
+    let bytes = std::fs::read(&path).unwrap();
+    std::fs::write(&path, &bytes[..bytes.len() / 2]).unwrap();
+    assert!(Store::open(&path).is_err());
+    std::fs::write(&path, vec![0x5a; bytes.len()]).unwrap();
+    let said = Store::open(&path).unwrap_err();
+    assert!(matches!(said, Fault::Damaged(_)), "{said:?}");
+    std::fs::remove_dir_all(&folder).unwrap();
+}
