--- a/copies/src/lib.rs
+++ b/copies/src/lib.rs
@@ -7,13 +7,21 @@
 //!
 //! A life is one run of a log. A proxy that starts with its disk goes on with its life; one that lost it begins a new
 //! one, and the entries of its old life come back from the others as any entry does.
+//!
+//! What a proxy promised must outlive its machine. So it is told by its disk and by its peers what each has for good,
+//! and says which promises may be given (`promise`).
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
 mod book;
+mod promise;
 mod wire;
 
+use promise::{Promises, Unkept};
+use std::collections::BTreeMap;
+
 pub use book::{Book, Full, Taken};
+pub use promise::{Machine, Settled, Why};
 pub use wire::{Datagram, Unreadable, MOST};
 
 /// Time or duration in microseconds, Unix time where it is a time of day.
@@ -64,11 +72,32 @@
     pub batch: usize,
     /// Entries sent in one period, to all: copying must leave the loop to requests.
     pub per_period: usize,
+    /// Further machines that must have a promise on their disks before it is given.
+    pub wait: usize,
+    /// Further machines that are to have each entry in the end.
+    pub holders: usize,
+    /// A promise that can't be given within this is refused.
+    pub within_us: Micros,
+    /// Peers are asked so often what they have, while a promise waits for them.
+    pub ask_us: Micros,
+    /// Promises that may wait at a time.
+    pub promises: usize,
 }
 
 impl Default for Options {
     fn default() -> Self {
-        Options { entries: 20_000, logs: 1_024, period_us: 500_000, batch: 64, per_period: 512 }
+        Options {
+            entries: 20_000,
+            logs: 1_024,
+            period_us: 500_000,
+            batch: 256,
+            per_period: 512,
+            wait: 1,
+            holders: 2,
+            within_us: 1_000_000,
+            ask_us: 50_000,
+            promises: 1_024,
+        }
     }
 }
 
@@ -99,6 +128,10 @@
     pub early: u64,
     /// Entries for which there was no room.
     pub refused: u64,
+    /// Promises given.
+    pub promised: u64,
+    /// Promises refused.
+    pub denied: u64,
 }
 
 /// The logs that one proxy has, and what it tells its peers.
@@ -113,6 +146,13 @@
     allowance: usize,
     /// The log with which the next word begins, where they don't fit into one.
     next: Option<Log>,
+    /// What is not on this proxy's disk.
+    unkept: Unkept,
+    /// Peers that are to be told once it is, by log, up to the place that they sent.
+    owed: BTreeMap<(Log, usize), Seq>,
+    promises: Promises,
+    /// When peers are asked again what they have.
+    ask: Micros,
     tally: Tally,
 }
 
@@ -128,6 +168,10 @@
             due: 0,
             allowance: options.per_period,
             next: None,
+            unkept: Unkept::default(),
+            owed: BTreeMap::new(),
+            promises: Promises::default(),
+            ask: 0,
             tally: Tally::default(),
         }
     }
@@ -147,30 +191,143 @@
         self.tally
     }
 
+    /// Whose machine is which: this proxy's own and those of its peers, by whose places in this list they are known
+    /// from here on.
+    pub fn peers(&mut self, own: Machine, peers: Vec<Machine>) {
+        self.promises.peers(own, peers);
+        self.owed.clear();
+    }
+
     /// A new entry of its own log. It is for the caller to put it on the disk and to send it to all peers at once;
     /// those whom that misses get it later.
     pub fn add(&mut self, what: What, at: Micros) -> Result<Entry, Full> {
-        self.book.append(self.own, what, at, self.options.entries)
+        let entry = self.book.append(self.own, what, at, self.options.entries)?;
+        self.unkept.add(entry.log, entry.seq);
+        Ok(entry)
     }
 
-    /// When `tick` has something to do.
+    /// When `tick` or `settle` has something to do.
     pub fn due(&self) -> Micros {
-        self.due
+        let waits = self.promises.until(self.options.within_us).map(|until| until.min(self.ask));
+        waits.map_or(self.due, |at| at.min(self.due))
     }
 
-    /// Once a period: what to tell which peer, by its place among so many.
-    pub fn tick(&mut self, now: Micros, peers: usize) -> Vec<(usize, Datagram)> {
-        if now < self.due {
-            return Vec::new();
+    /// Once a period: what to tell which peer, by its place. While a promise waits, those that it may wait for are
+    /// asked more often.
+    pub fn tick(&mut self, now: Micros) -> Vec<(usize, Datagram)> {
+        let mut told = Vec::new();
+        let peers = self.promises.count();
+        if now >= self.due {
+            // Spread by up to a quarter, so that the words of many proxies do not fall together.
+            self.due = now + self.options.period_us + self.draw() % (self.options.period_us / 4).max(1);
+            self.allowance = self.options.per_period;
+            if peers > 0 {
+                let peer = (self.draw() % peers as u64) as usize;
+                told.push((peer, self.word()));
+            }
+        } else if !self.promises.is_waiting() || now < self.ask {
+            return told;
         }
-        // Spread by up to a quarter, so that the words of many proxies do not fall together.
-        self.due = now + self.options.period_us + self.draw() % (self.options.period_us / 4).max(1);
-        self.allowance = self.options.per_period;
-        if peers == 0 {
-            return Vec::new();
+        self.ask = now + self.options.ask_us;
+        self.ask_holders(&mut told);
+        told
+    }
+
+    /// Sends the last entry of each of its own lives to those peers that are not known to have it on their disks:
+    /// whoever has it says so again, and whoever lacks entries before it asks for them.
+    fn ask_holders(&mut self, told: &mut Vec<(usize, Datagram)>) {
+        let own = self.own.0;
+        let lives = self.book.ends().into_iter().filter(|((writer, _), _)| *writer == own);
+        for (log, end) in lives.collect::<Vec<_>>() {
+            let Some(last) = self.book.behind(log, end - 1).next() else { continue };
+            for peer in (0..self.promises.count()).filter(|peer| self.promises.of(*peer, log.1) < end) {
+                if self.allowance == 0 {
+                    return;
+                }
+                self.allowance -= 1;
+                told.push((peer, Datagram::Entry(last.clone())));
+            }
+        }
+    }
+
+    // ---- Promises ----
+
+    /// The answer to whoever told what stands in this life's log up to a place is to wait until it is kept.
+    pub fn promise(&mut self, now: Micros, place: Seq) -> Result<(), Why> {
+        if !self.promises.is_waiting() {
+            // Peers were sent the entry just now: they are asked again only after a while.
+            self.ask = now + self.options.ask_us;
+        }
+        let opened = self.promises.open(now, place, self.options.promises);
+        self.tally.denied += u64::from(opened.is_err());
+        opened
+    }
+
+    /// Promises that are kept, and those that can't be.
+    pub fn settle(&mut self, now: Micros) -> Vec<Settled> {
+        let mark = self.mark(self.own);
+        let (wait, within) = (self.options.wait, self.options.within_us);
+        let settled = self.promises.settle(now, self.own, (mark, &self.unkept), (wait, within));
+        let kept = settled.iter().filter(|s| s.kept.is_ok()).count() as u64;
+        self.tally.promised += kept;
+        self.tally.denied += settled.len() as u64 - kept;
+        settled
+    }
+
+    /// Up to which place all that is in force of a log is on this proxy's disk.
+    pub fn mark(&self, log: Log) -> Seq {
+        self.unkept.through(log, self.book.end(log))
+    }
+
+    /// Whether all that the book has is on the disk.
+    pub fn is_kept(&self) -> bool {
+        self.unkept.is_empty()
+    }
+
+    /// An entry is on the disk: which peers are to be told so.
+    pub fn kept(&mut self, log: Log, seq: Seq) -> Vec<(usize, Datagram)> {
+        self.unkept.kept(log, seq);
+        let mark = self.mark(log);
+        let due = self.owed.range((log, 0)..=(log, usize::MAX)).filter(|(_, place)| **place <= mark);
+        let peers: Vec<usize> = due.map(|((_, peer), _)| *peer).collect();
+        let tell = |peer| {
+            self.owed.remove(&(log, peer));
+            (peer, Datagram::Held { ends: vec![(log, mark)] })
+        };
+        peers.into_iter().map(tell).collect()
+    }
+
+    /// The disk did not take an entry. It is in force, and is given again by `again`.
+    pub fn failed(&mut self, log: Log, seq: Seq) {
+        self.unkept.failed(log, seq);
+    }
+
+    /// Entries to be put on the disk again. One that was superseded meanwhile need not be there once all behind it are,
+    /// the one in its place among them.
+    pub fn again(&mut self) -> Vec<Entry> {
+        let mut entries = Vec::new();
+        for (log, seq) in self.unkept.again() {
+            match self.book.behind(log, seq - 1).next().filter(|entry| entry.seq == seq) {
+                Some(entry) => entries.push(entry),
+                None if self.unkept.is_last(log, seq) => self.unkept.kept(log, seq),
+                None => self.unkept.failed(log, seq),
+            }
         }
-        let peer = (self.draw() % peers as u64) as usize;
-        vec![(peer, self.word())]
+        entries
+    }
+
+    /// Entries of its own logs that fewer further machines are known to have than are to.
+    pub fn short(&self) -> usize {
+        let lives = self.book.ends().into_iter().filter(|((writer, _), _)| *writer == self.own.0);
+        let short = |(log, _): (Log, Seq)| {
+            self.book.behind(log, self.promises.through(log.1, self.options.holders)).count()
+        };
+        lives.map(short).sum()
+    }
+
+    /// How far a peer is known to have the log of this life on its disk.
+    pub fn held_by(&self, peer: usize) -> Seq {
+        self.promises.of(peer, self.own.1)
     }
 
     fn draw(&mut self) -> u64 {
@@ -196,11 +353,20 @@
         some
     }
 
-    /// Takes in what a peer says.
-    pub fn hear(&mut self, datagram: Datagram) -> Heard {
+    /// Takes in what a peer says, known by its place.
+    pub fn hear(&mut self, from: usize, datagram: Datagram) -> Heard {
         match datagram {
-            Datagram::Entry(entry) => self.take(entry),
+            Datagram::Entry(entry) => self.take(from, entry),
             Datagram::Want { ends } => self.compare(&ends).0,
+            Datagram::Held { ends } => {
+                // What others have of others' logs is for those to know.
+                for ((writer, life), place) in ends {
+                    if writer == self.own.0 {
+                        self.promises.mark(from, life, place);
+                    }
+                }
+                Heard::default()
+            }
             Datagram::Have { ends, all, sum } => {
                 let (mut heard, settled) = self.compare(&ends);
                 if sum == self.book.sum() {
@@ -221,15 +387,26 @@
         }
     }
 
-    fn take(&mut self, entry: Entry) -> Heard {
+    fn take(&mut self, from: usize, entry: Entry) -> Heard {
         let mut heard = Heard::default();
-        let log = entry.log;
+        let (log, seq) = (entry.log, entry.seq);
         match self.book.take(&entry, self.options.entries, self.options.logs) {
             Taken::New => {
                 self.tally.learned += 1;
+                self.unkept.add(log, seq);
+                self.owe(log, seq, from);
                 heard.new.push(entry);
             }
-            Taken::Known => self.tally.known += 1,
+            Taken::Known => {
+                self.tally.known += 1;
+                // Whoever sends what is known asks whether it is kept, too.
+                let mark = self.mark(log);
+                if mark >= seq {
+                    heard.replies.push(Datagram::Held { ends: vec![(log, mark)] });
+                } else {
+                    self.owe(log, seq, from);
+                }
+            }
             Taken::Early { have } => {
                 self.tally.early += 1;
                 heard.early.push(entry);
@@ -243,6 +420,12 @@
         heard
     }
 
+    /// A peer is to be told once this place is on the disk.
+    fn owe(&mut self, log: Log, seq: Seq, peer: usize) {
+        let place = self.owed.entry((log, peer)).or_insert(seq);
+        *place = (*place).max(seq);
+    }
+
     /// Sends what a peer lacks and asks for what it has more of; true where there was nothing of either.
     fn compare(&mut self, ends: &[(Log, Seq)]) -> (Heard, bool) {
         let mut heard = Heard::default();
--- a/copies/src/wire.rs
+++ b/copies/src/wire.rs
@@ -30,6 +30,12 @@
         /// The logs.
         ends: Vec<(Log, Seq)>,
     },
+    /// Up to which place the sender has all that is in force of these logs on its disk. A version before this one does
+    /// not know it and drops it.
+    Held {
+        /// The logs.
+        ends: Vec<(Log, Seq)>,
+    },
 }
 
 /// Why a datagram can't be read.
@@ -88,6 +94,7 @@
             }
             Datagram::Have { ends, all, sum } => format!("{MARK} have {all:x} {sum:x}{}", listed(ends)),
             Datagram::Want { ends } => format!("{MARK} want{}", listed(ends)),
+            Datagram::Held { ends } => format!("{MARK} held{}", listed(ends)),
         };
         (text.len() <= MOST).then(|| text.into_bytes())
     }
@@ -127,6 +134,7 @@
                 Some(Datagram::Have { ends: ends(words)?, all, sum })
             }
             "want" => Some(Datagram::Want { ends: ends(words)? }),
+            "held" => Some(Datagram::Held { ends: ends(words)? }),
             _ => None,
         }
     }
--- a/copies/tests/fleet.rs
+++ b/copies/tests/fleet.rs
@@ -4,7 +4,7 @@
 use linnetknot_copies::*;
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 const MS: Micros = 1_000;
 const S: Micros = 1_000_000;
@@ -15,6 +15,10 @@
     life: Life,
     in_force: BTreeMap<What, Micros>,
     disk: Book,
+    /// On their way to it, and when they are there.
+    writes: VecDeque<(Micros, Entry)>,
+    /// Promises that wait: the place in this life's log, and what was told.
+    asked: Vec<(Seq, What, Micros)>,
     /// What came while it stood still.
     stalled: Option<Vec<(usize, Vec<u8>)>>,
 }
@@ -31,6 +35,11 @@
     bytes: u64,
     /// All that was told, and when.
     told: BTreeMap<What, Micros>,
+    /// How long a disk takes, and the promises given and refused.
+    disk_us: Micros,
+    promised: BTreeMap<What, Micros>,
+    refused: Vec<Why>,
+    options: Options,
 }
 
 fn writer(n: usize) -> Writer {
@@ -49,17 +58,23 @@
             random: seed.wrapping_mul(2) | 1,
             bytes: 0,
             told: BTreeMap::new(),
+            disk_us: 0,
+            promised: BTreeMap::new(),
+            refused: Vec::new(),
+            options: Options::default(),
         };
-        for n in 0..members {
+        for _ in 0..members {
             net.members.push(Member {
                 copies: None,
                 life: 7,
                 in_force: BTreeMap::new(),
                 disk: Book::default(),
+                writes: VecDeque::new(),
+                asked: Vec::new(),
                 stalled: None,
             });
-            net.start(n);
         }
+        (0..members).for_each(|n| net.start(n));
         net
     }
 
@@ -72,16 +87,22 @@
 
     /// Starts a member with what its disk holds.
     fn start(&mut self, n: usize) {
+        let machines = (0..self.members.len()).filter(|m| *m != n).map(|m| m as Machine);
         let m = &mut self.members[n];
         m.in_force = m.disk.entries().map(|e| (e.what, e.at)).collect();
         let seed = self.number + n as u64;
-        m.copies = Some(Copies::new((writer(n), m.life), m.disk.clone(), seed, Options::default()));
+        let mut copies = Copies::new((writer(n), m.life), m.disk.clone(), seed, self.options);
+        copies.peers(n as Machine, machines.collect());
+        m.copies = Some(copies);
     }
 
     fn kill(&mut self, n: usize) {
         let m = &mut self.members[n];
         (m.copies, m.stalled) = (None, None);
         m.in_force.clear();
+        // What was not on the disk is lost, and the log does not go on in a life of which others may know more.
+        m.writes.clear();
+        m.asked.clear();
     }
 
     /// A new machine under the old name.
@@ -109,6 +130,8 @@
         let now = self.now;
         let Some(copies) = self.members[n].copies.as_mut() else { return };
         let entry = copies.add(what.clone(), now).expect("there is room");
+        copies.promise(now, entry.seq).expect("there is room");
+        self.members[n].asked.push((entry.seq, what.clone(), now));
         self.put(n, &entry);
         self.told.insert(what, now);
         for to in (0..self.members.len()).filter(|to| *to != n) {
@@ -118,10 +141,51 @@
 
     fn put(&mut self, n: usize, entry: &Entry) {
         let m = &mut self.members[n];
-        let taken = m.disk.take(entry, usize::MAX, usize::MAX);
-        assert_eq!(taken, Taken::New, "what is written to the disk follows what stands there");
         let floor = m.in_force.entry(entry.what.clone()).or_insert(0);
         *floor = entry.at.max(*floor);
+        m.writes.push_back((self.now + self.disk_us, entry.clone()));
+        if self.disk_us == 0 {
+            self.write(n);
+        }
+    }
+
+    /// The disk has what it was given first.
+    fn write(&mut self, n: usize) {
+        let m = &mut self.members[n];
+        let Some((_, entry)) = m.writes.pop_front() else { return };
+        let taken = m.disk.take(&entry, usize::MAX, usize::MAX);
+        assert_eq!(taken, Taken::New, "what is written to the disk follows what stands there");
+        let told = m.copies.as_mut().map(|c| c.kept(entry.log, entry.seq)).unwrap_or_default();
+        told.iter().for_each(|(peer, word)| self.send_to(n, *peer, word));
+        self.settle(n);
+    }
+
+    /// A peer by its place among the others.
+    fn send_to(&mut self, n: usize, peer: usize, word: &Datagram) {
+        self.send(n, if peer >= n { peer + 1 } else { peer }, word);
+    }
+
+    fn settle(&mut self, n: usize) {
+        let (now, m) = (self.now, &mut self.members[n]);
+        for settled in m.copies.as_mut().map(|c| c.settle(now)).unwrap_or_default() {
+            let place = m.asked.iter().position(|(seq, ..)| *seq == settled.place).expect("it was asked");
+            let (_, what, at) = m.asked.remove(place);
+            match settled.kept {
+                Ok(took) => {
+                    assert!(took <= self.options.within_us, "{took}");
+                    let latest = self.promised.entry(what).or_insert(0);
+                    *latest = at.max(*latest);
+                }
+                Err(why) => self.refused.push(why),
+            }
+        }
+    }
+
+    /// Promises given that nobody who runs holds at their time or later.
+    fn lost(&self) -> Vec<&What> {
+        let runs = || self.members.iter().filter(|m| m.copies.is_some());
+        let held = |what: &What, at: &Micros| runs().any(|m| m.in_force.get(what) >= Some(at));
+        self.promised.iter().filter(|(what, at)| !held(what, at)).map(|(what, _)| what).collect()
     }
 
     fn arrive(&mut self, from: usize, to: usize, bytes: Vec<u8>) {
@@ -129,13 +193,15 @@
             return waiting.push((from, bytes));
         }
         let Some(copies) = self.members[to].copies.as_mut() else { return };
-        let heard = copies.hear(Datagram::read(&bytes).expect("whole"));
+        let peer = if from > to { from - 1 } else { from };
+        let heard = copies.hear(peer, Datagram::read(&bytes).expect("whole"));
         heard.new.iter().for_each(|e| self.put(to, e));
         for e in &heard.early {
             let floor = self.members[to].in_force.entry(e.what.clone()).or_insert(0);
             *floor = e.at.max(*floor);
         }
         heard.replies.iter().for_each(|d| self.send(to, from, d));
+        self.settle(to);
     }
 
     fn run(&mut self, for_us: Micros) {
@@ -144,22 +210,26 @@
             let due = |m: &Member| m.copies.as_ref().filter(|_| m.stalled.is_none()).map(Copies::due);
             let tick = (0..self.members.len()).filter_map(|n| Some((due(&self.members[n])?, n))).min();
             let datagram = self.queue.keys().next().map(|k| k.0);
-            let next = [tick.map(|t| t.0), datagram].into_iter().flatten().min().unwrap_or(end);
+            let running = |n: &usize| self.members[*n].stalled.is_none();
+            let first = |n: usize| Some((self.members[n].writes.front()?.0, n));
+            let write = (0..self.members.len()).filter(running).filter_map(first).min();
+            let next = [tick.map(|t| t.0), datagram, write.map(|w| w.0)].into_iter().flatten().min();
+            let next = next.unwrap_or(end);
             if next > end {
                 break;
             }
             self.now = next.max(self.now);
-            if datagram.is_some_and(|at| at <= next) {
+            if let Some((_, n)) = write.filter(|(at, _)| *at <= next) {
+                self.write(n);
+            } else if datagram.is_some_and(|at| at <= next) {
                 if let Some((_, (from, to, bytes))) = self.queue.pop_first() {
                     self.arrive(from, to, bytes);
                 }
             } else if let Some((_, n)) = tick {
-                let (now, others) = (self.now, self.members.len() - 1);
-                let words = self.members[n].copies.as_mut().map(|c| c.tick(now, others)).unwrap_or_default();
-                for (peer, word) in words {
-                    let to = if peer >= n { peer + 1 } else { peer };
-                    self.send(n, to, &word);
-                }
+                let now = self.now;
+                let words = self.members[n].copies.as_mut().map(|c| c.tick(now)).unwrap_or_default();
+                words.iter().for_each(|(peer, word)| self.send_to(n, *peer, word));
+                self.settle(n);
             } else {
                 break;
             }
@@ -314,11 +384,171 @@
     let again = copies.add(object(1), 8).expect("it takes the place of the one before");
     assert_eq!((again.seq, again.prev, copies.book().len()), (3, 2, 2));
     let entry = |log, seq| Entry { log, seq, prev: seq - 1, what: What::Group(9), at: 1 };
-    let heard = copies.hear(Datagram::Entry(entry((2, 7), 1)));
+    let heard = copies.hear(0, Datagram::Entry(entry((2, 7), 1)));
     assert_eq!((heard.refused.len(), heard.new.len(), copies.tally().refused), (1, 0, 1));
     assert_eq!(copies.book().entries().count(), 2);
 }
 
+/// Machines are lost with their disks one after the other, at moments drawn from a seed, over links that lose, double and
+/// delay, some of them cut: what was promised is held by someone at every moment, and by all in the end.
+#[test]
+fn what_was_promised_outlives_any_one_machine_at_any_moment() {
+    let (mut promised, mut refused, mut lives) = (0, 0, 0);
+    for seed in 0..400 {
+        let mut net = Net::new(5, seed, (20, 10, 30 * MS));
+        net.disk_us = 1 + net.draw(30 * MS);
+        net.run(S);
+        for n in 0..60 {
+            let (writer, other) = (net.draw(5) as usize, net.draw(5) as usize);
+            match net.draw(6) {
+                0 => drop(net.cut.insert((writer, other))),
+                1 => net.cut.clear(),
+                _ => {}
+            }
+            net.tell(writer, object(n));
+            let moment = net.draw(80 * MS);
+            net.run(moment);
+            if net.draw(3) == 0 {
+                let lost = if net.draw(2) == 0 { writer } else { other };
+                net.kill(lost);
+                net.lose_disk(lost);
+                assert_eq!(
+                    net.lost(),
+                    Vec::<&What>::new(),
+                    "seed {seed}, {n}: p{lost} was lost with its disk"
+                );
+                net.start(lost);
+                // The next machine is lost only once this one has all again.
+                net.cut.clear();
+                net.run(10 * S);
+                lives += 1;
+            }
+        }
+        net.cut.clear();
+        net.run(20 * S);
+        let everywhere = |m: &Member| net.promised.iter().all(|(what, at)| m.in_force.get(what) >= Some(at));
+        assert!(net.members.iter().all(everywhere), "seed {seed}");
+        let copies = |m: &Member| m.copies.as_ref().map_or(0, Copies::short);
+        assert_eq!(net.members.iter().map(copies).sum::<usize>(), 0, "seed {seed}: none is short of copies");
+        promised += net.promised.len();
+        refused += net.refused.len();
+    }
+    assert!(promised > 15_000 && lives > 5_000, "{promised} promised, {refused} refused, {lives} lost");
+}
+
+/// A yes before the copy: with `wait: 0` the same losses do lose promises, so that the test above would see it.
+#[test]
+fn without_waiting_a_lost_machine_takes_promises_along() {
+    let mut lost = 0;
+    for seed in 0..40 {
+        let mut net = Net::new(3, seed, (0, 0, 5 * MS));
+        net.options.wait = 0;
+        (0..3).for_each(|n| net.start(n));
+        net.cut.extend([(0, 1), (0, 2)]);
+        net.tell(0, object(seed));
+        net.run(10 * MS);
+        assert_eq!(net.promised.len(), 1, "given on this disk alone");
+        net.kill(0);
+        net.lose_disk(0);
+        lost += net.lost().len();
+    }
+    assert_eq!(lost, 40);
+}
+
+#[test]
+fn a_side_that_reaches_no_further_machine_promises_nothing_and_says_why() {
+    let mut net = Net::new(3, 5, (0, 0, 5 * MS));
+    net.disk_us = MS;
+    net.run(S);
+    // One way: the entry arrives, and the word of it does not come back.
+    net.cut.extend([(1, 0), (2, 0)]);
+    net.tell(0, object(1));
+    net.run(900 * MS);
+    assert!(net.refused.is_empty() && net.promised.is_empty(), "it waits");
+    net.run(200 * MS);
+    assert_eq!(net.refused, [Why::Copies { have: 0, wanted: 1 }]);
+    assert_eq!(net.members[0].copies.as_ref().unwrap().short(), 1);
+    net.cut.clear();
+    net.run(2 * S);
+    assert_eq!(
+        net.members[0].copies.as_ref().unwrap().short(),
+        0,
+        "asked again until they are known to have it"
+    );
+    net.tell(0, object(2));
+    net.run(100 * MS);
+    assert_eq!(net.promised.len(), 1);
+}
+
+/// Two proxies of one machine are one copy: the promise waits for another machine.
+#[test]
+fn copies_on_one_machine_count_once_and_those_on_ones_own_not_at_all() {
+    let options = Options { wait: 2, ..Options::default() };
+    let mut copies = Copies::new((1, 7), Book::default(), 1, options);
+    // Peers 0 and 1 stand on machine 20, peer 2 on this proxy's own, peer 3 on machine 30.
+    copies.peers(10, vec![20, 20, 10, 30]);
+    let entry = copies.add(object(1), 5).unwrap();
+    copies.promise(100, entry.seq).unwrap();
+    assert!(copies.kept(entry.log, entry.seq).is_empty());
+    let held = || Datagram::Held { ends: vec![((1, 7), 1)] };
+    for peer in [0, 1, 2] {
+        copies.hear(peer, held());
+        assert_eq!(copies.settle(200), [], "{peer}");
+    }
+    // What one has of another's log is no copy of this one's.
+    copies.hear(3, Datagram::Held { ends: vec![((2, 7), 9)] });
+    assert_eq!((copies.settle(200), copies.short()), (vec![], 1));
+    copies.hear(3, held());
+    assert_eq!(copies.settle(300), [Settled { place: 1, kept: Ok(200) }]);
+    assert_eq!(copies.short(), 0);
+}
+
+/// The disk fails at the n-th write: that promise is refused at once, none behind it is given until it is there.
+#[test]
+fn what_the_disk_did_not_take_is_refused_and_given_to_it_again() {
+    let mut copies = Copies::new((1, 7), Book::default(), 1, Options::default());
+    copies.peers(10, vec![20]);
+    let all: Vec<Entry> = (1..=3).map(|n| copies.add(object(n), n).unwrap()).collect();
+    all.iter().for_each(|e| copies.promise(100, e.seq).unwrap());
+    copies.hear(0, Datagram::Held { ends: vec![((1, 7), 3)] });
+    copies.kept((1, 7), 1);
+    copies.failed((1, 7), 2);
+    copies.kept((1, 7), 3);
+    let settled = copies.settle(100);
+    assert_eq!(settled.iter().map(|s| s.kept).collect::<Vec<_>>(), [Ok(0), Err(Why::Disk), Err(Why::Disk)]);
+    assert_eq!((copies.mark((1, 7)), copies.is_kept()), (1, false));
+    assert_eq!(copies.again(), [all[1].clone()]);
+    assert_eq!(copies.again(), [], "it is on its way");
+    copies.kept((1, 7), 2);
+    assert_eq!((copies.mark((1, 7)), copies.is_kept()), (3, true));
+    // A peer that asked meanwhile is told once all before its place is there.
+    let theirs = |seq| Entry { log: (2, 9), seq, prev: seq - 1, what: object(10 + seq), at: 1 };
+    (1..=2).for_each(|seq| drop(copies.hear(0, Datagram::Entry(theirs(seq)))));
+    assert_eq!(copies.kept((2, 9), 2), [], "the one before it is not there yet");
+    assert_eq!(copies.kept((2, 9), 1), [(0, Datagram::Held { ends: vec![((2, 9), 2)] })]);
+    let again = copies.hear(0, Datagram::Entry(theirs(1)));
+    assert_eq!(
+        again.replies,
+        [Datagram::Held { ends: vec![((2, 9), 2)] }],
+        "whoever asks again is told again"
+    );
+}
+
+#[test]
+fn a_promise_too_many_is_refused_at_once() {
+    let mut copies = Copies::new((1, 7), Book::default(), 1, Options { promises: 2, ..Options::default() });
+    copies.peers(10, vec![20]);
+    for n in 1..=2 {
+        let entry = copies.add(object(n), n).unwrap();
+        assert_eq!(copies.promise(n, entry.seq), Ok(()));
+    }
+    let entry = copies.add(object(3), 3).unwrap();
+    assert_eq!(copies.promise(3, entry.seq), Err(Why::Many));
+    let within = Options::default().within_us;
+    assert_eq!(copies.settle(1 + within).len(), 1, "each in its own time");
+    assert_eq!(copies.settle(2 + within), [Settled { place: 2, kept: Err(Why::Disk) }]);
+}
+
 proptest! {
     #![proptest_config(ProptestConfig {
         cases: 128, rng_seed: RngSeed::Fixed(0x11af), failure_persistence: None, ..ProptestConfig::default()
@@ -337,7 +567,7 @@
     #[test]
     fn what_is_written_is_read_again(writer: u64, life: u64, seq in 1u64.., at: u64, group: u64, ends in proptest::collection::vec(any::<((u64, u64), u64)>(), 0..5), sum: u64) {
         let entry = Entry { log: (writer, life), seq, prev: seq - 1, what: What::Group(group), at };
-        for d in [Datagram::Entry(entry), Datagram::Have { ends: ends.clone(), all: 9, sum }, Datagram::Want { ends }] {
+        for d in [Datagram::Entry(entry), Datagram::Have { ends: ends.clone(), all: 9, sum }, Datagram::Held { ends: ends.clone() }, Datagram::Want { ends }] {
             let bytes = d.write().expect("it fits");
             prop_assert!(bytes.len() <= MOST);
             prop_assert_eq!(Datagram::read(&bytes), Ok(d));
--- a/daemon/src/config.rs
+++ b/daemon/src/config.rs
@@ -3,7 +3,7 @@
 use crate::bus::{read_event, BusEvent, News};
 use crate::front::cdni::footprint::Network;
 use crate::front::cdni::{Identity, Neighbour};
-use crate::interconnect::{CdniFile, Consul, File, LogForm, NeighbourFile, State};
+use crate::interconnect::{CdniFile, Consul, Copies, CopiesFile, File, LogForm, NeighbourFile, State};
 use crate::limits::Limits;
 use linnetknot::Settings;
 use linnetknot_membership::Answer;
@@ -40,8 +40,10 @@
     pub peers: Option<(SocketAddr, Vec<SocketAddr>)>,
     /// Peers are told of an origin that is late, and listened to.
     pub tell: bool,
-    /// Purges that neighbours told are copied from peer to peer until all have them.
-    pub copies: bool,
+    /// Purges that neighbours told are copied from peer to peer until all have them, and what is promised of that.
+    pub copies: Copies,
+    /// The same as the file has it, for peers that change.
+    copies_file: (bool, CopiesFile),
     /// The second front.
     pub cdni: Option<Cdni>,
     /// Consul as a source of the list.
@@ -153,8 +155,9 @@
         let consul = file.consul.as_ref().map(|c| c.check(&self.settings, &self.name));
         self.consul = consul.transpose()?.flatten();
         self.tell = file.peers.tell;
-        self.copies = file.peers.copies;
-        if self.copies && self.cdni.as_ref().is_none_or(|c| c.purges.is_none()) {
+        self.copies_file = (file.peers.copies, file.copies);
+        self.copies = self.check_copies(self.peers.as_ref())?;
+        if self.copies.on && self.cdni.as_ref().is_none_or(|c| c.purges.is_none()) {
             return Err("peers.copies: 'cdni.purges' names no file to keep them in".into());
         }
         self.state = file.state.check()?;
@@ -162,6 +165,11 @@
         Ok(())
     }
 
+    /// What is promised of copies with these peers.
+    pub fn check_copies(&self, peers: Option<&(SocketAddr, Vec<SocketAddr>)>) -> Result<Copies> {
+        self.copies_file.1.check(self.copies_file.0, peers)
+    }
+
     /// A configuration that says nothing, to check the operators' own file against where there is none: its one zone
     /// has no name, so any name of a zone will do.
     fn bare() -> Result<Self> {
@@ -180,7 +188,8 @@
             settings: settings(&none)?,
             peers: None,
             tell: false,
-            copies: false,
+            copies: Copies::default(),
+            copies_file: Default::default(),
             cdni: None,
             consul: None,
             state: State::default(),
@@ -201,7 +210,7 @@
             ("settings", self.settings != new.settings),
             ("peer_listen", own(self) != own(new)),
             ("peers.tell", self.tell != new.tell),
-            ("peers.copies", self.copies != new.copies),
+            ("copies", self.copies_file != new.copies_file),
             ("cdni", self.cdni != new.cdni),
             ("state", self.state != new.state),
             ("log", self.log != new.log),
@@ -246,7 +255,8 @@
             settings: parsed,
             peers: address(m, "peer_listen")?.map(|own| (own, peers)),
             tell: false,
-            copies: false,
+            copies: Copies::default(),
+            copies_file: Default::default(),
             cdni: None,
             consul: None,
             state: State::default(),
--- a/daemon/src/daemon/door.rs
+++ b/daemon/src/daemon/door.rs
@@ -114,6 +114,9 @@
 
     /// Carries out a call.
     fn called(&mut self, now: Micros, call: Call) -> Reply {
+        if let (Call::Fleet, Some(status)) = (&call, self.fleet_status()) {
+            return Reply::new(200, status.to_json());
+        }
         let shown = format!("{call:?}");
         let members = &self.members;
         let known = |id: &str| members.listed().any(|(e, _)| e.uid == id);
--- a/daemon/src/daemon/feeds/peers.rs
+++ b/daemon/src/daemon/feeds/peers.rs
@@ -29,7 +29,7 @@
             if self.hearsay.as_mut().is_some_and(|h| h.hear(now, from, bytes)) {
                 self.heed(now);
             } else if let Some((object, group, at)) = peers::read(bytes) {
-                self.purge_for_good(now, object, group, at);
+                self.purge_heard(now, object, group, at);
             } else {
                 self.dropped.1 += 1;
             }
@@ -52,9 +52,9 @@
 
     /// Takes in a word of the peers' logs; false where it is none, or they are not copied here.
     fn hear_copies(&mut self, now: Micros, from: SocketAddr, bytes: &[u8]) -> bool {
-        if !self.config.copies {
+        let Some(peer) = self.config.copies.machines.iter().position(|(peer, _)| *peer == from) else {
             return false;
-        }
+        };
         let datagram = match Datagram::read(bytes) {
             Ok(datagram) => datagram,
             Err(Unreadable::Foreign) => return false,
@@ -65,7 +65,7 @@
             }
         };
         let Some(ledger) = &mut self.ledger else { return true };
-        let heard = ledger.hear(datagram);
+        let heard = ledger.hear(peer, datagram);
         // What there is no room to keep is in force all the same, as far as the module has room.
         for entry in heard.new.iter().chain(&heard.early).chain(&heard.refused) {
             let (object, group, at) = ledger::purge(entry);
@@ -79,31 +79,24 @@
         for reply in heard.replies.iter().filter_map(Datagram::write) {
             self.send_to_peer(from, &reply);
         }
+        self.settle_promises(now);
         true
     }
 
     /// Tells all peers of a new entry at once; those whom that misses get it with the logs.
     pub(in crate::daemon) fn tell_entry(&mut self, entry: Entry) {
-        if let Some(bytes) = Datagram::Entry(entry).write().filter(|_| self.config.copies) {
+        if let Some(bytes) = Datagram::Entry(entry).write().filter(|_| self.config.copies.on) {
             self.send_to_peers(&bytes);
         }
     }
 
-    /// Tells a peer how far the logs are had here, and again after a while.
-    pub(in crate::daemon) fn copy_purges(&mut self, now: Micros) {
-        if !self.config.copies || self.peers.is_none() {
-            return;
-        }
-        let peers = self.other_peers();
-        let Some(ledger) = &mut self.ledger else { return };
-        let words = ledger.tick(now, peers.len());
-        let due = ledger.due();
-        for (place, word) in words {
-            if let (Some(peer), Some(bytes)) = (peers.get(place), word.write()) {
+    /// Sends words of the logs to peers, by their places.
+    pub(in crate::daemon) fn send_words(&self, told: Vec<(usize, Datagram)>) {
+        for (place, word) in told {
+            if let (Some((peer, _)), Some(bytes)) = (self.config.copies.machines.get(place), word.write()) {
                 self.send_to_peer(*peer, &bytes);
             }
         }
-        self.later(due, |daemon, now| daemon.copy_purges(now));
     }
 
     /// The peers besides this proxy itself.
--- a/daemon/src/daemon/mod.rs
+++ b/daemon/src/daemon/mod.rs
@@ -2,7 +2,7 @@
 
 use crate::config::{Config, Source};
 use crate::core::{Command, Core, Wake, TRACE};
-use crate::front::cdni::{self, Desk};
+use crate::front::cdni::{self, Desk, Waiting};
 use crate::front::fastcgi::Session;
 use crate::ledger::Ledger;
 use crate::limits::Limits;
@@ -23,8 +23,10 @@
 mod door;
 mod exchange;
 mod feeds;
+mod fleet;
 mod members;
 mod neighbours;
+mod promises;
 
 use exchange::{Effect, Exchange};
 use feeds::{bus, consul};
@@ -36,6 +38,7 @@
 const CDNI: u64 = u64::MAX - 3;
 const RELOAD: u64 = u64::MAX - 4;
 const DOOR: u64 = u64::MAX - 5;
+const STORE: u64 = u64::MAX - 6;
 /// The longest wait of the loop where no deadline is near.
 const IDLE_US: Micros = 1_000_000;
 
@@ -115,12 +118,26 @@
 }
 
 impl Signal {
-    fn register(signal: i32) -> io::Result<Self> {
+    fn new() -> io::Result<Self> {
         let (heard, raised) = pipe_with(PipeFlags::NONBLOCK | PipeFlags::CLOEXEC)?;
-        signal_hook::low_level::pipe::register(signal, raised.try_clone()?)?;
         Ok(Signal { heard, raised })
     }
 
+    fn register(signal: i32) -> io::Result<Self> {
+        let new = Self::new()?;
+        signal_hook::low_level::pipe::register(signal, new.raised.try_clone()?)?;
+        Ok(new)
+    }
+
+    /// What raises it from another thread.
+    fn raiser(&self) -> io::Result<impl Fn() + Send + 'static> {
+        let raised = self.raised.try_clone()?;
+        Ok(move || {
+            // A full pipe is raised already.
+            let _ = rustix::io::write(&raised, b"w");
+        })
+    }
+
     /// Takes in what was raised: signals that come close together count as one.
     fn clear(&mut self) {
         let mut bytes = [0; 16];
@@ -171,6 +188,10 @@
     dropped: (u64, u64),
     desk: Option<(TcpListener, Desk)>,
     ledger: Option<Ledger>,
+    /// The answers that wait for it, and when it is due to be looked at again.
+    promised: promises::Promised,
+    /// Raised by the store's worker when there is word of what is on the disk.
+    store_word: Option<Signal>,
     /// Payloads to neighbours that are on their way or wait to be tried again.
     posts: usize,
     /// What neighbours were last told of our being able to serve.
@@ -228,7 +249,7 @@
             poll.add(door, DOOR, true, false).map_err(text)?;
         }
         let clock = Clock::start();
-        let (mut desk, mut peers, mut ledger) = (None, None, None);
+        let (mut desk, mut peers, mut ledger, mut store_word) = (None, None, None, None);
         if let Some(cdni) = config.cdni.clone() {
             let listener =
                 TcpListener::bind(cdni.listen).map_err(|e| format!("cdni.listen: {}: {e}", cdni.listen))?;
@@ -237,10 +258,18 @@
             desk = Some((listener, Desk::new(cdni.identity, config.seed, limits.triggers)));
             if let Some(path) = cdni.purges {
                 let writer = linnetknot_membership::server_id(&config.name);
-                let open = Ledger::open(&path, writer, clock.now(), limits.copies());
+                let word = Signal::new().map_err(text)?;
+                poll.add(&word.heard, STORE, true, false).map_err(text)?;
+                let bounds = (limits.copies(&config.copies), limits.store_writes);
+                let wake = word.raiser().map_err(text)?;
+                let open = Ledger::open(&path, writer, clock.now(), bounds, wake);
                 ledger = Some(open.map_err(|e| format!("cdni.purges: {}: {e}", path.display()))?);
+                store_word = Some(word);
             }
         }
+        if config.copies.on && config.peers.is_none() {
+            return Err("peers.copies: the configuration names no 'peers' to copy to".into());
+        }
         // Peers are told what the second front is told, and of an origin that is late.
         let talks = desk.is_some() || config.tell;
         if let Some((own, known)) = config.peers.clone().filter(|_| talks) {
@@ -286,6 +315,8 @@
             dropped: (0, 0),
             desk,
             ledger,
+            promised: promises::Promised::default(),
+            store_word,
             posts: 0,
             told_ready: false,
             waiting_answers: 0,
@@ -307,6 +338,7 @@
         }
         known.into_iter().for_each(|event| daemon.news(now, event));
         daemon.bus.last = last_event;
+        daemon.know_machines();
         daemon.copy_purges(now);
         daemon.recall_lists(now);
         daemon.call_bus(now);
@@ -364,11 +396,9 @@
             }
         }
         self.write_lists(self.clock.now());
-        let tally = self.ledger.as_ref().filter(|_| self.config.copies).map(Ledger::tally);
+        let tally = self.ledger.as_ref().map(|ledger| ledger.copies().tally());
         if let Some(Err(e)) = self.ledger.take().map(Ledger::close) {
-            log::warn!(
-                "the file of purges is not closed, and the next start begins a new life of its log: {e}"
-            );
+            log::warn!("the store is not closed, and the next start begins a new life of its log: {e}");
         }
         let c = self.core.counts;
         log::info!(
@@ -390,8 +420,10 @@
                 learned = t.learned,
                 known = t.known,
                 early = t.early,
-                refused = t.refused;
-                "entries of logs copied to and from peers"
+                refused = t.refused,
+                promised = t.promised,
+                denied = t.denied;
+                "entries of logs copied to and from peers, and promises of them"
             );
         }
         if let Some(t) = self.hearsay.as_ref().map(Hearsay::tally) {
@@ -439,6 +471,7 @@
             PEERS => self.hear_peers(now),
             CDNI => self.accept_cdni(now),
             DOOR => self.accept_door(now),
+            STORE => self.hear_store(now),
             token => self.serve(now, Key::from_u64(token), event),
         }
         self.settle(now);
@@ -522,6 +555,11 @@
         let moved = self.config.bus != new.bus;
         self.config.bus = new.bus;
         self.config.peers = new.peers.take().or(self.config.peers.take());
+        match self.config.check_copies(self.config.peers.as_ref()) {
+            Ok(copies) => self.config.copies.machines = copies.machines,
+            Err(e) => log::error!("SIGHUP: the machines of the peers stay as they were: {e}"),
+        }
+        self.know_machines();
         log::info!(
             "SIGHUP: the configuration is read again{}",
             if moved { "; the event bus has moved" } else { "" }
@@ -694,7 +732,9 @@
             }
             Kind::Cdni(session) => {
                 self.clients -= 1;
-                session.waiting.into_iter().for_each(|ticket| self.core.leave(now, ticket));
+                if let Some(Waiting::Core(ticket)) = session.waiting {
+                    self.core.leave(now, ticket);
+                }
             }
             Kind::Parting => self.clients -= 1,
             Kind::Door(_) => self.callers -= 1,
--- a/daemon/src/daemon/neighbours.rs
+++ b/daemon/src/daemon/neighbours.rs
@@ -3,13 +3,11 @@
 use super::exchange::{Effect, End, Exchange, Flow};
 use super::{Connection, Daemon, Kind, Timer, CDNI};
 use crate::core::{Answer, Client};
-use crate::front::cdni::{self, Post, Reply, Session, MEDIA};
+use crate::front::cdni::{self, Post, Reply, Session, Waiting, MEDIA};
 use crate::net::{Conn, Key, Progress};
-use crate::peers;
 use crate::wire::http::{self, Messages, Piece};
 use crate::wire::{Parser, WireError};
 use linnetknot::Micros;
-use linnetknot_copies::Entry;
 
 /// A payload on its way to a neighbour.
 struct Courier {
@@ -100,11 +98,20 @@
             let (reply, effects) = desk.take(now, ready, self.core.room_for_purges(), &head, &body);
             match reply {
                 Reply::Now(response) => session.respond(&response),
+                Reply::Promise(response, trigger) => {
+                    session.waiting = Some(Waiting::Promise);
+                    self.promise(now, (key, response, trigger), effects);
+                    self.settle(now);
+                    if !self.write_cdni(key) {
+                        return Ok(());
+                    }
+                    continue;
+                }
                 Reply::Ask(asked) => {
                     session.until = now + asked.remaining_us;
                     let client = Client { connection: key, stream: 0 };
                     match self.core.ask(now, client, asked) {
-                        Some(ticket) => session.waiting = Some(ticket),
+                        Some(ticket) => session.waiting = Some(Waiting::Core(ticket)),
                         None => {
                             let wait_us = Some(self.limits.back_off_us);
                             session.respond(&cdni::response(Answer::Refused { wait_us }, false));
@@ -120,43 +127,14 @@
         }
     }
 
-    fn carry_out(&mut self, now: Micros, effect: cdni::Effect) {
+    pub(super) fn carry_out(&mut self, now: Micros, effect: cdni::Effect) {
         match effect {
-            cdni::Effect::Purge(object, group) => {
-                let text = peers::write(object.as_deref(), group, now);
-                // The entry goes first: a peer that knows it does not write the datagram behind it into a log of its
-                // own, as it must for peers of an earlier version.
-                if let Some(entry) = self.purge_for_good(now, object, group, now) {
-                    self.tell_entry(entry);
-                }
-                if let Some(text) = text {
-                    self.tell_peers(now, text, 2);
-                }
-                fail::fail_point!("peers-told");
-            }
+            // Those of a command are promised (`promises`); none other purges.
+            cdni::Effect::Purge(object, group) => drop(self.purge_told(now, object, group)),
             cdni::Effect::Post(post) => self.send_out(now, post),
         }
     }
 
-    /// A purge that the boxes hear nothing of: in force from here on, also for a proxy that starts again. Gives its
-    /// entry in this proxy's log, where that is new.
-    pub(super) fn purge_for_good(
-        &mut self,
-        now: Micros,
-        object: Option<String>,
-        group: u64,
-        at: Micros,
-    ) -> Option<Entry> {
-        if !self.core.purged_for_good(now, object.clone(), group, at) {
-            return None;
-        }
-        let added = self.ledger.as_mut()?.add(object.as_deref(), group, at);
-        added.unwrap_or_else(|e| {
-            log::error!("a purge is in force but not kept for the next start: {e}");
-            None
-        })
-    }
-
     pub(super) fn answer_cdni(&mut self, now: Micros, key: Key, answer: Answer) {
         let Some(Connection { kind: Kind::Cdni(session), .. }) = self.connections.get_mut(key) else {
             return;
--- /dev/null
+++ b/daemon/src/fleet.rs
@@ -0,0 +1,213 @@
+//! `linnetknot fleet status`: asks a running proxy, by its operators' door, where its copies and promises stand.
+
+use serde::{Deserialize, Serialize};
+use std::fmt::Write as _;
+use std::io::{self, Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::time::Duration;
+
+/// Peers that one answer tells of.
+pub const MOST_PEERS: usize = 64;
+/// Logs that one answer tells of: with those peers it fits the door's ring.
+pub const MOST_LOGS: usize = 48;
+/// How long the door is waited for.
+const PATIENCE: Duration = Duration::from_secs(5);
+/// Bytes of an answer that are read.
+const MOST_ANSWER: u64 = 64 << 10;
+
+/// Where a proxy's copies and promises stand.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Status {
+    /// Its name.
+    pub name: String,
+    /// The machine that it says it stands on.
+    pub machine: String,
+    /// The life of its log.
+    pub life: String,
+    /// Further machines that a promise waits for.
+    pub wait: usize,
+    /// Further machines that are to have each in the end.
+    pub holders: usize,
+    /// The last place in its log.
+    pub end: u64,
+    /// Up to where that is on its own disk.
+    pub on_disk: u64,
+    /// Entries in force, of all logs.
+    pub entries: usize,
+    /// A sum over all logs: proxies with the same have the same.
+    pub digest: String,
+    /// Answers that wait for copies.
+    pub waiting: usize,
+    /// Promises with fewer copies than wanted: 0 once all is well.
+    pub short: usize,
+    /// Promises given in this process.
+    pub promised: u64,
+    /// Promises refused in this process.
+    pub refused: u64,
+    /// Its peers.
+    pub peers: Vec<PeerStatus>,
+    /// How many there are.
+    pub peers_in_all: usize,
+    /// The logs that it has.
+    pub logs: Vec<LogStatus>,
+    /// How many there are.
+    pub logs_in_all: usize,
+}
+
+/// What a proxy knows of a peer.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PeerStatus {
+    /// Its address.
+    pub address: SocketAddr,
+    /// Its machine.
+    pub machine: String,
+    /// Up to where it is known to have the asked proxy's log on its disk.
+    pub held: u64,
+    /// Places behind.
+    pub behind: u64,
+}
+
+/// A log that a proxy has.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LogStatus {
+    /// The hash of its writer's name.
+    pub writer: String,
+    /// Its life.
+    pub life: String,
+    /// Whether the asked proxy wrote it, in this life or an earlier one.
+    pub own: bool,
+    /// Up to where it is had.
+    pub end: u64,
+    /// Up to where it is on the asked proxy's disk.
+    pub on_disk: u64,
+}
+
+impl Status {
+    /// As JSON, in one line.
+    pub fn to_json(&self) -> String {
+        // Strings and numbers alone: there is nothing in it that could not be written.
+        serde_json::to_string(self).unwrap_or_default()
+    }
+
+    /// As tables, for people.
+    pub fn to_table(&self) -> String {
+        let mut out = String::new();
+        let rows = [
+            ("proxy", format!("{} on {}, life {}", self.name, self.machine, self.life)),
+            ("log", format!("{} places, {} on disk", self.end, self.on_disk)),
+            (
+                "entries",
+                format!("{} in force of {} logs, digest {}", self.entries, self.logs_in_all, self.digest),
+            ),
+            (
+                "promises",
+                format!(
+                    "{} given, {} refused, {} waiting for {} further machines",
+                    self.promised, self.refused, self.waiting, self.wait
+                ),
+            ),
+            ("short", format!("{} with fewer copies than {}", self.short, self.holders)),
+        ];
+        // Writing to a string does not fail.
+        for (name, value) in rows {
+            let _ = writeln!(out, "{name:<9} {value}");
+        }
+        let _ = writeln!(out, "\n{:<24} {:<20} {:>10} {:>10}", "peer", "machine", "held", "behind");
+        for p in &self.peers {
+            let _ = writeln!(
+                out,
+                "{:<24} {:<20} {:>10} {:>10}",
+                p.address.to_string(),
+                p.machine,
+                p.held,
+                p.behind
+            );
+        }
+        let _ = writeln!(out, "\n{:<18} {:<14} {:>10} {:>10}", "held for", "life", "places", "on disk");
+        for l in &self.logs {
+            let own = if l.own { " (own)" } else { "" };
+            let _ = writeln!(out, "{:<18} {:<14} {:>10} {:>10}{own}", l.writer, l.life, l.end, l.on_disk);
+        }
+        let more = (self.peers_in_all - self.peers.len(), self.logs_in_all - self.logs.len());
+        if more != (0, 0) {
+            let _ = writeln!(out, "\nand {} peers and {} logs more", more.0, more.1);
+        }
+        out
+    }
+}
+
+/// Asks a proxy by its door.
+///
+/// # Errors
+/// Where the door can't be reached, says no (it makes no copies), or says what can't be read.
+pub fn ask(door: SocketAddr) -> io::Result<Status> {
+    let mut socket = TcpStream::connect_timeout(&door, PATIENCE)?;
+    socket.set_read_timeout(Some(PATIENCE))?;
+    socket.set_write_timeout(Some(PATIENCE))?;
+    socket.write_all(b"GET /control/fleet HTTP/1.1\r\nHost: door\r\nConnection: close\r\n\r\n")?;
+    let mut answer = String::new();
+    socket.take(MOST_ANSWER).read_to_string(&mut answer)?;
+    let bad = |what: String| io::Error::new(io::ErrorKind::InvalidData, what);
+    let (head, body) =
+        answer.split_once("\r\n\r\n").ok_or_else(|| bad("the door's answer is cut off".into()))?;
+    match head.split(' ').nth(1) {
+        Some("200") => {
+            serde_json::from_str(body).map_err(|e| bad(format!("the door's answer can't be read: {e}")))
+        }
+        Some("404") => Err(bad("this proxy makes no copies ('peers.copies')".into())),
+        status => Err(bad(format!("the door answered {}", status.unwrap_or("nothing")))),
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn status(peers: usize, logs: usize) -> Status {
+        let peer = |n: usize| PeerStatus {
+            address: ([255, 255, 255, 200 + (n % 50) as u8], 65_535).into(),
+            machine: "machine-of-a-long-name".into(),
+            held: u64::MAX / 3,
+            behind: u64::MAX / 3,
+        };
+        let log = |_| LogStatus {
+            writer: "ffffffffffffffff".into(),
+            life: "ffffffffffffff".into(),
+            own: true,
+            end: u64::MAX / 3,
+            on_disk: u64::MAX / 3,
+        };
+        Status {
+            name: "p0".into(),
+            machine: "m0".into(),
+            life: "5".into(),
+            wait: 1,
+            holders: 2,
+            end: 9,
+            on_disk: 8,
+            entries: 7,
+            digest: "00".into(),
+            waiting: 1,
+            short: 3,
+            promised: 4,
+            refused: 2,
+            peers: (0..peers).map(peer).collect(),
+            peers_in_all: peers + 5,
+            logs: (0..logs).map(log).collect(),
+            logs_in_all: logs,
+        }
+    }
+
+    #[test]
+    fn the_longest_answer_fits_the_doors_ring_and_is_read_again() {
+        let longest = status(MOST_PEERS, MOST_LOGS);
+        let ring = crate::limits::Limits::for_machine(256, 32).door_output;
+        assert!(longest.to_json().len() + 256 < ring, "{}", longest.to_json().len());
+        assert_eq!(serde_json::from_str::<Status>(&longest.to_json()).unwrap(), longest);
+        let table = status(2, 1).to_table();
+        assert!(
+            table.contains("3 with fewer copies than 2") && table.contains("and 5 peers and 0 logs more"),
+            "{table}"
+        );
+    }
+}
--- a/daemon/src/front/cdni/mod.rs
+++ b/daemon/src/front/cdni/mod.rs
@@ -8,7 +8,7 @@
 mod session;
 pub mod triggers;
 
-pub use session::Session;
+pub use session::{Session, Waiting};
 
 use crate::core::{Answer, Asked, Content};
 use crate::wire::http::Head;
@@ -107,6 +107,8 @@
 pub enum Reply {
     /// Respond.
     Now(Response),
+    /// Respond once the purges among the effects are kept; where they can't be, retract this trigger and say so.
+    Promise(Response, u64),
     /// Ask the core.
     Ask(Asked),
 }
@@ -169,7 +171,15 @@
             ("GET", "/health") => Response::bare(if ready { 200 } else { 503 }),
             ("GET", path) if path.starts_with("/content/") => return (self.content(head, target), effects),
             ("POST", "/cdni/triggers") => match json() {
-                Some(command) => self.triggers.command(&self.id, seconds, room, &command, &mut effects),
+                Some(command) => {
+                    let (response, made) =
+                        self.triggers.command(&self.id, seconds, room, &command, &mut effects);
+                    let purges = effects.iter().any(|e| matches!(e, Effect::Purge(..)));
+                    match made.filter(|_| purges) {
+                        Some(trigger) => return (Reply::Promise(response, trigger), effects),
+                        None => response,
+                    }
+                }
                 None => Response::bare(400),
             },
             ("GET", "/cdni/triggers") => self.triggers.collection(&self.id, None),
@@ -190,6 +200,12 @@
         (Reply::Now(response), effects)
     }
 
+    /// What a trigger promised can't be kept: there is no such trigger, and its neighbour is to come again.
+    pub fn retract(&mut self, trigger: u64) -> Response {
+        self.triggers.remove(trigger);
+        Response::bare(503).with("Retry-After", "1".to_owned())
+    }
+
     /// A neighbour tells what it can reach.
     fn notice(&mut self, from: &str, payload: Option<&Value>) -> Response {
         if !self.id.neighbours.iter().any(|n| n.provider == from) {
--- a/daemon/src/front/cdni/session.rs
+++ b/daemon/src/front/cdni/session.rs
@@ -6,14 +6,23 @@
 use crate::wire::http::{self, Head, Messages, Piece};
 use crate::wire::{Parser, WireError};
 
+/// What an answer waits for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Waiting {
+    /// The core has the request, under this ticket.
+    Core(Ticket),
+    /// What it promises is on its way to the disks.
+    Promise,
+}
+
 /// A connection. Its requests are answered one after the other: while one waits, the next stays in the ring.
 pub struct Session {
     messages: Messages,
     head: Option<Head>,
     body: Vec<u8>,
     keep: bool,
-    /// A request is with the core, under this ticket.
-    pub waiting: Option<Ticket>,
+    /// What the answer to the last request waits for.
+    pub waiting: Option<Waiting>,
     /// When its client gives up.
     pub until: u64,
     out: Vec<u8>,
--- a/daemon/src/front/cdni/triggers.rs
+++ b/daemon/src/front/cdni/triggers.rs
@@ -109,7 +109,8 @@
         format!("{}/cdni/triggers/{number}", id.base)
     }
 
-    /// Carries a command out: a purge takes effect before its response is written.
+    /// Carries a command out: a purge takes effect before its response is written. Gives the response and the number of
+    /// the trigger that was made, if one was.
     pub(super) fn command(
         &mut self,
         id: &Identity,
@@ -117,16 +118,16 @@
         room: usize,
         command: &Value,
         effects: &mut Vec<Effect>,
-    ) -> Response {
-        let Some(cdn_path) = command["cdn-path"].as_array() else { return Response::bare(400) };
+    ) -> (Response, Option<u64>) {
+        let Some(cdn_path) = command["cdn-path"].as_array() else { return (Response::bare(400), None) };
         if looped(&command["cdn-path"], &id.provider) {
-            return Response::bare(403);
+            return (Response::bare(403), None);
         }
         match (command["trigger"].as_object(), command["cancel"].as_array()) {
             // All triggers are over before a cancellation can come: there is nothing to stop, which is no error.
-            (None, Some(urls)) if urls.iter().all(Value::is_string) => Response::bare(200),
+            (None, Some(urls)) if urls.iter().all(Value::is_string) => (Response::bare(200), None),
             (Some(spec), None) => self.trigger(id, now, room, (spec, cdn_path), effects),
-            _ => Response::bare(400),
+            _ => (Response::bare(400), None),
         }
     }
 
@@ -137,16 +138,16 @@
         room: usize,
         (spec, cdn_path): (&Map<String, Value>, &[Value]),
         effects: &mut Vec<Effect>,
-    ) -> Response {
+    ) -> (Response, Option<u64>) {
         let (Some(kind), Some(plan)) = (spec.get("type").and_then(Value::as_str), plan(spec)) else {
-            return Response::bare(400);
+            return (Response::bare(400), None);
         };
         if plan.purges.is_empty() && plan.unable.is_empty() {
-            return Response::bare(400);
+            return (Response::bare(400), None);
         }
         self.held.retain(|_, t| t.made + STALE_S >= now);
         if self.held.len() >= self.most {
-            return Response::bare(503);
+            return (Response::bare(503), None);
         }
         let error = |code: &str, what: &Map<String, Value>, why: &str| {
             let mut error = what.clone();
@@ -168,7 +169,7 @@
             ),
             "purge" | "invalidate" => None,
             "preposition" => error("ereject", &all, "content is fetched when it is asked for"),
-            _ => return Response::bare(501),
+            _ => return (Response::bare(501), None),
         };
         if kind != "preposition" && plan.purges.len() <= room {
             effects.extend(plan.purges.iter().map(|(object, group)| Effect::Purge(object.clone(), *group)));
@@ -180,7 +181,12 @@
         let number = self.next;
         self.next += 1;
         self.held.insert(number, trigger);
-        response.with("Location", Self::url(id, number))
+        (response.with("Location", Self::url(id, number)), Some(number))
+    }
+
+    /// Forgets a trigger.
+    pub(super) fn remove(&mut self, number: u64) {
+        self.held.remove(&number);
     }
 
     pub(super) fn collection(&self, id: &Identity, status: Option<&str>) -> Response {
--- a/daemon/src/interconnect.rs
+++ b/daemon/src/interconnect.rs
@@ -7,7 +7,7 @@
 use linnetknot_membership::Damping;
 use schemars::JsonSchema;
 use serde::Deserialize;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::path::PathBuf;
 
@@ -22,6 +22,8 @@
     pub consul: Option<ConsulFile>,
     /// What the proxies of the fleet tell each other.
     pub peers: PeersFile,
+    /// What is promised of their copies, where `peers.copies` is on.
+    pub copies: CopiesFile,
     /// What outlives the process.
     pub state: StateFile,
     /// The log.
@@ -39,6 +41,80 @@
     pub copies: bool,
 }
 
+/// What is promised of copies: a neighbour is told yes only once they are on disks.
+#[derive(Clone, Debug, PartialEq, Deserialize, JsonSchema)]
+#[serde(default, deny_unknown_fields)]
+pub struct CopiesFile {
+    /// Further machines that must have what a neighbour told on their disks before it is answered yes. 0: this proxy's
+    /// disk is enough, and what a machine promised may be lost with it.
+    pub wait: usize,
+    /// Further machines that are to have it in the end; null: 2, or as many as there are.
+    pub holders: Option<usize>,
+    /// A yes that can't be given within this is a no (503), in milliseconds.
+    #[schemars(range(min = 50, max = 30_000))]
+    pub within_ms: u64,
+    /// The machine that this proxy stands on, as the unit that is lost at once; null: the address of its `peer_listen`.
+    pub machine: Option<String>,
+    /// The machines of peers, by their addresses in `peers`; of those not named here, the address is the machine.
+    pub machines: BTreeMap<SocketAddr, String>,
+}
+
+impl Default for CopiesFile {
+    fn default() -> Self {
+        CopiesFile { wait: 1, holders: None, within_ms: 1_000, machine: None, machines: BTreeMap::new() }
+    }
+}
+
+/// What is promised of copies, checked.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Copies {
+    /// They are made.
+    pub on: bool,
+    /// Further machines to wait for.
+    pub wait: usize,
+    /// Further machines that are to have them.
+    pub holders: usize,
+    /// How long a yes may take.
+    pub within_us: Micros,
+    /// This proxy's machine.
+    pub machine: String,
+    /// Those of its peers, in the order of their list; itself left out.
+    pub machines: Vec<(SocketAddr, String)>,
+}
+
+impl CopiesFile {
+    /// What the daemon uses, for the peers of the configuration.
+    pub fn check(&self, on: bool, peers: Option<&(SocketAddr, Vec<SocketAddr>)>) -> Result<Copies> {
+        let within_us = range("copies.within_ms", self.within_ms, 50, 30_000)? * 1000;
+        if !on {
+            // A promise is kept on this proxy's own disk alone.
+            return Ok(Copies { within_us, ..Copies::default() });
+        }
+        let name =
+            |peer: &SocketAddr| self.machines.get(peer).cloned().unwrap_or_else(|| peer.ip().to_string());
+        let own = peers.map(|(own, _)| *own);
+        let machine = self.machine.clone().or(own.as_ref().map(name)).unwrap_or_default();
+        let others = peers.into_iter().flat_map(|(own, all)| all.iter().filter(move |peer| *peer != own));
+        let machines: Vec<_> = others.map(|peer| (*peer, name(peer))).collect();
+        let further: BTreeSet<&String> = machines.iter().map(|(_, m)| m).filter(|m| **m != machine).collect();
+        // Without peers a file is checked by itself, and nothing can be said of their machines.
+        for (key, wanted) in [("wait", self.wait), ("holders", self.holders.unwrap_or(self.wait))] {
+            if peers.is_some() && wanted > further.len() {
+                return Err(format!(
+                    "copies.{key}: {wanted} further machines are to have what is promised, and the peers stand on \
+                     {} besides this proxy's own; 'copies.machines' names those that share an address",
+                    further.len()
+                ));
+            }
+        }
+        if self.holders.is_some_and(|holders| holders < self.wait) {
+            return Err(format!("copies.holders: fewer than the {} of 'copies.wait'", self.wait));
+        }
+        let holders = self.holders.unwrap_or(further.len().min(2).max(self.wait));
+        Ok(Copies { on, wait: self.wait, holders, within_us, machine, machines })
+    }
+}
+
 /// The second front: where it listens, and how it presents itself.
 #[derive(Clone, Debug, Default, Deserialize, JsonSchema)]
 #[serde(default, deny_unknown_fields)]
--- a/daemon/src/ledger.rs
+++ b/daemon/src/ledger.rs
@@ -1,26 +1,35 @@
 //! The purges that neighbours told this proxy and its peers alone: the boxes hear nothing of them, so a proxy that
-//! starts again must know them, and so must one that was away. A file has them as logs (`linnetknot_copies`), its own
-//! and those of others.
+//! starts again must know them, and so must one that was away. A store (`linnetknot_store`) has them as logs
+//! (`linnetknot_copies`), its own and those of others; a worker thread writes it.
 
 use crate::peers::{self, Purge};
 use linnetknot::Micros;
-use linnetknot_copies::{Book, Copies, Datagram, Entry, Heard, Life, Options, Taken, Tally, What, Writer};
-use std::fs::{self, File};
-use std::io::{self, Write};
+use linnetknot_copies::{
+    Book, Copies, Datagram, Entry, Heard, Life, Log, Options, Seq, Settled, Taken, What, Why, Writer,
+};
+use linnetknot_store::{Fault, Keeper, Space, Store, Ticket, Write};
+use std::collections::VecDeque;
+use std::fs;
+use std::io;
 use std::path::{Path, PathBuf};
 
-/// The file, and what stands in it.
+/// The logs, and the store that has them.
 pub struct Ledger {
-    path: PathBuf,
-    file: File,
-    lines: usize,
+    keeper: Keeper,
     copies: Copies,
+    /// Entries on their way to the disk, in order.
+    on_way: VecDeque<(Ticket, Log, Seq)>,
 }
 
-/// The last line of a file whose process ended in order.
-const CLOSED: &str = "closed\n";
-/// Lines beyond two a purge that the file may have before it is written anew.
-const SLACK: usize = 1024;
+/// Entries in force: writer, life and what was purged, by which a later purge of the same takes the place of one.
+const ENTRIES: Space = Space("entries");
+/// What is said of this writer's log.
+const OWN: Space = Space("own");
+const LIFE: &[u8] = b"life";
+/// The process ended in order: the log goes on in its life.
+const CLOSED: &[u8] = b"closed";
+/// The file of an earlier version was taken over.
+const TAKEN_OVER: &[u8] = b"taken over";
 
 fn what(object: Option<&str>, group: u64) -> What {
     object.map_or(What::Group(group), |object| What::Object(object.to_owned()))
@@ -34,201 +43,395 @@
     }
 }
 
-fn line(entry: &Entry) -> Option<Vec<u8>> {
-    let mut bytes = Datagram::Entry(entry.clone()).write()?;
-    bytes.push(b'\n');
-    Some(bytes)
+/// An entry as it stands in the store.
+fn write(entry: &Entry) -> Write {
+    let mut key = Vec::with_capacity(40);
+    key.extend(entry.log.0.to_be_bytes());
+    key.extend(entry.log.1.to_be_bytes());
+    match &entry.what {
+        What::Object(object) => {
+            key.push(b'o');
+            key.extend(object.as_bytes());
+        }
+        What::Group(group) => {
+            key.push(b'g');
+            key.extend(group.to_be_bytes());
+        }
+    }
+    let value = [entry.seq.to_be_bytes(), entry.at.to_be_bytes()].concat();
+    Write { space: ENTRIES, key, value: Some(value) }
 }
 
-impl Ledger {
-    /// Reads the file, if there is one, and writes it anew: a line that a crash cut off must not run into the next.
-    ///
-    /// This writer's log goes on in the life of the file only where the file was closed: after a crash its last
-    /// entries may be missing here and known to others, and a place in a log must never be given twice. So a file that
-    /// was not closed, none at all and one of an earlier version begin a new life. Nothing is lost with the old one.
-    pub fn open(path: &Path, writer: Writer, now: Micros, options: Options) -> io::Result<Self> {
-        let text = match fs::read(path) {
-            Ok(bytes) => String::from_utf8_lossy(&bytes).into_owned(),
-            Err(e) if e.kind() == io::ErrorKind::NotFound => String::new(),
-            Err(e) => return Err(e),
-        };
-        let (mut book, mut life, mut bare) = (Book::default(), None::<Life>, Vec::new());
-        let closed = text.ends_with(CLOSED);
+/// Reads an entry; which one stands before it follows from the others.
+fn read(key: &[u8], value: &[u8]) -> Option<Entry> {
+    let number = |bytes: &[u8]| Some(u64::from_be_bytes(bytes.try_into().ok()?));
+    let log = (number(key.get(..8)?)?, number(key.get(8..16)?)?);
+    let name = key.get(17..)?;
+    let what = match key[16] {
+        b'o' => What::Object(String::from_utf8(name.to_vec()).ok()?),
+        b'g' => What::Group(number(name)?),
+        _ => return None,
+    };
+    let (seq, at) = value.split_at_checked(8)?;
+    Some(Entry { log, seq: number(seq)?, prev: 0, what, at: number(at)? })
+}
+
+fn put(key: &[u8], value: Option<&[u8]>) -> Write {
+    Write { space: OWN, key: key.to_vec(), value: value.map(<[u8]>::to_vec) }
+}
+
+/// The logs of the store's entries.
+fn book(entries: Vec<Entry>) -> Result<Book, Fault> {
+    let mut entries = entries;
+    entries.sort_unstable_by_key(|e| (e.log, e.seq));
+    let (mut book, mut before) = (Book::default(), None);
+    for mut entry in entries {
+        entry.prev = before.filter(|(log, _)| *log == entry.log).map_or(0, |(_, seq)| seq);
+        before = Some((entry.log, entry.seq));
+        if book.take(&entry, usize::MAX, usize::MAX) != Taken::New {
+            return Err(Fault::Damaged("two entries stand in one place of a log".into()));
+        }
+    }
+    Ok(book)
+}
+
+/// What a file of an earlier version holds, line by line.
+#[derive(Debug, Default)]
+struct Old {
+    entries: Vec<Entry>,
+    bare: Vec<Purge>,
+    /// The life of its log, where the file was closed.
+    life: Option<Life>,
+}
+
+impl Old {
+    fn read(path: &Path, text: &str) -> Self {
+        let mut old = Old::default();
+        // The book sorts out what was superseded, and what a crash cut off or left without those before it.
+        let mut book = Book::default();
         for whole in text.split_inclusive('\n') {
             let said = whole.strip_suffix('\n').unwrap_or("");
-            let entry = match Datagram::read(said.as_bytes()) {
-                Ok(Datagram::Entry(entry)) => Some(entry),
-                _ => None,
-            };
             let begun = said.strip_prefix("life ").and_then(|l| Life::from_str_radix(l, 16).ok());
-            let taken = entry.as_ref().map(|e| book.take(e, usize::MAX, usize::MAX));
-            match (taken, begun, peers::read(said.as_bytes())) {
-                (Some(Taken::New | Taken::Known), ..) => {}
-                (None, Some(begun), _) => life = Some(begun),
-                _ if whole == CLOSED => {}
-                (None, None, Some(purge)) => bare.push(purge),
-                // One that others should stand before: it comes again from whoever has them.
+            match (Datagram::read(said.as_bytes()), begun, peers::read(said.as_bytes())) {
+                (Ok(Datagram::Entry(entry)), ..) => {
+                    book.take(&entry, usize::MAX, usize::MAX);
+                }
+                (_, Some(begun), _) => old.life = Some(begun),
+                (.., Some(purge)) => old.bare.push(purge),
+                _ if said == "closed" => {}
                 _ => log::warn!("{}: a line that is no purge is passed over", path.display()),
             }
         }
-        let own = (writer, life.filter(|_| closed).unwrap_or(now));
+        old.life = old.life.filter(|_| text.ends_with("closed\n"));
+        old.entries = book.entries().collect();
+        old
+    }
+}
+
+/// The next entry of those that went to the disk up to a ticket.
+fn next(on_way: &mut VecDeque<(Ticket, Log, Seq)>, through: Ticket) -> Option<(Log, Seq)> {
+    on_way.front().filter(|(ticket, ..)| *ticket <= through)?;
+    on_way.pop_front().map(|(_, log, seq)| (log, seq))
+}
+
+/// Puts a file of an earlier version aside and gives where it is; none where there was none.
+fn put_aside(path: &Path) -> Result<Option<PathBuf>, Fault> {
+    let disk = |e: io::Error| Fault::Disk(e.to_string());
+    let mut aside = path.as_os_str().to_owned();
+    aside.push(".old");
+    let aside = PathBuf::from(aside);
+    let begins = |file: &Path| -> io::Result<Vec<u8>> {
+        let mut bytes = Vec::new();
+        io::Read::read_to_end(&mut io::Read::take(fs::File::open(file)?, 8), &mut bytes)?;
+        Ok(bytes)
+    };
+    match begins(path) {
+        // What the earlier versions began their files with. An empty one is theirs, too: the store writes none.
+        Ok(first)
+            if first.is_empty()
+                || [b"life ".as_slice(), b"copies1", b"purge "].iter().any(|m| first.starts_with(m)) =>
+        {
+            fs::rename(path, &aside).map_err(disk)?;
+        }
+        Ok(_) => {}
+        Err(e) if e.kind() == io::ErrorKind::NotFound => {}
+        Err(e) => return Err(disk(e)),
+    }
+    Ok(aside.exists().then_some(aside))
+}
+
+impl Ledger {
+    /// Opens the store, or begins it. A file of an earlier version is put aside as `FILE.old` and taken over. `wake` is
+    /// called from the worker's thread when there is word of what is on the disk (`words`).
+    ///
+    /// This writer's log goes on in the life of the store only where the store was closed: after a crash its last
+    /// entries may be missing here and known to others, and a place in a log must never be given twice. Nothing is
+    /// lost with the old life.
+    pub fn open(
+        path: &Path,
+        writer: Writer,
+        now: Micros,
+        (options, queue): (Options, usize),
+        wake: impl Fn() + Send + 'static,
+    ) -> Result<Self, Fault> {
+        let aside = put_aside(path)?;
+        let mut store = Store::open(path)?;
+        let mut closed = store.get(OWN, CLOSED)?.is_some();
+        let life = store.get(OWN, LIFE)?.and_then(|b| b.try_into().ok()).map(Life::from_be_bytes);
+        let mut life = life.filter(|_| closed);
+        let mut begin = Vec::new();
+        let mut bare = Vec::new();
+        if let Some(old) = aside.filter(|_| closed || life.is_none()) {
+            if store.get(OWN, TAKEN_OVER)?.is_none() {
+                let text = fs::read(&old).map_err(|e| Fault::Disk(format!("{}: {e}", old.display())))?;
+                let taken = Old::read(&old, &String::from_utf8_lossy(&text));
+                log::info!(entries = taken.entries.len() + taken.bare.len(); "{} is taken over", old.display());
+                begin.extend(taken.entries.iter().map(write));
+                (life, bare, closed) = (taken.life, taken.bare, false);
+                begin.push(put(TAKEN_OVER, Some(b"1")));
+            }
+        }
+        let own = (writer, life.unwrap_or(now));
+        begin.push(put(LIFE, Some(&own.1.to_be_bytes())));
+        // From here on the store counts as not closed.
+        begin.extend(closed.then(|| put(CLOSED, None)));
+        store.commit(&begin)?;
+        let entries = store.all(ENTRIES)?.into_iter().map(|(key, value)| read(&key, &value)).collect();
+        let entries: Option<Vec<Entry>> = entries;
+        let book = book(entries.ok_or_else(|| Fault::Damaged("an entry can't be read".into()))?)?;
         let copies = Copies::new(own, book, now, options);
-        let file = Self::write(path, &copies)?;
-        let mut ledger = Ledger { path: path.to_owned(), file, lines: copies.book().len(), copies };
+        let keeper = Keeper::start("store", store, queue, wake).map_err(|e| Fault::Disk(e.to_string()))?;
+        let mut ledger = Ledger { keeper, copies, on_way: VecDeque::new() };
         for (object, group, at) in bare {
-            ledger.add(object.as_deref(), group, at)?;
+            if let Err(e) = ledger.tell(object.as_deref(), group, at) {
+                log::error!("a purge of an earlier version's file is not taken over: {e}");
+            }
         }
         Ok(ledger)
     }
 
-    /// The file as a whole, put in its place at once.
-    fn write(path: &Path, copies: &Copies) -> io::Result<File> {
-        let mut beside = path.as_os_str().to_owned();
-        beside.push(".new");
-        let mut file = File::create(&beside)?;
-        let mut bytes = format!("life {:x}\n", copies.own().1).into_bytes();
-        copies.book().entries().filter_map(|e| line(&e)).for_each(|l| bytes.extend(l));
-        file.write_all(&bytes)?;
-        fs::rename(&beside, path)?;
-        Ok(file)
-    }
-
     /// What stands in it. Of one that several logs have, the latest counts for whoever takes them all.
     pub fn purges(&self) -> Vec<Purge> {
         self.copies.book().entries().map(|entry| purge(&entry)).collect()
     }
 
-    /// Puts an entry into the file. It outlives the process from here on, and the machine once the system has written
-    /// it: the loop does not wait for a disk, and what a machine loses its peers have.
-    fn keep(&mut self, entry: &Entry) -> io::Result<()> {
-        self.lines += 1;
-        if self.lines > 2 * self.copies.book().len() + SLACK {
-            self.file = Self::write(&self.path, &self.copies)?;
-            self.lines = self.copies.book().len();
-            return Ok(());
+    /// The logs, to look at.
+    pub fn copies(&self) -> &Copies {
+        &self.copies
+    }
+
+    /// Whose machine is which (`Copies::peers`).
+    pub fn peers(&mut self, own: u64, machines: Vec<u64>) {
+        self.copies.peers(own, machines);
+    }
+
+    /// Hands an entry to the worker. What has no room there is given again later, as what the disk did not take.
+    fn keep(&mut self, entry: &Entry) {
+        match self.keeper.give(write(entry)) {
+            Some(ticket) => self.on_way.push_back((ticket, entry.log, entry.seq)),
+            None => self.copies.failed(entry.log, entry.seq),
         }
-        let bytes = line(entry).ok_or_else(|| io::Error::other("its name is too long for a line"))?;
-        fail::fail_point!("ledger-writes");
-        self.file.write_all(&bytes)?;
-        fail::fail_point!("ledger-written");
-        Ok(())
     }
 
-    /// The process ends in order: the next one goes on with this life.
-    pub fn close(mut self) -> io::Result<()> {
-        self.file.write_all(CLOSED.as_bytes())?;
-        self.file.sync_data()
+    /// Adds a purge to this proxy's log, and gives its entry, to be told to the peers. It is on its way to the disk.
+    pub fn add(&mut self, object: Option<&str>, group: u64, at: Micros) -> Result<Entry, String> {
+        if self.keeper.room() == 0 {
+            return Err("the disk is too far behind".into());
+        }
+        let entry = self.copies.add(what(object, group), at).map_err(|e| e.to_string())?;
+        self.keep(&entry);
+        Ok(entry)
     }
 
-    /// Adds a purge to this proxy's log: the entry, to be told to the peers. None for one that is known, as peers repeat
-    /// them.
-    pub fn add(&mut self, object: Option<&str>, group: u64, at: Micros) -> io::Result<Option<Entry>> {
-        let what = what(object, group);
-        if self.copies.book().latest(&what).is_some_and(|known| known >= at) {
-            return Ok(None);
+    /// Adds a purge that a peer of an earlier version told; one that is known is not added again.
+    pub fn tell(&mut self, object: Option<&str>, group: u64, at: Micros) -> Result<(), String> {
+        match self.copies.book().latest(&what(object, group)) {
+            Some(known) if known >= at => Ok(()),
+            _ => self.add(object, group, at).map(drop),
         }
-        let entry = self.copies.add(what, at).map_err(io::Error::other)?;
-        self.keep(&entry).map(|()| Some(entry))
     }
 
-    /// Takes in what a peer says of its logs. What is new is in the file when this returns; a file that can't be
-    /// written costs the copy and no purge.
-    pub fn hear(&mut self, datagram: Datagram) -> Heard {
-        let heard = self.copies.hear(datagram);
-        for entry in &heard.new {
-            if let Err(e) = self.keep(entry) {
-                log::error!("a purge that a peer told is in force but not kept for the next start: {e}");
+    /// An answer waits for what stands in this log up to a place.
+    pub fn promise(&mut self, now: Micros, place: Seq) -> Result<(), Why> {
+        self.copies.promise(now, place)
+    }
+
+    /// Promises that can be given, and those that can't.
+    pub fn settle(&mut self, now: Micros) -> Vec<Settled> {
+        self.copies.settle(now)
+    }
+
+    /// Takes in what a peer says of the logs. What is new is on its way to the disk.
+    pub fn hear(&mut self, from: usize, datagram: Datagram) -> Heard {
+        let heard = self.copies.hear(from, datagram);
+        heard.new.iter().for_each(|entry| self.keep(entry));
+        heard
+    }
+
+    /// Takes in the worker's word of what is on the disk: what peers are to be told of it.
+    pub fn words(&mut self) -> Vec<(usize, Datagram)> {
+        let mut told = Vec::new();
+        while let Some(done) = self.keeper.done() {
+            while let Some((log, seq)) = next(&mut self.on_way, done.to) {
+                match done.result {
+                    Ok(()) => told.extend(self.copies.kept(log, seq)),
+                    Err(_) => self.copies.failed(log, seq),
+                }
             }
         }
-        heard
+        told
     }
 
-    /// When a peer is to be told how far the logs are had here.
+    /// When `tick` is due.
     pub fn due(&self) -> Micros {
         self.copies.due()
     }
 
-    /// What to tell which of so many peers now.
-    pub fn tick(&mut self, now: Micros, peers: usize) -> Vec<(usize, Datagram)> {
-        self.copies.tick(now, peers)
+    /// What to tell which peer now. What the disk did not take is given to it again.
+    pub fn tick(&mut self, now: Micros) -> Vec<(usize, Datagram)> {
+        if self.keeper.room() > 0 {
+            self.copies.again().iter().for_each(|entry| self.keep(entry));
+        }
+        self.copies.tick(now)
     }
 
-    /// Counts of what was copied.
-    pub fn tally(&self) -> Tally {
-        self.copies.tally()
+    /// The process ends in order: the next one goes on with this life, if the disk has all of it. Waits for the disk.
+    pub fn close(self) -> Result<(), Fault> {
+        let Ledger { keeper, mut copies, mut on_way } = self;
+        let gone = || Fault::Disk("the worker has ended".into());
+        let (mut store, last) = keeper.close().ok_or_else(gone)?;
+        for done in last {
+            while let Some((log, seq)) = next(&mut on_way, done.to) {
+                if done.result.is_ok() {
+                    copies.kept(log, seq);
+                }
+            }
+        }
+        if !copies.is_kept() {
+            return Err(Fault::Disk("not all of the log is on it".into()));
+        }
+        store.commit(&[put(CLOSED, Some(b"1"))])
     }
 }
 
 #[cfg(test)]
 mod tests {
     use super::*;
+    use std::sync::mpsc::{channel, Receiver};
+    use std::time::Duration;
 
-    fn open(path: &Path, now: Micros) -> io::Result<Ledger> {
-        Ledger::open(path, 1, now, Options::default())
+    fn open(path: &Path, now: Micros) -> Result<(Ledger, Receiver<()>), Fault> {
+        let (wake, woken) = channel();
+        let wake = move || {
+            let _ = wake.send(());
+        };
+        Ok((Ledger::open(path, 1, now, (Options::default(), 64), wake)?, woken))
     }
 
-    #[test]
-    fn what_was_added_is_there_after_a_crash_and_the_file_stays_short() {
-        let path = std::env::temp_dir().join(format!("linnetknot-ledger-{}", std::process::id()));
+    fn file(name: &str) -> PathBuf {
+        let path = std::env::temp_dir().join(format!("linnetknot-ledger-{name}-{}", std::process::id()));
         let _ = fs::remove_file(&path);
-        let mut ledger = open(&path, 77).unwrap();
-        for at in 1..=1500 {
-            ledger.add(Some("0a"), 0, at).unwrap();
-            ledger.add(None, 7, 3).unwrap();
-        }
-        assert_eq!(ledger.add(Some("0a"), 0, 4).unwrap(), None);
-        assert!(fs::read_to_string(&path).unwrap().lines().count() <= SLACK + 5);
-        let cut = b"copies1 entry 1 4d 5dd 5de 9 object 0b";
-        fs::OpenOptions::new().append(true).open(&path).unwrap().write_all(cut).unwrap();
+        let _ = fs::remove_file(path.with_extension("old"));
+        path
+    }
+
+    /// Waits until all is on the disk: what peers are told of it.
+    fn written((ledger, woken): &mut (Ledger, Receiver<()>)) -> Vec<(usize, Datagram)> {
+        let mut told = Vec::new();
+        while !ledger.copies.is_kept() {
+            woken.recv_timeout(Duration::from_secs(10)).expect("the worker has a word");
+            told.extend(ledger.words());
+        }
+        told
+    }
+
+    #[test]
+    fn what_was_added_is_there_after_a_crash_and_each_purge_stands_once() {
+        let path = file("crash");
+        let mut all = open(&path, 77).unwrap();
+        for at in 1..=30 {
+            all.0.add(Some("0a"), 0, at).unwrap();
+            all.0.tell(None, 7, 3).unwrap();
+        }
+        written(&mut all);
+        all.0.tell(Some("0a"), 0, 4).unwrap();
+        assert!(all.0.copies.is_kept(), "what is known is not written again");
+        // Dropped and not closed, as a crash leaves it.
+        drop(all.0.keeper.close());
         let mut again = open(&path, 78).unwrap();
-        let both = [(None, 7, 3), (Some("0a".into()), 0, 1500)];
-        assert_eq!(again.purges(), both, "a line cut off is no purge");
-        let next = again.add(Some("0b"), 0, 9).unwrap().unwrap();
+        let both = [(None, 7, 3), (Some("0a".into()), 0, 30)];
+        assert_eq!(again.0.purges(), both);
+        let next = again.0.add(Some("0b"), 0, 9).unwrap();
         assert_eq!((next.log, next.seq), ((1, 78), 1), "a place that others may know is not given again");
-        again.close().unwrap();
+        again.0.close().unwrap();
         let mut again = open(&path, 79).unwrap();
-        let next = again.add(Some("0c"), 0, 9).unwrap().unwrap();
-        assert_eq!((next.log, next.seq), ((1, 78), 2), "the life of a file that was closed goes on");
-        assert_eq!(open(&path, 80).unwrap().purges().len(), 4);
+        let next = again.0.add(Some("0c"), 0, 9).unwrap();
+        assert_eq!((next.log, next.seq), ((1, 78), 2), "the life of a store that was closed goes on");
+        assert_eq!(open(&path, 80).err(), Some(Fault::Busy), "one process has it");
+        written(&mut again);
+        drop(again.0.keeper.close());
+        assert_eq!(open(&path, 81).unwrap().0.purges().len(), 4);
         fs::remove_file(&path).unwrap();
-        assert!(open(&path.join("below"), 81).is_err());
+        assert!(open(&path.join("below"), 82).is_err());
     }
 
     #[test]
-    fn a_file_of_an_earlier_version_is_taken_over() {
-        let path = std::env::temp_dir().join(format!("linnetknot-ledger-old-{}", std::process::id()));
-        fs::write(&path, "purge object 0a 5\npurge group 7 6\npurge object 0a 9\npurge object 0b 1").unwrap();
-        let ledger = open(&path, 77).unwrap();
-        let purges = [(None, 7, 6), (Some("0a".into()), 0, 9)];
-        assert_eq!(ledger.purges(), purges);
-        ledger.close().unwrap();
-        let again = open(&path, 99).unwrap();
-        assert_eq!(
-            (again.purges(), again.copies.own()),
-            (purges.to_vec(), (1, 77)),
-            "and has its life from then on"
-        );
-        fs::remove_file(&path).unwrap();
+    fn files_of_earlier_versions_are_taken_over_once_and_kept_aside() {
+        let texts = [
+            ("bare", "purge object 0a 5\npurge group 7 6\npurge object 0a 9\npurge object 0b 1", 99),
+            ("logs", "life 4d\ncopies1 entry 1 4d 0 1 6 group 7\ncopies1 entry 1 4d 1 2 5 object 0a\ncopies1 entry 1 4d 2 3 9 object 0a\nclosed\n", 77),
+            ("cut", "life 4d\ncopies1 entry 1 4d 0 1 6 group 7\ncopies1 entry 2 5 0 1 9 object 0a\ncopies1 entry 1 4d 1 2 5 obj", 99),
+        ];
+        for (name, text, life) in texts {
+            let path = file(name);
+            fs::write(&path, text).unwrap();
+            let mut ledger = open(&path, 99).unwrap();
+            let mut purges = ledger.0.purges();
+            purges.sort();
+            assert_eq!(purges, [(None, 7, 6), (Some("0a".into()), 0, 9)], "{name}");
+            assert_eq!(ledger.0.copies.own(), (1, life), "{name}");
+            let mut aside = path.as_os_str().to_owned();
+            aside.push(".old");
+            assert_eq!(fs::read_to_string(&aside).unwrap(), text, "{name}: for a way back");
+            ledger.0.add(Some("0a"), 0, 50).unwrap();
+            written(&mut ledger);
+            ledger.0.close().unwrap();
+            let again = open(&path, 120).unwrap();
+            assert!(
+                again.0.purges().contains(&(Some("0a".into()), 0, 50)),
+                "{name}: it is not taken over again"
+            );
+            assert_eq!(again.0.copies.own(), (1, life), "{name}: and has its life from then on");
+            drop(again);
+            fs::remove_file(&aside).unwrap();
+            fs::remove_file(&path).unwrap();
+        }
     }
 
     #[test]
-    fn what_a_peer_told_is_kept_too_and_a_new_disk_begins_a_new_life() {
-        let path = std::env::temp_dir().join(format!("linnetknot-ledger-peer-{}", std::process::id()));
-        let _ = fs::remove_file(&path);
+    fn a_peer_is_told_what_is_on_the_disk_only_once_it_is() {
+        let path = file("peer");
         let mut ledger = open(&path, 77).unwrap();
+        ledger.0.peers(10, vec![20, 30]);
         let theirs = Entry { log: (2, 5), seq: 1, prev: 0, what: What::Group(3), at: 8 };
-        assert_eq!(ledger.hear(Datagram::Entry(theirs.clone())).new, std::slice::from_ref(&theirs));
+        let heard = ledger.0.hear(1, Datagram::Entry(theirs.clone()));
+        assert_eq!((heard.new, heard.replies), (vec![theirs.clone()], vec![]), "not before");
+        let held = Datagram::Held { ends: vec![((2, 5), 1)] };
+        assert_eq!(written(&mut ledger), [(1, held.clone())]);
+        assert_eq!(ledger.0.hear(0, Datagram::Entry(theirs.clone())).replies, [held]);
         // Its own log of an earlier life comes back from a peer; what it writes now stands in another.
-        let old = Entry { log: (1, 4), ..theirs };
-        ledger.hear(Datagram::Entry(old));
-        let new = ledger.add(Some("0c"), 0, 9).unwrap().unwrap();
+        ledger.0.hear(0, Datagram::Entry(Entry { log: (1, 4), ..theirs }));
+        let new = ledger.0.add(Some("0c"), 0, 9).unwrap();
         assert_eq!((new.log, new.seq), ((1, 77), 1));
-        ledger.close().unwrap();
+        ledger.0.promise(100, 1).unwrap();
+        written(&mut ledger);
+        assert_eq!(ledger.0.settle(100), [], "on this disk alone");
+        ledger.0.hear(0, Datagram::Held { ends: vec![((1, 77), 1)] });
+        assert_eq!(ledger.0.settle(200), [Settled { place: 1, kept: Ok(100) }]);
+        ledger.0.close().unwrap();
         let again = open(&path, 99).unwrap();
-        assert_eq!(again.copies.own(), (1, 77), "the life of the file, not of the log that came back");
-        let theirs = || (None, 3, 8);
-        let all = [theirs(), (Some("0c".into()), 0, 9), theirs()];
-        assert_eq!(again.purges(), all, "by each life that has it");
+        assert_eq!(again.0.copies.own(), (1, 77), "the life of the store, not of the log that came back");
+        drop(again);
         fs::remove_file(&path).unwrap();
     }
 }
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod core;
 pub mod daemon;
 pub mod disk;
+pub mod fleet;
 pub mod front;
 pub mod interconnect;
 pub mod ledger;
--- a/daemon/src/limits.rs
+++ b/daemon/src/limits.rs
@@ -57,6 +57,10 @@
     pub purges: usize,
     /// Logs of purges: proxies by their lives.
     pub purge_logs: usize,
+    /// Answers to neighbours that wait for copies of what was promised.
+    pub promises: usize,
+    /// Writes that wait for the store's worker.
+    pub store_writes: usize,
     /// Trigger status resources.
     pub triggers: usize,
     /// Payloads on their way to neighbours.
@@ -117,7 +121,7 @@
     pub door_call_us: u64,
     /// Bytes of a door connection's ring for what comes in: the longest head the door reads, and some.
     pub door_input: usize,
-    /// Bytes of a door connection's ring for its one answer.
+    /// Bytes of a door connection's ring for its one answer, the longest of which tells of the fleet.
     pub door_output: usize,
     /// In a drain, a client connection that is to close takes requests for so long after the call (by 4 s none may
     /// have one from the last 2 s).
@@ -136,9 +140,17 @@
         linnetknot_membership::Bounds { boxes: self.boxes, remembered: self.gone_boxes }
     }
 
-    /// The bounds of the logs of purges.
-    pub fn copies(&self) -> linnetknot_copies::Options {
-        linnetknot_copies::Options { entries: self.purges, logs: self.purge_logs, ..Default::default() }
+    /// The bounds of the logs of purges, and what is promised of them.
+    pub fn copies(&self, promised: &crate::interconnect::Copies) -> linnetknot_copies::Options {
+        linnetknot_copies::Options {
+            entries: self.purges,
+            logs: self.purge_logs,
+            promises: self.promises,
+            wait: promised.wait,
+            holders: promised.holders,
+            within_us: promised.within_us,
+            ..Default::default()
+        }
     }
 
     /// The bounds that fit a machine with so many descriptors and MB of memory.
@@ -174,6 +186,8 @@
             said: 1_000,
             purges: 20_000,
             purge_logs: 1_024,
+            promises: 1_024,
+            store_writes: 4_096,
             triggers: 1024,
             posts: 64,
             post_tries: 3,
@@ -203,7 +217,7 @@
             door_callers: 32,
             door_call_us: 5_000_000,
             door_input: 9 << 10,
-            door_output: 1 << 10,
+            door_output: 16 << 10,
             drain_last_taken_us: 1_500_000,
         }
     }
--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -2,7 +2,8 @@
 #![forbid(unsafe_code)]
 
 use clap::{Parser, Subcommand};
-use linnetknot_daemon::{config, config::Config, daemon::Daemon, interconnect, logging};
+use linnetknot_daemon::{config, config::Config, daemon::Daemon, fleet, interconnect, logging};
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::ExitCode;
 
@@ -23,10 +24,28 @@
         /// The files; without any, those that a start would read.
         files: Vec<PathBuf>,
     },
+    /// Asks a running proxy about what the proxies of the fleet keep for each other.
+    Fleet {
+        #[command(subcommand)]
+        what: FleetCommand,
+    },
     /// Prints the JSON Schema of the operators' own file.
     Schema,
 }
 
+#[derive(Subcommand)]
+enum FleetCommand {
+    /// Its promises, how far each peer has its log, and the logs that it holds for others. Exits with 1 where it can't
+    /// be asked.
+    Status {
+        /// The operators' door of the proxy ('ops' of its configuration).
+        door: SocketAddr,
+        /// As JSON, in one line.
+        #[arg(long)]
+        json: bool,
+    },
+}
+
 fn serve() -> Result<(), String> {
     #[cfg(feature = "points")]
     linnetknot_daemon::points::arm()?;
@@ -59,6 +78,20 @@
             }
             ExitCode::from(u8::from(!sound))
         }
+        Some(Command::Fleet { what: FleetCommand::Status { door, json } }) => match fleet::ask(door) {
+            Ok(status) if json => {
+                println!("{}", status.to_json());
+                ExitCode::SUCCESS
+            }
+            Ok(status) => {
+                print!("{}", status.to_table());
+                ExitCode::SUCCESS
+            }
+            Err(e) => {
+                eprintln!("{door}: {e}");
+                ExitCode::FAILURE
+            }
+        },
         Some(Command::Schema) => {
             print!("{}", interconnect::schema());
             ExitCode::SUCCESS
--- a/daemon/src/points.rs
+++ b/daemon/src/points.rs
@@ -2,16 +2,23 @@
 //! middle of a promise. Only builds with the feature `points` have them, which no release build does: without it each
 //! `fail_point!` is nothing at all.
 //!
-//! `LINNETKNOT_POINTS=ledger-written=die;door-kept=stall` arms them at the start.
+//! `LINNETKNOT_POINTS=store-committed=die;door-kept=stall` arms them at the start.
 
 use rustix::process::{getpid, kill_process, Signal};
 
 /// The points, in the order in which a promise passes them.
-pub const POINTS: [&str; 6] = [
-    // A purge that a neighbour told: before its line is written, after, and once the peers were told.
-    "ledger-writes",
-    "ledger-written",
+pub const POINTS: [&str; 10] = [
+    // A purge that a neighbour told: before the peers are told and after; before the store's worker writes and after;
+    // and once enough have it, before the answer.
+    "peers-tell",
     "peers-told",
+    "store-commits",
+    "store-committed",
+    "promise-kept",
+    // The disk takes nothing more (`fail`).
+    "store-fails",
+    // At a peer that has it on its disk, before it says so.
+    "holder-says",
     // A ban or drain at the operators' door: before its file is put in place, between the two, and after both.
     "door-keeps",
     "door-kept-once",
@@ -28,16 +35,21 @@
 pub fn arm() -> Result<(), String> {
     let Ok(text) = std::env::var("LINNETKNOT_POINTS") else { return Ok(()) };
     for part in text.split(';').filter(|part| !part.is_empty()) {
-        let signal = match part.split_once('=') {
-            Some((_, "die")) => Signal::KILL,
-            Some((_, "stall")) => Signal::STOP,
-            _ => return Err(format!("LINNETKNOT_POINTS: '{part}' is neither NAME=die nor NAME=stall")),
-        };
-        let name = part.split('=').next().unwrap_or_default();
+        let (name, act) = part.split_once('=').unwrap_or((part, ""));
         if !POINTS.contains(&name) {
             return Err(format!("LINNETKNOT_POINTS: there is no point '{name}'"));
         }
-        fail::cfg_callback(name, move || meet(signal)).map_err(|e| format!("LINNETKNOT_POINTS: {e}"))?;
+        let armed = match act {
+            "die" => fail::cfg_callback(name, || meet(Signal::KILL)),
+            "stall" => fail::cfg_callback(name, || meet(Signal::STOP)),
+            "fail" => fail::cfg(name, "return"),
+            _ => {
+                return Err(format!(
+                    "LINNETKNOT_POINTS: '{part}' is none of NAME=die, NAME=stall and NAME=fail"
+                ))
+            }
+        };
+        armed.map_err(|e| format!("LINNETKNOT_POINTS: {e}"))?;
     }
     Ok(())
 }
--- a/daemon/tests/between.rs
+++ b/daemon/tests/between.rs
@@ -11,12 +11,16 @@
 const DAEMON: &str = env!("CARGO_BIN_EXE_linnetknot");
 
 fn fleet(proxies: usize, seed: u64) -> Fleet {
-    Fleet::start(Path::new(DAEMON), proxies, seed, false).unwrap()
+    Fleet::start(Path::new(DAEMON), proxies, seed, None).unwrap()
 }
 
-/// Proxies that copy what neighbours told.
+/// Proxies that copy what neighbours told, and say yes once a further machine has it on its disk.
 fn copying(proxies: usize, seed: u64) -> Fleet {
-    Fleet::start(Path::new(DAEMON), proxies, seed, true).unwrap()
+    Fleet::start(Path::new(DAEMON), proxies, seed, Some(1)).unwrap()
+}
+
+fn agree(what: &str, fleet: &Fleet) {
+    until(what, || fleet.agrees().unwrap());
 }
 
 fn object(n: u64) -> String {
@@ -166,57 +170,55 @@
 }
 
 #[test]
-fn with_copies_each_purge_stands_once_in_each_file() {
+fn with_copies_each_purge_stands_once_in_each_store() {
     let fleet = copying(4, 25);
     let all: Vec<String> = (200..220).map(object).collect();
     for (n, object) in all.iter().enumerate() {
         assert_eq!(fleet.purge(n % 4, object).unwrap(), 201);
     }
-    for n in 0..4 {
-        until("each purge is in each file", || entries(&fleet, n).len() >= all.len());
-        assert_eq!(entries(&fleet, n).len(), all.len(), "p{n}");
-    }
+    agree("each purge is in each store", &fleet);
     // All texts that repeat them have come by then, and were known.
     let came = |a, b| a == b || fleet.gates.tally((a, b)).came >= 5 * 4;
     until("all texts came", || (0..4).all(|a| (0..4).all(|b| came(a, b))));
-    assert!((0..4).all(|n| fleet.kept(n).unwrap().lines().count() == 1 + all.len()));
-}
-
-/// The purges that a proxy's file has, in any order.
-fn entries(fleet: &Fleet, n: usize) -> std::collections::BTreeSet<String> {
-    let text = fleet.kept(n).unwrap_or_default();
-    text.lines().filter(|l| l.starts_with("copies1 entry")).map(str::to_owned).collect()
+    for n in 0..4 {
+        let status = fleet.status(n).unwrap();
+        assert_eq!((status.entries, status.logs.len(), status.promised), (all.len(), 4, 5), "p{n}");
+    }
 }
 
 /// The writer dies at each point of its promise, and comes back with its disk or on a new machine. What the neighbour
 /// was told yes of holds at all; what it was not told of holds at all or at none.
 #[test]
 fn a_writer_that_dies_at_any_point_of_a_promise_leaves_all_in_agreement() {
-    // Whether the purge is on the disk and whether it was told, once the process has died at that point.
-    let points =
-        [("ledger-writes", false, false), ("ledger-written", true, false), ("peers-told", true, true)];
-    for (seed, (point, written, told)) in points.into_iter().enumerate() {
+    // Whether others have the purge once the process has died at that point; none where that is a race.
+    let points = [
+        ("peers-tell", Some(false)),
+        ("peers-told", Some(true)),
+        ("store-commits", None),
+        ("store-committed", None),
+        ("promise-kept", Some(true)),
+    ];
+    for (seed, (point, told)) in points.into_iter().enumerate() {
         for disk in [Disk::Kept, Disk::Lost] {
+            let case = format!("{point}, disk {disk:?}");
             let mut fleet = copying(3, 30 + seed as u64);
             let (first, second) = (object(300), object(301));
             assert_eq!(fleet.purge(0, &first).unwrap(), 201);
-            until("all have the first", || (0..3).all(|n| entries(&fleet, n).len() == 1));
+            agree("all have the first", &fleet);
             fleet.kill(0).unwrap();
             fleet.restart_armed(0, disk, &format!("{point}=die")).unwrap();
-            // On a new machine its own promise comes back, which passes the armed point as well: it dies of that.
+            // On a new machine its own promise comes back, which may pass the armed point as well: it dies of that.
             let said = fleet.purge(0, &second);
-            assert!(said.is_err(), "{point}: it died before it could say yes, and said {said:?}");
+            assert!(said.is_err(), "{case}: it died before it could say yes, and said {said:?}");
             fleet.kill(0).unwrap();
+            let others = floor(&fleet, 1, &second);
             fleet.restart(0, Disk::Kept).unwrap();
-            let holds =
-                |fleet: &Fleet, n, object: &str| entries(fleet, n).iter().any(|l| l.ends_with(object));
-            until(&format!("{point} {disk:?}: all agree, on the first too"), || {
-                let all: Vec<_> = (0..3).map(|n| entries(&fleet, n)).collect();
-                all.iter().all(|e| *e == all[0]) && holds(&fleet, 0, &first)
-            });
-            assert!((0..3).all(|n| floor(&fleet, n, &first)), "{point} {disk:?}: the first was promised");
+            agree(&format!("{case}: all agree"), &fleet);
+            assert!((0..3).all(|n| floor(&fleet, n, &first)), "{case}: the first was promised");
+            let held = (0..3).filter(|n| floor(&fleet, *n, &second)).count();
+            assert!(held == 0 || held == 3, "{case}: {held} hold the second");
             if disk == Disk::Kept {
-                assert_eq!(holds(&fleet, 1, &second), written || told, "{point} {disk:?}");
+                assert!(told.is_none_or(|told| told == others), "{case}: others had it: {others}");
             }
         }
     }
@@ -239,3 +241,182 @@
     });
     assert!(floor(fleet, 0, &object));
 }
+
+/// Each machine in turn is lost with its disk the moment after its yes, over links that lose, double and reorder. The
+/// yes was only given once a further machine had it on its disk, so each promise holds.
+#[test]
+fn a_machine_lost_the_moment_after_its_yes_takes_no_promise_along() {
+    let rough = Weather { drop: 0.3, duplicate: 0.3, reorder: 0.3, jitter_ms: 10.0, ..Weather::default() };
+    let mut fleet = copying(3, 41);
+    for a in 0..3 {
+        (0..3).filter(|b| *b != a).for_each(|b| fleet.gates.set((a, b), rough));
+    }
+    let mut promised = Vec::new();
+    for round in 0..6 {
+        let (writer, object) = (round % 3, object(400 + round as u64));
+        let said = fleet.purge(writer, &object).unwrap();
+        assert_eq!(said, 201, "round {round}");
+        fleet.kill(writer).unwrap();
+        promised.push(object);
+        fleet.restart(writer, Disk::Lost).unwrap();
+        agree(&format!("round {round}: all agree"), &fleet);
+        for n in 0..3 {
+            assert!(
+                promised.iter().all(|o| floor(&fleet, n, o)),
+                "round {round}: p{n} holds all that was promised"
+            );
+        }
+    }
+}
+
+/// A proxy that reaches nobody, or that nobody's word reaches, says no in time; what it was told is in force all the
+/// same, and once the links are back it promises again.
+#[test]
+fn a_proxy_that_no_further_machine_answers_promises_nothing() {
+    let fleet = copying(3, 42);
+    fleet.gates.split(&[0], Weather::CUT);
+    assert_eq!(fleet.purge(0, &object(500)).unwrap(), 503);
+    assert!(floor(&fleet, 0, &object(500)), "in force here");
+    assert_eq!(fleet.purge(1, &object(501)).unwrap(), 201, "the other side has a second machine");
+    // One way: the others hear and their word does not come back.
+    fleet.gates.split(&[0], Weather::default());
+    fleet.gates.set((1, 0), Weather::CUT);
+    fleet.gates.set((2, 0), Weather::CUT);
+    assert_eq!(fleet.purge(0, &object(502)).unwrap(), 503);
+    assert!(fleet.hears(1, &object(502)).unwrap());
+    let status = fleet.status(0).unwrap();
+    assert_eq!((status.promised, status.refused, status.waiting), (0, 2, 0));
+    assert!(status.short > 0, "and they are known to be short of copies");
+    fleet.gates.split(&[0], Weather::default());
+    assert_eq!(fleet.purge(0, &object(503)).unwrap(), 201);
+    agree("all agree, none short", &fleet);
+    assert!((0..3).all(|n| (500..504).all(|o| floor(&fleet, n, &object(o)))));
+}
+
+#[test]
+fn a_holder_that_stands_still_holds_no_promise_up_while_another_has_it() {
+    let fleet = copying(3, 43);
+    fleet.stall(1).unwrap();
+    assert_eq!(fleet.purge(0, &object(510)).unwrap(), 201, "by p2");
+    fleet.stall(2).unwrap();
+    assert_eq!(fleet.purge(0, &object(511)).unwrap(), 503, "by nobody");
+    // They go on, know nothing of it, and take what waits in their sockets.
+    fleet.go_on(1).unwrap();
+    fleet.go_on(2).unwrap();
+    assert_eq!(fleet.purge(0, &object(512)).unwrap(), 201);
+    agree("all agree, none short", &fleet);
+    assert!((0..3).all(|n| (510..513).all(|o| floor(&fleet, n, &object(o)))));
+}
+
+/// A holder dies before its disk has the copy, and once it has it and before it says so. The other's copy is enough,
+/// and what the dead one lacks it has again once it is back.
+#[test]
+fn a_holder_that_dies_while_it_writes_or_before_its_word_costs_no_promise() {
+    for (seed, point) in ["store-commits", "store-committed", "holder-says"].into_iter().enumerate() {
+        let mut fleet = copying(3, 44 + seed as u64);
+        fleet.kill(1).unwrap();
+        fleet.restart_armed(1, Disk::Kept, &format!("{point}=die")).unwrap();
+        assert_eq!(fleet.purge(0, &object(520)).unwrap(), 201, "{point}: by p2");
+        until("it died of it", || fleet.status(1).is_err());
+        // Now the writer's machine is lost too: the promise was given on p2's word alone.
+        fleet.kill(0).unwrap();
+        fleet.kill(1).unwrap();
+        fleet.restart(0, Disk::Lost).unwrap();
+        fleet.restart(1, Disk::Kept).unwrap();
+        agree(&format!("{point}: all agree"), &fleet);
+        assert!((0..3).all(|n| floor(&fleet, n, &object(520))), "{point}");
+    }
+}
+
+/// With a promise that waits for two further machines, two of three are lost one after the other.
+#[test]
+fn with_two_further_copies_two_machines_of_three_may_be_lost_at_once() {
+    let mut fleet = Fleet::start(Path::new(DAEMON), 3, 50, Some(2)).unwrap();
+    assert_eq!(fleet.purge(0, &object(530)).unwrap(), 201);
+    fleet.kill(0).unwrap();
+    fleet.kill(1).unwrap();
+    fleet.restart(0, Disk::Lost).unwrap();
+    fleet.restart(1, Disk::Lost).unwrap();
+    agree("all agree", &fleet);
+    assert!((0..3).all(|n| floor(&fleet, n, &object(530))));
+    fleet.stall(2).unwrap();
+    assert_eq!(fleet.purge(0, &object(531)).unwrap(), 503, "one is not enough");
+    fleet.go_on(2).unwrap();
+}
+
+#[test]
+fn a_disk_that_takes_nothing_makes_a_no_and_the_others_keep_what_was_told() {
+    let mut fleet = copying(3, 51);
+    assert_eq!(fleet.purge(0, &object(540)).unwrap(), 201);
+    agree("all have it", &fleet);
+    fleet.kill(0).unwrap();
+    fleet.restart_armed(0, Disk::Kept, "store-fails=fail").unwrap();
+    assert_eq!(fleet.purge(0, &object(541)).unwrap(), 503);
+    assert!(floor(&fleet, 0, &object(541)), "in force all the same");
+    let status = fleet.status(0).unwrap();
+    assert!(status.on_disk < status.end && status.refused == 1);
+    // Its word is no copy for others either.
+    fleet.stall(2).unwrap();
+    assert_eq!(fleet.purge(1, &object(542)).unwrap(), 503);
+    fleet.go_on(2).unwrap();
+    assert!(fleet.end(0).unwrap(), "it ends well");
+    fleet.restart(0, Disk::Kept).unwrap();
+    assert_eq!(fleet.purge(0, &object(543)).unwrap(), 201);
+    agree("all agree", &fleet);
+    assert!((0..3).all(|n| (540..544).all(|o| floor(&fleet, n, &object(o)))));
+}
+
+#[test]
+fn a_damaged_store_is_refused_by_name_and_a_new_one_is_filled_by_the_others() {
+    let mut fleet = copying(3, 52);
+    assert_eq!(fleet.purge(0, &object(550)).unwrap(), 201);
+    agree("all have it", &fleet);
+    fleet.kill(1).unwrap();
+    let path = fleet.store(1);
+    let length = std::fs::metadata(&path).unwrap().len() as usize;
+    std::fs::write(&path, vec![0x5a; length]).unwrap();
+    let said = fleet.restart(1, Disk::Kept).unwrap_err().to_string();
+    assert!(
+        said.contains("cdni.purges") && said.contains("damaged") && said.contains("move it away"),
+        "{said}"
+    );
+    std::fs::rename(&path, path.with_extension("damaged")).unwrap();
+    fleet.restart(1, Disk::Kept).unwrap();
+    agree("all agree", &fleet);
+    assert!(floor(&fleet, 1, &object(550)));
+}
+
+/// All processes are killed at once and come back in each order; promises were made by each of them.
+#[test]
+fn a_whole_fleet_killed_at_once_comes_back_in_any_order() {
+    let mut fleet = copying(3, 53);
+    let mut promised = Vec::new();
+    for (round, order) in
+        [[0, 1, 2], [0, 2, 1], [1, 0, 2], [1, 2, 0], [2, 0, 1], [2, 1, 0]].into_iter().enumerate()
+    {
+        for n in 0..3 {
+            let object = object(600 + 10 * round as u64 + n as u64);
+            assert_eq!(fleet.purge(n, &object).unwrap(), 201);
+            promised.push(object);
+        }
+        order.iter().for_each(|n| fleet.kill(*n).unwrap());
+        order.iter().for_each(|n| fleet.restart(*n, Disk::Kept).unwrap());
+        agree(&format!("{order:?}: all agree"), &fleet);
+    }
+    for n in 0..3 {
+        assert!(promised.iter().all(|o| floor(&fleet, n, o)), "p{n} holds all that was promised");
+    }
+}
+
+/// Promises are asked of a proxy that is told to end: each has its answer, yes or no, before the process has ended.
+#[test]
+fn a_promise_that_waits_is_answered_before_the_process_ends() {
+    let mut fleet = copying(2, 54);
+    fleet.stall(1).unwrap();
+    let front = fleet.process(0).unwrap().cdni;
+    let said = std::thread::spawn(move || linnetknot_rehearse::fleet::purge_at(front, &object(560)));
+    until("it waits", || fleet.status(0).unwrap().waiting == 1);
+    assert!(fleet.end(0).unwrap());
+    assert_eq!(said.join().unwrap().unwrap(), 503);
+    fleet.go_on(1).unwrap();
+}
--- a/ops/src/door.rs
+++ b/ops/src/door.rs
@@ -28,6 +28,8 @@
     OutOfService,
     /// `POST /control/in-service`: back to work.
     InService,
+    /// `GET /control/fleet`: what this proxy's copies and promises stand at.
+    Fleet,
 }
 
 /// Why a call is not taken. Each ends its connection after the answer of [`DoorError::status`].
@@ -113,6 +115,7 @@
         "/control/ready" => ("GET", Call::Ready),
         "/control/out-of-service" => ("POST", Call::OutOfService),
         "/control/in-service" => ("POST", Call::InService),
+        "/control/fleet" => ("GET", Call::Fleet),
         _ => {
             let rest = path.strip_prefix("/control/pop-caches/").ok_or(DoorError::NotFound)?;
             let (id, verb) = rest.rsplit_once('/').ok_or(DoorError::NotFound)?;
@@ -276,6 +279,7 @@
     fn each_call_is_read_and_in_crumbs_too() {
         assert_eq!(whole("GET /control/ready HTTP/1.1\r\nHost: x\r\n\r\n"), Ok(Some(Call::Ready)));
         assert_eq!(whole("POST /control/out-of-service HTTP/1.1\r\n\r\n"), Ok(Some(Call::OutOfService)));
+        assert_eq!(whole("GET /control/fleet HTTP/1.1\r\n\r\n"), Ok(Some(Call::Fleet)));
         assert_eq!(
             whole("POST /control/in-service HTTP/1.0\r\nContent-Length: 0\r\n\r\n"),
             Ok(Some(Call::InService))
--- a/rehearse/src/fleet.rs
+++ b/rehearse/src/fleet.rs
@@ -10,6 +10,7 @@
 use crate::gates::Gates;
 use crate::process::Process;
 use crate::settings;
+use linnetknot_daemon::fleet::{ask as ask_status, Status};
 use rustix::process::Signal;
 use serde_json::{json, Value};
 use std::io;
@@ -40,7 +41,8 @@
 pub struct Fleet {
     daemon: PathBuf,
     members: Vec<Member>,
-    copies: bool,
+    /// Further machines that a promise waits for; none: no copies are made.
+    copies: Option<usize>,
     /// The gates, to set the weather.
     pub gates: Gates,
     /// The boxes.
@@ -55,9 +57,17 @@
     held.iter().map(UdpSocket::local_addr).collect()
 }
 
+/// A neighbour tells a proxy, by its second front, to purge a photo: the status of its answer.
+pub fn purge_at(cdni: SocketAddr, object: &str) -> io::Result<u16> {
+    let url = format!("http://cdn.example/content/photo/{object}");
+    let command = json!({"trigger": {"type": "purge", "content.urls": [url]}, "cdn-path": ["AS64501:0"]});
+    Ok(call(cdni, "POST", "/cdni/triggers", &command.to_string())?.status)
+}
+
 impl Fleet {
-    /// Starts so many daemons, which copy what neighbours told or do not; the seed draws what their gates do.
-    pub fn start(daemon: &Path, proxies: usize, seed: u64, copies: bool) -> io::Result<Self> {
+    /// Starts so many daemons, each on a machine of its own; the seed draws what their gates do. They copy what neighbours
+    /// told, with promises that wait for so many further machines, or do not.
+    pub fn start(daemon: &Path, proxies: usize, seed: u64, copies: Option<usize>) -> io::Result<Self> {
         static FLEETS: AtomicU64 = AtomicU64::new(0);
         let n = FLEETS.fetch_add(1, Ordering::Relaxed);
         let folder = std::env::temp_dir().join(format!("linnetknot-fleet-{}-{n}", std::process::id()));
@@ -70,13 +80,13 @@
         let mut members = Vec::new();
         for (n, own) in ports.iter().enumerate() {
             let bus = Bus::start()?;
-            let disk = folder.join(format!("disk-{n}"));
+            let disk = folder.join(format!("machine-{n}"));
             let peer = |p: usize| gates.address((n, p)).unwrap_or(*own).to_string();
             let known = json!({"offset": 0, "batch": [{"offset": 0, "topology": {"rev": 1, "all": true, "targets": targets}}]});
             let config = json!({
                 "name": format!("p{n}"), "listen": "127.0.0.1:0", "bus": bus.address.to_string(), "known": known,
                 "seed": format!("{:x}", seed * 64 + n as u64 + 1), "settings": settings(),
-                "limits": {"memory_mb": 192, "sockets": 256},
+                "limits": {"memory_mb": 192, "sockets": 256}, "ops": "127.0.0.1:0",
                 "peer_listen": own.to_string(), "peers": (0..proxies).map(peer).collect::<Value>(),
             });
             members.push(Member { process: None, _bus: bus, disk, config });
@@ -90,11 +100,16 @@
     fn begin(&mut self, n: usize, points: &str) -> io::Result<()> {
         let m = &mut self.members[n];
         std::fs::create_dir_all(&m.disk)?;
+        // All of them share an address here, so that their machines are named.
+        let peers = m.config["peers"].as_array().into_iter().flatten().filter_map(Value::as_str);
+        let machines = peers.enumerate().map(|(p, peer)| (peer.to_owned(), format!("machine-{p}").into()));
+        let machines: serde_json::Map<String, Value> = machines.collect();
         let own = json!({"cdni": {"listen": "127.0.0.1:0", "provider": "AS64500:0", "base": "http://cdn.example",
             "footprint": ["127.0.0.0/8"], "purges": m.disk.join("purges").display().to_string()},
-            "peers": {"copies": self.copies}});
+            "peers": {"copies": self.copies.is_some()},
+            "copies": {"wait": self.copies.unwrap_or(0), "machine": format!("machine-{n}"), "machines": machines}});
         let name = format!("p{n}");
-        let started = Process::start_armed(&self.daemon, &self.folder, &name, (&m.config, &own), points);
+        let started = Process::start_armed(&self.daemon, &m.disk, &name, (&m.config, &own), points);
         m.process = Some(started?);
         Ok(())
     }
@@ -152,9 +167,23 @@
         self.begin(n, points)
     }
 
-    /// What stands on a proxy's disk: the file of the purges that it keeps.
-    pub fn kept(&self, n: usize) -> io::Result<String> {
-        std::fs::read_to_string(self.members[n].disk.join("purges"))
+    /// The file in which a proxy keeps what neighbours told.
+    pub fn store(&self, n: usize) -> PathBuf {
+        self.members[n].disk.join("purges")
+    }
+
+    /// What a proxy tells operators of its copies.
+    pub fn status(&self, n: usize) -> io::Result<Status> {
+        ask_status(self.process(n)?.door)
+    }
+
+    /// Whether all proxies that run have the same entries, all of them on their disks and none short of copies.
+    pub fn agrees(&self) -> io::Result<bool> {
+        let runs = (0..self.members.len()).filter(|n| self.members[*n].process.is_some());
+        let all = runs.map(|n| self.status(n)).collect::<io::Result<Vec<_>>>()?;
+        let settled =
+            |s: &Status| s.short == 0 && s.waiting == 0 && s.logs.iter().all(|l| l.end == l.on_disk);
+        Ok(all.iter().all(|s| settled(s) && s.digest == all[0].digest && s.entries == all[0].entries))
     }
 
     /// Asks a proxy for a photo.
@@ -166,9 +195,7 @@
 
     /// A neighbour tells one proxy to purge a photo: the status of its answer.
     pub fn purge(&self, n: usize, object: &str) -> io::Result<u16> {
-        let url = format!("http://cdn.example/content/photo/{object}");
-        let command = json!({"trigger": {"type": "purge", "content.urls": [url]}, "cdn-path": ["AS64501:0"]});
-        Ok(call(self.process(n)?.cdni, "POST", "/cdni/triggers", &command.to_string())?.status)
+        purge_at(self.process(n)?.cdni, object)
     }
 
     /// Whether a proxy holds a floor for a photo: it asks its box for no copy older than something. What it serves
--- a/rehearse/src/process.rs
+++ b/rehearse/src/process.rs
@@ -21,6 +21,8 @@
     pub front: SocketAddr,
     /// Where neighbours connect; that of `front` where the second front is off.
     pub cdni: SocketAddr,
+    /// Where operators call; that of `front` where there is no door.
+    pub door: SocketAddr,
 }
 
 impl Drop for Process {
@@ -61,6 +63,8 @@
             .env("LINNETKNOT_INTERCONNECT", &own_file)
             .env("RUST_LOG", "info")
             .env("LINNETKNOT_POINTS", points)
+            // What the operators decided is kept there: no other daemon is to find it.
+            .env("TMPDIR", folder)
             .stdin(Stdio::null())
             // A group of its own: Ctrl-C at a terminal is for the kit, which then ends its daemons.
             .process_group(0)
@@ -69,7 +73,7 @@
         let log = child.stderr.take();
         // From here on it is ended with this, whatever comes.
         let nowhere = ([127, 0, 0, 1], 0).into();
-        let mut process = Process { child, front: nowhere, cdni: nowhere };
+        let mut process = Process { child, front: nowhere, cdni: nowhere, door: nowhere };
         let (tell, told) = mpsc::channel();
         let last = Arc::new(Mutex::new(VecDeque::new()));
         let kept = last.clone();
@@ -82,19 +86,18 @@
                 }
                 kept.push_back(line.clone());
                 drop(kept);
-                let address = |mark: &str| line.split_once(mark)?.1.trim().parse::<SocketAddr>().ok();
-                for found in
-                    [address(" listens on "), address("neighbours connect to ")].into_iter().flatten()
-                {
+                let address = |mark: &&str| line.split_once(mark)?.1.trim().parse::<SocketAddr>().ok();
+                for found in SAID.iter().filter_map(address) {
                     let _ = tell.send(found);
                 }
             }
         });
-        // It says first where clients connect, and then where neighbours do, if they can.
-        let second = own["cdni"]["listen"].is_string();
+        // It says first where clients connect, and then where neighbours and operators do, if they can.
+        let (second, door) = (own["cdni"]["listen"].is_string(), config["ops"].is_string());
         let heard = told.recv_timeout(PATIENCE).and_then(|front| {
             process.front = front;
             process.cdni = if second { told.recv_timeout(PATIENCE)? } else { front };
+            process.door = if door { told.recv_timeout(PATIENCE)? } else { front };
             Ok(())
         });
         match heard {
@@ -119,6 +122,8 @@
     }
 }
 
+/// What a daemon says before its addresses, in the order in which it says them.
+const SAID: [&str; 3] = [" listens on ", "neighbours connect to ", "the operators' door is at "];
 /// Lines of a daemon's log kept to say why it did not start.
 const LAST_LINES: usize = 12;
 
