--- a/daemon/src/daemon/feeds/peers.rs
+++ b/daemon/src/daemon/feeds/peers.rs
@@ -23,7 +23,7 @@
                 continue;
             }
             let bytes = &bytes[..length];
-            if self.hear_copies(now, from, bytes) {
+            if self.hear_member(now, from, bytes) || self.hear_copies(now, from, bytes) {
                 continue;
             }
             if self.hearsay.as_mut().is_some_and(|h| h.hear(now, from, bytes)) {
@@ -106,7 +106,7 @@
         known.iter().filter(|peer| Some(**peer) != own).copied().collect()
     }
 
-    fn send_to_peer(&self, peer: SocketAddr, datagram: &[u8]) {
+    pub(in crate::daemon) fn send_to_peer(&self, peer: SocketAddr, datagram: &[u8]) {
         if let Some((socket, _)) = &self.peers {
             // A datagram may be lost anyway: one that can't be sent is one of those.
             let _ = socket.send_to(datagram, peer);
--- a/daemon/src/daemon/fleet.rs
+++ b/daemon/src/daemon/fleet.rs
@@ -1,18 +1,137 @@
-//! What the door tells of this proxy's copies.
+//! The other proxies: who of them is there (`linnetknot_fleet`), and what the door tells of them and of the copies.
 
 use super::Daemon;
 use crate::fleet::{LogStatus, PeerStatus, Status, MOST_LOGS, MOST_PEERS};
+use linnetknot::Micros;
+use linnetknot_fleet::{Change, Fleet, Options, Standing, Unreadable};
+use linnetknot_membership::server_id;
+use std::net::SocketAddr;
+
+fn shown(standing: Option<Standing>) -> &'static str {
+    match standing {
+        None => "unknown",
+        Some(Standing::Alive) => "alive",
+        Some(Standing::Suspect) => "suspect",
+        Some(Standing::Dead) => "dead",
+        Some(Standing::Left) => "left",
+    }
+}
 
 impl Daemon {
+    /// Begins to look after the peers, at the start and where their list has changed.
+    pub(super) fn join_fleet(&mut self, now: Micros) {
+        let Some(ledger) = self.ledger.as_ref().filter(|_| self.config.copies.on) else { return };
+        let (name, machine) = (&self.config.name, &self.config.copies.machine);
+        let (me, peers) = ((server_id(name), ledger.member()), self.config.copies.machines.len());
+        let fleet = Fleet::new(me, (name, machine), peers, (self.config.seed, now), Options::default());
+        self.members_of_fleet = Some(fleet);
+        self.plan_fleet(now);
+    }
+
+    /// Whether a later process of this name has begun.
+    pub(super) fn is_replaced(&self) -> bool {
+        self.members_of_fleet.as_ref().is_some_and(Fleet::is_replaced)
+    }
+
+    /// Takes in a word of a member; false where it is none.
+    pub(super) fn hear_member(&mut self, now: Micros, from: SocketAddr, bytes: &[u8]) -> bool {
+        let place = self.config.copies.machines.iter().position(|(peer, _)| *peer == from);
+        let (Some(fleet), Some(place)) = (&mut self.members_of_fleet, place) else { return false };
+        let before = fleet.is_replaced();
+        match fleet.hear(now, place, bytes) {
+            Err(Unreadable::Foreign) => return false,
+            Err(e) => {
+                log::debug!(peer:% = from; "{e}");
+                self.dropped.1 += 1;
+                return true;
+            }
+            Ok(()) => {}
+        }
+        if fleet.is_replaced() && !before {
+            log::error!(
+                "another process of this name has begun after this one: nothing more is promised here"
+            );
+        }
+        self.tend_fleet(now);
+        true
+    }
+
+    /// Sends what is to be said, and says what has changed.
+    fn tend_fleet(&mut self, now: Micros) {
+        let Some(fleet) = &mut self.members_of_fleet else { return };
+        let (sends, changes) = (fleet.sends(), fleet.changes());
+        for (place, bytes) in sends {
+            if let Some((peer, _)) = self.config.copies.machines.get(place) {
+                self.send_to_peer(*peer, &bytes);
+            }
+        }
+        changes.into_iter().for_each(|change| self.say_member(change));
+        self.plan_fleet(now);
+    }
+
+    fn say_member(&self, Change { peer, old, new }: Change) {
+        let fleet = self.members_of_fleet.as_ref();
+        let member = fleet.and_then(|f| f.members().get(peer));
+        let name = member.and_then(|m| m.names.as_ref()).map_or("", |names| names.0.as_str());
+        let address = self.config.copies.machines.get(peer).map_or_else(String::new, |(a, _)| a.to_string());
+        let level = match new.standing {
+            Standing::Alive | Standing::Left => log::Level::Info,
+            Standing::Suspect => log::Level::Debug,
+            Standing::Dead => log::Level::Warn,
+        };
+        log::log!(
+            level, peer = address.as_str(), member = name, old = shown(old.map(|c| c.standing)),
+            new = shown(Some(new.standing)), life = new.life, up = fleet.map_or(0, Fleet::up);
+            "a member's standing has changed"
+        );
+    }
+
+    fn plan_fleet(&mut self, now: Micros) {
+        let Some(fleet) = &self.members_of_fleet else { return };
+        let due = fleet.due().max(now + 1);
+        if self.fleet_due.is_none_or(|(at, _)| at > due || at <= now) {
+            if let Some(old) = self.fleet_due.take() {
+                self.deadlines.take_back(old);
+            }
+            self.fleet_due = Some(self.later(due, |daemon, now| {
+                daemon.fleet_due = None;
+                daemon.members_of_fleet.iter_mut().for_each(|fleet| fleet.tick(now));
+                daemon.tend_fleet(now);
+            }));
+        }
+    }
+
+    /// The process ends: the others need not find it out.
+    pub(super) fn leave_fleet(&mut self) {
+        let Some(mut fleet) = self.members_of_fleet.take() else { return };
+        fleet.leave();
+        for (place, bytes) in fleet.sends() {
+            if let Some((peer, _)) = self.config.copies.machines.get(place) {
+                self.send_to_peer(*peer, &bytes);
+            }
+        }
+    }
+
     /// Where this proxy's copies and promises stand; none where it makes no copies.
     pub(super) fn fleet_status(&self) -> Option<Status> {
         let copies = &self.config.copies;
         let ledger = self.ledger.as_ref().filter(|_| copies.on)?.copies();
         let (own, tally, ends) = (ledger.own(), ledger.tally(), ledger.book().ends());
         let end = ledger.book().end(own);
-        let peer = |(place, (address, machine)): (usize, &(std::net::SocketAddr, String))| {
+        let fleet = self.members_of_fleet.as_ref();
+        let peer = |(place, (address, machine)): (usize, &(SocketAddr, String))| {
             let held = ledger.held_by(place);
-            PeerStatus { address: *address, machine: machine.clone(), held, behind: end.saturating_sub(held) }
+            let member = fleet.and_then(|f| f.members().get(place));
+            let claim = member.and_then(|m| m.claim);
+            PeerStatus {
+                address: *address,
+                machine: machine.clone(),
+                name: member.and_then(|m| m.names.clone()).map_or_else(String::new, |names| names.0),
+                standing: shown(claim.map(|c| c.standing)).to_owned(),
+                life: claim.map_or_else(String::new, |c| format!("{:x}", c.life)),
+                held,
+                behind: end.saturating_sub(held),
+            }
         };
         let log = |((writer, life), end): &((u64, u64), u64)| LogStatus {
             writer: format!("{writer:016x}"),
@@ -35,6 +154,8 @@
             short: ledger.short(),
             promised: tally.promised,
             refused: tally.denied,
+            up: fleet.map_or(1, Fleet::up),
+            replaced: self.is_replaced(),
             peers: copies.machines.iter().enumerate().take(MOST_PEERS).map(peer).collect(),
             peers_in_all: copies.machines.len(),
             logs: ends.iter().take(MOST_LOGS).map(log).collect(),
--- a/daemon/src/daemon/mod.rs
+++ b/daemon/src/daemon/mod.rs
@@ -190,6 +190,9 @@
     ledger: Option<Ledger>,
     /// The answers that wait for it, and when it is due to be looked at again.
     promised: promises::Promised,
+    /// Who of the peers is there, and when that is due to be looked at again.
+    members_of_fleet: Option<linnetknot_fleet::Fleet>,
+    fleet_due: Option<Due>,
     /// Raised by the store's worker when there is word of what is on the disk.
     store_word: Option<Signal>,
     /// Payloads to neighbours that are on their way or wait to be tried again.
@@ -316,6 +319,8 @@
             desk,
             ledger,
             promised: promises::Promised::default(),
+            members_of_fleet: None,
+            fleet_due: None,
             store_word,
             posts: 0,
             told_ready: false,
@@ -339,6 +344,7 @@
         known.into_iter().for_each(|event| daemon.news(now, event));
         daemon.bus.last = last_event;
         daemon.know_machines();
+        daemon.join_fleet(now);
         daemon.copy_purges(now);
         daemon.recall_lists(now);
         daemon.call_bus(now);
@@ -521,6 +527,7 @@
             }
             self.deadlines.set(now + self.limits.term_grace_us, Timer::Term);
             self.leave_consul(now);
+            self.leave_fleet();
         }
     }
 
@@ -555,11 +562,15 @@
         let moved = self.config.bus != new.bus;
         self.config.bus = new.bus;
         self.config.peers = new.peers.take().or(self.config.peers.take());
+        let machines = self.config.copies.machines.clone();
         match self.config.check_copies(self.config.peers.as_ref()) {
             Ok(copies) => self.config.copies.machines = copies.machines,
             Err(e) => log::error!("SIGHUP: the machines of the peers stay as they were: {e}"),
         }
-        self.know_machines();
+        if machines != self.config.copies.machines {
+            self.know_machines();
+            self.join_fleet(now);
+        }
         log::info!(
             "SIGHUP: the configuration is read again{}",
             if moved { "; the event bus has moved" } else { "" }
--- a/daemon/src/daemon/promises.rs
+++ b/daemon/src/daemon/promises.rs
@@ -35,6 +35,11 @@
 impl Daemon {
     /// A command's purges are put in force and on their way, and its answer given once they are kept.
     pub(super) fn promise(&mut self, now: Micros, answer: Answer, effects: Vec<Effect>) {
+        if self.is_replaced() {
+            // Its successor has the name, and those who hold its promises turn to that.
+            let why = "another process of this name has begun after this one";
+            return self.answer_promise(now, answer, Err(why.into()));
+        }
         let mut place = Ok(None);
         for effect in effects {
             match effect {
--- a/daemon/src/fleet.rs
+++ b/daemon/src/fleet.rs
@@ -7,9 +7,9 @@
 use std::time::Duration;
 
 /// Peers that one answer tells of.
-pub const MOST_PEERS: usize = 64;
+pub const MOST_PEERS: usize = 48;
 /// Logs that one answer tells of: with those peers it fits the door's ring.
-pub const MOST_LOGS: usize = 48;
+pub const MOST_LOGS: usize = 32;
 /// How long the door is waited for.
 const PATIENCE: Duration = Duration::from_secs(5);
 /// Bytes of an answer that are read.
@@ -44,6 +44,10 @@
     pub promised: u64,
     /// Promises refused in this process.
     pub refused: u64,
+    /// Members that run, by its own belief, itself among them.
+    pub up: usize,
+    /// Another process of its name has begun after it: it promises nothing any more.
+    pub replaced: bool,
     /// Its peers.
     pub peers: Vec<PeerStatus>,
     /// How many there are.
@@ -61,6 +65,12 @@
     pub address: SocketAddr,
     /// Its machine.
     pub machine: String,
+    /// Its name, once it has told it.
+    pub name: String,
+    /// What is believed of it: `unknown`, `alive`, `suspect`, `dead` or `left`.
+    pub standing: String,
+    /// Its life among the members.
+    pub life: String,
     /// Up to where it is known to have the asked proxy's log on its disk.
     pub held: u64,
     /// Places behind.
@@ -106,22 +116,24 @@
                     self.promised, self.refused, self.waiting, self.wait
                 ),
             ),
+            (
+                "members",
+                format!("{} up{}", self.up, if self.replaced { "; this process was replaced" } else { "" }),
+            ),
             ("short", format!("{} with fewer copies than {}", self.short, self.holders)),
         ];
         // Writing to a string does not fail.
         for (name, value) in rows {
             let _ = writeln!(out, "{name:<9} {value}");
         }
-        let _ = writeln!(out, "\n{:<24} {:<20} {:>10} {:>10}", "peer", "machine", "held", "behind");
-        for p in &self.peers {
-            let _ = writeln!(
-                out,
-                "{:<24} {:<20} {:>10} {:>10}",
-                p.address.to_string(),
-                p.machine,
-                p.held,
-                p.behind
-            );
+        let head = ["peer", "name", "machine", "standing", "held", "behind"].map(str::to_owned);
+        let rows = self.peers.iter().map(|p| {
+            let (held, behind) = (p.held.to_string(), p.behind.to_string());
+            [p.address.to_string(), p.name.clone(), p.machine.clone(), p.standing.clone(), held, behind]
+        });
+        let _ = writeln!(out);
+        for [peer, name, machine, standing, held, behind] in std::iter::once(head).chain(rows) {
+            let _ = writeln!(out, "{peer:<22} {name:<14} {machine:<14} {standing:<9} {held:>9} {behind:>9}");
         }
         let _ = writeln!(out, "\n{:<18} {:<14} {:>10} {:>10}", "held for", "life", "places", "on disk");
         for l in &self.logs {
@@ -167,6 +179,9 @@
         let peer = |n: usize| PeerStatus {
             address: ([255, 255, 255, 200 + (n % 50) as u8], 65_535).into(),
             machine: "machine-of-a-long-name".into(),
+            name: "a-proxy-of-quite-a-long-name".into(),
+            standing: "suspect".into(),
+            life: "ffffffffffffff".into(),
             held: u64::MAX / 3,
             behind: u64::MAX / 3,
         };
@@ -191,6 +206,8 @@
             short: 3,
             promised: 4,
             refused: 2,
+            up: 3,
+            replaced: false,
             peers: (0..peers).map(peer).collect(),
             peers_in_all: peers + 5,
             logs: (0..logs).map(log).collect(),
--- a/daemon/src/ledger.rs
+++ b/daemon/src/ledger.rs
@@ -17,6 +17,8 @@
 pub struct Ledger {
     keeper: Keeper,
     copies: Copies,
+    /// This process's life among the members.
+    member: Life,
     /// Entries on their way to the disk, in order.
     on_way: VecDeque<(Ticket, Log, Seq)>,
 }
@@ -28,6 +30,8 @@
 const LIFE: &[u8] = b"life";
 /// The process ended in order: the log goes on in its life.
 const CLOSED: &[u8] = b"closed";
+/// The process's life among the members: it grows with every start, also where the clock does not.
+const MEMBER: &[u8] = b"member";
 /// The file of an earlier version was taken over.
 const TAKEN_OVER: &[u8] = b"taken over";
 
@@ -192,7 +196,10 @@
             }
         }
         let own = (writer, life.unwrap_or(now));
+        let before = store.get(OWN, MEMBER)?.and_then(|b| b.try_into().ok()).map_or(0, Life::from_be_bytes);
+        let member = now.max(before + 1);
         begin.push(put(LIFE, Some(&own.1.to_be_bytes())));
+        begin.push(put(MEMBER, Some(&member.to_be_bytes())));
         // From here on the store counts as not closed.
         begin.extend(closed.then(|| put(CLOSED, None)));
         store.commit(&begin)?;
@@ -201,7 +208,7 @@
         let book = book(entries.ok_or_else(|| Fault::Damaged("an entry can't be read".into()))?)?;
         let copies = Copies::new(own, book, now, options);
         let keeper = Keeper::start("store", store, queue, wake).map_err(|e| Fault::Disk(e.to_string()))?;
-        let mut ledger = Ledger { keeper, copies, on_way: VecDeque::new() };
+        let mut ledger = Ledger { keeper, copies, member, on_way: VecDeque::new() };
         for (object, group, at) in bare {
             if let Err(e) = ledger.tell(object.as_deref(), group, at) {
                 log::error!("a purge of an earlier version's file is not taken over: {e}");
@@ -215,6 +222,11 @@
         self.copies.book().entries().map(|entry| purge(&entry)).collect()
     }
 
+    /// This process's life among the members: greater than that of any before it on this disk.
+    pub fn member(&self) -> Life {
+        self.member
+    }
+
     /// The logs, to look at.
     pub fn copies(&self) -> &Copies {
         &self.copies
@@ -297,7 +309,7 @@
 
     /// The process ends in order: the next one goes on with this life, if the disk has all of it. Waits for the disk.
     pub fn close(self) -> Result<(), Fault> {
-        let Ledger { keeper, mut copies, mut on_way } = self;
+        let Ledger { keeper, mut copies, mut on_way, .. } = self;
         let gone = || Fault::Disk("the worker has ended".into());
         let (mut store, last) = keeper.close().ok_or_else(gone)?;
         for done in last {
@@ -359,12 +371,14 @@
         // Dropped and not closed, as a crash leaves it.
         drop(all.0.keeper.close());
         let mut again = open(&path, 78).unwrap();
+        assert_eq!(again.0.member(), 78);
         let both = [(None, 7, 3), (Some("0a".into()), 0, 30)];
         assert_eq!(again.0.purges(), both);
         let next = again.0.add(Some("0b"), 0, 9).unwrap();
         assert_eq!((next.log, next.seq), ((1, 78), 1), "a place that others may know is not given again");
         again.0.close().unwrap();
-        let mut again = open(&path, 79).unwrap();
+        let mut again = open(&path, 7).unwrap();
+        assert_eq!(again.0.member(), 79, "it grows though the clock was set back");
         let next = again.0.add(Some("0c"), 0, 9).unwrap();
         assert_eq!((next.log, next.seq), ((1, 78), 2), "the life of a store that was closed goes on");
         assert_eq!(open(&path, 80).err(), Some(Fault::Busy), "one process has it");
--- /dev/null
+++ b/fleet/src/swim.rs
@@ -0,0 +1,528 @@
+//! Probes and their time-outs, and the detector's own health.
+//!
+//! One member is probed in each period, in rounds of a random order. One that does not answer in time is asked for by
+//! others; where none of them hears it either, it is suspected. A detector that misses what it should have heard is
+//! slow itself, more often than all others are gone: it then waits longer before it blames them.
+
+use crate::gossip::Gossip;
+use crate::membership::{Change, Claim, Member, Standing};
+use crate::suspicion::Suspicion;
+use crate::wire::{told, About, Body, Message, Sender, Unreadable};
+use crate::{Id, Life, Micros, Peer};
+use std::collections::BTreeMap;
+
+/// Times and bounds.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Options {
+    /// One member is probed in each.
+    pub period_us: Micros,
+    /// An answer is due within this; others are asked then.
+    pub ack_us: Micros,
+    /// So many others.
+    pub helpers: usize,
+    /// The greatest multiple, less one, by which a slow detector waits longer.
+    pub most_health: u32,
+    /// Members that are dead or left are probed in one of so many rounds, as they may be back.
+    pub rare: u64,
+    /// Pings on behalf of others that wait for their answers.
+    pub helped: usize,
+    /// Members that were never heard and are greeted in one period, besides the probe.
+    pub greet: usize,
+}
+
+impl Default for Options {
+    fn default() -> Self {
+        Options {
+            period_us: 500_000,
+            ack_us: 150_000,
+            helpers: 3,
+            most_health: 4,
+            rare: 8,
+            helped: 64,
+            greet: 8,
+        }
+    }
+}
+
+/// Counts for the operators.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Tally {
+    /// Probes begun.
+    pub probes: u64,
+    /// Probes that nobody answered.
+    pub failed: u64,
+    /// Suspicions of itself that it refuted.
+    pub refuted: u64,
+    /// Times that it found itself to have stood still.
+    pub stalls: u64,
+    /// Datagrams that could not be read.
+    pub unreadable: u64,
+}
+
+#[derive(Clone, Debug)]
+struct Probe {
+    peer: Peer,
+    number: u32,
+    begun: Micros,
+    /// Others that were asked for it; none: it is not time yet.
+    asked: Option<usize>,
+    nacks: usize,
+}
+
+/// A ping on behalf of another.
+#[derive(Clone, Debug)]
+struct Helped {
+    asker: Peer,
+    number: u32,
+    target: Id,
+    until: Micros,
+}
+
+/// The members of an installation, as one of them sees the others.
+#[derive(Clone, Debug)]
+pub struct Fleet {
+    me: Sender,
+    names: (String, String),
+    options: Options,
+    members: Vec<Member>,
+    by_id: BTreeMap<Id, Peer>,
+    suspicions: BTreeMap<Peer, Suspicion>,
+    gossip: Gossip,
+    /// Peers of this round that are still to be probed.
+    round: Vec<Peer>,
+    /// Peers that were not greeted yet: one that starts is to know all soon, and not after a whole round.
+    ungreeted: Vec<Peer>,
+    probe: Option<Probe>,
+    helped: BTreeMap<u32, Helped>,
+    next: Micros,
+    number: u32,
+    /// How much this detector distrusts itself.
+    health: u32,
+    random: u64,
+    left: bool,
+    replaced: bool,
+    sends: Vec<(Peer, Vec<u8>)>,
+    changes: Vec<Change>,
+    tally: Tally,
+}
+
+impl Fleet {
+    /// A member of this id in this life, called by these names (its own and its machine's), among so many peers.
+    pub fn new(
+        (id, life): (Id, Life),
+        names: (&str, &str),
+        peers: usize,
+        (seed, now): (u64, Micros),
+        options: Options,
+    ) -> Self {
+        let random = seed ^ id.rotate_left(17) ^ life | 1;
+        let mut fleet = Fleet {
+            me: Sender { id, life, incarnation: 0 },
+            names: (told(names.0), told(names.1)),
+            options,
+            members: vec![Member::default(); peers],
+            by_id: BTreeMap::new(),
+            suspicions: BTreeMap::new(),
+            gossip: Gossip::default(),
+            round: Vec::new(),
+            ungreeted: (0..peers).collect(),
+            probe: None,
+            helped: BTreeMap::new(),
+            next: now,
+            number: 0,
+            health: 0,
+            random,
+            left: false,
+            replaced: false,
+            sends: Vec::new(),
+            changes: Vec::new(),
+            tally: Tally::default(),
+        };
+        // Members that are started together must not probe in step.
+        fleet.next += fleet.draw(options.period_us);
+        fleet
+    }
+
+    /// The members, by their places.
+    pub fn members(&self) -> &[Member] {
+        &self.members
+    }
+
+    /// A member's place, once it was heard.
+    pub fn place(&self, id: Id) -> Option<Peer> {
+        self.by_id.get(&id).copied()
+    }
+
+    /// How many run, itself among them.
+    pub fn up(&self) -> usize {
+        1 + self.members.iter().filter(|m| m.is_up()).count()
+    }
+
+    /// Whether a later life of its own name has begun: this process was replaced.
+    pub fn is_replaced(&self) -> bool {
+        self.replaced
+    }
+
+    /// By how much this detector waits longer than it would if it were well, in multiples of the usual time.
+    pub fn health(&self) -> u32 {
+        self.health
+    }
+
+    /// Counts so far.
+    pub fn tally(&self) -> Tally {
+        self.tally
+    }
+
+    /// Datagrams to be sent.
+    pub fn sends(&mut self) -> Vec<(Peer, Vec<u8>)> {
+        std::mem::take(&mut self.sends)
+    }
+
+    /// What has changed since it was last asked.
+    pub fn changes(&mut self) -> Vec<Change> {
+        std::mem::take(&mut self.changes)
+    }
+
+    /// When `tick` has something to do.
+    pub fn due(&self) -> Micros {
+        let probe = self.probe.as_ref().filter(|p| p.asked.is_none()).map(|p| p.begun + self.ack_us());
+        let suspects = self.suspicions.values().map(Suspicion::until).min();
+        let helped = self.helped.values().map(|h| h.until).min();
+        [probe, suspects, helped].into_iter().flatten().fold(self.next, Micros::min)
+    }
+
+    fn ack_us(&self) -> Micros {
+        self.options.ack_us * Micros::from(1 + self.health)
+    }
+
+    fn draw(&mut self, below: u64) -> u64 {
+        self.random ^= self.random << 13;
+        self.random ^= self.random >> 7;
+        self.random ^= self.random << 17;
+        self.random % below.max(1)
+    }
+
+    fn sick(&mut self, by: u32) {
+        self.health = (self.health + by).min(self.options.most_health);
+    }
+
+    /// Time has passed.
+    pub fn tick(&mut self, now: Micros) {
+        if self.left {
+            self.next = Micros::MAX;
+            return;
+        }
+        self.notice_stall(now);
+        self.nack(now);
+        if let Some(probe) =
+            self.probe.clone().filter(|p| p.asked.is_none() && p.begun + self.ack_us() <= now)
+        {
+            self.ask_others(&probe);
+        }
+        let over: Vec<Peer> =
+            self.suspicions.iter().filter(|(_, s)| s.until() <= now).map(|(peer, _)| *peer).collect();
+        for peer in over {
+            self.suspicions.remove(&peer);
+            self.claim_own(now, peer, Standing::Dead);
+        }
+        if now >= self.next {
+            self.end_probe(now);
+            self.begin_probe(now);
+        }
+    }
+
+    /// A process that was stopped, or short of CPU, finds all its time-outs over at once, and what it did not hear
+    /// meanwhile may wait in its socket.
+    fn notice_stall(&mut self, now: Micros) {
+        let late = now.saturating_sub(self.due());
+        if late > 2 * self.options.ack_us {
+            self.tally.stalls += 1;
+            self.sick(2);
+            self.probe = None;
+            self.helped.clear();
+            self.suspicions.values_mut().for_each(|s| s.put_off(late));
+            // What came meanwhile is read before anybody is probed again.
+            self.next = now + self.options.ack_us;
+        }
+    }
+
+    // ---- Probes ----
+
+    fn begin_probe(&mut self, now: Micros) {
+        self.next = now + self.options.period_us * Micros::from(1 + self.health);
+        self.greet();
+        if self.round.is_empty() {
+            self.draw_round();
+        }
+        let Some(peer) = self.round.pop() else { return };
+        self.number = self.number.wrapping_add(1);
+        self.tally.probes += 1;
+        self.probe = Some(Probe { peer, number: self.number, begun: now, asked: None, nacks: 0 });
+        self.ping(peer, self.number);
+    }
+
+    /// Pings members that were never heard: many at first, and one in a period once each was greeted.
+    fn greet(&mut self) {
+        let unheard = |fleet: &Self, peer: &Peer| fleet.members[*peer].claim.is_none();
+        let mut most = self.options.greet;
+        if self.ungreeted.is_empty() {
+            most = 1;
+            let all = 0..self.members.len();
+            self.ungreeted = all.filter(|peer| unheard(self, peer)).collect();
+        }
+        for _ in 0..most.min(self.ungreeted.len()) {
+            let place = self.draw(self.ungreeted.len() as u64) as usize;
+            let peer = self.ungreeted.swap_remove(place);
+            if unheard(self, &peer) {
+                // No probe has this number: whoever does not answer is blamed for nothing.
+                self.ping(peer, 0);
+            }
+        }
+        if most == 1 {
+            self.ungreeted.clear();
+        }
+    }
+
+    /// All that may run, in a random order; of those that do not, a few.
+    fn draw_round(&mut self) {
+        for peer in 0..self.members.len() {
+            let rests = self.members[peer].claim.is_some() && !self.members[peer].is_up();
+            if !rests || self.draw(self.options.rare) == 0 {
+                let place = self.draw(self.round.len() as u64 + 1) as usize;
+                self.round.insert(place, peer);
+            }
+        }
+    }
+
+    fn ping(&mut self, peer: Peer, number: u32) {
+        let names = self.members[peer].names.is_none();
+        self.send(peer, Body::Ping { number, names }, None);
+    }
+
+    /// It did not answer here: others may hear it.
+    fn ask_others(&mut self, probe: &Probe) {
+        let mut others: Vec<Peer> =
+            (0..self.members.len()).filter(|p| *p != probe.peer && self.members[*p].is_up()).collect();
+        let mut asked = 0;
+        if let Some(target) = self.members[probe.peer].id {
+            while asked < self.options.helpers && !others.is_empty() {
+                let helper = others.swap_remove(self.draw(others.len() as u64) as usize);
+                self.send(helper, Body::Ask { number: probe.number, target }, None);
+                asked += 1;
+            }
+        }
+        if let Some(probe) = &mut self.probe {
+            probe.asked = Some(asked);
+        }
+    }
+
+    /// The period is over: whoever did not answer by any way is suspected.
+    fn end_probe(&mut self, now: Micros) {
+        let Some(probe) = self.probe.take() else { return };
+        self.tally.failed += 1;
+        if !self.members[probe.peer].is_up() {
+            return;
+        }
+        // Helpers say so where the member does not answer them. Where some say nothing at all, they were not reached or
+        // their words not heard: that speaks against this detector, though no more for each of them, as one of them
+        // may be gone itself and links cut, and a detector that waits ever longer would not find that out.
+        if probe.asked.is_none_or(|asked| asked == 0 || probe.nacks < asked) {
+            self.sick(1);
+        }
+        self.claim_own(now, probe.peer, Standing::Suspect);
+    }
+
+    /// Pings on behalf of others that were not answered in time.
+    fn nack(&mut self, now: Micros) {
+        let over: Vec<u32> = self.helped.iter().filter(|(_, h)| h.until <= now).map(|(n, _)| *n).collect();
+        for number in over {
+            if let Some(helped) = self.helped.remove(&number) {
+                self.send(helped.asker, Body::Nack { number: helped.number }, None);
+            }
+        }
+    }
+
+    // ---- Words ----
+
+    /// A datagram with claims; one of them on its receiver, where it is to know it.
+    fn send(&mut self, peer: Peer, body: Body, on_receiver: Option<About>) {
+        let (members, receiver) = (self.members.len() + 1, self.members[peer].id);
+        let mut about: Vec<About> = on_receiver.into_iter().collect();
+        for claim in self.gossip.take(6, members, receiver) {
+            if !about.contains(&claim) {
+                about.push(claim);
+            }
+        }
+        self.sends.push((peer, Message { from: self.me, body, about }.write()));
+    }
+
+    /// Takes in a datagram from a peer's address.
+    ///
+    /// # Errors
+    /// Where it can't be read. It has no effect then, and is counted.
+    pub fn hear(&mut self, now: Micros, peer: Peer, bytes: &[u8]) -> Result<(), Unreadable> {
+        let message = Message::read(bytes).inspect_err(|_| self.tally.unreadable += 1)?;
+        if peer >= self.members.len() || self.left {
+            return Ok(());
+        }
+        let from = message.from;
+        if from.id == self.me.id {
+            // Another process under this name.
+            self.replaced |= from.life > self.me.life;
+            return Ok(());
+        }
+        self.know(now, peer, from);
+        message.about.iter().for_each(|about| self.claim(now, *about));
+        // Whoever is believed to be worse than it says is to hear it: it alone can refute, or learn its successor.
+        let said = Claim { life: from.life, incarnation: from.incarnation, standing: Standing::Alive };
+        let known = self.place(from.id).and_then(|place| self.members[place].claim);
+        let worse = known.filter(|claim| *claim > said);
+        let on_receiver = worse.map(|claim| About { id: from.id, by: self.me.id, claim });
+        match message.body {
+            Body::Ping { number, names } => {
+                let names = names.then(|| self.names.clone());
+                self.send(peer, Body::Ack { number, of: None, names }, on_receiver);
+            }
+            Body::Ack { number, of, names } => {
+                if let Some(names) = names.filter(|_| of.is_none()) {
+                    self.members[peer].names = Some((told(&names.0), told(&names.1)));
+                }
+                self.acked(number, of.unwrap_or(from.id));
+            }
+            Body::Ask { number, target } => self.help(now, peer, number, target),
+            Body::Nack { number } => {
+                if let Some(probe) = self.probe.as_mut().filter(|p| p.number == number) {
+                    probe.nacks += 1;
+                }
+            }
+            Body::Leave => {
+                let claim = Claim { standing: Standing::Left, ..said };
+                self.claim(now, About { id: from.id, by: from.id, claim });
+            }
+        }
+        Ok(())
+    }
+
+    /// A peer is heard itself, by this id and life.
+    fn know(&mut self, now: Micros, peer: Peer, from: Sender) {
+        if let Some(other) = self.place(from.id).filter(|other| *other != peer) {
+            // Two processes of one name: the later one stands for it, wherever it is.
+            if self.members[other].claim.is_some_and(|claim| claim.life > from.life) {
+                return;
+            }
+            self.members[other] = Member::default();
+            self.suspicions.remove(&other);
+        }
+        let known = &mut self.members[peer];
+        if known.id != Some(from.id) {
+            // Another member stands at this address now.
+            if let Some(old) = known.id {
+                self.by_id.remove(&old);
+            }
+            *known = Member { id: Some(from.id), ..Member::default() };
+            self.suspicions.remove(&peer);
+            self.by_id.insert(from.id, peer);
+        }
+        known.heard = Some(now);
+        if known.claim.is_some_and(|claim| claim.life < from.life) {
+            // It may have been given other names.
+            known.names = None;
+        }
+        let claim = Claim { life: from.life, incarnation: from.incarnation, standing: Standing::Alive };
+        self.claim(now, About { id: from.id, by: from.id, claim });
+    }
+
+    fn acked(&mut self, number: u32, of: Id) {
+        if let Some(helped) = self.helped.get(&number).filter(|h| h.target == of) {
+            let (asker, theirs, of) = (helped.asker, helped.number, Some(helped.target));
+            self.helped.remove(&number);
+            return self.send(asker, Body::Ack { number: theirs, of, names: None }, None);
+        }
+        let probed =
+            self.probe.as_ref().filter(|p| p.number == number && self.members[p.peer].id == Some(of));
+        if probed.is_some() {
+            self.probe = None;
+            self.health = self.health.saturating_sub(1);
+        }
+    }
+
+    fn help(&mut self, now: Micros, asker: Peer, number: u32, target: Id) {
+        match self.place(target) {
+            Some(peer) if self.helped.len() < self.options.helped && peer != asker => {
+                self.number = self.number.wrapping_add(1);
+                let until = now + self.options.ack_us;
+                self.helped.insert(self.number, Helped { asker, number, target, until });
+                self.ping(peer, self.number);
+            }
+            _ => self.send(asker, Body::Nack { number }, None),
+        }
+    }
+
+    // ---- Claims ----
+
+    /// What this detector finds of a member.
+    fn claim_own(&mut self, now: Micros, peer: Peer, standing: Standing) {
+        let member = &self.members[peer];
+        if let (Some(id), Some(claim)) = (member.id, member.claim) {
+            self.claim(now, About { id, by: self.me.id, claim: Claim { standing, ..claim } });
+        }
+    }
+
+    /// Takes in a claim, its own or another's.
+    fn claim(&mut self, now: Micros, about: About) {
+        if about.id == self.me.id {
+            return self.claimed_of_me(about.claim);
+        }
+        // Members come from the configuration, and are known once they were heard.
+        let Some(peer) = self.place(about.id) else { return };
+        let known = &mut self.members[peer];
+        let Some(old) = known.believe(about.claim) else {
+            let again = known.claim == Some(about.claim) && about.claim.standing == Standing::Suspect;
+            if again && self.suspicions.get_mut(&peer).is_some_and(|s| s.confirm(about.by)) {
+                self.gossip.add(about);
+            }
+            return;
+        };
+        self.suspicions.remove(&peer);
+        if about.claim.standing == Standing::Suspect {
+            let suspicion = Suspicion::new(now, about.by, self.up(), self.options.period_us);
+            self.suspicions.insert(peer, suspicion);
+        }
+        // That a member is there each finds out by itself, and cares for no claim on one that it has not heard. In a large
+        // fleet that starts, such claims would leave no room for refutations.
+        if old.is_some() || about.claim.standing != Standing::Alive {
+            self.gossip.add(about);
+        }
+        self.changes.push(Change { peer, old, new: about.claim });
+    }
+
+    fn claimed_of_me(&mut self, claim: Claim) {
+        if claim.life > self.me.life {
+            self.replaced = true;
+        } else if claim.life == self.me.life
+            && claim.standing != Standing::Alive
+            && claim.incarnation >= self.me.incarnation
+        {
+            self.me.incarnation = claim.incarnation + 1;
+            self.tally.refuted += 1;
+            self.sick(1);
+            self.say_self();
+        }
+    }
+
+    fn say_self(&mut self) {
+        let Sender { id, life, incarnation } = self.me;
+        let claim = Claim { life, incarnation, standing: Standing::Alive };
+        self.gossip.add(About { id, by: id, claim });
+    }
+
+    /// It ends: the others are told, and it says nothing more.
+    pub fn leave(&mut self) {
+        for peer in 0..self.members.len() {
+            if self.members[peer].is_up() {
+                self.send(peer, Body::Leave, None);
+            }
+        }
+        self.left = true;
+    }
+}
--- /dev/null
+++ b/fleet/src/wire.rs
@@ -0,0 +1,137 @@
+//! Datagrams: a mark with the version of the form, then a message by postcard. At most 256 bytes, the bound of what
+//! proxies may send each other on any installation.
+
+use crate::{Claim, Id, Life};
+use serde::{Deserialize, Serialize};
+use std::fmt;
+
+/// Bytes of a datagram.
+pub const MOST: usize = 256;
+/// The first bytes; the digit is the form's version.
+const MARK: &[u8] = b"fleet1";
+/// Bytes of a name or a machine's name that are told.
+const MOST_NAME: usize = 40;
+
+/// A claim on a member, and by whom.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct About {
+    /// The member.
+    pub id: Id,
+    /// Who claims it of its own knowledge: two that suspect a member confirm each other.
+    pub by: Id,
+    /// The claim.
+    pub claim: Claim,
+}
+
+/// Who sends a datagram.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Sender {
+    /// Itself.
+    pub id: Id,
+    /// Its life.
+    pub life: Life,
+    /// Its incarnation.
+    pub incarnation: u32,
+}
+
+/// What is said.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Body {
+    /// Are you there? `names`: and what are you called?
+    Ping {
+        /// Names the answer.
+        number: u32,
+        /// The sender does not know the receiver's names.
+        names: bool,
+    },
+    /// Yes, or on behalf of another that was asked.
+    Ack {
+        /// Of the ping.
+        number: u32,
+        /// The one that is there, where that is not the sender.
+        of: Option<Id>,
+        /// Name and machine, where they were asked for.
+        names: Option<(String, String)>,
+    },
+    /// Ask this member for me.
+    Ask {
+        /// Names the answer.
+        number: u32,
+        /// The member.
+        target: Id,
+    },
+    /// It did not answer me either, but I am there.
+    Nack {
+        /// Of the request.
+        number: u32,
+    },
+    /// The sender ends.
+    Leave,
+}
+
+/// A datagram's content.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Message {
+    /// Who sends it.
+    pub from: Sender,
+    /// What it says.
+    pub body: Body,
+    /// Claims that ride along.
+    pub about: Vec<About>,
+}
+
+/// Why a datagram can't be read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Unreadable {
+    /// It is not one of these.
+    Foreign,
+    /// It is of another version.
+    Version,
+    /// It begins as one and goes on as none.
+    Torn,
+}
+
+impl fmt::Display for Unreadable {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Foreign => "a datagram of another kind",
+            Self::Version => "a datagram of another version",
+            Self::Torn => "a datagram that is torn",
+        })
+    }
+}
+
+impl std::error::Error for Unreadable {}
+
+/// A name as it is told: cut where it is too long for a datagram.
+pub(crate) fn told(name: &str) -> String {
+    let end = (0..=MOST_NAME.min(name.len())).rev().find(|at| name.is_char_boundary(*at)).unwrap_or(0);
+    name[..end].to_owned()
+}
+
+impl Message {
+    /// Its bytes, with as many of its claims as fit.
+    pub fn write(mut self) -> Vec<u8> {
+        loop {
+            let mut bytes = MARK.to_vec();
+            // Writing to a vector does not fail.
+            bytes.extend(postcard::to_stdvec(&self).unwrap_or_default());
+            if bytes.len() <= MOST || self.about.pop().is_none() {
+                return bytes;
+            }
+        }
+    }
+
+    /// Reads one.
+    pub fn read(bytes: &[u8]) -> Result<Self, Unreadable> {
+        let name = MARK.len() - 1;
+        if bytes.get(..name) != Some(&MARK[..name]) {
+            return Err(Unreadable::Foreign);
+        }
+        let body = bytes.strip_prefix(MARK).ok_or(Unreadable::Version)?;
+        match postcard::take_from_bytes::<Message>(body) {
+            Ok((message, [])) if bytes.len() <= MOST => Ok(message),
+            _ => Err(Unreadable::Torn),
+        }
+    }
+}
--- a/rehearse/src/fleet.rs
+++ b/rehearse/src/fleet.rs
@@ -16,7 +16,7 @@
 use std::io;
 use std::net::{SocketAddr, UdpSocket};
 use std::path::{Path, PathBuf};
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
 use std::time::Instant;
 
 /// How a process is to come back.
@@ -30,6 +30,7 @@
 
 /// One proxy of a fleet.
 struct Member {
+    name: String,
     process: Option<Process>,
     /// A bus of its own: what one proxy is told by the platform, another need not be.
     _bus: Bus,
@@ -51,10 +52,29 @@
     folder: PathBuf,
 }
 
-/// Free ports of the loopback: the sockets are held until all are found, so that no two are the same.
+/// Free ports of the loopback, for daemons that bind them later and again after a restart. They lie below those that the
+/// system gives to whoever asks for any, so that no other socket takes one meanwhile; each process begins at another
+/// and none is given twice.
 pub(crate) fn free_ports(n: usize) -> io::Result<Vec<SocketAddr>> {
-    let held = (0..n).map(|_| UdpSocket::bind("127.0.0.1:0")).collect::<io::Result<Vec<_>>>()?;
-    held.iter().map(UdpSocket::local_addr).collect()
+    const FIRST: u32 = 12_000;
+    const PORTS: u32 = 20_000;
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    let begin = std::process::id().wrapping_mul(611) % PORTS;
+    let mut found = Vec::new();
+    for _ in 0..PORTS {
+        if found.len() == n {
+            break;
+        }
+        let port = FIRST + (begin + NEXT.fetch_add(1, Ordering::Relaxed)) % PORTS;
+        let address = SocketAddr::from(([127, 0, 0, 1], port as u16));
+        if UdpSocket::bind(address).is_ok() {
+            found.push(address);
+        }
+    }
+    if found.len() < n {
+        return Err(io::Error::other(format!("{n} free ports were wanted and {} found", found.len())));
+    }
+    Ok(found)
 }
 
 /// A neighbour tells a proxy, by its second front, to purge a photo: the status of its answer.
@@ -68,6 +88,21 @@
     /// Starts so many daemons, each on a machine of its own; the seed draws what their gates do. They copy what neighbours
     /// told, with promises that wait for so many further machines, or do not.
     pub fn start(daemon: &Path, proxies: usize, seed: u64, copies: Option<usize>) -> io::Result<Self> {
+        Self::start_with(daemon, proxies, &[], seed, copies)
+    }
+
+    /// As `start`, with places kept for machines that are not there yet, each with the name that its proxy will have:
+    /// `restart` begins it there.
+    pub fn start_with(
+        daemon: &Path,
+        running: usize,
+        later: &[&str],
+        seed: u64,
+        copies: Option<usize>,
+    ) -> io::Result<Self> {
+        let names = (0..running).map(|n| format!("p{n}")).chain(later.iter().map(|name| (*name).to_owned()));
+        let names: Vec<String> = names.collect();
+        let proxies = names.len();
         static FLEETS: AtomicU64 = AtomicU64::new(0);
         let n = FLEETS.fetch_add(1, Ordering::Relaxed);
         let folder = std::env::temp_dir().join(format!("linnetknot-fleet-{}-{n}", std::process::id()));
@@ -84,16 +119,16 @@
             let peer = |p: usize| gates.address((n, p)).unwrap_or(*own).to_string();
             let known = json!({"offset": 0, "batch": [{"offset": 0, "topology": {"rev": 1, "all": true, "targets": targets}}]});
             let config = json!({
-                "name": format!("p{n}"), "listen": "127.0.0.1:0", "bus": bus.address.to_string(), "known": known,
+                "name": names[n], "listen": "127.0.0.1:0", "bus": bus.address.to_string(), "known": known,
                 "seed": format!("{:x}", seed * 64 + n as u64 + 1), "settings": settings(),
                 "limits": {"memory_mb": 192, "sockets": 256}, "ops": "127.0.0.1:0",
                 "peer_listen": own.to_string(), "peers": (0..proxies).map(peer).collect::<Value>(),
             });
-            members.push(Member { process: None, _bus: bus, disk, config });
+            members.push(Member { name: names[n].clone(), process: None, _bus: bus, disk, config });
         }
         let mut fleet =
             Fleet { daemon: daemon.to_owned(), copies, members, gates, boxes, _origin: origin, folder };
-        (0..proxies).try_for_each(|n| fleet.begin(n, ""))?;
+        (0..running).try_for_each(|n| fleet.begin(n, ""))?;
         Ok(fleet)
     }
 
@@ -108,8 +143,8 @@
             "footprint": ["127.0.0.0/8"], "purges": m.disk.join("purges").display().to_string()},
             "peers": {"copies": self.copies.is_some()},
             "copies": {"wait": self.copies.unwrap_or(0), "machine": format!("machine-{n}"), "machines": machines}});
-        let name = format!("p{n}");
-        let started = Process::start_armed(&self.daemon, &m.disk, &name, (&m.config, &own), points);
+        let name = &m.name;
+        let started = Process::start_armed(&self.daemon, &m.disk, name, (&m.config, &own), points);
         m.process = Some(started?);
         Ok(())
     }
