--- a/rehearse/src/lib.rs
+++ b/rehearse/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod gates;
 pub mod latency;
 pub mod load;
+pub mod moments;
 mod play;
 pub mod player;
 pub mod process;
--- a/rehearse/src/main.rs
+++ b/rehearse/src/main.rs
@@ -4,6 +4,7 @@
 use clap::{Parser, Subcommand};
 use indicatif::{ProgressBar, ProgressStyle};
 use linnetknot_rehearse::load::{plan, Plan};
+use linnetknot_rehearse::moments;
 use linnetknot_rehearse::player::{self, Outcome, Watch};
 use linnetknot_rehearse::report::{compare, Report};
 use linnetknot_rehearse::scenario::{schema, Scenario};
@@ -55,6 +56,25 @@
         #[arg(long, default_value_t = 1.0)]
         time_scale: f64,
     },
+    /// Plays faults by moments of a promise: three proxies that keep each other's promises, one of which dies, stands
+    /// still or is cut off, and comes back with its disk or without. Prints a table by moment and disk.
+    Moments {
+        /// Plays, through all moments and both disks in turn.
+        #[arg(long, default_value_t = 28)]
+        plays: u32,
+        /// The first seed; each play has the next.
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// Plays at a time.
+        #[arg(long, default_value_t = 4, value_parser = clap::value_parser!(u16).range(1..=64))]
+        jobs: u16,
+        /// The daemon, built with `--features points`; by default the one that stands beside this program.
+        #[arg(long)]
+        daemon: Option<PathBuf>,
+        /// Plants a fault in all daemons, which the rules must find: `credit`, `skip` or `no-fence`.
+        #[arg(long)]
+        plant: Option<String>,
+    },
     /// Lists the shipped scenarios.
     List,
     /// Plays a scenario: proxies, boxes that behave, hub caches, an origin and the planned load, on this machine.
@@ -279,6 +299,27 @@
     }
 }
 
+/// Plays faults by moments; the exit status is that of the matrix.
+fn run_moments(cases: &[moments::Case], jobs: usize, daemon: &Path, plant: Option<&str>) -> ExitCode {
+    let planted = match plant.map(|name| moments::PLANTS.iter().find(|(n, ..)| *n == name)) {
+        None => "",
+        Some(Some((_, points, _))) => points,
+        Some(None) => {
+            eprintln!("there is no fault '{}' to plant", plant.unwrap_or_default());
+            return ExitCode::from(2);
+        }
+    };
+    let plays = all_at_once(cases, jobs, |case| match STOP.load(Ordering::Relaxed) {
+        true => Err(std::io::Error::other("not played: ended by hand")),
+        false => moments::play(daemon, *case, planted),
+    });
+    let mut matrix = moments::Matrix::default();
+    cases.iter().zip(plays).for_each(|(case, played)| matrix.add(*case, played));
+    say(&format!("{matrix}"));
+    matrix.said.iter().for_each(|said| say(&format!("{said}\n")));
+    ExitCode::from(matrix.status())
+}
+
 fn read(path: &Path) -> Result<Scenario, String> {
     let shown = path.display();
     let text = std::fs::read_to_string(path).map_err(|e| format!("{shown}: {e}"))?;
@@ -335,6 +376,9 @@
         Some(Command::Run { scenarios, seed, daemon, json, time_scale, .. }) => {
             run_all(&scenarios, (seed, time_scale), daemon, json)
         }
+        Some(Command::Moments { plays, seed, jobs, daemon, plant }) => {
+            run_moments(&moments::cases(plays as usize, seed), jobs.into(), &beside(daemon), plant.as_deref())
+        }
         Some(Command::List) => {
             for (name, text) in shipped::SHIPPED {
                 let about = Scenario::read(text).map_or_else(|e| format!("unsound: {e}"), |s| s.about);
--- a/rehearse/src/rules/mod.rs
+++ b/rehearse/src/rules/mod.rs
@@ -4,6 +4,7 @@
 mod attempts;
 mod cold;
 mod drains;
+pub mod promises;
 mod purges;
 
 use crate::record::{Asked, Attempt, Limits, Micros, Record};
--- /dev/null
+++ b/rehearse/src/rules/promises.rs
@@ -0,0 +1,150 @@
+//! Promises between proxies, judged from a record alone: what neighbours told, what they were answered, and what each
+//! proxy held in the end.
+
+use super::Breach;
+use crate::record::Micros;
+use std::collections::{BTreeMap, BTreeSet};
+
+/// The rules, by name.
+pub const PROMISES: [(&str, &str); 5] = [
+    ("promises", "what was answered yes is held by every proxy in the end, whatever machine was lost"),
+    ("agreement", "what was told is held by all proxies in the end, or by none"),
+    ("answers", "a proxy that lives answers each neighbour, yes or no, within the time for it"),
+    ("fence", "a process that was replaced and knows it answers no yes"),
+    ("copies", "in the end no promise has fewer copies than wanted"),
+];
+
+/// What a neighbour was answered.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Answer {
+    /// It is promised.
+    Yes,
+    /// It is not.
+    No,
+    /// Nothing: the proxy died over it.
+    Nothing,
+}
+
+/// What a neighbour told one proxy.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Told {
+    /// When.
+    pub at: Micros,
+    /// When it was answered, or given up.
+    pub answered: Micros,
+    /// Which proxy.
+    pub proxy: usize,
+    /// What was purged.
+    pub object: String,
+    /// What it said.
+    pub answer: Answer,
+    /// The proxy was to die, or to stand still, over this: it owes no answer.
+    pub excused: bool,
+    /// The process knew before that another had taken its name.
+    pub replaced: bool,
+}
+
+/// What a proxy held in the end.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Held {
+    /// Which proxy.
+    pub proxy: usize,
+    /// What it asks its boxes for no older copy of.
+    pub objects: BTreeSet<String>,
+    /// Its promises with fewer copies than wanted.
+    pub short: usize,
+}
+
+/// A play's record.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Promises {
+    /// In the order in which they were told.
+    pub told: Vec<Told>,
+    /// By proxy.
+    pub held: Vec<Held>,
+    /// How long an answer may take.
+    pub within_us: Micros,
+    /// How late the kit itself may be.
+    pub late_us: Micros,
+}
+
+/// Every breach in a record.
+pub fn judge(record: &Promises) -> Vec<Breach> {
+    let mut breaches = Vec::new();
+    let mut say = |rule, told: &Told, evidence: String| {
+        let request = Some(told.object.clone());
+        breaches.push(Breach { rule, request, target: None, at: told.answered, evidence });
+    };
+    // One object may be told several times: a yes to any of them counts.
+    let mut by_object: BTreeMap<&str, Vec<&Told>> = BTreeMap::new();
+    record.told.iter().for_each(|told| by_object.entry(&told.object).or_default().push(told));
+    for (object, told) in by_object {
+        let without = |held: &&Held| !held.objects.contains(object);
+        let lacking: Vec<usize> = record.held.iter().filter(without).map(|held| held.proxy).collect();
+        if let Some(yes) = told.iter().find(|t| t.answer == Answer::Yes).filter(|_| !lacking.is_empty()) {
+            say("promises", yes, format!("answered yes by p{} and not held by {lacking:?}", yes.proxy));
+        } else if !lacking.is_empty() && lacking.len() < record.held.len() {
+            say("agreement", told[0], format!("not held by {lacking:?}, and by the others"));
+        }
+    }
+    for told in &record.told {
+        let took = told.answered.saturating_sub(told.at);
+        let most = record.within_us + record.late_us;
+        if told.answer == Answer::Nothing && !told.excused {
+            say("answers", told, format!("p{} lived and answered nothing", told.proxy));
+        } else if told.answer != Answer::Nothing && took > most && !told.excused {
+            say("answers", told, format!("p{} took {took} us of {most}", told.proxy));
+        }
+        if told.answer == Answer::Yes && told.replaced {
+            say("fence", told, format!("p{} knew that it was replaced", told.proxy));
+        }
+    }
+    for held in record.held.iter().filter(|held| held.short > 0) {
+        let evidence = format!("p{} has {} promises with fewer copies than wanted", held.proxy, held.short);
+        breaches.push(Breach { rule: "copies", request: None, target: None, at: 0, evidence });
+    }
+    breaches
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn told(object: &str, answer: Answer) -> Told {
+        let object = object.to_owned();
+        Told { at: 10, answered: 20, proxy: 0, object, answer, excused: false, replaced: false }
+    }
+
+    fn held(proxy: usize, objects: &[&str]) -> Held {
+        Held { proxy, objects: objects.iter().map(|o| (*o).to_owned()).collect(), short: 0 }
+    }
+
+    fn rules(record: &Promises) -> Vec<&'static str> {
+        judge(record).iter().map(|b| b.rule).collect()
+    }
+
+    #[test]
+    fn each_rule_is_broken_by_its_own_cause_and_a_sound_play_by_none() {
+        let (yes, no, none) = (told("a", Answer::Yes), told("b", Answer::No), told("c", Answer::Nothing));
+        let excused = Told { excused: true, ..none.clone() };
+        let sound = Promises {
+            told: vec![yes.clone(), no.clone(), excused],
+            held: vec![held(0, &["a", "c"]), held(1, &["a", "c"])],
+            within_us: 10,
+            late_us: 0,
+        };
+        assert_eq!(judge(&sound), []);
+        let with = |told: Vec<Told>, held: Vec<Held>| Promises { told, held, ..sound.clone() };
+        assert_eq!(rules(&with(vec![yes.clone()], vec![held(0, &["a"]), held(1, &[])])), ["promises"]);
+        assert_eq!(rules(&with(vec![yes.clone()], vec![held(0, &[]), held(1, &[])])), ["promises"]);
+        assert_eq!(rules(&with(vec![no], vec![held(0, &["b"]), held(1, &[])])), ["agreement"]);
+        assert_eq!(rules(&with(vec![none], vec![held(0, &[])])), ["answers"]);
+        let late = Told { answered: 21, ..yes.clone() };
+        assert_eq!(rules(&with(vec![late], vec![held(0, &["a"])])), ["answers"]);
+        let old = Told { replaced: true, ..yes };
+        assert_eq!(rules(&with(vec![old], vec![held(0, &["a"])])), ["fence"]);
+        assert_eq!(rules(&with(vec![], vec![Held { short: 2, ..held(0, &[]) }])), ["copies"]);
+        let named = |b: &Breach| PROMISES.iter().any(|(name, _)| *name == b.rule);
+        assert!(judge(&with(vec![told("a", Answer::Yes)], vec![held(0, &[])])).iter().all(named));
+    }
+}
