Bound what is read of a door as a whole, and ask no process that has ended

Cause: in the matrix of moments one play stood still for nine minutes. Seen: the kit's thread in a read of a socket whose other end was the kit's own event bus (ss; closed by hand, the play went on). The dead daemon's address had been given to the bus, which says a little every second, and the time was bounded by the read alone (daemon/src/fleet.rs, ask). Ruled out: a daemon that owes an answer, both left had none open.

An answer is bounded as a whole, with a test that fails before; the kit asks no process that has ended.

--- a/daemon/src/fleet.rs
+++ b/daemon/src/fleet.rs
@@ -4,7 +4,7 @@
 use std::fmt::Write as _;
 use std::io::{self, Read, Write};
 use std::net::{SocketAddr, TcpStream};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Peers that one answer tells of.
 pub const MOST_PEERS: usize = 48;
@@ -13,7 +13,7 @@
 /// How long the door is waited for.
 const PATIENCE: Duration = Duration::from_secs(5);
 /// Bytes of an answer that are read.
-const MOST_ANSWER: u64 = 64 << 10;
+const MOST_ANSWER: usize = 64 << 10;
 
 /// Where a proxy's copies and promises stand.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -157,8 +157,20 @@
     socket.set_read_timeout(Some(PATIENCE))?;
     socket.set_write_timeout(Some(PATIENCE))?;
     socket.write_all(b"GET /control/fleet HTTP/1.1\r\nHost: door\r\nConnection: close\r\n\r\n")?;
-    let mut answer = String::new();
-    socket.take(MOST_ANSWER).read_to_string(&mut answer)?;
+    let (mut answer, mut bytes) = (Vec::new(), [0; 4096]);
+    // Bounded as a whole and not by the read: another server may stand there by now, one that says a little for ever.
+    let begun = Instant::now();
+    loop {
+        let read = socket.read(&mut bytes)?;
+        answer.extend(&bytes[..read]);
+        if read == 0 {
+            break;
+        }
+        if answer.len() > MOST_ANSWER || begun.elapsed() >= PATIENCE {
+            return Err(io::Error::new(io::ErrorKind::TimedOut, "the door's answer does not end"));
+        }
+    }
+    let answer = String::from_utf8_lossy(&answer);
     let bad = |what: String| io::Error::new(io::ErrorKind::InvalidData, what);
     let (head, body) =
         answer.split_once("\r\n\r\n").ok_or_else(|| bad("the door's answer is cut off".into()))?;
@@ -215,6 +227,17 @@
         }
     }
 
+    #[test]
+    fn a_server_that_says_a_little_for_ever_is_left() {
+        let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+        let door = listener.local_addr().unwrap();
+        std::thread::spawn(move || {
+            let (mut socket, _) = listener.accept().unwrap();
+            while socket.write_all(&[b' '; 2_000]).is_ok() {}
+        });
+        assert_eq!(ask(door).unwrap_err().kind(), io::ErrorKind::TimedOut);
+    }
+
     #[test]
     fn the_longest_answer_fits_the_doors_ring_and_is_read_again() {
         let longest = status(MOST_PEERS, MOST_LOGS);
--- a/rehearse/src/fleet.rs
+++ b/rehearse/src/fleet.rs
@@ -170,9 +170,10 @@
         Ok(())
     }
 
-    /// A proxy that runs.
+    /// A proxy that runs; none that has ended, as its addresses may be another server's by then.
     pub fn process(&self, n: usize) -> io::Result<&Process> {
-        self.members[n].process.as_ref().ok_or_else(|| io::Error::other(format!("p{n} does not run")))
+        let process = self.members[n].process.as_ref().filter(|process| !process.has_ended());
+        process.ok_or_else(|| io::Error::other(format!("p{n} does not run")))
     }
 
     fn signal(&self, n: usize, signal: Signal) -> io::Result<()> {
--- a/rehearse/src/process.rs
+++ b/rehearse/src/process.rs
@@ -1,7 +1,7 @@
 //! A daemon as a process of its own, ended with its value.
 
 use crate::clients::PATIENCE;
-use rustix::process::{kill_process, Pid, Signal};
+use rustix::process::{kill_process, waitid, Pid, Signal, WaitId, WaitIdOptions};
 use serde_json::Value;
 use std::collections::VecDeque;
 use std::io::{self, BufRead, BufReader};
@@ -33,6 +33,12 @@
 }
 
 impl Process {
+    /// Whether its process has ended. Whoever has its addresses by then, it is not this daemon.
+    pub fn has_ended(&self) -> bool {
+        let how = WaitIdOptions::EXITED | WaitIdOptions::NOHANG | WaitIdOptions::NOWAIT;
+        !matches!(waitid(WaitId::Pid(Pid::from_child(&self.child)), how), Ok(None))
+    }
+
     /// Sends it a signal.
     pub fn signal(&self, signal: Signal) -> io::Result<()> {
         Ok(kill_process(Pid::from_child(&self.child), signal)?)
