Add the core of the fleet's budgets: leases whose parts never sum to more than the whole

The core alone, sans-IO; nothing carries it yet.

Floors for all configured members, the rest by leases of a divider that has the votes of more than half. A thousand seeds on virtual time with clocks a tenth apart: deaths, restarts, stops, splits, wrong beliefs, losses; the sum never over the whole.

--- /dev/null
+++ b/budgets/src/vote.rs
@@ -0,0 +1,49 @@
+//! Whom a member votes for, and for how long a candidate has the votes of more than half.
+
+use crate::{Life, Micros, Place};
+use std::collections::BTreeMap;
+
+/// A process that may be a divider: a member in one of its lives. Another life of the same member knows nothing of what
+/// this one granted.
+pub(crate) type Candidate = (Place, Life);
+
+/// A member's one vote.
+#[derive(Clone, Debug)]
+pub(crate) struct Vote {
+    given: Option<Candidate>,
+    until: Micros,
+}
+
+impl Vote {
+    /// Of a process that starts: it may have given its vote in its life before, and gives none until that is over.
+    pub(crate) fn new(now: Micros, vote_us: Micros) -> Self {
+        Vote { given: None, until: now + vote_us }
+    }
+
+    /// Whether the candidate has it from now on for `vote_us`.
+    pub(crate) fn ask(&mut self, now: Micros, candidate: Candidate, vote_us: Micros) -> bool {
+        if self.given != Some(candidate) && now < self.until {
+            return false;
+        }
+        (self.given, self.until) = (Some(candidate), now + vote_us);
+        true
+    }
+}
+
+/// The votes that a candidate has, by whom, each until a time by the candidate's clock.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Votes(BTreeMap<Place, Micros>);
+
+impl Votes {
+    pub(crate) fn add(&mut self, from: Place, until: Micros) {
+        let known = self.0.entry(from).or_insert(0);
+        *known = until.max(*known);
+    }
+
+    /// Until when more than half of so many members vote for it.
+    pub(crate) fn until(&self, members: usize) -> Micros {
+        let mut ends: Vec<Micros> = self.0.values().copied().collect();
+        ends.sort_unstable_by(|a, b| b.cmp(a));
+        ends.get(members / 2).copied().unwrap_or(0)
+    }
+}
--- /dev/null
+++ b/budgets/tests/fleet.rs
@@ -0,0 +1,388 @@
+//! Many members on virtual time, each with a clock that drifts: the sum of all parts in force, by the clock of whoever
+//! holds them, is never over the whole, and parts flow where more than half can talk to each other.
+
+use linnetknot_budgets::limit::Whole;
+use linnetknot_budgets::*;
+use std::collections::{BTreeMap, BTreeSet};
+
+const MS: Micros = 1_000;
+const OPTIONS: Options =
+    Options { vote_us: 2_000_000, lease_us: 1_000_000, ask_us: 200_000, drift_ppm: 100_000, groups: 4 };
+const S: Micros = 1_000_000;
+
+struct Node {
+    member: Option<Member>,
+    life: Life,
+    /// Its clock: how far it is ahead, and how much faster it runs, in millionths.
+    ahead: Micros,
+    faster: i64,
+    stalled: Option<Vec<(Place, Life, Word)>>,
+}
+
+impl Node {
+    fn clock(&self, now: Micros) -> Micros {
+        self.ahead + (now as i64 + now as i64 * self.faster / 1_000_000) as Micros
+    }
+}
+
+struct Net {
+    now: Micros,
+    nodes: Vec<Node>,
+    wholes: Vec<Whole>,
+    cut: BTreeSet<(Place, Place)>,
+    loss: u64,
+    queue: BTreeMap<(Micros, u64), (Place, Life, Place, Word)>,
+    number: u64,
+    random: u64,
+    /// The most that was in force at once, of each budget, in thousandths of its whole.
+    most: Vec<u64>,
+    words: u64,
+}
+
+impl Net {
+    fn new(nodes: usize, seed: u64, wholes: &[Whole]) -> Net {
+        let mut net = Net {
+            now: S,
+            nodes: Vec::new(),
+            wholes: wholes.to_vec(),
+            cut: BTreeSet::new(),
+            loss: 0,
+            queue: BTreeMap::new(),
+            number: 0,
+            random: seed.wrapping_mul(0x9e37_79b9).wrapping_add(77) | 1,
+            most: vec![0; wholes.len()],
+            words: 0,
+        };
+        for _ in 0..nodes {
+            // Clocks that are a hundred times worse than those of machines, so that what guards against them is seen.
+            let (ahead, faster) = (net.draw(1_000 * S), net.draw(100_001) as i64 - 50_000);
+            net.nodes.push(Node { member: None, life: 0, ahead, faster, stalled: None });
+        }
+        (0..nodes).for_each(|n| net.start(n));
+        net
+    }
+
+    fn draw(&mut self, below: u64) -> u64 {
+        self.random ^= self.random << 13;
+        self.random ^= self.random >> 7;
+        self.random ^= self.random << 17;
+        self.random % below.max(1)
+    }
+
+    fn start(&mut self, n: usize) {
+        let (nodes, now) = (self.nodes.len(), self.now);
+        let node = &mut self.nodes[n];
+        (node.life, node.stalled) = (node.life + 1, None);
+        let clock = node.clock(now);
+        let mut member =
+            Member::new((n, node.life), nodes, &self.wholes, clock, OPTIONS).expect("a sound whole");
+        (0..nodes).for_each(|m| member.believe(m, true));
+        node.member = Some(member);
+        self.believe();
+    }
+
+    fn kill(&mut self, n: usize) {
+        (self.nodes[n].member, self.nodes[n].stalled) = (None, None);
+        self.believe();
+    }
+
+    /// Everybody knows who runs; whom a cut hides, and who stands still, is believed to run.
+    fn believe(&mut self) {
+        let up: Vec<bool> = self.nodes.iter().map(|n| n.member.is_some()).collect();
+        for member in self.nodes.iter_mut().filter_map(|n| n.member.as_mut()) {
+            up.iter().enumerate().for_each(|(place, up)| member.believe(place, *up));
+        }
+    }
+
+    fn want(&mut self, n: usize, wanted: Amount) {
+        if let Some(member) = &mut self.nodes[n].member {
+            (0..self.wholes.len()).for_each(|budget| member.want(budget, wanted));
+        }
+    }
+
+    fn send(&mut self, n: usize) {
+        let life = self.nodes[n].life;
+        for (to, word) in self.nodes[n].member.as_mut().map(Member::sends).unwrap_or_default() {
+            self.words += 1;
+            let lost = self.loss;
+            if self.cut.contains(&(n, to)) || self.draw(100) < lost {
+                continue;
+            }
+            for _ in 0..1 + u64::from(self.draw(100) < self.loss) {
+                let at = self.now + 100 + self.draw(20 * MS);
+                self.number += 1;
+                self.queue.insert((at, self.number), (n, life, to, word));
+            }
+        }
+    }
+
+    fn arrive(&mut self, from: Place, life: Life, to: Place, word: Word) {
+        if let Some(waiting) = &mut self.nodes[to].stalled {
+            return waiting.push((from, life, word));
+        }
+        let clock = self.nodes[to].clock(self.now);
+        if let Some(member) = &mut self.nodes[to].member {
+            member.hear(clock, (from, life), word);
+            self.send(to);
+        }
+    }
+
+    /// What is in force of a budget now, by the clocks of those that hold it. One that stands still holds its part, as it
+    /// may spend when it goes on, until its clock says otherwise.
+    fn in_force(&self, budget: usize) -> Amount {
+        let floors = self.wholes[budget].floor * self.nodes.len() as u64;
+        let beyond = |n: &Node| {
+            let part = n.member.as_ref().map(|m| m.part(n.clock(self.now), budget).0);
+            part.map_or(0, |part| part - self.wholes[budget].floor)
+        };
+        // All floors count, whoever runs.
+        floors + self.nodes.iter().map(beyond).sum::<Amount>()
+    }
+
+    fn check(&mut self) {
+        for budget in 0..self.wholes.len() {
+            let (sum, whole) = (self.in_force(budget), self.wholes[budget].whole);
+            assert!(sum <= whole, "{sum} of {whole} in force at {} us", self.now);
+            self.most[budget] = self.most[budget].max(sum * 1_000 / whole);
+        }
+    }
+
+    fn run(&mut self, for_us: Micros) {
+        let end = self.now + for_us;
+        loop {
+            let running = |n: &usize| self.nodes[*n].member.is_some() && self.nodes[*n].stalled.is_none();
+            // When a member's clock will show what it is due.
+            let due = |n: usize| {
+                let node = &self.nodes[n];
+                let wait = node
+                    .member
+                    .as_ref()
+                    .map_or(Micros::MAX, |m| m.due().saturating_sub(node.clock(self.now)));
+                (self.now + wait, n)
+            };
+            let tick = (0..self.nodes.len()).filter(running).map(due).min();
+            let word = self.queue.keys().next().map(|k| k.0);
+            let next = [tick.map(|t| t.0), word].into_iter().flatten().min().unwrap_or(end);
+            if next > end {
+                break;
+            }
+            self.now = next.max(self.now);
+            if word.is_some_and(|at| at <= next) {
+                if let Some((_, (from, life, to, word))) = self.queue.pop_first() {
+                    self.arrive(from, life, to, word);
+                }
+            } else if let Some((_, n)) = tick {
+                let clock = self.nodes[n].clock(self.now) + 1;
+                self.nodes[n].member.iter_mut().for_each(|m| m.tick(clock.max(m.due())));
+                self.send(n);
+            } else {
+                break;
+            }
+            self.check();
+        }
+        self.now = end;
+        self.check();
+    }
+
+    fn go_on(&mut self, n: usize) {
+        for (from, life, word) in self.nodes[n].stalled.take().unwrap_or_default() {
+            self.arrive(from, life, n, word);
+            self.check();
+        }
+    }
+
+    fn split(&mut self, side: &[Place]) {
+        for a in 0..self.nodes.len() {
+            for b in 0..self.nodes.len() {
+                if side.contains(&a) != side.contains(&b) {
+                    self.cut.insert((a, b));
+                }
+            }
+        }
+    }
+
+    /// The divider of a budget, by its own belief and votes.
+    fn divider(&self, budget: usize) -> Option<Place> {
+        let group = budget % OPTIONS.groups;
+        let divides = |n: &usize| {
+            let node = &self.nodes[*n];
+            node.member.as_ref().is_some_and(|m| m.divides(node.clock(self.now), group))
+        };
+        (0..self.nodes.len()).find(divides)
+    }
+}
+
+fn wholes() -> Vec<Whole> {
+    vec![Whole { whole: 100_000, floor: 100 }, Whole { whole: 10_000, floor: 10 }]
+}
+
+#[test]
+fn the_sum_holds_through_everything_that_can_happen() {
+    let mut highest = 0;
+    for seed in 0..1_000 {
+        let nodes = 3 + (seed % 6) as usize;
+        let mut net = Net::new(nodes, seed, &wholes());
+        net.loss = seed % 4 * 10;
+        for _ in 0..40 {
+            let n = net.draw(nodes as u64) as usize;
+            let wanted = net.draw(200_000);
+            net.want(n, wanted);
+            match net.draw(11) {
+                9 | 10 => {
+                    net.kill(n);
+                    let away = net.draw(300 * MS);
+                    net.run(away);
+                    net.start(n);
+                }
+                0 => net.kill(n),
+                1 if net.nodes[n].member.is_none() => net.start(n),
+                2 => net.nodes[n].stalled = Some(Vec::new()),
+                3 => net.go_on(n),
+                4 => net.split(&[n]),
+                5 => net.split(&(0..nodes / 2).collect::<Vec<_>>()),
+                6 => drop(net.cut.insert((n, (n + 1) % nodes))),
+                7 => net.cut.clear(),
+                // Nobody knows who runs.
+                _ => {
+                    let (of, up) = (net.draw(nodes as u64) as usize, net.draw(2) == 0);
+                    net.nodes[n].member.iter_mut().for_each(|m| m.believe(of, up));
+                }
+            }
+            let moment = net.draw(1_500 * MS);
+            net.run(moment);
+        }
+        highest = highest.max(net.most[0]);
+    }
+    assert!(highest > 900, "else nothing much was ever granted: {highest}");
+}
+
+#[test]
+fn parts_flow_in_calm_and_go_where_they_are_wanted() {
+    for nodes in [4, 16, 64] {
+        let mut net = Net::new(nodes, 3, &wholes());
+        (0..nodes).for_each(|n| net.want(n, 1_000_000));
+        net.run(6 * S);
+        assert!(net.in_force(0) >= 95_000, "{nodes}: {} of 100,000", net.in_force(0));
+        // One alone wants anything: within two seconds it has what the others do not.
+        (1..nodes).for_each(|n| net.want(n, 0));
+        net.run(2 * S);
+        let clock = net.nodes[0].clock(net.now);
+        let part = net.nodes[0].member.as_ref().unwrap().part(clock, 0).0;
+        let floors = 100 * nodes as u64;
+        assert!(part >= (100_000 - floors) * 94 / 100, "{nodes}: the only one has {part}");
+    }
+}
+
+#[test]
+fn after_a_dividers_death_another_divides_once_its_votes_are_over() {
+    for seed in 0..50 {
+        let mut net = Net::new(5, seed, &wholes());
+        (0..5).for_each(|n| net.want(n, 1_000_000));
+        net.run(6 * S);
+        let divider = net.divider(0).expect("one divides");
+        net.kill(divider);
+        net.run(5 * S);
+        let next = net.divider(0).expect("another divides");
+        assert_ne!(next, divider, "seed {seed}");
+        assert!(net.in_force(0) >= 90_000, "seed {seed}: {}", net.in_force(0));
+        // The old one comes back, and takes nothing away.
+        net.start(divider);
+        net.run(5 * S);
+        assert_eq!(net.divider(0), Some(next), "seed {seed}");
+    }
+}
+
+#[test]
+fn the_lesser_side_of_a_split_lives_on_its_floors_and_the_greater_goes_on() {
+    for seed in 0..50 {
+        let mut net = Net::new(5, seed, &wholes());
+        (0..5).for_each(|n| net.want(n, 1_000_000));
+        net.run(6 * S);
+        let divider = net.divider(0).expect("one divides");
+        // The divider stands on the lesser side.
+        let other = (divider + 1) % 5;
+        net.split(&[divider, other]);
+        for n in 0..5 {
+            let lesser = |m: usize| m == divider || m == other;
+            let beliefs: Vec<bool> = (0..5).map(|m| lesser(m) == lesser(n)).collect();
+            let member = net.nodes[n].member.as_mut().unwrap();
+            beliefs.iter().enumerate().for_each(|(m, up)| member.believe(m, *up));
+        }
+        net.run(8 * S);
+        for n in [divider, other] {
+            let clock = net.nodes[n].clock(net.now);
+            assert_eq!(
+                net.nodes[n].member.as_ref().unwrap().part(clock, 0),
+                (100, Micros::MAX),
+                "seed {seed}: p{n}"
+            );
+        }
+        assert!(net.in_force(0) >= 90_000, "seed {seed}: {}", net.in_force(0));
+        let changes = net.nodes[other].member.as_mut().unwrap().changes();
+        assert!(changes.contains(&Change::Floor { budget: 0, begins: true }), "and it says so");
+    }
+}
+
+#[test]
+fn a_whole_that_is_lowered_is_kept_once_what_was_granted_has_ended() {
+    let mut net = Net::new(4, 9, &wholes());
+    (0..4).for_each(|n| net.want(n, 1_000_000));
+    net.run(6 * S);
+    let half = Whole { whole: 50_000, floor: 100 };
+    for node in &mut net.nodes {
+        node.member.as_mut().unwrap().set(0, half).unwrap();
+    }
+    net.run(S + 100 * MS);
+    net.wholes[0] = half;
+    net.run(5 * S);
+    assert!(net.in_force(0) >= 47_000);
+    let less = net.nodes[0].member.as_mut().unwrap().set(0, Whole { whole: 399, floor: 100 });
+    assert_eq!(less.unwrap_err().floors, 400, "a whole below its floors is refused");
+    assert!(Member::new((0, 1), 4, &[Whole { whole: 399, floor: 100 }], 0, Options::default()).is_err());
+}
+
+/// A divider that starts again at once has forgotten what it granted: it is another life, which has no votes before all
+/// that is over.
+#[test]
+fn a_divider_that_starts_again_at_once_grants_nothing_beside_what_it_forgot() {
+    for seed in 0..100 {
+        let mut net = Net::new(5, seed, &wholes());
+        net.run(3 * S);
+        let divider = net.divider(0).expect("one divides");
+        let (holder, next) = ((divider + 1) % 5, (divider + 2) % 5);
+        net.want(holder, 1_000_000);
+        net.run(3 * S);
+        net.kill(divider);
+        net.want(next, 1_000_000);
+        net.start(divider);
+        net.run(6 * S);
+        assert!(net.in_force(0) >= 90_000, "seed {seed}: and then they share");
+    }
+}
+
+/// A voter that starts again does not know whose its vote is: it gives none before that is over.
+#[test]
+fn a_voter_that_starts_again_makes_no_second_divider() {
+    for seed in 0..100 {
+        let mut net = Net::new(3, seed, &wholes());
+        (0..3).for_each(|n| net.want(n, 1_000_000));
+        net.run(4 * S);
+        let divider = net.divider(0).expect("one divides");
+        let (voter, other) = ((divider + 1) % 3, (divider + 2) % 3);
+        // The divider alone wants anything, and has it by the voter's vote, as the other is away.
+        [voter, other].into_iter().for_each(|n| net.want(n, 0));
+        net.split(&[other]);
+        net.run(5 * S);
+        assert_eq!(net.divider(0), Some(divider), "seed {seed}");
+        net.cut.clear();
+        net.split(&[divider]);
+        net.kill(voter);
+        net.start(voter);
+        for n in [voter, other] {
+            net.nodes[n].member.as_mut().unwrap().believe(divider, false);
+            net.want(n, 1_000_000);
+        }
+        net.run(8 * S);
+        assert!(net.in_force(0) >= 90_000, "seed {seed}: the two go on without it");
+    }
+}
