Copy the status of triggers to all proxies, and keep entries that come early

Need: a trigger's status lasted as long as its proxy's process, while its purges outlived any one machine: a neighbour that asked another proxy, or the machine in the place of a lost one, was told 404 of what it had a 201 for.

Change: a status is cut into pieces that are entries of the writer's log; the 201 waits for the last of them. Names are the writer's and a number that none of its lives gives twice. A neighbour's DELETE at any proxy, and a trigger that could not be promised, are entries that take it back. They go by themselves after an hour, from book and disk, and have a bound of their own.

Seen on the way: a trigger of 60 URLs over links that lose a quarter was refused each time. Checked: the entries were sent and came; each that came behind a lost one was dropped and all of them asked for again (`Taken::Early` in copies/src/lib.rs), until the period's allowance of 512 was used up. Now early entries are kept and the gaps named.

--- /dev/null
+++ b/copies/src/ahead.rs
@@ -0,0 +1,99 @@
+//! Entries that came before others of their log which are missing still. They are kept until those come, so that a lost
+//! datagram costs itself alone and not all that were sent behind it.
+
+use crate::{Entry, Log, Seq};
+use std::collections::BTreeMap;
+
+/// What came early, bounded in all.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
+pub(crate) struct Ahead {
+    logs: BTreeMap<Log, BTreeMap<Seq, Entry>>,
+    len: usize,
+}
+
+impl Ahead {
+    /// Keeps an entry, if there is room.
+    pub(crate) fn put(&mut self, entry: &Entry, most: usize) {
+        if self.len < most {
+            let log = self.logs.entry(entry.log).or_default();
+            self.len += usize::from(log.insert(entry.seq, entry.clone()).is_none());
+        }
+    }
+
+    /// The next entry of a log that is had up to `have`, if it is here.
+    pub(crate) fn next(&mut self, log: Log, have: Seq) -> Option<Entry> {
+        let early = self.logs.get_mut(&log)?;
+        let mut next = None;
+        while let Some(first) = early.first_entry() {
+            if first.get().seq > have && first.get().prev > have {
+                break;
+            }
+            let entry = first.remove();
+            self.len -= 1;
+            // What is had by now, by another way, is let go.
+            if entry.seq > have {
+                next = Some(entry);
+                break;
+            }
+        }
+        if early.is_empty() {
+            self.logs.remove(&log);
+        }
+        next
+    }
+
+    /// What is missing of a log that is had up to `have`: behind the first place of each, up to the second.
+    pub(crate) fn gaps(&self, log: Log, have: Seq) -> Vec<(Seq, Seq)> {
+        let mut gaps = Vec::new();
+        let mut through = have;
+        for entry in self.logs.get(&log).into_iter().flat_map(BTreeMap::values) {
+            if entry.prev > through {
+                gaps.push((through, entry.prev));
+            }
+            through = through.max(entry.seq);
+        }
+        gaps
+    }
+
+    /// The logs of which something came early.
+    pub(crate) fn logs(&self) -> impl Iterator<Item = Log> + '_ {
+        self.logs.keys().copied()
+    }
+
+    pub(crate) fn is_empty(&self) -> bool {
+        self.len == 0
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::What;
+
+    fn entry(seq: Seq, prev: Seq) -> Entry {
+        Entry { log: (1, 1), seq, prev, what: What::Group(seq), at: seq, lifted: false }
+    }
+
+    #[test]
+    fn gaps_are_named_once_and_what_came_early_follows_what_was_missing() {
+        let mut ahead = Ahead::default();
+        // 1 is had; 2, 3 and 6 are missing, and 4 was superseded.
+        [entry(8, 7), entry(5, 3), entry(7, 6), entry(8, 7)].iter().for_each(|e| ahead.put(e, 9));
+        assert_eq!(ahead.gaps((1, 1), 1), [(1, 3), (5, 6)]);
+        assert_eq!(ahead.next((1, 1), 2), None);
+        assert_eq!(ahead.next((1, 1), 3), Some(entry(5, 3)));
+        assert_eq!((ahead.next((1, 1), 5), ahead.gaps((1, 1), 5)), (None, vec![(5, 6)]));
+        // 7 came again by another way.
+        assert_eq!(ahead.next((1, 1), 7), Some(entry(8, 7)));
+        assert!(ahead.is_empty() && ahead.logs().next().is_none() && ahead.gaps((1, 1), 8).is_empty());
+    }
+
+    #[test]
+    fn what_comes_beyond_the_bound_is_let_go() {
+        let mut ahead = Ahead::default();
+        [entry(3, 2), entry(9, 8)].iter().for_each(|e| ahead.put(e, 1));
+        assert_eq!(ahead.gaps((1, 1), 1), [(1, 2)]);
+        assert_eq!(ahead.next((1, 1), 2), Some(entry(3, 2)));
+        assert!(ahead.is_empty());
+    }
+}
--- a/copies/src/book.rs
+++ b/copies/src/book.rs
@@ -3,6 +3,22 @@
 use crate::{Entry, Life, Log, Micros, Seq, What, Writer};
 use std::collections::BTreeMap;
 
+/// What a book has room for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Room {
+    /// Entries that hold for good.
+    pub entries: usize,
+    /// Entries that are of use for a time only: they must not take the room of the others.
+    pub passing: usize,
+    /// Logs.
+    pub logs: usize,
+}
+
+impl Room {
+    /// For whatever comes.
+    pub const ENOUGH: Room = Room { entries: usize::MAX, passing: usize::MAX, logs: usize::MAX };
+}
+
 /// There is no room for one more entry or log.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Full;
@@ -46,6 +62,8 @@
 pub struct Book {
     tracks: BTreeMap<Log, Track>,
     live: usize,
+    /// Those of them that are of use for a time only.
+    passing: usize,
     sum: u64,
 }
 
@@ -65,19 +83,19 @@
         &mut self,
         log: Log,
         (what, at, lifted): (What, Micros, bool),
-        most: usize,
+        room: Room,
     ) -> Result<Entry, Full> {
         let prev = self.tracks.get(&log).and_then(|t| t.live.keys().next_back().copied()).unwrap_or(0);
         let entry = Entry { log, seq: self.end(log) + 1, prev, what, at, lifted };
         // A log of one's own is always had in full.
-        match self.take(&entry, most, usize::MAX) {
+        match self.take(&entry, Room { logs: usize::MAX, ..room }) {
             Taken::New => Ok(entry),
             _ => Err(Full),
         }
     }
 
     /// Takes an entry in, if it is the next one of its log.
-    pub fn take(&mut self, entry: &Entry, entries: usize, logs: usize) -> Taken {
+    pub fn take(&mut self, entry: &Entry, room: Room) -> Taken {
         let have = self.end(entry.log);
         if entry.seq <= have {
             return Taken::Known;
@@ -87,9 +105,14 @@
         }
         let known = self.tracks.get(&entry.log);
         let replaces = known.is_some_and(|t| t.last.contains_key(&entry.what));
-        if known.is_none() && self.tracks.len() >= logs || !replaces && self.live >= entries {
+        let full = match entry.what.is_passing() {
+            true => self.passing >= room.passing,
+            false => self.live - self.passing >= room.entries,
+        };
+        if known.is_none() && self.tracks.len() >= room.logs || !replaces && full {
             return Taken::Refused(Full);
         }
+        let passing = usize::from(entry.what.is_passing());
         let track = self.tracks.entry(entry.log).or_default();
         if track.through > 0 {
             self.sum = self.sum.wrapping_sub(part(entry.log, track.through));
@@ -99,12 +122,72 @@
         if let Some(old) = track.last.insert(entry.what.clone(), entry.seq) {
             track.live.remove(&old);
             self.live -= 1;
+            self.passing -= passing;
         }
         track.live.insert(entry.seq, (entry.what.clone(), entry.at, entry.lifted));
         self.live += 1;
+        self.passing += passing;
         Taken::New
     }
 
+    /// Lets go what was said `keep` or longer ago and is of use for a time only. The last entry of a log stays, whatever
+    /// it is: it is what others learn from how far the log goes.
+    ///
+    /// That a status is gone is kept twice as long, as long as any proxy may have the status still.
+    pub fn expire(&mut self, now: Micros, keep: Micros) -> Vec<Entry> {
+        let mut over = Vec::new();
+        for (log, track) in &mut self.tracks {
+            let last = track.live.keys().next_back().copied();
+            let is_over = |seq: &Seq, (what, at, _): &(What, Micros, bool)| {
+                let keep = if matches!(what, What::Gone { .. }) { 2 * keep } else { keep };
+                what.is_passing() && at + keep <= now && Some(*seq) != last
+            };
+            let gone: Vec<Seq> =
+                track.live.iter().filter(|(seq, said)| is_over(seq, said)).map(|(seq, _)| *seq).collect();
+            for seq in gone {
+                if let Some((what, at, lifted)) = track.live.remove(&seq) {
+                    track.last.remove(&what);
+                    over.push(Entry { log: *log, seq, prev: 0, what, at, lifted });
+                }
+            }
+        }
+        self.live -= over.len();
+        self.passing -= over.len();
+        over
+    }
+
+    /// The status of a trigger, if all of its pieces are had and no neighbour has done with it. Whether they are all is for
+    /// the text to tell, of which no part is whole.
+    pub fn status(&self, writer: Writer, number: u64) -> Option<String> {
+        if self.latest(&What::Gone { writer, number }).is_some() {
+            return None;
+        }
+        let piece = |part| What::Status { number, part, text: String::new() };
+        let lives = self.tracks.range((writer, 0)..=(writer, Life::MAX)).rev();
+        let mut texts = lives.map(|(_, track)| {
+            let pieces = track.last.range(piece(0)..).map(|(what, _)| what);
+            let pieces =
+                pieces.take_while(|what| matches!(what, What::Status { number: n, .. } if *n == number));
+            pieces.zip(0..).map_while(|(what, place): (_, u16)| match what {
+                What::Status { part, text, .. } if *part == place => Some(text.as_str()),
+                _ => None,
+            })
+        });
+        texts.find_map(|pieces| Some(pieces.collect::<String>()).filter(|text| !text.is_empty()))
+    }
+
+    /// The triggers of which a status, or a part of one, is had.
+    pub fn triggers(&self) -> std::collections::BTreeSet<(Writer, u64)> {
+        let of = |(log, track): (&Log, &Track)| -> Vec<(Writer, u64)> {
+            let number = |what: &What| match what {
+                What::Status { number, .. } => Some((log.0, *number)),
+                _ => None,
+            };
+            track.last.keys().filter_map(number).collect()
+        };
+        self.tracks.iter().flat_map(of).collect()
+    }
+
     /// Up to which place a log is had; 0: not at all.
     pub fn end(&self, log: Log) -> Seq {
         self.tracks.get(&log).map_or(0, |t| t.through)
--- a/copies/src/lib.rs
+++ b/copies/src/lib.rs
@@ -1,4 +1,5 @@
-//! What one proxy was told and all must keep: purges by neighbours, as logs that are copied from proxy to proxy.
+//! What one proxy was told and all must keep: purges by neighbours and the status of their triggers, and what
+//! operators decided, as logs that are copied from proxy to proxy.
 //!
 //! Sans-IO. Each proxy is the only writer of its own log, so nothing has to be agreed on: an entry is named by writer,
 //! life and sequence and never changes. Proxies tell each other how far they have each log, and whoever has more
@@ -13,19 +14,23 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+mod ahead;
 mod book;
 mod promise;
 mod recovery;
+mod status;
 mod wire;
 
+use ahead::Ahead;
 use linnetknot_words::Random;
 use promise::{Promises, Unkept};
 use std::collections::BTreeMap;
 
-pub use book::{Book, Full, Taken};
+pub use book::{Book, Full, Room, Taken};
 pub use linnetknot_words::{Unreadable, MOST};
 pub use promise::{Machine, Promise, Settled, Why};
 pub use recovery::Recovery;
+pub use status::pieces;
 pub use wire::Datagram;
 
 /// Time or duration in microseconds, Unix time where it is a time of day.
@@ -50,6 +55,29 @@
     Ban(String),
     /// An operator's drain of the proxy.
     Drain,
+    /// One of the pieces, from 0, into which the status of a trigger is cut (`pieces`). It never changes.
+    Status {
+        /// The trigger's number, its writer's alone.
+        number: u64,
+        /// Which piece.
+        part: u16,
+        /// Its text.
+        text: String,
+    },
+    /// A neighbour has done with the status of a trigger, which another proxy may have written.
+    Gone {
+        /// Whose trigger it was.
+        writer: Writer,
+        /// Its number there.
+        number: u64,
+    },
+}
+
+impl What {
+    /// Whether an entry of this is of use for a time only, and gone after it.
+    pub fn is_passing(&self) -> bool {
+        matches!(self, What::Status { .. } | What::Gone { .. })
+    }
 }
 
 /// An entry of a log.
@@ -72,8 +100,12 @@
 /// Bounds and times.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct Options {
-    /// Entries of all logs together.
+    /// Entries of all logs together that hold for good.
     pub entries: usize,
+    /// Those of the status of triggers, besides.
+    pub passing: usize,
+    /// These are of use for so long.
+    pub passing_us: Micros,
     /// Logs: writers by their lives.
     pub logs: usize,
     /// How often a peer is told how far the logs are had here.
@@ -82,6 +114,10 @@
     pub batch: usize,
     /// Entries sent in one period, to all: copying must leave the loop to requests.
     pub per_period: usize,
+    /// Entries that came early, kept until those before them come.
+    pub ahead: usize,
+    /// What stands before those is asked for after this.
+    pub gap_us: Micros,
     /// Further machines that must have a promise on their disks before it is given.
     pub wait: usize,
     /// Further machines that are to have each entry in the end.
@@ -98,10 +134,14 @@
     fn default() -> Self {
         Options {
             entries: 20_000,
+            passing: 20_000,
+            passing_us: 3_600_000_000,
             logs: 1_024,
             period_us: 500_000,
             batch: 256,
             per_period: 512,
+            ahead: 1_024,
+            gap_us: 10_000,
             wait: 1,
             holders: 2,
             within_us: 1_000_000,
@@ -111,6 +151,9 @@
     }
 }
 
+/// Logs of which what is missing is asked for at a time, and datagrams that name it of one.
+const LACKING: usize = 8;
+
 /// What came of a datagram.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Heard {
@@ -151,6 +194,9 @@
     /// This process among those of its name.
     begun: u64,
     book: Book,
+    ahead: Ahead,
+    /// When peers are asked for what stands before those.
+    lacks: Option<Micros>,
     options: Options,
     random: Random,
     due: Micros,
@@ -177,6 +223,8 @@
             own,
             begun,
             book,
+            ahead: Ahead::default(),
+            lacks: None,
             options,
             random,
             due: 0,
@@ -215,15 +263,26 @@
     /// A new entry of its own log. It is for the caller to put it on the disk and to send it to all peers at once;
     /// those whom that misses get it later.
     pub fn say(&mut self, what: What, at: Micros, lifted: bool) -> Result<Entry, Full> {
-        let entry = self.book.append(self.own, (what, at, lifted), self.options.entries)?;
+        let entry = self.book.append(self.own, (what, at, lifted), self.room())?;
         self.unkept.add(entry.log, entry.seq);
         Ok(entry)
     }
 
+    fn room(&self) -> Room {
+        let Options { entries, passing, logs, .. } = self.options;
+        Room { entries, passing, logs }
+    }
+
+    /// Lets entries go whose time is over, to be taken off the disk, too.
+    pub fn expire(&mut self, now: Micros) -> Vec<Entry> {
+        self.book.expire(now, self.options.passing_us)
+    }
+
     /// When `tick` or `settle` has something to do.
     pub fn due(&self) -> Micros {
         let waits = self.promises.until(self.options.within_us).map(|until| until.min(self.ask));
-        waits.map_or(self.due, |at| at.min(self.due))
+        let lacks = (!self.ahead.is_empty()).then_some(self.lacks.unwrap_or(0));
+        [waits, lacks].into_iter().flatten().fold(self.due, Micros::min)
     }
 
     /// Once a period: what to tell which peer, by its place. While a promise waits, those that it may wait for are
@@ -231,7 +290,9 @@
     pub fn tick(&mut self, now: Micros) -> Vec<(usize, Datagram)> {
         let mut told = Vec::new();
         let peers = self.promises.count();
-        if now >= self.due {
+        self.ask_for_lacking(now, &mut told);
+        let (is_waiting, is_due) = (self.promises.is_waiting(), now >= self.due);
+        if is_due {
             // Spread by up to a quarter, so that the words of many proxies do not fall together.
             self.due = now + self.options.period_us + self.random.below(self.options.period_us / 4);
             self.allowance = self.options.per_period;
@@ -239,7 +300,7 @@
                 let peer = self.random.below(peers as u64) as usize;
                 told.push((peer, self.word()));
             }
-        } else if !self.promises.is_waiting() || now < self.ask {
+        } else if !is_waiting || now < self.ask {
             return told;
         }
         self.ask = now + self.options.ask_us;
@@ -247,6 +308,27 @@
         told
     }
 
+    /// Asks a peer for what stands before entries that came early; any may have it.
+    fn ask_for_lacking(&mut self, now: Micros, told: &mut Vec<(usize, Datagram)>) {
+        let peers = self.promises.count() as u64;
+        if self.ahead.is_empty() || peers == 0 {
+            self.lacks = None;
+            return;
+        }
+        // Most of what is missing at first was overtaken on its way, and comes by itself.
+        let at = *self.lacks.get_or_insert(now + self.options.gap_us);
+        if now < at {
+            return;
+        }
+        self.lacks = Some(now + self.options.ask_us);
+        let peer = self.random.below(peers) as usize;
+        for log in self.ahead.logs().take(LACKING) {
+            let gaps = self.ahead.gaps(log, self.book.end(log));
+            let words = gaps.chunks(wire::MOST_GAPS).take(LACKING);
+            told.extend(words.map(|gaps| (peer, Datagram::Lack { log, gaps: gaps.to_vec() })));
+        }
+    }
+
     /// Sends the last entry of each of its own lives to those peers that are not known to have it on their disks:
     /// whoever has it says so again, and whoever lacks entries before it asks for them.
     fn ask_holders(&mut self, told: &mut Vec<(usize, Datagram)>) {
@@ -366,6 +448,13 @@
         match datagram {
             Datagram::Entry(entry) => self.take(from, entry),
             Datagram::Want { ends } => self.compare(&ends).0,
+            Datagram::Lack { log, gaps } => {
+                let mut heard = Heard::default();
+                gaps.into_iter().for_each(|(behind, through)| {
+                    self.send(log, (behind, through), &mut heard.replies);
+                });
+                heard
+            }
             Datagram::Ask => Heard { replies: vec![self.word()], ..Heard::default() },
             Datagram::Held { begun, ends } => {
                 // What others have of others' logs is for those to know.
@@ -386,7 +475,7 @@
                     let logs = self.book.ends().into_iter().map(|(log, _)| log);
                     let lacks: Vec<Log> =
                         logs.filter(|log| !ends.iter().any(|(named, _)| named == log)).collect();
-                    lacks.into_iter().for_each(|log| self.send(log, 0, &mut heard.replies));
+                    lacks.into_iter().for_each(|log| self.send(log, (0, Seq::MAX), &mut heard.replies));
                 } else if settled {
                     // What it named of its many is the same here: the difference is elsewhere.
                     heard.replies.push(Datagram::Want { ends: self.some_ends() });
@@ -398,8 +487,17 @@
 
     fn take(&mut self, from: usize, entry: Entry) -> Heard {
         let mut heard = Heard::default();
+        let log = entry.log;
+        self.take_one(from, entry, &mut heard);
+        while let Some(next) = self.ahead.next(log, self.book.end(log)) {
+            self.take_one(from, next, &mut heard);
+        }
+        heard
+    }
+
+    fn take_one(&mut self, from: usize, entry: Entry, heard: &mut Heard) {
         let (log, seq) = (entry.log, entry.seq);
-        match self.book.take(&entry, self.options.entries, self.options.logs) {
+        match self.book.take(&entry, self.room()) {
             Taken::New => {
                 self.tally.learned += 1;
                 self.unkept.add(log, seq);
@@ -416,17 +514,16 @@
                     self.owe(log, seq, from);
                 }
             }
-            Taken::Early { have } => {
+            Taken::Early { .. } => {
                 self.tally.early += 1;
+                self.ahead.put(&entry, self.options.ahead);
                 heard.early.push(entry);
-                heard.replies.push(Datagram::Want { ends: vec![(log, have)] });
             }
             Taken::Refused(Full) => {
                 self.tally.refused += 1;
                 heard.refused.push(entry);
             }
         }
-        heard
     }
 
     /// A peer is to be told once this place is on the disk.
@@ -442,7 +539,7 @@
         for (log, theirs) in ends {
             let ours = self.book.end(*log);
             if ours > *theirs {
-                self.send(*log, *theirs, &mut heard.replies);
+                self.send(*log, (*theirs, Seq::MAX), &mut heard.replies);
             } else if ours < *theirs {
                 wanted.push((*log, ours));
             }
@@ -454,11 +551,12 @@
         (heard, settled)
     }
 
-    /// Entries of a log behind a place, as many as this period leaves.
-    fn send(&mut self, log: Log, place: Seq, replies: &mut Vec<Datagram>) {
+    /// Entries of a log behind a place and up to another, as many as this period leaves.
+    fn send(&mut self, log: Log, (place, through): (Seq, Seq), replies: &mut Vec<Datagram>) {
         let room = self.options.batch.min(self.allowance);
         let before = replies.len();
-        replies.extend(self.book.behind(log, place).take(room).map(Datagram::Entry));
+        let entries = self.book.behind(log, place).take_while(|entry| entry.seq <= through);
+        replies.extend(entries.take(room).map(Datagram::Entry));
         let sent = replies.len() - before;
         self.allowance -= sent;
         self.tally.sent += sent as u64;
--- a/copies/src/wire.rs
+++ b/copies/src/wire.rs
@@ -1,11 +1,13 @@
 //! Datagrams, as text: one entry, or how far logs are had. At most 256 bytes, the bound of what proxies may send each
 //! other on any installation.
 
-use crate::{Entry, Log, Seq, What};
+use crate::{status, Entry, Log, Seq, What};
 use linnetknot_words::{behind, Unreadable, MOST};
 
 /// Logs of which one datagram can tell: three numbers of up to 17 bytes each behind a head.
 pub(crate) const MOST_ENDS: usize = 4;
+/// Gaps that one datagram can name: two numbers each behind a head and a log.
+pub(crate) const MOST_GAPS: usize = 6;
 /// Its first word; the digit is the form's version.
 const MARK: &str = "copies1";
 
@@ -28,6 +30,14 @@
         /// The logs.
         ends: Vec<(Log, Seq)>,
     },
+    /// Of this log the sender lacks what is in force in these gaps, and has what is behind them. A version before this
+    /// one drops it, and is asked with `Want` in time.
+    Lack {
+        /// The log.
+        log: Log,
+        /// Behind the first place, up to the second.
+        gaps: Vec<(Seq, Seq)>,
+    },
     /// The sender wants to hear how far the receiver has its logs.
     Ask,
     /// Up to which place the sender has all that is in force of these logs on its disk. A version before this one does
@@ -70,12 +80,21 @@
                     (What::Ban(id), false) => ("ban", id.clone()),
                     (What::Ban(id), true) => ("unban", id.clone()),
                     (What::Drain, lifted) => ("drain", if lifted { "over" } else { "on" }.to_owned()),
+                    (What::Status { number, part, text }, _) => {
+                        ("status", format!("{number:x}.{part:x}.{}", status::escape(text)))
+                    }
+                    (What::Gone { writer, number }, _) => ("gone", format!("{writer:x}.{number:x}")),
                 };
                 let (writer, life) = e.log;
                 format!("{MARK} entry {writer:x} {life:x} {:x} {:x} {:x} {kind} {what}", e.prev, e.seq, e.at)
             }
             Datagram::Have { ends, all, sum } => format!("{MARK} have {all:x} {sum:x}{}", listed(ends)),
             Datagram::Want { ends } => format!("{MARK} want{}", listed(ends)),
+            Datagram::Lack { log: (writer, life), gaps } => {
+                let listed: String =
+                    gaps.iter().map(|(behind, through)| format!(" {behind:x} {through:x}")).collect();
+                format!("{MARK} lack {writer:x} {life:x}{listed}")
+            }
             Datagram::Ask => format!("{MARK} ask"),
             Datagram::Held { begun, ends } => format!("{MARK} held {begun:x}{}", listed(ends)),
         };
@@ -103,6 +122,16 @@
                     ("unban", id) if !id.is_empty() => (What::Ban(id.to_owned()), true),
                     ("drain", "on") => (What::Drain, false),
                     ("drain", "over") => (What::Drain, true),
+                    ("status", said) => {
+                        let mut parts = said.splitn(3, '.');
+                        let (named, part) = (number(parts.next()?)?, number(parts.next()?)?);
+                        let text = status::unescape(parts.next()?)?;
+                        (What::Status { number: named, part: u16::try_from(part).ok()?, text }, false)
+                    }
+                    ("gone", said) => {
+                        let (writer, named) = said.split_once('.')?;
+                        (What::Gone { writer: number(writer)?, number: number(named)? }, false)
+                    }
                     _ => return None,
                 };
                 let sound = seq > prev;
@@ -113,6 +142,15 @@
                 Some(Datagram::Have { ends: ends(words)?, all, sum })
             }
             "ask" => Some(Datagram::Ask),
+            "lack" => {
+                let log = (number(words.next()?)?, number(words.next()?)?);
+                let mut gaps = Vec::new();
+                while let Some(behind) = words.next() {
+                    gaps.push((number(behind)?, number(words.next()?)?));
+                }
+                let sound = gaps.len() <= MOST_GAPS && gaps.iter().all(|(behind, through)| behind < through);
+                sound.then_some(Datagram::Lack { log, gaps })
+            }
             "want" => Some(Datagram::Want { ends: ends(words)? }),
             "held" => Some(Datagram::Held { begun: number(words.next()?)?, ends: ends(words)? }),
             _ => None,
--- a/daemon/src/daemon/feeds/peers.rs
+++ b/daemon/src/daemon/feeds/peers.rs
@@ -81,6 +81,7 @@
         if heard.new.iter().any(|entry| entry.log.0 == own && ledger::purge(entry).is_none()) {
             self.recall_decided(now);
         }
+        self.hear_triggers(now, &heard.new);
         if same {
             self.same_as(now, peer);
         }
--- a/daemon/src/daemon/mod.rs
+++ b/daemon/src/daemon/mod.rs
@@ -346,6 +346,7 @@
         daemon.know_machines();
         daemon.join_fleet(now);
         daemon.begin_decided(now);
+        daemon.begin_triggers(now);
         daemon.begin_recovery(now);
         daemon.copy_purges(now);
         daemon.recall_lists(now);
--- a/daemon/src/daemon/neighbours.rs
+++ b/daemon/src/daemon/neighbours.rs
@@ -129,8 +129,9 @@
 
     pub(super) fn carry_out(&mut self, now: Micros, effect: cdni::Effect) {
         match effect {
-            // Those of a command are promised (`promises`); none other purges.
+            // Those of a command are promised (`promises`); none other purges, or says anything of triggers.
             cdni::Effect::Purge(object, group) => drop(self.purge_told(now, object, group)),
+            cdni::Effect::Status(..) | cdni::Effect::Gone(_) => {}
             cdni::Effect::Post(post) => self.send_out(now, post),
         }
     }
--- a/daemon/src/daemon/promises.rs
+++ b/daemon/src/daemon/promises.rs
@@ -3,19 +3,19 @@
 //! A proxy that began without its disk is not ready until it has what it promised back.
 
 use super::{Connection, Daemon, Kind, Timer};
-use crate::front::cdni::{Effect, Response};
+use crate::front::cdni::{Effect, Name, Response};
 use crate::ledger;
 use crate::net::{Due, Key};
 use crate::peers;
 use linnetknot::Micros;
-use linnetknot_copies::{Datagram, Promise, Recovery, Seq, What};
+use linnetknot_copies::{Datagram, Entry, Promise, Recovery, Seq, What};
 use linnetknot_membership::server_id;
 use linnetknot_ops::{Effect as Done, Reply};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
-/// An answer to a neighbour: its connection, itself, and the trigger that it tells of.
-type Neighbours = (Key, Response, u64);
+/// An answer to a neighbour: its connection, itself, and the trigger that was made, if one was.
+type Neighbours = (Key, Response, Option<Name>);
 
 /// An answer that waits.
 enum Answer {
@@ -106,6 +106,14 @@
                     // Once one is not taken, those behind it make no whole promise any more.
                     place = place.and_then(|before| told.map(|told| told.or(before)));
                 }
+                Effect::Status(name, text) => {
+                    let told = if place.is_ok() { self.say_status(now, name, &text) } else { Ok(None) };
+                    place = place.and_then(|before| told.map(|told| told.or(before)));
+                }
+                Effect::Gone(name) => {
+                    let told = self.say_gone(now, name);
+                    place = place.and_then(|before| told.map(|told| told.or(before)));
+                }
                 effect => self.carry_out(now, effect),
             }
         }
@@ -168,6 +176,52 @@
         Ok(())
     }
 
+    /// The status of a trigger as entries: the place of the last; none where there is no log.
+    fn say_status(&mut self, now: Micros, name: Name, text: &str) -> Result<Option<Seq>, String> {
+        let Some(ledger) = &mut self.ledger else { return Ok(None) };
+        let entries = ledger.say_status(name.number, text, now)?;
+        let place = entries.last().map(|entry| entry.seq);
+        entries.into_iter().for_each(|entry| self.tell_entry(entry));
+        Ok(place)
+    }
+
+    /// An entry of a trigger that is gone: its place; none where there is no log.
+    fn say_gone(&mut self, now: Micros, Name { writer, number }: Name) -> Result<Option<Seq>, String> {
+        let Some(ledger) = &mut self.ledger else { return Ok(None) };
+        let entry = ledger.say(What::Gone { writer, number }, now, false)?;
+        let place = entry.seq;
+        self.tell_entry(entry);
+        Ok(Some(place))
+    }
+
+    /// The triggers that were told before this process began, here or elsewhere, and names for those to come.
+    pub(super) fn begin_triggers(&mut self, now: Micros) {
+        let (Some(ledger), Some((_, desk))) = (&self.ledger, &mut self.desk) else { return };
+        let first = Name { writer: ledger.copies().own().0, number: ledger.first_number() };
+        desk.begin_triggers(first);
+        for (writer, number, text) in ledger.statuses() {
+            desk.admit(now, Name { writer, number }, &text);
+        }
+    }
+
+    /// Entries of triggers have come from a peer.
+    pub(super) fn hear_triggers(&mut self, now: Micros, entries: &[Entry]) {
+        let (Some(ledger), Some((_, desk))) = (&self.ledger, &mut self.desk) else { return };
+        let named = |entry: &Entry| match entry.what {
+            What::Status { number, .. } => Some(Name { writer: entry.log.0, number }),
+            What::Gone { writer, number } => Some(Name { writer, number }),
+            _ => None,
+        };
+        let mut names: Vec<Name> = entries.iter().filter_map(named).collect();
+        names.dedup();
+        for name in names {
+            match ledger.copies().book().status(name.writer, name.number) {
+                Some(text) => drop(desk.admit(now, name, &text)),
+                None => desk.forget(name),
+            }
+        }
+    }
+
     /// What its operators decided before this process began: by its own log, and where that says nothing of it by the
     /// files beside it, which the log is told then.
     pub(super) fn begin_decided(&mut self, now: Micros) {
@@ -320,8 +374,12 @@
         let key = match answer {
             Answer::Neighbour((key, mut response, trigger)) => {
                 if let (Err(why), Some((_, desk))) = (kept, &mut self.desk) {
-                    log::warn!(trigger = trigger, why = why.as_str(); "a promise to a neighbour is refused");
+                    let name = trigger.map_or_else(String::new, |name| name.to_string());
+                    log::warn!(trigger = name.as_str(), why = why.as_str(); "a promise to a neighbour is refused");
                     response = desk.retract(trigger);
+                    if let Some(Err(e)) = trigger.map(|name| self.say_gone(now, name)) {
+                        log::warn!(trigger = name.as_str(); "that it is refused is known here alone: {e}");
+                    }
                 }
                 let connection = self.connections.get_mut(key);
                 let Some(Connection { kind: Kind::Cdni(session), .. }) = connection else { return };
--- a/daemon/src/front/cdni/mod.rs
+++ b/daemon/src/front/cdni/mod.rs
@@ -15,6 +15,7 @@
 use linnetknot::Micros;
 use serde_json::Value;
 use std::net::SocketAddr;
+pub use triggers::Name;
 use triggers::Triggers;
 
 /// Media type of all CDNI payloads; `ptype` tells which one it is.
@@ -85,6 +86,10 @@
 pub enum Effect {
     /// An object, or with none a whole group, is purged as of now.
     Purge(Option<String>, u64),
+    /// A trigger was told here, and this is its status.
+    Status(Name, String),
+    /// A neighbour has done with a trigger's status.
+    Gone(Name),
     /// A payload goes to a neighbour.
     Post(Post),
 }
@@ -107,8 +112,8 @@
 pub enum Reply {
     /// Respond.
     Now(Response),
-    /// Respond once the purges among the effects are kept; where they can't be, retract this trigger and say so.
-    Promise(Response, u64),
+    /// Respond once the effects are kept; where they can't be, retract the trigger that was made and say so.
+    Promise(Response, Option<Name>),
     /// Ask the core.
     Ask(Asked),
 }
@@ -174,17 +179,21 @@
                 Some(command) => {
                     let (response, made) =
                         self.triggers.command(&self.id, seconds, room, &command, &mut effects);
-                    let purges = effects.iter().any(|e| matches!(e, Effect::Purge(..)));
-                    match made.filter(|_| purges) {
-                        Some(trigger) => return (Reply::Promise(response, trigger), effects),
-                        None => response,
+                    if made.is_some() {
+                        return (Reply::Promise(response, made), effects);
                     }
+                    response
                 }
                 None => Response::bare(400),
             },
             ("GET", "/cdni/triggers") => self.triggers.collection(&self.id, None),
             ("GET" | "DELETE", path) if path.starts_with("/cdni/triggers/") => {
-                self.triggers.resource(&self.id, method, &path["/cdni/triggers/".len()..])
+                let name = &path["/cdni/triggers/".len()..];
+                let response = self.triggers.resource(&self.id, method, name, &mut effects);
+                if !effects.is_empty() {
+                    return (Reply::Promise(response, None), effects);
+                }
+                response
             }
             ("POST", "/cdni/redirect") => match json() {
                 Some(asked) => redirect::answer(&self.id, &self.heard, ready, &asked),
@@ -200,9 +209,27 @@
         (Reply::Now(response), effects)
     }
 
-    /// What a trigger promised can't be kept: there is no such trigger, and its neighbour is to come again.
-    pub fn retract(&mut self, trigger: u64) -> Response {
-        self.triggers.remove(trigger);
+    /// The triggers that are told here are named from this name on.
+    pub fn begin_triggers(&mut self, first: Name) {
+        self.triggers.begin(first);
+    }
+
+    /// Takes in the status of a trigger that another proxy was told, or an earlier process of this one. False where it
+    /// is known, too old, or not all there.
+    pub fn admit(&mut self, now: Micros, name: Name, payload: &str) -> bool {
+        self.triggers.admit(now / 1_000_000, name, payload)
+    }
+
+    /// There is no such trigger any more.
+    pub fn forget(&mut self, name: Name) {
+        self.triggers.remove(name);
+    }
+
+    /// What was to be promised can't be kept: the trigger that was made is none, and its neighbour is to come again.
+    pub fn retract(&mut self, trigger: Option<Name>) -> Response {
+        if let Some(name) = trigger {
+            self.triggers.remove(name);
+        }
         Response::bare(503).with("Retry-After", "1".to_owned())
     }
 
--- a/daemon/src/front/cdni/triggers.rs
+++ b/daemon/src/front/cdni/triggers.rs
@@ -3,13 +3,47 @@
 use super::{content_path, looped, path_of, Effect, Identity, Post, Response};
 use serde_json::{json, Map, Value};
 use std::collections::BTreeMap;
+use std::fmt;
 
 const STATUS: &str = "ci-trigger-status";
 const COLLECTION: &str = "ci-trigger-collection";
 const COMMAND: &str = "ci-trigger-command";
+const COMPLETE: &str = "complete";
+const FAILED: &str = "failed";
 /// Status resources of triggers that are over may go after so many seconds.
 const STALE_S: u64 = 3600;
 
+/// A trigger's name in all of an installation: the proxy that was told (0 where nothing is kept), and its number there.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Name {
+    /// The proxy.
+    pub writer: u64,
+    /// The number.
+    pub number: u64,
+}
+
+impl Name {
+    fn read(text: &str) -> Option<Self> {
+        match text.split_once('-') {
+            None => Some(Name { writer: 0, number: text.parse().ok()? }),
+            Some((writer, number)) => {
+                let hex = |text| u64::from_str_radix(text, 16).ok();
+                // One name has one text.
+                Some(Name { writer: hex(writer)?, number: hex(number)? }).filter(|n| n.to_string() == text)
+            }
+        }
+    }
+}
+
+impl fmt::Display for Name {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self.writer {
+            0 => write!(f, "{}", self.number),
+            writer => write!(f, "{writer:016x}-{:x}", self.number),
+        }
+    }
+}
+
 struct Trigger {
     spec: Value,
     made: u64,
@@ -27,12 +61,23 @@
         }
         status
     }
+
+    /// Reads a payload; none where it is not all there.
+    fn read(payload: &str) -> Option<Self> {
+        let mut value: Value = serde_json::from_str(payload).ok()?;
+        let status = [COMPLETE, FAILED].into_iter().find(|s| value["status"] == **s)?;
+        let made = value["ctime"].as_u64()?;
+        let error = value.get_mut("errors").map(|errors| errors[0].take());
+        Some(Trigger { spec: value["trigger"].take(), made, status, error })
+    }
 }
 
 /// The trigger status resources.
 pub struct Triggers {
-    held: BTreeMap<u64, Trigger>,
-    next: u64,
+    held: BTreeMap<Name, Trigger>,
+    /// The next name that is given here.
+    next: Name,
+    /// Of those that this proxy was told itself.
     most: usize,
 }
 
@@ -102,11 +147,28 @@
 
 impl Triggers {
     pub(super) fn new(most: usize) -> Self {
-        Triggers { held: BTreeMap::new(), next: 1, most }
+        Triggers { held: BTreeMap::new(), next: Name { writer: 0, number: 1 }, most }
+    }
+
+    fn url(id: &Identity, name: Name) -> String {
+        format!("{}/cdni/triggers/{name}", id.base)
     }
 
-    fn url(id: &Identity, number: u64) -> String {
-        format!("{}/cdni/triggers/{number}", id.base)
+    /// Names are given from this one on, or from a later one that was given already.
+    pub(super) fn begin(&mut self, first: Name) {
+        self.next = first.max(self.next);
+    }
+
+    /// Takes in what another proxy, or an earlier process of this one, was told. True where it was not known.
+    pub(super) fn admit(&mut self, now: u64, name: Name, payload: &str) -> bool {
+        let Some(trigger) = Trigger::read(payload).filter(|t| t.made + STALE_S >= now) else {
+            return false;
+        };
+        self.held.retain(|_, t| t.made + STALE_S >= now);
+        if name.writer == self.next.writer {
+            self.next.number = self.next.number.max(name.number + 1);
+        }
+        self.held.insert(name, trigger).is_none()
     }
 
     /// Carries a command out: a purge takes effect before its response is written. Gives the response and the number of
@@ -118,7 +180,7 @@
         room: usize,
         command: &Value,
         effects: &mut Vec<Effect>,
-    ) -> (Response, Option<u64>) {
+    ) -> (Response, Option<Name>) {
         let Some(cdn_path) = command["cdn-path"].as_array() else { return (Response::bare(400), None) };
         if looped(&command["cdn-path"], &id.provider) {
             return (Response::bare(403), None);
@@ -138,7 +200,7 @@
         room: usize,
         (spec, cdn_path): (&Map<String, Value>, &[Value]),
         effects: &mut Vec<Effect>,
-    ) -> (Response, Option<u64>) {
+    ) -> (Response, Option<Name>) {
         let (Some(kind), Some(plan)) = (spec.get("type").and_then(Value::as_str), plan(spec)) else {
             return (Response::bare(400), None);
         };
@@ -146,7 +208,7 @@
             return (Response::bare(400), None);
         }
         self.held.retain(|_, t| t.made + STALE_S >= now);
-        if self.held.len() >= self.most {
+        if self.held.keys().filter(|name| name.writer == self.next.writer).count() >= self.most {
             return (Response::bare(503), None);
         }
         let error = |code: &str, what: &Map<String, Value>, why: &str| {
@@ -175,23 +237,26 @@
             effects.extend(plan.purges.iter().map(|(object, group)| Effect::Purge(object.clone(), *group)));
             effects.extend(posts(id, &Value::Object(spec.clone()), cdn_path).into_iter().map(Effect::Post));
         }
-        let status = if error.is_some() { "failed" } else { "complete" };
+        let status = if error.is_some() { FAILED } else { COMPLETE };
         let trigger = Trigger { spec: Value::Object(spec.clone()), made: now, status, error };
-        let response = Response::payload(201, STATUS, &trigger.payload());
-        let number = self.next;
-        self.next += 1;
-        self.held.insert(number, trigger);
-        (response.with("Location", Self::url(id, number)), Some(number))
+        let payload = trigger.payload();
+        let response = Response::payload(201, STATUS, &payload);
+        let name = self.next;
+        self.next.number += 1;
+        self.held.insert(name, trigger);
+        // Behind the purges, so that who has all of the status has them, too.
+        effects.push(Effect::Status(name, payload.to_string()));
+        (response.with("Location", Self::url(id, name)), Some(name))
     }
 
     /// Forgets a trigger.
-    pub(super) fn remove(&mut self, number: u64) {
-        self.held.remove(&number);
+    pub(super) fn remove(&mut self, name: Name) {
+        self.held.remove(&name);
     }
 
     pub(super) fn collection(&self, id: &Identity, status: Option<&str>) -> Response {
         let listed = self.held.iter().filter(|(_, t)| status.is_none_or(|s| s == t.status));
-        let urls: Vec<_> = listed.map(|(number, _)| Self::url(id, *number)).collect();
+        let urls: Vec<_> = listed.map(|(name, _)| Self::url(id, *name)).collect();
         let mut value = json!({"triggers": urls, "staleresourcetime": STALE_S, "cdn-id": id.provider});
         for (key, name) in [("coll-all", ""), ("coll-complete", "/complete"), ("coll-failed", "/failed")] {
             value[key] = format!("{}/cdni/triggers{name}", id.base).into();
@@ -199,15 +264,22 @@
         Response::payload(200, COLLECTION, &value)
     }
 
-    pub(super) fn resource(&mut self, id: &Identity, method: &str, name: &str) -> Response {
-        if let (Some(status), "GET") = (["complete", "failed"].iter().find(|s| **s == name), method) {
+    pub(super) fn resource(
+        &mut self,
+        id: &Identity,
+        method: &str,
+        name: &str,
+        effects: &mut Vec<Effect>,
+    ) -> Response {
+        if let (Some(status), "GET") = ([COMPLETE, FAILED].iter().find(|s| **s == name), method) {
             return self.collection(id, Some(status));
         }
-        let number = name.parse().ok().filter(|number| self.held.contains_key(number));
-        match (number, method) {
-            (Some(number), "GET") => Response::payload(200, STATUS, &self.held[&number].payload()),
-            (Some(number), _) => {
-                self.held.remove(&number);
+        let name = Name::read(name).filter(|name| self.held.contains_key(name));
+        match (name, method) {
+            (Some(name), "GET") => Response::payload(200, STATUS, &self.held[&name].payload()),
+            (Some(name), _) => {
+                self.held.remove(&name);
+                effects.push(Effect::Gone(name));
                 Response::bare(204)
             }
             (None, _) => Response::bare(404),
--- a/daemon/src/ledger.rs
+++ b/daemon/src/ledger.rs
@@ -5,7 +5,8 @@
 use crate::peers::{self, Purge};
 use linnetknot::Micros;
 use linnetknot_copies::{
-    Book, Copies, Datagram, Entry, Heard, Life, Log, Options, Promise, Seq, Settled, Taken, What, Why, Writer,
+    pieces, Book, Copies, Datagram, Entry, Heard, Life, Log, Options, Promise, Room, Seq, Settled, Taken,
+    What, Why, Writer,
 };
 use linnetknot_store::{Fault, Keeper, Space, Store, Ticket, Write};
 use std::collections::{BTreeMap, VecDeque};
@@ -23,8 +24,13 @@
     fresh: bool,
     /// Entries on their way to the disk, in order.
     on_way: VecDeque<(Ticket, Log, Seq)>,
+    /// When entries whose time is over are looked for again.
+    expires: Micros,
 }
 
+/// How often entries whose time is over are looked for: they are of use for an hour, and a look takes all of them.
+const EXPIRE_US: Micros = 60_000_000;
+
 /// Entries in force: writer, life and what was purged, by which a later purge of the same takes the place of one.
 const ENTRIES: Space = Space("entries");
 /// What is said of this writer's log.
@@ -44,12 +50,12 @@
     match &entry.what {
         What::Object(object) => Some((Some(object.clone()), 0, entry.at)),
         What::Group(group) => Some((None, *group, entry.at)),
-        What::Ban(_) | What::Drain => None,
+        What::Ban(_) | What::Drain | What::Status { .. } | What::Gone { .. } => None,
     }
 }
 
-/// An entry as it stands in the store.
-fn write(entry: &Entry) -> Write {
+/// An entry's key in the store.
+fn key(entry: &Entry) -> Vec<u8> {
     let mut key = Vec::with_capacity(40);
     key.extend(entry.log.0.to_be_bytes());
     key.extend(entry.log.1.to_be_bytes());
@@ -67,10 +73,28 @@
             key.extend(id.as_bytes());
         }
         What::Drain => key.push(b'd'),
+        What::Status { number, part, .. } => {
+            key.push(b's');
+            key.extend(number.to_be_bytes());
+            key.extend(part.to_be_bytes());
+        }
+        What::Gone { writer, number } => {
+            key.push(b'x');
+            key.extend(writer.to_be_bytes());
+            key.extend(number.to_be_bytes());
+        }
     }
+    key
+}
+
+/// An entry as it stands in the store.
+fn write(entry: &Entry) -> Write {
     let mut value = [entry.seq.to_be_bytes(), entry.at.to_be_bytes()].concat();
-    value.extend(entry.lifted.then_some(1));
-    Write { space: ENTRIES, key, value: Some(value) }
+    match &entry.what {
+        What::Status { text, .. } => value.extend(text.as_bytes()),
+        _ => value.extend(entry.lifted.then_some(1)),
+    }
+    Write { space: ENTRIES, key: key(entry), value: Some(value) }
 }
 
 /// Reads an entry; which one stands before it follows from the others.
@@ -83,9 +107,16 @@
         b'g' => What::Group(number(name)?),
         b'b' => What::Ban(String::from_utf8(name.to_vec()).ok()?),
         b'd' => What::Drain,
+        b's' => {
+            let part = u16::from_be_bytes(name.get(8..)?.try_into().ok()?);
+            let text = String::from_utf8(value.get(16..)?.to_vec()).ok()?;
+            What::Status { number: number(name.get(..8)?)?, part, text }
+        }
+        b'x' => What::Gone { writer: number(name.get(..8)?)?, number: number(name.get(8..)?)? },
         _ => return None,
     };
-    let (seq, at, lifted) = (number(value.get(..8)?)?, number(value.get(8..16)?)?, value.len() > 16);
+    let lifted = !what.is_passing() && value.len() > 16;
+    let (seq, at) = (number(value.get(..8)?)?, number(value.get(8..16)?)?);
     Some(Entry { log, seq, prev: 0, what, at, lifted })
 }
 
@@ -106,7 +137,7 @@
     for mut entry in entries {
         entry.prev = before.filter(|(log, _)| *log == entry.log).map_or(0, |(_, seq)| seq);
         before = Some((entry.log, entry.seq));
-        if book.take(&entry, usize::MAX, usize::MAX) != Taken::New {
+        if book.take(&entry, Room::ENOUGH) != Taken::New {
             return Err(Fault::Damaged("two entries stand in one place of a log".into()));
         }
     }
@@ -129,7 +160,7 @@
             let said = whole.strip_suffix('\n').unwrap_or("");
             match (Datagram::read(said.as_bytes()), peers::read(said.as_bytes())) {
                 (Ok(Datagram::Entry(entry)), _) => {
-                    book.take(&entry, usize::MAX, usize::MAX);
+                    book.take(&entry, Room::ENOUGH);
                 }
                 (_, Some(purge)) => old.bare.push(purge),
                 _ if said == "closed" || said.starts_with("life ") => {}
@@ -217,7 +248,8 @@
         for (object, group, at) in bare {
             let what = what(object.as_deref(), group);
             if book.latest(&what).is_none_or(|known| known < at) {
-                let entry = book.append(own, (what, at, false), options.entries);
+                let entry =
+                    book.append(own, (what, at, false), Room { entries: options.entries, ..Room::ENOUGH });
                 begin.push(write(&entry.map_err(|e| Fault::Disk(e.to_string()))?));
             }
         }
@@ -228,7 +260,7 @@
         store.commit(&begin)?;
         let copies = Copies::new(own, book, member, options);
         let keeper = Keeper::start("store", store, queue, wake).map_err(|e| Fault::Disk(e.to_string()))?;
-        Ok(Ledger { keeper, copies, member, fresh, on_way: VecDeque::new() })
+        Ok(Ledger { keeper, copies, member, fresh, on_way: VecDeque::new(), expires: 0 })
     }
 
     /// What stands in it. Of one that several logs have, the latest counts for whoever takes them all.
@@ -284,6 +316,29 @@
         Ok(entry)
     }
 
+    /// Adds the status of a trigger as `add` does a purge, in as many entries as it takes.
+    pub fn say_status(&mut self, number: u64, text: &str, at: Micros) -> Result<Vec<Entry>, String> {
+        let pieces = pieces(text).filter(|pieces| pieces.len() <= self.keeper.room());
+        let pieces = pieces.ok_or("its status has no room on the way to the disk")?;
+        let say = |(part, text)| self.say(What::Status { number, part, text }, at, false);
+        pieces.into_iter().map(say).collect()
+    }
+
+    /// The triggers that can be told of, by writer and number, with their status.
+    pub fn statuses(&self) -> Vec<(Writer, u64, String)> {
+        let book = self.copies.book();
+        let status = |(writer, number)| Some((writer, number, book.status(writer, number)?));
+        book.triggers().into_iter().filter_map(status).collect()
+    }
+
+    /// A number for this writer's next trigger that none of its lives has given, as far as their entries tell: from the
+    /// time of its start on, as nobody starts again sooner than it can answer.
+    pub fn first_number(&self) -> u64 {
+        let own = self.copies.own().0;
+        let known = self.copies.book().triggers().into_iter().filter(|(writer, _)| *writer == own);
+        known.map(|(_, number)| number + 1).max().unwrap_or(0).max(self.member)
+    }
+
     /// Adds a purge that a peer of an earlier version told; one that is known is not added again.
     pub fn tell(&mut self, object: Option<&str>, group: u64, at: Micros) -> Result<(), String> {
         match self.copies.book().latest(&what(object, group)) {
@@ -340,6 +395,13 @@
         if self.keeper.room() > 0 {
             self.copies.again().iter().for_each(|entry| self.keep(entry));
         }
+        if now >= self.expires {
+            self.expires = now + EXPIRE_US;
+            for entry in self.copies.expire(now) {
+                // One that finds no room there is found by the next process.
+                self.keeper.give(Write { space: ENTRIES, key: key(&entry), value: None });
+            }
+        }
         self.copies.tick(now)
     }
 
