--- a/budgets/src/lib.rs
+++ b/budgets/src/lib.rs
@@ -11,6 +11,12 @@
 //! holder counts its part from when it asked, the divider from when it granted, each less or more what clocks may
 //! drift apart in that time; so no part is in force for longer than its divider counts it as granted.
 //!
+//! What is spent may be felt for a while after: a request that the origin holds, work that a cold box has not done yet. A
+//! divider counts a part as granted until that is over, and its votes must last as long. A holder that runs says what it
+//! has out and which part it goes by, so that what it gave up is free at once.
+//!
+//! - `kinds`: what is shared.
+//! - `wire`: the words as datagrams.
 //! - `limit`: wholes and floors.
 //! - `vote`: whom a member votes for, and for how long a candidate is the divider.
 //! - `ledger`: what a divider has granted, and what it may grant.
@@ -19,11 +25,13 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+pub mod kinds;
 mod ledger;
 pub mod limit;
 mod member;
 mod share;
 mod vote;
+pub mod wire;
 
 pub use member::{Change, Member, Options, Tally, Word};
 
--- a/budgets/src/limit.rs
+++ b/budgets/src/limit.rs
@@ -1,6 +1,6 @@
 //! A budget's whole, and the floors that are set aside of it.
 
-use crate::Amount;
+use crate::{Amount, Micros};
 use std::fmt;
 
 /// A budget: its whole, and how much of it each configured member may always spend.
@@ -10,6 +10,8 @@
     pub whole: Amount,
     /// For each member, set aside.
     pub floor: Amount,
+    /// What is spent is felt for so long at most: what a holder has out when its part is over counts until then.
+    pub felt_us: Micros,
 }
 
 /// Why a whole can't be divided.
--- a/budgets/src/member.rs
+++ b/budgets/src/member.rs
@@ -1,6 +1,6 @@
 //! One member's side: what it may spend, whom it votes for, and, where it is the divider, what the others get.
 
-use crate::ledger::Granted;
+use crate::ledger::{Granted, Said};
 use crate::limit::{TooSmall, Whole};
 use crate::share::Wants;
 use crate::vote::{Candidate, Vote, Votes};
@@ -34,6 +34,16 @@
     fn less_drift(&self, us: Micros) -> Micros {
         us.saturating_sub(us.saturating_mul(2 * self.drift_ppm) / 1_000_000 + 1)
     }
+
+    /// What is counted of a time that another counts, too, where this one must not be over first.
+    fn more_drift(&self, us: Micros) -> Micros {
+        us.saturating_add(us.saturating_mul(2 * self.drift_ppm) / 1_000_000 + 1)
+    }
+
+    /// These times, for budgets of which a spend is felt for as long: votes last for a part and what is felt of it.
+    pub fn felt_for(self, felt_us: Micros) -> Self {
+        Options { vote_us: self.vote_us.saturating_add(self.more_drift(felt_us)), ..self }
+    }
 }
 
 /// What members say to each other. A word says who sends it by the address it comes from, and its life.
@@ -65,6 +75,10 @@
         number: u64,
         /// How much, beyond its floor.
         wanted: Amount,
+        /// The question that brought the part that it goes by; 0: none.
+        of: u64,
+        /// What is felt still of what it spent beyond its floor.
+        felt: Amount,
     },
     /// The receiver may spend so much beyond its floor, for so long from when it asked.
     Part {
@@ -114,8 +128,15 @@
 #[derive(Clone, Debug)]
 struct Group {
     vote: Vote,
-    /// Whose vote this member's is, or who was last heard to have another's.
-    heard: Option<Place>,
+    /// Whose vote this member's is, or who was heard to have another's, and until when that counts. It must end, and is
+    /// never told on: members that believed each other's word of a third would go on doing so for ever.
+    heard: Option<(Place, Micros)>,
+    /// Whose vote others said theirs is when they refused it, and until when that counts.
+    told: BTreeMap<Place, (Place, Micros)>,
+    /// Since when this member asks for votes without having them.
+    stood: Option<Micros>,
+    /// It asks for none until then, so that another candidate may have them.
+    rests: Micros,
     votes: Votes,
     /// When each question for votes was sent.
     asked: BTreeMap<u64, Micros>,
@@ -128,6 +149,7 @@
 struct Budget {
     whole: Whole,
     wanted: Amount,
+    felt: Amount,
     /// The part in force, until when, and the question that brought it.
     part: (Amount, Micros, u64),
     asked: BTreeMap<u64, Micros>,
@@ -191,6 +213,9 @@
         let group = |_| Group {
             vote: Vote::new(now, options.vote_us),
             heard: None,
+            told: BTreeMap::new(),
+            stood: None,
+            rests: 0,
             votes: Votes::default(),
             asked: BTreeMap::new(),
             divides: false,
@@ -199,6 +224,7 @@
         let budget = |whole: &Whole| Budget {
             whole: *whole,
             wanted: 0,
+            felt: 0,
             part: (0, 0, 0),
             asked: BTreeMap::new(),
             granted: Granted::default(),
@@ -229,21 +255,22 @@
         }
     }
 
-    /// How much of a budget would be spent beyond the floor, if it could be.
-    pub fn want(&mut self, budget: usize, wanted: Amount) {
+    /// How much of a budget would be spent if it could be, and what is felt still of what was; floors included.
+    pub fn want(&mut self, budget: usize, wanted: Amount, felt: Amount) {
         if let Some(b) = self.budgets.get_mut(budget) {
-            b.wanted = wanted;
+            (b.wanted, b.felt) = (wanted.saturating_sub(b.whole.floor), felt.saturating_sub(b.whole.floor));
         }
     }
 
-    /// A budget's whole is another from now on. What was granted of the one before holds until it ends.
+    /// A budget's whole and floor are others from now on. What was granted of the one before holds until it ends.
     ///
     /// # Errors
     /// Where it is less than its floors; it stays as it was.
     pub fn set(&mut self, budget: usize, whole: Whole) -> Result<(), TooSmall> {
         whole.shared(self.up.len())?;
         if let Some(b) = self.budgets.get_mut(budget) {
-            b.whole = whole;
+            // How long a spend is felt belongs to a start: votes are given for longer than that.
+            b.whole = Whole { felt_us: b.whole.felt_us, ..whole };
         }
         Ok(())
     }
@@ -265,13 +292,41 @@
         self.groups.get(group).is_some_and(|g| g.votes.until(self.up.len()) > now)
     }
 
+    /// What this member wants of a budget beyond its floor, and has out.
+    pub fn wants(&self, budget: usize) -> (Amount, Amount) {
+        self.budgets.get(budget).map_or((0, 0), |b| (b.wanted, b.felt))
+    }
+
+    /// Its life.
+    pub fn life(&self) -> Life {
+        self.life
+    }
+
+    /// A budget as it is set here.
+    pub fn whole(&self, budget: usize) -> Option<Whole> {
+        self.budgets.get(budget).map(|b| b.whole)
+    }
+
+    /// What this member has granted of a budget and may be felt still, by holder; floors are not in it.
+    pub fn parts_granted(&self, budget: usize) -> Vec<(Place, Amount)> {
+        self.budgets.get(budget).map_or_else(Vec::new, |b| b.granted.all().filter(|(_, a)| *a > 0).collect())
+    }
+
+    /// The group of a budget.
+    pub fn group(&self, budget: usize) -> usize {
+        budget % self.groups.len()
+    }
+
     /// Who divides a group, as far as this member knows.
-    pub fn divider(&self, group: usize) -> Place {
-        let runs = |place: &Place| self.up.get(*place) == Some(&true);
-        // Whoever has the votes goes on while it runs: a member that comes back must not take them away.
-        let heard = self.groups.get(group).and_then(|g| g.heard).filter(runs);
-        let best = (0..self.up.len()).filter(runs).max_by_key(|place| weight(*place, group));
-        heard.or(best).unwrap_or(self.place)
+    pub fn divider(&self, now: Micros, group: usize) -> Place {
+        if self.divides(now, group) {
+            return self.place;
+        }
+        // Whoever has the votes goes on: a member that comes back must not take them away.
+        let heard = self.groups.get(group).and_then(|g| g.heard).filter(|(_, until)| now < *until);
+        let up = (0..self.up.len()).filter(|place| self.up[*place]);
+        let best = || up.max_by_key(|place| weight(*place, group)).unwrap_or(self.place);
+        heard.map_or_else(best, |(place, _)| place)
     }
 
     /// Counts so far.
@@ -303,24 +358,42 @@
         }
         self.due = now + self.options.ask_us;
         for group in 0..self.groups.len() {
-            if self.divider(group) == self.place {
+            if self.divider(now, group) == self.place {
                 self.stand(now, group);
+            } else {
+                self.groups[group].stood = None;
             }
             self.say_divides(now, group);
         }
         for budget in 0..self.budgets.len() {
-            let divider = self.divider(budget % self.groups.len());
+            let divider = self.divider(now, self.group(budget));
             self.number += 1;
             let number = self.number;
             let b = &mut self.budgets[budget];
             note(&mut b.asked, number, now);
-            let want = Word::Want { budget, number, wanted: b.wanted };
+            let want = Word::Want { budget, number, wanted: b.wanted, of: b.part.2, felt: b.felt };
             self.send(now, divider, want);
             self.say_floor(now, budget);
         }
     }
 
+    /// Asks for votes. Candidates that share them out among themselves would renew them for ever and none would have
+    /// enough: one that does not get them rests, each for a time of its own, until they are over.
     fn stand(&mut self, now: Micros, group: usize) {
+        let (divides, vote_us) = (self.divides(now, group), self.options.vote_us);
+        let g = &mut self.groups[group];
+        if now < g.rests {
+            return;
+        }
+        let since = *g.stood.get_or_insert(now);
+        if divides {
+            g.stood = Some(now);
+        } else if now >= since + (2 + g.votes.count(now)) * vote_us {
+            // The fewer it has the sooner, so that they come together.
+            let own = weight(self.place, group) ^ self.life.rotate_left(17) ^ self.number;
+            (g.stood, g.rests) = (None, now + vote_us + own % vote_us.max(1));
+            return;
+        }
         self.number += 1;
         let number = self.number;
         note(&mut self.groups[group].asked, number, now);
@@ -364,8 +437,11 @@
         }
         match word {
             Word::Stand { group, number } => self.asked_for_vote(now, from, group, number),
-            Word::Vote { group, number, yes, of } => self.voted(from.0, (group, number), yes, of),
-            Word::Want { budget, number, wanted } => self.wanted(now, from.0, (budget, number), wanted),
+            Word::Vote { group, number, yes, of } => self.voted(now, from.0, (group, number), yes, of),
+            Word::Want { budget, number, wanted, of, felt } => {
+                let said = Said { holder: from.0, life: from.1, number, of, felt };
+                self.wanted(now, budget, said, wanted);
+            }
             Word::Part { budget, number, amount, for_us } => {
                 self.granted(now, (budget, number), amount, for_us);
             }
@@ -373,39 +449,68 @@
     }
 
     fn asked_for_vote(&mut self, now: Micros, from: Candidate, group: usize, number: u64) {
-        let vote_us = self.options.vote_us;
+        let (vote_us, own) = (self.options.vote_us, self.place);
+        let divides = self.divides(now, group);
         let Some(g) = self.groups.get_mut(group) else { return };
         let yes = g.vote.ask(now, from, vote_us);
-        if yes {
-            g.heard = Some(from.0);
+        // A candidate that has not the votes gives way to one that comes before it; should that one not get them either,
+        // it rests.
+        let stands = g.heard.is_none_or(|(heard, until)| heard == own || now >= until);
+        let gives_way = !divides && stands && weight(from.0, group) > weight(own, group);
+        if yes || gives_way {
+            g.heard = Some((from.0, now + vote_us));
         }
-        let of = g.heard;
+        let of = g.vote.whose(now);
         self.send(now, from.0, Word::Vote { group, number, yes, of });
     }
 
-    fn voted(&mut self, from: Place, (group, number): (usize, u64), yes: bool, of: Option<Place>) {
-        let counted = self.options.less_drift(self.options.vote_us);
+    fn voted(
+        &mut self,
+        now: Micros,
+        from: Place,
+        (group, number): (usize, u64),
+        yes: bool,
+        of: Option<Place>,
+    ) {
+        let (vote_us, own, members) = (self.options.vote_us, self.place, self.up.len());
+        let counted = self.options.less_drift(vote_us);
         let Some(g) = self.groups.get_mut(group) else { return };
         let Some(sent) = g.asked.get(&number) else { return };
         match (yes, of) {
-            (true, _) => g.votes.add(from, sent + counted),
-            // Another divides: parts are asked of that one. A belief of oneself is not one of them.
-            (false, Some(of)) if g.heard.is_none_or(|heard| heard == self.place) => g.heard = Some(of),
+            (true, _) => {
+                g.told.remove(&from);
+                g.votes.add(from, sent + counted);
+            }
+            // Where more than half say so another divides, and parts are asked of that one.
+            (false, Some(of)) if of != own => {
+                g.told.insert(from, (of, now + vote_us));
+                let same = g.told.values().filter(|(told, until)| *told == of && now < *until).count();
+                if same > members / 2 && g.votes.until(members) <= now {
+                    g.heard = Some((of, now + vote_us));
+                }
+            }
             _ => {}
         }
     }
 
-    fn wanted(&mut self, now: Micros, holder: Place, (budget, number): (usize, u64), wanted: Amount) {
-        let (members, options) = (self.up.len(), self.options);
-        let group = budget % self.groups.len();
-        let until = self.groups[group].votes.until(members).min(now + options.lease_us);
+    fn wanted(&mut self, now: Micros, budget: usize, said: Said, wanted: Amount) {
+        let (members, options, group) = (self.up.len(), self.options, self.group(budget));
         let Some(b) = self.budgets.get_mut(budget) else { return };
+        // What is spent at the last moment of a part is felt before the votes are over, too.
+        let felt_us = options.more_drift(b.whole.felt_us);
+        let votes = self.groups[group].votes.until(members).saturating_sub(felt_us);
+        let until = votes.min(now + options.lease_us);
         if until <= now {
             self.groups[group].began = None;
             self.tally.astray += 1;
             return;
         }
         let began = *self.groups[group].began.get_or_insert(now);
+        if !b.granted.heard(now, said) {
+            self.tally.late += 1;
+            return;
+        }
+        let holder = said.holder;
         let shared = b.whole.shared(members).unwrap_or(0);
         b.wants.say(now, holder, wanted, options.lease_us);
         let (mut fair, has) = (b.wants.fair(holder, shared), b.granted.of(holder));
@@ -415,9 +520,9 @@
         }
         // Up at once, as far as there is room; down by halves, so that no part swings with each question.
         let due = if fair < has && wanted > 0 { fair + (has - fair) / 2 } else { fair };
-        let amount = b.granted.grant(now, (holder, due), shared, until);
+        let amount = b.granted.grant(said, due, shared, until + felt_us);
         self.tally.granted += 1;
-        self.send(now, holder, Word::Part { budget, number, amount, for_us: until - now });
+        self.send(now, holder, Word::Part { budget, number: said.number, amount, for_us: until - now });
     }
 
     fn granted(&mut self, now: Micros, (budget, number): (usize, u64), amount: Amount, for_us: Micros) {
--- a/budgets/src/vote.rs
+++ b/budgets/src/vote.rs
@@ -20,6 +20,11 @@
         Vote { given: None, until: now + vote_us }
     }
 
+    /// Whose it is.
+    pub(crate) fn whose(&self, now: Micros) -> Option<Place> {
+        self.given.filter(|_| now < self.until).map(|(place, _)| place)
+    }
+
     /// Whether the candidate has it from now on for `vote_us`.
     pub(crate) fn ask(&mut self, now: Micros, candidate: Candidate, vote_us: Micros) -> bool {
         if self.given != Some(candidate) && now < self.until {
@@ -40,6 +45,11 @@
         *known = until.max(*known);
     }
 
+    /// How many there are.
+    pub(crate) fn count(&self, now: Micros) -> u64 {
+        self.0.values().filter(|until| now < **until).count() as u64
+    }
+
     /// Until when more than half of so many members vote for it.
     pub(crate) fn until(&self, members: usize) -> Micros {
         let mut ends: Vec<Micros> = self.0.values().copied().collect();
--- a/budgets/tests/fleet.rs
+++ b/budgets/tests/fleet.rs
@@ -17,30 +17,59 @@
     ahead: Micros,
     faster: i64,
     stalled: Option<Vec<(Place, Life, Word)>>,
+    /// By budget, what it would spend if it could, and what was spent: how much, and until when that is felt.
+    wants: Vec<Amount>,
+    spent: Vec<Vec<(Amount, Micros)>>,
+    /// What its lives before spent, which it knows nothing of.
+    before: Vec<Vec<(Amount, Micros)>>,
+}
+
+fn felt(spent: &[(Amount, Micros)], now: Micros) -> Amount {
+    spent.iter().filter(|(_, until)| *until > now).map(|(amount, _)| amount).sum()
 }
 
 impl Node {
     fn clock(&self, now: Micros) -> Micros {
         self.ahead + (now as i64 + now as i64 * self.faster / 1_000_000) as Micros
     }
+
+    /// What is felt still of what it spent of a budget.
+    fn felt(&self, now: Micros, budget: usize) -> Amount {
+        felt(&self.spent[budget], now)
+    }
 }
 
 struct Net {
     links: simnet::Net<(Life, Word)>,
     nodes: Vec<Node>,
     wholes: Vec<Whole>,
-    /// The most that was in force at once, of each budget, in thousandths of its whole.
-    most: Vec<u64>,
+    options: Options,
+    /// The most that was in force at once, and felt at once, of each budget, in thousandths of its whole.
+    most: Vec<(u64, u64)>,
 }
 
 impl Net {
     fn new(nodes: usize, seed: u64, wholes: &[Whole]) -> Net {
         let links = simnet::Net::new(seed, (100, 20 * MS));
-        let mut net = Net { links, nodes: Vec::new(), wholes: wholes.to_vec(), most: vec![0; wholes.len()] };
+        let felt_us = wholes.iter().map(|whole| whole.felt_us).max().unwrap_or(0);
+        let options = OPTIONS.felt_for(felt_us);
+        let most = vec![(0, 0); wholes.len()];
+        let mut net = Net { links, nodes: Vec::new(), wholes: wholes.to_vec(), options, most };
         for _ in 0..nodes {
             // Clocks that are a hundred times worse than those of machines, so that what guards against them is seen.
             let (ahead, faster) = (net.links.draw(1_000 * S), net.links.draw(100_001) as i64 - 50_000);
-            net.nodes.push(Node { member: None, life: 0, ahead, faster, stalled: None });
+            let (wants, spent) = (vec![0; wholes.len()], vec![Vec::new(); wholes.len()]);
+            let before = spent.clone();
+            net.nodes.push(Node {
+                member: None,
+                life: 0,
+                ahead,
+                faster,
+                stalled: None,
+                wants,
+                spent,
+                before,
+            });
         }
         (0..nodes).for_each(|n| net.start(n));
         net
@@ -52,14 +81,25 @@
         (node.life, node.stalled) = (node.life + 1, None);
         let clock = node.clock(now);
         let mut member =
-            Member::new((n, node.life), nodes, &self.wholes, clock, OPTIONS).expect("a sound whole");
+            Member::new((n, node.life), nodes, &self.wholes, clock, self.options).expect("a sound whole");
         (0..nodes).for_each(|m| member.believe(m, true));
         node.member = Some(member);
         self.believe();
     }
 
     fn kill(&mut self, n: usize) {
-        (self.nodes[n].member, self.nodes[n].stalled) = (None, None);
+        let node = &mut self.nodes[n];
+        (node.member, node.stalled) = (None, None);
+        node.wants.fill(0);
+        // Its connections end with it, and what they held of its floor; the rest is felt as long as it can be.
+        for (spent, whole) in node.spent.iter_mut().zip(&self.wholes) {
+            let mut floor = whole.floor;
+            for (amount, _) in spent.iter_mut() {
+                let less = floor.min(*amount);
+                (*amount, floor) = (*amount - less, floor - less);
+            }
+        }
+        node.before.iter_mut().zip(&mut node.spent).for_each(|(before, spent)| before.append(spent));
         self.believe();
     }
 
@@ -72,8 +112,37 @@
     }
 
     fn want(&mut self, n: usize, wanted: Amount) {
-        if let Some(member) = &mut self.nodes[n].member {
-            (0..self.wholes.len()).for_each(|budget| member.want(budget, wanted));
+        self.nodes[n].wants.fill(wanted);
+    }
+
+    /// Tells a member what it wants and what is felt of it.
+    fn tell(&mut self, n: usize) {
+        let now = self.links.now;
+        let felt: Vec<Amount> =
+            (0..self.wholes.len()).map(|budget| self.nodes[n].felt(now, budget)).collect();
+        let node = &mut self.nodes[n];
+        for (budget, felt) in felt.into_iter().enumerate() {
+            node.member.iter_mut().for_each(|member| member.want(budget, node.wants[budget], felt));
+        }
+    }
+
+    /// A member spends as much as it may and wants, for as long as that may be felt.
+    fn spend(&mut self, n: usize) {
+        let now = self.links.now;
+        for budget in (0..self.wholes.len()).filter(|budget| self.wholes[*budget].felt_us > 0) {
+            let most_us = self.wholes[budget].felt_us;
+            let node = &mut self.nodes[n];
+            let Some(member) = node.member.as_ref().filter(|_| node.stalled.is_none()) else { return };
+            let part = member.part(node.clock(now), budget).0.min(node.wants[budget]);
+            let room = part.saturating_sub(node.felt(now, budget));
+            if room > 0 {
+                // Often all of it, and mostly for as long as it can be.
+                let amount = if self.links.draw(2) == 0 { room } else { self.links.draw(room + 1) };
+                let for_us = most_us - if self.links.draw(3) == 0 { self.links.draw(most_us) } else { 0 };
+                let node = &mut self.nodes[n];
+                node.spent[budget].retain(|(_, until)| *until > now);
+                node.spent[budget].push((amount, now + for_us));
+            }
         }
     }
 
@@ -92,6 +161,7 @@
         if let Some(member) = &mut self.nodes[to].member {
             member.hear(clock, (from, life), word);
             self.send(to);
+            self.spend(to);
         }
     }
 
@@ -111,7 +181,12 @@
         for budget in 0..self.wholes.len() {
             let (sum, whole) = (self.in_force(budget), self.wholes[budget].whole);
             assert!(sum <= whole, "{sum} of {whole} in force at {} us", self.links.now);
-            self.most[budget] = self.most[budget].max(sum * 1_000 / whole);
+            let now = self.links.now;
+            let of = |n: &Node| n.felt(now, budget) + felt(&n.before[budget], now);
+            let felt: Amount = self.nodes.iter().map(of).sum();
+            assert!(felt <= whole, "{felt} of {whole} felt at {} us", self.links.now);
+            let most = &mut self.most[budget];
+            *most = (most.0.max(sum * 1_000 / whole), most.1.max(felt * 1_000 / whole));
         }
     }
 
@@ -128,6 +203,8 @@
             match self.links.step(end, due) {
                 Step::Arrives { from, to, word: (life, word) } => self.arrive(from, life, to, word),
                 Step::Due(n) => {
+                    self.spend(n);
+                    self.tell(n);
                     let clock = self.nodes[n].clock(self.links.now) + 1;
                     self.nodes[n].member.iter_mut().for_each(|m| m.tick(clock.max(m.due())));
                     self.send(n);
@@ -157,15 +234,17 @@
 }
 
 fn wholes() -> Vec<Whole> {
-    vec![Whole { whole: 100_000, floor: 100 }, Whole { whole: 10_000, floor: 10 }]
+    vec![Whole { whole: 100_000, floor: 100, felt_us: 0 }, Whole { whole: 10_000, floor: 10, felt_us: 0 }]
 }
 
 #[test]
 fn the_sum_holds_through_everything_that_can_happen() {
-    let mut highest = 0;
+    let mut highest = (0, 0);
     for seed in 0..1_000 {
         let nodes = 3 + (seed % 6) as usize;
-        let mut net = Net::new(nodes, seed, &wholes());
+        let felt_us = seed % 3 * 400 * MS;
+        let wholes: Vec<Whole> = wholes().into_iter().map(|whole| Whole { felt_us, ..whole }).collect();
+        let mut net = Net::new(nodes, seed, &wholes);
         (net.links.lost, net.links.doubled) = (seed % 4 * 10, seed % 4 * 10);
         for _ in 0..40 {
             let n = net.links.draw(nodes as u64) as usize;
@@ -195,9 +274,9 @@
             let moment = net.links.draw(1_500 * MS);
             net.run(moment);
         }
-        highest = highest.max(net.most[0]);
+        highest = (net.most[0].0.max(highest.0), net.most[0].1.max(highest.1));
     }
-    assert!(highest > 900, "else nothing much was ever granted: {highest}");
+    assert!(highest.0 > 900 && highest.1 > 900, "else nothing much was ever granted and spent: {highest:?}");
 }
 
 #[test]
@@ -272,7 +351,7 @@
     let mut net = Net::new(4, 9, &wholes());
     (0..4).for_each(|n| net.want(n, 1_000_000));
     net.run(6 * S);
-    let half = Whole { whole: 50_000, floor: 100 };
+    let half = Whole { whole: 50_000, floor: 100, felt_us: 0 };
     for node in &mut net.nodes {
         node.member.as_mut().unwrap().set(0, half).unwrap();
     }
@@ -280,9 +359,126 @@
     net.wholes[0] = half;
     net.run(5 * S);
     assert!(net.in_force(0) >= 47_000);
-    let less = net.nodes[0].member.as_mut().unwrap().set(0, Whole { whole: 399, floor: 100 });
+    let less = net.nodes[0].member.as_mut().unwrap().set(0, Whole { whole: 399, floor: 100, felt_us: 0 });
     assert_eq!(less.unwrap_err().floors, 400, "a whole below its floors is refused");
-    assert!(Member::new((0, 1), 4, &[Whole { whole: 399, floor: 100 }], 0, Options::default()).is_err());
+    assert!(Member::new((0, 1), 4, &[Whole { whole: 399, floor: 100, felt_us: 0 }], 0, Options::default())
+        .is_err());
+}
+
+/// Who is believed to run decides who stands and nothing else: where each believes itself alone, or all the others gone the
+/// round, one divides in the end, and all have parts.
+#[test]
+fn members_that_disagree_about_who_runs_agree_on_a_divider_in_the_end() {
+    let mut longest = 0;
+    for nodes in [3, 5, 8] {
+        for seed in 0..60 {
+            let mut net = Net::new(nodes, seed, &wholes());
+            (0..nodes).for_each(|n| net.want(n, 1_000_000));
+            for n in 0..nodes {
+                let member = net.nodes[n].member.as_mut().unwrap();
+                // By turns: itself alone; the next in a ring; itself and two others.
+                let alone = |m: usize| match seed % 3 {
+                    0 => m == n,
+                    1 => m == (n + 1) % nodes,
+                    _ => m == n || m == (n + 1) % nodes || m == (n + 2) % nodes,
+                };
+                (0..nodes).for_each(|m| member.believe(m, alone(m)));
+            }
+            // Started one after the other, so that each has votes for a moment.
+            for n in 0..nodes {
+                let beliefs: Vec<bool> = (0..nodes).map(|m| m == n || seed % 3 == 1).collect();
+                net.nodes[n].life += 1;
+                let (life, clock) = (net.nodes[n].life, net.nodes[n].clock(net.links.now));
+                let mut member = Member::new((n, life), nodes, &net.wholes, clock, net.options).unwrap();
+                beliefs.iter().enumerate().for_each(|(m, up)| member.believe(m, *up));
+                net.nodes[n].member = Some(member);
+                let moment = net.links.draw(3 * S);
+                net.run(moment);
+            }
+            let begun = net.links.now;
+            while net.divider(0).is_none() || net.in_force(0) < 90_000 {
+                assert!(net.links.now < begun + 60 * S, "{nodes} members, seed {seed}: {}", net.in_force(0));
+                net.run(S);
+            }
+            let divider = net.divider(0);
+            longest = longest.max(net.links.now - begun);
+            net.run(10 * S);
+            assert_eq!(net.divider(0), divider, "{nodes} members, seed {seed}");
+        }
+    }
+    assert!(longest <= 10 * S, "{longest} us: not for long, either");
+}
+
+/// What was spent by the last votes of one divider is felt no more when the next has its own.
+#[test]
+fn the_sum_of_what_is_felt_holds_from_one_divider_to_the_next() {
+    let wholes = [Whole { whole: 100_000, floor: 100, felt_us: 3 * S }];
+    for seed in 0..200 {
+        let mut net = Net::new(5, seed, &wholes);
+        (0..5).for_each(|n| net.want(n, 1_000_000));
+        net.run(12 * S);
+        let divider = net.divider(0).expect("one divides");
+        // It goes on granting to one beside it for as long as it has votes, and those two alone want all.
+        let other = (divider + 1) % 5;
+        (0..5).filter(|n| *n != other && *n != divider).for_each(|n| net.want(n, 0));
+        net.run(4 * S);
+        net.links.split(5, &[divider, other]);
+        for n in (0..5).filter(|n| *n != other && *n != divider) {
+            net.want(n, 1_000_000);
+            let member = net.nodes[n].member.as_mut().unwrap();
+            [divider, other].into_iter().for_each(|m| member.believe(m, false));
+        }
+        net.run(14 * S);
+        assert!(net.divider(0).is_some_and(|next| next != divider), "seed {seed}");
+        assert!(net.in_force(0) > 90_000, "seed {seed}: {}", net.in_force(0));
+        assert!(net.most[0].1 > 900, "seed {seed}: {:?}", net.most);
+    }
+}
+
+/// A holder that starts again at once does not know what it spent before, and is granted nothing in its place.
+#[test]
+fn what_a_holder_spent_before_it_started_again_counts_beside_what_it_spends_now() {
+    let wholes = [Whole { whole: 100_000, floor: 100, felt_us: 3 * S }];
+    for seed in 0..100 {
+        let mut net = Net::new(4, seed, &wholes);
+        net.run(8 * S);
+        let divider = net.divider(0).expect("one divides");
+        let holder = (divider + 1) % 4;
+        net.want(holder, 1_000_000);
+        net.run(3 * S);
+        for _ in 0..4 {
+            net.kill(holder);
+            net.start(holder);
+            net.want(holder, 1_000_000);
+            let moment = net.links.draw(1_500 * MS);
+            net.run(moment);
+        }
+        net.run(6 * S);
+        assert!(net.in_force(0) > 90_000, "seed {seed}: {}", net.in_force(0));
+    }
+}
+
+/// What is spent is felt for seconds: who wants less gives up what it does not have out at once, and not when all of it
+/// could be over.
+#[test]
+fn what_is_given_up_is_free_long_before_it_could_be_felt_no_more() {
+    let wholes = [Whole { whole: 100_000, floor: 100, felt_us: 5 * S }];
+    let mut net = Net::new(4, 5, &wholes);
+    net.want(0, 1_000_000);
+    net.run(12 * S);
+    let part = |net: &Net, n: usize| {
+        let node = &net.nodes[n];
+        node.member.as_ref().unwrap().part(node.clock(net.links.now), 0).0
+    };
+    assert!(part(&net, 0) > 90_000, "{}", part(&net, 0));
+    // It has spent all of it, and wants no more; another does.
+    net.want(0, 0);
+    net.want(1, 1_000_000);
+    net.run(S);
+    assert!(part(&net, 1) < 10_000, "what is out is felt still: {}", part(&net, 1));
+    net.nodes[0].spent[0].clear();
+    net.run(S);
+    assert!(part(&net, 1) > 90_000, "{}", part(&net, 1));
 }
 
 /// A divider that starts again at once has forgotten what it granted: it is another life, which has no votes before all
--- a/daemon/src/config.rs
+++ b/daemon/src/config.rs
@@ -3,7 +3,9 @@
 use crate::bus::{read_event, BusEvent, News};
 use crate::front::cdni::footprint::Network;
 use crate::front::cdni::{Identity, Neighbour};
-use crate::interconnect::{CdniFile, Consul, Copies, CopiesFile, File, LogForm, NeighbourFile, State};
+use crate::interconnect::{
+    Budgets, CdniFile, Consul, Copies, CopiesFile, File, LogForm, NeighbourFile, State,
+};
 use crate::limits::Limits;
 use linnetknot::Settings;
 use linnetknot_membership::Answer;
@@ -44,6 +46,8 @@
     pub copies: Copies,
     /// The same as the file has it, for peers that change.
     copies_file: (bool, CopiesFile),
+    /// What is shared with all proxies.
+    pub budgets: Budgets,
     /// The second front.
     pub cdni: Option<Cdni>,
     /// Consul as a source of the list.
@@ -160,6 +164,7 @@
         if self.copies.on && self.cdni.as_ref().is_none_or(|c| c.purges.is_none()) {
             return Err("peers.copies: 'cdni.purges' names no file to keep them in".into());
         }
+        self.budgets = file.budgets.check(&self.settings, self.copies.on, self.peers.as_ref())?;
         self.state = file.state.check()?;
         self.log = file.log.form;
         Ok(())
@@ -190,6 +195,7 @@
             tell: false,
             copies: Copies::default(),
             copies_file: Default::default(),
+            budgets: Budgets::default(),
             cdni: None,
             consul: None,
             state: State::default(),
@@ -257,6 +263,7 @@
             tell: false,
             copies: Copies::default(),
             copies_file: Default::default(),
+            budgets: Budgets::default(),
             cdni: None,
             consul: None,
             state: State::default(),
--- a/daemon/src/core.rs
+++ b/daemon/src/core.rs
@@ -206,6 +206,8 @@
 /// The request table and the module.
 pub struct Core {
     router: Router,
+    /// No request is open for longer, whatever its client says.
+    pub most_us: Micros,
     requests: Slots<Open>,
     /// Ids of what is open: no two may be out under one.
     ids: HashSet<String>,
@@ -233,6 +235,7 @@
             ids: HashSet::new(),
             keyed: keyed.collect(),
             router: Router::new(settings, seed)?,
+            most_us: Micros::MAX,
             requests: Slots::new(limits.requests),
             boxes: BTreeMap::new(),
             answer_ahead_us: limits.answer_ahead_us,
@@ -354,7 +357,7 @@
         if self.bodies + body > self.most_bodies || keyless || self.ids.contains(&asked.id) {
             return None;
         }
-        let remaining_us = asked.remaining_us.saturating_sub(self.answer_ahead_us);
+        let remaining_us = asked.remaining_us.min(self.most_us).saturating_sub(self.answer_ahead_us);
         let request = Request {
             id: 0,
             class: asked.class.clone(),
@@ -432,6 +435,21 @@
         self.feed(now, Event::Heard { origin_share, for_us: until.saturating_sub(now) });
     }
 
+    /// What this proxy may spend of what all spend together.
+    pub fn part(&mut self, now: Micros, part: linnetknot::Part) {
+        self.feed(now, Event::Part(part));
+    }
+
+    /// Requests of this proxy that the origin holds, or may hold.
+    pub fn asking(&self) -> usize {
+        self.router.asking()
+    }
+
+    /// The greatest share of what a cold cache, or parent, bears that this proxy sent to it of late; none: none is cold.
+    pub fn cold_use(&self, now: Micros, parents: bool) -> Option<f64> {
+        self.router.cold_use(now, parents)
+    }
+
     /// A probe ended.
     pub fn probed(
         &mut self,
--- a/daemon/src/daemon/door.rs
+++ b/daemon/src/daemon/door.rs
@@ -144,7 +144,10 @@
         if let (Call::Fleet, Some(status)) = (&call, self.fleet_status()) {
             return Some(Reply::new(200, status.to_json()));
         }
-        let kept = self.ledger.is_some() && !matches!(call, Call::Ready | Call::Fleet);
+        if let (Call::Budgets, Some(status)) = (&call, self.budgets_status()) {
+            return Some(Reply::new(200, status.to_json()));
+        }
+        let kept = self.ledger.is_some() && !matches!(call, Call::Ready | Call::Fleet | Call::Budgets);
         let shown = format!("{call:?}");
         let members = &self.members;
         let known = |id: &str| members.listed().any(|(e, _)| e.uid == id);
--- a/daemon/src/daemon/feeds/peers.rs
+++ b/daemon/src/daemon/feeds/peers.rs
@@ -24,7 +24,12 @@
             }
             let bytes = &bytes[..length];
             let place = self.config.copies.machines.iter().position(|(peer, _)| *peer == from);
-            if place.is_some_and(|p| self.hear_member(now, p, bytes) || self.hear_copies(now, p, bytes)) {
+            let heard = |p| {
+                self.hear_member(now, p, bytes)
+                    || self.hear_budgets(now, p, bytes)
+                    || self.hear_copies(now, p, bytes)
+            };
+            if place.is_some_and(heard) {
                 continue;
             }
             if self.hearsay.as_mut().is_some_and(|h| h.hear(now, from, bytes)) {
--- a/daemon/src/daemon/mod.rs
+++ b/daemon/src/daemon/mod.rs
@@ -19,6 +19,7 @@
 use std::net::{SocketAddr, TcpListener, UdpSocket};
 
 mod boxes;
+mod budgets;
 mod clients;
 mod door;
 mod exchange;
@@ -192,6 +193,8 @@
     promised: promises::Promised,
     /// Who of the peers is there, and when that is due to be looked at again.
     members_of_fleet: Option<linnetknot_fleet::Fleet>,
+    /// What all proxies spend together.
+    sharing: Option<budgets::Sharing>,
     fleet_due: Option<Due>,
     /// Raised by the store's worker when there is word of what is on the disk.
     store_word: Option<Signal>,
@@ -320,6 +323,7 @@
             ledger,
             promised: promises::Promised::default(),
             members_of_fleet: None,
+            sharing: None,
             fleet_due: None,
             store_word,
             posts: 0,
@@ -345,6 +349,7 @@
         daemon.bus.last = last_event;
         daemon.know_machines();
         daemon.join_fleet(now);
+        daemon.join_budgets(now)?;
         daemon.begin_decided(now);
         daemon.begin_triggers(now);
         daemon.begin_recovery(now);
@@ -419,6 +424,7 @@
             c.left,
             c.attempts
         );
+        self.say_budgets();
         if self.peers.is_some() {
             let (strangers, foreign) = self.dropped;
             log::info!(strangers = strangers, foreign = foreign; "datagrams that were dropped");
@@ -563,6 +569,9 @@
             known.clone_from(peers);
             self.hearsay.iter_mut().for_each(|h| h.keep(|peer| peers.contains(peer)));
         }
+        if self.config.budgets != new.budgets {
+            self.reload_budgets(&new.budgets);
+        }
         let moved = self.config.bus != new.bus;
         self.config.bus = new.bus;
         self.config.peers = new.peers.take().or(self.config.peers.take());
--- a/daemon/src/fleet.rs
+++ b/daemon/src/fleet.rs
@@ -1,7 +1,9 @@
 //! `linnetknot fleet status`: asks a running proxy, by its operators' door, where its copies and promises stand.
 
+use crate::budgets;
 use crate::wire::http::{write_message, Messages, Piece};
 use crate::wire::Parser;
+use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use std::fmt::Write as _;
 use std::io::{self, Read, Write};
@@ -150,17 +152,29 @@
     }
 }
 
-/// Asks a proxy by its door.
+/// Asks a proxy by its door of its copies and promises.
 ///
 /// # Errors
 /// Where the door can't be reached, says no (it makes no copies), or says what can't be read.
 pub fn ask(door: SocketAddr) -> io::Result<Status> {
+    ask_for(door, "/control/fleet", "this proxy makes no copies ('peers.copies')")
+}
+
+/// Asks a proxy by its door of its parts of what all proxies spend.
+///
+/// # Errors
+/// As `ask`; the door says no where nothing is shared.
+pub fn ask_budgets(door: SocketAddr) -> io::Result<budgets::Status> {
+    ask_for(door, "/control/budgets", "this proxy shares nothing with others ('budgets')")
+}
+
+fn ask_for<T: DeserializeOwned>(door: SocketAddr, path: &str, not_found: &str) -> io::Result<T> {
     let mut socket = TcpStream::connect_timeout(&door, PATIENCE)?;
     socket.set_read_timeout(Some(PATIENCE))?;
     socket.set_write_timeout(Some(PATIENCE))?;
     let mut call = Vec::new();
     let headers = [("Host", "door"), ("Connection", "close")];
-    write_message(&mut call, "GET /control/fleet HTTP/1.1", &headers, b"");
+    write_message(&mut call, &format!("GET {path} HTTP/1.1"), &headers, b"");
     socket.write_all(&call)?;
     let (mut answer, mut input, mut status) = (Vec::new(), Vec::new(), None);
     let mut messages = Messages::responses(MOST_ANSWER, MOST_ANSWER);
@@ -190,7 +204,7 @@
         Some(200) => {
             serde_json::from_slice(&answer).map_err(|e| bad(format!("the door's answer can't be read: {e}")))
         }
-        Some(404) => Err(bad("this proxy makes no copies ('peers.copies')".into())),
+        Some(404) => Err(bad(not_found.into())),
         status => Err(bad(format!("the door answered {status:?}"))),
     }
 }
--- a/daemon/src/interconnect.rs
+++ b/daemon/src/interconnect.rs
@@ -2,7 +2,8 @@
 //! where nothing is said. The types here are its form; its JSON Schema, `docs/interconnect.schema.json`, is made
 //! from them (`linnetknot schema`).
 
-use linnetknot::{Micros, Settings};
+use linnetknot::{Budget, Micros, Settings};
+use linnetknot_budgets::{kinds, limit::Whole};
 use linnetknot_consul::{Consistency, Identity, Mapping, MetaKeys, Options, Registrant};
 use linnetknot_membership::Damping;
 use schemars::JsonSchema;
@@ -24,6 +25,8 @@
     pub peers: PeersFile,
     /// What is promised of their copies, where `peers.copies` is on.
     pub copies: CopiesFile,
+    /// What all proxies spend together, divided among them.
+    pub budgets: BudgetsFile,
     /// What outlives the process.
     pub state: StateFile,
     /// The log.
@@ -115,6 +118,120 @@
     }
 }
 
+/// What all proxies spend together, divided among them so that their parts never sum to more than the whole. Needs
+/// `peers.copies`, by which proxies know each other. The same at all of them.
+#[derive(Clone, Debug, PartialEq, Deserialize, JsonSchema)]
+#[serde(default, deny_unknown_fields)]
+pub struct BudgetsFile {
+    /// Requests that the origin holds at a time; null: each proxy guesses by what it hears.
+    pub origin: Option<OriginFile>,
+    /// What cold boxes and hub caches bear is divided by need, and not in as many equal parts as there are proxies.
+    pub cold: bool,
+    /// Share of what cold servers bear that is set aside, in equal parts for all proxies, whatever they can reach.
+    #[schemars(range(min = 0.01, max = 1.0))]
+    pub cold_floors: f64,
+}
+
+impl Default for BudgetsFile {
+    fn default() -> Self {
+        BudgetsFile { origin: None, cold: false, cold_floors: 0.25 }
+    }
+}
+
+/// Requests that the origin holds at a time.
+#[derive(Clone, Debug, PartialEq, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct OriginFile {
+    /// Of all proxies together.
+    #[schemars(range(min = 1, max = 1_000_000))]
+    pub whole: u64,
+    /// Set aside of that for each proxy in `peers`, whatever it can reach.
+    #[serde(default = "one")]
+    #[schemars(range(min = 0, max = 1_000_000))]
+    pub floor: u64,
+}
+
+fn one() -> u64 {
+    1
+}
+
+/// One thing that is shared.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Shared {
+    /// Its name.
+    pub name: String,
+    /// What its amounts count.
+    pub unit: kinds::Unit,
+    /// What the module knows it as; none: it is another zone's.
+    pub of: Option<linnetknot::Budget>,
+    /// Its whole and floors.
+    pub whole: Whole,
+}
+
+/// What is shared, checked.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Budgets {
+    /// This proxy's place in the list of all.
+    pub place: usize,
+    /// How many are in it.
+    pub members: usize,
+    /// Stands for what is shared among how many: whose is another does not share with this proxy.
+    pub form: u64,
+    /// What is shared.
+    pub list: Vec<Shared>,
+}
+
+impl BudgetsFile {
+    /// What the daemon uses, for these settings and the peers of the configuration.
+    pub fn check(
+        &self,
+        settings: &Settings,
+        copies: bool,
+        peers: Option<&(SocketAddr, Vec<SocketAddr>)>,
+    ) -> Result<Budgets> {
+        let share = range("budgets.cold_floors", self.cold_floors, 0.01, 1.0)?;
+        if let Some(origin) = &self.origin {
+            range("budgets.origin.whole", origin.whole, 1, 1_000_000)?;
+            range("budgets.origin.floor", origin.floor, 0, 1_000_000)?;
+        }
+        if self.origin.is_none() && !self.cold {
+            return Ok(Budgets::default());
+        }
+        if !copies {
+            return Err("budgets: needs 'peers.copies', by which the proxies know each other".into());
+        }
+        // Without peers a file is checked by itself, and nothing can be said of how many share.
+        let Some((own, all)) = peers else { return Ok(Budgets::default()) };
+        let place = all.iter().position(|peer| peer == own).ok_or(
+            "budgets: 'peers' does not name this proxy's own 'peer_listen', by whose place there it is known",
+        )?;
+        let members = all.len();
+        let mut list = Vec::new();
+        if let Some(OriginFile { whole, floor }) = self.origin {
+            let felt_us = settings.classes.iter().map(|class| class.deadline_us).max().unwrap_or(0);
+            let whole = Whole { whole, floor, felt_us };
+            whole.shared(members).map_err(|e| format!("budgets.origin.whole: {} is {e}", whole.whole))?;
+            let (name, unit) = (kinds::ORIGIN.name.to_owned(), kinds::ORIGIN.unit);
+            list.push(Shared { name, unit, of: Some(Budget::Origin), whole });
+        }
+        if self.cold {
+            let floor = (share * kinds::ALL as f64 / members as f64) as u64;
+            let whole = Whole { whole: kinds::ALL, floor, felt_us: settings.rules.fall_us };
+            if settings.parent_kind.is_some() {
+                let (name, unit) = (kinds::PARENTS.name.to_owned(), kinds::PARENTS.unit);
+                list.push(Shared { name, unit, of: Some(Budget::Parents), whole });
+            }
+            for (n, zone) in settings.zones.iter().enumerate() {
+                let (name, unit) = (format!("{}:{}", kinds::CACHES.name, zone.name), kinds::CACHES.unit);
+                list.push(Shared { name, unit, of: (n == settings.zone).then_some(Budget::Caches), whole });
+            }
+        }
+        let names = list.iter().map(|b| format!("{} {} {}", b.name, b.whole.floor, b.whole.felt_us));
+        let text = names.fold(format!("{members}"), |text, name| text + "\n" + &name);
+        Ok(Budgets { place, members, form: linnetknot_membership::server_id(&text), list })
+    }
+}
+
 /// The second front: where it listens, and how it presents itself.
 #[derive(Clone, Debug, Default, Deserialize, JsonSchema)]
 #[serde(default, deny_unknown_fields)]
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -5,6 +5,7 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+pub mod budgets;
 pub mod bus;
 pub mod config;
 pub mod core;
--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -3,6 +3,7 @@
 
 use clap::{Parser, Subcommand};
 use linnetknot_daemon::{config, config::Config, daemon::Daemon, fleet, interconnect, logging};
+use std::io;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -44,6 +45,29 @@
         #[arg(long)]
         json: bool,
     },
+    /// What all proxies spend together: its parts, who divides, and who lives on a floor. Exits with 1 where it can't be
+    /// asked.
+    Budgets {
+        /// The operators' door of the proxy ('ops' of its configuration).
+        door: SocketAddr,
+        /// As JSON, in one line.
+        #[arg(long)]
+        json: bool,
+    },
+}
+
+/// Prints what a door said.
+fn tell<T>(door: SocketAddr, said: io::Result<T>, shown: impl Fn(&T) -> String) -> ExitCode {
+    match said {
+        Ok(status) => {
+            println!("{}", shown(&status).trim_end());
+            ExitCode::SUCCESS
+        }
+        Err(e) => {
+            eprintln!("{door}: {e}");
+            ExitCode::FAILURE
+        }
+    }
 }
 
 fn serve() -> Result<(), String> {
@@ -78,20 +102,12 @@
             }
             ExitCode::from(u8::from(!sound))
         }
-        Some(Command::Fleet { what: FleetCommand::Status { door, json } }) => match fleet::ask(door) {
-            Ok(status) if json => {
-                println!("{}", status.to_json());
-                ExitCode::SUCCESS
-            }
-            Ok(status) => {
-                print!("{}", status.to_table());
-                ExitCode::SUCCESS
-            }
-            Err(e) => {
-                eprintln!("{door}: {e}");
-                ExitCode::FAILURE
-            }
-        },
+        Some(Command::Fleet { what: FleetCommand::Status { door, json } }) => {
+            tell(door, fleet::ask(door), |s| if json { s.to_json() } else { s.to_table() })
+        }
+        Some(Command::Fleet { what: FleetCommand::Budgets { door, json } }) => {
+            tell(door, fleet::ask_budgets(door), |s| if json { s.to_json() } else { s.to_table() })
+        }
         Some(Command::Schema) => {
             print!("{}", interconnect::schema());
             ExitCode::SUCCESS
--- a/daemon/src/points.rs
+++ b/daemon/src/points.rs
@@ -7,7 +7,7 @@
 use rustix::process::{getpid, kill_process, Signal};
 
 /// The points, in the order in which a promise passes them.
-pub const POINTS: [&str; 13] = [
+pub const POINTS: [&str; 18] = [
     // A purge that a neighbour told: before the peers are told and after; before the store's worker writes and after;
     // and once enough have it, before the answer.
     "peers-tell",
@@ -28,6 +28,14 @@
     "door-keeps",
     "door-kept-once",
     "door-kept",
+    // A divider that has decided on parts of what all spend: before their holders hear of them and after.
+    "budgets-grant",
+    "budgets-granted",
+    // Faults that rehearsals plant: a holder that ignores its part's end, a divider that does not wait for its
+    // forerunner's votes, floors that are not counted.
+    "plant-lease",
+    "plant-votes",
+    "plant-floors",
 ];
 
 /// What happens at a point that is armed.
--- /dev/null
+++ b/daemon/tests/budgets.rs
@@ -0,0 +1,355 @@
+//! What all proxies spend together, on several processes with gates between them: places at the origin, counted by the
+//! origin itself. However links and processes fail, it never holds more than the whole; and what the others do not use is
+//! used by those that have something to do.
+
+use linnetknot_daemon::budgets::BudgetStatus;
+use linnetknot_rehearse::clients::PATIENCE;
+use linnetknot_rehearse::fleet::{Disk, Fleet, Setup};
+use linnetknot_rehearse::gates::Weather;
+use linnetknot_rehearse::pressure::Pressure;
+use linnetknot_rehearse::rules::budgets::{judge, mean};
+use linnetknot_rehearse::rules::Breach;
+use serde_json::{json, Value};
+use std::path::Path;
+use std::time::{Duration, Instant};
+
+const DAEMON: &str = env!("CARGO_BIN_EXE_linnetknot");
+/// Places at the origin, and those set aside for each proxy.
+const WHOLE: u64 = 24;
+const FLOOR: u64 = 2;
+/// How long a request may be open: what is spent is felt for no longer.
+const DEADLINE_US: u64 = 1_000_000;
+/// How long the origin holds each.
+const HOLD_MS: u64 = 100;
+/// More clients of each proxy than there are places.
+const CLIENTS: usize = 26;
+
+fn origin(whole: u64) -> Value {
+    json!({"origin": {"whole": whole, "floor": FLOOR}})
+}
+
+struct Ground {
+    fleet: Fleet,
+    clients: Vec<Option<Pressure>>,
+    begun: Instant,
+    wholes: Vec<(u64, u64)>,
+}
+
+impl Ground {
+    /// So many proxies, the first of which have clients.
+    fn start(proxies: usize, pressed: usize, seed: u64, planted: &str) -> Ground {
+        let setup = Setup {
+            budgets: origin(WHOLE),
+            deadline_us: Some(DEADLINE_US),
+            planted,
+            ..Setup::copying(Path::new(DAEMON), proxies, seed)
+        };
+        let fleet = Fleet::with(setup).unwrap();
+        fleet.origin.behave(linnetknot_rehearse::boxes::Manner { hold_ms: HOLD_MS, ..Default::default() });
+        let clients = (0..proxies).map(|_| None).collect();
+        let mut ground = Ground { fleet, clients, begun: Instant::now(), wholes: vec![(0, WHOLE)] };
+        (0..pressed).for_each(|n| ground.press(n));
+        ground
+    }
+
+    /// A proxy has clients from now on.
+    fn press(&mut self, n: usize) {
+        let front = self.fleet.process(n).unwrap().front;
+        self.clients[n] = Some(Pressure::on(front, CLIENTS));
+    }
+
+    fn now(&self) -> u64 {
+        self.begun.elapsed().as_micros() as u64
+    }
+
+    fn kill(&mut self, n: usize) {
+        self.clients[n].iter().for_each(|clients| clients.aim(None));
+        self.fleet.kill(n).unwrap();
+    }
+
+    fn restart(&mut self, n: usize, points: &str) {
+        self.fleet.restart_armed(n, Disk::Kept, points).unwrap();
+        let front = self.fleet.process(n).unwrap().front;
+        self.clients[n].iter().for_each(|clients| clients.aim(Some(front)));
+    }
+
+    /// What a proxy tells of the places; none where it does not run, or stands still.
+    fn places(&self, n: usize) -> Option<BudgetStatus> {
+        self.fleet.budgets(n).ok().map(|status| status.budgets[0].clone())
+    }
+
+    /// Who of these divides, as soon as one does.
+    fn divider(&self, of: &[usize]) -> usize {
+        let mut divider = None;
+        self.until("one divides", || {
+            divider = of.iter().copied().find(|n| self.places(*n).is_some_and(|b| b.divides));
+            divider.is_some()
+        });
+        divider.unwrap()
+    }
+
+    fn until(&self, what: &str, mut so: impl FnMut() -> bool) {
+        let start = Instant::now();
+        while !so() {
+            let told = || (0..self.clients.len()).map(|n| (n, self.places(n))).collect::<Vec<_>>();
+            let answers = || self.clients.iter().flatten().map(Pressure::answers).collect::<Vec<_>>();
+            assert!(start.elapsed() < 3 * PATIENCE, "never: {what}: {:#?}, {:?}", told(), answers());
+        }
+    }
+
+    /// The mean of what the origin held in the last half second.
+    fn used(&self) -> f64 {
+        let now = self.now();
+        mean(&self.fleet.origin.spans(self.begun), now.saturating_sub(500_000), now)
+    }
+
+    /// Waits until the origin holds so many on average.
+    fn until_used(&self, what: &str, places: f64) {
+        self.until(what, || self.used() >= places);
+    }
+
+    fn breaches(&self) -> Vec<Breach> {
+        judge(&self.fleet.origin.spans(self.begun), &self.wholes)
+    }
+
+    /// Time passes under load, as it does while something is broken.
+    fn pass(&self, time: Duration) {
+        std::thread::sleep(time);
+    }
+
+    /// All that was held fits the whole, something was, and each proxy that has clients still answers.
+    fn judge(&self) {
+        assert_eq!(self.breaches(), []);
+        assert!(!self.fleet.origin.spans(self.begun).is_empty());
+        for n in (0..self.clients.len()).filter(|n| self.fleet.process(*n).is_ok()) {
+            if let Some(clients) = &self.clients[n] {
+                let before = clients.answers().served;
+                self.until(&format!("p{n} serves on"), || clients.answers().served > before);
+            }
+        }
+    }
+}
+
+const ALL: [usize; 3] = [0, 1, 2];
+
+fn others(of: usize) -> Vec<usize> {
+    ALL.into_iter().filter(|n| *n != of).collect()
+}
+
+#[test]
+fn what_idle_proxies_do_not_use_is_used_by_the_busy_one_and_shared_when_others_come() {
+    let mut ground = Ground::start(3, 1, 1, "");
+    ground.until_used("one alone has nearly all places", (WHOLE - 2 * FLOOR) as f64 * 0.85);
+    ground.press(1);
+    ground.press(2);
+    ground.until("each has a fair part", || {
+        ALL.iter().all(|n| ground.places(*n).is_some_and(|b| b.part >= WHOLE / 3 - 2 && !b.on_floor))
+    });
+    ground.until_used("together they use nearly all", WHOLE as f64 * 0.85);
+    ground.judge();
+}
+
+#[test]
+fn a_divider_that_is_killed_is_followed_by_another_and_comes_back_as_one_of_them() {
+    let mut ground = Ground::start(3, 3, 2, "");
+    ground.until_used("all places are used", WHOLE as f64 * 0.8);
+    let divider = ground.divider(&ALL);
+    ground.kill(divider);
+    let next = ground.divider(&others(divider));
+    ground.until_used("what was its is the others'", (WHOLE - FLOOR) as f64 * 0.8);
+    ground.restart(divider, "");
+    ground.until("it has a part", || ground.places(divider).is_some_and(|b| !b.on_floor && b.part > FLOOR));
+    assert_eq!(ground.divider(&ALL), next, "who came back takes nothing away");
+    ground.judge();
+}
+
+/// In the middle of a division: it has decided on parts, and their holders have heard of them or have not.
+#[test]
+fn a_divider_that_dies_before_and_after_its_holders_hear_of_their_parts_has_given_nothing_twice() {
+    for (seed, point) in ["budgets-grant", "budgets-granted"].into_iter().enumerate() {
+        let mut ground = Ground::start(3, 3, 3 + seed as u64, "");
+        ground.until_used("all places are used", WHOLE as f64 * 0.8);
+        // The one that divides next dies of its first grant.
+        let divider = ground.divider(&ALL);
+        let next = others(divider)[0];
+        ground.kill(next);
+        ground.restart(next, &format!("{point}=die"));
+        let last = others(divider)[1];
+        ground.until("it is back", || ground.places(next).is_some_and(|b| !b.on_floor));
+        ground.kill(divider);
+        // Whichever of the two is named: the armed one dies of it, the other divides once the killed one is back.
+        ground.until("one of them divides or has died of it", || {
+            ground.places(next).is_none() || ground.places(last).is_some_and(|b| b.divides)
+        });
+        ground.restart(divider, "");
+        if ground.fleet.process(next).is_err() {
+            ground.kill(next);
+            ground.restart(next, "");
+        }
+        ground.divider(&ALL);
+        ground.until_used("all places are used again", WHOLE as f64 * 0.75);
+        ground.judge();
+    }
+}
+
+/// The divider stands still for longer than its votes last, another has them by then, and it goes on as if nothing was:
+/// two that both believe.
+#[test]
+fn a_divider_that_stands_still_and_goes_on_is_no_second_one() {
+    let ground = Ground::start(3, 3, 5, "");
+    ground.until_used("all places are used", WHOLE as f64 * 0.8);
+    let divider = ground.divider(&ALL);
+    ground.fleet.stall(divider).unwrap();
+    let next = ground.divider(&others(divider));
+    ground.until_used("what was its is the others'", (WHOLE - FLOOR) as f64 * 0.7);
+    ground.fleet.go_on(divider).unwrap();
+    ground.until("it knows better", || {
+        ground.places(divider).is_some_and(|b| !b.divides && b.divider == format!("p{next}") && !b.on_floor)
+    });
+    ground.judge();
+}
+
+#[test]
+fn a_holder_that_stands_still_past_its_end_goes_on_with_its_floor() {
+    let ground = Ground::start(3, 3, 6, "");
+    ground.until_used("all places are used", WHOLE as f64 * 0.8);
+    let holder = others(ground.divider(&ALL))[0];
+    for _ in 0..3 {
+        ground.fleet.stall(holder).unwrap();
+        ground.until_used("the others use what was its", (WHOLE - FLOOR) as f64 * 0.8);
+        ground.fleet.go_on(holder).unwrap();
+        ground.until("it has a part again", || {
+            ground.places(holder).is_some_and(|b| !b.on_floor && b.part > FLOOR)
+        });
+    }
+    ground.judge();
+}
+
+#[test]
+fn a_divider_on_the_lesser_side_of_a_split_lives_on_its_floor_and_the_greater_side_goes_on() {
+    let ground = Ground::start(3, 3, 7, "");
+    ground.until_used("all places are used", WHOLE as f64 * 0.8);
+    let divider = ground.divider(&ALL);
+    ground.fleet.gates.split(&[divider], Weather::CUT);
+    ground.until("it lives on its floor", || {
+        ground.places(divider).is_some_and(|b| b.on_floor && b.part == FLOOR && !b.divides)
+    });
+    ground.divider(&others(divider));
+    ground.until_used("the greater side has the rest", (WHOLE - FLOOR) as f64 * 0.8);
+    ground.fleet.gates.split(&[divider], Weather::default());
+    ground.until("it has a part again", || ground.places(divider).is_some_and(|b| !b.on_floor));
+    ground.judge();
+}
+
+/// It hears all and is not heard: it knows of every question, and none of its answers comes.
+#[test]
+fn a_divider_that_hears_and_is_not_heard_is_followed_by_another() {
+    let ground = Ground::start(3, 3, 8, "");
+    ground.until_used("all places are used", WHOLE as f64 * 0.8);
+    let divider = ground.divider(&ALL);
+    others(divider).into_iter().for_each(|n| ground.fleet.gates.set((divider, n), Weather::CUT));
+    ground.divider(&others(divider));
+    ground.until_used("the others have the rest", (WHOLE - FLOOR) as f64 * 0.8);
+    others(divider).into_iter().for_each(|n| ground.fleet.gates.set((divider, n), Weather::default()));
+    ground.until("it has a part again", || ground.places(divider).is_some_and(|b| !b.on_floor));
+    ground.judge();
+}
+
+#[test]
+fn each_holders_link_to_the_divider_lost_for_long_leaves_it_its_floor_and_the_others_the_rest() {
+    let ground = Ground::start(4, 4, 9, "");
+    ground.until_used("all places are used", WHOLE as f64 * 0.8);
+    let divider = ground.divider(&[0, 1, 2, 3]);
+    let holders: Vec<usize> = (0..4).filter(|n| *n != divider).collect();
+    for holder in holders {
+        ground.fleet.gates.set((holder, divider), Weather::CUT);
+        ground.until("it lives on its floor", || ground.places(holder).is_some_and(|b| b.on_floor));
+        ground.until_used("the others have the rest", (WHOLE - FLOOR) as f64 * 0.8);
+        ground.fleet.gates.set((holder, divider), Weather::default());
+        ground.until("it has a part again", || ground.places(holder).is_some_and(|b| !b.on_floor));
+    }
+    ground.judge();
+}
+
+#[test]
+fn datagrams_lost_by_a_third_doubled_and_out_of_order_cost_places_and_no_more() {
+    let ground = Ground::start(3, 3, 10, "");
+    let rough = Weather { drop: 0.33, duplicate: 0.33, reorder: 0.33, jitter_ms: 60.0, ..Weather::default() };
+    for a in ALL {
+        others(a).into_iter().for_each(|b| ground.fleet.gates.set((a, b), rough));
+    }
+    ground.until_used("most places are used", WHOLE as f64 * 0.75);
+    ground.pass(Duration::from_secs(2));
+    ground.judge();
+}
+
+/// Half of the proxies die at once and are back at once, and know nothing of what they granted and had.
+#[test]
+fn half_of_all_killed_at_once_and_back_at_once_spend_nothing_twice() {
+    let mut ground = Ground::start(4, 4, 11, "");
+    ground.until_used("all places are used", WHOLE as f64 * 0.8);
+    let divider = ground.divider(&[0, 1, 2, 3]);
+    for other in [(divider + 1) % 4, (divider + 2) % 4] {
+        ground.kill(divider);
+        ground.kill(other);
+        ground.restart(divider, "");
+        ground.restart(other, "");
+        ground.until_used("all places are used again", WHOLE as f64 * 0.75);
+    }
+    ground.judge();
+}
+
+/// One after the other, as an upgrade goes, each told to end (SIGTERM).
+#[test]
+fn a_rolling_restart_of_all_keeps_the_whole() {
+    let mut ground = Ground::start(3, 3, 12, "");
+    ground.until_used("all places are used", WHOLE as f64 * 0.8);
+    for n in ALL {
+        ground.clients[n].iter().for_each(|clients| clients.aim(None));
+        assert!(ground.fleet.end(n).unwrap(), "p{n} ends well");
+        ground.restart(n, "");
+    }
+    ground.until_used("all places are used again", WHOLE as f64 * 0.75);
+    ground.judge();
+}
+
+#[test]
+fn a_whole_that_is_lowered_by_half_while_all_of_it_is_out_holds_once_that_has_ended() {
+    let mut ground = Ground::start(3, 3, 13, "");
+    ground.until_used("all places are used", WHOLE as f64 * 0.8);
+    ground.fleet.set_budgets(origin(WHOLE / 2)).unwrap();
+    ground.until("all know of it", || {
+        ALL.iter().all(|n| ground.places(*n).is_some_and(|b| b.whole == WHOLE / 2))
+    });
+    // What was granted of the whole before may be spent for a second more, and is felt for another.
+    ground.pass(Duration::from_micros(1_000_000 + DEADLINE_US));
+    ground.wholes.push((ground.now(), WHOLE / 2));
+    ground.pass(Duration::from_secs(1));
+    ground.until_used("all of that is used", (WHOLE / 2) as f64 * 0.8);
+    // One that its floors don't fit stays out.
+    ground.fleet.set_budgets(origin(3 * FLOOR - 1)).unwrap();
+    ground.pass(Duration::from_millis(300));
+    assert!(ALL.iter().all(|n| ground.places(*n).is_some_and(|b| b.whole == WHOLE / 2)));
+    ground.judge();
+}
+
+/// Each planted fault is seen by the origin.
+#[test]
+fn planted_faults_are_found() {
+    // Floors that are not set aside: that shows by itself.
+    let ground = Ground::start(3, 3, 20, "plant-floors=fail");
+    ground.until("more is held than may be", || !ground.breaches().is_empty());
+    drop(ground);
+    // A holder that ignores its part's end: cut off, it goes on with what the others have been given by then.
+    let ground = Ground::start(3, 3, 21, "plant-lease=fail");
+    ground.until_used("all places are used", WHOLE as f64 * 0.8);
+    let holder = others(ground.divider(&ALL))[0];
+    ground.fleet.gates.split(&[holder], Weather::CUT);
+    ground.until("more is held than may be", || !ground.breaches().is_empty());
+    drop(ground);
+    // A divider that waits for nobody's vote: each side of a split has one.
+    let ground = Ground::start(3, 3, 22, "plant-votes=fail");
+    ground.until_used("all places are used", WHOLE as f64 * 0.8);
+    ground.fleet.gates.split(&[0], Weather::CUT);
+    ground.until("more is held than may be", || !ground.breaches().is_empty());
+}
--- a/daemon/tests/config.rs
+++ b/daemon/tests/config.rs
@@ -184,6 +184,51 @@
     let checked = with_peers(&copies(json!({"machine": "a", "machines": named}))).unwrap();
     assert_eq!((checked.wait, checked.holders, checked.machines.len()), (1, 2, 2), "itself left out");
     assert_eq!(with_peers(&copies(json!({"wait": 0}))).unwrap().holders, 0, "nobody is further away");
+    // What is shared must be divisible among the proxies of the list, of which this is one.
+    let shared = |budgets: Value| {
+        let mut file = copies(json!({"wait": 0}));
+        file["budgets"] = budgets;
+        file
+    };
+    let origin = |whole: u64, floor: u64| json!({"origin": {"whole": whole, "floor": floor}});
+    let without_copies = json!({"budgets": origin(9, 1)});
+    for (file, path) in [
+        (shared(origin(5, 2)), "budgets.origin.whole: 5 is less than 6, the sum of the floors"),
+        (shared(origin(0, 0)), "budgets.origin.whole: 0 is not from 1"),
+        (shared(json!({"origin": {"floor": 1}})), "budgets.origin: missing field `whole`"),
+        (shared(json!({"cold": true, "cold_floors": 0})), "budgets.cold_floors: 0 is not from 0.01"),
+        (without_copies, "budgets: needs 'peers.copies'"),
+    ] {
+        let message = with_peers(&file).unwrap_err();
+        assert!(message.starts_with(path), "{path} | {message}");
+    }
+    let mut elsewhere = good();
+    elsewhere["peer_listen"] = "127.0.0.1:9".into();
+    elsewhere["peers"] = json!(["127.0.0.1:3", "127.0.0.1:4"]);
+    let message =
+        read(&elsewhere).unwrap().interconnect(shared(origin(9, 1)).as_object().unwrap()).unwrap_err();
+    assert!(message.starts_with("budgets: 'peers' does not name this proxy's own"), "{message}");
+    let budgets = |place: &str, budgets: Value| {
+        let mut good = good();
+        good["peer_listen"] = place.into();
+        good["peers"] = json!(["127.0.0.1:2", "127.0.0.1:3", "127.0.0.1:4"]);
+        let mut config = read(&good).unwrap();
+        config.interconnect(shared(budgets).as_object().unwrap()).unwrap();
+        config.budgets
+    };
+    let both = || json!({"origin": {"whole": 9}, "cold": true});
+    let (a, b) = (budgets("127.0.0.1:2", both()), budgets("127.0.0.1:4", both()));
+    assert_eq!((a.place, b.place, a.members, a.form), (0, 2, 3, b.form));
+    let names: Vec<&str> = a.list.iter().map(|b| b.name.as_str()).collect();
+    assert_eq!(names, ["origin", "cold-caches:hub", "cold-caches:here"]);
+    assert_eq!((a.list[0].whole.floor, a.list[1].of, a.list[2].whole.floor), (1, None, 83_333));
+    // A whole may differ for a while, as it is lowered at one after the other; all else makes them strangers.
+    assert_eq!(budgets("127.0.0.1:2", json!({"origin": {"whole": 8}, "cold": true})).form, a.form);
+    for other in [json!({"origin": {"whole": 9}}), json!({"origin": {"whole": 9, "floor": 2}, "cold": true})]
+    {
+        assert_ne!(budgets("127.0.0.1:2", other).form, a.form);
+    }
+    assert!(budgets("127.0.0.1:2", json!({})).list.is_empty(), "off where nothing is said");
     // Two keys are enough, as before.
     let mut config = read(&good()).unwrap();
     let file = json!({"consul": {"address": "127.0.0.1:8500", "service": "boxes"}});
--- a/ops/src/door.rs
+++ b/ops/src/door.rs
@@ -30,6 +30,8 @@
     InService,
     /// `GET /control/fleet`: what this proxy's copies and promises stand at.
     Fleet,
+    /// `GET /control/budgets`: where its parts of what all proxies spend stand.
+    Budgets,
 }
 
 /// Why a call is not taken. Each ends its connection after the answer of [`DoorError::status`].
@@ -116,6 +118,7 @@
         "/control/out-of-service" => ("POST", Call::OutOfService),
         "/control/in-service" => ("POST", Call::InService),
         "/control/fleet" => ("GET", Call::Fleet),
+        "/control/budgets" => ("GET", Call::Budgets),
         _ => {
             let rest = path.strip_prefix("/control/pop-caches/").ok_or(DoorError::NotFound)?;
             let (id, verb) = rest.rsplit_once('/').ok_or(DoorError::NotFound)?;
@@ -280,6 +283,8 @@
         assert_eq!(whole("GET /control/ready HTTP/1.1\r\nHost: x\r\n\r\n"), Ok(Some(Call::Ready)));
         assert_eq!(whole("POST /control/out-of-service HTTP/1.1\r\n\r\n"), Ok(Some(Call::OutOfService)));
         assert_eq!(whole("GET /control/fleet HTTP/1.1\r\n\r\n"), Ok(Some(Call::Fleet)));
+        assert_eq!(whole("GET /control/budgets HTTP/1.1\r\n\r\n"), Ok(Some(Call::Budgets)));
+        assert_eq!(whole("POST /control/budgets HTTP/1.1\r\n\r\n"), Err(DoorError::Method));
         assert_eq!(
             whole("POST /control/in-service HTTP/1.0\r\nContent-Length: 0\r\n\r\n"),
             Ok(Some(Call::InService))
--- a/ops/src/state.rs
+++ b/ops/src/state.rs
@@ -166,7 +166,7 @@
             }
             Call::InService => (Reply::new(200, "in service"), None),
             // Whoever has copies tells of them; where there are none, there is no such call.
-            Call::Fleet => (Reply::refused(DoorError::NotFound), None),
+            Call::Fleet | Call::Budgets => (Reply::refused(DoorError::NotFound), None),
         };
         if self.kept != before {
             self.kept.sequence += 1;
--- a/rehearse/src/boxes.rs
+++ b/rehearse/src/boxes.rs
@@ -1,5 +1,6 @@
 //! Stand-in boxes: they keep copies, honour the age that is asked for, and write down all that reaches them.
 
+use crate::rules::budgets::Span;
 use crate::{listen, read_commands, unix_ms, Listening};
 use linnetknot_daemon::wire::resp;
 use std::collections::BTreeMap;
@@ -7,7 +8,7 @@
 use std::net::{SocketAddr, TcpStream};
 use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// How a box behaves from now on.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -46,8 +47,18 @@
     }
 }
 
+/// Something that a box held.
+#[derive(Clone, Debug)]
+struct Held {
+    connection: usize,
+    id: String,
+    from: Instant,
+    until: Option<Instant>,
+}
+
 #[derive(Default)]
 struct State {
+    held: Vec<Held>,
     manner: Manner,
     arrivals: Vec<Arrival>,
     made: BTreeMap<String, u64>,
@@ -82,9 +93,15 @@
         let listening = listen(address, move |socket| {
             let stand_in =
                 StandIn { uid, address: socket.local_addr().ok()?, state: served.clone(), _listening: None };
-            stand_in.state().connections += 1;
-            let served = stand_in.serve(socket);
+            let connection = {
+                let mut state = stand_in.state();
+                state.connections += 1;
+                state.connections
+            };
+            let served = stand_in.serve(socket, connection);
             stand_in.state().ended += 1;
+            // What was asked by it is wanted by nobody any more.
+            stand_in.let_go(|held| held.connection == connection);
             served
         })?;
         Ok(StandIn { uid, address: listening.address, state, _listening: Some(Arc::new(listening)) })
@@ -130,14 +147,31 @@
         state.arrivals.iter().find(|a| fits(a)).cloned()
     }
 
-    fn serve(&self, socket: TcpStream) -> Option<()> {
+    /// When it held what it was asked for, in microseconds from a moment on: until its answer, an abort, or the end of the
+    /// connection.
+    pub fn spans(&self, begun: Instant) -> Vec<Span> {
+        let at = |at: Instant| at.saturating_duration_since(begun).as_micros() as u64;
+        let now = Instant::now();
+        let held = self.state().held.clone();
+        held.iter().map(|held| Span { from: at(held.from), until: at(held.until.unwrap_or(now)) }).collect()
+    }
+
+    fn let_go(&self, which: impl Fn(&Held) -> bool) {
+        let now = Instant::now();
+        let mut state = self.state();
+        // Each ends once; those that have ended long ago need not be looked at.
+        let open = state.held.iter_mut().filter(|held| held.until.is_none());
+        open.filter(|held| which(held)).for_each(|held| held.until = Some(now));
+    }
+
+    fn serve(&self, socket: TcpStream, connection: usize) -> Option<()> {
         read_commands(&socket, |array| {
-            self.arrived(&array, &socket);
+            self.arrived(&array, &socket, connection);
             Some(())
         })
     }
 
-    fn arrived(&self, array: &[Vec<u8>], socket: &TcpStream) {
+    fn arrived(&self, array: &[Vec<u8>], socket: &TcpStream, connection: usize) {
         let text =
             |at: usize| array.get(at).map(|b| String::from_utf8_lossy(b).into_owned()).unwrap_or_default();
         let body = array.get(3).cloned().unwrap_or_default();
@@ -146,9 +180,15 @@
         state.arrivals.push(arrival.clone());
         self.state.1.notify_all();
         let manner = state.manner;
+        if arrival.word == "abort" {
+            drop(state);
+            return self.let_go(|held| held.connection == connection && held.id == arrival.id);
+        }
         if arrival.word != "fetch" || manner.mute {
             return;
         }
+        let held = Held { connection, id: arrival.id.clone(), from: Instant::now(), until: None };
+        state.held.push(held);
         let name = format!("{}/{}", arrival.field("key").unwrap_or(""), arrival.field("part").unwrap_or(""));
         let oldest = arrival.field("maxage").and_then(|v| v.parse::<u64>().ok()).filter(|v| *v > 0);
         let held = state.made.get(&name).copied();
@@ -157,6 +197,7 @@
         state.made.insert(name.clone(), made);
         drop(state);
         let Ok(mut socket) = socket.try_clone() else { return };
+        let me = StandIn { _listening: None, ..self.clone() };
         let mut answer = move || {
             thread::sleep(Duration::from_millis(manner.hold_ms));
             let fetched = if manner.origin_ms > 0 { "pulled_far" } else { "pulled" };
@@ -167,6 +208,8 @@
             let mut out = Vec::new();
             let body = format!("{}{name}@{made}", ".".repeat(manner.padding));
             resp::write_array(&mut out, &[arrival.id.as_bytes(), b"200", fields.as_bytes(), body.as_bytes()]);
+            // Before its answer is on its way: whoever has that may send the next.
+            me.let_go(|held| held.connection == connection && held.id == arrival.id);
             let _ = socket.write_all(&out);
         };
         if manner.hold_ms > 0 {
--- a/rehearse/src/fleet.rs
+++ b/rehearse/src/fleet.rs
@@ -10,7 +10,8 @@
 use crate::gates::Gates;
 use crate::process::Process;
 use crate::settings;
-use linnetknot_daemon::fleet::{ask as ask_status, Status};
+use linnetknot_daemon::budgets;
+use linnetknot_daemon::fleet::{ask as ask_status, ask_budgets, Status};
 use rustix::process::Signal;
 use serde_json::{json, Value};
 use std::collections::BTreeSet;
@@ -30,7 +31,7 @@
 }
 
 /// What a fleet is started with.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub struct Setup<'a> {
     /// The daemon.
     pub daemon: &'a Path,
@@ -46,6 +47,10 @@
     pub within_ms: Option<u64>,
     /// The machine that all of them say they stand on, whatever the others' files say; none: each on its own.
     pub machine: Option<&'a str>,
+    /// What all of them spend together, as the operators' file has it; null: nothing is shared.
+    pub budgets: Value,
+    /// When clients give up, for all classes, in microseconds; none: as the settings of a small deployment have it.
+    pub deadline_us: Option<u64>,
     /// Points that are armed in all of them, at each start (`Process::start_armed`).
     pub planted: &'a str,
 }
@@ -61,6 +66,8 @@
             wait: Some(1),
             within_ms: None,
             machine: None,
+            budgets: Value::Null,
+            deadline_us: None,
             planted: "",
         }
     }
@@ -83,13 +90,15 @@
     /// Further machines that a promise waits for; none: no copies are made.
     copies: Option<usize>,
     within_ms: Option<u64>,
+    budgets: Value,
     machine: Option<String>,
     planted: String,
     /// The gates, to set the weather.
     pub gates: Gates,
     /// The boxes.
     pub boxes: Vec<StandIn>,
-    _origin: StandIn,
+    /// The origin.
+    pub origin: StandIn,
     folder: PathBuf,
 }
 
@@ -145,7 +154,23 @@
 
     /// Starts a fleet.
     pub fn with(setup: Setup<'_>) -> io::Result<Self> {
-        let Setup { daemon, running, later, seed, wait: copies, within_ms, machine, planted } = setup;
+        let Setup {
+            daemon,
+            running,
+            later,
+            seed,
+            wait: copies,
+            within_ms,
+            machine,
+            budgets,
+            deadline_us,
+            planted,
+        } = setup;
+        let mut settings = settings();
+        if let Some(deadline_us) = deadline_us {
+            let classes = settings["categories"].as_array_mut().into_iter().flatten();
+            classes.for_each(|class| class["deadline-us"] = deadline_us.into());
+        }
         let names = (0..running).map(|n| format!("p{n}")).chain(later.iter().map(|name| (*name).to_owned()));
         let names: Vec<String> = names.collect();
         let proxies = names.len();
@@ -166,7 +191,7 @@
             let known = json!({"offset": 0, "batch": [{"offset": 0, "topology": {"rev": 1, "all": true, "targets": targets}}]});
             let config = json!({
                 "name": names[n], "listen": "127.0.0.1:0", "bus": bus.address.to_string(), "known": known,
-                "seed": format!("{:x}", seed * 64 + n as u64 + 1), "settings": settings(),
+                "seed": format!("{:x}", seed * 64 + n as u64 + 1), "settings": settings,
                 "limits": {"memory_mb": 192, "sockets": 256}, "ops": "127.0.0.1:0",
                 "peer_listen": own.to_string(), "peers": (0..proxies).map(peer).collect::<Value>(),
             });
@@ -176,37 +201,47 @@
             daemon: daemon.to_owned(),
             copies,
             within_ms,
+            budgets,
             machine: machine.map(str::to_owned),
             planted: planted.to_owned(),
             members,
             gates,
             boxes,
-            _origin: origin,
+            origin,
             folder,
         };
         (0..running).try_for_each(|n| fleet.begin(n, ""))?;
         Ok(fleet)
     }
 
-    fn begin(&mut self, n: usize, points: &str) -> io::Result<()> {
-        let m = &mut self.members[n];
-        std::fs::create_dir_all(&m.disk)?;
+    /// The operators' own file of a proxy.
+    fn own(&self, n: usize) -> Value {
+        let m = &self.members[n];
         // All of them share an address here, so that their machines are named.
         let peers = m.config["peers"].as_array().into_iter().flatten().filter_map(Value::as_str);
         let machines = peers.enumerate().map(|(p, peer)| (peer.to_owned(), format!("machine-{p}").into()));
         let machines: serde_json::Map<String, Value> = machines.collect();
         let machine = self.machine.clone().unwrap_or_else(|| format!("machine-{n}"));
-        let own = json!({"cdni": {"listen": "127.0.0.1:0", "provider": "AS64500:0", "base": "http://cdn.example",
-            "footprint": ["127.0.0.0/8"], "purges": m.disk.join("purges").display().to_string()},
+        let mut own = json!({"cdni": {"listen": "127.0.0.1:0", "provider": "AS64500:0",
+            "base": "http://cdn.example", "footprint": ["127.0.0.0/8"],
+            "purges": m.disk.join("purges").display().to_string()},
             "peers": {"copies": self.copies.is_some()},
             "copies": {"wait": self.copies.unwrap_or(0), "machine": machine, "machines": machines}});
-        let mut own = own;
         if let Some(within_ms) = self.within_ms {
             own["copies"]["within_ms"] = within_ms.into();
         }
-        let name = &m.name;
+        if !self.budgets.is_null() {
+            own["budgets"] = self.budgets.clone();
+        }
+        own
+    }
+
+    fn begin(&mut self, n: usize, points: &str) -> io::Result<()> {
+        let own = self.own(n);
+        let m = &mut self.members[n];
+        std::fs::create_dir_all(&m.disk)?;
         let points = format!("{};{points}", self.planted);
-        let started = Process::start_armed(&self.daemon, &m.disk, name, (&m.config, &own), &points);
+        let started = Process::start_armed(&self.daemon, &m.disk, &m.name, (&m.config, &own), &points);
         m.process = Some(started?);
         Ok(())
     }
@@ -265,6 +300,25 @@
         self.begin(n, points)
     }
 
+    /// What all spend together is another from now on: every proxy that runs reads its files again (SIGHUP), and those that
+    /// start later have it.
+    pub fn set_budgets(&mut self, budgets: Value) -> io::Result<()> {
+        self.budgets = budgets;
+        for n in 0..self.members.len() {
+            if self.process(n).is_ok() {
+                let (own, m) = (self.own(n), &self.members[n]);
+                std::fs::write(m.disk.join(format!("{}-own.json", m.name)), own.to_string())?;
+                self.signal(n, Signal::HUP)?;
+            }
+        }
+        Ok(())
+    }
+
+    /// What a proxy tells operators of what all spend together.
+    pub fn budgets(&self, n: usize) -> io::Result<budgets::Status> {
+        ask_budgets(self.process(n)?.door)
+    }
+
     /// The file in which a proxy keeps what neighbours told.
     pub fn store(&self, n: usize) -> PathBuf {
         self.members[n].disk.join("purges")
--- a/rehearse/src/lib.rs
+++ b/rehearse/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod moments;
 mod play;
 pub mod player;
+pub mod pressure;
 pub mod process;
 pub mod record;
 pub mod report;
--- a/rehearse/src/rules/mod.rs
+++ b/rehearse/src/rules/mod.rs
@@ -2,6 +2,7 @@
 
 mod answers;
 mod attempts;
+pub mod budgets;
 mod cold;
 mod drains;
 pub mod promises;
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -19,18 +19,14 @@
 const FAIL_STEP: f64 = 0.3; // Weight of one outcome in a server's failure share.
 const FAIL_LIMIT: f64 = 0.45; // Marked above this failure share: two in a row, or a lasting third.
 const GONE_WEIGHT: f64 = 2.0; // Not reached: marked at once, its process is down whatever the list says.
-/// A broken connection, whatever was out on it: if its process has ended too, that shows with the next one.
-const RESET_WEIGHT: f64 = 0.5;
+const RESET_WEIGHT: f64 = 0.5; // A broken connection: if its process has ended, that shows with the next one.
 const ERRORS: u32 = 2; // So many servers that fail a request: it is the request that can't be used.
-/// Share of the time left that a fill may need by the link's sharing: what is late costs the others too.
-const LINK_MARGIN: f64 = 0.4;
+const LINK_MARGIN: f64 = 0.4; // Share of the time left that a fill may need: what is late costs others too.
 const LINK_MARGIN_UNTOLD: f64 = 0.5; // Sizes not told: a class is refused as a whole, so a little later.
-/// Share of the time left that a transfer from a cache may be expected to take: reports are late, all routers
-/// act on the same one, and more transfers come while this one runs.
+/// Share of the time left that a transfer from a cache may be expected to take: more come while it runs.
 const CACHE_MARGIN: f64 = 0.75;
-/// An attempt is stuck when it takes so many times as long as all but this share of its class's answers did.
-const STUCK_TIMES: f64 = 2.2;
-const LONG_SHARE: f64 = 0.02; // See `STUCK_TIMES`.
+const STUCK_TIMES: f64 = 2.2; // Stuck: so many times as long as nearly all answers of its class.
+const LONG_SHARE: f64 = 0.02; // Those that took longer than `STUCK_TIMES` is counted from.
 const LONG_STEP: f64 = 0.2; // Weight of one answer in what that time is.
 const STUCK_WEIGHT: f64 = 0.25; // Against its server: it may be a large object or a slow source.
 const TICK_US: Micros = 50_000; // How often overdue attempts are looked for.
@@ -38,8 +34,7 @@
 const OVERDUE_TIMES: f64 = 2.0; // See `OVERDUE_US`.
 const OVERDUE_COUNT: usize = 2; // So many overdue and no answer since the first was sent: silent.
 const STRETCHED: f64 = 1.3; // Hits that take more, over their sending time, show a link shared by too many.
-/// Fills tell of the link for so long, by halves: each of many routers sees few, and old ones would hide that
-/// the link has room again.
+/// Fills tell of the link for so long, by halves: old ones would hide that it has room again.
 const LINK_HALF_MS: u64 = 1_000;
 const LINK_OPENS_S: f64 = 1.0; // With no fills at all the link is taken to fit twice as much after this.
 const LINK_TOLD: f64 = 1.5; // As `PACE_TOLD`, however long ago they were.
@@ -48,22 +43,19 @@
 const MEAN_S: f64 = 3.0; // Own transfers are averaged over so many seconds to guess the other routers'.
 const COLD_USE: f64 = 0.55; // Used share of a cold server's budget: the rest is slack for sizes and chance.
 const LEAST_US: Micros = 5_000; // Least time in which an attempt can be answered.
-/// Advice to clients of refused requests: short, so that the next try can still be in time.
-const RETRY_AFTER_US: Micros = 200_000;
+const RETRY_AFTER_US: Micros = 200_000; // Advice with a refusal: short, so that the next try can be in time.
 const ORIGIN_FALL: f64 = 0.85; // Of the share of requests that may have the origin asked, with a late answer.
 const ORIGIN_FALL_MOST: f64 = 3.0; // Times that, the later the answer: a long queue is slow to show.
 const ORIGIN_STEP: f64 = 0.04; // Added to it with one in time.
 const ORIGIN_LEAST: f64 = 0.05; // Least: so many find out whether it is well again.
-/// An answer speaks for so many more for each second since the one before: a router among many sees few, and
-/// would follow the origin for seconds where one among three does at once.
+/// An answer speaks for so many more for each second since the one before: a router among many sees few.
 const ORIGIN_PER_S: f64 = 10.0;
 const ORIGIN_TOLD: f64 = 2.0; // An answer so many times its aim late is told to others: less may be chance.
 const FILL_TRIES: u32 = 2; // Failed fills, untold ones twice, until it is only looked for in the caches.
 const CLEARLY: f64 = 2.0; // The second parent fills while the first's fills take so many times as long.
 const PACE_HALF_MS: u64 = 10_000; // Hits and fills of one server tell of its pace for so long, by halves.
 const PACE_TOLD: f64 = 2.0; // Aged number of hits or fills from which their pace is told.
-/// Purges held, also once servers have carried them out: a fill that ran across one may leave an older copy.
-const PURGES: usize = 16_384;
+const PURGES: usize = 16_384; // Held also once carried out: a fill across one may leave an older copy.
 const WATCH_AGAIN_US: Micros = 1_000_000; // Wait before the list is asked for again after a failed call.
 const TICK_TAG: u64 = 0; // Tag of the recurring timer.
 const WATCH_TAG: u64 = 1; // Tag of the timer to ask for the list again.
@@ -173,6 +165,7 @@
     heard: (f64, Micros), // What it may be at most by what others found, and until when.
     /// By hash of the object, or of the group: when, and whether it holds for good.
     purged: BTreeMap<u64, (Micros, bool)>,
+    parts_of: BTreeMap<Budget, Part>, // Of what all routers share, as far as it was told.
     ticking: bool,
 }
 
@@ -229,6 +222,7 @@
             found: None,
             heard: (1.0, 0),
             purged: BTreeMap::new(),
+            parts_of: BTreeMap::new(),
             ticking: false,
         })
     }
@@ -247,9 +241,8 @@
             Event::List { mode, servers } => self.list(mode == ListMode::Full, servers),
             Event::Request(r) => self.request(now, r, actions),
             Event::Begun { request, attempt } => {
-                if let Some(open) = self.open.get_mut(&request) {
-                    open.begun |= open.out.as_ref().is_some_and(|a| a.number == attempt);
-                }
+                let open = self.open.get_mut(&request).into_iter();
+                open.for_each(|o| o.begun |= o.out.as_ref().is_some_and(|a| a.number == attempt));
             }
             Event::Outcome { .. } => self.outcome(now, event, actions),
             Event::Left { request } => self.left(request, actions),
@@ -257,6 +250,7 @@
             Event::Timer { tag: WATCH_TAG } => actions.push(Action::Watch),
             Event::Timer { .. } | Event::Probed { .. } => {}
             Event::Heard { origin_share, for_us } => self.heard = (origin_share, now + for_us),
+            Event::Part(part) => drop(self.parts_of.insert(part.budget, part)),
             Event::Purged { object, group, age_us, lasting } => {
                 let at = now.saturating_sub(age_us);
                 let key = object.map_or(group_key(group), |object| hash_text(&object));
@@ -275,11 +269,8 @@
     fn list(&mut self, full: bool, entries: Vec<Server>) {
         if full {
             let named: Vec<ServerId> = entries.iter().map(|e| e.id).collect();
-            for (id, known) in &mut self.servers {
-                if !named.contains(id) {
-                    known.state = State::Gone;
-                }
-            }
+            let left = self.servers.iter_mut().filter(|(id, _)| !named.contains(id));
+            left.for_each(|(_, known)| known.state = State::Gone);
         }
         for e in entries {
             let zone = self.settings.zones.iter().position(|z| z.name == e.zone).unwrap_or(usize::MAX);
@@ -308,9 +299,7 @@
                     *known = Known { out, charged: std::mem::take(&mut known.charged), ..fresh };
                 }
                 Some(known) => (known.state, known.weight) = (e.state, fresh.weight),
-                None => {
-                    self.servers.insert(e.id, fresh);
-                }
+                None => drop(self.servers.insert(e.id, fresh)),
             }
         }
         self.servers.retain(|_, s| s.state != State::Gone || s.out > 0); // New ones come under new ids.
@@ -453,7 +442,7 @@
     /// Whether a request may have the origin asked: so many may, and further attempts are no further chances.
     fn may_ask(&self, now: Micros, open: &Open) -> bool {
         let heard = if now < self.heard.1 { self.heard.0.max(ORIGIN_LEAST) } else { 1.0 };
-        open.draw < self.origin_share.min(heard)
+        open.draw < self.origin_share.min(heard) && self.has_place(now)
     }
 
     fn rank(&self, unit: u64) -> Ranked {
@@ -516,9 +505,7 @@
                 known.on_trial = known.strikes > 0;
             }
         }
-        if let Some(known) = self.servers.get_mut(&server) {
-            known.out += 1;
-        }
+        self.servers.get_mut(&server).into_iter().for_each(|known| known.out += 1);
         let fill = if direct { Fill { keep: 0, join: false, renew: false, ..fill } } else { fill };
         actions.push(Action::Attempt { request: id, server, timeout_us: None, fill: Some(fill) });
     }
@@ -534,7 +521,7 @@
             _ => true,
         };
         // There is one origin, so a mark on it leaves no other way: it is asked all the same.
-        let origin = ranked.origin?;
+        let origin = ranked.origin.filter(|_| self.has_place(now))?;
         if self.settings.direct && same_group(&origin) {
             return Some((origin, None));
         }
@@ -641,12 +628,9 @@
         let fits = if told > 0.0 {
             told / self.settings.flow_kb_per_s.max(1.0)
         } else {
-            match self.link.shown(LINK_TOLD) {
-                Some((stretch, held)) if stretch >= STRETCHED => {
-                    held / stretch / faded((1.0, self.link.at), now, LINK_OPENS_S)
-                }
-                _ => return false,
-            }
+            let shown = self.link.shown(LINK_TOLD).filter(|(stretch, _)| *stretch >= STRETCHED);
+            let Some((stretch, held)) = shown else { return false };
+            held / stretch / faded((1.0, self.link.at), now, LINK_OPENS_S)
         };
         let takes_s = open.work_s * (self.fills() + 1.0) / fits.max(1e-3);
         let margin = if open.sized { LINK_MARGIN } else { LINK_MARGIN_UNTOLD };
@@ -687,25 +671,56 @@
         (share + (1.0 - share) * age as f64 / cold_us.max(1) as f64).min(1.0)
     }
 
-    /// Rule on cold servers: this router's part of the budget, retries and fills charged with the rest.
-    fn cold_room(&self, id: ServerId, s: &Known, now: Micros, work_s: f64) -> bool {
+    /// This router's part of a budget of all: as it was told, else one of so many equal ones.
+    fn part_of(&self, budget: Budget, routers: u32, now: Micros) -> f64 {
+        let told = |part: &Part| if now < part.until { part.amount } else { part.floor };
+        self.parts_of.get(&budget).map_or(1.0 / f64::from(routers.max(1)), told)
+    }
+
+    /// Requests from here that the origin holds, or may hold.
+    pub fn asking(&self) -> usize {
+        let origin = |id| self.servers.get(&id).is_some_and(|s| s.role == Role::Origin);
+        self.open.values().filter_map(|o| o.out.as_ref()).filter(|a| a.asks || origin(a.server)).count()
+    }
+
+    /// Whether the origin may hold one more: without word of a part of its places there is no bound.
+    fn has_place(&self, now: Micros) -> bool {
+        let of = Budget::Origin;
+        !self.parts_of.contains_key(&of) || self.asking() as f64 + 1.0 <= self.part_of(of, 1, now)
+    }
+
+    /// The greatest share of what a cold cache, or parent, bears that was sent from here; none: none is cold.
+    pub fn cold_use(&self, now: Micros, parents: bool) -> Option<f64> {
+        let cold = self.servers.values().filter(|s| (s.role == Role::Parent) == parents);
+        cold.filter_map(|s| self.cold(s, now)).map(|(bears, spent)| spent / bears).reduce(f64::max)
+    }
+
+    /// What a cold server bears within the rule's window, and what was sent from here; none: it is warm.
+    fn cold(&self, s: &Known, now: Micros) -> Option<(f64, f64)> {
         let r = &self.settings.rules;
-        let all = self.settings.zones.iter().map(|z| z.routers).sum();
-        let (multiple, routers) = match s.role {
-            Role::Parent => (r.parent_fall_multiple, all),
-            _ => (r.fall_multiple, self.settings.zones[self.settings.zone].routers),
-        };
         // What it can do in the window's mean: by the time this is judged it can do more.
         let warmth = self.warmth(s, now.saturating_sub(r.fall_us / 2));
-        if warmth >= 1.0 || s.role == Role::Origin {
-            return true;
+        if warmth >= 1.0 || s.role == Role::Origin || s.state != State::Ready {
+            return None;
         }
-        let window_s = r.fall_us as f64 / 1e6;
-        let budget = COLD_USE * multiple * warmth * self.capacity(s) * window_s / f64::from(routers.max(1));
-        let spent: f64 = s.charged.iter().filter(|c| c.0 + r.fall_us >= now).map(|c| c.1).sum();
+        let multiple = if s.role == Role::Parent { r.parent_fall_multiple } else { r.fall_multiple };
+        let bears = COLD_USE * multiple * warmth * self.capacity(s) * (r.fall_us as f64 / 1e6);
+        let spent = s.charged.iter().filter(|c| c.0 + r.fall_us >= now).map(|c| c.1).sum();
+        Some((bears, spent))
+    }
+
+    /// Rule on cold servers: this router's part of the budget, retries and fills charged with the rest.
+    fn cold_room(&self, id: ServerId, s: &Known, now: Micros, work_s: f64) -> bool {
+        let Some((bears, spent)) = self.cold(s, now) else { return true };
+        let zones = &self.settings.zones;
+        let budget = bears
+            * match s.role {
+                Role::Parent => self.part_of(Budget::Parents, zones.iter().map(|z| z.routers).sum(), now),
+                _ => self.part_of(Budget::Caches, zones[self.settings.zone].routers, now),
+            };
         // A part smaller than one request is spent by turns: each router sends one with the chance that keeps
         // the sum of all, drawn once a window from its own seed, so that they don't come together.
-        let window = now / r.fall_us.max(1);
+        let window = now / self.settings.rules.fall_us.max(1);
         // Drawn once for a request: further attempts must not be further chances.
         let draw = mix(self.seed ^ mix(window ^ mix(id))) as f64 / u64::MAX as f64;
         spent + work_s <= budget || spent == 0.0 && draw * work_s < budget
@@ -759,9 +774,7 @@
         let step = TICK_US as f64 / 1e6 / MEAN_S;
         for s in self.servers.values_mut() {
             s.mean_out += step * (s.out as f64 - s.mean_out);
-            while s.charged.front().is_some_and(|c| c.0 + keep < now) {
-                s.charged.pop_front();
-            }
+            s.charged.retain(|c| c.0 + keep >= now);
         }
         let under_way = |o: &&Open| {
             let since = |a: &Attempt| now.saturating_sub(a.sent) as f64 / 1e6;
@@ -846,9 +859,7 @@
         }
         // However it ended, a trial is over: left open by what judges nobody, it would bar the server.
         for id in [Some(server), attempt.source].into_iter().flatten() {
-            if let Some(s) = self.servers.get_mut(&id) {
-                s.on_trial = false;
-            }
+            self.servers.get_mut(&id).into_iter().for_each(|s| s.on_trial = false);
         }
         // What was called off as slow had its share of the link all the while. What timed out at the client's
         // deadline may as well have waited for the origin, which says nothing of the link.
@@ -877,20 +888,20 @@
             Outcome::Ok => {
                 erred.into_iter().for_each(|id| self.judge(now, id, Some(1.0)));
                 self.judge(now, server, None);
-                let over = took_s > self.long[class] * base_s;
-                self.long[class] *= 1.0 + LONG_STEP * (f64::from(u8::from(over)) - LONG_SHARE);
+                let longer = f64::from(u8::from(took_s > self.long[class] * base_s));
+                self.long[class] *= 1.0 + LONG_STEP * (longer - LONG_SHARE);
                 self.missing += 0.01 * (f64::from(u8::from(!hit)) - self.missing);
                 if let Some(source) = attempt.source {
                     if hit {
                         // Found in the cache: the source was never asked.
-                        if let Some(s) = self.servers.get_mut(&source) {
-                            s.charged.retain(|c| c.2 != id);
-                        }
+                        self.servers
+                            .get_mut(&source)
+                            .into_iter()
+                            .for_each(|s| s.charged.retain(|c| c.2 != id));
                     } else if note != Note::None && note != Note::Joined {
                         self.judge(now, source, None);
-                        if let Some(s) = self.servers.get_mut(&source).filter(|_| sized) {
-                            s.fills.add(now, took_s, work_s + WAY_S, 0.0);
-                        }
+                        let s = self.servers.get_mut(&source).filter(|_| sized);
+                        s.into_iter().for_each(|s| s.fills.add(now, took_s, work_s + WAY_S, 0.0));
                     }
                 }
             }
@@ -959,17 +970,11 @@
     /// The client left: what is out for it is called off, so that no link carries it in vain.
     fn left(&mut self, id: RequestId, actions: &mut Vec<Action>) {
         let Some(open) = self.open.get_mut(&id) else { return };
-        match open.out.as_mut() {
-            None => {
-                self.open.remove(&id);
-            }
-            Some(a) => {
-                open.over = true;
-                if self.settings.cancel && !a.cancelled && !open.begun {
-                    a.cancelled = true;
-                    actions.push(Action::Cancel { request: id, attempt: a.number });
-                }
-            }
+        let Some(a) = open.out.as_mut() else { return drop(self.open.remove(&id)) };
+        open.over = true;
+        if self.settings.cancel && !a.cancelled && !open.begun {
+            a.cancelled = true;
+            actions.push(Action::Cancel { request: id, attempt: a.number });
         }
     }
 
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -323,6 +323,30 @@
     pub link_use: Option<f64>,
 }
 
+/// What all routers of a fleet spend from together.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Budget {
+    /// Requests that the origin holds at a time, for whichever class: a number.
+    Origin,
+    /// What the cold caches of this router's zone bear, each of them: a share.
+    Caches,
+    /// What the cold parents bear, each of them: a share.
+    Parents,
+}
+
+/// A router's part of a budget. It goes before the router's own guess of what the others spend.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Part {
+    /// Of which.
+    pub budget: Budget,
+    /// How much may be spent until `until`.
+    pub amount: f64,
+    /// The time from which on the part is `floor`, unless another one was told.
+    pub until: Micros,
+    /// How much may be spent for ever.
+    pub floor: f64,
+}
+
 /// What a router hears.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Event {
@@ -391,6 +415,9 @@
         /// How long that counts.
         for_us: Micros,
     },
+    /// What this router may spend of a budget of all. It holds from now on, also for what is under way: nothing is
+    /// called off for it, and nothing more is sent until enough of that has ended.
+    Part(Part),
     /// An object, or with no object a whole group, was purged.
     Purged {
         /// The object.
