--- a/budgets/src/ledger.rs
+++ b/budgets/src/ledger.rs
@@ -5,7 +5,7 @@
 use std::collections::BTreeMap;
 
 /// A part granted.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 struct Grant {
     /// The life of the holder that asked for it.
     life: Life,
@@ -17,7 +17,7 @@
 }
 
 /// What is known of one holder.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
 struct Holder {
     life: Life,
     /// The last question of that life.
@@ -39,7 +39,7 @@
 }
 
 /// What a holder says of itself when it asks.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub(crate) struct Said {
     pub(crate) holder: Place,
     pub(crate) life: Life,
@@ -52,7 +52,7 @@
 }
 
 /// Parts granted, by holder.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
 pub(crate) struct Granted(BTreeMap<Place, Holder>);
 
 impl Granted {
--- a/budgets/src/limit.rs
+++ b/budgets/src/limit.rs
@@ -4,7 +4,7 @@
 use std::fmt;
 
 /// A budget: its whole, and how much of it each configured member may always spend.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct Whole {
     /// In all.
     pub whole: Amount,
@@ -15,7 +15,7 @@
 }
 
 /// Why a whole can't be divided.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct TooSmall {
     /// The sum of the floors.
     pub floors: Amount,
--- a/budgets/src/member.rs
+++ b/budgets/src/member.rs
@@ -8,7 +8,7 @@
 use std::collections::BTreeMap;
 
 /// Times and bounds, the same at all members.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct Options {
     /// A vote is given for this.
     pub vote_us: Micros,
@@ -94,7 +94,7 @@
 }
 
 /// A change that operators are told of.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum Change {
     /// This member divides a group from now on, or no longer.
     Divides {
@@ -113,7 +113,7 @@
 }
 
 /// Counts for the operators.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
 pub struct Tally {
     /// Parts granted to others and itself.
     pub granted: u64,
@@ -125,7 +125,7 @@
     pub astray: u64,
 }
 
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 struct Group {
     vote: Vote,
     /// Whose vote this member's is, or who was heard to have another's, and until when that counts. It must end, and is
@@ -145,7 +145,7 @@
     began: Option<Micros>,
 }
 
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 struct Budget {
     whole: Whole,
     wanted: Amount,
@@ -170,7 +170,7 @@
 }
 
 /// A member.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Member {
     place: Place,
     life: Life,
--- a/budgets/src/share.rs
+++ b/budgets/src/share.rs
@@ -5,7 +5,7 @@
 use std::collections::BTreeMap;
 
 /// What holders said they want, and when.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
 pub(crate) struct Wants(BTreeMap<Place, (Amount, Micros)>);
 
 /// One part in so many is kept for newcomers.
--- a/budgets/src/vote.rs
+++ b/budgets/src/vote.rs
@@ -8,7 +8,7 @@
 pub(crate) type Candidate = (Place, Life);
 
 /// A member's one vote.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub(crate) struct Vote {
     given: Option<Candidate>,
     until: Micros,
@@ -36,7 +36,7 @@
 }
 
 /// The votes that a candidate has, by whom, each until a time by the candidate's clock.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
 pub(crate) struct Votes(BTreeMap<Place, Micros>);
 
 impl Votes {
--- a/budgets/tests/fleet.rs
+++ b/budgets/tests/fleet.rs
@@ -44,6 +44,8 @@
     nodes: Vec<Node>,
     wholes: Vec<Whole>,
     options: Options,
+    /// Of all datagrams sent.
+    bytes: u64,
     /// The most that was in force at once, and felt at once, of each budget, in thousandths of its whole.
     most: Vec<(u64, u64)>,
 }
@@ -54,7 +56,7 @@
         let felt_us = wholes.iter().map(|whole| whole.felt_us).max().unwrap_or(0);
         let options = OPTIONS.felt_for(felt_us);
         let most = vec![(0, 0); wholes.len()];
-        let mut net = Net { links, nodes: Vec::new(), wholes: wholes.to_vec(), options, most };
+        let mut net = Net { links, nodes: Vec::new(), wholes: wholes.to_vec(), options, bytes: 0, most };
         for _ in 0..nodes {
             // Clocks that are a hundred times worse than those of machines, so that what guards against them is seen.
             let (ahead, faster) = (net.links.draw(1_000 * S), net.links.draw(100_001) as i64 - 50_000);
@@ -148,9 +150,12 @@
 
     fn send(&mut self, n: usize) {
         let life = self.nodes[n].life;
-        for (to, word) in self.nodes[n].member.as_mut().map(Member::sends).unwrap_or_default() {
-            self.links.send(n, to, &(life, word));
-        }
+        let sends = self.nodes[n].member.as_mut().map(Member::sends).unwrap_or_default();
+        let mut by_place = std::collections::BTreeMap::<Place, Vec<Word>>::new();
+        sends.iter().for_each(|(to, word)| by_place.entry(*to).or_default().push(*word));
+        let datagrams = by_place.values().flat_map(|words| wire::write(u64::MAX, life, words));
+        self.bytes += datagrams.map(|datagram| datagram.len() as u64).sum::<u64>();
+        sends.into_iter().for_each(|(to, word)| self.links.send(n, to, &(life, word)));
     }
 
     fn arrive(&mut self, from: Place, life: Life, to: Place, word: Word) {
@@ -526,3 +531,64 @@
         assert!(net.in_force(0) >= 90_000, "seed {seed}: the two go on without it");
     }
 }
+
+/// `cargo test --release -p linnetknot-budgets -- --ignored --nocapture`
+#[test]
+#[ignore = "a measurement"]
+fn figures() {
+    println!("| members | calm | bytes a member a second | a tenth away, 2 s after | half dead, 2 s after | the divider among them, 2 s, 5 s | one alone wants: 90% after |");
+    println!("| --- | --- | --- | --- | --- | --- | --- |");
+    for nodes in [4, 16, 64, 300] {
+        let whole = 1_000_000;
+        // A quarter set aside in floors: what the dead do not spend of theirs is lost to the others.
+        let wholes = [Whole { whole, floor: whole / 4 / nodes as u64, felt_us: S }];
+        let start = || {
+            let mut net = Net::new(nodes, 9, &wholes);
+            (0..nodes).for_each(|n| net.want(n, whole));
+            net.run(12 * S);
+            net
+        };
+        // What the living may spend, in percent of what their floors and the shared part come to.
+        let usable = |net: &Net| {
+            let runs = net.nodes.iter().filter(|n| n.member.is_some());
+            let parts: Amount =
+                runs.map(|n| n.member.as_ref().map_or(0, |m| m.part(n.clock(net.links.now), 0).0)).sum();
+            parts * 100 / whole
+        };
+        let mut net = start();
+        let calm = usable(&net);
+        let before = net.bytes;
+        net.run(5 * S);
+        let bytes = (net.bytes - before) / 5 / nodes as u64;
+        let divider = net.divider(0).expect("one divides");
+        let others: Vec<usize> = (0..nodes).filter(|n| *n != divider).collect();
+        others.iter().take(nodes.div_ceil(10)).for_each(|n| net.kill(*n));
+        net.run(2 * S);
+        let tenth = usable(&net);
+        let mut net = start();
+        let divider = net.divider(0).expect("one divides");
+        let others: Vec<usize> = (0..nodes).filter(|n| *n != divider).collect();
+        others.iter().take((nodes - 1) / 2).for_each(|n| net.kill(*n));
+        net.run(2 * S);
+        let half = usable(&net);
+        let mut net = start();
+        let divider = net.divider(0).expect("one divides");
+        net.kill(divider);
+        others.iter().filter(|n| **n != divider).take((nodes - 1) / 2 - 1).for_each(|n| net.kill(*n));
+        net.run(2 * S);
+        let two = usable(&net);
+        net.run(3 * S);
+        let five = usable(&net);
+        let mut net = start();
+        (1..nodes).for_each(|n| net.want(n, 0));
+        let begun = net.links.now;
+        let part = |net: &Net| {
+            net.nodes[0].member.as_ref().map_or(0, |m| m.part(net.nodes[0].clock(net.links.now), 0).0)
+        };
+        while part(&net) < whole * 3 / 4 * 9 / 10 && net.links.now < begun + 20 * S {
+            net.run(50 * MS);
+        }
+        let hot = (net.links.now - begun) / MS;
+        println!("| {nodes} | {calm}% | {bytes} | {tenth}% | {half}% | {two}%, {five}% | {hot} ms |");
+    }
+}
