Ask whoever sent what is behind a gap for what fills it, every other time

Need: what is missing of a log was asked of a peer drawn at random, which after a cut may lack it as well: a promise then waited for a further draw each 50 ms.

--- a/copies/src/lib.rs
+++ b/copies/src/lib.rs
@@ -195,6 +195,8 @@
     begun: u64,
     book: Book,
     ahead: Ahead,
+    /// Who sent the last of them.
+    ahead_from: usize,
     /// When peers are asked for what stands before those.
     lacks: Option<Micros>,
     options: Options,
@@ -224,6 +226,7 @@
             begun,
             book,
             ahead: Ahead::default(),
+            ahead_from: 0,
             lacks: None,
             options,
             random,
@@ -321,7 +324,9 @@
             return;
         }
         self.lacks = Some(now + self.options.ask_us);
-        let peer = self.random.below(peers) as usize;
+        // Who sent what is behind it has it mostly; any other may, should that one's link be cut.
+        let drawn = self.random.below(2 * peers) as usize;
+        let peer = if drawn < peers as usize { drawn } else { self.ahead_from };
         for log in self.ahead.logs().take(LACKING) {
             let gaps = self.ahead.gaps(log, self.book.end(log));
             let words = gaps.chunks(wire::MOST_GAPS).take(LACKING);
@@ -517,6 +522,7 @@
             Taken::Early { .. } => {
                 self.tally.early += 1;
                 self.ahead.put(&entry, self.options.ahead);
+                self.ahead_from = from;
                 heard.early.push(entry);
             }
             Taken::Refused(Full) => {
