Lay turns at cold servers apart by number, and ask what an attempt may do when it begins

Seen: by reading, and by tests/cold.rs on the code before it: where each router may send less than one request in a window, each drew a lot by its own seed once in a fixed window. Two such windows overlap in the rule's sliding one, and a router that starts again draws anew and has forgotten what it sent: 48 routers that start again at once sent 1.05 requests beyond N + 2 root N + 2 (all_routers_that_start_again_at_once..., which fails there). Ruled out: parts of one request and more, which are counted by sliding windows. At fault: cold_room in src/decide.rs. Second: an attempt that waits for its connection was bound by what was known when it was decided: the age of a copy, the window for repeats.

Change: turns (src/ramp.rs) come where a router's part has added up to one, shifted by the golden ratio times its number (settings.rank) and the server's id and start; each lasts a quarter of a window, so that nothing adds up. A request weighs its class's mean, as the rule has it, so large ones have the same chance. Router::begins tells whether an attempt may begin by now and the oldest copy that will do; Outcome::Unreached is a connection that did not come up and was not refused, which says nothing of a process that has started anew. hashing.rs and ramp.rs hold arithmetic alone.

--- a/settings/src/lib.rs
+++ b/settings/src/lib.rs
@@ -155,6 +155,7 @@
     }
     let telemetry = sub("telemetry")?;
     Ok(w::Settings {
+        rank: get(m, "rank").and(u32::try_from(rank).ok()),
         classes,
         tenants,
         zones,
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -5,7 +5,9 @@
 
 use crate::aging::{faded, Counts, Pace};
 use crate::checks::SettingsError;
+use crate::hashing::{group_key, hash_text, mix, share_of};
 use crate::interface::*;
+use crate::ramp::{Ramp, GOLDEN};
 use std::collections::{btree_map, BTreeMap, VecDeque};
 
 // ---- Constants. Times in microseconds unless the name says otherwise. ----
@@ -41,7 +43,7 @@
 const USUAL_STEP: f64 = 0.01; // Weight of one request in the usual sending time of its class.
 const WAY_S: f64 = 0.02; // Time of a hit besides its sending time.
 const MEAN_S: f64 = 3.0; // Own transfers are averaged over so many seconds to guess the other routers'.
-const COLD_USE: f64 = 0.55; // Used share of a cold server's budget: the rest is slack for sizes and chance.
+const COLD_USE: f64 = 0.55; // Used share of a cold server's budget: the rest is slack for chance.
 const LEAST_US: Micros = 5_000; // Least time in which an attempt can be answered.
 const RETRY_AFTER_US: Micros = 200_000; // Advice with a refusal: short, so that the next try can be in time.
 const ORIGIN_FALL: f64 = 0.85; // Of the share of requests that may have the origin asked, with a late answer.
@@ -176,20 +178,6 @@
     origin: Option<ServerId>,
 }
 
-fn mix(mut x: u64) -> u64 {
-    x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-    x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-    x ^ (x >> 31)
-}
-
-fn hash_text(text: &str) -> u64 {
-    mix(text.bytes().fold(0xcbf2_9ce4_8422_2325, |h, b| (h ^ u64::from(b)).wrapping_mul(0x100_0000_01b3)))
-}
-
-fn group_key(group: u64) -> u64 {
-    mix(group ^ 0x94d0_49bb_1331_11eb)
-}
-
 /// Place in the shared hash order (rendezvous hashing, by weight): lowest first.
 fn place(unit: u64, server: ServerId, weight: f64) -> f64 {
     let h = mix(unit ^ mix(server.wrapping_add(0x9e37_79b9_7f4a_7c15)));
@@ -339,7 +327,7 @@
             repeats,
             aim_at,
             deadline: now + r.remaining_us,
-            draw: mix(self.seed ^ mix(r.id)) as f64 / u64::MAX as f64,
+            draw: share_of(mix(self.seed ^ mix(r.id))),
             ..Open::default()
         };
         if let btree_map::Entry::Vacant(place) = self.open.entry(r.id) {
@@ -369,12 +357,7 @@
         let late = open.deadline.saturating_sub(now) < LEAST_US
             || open.attempts >= self.settings.max_attempts
             || open.errors >= ERRORS;
-        let barred = open.may_have_run.is_some_and(|(sent, ..)| match class.repeat {
-            Repeat::Safe => false,
-            Repeat::Keyed => now.saturating_sub(sent) + LEAST_US >= class.window_us,
-            Repeat::Unsafe => true,
-        });
-        let target = if late || barred {
+        let target = if late || self.is_barred(now, open) {
             None
         } else {
             let ranked = self.rank(open.unit);
@@ -390,6 +373,30 @@
         }
     }
 
+    /// Whether a request may have run, and must not run again any more.
+    fn is_barred(&self, now: Micros, open: &Open) -> bool {
+        let class = &self.settings.classes[open.class];
+        open.may_have_run.is_some_and(|(sent, ..)| match class.repeat {
+            Repeat::Safe => false,
+            Repeat::Keyed => now.saturating_sub(sent) + LEAST_US >= class.window_us,
+            Repeat::Unsafe => true,
+        })
+    }
+
+    /// Whether an attempt that waited for its connection may begin now, and the oldest copy that will do.
+    pub fn begins(&self, now: Micros, id: RequestId) -> Option<Option<Micros>> {
+        let open = self.open.get(&id).filter(|o| !o.over && !self.is_barred(now, o))?;
+        Some(self.max_age_us(now, open))
+    }
+
+    /// The oldest copy that will do; none: whatever the class allows.
+    fn max_age_us(&self, now: Micros, open: &Open) -> Option<Micros> {
+        let purges = [open.object, group_key(open.group)].map(|key| self.purged.get(&key));
+        let fresh = Some(self.settings.classes[open.class].fresh_us).filter(|us| *us > 0);
+        let purged = purges.into_iter().flatten().map(|p| p.0).max();
+        purged.map(|at| now.saturating_sub(at).clamp(1, fresh.unwrap_or(Micros::MAX)))
+    }
+
     /// The design: the object's share gives its number of copies; a uniform pick among those caches at the
     /// top of the shared hash order that are not full, else the next in the order.
     fn pick_cache(&self, now: Micros, open: &Open, ranked: &Ranked) -> Option<Target> {
@@ -401,10 +408,9 @@
             fits && self.in_time(**id, now, open)
         };
         let free: Vec<ServerId> = all.iter().take(copies).filter(able).copied().collect();
-        let chosen = if free.is_empty() {
-            *all.iter().skip(copies).find(able)?
-        } else {
-            free[(self.random % free.len() as u64) as usize]
+        let chosen = match free.len() as u64 {
+            0 => *all.iter().skip(copies).find(able)?,
+            n => free[(self.random % n) as usize],
         };
         let source =
             self.pick_sibling(now, open, ranked, chosen).or_else(|| self.pick_source(now, open, ranked));
@@ -465,12 +471,9 @@
         let fills = self.fills() + 1.0;
         let may_ask = self.may_ask(now, open);
         let fetches = source.is_some_and(|id| self.servers.get(&id).is_some_and(|s| s.role != Role::Cache));
+        let max_age_us = self.max_age_us(now, open);
         let Some(open) = self.open.get_mut(&id) else { return };
         let class = &self.settings.classes[open.class];
-        let purges = [open.object, group_key(open.group)].map(|key| self.purged.get(&key));
-        let fresh = if class.fresh_us > 0 { class.fresh_us } else { Micros::MAX };
-        let purged = purges.into_iter().flatten().map(|p| p.0).max();
-        let max_age_us = purged.map(|at| now.saturating_sub(at).clamp(1, fresh));
         let fill = Fill {
             source: source.unwrap_or(server),
             keep: if class.write { 0 } else { 1 + u8::from(open.repeats >= REPEAT_COUNT) },
@@ -498,10 +501,9 @@
         open.attempts += 1;
         self.filling += self.missing;
         open.out = Some(attempt);
-        let work_s = self.usual_s[open.class].0.max(open.work_s);
         for s in [Some(server), source].into_iter().flatten() {
             if let Some(known) = self.servers.get_mut(&s) {
-                known.charged.push_back((now, work_s, id));
+                known.charged.push_back((now, self.usual_s[open.class].0, id));
                 known.on_trial = known.strikes > 0;
             }
         }
@@ -560,7 +562,8 @@
 
     /// Whether the rules let a server be given this request, as target or as source of its fill.
     fn has_room(&self, id: ServerId, now: Micros, open: &Open) -> bool {
-        let work_s = open.work_s.max(self.usual_s[open.class].0);
+        // The rule weighs each by its class's mean: what is large has the same chance.
+        let work_s = self.usual_s[open.class].0;
         self.servers.get(&id).is_some_and(|s| s.state == State::Ready && self.cold_room(id, s, now, work_s))
     }
 
@@ -660,15 +663,17 @@
         self.filling + self.mean_filling * (self.routers() - 1.0)
     }
 
-    /// Share of its capacity that a server is sure to have by now, in a line from its cold share.
-    fn warmth(&self, s: &Known, at: Micros) -> f64 {
+    /// Share of its capacity that a server is sure to have, in a line from its cold share.
+    fn ramp(&self, s: &Known) -> Ramp {
         let r = &self.settings.rules;
-        let (share, cold_us) = match s.role {
-            Role::Parent => (r.parent_cold_share, r.parent_cold_us),
-            _ => (r.cold_share, r.cold_us),
-        };
-        let age = s.started.max(s.back).map_or(Micros::MAX, |started| at.saturating_sub(started));
-        (share + (1.0 - share) * age as f64 / cold_us.max(1) as f64).min(1.0)
+        match s.role {
+            Role::Parent => Ramp { share: r.parent_cold_share, cold_us: r.parent_cold_us },
+            _ => Ramp { share: r.cold_share, cold_us: r.cold_us },
+        }
+    }
+
+    fn warmth(&self, s: &Known, at: Micros) -> f64 {
+        s.started.max(s.back).map_or(1.0, |started| self.ramp(s).at(at.saturating_sub(started)))
     }
 
     /// This router's part of a budget of all: as it was told, else one of so many equal ones.
@@ -713,17 +718,19 @@
     fn cold_room(&self, id: ServerId, s: &Known, now: Micros, work_s: f64) -> bool {
         let Some((bears, spent)) = self.cold(s, now) else { return true };
         let zones = &self.settings.zones;
-        let budget = bears
-            * match s.role {
-                Role::Parent => self.part_of(Budget::Parents, zones.iter().map(|z| z.routers).sum(), now),
-                _ => self.part_of(Budget::Caches, zones[self.settings.zone].routers, now),
-            };
-        // A part smaller than one request is spent by turns: each router sends one with the chance that keeps
-        // the sum of all, drawn once a window from its own seed, so that they don't come together.
-        let window = now / self.settings.rules.fall_us.max(1);
-        // Drawn once for a request: further attempts must not be further chances.
-        let draw = mix(self.seed ^ mix(window ^ mix(id))) as f64 / u64::MAX as f64;
-        spent + work_s <= budget || spent == 0.0 && draw * work_s < budget
+        let part = match s.role {
+            Role::Parent => self.part_of(Budget::Parents, zones.iter().map(|z| z.routers).sum(), now),
+            _ => self.part_of(Budget::Caches, zones[self.settings.zone].routers, now),
+        };
+        // A part smaller than one request is spent by turns, each of the largest class's usual work. A router
+        // that starts again, and has forgotten what it sent, finds them where they were, by its number.
+        let (budget, turn_s) = (bears * part, self.usual_s.iter().map(|u| u.0).fold(0.0, f64::max));
+        let since = s.started.max(s.back).unwrap_or(0);
+        let number = self.settings.rank.map_or(share_of(mix(self.seed)), |rank| GOLDEN * f64::from(rank));
+        let own = share_of(mix(id ^ mix(since))) + number;
+        let (age, window) = (now.saturating_sub(since), self.settings.rules.fall_us);
+        let turn = budget < turn_s && self.ramp(s).is_turn(age, budget / turn_s, window, own);
+        spent + work_s <= if turn { turn_s } else { budget }
     }
 
     /// Counts a success or failure of a server; failing servers are marked, longer each time, and come back
@@ -770,11 +777,10 @@
             let done = done.min(*at.select_nth_unstable(PURGES / 2).1);
             self.purged.retain(|_, (at, lasting)| *lasting || *at > done);
         }
-        let keep = self.settings.rules.fall_us;
         let step = TICK_US as f64 / 1e6 / MEAN_S;
         for s in self.servers.values_mut() {
             s.mean_out += step * (s.out as f64 - s.mean_out);
-            s.charged.retain(|c| c.0 + keep >= now);
+            s.charged.retain(|c| c.0 + self.settings.rules.fall_us >= now);
         }
         let under_way = |o: &&Open| {
             let since = |a: &Attempt| now.saturating_sub(a.sent) as f64 / 1e6;
@@ -894,10 +900,8 @@
                 if let Some(source) = attempt.source {
                     if hit {
                         // Found in the cache: the source was never asked.
-                        self.servers
-                            .get_mut(&source)
-                            .into_iter()
-                            .for_each(|s| s.charged.retain(|c| c.2 != id));
+                        let s = self.servers.get_mut(&source).into_iter();
+                        s.for_each(|s| s.charged.retain(|c| c.2 != id));
                     } else if note != Note::None && note != Note::Joined {
                         self.judge(now, source, None);
                         let s = self.servers.get_mut(&source).filter(|_| sized);
@@ -922,9 +926,10 @@
                 attempt.source.into_iter().for_each(|id| self.judge(now, id, Some(blame)));
             }
             Outcome::Timeout if now < attempt.overdue_at => {}
-            Outcome::ConnectFailed => {
+            Outcome::ConnectFailed | Outcome::Unreached => {
                 self.judge(now, server, Some(GONE_WEIGHT));
-                self.servers.get_mut(&server).into_iter().for_each(|s| s.lost = true);
+                let s = self.servers.get_mut(&server).into_iter();
+                s.for_each(|s| s.lost |= outcome == Outcome::ConnectFailed);
             }
             Outcome::Reset => {
                 // One break ends all that is out on a connection: it counts once.
@@ -944,10 +949,10 @@
         let lost = outcome == Outcome::Cancelled && attempt.source.is_some_and(|id| !self.is_well(id, now));
         let by_source = by_source || lost && self.is_well(server, now);
         let Some(open) = self.open.get_mut(&id) else { return };
-        let ran = !matches!(outcome, Outcome::Full | Outcome::ConnectFailed | Outcome::Moot | Outcome::Miss);
-        if ran && open.may_have_run.is_none() {
+        use Outcome::{ConnectFailed, Full, Miss, Moot, Unreached};
+        if !matches!(outcome, Full | ConnectFailed | Unreached | Moot | Miss) {
             let place = self.servers.get(&server).map_or((usize::MAX, u64::MAX), |s| (s.zone, s.cell));
-            open.may_have_run = Some((attempt.sent, place.0, place.1));
+            open.may_have_run = open.may_have_run.or(Some((attempt.sent, place.0, place.1)));
         }
         open.bad_sources.extend(mute);
         if outcome == Outcome::Error && !told && shared.is_none() {
@@ -988,13 +993,9 @@
             Repeat::Keyed => open.may_have_run.is_none() || class.scope == DedupScope::All,
             Repeat::Unsafe => open.may_have_run.is_none(),
         };
-        if refusable {
-            let most = self.settings.max_retry_after_us;
-            // Given also where clients are not said to follow it: it does them no harm.
-            let retry_after_us = (most > 0).then_some(RETRY_AFTER_US.min(most));
-            actions.push(Action::Refuse { request: id, retry_after_us });
-        } else {
-            actions.push(Action::Fail { request: id });
-        }
+        // Advice is given also where clients are not said to follow it: it does them no harm.
+        let most = Some(self.settings.max_retry_after_us).filter(|us| *us > 0);
+        let refusal = Action::Refuse { request: id, retry_after_us: most.map(|us| us.min(RETRY_AFTER_US)) };
+        actions.push(if refusable { refusal } else { Action::Fail { request: id } });
     }
 }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -157,6 +157,8 @@
     pub zones: Vec<Zone>,
     /// The router's own zone, as a place in `zones`.
     pub zone: usize,
+    /// The router's number among all that share these settings, from 0; none: not told.
+    pub rank: Option<u32>,
     /// The kind of server that is a parent, if the deployment has any.
     pub parent_kind: Option<String>,
     /// The kind of server that is the origin.
@@ -273,6 +275,8 @@
     Timeout,
     /// No connection; it never ran.
     ConnectFailed,
+    /// No connection came up in time, and none was refused: it never ran, and its process may be there all the same.
+    Unreached,
     /// The connection broke; it may have run.
     Reset,
     /// Called off; it may have run.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -15,6 +15,7 @@
 //! let zone = |name: &str, routers, hub| Zone { name: name.into(), routers, hub, link_kb_per_s: 0.0 };
 //! let mut settings = Settings {
 //!     classes: vec![class], tenants: vec![], zones: vec![zone("hub", 0, 0), zone("town", 1, 0)], zone: 1,
+//!     rank: Some(0),
 //!     parent_kind: None, origin_kind: "origin".into(), ask_for_list: false, direct: false, joins: true,
 //!     siblings: Siblings::Off, tells: Tells::All, reports: Reports::Off, weights_told: true,
 //!     flow_kb_per_s: 4_000.0, max_attempts: 4, second_copies: false, cancel: true, probes: false,
@@ -64,7 +65,9 @@
 mod aging;
 mod checks;
 mod decide;
+mod hashing;
 pub mod interface;
+mod ramp;
 
 pub use checks::SettingsError;
 pub use decide::Router;
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -44,6 +44,7 @@
         tenants: vec![],
         zones: vec![zone("hub", 0, 0.0), zone("town", 1, 100_000.0), zone("shore", 1, 100_000.0)],
         zone: 1,
+        rank: None,
         parent_kind: Some("parent".into()),
         origin_kind: "origin".into(),
         ask_for_list: false,
