Show late dials, doubled answers, silent lists and full tables on real connections

Read further: a repeat of a box's answer ended the further attempt that had taken its id (upstream.rs, read); an answer that crossed an abort ended the attempt behind it while that was out, so that two could be out at once; a 304 without a tag, or with another one, called the client's copy current; conn.rs was told of no end while its ring was full; the list was called every 100 ms by a whole fleet while it was down; with fewer descriptors than the configuration says (EMFILE) the daemon never became ready behind a crowd (descriptors.rs).

--- a/daemon/src/daemon/clients.rs
+++ b/daemon/src/daemon/clients.rs
@@ -3,7 +3,7 @@
 use super::{Connection, Daemon, Kind, Timer, LISTENER};
 use crate::core::{Answer, Client};
 use crate::front::fastcgi::Input;
-use crate::limits::Limits;
+use crate::limits::Standing;
 use crate::net::{Conn, Interest, Key, Progress};
 use crate::wire::WireError;
 use linnetknot::Micros;
@@ -11,34 +11,6 @@
 use std::io;
 use std::net::{TcpListener, TcpStream};
 
-/// What a client's connection is at.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-enum Standing {
-    /// It was ended here, and its client may still read.
-    Lingering,
-    /// It has asked for nothing yet.
-    Silent,
-    /// A request has come in part.
-    Half,
-    /// All that it asked for is answered.
-    Idle,
-    /// It waits for an answer, or one is on its way out.
-    Busy,
-}
-
-/// When a connection ends that stays what it has been since then; none while answers are owed.
-fn leaves_at(standing: Standing, owed: usize, since: Micros, limits: &Limits) -> Option<Micros> {
-    let after = match standing {
-        Standing::Silent | Standing::Half => limits.client_half_us,
-        Standing::Idle => limits.client_idle_us,
-        Standing::Lingering => limits.client_linger_us,
-        Standing::Busy if owed > 0 => return None,
-        // All is said, and the client takes none of it.
-        Standing::Busy => limits.client_stalled_us,
-    };
-    Some(since + after)
-}
-
 impl Daemon {
     fn standing(c: &Connection) -> Option<Standing> {
         let (busy, half, asked) = match &c.kind {
@@ -128,14 +100,14 @@
             c.conn.input.release();
             c.conn.output.release();
         }
-        let mut due = leaves_at(standing, Self::owed(c), c.since, &self.limits);
+        let mut due = self.limits.leaves_at(standing, Self::owed(c), c.since);
         if due.is_some_and(|due| due <= now) {
             // What came in this very moment changes what it is at, and then it stays.
             if !self.look(now, key) {
                 return;
             }
             let Some(c) = self.connections.get(key) else { return };
-            due = Self::standing(c).and_then(|s| leaves_at(s, Self::owed(c), c.since, &self.limits));
+            due = Self::standing(c).and_then(|s| self.limits.leaves_at(s, Self::owed(c), c.since));
             if due.is_some_and(|due| due <= now) && !self.half_close(now, key) {
                 return self.close(now, key);
             }
--- /dev/null
+++ b/daemon/tests/descriptors.rs
@@ -0,0 +1,76 @@
+//! A daemon that may hold fewer descriptors than it was told, and a crowd that takes all that it gives.
+
+use linnetknot_rehearse::boxes::StandIn;
+use linnetknot_rehearse::bus::{entry, Bus};
+use linnetknot_rehearse::clients::{call, WebServer};
+use linnetknot_rehearse::settings;
+use rustix::process::{getrlimit, kill_process, setrlimit, Pid, Resource, Rlimit, Signal};
+use serde_json::{json, Value};
+use std::net::{SocketAddr, TcpListener};
+use std::process::{Command, Stdio};
+use std::time::{Duration, Instant};
+
+fn free_address() -> SocketAddr {
+    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
+}
+
+fn until(what: &str, mut done: impl FnMut() -> bool) {
+    let start = Instant::now();
+    while !done() {
+        assert!(start.elapsed() < Duration::from_secs(10), "{what}");
+        std::thread::yield_now();
+    }
+}
+
+/// While the list can't be reached, clients that rest take every place there is. The list, the boxes and the operators
+/// have theirs all the same, and so has whoever wants something.
+#[test]
+fn a_crowd_that_rests_shuts_out_neither_the_list_nor_boxes_operators_and_other_clients() {
+    let folder = std::env::temp_dir().join(format!("linnetknot-descriptors-{}", std::process::id()));
+    let _ = std::fs::remove_dir_all(&folder);
+    std::fs::create_dir_all(&folder).unwrap();
+    let (bus, cache, origin) =
+        (Bus::start().unwrap(), StandIn::start("s-0a").unwrap(), StandIn::start("s-0f").unwrap());
+    let (front, admin, nowhere) = (free_address(), free_address(), free_address());
+    let config = |bus: SocketAddr| -> Value {
+        json!({"listen": front.to_string(), "ops": admin.to_string(), "bus": bus.to_string(),
+            "settings": settings(), "limits": {"memory_mb": 192, "sockets": 1024}})
+    };
+    let path = folder.join("config.json");
+    std::fs::write(&path, config(nowhere).to_string()).unwrap();
+    let own = getrlimit(Resource::Nofile);
+    setrlimit(Resource::Nofile, Rlimit { current: Some(64), maximum: own.maximum }).unwrap();
+    let child = Command::new(env!("CARGO_BIN_EXE_linnetknot"))
+        .env("ROUTER_CONFIG", &path)
+        .env("TMPDIR", &folder)
+        .env_remove("LINNETKNOT_INTERCONNECT")
+        .env_remove("ROUTER_SOCKET_FD")
+        .stdin(Stdio::null())
+        .stdout(Stdio::null())
+        .stderr(Stdio::null())
+        .spawn();
+    setrlimit(Resource::Nofile, own).unwrap();
+    let mut child = child.unwrap();
+    until("it listens", || WebServer::connect(front).is_ok());
+    let held = || std::fs::read_dir(format!("/proc/{}/fd", child.id())).map_or(0, |fds| fds.count());
+    // Four times as many as it may hold, on both of its listeners.
+    let crowd: Vec<WebServer> = (0..200).map(|_| WebServer::connect(front).unwrap()).collect();
+    let callers: Vec<WebServer> = (0..56).map(|_| WebServer::connect(admin).unwrap()).collect();
+    until("the crowd fills its places", || held() >= 40);
+    bus.list(true, vec![entry(&cache, "here", "box", "ready"), entry(&origin, "hub", "origin", "ready")]);
+    // Discovery is back, at another address: the file has to be read, and the list called.
+    std::fs::write(&path, config(bus.address).to_string()).unwrap();
+    let pid = Pid::from_child(&child);
+    kill_process(pid, Signal::HUP).unwrap();
+    until("the operators are told that it is ready", || {
+        call(admin, "GET", "/control/ready", "").is_ok_and(|answer| answer.status == 200)
+    });
+    let mut web = WebServer::connect(front).unwrap();
+    web.ask(1, "photo", "00000000000000a1", 2500).unwrap();
+    assert_eq!(web.end().unwrap().1.expect("an answer").status, 200);
+    assert!(held() <= 64);
+    kill_process(pid, Signal::TERM).unwrap();
+    drop((crowd, callers, web));
+    assert!(child.wait().unwrap().success());
+    let _ = std::fs::remove_dir_all(&folder);
+}
--- a/daemon/tests/races.rs
+++ b/daemon/tests/races.rs
@@ -5,6 +5,7 @@
 
 use linnetknot_daemon::wire::{fastcgi, resp, Parser};
 use linnetknot_rehearse::boxes::StandIn;
+use linnetknot_rehearse::bus::entry;
 use linnetknot_rehearse::clients::WebServer;
 use rig::{object, one, Held, Rig};
 use serde_json::{json, Value};
@@ -357,3 +358,157 @@
     drop(web);
     rig.run.join().unwrap().unwrap();
 }
+
+/// A listener whose queue is full: connections to it don't come up until the returned one is accepted.
+fn full(scripted: &Scripted) -> TcpStream {
+    rustix::net::listen(&scripted.listener, 0).unwrap();
+    TcpStream::connect(scripted.listener.local_addr().unwrap()).unwrap()
+}
+
+/// Connections that are late come up all the same: begun anew for each attempt, they never would.
+#[test]
+fn late_connections_are_kept_and_no_further_ones_begun_and_what_waited_for_them_never_begins() {
+    let (rig, mut boxes) =
+        scripted::<1>(|config| config["settings"]["limits"]["connect-timeout-us"] = json!(100_000));
+    let filler = full(&boxes[0]);
+    let mut web = rig.web();
+    for n in 1..=6 {
+        web.send(&request(n, &object(u64::from(n)), 0)).unwrap();
+        let (_, answer) = web.end().unwrap();
+        assert_eq!(answer.unwrap().status, 503, "it never began, so trying again is harmless");
+    }
+    // Clients that leave while theirs wait.
+    let mut gone = rig.web();
+    gone.send(&request(7, &object(7), 0)).unwrap();
+    drop(gone);
+    // Room again: the system tries the first segment of a connection again after a second.
+    let start = Instant::now();
+    while boxes[0].wires.len() < 3 {
+        assert_eq!(boxes[0].arrived(), [], "of what waited nothing begins");
+        assert!(start.elapsed() < Duration::from_secs(8), "{} came up", boxes[0].wires.len() - 1);
+        std::thread::yield_now();
+    }
+    drop(filler);
+    web.send(&request(8, &object(8), 0)).unwrap();
+    let (_, place, fetch) = next_of(&mut boxes);
+    assert!(fetch[2].contains(&object(8)) && place > 0);
+    boxes[0].wires[place].answer(&fetch[1], "200", "how=local,made=1,etag=t1", "a copy");
+    assert_eq!(web.end().unwrap().1.unwrap().status, 200);
+    assert_eq!(boxes[0].wires.len(), 3, "two dials for six attempts, and the one that filled the queue");
+    rig.stop();
+}
+
+/// A bus that does nothing until the test does it.
+struct ScriptedBus(TcpListener);
+
+impl ScriptedBus {
+    fn start() -> ScriptedBus {
+        ScriptedBus(TcpListener::bind("127.0.0.1:0").unwrap())
+    }
+
+    fn address(&self) -> Value {
+        self.0.local_addr().unwrap().to_string().into()
+    }
+
+    /// Takes the next call: its connection, and the number behind which it reads on.
+    fn call(&self) -> (TcpStream, u64) {
+        let (mut socket, _) = self.0.accept().unwrap();
+        socket.set_read_timeout(Some(Duration::from_secs(10))).unwrap();
+        let (mut head, mut byte) = (Vec::new(), [0]);
+        while !head.ends_with(b"\r\n\r\n") {
+            socket.read_exact(&mut byte).unwrap();
+            head.extend(byte);
+        }
+        let head = String::from_utf8(head).unwrap();
+        let last = head.lines().find_map(|line| line.strip_prefix("Last-Event-ID: ")).unwrap();
+        (socket, last.parse().unwrap())
+    }
+}
+
+/// The head of a bus's answer.
+const STREAM: &str = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n";
+
+fn event(offset: u64, what: Value) -> String {
+    let mut event = what;
+    event["offset"] = offset.into();
+    format!("id: {offset}\ndata: {event}\n\n")
+}
+
+fn topology(entries: Vec<Value>) -> Value {
+    json!({"topology": {"all": false, "targets": entries}})
+}
+
+#[test]
+fn a_watch_that_falls_silent_is_called_again_at_the_right_number_and_a_drain_told_in_the_gap_holds() {
+    let bus = ScriptedBus::start();
+    let address = bus.address();
+    let rig = Rig::with(&["s-0a", "s-0b"], |config| {
+        config["bus"] = address.clone();
+        config["bounds"] = json!({"bus_silence_us": 150_000});
+    });
+    // Silent before the first event, with and without a head.
+    let (_silent, last) = bus.call();
+    assert_eq!(last, 0);
+    let (mut headed, last) = bus.call();
+    assert_eq!(last, 0);
+    headed.write_all(STREAM.as_bytes()).unwrap();
+    // After an event, and in the middle of one: that is told again.
+    let (mut cut, last) = bus.call();
+    assert_eq!(last, 0);
+    let purge = |tag: u64| json!({"ban": {"tag": tag, "ts": 1}});
+    let begun = event(2, purge(8));
+    cut.write_all([STREAM, &event(1, purge(7)), &begun[..begun.len() / 2]].concat().as_bytes()).unwrap();
+    let (mut watch, last) = bus.call();
+    assert_eq!(last, 1, "behind the last whole event");
+    let drains = topology(vec![entry(&rig.boxes[0], "here", "box", "draining")]);
+    watch.write_all([STREAM, &event(2, purge(8)), &event(3, drains)].concat().as_bytes()).unwrap();
+    let (_watch, last) = bus.call();
+    assert_eq!(last, 3);
+    let mut web = rig.web();
+    for n in 0..40 {
+        assert_eq!(one(&mut web, "photo", &object(n)).status, 200);
+    }
+    assert_eq!(asked(&rig.boxes[0]), [] as [String; 0], "it drains since the gap");
+    rig.stop();
+}
+
+#[test]
+fn a_list_that_moves_while_it_is_called_is_heard_at_its_new_place_alone() {
+    let (old, new) = (ScriptedBus::start(), ScriptedBus::start());
+    let address = old.address();
+    let mut rig = Rig::with(&["s-0a"], |config| config["bus"] = address.clone());
+    let (mut heard, _) = old.call();
+    heard.write_all([STREAM, &event(1, json!({"ban": {"tag": 1, "ts": 1}}))].concat().as_bytes()).unwrap();
+    // It breaks, and the next call is under way when the configuration moves.
+    drop(heard);
+    let (mut under_way, last) = old.call();
+    assert_eq!(last, 1);
+    rig.file.lock().unwrap()["bus"] = new.address();
+    rig.control.reload().unwrap();
+    let (mut moved, last) = new.call();
+    assert_eq!(last, 1);
+    // What the old place says now is nobody's: by it, no box would be left.
+    let gone = topology(vec![entry(&rig.boxes[0], "here", "box", "gone")]);
+    let _ = under_way.write_all([STREAM, &event(9, gone)].concat().as_bytes());
+    drop(under_way);
+    moved.write_all([STREAM, &event(2, json!({"ban": {"tag": 2, "ts": 1}}))].concat().as_bytes()).unwrap();
+    drop(moved);
+    let (_moved, last) = new.call();
+    assert_eq!(last, 2, "numbers go on, and the old place's did not count");
+    assert_eq!(one(&mut rig.web(), "photo", &object(1)).status, 200);
+    rig.stop();
+}
+
+#[test]
+fn a_list_that_is_down_is_called_less_and_less_often_but_often_enough() {
+    let bus = ScriptedBus::start();
+    let address = bus.address();
+    let rig = Rig::with(&["s-0a"], |config| config["bus"] = address.clone());
+    // Each call is taken and ended at once.
+    let calls: Vec<Instant> = (0..7).map(|_| (drop(bus.call()), Instant::now()).1).collect();
+    let gaps: Vec<Duration> = calls.windows(2).map(|pair| pair[1] - pair[0]).collect();
+    let least = [50, 100, 200, 400, 400, 400].map(Duration::from_millis);
+    assert!(gaps.iter().zip(least).all(|(gap, least)| *gap >= least), "{gaps:?}");
+    assert!(gaps.iter().all(|gap| *gap < Duration::from_secs(3)), "{gaps:?}");
+    rig.stop();
+}
--- a/daemon/tests/upstream.rs
+++ b/daemon/tests/upstream.rs
@@ -22,6 +22,10 @@
     told: Vec<Told>,
     now: u64,
     last: Vec<(String, AttemptId)>,
+    /// The tag of the copy that the client holds.
+    have: Option<String>,
+    /// Bytes that a request brings.
+    body: usize,
 }
 
 impl Rig {
@@ -54,6 +58,8 @@
             told: Vec::new(),
             now: NOW,
             last: Vec::new(),
+            have: None,
+            body: 0,
         }
     }
 
@@ -64,6 +70,8 @@
             object: format!("{id}-object"),
             size_kb: 40.0,
             remaining_us: 2_000_000,
+            have: self.have.clone(),
+            body: vec![b'x'; self.body],
             ..Asked::default()
         };
         // The core takes no two of one id: the one before is over by now.
@@ -243,3 +251,188 @@
     rig.link.broken(Outcome::Moot, rig.conn.written, &mut rig.told);
     assert!(matches!(&rig.told[..], [Told::Ended(a, e)] if *a == queued && e.outcome == Outcome::Moot));
 }
+
+/// What reached the other side within the bytes that are there by now.
+fn drain(rig: &mut Rig) -> String {
+    rig.far.set_nonblocking(true).unwrap();
+    let (mut text, mut bytes) = (String::new(), vec![0; 1 << 20]);
+    while let Ok(got) = rig.far.read(&mut bytes) {
+        text += &String::from_utf8_lossy(&bytes[..got]);
+    }
+    text
+}
+
+/// Answers of a box, taken in whole.
+fn answered(rig: &mut Rig, answers: &[(&str, &str, &str)]) {
+    let mut out = Vec::new();
+    for (id, word, fields) in answers {
+        resp::write_array(&mut out, &[id.as_bytes(), word.as_bytes(), fields.as_bytes(), b"x"]);
+    }
+    rig.far.write_all(&out).unwrap();
+    while rig.conn.read(false) != Progress::Moved {}
+    rig.link.read(rig.now, &mut rig.conn, &rig.core, &mut rig.told).unwrap();
+}
+
+/// A peer that takes no more bytes: what has not begun by then is recalled, and what has is followed by its abort.
+#[test]
+fn behind_a_stalled_peer_an_attempt_is_recalled_unless_its_first_byte_is_written() {
+    let mut rig = Rig::new(true);
+    rustix::net::sockopt::set_socket_send_buffer_size(rig.conn.socket(), 4096).unwrap();
+    let begun = |rig: &Rig, attempt| rig.told.iter().any(|t| matches!(t, Told::Begun(a) if *a == attempt));
+    // Attempts until one can't begin.
+    let mut sent = Vec::new();
+    let waiting = loop {
+        let attempt = rig.send(&format!("{:04}", sent.len()));
+        if !begun(&rig, attempt) {
+            break attempt;
+        }
+        sent.push(attempt);
+        assert!(sent.len() < 100_000, "the peer takes all of it");
+    };
+    let id = format!("{:04}", sent.len());
+    assert!(rig.conn.watch().is_some_and(|w| w.write), "the loop is to try again");
+    let last = *sent.last().unwrap();
+    rig.link.give_up(rig.now, waiting);
+    rig.link.give_up(rig.now, last);
+    // The peer reads on.
+    let (mut text, aborted) = (String::new(), format!("{:04}", sent.len() - 1));
+    while !text.contains("abort") {
+        text += &drain(&mut rig);
+        assert!(rig.pump());
+    }
+    text += &drain(&mut rig);
+    assert!(!text.contains(&format!("{id}-object")), "recalled without a trace");
+    assert!(text.contains(&format!("{aborted}-object")));
+    assert_eq!(text.matches("abort").count(), 1);
+    assert!(text.find(&format!("{aborted}-object")) < text.find("abort"));
+}
+
+#[test]
+fn aborts_go_ahead_of_attempts_that_have_not_begun() {
+    let mut rig = Rig::new(true);
+    let first = rig.send("01");
+    rig.reached("fetch", 1);
+    rig.conn.up = false;
+    rig.send("02");
+    rig.link.give_up(rig.now, first);
+    rig.conn.up = true;
+    rig.pump();
+    let text = rig.reached("fetch", 1);
+    assert!(text.find("abort") < text.find("fetch"), "{text}");
+}
+
+/// A box may say a thing twice. The repeat of an answer would end a further attempt of the request that has just begun.
+#[test]
+fn a_second_answer_ends_no_further_attempt() {
+    let mut rig = Rig::new(true);
+    let attempt = rig.send("01");
+    answered(&mut rig, &[("01", "503", "-")]);
+    assert_eq!(rig.ends(), [(attempt, Outcome::Full)]);
+    assert_eq!(rig.room_for("01"), None, "a further attempt goes by another connection");
+    assert!(rig.room_for("02").is_some() && rig.link.is_idle());
+    answered(&mut rig, &[("01", "503", "-"), ("unknown", "200", "-")]);
+    assert_eq!(rig.ends(), []);
+    rig.link.prune(rig.now + rig.limits.forget_us + 1, &rig.limits);
+    assert!(rig.room_for("01").is_some());
+}
+
+/// The answer to an attempt may cross its abort. A further attempt on the connection is not over by it: another one
+/// would make two at once.
+#[test]
+fn an_answer_that_may_be_the_one_before_is_followed_by_an_abort_before_anything_ends() {
+    let mut rig = Rig::new(true);
+    let attempt = rig.send("01");
+    rig.give_up(attempt);
+    rig.ends();
+    let further = rig.send("01");
+    answered(&mut rig, &[("01", "503", "-")]);
+    rig.pump();
+    assert_eq!(rig.ends(), [], "it may still be out");
+    assert_eq!(rig.reached("abort", 2).matches("fetch").count(), 2);
+    rig.now += rig.limits.give_up_us;
+    rig.pump();
+    assert_eq!(rig.ends(), [(further, Outcome::Full)]);
+    // Where its own answer comes in that time, that is how it ends.
+    let attempt = rig.send("02");
+    rig.give_up(attempt);
+    rig.ends();
+    let further = rig.send("02");
+    answered(&mut rig, &[("02", "503", "-"), ("02", "200", "made=1,etag=t1")]);
+    assert_eq!(rig.ends(), [(further, Outcome::Ok)]);
+}
+
+/// Nobody can have read what is not written whole.
+#[test]
+fn an_answer_ahead_of_its_attempt_ends_the_connection_and_the_attempt_never_ran() {
+    let mut rig = Rig::new(true);
+    rustix::net::sockopt::set_socket_send_buffer_size(rig.conn.socket(), 4096).unwrap();
+    // Of a frame this long the socket takes a part.
+    rig.body = 47_000;
+    let mut n = 0;
+    while rig.conn.output.is_empty() {
+        rig.send(&format!("{n:04}"));
+        n += 1;
+        assert!(n < 500, "no frame is cut");
+        while rig.conn.is_stuck() && rig.conn.output.is_empty() {
+            // It could not begin at all: with some room it does.
+            drain(&mut rig);
+            rig.pump();
+        }
+    }
+    let (id, attempt) = rig.last.last().cloned().unwrap();
+    let mut out = Vec::new();
+    resp::write_array(&mut out, &[id.as_bytes(), b"200", b"made=1", b"x"]);
+    rig.far.set_nonblocking(false).unwrap();
+    rig.far.write_all(&out).unwrap();
+    while rig.conn.read(false) != Progress::Moved {}
+    assert!(rig.link.read(rig.now, &mut rig.conn, &rig.core, &mut rig.told).is_err());
+    rig.told.clear();
+    rig.link.broken(Outcome::Moot, rig.conn.written, &mut rig.told);
+    assert!(rig.ends().contains(&(attempt, Outcome::Moot)));
+}
+
+/// A client's copy is current only where the box names that copy.
+#[test]
+fn an_answer_that_names_no_copy_or_another_one_calls_none_current() {
+    for (fields, outcome) in [
+        ("etag=4be0c1927d55a6f3,made=1", Outcome::Ok),
+        ("etag=0000000000000000,made=1", Outcome::Error),
+        ("made=1", Outcome::Error),
+        ("-", Outcome::Error),
+    ] {
+        let mut rig = Rig::new(true);
+        rig.have = Some("4be0c1927d55a6f3".into());
+        let attempt = rig.send("01");
+        answered(&mut rig, &[("01", "304", fields)]);
+        assert_eq!(rig.ends(), [(attempt, outcome)], "{fields}");
+    }
+    // And none where the client holds none.
+    let mut rig = Rig::new(true);
+    let attempt = rig.send("01");
+    answered(&mut rig, &[("01", "304", "etag=4be0c1927d55a6f3")]);
+    assert_eq!(rig.ends(), [(attempt, Outcome::Error)]);
+}
+
+/// While an attempt waits for its connection a purge may be told: it asks for a copy from behind that.
+#[test]
+fn an_attempt_that_waited_asks_for_the_age_that_will_do_when_it_begins() {
+    let mut rig = Rig::new(false);
+    rig.send("01");
+    rig.core.purged(NOW + 1_000, Some("01-object".into()), 0, NOW);
+    rig.now = NOW + 200_000;
+    rig.conn.up = true;
+    rig.pump();
+    assert!(rig.reached("fetch", 1).contains("maxage=200"));
+}
+
+#[test]
+fn a_connection_that_rested_for_nearly_as_long_as_its_box_lets_it_is_not_used_again() {
+    let mut rig = Rig::new(true);
+    rig.limits.box_idle_us = 5_000_000;
+    let attempt = rig.send("01");
+    assert!(!rig.link.is_stale(NOW + 60_000_000, &rig.limits), "it is in use");
+    answered(&mut rig, &[("01", "200", "made=1,etag=t1")]);
+    assert_eq!(rig.ends(), [(attempt, Outcome::Ok)]);
+    assert!(!rig.link.is_stale(NOW + 4_999_999, &rig.limits));
+    assert!(rig.link.is_stale(NOW + 5_000_000, &rig.limits));
+}
