--- a/daemon/src/daemon/boxes.rs
+++ b/daemon/src/daemon/boxes.rs
@@ -55,7 +55,7 @@
             let (conn, link) = leads(key)?;
             let waits = !conn.up && link.is_late(now, &self.limits) || link.is_stale(now, &self.limits);
             let live = link.room_for(id, &self.core, &self.limits).filter(|_| !waits)?;
-            Some((!link.gave_up(id), !conn.up, live))
+            Some((!link.gave_up(id), !conn.up, link.is_held_up(now, &self.limits), live))
         };
         let best = links.iter().filter_map(|key| Some((room(key)?, *key))).min();
         // One answer that can't be read ends all that is open on its connection: the more of them, the less is
--- a/daemon/src/daemon/mod.rs
+++ b/daemon/src/daemon/mod.rs
@@ -583,12 +583,13 @@
             Ok(new) => new,
             Err(e) => return log::error!("SIGHUP: the configuration stays as it was: {e}"),
         };
+        if self.config.settings != new.settings && self.retune(&new.settings) {
+            self.limits.follow(&new.limits);
+            self.config.limits.follow(&new.limits);
+        }
         for key in self.config.fixed_changes(&new).into_iter().filter(|key| *key != "settings") {
             log::warn!("SIGHUP: '{key}' has changed, which takes effect with the next start only");
         }
-        if self.config.settings != new.settings {
-            self.retune(&new.settings);
-        }
         if let (Some((_, known)), Some((_, peers))) = (&mut self.peers, &new.peers) {
             known.clone_from(peers);
             self.hearsay.iter_mut().for_each(|h| h.keep(|peer| peers.contains(peer)));
@@ -626,8 +627,8 @@
     }
 
     /// Puts new settings in force where a running router can follow them: its classes and its attempts. The rest
-    /// of `settings` was built into the router's tables at the start.
-    fn retune(&mut self, new: &linnetknot::Settings) {
+    /// of `settings` was built into the router's tables at the start. False: they can't be used.
+    fn retune(&mut self, new: &linnetknot::Settings) -> bool {
         let mut next = self.config.settings.clone();
         next.classes.clone_from(&new.classes);
         next.max_attempts = new.max_attempts;
@@ -638,8 +639,12 @@
             Ok(()) => {
                 log::info!(classes = next.classes.len(), attempts = next.max_attempts; "SIGHUP: new settings are in force");
                 self.config.settings = next;
+                true
+            }
+            Err(e) => {
+                log::error!("SIGHUP: 'settings' stay as they were: {e}");
+                false
             }
-            Err(e) => log::error!("SIGHUP: 'settings' stay as they were: {e}"),
         }
     }
 
--- a/daemon/src/limits.rs
+++ b/daemon/src/limits.rs
@@ -130,6 +130,8 @@
     pub give_up_us: u64,
     /// An answer from a box that has begun and brings nothing more for so long has stopped short.
     pub half_answer_us: u64,
+    /// An answer from a box that has begun and is not whole after so long never will be: nobody waits longer.
+    pub answer_us: u64,
     /// What was given up on a connection is remembered there for so long.
     pub forget_us: u64,
     /// A connection to a box that says nothing for so long, while it is asked, may lead nowhere any more.
@@ -213,6 +215,7 @@
             back_off_us: settings.max_retry_after_us.min(self.back_off_us),
             connect_us: if connect_us > 0 { connect_us } else { self.connect_us },
             dial_us: self.dial_us.max(connect_us),
+            answer_us: if longest > 0 { longest.max(self.half_answer_us) } else { self.answer_us },
             // Its box ends a connection at the full time: what is sent a moment before crosses that.
             box_idle_us: idle_us / 10 * 9,
             // SIGKILL may come 0.7 s after the longest deadline, of which more than 3 s don't count.
@@ -221,6 +224,12 @@
         }
     }
 
+    /// Takes over from other bounds what follows from the settings, after these have changed.
+    pub fn follow(&mut self, other: &Limits) {
+        let Limits { back_off_us, answer_us, term_linger_us, .. } = *other;
+        (self.back_off_us, self.answer_us, self.term_linger_us) = (back_off_us, answer_us, term_linger_us);
+    }
+
     /// The bounds that fit a machine with so many descriptors and MB of memory.
     pub fn for_machine(descriptors: usize, memory_mb: usize) -> Self {
         // The rest is for boxes, the bus and what the process itself has open.
@@ -291,6 +300,7 @@
             settle_us: 150_000,
             give_up_us: 5_000,
             half_answer_us: 150_000,
+            answer_us: 10_000_000,
             forget_us: 5_000_000,
             suspect_us: 1_000_000,
             stalled_us: 500_000,
--- a/daemon/src/upstream.rs
+++ b/daemon/src/upstream.rs
@@ -99,6 +99,8 @@
     last_heard: Micros,
     /// When bytes last went either way.
     last_used: Micros,
+    /// When the answer began that has come in part.
+    half_since: Option<Micros>,
     /// A connection is taken for suspect once it has been silent for so long.
     suspect_us: Micros,
     /// Nothing came back for what was given up here: the other side may be gone without a word.
@@ -217,6 +219,7 @@
             dialled: now,
             last_heard: now,
             last_used: now,
+            half_since: None,
             suspect_us: limits.suspect_us,
             suspect: false,
             stalled: None,
@@ -240,9 +243,16 @@
         self.open.values().filter_map(written).min().map(|at| at + limits.give_up_us)
     }
 
-    /// When an answer that has come in part will have stopped short.
+    /// When an answer that has come in part will have stopped short, or will have taken longer than anybody waits for
+    /// one: some never end.
     pub fn half_at(&self, limits: &Limits) -> Option<Micros> {
-        self.arrays.is_half().then(|| self.last_heard + limits.half_answer_us)
+        let since = self.half_since?;
+        Some((self.last_heard + limits.half_answer_us).min(since + limits.answer_us))
+    }
+
+    /// Whether what is sent on it now would wait behind an answer that comes slowly.
+    pub fn is_held_up(&self, now: Micros, limits: &Limits) -> bool {
+        self.half_since.is_some_and(|since| since + limits.half_answer_us <= now)
     }
 
     /// Whether an attempt under this id was given up here not long ago.
@@ -444,6 +454,8 @@
         while !conn.input.is_empty() {
             let (taken, array) = self.arrays.parse(conn.input.front())?;
             conn.input.consume(taken);
+            let since = self.half_since.filter(|_| array.is_none()).unwrap_or(now);
+            self.half_since = self.arrays.is_half().then_some(since);
             (self.last_heard, self.last_used) = (now, now);
             self.suspect = false;
             let Some(array) = array else { continue };
--- a/daemon/tests/races.rs
+++ b/daemon/tests/races.rs
@@ -512,3 +512,46 @@
     assert!(gaps.iter().all(|gap| *gap < Duration::from_secs(3)), "{gaps:?}");
     rig.stop();
 }
+
+/// Requests that don't become whole are held in memory until they do: a crowd of them may hold no more than a bound.
+#[test]
+fn half_requests_of_a_crowd_are_bounded_and_others_are_served() {
+    let rig = Rig::with(&["s-0a"], |config| {
+        config["limits"]["memory_mb"] = json!(16);
+        // Not ended for its time.
+        config["bounds"] = json!({"client_half_us": 60_000_000});
+    });
+    let whole = WebServer::request(1, "/invoke/photo", &[("HTTP_REQUEST_ID", "0a")], &[b'x'; 40_000]);
+    let mut crowd: Vec<WebServer> = (0..120).map(|_| rig.web()).collect();
+    // 120 times 40 KB, where 4 MB may be held.
+    crowd.iter_mut().for_each(|web| web.send(&whole[..whole.len() - 8]).unwrap_or(()));
+    assert_eq!(one(&mut rig.web(), "photo", &object(1)).status, 200);
+    let mut ended = 0;
+    for web in &mut crowd {
+        let socket = web.writer().unwrap();
+        socket.set_nonblocking(true).unwrap();
+        ended += usize::from(
+            socket.peek(&mut [0]).is_ok_and(|n| n == 0) || socket.take_error().unwrap().is_some(),
+        );
+    }
+    assert!((10..60).contains(&ended), "{ended} of them had to leave");
+    drop(crowd);
+    rig.stop();
+}
+
+/// Each answer costs memory until it is taken, also one that only says that there is no place.
+#[test]
+fn a_client_that_asks_on_and_takes_no_answers_is_ended() {
+    let rig = Rig::start();
+    let mut web = rig.web();
+    let mut begins = Vec::new();
+    for id in 1..=60_000 {
+        fastcgi::write_record(&mut begins, fastcgi::kind::BEGIN, id, &[0, 1, 1, 0, 0, 0, 0, 0]);
+    }
+    let start = Instant::now();
+    while web.send(&begins).is_ok() {
+        assert!(start.elapsed() < Duration::from_secs(10), "it is let go on");
+    }
+    assert_eq!(one(&mut rig.web(), "photo", &object(1)).status, 200);
+    rig.stop();
+}
--- a/daemon/tests/upstream.rs
+++ b/daemon/tests/upstream.rs
@@ -436,3 +436,49 @@
     assert!(!rig.link.is_stale(NOW + 4_999_999, &rig.limits));
     assert!(rig.link.is_stale(NOW + 5_000_000, &rig.limits));
 }
+
+/// An answer may trickle for good. Nobody waits longer for one than the longest deadline, and what is sent meanwhile
+/// rather takes another connection.
+#[test]
+fn an_answer_that_never_ends_ends_its_connection_though_something_always_comes() {
+    let mut rig = Rig::new(true);
+    rig.send("01");
+    rig.far.write_all(b"*4\r\n$2\r\n01\r\n$3\r\n200\r\n$0\r\n\r\n$400000\r\n").unwrap();
+    let step = rig.limits.half_answer_us - 1;
+    let (start, mut steps) = (rig.now, 0);
+    loop {
+        while rig.conn.read(false) != Progress::Moved {}
+        rig.link.read(rig.now, &mut rig.conn, &rig.core, &mut rig.told).unwrap();
+        if !rig.pump() {
+            break;
+        }
+        assert_eq!(rig.link.is_held_up(rig.now, &rig.limits), steps > 1, "{steps}");
+        rig.now += step;
+        steps += 1;
+        assert!(rig.now <= start + rig.limits.answer_us + step, "it goes on for good");
+        rig.far.write_all(b".").unwrap();
+    }
+    assert!(rig.now >= start + rig.limits.answer_us && steps > 2);
+}
+
+/// One that is whole in time ends nothing, and the next one has its own time.
+#[test]
+fn answers_that_follow_each_other_without_a_pause_each_have_their_own_time() {
+    let mut rig = Rig::new(true);
+    for n in 0..40 {
+        let id = format!("{n:02}");
+        rig.send(&id);
+        let mut out = Vec::new();
+        resp::write_array(&mut out, &[id.as_bytes(), b"200", b"made=1,etag=t1", b"x"]);
+        // The rest of each comes with the beginning of the next.
+        let cut = out.len() / 2;
+        for part in [&out[..cut], &out[cut..]] {
+            rig.far.write_all(part).unwrap();
+            while rig.conn.read(false) != Progress::Moved {}
+            rig.link.read(rig.now, &mut rig.conn, &rig.core, &mut rig.told).unwrap();
+            assert!(rig.pump());
+            rig.now += rig.limits.half_answer_us - 1;
+        }
+    }
+    assert_eq!(rig.ends().iter().filter(|end| end.1 == Outcome::Ok).count(), 40);
+}
