--- a/daemon/src/budgets.rs
+++ b/daemon/src/budgets.rs
@@ -1,9 +1,9 @@
-//! `linnetknot fleet budgets`: what a running proxy tells, by its operators' door, of what all proxies spend together.
+//! `linnetknot fleet budgets`: what a running proxy tells, by its admin listener, of what all proxies spend together.
 
 use serde::{Deserialize, Serialize};
 use std::fmt::Write as _;
 
-/// Budgets that one answer tells of: with their grants they fit the door's ring.
+/// Budgets that one answer tells of: with their grants they fit the admin listener's ring.
 pub const MOST_BUDGETS: usize = 16;
 /// Holders that one budget tells of.
 pub const MOST_GRANTS: usize = 8;
@@ -109,7 +109,7 @@
     use crate::fleet::to_json;
 
     #[test]
-    fn the_longest_answer_fits_the_doors_ring_and_is_read_again() {
+    fn the_longest_answer_fits_the_admins_ring_and_is_read_again() {
         let grant = |n| GrantStatus { name: format!("proxy-with-a-long-name-{n}"), amount: 1_000_000 };
         let budget = |n| BudgetStatus {
             name: format!("cold-caches:a-zone-with-a-name-{n}"),
@@ -129,7 +129,7 @@
         };
         let budgets = (0..MOST_BUDGETS).map(budget).collect();
         let status = Status { name: "p0".into(), members: 9, budgets, budgets_in_all: MOST_BUDGETS + 2 };
-        let ring = crate::limits::Limits::for_machine(256, 32).door_output;
+        let ring = crate::limits::Limits::for_machine(256, 32).admin_output;
         assert!(to_json(&status).len() + 256 < ring, "{}", to_json(&status).len());
         assert_eq!(serde_json::from_str::<Status>(&to_json(&status)).unwrap(), status);
         let table = status.to_table();
--- a/daemon/src/config.rs
+++ b/daemon/src/config.rs
@@ -24,7 +24,7 @@
     pub name: String,
     /// Where clients connect.
     pub listen: SocketAddr,
-    /// The operators' door; none: there is none.
+    /// The admin listener; none: there is none.
     pub ops: Option<SocketAddr>,
     /// Where the operators' bans and drains are kept for the next process: `$TMPDIR`.
     pub ops_folder: PathBuf,
--- a/daemon/src/daemon/door.rs
+++ b/daemon/src/daemon/admin.rs
@@ -1,12 +1,12 @@
-//! The operators' door in the daemon: its listener and connections, and carrying out what its calls decide.
+//! The admin listener in the daemon: its listener and connections, and carrying out what its calls decide.
 //!
 //! Which calls are taken and what they change is `linnetknot_ops`'s; here bytes are moved, bans are laid over
 //! what the sources tell the core, drains close client connections, and the state is kept under `$TMPDIR`.
-//! The door has slots of its own, so that callers that hold connections without a whole call, or a flood of
+//! The admin listener has slots of its own, so that callers that hold connections without a whole call, or a flood of
 //! clients, never keep an operator out: where its slots are full, the caller that came first leaves.
 
 use super::promises::Decided;
-use super::{Connection, Daemon, Kind, Timer, DOOR};
+use super::{Connection, Daemon, Kind, Timer, ADMIN};
 use crate::fleet;
 use crate::net::{Conn, Interest, Key};
 use linnetknot::{ListMode, Micros, State};
@@ -36,74 +36,75 @@
 
 impl Daemon {
     /// Takes in the callers that wait.
-    pub(super) fn accept_door(&mut self, now: Micros) {
+    pub(super) fn accept_admin(&mut self, now: Micros) {
         loop {
-            let Some(listener) = &self.door else { return };
+            let Some(listener) = &self.admin else { return };
             let socket = match Self::accept_one(listener) {
                 Ok(Some(socket)) => socket,
                 Ok(None) => {
-                    let _ = self.poll.change(listener, DOOR, Interest::READ);
+                    let _ = self.poll.change(listener, ADMIN, Interest::READ);
                     return;
                 }
                 // Out of descriptors: make room by the oldest caller, or a client that rests, and take the next one then.
                 Err(e) => {
-                    log::debug!("the door can't accept: {e}");
-                    if !self.make_room_at_door(now) {
+                    log::debug!("the admin listener can't accept: {e}");
+                    if !self.make_room_for_caller(now) {
                         match self.leaver(now) {
                             Ok(key) => self.close(now, key),
                             Err(_) => {
                                 // Left readable, it would keep the loop awake.
-                                return self.pause_door(now);
+                                return self.pause_admin(now);
                             }
                         }
                     }
                     continue;
                 }
             };
-            if self.callers >= self.limits.door_callers {
-                self.make_room_at_door(now);
+            if self.callers >= self.limits.admin_callers {
+                self.make_room_for_caller(now);
             }
-            let Ok(conn) = Conn::new(socket, true, self.limits.door_input, self.limits.door_output) else {
+            let Ok(conn) = Conn::new(socket, true, self.limits.admin_input, self.limits.admin_output) else {
                 continue;
             };
             let caller = Caller { parser: Parser::new(), answered: false, waits: false };
-            if let Some(key) = self.open(now, conn, Kind::Door(Box::new(caller))) {
+            if let Some(key) = self.open(now, conn, Kind::Admin(Box::new(caller))) {
                 self.callers += 1;
-                self.deadlines.set(now + self.limits.door_call_us, Timer::Door(key));
+                self.deadlines.set(now + self.limits.admin_call_us, Timer::Admin(key));
             }
         }
     }
 
-    fn pause_door(&mut self, now: Micros) {
-        if let Some(listener) = &self.door {
-            let _ = self.poll.change(listener, DOOR, Interest::NONE);
+    fn pause_admin(&mut self, now: Micros) {
+        if let Some(listener) = &self.admin {
+            let _ = self.poll.change(listener, ADMIN, Interest::NONE);
         }
         self.accept_later(now);
     }
 
     /// Ends the caller that has been there longest; false where there is none.
-    fn make_room_at_door(&mut self, now: Micros) -> bool {
+    fn make_room_for_caller(&mut self, now: Micros) -> bool {
         let keys = self.connections.keys();
-        let door = |key: &Key| {
-            Some((self.connections.get(*key).filter(|c| matches!(c.kind, Kind::Door(_)))?.since, *key))
+        let admin = |key: &Key| {
+            Some((self.connections.get(*key).filter(|c| matches!(c.kind, Kind::Admin(_)))?.since, *key))
         };
-        let Some((_, oldest)) = keys.iter().filter_map(door).min() else { return false };
+        let Some((_, oldest)) = keys.iter().filter_map(admin).min() else { return false };
         self.close(now, oldest);
         true
     }
 
     /// A caller's time for its call is over.
-    pub(super) fn door_timeout(&mut self, now: Micros, key: Key) {
+    pub(super) fn admin_timeout(&mut self, now: Micros, key: Key) {
         // One whose call is carried out has its answer when that is kept or can't be, which has a time of its own.
-        if self.connections.get(key).is_some_and(|c| matches!(&c.kind, Kind::Door(caller) if !caller.waits)) {
+        if self.connections.get(key).is_some_and(|c| matches!(&c.kind, Kind::Admin(caller) if !caller.waits))
+        {
             self.close(now, key);
         }
     }
 
     /// Reads what a caller sent, and answers once the call is whole or can't be.
-    pub(super) fn read_door(&mut self, now: Micros, key: Key, ended: bool) {
+    pub(super) fn read_admin(&mut self, now: Micros, key: Key, ended: bool) {
         let Some(c) = self.connections.get_mut(key) else { return };
-        let Kind::Door(caller) = &mut c.kind else { return };
+        let Kind::Admin(caller) = &mut c.kind else { return };
         if caller.waits {
             // Bytes behind a call are nobody's, and a caller may end its half.
             return c.conn.input.consume(c.conn.input.len());
@@ -121,7 +122,8 @@
             Ok(Some(call)) => match self.called(now, key, call) {
                 Some(reply) => reply,
                 None => {
-                    if let Some(Connection { kind: Kind::Door(caller), .. }) = self.connections.get_mut(key) {
+                    if let Some(Connection { kind: Kind::Admin(caller), .. }) = self.connections.get_mut(key)
+                    {
                         caller.waits = true;
                     }
                     return;
@@ -138,13 +140,13 @@
                 }
             },
         };
-        self.answer_door(key, &reply);
+        self.answer_admin(key, &reply);
     }
 
     /// Gives a caller its one answer; it is written by whoever serves the connection next.
-    pub(super) fn answer_door(&mut self, key: Key, reply: &Reply) {
+    pub(super) fn answer_admin(&mut self, key: Key, reply: &Reply) {
         let Some(c) = self.connections.get_mut(key) else { return };
-        let Kind::Door(caller) = &mut c.kind else { return };
+        let Kind::Admin(caller) = &mut c.kind else { return };
         caller.waits = false;
         if !std::mem::replace(&mut caller.answered, true) {
             c.conn.output.push(&reply.to_bytes());
@@ -183,7 +185,7 @@
                     "it can't be kept for the next process, so nothing has changed",
                 ));
             }
-            log::info!(call = shown.as_str(), status = reply.status; "the operators' door: {}", reply.text);
+            log::info!(call = shown.as_str(), status = reply.status; "the admin listener: {}", reply.text);
             let decided = Decided::of(&effect);
             self.take_effect(now, effect);
             if kept {
@@ -210,16 +212,16 @@
     /// done before the yes, on the loop, and not by the disk worker: the yes promises that the state outlives the
     /// process, and the worker's queue may refuse a job. Calls that change something are few.
     pub(super) fn keep_ops(&self) -> bool {
-        fail::fail_point!("door-keeps");
+        fail::fail_point!("admin-keeps");
         let bytes = store::encode(self.ops.kept());
         for path in store::copies(&self.ops_folder) {
             if let Err(e) = crate::disk::replace(&path, &bytes) {
                 log::error!(file = path.display().to_string().as_str(); "the operators' state can't be kept: {e}");
                 return false;
             }
-            fail::fail_point!("door-kept-once");
+            fail::fail_point!("admin-kept-once");
         }
-        fail::fail_point!("door-kept");
+        fail::fail_point!("admin-kept");
         true
     }
 
--- a/daemon/src/daemon/fleet.rs
+++ b/daemon/src/daemon/fleet.rs
@@ -1,4 +1,4 @@
-//! The other proxies: who of them is there (`linnetknot_fleet`), and what the door tells of them and of the copies.
+//! The other proxies: who of them is there (`linnetknot_fleet`), and what the admin listener tells of them and of the copies.
 
 use super::Daemon;
 use crate::fleet::{LogStatus, PeerStatus, Status, MOST_LOGS, MOST_PEERS};
--- a/daemon/src/daemon/lifecycle.rs
+++ b/daemon/src/daemon/lifecycle.rs
@@ -141,7 +141,7 @@
         match &c.kind {
             Kind::Client(_) | Kind::Cdni(_) => true,
             Kind::Lingering => self.term_at.is_some_and(|at| now < at + self.limits.term_linger_us),
-            Kind::Door(caller) => caller.is_waiting() || !c.conn.output.is_empty(),
+            Kind::Admin(caller) => caller.is_waiting() || !c.conn.output.is_empty(),
             _ => false,
         }
     }
--- a/daemon/src/daemon/mod.rs
+++ b/daemon/src/daemon/mod.rs
@@ -20,10 +20,10 @@
 use std::io;
 use std::net::{SocketAddr, TcpListener, UdpSocket};
 
+mod admin;
 mod boxes;
 mod budgets;
 mod clients;
-mod door;
 mod exchange;
 mod feeds;
 mod fleet;
@@ -41,7 +41,7 @@
 const PEERS: u64 = u64::MAX - 2;
 const CDNI: u64 = u64::MAX - 3;
 const RELOAD: u64 = u64::MAX - 4;
-const DOOR: u64 = u64::MAX - 5;
+const ADMIN: u64 = u64::MAX - 5;
 const STORE: u64 = u64::MAX - 6;
 /// The longest wait of the loop where no deadline is near.
 const IDLE_US: Micros = 1_000_000;
@@ -54,8 +54,8 @@
     Lingering,
     /// What this side has begun.
     Exchange(Box<dyn Exchange>),
-    /// An operator's call at the door.
-    Door(Box<door::Caller>),
+    /// An operator's call at the admin listener.
+    Admin(Box<admin::Caller>),
 }
 
 impl Kind {
@@ -107,8 +107,8 @@
     Accept,
     /// The grace after SIGTERM is over.
     Term,
-    /// A caller at the door has had its time.
-    Door(Key),
+    /// A caller at the admin listener has had its time.
+    Admin(Key),
 }
 
 /// Does to a daemon what the signals do.
@@ -226,8 +226,8 @@
     /// When SIGTERM came, if it has.
     term_at: Option<Micros>,
     grace_over: bool,
-    /// The operators' door, its callers, and what they decided.
-    door: Option<TcpListener>,
+    /// The admin listener, its callers, and what they decided.
+    admin: Option<TcpListener>,
     callers: usize,
     ops: linnetknot_ops::Operations,
     /// Where that is kept for the next process: `$TMPDIR`.
@@ -269,11 +269,11 @@
         poll.add(&listener, LISTENER, Interest::READ).map_err(text)?;
         poll.add(&term.heard, SIGNAL, Interest::READ).map_err(text)?;
         poll.add(&hup.heard, RELOAD, Interest::READ).map_err(text)?;
-        let door =
+        let admin =
             config.ops.map(|at| TcpListener::bind(at).map_err(|e| format!("ops: {at}: {e}"))).transpose()?;
-        if let Some(door) = &door {
-            door.set_nonblocking(true).map_err(text)?;
-            poll.add(door, DOOR, Interest::READ).map_err(text)?;
+        if let Some(admin) = &admin {
+            admin.set_nonblocking(true).map_err(text)?;
+            poll.add(admin, ADMIN, Interest::READ).map_err(text)?;
         }
         let clock = Clock::start();
         let (mut desk, mut peers, mut ledger, mut store_word) = (None, None, None, None);
@@ -353,7 +353,7 @@
             held: 0,
             term_at: None,
             grace_over: false,
-            door,
+            admin,
             callers: 0,
             ops,
             ops_folder,
@@ -386,8 +386,8 @@
         if let Some(address) = daemon.cdni_address() {
             log::info!("neighbours connect to {address}");
         }
-        if let Some(address) = daemon.door_address() {
-            log::info!("the operators' door is at {address}");
+        if let Some(address) = daemon.admin_address() {
+            log::info!("the admin listener is at {address}");
         }
         let bans: Vec<&str> = daemon.ops.bans().collect();
         if !bans.is_empty() || !daemon.ops.in_service() {
@@ -406,8 +406,8 @@
     }
 
     /// Where operators call.
-    pub fn door_address(&self) -> Option<SocketAddr> {
-        self.door.as_ref()?.local_addr().ok()
+    pub fn admin_address(&self) -> Option<SocketAddr> {
+        self.admin.as_ref()?.local_addr().ok()
     }
 
     /// What does to it from another thread what signals do.
@@ -496,11 +496,11 @@
     /// boxes, then what clients ask and take back, and only then what lets a further attempt begin.
     fn rank(&self, event: &Ready) -> u8 {
         match event.token {
-            SIGNAL | RELOAD | PEERS | DOOR | STORE => 1,
+            SIGNAL | RELOAD | PEERS | ADMIN | STORE => 1,
             LISTENER | CDNI => 3,
             token => match self.connections.get(Key::from_u64(token)).map(|c| &c.kind) {
                 Some(Kind::Client(_) | Kind::Cdni(_)) if event.hung_up => 0,
-                Some(Kind::Exchange(_) | Kind::Door(_)) => 1,
+                Some(Kind::Exchange(_) | Kind::Admin(_)) => 1,
                 Some(Kind::Client(_) | Kind::Cdni(_) | Kind::Lingering) => 2,
                 _ => 4,
             },
@@ -515,7 +515,7 @@
             RELOAD => self.reload(now),
             PEERS => self.hear_peers(now),
             CDNI => self.accept_cdni(now),
-            DOOR => self.accept_door(now),
+            ADMIN => self.accept_admin(now),
             STORE => self.hear_store(now),
             token => self.serve(now, Key::from_u64(token), event),
         }
@@ -536,10 +536,10 @@
                 self.accepts_later = false;
                 self.accept(now);
                 self.accept_cdni(now);
-                self.accept_door(now);
+                self.accept_admin(now);
             }
             Timer::Term => self.end_clients(now),
-            Timer::Door(key) => self.door_timeout(now, key),
+            Timer::Admin(key) => self.admin_timeout(now, key),
         }
     }
 
@@ -704,8 +704,8 @@
         if ready.read && c.conn.up {
             let got = c.conn.read(ready.broken);
             let ended = matches!(got, Progress::Ended | Progress::Broken);
-            // A caller at the door may end its half once its call is sent: its answer is still owed.
-            over = ended && !(matches!(c.kind, Kind::Door(_)) && got == Progress::Ended);
+            // A caller at the admin listener may end its half once its call is sent: its answer is still owed.
+            over = ended && !(matches!(c.kind, Kind::Admin(_)) && got == Progress::Ended);
             if let Err(e) = self.read(now, key, ended) {
                 // Whoever sends garbage must not fill the log with it.
                 let client = self.connections.get(key).is_some_and(|c| c.kind.is_client());
@@ -735,8 +735,8 @@
                 self.read_exchange(now, key);
                 Ok(())
             }
-            Kind::Door(_) => {
-                self.read_door(now, key, ended);
+            Kind::Admin(_) => {
+                self.read_admin(now, key, ended);
                 Ok(())
             }
             Kind::Box(link) => {
@@ -764,7 +764,7 @@
             Kind::Cdni(_) => self.write_cdni(key),
             Kind::Exchange(_) => c.conn.write() != Progress::Broken,
             Kind::Lingering => true,
-            Kind::Door(caller) => {
+            Kind::Admin(caller) => {
                 let over = caller.is_over();
                 c.conn.write() != Progress::Broken && !(over && c.conn.output.is_empty())
             }
@@ -816,7 +816,7 @@
                 }
             }
             Kind::Lingering => self.clients -= 1,
-            Kind::Door(_) => self.callers -= 1,
+            Kind::Admin(_) => self.callers -= 1,
             Kind::Exchange(exchange) => {
                 let end = if c.conn.up { exchange::End::Closed } else { exchange::End::Unreachable };
                 if let Some(effect) = exchange.ended(end) {
--- a/daemon/src/daemon/promises.rs
+++ b/daemon/src/daemon/promises.rs
@@ -394,7 +394,7 @@
                     self.take_back(now, decided);
                     reply = Reply::new(503, format!("nothing has changed: {why}"));
                 }
-                self.answer_door(key, &reply);
+                self.answer_admin(key, &reply);
                 key
             }
         };
--- a/daemon/src/fleet.rs
+++ b/daemon/src/fleet.rs
@@ -1,4 +1,4 @@
-//! `linnetknot fleet status`: asks a running proxy, by its operators' door, where its copies and promises stand.
+//! `linnetknot fleet status`: asks a running proxy, by its admin listener, where its copies and promises stand.
 
 use crate::budgets;
 use crate::wire::http::{write_message, Messages, Piece};
@@ -12,9 +12,9 @@
 
 /// Peers that one answer tells of.
 pub const MOST_PEERS: usize = 48;
-/// Logs that one answer tells of: with those peers it fits the door's ring.
+/// Logs that one answer tells of: with those peers it fits the admin listener's ring.
 pub const MOST_LOGS: usize = 32;
-/// How long the door is waited for.
+/// How long the admin listener is waited for.
 const PATIENCE: Duration = Duration::from_secs(5);
 /// Bytes of an answer that are read.
 const MOST_ANSWER: usize = 64 << 10;
@@ -146,34 +146,34 @@
     }
 }
 
-/// What a door tells, as JSON in one line.
+/// What an admin listener tells, as JSON in one line.
 pub fn to_json(status: &impl Serialize) -> String {
     // Strings and numbers alone: there is nothing in it that could not be written.
     serde_json::to_string(status).unwrap_or_default()
 }
 
-/// Asks a proxy by its door of its copies and promises.
+/// Asks a proxy by its admin listener of its copies and promises.
 ///
 /// # Errors
-/// Where the door can't be reached, says no (it makes no copies), or says what can't be read.
-pub fn ask(door: SocketAddr) -> io::Result<Status> {
-    ask_for(door, "/control/fleet", "this proxy makes no copies ('peers.copies')")
+/// Where the admin listener can't be reached, says no (it makes no copies), or says what can't be read.
+pub fn ask(admin: SocketAddr) -> io::Result<Status> {
+    ask_for(admin, "/control/fleet", "this proxy makes no copies ('peers.copies')")
 }
 
-/// Asks a proxy by its door of its parts of what all proxies spend.
+/// Asks a proxy by its admin listener of its parts of what all proxies spend.
 ///
 /// # Errors
-/// As `ask`; the door says no where nothing is shared.
-pub fn ask_budgets(door: SocketAddr) -> io::Result<budgets::Status> {
-    ask_for(door, "/control/budgets", "this proxy shares nothing with others ('budgets')")
+/// As `ask`; the admin listener says no where nothing is shared.
+pub fn ask_budgets(admin: SocketAddr) -> io::Result<budgets::Status> {
+    ask_for(admin, "/control/budgets", "this proxy shares nothing with others ('budgets')")
 }
 
-fn ask_for<T: DeserializeOwned>(door: SocketAddr, path: &str, not_found: &str) -> io::Result<T> {
-    let mut socket = TcpStream::connect_timeout(&door, PATIENCE)?;
+fn ask_for<T: DeserializeOwned>(admin: SocketAddr, path: &str, not_found: &str) -> io::Result<T> {
+    let mut socket = TcpStream::connect_timeout(&admin, PATIENCE)?;
     socket.set_read_timeout(Some(PATIENCE))?;
     socket.set_write_timeout(Some(PATIENCE))?;
     let mut call = Vec::new();
-    let headers = [("Host", "door"), ("Connection", "close")];
+    let headers = [("Host", "admin listener"), ("Connection", "close")];
     write_message(&mut call, &format!("GET {path} HTTP/1.1"), &headers, b"");
     socket.write_all(&call)?;
     let (mut answer, mut input, mut status) = (Vec::new(), Vec::new(), None);
@@ -182,30 +182,33 @@
     // Bounded as a whole and not by the read: another server may stand there by now, one that says a little for ever.
     let begun = Instant::now();
     loop {
-        let (taken, piece) = messages.parse(&input).map_err(|e| bad(format!("the door's answer: {e}")))?;
+        let (taken, piece) =
+            messages.parse(&input).map_err(|e| bad(format!("the admin listener's answer: {e}")))?;
         input.drain(..taken);
         match piece {
             Some(Piece::Head(head)) => status = head.status(),
             Some(Piece::Body(bytes)) => answer.extend(bytes),
             Some(Piece::End) => break,
             None if begun.elapsed() >= PATIENCE || answer.len() > MOST_ANSWER => {
-                return Err(io::Error::new(io::ErrorKind::TimedOut, "the door's answer does not end"));
+                return Err(io::Error::new(
+                    io::ErrorKind::TimedOut,
+                    "the admin listener's answer does not end",
+                ));
             }
             None => {
                 let mut bytes = [0; 4096];
                 match socket.read(&mut bytes)? {
-                    0 => return Err(bad("the door's answer is cut off".into())),
+                    0 => return Err(bad("the admin listener's answer is cut off".into())),
                     read => input.extend_from_slice(&bytes[..read]),
                 }
             }
         }
     }
     match status {
-        Some(200) => {
-            serde_json::from_slice(&answer).map_err(|e| bad(format!("the door's answer can't be read: {e}")))
-        }
+        Some(200) => serde_json::from_slice(&answer)
+            .map_err(|e| bad(format!("the admin listener's answer can't be read: {e}"))),
         Some(404) => Err(bad(not_found.into())),
-        status => Err(bad(format!("the door answered {status:?}"))),
+        status => Err(bad(format!("the admin listener answered {status:?}"))),
     }
 }
 
@@ -256,7 +259,7 @@
     #[test]
     fn a_server_that_says_a_little_for_ever_is_left() {
         let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
-        let door = listener.local_addr().unwrap();
+        let admin = listener.local_addr().unwrap();
         std::thread::spawn(move || {
             let (mut socket, _) = listener.accept().unwrap();
             socket.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n").unwrap();
@@ -264,13 +267,13 @@
                 std::thread::sleep(Duration::from_millis(100));
             }
         });
-        assert_eq!(ask(door).unwrap_err().kind(), io::ErrorKind::TimedOut);
+        assert_eq!(ask(admin).unwrap_err().kind(), io::ErrorKind::TimedOut);
     }
 
     #[test]
-    fn the_longest_answer_fits_the_doors_ring_and_is_read_again() {
+    fn the_longest_answer_fits_the_admins_ring_and_is_read_again() {
         let longest = status(MOST_PEERS, MOST_LOGS);
-        let ring = crate::limits::Limits::for_machine(256, 32).door_output;
+        let ring = crate::limits::Limits::for_machine(256, 32).admin_output;
         assert!(to_json(&longest).len() + 256 < ring, "{}", to_json(&longest).len());
         assert_eq!(serde_json::from_str::<Status>(&to_json(&longest)).unwrap(), longest);
         let table = status(2, 1).to_table();
--- a/daemon/src/limits.rs
+++ b/daemon/src/limits.rs
@@ -138,15 +138,15 @@
     pub suspect_us: u64,
     /// A connection to a box that takes none of what is written for so long is broken off.
     pub stalled_us: u64,
-    /// Callers at the operators' door at a time; where all places are taken the one there longest leaves.
-    pub door_callers: usize,
-    /// A caller at the door has this long for its whole call: callers that hold a connection for 4 s with none
+    /// Callers at the admin listener at a time; where all places are taken the one there longest leaves.
+    pub admin_callers: usize,
+    /// A caller at the admin listener has this long for its whole call: callers that hold a connection for 4 s with none
     /// must not keep the places.
-    pub door_call_us: u64,
-    /// Bytes of a door connection's ring for what comes in: the longest head the door reads, and some.
-    pub door_input: usize,
-    /// Bytes of a door connection's ring for its one answer, the longest of which tells of the fleet.
-    pub door_output: usize,
+    pub admin_call_us: u64,
+    /// Bytes of the ring for what comes in of a caller at the admin listener: the longest head it reads, and some.
+    pub admin_input: usize,
+    /// Bytes of an admin listener connection's ring for its one answer, the longest of which tells of the fleet.
+    pub admin_output: usize,
     /// In a drain, a client connection that is to close takes requests for so long after the call (by 4 s none may
     /// have one from the last 2 s).
     pub drain_last_taken_us: u64,
@@ -304,10 +304,10 @@
             forget_us: 5_000_000,
             suspect_us: 1_000_000,
             stalled_us: 500_000,
-            door_callers: (spare * 2 / 3).max(1),
-            door_call_us: 5_000_000,
-            door_input: 9 << 10,
-            door_output: 16 << 10,
+            admin_callers: (spare * 2 / 3).max(1),
+            admin_call_us: 5_000_000,
+            admin_input: 9 << 10,
+            admin_output: 16 << 10,
             drain_last_taken_us: 1_500_000,
         }
     }
--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -39,8 +39,8 @@
     /// Its promises, how far each peer has its log, and the logs that it holds for others. Exits with 1 where it can't
     /// be asked.
     Status {
-        /// The operators' door of the proxy ('ops' of its configuration).
-        door: SocketAddr,
+        /// The admin listener of the proxy ('ops' of its configuration).
+        admin: SocketAddr,
         /// As JSON, in one line.
         #[arg(long)]
         json: bool,
@@ -48,23 +48,23 @@
     /// What all proxies spend together: its parts, who divides, and who lives on a floor. Exits with 1 where it can't be
     /// asked.
     Budgets {
-        /// The operators' door of the proxy ('ops' of its configuration).
-        door: SocketAddr,
+        /// The admin listener of the proxy ('ops' of its configuration).
+        admin: SocketAddr,
         /// As JSON, in one line.
         #[arg(long)]
         json: bool,
     },
 }
 
-/// Prints what a door said.
-fn tell<T>(door: SocketAddr, said: io::Result<T>, shown: impl Fn(&T) -> String) -> ExitCode {
+/// Prints what an admin listener said.
+fn tell<T>(admin: SocketAddr, said: io::Result<T>, shown: impl Fn(&T) -> String) -> ExitCode {
     match said {
         Ok(status) => {
             println!("{}", shown(&status).trim_end());
             ExitCode::SUCCESS
         }
         Err(e) => {
-            eprintln!("{door}: {e}");
+            eprintln!("{admin}: {e}");
             ExitCode::FAILURE
         }
     }
@@ -102,11 +102,11 @@
             }
             ExitCode::from(u8::from(!sound))
         }
-        Some(Command::Fleet { what: FleetCommand::Status { door, json } }) => {
-            tell(door, fleet::ask(door), |s| if json { fleet::to_json(s) } else { s.to_table() })
+        Some(Command::Fleet { what: FleetCommand::Status { admin, json } }) => {
+            tell(admin, fleet::ask(admin), |s| if json { fleet::to_json(s) } else { s.to_table() })
         }
-        Some(Command::Fleet { what: FleetCommand::Budgets { door, json } }) => {
-            tell(door, fleet::ask_budgets(door), |s| if json { fleet::to_json(s) } else { s.to_table() })
+        Some(Command::Fleet { what: FleetCommand::Budgets { admin, json } }) => {
+            tell(admin, fleet::ask_budgets(admin), |s| if json { fleet::to_json(s) } else { s.to_table() })
         }
         Some(Command::Schema) => {
             print!("{}", interconnect::schema());
--- a/daemon/src/points.rs
+++ b/daemon/src/points.rs
@@ -2,7 +2,7 @@
 //! middle of a promise. Only builds with the feature `points` have them, which no release build does: without it each
 //! `fail_point!` is nothing at all.
 //!
-//! `LINNETKNOT_POINTS=store-committed=die;door-kept=stall` arms them at the start.
+//! `LINNETKNOT_POINTS=store-committed=die;admin-kept=stall` arms them at the start.
 
 use rustix::process::{getpid, kill_process, Signal};
 
@@ -24,10 +24,10 @@
     "plant-credit",
     "plant-skip",
     "plant-no-fence",
-    // A ban or drain at the operators' door: before its file is put in place, between the two, and after both.
-    "door-keeps",
-    "door-kept-once",
-    "door-kept",
+    // A ban or drain at the admin listener: before its file is put in place, between the two, and after both.
+    "admin-keeps",
+    "admin-kept-once",
+    "admin-kept",
     // A divider that has decided on parts of what all spend: before their holders hear of them and after.
     "budgets-grant",
     "budgets-granted",
--- a/daemon/tests/door.rs
+++ b/daemon/tests/admin.rs
@@ -1,4 +1,4 @@
-//! The operators' door on loopback: its calls, bad callers, drains, and bans that outlive the process.
+//! The admin listener on loopback: its calls, bad callers, drains, and bans that outlive the process.
 
 mod rig;
 
@@ -12,13 +12,13 @@
 
 /// A folder of its own for the state that a test's daemons keep.
 fn folder(name: &str) -> PathBuf {
-    let folder = std::env::temp_dir().join(format!("linnetknot-door-{name}-{}", std::process::id()));
+    let folder = std::env::temp_dir().join(format!("linnetknot-admin-{name}-{}", std::process::id()));
     let _ = std::fs::remove_dir_all(&folder);
     std::fs::create_dir_all(&folder).unwrap();
     folder
 }
 
-fn with_door(boxes: &[&'static str], folder: &Path) -> Rig {
+fn with_admin(boxes: &[&'static str], folder: &Path) -> Rig {
     let folder = folder.display().to_string();
     Rig::with(boxes, move |c| {
         c["ops"] = json!("127.0.0.1:0");
@@ -26,31 +26,31 @@
     })
 }
 
-/// A daemon with a door, once it says it is ready.
+/// A daemon with an admin listener, once it says it is ready.
 fn ready_rig(boxes: &[&'static str], name: &str) -> (Rig, SocketAddr, PathBuf) {
     let folder = folder(name);
-    let rig = with_door(boxes, &folder);
-    let door = rig.door.expect("a door");
-    until(door, "/control/ready", 200);
-    (rig, door, folder)
+    let rig = with_admin(boxes, &folder);
+    let admin = rig.admin.expect("an admin listener");
+    until(admin, "/control/ready", 200);
+    (rig, admin, folder)
 }
 
-fn status(door: SocketAddr, method: &str, target: &str) -> u16 {
-    call(door, method, target, "").unwrap().status
+fn status(admin: SocketAddr, method: &str, target: &str) -> u16 {
+    call(admin, method, target, "").unwrap().status
 }
 
 /// Waits, without sleeping, for a call to be answered so.
-fn until(door: SocketAddr, target: &str, wanted: u16) -> Duration {
+fn until(admin: SocketAddr, target: &str, wanted: u16) -> Duration {
     let start = Instant::now();
-    while status(door, "GET", target) != wanted {
+    while status(admin, "GET", target) != wanted {
         assert!(start.elapsed() < Duration::from_secs(5), "{target} never said {wanted}");
     }
     start.elapsed()
 }
 
-/// What the door answers to these bytes, and whether it closed the connection after.
-fn raw(door: SocketAddr, bytes: &[u8]) -> (String, bool) {
-    let mut socket = TcpStream::connect(door).unwrap();
+/// What the admin listener answers to these bytes, and whether it closed the connection after.
+fn raw(admin: SocketAddr, bytes: &[u8]) -> (String, bool) {
+    let mut socket = TcpStream::connect(admin).unwrap();
     socket.set_read_timeout(Some(Duration::from_secs(3))).unwrap();
     socket.write_all(bytes).unwrap();
     let mut got = Vec::new();
@@ -59,18 +59,18 @@
 }
 
 #[test]
-fn the_door_answers_beside_callers_that_hold_it_and_refuses_bad_calls() {
-    let (rig, door, folder) = ready_rig(&["s-0a"], "calls");
-    // Forty callers that hold a connection without a whole call: more than the door has slots.
+fn the_admin_answers_beside_callers_that_hold_it_and_refuses_bad_calls() {
+    let (rig, admin, folder) = ready_rig(&["s-0a"], "calls");
+    // Forty callers that hold a connection without a whole call: more than the admin listener has slots.
     let holders: Vec<TcpStream> = (0..40)
         .map(|_| {
-            let mut s = TcpStream::connect(door).unwrap();
+            let mut s = TcpStream::connect(admin).unwrap();
             s.write_all(b"GET /control/re").unwrap();
             s
         })
         .collect();
     let start = Instant::now();
-    assert_eq!(status(door, "GET", "/control/ready"), 200);
+    assert_eq!(status(admin, "GET", "/control/ready"), 200);
     assert!(start.elapsed() < Duration::from_secs(1), "answered in {:?}", start.elapsed());
     let bad: [(&[u8], &str); 8] = [
         (b"DELETE /control/ready HTTP/1.1\r\n\r\n", "405"),
@@ -83,7 +83,7 @@
         (b"POST /control/out-of", "400"),
     ];
     for (bytes, wanted) in bad {
-        let mut socket = TcpStream::connect(door).unwrap();
+        let mut socket = TcpStream::connect(admin).unwrap();
         socket.set_read_timeout(Some(Duration::from_secs(3))).unwrap();
         socket.write_all(bytes).unwrap();
         if bytes.ends_with(b"out-of") {
@@ -91,17 +91,17 @@
             socket.shutdown(std::net::Shutdown::Write).unwrap();
         }
         let mut got = Vec::new();
-        socket.read_to_end(&mut got).expect("the door closes the connection");
+        socket.read_to_end(&mut got).expect("the admin listener closes the connection");
         let got = String::from_utf8_lossy(&got);
         assert!(got.starts_with(&format!("HTTP/1.1 {wanted} ")), "{bytes:?}: {got}");
     }
     let long = format!("GET /{} HTTP/1.1\r\n", "x".repeat(2000));
-    let (got, closed) = raw(door, long.as_bytes());
+    let (got, closed) = raw(admin, long.as_bytes());
     assert!(got.starts_with("HTTP/1.1 414 ") && closed, "{got}");
-    // The daemon still serves, and the door still answers.
+    // The daemon still serves, and the admin listener still answers.
     let mut web = rig.web();
     assert_eq!(one(&mut web, "photo", &object(1)).status, 200);
-    assert_eq!(status(door, "GET", "/control/ready"), 200);
+    assert_eq!(status(admin, "GET", "/control/ready"), 200);
     drop(holders);
     rig.stop();
     let _ = std::fs::remove_dir_all(&folder);
@@ -109,13 +109,13 @@
 
 #[test]
 fn a_drain_says_no_closes_client_connections_and_in_service_ends_it() {
-    let (rig, door, folder) = ready_rig(&["s-0a"], "drain");
+    let (rig, admin, folder) = ready_rig(&["s-0a"], "drain");
     let mut kept = rig.web();
     let mut idle = rig.web();
     assert_eq!(one(&mut kept, "photo", &object(1)).status, 200);
     assert_eq!(one(&mut idle, "photo", &object(2)).status, 200);
-    assert_eq!(status(door, "POST", "/control/out-of-service"), 200);
-    assert_eq!(status(door, "GET", "/control/ready"), 503);
+    assert_eq!(status(admin, "POST", "/control/out-of-service"), 200);
+    assert_eq!(status(admin, "GET", "/control/ready"), 503);
     // A kept connection is ended after an answer. A request that has come by then is not left unread behind the end: it
     // is answered too, and late in the drain turned away, so that a client that asks on and on can't keep it open.
     let start = Instant::now();
@@ -137,8 +137,8 @@
     assert_eq!(one(&mut late, "photo", &object(4)).status, 200);
     assert!(late.end().is_err());
     assert!(linnetknot_ops::store::load(&folder).out_of_service, "the drain is kept");
-    assert_eq!(status(door, "POST", "/control/in-service"), 200);
-    assert!(until(door, "/control/ready", 200) < Duration::from_secs(2));
+    assert_eq!(status(admin, "POST", "/control/in-service"), 200);
+    assert!(until(admin, "/control/ready", 200) < Duration::from_secs(2));
     let mut after = rig.web();
     assert_eq!(one(&mut after, "photo", &object(5)).status, 200);
     assert_eq!(one(&mut after, "photo", &object(6)).status, 200, "connections are kept again");
@@ -147,15 +147,15 @@
 
 #[test]
 fn a_banned_box_gets_nothing_even_in_the_next_process_until_the_call_back() {
-    let (rig, door, folder) = ready_rig(&["s-0a", "s-0b"], "ban");
+    let (rig, admin, folder) = ready_rig(&["s-0a", "s-0b"], "ban");
     let mut web = rig.web();
     for n in 0..40 {
         assert_eq!(one(&mut web, "photo", &object(n)).status, 200);
     }
     let used = |rig: &Rig, uid: usize| rig.boxes[uid].arrivals().iter().filter(|a| a.word == "fetch").count();
     assert!(used(&rig, 0) > 0 && used(&rig, 1) > 0, "both boxes serve before the ban");
-    assert_eq!(status(door, "POST", "/control/pop-caches/s-0a/offline"), 200);
-    assert_eq!(status(door, "POST", "/control/pop-caches/s-0a/offline"), 200, "twice out");
+    assert_eq!(status(admin, "POST", "/control/pop-caches/s-0a/offline"), 200);
+    assert_eq!(status(admin, "POST", "/control/pop-caches/s-0a/offline"), 200, "twice out");
     let before = used(&rig, 0);
     for n in 100..140 {
         assert_eq!(one(&mut web, "photo", &object(n)).status, 200);
@@ -163,15 +163,15 @@
     assert_eq!(used(&rig, 0), before, "nothing new to a banned box");
     rig.stop();
     // The next process finds the ban where the first kept it.
-    let rig = with_door(&["s-0a", "s-0b"], &folder);
-    let door = rig.door.expect("a door");
-    until(door, "/control/ready", 200);
+    let rig = with_admin(&["s-0a", "s-0b"], &folder);
+    let admin = rig.admin.expect("an admin listener");
+    until(admin, "/control/ready", 200);
     let mut web = rig.web();
     for n in 200..240 {
         assert_eq!(one(&mut web, "photo", &object(n)).status, 200);
     }
     assert_eq!(used(&rig, 0), 0, "the ban carried over");
-    assert_eq!(status(door, "POST", "/control/pop-caches/s-0a/online"), 200, "one call back");
+    assert_eq!(status(admin, "POST", "/control/pop-caches/s-0a/online"), 200, "one call back");
     let mut back = false;
     for n in 300..400 {
         assert_eq!(one(&mut web, "photo", &object(n)).status, 200);
@@ -184,7 +184,7 @@
 
 #[test]
 fn the_next_process_of_an_upgrade_starts_beside_the_old_one_on_the_same_addresses() {
-    // The platform starts the next process with all as before but the door's address: peers' datagrams come to
+    // The platform starts the next process with all as before but the admin listener's address: peers' datagrams come to
     // the same address, which the old process still holds.
     let taken = std::net::UdpSocket::bind("127.0.0.1:0").unwrap();
     let peers = taken.local_addr().unwrap().to_string();
@@ -200,12 +200,12 @@
         })
     };
     let old = start(peers.clone(), shown.clone());
-    let old_door = old.door.unwrap();
-    until(old_door, "/control/ready", 200);
-    assert_eq!(status(old_door, "POST", "/control/pop-caches/s-0a/offline"), 200);
+    let old_admin = old.admin.unwrap();
+    until(old_admin, "/control/ready", 200);
+    assert_eq!(status(old_admin, "POST", "/control/pop-caches/s-0a/offline"), 200);
     let new = start(peers, shown);
-    let new_door = new.door.unwrap();
-    until(new_door, "/control/ready", 200);
+    let new_admin = new.admin.unwrap();
+    until(new_admin, "/control/ready", 200);
     old.stop();
     // The ban that the old process was told holds in the new one, which serves from the box that is left.
     let mut web = new.web();
@@ -219,10 +219,10 @@
 
 #[test]
 fn a_busy_connection_in_a_drain_turns_further_requests_away_and_ends() {
-    let (rig, door, folder) = ready_rig(&["s-0a"], "busy");
+    let (rig, admin, folder) = ready_rig(&["s-0a"], "busy");
     let mut web = rig.web();
     assert_eq!(one(&mut web, "photo", &object(1)).status, 200);
-    assert_eq!(status(door, "POST", "/control/out-of-service"), 200);
+    assert_eq!(status(admin, "POST", "/control/out-of-service"), 200);
     rig.boxes[0].behave(linnetknot_rehearse::boxes::Manner { hold_ms: 300, ..Default::default() });
     // Two requests on one kept connection: the first is taken, the second comes while it is open.
     web.ask(1, "photo", &object(2), 2500).unwrap();
--- a/daemon/tests/between.rs
+++ b/daemon/tests/between.rs
@@ -432,10 +432,10 @@
 fn promises_that_wait_are_answered_before_the_process_ends() {
     let mut fleet = copying(2, 54);
     fleet.stall(1).unwrap();
-    let (front, door) = (fleet.process(0).unwrap().cdni, fleet.process(0).unwrap().door);
+    let (front, admin) = (fleet.process(0).unwrap().cdni, fleet.process(0).unwrap().admin);
     let told = std::thread::spawn(move || purge_at(front, &object(560)));
     until("the neighbour waits", || fleet.status(0).unwrap().waiting == 1);
-    let called = std::thread::spawn(move || call(door, "POST", "/control/pop-caches/s-0a/offline", ""));
+    let called = std::thread::spawn(move || call(admin, "POST", "/control/pop-caches/s-0a/offline", ""));
     until("the operator waits", || fleet.status(0).unwrap().waiting == 2);
     assert!(fleet.end(0).unwrap());
     assert_eq!(told.join().unwrap().unwrap(), 503);
@@ -452,10 +452,10 @@
     let setup = Setup { within_ms, ..Setup::copying(Path::new(DAEMON), 2, 55) };
     let fleet = Fleet::with(setup).unwrap();
     fleet.stall(1).unwrap();
-    let door = fleet.process(0).unwrap().door;
+    let admin = fleet.process(0).unwrap().admin;
     let operate = |verb: &str| {
         let path = format!("/control/pop-caches/s-0a/{verb}");
-        std::thread::spawn(move || call(door, "POST", &path, "").unwrap().status)
+        std::thread::spawn(move || call(admin, "POST", &path, "").unwrap().status)
     };
     let mut calls = Vec::new();
     for (n, verb) in ["offline", "online", "offline", "online"].into_iter().enumerate() {
--- a/daemon/tests/handover.rs
+++ b/daemon/tests/handover.rs
@@ -19,7 +19,7 @@
 fn start(
     listener: &TcpListener,
     config: &std::path::Path,
-    door: SocketAddr,
+    admin: SocketAddr,
     folder: &std::path::Path,
     points: &str,
 ) -> Child {
@@ -27,7 +27,7 @@
     Command::new(env!("CARGO_BIN_EXE_linnetknot"))
         .env("ROUTER_CONFIG", config)
         .env("ROUTER_SOCKET_FD", "0")
-        .env("ROUTER_OPS", door.to_string())
+        .env("ROUTER_OPS", admin.to_string())
         .env("TMPDIR", folder)
         .env("LINNETKNOT_POINTS", points)
         .env_remove("LINNETKNOT_INTERCONNECT")
@@ -38,9 +38,9 @@
         .unwrap()
 }
 
-fn ready(door: SocketAddr) {
+fn ready(admin: SocketAddr) {
     let start = Instant::now();
-    while call(door, "GET", "/control/ready", "").map(|a| a.status).unwrap_or(0) != 200 {
+    while call(admin, "GET", "/control/ready", "").map(|a| a.status).unwrap_or(0) != 200 {
         assert!(start.elapsed() < Duration::from_secs(6), "not ready within 6 s");
     }
 }
@@ -93,10 +93,10 @@
 
     /// The same with points armed at which it dies.
     fn start_armed(&self, points: &str) -> (Child, SocketAddr) {
-        let door = free_address();
-        let child = start(&self.listener, &self.config, door, &self.folder, points);
-        ready(door);
-        (child, door)
+        let admin = free_address();
+        let child = start(&self.listener, &self.config, admin, &self.folder, points);
+        ready(admin);
+        (child, admin)
     }
 }
 
@@ -138,7 +138,7 @@
 fn an_answer_that_a_slow_client_reads_while_the_old_process_ends_comes_whole() {
     const BYTES: usize = 240_000;
     let site = Site::new("slow");
-    let (mut old, door) = site.start();
+    let (mut old, admin) = site.start();
     site.boxes.iter().for_each(|b| b.behave(Manner { padding: BYTES, ..Manner::default() }));
     let mut slow: Vec<WebServer> = (0..4)
         .map(|n| {
@@ -153,7 +153,7 @@
     let (mut new, _) = site.start();
     term(&old);
     // Once the old process says no it has heard the signal, and ended what was answered.
-    while call(door, "GET", "/control/ready", "").is_ok_and(|a| a.status == 200) {}
+    while call(admin, "GET", "/control/ready", "").is_ok_and(|a| a.status == 200) {}
     for (n, web) in slow.iter_mut().enumerate() {
         web.ask(2, "photo", &format!("{:016x}", 100 + n), 2500).unwrap();
     }
@@ -182,17 +182,19 @@
 /// that the operators were told yes of holds.
 #[test]
 fn a_process_that_dies_in_the_midst_of_a_ban_leaves_it_whole_or_not_at_all() {
-    for (point, holds) in [("door-keeps", Some(false)), ("door-kept-once", None), ("door-kept", Some(true))] {
+    for (point, holds) in
+        [("admin-keeps", Some(false)), ("admin-kept-once", None), ("admin-kept", Some(true))]
+    {
         let site = Site::new(point);
-        let (mut old, door) = site.start_armed(&format!("{point}=die"));
+        let (mut old, admin) = site.start_armed(&format!("{point}=die"));
         assert!(reach_the_first(&site, 1) > 0);
-        assert!(call(door, "POST", "/control/pop-caches/s-0a/offline", "").is_err(), "{point}: it died");
+        assert!(call(admin, "POST", "/control/pop-caches/s-0a/offline", "").is_err(), "{point}: it died");
         assert!(!old.wait().unwrap().success());
-        let (mut next, door) = site.start();
+        let (mut next, admin) = site.start();
         let banned = reach_the_first(&site, 100) == 0;
         assert!(holds.is_none_or(|holds| holds == banned), "{point}: {banned}");
         // It goes on from there: one more ban and its yes, and the yes holds after a kill.
-        assert_eq!(call(door, "POST", "/control/pop-caches/s-0a/offline", "").unwrap().status, 200);
+        assert_eq!(call(admin, "POST", "/control/pop-caches/s-0a/offline", "").unwrap().status, 200);
         next.kill().unwrap();
         next.wait().unwrap();
         let (mut last, _) = site.start();
@@ -205,17 +207,17 @@
 #[test]
 fn a_ban_that_can_not_be_kept_is_no_ban_and_the_operators_are_told_no() {
     let site = Site::new("full");
-    let (mut only, door) = site.start();
+    let (mut only, admin) = site.start();
     // A folder stands where each of its two files would have to: nothing can be put in their place.
     let files: Vec<_> = linnetknot_ops::store::copies(&site.folder).into_iter().collect();
     for file in &files {
         let _ = std::fs::remove_file(file);
         std::fs::create_dir_all(file.join("in the way")).unwrap();
     }
-    assert_eq!(call(door, "POST", "/control/pop-caches/s-0a/offline", "").unwrap().status, 503);
+    assert_eq!(call(admin, "POST", "/control/pop-caches/s-0a/offline", "").unwrap().status, 503);
     assert!(reach_the_first(&site, 1) > 0, "nothing has changed");
     files.iter().for_each(|file| std::fs::remove_dir_all(file).unwrap());
-    assert_eq!(call(door, "POST", "/control/pop-caches/s-0a/offline", "").unwrap().status, 200);
+    assert_eq!(call(admin, "POST", "/control/pop-caches/s-0a/offline", "").unwrap().status, 200);
     assert_eq!(reach_the_first(&site, 100), 0);
     term(&only);
     assert!(only.wait().unwrap().success());
--- a/daemon/tests/limits.rs
+++ b/daemon/tests/limits.rs
@@ -14,7 +14,10 @@
         let whole = limits.client_requests;
         assert!(limits.admits(whole, false) && !limits.admits(whole + 1, false));
         assert!(limits.admits(1, true) && !limits.admits(whole, true));
-        assert!(limits.door_input > linnetknot_ops::door::MOST_HEAD, "the door reads its longest head whole");
+        assert!(
+            limits.admin_input > linnetknot_ops::admin::MOST_HEAD,
+            "the admin listener reads its longest head whole"
+        );
         assert!(limits.drain_last_taken_us + 2_000_000 < 4_000_000);
         assert!(limits.term_linger_us < 3_700_000, "SIGKILL may come then");
     }
--- a/daemon/tests/rig/mod.rs
+++ b/daemon/tests/rig/mod.rs
@@ -17,8 +17,8 @@
 pub struct Rig {
     pub front: SocketAddr,
     pub cdni: SocketAddr,
-    /// The operators' door, where the configuration has one.
-    pub door: Option<SocketAddr>,
+    /// The admin listener, where the configuration has one.
+    pub admin: Option<SocketAddr>,
     pub control: Control,
     /// What the daemon reads on SIGHUP.
     pub file: Arc<Mutex<Value>>,
@@ -112,12 +112,12 @@
         let run = std::thread::spawn(move || {
             let mut daemon = Daemon::start(config, Box::new(read)).unwrap();
             let addresses =
-                (daemon.address().unwrap(), daemon.cdni_address().unwrap(), daemon.door_address());
+                (daemon.address().unwrap(), daemon.cdni_address().unwrap(), daemon.admin_address());
             tell.send((addresses, daemon.control().unwrap())).unwrap();
             daemon.run()
         });
-        let ((front, cdni, door), control) = told.recv().unwrap();
-        Rig { front, cdni, door, control, file, reads, gate, run, bus, boxes, origin }
+        let ((front, cdni, admin), control) = told.recv().unwrap();
+        Rig { front, cdni, admin, control, file, reads, gate, run, bus, boxes, origin }
     }
 
     /// Holds the daemon's loop fast, in the midst of a reload, for as long as the guard lives: whatever comes meanwhile it
--- a/ops/src/door.rs
+++ b/ops/src/admin.rs
@@ -1,6 +1,6 @@
-//! The door's wire: HTTP/1.1, one call a connection, read incrementally and bounded.
+//! The admin listener's wire: HTTP/1.1, one call a connection, read incrementally and bounded.
 //!
-//! The parser owns no socket: bytes go in as they come, and out comes a whole [`Call`], a typed [`DoorError`]
+//! The parser owns no socket: bytes go in as they come, and out comes a whole [`Call`], a typed [`CallError`]
 //! that ends the connection with a 4xx, or nothing yet. It guards against callers that send a line or a head of
 //! any length, bodies where none belongs, bytes that are no HTTP, and calls that are cut off.
 
@@ -34,9 +34,9 @@
     Budgets,
 }
 
-/// Why a call is not taken. Each ends its connection after the answer of [`DoorError::status`].
+/// Why a call is not taken. Each ends its connection after the answer of [`CallError::status`].
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum DoorError {
+pub enum CallError {
     /// The request line is over [`MOST_LINE`].
     LineTooLong,
     /// The head is over [`MOST_HEAD`], or has more than [`MOST_HEADERS`] headers.
@@ -55,37 +55,37 @@
     Cut,
 }
 
-impl DoorError {
+impl CallError {
     /// The status that it is answered with.
     pub fn status(self) -> u16 {
         match self {
-            DoorError::LineTooLong => 414,
-            DoorError::HeadTooLarge => 431,
-            DoorError::Method => 405,
-            DoorError::NotFound => 404,
-            DoorError::Body => 413,
-            DoorError::Malformed | DoorError::Version | DoorError::Cut => 400,
+            CallError::LineTooLong => 414,
+            CallError::HeadTooLarge => 431,
+            CallError::Method => 405,
+            CallError::NotFound => 404,
+            CallError::Body => 413,
+            CallError::Malformed | CallError::Version | CallError::Cut => 400,
         }
     }
 }
 
-impl fmt::Display for DoorError {
+impl fmt::Display for CallError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let what = match self {
-            DoorError::LineTooLong => "the request line is too long",
-            DoorError::HeadTooLarge => "the head is too large",
-            DoorError::Malformed => "not an HTTP request",
-            DoorError::Version => "not HTTP/1.0 or HTTP/1.1",
-            DoorError::Method => "the method does not fit the path",
-            DoorError::NotFound => "no such call",
-            DoorError::Body => "a call has no body",
-            DoorError::Cut => "the call was cut off",
+            CallError::LineTooLong => "the request line is too long",
+            CallError::HeadTooLarge => "the head is too large",
+            CallError::Malformed => "not an HTTP request",
+            CallError::Version => "not HTTP/1.0 or HTTP/1.1",
+            CallError::Method => "the method does not fit the path",
+            CallError::NotFound => "no such call",
+            CallError::Body => "a call has no body",
+            CallError::Cut => "the call was cut off",
         };
         f.write_str(what)
     }
 }
 
-impl std::error::Error for DoorError {}
+impl std::error::Error for CallError {}
 
 /// Reads one call from the bytes of a connection as they come.
 #[derive(Debug, Default)]
@@ -112,7 +112,7 @@
 }
 
 /// The call of a method and a path.
-fn route(method: &str, path: &str) -> Result<Call, DoorError> {
+fn route(method: &str, path: &str) -> Result<Call, CallError> {
     let (wanted, call) = match path {
         "/control/ready" => ("GET", Call::Ready),
         "/control/out-of-service" => ("POST", Call::OutOfService),
@@ -120,15 +120,15 @@
         "/control/fleet" => ("GET", Call::Fleet),
         "/control/budgets" => ("GET", Call::Budgets),
         _ => {
-            let rest = path.strip_prefix("/control/pop-caches/").ok_or(DoorError::NotFound)?;
-            let (id, verb) = rest.rsplit_once('/').ok_or(DoorError::NotFound)?;
+            let rest = path.strip_prefix("/control/pop-caches/").ok_or(CallError::NotFound)?;
+            let (id, verb) = rest.rsplit_once('/').ok_or(CallError::NotFound)?;
             if !is_id(id) {
-                return Err(DoorError::NotFound);
+                return Err(CallError::NotFound);
             }
             match verb {
                 "offline" => ("POST", Call::Offline(id.to_owned())),
                 "online" => ("POST", Call::Online(id.to_owned())),
-                _ => return Err(DoorError::NotFound),
+                _ => return Err(CallError::NotFound),
             }
         }
     };
@@ -136,54 +136,54 @@
     if method == wanted || (wanted == "GET" && method == "HEAD") {
         Ok(call)
     } else {
-        Err(DoorError::Method)
+        Err(CallError::Method)
     }
 }
 
 /// Reads a whole head, and what came after it.
-fn parse(head: &[u8], after: usize) -> Result<Call, DoorError> {
-    let text = std::str::from_utf8(head).map_err(|_| DoorError::Malformed)?;
+fn parse(head: &[u8], after: usize) -> Result<Call, CallError> {
+    let text = std::str::from_utf8(head).map_err(|_| CallError::Malformed)?;
     let mut lines = text.split('\n').map(|l| l.strip_suffix('\r').unwrap_or(l));
-    let line = lines.next().ok_or(DoorError::Malformed)?;
+    let line = lines.next().ok_or(CallError::Malformed)?;
     let mut parts = line.split(' ');
     let (Some(method), Some(target), Some(version), None) =
         (parts.next(), parts.next(), parts.next(), parts.next())
     else {
-        return Err(DoorError::Malformed);
+        return Err(CallError::Malformed);
     };
     if method.is_empty() || !method.bytes().all(|b| b.is_ascii_uppercase()) || !target.starts_with('/') {
-        return Err(DoorError::Malformed);
+        return Err(CallError::Malformed);
     }
     if !version.starts_with("HTTP/") {
-        return Err(DoorError::Malformed);
+        return Err(CallError::Malformed);
     }
     if version != "HTTP/1.1" && version != "HTTP/1.0" {
-        return Err(DoorError::Version);
+        return Err(CallError::Version);
     }
     let mut count = 0;
     for header in lines.filter(|l| !l.is_empty()) {
         count += 1;
         if count > MOST_HEADERS {
-            return Err(DoorError::HeadTooLarge);
+            return Err(CallError::HeadTooLarge);
         }
-        let (name, value) = header.split_once(':').ok_or(DoorError::Malformed)?;
+        let (name, value) = header.split_once(':').ok_or(CallError::Malformed)?;
         if name.is_empty() || name.bytes().any(|b| b.is_ascii_whitespace() || b.is_ascii_control()) {
-            return Err(DoorError::Malformed);
+            return Err(CallError::Malformed);
         }
         let value = value.trim();
         if name.eq_ignore_ascii_case("transfer-encoding") {
-            return Err(DoorError::Body);
+            return Err(CallError::Body);
         }
         if name.eq_ignore_ascii_case("content-length") {
             match value.parse::<u64>() {
                 Ok(0) => {}
-                Ok(_) => return Err(DoorError::Body),
-                Err(_) => return Err(DoorError::Malformed),
+                Ok(_) => return Err(CallError::Body),
+                Err(_) => return Err(CallError::Malformed),
             }
         }
     }
     if after > 0 {
-        return Err(DoorError::Body);
+        return Err(CallError::Body);
     }
     route(method, target)
 }
@@ -195,7 +195,7 @@
     }
 
     /// Takes the bytes that came. A whole call, or an error, comes once; after that, bytes are not looked at.
-    pub fn feed(&mut self, bytes: &[u8]) -> Result<Option<Call>, DoorError> {
+    pub fn feed(&mut self, bytes: &[u8]) -> Result<Option<Call>, CallError> {
         if self.done {
             return Ok(None);
         }
@@ -206,12 +206,12 @@
             None => {
                 let line = self.head.iter().position(|b| *b == b'\n').unwrap_or(self.head.len());
                 if line > MOST_LINE {
-                    Err(DoorError::LineTooLong)
+                    Err(CallError::LineTooLong)
                 } else if self.head.len() > MOST_HEAD {
-                    Err(DoorError::HeadTooLarge)
+                    Err(CallError::HeadTooLarge)
                 } else if self.head.first().is_some_and(|b| !b.is_ascii_uppercase()) {
                     // No method begins so: whoever sends this sends no HTTP.
-                    Err(DoorError::Malformed)
+                    Err(CallError::Malformed)
                 } else {
                     Ok(None)
                 }
@@ -222,12 +222,12 @@
     }
 
     /// The connection has ended: what a caller that sent part of a call is owed.
-    pub fn end(&mut self) -> Option<DoorError> {
-        (!std::mem::replace(&mut self.done, true) && !self.head.is_empty()).then_some(DoorError::Cut)
+    pub fn end(&mut self) -> Option<CallError> {
+        (!std::mem::replace(&mut self.done, true) && !self.head.is_empty()).then_some(CallError::Cut)
     }
 }
 
-/// An answer of the door.
+/// An answer of the admin listener.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Reply {
     /// Its status: 2xx is yes, 4xx and 5xx are no.
@@ -243,7 +243,7 @@
     }
 
     /// The answer to a call that is not taken.
-    pub fn refused(error: DoorError) -> Self {
+    pub fn refused(error: CallError) -> Self {
         Reply::new(error.status(), error.to_string())
     }
 
@@ -274,7 +274,7 @@
 mod tests {
     use super::*;
 
-    fn whole(text: &str) -> Result<Option<Call>, DoorError> {
+    fn whole(text: &str) -> Result<Option<Call>, CallError> {
         Parser::new().feed(text.as_bytes())
     }
 
@@ -284,7 +284,7 @@
         assert_eq!(whole("POST /control/out-of-service HTTP/1.1\r\n\r\n"), Ok(Some(Call::OutOfService)));
         assert_eq!(whole("GET /control/fleet HTTP/1.1\r\n\r\n"), Ok(Some(Call::Fleet)));
         assert_eq!(whole("GET /control/budgets HTTP/1.1\r\n\r\n"), Ok(Some(Call::Budgets)));
-        assert_eq!(whole("POST /control/budgets HTTP/1.1\r\n\r\n"), Err(DoorError::Method));
+        assert_eq!(whole("POST /control/budgets HTTP/1.1\r\n\r\n"), Err(CallError::Method));
         assert_eq!(
             whole("POST /control/in-service HTTP/1.0\r\nContent-Length: 0\r\n\r\n"),
             Ok(Some(Call::InService))
@@ -304,25 +304,25 @@
     #[test]
     fn bad_calls_are_typed_errors_with_a_4xx() {
         let cases = [
-            ("DELETE /control/ready HTTP/1.1\r\n\r\n", DoorError::Method),
-            ("GET /control/out-of-service HTTP/1.1\r\n\r\n", DoorError::Method),
-            ("GET /nothing HTTP/1.1\r\n\r\n", DoorError::NotFound),
-            ("POST /control/pop-caches/a b/offline HTTP/1.1\r\n\r\n", DoorError::Malformed),
-            ("POST /control/pop-caches/%2e/offline HTTP/1.1\r\n\r\n", DoorError::NotFound),
-            ("POST /control/pop-caches//offline HTTP/1.1\r\n\r\n", DoorError::NotFound),
-            ("POST /control/in-service HTTP/1.1\r\nContent-Length: 3\r\n\r\nabc", DoorError::Body),
-            ("POST /control/in-service HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n", DoorError::Body),
-            ("POST /control/in-service HTTP/1.1\r\n\r\nextra", DoorError::Body),
-            ("GET /control/ready HTTP/2.0\r\n\r\n", DoorError::Version),
-            ("GET /control/ready HTTP/1.1\r\nno colon\r\n\r\n", DoorError::Malformed),
-            ("\x16\x03\x01\x02\x00", DoorError::Malformed),
+            ("DELETE /control/ready HTTP/1.1\r\n\r\n", CallError::Method),
+            ("GET /control/out-of-service HTTP/1.1\r\n\r\n", CallError::Method),
+            ("GET /nothing HTTP/1.1\r\n\r\n", CallError::NotFound),
+            ("POST /control/pop-caches/a b/offline HTTP/1.1\r\n\r\n", CallError::Malformed),
+            ("POST /control/pop-caches/%2e/offline HTTP/1.1\r\n\r\n", CallError::NotFound),
+            ("POST /control/pop-caches//offline HTTP/1.1\r\n\r\n", CallError::NotFound),
+            ("POST /control/in-service HTTP/1.1\r\nContent-Length: 3\r\n\r\nabc", CallError::Body),
+            ("POST /control/in-service HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n", CallError::Body),
+            ("POST /control/in-service HTTP/1.1\r\n\r\nextra", CallError::Body),
+            ("GET /control/ready HTTP/2.0\r\n\r\n", CallError::Version),
+            ("GET /control/ready HTTP/1.1\r\nno colon\r\n\r\n", CallError::Malformed),
+            ("\x16\x03\x01\x02\x00", CallError::Malformed),
         ];
         for (text, error) in cases {
             assert_eq!(whole(text), Err(error), "{text:?}");
             assert!((400..500).contains(&error.status()));
         }
         let long = format!("GET /{} HTTP/1.1\r\n", "a".repeat(MOST_LINE + 10));
-        assert_eq!(whole(&long), Err(DoorError::LineTooLong));
+        assert_eq!(whole(&long), Err(CallError::LineTooLong));
         let mut parser = Parser::new();
         assert_eq!(parser.feed(b"GET /control/ready HTTP/1.1\r\n"), Ok(None));
         let header = b"X-Filler: aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa\r\n";
@@ -333,12 +333,12 @@
                 break;
             }
         }
-        assert_eq!(last, Err(DoorError::HeadTooLarge));
+        assert_eq!(last, Err(CallError::HeadTooLarge));
         let many = format!("GET /control/ready HTTP/1.1\r\n{}\r\n", "A: b\r\n".repeat(MOST_HEADERS + 1));
-        assert_eq!(whole(&many), Err(DoorError::HeadTooLarge));
+        assert_eq!(whole(&many), Err(CallError::HeadTooLarge));
         let mut cut = Parser::new();
         assert_eq!(cut.feed(b"POST /control/out-of"), Ok(None));
-        assert_eq!(cut.end(), Some(DoorError::Cut));
+        assert_eq!(cut.end(), Some(CallError::Cut));
         assert_eq!(Parser::new().end(), None, "a connection that said nothing is owed nothing");
     }
 
--- a/ops/src/lib.rs
+++ b/ops/src/lib.rs
@@ -1,15 +1,15 @@
-//! What operators do to a running edge proxy, without any I/O: the door's wire (`door`), what its calls decide
+//! What operators do to a running edge proxy, without any I/O: the admin listener's wire (`admin`), what its calls decide
 //! (`state`: readiness, drains, pop-cache bans) and how that state is kept whole across an upgrade (`store`).
 //!
 //! Times are microseconds on the caller's clock, handed in with every call.
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
-pub mod door;
+pub mod admin;
 pub mod state;
 pub mod store;
 
-pub use door::{Call, DoorError, Parser, Reply};
+pub use admin::{Call, CallError, Parser, Reply};
 pub use state::{Drain, Effect, Operations};
 
 /// Microseconds.
--- a/ops/src/state.rs
+++ b/ops/src/state.rs
@@ -1,7 +1,7 @@
-//! What the door's calls decide: whether the process is in service, how a drain goes on, and which pop caches are
+//! What the admin listener's calls decide: whether the process is in service, how a drain goes on, and which pop caches are
 //! banned. Sans-IO: time is handed in, and the daemon carries out the [`Effect`] of each call.
 
-use crate::door::{Call, DoorError, Reply};
+use crate::admin::{Call, CallError, Reply};
 use crate::Micros;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeSet;
@@ -166,7 +166,7 @@
             }
             Call::InService => (Reply::new(200, "in service"), None),
             // Whoever has copies tells of them; where there are none, there is no such call.
-            Call::Fleet | Call::Budgets => (Reply::refused(DoorError::NotFound), None),
+            Call::Fleet | Call::Budgets => (Reply::refused(CallError::NotFound), None),
         };
         if self.kept != before {
             self.kept.sequence += 1;
--- a/rehearse/src/fleet.rs
+++ b/rehearse/src/fleet.rs
@@ -324,7 +324,7 @@
 
     /// What a proxy tells operators of what all spend together.
     pub fn budgets(&self, n: usize) -> io::Result<budgets::Status> {
-        ask_budgets(self.process(n)?.door)
+        ask_budgets(self.process(n)?.admin)
     }
 
     /// The file in which a proxy keeps what neighbours told.
@@ -332,14 +332,14 @@
         self.members[n].disk.join("purges")
     }
 
-    /// An operator's call at a proxy's door: the status of its answer.
+    /// An operator's call at a proxy's admin listener: the status of its answer.
     pub fn operate(&self, n: usize, method: &str, path: &str) -> io::Result<u16> {
-        Ok(call(self.process(n)?.door, method, path, "")?.status)
+        Ok(call(self.process(n)?.admin, method, path, "")?.status)
     }
 
     /// What a proxy tells operators of its copies.
     pub fn status(&self, n: usize) -> io::Result<Status> {
-        ask_status(self.process(n)?.door)
+        ask_status(self.process(n)?.admin)
     }
 
     /// Whether all proxies that run have the same entries, all of them on their disks and none short of copies.
--- a/rehearse/src/process.rs
+++ b/rehearse/src/process.rs
@@ -21,8 +21,8 @@
     pub front: SocketAddr,
     /// Where neighbours connect; that of `front` where the second front is off.
     pub cdni: SocketAddr,
-    /// Where operators call; that of `front` where there is no door.
-    pub door: SocketAddr,
+    /// Where operators call; that of `front` where there is no admin listener.
+    pub admin: SocketAddr,
 }
 
 impl Drop for Process {
@@ -79,7 +79,7 @@
         let log = child.stderr.take();
         // From here on it is ended with this, whatever comes.
         let nowhere = ([127, 0, 0, 1], 0).into();
-        let mut process = Process { child, front: nowhere, cdni: nowhere, door: nowhere };
+        let mut process = Process { child, front: nowhere, cdni: nowhere, admin: nowhere };
         let (tell, told) = mpsc::channel();
         let last = Arc::new(Mutex::new(VecDeque::new()));
         let kept = last.clone();
@@ -99,11 +99,11 @@
             }
         });
         // It says first where clients connect, and then where neighbours and operators do, if they can.
-        let (second, door) = (own["cdni"]["listen"].is_string(), config["ops"].is_string());
+        let (second, admin) = (own["cdni"]["listen"].is_string(), config["ops"].is_string());
         let heard = told.recv_timeout(PATIENCE).and_then(|front| {
             process.front = front;
             process.cdni = if second { told.recv_timeout(PATIENCE)? } else { front };
-            process.door = if door { told.recv_timeout(PATIENCE)? } else { front };
+            process.admin = if admin { told.recv_timeout(PATIENCE)? } else { front };
             Ok(())
         });
         match heard {
@@ -129,7 +129,7 @@
 }
 
 /// What a daemon says before its addresses, in the order in which it says them.
-const SAID: [&str; 3] = [" listens on ", "neighbours connect to ", "the operators' door is at "];
+const SAID: [&str; 3] = [" listens on ", "neighbours connect to ", "the admin listener is at "];
 /// Lines of a daemon's log kept to say why it did not start.
 const LAST_LINES: usize = 12;
 
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -565,8 +565,8 @@
         self.servers.get(&id).is_some_and(|s| s.state == State::Ready && self.cold_room(id, s, now, work_s))
     }
 
-    /// Whether a request sent so many times slower than at full pace is in time: while it is wanted, or, once that
-    /// is past, until the client gives up.
+    /// Whether a request sent so many times slower than at full pace is in time: while it is wanted, or, once
+    /// that is past, until the client gives up.
     fn fits(&self, now: Micros, open: &Open, times: f64, margin: f64) -> bool {
         let until = if now < open.aim_at { open.aim_at.min(open.deadline) } else { open.deadline };
         open.work_s * times * 1e6 <= margin * until.saturating_sub(now) as f64
