--- a/daemon/src/daemon/admin.rs
+++ b/daemon/src/daemon/admin.rs
@@ -37,6 +37,7 @@
 impl Daemon {
     /// Takes in the callers that wait.
     pub(super) fn accept_admin(&mut self, now: Micros) {
+        let mut made_room = false;
         loop {
             let Some(listener) = &self.admin else { return };
             let socket = match Self::accept_one(listener) {
@@ -48,18 +49,19 @@
                 // Out of descriptors: make room by the oldest caller, or a client that rests, and take the next one then.
                 Err(e) => {
                     log::debug!("the admin listener can't accept: {e}");
-                    if !self.make_room_for_caller(now) {
-                        match self.leaver(now) {
-                            Ok(key) => self.close(now, key),
-                            Err(_) => {
-                                // Left readable, it would keep the loop awake.
-                                return self.pause_admin(now);
-                            }
-                        }
+                    let again = std::mem::replace(&mut made_room, true);
+                    if !again && self.make_room_for_caller(now) {
+                        continue;
+                    }
+                    match self.leaver(now) {
+                        Ok(key) if !again => self.close(now, key),
+                        // Left readable, it would keep the loop awake.
+                        _ => return self.pause_admin(now),
                     }
                     continue;
                 }
             };
+            made_room = false;
             if self.callers >= self.limits.admin_callers {
                 self.make_room_for_caller(now);
             }
--- a/daemon/src/daemon/clients.rs
+++ b/daemon/src/daemon/clients.rs
@@ -131,6 +131,7 @@
     }
 
     pub(super) fn accept(&mut self, now: Micros) {
+        let mut made_room = false;
         while self.listener.is_some() {
             // With no room left, connections wait in the kernel's queue: others end, and these are taken then.
             let mut leaver = match self.room_for_client(now) {
@@ -141,15 +142,17 @@
             let socket = match Self::accept_one(listener) {
                 Ok(Some(socket)) => socket,
                 Ok(None) => break,
-                // No descriptor is left though the table has places: one who rests makes room there too.
+                // No descriptor is left though the table has places: one who rests makes room there too. More than one
+                // would be ended for something else than descriptors.
                 Err(e) => match leaver.take().map_or_else(|| self.leaver(now), Ok) {
-                    Ok(key) => {
+                    Ok(key) if !std::mem::replace(&mut made_room, true) => {
                         self.close(now, key);
                         continue;
                     }
-                    Err(_) => return self.pause_accepting(now, e),
+                    _ => return self.pause_accepting(now, e),
                 },
             };
+            made_room = false;
             let conn = Conn::new(socket, true, self.limits.input_ring, self.limits.output_ring);
             if let Ok(conn) = conn {
                 self.take_in(now, conn, Kind::Client(Default::default()), leaver);
