--- a/daemon/src/daemon/boxes.rs
+++ b/daemon/src/daemon/boxes.rs
@@ -152,7 +152,8 @@
         };
         let (server, mut told) = (link.server, Vec::new());
         let sound = link.pump(now, conn, &self.core, &self.limits, &mut told);
-        let due = [link.report_at(&self.limits), link.half_at(&self.limits).filter(|_| sound)];
+        let forgets = link.forget_at(now, &self.limits);
+        let due = [link.report_at(&self.limits), link.half_at(&self.limits).filter(|_| sound), forgets];
         for at in due.into_iter().flatten() {
             self.deadlines.set(at, Timer::Link(key));
         }
@@ -168,20 +169,19 @@
     }
 
     pub(super) fn look_at_link(&mut self, now: Micros, key: Key) {
+        if let Some(Connection { kind: Kind::Box(link), .. }) = self.connections.get_mut(key) {
+            link.prune(now, &self.limits);
+        }
         if !self.pump(now, key) {
             self.close(now, key);
         }
         self.watch(key);
-        if let Some(Connection { kind: Kind::Box(link), .. }) = self.connections.get_mut(key) {
-            link.prune(now, &self.limits);
-        }
     }
 
     pub(super) fn give_up(&mut self, now: Micros, attempt: AttemptId, server: ServerId) {
         for key in self.links.get(&server).cloned().unwrap_or_default() {
             let Some((_, link)) = self.link(key) else { continue };
             link.give_up(now, attempt);
-            self.deadlines.set(now + self.limits.forget_us, Timer::Link(key));
             if !self.pump(now, key) {
                 self.close(now, key);
             }
--- a/daemon/src/daemon/clients.rs
+++ b/daemon/src/daemon/clients.rs
@@ -35,15 +35,10 @@
         }
     }
 
-    /// Whether the table has a place for one more client.
-    fn has_place_for_client(&self) -> bool {
-        self.clients < self.limits.clients && !self.connections.is_full()
-    }
-
     /// Who is to leave for one more client; an error where nobody can. The one that is likeliest to want nothing any
     /// more makes room: a crowd that says nothing, or clients that ask once and keep their connection for good, must not
-    /// shut all others out. One that came a moment ago is let be: its request is on its way. So is one that turns out to
-    /// have asked after all, which is looked for last of all.
+    /// shut all others out. One that came a moment ago is let be, as its request is on its way, and so is one of which the
+    /// last look shows that it has asked after all.
     pub(super) fn leaver(&mut self, now: Micros) -> io::Result<Key> {
         let settled = now.saturating_sub(self.limits.settle_us);
         let leaves = |daemon: &Self, key: Key| {
@@ -62,9 +57,9 @@
         }
     }
 
-    /// Makes room for one more client in a full table: the error, where nobody can leave.
+    /// Who is to leave for one more client, or none where there is room; an error where nobody can leave.
     pub(super) fn room_for_client(&mut self, now: Micros) -> io::Result<Option<Key>> {
-        if self.has_place_for_client() {
+        if self.clients < self.limits.clients && !self.connections.is_full() {
             return Ok(None);
         }
         self.leaver(now).map(Some)
--- a/daemon/src/daemon/feeds/bus.rs
+++ b/daemon/src/daemon/feeds/bus.rs
@@ -4,13 +4,14 @@
 use crate::daemon::exchange::{Effect, End, Exchange, Flow};
 use crate::daemon::members::BUS;
 use crate::daemon::Daemon;
+use crate::limits::Limits;
 use crate::net::{Due, Key};
 use crate::wire::WireError;
 use linnetknot::{ListMode, Micros};
+use linnetknot_consul::Backoff;
 use linnetknot_membership::{Evidence, Report};
 
 /// What the daemon knows of the bus.
-#[derive(Default)]
 pub(in crate::daemon) struct State {
     key: Option<Key>,
     timer: Option<Due>,
@@ -18,8 +19,16 @@
     pub(in crate::daemon) last: u64,
     /// When something last came.
     read_at: Micros,
-    /// Calls in a row that brought nothing.
-    in_vain: u32,
+    /// How long to wait before it is called again. The longest wait is short against what its news may take.
+    backoff: Backoff,
+}
+
+impl State {
+    /// Nothing is heard yet.
+    pub(in crate::daemon) fn new(seed: u64, limits: &Limits) -> Self {
+        let backoff = Backoff::new(limits.bus_again_us, limits.bus_again_most_us, seed);
+        State { key: None, timer: None, last: 0, read_at: 0, backoff }
+    }
 }
 
 /// One call.
@@ -38,7 +47,8 @@
         let events = self.feed.read(input, &mut self.last)?;
         let last = self.last;
         effects.push(Box::new(move |daemon, now| {
-            (daemon.bus.last, daemon.bus.read_at, daemon.bus.in_vain) = (last, now, 0);
+            (daemon.bus.last, daemon.bus.read_at) = (last, now);
+            daemon.bus.backoff.succeeded();
             events.into_iter().for_each(|event| daemon.heard(now, event));
         }));
         Ok(Flow::More)
@@ -97,15 +107,9 @@
         }
     }
 
-    /// Calls the bus again in a while, each time in vain after a longer one, and none of a fleet in step with the others:
-    /// when the bus is back they must not all come at once. The longest wait is short against what its news may take.
     fn call_bus_again(&mut self, now: Micros) {
-        let limits = &self.limits;
-        let wait = (limits.bus_again_us << self.bus.in_vain.min(8)).min(limits.bus_again_most_us);
-        self.bus.in_vain += 1;
-        let drawn = self.config.seed ^ now.wrapping_mul(0x9e37_79b9_7f4a_7c15);
-        let jitter = (drawn ^ (drawn >> 29)).wrapping_mul(0xbf58_476d_1ce4_e5b9) >> 33;
-        self.wake_bus(now + wait / 2 + jitter % (wait / 2).max(1));
+        let wait = self.bus.backoff.failed();
+        self.wake_bus(now + wait);
     }
 
     /// The bus is at another address: what it has to tell is asked for there at once, behind the last event.
@@ -113,7 +117,7 @@
         if let Some(old) = self.bus.key.take() {
             self.connections.remove(old);
         }
-        self.bus.in_vain = 0;
+        self.bus.backoff.succeeded();
         self.call_bus(now);
     }
 
--- a/daemon/src/daemon/mod.rs
+++ b/daemon/src/daemon/mod.rs
@@ -330,7 +330,7 @@
             clients: 0,
             links: BTreeMap::new(),
             deadlines: Deadlines::default(),
-            bus: bus::State::default(),
+            bus: bus::State::new(config.seed, &limits),
             members: Membership::new(sources(&config), damping, limits.members()),
             vetting: Vetting::default(),
             members_due: None,
@@ -694,7 +694,7 @@
             // Whatever it sent before, nobody is left to take the answers.
             return self.close(now, key);
         }
-        if c.kind.is_client() && !matches!(c.kind, Kind::Cdni(_)) {
+        if matches!(c.kind, Kind::Client(_) | Kind::Lingering) {
             if self.look(now, key) && self.connections.get(key).is_some_and(Self::is_over) {
                 self.half_close(now, key);
             }
--- a/daemon/src/upstream.rs
+++ b/daemon/src/upstream.rs
@@ -99,6 +99,8 @@
     last_heard: Micros,
     /// When bytes last went either way.
     last_used: Micros,
+    /// When something that is over is to be forgotten next.
+    forgets: Option<Micros>,
     /// When the answer began that has come in part.
     half_since: Option<Micros>,
     /// A connection is taken for suspect once it has been silent for so long.
@@ -219,6 +221,7 @@
             dialled: now,
             last_heard: now,
             last_used: now,
+            forgets: None,
             half_since: None,
             suspect_us: limits.suspect_us,
             suspect: false,
@@ -425,7 +428,21 @@
         self.open.insert(id, Stream::GivenUp(now, Some(report)));
     }
 
-    /// Forgets what was given up long enough ago.
+    /// When the oldest of what is over and remembered is to be forgotten, unless that was told before and is to come: so
+    /// a connection has one deadline for it, however much there is.
+    pub fn forget_at(&mut self, now: Micros, limits: &Limits) -> Option<Micros> {
+        if self.forgets.is_some_and(|at| at > now) {
+            return None;
+        }
+        let over = |s: &Stream| match s {
+            Stream::GivenUp(at, None) | Stream::Answered(at) => Some(*at),
+            _ => None,
+        };
+        self.forgets = self.open.values().filter_map(over).min().map(|at| at + limits.forget_us + 1);
+        self.forgets
+    }
+
+    /// Forgets what was given up, or answered without being served, long enough ago.
     pub fn prune(&mut self, now: Micros, limits: &Limits) {
         let old = |s: &Stream| matches!(s, Stream::GivenUp(at, None) | Stream::Answered(at) if *at + limits.forget_us < now);
         self.open.retain(|_, s| !old(s));
--- a/daemon/tests/upstream.rs
+++ b/daemon/tests/upstream.rs
@@ -482,3 +482,25 @@
     }
     assert_eq!(rig.ends().iter().filter(|end| end.1 == Outcome::Ok).count(), 40);
 }
+
+/// What is remembered has an age: one deadline for each connection, whatever was answered or given up on it.
+#[test]
+fn what_is_over_on_a_connection_is_forgotten_by_a_deadline_of_its_own() {
+    let mut rig = Rig::new(true);
+    assert_eq!(rig.link.forget_at(NOW, &rig.limits), None);
+    rig.send("01");
+    answered(&mut rig, &[("01", "503", "-")]);
+    let at = rig.link.forget_at(NOW, &rig.limits).expect("a deadline");
+    assert_eq!(at, NOW + rig.limits.forget_us + 1);
+    rig.now += 1_000_000;
+    rig.send("02");
+    answered(&mut rig, &[("02", "503", "-")]);
+    assert_eq!(rig.link.forget_at(rig.now, &rig.limits), None, "it is set already");
+    rig.link.prune(at, &rig.limits);
+    assert!(rig.room_for("01").is_some() && rig.room_for("02").is_none());
+    let then = rig.link.forget_at(at, &rig.limits).expect("the next one's");
+    assert_eq!(then, at + 1_000_000);
+    rig.link.prune(then, &rig.limits);
+    assert!(rig.room_for("02").is_some());
+    assert_eq!(rig.link.forget_at(then, &rig.limits), None);
+}
--- a/tests/common/world.rs
+++ b/tests/common/world.rs
@@ -311,7 +311,7 @@
         let request = Request {
             id,
             class: if write { "activate" } else { "video" }.into(),
-            tenant: None,
+            tenant: self.tenants.get(tenant).map(f64::to_string),
             object: format!("/o/{object}"),
             part: 0,
             group: 1,
