--- a/daemon/src/daemon/feeds/peers.rs
+++ b/daemon/src/daemon/feeds/peers.rs
@@ -4,7 +4,7 @@
 use crate::daemon::Daemon;
 use crate::{ledger, peers};
 use linnetknot::Micros;
-use linnetknot_copies::{Datagram, Entry, Unreadable};
+use linnetknot_replication::{Datagram, Entry, Unreadable};
 use std::io;
 use std::net::SocketAddr;
 
@@ -68,18 +68,18 @@
             }
         };
         let Some(ledger) = &mut self.ledger else { return true };
-        let own = ledger.copies().own().0;
+        let own = ledger.replica().own().0;
         let told = match &datagram {
-            Datagram::Have { sum, .. } => Some(*sum),
+            Datagram::Digest { sum, .. } => Some(*sum),
             _ => None,
         };
-        let heard = ledger.hear(peer, datagram);
-        let same = told == Some(ledger.copies().book().sum());
+        let heard = ledger.receive(peer, datagram);
+        let same = told == Some(ledger.replica().log_store().checksum());
         // What there is no room to keep is in force all the same, as far as the module has room.
-        for entry in heard.new.iter().chain(&heard.early).chain(&heard.refused) {
+        for entry in heard.new.iter().chain(&heard.out_of_order).chain(&heard.rejected) {
             let Some((object, group, at)) = ledger::purge(entry) else { continue };
             if !self.core.purged_for_good(now, object, group, at) {
-                log::error!(writer = entry.log.0, seq = entry.seq; "there is no room for a purge that a peer told");
+                log::error!(writer = entry.log.0, seq = entry.index; "there is no room for a purge that a peer told");
             }
         }
         // What its operators decided, and not each purge of a long log that comes back.
--- a/daemon/src/daemon/fleet.rs
+++ b/daemon/src/daemon/fleet.rs
@@ -121,12 +121,12 @@
     /// Where this proxy's copies and promises stand; none where it makes no copies.
     pub(super) fn fleet_status(&self) -> Option<Status> {
         let copies = &self.config.copies;
-        let ledger = self.ledger.as_ref().filter(|_| copies.on)?.copies();
-        let (own, tally, ends) = (ledger.own(), ledger.tally(), ledger.book().ends());
-        let end = ledger.book().end(own);
+        let ledger = self.ledger.as_ref().filter(|_| copies.on)?.replica();
+        let (own, counters, ends) = (ledger.own(), ledger.counters(), ledger.log_store().last_indexes());
+        let end = ledger.log_store().last_index(own);
         let fleet = self.members_of_fleet.as_ref();
         let peer = |(place, (address, machine)): (usize, &(SocketAddr, String))| {
-            let held = ledger.held_by(place);
+            let held = ledger.acked_by(place);
             let member = fleet.and_then(|f| f.members().get(place));
             let (claim, names) = (member.and_then(|m| m.claim), member.and_then(|m| m.names.as_ref()));
             PeerStatus {
@@ -144,7 +144,7 @@
             life: format!("{life:x}"),
             own: *writer == own.0,
             end: *end,
-            on_disk: ledger.mark((*writer, *life)),
+            on_disk: ledger.durable_index((*writer, *life)),
         };
         Some(Status {
             name: self.config.name.clone(),
@@ -153,13 +153,13 @@
             wait: copies.wait,
             holders: copies.holders,
             end,
-            on_disk: ledger.mark(own),
-            entries: ledger.book().len(),
-            digest: format!("{:016x}", ledger.book().sum()),
+            on_disk: ledger.durable_index(own),
+            entries: ledger.log_store().len(),
+            digest: format!("{:016x}", ledger.log_store().checksum()),
             waiting: self.promised.waiting(),
-            short: ledger.short(),
-            promised: tally.promised,
-            refused: tally.denied,
+            short: ledger.under_replicated(),
+            promised: counters.committed,
+            refused: counters.commits_rejected,
             up: fleet.map_or(1, Fleet::up),
             replaced: self.is_replaced(),
             peers: copies.machines.iter().enumerate().take(MOST_PEERS).map(peer).collect(),
--- a/daemon/src/daemon/mod.rs
+++ b/daemon/src/daemon/mod.rs
@@ -287,7 +287,7 @@
                 let writer = linnetknot_membership::server_id(&config.name);
                 let word = Signal::new().map_err(text)?;
                 poll.add(&word.heard, STORE, Interest::READ).map_err(text)?;
-                let bounds = (limits.copies(&config.copies), limits.store_writes);
+                let bounds = (limits.replication(&config.copies), limits.store_writes);
                 let wake = word.raiser().map_err(text)?;
                 let open = Ledger::open(&path, writer, clock.now(), bounds, wake);
                 ledger = Some(open.map_err(|e| format!("cdni.purges: {}: {e}", path.display()))?);
@@ -433,7 +433,7 @@
             }
         }
         self.write_lists(self.clock.now());
-        let tally = self.ledger.as_ref().map(|ledger| ledger.copies().tally());
+        let tally = self.ledger.as_ref().map(|ledger| ledger.replica().counters());
         if let Some(Err(e)) = self.ledger.take().map(Ledger::close) {
             log::warn!("the store is not closed, and the next start begins a new life of its log: {e}");
         }
@@ -457,10 +457,10 @@
                 sent = t.sent,
                 learned = t.learned,
                 known = t.known,
-                early = t.early,
-                refused = t.refused,
-                promised = t.promised,
-                denied = t.denied;
+                out_of_order = t.out_of_order,
+                rejected = t.rejected,
+                committed = t.committed,
+                commits_rejected = t.commits_rejected;
                 "entries of logs copied to and from peers, and promises of them"
             );
         }
--- a/daemon/src/daemon/promises.rs
+++ b/daemon/src/daemon/promises.rs
@@ -1,5 +1,5 @@
 //! Promises to neighbours and operators: what they tell is in force at once, and its answer waits until it is on this
-//! proxy's disk and on those of enough further machines (`linnetknot_copies`). What can't be had in time is answered no.
+//! proxy's disk and on those of enough further machines (`linnetknot_replication`). What can't be had in time is answered no.
 //! A proxy that began without its disk is not ready until it has what it promised back.
 
 use super::{Connection, Daemon, Kind, Timer};
@@ -8,9 +8,9 @@
 use crate::net::{Due, Key};
 use crate::peers;
 use linnetknot::Micros;
-use linnetknot_copies::{Datagram, Entry, Promise, Recovery, Seq, What};
 use linnetknot_membership::server_id;
 use linnetknot_ops::{Effect as Done, Reply};
+use linnetknot_replication::{CommitId, Datagram, Entry, Index, Recovery, Subject};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
@@ -26,7 +26,7 @@
 
 /// What an operator's call decided, as an entry of the log has it.
 pub(super) struct Decided {
-    what: What,
+    what: Subject,
     lifted: bool,
     /// What was last promised of it, to which it goes back where this can't be.
     before: bool,
@@ -35,10 +35,10 @@
 impl Decided {
     pub(super) fn of(effect: &Done) -> Self {
         let (what, lifted) = match effect {
-            Done::Ban(id) => (What::Ban(id.clone()), false),
-            Done::Unban(id) => (What::Ban(id.clone()), true),
-            Done::Drain => (What::Drain, false),
-            Done::Resume => (What::Drain, true),
+            Done::Ban(id) => (Subject::Ban(id.clone()), false),
+            Done::Unban(id) => (Subject::Ban(id.clone()), true),
+            Done::Drain => (Subject::Drain, false),
+            Done::Resume => (Subject::Drain, true),
         };
         // A call that changes something finds the contrary.
         Decided { what, lifted, before: !lifted }
@@ -49,7 +49,7 @@
 #[derive(Default)]
 pub(super) struct Promised {
     /// By their promises, oldest first.
-    answers: BTreeMap<Promise, Answer>,
+    answers: BTreeMap<CommitId, Answer>,
     /// Of a proxy that began without its disk.
     recovery: Option<Recovery>,
     /// When that is looked at again.
@@ -60,7 +60,7 @@
     short: usize,
 }
 
-/// Why a process promises nothing whose name another has taken.
+/// RejectReason a process promises nothing whose name another has taken.
 const REPLACED: &str = "another process of this name has begun after this one";
 
 /// Never: only a fault that rehearsals plant has a yes go out before the copy.
@@ -76,7 +76,7 @@
     }
 
     /// What the operators' calls that still wait decided of something, oldest first.
-    fn decided<'a>(&'a mut self, what: &'a What) -> impl Iterator<Item = &'a mut Decided> {
+    fn decided<'a>(&'a mut self, what: &'a Subject) -> impl Iterator<Item = &'a mut Decided> {
         let decided = |answer: &'a mut Answer| match answer {
             Answer::Operator(_, _, Some(decided)) if decided.what == *what => Some(decided),
             _ => None,
@@ -124,8 +124,8 @@
         }
     }
 
-    fn answer_once_kept(&mut self, now: Micros, place: Seq, answer: Answer) {
-        match self.ledger.as_mut().map(|ledger| ledger.promise(now, place)) {
+    fn answer_once_kept(&mut self, now: Micros, place: Index, answer: Answer) {
+        match self.ledger.as_mut().map(|ledger| ledger.open_commit(now, place)) {
             Some(Ok(promise)) => drop(self.promised.answers.insert(promise, answer)),
             Some(Err(why)) => self.answer_promise(now, answer, Err(why.to_string())),
             // No place is given where there is no log.
@@ -155,7 +155,7 @@
             (Some(d), true) => self.say_decided(now, &d.what, d.lifted),
             (None, _) => Ok(()),
         };
-        let end = self.ledger.as_ref().map_or(0, |l| l.copies().book().end(l.copies().own()));
+        let end = self.ledger.as_ref().map_or(0, |l| l.replica().log_store().last_index(l.replica().own()));
         match said {
             Ok(()) if end == 0 => return Some(reply),
             Ok(()) => self.answer_once_kept(now, end, Answer::Operator(key, reply, decided)),
@@ -165,27 +165,27 @@
     }
 
     /// An entry of what the operators decided: on its way to the disk and to the peers.
-    fn say_decided(&mut self, now: Micros, what: &What, lifted: bool) -> Result<(), String> {
+    fn say_decided(&mut self, now: Micros, what: &Subject, lifted: bool) -> Result<(), String> {
         let Some(ledger) = &mut self.ledger else { return Ok(()) };
-        let entry = ledger.say(what.clone(), now, lifted)?;
+        let entry = ledger.append(what.clone(), now, lifted)?;
         self.tell_entry(entry);
         Ok(())
     }
 
     /// The status of a trigger as entries: the place of the last; none where there is no log.
-    fn say_status(&mut self, now: Micros, name: Name, text: &str) -> Result<Option<Seq>, String> {
+    fn say_status(&mut self, now: Micros, name: Name, text: &str) -> Result<Option<Index>, String> {
         let Some(ledger) = &mut self.ledger else { return Ok(None) };
-        let entries = ledger.say_status(name.number, text, now)?;
-        let place = entries.last().map(|entry| entry.seq);
+        let entries = ledger.append_status(name.number, text, now)?;
+        let place = entries.last().map(|entry| entry.index);
         entries.into_iter().for_each(|entry| self.tell_entry(entry));
         Ok(place)
     }
 
     /// An entry of a trigger that is gone: its place; none where there is no log.
-    fn say_gone(&mut self, now: Micros, Name { writer, number }: Name) -> Result<Option<Seq>, String> {
+    fn say_gone(&mut self, now: Micros, Name { writer, number }: Name) -> Result<Option<Index>, String> {
         let Some(ledger) = &mut self.ledger else { return Ok(None) };
-        let entry = ledger.say(What::Gone { writer, number }, now, false)?;
-        let place = entry.seq;
+        let entry = ledger.append(Subject::Gone { writer, number }, now, false)?;
+        let place = entry.index;
         self.tell_entry(entry);
         Ok(Some(place))
     }
@@ -193,7 +193,7 @@
     /// The triggers that were told before this process began, here or elsewhere, and names for those to come.
     pub(super) fn begin_triggers(&mut self, now: Micros) {
         let (Some(ledger), Some((_, desk))) = (&self.ledger, &mut self.desk) else { return };
-        let first = Name { writer: ledger.copies().own().0, number: ledger.first_number() };
+        let first = Name { writer: ledger.replica().own().0, number: ledger.first_number() };
         desk.begin_triggers(first);
         for (writer, number, text) in ledger.statuses() {
             desk.admit(now, Name { writer, number }, &text);
@@ -203,15 +203,15 @@
     /// Entries of triggers have come from a peer.
     pub(super) fn hear_triggers(&mut self, now: Micros, entries: &[Entry]) {
         let (Some(ledger), Some((_, desk))) = (&self.ledger, &mut self.desk) else { return };
-        let named = |entry: &Entry| match entry.what {
-            What::Status { number, .. } => Some(Name { writer: entry.log.0, number }),
-            What::Gone { writer, number } => Some(Name { writer, number }),
+        let named = |entry: &Entry| match entry.subject {
+            Subject::Status { number, .. } => Some(Name { writer: entry.log.0, number }),
+            Subject::Gone { writer, number } => Some(Name { writer, number }),
             _ => None,
         };
         let mut names: Vec<Name> = entries.iter().filter_map(named).collect();
         names.dedup();
         for name in names {
-            match ledger.copies().book().status(name.writer, name.number) {
+            match ledger.replica().log_store().status(name.writer, name.number) {
                 Some(text) => desk.admit(now, name, &text),
                 None => desk.forget(name),
             }
@@ -223,8 +223,8 @@
     pub(super) fn begin_decided(&mut self, now: Micros) {
         self.recall_decided(now);
         let Some(known) = self.ledger.as_ref().map(ledger::Ledger::decided) else { return };
-        let bans = self.ops.bans().map(|id| What::Ban(id.to_owned()));
-        let kept: Vec<What> = bans.chain((!self.ops.in_service()).then_some(What::Drain)).collect();
+        let bans = self.ops.bans().map(|id| Subject::Ban(id.to_owned()));
+        let kept: Vec<Subject> = bans.chain((!self.ops.in_service()).then_some(Subject::Drain)).collect();
         for what in kept.into_iter().filter(|what| !known.contains_key(what)) {
             if let Err(e) = self.say_decided(now, &what, false) {
                 log::error!("what the operators decided has no copy yet: {e}");
@@ -245,10 +245,10 @@
     }
 
     /// Puts a decision in force, or takes it back; true where that changes anything.
-    fn recall(&mut self, now: Micros, what: &What, lifted: bool) -> bool {
+    fn recall(&mut self, now: Micros, what: &Subject, lifted: bool) -> bool {
         let effect = match what {
-            What::Ban(id) => self.ops.recall_ban(id, !lifted),
-            What::Drain => self.ops.recall_drain(now, !lifted),
+            Subject::Ban(id) => self.ops.recall_ban(id, !lifted),
+            Subject::Drain => self.ops.recall_drain(now, !lifted),
             _ => None,
         };
         let changed = effect.is_some();
@@ -280,7 +280,7 @@
             log::error!(machines = machines; "not all that this proxy promised may have come back, and it is ready all the same");
         }
         let due = recovery.due();
-        self.send_words(ask.into_iter().map(|peer| (peer, Datagram::Ask)).collect());
+        self.send_words(ask.into_iter().map(|peer| (peer, Datagram::DigestRequest)).collect());
         match due {
             Some(due) => {
                 let due = due.max(now + 1_000);
@@ -297,7 +297,7 @@
     /// A peer has the same logs as this proxy.
     pub(super) fn same_as(&mut self, now: Micros, peer: usize) {
         if self.promised.recovery.as_mut().is_some_and(|recovery| recovery.settled(peer)) {
-            let entries = self.ledger.as_ref().map_or(0, |ledger| ledger.copies().book().len());
+            let entries = self.ledger.as_ref().map_or(0, |ledger| ledger.replica().log_store().len());
             log::info!(entries = entries; "what this proxy promised has come back");
             self.notify(now);
         }
@@ -310,7 +310,7 @@
         now: Micros,
         object: Option<String>,
         group: u64,
-    ) -> Result<Option<Seq>, String> {
+    ) -> Result<Option<Index>, String> {
         if !self.core.purged_for_good(now, object.clone(), group, now) {
             return Err("there is no room for one more purge".into());
         }
@@ -326,7 +326,7 @@
             self.tell_peers(now, text, 2);
         }
         fail::fail_point!("peers-told");
-        entry.map(|entry| entry.map(|entry| entry.seq))
+        entry.map(|entry| entry.map(|entry| entry.index))
     }
 
     /// A purge that a peer told: in force, and known to the next process too.
@@ -356,12 +356,12 @@
     /// Gives the answers whose promises are kept, and refuses those that can't be in time.
     pub(super) fn settle_promises(&mut self, now: Micros) {
         let Some(ledger) = &mut self.ledger else { return };
-        for settled in ledger.settle(now) {
-            if settled.kept.is_ok() {
+        for settled in ledger.resolve_commits(now) {
+            if settled.result.is_ok() {
                 fail::fail_point!("promise-kept");
             }
-            if let Some(answer) = self.promised.answers.remove(&settled.promise) {
-                self.answer_promise(now, answer, settled.kept.map_err(|why| why.to_string()));
+            if let Some(answer) = self.promised.answers.remove(&settled.commit) {
+                self.answer_promise(now, answer, settled.result.map_err(|why| why.to_string()));
             }
         }
     }
@@ -419,7 +419,7 @@
     pub(super) fn copy_purges(&mut self, now: Micros) {
         let Some(ledger) = &mut self.ledger else { return };
         let told = ledger.tick(now);
-        let (short, before) = (ledger.copies().short(), self.promised.short);
+        let (short, before) = (ledger.replica().under_replicated(), self.promised.short);
         self.promised.short = short;
         if self.config.copies.on && (short == 0) != (before == 0) {
             log::info!(short = short; "promises with fewer copies than wanted");
--- a/daemon/src/ledger.rs
+++ b/daemon/src/ledger.rs
@@ -1,12 +1,12 @@
 //! The purges that neighbours told this proxy and its peers alone: the boxes hear nothing of them, so a proxy that
 //! starts again must know them, and so must one that was away. A store (`linnetknot_store`) has them as logs
-//! (`linnetknot_copies`), its own and those of others; a worker thread writes it.
+//! (`linnetknot_replication`), its own and those of others; a worker thread writes it.
 
 use crate::peers::{self, Purge};
 use linnetknot::Micros;
-use linnetknot_copies::{
-    pieces, Book, Copies, Datagram, Entry, Heard, Life, Log, Options, Promise, Room, Seq, Settled, Taken,
-    What, Why, Writer,
+use linnetknot_replication::{
+    pieces, Capacity, CommitId, CommitOutcome, Datagram, Entry, Epoch, Index, Insertion, LogId, LogStore,
+    Options, Received, RejectReason, Replica, Subject, Writer,
 };
 use linnetknot_store::{Fault, Keeper, Space, Store, Ticket, Write};
 use std::collections::{BTreeMap, VecDeque};
@@ -17,13 +17,13 @@
 /// The logs, and the store that has them.
 pub struct Ledger {
     keeper: Keeper,
-    copies: Copies,
+    replica: Replica,
     /// This process's life among the members.
-    member: Life,
+    member: Epoch,
     /// It began without anything on its disk.
     fresh: bool,
     /// Entries on their way to the disk, in order.
-    on_way: VecDeque<(Ticket, Log, Seq)>,
+    on_way: VecDeque<(Ticket, LogId, Index)>,
     /// When entries whose time is over are looked for again.
     expires: Micros,
 }
@@ -41,16 +41,16 @@
 /// The process's life among the members: it grows with every start, also where the clock does not.
 const MEMBER: &[u8] = b"member";
 
-fn what(object: Option<&str>, group: u64) -> What {
-    object.map_or(What::Group(group), |object| What::Object(object.to_owned()))
+fn what(object: Option<&str>, group: u64) -> Subject {
+    object.map_or(Subject::Group(group), |object| Subject::Object(object.to_owned()))
 }
 
 /// An entry as the module takes a purge; none where it is no purge.
 pub fn purge(entry: &Entry) -> Option<Purge> {
-    match &entry.what {
-        What::Object(object) => Some((Some(object.clone()), 0, entry.at)),
-        What::Group(group) => Some((None, *group, entry.at)),
-        What::Ban(_) | What::Drain | What::Status { .. } | What::Gone { .. } => None,
+    match &entry.subject {
+        Subject::Object(object) => Some((Some(object.clone()), 0, entry.at)),
+        Subject::Group(group) => Some((None, *group, entry.at)),
+        Subject::Ban(_) | Subject::Drain | Subject::Status { .. } | Subject::Gone { .. } => None,
     }
 }
 
@@ -59,26 +59,26 @@
     let mut key = Vec::with_capacity(40);
     key.extend(entry.log.0.to_be_bytes());
     key.extend(entry.log.1.to_be_bytes());
-    match &entry.what {
-        What::Object(object) => {
+    match &entry.subject {
+        Subject::Object(object) => {
             key.push(b'o');
             key.extend(object.as_bytes());
         }
-        What::Group(group) => {
+        Subject::Group(group) => {
             key.push(b'g');
             key.extend(group.to_be_bytes());
         }
-        What::Ban(id) => {
+        Subject::Ban(id) => {
             key.push(b'b');
             key.extend(id.as_bytes());
         }
-        What::Drain => key.push(b'd'),
-        What::Status { number, part, .. } => {
+        Subject::Drain => key.push(b'd'),
+        Subject::Status { number, part, .. } => {
             key.push(b's');
             key.extend(number.to_be_bytes());
             key.extend(part.to_be_bytes());
         }
-        What::Gone { writer, number } => {
+        Subject::Gone { writer, number } => {
             key.push(b'x');
             key.extend(writer.to_be_bytes());
             key.extend(number.to_be_bytes());
@@ -89,10 +89,10 @@
 
 /// An entry as it stands in the store.
 fn write(entry: &Entry) -> Write {
-    let mut value = [entry.seq.to_be_bytes(), entry.at.to_be_bytes()].concat();
-    match &entry.what {
-        What::Status { text, .. } => value.extend(text.as_bytes()),
-        _ => value.extend(entry.lifted.then_some(1)),
+    let mut value = [entry.index.to_be_bytes(), entry.at.to_be_bytes()].concat();
+    match &entry.subject {
+        Subject::Status { text, .. } => value.extend(text.as_bytes()),
+        _ => value.extend(entry.revoked.then_some(1)),
     }
     Write { space: ENTRIES, key: key(entry), value: Some(value) }
 }
@@ -102,22 +102,22 @@
     let number = |bytes: &[u8]| Some(u64::from_be_bytes(bytes.try_into().ok()?));
     let log = (number(key.get(..8)?)?, number(key.get(8..16)?)?);
     let name = key.get(17..)?;
-    let what = match key[16] {
-        b'o' => What::Object(String::from_utf8(name.to_vec()).ok()?),
-        b'g' => What::Group(number(name)?),
-        b'b' => What::Ban(String::from_utf8(name.to_vec()).ok()?),
-        b'd' => What::Drain,
+    let subject = match key[16] {
+        b'o' => Subject::Object(String::from_utf8(name.to_vec()).ok()?),
+        b'g' => Subject::Group(number(name)?),
+        b'b' => Subject::Ban(String::from_utf8(name.to_vec()).ok()?),
+        b'd' => Subject::Drain,
         b's' => {
             let part = u16::from_be_bytes(name.get(8..)?.try_into().ok()?);
             let text = String::from_utf8(value.get(16..)?.to_vec()).ok()?;
-            What::Status { number: number(name.get(..8)?)?, part, text }
+            Subject::Status { number: number(name.get(..8)?)?, part, text }
         }
-        b'x' => What::Gone { writer: number(name.get(..8)?)?, number: number(name.get(8..)?)? },
+        b'x' => Subject::Gone { writer: number(name.get(..8)?)?, number: number(name.get(8..)?)? },
         _ => return None,
     };
-    let lifted = !what.is_passing() && value.len() > 16;
-    let (seq, at) = (number(value.get(..8)?)?, number(value.get(8..16)?)?);
-    Some(Entry { log, seq, prev: 0, what, at, lifted })
+    let revoked = !subject.is_expiring() && value.len() > 16;
+    let (index, at) = (number(value.get(..8)?)?, number(value.get(8..16)?)?);
+    Some(Entry { log, index, prev: 0, subject, at, revoked })
 }
 
 fn put(key: &[u8], value: Option<&[u8]>) -> Write {
@@ -130,14 +130,14 @@
 }
 
 /// The logs of the store's entries.
-fn book(entries: Vec<Entry>) -> Result<Book, Fault> {
+fn book(entries: Vec<Entry>) -> Result<LogStore, Fault> {
     let mut entries = entries;
-    entries.sort_unstable_by_key(|e| (e.log, e.seq));
-    let (mut book, mut before) = (Book::default(), None);
+    entries.sort_unstable_by_key(|e| (e.log, e.index));
+    let (mut book, mut before) = (LogStore::default(), None);
     for mut entry in entries {
-        entry.prev = before.filter(|(log, _)| *log == entry.log).map_or(0, |(_, seq)| seq);
-        before = Some((entry.log, entry.seq));
-        if book.take(&entry, Room::ENOUGH) != Taken::New {
+        entry.prev = before.filter(|(log, _)| *log == entry.log).map_or(0, |(_, index)| index);
+        before = Some((entry.log, entry.index));
+        if book.take(&entry, Capacity::UNLIMITED) != Insertion::New {
             return Err(Fault::Damaged("two entries stand in one place of a log".into()));
         }
     }
@@ -155,12 +155,12 @@
     fn read(path: &Path, text: &str) -> Self {
         let mut old = Old::default();
         // The book sorts out what was superseded, and what a crash cut off or left without those before it.
-        let mut book = Book::default();
+        let mut book = LogStore::default();
         for whole in text.split_inclusive('\n') {
             let said = whole.strip_suffix('\n').unwrap_or("");
             match (Datagram::read(said.as_bytes()), peers::read(said.as_bytes())) {
                 (Ok(Datagram::Entry(entry)), _) => {
-                    book.take(&entry, Room::ENOUGH);
+                    book.take(&entry, Capacity::UNLIMITED);
                 }
                 (_, Some(purge)) => old.bare.push(purge),
                 _ if said == "closed" || said.starts_with("life ") => {}
@@ -179,9 +179,9 @@
 }
 
 /// The next entry of those that went to the disk up to a ticket.
-fn next(on_way: &mut VecDeque<(Ticket, Log, Seq)>, through: Ticket) -> Option<(Log, Seq)> {
+fn next(on_way: &mut VecDeque<(Ticket, LogId, Index)>, through: Ticket) -> Option<(LogId, Index)> {
     on_way.front().filter(|(ticket, ..)| *ticket <= through)?;
-    on_way.pop_front().map(|(_, log, seq)| (log, seq))
+    on_way.pop_front().map(|(_, log, index)| (log, index))
 }
 
 /// Puts a file of an earlier version aside and gives where it is; none where there was none.
@@ -248,8 +248,11 @@
         for (object, group, at) in bare {
             let what = what(object.as_deref(), group);
             if book.latest(&what).is_none_or(|known| known < at) {
-                let entry =
-                    book.append(own, (what, at, false), Room { entries: options.entries, ..Room::ENOUGH });
+                let entry = book.append(
+                    own,
+                    (what, at, false),
+                    Capacity { entries: options.entries, ..Capacity::UNLIMITED },
+                );
                 begin.push(write(&entry.map_err(|e| Fault::Disk(e.to_string()))?));
             }
         }
@@ -258,18 +261,18 @@
         // From here on the store counts as not closed. All of this is there, or nothing and the old file still is.
         begin.push(put(CLOSED, None));
         store.commit(&begin)?;
-        let copies = Copies::new(own, book, member, options);
+        let replica = Replica::new(own, book, member, options);
         let keeper = Keeper::start("store", store, queue, wake).map_err(|e| Fault::Disk(e.to_string()))?;
-        Ok(Ledger { keeper, copies, member, fresh, on_way: VecDeque::new(), expires: 0 })
+        Ok(Ledger { keeper, replica, member, fresh, on_way: VecDeque::new(), expires: 0 })
     }
 
     /// What stands in it. Of one that several logs have, the latest counts for whoever takes them all.
     pub fn purges(&self) -> Vec<Purge> {
-        self.copies.book().entries().filter_map(|entry| purge(&entry)).collect()
+        self.replica.log_store().entries().filter_map(|entry| purge(&entry)).collect()
     }
 
     /// This process's life among the members: greater than that of any before it on this disk.
-    pub fn member(&self) -> Life {
+    pub fn member(&self) -> Epoch {
         self.member
     }
 
@@ -279,54 +282,54 @@
     }
 
     /// What this proxy's operators decided, and whether it is lifted.
-    pub fn decided(&self) -> BTreeMap<What, bool> {
-        self.copies.book().decided(self.copies.own().0)
+    pub fn decided(&self) -> BTreeMap<Subject, bool> {
+        self.replica.log_store().decisions(self.replica.own().0)
     }
 
     /// The logs, to look at.
-    pub fn copies(&self) -> &Copies {
-        &self.copies
+    pub fn replica(&self) -> &Replica {
+        &self.replica
     }
 
     /// Whose machine is which (`Copies::peers`).
     pub fn peers(&mut self, own: u64, machines: Vec<u64>) {
-        self.copies.peers(own, machines);
+        self.replica.peers(own, machines);
     }
 
     /// Hands an entry to the worker. What has no room there is given again later, as what the disk did not take.
     fn keep(&mut self, entry: &Entry) {
         match self.keeper.give(write(entry)) {
-            Some(ticket) => self.on_way.push_back((ticket, entry.log, entry.seq)),
-            None => self.copies.failed(entry.log, entry.seq),
+            Some(ticket) => self.on_way.push_back((ticket, entry.log, entry.index)),
+            None => self.replica.sync_failed(entry.log, entry.index),
         }
     }
 
     /// Adds a purge to this proxy's log, and gives its entry, to be told to the peers. It is on its way to the disk.
     pub fn add(&mut self, object: Option<&str>, group: u64, at: Micros) -> Result<Entry, String> {
-        self.say(what(object, group), at, false)
+        self.append(what(object, group), at, false)
     }
 
     /// Adds what the operators decided, or that it is over, as `add` does a purge.
-    pub fn say(&mut self, what: What, at: Micros, lifted: bool) -> Result<Entry, String> {
+    pub fn append(&mut self, what: Subject, at: Micros, lifted: bool) -> Result<Entry, String> {
         if self.keeper.room() == 0 {
             return Err("the disk is too far behind".into());
         }
-        let entry = self.copies.say(what, at, lifted).map_err(|e| e.to_string())?;
+        let entry = self.replica.append(what, at, lifted).map_err(|e| e.to_string())?;
         self.keep(&entry);
         Ok(entry)
     }
 
     /// Adds the status of a trigger as `add` does a purge, in as many entries as it takes.
-    pub fn say_status(&mut self, number: u64, text: &str, at: Micros) -> Result<Vec<Entry>, String> {
+    pub fn append_status(&mut self, number: u64, text: &str, at: Micros) -> Result<Vec<Entry>, String> {
         let pieces = pieces(text).filter(|pieces| pieces.len() <= self.keeper.room());
         let pieces = pieces.ok_or("its status has no room on the way to the disk")?;
-        let say = |(part, text)| self.say(What::Status { number, part, text }, at, false);
-        pieces.into_iter().map(say).collect()
+        let append = |(part, text)| self.append(Subject::Status { number, part, text }, at, false);
+        pieces.into_iter().map(append).collect()
     }
 
     /// The triggers that can be told of, by writer and number, with their status.
     pub fn statuses(&self) -> Vec<(Writer, u64, String)> {
-        let book = self.copies.book();
+        let book = self.replica.log_store();
         let status = |(writer, number)| Some((writer, number, book.status(writer, number)?));
         book.triggers().into_iter().filter_map(status).collect()
     }
@@ -334,51 +337,51 @@
     /// A number for this writer's next trigger that none of its lives has given, as far as their entries tell: from the
     /// time of its start on, as nobody starts again sooner than it can answer.
     pub fn first_number(&self) -> u64 {
-        let own = self.copies.own().0;
-        let known = self.copies.book().triggers().into_iter().filter(|(writer, _)| *writer == own);
+        let own = self.replica.own().0;
+        let known = self.replica.log_store().triggers().into_iter().filter(|(writer, _)| *writer == own);
         known.map(|(_, number)| number + 1).max().unwrap_or(0).max(self.member)
     }
 
     /// Adds a purge that a peer of an earlier version told; one that is known is not added again.
     pub fn tell(&mut self, object: Option<&str>, group: u64, at: Micros) -> Result<(), String> {
-        match self.copies.book().latest(&what(object, group)) {
+        match self.replica.log_store().latest(&what(object, group)) {
             Some(known) if known >= at => Ok(()),
             _ => self.add(object, group, at).map(drop),
         }
     }
 
     /// An answer waits for what stands in this log up to a place.
-    pub fn promise(&mut self, now: Micros, place: Seq) -> Result<Promise, Why> {
-        self.copies.promise(now, place)
+    pub fn open_commit(&mut self, now: Micros, place: Index) -> Result<CommitId, RejectReason> {
+        self.replica.open_commit(now, place)
     }
 
     /// Promises that can be given, and those that can't.
-    pub fn settle(&mut self, now: Micros) -> Vec<Settled> {
-        self.copies.settle(now)
+    pub fn resolve_commits(&mut self, now: Micros) -> Vec<CommitOutcome> {
+        self.replica.resolve_commits(now)
     }
 
     /// Takes in what a peer says of the logs. What is new is on its way to the disk.
-    pub fn hear(&mut self, from: usize, datagram: Datagram) -> Heard {
+    pub fn receive(&mut self, from: usize, datagram: Datagram) -> Received {
         let datagram = match datagram {
             Datagram::Entry(entry) if skips() => {
-                let prev = entry.prev.min(self.copies.book().end(entry.log));
+                let prev = entry.prev.min(self.replica.log_store().last_index(entry.log));
                 Datagram::Entry(Entry { prev, ..entry })
             }
             datagram => datagram,
         };
-        let heard = self.copies.hear(from, datagram);
-        heard.new.iter().for_each(|entry| self.keep(entry));
-        heard
+        let received = self.replica.receive(from, datagram);
+        received.new.iter().for_each(|entry| self.keep(entry));
+        received
     }
 
     /// Takes in the worker's word of what is on the disk: what peers are to be told of it.
     pub fn words(&mut self) -> Vec<(usize, Datagram)> {
         let mut told = Vec::new();
         while let Some(done) = self.keeper.done() {
-            while let Some((log, seq)) = next(&mut self.on_way, done.to) {
+            while let Some((log, index)) = next(&mut self.on_way, done.to) {
                 match done.result {
-                    Ok(()) => told.extend(self.copies.kept(log, seq)),
-                    Err(_) => self.copies.failed(log, seq),
+                    Ok(()) => told.extend(self.replica.synced(log, index)),
+                    Err(_) => self.replica.sync_failed(log, index),
                 }
             }
         }
@@ -387,37 +390,37 @@
 
     /// When `tick` is due.
     pub fn due(&self) -> Micros {
-        self.copies.due()
+        self.replica.due()
     }
 
     /// What to tell which peer now. What the disk did not take is given to it again.
     pub fn tick(&mut self, now: Micros) -> Vec<(usize, Datagram)> {
         if self.keeper.room() > 0 {
-            self.copies.again().iter().for_each(|entry| self.keep(entry));
+            self.replica.take_failed().iter().for_each(|entry| self.keep(entry));
         }
         if now >= self.expires {
             self.expires = now + EXPIRE_US;
-            for entry in self.copies.expire(now) {
+            for entry in self.replica.expire(now) {
                 // One that finds no room there is found by the next process.
                 self.keeper.give(Write { space: ENTRIES, key: key(&entry), value: None });
             }
         }
-        self.copies.tick(now)
+        self.replica.tick(now)
     }
 
     /// The process ends in order: the next one goes on with this life, if the disk has all of it. Waits for the disk.
     pub fn close(self) -> Result<(), Fault> {
-        let Ledger { keeper, mut copies, mut on_way, .. } = self;
+        let Ledger { keeper, mut replica, mut on_way, .. } = self;
         let gone = || Fault::Disk("the worker has ended".into());
         let (mut store, last) = keeper.close().ok_or_else(gone)?;
         for done in last {
-            while let Some((log, seq)) = next(&mut on_way, done.to) {
+            while let Some((log, index)) = next(&mut on_way, done.to) {
                 if done.result.is_ok() {
-                    copies.kept(log, seq);
+                    replica.synced(log, index);
                 }
             }
         }
-        if !copies.is_kept() {
+        if !replica.is_synced() {
             return Err(Fault::Disk("not all of the log is on it".into()));
         }
         store.commit(&[put(CLOSED, Some(b"1"))])
@@ -448,7 +451,7 @@
     /// Waits until all is on the disk: what peers are told of it.
     fn written((ledger, woken): &mut (Ledger, Receiver<()>)) -> Vec<(usize, Datagram)> {
         let mut told = Vec::new();
-        while !ledger.copies.is_kept() {
+        while !ledger.replica.is_synced() {
             woken.recv_timeout(Duration::from_secs(10)).expect("the worker has a word");
             told.extend(ledger.words());
         }
@@ -465,7 +468,7 @@
         }
         written(&mut all);
         all.0.tell(Some("0a"), 0, 4).unwrap();
-        assert!(all.0.copies.is_kept(), "what is known is not written again");
+        assert!(all.0.replica.is_synced(), "what is known is not written again");
         // Dropped and not closed, as a crash leaves it.
         drop(all.0.keeper.close());
         let mut again = open(&path, 78).unwrap();
@@ -473,12 +476,12 @@
         let both = [(None, 7, 3), (Some("0a".into()), 0, 30)];
         assert_eq!(again.0.purges(), both);
         let next = again.0.add(Some("0b"), 0, 9).unwrap();
-        assert_eq!((next.log, next.seq), ((1, 78), 1), "a place that others may know is not given again");
+        assert_eq!((next.log, next.index), ((1, 78), 1), "a place that others may know is not given again");
         again.0.close().unwrap();
         let mut again = open(&path, 7).unwrap();
         assert_eq!(again.0.member(), 79, "it grows though the clock was set back");
         let next = again.0.add(Some("0c"), 0, 9).unwrap();
-        assert_eq!((next.log, next.seq), ((1, 78), 2), "the life of a store that was closed goes on");
+        assert_eq!((next.log, next.index), ((1, 78), 2), "the life of a store that was closed goes on");
         assert_eq!(open(&path, 80).err(), Some(Fault::Busy), "one process has it");
         written(&mut again);
         drop(again.0.keeper.close());
@@ -501,7 +504,7 @@
             let mut purges = ledger.0.purges();
             purges.sort();
             assert_eq!(purges, [(None, 7, 6), (Some("0a".into()), 0, 9)], "{name}");
-            assert_eq!(ledger.0.copies.own(), (1, 99), "{name}: in a life of its own");
+            assert_eq!(ledger.0.replica.own(), (1, 99), "{name}: in a life of its own");
             let mut aside = path.as_os_str().to_owned();
             aside.push(".old");
             assert_eq!(fs::read_to_string(&aside).unwrap(), text, "{name}: for a way back");
@@ -513,14 +516,14 @@
                 again.0.purges().contains(&(Some("0a".into()), 0, 50)),
                 "{name}: it is not taken over again"
             );
-            assert_eq!(again.0.copies.own(), (1, 99), "{name}: and has its life from then on");
+            assert_eq!(again.0.replica.own(), (1, 99), "{name}: and has its life from then on");
             assert!(!again.0.is_fresh());
             drop(again);
             // The store is lost and the old file is still there: what it has is better than nothing, and no place in the
             // logs that were written since is given again.
             fs::remove_file(&path).unwrap();
             let twice = open(&path, 130).unwrap();
-            assert_eq!((twice.0.copies.own(), twice.0.is_fresh()), ((1, 130), true), "{name}");
+            assert_eq!((twice.0.replica.own(), twice.0.is_fresh()), ((1, 130), true), "{name}");
             drop(twice);
             fs::remove_file(&aside).unwrap();
             fs::remove_file(&path).unwrap();
@@ -532,27 +535,28 @@
         let path = file("peer");
         let mut ledger = open(&path, 77).unwrap();
         ledger.0.peers(10, vec![20, 30]);
-        let theirs = Entry { log: (2, 5), seq: 1, prev: 0, what: What::Group(3), at: 8, lifted: false };
-        let heard = ledger.0.hear(1, Datagram::Entry(theirs.clone()));
-        assert_eq!((heard.new, heard.replies), (vec![theirs.clone()], vec![]), "not before");
-        let held = Datagram::Held { begun: 77, ends: vec![((2, 5), 1)] };
+        let theirs =
+            Entry { log: (2, 5), index: 1, prev: 0, subject: Subject::Group(3), at: 8, revoked: false };
+        let received = ledger.0.receive(1, Datagram::Entry(theirs.clone()));
+        assert_eq!((received.new, received.replies), (vec![theirs.clone()], vec![]), "not before");
+        let held = Datagram::Ack { process: 77, positions: vec![((2, 5), 1)] };
         assert_eq!(written(&mut ledger), [(1, held.clone())]);
-        assert_eq!(ledger.0.hear(0, Datagram::Entry(theirs.clone())).replies, [held]);
+        assert_eq!(ledger.0.receive(0, Datagram::Entry(theirs.clone())).replies, [held]);
         // Its own log of an earlier life comes back from a peer; what it writes now stands in another.
-        ledger.0.hear(0, Datagram::Entry(Entry { log: (1, 4), ..theirs }));
+        ledger.0.receive(0, Datagram::Entry(Entry { log: (1, 4), ..theirs }));
         let new = ledger.0.add(Some("0c"), 0, 9).unwrap();
-        assert_eq!((new.log, new.seq), ((1, 77), 1));
-        let ban = || What::Ban("pc-1".into());
+        assert_eq!((new.log, new.index), ((1, 77), 1));
+        let ban = || Subject::Ban("pc-1".into());
         assert!(ledger.0.is_fresh() && ledger.0.decided().is_empty());
-        ledger.0.promise(100, 1).unwrap();
+        ledger.0.open_commit(100, 1).unwrap();
         written(&mut ledger);
-        assert_eq!(ledger.0.settle(100), [], "on this disk alone");
-        ledger.0.hear(0, Datagram::Held { begun: 1, ends: vec![((1, 77), 1)] });
-        assert_eq!(ledger.0.settle(200), [Settled { promise: 1, kept: Ok(100) }]);
-        ledger.0.say(ban(), 10, false).unwrap();
-        ledger.0.say(What::Drain, 11, false).unwrap();
-        ledger.0.say(What::Drain, 12, true).unwrap();
-        let decided = [(ban(), false), (What::Drain, true)];
+        assert_eq!(ledger.0.resolve_commits(100), [], "on this disk alone");
+        ledger.0.receive(0, Datagram::Ack { process: 1, positions: vec![((1, 77), 1)] });
+        assert_eq!(ledger.0.resolve_commits(200), [CommitOutcome { commit: 1, result: Ok(100) }]);
+        ledger.0.append(ban(), 10, false).unwrap();
+        ledger.0.append(Subject::Drain, 11, false).unwrap();
+        ledger.0.append(Subject::Drain, 12, true).unwrap();
+        let decided = [(ban(), false), (Subject::Drain, true)];
         assert_eq!(ledger.0.decided().into_iter().collect::<Vec<_>>(), decided);
         written(&mut ledger);
         ledger.0.close().unwrap();
@@ -561,7 +565,7 @@
             (again.0.decided().into_iter().collect::<Vec<_>>(), again.0.is_fresh()),
             (decided.into(), false)
         );
-        assert_eq!(again.0.copies.own(), (1, 77), "the life of the store, not of the log that came back");
+        assert_eq!(again.0.replica.own(), (1, 77), "the life of the store, not of the log that came back");
         drop(again);
         fs::remove_file(&path).unwrap();
     }
--- a/daemon/src/limits.rs
+++ b/daemon/src/limits.rs
@@ -193,16 +193,16 @@
     }
 
     /// The bounds of the logs of purges, and what is promised of them.
-    pub fn copies(&self, promised: &crate::interconnect::Copies) -> linnetknot_copies::Options {
-        linnetknot_copies::Options {
+    pub fn replication(&self, promised: &crate::interconnect::Copies) -> linnetknot_replication::Options {
+        linnetknot_replication::Options {
             entries: self.purges,
             logs: self.purge_logs,
-            passing: self.statuses,
-            passing_us: triggers::STALE_S * 1_000_000,
-            promises: self.promises,
-            wait: promised.wait,
-            holders: promised.holders,
-            within_us: promised.within_us,
+            expiring: self.statuses,
+            expiry_us: triggers::STALE_S * 1_000_000,
+            max_pending: self.promises,
+            min_acks: promised.wait,
+            replication_factor: promised.holders,
+            commit_timeout_us: promised.within_us,
             ..Default::default()
         }
     }
--- a/copies/src/recovery.rs
+++ b/replication/src/recovery.rs
@@ -17,24 +17,24 @@
     settled: BTreeSet<usize>,
     until: Micros,
     ask: Micros,
-    ask_us: Micros,
+    retry_us: Micros,
     over: bool,
 }
 
 impl Recovery {
     /// Of a proxy on this machine, among peers on these, whose promises waited for `wait` of them. It is over at
-    /// `until`, whatever is missing; peers are asked each `ask_us`.
+    /// `until`, whatever is missing; peers are asked each `retry_us`.
     pub fn new(
         own: Machine,
         machines: Vec<Machine>,
         wait: usize,
-        (now, until, ask_us): (Micros, Micros, Micros),
+        (now, until, retry_us): (Micros, Micros, Micros),
     ) -> Self {
         let further: BTreeSet<Machine> = machines.iter().copied().filter(|m| *m != own).collect();
         // With `wait: 0` nothing was promised of others; who can be reached is asked all the same.
         let needed = (further.len() + 1).saturating_sub(wait.max(1));
         let over = needed == 0;
-        Recovery { own, machines, needed, settled: BTreeSet::new(), until, ask: now, ask_us, over }
+        Recovery { own, machines, needed, settled: BTreeSet::new(), until, ask: now, retry_us, over }
     }
 
     /// Whether it is over.
@@ -59,7 +59,7 @@
         if now < self.ask {
             return (Vec::new(), None);
         }
-        self.ask = now + self.ask_us;
+        self.ask = now + self.retry_us;
         ((0..self.machines.len()).filter(|peer| !self.settled.contains(peer)).collect(), None)
     }
 
@@ -95,7 +95,7 @@
         );
         assert_eq!((one.tick(5), one.tick(10)), ((vec![], None), (vec![3], None)));
         assert!(one.settled(3) && one.is_over() && one.due().is_none());
-        // Promises that waited for both are on each.
+        // PendingCommits that waited for both are on each.
         let mut both = new(2);
         assert!(both.settled(3));
         let mut late = new(1);
--- a/copies/src/status.rs
+++ b/replication/src/status.rs
@@ -55,7 +55,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use crate::{Datagram, Entry, What};
+    use crate::{Datagram, Entry, Subject};
 
     #[test]
     fn a_text_of_any_characters_comes_back_from_pieces_that_each_fit_a_datagram() {
@@ -65,10 +65,16 @@
             assert_eq!(cut.iter().map(|(_, piece)| piece.as_str()).collect::<String>(), text);
             for (part, text) in cut {
                 // All numbers as long as they can be.
-                let what = What::Status { number: u64::MAX, part: u16::MAX - part, text };
+                let subject = Subject::Status { number: u64::MAX, part: u16::MAX - part, text };
                 let most = u64::MAX;
-                let entry =
-                    Entry { log: (most, most), seq: most, prev: most - 1, what, at: most, lifted: false };
+                let entry = Entry {
+                    log: (most, most),
+                    index: most,
+                    prev: most - 1,
+                    subject,
+                    at: most,
+                    revoked: false,
+                };
                 let bytes = Datagram::Entry(entry.clone()).write().expect("it fits");
                 assert_eq!(Datagram::read(&bytes), Ok(Datagram::Entry(entry)));
             }
--- a/copies/tests/fleet.rs
+++ b/replication/tests/fleet.rs
@@ -1,7 +1,7 @@
 //! Many proxies on virtual time: datagrams that are lost, doubled, late and out of order, links cut one way, members
-//! that are away, stand still or come back with an empty disk. All that was told anywhere is everywhere in the end.
+//! that are away, stand still or come back with an empty disk. All that was sent anywhere is everywhere in the end.
 
-use linnetknot_copies::*;
+use linnetknot_replication::*;
 use linnetknot_simnet::{self as simnet, Step};
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
@@ -12,14 +12,14 @@
 
 /// A member: its logs, what it has put in force, and its disk.
 struct Member {
-    copies: Option<Copies>,
-    life: Life,
-    in_force: BTreeMap<What, Micros>,
-    disk: Book,
+    replica: Option<Replica>,
+    epoch: Epoch,
+    in_force: BTreeMap<Subject, Micros>,
+    disk: LogStore,
     /// On their way to it, and when they are there.
     writes: VecDeque<(Micros, Entry)>,
-    /// Promises that wait, and what was told.
-    asked: Vec<(Promise, What, Micros)>,
+    /// Commits that wait, and what was sent.
+    asked: Vec<(CommitId, Subject, Micros)>,
     /// What came while it stood still.
     stalled: Option<Vec<(usize, Vec<u8>)>>,
 }
@@ -28,12 +28,12 @@
     links: simnet::Net<Vec<u8>>,
     members: Vec<Member>,
     bytes: u64,
-    /// All that was told, and when.
-    told: BTreeMap<What, Micros>,
-    /// How long a disk takes, and the promises given and refused.
+    /// All that was sent, and when.
+    outgoing: BTreeMap<Subject, Micros>,
+    /// How long a disk takes, and the commits given and refused.
     disk_us: Micros,
-    promised: BTreeMap<What, Micros>,
-    refused: Vec<Why>,
+    committed: BTreeMap<Subject, Micros>,
+    rejected: Vec<RejectReason>,
     options: Options,
 }
 
@@ -55,19 +55,19 @@
             links: simnet::Net::new(seed, (MS, late)),
             members: Vec::new(),
             bytes: 0,
-            told: BTreeMap::new(),
+            outgoing: BTreeMap::new(),
             disk_us: 0,
-            promised: BTreeMap::new(),
-            refused: Vec::new(),
+            committed: BTreeMap::new(),
+            rejected: Vec::new(),
             options: Options::default(),
         };
         (net.links.lost, net.links.doubled) = (lost, doubled);
         for _ in 0..members {
             net.members.push(Member {
-                copies: None,
-                life: 7,
+                replica: None,
+                epoch: 7,
                 in_force: BTreeMap::new(),
-                disk: Book::default(),
+                disk: LogStore::default(),
                 writes: VecDeque::new(),
                 asked: Vec::new(),
                 stalled: None,
@@ -81,26 +81,26 @@
     fn start(&mut self, n: usize) {
         let machines = (0..self.members.len()).filter(|m| *m != n).map(|m| m as Machine);
         let m = &mut self.members[n];
-        m.in_force = m.disk.entries().map(|e| (e.what, e.at)).collect();
-        let begun = self.links.now + n as u64;
-        let mut copies = Copies::new((writer(n), m.life), m.disk.clone(), begun, self.options);
-        copies.peers(n as Machine, machines.collect());
-        m.copies = Some(copies);
+        m.in_force = m.disk.entries().map(|e| (e.subject, e.at)).collect();
+        let process = self.links.now + n as u64;
+        let mut replica = Replica::new((writer(n), m.epoch), m.disk.clone(), process, self.options);
+        replica.peers(n as Machine, machines.collect());
+        m.replica = Some(replica);
     }
 
     fn kill(&mut self, n: usize) {
         let m = &mut self.members[n];
-        (m.copies, m.stalled) = (None, None);
+        (m.replica, m.stalled) = (None, None);
         m.in_force.clear();
-        // What was not on the disk is lost, and the log does not go on in a life of which others may know more.
+        // What was not on the disk is lost, and the log does not go on in an epoch of which others may know more.
         m.writes.clear();
         m.asked.clear();
     }
 
     /// A new machine under the old name.
     fn lose_disk(&mut self, n: usize) {
-        self.members[n].disk = Book::default();
-        self.members[n].life = self.links.now;
+        self.members[n].disk = LogStore::default();
+        self.members[n].epoch = self.links.now;
     }
 
     fn send(&mut self, from: usize, to: usize, datagram: &Datagram) {
@@ -110,14 +110,14 @@
     }
 
     /// A neighbour tells a member of a purge.
-    fn tell(&mut self, n: usize, what: What) {
+    fn tell(&mut self, n: usize, subject: Subject) {
         let now = self.links.now;
-        let Some(copies) = self.members[n].copies.as_mut() else { return };
-        let entry = copies.say(what.clone(), now, false).expect("there is room");
-        let promise = copies.promise(now, entry.seq).expect("there is room");
-        self.members[n].asked.push((promise, what.clone(), now));
+        let Some(replica) = self.members[n].replica.as_mut() else { return };
+        let entry = replica.append(subject.clone(), now, false).expect("there is capacity");
+        let commit = replica.open_commit(now, entry.index).expect("there is capacity");
+        self.members[n].asked.push((commit, subject.clone(), now));
         self.put(n, &entry);
-        self.told.insert(what, now);
+        self.outgoing.insert(subject, now);
         for to in (0..self.members.len()).filter(|to| *to != n) {
             self.send(n, to, &Datagram::Entry(entry.clone()));
         }
@@ -125,7 +125,7 @@
 
     fn put(&mut self, n: usize, entry: &Entry) {
         let m = &mut self.members[n];
-        let floor = m.in_force.entry(entry.what.clone()).or_insert(0);
+        let floor = m.in_force.entry(entry.subject.clone()).or_insert(0);
         *floor = entry.at.max(*floor);
         m.writes.push_back((self.links.now + self.disk_us, entry.clone()));
         if self.disk_us == 0 {
@@ -137,74 +137,74 @@
     fn write(&mut self, n: usize) {
         let m = &mut self.members[n];
         let Some((_, entry)) = m.writes.pop_front() else { return };
-        let taken = m.disk.take(&entry, Room::ENOUGH);
-        assert_eq!(taken, Taken::New, "what is written to the disk follows what stands there");
-        let told = m.copies.as_mut().map(|c| c.kept(entry.log, entry.seq)).unwrap_or_default();
-        told.iter().for_each(|(peer, word)| self.send_to(n, *peer, word));
-        self.settle(n);
+        let taken = m.disk.take(&entry, Capacity::UNLIMITED);
+        assert_eq!(taken, Insertion::New, "what is written to the disk follows what stands there");
+        let outgoing = m.replica.as_mut().map(|c| c.synced(entry.log, entry.index)).unwrap_or_default();
+        outgoing.iter().for_each(|(peer, message)| self.send_to(n, *peer, message));
+        self.resolve_commits(n);
     }
 
-    /// A peer by its place among the others.
-    fn send_to(&mut self, n: usize, peer: usize, word: &Datagram) {
-        self.send(n, simnet::member(peer, n), word);
+    /// A peer by its index among the others.
+    fn send_to(&mut self, n: usize, peer: usize, message: &Datagram) {
+        self.send(n, simnet::member(peer, n), message);
     }
 
-    fn settle(&mut self, n: usize) {
+    fn resolve_commits(&mut self, n: usize) {
         let (now, m) = (self.links.now, &mut self.members[n]);
-        for settled in m.copies.as_mut().map(|c| c.settle(now)).unwrap_or_default() {
-            let place =
-                m.asked.iter().position(|(promise, ..)| *promise == settled.promise).expect("it was asked");
-            let (_, what, at) = m.asked.remove(place);
-            match settled.kept {
+        for outcome in m.replica.as_mut().map(|c| c.resolve_commits(now)).unwrap_or_default() {
+            let index =
+                m.asked.iter().position(|(commit, ..)| *commit == outcome.commit).expect("it was asked");
+            let (_, subject, at) = m.asked.remove(index);
+            match outcome.result {
                 Ok(took) => {
-                    assert!(took <= self.options.within_us, "{took}");
-                    let latest = self.promised.entry(what).or_insert(0);
+                    assert!(took <= self.options.commit_timeout_us, "{took}");
+                    let latest = self.committed.entry(subject).or_insert(0);
                     *latest = at.max(*latest);
                 }
-                Err(why) => self.refused.push(why),
+                Err(why) => self.rejected.push(why),
             }
         }
     }
 
-    /// Promises given that nobody who runs holds at their time or later.
-    fn lost(&self) -> Vec<&What> {
-        let runs = || self.members.iter().filter(|m| m.copies.is_some());
-        let held = |what: &What, at: &Micros| runs().any(|m| m.in_force.get(what) >= Some(at));
-        self.promised.iter().filter(|(what, at)| !held(what, at)).map(|(what, _)| what).collect()
+    /// Commits given that nobody who runs holds at their time or later.
+    fn lost(&self) -> Vec<&Subject> {
+        let runs = || self.members.iter().filter(|m| m.replica.is_some());
+        let held = |subject: &Subject, at: &Micros| runs().any(|m| m.in_force.get(subject) >= Some(at));
+        self.committed.iter().filter(|(subject, at)| !held(subject, at)).map(|(subject, _)| subject).collect()
     }
 
     fn arrive(&mut self, from: usize, to: usize, bytes: Vec<u8>) {
         if let Some(waiting) = &mut self.members[to].stalled {
             return waiting.push((from, bytes));
         }
-        let Some(copies) = self.members[to].copies.as_mut() else { return };
-        let heard = copies.hear(simnet::place(from, to), Datagram::read(&bytes).expect("whole"));
-        heard.new.iter().for_each(|e| self.put(to, e));
-        for e in &heard.early {
-            let floor = self.members[to].in_force.entry(e.what.clone()).or_insert(0);
+        let Some(replica) = self.members[to].replica.as_mut() else { return };
+        let received = replica.receive(simnet::place(from, to), Datagram::read(&bytes).expect("whole"));
+        received.new.iter().for_each(|e| self.put(to, e));
+        for e in &received.out_of_order {
+            let floor = self.members[to].in_force.entry(e.subject.clone()).or_insert(0);
             *floor = e.at.max(*floor);
         }
-        heard.replies.iter().for_each(|d| self.send(to, from, d));
-        self.settle(to);
+        received.replies.iter().for_each(|d| self.send(to, from, d));
+        self.resolve_commits(to);
     }
 
     fn run(&mut self, for_us: Micros) {
         let end = self.links.now + for_us;
         loop {
             let due = |(n, m): (usize, &Member)| {
-                let copies = m.copies.as_ref().filter(|_| m.stalled.is_none())?;
+                let replica = m.replica.as_ref().filter(|_| m.stalled.is_none())?;
                 let write = m.writes.front().map(|(at, _)| (*at, Due::Write(n)));
-                write.into_iter().chain([(copies.due(), Due::Tick(n))]).min()
+                write.into_iter().chain([(replica.due(), Due::Tick(n))]).min()
             };
             let due = self.members.iter().enumerate().filter_map(due).min();
             match self.links.step(end, due) {
-                Step::Arrives { from, to, word } => self.arrive(from, to, word),
+                Step::Arrives { from, to, word: message } => self.arrive(from, to, message),
                 Step::Due(Due::Write(n)) => self.write(n),
                 Step::Due(Due::Tick(n)) => {
                     let now = self.links.now;
-                    let words = self.members[n].copies.as_mut().map(|c| c.tick(now)).unwrap_or_default();
-                    words.iter().for_each(|(peer, word)| self.send_to(n, *peer, word));
-                    self.settle(n);
+                    let messages = self.members[n].replica.as_mut().map(|c| c.tick(now)).unwrap_or_default();
+                    messages.iter().for_each(|(peer, message)| self.send_to(n, *peer, message));
+                    self.resolve_commits(n);
                 }
                 Step::Over => return,
             }
@@ -218,14 +218,15 @@
     }
 
     /// How many members that run do not hold every purge at its time or later.
-    fn behind(&self) -> usize {
-        let holds = |m: &Member| self.told.iter().all(|(what, at)| m.in_force.get(what) >= Some(at));
-        self.members.iter().filter(|m| m.copies.is_some() && !holds(m)).count()
+    fn entries_after(&self) -> usize {
+        let holds =
+            |m: &Member| self.outgoing.iter().all(|(subject, at)| m.in_force.get(subject) >= Some(at));
+        self.members.iter().filter(|m| m.replica.is_some() && !holds(m)).count()
     }
 }
 
-fn object(n: u64) -> What {
-    What::Object(format!("{n:016x}"))
+fn object(n: u64) -> Subject {
+    Subject::Object(format!("{n:016x}"))
 }
 
 #[test]
@@ -233,10 +234,10 @@
     let mut net = Net::new(16, 3, (0, 0, 5 * MS));
     net.run(S);
     for n in 0..40 {
-        net.tell(n as usize % 16, if n % 4 == 0 { What::Group(n) } else { object(n) });
+        net.tell(n as usize % 16, if n % 4 == 0 { Subject::Group(n) } else { object(n) });
     }
     net.run(10 * MS);
-    assert_eq!(net.behind(), 0);
+    assert_eq!(net.entries_after(), 0);
     net.run(10 * S);
     let before = net.bytes;
     net.run(10 * S);
@@ -253,29 +254,29 @@
             net.run(30 * MS);
         }
         net.run(20 * S);
-        assert_eq!(net.behind(), 0, "seed {seed}");
+        assert_eq!(net.entries_after(), 0, "seed {seed}");
     }
 }
 
 /// Many entries at once, as a long trigger makes, over links that lose a quarter: a lost datagram costs itself, and not
-/// all that were sent behind it, so that promises of them are given in time.
+/// all that were sent behind it, so that commits of them are given in time.
 #[test]
 fn a_burst_over_links_that_lose_a_quarter_is_promised_in_time() {
     for seed in 0..20 {
         let mut net = Net::new(3, seed, (25, 10, 5 * MS));
         net.run(S);
         (0..300).for_each(|n| net.tell(0, object(n)));
-        net.run(net.options.within_us);
-        assert_eq!((net.promised.len(), net.refused.len()), (300, 0), "seed {seed}");
+        net.run(net.options.commit_timeout_us);
+        assert_eq!((net.committed.len(), net.rejected.len()), (300, 0), "seed {seed}");
         net.run(5 * S);
-        assert_eq!(net.behind(), 0, "seed {seed}");
-        let sent = net.members.iter().flat_map(|m| &m.copies).map(|c| c.tally().sent).sum::<u64>();
+        assert_eq!(net.entries_after(), 0, "seed {seed}");
+        let sent = net.members.iter().flat_map(|m| &m.replica).map(|c| c.counters().sent).sum::<u64>();
         // Two peers lost a quarter each; what is said twice a second makes up for a good part of the rest.
         assert!(sent < 3 * 300, "seed {seed}: {sent} were sent again");
     }
 }
 
-/// The writer is lost with what only it had, and what it told behind that is known: nobody asks for the rest for ever.
+/// The writer is lost with what only it had, and what it sent behind that is known: nobody asks for the rest for ever.
 #[test]
 fn what_nobody_has_any_more_is_asked_for_no_more_than_other_words_are_said() {
     let mut net = Net::new(3, 5, (100, 0, MS));
@@ -300,9 +301,9 @@
     net.links.cut.insert((0, 3));
     (0..10).for_each(|n| net.tell(0, object(n)));
     net.run(10 * MS);
-    assert_eq!(net.behind(), 1, "no word goes from 0 to 3");
+    assert_eq!(net.entries_after(), 1, "no message goes from 0 to 3");
     net.run(6 * S);
-    assert_eq!(net.behind(), 0);
+    assert_eq!(net.entries_after(), 0);
 }
 
 #[test]
@@ -329,10 +330,10 @@
         net.run(3 * S);
         net.links.cut.clear();
         net.run(15 * S);
-        assert_eq!(net.behind(), 0, "seed {seed}");
+        assert_eq!(net.entries_after(), 0, "seed {seed}");
         assert!(
-            net.members.iter().all(|m| m.disk.sum() == net.members[0].disk.sum()),
-            "seed {seed}: one book"
+            net.members.iter().all(|m| m.disk.checksum() == net.members[0].disk.checksum()),
+            "seed {seed}: one log_store"
         );
     }
 }
@@ -351,11 +352,11 @@
         }
         net.start(2);
         net.run(20 * S);
-        assert_eq!(net.behind(), 0, "seed {seed}");
-        // A new life writes beside the old one.
+        assert_eq!(net.entries_after(), 0, "seed {seed}");
+        // A new epoch writes beside the old one.
         net.tell(2, object(500));
         net.run(10 * S);
-        assert_eq!(net.behind(), 0, "seed {seed}");
+        assert_eq!(net.entries_after(), 0, "seed {seed}");
     }
 }
 
@@ -367,7 +368,7 @@
     net.run(5 * S);
     net.go_on(1);
     net.run(5 * S);
-    assert_eq!(net.behind(), 0);
+    assert_eq!(net.entries_after(), 0);
 }
 
 #[test]
@@ -380,30 +381,31 @@
         net.links.lose_all();
         (0..members).for_each(|n| net.start(n));
         net.run(60 * S);
-        assert_eq!(net.behind(), 0, "{members}");
+        assert_eq!(net.entries_after(), 0, "{members}");
     }
 }
 
 #[test]
 fn what_has_no_room_is_told_and_nothing_held_is_let_go() {
     let few = Options { entries: 2, logs: 2, ..Options::default() };
-    let mut copies = Copies::new((1, 7), Book::default(), 1, few);
-    copies.say(object(1), 5, false).unwrap();
-    copies.say(object(2), 6, false).unwrap();
-    assert_eq!(copies.say(object(3), 7, false), Err(Full));
-    let again = copies.say(object(1), 8, false).expect("it takes the place of the one before");
-    assert_eq!((again.seq, again.prev, copies.book().len()), (3, 2, 2));
-    let entry = |log, seq| Entry { log, seq, prev: seq - 1, what: What::Group(9), at: 1, lifted: false };
-    let heard = copies.hear(0, Datagram::Entry(entry((2, 7), 1)));
-    assert_eq!((heard.refused.len(), heard.new.len(), copies.tally().refused), (1, 0, 1));
-    assert_eq!(copies.book().entries().count(), 2);
+    let mut replica = Replica::new((1, 7), LogStore::default(), 1, few);
+    replica.append(object(1), 5, false).unwrap();
+    replica.append(object(2), 6, false).unwrap();
+    assert_eq!(replica.append(object(3), 7, false), Err(CapacityExceeded));
+    let again = replica.append(object(1), 8, false).expect("it takes the index of the one before");
+    assert_eq!((again.index, again.prev, replica.log_store().len()), (3, 2, 2));
+    let entry =
+        |log, index| Entry { log, index, prev: index - 1, subject: Subject::Group(9), at: 1, revoked: false };
+    let received = replica.receive(0, Datagram::Entry(entry((2, 7), 1)));
+    assert_eq!((received.rejected.len(), received.new.len(), replica.counters().rejected), (1, 0, 1));
+    assert_eq!(replica.log_store().entries().count(), 2);
 }
 
 /// Machines are lost with their disks one after the other, at moments drawn from a seed, over links that lose, double and
-/// delay, some of them cut: what was promised is held by someone at every moment, and by all in the end.
+/// delay, some of them cut: what was committed is held by someone at every moment, and by all in the end.
 #[test]
 fn what_was_promised_outlives_any_one_machine_at_any_moment() {
-    let (mut promised, mut refused, mut lives) = (0, 0, 0);
+    let (mut committed, mut rejected, mut epochs) = (0, 0, 0);
     for seed in 0..400 {
         let mut net = Net::new(5, seed, (20, 10, 30 * MS));
         net.disk_us = 1 + net.links.draw(30 * MS);
@@ -424,40 +426,48 @@
                 net.lose_disk(lost);
                 assert_eq!(
                     net.lost(),
-                    Vec::<&What>::new(),
+                    Vec::<&Subject>::new(),
                     "seed {seed}, {n}: p{lost} was lost with its disk"
                 );
                 net.start(lost);
                 // The next machine is lost only once this one has all again.
                 net.links.cut.clear();
                 net.run(10 * S);
-                lives += 1;
+                epochs += 1;
             }
         }
         net.links.cut.clear();
         net.run(20 * S);
-        let everywhere = |m: &Member| net.promised.iter().all(|(what, at)| m.in_force.get(what) >= Some(at));
+        let everywhere =
+            |m: &Member| net.committed.iter().all(|(subject, at)| m.in_force.get(subject) >= Some(at));
         assert!(net.members.iter().all(everywhere), "seed {seed}");
-        let copies = |m: &Member| m.copies.as_ref().map_or(0, Copies::short);
-        assert_eq!(net.members.iter().map(copies).sum::<usize>(), 0, "seed {seed}: none is short of copies");
-        promised += net.promised.len();
-        refused += net.refused.len();
+        let replica = |m: &Member| m.replica.as_ref().map_or(0, Replica::under_replicated);
+        assert_eq!(
+            net.members.iter().map(replica).sum::<usize>(),
+            0,
+            "seed {seed}: none is short of replica"
+        );
+        committed += net.committed.len();
+        rejected += net.rejected.len();
     }
-    assert!(promised > 15_000 && lives > 5_000, "{promised} promised, {refused} refused, {lives} lost");
+    assert!(
+        committed > 15_000 && epochs > 5_000,
+        "{committed} committed, {rejected} rejected, {epochs} lost"
+    );
 }
 
-/// A yes before the copy: with `wait: 0` the same losses do lose promises, so that the test above would see it.
+/// A yes before the copy: with `wait: 0` the same losses do lose commits, so that the test above would see it.
 #[test]
 fn without_waiting_a_lost_machine_takes_promises_along() {
     let mut lost = 0;
     for seed in 0..40 {
         let mut net = Net::new(3, seed, (0, 0, 5 * MS));
-        net.options.wait = 0;
+        net.options.min_acks = 0;
         (0..3).for_each(|n| net.start(n));
         net.links.cut.extend([(0, 1), (0, 2)]);
         net.tell(0, object(seed));
         net.run(10 * MS);
-        assert_eq!(net.promised.len(), 1, "given on this disk alone");
+        assert_eq!(net.committed.len(), 1, "given on this disk alone");
         net.kill(0);
         net.lose_disk(0);
         lost += net.lost().len();
@@ -470,93 +480,103 @@
     let mut net = Net::new(3, 5, (0, 0, 5 * MS));
     net.disk_us = MS;
     net.run(S);
-    // One way: the entry arrives, and the word of it does not come back.
+    // One way: the entry arrives, and the message of it does not come back.
     net.links.cut.extend([(1, 0), (2, 0)]);
     net.tell(0, object(1));
     net.run(900 * MS);
-    assert!(net.refused.is_empty() && net.promised.is_empty(), "it waits");
+    assert!(net.rejected.is_empty() && net.committed.is_empty(), "it waits");
     net.run(200 * MS);
-    assert_eq!(net.refused, [Why::Copies { have: 0, wanted: 1 }]);
-    assert_eq!(net.members[0].copies.as_ref().unwrap().short(), 1);
+    assert_eq!(net.rejected, [RejectReason::TooFewReplicas { have: 0, wanted: 1 }]);
+    assert_eq!(net.members[0].replica.as_ref().unwrap().under_replicated(), 1);
     net.links.cut.clear();
     net.run(2 * S);
     assert_eq!(
-        net.members[0].copies.as_ref().unwrap().short(),
+        net.members[0].replica.as_ref().unwrap().under_replicated(),
         0,
         "asked again until they are known to have it"
     );
     net.tell(0, object(2));
     net.run(100 * MS);
-    assert_eq!(net.promised.len(), 1);
+    assert_eq!(net.committed.len(), 1);
 }
 
-/// Two proxies of one machine are one copy: the promise waits for another machine.
+/// Two proxies of one machine are one copy: the commit waits for another machine.
 #[test]
 fn copies_on_one_machine_count_once_and_those_on_ones_own_not_at_all() {
-    let options = Options { wait: 2, ..Options::default() };
-    let mut copies = Copies::new((1, 7), Book::default(), 1, options);
+    let options = Options { min_acks: 2, ..Options::default() };
+    let mut replica = Replica::new((1, 7), LogStore::default(), 1, options);
     // Peers 0 and 1 stand on machine 20, peer 2 on this proxy's own, peer 3 on machine 30.
-    copies.peers(10, vec![20, 20, 10, 30]);
-    let entry = copies.say(object(1), 5, false).unwrap();
-    copies.promise(100, entry.seq).unwrap();
-    assert!(copies.kept(entry.log, entry.seq).is_empty());
-    let held = || Datagram::Held { begun: 5, ends: vec![((1, 7), 1)] };
+    replica.peers(10, vec![20, 20, 10, 30]);
+    let entry = replica.append(object(1), 5, false).unwrap();
+    replica.open_commit(100, entry.index).unwrap();
+    assert!(replica.synced(entry.log, entry.index).is_empty());
+    let held = || Datagram::Ack { process: 5, positions: vec![((1, 7), 1)] };
     for peer in [0, 1, 2] {
-        copies.hear(peer, held());
-        assert_eq!(copies.settle(200), [], "{peer}");
+        replica.receive(peer, held());
+        assert_eq!(replica.resolve_commits(200), [], "{peer}");
     }
     // What one has of another's log is no copy of this one's.
-    copies.hear(3, Datagram::Held { begun: 5, ends: vec![((2, 7), 9)] });
-    assert_eq!((copies.settle(200), copies.short()), (vec![], 1));
-    copies.hear(3, held());
-    assert_eq!(copies.settle(300), [Settled { promise: 1, kept: Ok(200) }]);
-    assert_eq!(copies.short(), 0);
+    replica.receive(3, Datagram::Ack { process: 5, positions: vec![((2, 7), 9)] });
+    assert_eq!((replica.resolve_commits(200), replica.under_replicated()), (vec![], 1));
+    replica.receive(3, held());
+    assert_eq!(replica.resolve_commits(300), [CommitOutcome { commit: 1, result: Ok(200) }]);
+    assert_eq!(replica.under_replicated(), 0);
 }
 
-/// The disk fails at the n-th write: that promise is refused at once, none behind it is given until it is there.
+/// The disk fails at the n-th write: that commit is refused at once, none behind it is given until it is there.
 #[test]
 fn what_the_disk_did_not_take_is_refused_and_given_to_it_again() {
-    let mut copies = Copies::new((1, 7), Book::default(), 1, Options::default());
-    copies.peers(10, vec![20]);
-    let all: Vec<Entry> = (1..=3).map(|n| copies.say(object(n), n, false).unwrap()).collect();
+    let mut replica = Replica::new((1, 7), LogStore::default(), 1, Options::default());
+    replica.peers(10, vec![20]);
+    let all: Vec<Entry> = (1..=3).map(|n| replica.append(object(n), n, false).unwrap()).collect();
     for e in &all {
-        copies.promise(100, e.seq).unwrap();
+        replica.open_commit(100, e.index).unwrap();
     }
-    copies.hear(0, Datagram::Held { begun: 5, ends: vec![((1, 7), 3)] });
-    copies.kept((1, 7), 1);
-    copies.failed((1, 7), 2);
-    copies.kept((1, 7), 3);
-    let settled = copies.settle(100);
-    assert_eq!(settled.iter().map(|s| s.kept).collect::<Vec<_>>(), [Ok(0), Err(Why::Disk), Err(Why::Disk)]);
-    assert_eq!((copies.mark((1, 7)), copies.is_kept()), (1, false));
-    assert_eq!(copies.again(), [all[1].clone()]);
-    assert_eq!(copies.again(), [], "it is on its way");
-    copies.kept((1, 7), 2);
-    assert_eq!((copies.mark((1, 7)), copies.is_kept()), (3, true));
-    // A peer that asked meanwhile is told once all before its place is there.
-    let theirs =
-        |seq| Entry { log: (2, 9), seq, prev: seq - 1, what: object(10 + seq), at: 1, lifted: false };
-    (1..=2).for_each(|seq| drop(copies.hear(0, Datagram::Entry(theirs(seq)))));
-    assert_eq!(copies.kept((2, 9), 2), [], "the one before it is not there yet");
-    assert_eq!(copies.kept((2, 9), 1), [(0, Datagram::Held { begun: 1, ends: vec![((2, 9), 2)] })]);
-    let again = copies.hear(0, Datagram::Entry(theirs(1)));
+    replica.receive(0, Datagram::Ack { process: 5, positions: vec![((1, 7), 3)] });
+    replica.synced((1, 7), 1);
+    replica.sync_failed((1, 7), 2);
+    replica.synced((1, 7), 3);
+    let outcomes = replica.resolve_commits(100);
+    assert_eq!(
+        outcomes.iter().map(|s| s.result).collect::<Vec<_>>(),
+        [Ok(0), Err(RejectReason::Disk), Err(RejectReason::Disk)]
+    );
+    assert_eq!((replica.durable_index((1, 7)), replica.is_synced()), (1, false));
+    assert_eq!(replica.take_failed(), [all[1].clone()]);
+    assert_eq!(replica.take_failed(), [], "it is on its way");
+    replica.synced((1, 7), 2);
+    assert_eq!((replica.durable_index((1, 7)), replica.is_synced()), (3, true));
+    // A peer that asked meanwhile is sent once all before its index is there.
+    let theirs = |index| Entry {
+        log: (2, 9),
+        index,
+        prev: index - 1,
+        subject: object(10 + index),
+        at: 1,
+        revoked: false,
+    };
+    (1..=2).for_each(|index| drop(replica.receive(0, Datagram::Entry(theirs(index)))));
+    assert_eq!(replica.synced((2, 9), 2), [], "the one before it is not there yet");
+    assert_eq!(replica.synced((2, 9), 1), [(0, Datagram::Ack { process: 1, positions: vec![((2, 9), 2)] })]);
+    let again = replica.receive(0, Datagram::Entry(theirs(1)));
     assert_eq!(
         again.replies,
-        [Datagram::Held { begun: 1, ends: vec![((2, 9), 2)] }],
-        "whoever asks again is told again"
+        [Datagram::Ack { process: 1, positions: vec![((2, 9), 2)] }],
+        "whoever asks again is outgoing again"
     );
 }
 
-/// A word that was overtaken, or of a process that is gone, takes nothing back and adds nothing.
+/// A message that was overtaken, or of a process that is gone, takes nothing back and adds nothing.
 #[test]
 fn a_late_word_of_what_a_peer_has_is_known_for_what_it_is() {
-    let mut copies = Copies::new((1, 7), Book::default(), 1, Options { holders: 1, ..Options::default() });
-    copies.peers(10, vec![20]);
-    (1..=3).for_each(|n| drop(copies.say(object(n), n, false).unwrap()));
-    let held = |begun, place| Datagram::Held { begun, ends: vec![((1, 7), place)] };
-    let mut short_after = |word| {
-        copies.hear(0, word);
-        copies.short()
+    let mut replica =
+        Replica::new((1, 7), LogStore::default(), 1, Options { replication_factor: 1, ..Options::default() });
+    replica.peers(10, vec![20]);
+    (1..=3).for_each(|n| drop(replica.append(object(n), n, false).unwrap()));
+    let held = |process, index| Datagram::Ack { process, positions: vec![((1, 7), index)] };
+    let mut short_after = |message| {
+        replica.receive(0, message);
+        replica.under_replicated()
     };
     assert_eq!(short_after(held(5, 3)), 0);
     assert_eq!(short_after(held(5, 1)), 0, "overtaken");
@@ -567,17 +587,21 @@
 
 #[test]
 fn a_promise_too_many_is_refused_at_once() {
-    let mut copies = Copies::new((1, 7), Book::default(), 1, Options { promises: 2, ..Options::default() });
-    copies.peers(10, vec![20]);
+    let mut replica =
+        Replica::new((1, 7), LogStore::default(), 1, Options { max_pending: 2, ..Options::default() });
+    replica.peers(10, vec![20]);
     for n in 1..=2 {
-        let entry = copies.say(object(n), n, false).unwrap();
-        assert_eq!(copies.promise(n, entry.seq), Ok(n));
+        let entry = replica.append(object(n), n, false).unwrap();
+        assert_eq!(replica.open_commit(n, entry.index), Ok(n));
     }
-    let entry = copies.say(object(3), 3, false).unwrap();
-    assert_eq!(copies.promise(3, entry.seq), Err(Why::Many));
-    let within = Options::default().within_us;
-    assert_eq!(copies.settle(1 + within).len(), 1, "each in its own time");
-    assert_eq!(copies.settle(2 + within), [Settled { promise: 2, kept: Err(Why::Disk) }]);
+    let entry = replica.append(object(3), 3, false).unwrap();
+    assert_eq!(replica.open_commit(3, entry.index), Err(RejectReason::TooManyPending));
+    let within = Options::default().commit_timeout_us;
+    assert_eq!(replica.resolve_commits(1 + within).len(), 1, "each in its own time");
+    assert_eq!(
+        replica.resolve_commits(2 + within),
+        [CommitOutcome { commit: 2, result: Err(RejectReason::Disk) }]
+    );
 }
 
 proptest! {
@@ -596,16 +620,16 @@
     }
 
     #[test]
-    fn what_is_written_is_read_again(writer: u64, life: u64, seq in 1u64.., at: u64, group: u64, ends in proptest::collection::vec(any::<((u64, u64), u64)>(), 0..5), sum: u64) {
-        let status = What::Status { number: group, part: (sum % 70_000) as u16, text: format!("{{\"a b\": \"{at}%\"}}") };
-        let gone = What::Gone { writer: sum, number: group };
-        let whats = [What::Group(group), What::Ban(format!("pc-{group:x}")), What::Drain, object(group), status, gone];
-        let lifted = matches!(group % 6, 1 | 2) && group % 12 > 5;
-        let what = whats[(group % 6) as usize].clone();
-        let gaps = ends.iter().map(|(_, place)| (*place / 2, *place / 2 + 1)).collect();
-        let lack = Datagram::Lack { log: (writer, life), gaps };
-        let entry = Entry { log: (writer, life), seq, prev: seq - 1, what, at, lifted };
-        for d in [Datagram::Entry(entry), Datagram::Have { ends: ends.clone(), all: 9, sum }, Datagram::Held { begun: at, ends: ends.clone() }, Datagram::Ask, lack, Datagram::Want { ends }] {
+    fn what_is_written_is_read_again(writer: u64, epoch: u64, index in 1u64.., at: u64, group: u64, positions in proptest::collection::vec(any::<((u64, u64), u64)>(), 0..5), sum: u64) {
+        let status = Subject::Status { number: group, part: (sum % 70_000) as u16, text: format!("{{\"a b\": \"{at}%\"}}") };
+        let gone = Subject::Gone { writer: sum, number: group };
+        let subjects = [Subject::Group(group), Subject::Ban(format!("pc-{group:x}")), Subject::Drain, object(group), status, gone];
+        let revoked = matches!(group % 6, 1 | 2) && group % 12 > 5;
+        let subject = subjects[(group % 6) as usize].clone();
+        let gaps = positions.iter().map(|(_, index)| (*index / 2, *index / 2 + 1)).collect();
+        let lack = Datagram::GapRequest { log: (writer, epoch), gaps };
+        let entry = Entry { log: (writer, epoch), index, prev: index - 1, subject, at, revoked };
+        for d in [Datagram::Entry(entry), Datagram::Digest { positions: positions.clone(), all: 9, sum }, Datagram::Ack { process: at, positions: positions.clone() }, Datagram::DigestRequest, lack, Datagram::RangeRequest { positions }] {
             let bytes = d.write().expect("it fits");
             prop_assert!(bytes.len() <= MOST);
             prop_assert_eq!(Datagram::read(&bytes), Ok(d));
--- a/copies/tests/model.rs
+++ b/replication/tests/model.rs
@@ -1,13 +1,13 @@
 //! The logs and their holders as a model for stateright, on the real types: three proxies that all write; datagrams
 //! that are lost, doubled and out of order; disks that are behind; a crash at any step, with the disk or without. In
-//! every state that can be reached no promise hangs on one machine, and no place in a log is given twice.
+//! every state that can be reached no commit hangs on one machine, and no index in a log is given twice.
 
-use linnetknot_copies::*;
+use linnetknot_replication::*;
 use linnetknot_simnet::{member, place};
 use stateright::{Checker, HasDiscoveries, Model, Property, UniformChooser};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
-/// Proxies, each of which is told something.
+/// Proxies, each of which is sent something.
 const ALL: usize = 3;
 
 /// What is left out of the protocol, for the properties to notice.
@@ -16,7 +16,7 @@
     Nothing,
     /// A yes on this proxy's own disk alone.
     Credit,
-    /// A log goes on in its life after a crash.
+    /// A log goes on in its epoch after a crash.
     SameLife,
     /// A copy counts once it has come, and not once it is on the disk.
     BeforeDisk,
@@ -25,13 +25,13 @@
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 struct Proxy {
     /// None while it is down.
-    copies: Option<Copies>,
-    life: Life,
-    begun: u64,
-    disk: Book,
+    replica: Option<Replica>,
+    epoch: Epoch,
+    process: u64,
+    disk: LogStore,
     /// Entries on their way to the disk.
     writes: VecDeque<Entry>,
-    told: bool,
+    outgoing: bool,
     ticks: u8,
 }
 
@@ -40,10 +40,10 @@
     proxies: Vec<Proxy>,
     /// All that was ever sent: any of it may come at any time, more than once or never.
     sent: BTreeSet<(usize, usize, Vec<u8>)>,
-    /// Promises given: by whom, and what.
-    promised: BTreeSet<(usize, What)>,
-    /// What was written at each place of each log.
-    places: BTreeMap<(Log, Seq), What>,
+    /// Commits given: by whom, and subject.
+    committed: BTreeSet<(usize, Subject)>,
+    /// What was written at each index of each log.
+    indexes: BTreeMap<(LogId, Index), Subject>,
     twice: bool,
     crashes: u8,
     /// Disks that were lost.
@@ -66,18 +66,23 @@
     ticks: u8,
 }
 
-fn object(n: usize) -> What {
-    What::Object(format!("{n:x}"))
+fn object(n: usize) -> Subject {
+    Subject::Object(format!("{n:x}"))
 }
 
 impl Protocol {
-    fn copies(&self, n: usize, (life, begun): (Life, u64), disk: &Book) -> Copies {
+    fn replica(&self, n: usize, (epoch, process): (Epoch, u64), disk: &LogStore) -> Replica {
         let wait = usize::from(self.planted != Planted::Credit);
         // Nothing is refused for the time it takes, and no random number is drawn that would tell states apart.
-        let options = Options { wait, holders: 1, within_us: u64::MAX / 4, ..Options::default() };
-        let mut copies = Copies::new((n as Writer + 1, life), disk.clone(), begun, options);
-        copies.peers(n as Machine, (0..ALL).filter(|m| *m != n).map(|m| m as Machine).collect());
-        copies
+        let options = Options {
+            min_acks: wait,
+            replication_factor: 1,
+            commit_timeout_us: u64::MAX / 4,
+            ..Options::default()
+        };
+        let mut replica = Replica::new((n as Writer + 1, epoch), disk.clone(), process, options);
+        replica.peers(n as Machine, (0..ALL).filter(|m| *m != n).map(|m| m as Machine).collect());
+        replica
     }
 
     fn send(state: &mut State, from: usize, to: usize, datagram: &Datagram) {
@@ -85,22 +90,22 @@
     }
 
     fn take(&self, state: &mut State, n: usize, entry: &Entry) {
-        let known = state.places.entry((entry.log, entry.seq)).or_insert_with(|| entry.what.clone());
-        state.twice |= *known != entry.what;
+        let known = state.indexes.entry((entry.log, entry.index)).or_insert_with(|| entry.subject.clone());
+        state.twice |= *known != entry.subject;
         state.proxies[n].writes.push_back(entry.clone());
         if self.planted == Planted::BeforeDisk {
-            let told = state.proxies[n].copies.as_mut().map(|c| c.kept(entry.log, entry.seq));
-            self.tell(state, n, told.unwrap_or_default());
+            let outgoing = state.proxies[n].replica.as_mut().map(|c| c.synced(entry.log, entry.index));
+            self.tell(state, n, outgoing.unwrap_or_default());
         }
     }
 
-    fn tell(&self, state: &mut State, n: usize, told: Vec<(usize, Datagram)>) {
-        for (peer, word) in told {
-            Self::send(state, n, member(peer, n), &word);
+    fn tell(&self, state: &mut State, n: usize, outgoing: Vec<(usize, Datagram)>) {
+        for (peer, message) in outgoing {
+            Self::send(state, n, member(peer, n), &message);
         }
-        let settled = state.proxies[n].copies.as_mut().map(|c| c.settle(0)).unwrap_or_default();
-        if settled.iter().any(|s| s.kept.is_ok()) {
-            state.promised.insert((n, object(n)));
+        let outcomes = state.proxies[n].replica.as_mut().map(|c| c.resolve_commits(0)).unwrap_or_default();
+        if outcomes.iter().any(|s| s.result.is_ok()) {
+            state.committed.insert((n, object(n)));
         }
     }
 }
@@ -111,15 +116,15 @@
 
     fn init_states(&self) -> Vec<State> {
         let proxy = |n| {
-            let disk = Book::default();
-            let copies = Some(self.copies(n, (1, 1), &disk));
-            Proxy { copies, life: 1, begun: 1, disk, writes: VecDeque::new(), told: false, ticks: 0 }
+            let disk = LogStore::default();
+            let replica = Some(self.replica(n, (1, 1), &disk));
+            Proxy { replica, epoch: 1, process: 1, disk, writes: VecDeque::new(), outgoing: false, ticks: 0 }
         };
         vec![State {
             proxies: (0..ALL).map(proxy).collect(),
             sent: BTreeSet::new(),
-            promised: BTreeSet::new(),
-            places: BTreeMap::new(),
+            committed: BTreeSet::new(),
+            indexes: BTreeMap::new(),
             twice: false,
             crashes: 0,
             lost: 0,
@@ -128,25 +133,25 @@
 
     fn actions(&self, state: &State, actions: &mut Vec<Action>) {
         for (n, proxy) in state.proxies.iter().enumerate() {
-            let Some(copies) = &proxy.copies else {
+            let Some(replica) = &proxy.replica else {
                 actions.push(Action::Start(n));
                 continue;
             };
-            // One that lost its disk may tell again: what it wrote before is another life's.
-            if !proxy.told {
+            // One that lost its disk may tell again: what it wrote before is another epoch's.
+            if !proxy.outgoing {
                 actions.push(Action::Tell(n));
             }
             if !proxy.writes.is_empty() {
                 actions.push(Action::Write(n));
             }
-            if proxy.ticks < self.ticks && copies.book().logs() > 0 {
+            if proxy.ticks < self.ticks && replica.log_store().logs() > 0 {
                 actions.push(Action::Tick(n));
             }
             if state.crashes < self.crashes {
                 actions.extend([true, false].map(|lost| Action::Crash(n, lost)));
             }
         }
-        let runs = |to: &usize| state.proxies[*to].copies.is_some();
+        let runs = |to: &usize| state.proxies[*to].replica.is_some();
         let deliver = state.sent.iter().filter(|(_, to, _)| runs(to)).cloned();
         actions.extend(deliver.map(|(from, to, bytes)| Action::Deliver(from, to, bytes)));
     }
@@ -156,10 +161,10 @@
         match action {
             Action::Tell(n) => {
                 let proxy = &mut state.proxies[n];
-                proxy.told = true;
-                let copies = proxy.copies.as_mut()?;
-                let entry = copies.say(object(n), 5, false).ok()?;
-                copies.promise(0, entry.seq).ok()?;
+                proxy.outgoing = true;
+                let replica = proxy.replica.as_mut()?;
+                let entry = replica.append(object(n), 5, false).ok()?;
+                replica.open_commit(0, entry.index).ok()?;
                 (0..ALL).filter(|to| *to != n).for_each(|to| {
                     Self::send(&mut state, n, to, &Datagram::Entry(entry.clone()));
                 });
@@ -168,44 +173,44 @@
             Action::Write(n) => {
                 let proxy = &mut state.proxies[n];
                 let entry = proxy.writes.pop_front()?;
-                proxy.disk.take(&entry, Room::ENOUGH);
-                let told = proxy.copies.as_mut()?.kept(entry.log, entry.seq);
-                self.tell(&mut state, n, told);
+                proxy.disk.take(&entry, Capacity::UNLIMITED);
+                let outgoing = proxy.replica.as_mut()?.synced(entry.log, entry.index);
+                self.tell(&mut state, n, outgoing);
             }
             Action::Deliver(from, to, bytes) => {
                 let datagram = Datagram::read(&bytes).ok()?;
-                let heard = state.proxies[to].copies.as_mut()?.hear(place(from, to), datagram);
-                heard.new.iter().for_each(|entry| self.take(&mut state, to, entry));
-                heard.replies.iter().for_each(|reply| Self::send(&mut state, to, from, reply));
+                let received = state.proxies[to].replica.as_mut()?.receive(place(from, to), datagram);
+                received.new.iter().for_each(|entry| self.take(&mut state, to, entry));
+                received.replies.iter().for_each(|reply| Self::send(&mut state, to, from, reply));
                 self.tell(&mut state, to, Vec::new());
             }
             Action::Tick(n) => {
                 let proxy = &mut state.proxies[n];
                 proxy.ticks += 1;
-                let copies = proxy.copies.as_mut()?;
-                let told = copies.tick(copies.due());
-                self.tell(&mut state, n, told);
+                let replica = proxy.replica.as_mut()?;
+                let outgoing = replica.tick(replica.due());
+                self.tell(&mut state, n, outgoing);
             }
             Action::Crash(n, lost) => {
                 state.crashes += 1;
                 let proxy = &mut state.proxies[n];
-                proxy.copies = None;
+                proxy.replica = None;
                 proxy.writes.clear();
                 if lost {
-                    proxy.disk = Book::default();
+                    proxy.disk = LogStore::default();
                     state.lost += 1;
                 }
             }
             Action::Start(n) => {
                 let same = self.planted == Planted::SameLife;
                 let proxy = &mut state.proxies[n];
-                proxy.life += u64::from(!same);
-                proxy.begun += 1;
-                // A log that goes on would write something else at its next place.
-                proxy.told = !same;
-                proxy.copies = Some(self.copies(n, (proxy.life, proxy.begun), &proxy.disk));
+                proxy.epoch += u64::from(!same);
+                proxy.process += 1;
+                // A log that goes on would write something else at its next index.
+                proxy.outgoing = !same;
+                proxy.replica = Some(self.replica(n, (proxy.epoch, proxy.process), &proxy.disk));
                 if same {
-                    let entry = proxy.copies.as_mut()?.say(object(n + ALL), 6, false).ok()?;
+                    let entry = proxy.replica.as_mut()?.append(object(n + ALL), 6, false).ok()?;
                     self.take(&mut state, n, &entry);
                 }
             }
@@ -215,23 +220,24 @@
 
     fn properties(&self) -> Vec<Property<Self>> {
         vec![
-            Property::always("a promise outlives one machine", |_, state: &State| {
-                let on_a_disk = |what: &What| state.proxies.iter().any(|p| p.disk.latest(what).is_some());
-                state.lost > 1 || state.promised.iter().all(|(_, what)| on_a_disk(what))
+            Property::always("a commit outlives one machine", |_, state: &State| {
+                let on_a_disk =
+                    |subject: &Subject| state.proxies.iter().any(|p| p.disk.latest(subject).is_some());
+                state.lost > 1 || state.committed.iter().all(|(_, subject)| on_a_disk(subject))
             }),
-            Property::always("a place is given once", |_, state: &State| !state.twice),
-            Property::sometimes("promises are given", |_, state: &State| !state.promised.is_empty()),
+            Property::always("an index is given once", |_, state: &State| !state.twice),
+            Property::sometimes("pending are given", |_, state: &State| !state.committed.is_empty()),
             Property::sometimes("all agree after a machine was lost", |_, state: &State| {
-                let books = |p: &Proxy| p.copies.as_ref().map(|c| c.book().clone());
+                let books = |p: &Proxy| p.replica.as_ref().map(|c| c.log_store().clone());
                 let first = books(&state.proxies[0]);
                 let agree = state.proxies.iter().all(|p| books(p) == first) && first.is_some();
-                state.crashes > 0 && agree && !state.promised.is_empty()
+                state.crashes > 0 && agree && !state.committed.is_empty()
             }),
         ]
     }
 }
 
-const FAILURES: [&str; 2] = ["a promise outlives one machine", "a place is given once"];
+const FAILURES: [&str; 2] = ["a commit outlives one machine", "an index is given once"];
 
 fn check(planted: Planted) -> Vec<&'static str> {
     let checker = Protocol { planted, crashes: 1, ticks: 1 }.checker();
@@ -246,7 +252,7 @@
 #[test]
 fn no_state_within_reach_loses_a_promise_or_gives_a_place_twice() {
     let seen = check(Planted::Nothing);
-    assert!(seen.contains(&"promises are given"), "{seen:?}");
+    assert!(seen.contains(&"pending are given"), "{seen:?}");
     assert!(!seen.iter().any(|name| FAILURES.contains(name)), "{seen:?}");
 }
 
@@ -266,8 +272,8 @@
 
 #[test]
 fn what_is_left_out_is_found() {
-    let lost = "a promise outlives one machine";
+    let lost = "a commit outlives one machine";
     assert!(check(Planted::Credit).contains(&lost));
     assert!(check(Planted::BeforeDisk).contains(&lost));
-    assert!(check(Planted::SameLife).contains(&"a place is given once"));
+    assert!(check(Planted::SameLife).contains(&"an index is given once"));
 }
