Add the purge table: bounded memory for any number of purges, never too early

Need: 6,400 proxies and 110 purges a second without end. Today purges are either forgotten beyond 16,384 or refused beyond 20,000.

Change: package linnetknot-purges, sans-IO and without dependencies. A Bucket of one cache line holds the seven latest (time, fingerprint) pairs and a watermark; it is a join semilattice. CompactTable is a table of 16 to 16,777,216 buckets that merges buckets of tables of any size. PurgeTable holds recent purges exactly and moves older ones there. A slot that is not later than the watermark is dropped: it says nothing more, and buckets have one form that way.

The same property, run on a table whose buckets drop a slot without raising the watermark, fails as it must.

--- /dev/null
+++ b/purges/src/compact.rs
@@ -0,0 +1,249 @@
+//! A table of buckets: purges of any number of keys in memory of fixed size. What it has no place for it remembers as
+//! too strict, never as forgotten.
+
+use crate::bucket::{Bucket, Fingerprint};
+use crate::hashing::{mix, KeyHash};
+use crate::time::Micros;
+use std::fmt;
+
+/// The size of a table: the binary logarithm of its number of buckets.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct BucketBits(u8);
+
+impl BucketBits {
+    /// The smallest table: 16 buckets, 1 KiB.
+    pub const MIN: BucketBits = BucketBits(4);
+    /// The largest table: 16,777,216 buckets, 1 GiB.
+    pub const MAX: BucketBits = BucketBits(24);
+    /// The usual table: 65,536 buckets, 4 MiB.
+    pub const DEFAULT: BucketBits = BucketBits(16);
+
+    /// A size from its number of bits.
+    pub fn new(bits: u8) -> Result<Self, BucketBitsError> {
+        let allowed = Self::MIN.0..=Self::MAX.0;
+        allowed.contains(&bits).then_some(BucketBits(bits)).ok_or(BucketBitsError { bits })
+    }
+
+    /// The number of bits.
+    pub const fn value(self) -> u8 {
+        self.0
+    }
+
+    /// How many buckets such a table has.
+    pub const fn buckets(self) -> usize {
+        1 << self.0
+    }
+}
+
+impl Default for BucketBits {
+    fn default() -> Self {
+        Self::DEFAULT
+    }
+}
+
+/// A number of bits that no table can have.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct BucketBitsError {
+    /// The number.
+    pub bits: u8,
+}
+
+impl fmt::Display for BucketBitsError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let (min, max) = (BucketBits::MIN.0, BucketBits::MAX.0);
+        write!(f, "a purge table of 2^{} buckets; from 2^{min} to 2^{max} are possible", self.bits)
+    }
+}
+
+impl std::error::Error for BucketBitsError {}
+
+/// The place of a bucket in its table. It has a meaning only with the table's [`BucketBits`].
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct BucketIndex(u32);
+
+impl BucketIndex {
+    /// The bucket of a key: the top bits of its hash.
+    pub const fn of(key: KeyHash, bits: BucketBits) -> Self {
+        BucketIndex((key.value() >> (u64::BITS - bits.0 as u32)) as u32)
+    }
+
+    /// The place as a number.
+    pub const fn value(self) -> u32 {
+        self.0
+    }
+}
+
+impl From<u32> for BucketIndex {
+    /// A place from its number, as [`BucketIndex::value`] gave it.
+    fn from(value: u32) -> Self {
+        BucketIndex(value)
+    }
+}
+
+/// A bucket that a table of the named size does not have.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct BucketIndexError {
+    /// The table's size.
+    pub bucket_bits: BucketBits,
+    /// The bucket's place.
+    pub index: BucketIndex,
+}
+
+impl fmt::Display for BucketIndexError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "bucket {} of a purge table of 2^{} buckets", self.index.0, self.bucket_bits.0)
+    }
+}
+
+impl std::error::Error for BucketIndexError {}
+
+/// A table of `2^bucket_bits` buckets, for which memory is allocated with the first purge.
+///
+/// Two tables of one size into which the same purges were recorded, in any order, are equal.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct CompactTable {
+    bucket_bits: BucketBits,
+    /// All buckets, or none before the first purge.
+    buckets: Vec<Bucket>,
+    occupied_slots: usize,
+    digest: u64,
+}
+
+impl CompactTable {
+    /// An empty table.
+    pub fn new(bucket_bits: BucketBits) -> Self {
+        CompactTable { bucket_bits, buckets: Vec::new(), occupied_slots: 0, digest: 0 }
+    }
+
+    /// Records a purge. Returns the bucket that holds it.
+    pub fn record(&mut self, key: KeyHash, at: Micros) -> BucketIndex {
+        let index = BucketIndex::of(key, self.bucket_bits);
+        self.change(index, |bucket| bucket.record(Fingerprint::of(key), at));
+        index
+    }
+
+    /// A time no earlier than any purge of the key that was recorded; none: it was never purged.
+    pub fn latest(&self, key: KeyHash) -> Option<Micros> {
+        let bucket = self.bucket(BucketIndex::of(key, self.bucket_bits))?;
+        bucket.latest(Fingerprint::of(key))
+    }
+
+    /// Takes every key as purged at a time: for a process that can't learn which purges it has missed.
+    pub fn raise_all(&mut self, at: Micros) {
+        for index in 0..self.bucket_bits.buckets() as u32 {
+            self.change(BucketIndex(index), |bucket| bucket.raise(at));
+        }
+    }
+
+    /// Takes in a bucket of another table, whose size may be another one. Returns the own buckets that changed.
+    ///
+    /// A bucket of a smaller table holds the keys of several own ones and is merged into each of them; that makes them
+    /// stricter than need be. A bucket of a larger table is merged into the one that holds its keys.
+    pub fn merge_bucket(
+        &mut self,
+        bucket_bits: BucketBits,
+        index: BucketIndex,
+        bucket: &Bucket,
+    ) -> Result<Vec<BucketIndex>, BucketIndexError> {
+        if index.0 as usize >= bucket_bits.buckets() {
+            return Err(BucketIndexError { bucket_bits, index });
+        }
+        if bucket.is_empty() {
+            return Ok(Vec::new());
+        }
+        let mut changed = Vec::new();
+        for own in self.covered(bucket_bits, index) {
+            let own = BucketIndex(own);
+            if self.change(own, |mine| mine.merge(bucket)) {
+                changed.push(own);
+            }
+        }
+        Ok(changed)
+    }
+
+    /// The own buckets that share keys with a bucket of a table of another size.
+    fn covered(&self, bucket_bits: BucketBits, index: BucketIndex) -> std::ops::Range<u32> {
+        if bucket_bits >= self.bucket_bits {
+            let parent = index.0 >> (bucket_bits.0 - self.bucket_bits.0);
+            return parent..parent + 1;
+        }
+        let ratio_bits = self.bucket_bits.0 - bucket_bits.0;
+        index.0 << ratio_bits..(index.0 + 1) << ratio_bits
+    }
+
+    /// The same purges in a table of another size.
+    pub fn resized(&self, bucket_bits: BucketBits) -> CompactTable {
+        if bucket_bits == self.bucket_bits {
+            return self.clone();
+        }
+        let mut table = CompactTable::new(bucket_bits);
+        for (index, bucket) in self.occupied(BucketIndex(0)) {
+            for own in table.covered(self.bucket_bits, index) {
+                table.change(BucketIndex(own), |mine| mine.merge(bucket));
+            }
+        }
+        table
+    }
+
+    /// A bucket; none where nothing was recorded yet or the table has no such bucket.
+    pub fn bucket(&self, index: BucketIndex) -> Option<&Bucket> {
+        self.buckets.get(index.0 as usize)
+    }
+
+    /// All buckets that are not empty, in order from a place on.
+    pub fn occupied(&self, from: BucketIndex) -> impl Iterator<Item = (BucketIndex, &Bucket)> {
+        let buckets = self.buckets.iter().enumerate().skip(from.0 as usize);
+        let occupied = buckets.filter(|(_, bucket)| !bucket.is_empty());
+        occupied.map(|(index, bucket)| (BucketIndex(index as u32), bucket))
+    }
+
+    /// The table's size.
+    pub fn bucket_bits(&self) -> BucketBits {
+        self.bucket_bits
+    }
+
+    /// How many slots are occupied.
+    pub fn len(&self) -> usize {
+        self.occupied_slots
+    }
+
+    /// Whether nothing was recorded yet.
+    pub fn is_empty(&self) -> bool {
+        self.buckets.is_empty()
+    }
+
+    /// Memory that the buckets take.
+    pub fn memory_bytes(&self) -> usize {
+        self.buckets.capacity() * size_of::<Bucket>()
+    }
+
+    /// A number that is equal for equal tables of one size, and for others with a chance of 2^-64. It is kept up to
+    /// date, not computed.
+    pub fn digest(&self) -> u64 {
+        self.digest
+    }
+
+    /// Changes a bucket and keeps the sums up to date. Returns whether it changed.
+    fn change(&mut self, index: BucketIndex, change: impl FnOnce(&mut Bucket) -> bool) -> bool {
+        if self.buckets.is_empty() {
+            self.buckets = vec![Bucket::default(); self.bucket_bits.buckets()];
+        }
+        let bucket = &mut self.buckets[index.0 as usize];
+        let before = *bucket;
+        if !change(bucket) {
+            return false;
+        }
+        self.occupied_slots = self.occupied_slots - before.len() + bucket.len();
+        self.digest ^= digest_of(index, &before) ^ digest_of(index, bucket);
+        true
+    }
+}
+
+/// A bucket's part of the digest: 0 where it is empty.
+fn digest_of(index: BucketIndex, bucket: &Bucket) -> u64 {
+    if bucket.is_empty() {
+        return 0;
+    }
+    let start = mix(u64::from(index.0) + 1);
+    bucket.words().fold(start, |hash, word| mix(hash.rotate_left(5) ^ word))
+}
--- /dev/null
+++ b/purges/src/hashing.rs
@@ -0,0 +1,45 @@
+//! Hashes of what is purged. Buckets are exchanged between proxies and kept on disk by these values, so they are
+//! fixed for good.
+
+/// Start value of the 64-bit FNV-1a hash.
+const FNV_OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
+/// Multiplier of the 64-bit FNV-1a hash.
+const FNV_PRIME: u64 = 0x100_0000_01b3;
+/// Keeps a group's hash apart from that of any number hashed plainly.
+const GROUP_SALT: u64 = 0x94d0_49bb_1331_11eb;
+
+/// Spreads a number over all 64 bits (the finalizer of SplitMix64). It is a bijection.
+pub fn mix(mut x: u64) -> u64 {
+    x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    x ^ (x >> 31)
+}
+
+/// Hash of the key of a purge: an object's name or a group's number.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct KeyHash(u64);
+
+impl KeyHash {
+    /// Hash of an object's name.
+    pub fn of_object(object: &str) -> Self {
+        let fold = |hash: u64, byte: u8| (hash ^ u64::from(byte)).wrapping_mul(FNV_PRIME);
+        KeyHash(mix(object.bytes().fold(FNV_OFFSET, fold)))
+    }
+
+    /// Hash of a group of objects.
+    pub fn of_group(group: u64) -> Self {
+        KeyHash(mix(group ^ GROUP_SALT))
+    }
+
+    /// The hash as a number.
+    pub const fn value(self) -> u64 {
+        self.0
+    }
+}
+
+impl From<u64> for KeyHash {
+    /// A hash from its number, as [`KeyHash::value`] gave it.
+    fn from(value: u64) -> Self {
+        KeyHash(value)
+    }
+}
--- /dev/null
+++ b/purges/tests/floors.rs
@@ -0,0 +1,331 @@
+//! The one rule of all tables: the time given for a key is never earlier than its true latest purge, and never falls,
+//! whatever is recorded, merged, resized, encoded and decoded.
+//!
+//! The rule is written over [`Floors`], so that it also runs on tables with a planted fault and must find it.
+
+use linnetknot_purges::bucket::FINGERPRINT_BITS;
+use linnetknot_purges::{Bucket, BucketBits, BucketIndex, CompactTable, KeyHash, Micros, PurgeTable};
+use proptest::prelude::*;
+use proptest::test_runner::{RngAlgorithm, TestError, TestRng, TestRunner};
+use std::collections::{BTreeMap, BTreeSet};
+
+const MS: Micros = 1_000;
+const EXACT: usize = 6;
+
+fn bits(bits: u8) -> BucketBits {
+    BucketBits::new(bits).unwrap()
+}
+
+/// A store of purges under test.
+trait Floors {
+    fn record(&mut self, key: KeyHash, at: Micros);
+    fn latest(&self, key: KeyHash) -> Option<Micros>;
+    /// Takes in all that a table of another size holds.
+    fn merge(&mut self, other: &CompactTable);
+    fn resize(&mut self, bucket_bits: BucketBits);
+    /// Writes everything to bytes and reads it into an empty table.
+    fn restart(&mut self);
+    fn raise_all(&mut self, at: Micros);
+    fn compact(&mut self, now: Micros, keep_us: Micros);
+}
+
+/// Sends every bucket as bytes.
+fn send(from: &CompactTable, mut receive: impl FnMut(BucketIndex, &Bucket)) {
+    for (index, bucket) in from.occupied(BucketIndex::default()) {
+        let mut bytes = Vec::new();
+        bucket.encode(&mut bytes);
+        receive(index, &Bucket::decode(&bytes).unwrap());
+    }
+}
+
+impl Floors for CompactTable {
+    fn record(&mut self, key: KeyHash, at: Micros) {
+        let index = CompactTable::record(self, key, at);
+        assert_eq!(index, BucketIndex::of(key, self.bucket_bits()));
+    }
+
+    fn latest(&self, key: KeyHash) -> Option<Micros> {
+        CompactTable::latest(self, key)
+    }
+
+    fn merge(&mut self, other: &CompactTable) {
+        send(other, |index, bucket| {
+            let before = self.clone();
+            let changed = self.merge_bucket(other.bucket_bits(), index, bucket).unwrap();
+            let all = (0..self.bucket_bits().buckets() as u32).map(BucketIndex::from);
+            let differ: Vec<_> = all.filter(|index| differs(&before, self, *index)).collect();
+            assert_eq!(changed, differ);
+        });
+    }
+
+    fn resize(&mut self, bucket_bits: BucketBits) {
+        *self = self.resized(bucket_bits);
+    }
+
+    fn restart(&mut self) {
+        let mut next = CompactTable::new(self.bucket_bits());
+        send(self, |index, bucket| {
+            next.merge_bucket(self.bucket_bits(), index, bucket).unwrap();
+        });
+        assert_eq!(next, *self);
+        *self = next;
+    }
+
+    fn raise_all(&mut self, at: Micros) {
+        CompactTable::raise_all(self, at);
+    }
+
+    fn compact(&mut self, _: Micros, _: Micros) {}
+}
+
+fn differs(before: &CompactTable, after: &CompactTable, index: BucketIndex) -> bool {
+    let bucket = |table: &CompactTable| table.bucket(index).copied().unwrap_or_default();
+    bucket(before) != bucket(after)
+}
+
+impl Floors for PurgeTable {
+    fn record(&mut self, key: KeyHash, at: Micros) {
+        PurgeTable::record(self, key, at);
+        assert!(self.exact_len() <= 2 * EXACT);
+    }
+
+    fn latest(&self, key: KeyHash) -> Option<Micros> {
+        PurgeTable::latest(self, key)
+    }
+
+    fn merge(&mut self, other: &CompactTable) {
+        send(other, |index, bucket| {
+            self.merge_bucket(other.bucket_bits(), index, bucket).unwrap();
+        });
+    }
+
+    fn resize(&mut self, bucket_bits: BucketBits) {
+        self.set_capacity(EXACT, bucket_bits);
+    }
+
+    fn restart(&mut self) {
+        let bucket_bits = self.compact_table().bucket_bits();
+        let mut next = PurgeTable::new(EXACT, bucket_bits);
+        Floors::merge(&mut next, self.compact_table());
+        for (key, at) in self.exact_purges() {
+            next.record(key, at);
+        }
+        *self = next;
+    }
+
+    fn raise_all(&mut self, at: Micros) {
+        PurgeTable::raise_all(self, at);
+    }
+
+    fn compact(&mut self, now: Micros, keep_us: Micros) {
+        PurgeTable::compact(self, now, keep_us);
+    }
+}
+
+/// A plain model of a compact table: sets of (time in ms, fingerprint) pairs.
+#[derive(Clone, Default)]
+struct ModelBucket {
+    pairs: BTreeSet<(u64, u64)>,
+    watermark: Option<u64>,
+}
+
+/// Sixteen model buckets; sizes are not modelled, merged tables are recorded pair by pair.
+struct Model {
+    buckets: Vec<ModelBucket>,
+    /// The planted fault: a pair that is dropped does not raise the watermark.
+    forgets_dropped: bool,
+}
+
+impl Model {
+    fn new(forgets_dropped: bool) -> Self {
+        Model { buckets: vec![ModelBucket::default(); 16], forgets_dropped }
+    }
+}
+
+fn place(key: KeyHash) -> usize {
+    (key.value() >> 60) as usize
+}
+
+fn low_bits(key: KeyHash) -> u64 {
+    key.value() % (1 << FINGERPRINT_BITS)
+}
+
+impl Floors for Model {
+    fn record(&mut self, key: KeyHash, at: Micros) {
+        let bucket = &mut self.buckets[place(key)];
+        bucket.pairs.insert((at.div_ceil(MS), low_bits(key)));
+        if bucket.pairs.len() > 7 {
+            let dropped = bucket.pairs.pop_first().map(|pair| pair.0);
+            if !self.forgets_dropped {
+                bucket.watermark = bucket.watermark.max(dropped);
+            }
+        }
+    }
+
+    fn latest(&self, key: KeyHash) -> Option<Micros> {
+        let bucket = &self.buckets[place(key)];
+        let matching = bucket.pairs.iter().filter(|pair| pair.1 == low_bits(key)).map(|pair| pair.0);
+        matching.max().max(bucket.watermark).map(|ms| ms * MS)
+    }
+
+    fn merge(&mut self, _: &CompactTable) {}
+    fn resize(&mut self, _: BucketBits) {}
+    fn restart(&mut self) {}
+    fn raise_all(&mut self, _: Micros) {}
+    fn compact(&mut self, _: Micros, _: Micros) {}
+}
+
+/// A step of a test.
+#[derive(Clone, Debug)]
+enum Step {
+    Record(KeyHash, Micros),
+    Merge(u8, Vec<(KeyHash, Micros)>),
+    Resize(u8),
+    Restart,
+    RaiseAll(Micros),
+    Compact(Micros, Micros),
+}
+
+/// Keys that fill few buckets and differ in all parts of their hashes.
+fn key() -> impl Strategy<Value = KeyHash> {
+    (0..4u64, 0..4u64, 0..24u64).prop_map(|(top, middle, low)| {
+        // The last bit of a bucket's number for tables of 5 to 7 bits comes from `middle`.
+        KeyHash::from(top << 62 | middle << 57 | low)
+    })
+}
+
+fn purge() -> impl Strategy<Value = (KeyHash, Micros)> {
+    (key(), 0..500 * MS)
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        30 => purge().prop_map(|(key, at)| Step::Record(key, at)),
+        2 => (4..8u8, prop::collection::vec(purge(), 0..40)).prop_map(|(bits, all)| Step::Merge(bits, all)),
+        1 => (4..8u8).prop_map(Step::Resize),
+        1 => Just(Step::Restart),
+        1 => (0..100 * MS).prop_map(Step::RaiseAll),
+        3 => (0..500 * MS, 0..200 * MS).prop_map(|(now, keep_us)| Step::Compact(now, keep_us)),
+    ]
+}
+
+fn steps() -> impl Strategy<Value = Vec<Step>> {
+    prop::collection::vec(step(), 1..120)
+}
+
+fn carry_out(table: &mut impl Floors, truth: &mut BTreeMap<KeyHash, Micros>, step: &Step) {
+    let mut purged = |key: KeyHash, at: Micros| {
+        let latest = truth.entry(key).or_insert(at);
+        *latest = at.max(*latest);
+    };
+    match step {
+        Step::Record(key, at) => {
+            purged(*key, *at);
+            table.record(*key, *at);
+        }
+        Step::Merge(size, purges) => {
+            let mut other = CompactTable::new(bits(*size));
+            for (key, at) in purges {
+                purged(*key, *at);
+                other.record(*key, *at);
+            }
+            table.merge(&other);
+        }
+        Step::Resize(size) => table.resize(bits(*size)),
+        Step::Restart => table.restart(),
+        Step::RaiseAll(at) => table.raise_all(*at),
+        Step::Compact(now, keep_us) => table.compact(*now, *keep_us),
+    }
+}
+
+/// The rule, for any table.
+fn never_early_and_never_falling(table: &mut impl Floors, steps: &[Step]) -> Result<(), TestCaseError> {
+    let mut truth = BTreeMap::new();
+    let mut told: BTreeMap<KeyHash, Option<Micros>> = BTreeMap::new();
+    for step in steps {
+        carry_out(table, &mut truth, step);
+        for (key, at) in &truth {
+            let latest = table.latest(*key);
+            prop_assert!(latest >= Some(*at), "{key:?} purged at {at}, told {latest:?} after {step:?}");
+            let before = told.insert(*key, latest).flatten();
+            prop_assert!(latest >= before, "{key:?} fell from {before:?} to {latest:?} by {step:?}");
+        }
+    }
+    Ok(())
+}
+
+proptest! {
+    #[test]
+    fn compact_tables_are_never_early(steps in steps()) {
+        never_early_and_never_falling(&mut CompactTable::new(bits(4)), &steps)?;
+    }
+
+    #[test]
+    fn purge_tables_are_never_early(steps in steps()) {
+        never_early_and_never_falling(&mut PurgeTable::new(EXACT, bits(4)), &steps)?;
+    }
+
+    /// With no purge but those recorded, tables are as strict as the plain model and no stricter.
+    #[test]
+    fn compact_tables_are_like_the_model(purges in prop::collection::vec(purge(), 0..200)) {
+        let (mut table, mut model) = (CompactTable::new(bits(4)), Model::new(false));
+        for (key, at) in &purges {
+            table.record(*key, *at);
+            model.record(*key, *at);
+        }
+        for (key, _) in &purges {
+            prop_assert_eq!(table.latest(*key), model.latest(*key));
+        }
+    }
+
+    #[test]
+    fn the_same_purges_in_any_order_give_equal_tables(
+        (purges, shuffled) in prop::collection::vec(purge(), 0..200)
+            .prop_flat_map(|p| (Just(p.clone()), Just(p).prop_shuffle())),
+        size in 4..8u8,
+    ) {
+        let filled = |purges: &[(KeyHash, Micros)]| {
+            let mut table = CompactTable::new(bits(size));
+            for (key, at) in purges {
+                table.record(*key, *at);
+            }
+            table
+        };
+        let (table, other) = (filled(&purges), filled(&shuffled));
+        prop_assert_eq!(table.digest(), other.digest());
+        prop_assert_eq!(table.len(), table.occupied(BucketIndex::default()).map(|(_, b)| b.len()).sum::<usize>());
+        prop_assert_eq!(table, other);
+    }
+
+    /// A table that is made smaller is the one that was small from the start.
+    #[test]
+    fn a_smaller_table_loses_no_more_than_its_size(purges in prop::collection::vec(purge(), 0..200)) {
+        let (mut large, mut small) = (CompactTable::new(bits(7)), CompactTable::new(bits(4)));
+        for (key, at) in &purges {
+            large.record(*key, *at);
+            small.record(*key, *at);
+        }
+        prop_assert_eq!(large.resized(bits(4)), small);
+    }
+}
+
+/// Runs the rule on model tables, with the same cases each time. A runner counts its cases over all its runs, so each
+/// run has its own.
+fn rule_on_models(forgets_dropped: bool) -> Result<(), TestError<Vec<Step>>> {
+    let rng = TestRng::deterministic_rng(RngAlgorithm::ChaCha);
+    let config = ProptestConfig { failure_persistence: None, ..ProptestConfig::default() };
+    let records = prop::collection::vec(purge().prop_map(|(key, at)| Step::Record(key, at)), 1..120);
+    TestRunner::new_with_rng(config, rng).run(&records, |steps| {
+        let mut model = Model::new(forgets_dropped);
+        never_early_and_never_falling(&mut model, &steps)
+    })
+}
+
+/// The planted fault: the rule must find a bucket that drops its smallest slot and does not raise its watermark.
+#[test]
+fn a_bucket_that_forgets_what_it_drops_is_found() {
+    let sound = rule_on_models(false);
+    assert!(sound.is_ok(), "{sound:?}");
+    let faulty = rule_on_models(true);
+    assert!(matches!(faulty, Err(TestError::Fail(..))), "{faulty:?}");
+}
