Name logs and outgoing datagrams by structs in replication

Need: a log was a tuple of two numbers, and what is to be sent a pair of a place and a datagram; callers read them by .0 and .1.

Change: LogId { writer, epoch } and Outgoing { peer, datagram }; nothing else. The daemon's callers follow.

--- a/daemon/src/daemon/feeds/peers.rs
+++ b/daemon/src/daemon/feeds/peers.rs
@@ -4,7 +4,7 @@
 use crate::daemon::Daemon;
 use crate::{ledger, peers};
 use linnetknot::Micros;
-use linnetknot_replication::{Datagram, Entry, Unreadable};
+use linnetknot_replication::{Datagram, Entry, Outgoing, Unreadable};
 use std::io;
 use std::net::SocketAddr;
 
@@ -68,7 +68,7 @@
             }
         };
         let Some(ledger) = &mut self.ledger else { return true };
-        let own = ledger.replica().own().0;
+        let own = ledger.replica().own().writer;
         let told = match &datagram {
             Datagram::Digest { sum, .. } => Some(*sum),
             _ => None,
@@ -79,11 +79,11 @@
         for entry in heard.new.iter().chain(&heard.out_of_order).chain(&heard.rejected) {
             let Some((object, group, at)) = ledger::purge(entry) else { continue };
             if !self.core.purged_for_good(now, object, group, at) {
-                log::error!(writer = entry.log.0, seq = entry.index; "there is no room for a purge that a peer told");
+                log::error!(writer = entry.log.writer, seq = entry.index; "there is no room for a purge that a peer told");
             }
         }
         // What its operators decided, and not each purge of a long log that comes back.
-        if heard.new.iter().any(|entry| entry.log.0 == own && ledger::purge(entry).is_none()) {
+        if heard.new.iter().any(|entry| entry.log.writer == own && ledger::purge(entry).is_none()) {
             self.recall_decided(now);
         }
         self.hear_triggers(now, &heard.new);
@@ -93,7 +93,8 @@
         if !heard.new.is_empty() {
             log::debug!(target: TRACE, place = peer, entries = heard.new.len(); "a peer told of purges");
         }
-        self.send_words(heard.replies.into_iter().map(|reply| (peer, reply)).collect());
+        let replies = heard.replies.into_iter().map(|datagram| Outgoing { peer, datagram });
+        self.send_words(replies.collect());
         self.settle_promises(now);
         true
     }
@@ -106,9 +107,12 @@
     }
 
     /// Sends words of the logs to peers, by their places.
-    pub(in crate::daemon) fn send_words(&self, told: Vec<(usize, Datagram)>) {
-        let bytes = told.iter().filter_map(|(place, word)| Some((*place, word.write()?)));
-        bytes.for_each(|(place, bytes)| self.send_to_place(place, &bytes));
+    pub(in crate::daemon) fn send_words(&self, told: Vec<Outgoing>) {
+        for Outgoing { peer, datagram } in told {
+            if let Some(bytes) = datagram.write() {
+                self.send_to_place(peer, &bytes);
+            }
+        }
     }
 
     /// Sends a datagram to the peer at a place of the list of those that copies are made with.
--- a/daemon/src/daemon/fleet.rs
+++ b/daemon/src/daemon/fleet.rs
@@ -5,6 +5,7 @@
 use linnetknot::Micros;
 use linnetknot_fleet::{Change, Fleet, Options, Standing, Unreadable};
 use linnetknot_membership::server_id;
+use linnetknot_replication::{Index, LogId};
 use std::net::SocketAddr;
 
 fn shown(standing: Option<Standing>) -> &'static str {
@@ -139,17 +140,17 @@
                 behind: end.saturating_sub(held),
             }
         };
-        let log = |((writer, life), end): &((u64, u64), u64)| LogStatus {
-            writer: format!("{writer:016x}"),
-            life: format!("{life:x}"),
-            own: *writer == own.0,
+        let log = |(log, end): &(LogId, Index)| LogStatus {
+            writer: format!("{:016x}", log.writer),
+            life: format!("{:x}", log.epoch),
+            own: log.writer == own.writer,
             end: *end,
-            on_disk: ledger.durable_index((*writer, *life)),
+            on_disk: ledger.durable_index(*log),
         };
         Some(Status {
             name: self.config.name.clone(),
             machine: copies.machine.clone(),
-            life: format!("{:x}", own.1),
+            life: format!("{:x}", own.epoch),
             wait: copies.wait,
             holders: copies.holders,
             end,
--- a/daemon/src/daemon/promises.rs
+++ b/daemon/src/daemon/promises.rs
@@ -10,7 +10,7 @@
 use linnetknot::Micros;
 use linnetknot_membership::server_id;
 use linnetknot_ops::{Effect as Done, Reply};
-use linnetknot_replication::{CommitId, Datagram, Entry, Index, Recovery, Subject};
+use linnetknot_replication::{CommitId, Datagram, Entry, Index, Outgoing, Recovery, Subject};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
@@ -193,7 +193,7 @@
     /// The triggers that were told before this process began, here or elsewhere, and names for those to come.
     pub(super) fn begin_triggers(&mut self, now: Micros) {
         let (Some(ledger), Some((_, desk))) = (&self.ledger, &mut self.desk) else { return };
-        let first = Name { writer: ledger.replica().own().0, number: ledger.first_number() };
+        let first = Name { writer: ledger.replica().own().writer, number: ledger.first_number() };
         desk.begin_triggers(first);
         for (writer, number, text) in ledger.statuses() {
             desk.admit(now, Name { writer, number }, &text);
@@ -204,7 +204,7 @@
     pub(super) fn hear_triggers(&mut self, now: Micros, entries: &[Entry]) {
         let (Some(ledger), Some((_, desk))) = (&self.ledger, &mut self.desk) else { return };
         let named = |entry: &Entry| match entry.subject {
-            Subject::Status { number, .. } => Some(Name { writer: entry.log.0, number }),
+            Subject::Status { number, .. } => Some(Name { writer: entry.log.writer, number }),
             Subject::Gone { writer, number } => Some(Name { writer, number }),
             _ => None,
         };
@@ -280,7 +280,8 @@
             log::error!(machines = machines; "not all that this proxy promised may have come back, and it is ready all the same");
         }
         let due = recovery.due();
-        self.send_words(ask.into_iter().map(|peer| (peer, Datagram::DigestRequest)).collect());
+        let ask = ask.into_iter().map(|peer| Outgoing { peer, datagram: Datagram::DigestRequest });
+        self.send_words(ask.collect());
         match due {
             Some(due) => {
                 let due = due.max(now + 1_000);
--- a/daemon/src/ledger.rs
+++ b/daemon/src/ledger.rs
@@ -6,7 +6,7 @@
 use linnetknot::Micros;
 use linnetknot_replication::{
     pieces, Capacity, CommitId, CommitOutcome, Datagram, Entry, Epoch, Index, Insertion, LogId, LogStore,
-    Options, Received, RejectReason, Replica, Subject, Writer,
+    Options, Outgoing, Received, RejectReason, Replica, Subject, Writer,
 };
 use linnetknot_store::{Fault, Keeper, Space, Store, Ticket, Write};
 use std::collections::{BTreeMap, VecDeque};
@@ -57,8 +57,8 @@
 /// An entry's key in the store.
 fn key(entry: &Entry) -> Vec<u8> {
     let mut key = Vec::with_capacity(40);
-    key.extend(entry.log.0.to_be_bytes());
-    key.extend(entry.log.1.to_be_bytes());
+    key.extend(entry.log.writer.to_be_bytes());
+    key.extend(entry.log.epoch.to_be_bytes());
     match &entry.subject {
         Subject::Object(object) => {
             key.push(b'o');
@@ -100,7 +100,7 @@
 /// Reads an entry; which one stands before it follows from the others.
 fn read(key: &[u8], value: &[u8]) -> Option<Entry> {
     let number = |bytes: &[u8]| Some(u64::from_be_bytes(bytes.try_into().ok()?));
-    let log = (number(key.get(..8)?)?, number(key.get(8..16)?)?);
+    let log = LogId::new(number(key.get(..8)?)?, number(key.get(8..16)?)?);
     let name = key.get(17..)?;
     let subject = match key[16] {
         b'o' => Subject::Object(String::from_utf8(name.to_vec()).ok()?),
@@ -243,7 +243,7 @@
             bare = taken.bare;
         }
         // Never in the life of the file that was put aside: it may be taken over twice, if a store is lost.
-        let own = (writer, known.filter(|_| closed).unwrap_or(now));
+        let own = LogId::new(writer, known.filter(|_| closed).unwrap_or(now));
         let mut book = book(entries)?;
         for (object, group, at) in bare {
             let what = what(object.as_deref(), group);
@@ -256,7 +256,7 @@
                 begin.push(write(&entry.map_err(|e| Fault::Disk(e.to_string()))?));
             }
         }
-        begin.push(put(LIFE, Some(&own.1.to_be_bytes())));
+        begin.push(put(LIFE, Some(&own.epoch.to_be_bytes())));
         begin.push(put(MEMBER, Some(&member.to_be_bytes())));
         // From here on the store counts as not closed. All of this is there, or nothing and the old file still is.
         begin.push(put(CLOSED, None));
@@ -283,7 +283,7 @@
 
     /// What this proxy's operators decided, and whether it is lifted.
     pub fn decided(&self) -> BTreeMap<Subject, bool> {
-        self.replica.log_store().decisions(self.replica.own().0)
+        self.replica.log_store().decisions(self.replica.own().writer)
     }
 
     /// The logs, to look at.
@@ -337,7 +337,7 @@
     /// A number for this writer's next trigger that none of its lives has given, as far as their entries tell: from the
     /// time of its start on, as nobody starts again sooner than it can answer.
     pub fn first_number(&self) -> u64 {
-        let own = self.replica.own().0;
+        let own = self.replica.own().writer;
         let known = self.replica.log_store().triggers().into_iter().filter(|(writer, _)| *writer == own);
         known.map(|(_, number)| number + 1).max().unwrap_or(0).max(self.member)
     }
@@ -375,7 +375,7 @@
     }
 
     /// Takes in the worker's word of what is on the disk: what peers are to be told of it.
-    pub fn words(&mut self) -> Vec<(usize, Datagram)> {
+    pub fn words(&mut self) -> Vec<Outgoing> {
         let mut told = Vec::new();
         while let Some(done) = self.keeper.done() {
             while let Some((log, index)) = next(&mut self.on_way, done.to) {
@@ -394,7 +394,7 @@
     }
 
     /// What to tell which peer now. What the disk did not take is given to it again.
-    pub fn tick(&mut self, now: Micros) -> Vec<(usize, Datagram)> {
+    pub fn tick(&mut self, now: Micros) -> Vec<Outgoing> {
         if self.keeper.room() > 0 {
             self.replica.take_failed().iter().for_each(|entry| self.keep(entry));
         }
@@ -449,7 +449,7 @@
     }
 
     /// Waits until all is on the disk: what peers are told of it.
-    fn written((ledger, woken): &mut (Ledger, Receiver<()>)) -> Vec<(usize, Datagram)> {
+    fn written((ledger, woken): &mut (Ledger, Receiver<()>)) -> Vec<Outgoing> {
         let mut told = Vec::new();
         while !ledger.replica.is_synced() {
             woken.recv_timeout(Duration::from_secs(10)).expect("the worker has a word");
@@ -476,12 +476,20 @@
         let both = [(None, 7, 3), (Some("0a".into()), 0, 30)];
         assert_eq!(again.0.purges(), both);
         let next = again.0.add(Some("0b"), 0, 9).unwrap();
-        assert_eq!((next.log, next.index), ((1, 78), 1), "a place that others may know is not given again");
+        assert_eq!(
+            (next.log, next.index),
+            (LogId::new(1, 78), 1),
+            "a place that others may know is not given again"
+        );
         again.0.close().unwrap();
         let mut again = open(&path, 7).unwrap();
         assert_eq!(again.0.member(), 79, "it grows though the clock was set back");
         let next = again.0.add(Some("0c"), 0, 9).unwrap();
-        assert_eq!((next.log, next.index), ((1, 78), 2), "the life of a store that was closed goes on");
+        assert_eq!(
+            (next.log, next.index),
+            (LogId::new(1, 78), 2),
+            "the life of a store that was closed goes on"
+        );
         assert_eq!(open(&path, 80).err(), Some(Fault::Busy), "one process has it");
         written(&mut again);
         drop(again.0.keeper.close());
@@ -504,7 +512,7 @@
             let mut purges = ledger.0.purges();
             purges.sort();
             assert_eq!(purges, [(None, 7, 6), (Some("0a".into()), 0, 9)], "{name}");
-            assert_eq!(ledger.0.replica.own(), (1, 99), "{name}: in a life of its own");
+            assert_eq!(ledger.0.replica.own(), LogId::new(1, 99), "{name}: in a life of its own");
             let mut aside = path.as_os_str().to_owned();
             aside.push(".old");
             assert_eq!(fs::read_to_string(&aside).unwrap(), text, "{name}: for a way back");
@@ -516,14 +524,14 @@
                 again.0.purges().contains(&(Some("0a".into()), 0, 50)),
                 "{name}: it is not taken over again"
             );
-            assert_eq!(again.0.replica.own(), (1, 99), "{name}: and has its life from then on");
+            assert_eq!(again.0.replica.own(), LogId::new(1, 99), "{name}: and has its life from then on");
             assert!(!again.0.is_fresh());
             drop(again);
             // The store is lost and the old file is still there: what it has is better than nothing, and no place in the
             // logs that were written since is given again.
             fs::remove_file(&path).unwrap();
             let twice = open(&path, 130).unwrap();
-            assert_eq!((twice.0.replica.own(), twice.0.is_fresh()), ((1, 130), true), "{name}");
+            assert_eq!((twice.0.replica.own(), twice.0.is_fresh()), (LogId::new(1, 130), true), "{name}");
             drop(twice);
             fs::remove_file(&aside).unwrap();
             fs::remove_file(&path).unwrap();
@@ -535,23 +543,29 @@
         let path = file("peer");
         let mut ledger = open(&path, 77).unwrap();
         ledger.0.peers(10, vec![20, 30]);
-        let theirs =
-            Entry { log: (2, 5), index: 1, prev: 0, subject: Subject::Group(3), at: 8, revoked: false };
+        let theirs = Entry {
+            log: LogId::new(2, 5),
+            index: 1,
+            prev: 0,
+            subject: Subject::Group(3),
+            at: 8,
+            revoked: false,
+        };
         let received = ledger.0.receive(1, Datagram::Entry(theirs.clone()));
         assert_eq!((received.new, received.replies), (vec![theirs.clone()], vec![]), "not before");
-        let held = Datagram::Ack { process: 77, positions: vec![((2, 5), 1)] };
-        assert_eq!(written(&mut ledger), [(1, held.clone())]);
+        let held = Datagram::Ack { process: 77, positions: vec![(LogId::new(2, 5), 1)] };
+        assert_eq!(written(&mut ledger), [Outgoing { peer: 1, datagram: held.clone() }]);
         assert_eq!(ledger.0.receive(0, Datagram::Entry(theirs.clone())).replies, [held]);
         // Its own log of an earlier life comes back from a peer; what it writes now stands in another.
-        ledger.0.receive(0, Datagram::Entry(Entry { log: (1, 4), ..theirs }));
+        ledger.0.receive(0, Datagram::Entry(Entry { log: LogId::new(1, 4), ..theirs }));
         let new = ledger.0.add(Some("0c"), 0, 9).unwrap();
-        assert_eq!((new.log, new.index), ((1, 77), 1));
+        assert_eq!((new.log, new.index), (LogId::new(1, 77), 1));
         let ban = || Subject::Ban("pc-1".into());
         assert!(ledger.0.is_fresh() && ledger.0.decided().is_empty());
         ledger.0.open_commit(100, 1).unwrap();
         written(&mut ledger);
         assert_eq!(ledger.0.resolve_commits(100), [], "on this disk alone");
-        ledger.0.receive(0, Datagram::Ack { process: 1, positions: vec![((1, 77), 1)] });
+        ledger.0.receive(0, Datagram::Ack { process: 1, positions: vec![(LogId::new(1, 77), 1)] });
         assert_eq!(ledger.0.resolve_commits(200), [CommitOutcome { commit: 1, result: Ok(100) }]);
         ledger.0.append(ban(), 10, false).unwrap();
         ledger.0.append(Subject::Drain, 11, false).unwrap();
@@ -565,7 +579,11 @@
             (again.0.decided().into_iter().collect::<Vec<_>>(), again.0.is_fresh()),
             (decided.into(), false)
         );
-        assert_eq!(again.0.replica.own(), (1, 77), "the life of the store, not of the log that came back");
+        assert_eq!(
+            again.0.replica.own(),
+            LogId::new(1, 77),
+            "the life of the store, not of the log that came back"
+        );
         drop(again);
         fs::remove_file(&path).unwrap();
     }
--- a/replication/src/commit.rs
+++ b/replication/src/commit.rs
@@ -213,7 +213,7 @@
         (durable_index, unsynced): (Index, &Unsynced),
         (min_acks, timeout_us): (usize, Micros),
     ) -> Vec<CommitOutcome> {
-        let replicated = self.through(log.1, min_acks);
+        let replicated = self.through(log.epoch, min_acks);
         let mut outcomes = Vec::new();
         while let Some(Open { commit, index, since }) = self.open.front().copied() {
             let result = if durable_index >= index && replicated >= index {
@@ -221,8 +221,11 @@
             } else if unsynced.is_failed(log, index) || durable_index < index && since + timeout_us <= now {
                 Err(RejectReason::Disk)
             } else if since + timeout_us <= now {
-                let have =
-                    self.furthest(log.1).into_iter().filter(|durable_index| *durable_index >= index).count();
+                let have = self
+                    .furthest(log.epoch)
+                    .into_iter()
+                    .filter(|durable_index| *durable_index >= index)
+                    .count();
                 Err(RejectReason::TooFewReplicas { have, wanted: min_acks })
             } else {
                 break;
--- a/replication/src/lib.rs
+++ b/replication/src/lib.rs
@@ -41,8 +41,30 @@
 pub type Epoch = u64;
 /// Place in a log, from 1.
 pub type Index = u64;
-/// A log.
-pub type LogId = (Writer, Epoch);
+/// A log: what one writer appends within one epoch.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct LogId {
+    /// Whose log it is.
+    pub writer: Writer,
+    /// In which of the writer's epochs.
+    pub epoch: Epoch,
+}
+
+impl LogId {
+    /// The log of a writer's epoch.
+    pub const fn new(writer: Writer, epoch: Epoch) -> Self {
+        LogId { writer, epoch }
+    }
+}
+
+/// A datagram that is to be sent, and to whom.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Outgoing {
+    /// The peer's place in the list that [`Replica::peers`] was given.
+    pub peer: usize,
+    /// What it is sent.
+    pub datagram: Datagram,
+}
 
 /// What an entry is about: what was purged, what the operators of its writer decided, or a trigger's status.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -223,7 +245,7 @@
     /// The logs of a proxy: its own goes on in this epoch, behind what `log_store` holds of it. `process` grows with each process
     /// of this name, and seeds what it draws.
     pub fn new(own: LogId, log_store: LogStore, process: u64, options: Options) -> Self {
-        let random = Random::new(process ^ own.0.rotate_left(17) ^ own.1);
+        let random = Random::new(process ^ own.writer.rotate_left(17) ^ own.epoch);
         Replica {
             own,
             process,
@@ -294,7 +316,7 @@
 
     /// Once a period: what to tell which peer, by its place. While a commit waits, those that it may wait for are
     /// asked more often.
-    pub fn tick(&mut self, now: Micros) -> Vec<(usize, Datagram)> {
+    pub fn tick(&mut self, now: Micros) -> Vec<Outgoing> {
         let mut outgoing = Vec::new();
         let peers = self.pending.count();
         self.request_gaps(now, &mut outgoing);
@@ -306,7 +328,8 @@
             self.allowance = self.options.max_entries_per_period;
             if peers > 0 {
                 let peer = self.random.below(peers as u64) as usize;
-                outgoing.push((peer, self.digest()));
+                let datagram = self.digest();
+                outgoing.push(Outgoing { peer, datagram });
             }
         } else if !is_waiting || now < self.next_retry {
             return outgoing;
@@ -317,7 +340,7 @@
     }
 
     /// Asks a peer for what stands before entries that came early; any may have it.
-    fn request_gaps(&mut self, now: Micros, outgoing: &mut Vec<(usize, Datagram)>) {
+    fn request_gaps(&mut self, now: Micros, outgoing: &mut Vec<Outgoing>) {
         let peers = self.pending.count() as u64;
         if self.reorder.is_empty() || peers == 0 {
             self.gap_request = None;
@@ -338,23 +361,26 @@
         for log in self.reorder.logs().take(MAX_GAP_LOGS) {
             let gaps = self.reorder.gaps(log, self.log_store.last_index(log));
             let messages = gaps.chunks(wire::MAX_GAPS_PER_DATAGRAM).take(MAX_GAP_LOGS);
-            outgoing.extend(messages.map(|gaps| (peer, Datagram::GapRequest { log, gaps: gaps.to_vec() })));
+            outgoing.extend(messages.map(|gaps| {
+                let datagram = Datagram::GapRequest { log, gaps: gaps.to_vec() };
+                Outgoing { peer, datagram }
+            }));
         }
     }
 
     /// Sends the last entry of each of its own epochs to those peers that are not known to have it on their disks:
     /// whoever has it says so again, and whoever lacks entries before it asks for them.
-    fn resend_unacked(&mut self, outgoing: &mut Vec<(usize, Datagram)>) {
-        let own = self.own.0;
-        let epochs = self.log_store.last_indexes().into_iter().filter(|((writer, _), _)| *writer == own);
+    fn resend_unacked(&mut self, outgoing: &mut Vec<Outgoing>) {
+        let own = self.own.writer;
+        let epochs = self.log_store.last_indexes().into_iter().filter(|(log, _)| log.writer == own);
         for (log, end) in epochs.collect::<Vec<_>>() {
             let Some(last) = self.log_store.entries_after(log, end - 1).next() else { continue };
-            for peer in (0..self.pending.count()).filter(|peer| self.pending.of(*peer, log.1) < end) {
+            for peer in (0..self.pending.count()).filter(|peer| self.pending.of(*peer, log.epoch) < end) {
                 if self.allowance == 0 {
                     return;
                 }
                 self.allowance -= 1;
-                outgoing.push((peer, Datagram::Entry(last.clone())));
+                outgoing.push(Outgoing { peer, datagram: Datagram::Entry(last.clone()) });
             }
         }
     }
@@ -400,7 +426,7 @@
     }
 
     /// An entry is on the disk: which peers are to be told so.
-    pub fn synced(&mut self, log: LogId, index: Index) -> Vec<(usize, Datagram)> {
+    pub fn synced(&mut self, log: LogId, index: Index) -> Vec<Outgoing> {
         self.unsynced.synced(log, index);
         let durable_index = self.durable_index(log);
         let due = self
@@ -410,7 +436,8 @@
         let peers: Vec<usize> = due.map(|((_, peer), _)| *peer).collect();
         let tell = |peer| {
             self.pending_acks.remove(&(log, peer));
-            (peer, Datagram::Ack { process: self.process, positions: vec![(log, durable_index)] })
+            let positions = vec![(log, durable_index)];
+            Outgoing { peer, datagram: Datagram::Ack { process: self.process, positions } }
         };
         peers.into_iter().map(tell).collect()
     }
@@ -437,10 +464,10 @@
     /// Entries of its own logs that fewer further machines are known to have than are to.
     pub fn under_replicated(&self) -> usize {
         let epochs =
-            self.log_store.last_indexes().into_iter().filter(|((writer, _), _)| *writer == self.own.0);
+            self.log_store.last_indexes().into_iter().filter(|(log, _)| log.writer == self.own.writer);
         let short = |(log, _): (LogId, Index)| {
             self.log_store
-                .entries_after(log, self.pending.through(log.1, self.options.replication_factor))
+                .entries_after(log, self.pending.through(log.epoch, self.options.replication_factor))
                 .count()
         };
         epochs.map(short).sum()
@@ -448,7 +475,7 @@
 
     /// How far a peer is known to have the log of this epoch on its disk.
     pub fn acked_by(&self, peer: usize) -> Index {
-        self.pending.of(peer, self.own.1)
+        self.pending.of(peer, self.own.epoch)
     }
 
     /// How far it has its logs. One without any says so too, as that is how it gets them.
@@ -482,9 +509,9 @@
             Datagram::DigestRequest => Received { replies: vec![self.digest()], ..Received::default() },
             Datagram::Ack { process, positions } => {
                 // What others have of others' logs is for those to know.
-                for ((writer, epoch), index) in positions {
-                    if writer == self.own.0 {
-                        self.pending.durable_index((from, process), epoch, index);
+                for (log, index) in positions {
+                    if log.writer == self.own.writer {
+                        self.pending.durable_index((from, process), log.epoch, index);
                     }
                 }
                 Received::default()
--- a/replication/src/log_store.rs
+++ b/replication/src/log_store.rs
@@ -66,7 +66,7 @@
 
 /// A log's part of the sum by which two books are compared.
 fn part(log: LogId, through: Index) -> u64 {
-    let mut x = log.0.wrapping_mul(0x9e37_79b9_7f4a_7c15) ^ log.1.rotate_left(31);
+    let mut x = log.writer.wrapping_mul(0x9e37_79b9_7f4a_7c15) ^ log.epoch.rotate_left(31);
     for by in [through, 0x94d0_49bb_1331_11eb] {
         x = (x ^ (x >> 30) ^ by).wrapping_mul(0xbf58_476d_1ce4_e5b9);
         x ^= x >> 27;
@@ -164,7 +164,7 @@
             return None;
         }
         let piece = |part| Subject::Status { number, part, text: String::new() };
-        let epochs = self.tracks.range((writer, 0)..=(writer, Epoch::MAX)).rev();
+        let epochs = self.tracks.range(LogId::new(writer, 0)..=LogId::new(writer, Epoch::MAX)).rev();
         let mut texts = epochs.map(|(_, track)| {
             let pieces = track.last.range(piece(0)..).map(|(subject, _)| subject);
             let pieces = pieces
@@ -181,7 +181,7 @@
     pub fn triggers(&self) -> std::collections::BTreeSet<(Writer, u64)> {
         let of = |(log, track): (&LogId, &Track)| -> Vec<(Writer, u64)> {
             let number = |subject: &Subject| match subject {
-                Subject::Status { number, .. } => Some((log.0, *number)),
+                Subject::Status { number, .. } => Some((log.writer, *number)),
                 _ => None,
             };
             track.last.keys().filter_map(number).collect()
@@ -237,12 +237,12 @@
     /// What the operators of a writer decided, by its latest message on each, of all its epochs: whether it is revoked.
     pub fn decisions(&self, writer: Writer) -> BTreeMap<Subject, bool> {
         let mut latest = BTreeMap::<Subject, (Epoch, Index, bool)>::new();
-        for log in self.tracks.keys().filter(|log| log.0 == writer) {
+        for log in self.tracks.keys().filter(|log| log.writer == writer) {
             for e in
                 self.entries_after(*log, 0).filter(|e| matches!(e.subject, Subject::Ban(_) | Subject::Drain))
             {
                 // A later epoch's message counts, also where the clock was set back between the two.
-                let message = (e.log.1, e.index, e.revoked);
+                let message = (e.log.epoch, e.index, e.revoked);
                 let known = latest.entry(e.subject).or_insert(message);
                 *known = message.max(*known);
             }
--- a/replication/src/reorder.rs
+++ b/replication/src/reorder.rs
@@ -74,7 +74,14 @@
     use crate::Subject;
 
     fn entry(index: Index, prev: Index) -> Entry {
-        Entry { log: (1, 1), index, prev, subject: Subject::Group(index), at: index, revoked: false }
+        Entry {
+            log: LogId::new(1, 1),
+            index,
+            prev,
+            subject: Subject::Group(index),
+            at: index,
+            revoked: false,
+        }
     }
 
     #[test]
@@ -83,21 +90,28 @@
         // 1 is had; 2, 3 and 6 are missing, and 4 was superseded.
         let put = [entry(8, 7), entry(5, 3), entry(7, 6), entry(8, 7)].map(|e| reorder.put(&e, 9));
         assert_eq!(put, [true, true, true, false]);
-        assert_eq!(reorder.gaps((1, 1), 1), [(1, 3), (5, 6)]);
-        assert_eq!(reorder.next((1, 1), 2), None);
-        assert_eq!(reorder.next((1, 1), 3), Some(entry(5, 3)));
-        assert_eq!((reorder.next((1, 1), 5), reorder.gaps((1, 1), 5)), (None, vec![(5, 6)]));
+        assert_eq!(reorder.gaps(LogId::new(1, 1), 1), [(1, 3), (5, 6)]);
+        assert_eq!(reorder.next(LogId::new(1, 1), 2), None);
+        assert_eq!(reorder.next(LogId::new(1, 1), 3), Some(entry(5, 3)));
+        assert_eq!(
+            (reorder.next(LogId::new(1, 1), 5), reorder.gaps(LogId::new(1, 1), 5)),
+            (None, vec![(5, 6)])
+        );
         // 7 came again by another way.
-        assert_eq!(reorder.next((1, 1), 7), Some(entry(8, 7)));
-        assert!(reorder.is_empty() && reorder.logs().next().is_none() && reorder.gaps((1, 1), 8).is_empty());
+        assert_eq!(reorder.next(LogId::new(1, 1), 7), Some(entry(8, 7)));
+        assert!(
+            reorder.is_empty()
+                && reorder.logs().next().is_none()
+                && reorder.gaps(LogId::new(1, 1), 8).is_empty()
+        );
     }
 
     #[test]
     fn what_comes_beyond_the_bound_is_let_go() {
         let mut reorder = ReorderBuffer::default();
         assert!(reorder.put(&entry(3, 2), 1) && !reorder.put(&entry(9, 8), 1));
-        assert_eq!(reorder.gaps((1, 1), 1), [(1, 2)]);
-        assert_eq!(reorder.next((1, 1), 2), Some(entry(3, 2)));
+        assert_eq!(reorder.gaps(LogId::new(1, 1), 1), [(1, 2)]);
+        assert_eq!(reorder.next(LogId::new(1, 1), 2), Some(entry(3, 2)));
         assert!(reorder.is_empty());
     }
 }
--- a/replication/src/status.rs
+++ b/replication/src/status.rs
@@ -55,7 +55,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use crate::{Datagram, Entry, Subject};
+    use crate::{Datagram, Entry, LogId, Subject};
 
     #[test]
     fn a_text_of_any_characters_comes_back_from_pieces_that_each_fit_a_datagram() {
@@ -68,7 +68,7 @@
                 let subject = Subject::Status { number: u64::MAX, part: u16::MAX - part, text };
                 let most = u64::MAX;
                 let entry = Entry {
-                    log: (most, most),
+                    log: LogId::new(most, most),
                     index: most,
                     prev: most - 1,
                     subject,
--- a/replication/src/wire.rs
+++ b/replication/src/wire.rs
@@ -51,7 +51,8 @@
 }
 
 fn listed(positions: &[(LogId, Index)]) -> String {
-    positions.iter().map(|((writer, epoch), index)| format!(" {writer:x} {epoch:x} {index:x}")).collect()
+    let one = |(log, index): &(LogId, Index)| format!(" {:x} {:x} {index:x}", log.writer, log.epoch);
+    positions.iter().map(one).collect()
 }
 
 fn number(message: &str) -> Option<u64> {
@@ -63,7 +64,7 @@
 fn positions<'a>(messages: &mut impl Iterator<Item = &'a str>) -> Option<Vec<(LogId, Index)>> {
     let mut positions = Vec::new();
     while let Some(writer) = messages.next() {
-        let log = (number(writer)?, number(messages.next()?)?);
+        let log = LogId::new(number(writer)?, number(messages.next()?)?);
         positions.push((log, number(messages.next()?)?));
     }
     (positions.len() <= MAX_LOGS_PER_DATAGRAM).then_some(positions)
@@ -85,7 +86,7 @@
                     }
                     (Subject::Gone { writer, number }, _) => ("gone", format!("{writer:x}.{number:x}")),
                 };
-                let (writer, epoch) = e.log;
+                let LogId { writer, epoch } = e.log;
                 format!(
                     "{MARK} entry {writer:x} {epoch:x} {:x} {:x} {:x} {kind} {subject}",
                     e.prev, e.index, e.at
@@ -95,7 +96,7 @@
                 format!("{MARK} have {all:x} {sum:x}{}", listed(positions))
             }
             Datagram::RangeRequest { positions } => format!("{MARK} want{}", listed(positions)),
-            Datagram::GapRequest { log: (writer, epoch), gaps } => {
+            Datagram::GapRequest { log: LogId { writer, epoch }, gaps } => {
                 let listed: String =
                     gaps.iter().map(|(behind, through)| format!(" {behind:x} {through:x}")).collect();
                 format!("{MARK} lack {writer:x} {epoch:x}{listed}")
@@ -141,7 +142,7 @@
                 };
                 let sound = index > prev;
                 sound.then_some(Datagram::Entry(Entry {
-                    log: (writer, epoch),
+                    log: LogId::new(writer, epoch),
                     index,
                     prev,
                     subject,
@@ -155,7 +156,7 @@
             }
             "ask" => Some(Datagram::DigestRequest),
             "lack" => {
-                let log = (number(messages.next()?)?, number(messages.next()?)?);
+                let log = LogId::new(number(messages.next()?)?, number(messages.next()?)?);
                 let mut gaps = Vec::new();
                 while let Some(behind) = messages.next() {
                     gaps.push((number(behind)?, number(messages.next()?)?));
--- a/replication/tests/fleet.rs
+++ b/replication/tests/fleet.rs
@@ -83,7 +83,7 @@
         let m = &mut self.members[n];
         m.in_force = m.disk.entries().map(|e| (e.subject, e.at)).collect();
         let process = self.links.now + n as u64;
-        let mut replica = Replica::new((writer(n), m.epoch), m.disk.clone(), process, self.options);
+        let mut replica = Replica::new(LogId::new(writer(n), m.epoch), m.disk.clone(), process, self.options);
         replica.peers(n as Machine, machines.collect());
         m.replica = Some(replica);
     }
@@ -140,7 +140,7 @@
         let taken = m.disk.take(&entry, Capacity::UNLIMITED);
         assert_eq!(taken, Insertion::New, "what is written to the disk follows what stands there");
         let outgoing = m.replica.as_mut().map(|c| c.synced(entry.log, entry.index)).unwrap_or_default();
-        outgoing.iter().for_each(|(peer, message)| self.send_to(n, *peer, message));
+        outgoing.iter().for_each(|out| self.send_to(n, out.peer, &out.datagram));
         self.resolve_commits(n);
     }
 
@@ -203,7 +203,7 @@
                 Step::Due(Due::Tick(n)) => {
                     let now = self.links.now;
                     let messages = self.members[n].replica.as_mut().map(|c| c.tick(now)).unwrap_or_default();
-                    messages.iter().for_each(|(peer, message)| self.send_to(n, *peer, message));
+                    messages.iter().for_each(|out| self.send_to(n, out.peer, &out.datagram));
                     self.resolve_commits(n);
                 }
                 Step::Over => return,
@@ -388,7 +388,7 @@
 #[test]
 fn what_has_no_room_is_told_and_nothing_held_is_let_go() {
     let few = Options { entries: 2, logs: 2, ..Options::default() };
-    let mut replica = Replica::new((1, 7), LogStore::default(), 1, few);
+    let mut replica = Replica::new(LogId::new(1, 7), LogStore::default(), 1, few);
     replica.append(object(1), 5, false).unwrap();
     replica.append(object(2), 6, false).unwrap();
     assert_eq!(replica.append(object(3), 7, false), Err(CapacityExceeded));
@@ -396,7 +396,7 @@
     assert_eq!((again.index, again.prev, replica.log_store().len()), (3, 2, 2));
     let entry =
         |log, index| Entry { log, index, prev: index - 1, subject: Subject::Group(9), at: 1, revoked: false };
-    let received = replica.receive(0, Datagram::Entry(entry((2, 7), 1)));
+    let received = replica.receive(0, Datagram::Entry(entry(LogId::new(2, 7), 1)));
     assert_eq!((received.rejected.len(), received.new.len(), replica.counters().rejected), (1, 0, 1));
     assert_eq!(replica.log_store().entries().count(), 2);
 }
@@ -504,19 +504,19 @@
 #[test]
 fn copies_on_one_machine_count_once_and_those_on_ones_own_not_at_all() {
     let options = Options { min_acks: 2, ..Options::default() };
-    let mut replica = Replica::new((1, 7), LogStore::default(), 1, options);
+    let mut replica = Replica::new(LogId::new(1, 7), LogStore::default(), 1, options);
     // Peers 0 and 1 stand on machine 20, peer 2 on this proxy's own, peer 3 on machine 30.
     replica.peers(10, vec![20, 20, 10, 30]);
     let entry = replica.append(object(1), 5, false).unwrap();
     replica.open_commit(100, entry.index).unwrap();
     assert!(replica.synced(entry.log, entry.index).is_empty());
-    let held = || Datagram::Ack { process: 5, positions: vec![((1, 7), 1)] };
+    let held = || Datagram::Ack { process: 5, positions: vec![(LogId::new(1, 7), 1)] };
     for peer in [0, 1, 2] {
         replica.receive(peer, held());
         assert_eq!(replica.resolve_commits(200), [], "{peer}");
     }
     // What one has of another's log is no copy of this one's.
-    replica.receive(3, Datagram::Ack { process: 5, positions: vec![((2, 7), 9)] });
+    replica.receive(3, Datagram::Ack { process: 5, positions: vec![(LogId::new(2, 7), 9)] });
     assert_eq!((replica.resolve_commits(200), replica.under_replicated()), (vec![], 1));
     replica.receive(3, held());
     assert_eq!(replica.resolve_commits(300), [CommitOutcome { commit: 1, result: Ok(200) }]);
@@ -526,29 +526,29 @@
 /// The disk fails at the n-th write: that commit is refused at once, none behind it is given until it is there.
 #[test]
 fn what_the_disk_did_not_take_is_refused_and_given_to_it_again() {
-    let mut replica = Replica::new((1, 7), LogStore::default(), 1, Options::default());
+    let mut replica = Replica::new(LogId::new(1, 7), LogStore::default(), 1, Options::default());
     replica.peers(10, vec![20]);
     let all: Vec<Entry> = (1..=3).map(|n| replica.append(object(n), n, false).unwrap()).collect();
     for e in &all {
         replica.open_commit(100, e.index).unwrap();
     }
-    replica.receive(0, Datagram::Ack { process: 5, positions: vec![((1, 7), 3)] });
-    replica.synced((1, 7), 1);
-    replica.sync_failed((1, 7), 2);
-    replica.synced((1, 7), 3);
+    replica.receive(0, Datagram::Ack { process: 5, positions: vec![(LogId::new(1, 7), 3)] });
+    replica.synced(LogId::new(1, 7), 1);
+    replica.sync_failed(LogId::new(1, 7), 2);
+    replica.synced(LogId::new(1, 7), 3);
     let outcomes = replica.resolve_commits(100);
     assert_eq!(
         outcomes.iter().map(|s| s.result).collect::<Vec<_>>(),
         [Ok(0), Err(RejectReason::Disk), Err(RejectReason::Disk)]
     );
-    assert_eq!((replica.durable_index((1, 7)), replica.is_synced()), (1, false));
+    assert_eq!((replica.durable_index(LogId::new(1, 7)), replica.is_synced()), (1, false));
     assert_eq!(replica.take_failed(), [all[1].clone()]);
     assert_eq!(replica.take_failed(), [], "it is on its way");
-    replica.synced((1, 7), 2);
-    assert_eq!((replica.durable_index((1, 7)), replica.is_synced()), (3, true));
+    replica.synced(LogId::new(1, 7), 2);
+    assert_eq!((replica.durable_index(LogId::new(1, 7)), replica.is_synced()), (3, true));
     // A peer that asked meanwhile is sent once all before its index is there.
     let theirs = |index| Entry {
-        log: (2, 9),
+        log: LogId::new(2, 9),
         index,
         prev: index - 1,
         subject: object(10 + index),
@@ -556,12 +556,18 @@
         revoked: false,
     };
     (1..=2).for_each(|index| drop(replica.receive(0, Datagram::Entry(theirs(index)))));
-    assert_eq!(replica.synced((2, 9), 2), [], "the one before it is not there yet");
-    assert_eq!(replica.synced((2, 9), 1), [(0, Datagram::Ack { process: 1, positions: vec![((2, 9), 2)] })]);
+    assert_eq!(replica.synced(LogId::new(2, 9), 2), [], "the one before it is not there yet");
+    assert_eq!(
+        replica.synced(LogId::new(2, 9), 1),
+        [Outgoing {
+            peer: 0,
+            datagram: Datagram::Ack { process: 1, positions: vec![(LogId::new(2, 9), 2)] }
+        }]
+    );
     let again = replica.receive(0, Datagram::Entry(theirs(1)));
     assert_eq!(
         again.replies,
-        [Datagram::Ack { process: 1, positions: vec![((2, 9), 2)] }],
+        [Datagram::Ack { process: 1, positions: vec![(LogId::new(2, 9), 2)] }],
         "whoever asks again is outgoing again"
     );
 }
@@ -569,11 +575,15 @@
 /// A message that was overtaken, or of a process that is gone, takes nothing back and adds nothing.
 #[test]
 fn a_late_word_of_what_a_peer_has_is_known_for_what_it_is() {
-    let mut replica =
-        Replica::new((1, 7), LogStore::default(), 1, Options { replication_factor: 1, ..Options::default() });
+    let mut replica = Replica::new(
+        LogId::new(1, 7),
+        LogStore::default(),
+        1,
+        Options { replication_factor: 1, ..Options::default() },
+    );
     replica.peers(10, vec![20]);
     (1..=3).for_each(|n| drop(replica.append(object(n), n, false).unwrap()));
-    let held = |process, index| Datagram::Ack { process, positions: vec![((1, 7), index)] };
+    let held = |process, index| Datagram::Ack { process, positions: vec![(LogId::new(1, 7), index)] };
     let mut short_after = |message| {
         replica.receive(0, message);
         replica.under_replicated()
@@ -587,8 +597,12 @@
 
 #[test]
 fn a_promise_too_many_is_refused_at_once() {
-    let mut replica =
-        Replica::new((1, 7), LogStore::default(), 1, Options { max_pending: 2, ..Options::default() });
+    let mut replica = Replica::new(
+        LogId::new(1, 7),
+        LogStore::default(),
+        1,
+        Options { max_pending: 2, ..Options::default() },
+    );
     replica.peers(10, vec![20]);
     for n in 1..=2 {
         let entry = replica.append(object(n), n, false).unwrap();
@@ -620,15 +634,16 @@
     }
 
     #[test]
-    fn what_is_written_is_read_again(writer: u64, epoch: u64, index in 1u64.., at: u64, group: u64, positions in proptest::collection::vec(any::<((u64, u64), u64)>(), 0..5), sum: u64) {
+    fn what_is_written_is_read_again(writer: u64, epoch: u64, index in 1u64.., at: u64, group: u64, positions in proptest::collection::vec(any::<(u64, u64, u64)>(), 0..5), sum: u64) {
+        let positions: Vec<(LogId, Index)> = positions.into_iter().map(|(writer, epoch, index)| (LogId::new(writer, epoch), index)).collect();
         let status = Subject::Status { number: group, part: (sum % 70_000) as u16, text: format!("{{\"a b\": \"{at}%\"}}") };
         let gone = Subject::Gone { writer: sum, number: group };
         let subjects = [Subject::Group(group), Subject::Ban(format!("pc-{group:x}")), Subject::Drain, object(group), status, gone];
         let revoked = matches!(group % 6, 1 | 2) && group % 12 > 5;
         let subject = subjects[(group % 6) as usize].clone();
         let gaps = positions.iter().map(|(_, index)| (*index / 2, *index / 2 + 1)).collect();
-        let lack = Datagram::GapRequest { log: (writer, epoch), gaps };
-        let entry = Entry { log: (writer, epoch), index, prev: index - 1, subject, at, revoked };
+        let lack = Datagram::GapRequest { log: LogId::new(writer, epoch), gaps };
+        let entry = Entry { log: LogId::new(writer, epoch), index, prev: index - 1, subject, at, revoked };
         for d in [Datagram::Entry(entry), Datagram::Digest { positions: positions.clone(), all: 9, sum }, Datagram::Ack { process: at, positions: positions.clone() }, Datagram::DigestRequest, lack, Datagram::RangeRequest { positions }] {
             let bytes = d.write().expect("it fits");
             prop_assert!(bytes.len() <= MOST);
--- a/replication/tests/model.rs
+++ b/replication/tests/model.rs
@@ -80,7 +80,7 @@
             commit_timeout_us: u64::MAX / 4,
             ..Options::default()
         };
-        let mut replica = Replica::new((n as Writer + 1, epoch), disk.clone(), process, options);
+        let mut replica = Replica::new(LogId::new(n as Writer + 1, epoch), disk.clone(), process, options);
         replica.peers(n as Machine, (0..ALL).filter(|m| *m != n).map(|m| m as Machine).collect());
         replica
     }
@@ -99,9 +99,9 @@
         }
     }
 
-    fn tell(&self, state: &mut State, n: usize, outgoing: Vec<(usize, Datagram)>) {
-        for (peer, message) in outgoing {
-            Self::send(state, n, member(peer, n), &message);
+    fn tell(&self, state: &mut State, n: usize, outgoing: Vec<Outgoing>) {
+        for Outgoing { peer, datagram } in outgoing {
+            Self::send(state, n, member(peer, n), &datagram);
         }
         let outcomes = state.proxies[n].replica.as_mut().map(|c| c.resolve_commits(0)).unwrap_or_default();
         if outcomes.iter().any(|s| s.result.is_ok()) {
--- a/replication/tests/statuses.rs
+++ b/replication/tests/statuses.rs
@@ -3,7 +3,7 @@
 use linnetknot_replication::*;
 
 const ROOM: Capacity = Capacity { entries: 3, expiring: 6, logs: 9 };
-const OWN: LogId = (1, 7);
+const OWN: LogId = LogId::new(1, 7);
 
 fn said(
     log_store: &mut LogStore,
@@ -29,7 +29,7 @@
     assert_eq!(log_store.status(2, 5), None, "another writer's");
     assert_eq!(log_store.triggers().into_iter().collect::<Vec<_>>(), [(1, 4), (1, 5), (1, 6)]);
     // Another proxy was sent that it is done with.
-    said(&mut log_store, (2, 9), Subject::Gone { writer: 1, number: 5 }, 12).unwrap();
+    said(&mut log_store, LogId::new(2, 9), Subject::Gone { writer: 1, number: 5 }, 12).unwrap();
     assert_eq!(outgoing(&log_store), [None, None, Some("{x}".into())]);
 }
 
@@ -68,8 +68,8 @@
     said(&mut log_store, OWN, piece(5, 0, "x"), 10).unwrap();
     said(&mut log_store, OWN, piece(6, 0, "y"), 10).unwrap();
     let gone = Subject::Gone { writer: 1, number: 5 };
-    said(&mut log_store, (2, 3), gone.clone(), 10).unwrap();
-    said(&mut log_store, (2, 3), piece(1, 0, "z"), 10).unwrap();
+    said(&mut log_store, LogId::new(2, 3), gone.clone(), 10).unwrap();
+    said(&mut log_store, LogId::new(2, 3), piece(1, 0, "z"), 10).unwrap();
     let over: Vec<(LogId, Index)> = log_store.expire(110, 100).iter().map(|e| (e.log, e.index)).collect();
     assert_eq!(over, [(OWN, 1)], "6 is the last, and 5 may be had elsewhere still");
     assert_eq!((log_store.last_index(OWN), log_store.latest(&gone)), (2, Some(10)));
