--- a/replication/src/replica/catch_up.rs
+++ b/replication/src/replica/catch_up.rs
@@ -1,7 +1,8 @@
 //! Compaction, and snapshots to and from peers.
 
 use super::Replica;
-use crate::snapshot::{Ask, Complete, Progress, Reader, MAX_LOGS_PER_OFFER};
+use crate::snapshot::{Ask, Complete, Progress, Reader};
+use crate::wire::MAX_LOGS_PER_DATAGRAM;
 use crate::{
     CompactedLog, Compaction, Datagram, Index, LogId, MergedBucket, Micros, Outgoing, Received,
     SnapshotChunk, SnapshotContent, SnapshotCursor, SnapshotOffer, SnapshotRequest, MOST,
@@ -13,6 +14,9 @@
 /// A peer that was offered a snapshot in so many digest periods and never answered does not know what one is.
 const MIN_UNANSWERED_PERIODS: u32 = 64;
 
+/// Datagrams that ask the sender of a snapshot for what stands behind it.
+const MAX_REQUESTS_AFTER_SNAPSHOT: usize = 16;
+
 /// A log that a snapshot raised.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub(super) struct PendingSnapshot {
@@ -79,18 +83,16 @@
 
     /// Asks for the next part of a snapshot, or any peer for one.
     pub(super) fn request_snapshot(&mut self, now: Micros, outgoing: &mut Vec<Outgoing>) {
-        let peers = self.pending.count();
-        if peers == 0 {
-            return;
-        }
         let store = &self.log_store;
+        let peers = self.pending.count();
         match self.catch_up.tick(now, &self.options, |log| store.last_index(log)) {
             None => {}
             Some(Ask::Sender { peer, request }) => {
                 outgoing.push(Outgoing { peer, datagram: Datagram::SnapshotRequest(request) });
             }
+            Some(Ask::Any(_)) if peers == 0 => {}
             Some(Ask::Any(logs)) => {
-                let logs = logs.into_iter().take(MAX_LOGS_PER_OFFER);
+                let logs = logs.into_iter().take(MAX_LOGS_PER_DATAGRAM);
                 let positions = logs.map(|log| (log, self.log_store.last_index(log))).collect();
                 let peer = self.random.below(peers as u64) as usize;
                 outgoing.push(Outgoing { peer, datagram: Datagram::RangeRequest { positions } });
@@ -114,7 +116,7 @@
             return received;
         }
         let compacted = self.log_store.compacted_logs(LogId::default());
-        let logs: Vec<CompactedLog> = compacted.take(MAX_LOGS_PER_OFFER).collect();
+        let logs: Vec<CompactedLog> = compacted.take(MAX_LOGS_PER_DATAGRAM).collect();
         if !logs.is_empty() {
             received.replies.push(self.offer(from, logs));
         }
@@ -193,9 +195,19 @@
         }
         self.version += 1;
         self.counters.snapshots_received += 1;
+        self.request_after_snapshot(&received.compacted, &mut received.replies);
         last_indexes.into_keys().for_each(|log| self.take_reordered(from, log, received));
     }
 
+    /// Asks the sender of a snapshot for what stands behind it: others may have compacted more by then.
+    fn request_after_snapshot(&self, logs: &[CompactedLog], replies: &mut Vec<Datagram>) {
+        let requests = logs.chunks(MAX_LOGS_PER_DATAGRAM).take(MAX_REQUESTS_AFTER_SNAPSHOT);
+        replies.extend(requests.map(|logs| {
+            let positions = logs.iter().map(|compacted| (compacted.log, compacted.through));
+            Datagram::RangeRequest { positions: positions.collect() }
+        }));
+    }
+
     fn raise_to_snapshot(&mut self, CompactedLog { log, through }: CompactedLog) {
         let durable = self.durable_index(log);
         let pending = self.pending_snapshots.entry(log).or_insert(PendingSnapshot { durable, through });
--- a/replication/src/snapshot/mod.rs
+++ b/replication/src/snapshot/mod.rs
@@ -18,9 +18,6 @@
 pub(crate) use receiver::{Ask, CatchUp, Complete, Progress};
 pub(crate) use sender::Reader;
 
-/// Logs that one offer can name.
-pub(crate) const MAX_LOGS_PER_OFFER: usize = 4;
-
 /// A place in a snapshot; all that stands before it is had or sent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum SnapshotCursor {
--- a/replication/src/snapshot/receiver.rs
+++ b/replication/src/snapshot/receiver.rs
@@ -12,6 +12,9 @@
 const MAX_VAIN_REQUESTS: u32 = 16;
 /// Peers are asked so often, once a digest period, for what a snapshot that was given up would have brought.
 const MAX_ROUNDS: u32 = 120;
+/// After a snapshot this many digest periods are left to the logs, before another one is begun: peers compact at
+/// different times, and most of what one more would bring comes as entries meanwhile.
+const SETTLING_PERIODS: u64 = 20;
 /// Parts that came early and are remembered.
 const MAX_EARLY: usize = 1_024;
 /// Logs of which it is remembered that this replica is behind.
@@ -84,6 +87,8 @@
     /// How often peers were asked since the last offer, and when they are again.
     rounds: u32,
     ask_at: Micros,
+    /// Set by a complete snapshot, and until when no other one is begun, once a tick has told the time.
+    settling: Option<Option<Micros>>,
     abandoned: u64,
 }
 
@@ -103,6 +108,9 @@
             return;
         }
         self.rounds = 0;
+        if self.settling.is_some() {
+            return;
+        }
         let is_open = |transfer: &Transfer| transfer.peer != peer || transfer.process >= offer.process;
         if !self.transfer.as_ref().is_some_and(is_open) {
             self.transfer = Some(Transfer::new(peer, offer.process));
@@ -119,6 +127,7 @@
             return Progress::Incomplete;
         }
         let transfer = self.transfer.take();
+        self.settling = Some(None);
         Progress::Complete(transfer.map(Transfer::complete).unwrap_or_default())
     }
 
@@ -130,6 +139,9 @@
         last_index: impl Fn(LogId) -> Index,
     ) -> Option<Ask> {
         self.wanted.retain(|log, through| last_index(*log) < *through);
+        if self.is_settling(now, options) {
+            return None;
+        }
         if let Some(transfer) = &mut self.transfer {
             if now < transfer.due {
                 return None;
@@ -144,6 +156,16 @@
         self.ask_any(now, options)
     }
 
+    /// Whether the logs have their time after a snapshot.
+    fn is_settling(&mut self, now: Micros, options: &Options) -> bool {
+        let Some(settling) = &mut self.settling else { return false };
+        let until = *settling.get_or_insert(now + SETTLING_PERIODS * options.digest_period_us);
+        if now >= until {
+            self.settling = None;
+        }
+        self.settling.is_some()
+    }
+
     fn ask_any(&mut self, now: Micros, options: &Options) -> Option<Ask> {
         if self.wanted.is_empty() || now < self.ask_at {
             return None;
@@ -160,9 +182,10 @@
 
     /// When `tick` has something to do.
     pub(crate) fn due(&self) -> Option<Micros> {
-        match &self.transfer {
-            Some(transfer) => Some(transfer.due),
-            None => (!self.wanted.is_empty()).then_some(self.ask_at),
+        match (&self.settling, &self.transfer) {
+            (Some(until), _) => Some(until.unwrap_or(0)),
+            (None, Some(transfer)) => Some(transfer.due),
+            (None, None) => (!self.wanted.is_empty()).then_some(self.ask_at),
         }
     }
 
--- /dev/null
+++ b/replication/tests/compaction/fleet.rs
@@ -0,0 +1,354 @@
+//! A fleet on virtual time whose members compact, each with a disk that is written in order and late.
+
+use linnetknot_replication::*;
+use linnetknot_simnet::{self as simnet, Step};
+use std::collections::{BTreeMap, VecDeque};
+
+pub const MS: Micros = 1_000;
+pub const S: Micros = 1_000_000;
+
+/// What a disk is told.
+#[derive(Clone, Debug)]
+enum Write {
+    Entry(Entry),
+    Bucket(BucketIndex, Bucket),
+    /// All of a compaction's buckets and indexes; its entries are deleted once these are there.
+    Compaction(Compaction),
+    /// What a snapshot brought, once it is complete.
+    Snapshot(Vec<CompactedLog>),
+    /// Unless a later entry has its key by then.
+    Delete(Entry),
+}
+
+/// What is on a disk: of each log one entry on each subject, buckets, and how far logs are compacted.
+#[derive(Clone, Debug, Default)]
+pub struct Disk {
+    entries: BTreeMap<(LogId, Subject), Entry>,
+    buckets: BTreeMap<BucketIndex, Bucket>,
+    compacted: BTreeMap<LogId, Index>,
+}
+
+impl Disk {
+    fn set_compacted(&mut self, logs: &[CompactedLog]) {
+        for CompactedLog { log, through } in logs {
+            let known = self.compacted.entry(*log).or_default();
+            *known = through.max(known).to_owned();
+        }
+    }
+
+    /// What a process that starts finds.
+    pub fn restore(&self, bits: BucketBits) -> LogStore {
+        let mut table = CompactTable::new(bits);
+        for (index, bucket) in &self.buckets {
+            table.merge_bucket(bits, *index, bucket).expect("a bucket of this table");
+        }
+        let compacted =
+            self.compacted.iter().map(|(log, through)| CompactedLog { log: *log, through: *through });
+        let entries = self.entries.values().cloned().collect();
+        LogStore::restore(table, &compacted.collect::<Vec<_>>(), entries).expect("each index stands once")
+    }
+
+    pub fn entries(&self) -> usize {
+        self.entries.len()
+    }
+}
+
+pub struct Member {
+    pub replica: Option<Replica>,
+    pub epoch: Epoch,
+    pub disk: Disk,
+    writes: VecDeque<(Micros, Write)>,
+    /// It is of a version before snapshots.
+    pub is_old: bool,
+    /// What was in force when that was last looked at, of some subjects.
+    seen: BTreeMap<Subject, Micros>,
+    /// What it hears of before it can take it in.
+    pub floors: BTreeMap<Subject, Micros>,
+    pub received_bytes: u64,
+    pub received_chunks: u64,
+}
+
+pub struct Fleet {
+    pub links: simnet::Net<Vec<u8>>,
+    pub members: Vec<Member>,
+    pub options: Options,
+    pub bits: BucketBits,
+    pub disk_us: Micros,
+    /// Every purge that was told: the latest time of each.
+    pub told: BTreeMap<Subject, Micros>,
+    pub refused: usize,
+}
+
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Due {
+    Write(usize),
+    Tick(usize),
+}
+
+pub fn object(n: u64) -> Subject {
+    Subject::Object(format!("{n:016x}"))
+}
+
+pub fn purge(n: u64) -> Subject {
+    if n % 4 == 0 {
+        Subject::Group(n)
+    } else {
+        object(n)
+    }
+}
+
+impl Fleet {
+    /// Members that hold so many entries; the first `running` of them run.
+    pub fn new(members: usize, running: usize, max_exact_entries: usize, seed: u64) -> Fleet {
+        let options = Options { max_exact_entries, ..Options::default() };
+        let mut fleet = Fleet {
+            links: simnet::Net::new(seed, (MS, 5 * MS)),
+            members: Vec::new(),
+            options,
+            bits: BucketBits::DEFAULT,
+            disk_us: 2 * MS,
+            told: BTreeMap::new(),
+            refused: 0,
+        };
+        fleet.members.extend((0..members).map(|_| Member {
+            replica: None,
+            epoch: 0,
+            disk: Disk::default(),
+            writes: VecDeque::new(),
+            is_old: false,
+            seen: BTreeMap::new(),
+            floors: BTreeMap::new(),
+            received_bytes: 0,
+            received_chunks: 0,
+        }));
+        (0..running).for_each(|n| fleet.start(n));
+        fleet
+    }
+
+    /// Starts a member with what its disk holds, in a new epoch.
+    pub fn start(&mut self, n: usize) {
+        let machines = (0..self.members.len()).filter(|m| *m != n).map(|m| m as Machine);
+        let (now, bits, options) = (self.links.now, self.bits, self.options);
+        let member = &mut self.members[n];
+        let store = member.disk.restore(bits);
+        member.epoch = now + n as u64;
+        let own = LogId::new(1_000 + n as u64, member.epoch);
+        let mut replica = Replica::new(own, store, now + n as u64, options);
+        replica.peers(n as Machine, machines.collect());
+        member.replica = Some(replica);
+    }
+
+    /// What was not on the disk is lost.
+    pub fn kill(&mut self, n: usize) {
+        let member = &mut self.members[n];
+        member.replica = None;
+        member.writes.clear();
+        member.seen.clear();
+        member.floors.clear();
+    }
+
+    pub fn lose_disk(&mut self, n: usize) {
+        self.members[n].disk = Disk::default();
+    }
+
+    pub fn replica(&self, n: usize) -> &Replica {
+        self.members[n].replica.as_ref().expect("it runs")
+    }
+
+    fn send(&mut self, from: usize, to: usize, datagram: &Datagram) {
+        let bytes = datagram.write().unwrap_or_else(|| panic!("too long: {datagram:?}"));
+        assert!(bytes.len() <= MOST);
+        assert_eq!(Datagram::read(&bytes).as_ref(), Ok(datagram));
+        self.links.send(from, to, &bytes);
+    }
+
+    /// Tells a member of something.
+    pub fn append(&mut self, n: usize, subject: Subject, revoked: bool) {
+        let now = self.links.now;
+        let Some(replica) = self.members[n].replica.as_mut() else { return };
+        let Ok(entry) = replica.append(subject.clone(), now, revoked) else {
+            self.refused += 1;
+            return;
+        };
+        if subject.is_purge() {
+            self.told.insert(subject, now);
+        }
+        self.write(n, Write::Entry(entry.clone()));
+        for to in (0..self.members.len()).filter(|to| *to != n) {
+            self.send(n, to, &Datagram::Entry(entry.clone()));
+        }
+        self.compact(n);
+    }
+
+    pub fn tell(&mut self, n: usize, subject: Subject) {
+        self.append(n, subject, false);
+    }
+
+    fn write(&mut self, n: usize, write: Write) {
+        let at = self.links.now + self.disk_us;
+        self.members[n].writes.push_back((at, write));
+    }
+
+    fn compact(&mut self, n: usize) {
+        let now = self.links.now;
+        let compaction = self.members[n].replica.as_mut().and_then(|replica| replica.compact(now));
+        if let Some(compaction) = compaction {
+            self.write(n, Write::Compaction(compaction));
+        }
+    }
+
+    /// The disk has what it was given first.
+    fn written(&mut self, n: usize) {
+        let member = &mut self.members[n];
+        let Some((_, write)) = member.writes.pop_front() else { return };
+        let Some(replica) = member.replica.as_mut() else { return };
+        let disk = &mut member.disk;
+        let outgoing = match write {
+            Write::Entry(entry) => {
+                let outgoing = replica.synced(entry.log, entry.index);
+                disk.entries.insert((entry.log, entry.subject.clone()), entry);
+                outgoing
+            }
+            Write::Bucket(index, bucket) => {
+                disk.buckets.insert(index, bucket);
+                Vec::new()
+            }
+            Write::Compaction(compaction) => {
+                for index in compaction.buckets {
+                    let bucket = replica.log_store().table().bucket(index).expect("it holds something");
+                    disk.buckets.insert(index, *bucket);
+                }
+                disk.set_compacted(&compaction.logs);
+                for entry in compaction.entries {
+                    self.write(n, Write::Delete(entry));
+                }
+                Vec::new()
+            }
+            Write::Snapshot(logs) => {
+                disk.set_compacted(&logs);
+                replica.snapshot_synced(&logs)
+            }
+            Write::Delete(entry) => {
+                let key = (entry.log, entry.subject);
+                if disk.entries.get(&key).is_some_and(|there| there.index == entry.index) {
+                    disk.entries.remove(&key);
+                }
+                Vec::new()
+            }
+        };
+        outgoing.iter().for_each(|out| self.send(n, simnet::member(out.peer, n), &out.datagram));
+        self.compact(n);
+    }
+
+    fn arrive(&mut self, from: usize, to: usize, bytes: &[u8]) {
+        let member = &mut self.members[to];
+        let Some(replica) = member.replica.as_mut() else { return };
+        let datagram = Datagram::read(bytes).expect("whole");
+        let is_of_snapshots = matches!(
+            datagram,
+            Datagram::SnapshotOffer(_) | Datagram::SnapshotRequest(_) | Datagram::SnapshotChunk(_)
+        );
+        if is_of_snapshots && member.is_old {
+            return;
+        }
+        if matches!(datagram, Datagram::SnapshotChunk(_)) {
+            member.received_chunks += 1;
+            member.received_bytes += bytes.len() as u64;
+        }
+        let received = replica.receive(simnet::place(from, to), datagram);
+        for entry in received.out_of_order.iter().chain(&received.rejected) {
+            let floor = member.floors.entry(entry.subject.clone()).or_default();
+            *floor = entry.at.max(*floor);
+        }
+        for merged in received.buckets {
+            self.write(to, Write::Bucket(merged.index, merged.bucket));
+        }
+        if !received.compacted.is_empty() {
+            self.write(to, Write::Snapshot(received.compacted));
+        }
+        for entry in received.new {
+            self.write(to, Write::Entry(entry));
+        }
+        received.replies.iter().for_each(|reply| self.send(to, from, reply));
+        self.compact(to);
+    }
+
+    pub fn run(&mut self, for_us: Micros) {
+        let end = self.links.now + for_us;
+        loop {
+            let due = |(n, member): (usize, &Member)| {
+                let replica = member.replica.as_ref()?;
+                let write = member.writes.front().map(|(at, _)| (*at, Due::Write(n)));
+                write.into_iter().chain([(replica.due(), Due::Tick(n))]).min()
+            };
+            let due = self.members.iter().enumerate().filter_map(due).min();
+            match self.links.step(end, due) {
+                Step::Arrives { from, to, word } => self.arrive(from, to, &word),
+                Step::Due(Due::Write(n)) => self.written(n),
+                Step::Due(Due::Tick(n)) => self.tick(n),
+                Step::Over => return,
+            }
+        }
+    }
+
+    fn tick(&mut self, n: usize) {
+        let now = self.links.now;
+        let Some(replica) = self.members[n].replica.as_mut() else { return };
+        let outgoing = replica.tick(now);
+        outgoing.iter().for_each(|out| self.send(n, simnet::member(out.peer, n), &out.datagram));
+        self.compact(n);
+    }
+
+    /// Runs on until all members that run have the same logs, or the time is over. Gives how long it took.
+    pub fn settle(&mut self, within: Micros) -> Micros {
+        let begin = self.links.now;
+        while !self.agree() {
+            assert!(self.links.now < begin + within, "no agreement within {within} us");
+            self.run(100 * MS);
+        }
+        self.links.now - begin
+    }
+
+    pub fn agree(&self) -> bool {
+        let mut sums =
+            self.members.iter().filter_map(|m| m.replica.as_ref()).map(|r| r.log_store().checksum());
+        let first = sums.next();
+        sums.all(|sum| Some(sum) == first)
+    }
+
+    /// Purges told by a time that a member does not hold at their time or later: of its own logs and table.
+    pub fn missing(&self, n: usize, until: Micros) -> usize {
+        let store = self.replica(n).log_store();
+        let holds =
+            |(subject, at): &(&Subject, &Micros)| **at > until || store.effective(subject) >= Some(**at);
+        self.told.iter().filter(|told| !holds(told)).count()
+    }
+
+    /// Every purge ever told is in force at every member that runs, and comes back from its disk.
+    pub fn check(&self) {
+        for (n, member) in self.members.iter().enumerate().filter(|(_, m)| m.replica.is_some()) {
+            assert_eq!(self.missing(n, Micros::MAX), 0, "p{n} of {}", self.told.len());
+            if member.writes.is_empty() {
+                let restored = member.disk.restore(self.bits);
+                let lost = self.told.iter().filter(|(subject, at)| restored.effective(subject) < Some(**at));
+                assert_eq!(lost.count(), 0, "on the disk of p{n}");
+                assert_eq!(restored.checksum(), self.replica(n).log_store().checksum(), "p{n}");
+            }
+        }
+    }
+
+    /// What is in force of every `step`-th subject has not fallen since this was last asked.
+    pub fn check_not_fallen(&mut self, step: usize) {
+        for (n, member) in self.members.iter_mut().enumerate() {
+            let Some(replica) = &member.replica else { continue };
+            for subject in self.told.keys().step_by(step) {
+                let Some(now) = replica.log_store().effective(subject) else {
+                    assert!(!member.seen.contains_key(subject), "p{n}: {subject:?} is gone");
+                    continue;
+                };
+                let before = member.seen.insert(subject.clone(), now);
+                assert!(before <= Some(now), "p{n}: {subject:?} fell from {before:?} to {now}");
+            }
+        }
+    }
+}
