--- a/replication/src/replica/catch_up.rs
+++ b/replication/src/replica/catch_up.rs
@@ -1,7 +1,7 @@
 //! Compaction, and snapshots to and from peers.
 
 use super::Replica;
-use crate::snapshot::{Ask, Complete, Progress, Reader};
+use crate::snapshot::{Ask, Complete, Image, Progress, Reader};
 use crate::wire::MAX_LOGS_PER_DATAGRAM;
 use crate::{
     CompactedLog, Compaction, Datagram, Index, LogId, MergedBucket, Micros, Outgoing, Received,
@@ -14,6 +14,8 @@
 /// A peer that was offered a snapshot in so many digest periods and never answered does not know what one is.
 const MIN_UNANSWERED_PERIODS: u32 = 64;
 
+/// An image that was not read for so many digest periods is let go.
+const MAX_IMAGE_PERIODS: u64 = 64;
 /// Datagrams that ask the sender of a snapshot for what stands behind it.
 const MAX_REQUESTS_AFTER_SNAPSHOT: usize = 16;
 
@@ -49,7 +51,7 @@
         let compaction = self.log_store.compact(now, max_entries, &durable);
         match &compaction {
             Some(compaction) => {
-                self.version += 1;
+                self.compactions += 1;
                 self.counters.compacted += compaction.entries.len() as u64;
             }
             None => self.next_compaction = now + COMPACTION_RETRY_US,
@@ -123,10 +125,29 @@
         received
     }
 
+    /// The image that is to be read from a cursor on. A snapshot that begins has one of the last compaction.
+    fn image_for(&mut self, from: SnapshotCursor) -> Image {
+        self.image_period = self.period;
+        let is_begin = from == SnapshotCursor::START;
+        let known = self.image.take().filter(|image| !is_begin || image.compactions == self.compactions);
+        known.unwrap_or_else(|| {
+            self.images += 1;
+            Image::new(&self.log_store, self.images, self.compactions)
+        })
+    }
+
+    /// Lets the image go that nobody has asked for lately.
+    pub(super) fn drop_unread_image(&mut self) {
+        if self.period - self.image_period > MAX_IMAGE_PERIODS {
+            self.image = None;
+        }
+    }
+
     /// One window of a snapshot, as far as this period leaves it. It does not go beyond the logs' indexes where it begins
     /// with them: what is read together with them counts for nothing.
     fn send_snapshot(&mut self, from: SnapshotCursor, replies: &mut Vec<Datagram>) {
-        let reader = Reader { store: &self.log_store, process: self.process, version: self.version };
+        let image = self.image_for(from);
+        let reader = Reader { image: &image, store: &self.log_store, process: self.process };
         let window = self.options.snapshot_window_bytes().max(MOST);
         let max_chunks = window.min(self.snapshot_allowance) / MOST;
         let end = if from < SnapshotCursor::BUCKETS { SnapshotCursor::BUCKETS } else { SnapshotCursor::End };
@@ -139,6 +160,7 @@
             chunk.ends_window = chunks == max_chunks || cursor >= end;
             replies.push(Datagram::SnapshotChunk(chunk));
         }
+        self.image = Some(image);
         self.snapshot_allowance -= chunks * MOST;
         self.counters.snapshot_chunks_sent += chunks as u64;
     }
@@ -193,7 +215,7 @@
                 received.new.push(entry);
             }
         }
-        self.version += 1;
+        self.compactions += 1;
         self.counters.snapshots_received += 1;
         self.request_after_snapshot(&received.compacted, &mut received.replies);
         last_indexes.into_keys().for_each(|log| self.take_reordered(from, log, received));
--- a/replication/src/replica/mod.rs
+++ b/replication/src/replica/mod.rs
@@ -6,7 +6,7 @@
 
 use crate::commit::{PendingCommits, Unsynced};
 use crate::reorder::ReorderBuffer;
-use crate::snapshot::CatchUp;
+use crate::snapshot::{CatchUp, Image};
 use crate::wire::{MAX_GAPS_PER_DATAGRAM, MAX_LOGS_PER_DATAGRAM};
 use crate::{
     Capacity, CapacityExceeded, Counters, Datagram, Entry, Index, LogId, LogStore, Machine, Micros, Options,
@@ -55,7 +55,11 @@
     /// When peers are asked again what they have.
     next_retry: Micros,
     /// How often something was compacted here, or came by a snapshot.
-    version: u64,
+    compactions: u64,
+    /// Images that were made so far, the last of them, and the period in which it was last read.
+    images: u64,
+    image: Option<Image>,
+    image_period: u64,
     /// When compaction is tried again, after it could move nothing.
     next_compaction: Micros,
     catch_up: CatchUp,
@@ -88,7 +92,10 @@
             pending_acks: BTreeMap::new(),
             pending: PendingCommits::default(),
             next_retry: 0,
-            version: 0,
+            compactions: 0,
+            images: 0,
+            image: None,
+            image_period: 0,
             next_compaction: 0,
             catch_up: CatchUp::default(),
             offers: BTreeMap::new(),
@@ -170,6 +177,7 @@
         // Spread by up to a quarter, so that the messages of many proxies do not fall together.
         self.due = now + self.options.digest_period_us + self.random.below(self.options.digest_period_us / 4);
         self.period += 1;
+        self.drop_unread_image();
         self.allowance = self.options.max_entries_per_period;
         self.snapshot_allowance = self.options.max_snapshot_bytes_per_period;
         let peers = self.pending.count();
--- a/replication/src/snapshot/encoding.rs
+++ b/replication/src/snapshot/encoding.rs
@@ -67,7 +67,7 @@
     };
     bytes.push(if chunk.ends_window { kind | ENDS_WINDOW } else { kind });
     bytes.extend(chunk.process.to_be_bytes());
-    bytes.extend(chunk.version.to_be_bytes());
+    bytes.extend(chunk.image.to_be_bytes());
     write_cursor(chunk.from, bytes);
     write_cursor(chunk.next, bytes);
     match &chunk.content {
@@ -150,11 +150,11 @@
 pub(crate) fn read_chunk(bytes: &[u8]) -> Option<SnapshotChunk> {
     let mut reader = Reader { bytes };
     let kind = reader.byte()?;
-    let (process, version) = (reader.number()?, reader.number()?);
+    let (process, image) = (reader.number()?, reader.number()?);
     let (from, next) = (reader.cursor()?, reader.cursor()?);
     let content = reader.content(kind & !ENDS_WINDOW)?;
     let ends_window = kind & ENDS_WINDOW != 0;
-    let chunk = SnapshotChunk { process, version, from, next, ends_window, content };
+    let chunk = SnapshotChunk { process, image, from, next, ends_window, content };
     is_sound(&chunk).then_some(chunk)
 }
 
--- a/replication/src/snapshot/mod.rs
+++ b/replication/src/snapshot/mod.rs
@@ -1,11 +1,10 @@
 //! Snapshots: how a replica that is behind what its peers compacted gets it.
 //!
-//! A snapshot is read in the order of its cursors: through which index each log is compacted, the buckets of the table,
-//! and the entries that stand through those indexes and are no purges. It is not a copy of one moment: the receiver asks
-//! for it part by part, and the sender answers from what it has then. That is enough, since buckets only grow: what was
-//! compacted through the indexes that were read first is in the buckets that are read after them. A chunk names the
-//! sender's process and its version, which grows with each compaction, so that a late chunk of an earlier snapshot is
-//! known for what it is.
+//! A snapshot is read in the order of its cursors: through which index each log is compacted, the buckets of all purges,
+//! and the entries that stand through those indexes and are no purges. The receiver asks for it part by part. The sender
+//! answers from an image of one moment, or from a later one: since buckets only grow, what was compacted through the
+//! indexes of one image is in the buckets of each later one. A chunk names the sender's process and the image's number,
+//! so that a late chunk of an earlier one is known for what it is.
 
 mod encoding;
 mod receiver;
@@ -16,7 +15,7 @@
 
 pub(crate) use encoding::{fits, read_chunk, write_chunk};
 pub(crate) use receiver::{Ask, CatchUp, Complete, Progress};
-pub(crate) use sender::Reader;
+pub(crate) use sender::{Image, Reader};
 
 /// A place in a snapshot; all that stands before it is had or sent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -95,8 +94,8 @@
 pub struct SnapshotChunk {
     /// The sender's process.
     pub process: u64,
-    /// How often the sender had compacted when it read this.
-    pub version: u64,
+    /// The number of the sender's image that it was read from.
+    pub image: u64,
     /// Where it begins.
     pub from: SnapshotCursor,
     /// Where the next chunk begins.
--- a/replication/src/snapshot/receiver.rs
+++ b/replication/src/snapshot/receiver.rs
@@ -32,8 +32,8 @@
     early: BTreeMap<SnapshotCursor, SnapshotCursor>,
     /// Through which index the logs are compacted.
     logs: BTreeMap<LogId, Index>,
-    /// The sender's version when it read these. What was read before it counts for nothing.
-    version: u64,
+    /// The sender's image that they were read from. What was read from an earlier one counts for nothing.
+    image: u64,
     /// Entries that are to be taken in once it is complete.
     entries: Vec<Entry>,
     /// When something was last asked for; none: not yet.
@@ -214,7 +214,7 @@
             covered: SnapshotCursor::START,
             early: BTreeMap::new(),
             logs: BTreeMap::new(),
-            version: 0,
+            image: 0,
             entries: Vec::new(),
             requested_at: None,
             due: 0,
@@ -239,10 +239,10 @@
     /// Takes in what a chunk covers, if it counts.
     fn take(&mut self, chunk: &SnapshotChunk, options: &Options) {
         let is_of_logs = matches!(chunk.content, SnapshotContent::Logs(_));
-        // Buckets and entries count only if they were read after all of the logs' indexes.
+        // Buckets and entries count only if they are of the image of the logs' indexes, or of a later one.
         let counts = match self.covered < SnapshotCursor::BUCKETS {
             true => is_of_logs,
-            false => !is_of_logs && chunk.version >= self.version,
+            false => !is_of_logs && chunk.image >= self.image,
         };
         if !counts {
             return;
@@ -264,7 +264,7 @@
     fn keep(&mut self, chunk: &SnapshotChunk) {
         match &chunk.content {
             SnapshotContent::Logs(logs) => {
-                self.version = self.version.max(chunk.version);
+                self.image = self.image.max(chunk.image);
                 for compacted in logs {
                     let through = self.logs.entry(compacted.log).or_default();
                     *through = compacted.through.max(*through);
--- a/replication/src/snapshot/sender.rs
+++ b/replication/src/snapshot/sender.rs
@@ -1,18 +1,50 @@
-//! Reads a snapshot from a log store, chunk by chunk.
+//! The sender of a snapshot: an image of what is in force at one moment, read chunk by chunk.
+//!
+//! An image's buckets hold the purges that are entries still, too. So whatever stood in a log through the index to which
+//! it is compacted has its floor from the image alone: also a purge that a later entry superseded which stands behind
+//! that index, and which the receiver does not have yet.
 
 use super::encoding::{encoded_len, MAX_CONTENT_BYTES};
 use super::{PlacedBucket, SnapshotChunk, SnapshotContent, SnapshotCursor};
-use crate::{Entry, Index, LogId, LogStore};
-use linnetknot_purges::BucketIndex;
+use crate::{CompactedLog, Entry, Index, LogId, LogStore};
+use linnetknot_purges::{BucketIndex, CompactTable};
+use std::collections::BTreeMap;
+
+/// What was in force at one moment.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub(crate) struct Image {
+    /// Images of one process are counted.
+    pub(crate) number: u64,
+    /// In which order they stand in the process's compactions.
+    pub(crate) compactions: u64,
+    /// Through which index the logs were compacted.
+    logs: BTreeMap<LogId, Index>,
+    /// All purges.
+    table: CompactTable,
+}
+
+impl Image {
+    /// What is in force now.
+    pub(crate) fn new(store: &LogStore, number: u64, compactions: u64) -> Self {
+        let mut table = store.table().clone();
+        for record in store.live.values() {
+            if let Some(key) = record.subject.purge_key() {
+                table.record(key, record.at);
+            }
+        }
+        let logs = store.compacted_logs(LogId::default()).map(|compacted| (compacted.log, compacted.through));
+        Image { number, compactions, logs: logs.collect(), table }
+    }
+}
 
 /// What is read, and in whose name.
 pub(crate) struct Reader<'a> {
-    /// The logs and the table.
+    /// The logs and all purges.
+    pub(crate) image: &'a Image,
+    /// What is no purge.
     pub(crate) store: &'a LogStore,
     /// This process.
     pub(crate) process: u64,
-    /// How often it has compacted.
-    pub(crate) version: u64,
 }
 
 impl Reader<'_> {
@@ -24,13 +56,14 @@
             SnapshotCursor::Entry { log, index } => self.entries(log, index),
             SnapshotCursor::End => return None,
         };
-        let (process, version) = (self.process, self.version);
-        Some(SnapshotChunk { process, version, from, next, ends_window: false, content })
+        let (process, image) = (self.process, self.image.number);
+        Some(SnapshotChunk { process, image, from, next, ends_window: false, content })
     }
 
     fn logs(&self, from: LogId) -> (SnapshotContent, SnapshotCursor) {
         const MAX_LOGS: usize = MAX_CONTENT_BYTES / encoded_len::LOG;
-        let mut logs = self.store.compacted_logs(from);
+        let compacted = |(log, through): (&LogId, &Index)| CompactedLog { log: *log, through: *through };
+        let mut logs = self.image.logs.range(from..).map(compacted);
         let some = logs.by_ref().take(MAX_LOGS).collect();
         let next = logs.next().map_or(SnapshotCursor::BUCKETS, |next| SnapshotCursor::Log(next.log));
         (SnapshotContent::Logs(some), next)
@@ -42,7 +75,7 @@
         let mut room = MAX_CONTENT_BYTES + SHORTER;
         let mut buckets = Vec::new();
         let mut next = SnapshotCursor::ENTRIES;
-        for (index, bucket) in self.store.table().occupied(from) {
+        for (index, bucket) in self.image.table.occupied(from) {
             match room.checked_sub(encoded_len::bucket(bucket)) {
                 Some(left) => room = left,
                 None => {
@@ -52,7 +85,7 @@
             }
             buckets.push(PlacedBucket { index, bucket: *bucket });
         }
-        let bucket_bits = self.store.table().bucket_bits();
+        let bucket_bits = self.image.table.bucket_bits();
         (SnapshotContent::Buckets { bucket_bits, buckets }, next)
     }
 
