--- a/replication/src/compaction.rs
+++ b/replication/src/compaction.rs
@@ -4,7 +4,7 @@
 //! table; what is no purge stays. So a replica whose position in the log is before that index can't get the log entry
 //! by entry any more, and is given a snapshot of the table first.
 
-use crate::log_store::EntryKey;
+use crate::log_store::{EntryKey, Record};
 use crate::{snapshot, Entry, Index, LogId, LogStore, Micros};
 use linnetknot_purges::BucketIndex;
 use std::collections::{BTreeMap, BTreeSet};
@@ -79,13 +79,15 @@
         let mut buckets = BTreeSet::new();
         for (log, durable) in durable {
             let through = self.movable_through(*log, cutoff, *durable);
+            let superseded = self.superseded_through(*log, through, *durable);
             let entries = self.take_purges_through(*log, through.min(*durable));
             if entries.is_empty() {
                 continue;
             }
             self.set_compacted(*log, through);
             compaction.logs.push(CompactedLog { log: *log, through });
-            buckets.extend(entries.iter().filter_map(|entry| self.record(now, entry)));
+            let unsuperseded = entries.iter().filter(|entry| !superseded.contains(&entry.index));
+            buckets.extend(unsuperseded.filter_map(|entry| self.record(now, entry)));
             compaction.entries.extend(entries);
         }
         compaction.buckets = buckets.into_iter().collect();
@@ -111,6 +113,19 @@
         through
     }
 
+    /// Purges of a log through an index that a later one supersedes which is on the disk, and so need not be in the
+    /// table: what is purged again and again must not fill a bucket.
+    fn superseded_through(&self, log: LogId, through: Index, durable: Index) -> BTreeSet<Index> {
+        let keys = EntryKey { log, index: 0 }..=EntryKey { log, index: through };
+        let purges = self.live.range(keys).filter(|(_, record)| record.subject.is_purge());
+        let is_superseded = |key: &EntryKey, record: &Record| {
+            let latest = self.latest_index(log, &record.subject);
+            latest.is_some_and(|latest| key.index < latest && latest <= durable)
+        };
+        let superseded = purges.filter(|(key, record)| is_superseded(key, record));
+        superseded.map(|(key, _)| key.index).collect()
+    }
+
     fn take_purges_through(&mut self, log: LogId, through: Index) -> Vec<Entry> {
         let keys = EntryKey { log, index: 0 }..=EntryKey { log, index: through };
         let purges = self.live.range(keys).filter(|(_, record)| record.subject.is_purge());
--- a/replication/src/log_store.rs
+++ b/replication/src/log_store.rs
@@ -116,7 +116,7 @@
     tracks: BTreeMap<LogId, Track>,
     /// Entries in force.
     pub(crate) live: BTreeMap<EntryKey, Record>,
-    /// Where the entry in force of each log on each subject stands.
+    /// Where the last entry in force of each log on each subject stands.
     latest: BTreeMap<SubjectKey, Index>,
     /// Those of them that are of use for a time only.
     expiring: usize,
@@ -207,7 +207,7 @@
         if entry.prev > have {
             return Insertion::OutOfOrder;
         }
-        let replaces = self.is_live(entry.log, &entry.subject);
+        let replaces = !entry.subject.is_purge() && self.is_live(entry.log, &entry.subject);
         let full = match entry.subject.is_expiring() {
             true => self.expiring >= capacity.expiring,
             false => self.exact_len() >= capacity.entries,
@@ -233,11 +233,12 @@
         true
     }
 
-    /// Puts an entry in force, in place of the one that it supersedes.
+    /// Puts an entry in force, in place of the one that it supersedes. A purge that is superseded stays until it is
+    /// compacted: a peer that is behind both gets both, so that it has a floor whichever of them comes.
     fn insert(&mut self, entry: Entry) {
         let Entry { log, index, subject, at, revoked, .. } = entry;
         let key = SubjectKey { subject: subject.clone(), log };
-        if let Some(superseded) = self.latest.get(&key).copied() {
+        if let Some(superseded) = self.latest.get(&key).copied().filter(|_| !subject.is_purge()) {
             self.remove(EntryKey { log, index: superseded });
         }
         self.expiring += usize::from(subject.is_expiring());
@@ -249,10 +250,22 @@
     pub(crate) fn remove(&mut self, key: EntryKey) -> Option<Entry> {
         let record = self.live.remove(&key)?;
         self.expiring -= usize::from(record.subject.is_expiring());
-        self.latest.remove(&SubjectKey { subject: record.subject.clone(), log: key.log });
+        if self.is_latest(key, &record.subject) {
+            self.latest.remove(&SubjectKey { subject: record.subject.clone(), log: key.log });
+        }
         Some(record.into_entry(key, 0))
     }
 
+    /// Whether no later entry of its log supersedes the one at a place.
+    pub(crate) fn is_latest(&self, key: EntryKey, subject: &Subject) -> bool {
+        self.latest_index(key.log, subject) == Some(key.index)
+    }
+
+    /// Where the last entry in force of a log on a subject stands.
+    pub(crate) fn latest_index(&self, log: LogId, subject: &Subject) -> Option<Index> {
+        self.latest.get(&SubjectKey { subject: subject.clone(), log }).copied()
+    }
+
     /// Raises the index up to which a log is had.
     pub(crate) fn raise_last_index(&mut self, log: LogId, through: Index) {
         let track = self.tracks.entry(log).or_default();
@@ -413,8 +426,8 @@
 
     /// What a log says of a subject.
     fn latest_in(&self, log: LogId, subject: &Subject) -> Option<&Record> {
-        let index = self.latest.get(&SubjectKey { subject: subject.clone(), log })?;
-        self.live.get(&EntryKey { log, index: *index })
+        let index = self.latest_index(log, subject)?;
+        self.live.get(&EntryKey { log, index })
     }
 
     /// Whether an entry of a log on a subject is in force.
--- a/replication/src/replica/commits.rs
+++ b/replication/src/replica/commits.rs
@@ -1,6 +1,7 @@
 //! What of the logs is on which disk, and which commits may be given.
 
 use super::Replica;
+use crate::log_store::EntryKey;
 use crate::{
     CommitId, CommitOutcome, CompactedLog, Datagram, Entry, Index, LogId, Micros, Outgoing, RejectReason,
 };
@@ -95,7 +96,12 @@
     pub fn take_failed(&mut self) -> Vec<Entry> {
         let mut entries = Vec::new();
         for (log, index) in self.unsynced.take_failed() {
-            match self.log_store.entries_after(log, index - 1).next().filter(|entry| entry.index == index) {
+            let next = self.log_store.entries_after(log, index - 1).next();
+            let is_in_force = |entry: &Entry| {
+                let key = EntryKey { log, index };
+                entry.index == index && self.log_store.is_latest(key, &entry.subject)
+            };
+            match next.filter(is_in_force) {
                 Some(entry) => entries.push(entry),
                 None if self.unsynced.is_last(log, index) => self.unsynced.synced(log, index),
                 None => self.unsynced.sync_failed(log, index),
