Rename the package words to datagram, with the field's names for its items

Need: the words of the earlier house style are withdrawn.

Change: names alone. words -> datagram, MOST -> MAX_DATAGRAM_BYTES, Unreadable -> DecodeError, Torn -> Malformed, behind -> payload.

--- a/budgets/src/wire.rs
+++ b/budgets/src/wire.rs
@@ -2,8 +2,8 @@
 //! any installation.
 
 use crate::{Life, Word};
-pub use linnetknot_words::Unreadable;
-use linnetknot_words::{behind, MOST};
+pub use linnetknot_datagram::DecodeError;
+use linnetknot_datagram::{payload, MAX_DATAGRAM_BYTES};
 use std::fmt::Write as _;
 
 /// Its first word; the digit is the form's version.
@@ -56,7 +56,7 @@
     let head = format!("{MARK} {form:x} {life:x}");
     let mut datagrams: Vec<String> = Vec::new();
     for word in words.iter().map(text) {
-        match datagrams.last_mut().filter(|last| last.len() + word.len() <= MOST) {
+        match datagrams.last_mut().filter(|last| last.len() + word.len() <= MAX_DATAGRAM_BYTES) {
             // Writing to a string does not fail.
             Some(last) => drop(write!(last, "{word}")),
             None => datagrams.push(format!("{head}{word}")),
@@ -69,12 +69,12 @@
 ///
 /// # Errors
 /// Where it is of another kind or version, or torn. Nothing of a torn one is used.
-pub fn read(bytes: &[u8]) -> Result<(u64, Life, Vec<Word>), Unreadable> {
-    let text = std::str::from_utf8(behind(bytes, MARK)?).map_err(|_| Unreadable::Torn)?;
-    let mut words = text.strip_prefix(' ').ok_or(Unreadable::Torn)?.split(' ');
+pub fn read(bytes: &[u8]) -> Result<(u64, Life, Vec<Word>), DecodeError> {
+    let text = std::str::from_utf8(payload(bytes, MARK)?).map_err(|_| DecodeError::Malformed)?;
+    let mut words = text.strip_prefix(' ').ok_or(DecodeError::Malformed)?.split(' ');
     let mut number = || u64::from_str_radix(words.next()?, 16).ok();
-    let (form, life) = number().zip(number()).ok_or(Unreadable::Torn)?;
-    let words = words.map(read_word).collect::<Option<Vec<Word>>>().ok_or(Unreadable::Torn)?;
+    let (form, life) = number().zip(number()).ok_or(DecodeError::Malformed)?;
+    let words = words.map(read_word).collect::<Option<Vec<Word>>>().ok_or(DecodeError::Malformed)?;
     Ok((form, life, words))
 }
 
@@ -96,7 +96,11 @@
             })
             .collect();
         let datagrams = write(300, most, &words);
-        assert!(datagrams.iter().all(|d| d.len() <= MOST) && datagrams.len() < 40, "{}", datagrams.len());
+        assert!(
+            datagrams.iter().all(|d| d.len() <= MAX_DATAGRAM_BYTES) && datagrams.len() < 40,
+            "{}",
+            datagrams.len()
+        );
         let mut again = Vec::new();
         for datagram in &datagrams {
             let (form, life, words) = read(datagram).unwrap();
@@ -110,17 +114,17 @@
     #[test]
     fn what_is_no_datagram_of_this_kind_and_version_is_an_error() {
         for (bytes, error) in [
-            (b"copies1 ask".as_slice(), Unreadable::Foreign),
-            (b"budgets2 3 1", Unreadable::Version),
-            (b"budgets1", Unreadable::Torn),
-            (b"budgets1 3", Unreadable::Torn),
-            (b"budgets1 3 1 s.0", Unreadable::Torn),
-            (b"budgets1 3 1 s.0.1.2", Unreadable::Torn),
-            (b"budgets1 3 1 s.+0.1", Unreadable::Torn),
-            (b"budgets1 3 1 v.0.1.2.0", Unreadable::Torn),
-            (b"budgets1 3 1 s.0.1 x", Unreadable::Torn),
-            (b"budgets1 3 1 s.0.11111111111111111", Unreadable::Torn),
-            (b"budgets1 3 1 \xff", Unreadable::Torn),
+            (b"copies1 ask".as_slice(), DecodeError::Foreign),
+            (b"budgets2 3 1", DecodeError::Version),
+            (b"budgets1", DecodeError::Malformed),
+            (b"budgets1 3", DecodeError::Malformed),
+            (b"budgets1 3 1 s.0", DecodeError::Malformed),
+            (b"budgets1 3 1 s.0.1.2", DecodeError::Malformed),
+            (b"budgets1 3 1 s.+0.1", DecodeError::Malformed),
+            (b"budgets1 3 1 v.0.1.2.0", DecodeError::Malformed),
+            (b"budgets1 3 1 s.0.1 x", DecodeError::Malformed),
+            (b"budgets1 3 1 s.0.11111111111111111", DecodeError::Malformed),
+            (b"budgets1 3 1 \xff", DecodeError::Malformed),
         ] {
             assert_eq!(read(bytes).err(), Some(error), "{}", String::from_utf8_lossy(bytes));
         }
--- a/budgets/tests/model.rs
+++ b/budgets/tests/model.rs
@@ -10,7 +10,7 @@
 const STEP: Micros = 10;
 const WHOLE: Whole = Whole { whole: 100, floor: 5, felt_us: STEP };
 /// Words under way at a time; the oldest is lost when there are more.
-const MOST: usize = 8;
+const MAX_DATAGRAM_BYTES: usize = 8;
 /// Who stands still does so for longer than votes last.
 const STALL: Micros = 13 * STEP;
 
@@ -82,7 +82,7 @@
         let (life, sends) = (self.nodes[n].life, self.nodes[n].member.sends());
         self.words.extend(sends.into_iter().map(|(to, word)| (n, life, to, word)));
         self.nodes[n].member.changes();
-        let over = self.words.len().saturating_sub(MOST);
+        let over = self.words.len().saturating_sub(MAX_DATAGRAM_BYTES);
         self.words.drain(..over);
     }
 }
--- a/daemon/src/daemon/budgets.rs
+++ b/daemon/src/daemon/budgets.rs
@@ -68,7 +68,7 @@
     pub(super) fn hear_budgets(&mut self, now: Micros, peer: usize, bytes: &[u8]) -> bool {
         let (from, form) = (self.place_of(peer), self.config.budgets.form);
         let (theirs, life, words) = match wire::read(bytes) {
-            Err(linnetknot_budgets::wire::Unreadable::Foreign) => return false,
+            Err(linnetknot_budgets::wire::DecodeError::Foreign) => return false,
             Err(e) => {
                 log::debug!(place = peer; "{e}");
                 self.dropped.1 += 1;
--- a/daemon/src/daemon/feeds/peers.rs
+++ b/daemon/src/daemon/feeds/peers.rs
@@ -4,13 +4,13 @@
 use crate::daemon::Daemon;
 use crate::{ledger, peers};
 use linnetknot::Micros;
-use linnetknot_replication::{Datagram, Entry, Unreadable};
+use linnetknot_replication::{Datagram, DecodeError, Entry};
 use std::io;
 use std::net::SocketAddr;
 
 impl Daemon {
     pub(in crate::daemon) fn hear_peers(&mut self, now: Micros) {
-        let mut bytes = [0; peers::MOST + 1];
+        let mut bytes = [0; peers::MAX_DATAGRAM_BYTES + 1];
         while let Some((socket, known)) = &self.peers {
             let (length, from) = match socket.recv_from(&mut bytes) {
                 Ok(received) => received,
@@ -60,7 +60,7 @@
     fn hear_copies(&mut self, now: Micros, peer: usize, bytes: &[u8]) -> bool {
         let datagram = match Datagram::read(bytes) {
             Ok(datagram) => datagram,
-            Err(Unreadable::Foreign) => return false,
+            Err(DecodeError::Foreign) => return false,
             Err(e) => {
                 log::debug!(place = peer; "{e}");
                 self.dropped.1 += 1;
--- a/daemon/src/daemon/fleet.rs
+++ b/daemon/src/daemon/fleet.rs
@@ -3,7 +3,7 @@
 use super::Daemon;
 use crate::fleet::{LogStatus, PeerStatus, Status, MOST_LOGS, MOST_PEERS};
 use linnetknot::Micros;
-use linnetknot_fleet::{Change, Fleet, Options, Standing, Unreadable};
+use linnetknot_fleet::{Change, DecodeError, Fleet, Options, Standing};
 use linnetknot_membership::server_id;
 use std::net::SocketAddr;
 
@@ -45,7 +45,7 @@
         let named = |fleet: &Fleet| fleet.members().get(place).and_then(|m| m.names.clone());
         let before = (fleet.is_replaced(), named(fleet));
         match fleet.hear(now, place, bytes) {
-            Err(Unreadable::Foreign) => return false,
+            Err(DecodeError::Foreign) => return false,
             Err(e) => {
                 log::debug!(place = place; "{e}");
                 self.dropped.1 += 1;
--- a/daemon/src/peers.rs
+++ b/daemon/src/peers.rs
@@ -2,7 +2,7 @@
 
 use linnetknot::Micros;
 
-pub use linnetknot_words::MOST;
+pub use linnetknot_datagram::MAX_DATAGRAM_BYTES;
 
 /// A purge: of an object, or with none of a group, and when.
 pub type Purge = (Option<String>, u64, Micros);
@@ -13,12 +13,12 @@
         Some(object) => format!("purge object {object} {at}"),
         None => format!("purge group {group} {at}"),
     };
-    (text.len() <= MOST).then_some(text)
+    (text.len() <= MAX_DATAGRAM_BYTES).then_some(text)
 }
 
 /// Object, group and time of a purge, if the datagram is one.
 pub fn read(bytes: &[u8]) -> Option<Purge> {
-    let text = std::str::from_utf8(bytes).ok().filter(|t| t.len() <= MOST)?;
+    let text = std::str::from_utf8(bytes).ok().filter(|t| t.len() <= MAX_DATAGRAM_BYTES)?;
     let mut words = text.split(' ');
     let (Some("purge"), kind, what, at) = (words.next(), words.next()?, words.next()?, words.next()?) else {
         return None;
--- a/words/src/lib.rs
+++ b/datagram/src/lib.rs
@@ -6,43 +6,43 @@
 use std::fmt;
 
 /// Bytes of the longest datagram that proxies may send each other on any installation.
-pub const MOST: usize = 256;
+pub const MAX_DATAGRAM_BYTES: usize = 256;
 
 /// Why a datagram can't be read.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Unreadable {
+pub enum DecodeError {
     /// It is of another kind.
     Foreign,
     /// It is of another version.
     Version,
     /// It begins as one of this kind and goes on as none.
-    Torn,
+    Malformed,
 }
 
-impl fmt::Display for Unreadable {
+impl fmt::Display for DecodeError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(match self {
             Self::Foreign => "a datagram of another kind",
             Self::Version => "a datagram of another version",
-            Self::Torn => "a datagram that is torn",
+            Self::Malformed => "a datagram that is torn",
         })
     }
 }
 
-impl std::error::Error for Unreadable {}
+impl std::error::Error for DecodeError {}
 
 /// What comes behind a mark, of which the last byte is the version.
 ///
 /// # Errors
 /// Where the datagram has another mark, another version, or is too long.
-pub fn behind<'a>(bytes: &'a [u8], mark: &str) -> Result<&'a [u8], Unreadable> {
+pub fn payload<'a>(bytes: &'a [u8], mark: &str) -> Result<&'a [u8], DecodeError> {
     let mark = mark.as_bytes();
     let kind = &mark[..mark.len().saturating_sub(1)];
     match bytes.strip_prefix(mark) {
-        Some(body) if bytes.len() <= MOST => Ok(body),
-        Some(_) => Err(Unreadable::Torn),
-        None if bytes.starts_with(kind) => Err(Unreadable::Version),
-        None => Err(Unreadable::Foreign),
+        Some(body) if bytes.len() <= MAX_DATAGRAM_BYTES => Ok(body),
+        Some(_) => Err(DecodeError::Malformed),
+        None if bytes.starts_with(kind) => Err(DecodeError::Version),
+        None => Err(DecodeError::Foreign),
     }
 }
 
@@ -72,13 +72,13 @@
 
     #[test]
     fn a_mark_tells_kind_and_version_and_a_datagram_is_bounded() {
-        assert_eq!(behind(b"fleet1abc", "fleet1"), Ok(b"abc".as_slice()));
-        assert_eq!(behind(b"fleet2abc", "fleet1"), Err(Unreadable::Version));
-        assert_eq!(behind(b"fleet", "fleet1"), Err(Unreadable::Version));
-        assert_eq!(behind(b"flee", "fleet1"), Err(Unreadable::Foreign));
-        let long = [b"fleet1".as_slice(), &[0; MOST - 5]].concat();
-        assert_eq!(behind(&long, "fleet1"), Err(Unreadable::Torn));
-        assert!(behind(&long[..MOST], "fleet1").is_ok());
+        assert_eq!(payload(b"fleet1abc", "fleet1"), Ok(b"abc".as_slice()));
+        assert_eq!(payload(b"fleet2abc", "fleet1"), Err(DecodeError::Version));
+        assert_eq!(payload(b"fleet", "fleet1"), Err(DecodeError::Version));
+        assert_eq!(payload(b"flee", "fleet1"), Err(DecodeError::Foreign));
+        let long = [b"fleet1".as_slice(), &[0; MAX_DATAGRAM_BYTES - 5]].concat();
+        assert_eq!(payload(&long, "fleet1"), Err(DecodeError::Malformed));
+        assert!(payload(&long[..MAX_DATAGRAM_BYTES], "fleet1").is_ok());
     }
 
     #[test]
--- a/fleet/src/lib.rs
+++ b/fleet/src/lib.rs
@@ -23,7 +23,7 @@
 mod swim;
 mod wire;
 
-pub use linnetknot_words::{Unreadable, MOST};
+pub use linnetknot_datagram::{DecodeError, MAX_DATAGRAM_BYTES};
 pub use membership::{Change, Claim, Member, Standing};
 pub use swim::{Fleet, Options, Tally};
 pub use wire::{About, Body, Message, Sender};
--- a/fleet/src/swim.rs
+++ b/fleet/src/swim.rs
@@ -8,8 +8,8 @@
 use crate::membership::{Change, Claim, Member, Standing};
 use crate::suspicion::Suspicion;
 use crate::wire::{told, About, Body, Message, Sender};
-use crate::{Id, Life, Micros, Peer, Unreadable};
-use linnetknot_words::Random;
+use crate::{DecodeError, Id, Life, Micros, Peer};
+use linnetknot_datagram::Random;
 use std::collections::BTreeMap;
 
 /// Times and bounds.
@@ -365,7 +365,7 @@
     ///
     /// # Errors
     /// Where it can't be read. It has no effect then, and is counted.
-    pub fn hear(&mut self, now: Micros, peer: Peer, bytes: &[u8]) -> Result<(), Unreadable> {
+    pub fn hear(&mut self, now: Micros, peer: Peer, bytes: &[u8]) -> Result<(), DecodeError> {
         let message = Message::read(bytes).inspect_err(|_| self.tally.unreadable += 1)?;
         if peer >= self.members.len() || self.left {
             return Ok(());
--- a/fleet/src/wire.rs
+++ b/fleet/src/wire.rs
@@ -2,7 +2,7 @@
 //! proxies may send each other on any installation.
 
 use crate::{Claim, Id, Life};
-use linnetknot_words::{behind, Unreadable, MOST};
+use linnetknot_datagram::{payload, DecodeError, MAX_DATAGRAM_BYTES};
 use serde::{Deserialize, Serialize};
 
 /// The first bytes; the digit is the form's version.
@@ -91,17 +91,17 @@
             let mut bytes = MARK.as_bytes().to_vec();
             // Writing to a vector does not fail.
             bytes.extend(postcard::to_stdvec(&self).unwrap_or_default());
-            if bytes.len() <= MOST || self.about.pop().is_none() {
+            if bytes.len() <= MAX_DATAGRAM_BYTES || self.about.pop().is_none() {
                 return bytes;
             }
         }
     }
 
     /// Reads one.
-    pub fn read(bytes: &[u8]) -> Result<Self, Unreadable> {
-        match postcard::take_from_bytes::<Message>(behind(bytes, MARK)?) {
+    pub fn read(bytes: &[u8]) -> Result<Self, DecodeError> {
+        match postcard::take_from_bytes::<Message>(payload(bytes, MARK)?) {
             Ok((message, [])) => Ok(message),
-            _ => Err(Unreadable::Torn),
+            _ => Err(DecodeError::Malformed),
         }
     }
 }
--- a/fleet/tests/net.rs
+++ b/fleet/tests/net.rs
@@ -60,7 +60,7 @@
     fn send(&mut self, n: usize) {
         let sends = self.nodes[n].fleet.as_mut().map(Fleet::sends).unwrap_or_default();
         for (peer, bytes) in sends {
-            assert!(bytes.len() <= MOST);
+            assert!(bytes.len() <= MAX_DATAGRAM_BYTES);
             self.bytes += bytes.len() as u64;
             self.links.send(n, member(peer, n), &bytes);
         }
@@ -384,7 +384,7 @@
             about: about.collect(),
         };
         let bytes = message.clone().write();
-        prop_assert!(bytes.len() <= MOST);
+        prop_assert!(bytes.len() <= MAX_DATAGRAM_BYTES);
         let read = Message::read(&bytes).unwrap();
         prop_assert_eq!(&read.body, &message.body);
         prop_assert!(message.about.starts_with(&read.about), "claims that do not fit are left out from the end");
--- a/hearsay/src/word.rs
+++ b/hearsay/src/word.rs
@@ -11,7 +11,7 @@
 //! | 20 to 23 | CRC-32 of the bytes before |
 
 use linnetknot::Micros;
-use linnetknot_words::MOST;
+use linnetknot_datagram::MAX_DATAGRAM_BYTES;
 
 /// Bytes of a word.
 pub const LENGTH: usize = 24;
@@ -62,7 +62,7 @@
 
     /// Reads a datagram. The work is the same for all, whatever they hold.
     pub fn read(bytes: &[u8]) -> Result<Self, Unusable> {
-        if bytes.len() > MOST {
+        if bytes.len() > MAX_DATAGRAM_BYTES {
             return Err(Unusable::TooLong);
         }
         if !bytes.starts_with(MAGIC) {
--- a/replication/src/lib.rs
+++ b/replication/src/lib.rs
@@ -22,12 +22,12 @@
 mod wire;
 
 use commit::{PendingCommits, Unsynced};
-use linnetknot_words::Random;
+use linnetknot_datagram::Random;
 use reorder::ReorderBuffer;
 use std::collections::BTreeMap;
 
 pub use commit::{CommitId, CommitOutcome, Machine, RejectReason};
-pub use linnetknot_words::{Unreadable, MOST};
+pub use linnetknot_datagram::{DecodeError, MAX_DATAGRAM_BYTES};
 pub use log_store::{Capacity, CapacityExceeded, Insertion, LogStore};
 pub use recovery::Recovery;
 pub use status::pieces;
--- a/replication/src/wire.rs
+++ b/replication/src/wire.rs
@@ -2,7 +2,7 @@
 //! other on any installation.
 
 use crate::{status, Entry, Index, LogId, Subject};
-use linnetknot_words::{behind, Unreadable, MOST};
+use linnetknot_datagram::{payload, DecodeError, MAX_DATAGRAM_BYTES};
 
 /// Logs of which one datagram can tell: three numbers of up to 17 bytes each behind a head.
 pub(crate) const MAX_LOGS_PER_DATAGRAM: usize = 4;
@@ -103,14 +103,14 @@
             Datagram::DigestRequest => format!("{MARK} ask"),
             Datagram::Ack { process, positions } => format!("{MARK} held {process:x}{}", listed(positions)),
         };
-        (text.len() <= MOST).then(|| text.into_bytes())
+        (text.len() <= MAX_DATAGRAM_BYTES).then(|| text.into_bytes())
     }
 
     /// Reads one.
-    pub fn read(bytes: &[u8]) -> Result<Self, Unreadable> {
-        let text = std::str::from_utf8(behind(bytes, MARK)?).map_err(|_| Unreadable::Torn)?;
-        let mut messages = text.strip_prefix(' ').ok_or(Unreadable::Torn)?.split(' ');
-        Self::rest(&mut messages).filter(|_| messages.next().is_none()).ok_or(Unreadable::Torn)
+    pub fn read(bytes: &[u8]) -> Result<Self, DecodeError> {
+        let text = std::str::from_utf8(payload(bytes, MARK)?).map_err(|_| DecodeError::Malformed)?;
+        let mut messages = text.strip_prefix(' ').ok_or(DecodeError::Malformed)?.split(' ');
+        Self::rest(&mut messages).filter(|_| messages.next().is_none()).ok_or(DecodeError::Malformed)
     }
 
     fn rest<'a>(messages: &mut impl Iterator<Item = &'a str>) -> Option<Self> {
--- a/replication/tests/fleet.rs
+++ b/replication/tests/fleet.rs
@@ -631,7 +631,7 @@
         let entry = Entry { log: (writer, epoch), index, prev: index - 1, subject, at, revoked };
         for d in [Datagram::Entry(entry), Datagram::Digest { positions: positions.clone(), all: 9, sum }, Datagram::Ack { process: at, positions: positions.clone() }, Datagram::DigestRequest, lack, Datagram::RangeRequest { positions }] {
             let bytes = d.write().expect("it fits");
-            prop_assert!(bytes.len() <= MOST);
+            prop_assert!(bytes.len() <= MAX_DATAGRAM_BYTES);
             prop_assert_eq!(Datagram::read(&bytes), Ok(d));
             for cut in 1..bytes.len() {
                 // Cut off it is torn, or tells less; it never reads as what it was.
--- a/simnet/src/lib.rs
+++ b/simnet/src/lib.rs
@@ -3,7 +3,7 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
-use linnetknot_words::Random;
+use linnetknot_datagram::Random;
 use std::collections::{BTreeMap, BTreeSet};
 
 /// Time or duration in microseconds.
