--- a/budgets/tests/fleet.rs
+++ b/budgets/tests/fleet.rs
@@ -40,7 +40,7 @@
 }
 
 struct Net {
-    links: simnet::Net<(Life, Word)>,
+    links: simnet::Network<(Life, Word)>,
     nodes: Vec<Node>,
     wholes: Vec<Whole>,
     options: Options,
@@ -52,7 +52,7 @@
 
 impl Net {
     fn new(nodes: usize, seed: u64, wholes: &[Whole]) -> Net {
-        let links = simnet::Net::new(seed, (100, 20 * MS));
+        let links = simnet::Network::new(seed, (100, 20 * MS));
         let felt_us = wholes.iter().map(|whole| whole.felt_us).max().unwrap_or(0);
         let options = OPTIONS.felt_for(felt_us);
         let most = vec![(0, 0); wholes.len()];
@@ -206,7 +206,7 @@
             };
             let due = self.nodes.iter().enumerate().filter_map(due).min();
             match self.links.step(end, due) {
-                Step::Arrives { from, to, word: (life, word) } => self.arrive(from, life, to, word),
+                Step::Delivered { from, to, message: (life, word) } => self.arrive(from, life, to, word),
                 Step::Due(n) => {
                     self.spend(n);
                     self.tell(n);
@@ -214,7 +214,7 @@
                     self.nodes[n].member.iter_mut().for_each(|m| m.tick(clock.max(m.due())));
                     self.send(n);
                 }
-                Step::Over => return self.check(),
+                Step::Finished => return self.check(),
             }
             self.check();
         }
@@ -259,7 +259,7 @@
         let felt_us = seed % 3 * 400 * MS;
         let wholes: Vec<Whole> = wholes().into_iter().map(|whole| Whole { felt_us, ..whole }).collect();
         let mut net = Net::new(nodes, seed, &wholes);
-        (net.links.lost, net.links.doubled) = (seed % 4 * 10, seed % 4 * 10);
+        (net.links.loss_percent, net.links.duplicate_percent) = (seed % 4 * 10, seed % 4 * 10);
         for _ in 0..40 {
             let n = net.links.draw(nodes as u64) as usize;
             let wanted = net.links.draw(200_000);
--- a/fleet/tests/net.rs
+++ b/fleet/tests/net.rs
@@ -2,7 +2,7 @@
 //! successors under an old name. All by seeds.
 
 use linnetknot_fleet::*;
-use linnetknot_simnet::{self as simnet, member, place, Step};
+use linnetknot_simnet::{self as simnet, member_at, peer_index, Step};
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 
@@ -17,7 +17,7 @@
 }
 
 struct Net {
-    links: simnet::Net<Vec<u8>>,
+    links: simnet::Network<Vec<u8>>,
     nodes: Vec<Node>,
     bytes: u64,
     /// When members were first believed dead, and by whom.
@@ -31,7 +31,7 @@
 impl Net {
     fn new(nodes: usize, seed: u64) -> Net {
         let mut net = Net {
-            links: simnet::Net::new(seed, (100, 2 * MS)),
+            links: simnet::Network::new(seed, (100, 2 * MS)),
             nodes: Vec::new(),
             bytes: 0,
             deaths: Vec::new(),
@@ -62,11 +62,11 @@
         for (peer, bytes) in sends {
             assert!(bytes.len() <= MAX_DATAGRAM_BYTES);
             self.bytes += bytes.len() as u64;
-            self.links.send(n, member(peer, n), &bytes);
+            self.links.send(n, member_at(peer, n), &bytes);
         }
         let changes = self.nodes[n].fleet.as_mut().map(Fleet::changes).unwrap_or_default();
         for change in changes.iter().filter(|c| c.new.standing == Standing::Dead) {
-            self.deaths.push((self.links.now, n, member(change.peer, n)));
+            self.deaths.push((self.links.now, n, member_at(change.peer, n)));
         }
     }
 
@@ -76,7 +76,7 @@
         }
         let now = self.links.now;
         if let Some(fleet) = &mut self.nodes[to].fleet {
-            fleet.hear(now, place(from, to), &bytes).expect("whole");
+            fleet.hear(now, peer_index(from, to), &bytes).expect("whole");
             self.send(to);
         }
     }
@@ -89,9 +89,9 @@
             };
             let due = self.nodes.iter().enumerate().filter_map(due).min();
             match self.links.step(end, due) {
-                Step::Arrives { from, to, word } => self.arrive(from, to, word),
+                Step::Delivered { from, to, message } => self.arrive(from, to, message),
                 Step::Due(n) => self.tick(n),
-                Step::Over => return,
+                Step::Finished => return,
             }
         }
     }
@@ -115,7 +115,7 @@
 
     /// What a node believes of another.
     fn standing(&self, at: usize, of: usize) -> Option<Standing> {
-        Some(self.nodes[at].fleet.as_ref()?.members()[place(of, at)].claim?.standing)
+        Some(self.nodes[at].fleet.as_ref()?.members()[peer_index(of, at)].claim?.standing)
     }
 
     /// Whether all that run believe that exactly those run.
@@ -148,7 +148,7 @@
     for (nodes, seeds, most) in [(4, 1000, 15 * S), (16, 200, 15 * S), (64, 20, 25 * S)] {
         for seed in 0..seeds {
             let mut net = Net::new(nodes, seed);
-            net.links.lost = seed % 4;
+            net.links.loss_percent = seed % 4;
             assert!(net.until_agreed(20 * S).is_some(), "{nodes}, seed {seed}: all are found");
             net.kill(0);
             assert!(net.until_agreed(most).is_some(), "{nodes}, seed {seed}: its death is known");
@@ -296,7 +296,7 @@
         let (mut first, mut all, mut wrong, mut rest) = (Vec::new(), Vec::new(), 0, 0);
         for seed in 0..seeds {
             let mut net = Net::new(nodes, seed);
-            net.links.lost = 1;
+            net.links.loss_percent = 1;
             net.until_agreed(200 * S).expect("all are found");
             let before = net.bytes;
             net.run(10 * S);
@@ -343,10 +343,10 @@
     let asker = wire(net.nodes[1].life, Body::Ask { number: 7, target: id(2) });
     let fleet = net.nodes[0].fleet.as_mut().unwrap();
     for _ in 0..500 {
-        fleet.hear(now, place(1, 0), &asker).unwrap();
+        fleet.hear(now, peer_index(1, 0), &asker).unwrap();
     }
     let sends = fleet.sends();
-    let pings = sends.iter().filter(|(peer, _)| *peer == place(2, 0)).count();
+    let pings = sends.iter().filter(|(peer, _)| *peer == peer_index(2, 0)).count();
     assert_eq!((pings, sends.len()), (Options::default().helped, 500), "the others had a no at once");
 }
 
--- a/replication/tests/fleet.rs
+++ b/replication/tests/fleet.rs
@@ -25,7 +25,7 @@
 }
 
 struct Net {
-    links: simnet::Net<Vec<u8>>,
+    links: simnet::Network<Vec<u8>>,
     members: Vec<Member>,
     bytes: u64,
     /// All that was sent, and when.
@@ -52,7 +52,7 @@
     fn new(members: usize, seed: u64, weather: (u64, u64, Micros)) -> Net {
         let (lost, doubled, late) = weather;
         let mut net = Net {
-            links: simnet::Net::new(seed, (MS, late)),
+            links: simnet::Network::new(seed, (MS, late)),
             members: Vec::new(),
             bytes: 0,
             outgoing: BTreeMap::new(),
@@ -61,7 +61,7 @@
             rejected: Vec::new(),
             options: Options::default(),
         };
-        (net.links.lost, net.links.doubled) = (lost, doubled);
+        (net.links.loss_percent, net.links.duplicate_percent) = (lost, doubled);
         for _ in 0..members {
             net.members.push(Member {
                 replica: None,
@@ -146,7 +146,7 @@
 
     /// A peer by its index among the others.
     fn send_to(&mut self, n: usize, peer: usize, message: &Datagram) {
-        self.send(n, simnet::member(peer, n), message);
+        self.send(n, simnet::member_at(peer, n), message);
     }
 
     fn resolve_commits(&mut self, n: usize) {
@@ -178,7 +178,7 @@
             return waiting.push((from, bytes));
         }
         let Some(replica) = self.members[to].replica.as_mut() else { return };
-        let received = replica.receive(simnet::place(from, to), Datagram::read(&bytes).expect("whole"));
+        let received = replica.receive(simnet::peer_index(from, to), Datagram::read(&bytes).expect("whole"));
         received.new.iter().for_each(|e| self.put(to, e));
         for e in &received.out_of_order {
             let floor = self.members[to].in_force.entry(e.subject.clone()).or_insert(0);
@@ -198,7 +198,7 @@
             };
             let due = self.members.iter().enumerate().filter_map(due).min();
             match self.links.step(end, due) {
-                Step::Arrives { from, to, word: message } => self.arrive(from, to, message),
+                Step::Delivered { from, to, message } => self.arrive(from, to, message),
                 Step::Due(Due::Write(n)) => self.write(n),
                 Step::Due(Due::Tick(n)) => {
                     let now = self.links.now;
@@ -206,7 +206,7 @@
                     messages.iter().for_each(|(peer, message)| self.send_to(n, *peer, message));
                     self.resolve_commits(n);
                 }
-                Step::Over => return,
+                Step::Finished => return,
             }
         }
     }
@@ -282,7 +282,7 @@
     let mut net = Net::new(3, 5, (100, 0, MS));
     net.run(S);
     net.tell(0, object(1));
-    net.links.lost = 0;
+    net.links.loss_percent = 0;
     net.tell(0, object(2));
     net.run(3 * MS);
     net.kill(0);
@@ -378,7 +378,7 @@
         (0..100).for_each(|n| net.tell(n as usize % members, object(n)));
         net.run(300 * MS);
         (0..members).for_each(|n| net.kill(n));
-        net.links.lose_all();
+        net.links.drop_in_flight();
         (0..members).for_each(|n| net.start(n));
         net.run(60 * S);
         assert_eq!(net.entries_after(), 0, "{members}");
--- a/replication/tests/model.rs
+++ b/replication/tests/model.rs
@@ -3,7 +3,7 @@
 //! every state that can be reached no commit hangs on one machine, and no index in a log is given twice.
 
 use linnetknot_replication::*;
-use linnetknot_simnet::{member, place};
+use linnetknot_simnet::{member_at, peer_index};
 use stateright::{Checker, HasDiscoveries, Model, Property, UniformChooser};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
@@ -101,7 +101,7 @@
 
     fn tell(&self, state: &mut State, n: usize, outgoing: Vec<(usize, Datagram)>) {
         for (peer, message) in outgoing {
-            Self::send(state, n, member(peer, n), &message);
+            Self::send(state, n, member_at(peer, n), &message);
         }
         let outcomes = state.proxies[n].replica.as_mut().map(|c| c.resolve_commits(0)).unwrap_or_default();
         if outcomes.iter().any(|s| s.result.is_ok()) {
@@ -179,7 +179,7 @@
             }
             Action::Deliver(from, to, bytes) => {
                 let datagram = Datagram::read(&bytes).ok()?;
-                let received = state.proxies[to].replica.as_mut()?.receive(place(from, to), datagram);
+                let received = state.proxies[to].replica.as_mut()?.receive(peer_index(from, to), datagram);
                 received.new.iter().for_each(|entry| self.take(&mut state, to, entry));
                 received.replies.iter().for_each(|reply| Self::send(&mut state, to, from, reply));
                 self.tell(&mut state, to, Vec::new());
--- a/simnet/src/lib.rs
+++ b/simnet/src/lib.rs
@@ -11,52 +11,52 @@
 
 /// What comes next.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Step<W, D> {
+pub enum Step<M, D> {
     /// A datagram reaches a member.
-    Arrives {
+    Delivered {
         /// Who sent it.
         from: usize,
         /// To whom.
         to: usize,
         /// What it says.
-        word: W,
+        message: M,
     },
     /// What was due is.
     Due(D),
     /// Nothing until the end, which is now.
-    Over,
+    Finished,
 }
 
 /// Links between members, and the time.
 #[derive(Clone, Debug)]
-pub struct Net<W> {
+pub struct Network<M> {
     /// The time.
     pub now: Micros,
     /// Directions in which nothing passes.
     pub cut: BTreeSet<(usize, usize)>,
     /// Share of a hundred that is lost.
-    pub lost: u64,
+    pub loss_percent: u64,
     /// Share of a hundred that comes twice.
-    pub doubled: u64,
+    pub duplicate_percent: u64,
     /// The least time that a datagram takes.
-    pub least: Micros,
+    pub min_delay_us: Micros,
     /// By how much more it may be late.
-    pub late: Micros,
-    queue: BTreeMap<(Micros, u64), (usize, usize, W)>,
+    pub jitter_us: Micros,
+    queue: BTreeMap<(Micros, u64), (usize, usize, M)>,
     number: u64,
     random: Random,
 }
 
-impl<W: Clone> Net<W> {
-    /// Sound links on which a datagram takes from `least` to `least + late`.
-    pub fn new(seed: u64, (least, late): (Micros, Micros)) -> Self {
-        Net {
+impl<M: Clone> Network<M> {
+    /// Sound links on which a datagram takes from `min_delay_us` to `min_delay_us + jitter_us`.
+    pub fn new(seed: u64, (min_delay_us, jitter_us): (Micros, Micros)) -> Self {
+        Network {
             now: 1_000_000,
             cut: BTreeSet::new(),
-            lost: 0,
-            doubled: 0,
-            least,
-            late,
+            loss_percent: 0,
+            duplicate_percent: 0,
+            min_delay_us,
+            jitter_us,
             queue: BTreeMap::new(),
             number: 0,
             random: Random::new(seed),
@@ -69,19 +69,19 @@
     }
 
     /// Sends a datagram, as the link lets it.
-    pub fn send(&mut self, from: usize, to: usize, word: &W) {
-        if self.cut.contains(&(from, to)) || self.draw(100) < self.lost {
+    pub fn send(&mut self, from: usize, to: usize, message: &M) {
+        if self.cut.contains(&(from, to)) || self.draw(100) < self.loss_percent {
             return;
         }
-        for _ in 0..1 + u64::from(self.draw(100) < self.doubled) {
-            let at = self.now + self.least + self.draw(self.late);
+        for _ in 0..1 + u64::from(self.draw(100) < self.duplicate_percent) {
+            let at = self.now + self.min_delay_us + self.draw(self.jitter_us);
             self.number += 1;
-            self.queue.insert((at, self.number), (from, to, word.clone()));
+            self.queue.insert((at, self.number), (from, to, message.clone()));
         }
     }
 
     /// Forgets what is on its way.
-    pub fn lose_all(&mut self) {
+    pub fn drop_in_flight(&mut self) {
         self.queue.clear();
     }
 
@@ -95,33 +95,33 @@
 
     /// Goes on to the next datagram or to what is due first among the members, and no further than to `end`. Of a
     /// datagram and something due at once, the datagram comes first.
-    pub fn step<D>(&mut self, end: Micros, due: Option<(Micros, D)>) -> Step<W, D> {
-        let word = self.queue.first_key_value().map(|((at, _), _)| *at);
-        let next = due.as_ref().map(|(at, _)| *at).into_iter().chain(word).min();
+    pub fn step<D>(&mut self, end: Micros, due: Option<(Micros, D)>) -> Step<M, D> {
+        let message = self.queue.first_key_value().map(|((at, _), _)| *at);
+        let next = due.as_ref().map(|(at, _)| *at).into_iter().chain(message).min();
         let Some(next) = next.filter(|next| *next <= end) else {
             self.now = end;
-            return Step::Over;
+            return Step::Finished;
         };
         self.now = next.max(self.now);
-        match (word, due) {
+        match (message, due) {
             (Some(at), _) if at <= next => match self.queue.pop_first() {
-                Some((_, (from, to, word))) => Step::Arrives { from, to, word },
-                None => Step::Over,
+                Some((_, (from, to, message))) => Step::Delivered { from, to, message },
+                None => Step::Finished,
             },
             (_, Some((_, due))) => Step::Due(due),
-            _ => Step::Over,
+            _ => Step::Finished,
         }
     }
 }
 
 /// A member's place in another's list of peers, which leaves that one out.
-pub fn place(of: usize, at: usize) -> usize {
-    of - usize::from(of > at)
+pub fn peer_index(member: usize, observer: usize) -> usize {
+    member - usize::from(member > observer)
 }
 
 /// The member at a place of another's list.
-pub fn member(place: usize, at: usize) -> usize {
-    place + usize::from(place >= at)
+pub fn member_at(peer: usize, observer: usize) -> usize {
+    peer + usize::from(peer >= observer)
 }
 
 #[cfg(test)]
@@ -130,21 +130,21 @@
 
     #[test]
     fn time_goes_from_one_thing_to_the_next_and_no_further_than_its_end() {
-        let mut net = Net::new(1, (10, 1));
+        let mut net = Network::new(1, (10, 1));
         let begin = net.now;
         net.send(0, 1, &"a");
-        let arrives = Step::Arrives { from: 0, to: 1, word: "a" };
-        assert_eq!(net.step(begin + 5, None::<(Micros, u8)>), Step::Over);
+        let arrives = Step::Delivered { from: 0, to: 1, message: "a" };
+        assert_eq!(net.step(begin + 5, None::<(Micros, u8)>), Step::Finished);
         assert_eq!(net.now, begin + 5);
         assert_eq!(net.step(begin + 50, Some((begin + 7, 3))), Step::Due(3));
         assert_eq!(net.step(begin + 50, Some((begin + 10, 3))), arrives);
-        assert_eq!((net.now, net.step(begin + 50, None::<(Micros, u8)>)), (begin + 10, Step::Over));
+        assert_eq!((net.now, net.step(begin + 50, None::<(Micros, u8)>)), (begin + 10, Step::Finished));
         net.split(3, &[0]);
         net.send(0, 1, &"b");
         net.send(2, 0, &"b");
-        assert_eq!(net.step(begin + 100, None::<(Micros, u8)>), Step::Over, "cut both ways");
+        assert_eq!(net.step(begin + 100, None::<(Micros, u8)>), Step::Finished, "cut both ways");
         net.send(1, 2, &"c");
-        assert!(matches!(net.step(begin + 200, None::<(Micros, u8)>), Step::Arrives { .. }));
-        assert_eq!((place(3, 1), place(0, 1), member(2, 1), member(0, 1)), (2, 0, 3, 0));
+        assert!(matches!(net.step(begin + 200, None::<(Micros, u8)>), Step::Delivered { .. }));
+        assert_eq!((peer_index(3, 1), peer_index(0, 1), member_at(2, 1), member_at(0, 1)), (2, 0, 3, 0));
     }
 }
