--- a/consul/src/answer.rs
+++ b/consul/src/answer.rs
@@ -1,7 +1,7 @@
 //! The shapes of the health and catalogue answers. Each instance is read by itself: one that can't be read costs
 //! itself and nothing else.
 
-use linnetknot_membership::Reason;
+use linnetknot_discovery::Reason;
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Deserializer};
 use serde_json::Value;
--- a/consul/src/mapping.rs
+++ b/consul/src/mapping.rs
@@ -3,7 +3,7 @@
 
 use crate::answer::{Checks, Field, Instance, Node, Service, Skipped, Weights, MISSING};
 use linnetknot::{Micros, Server, State};
-use linnetknot_membership::{server_id, Entry, Reason, Report};
+use linnetknot_discovery::{server_id, Entry, Reason, Report};
 use std::collections::BTreeMap;
 use std::net::{IpAddr, SocketAddr};
 
--- a/consul/src/watch.rs
+++ b/consul/src/watch.rs
@@ -15,7 +15,7 @@
 use crate::http::{segment, target, Call, Failure, Response};
 use crate::mapping::Mapping;
 use linnetknot::{Micros, State};
-use linnetknot_membership::{Entry, Evidence, Reason, Report};
+use linnetknot_discovery::{Entry, Evidence, Reason, Report};
 use std::collections::hash_map::{DefaultHasher, HashMap};
 use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
--- a/consul/tests/watch.rs
+++ b/consul/tests/watch.rs
@@ -3,7 +3,7 @@
 
 use linnetknot::{Micros, State};
 use linnetknot_consul::*;
-use linnetknot_membership::{Evidence, Reason, Report};
+use linnetknot_discovery::{Evidence, Reason, Report};
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 use serde_json::{json, Value};
--- a/daemon/src/bus.rs
+++ b/daemon/src/bus.rs
@@ -4,7 +4,7 @@
 use crate::limits::Limits;
 use crate::wire::{http, sse, Parser, WireError};
 use linnetknot::{ListMode, Micros, Server, State};
-use linnetknot_membership::Answer;
+use linnetknot_discovery::Answer;
 use linnetknot_settings::{
     flag, get, int, int_or, list, num_or, object, text, text_or, wrong, Fields, Result,
 };
--- a/daemon/src/config.rs
+++ b/daemon/src/config.rs
@@ -8,7 +8,7 @@
 };
 use crate::limits::Limits;
 use linnetknot::Settings;
-use linnetknot_membership::Answer;
+use linnetknot_discovery::Answer;
 use linnetknot_settings::{get, int_or, list, object, settings, text, text_or, wrong, Fields, Result};
 use serde_json::Value;
 use std::net::SocketAddr;
--- a/daemon/src/core.rs
+++ b/daemon/src/core.rs
@@ -160,7 +160,7 @@
     Found(f64),
 }
 
-pub use linnetknot_membership::{server_id, Entry};
+pub use linnetknot_discovery::{server_id, Entry};
 
 struct Out {
     number: u32,
--- a/daemon/src/daemon/admin.rs
+++ b/daemon/src/daemon/admin.rs
@@ -248,9 +248,9 @@
     pub(super) fn without_bans(
         &self,
         mode: ListMode,
-        entries: Vec<linnetknot_membership::Entry>,
-    ) -> Vec<linnetknot_membership::Entry> {
-        let banned = |e: &linnetknot_membership::Entry| self.ops.is_banned(&e.uid);
+        entries: Vec<linnetknot_discovery::Entry>,
+    ) -> Vec<linnetknot_discovery::Entry> {
+        let banned = |e: &linnetknot_discovery::Entry| self.ops.is_banned(&e.uid);
         match mode {
             ListMode::Full => entries.into_iter().filter(|e| !banned(e)).collect(),
             _ => entries
--- a/daemon/src/daemon/feeds/bus.rs
+++ b/daemon/src/daemon/feeds/bus.rs
@@ -9,7 +9,7 @@
 use crate::wire::WireError;
 use linnetknot::{ListMode, Micros};
 use linnetknot_consul::Backoff;
-use linnetknot_membership::{Evidence, Report};
+use linnetknot_discovery::{Evidence, Report};
 
 /// What the daemon knows of the bus.
 pub(in crate::daemon) struct State {
--- a/daemon/src/daemon/feeds/consul/kept.rs
+++ b/daemon/src/daemon/feeds/consul/kept.rs
@@ -5,7 +5,7 @@
 use crate::disk::{Disk, Job};
 use crate::net::Due;
 use linnetknot::Micros;
-use linnetknot_membership::{kept, Entry, SourceId};
+use linnetknot_discovery::{kept, Entry, SourceId};
 use std::path::{Path, PathBuf};
 use std::{fs, io};
 
--- a/daemon/src/daemon/feeds/consul/mod.rs
+++ b/daemon/src/daemon/feeds/consul/mod.rs
@@ -12,7 +12,7 @@
 pub(in crate::daemon) use kept::Keeper;
 use linnetknot::Micros;
 use linnetknot_consul::{Failure, Note, Registration, Response, Step, Token, Told, Watch};
-use linnetknot_membership::{Entry, Evidence, SourceId};
+use linnetknot_discovery::{Entry, Evidence, SourceId};
 use std::fs;
 use std::net::SocketAddr;
 
--- a/daemon/src/daemon/fleet.rs
+++ b/daemon/src/daemon/fleet.rs
@@ -3,8 +3,8 @@
 use super::Daemon;
 use crate::fleet::{LogStatus, PeerStatus, Status, MOST_LOGS, MOST_PEERS};
 use linnetknot::Micros;
+use linnetknot_discovery::server_id;
 use linnetknot_fleet::{Change, DecodeError, Fleet, Options, Standing};
-use linnetknot_membership::server_id;
 use std::net::SocketAddr;
 
 fn shown(standing: Option<Standing>) -> &'static str {
--- a/daemon/src/daemon/members.rs
+++ b/daemon/src/daemon/members.rs
@@ -2,7 +2,7 @@
 
 use super::Daemon;
 use linnetknot::Micros;
-use linnetknot_membership::{Evidence, Notice, Output, SourceId};
+use linnetknot_discovery::{Evidence, Notice, Output, SourceId};
 use std::collections::BTreeSet;
 
 /// The event bus, which comes first.
--- a/daemon/src/daemon/mod.rs
+++ b/daemon/src/daemon/mod.rs
@@ -12,8 +12,8 @@
 use crate::upstream::Link;
 use crate::wire::WireError;
 use linnetknot::{Micros, Outcome, ServerId};
+use linnetknot_discovery::{Damping, Discovery, Source as ListSource, Vetting};
 use linnetknot_hearsay::{Hearsay, Place};
-use linnetknot_membership::{Damping, Membership, Source as ListSource, Vetting};
 use rustix::fd::OwnedFd;
 use rustix::pipe::{pipe_with, PipeFlags};
 use std::collections::{btree_map::Entry, BTreeMap};
@@ -194,7 +194,7 @@
     deadlines: Deadlines<Timer>,
     bus: bus::State,
     /// What is believed of the boxes, and when it is due to be looked at again.
-    members: Membership,
+    members: Discovery,
     /// What of the bus's lists is believed.
     vetting: Vetting,
     members_due: Option<Due>,
@@ -284,7 +284,7 @@
             poll.add(&listener, CDNI, Interest::READ).map_err(text)?;
             desk = Some((listener, Desk::new(cdni.identity, config.seed, limits.triggers)));
             if let Some(path) = cdni.purges {
-                let writer = linnetknot_membership::server_id(&config.name);
+                let writer = linnetknot_discovery::server_id(&config.name);
                 let word = Signal::new().map_err(text)?;
                 poll.add(&word.heard, STORE, Interest::READ).map_err(text)?;
                 let bounds = (limits.replication(&config.copies), limits.store_writes);
@@ -331,7 +331,7 @@
             links: BTreeMap::new(),
             deadlines: Deadlines::default(),
             bus: bus::State::new(config.seed, &limits),
-            members: Membership::new(sources(&config), damping, limits.members()),
+            members: Discovery::new(sources(&config), damping, limits.members()),
             vetting: Vetting::default(),
             members_due: None,
             said: Said::default(),
--- a/daemon/src/daemon/promises.rs
+++ b/daemon/src/daemon/promises.rs
@@ -8,7 +8,7 @@
 use crate::net::{Due, Key};
 use crate::peers;
 use linnetknot::Micros;
-use linnetknot_membership::server_id;
+use linnetknot_discovery::server_id;
 use linnetknot_ops::{Effect as Done, Reply};
 use linnetknot_replication::{CommitId, Datagram, Entry, Index, Recovery, Subject};
 use std::collections::BTreeMap;
--- a/daemon/src/interconnect.rs
+++ b/daemon/src/interconnect.rs
@@ -5,7 +5,7 @@
 use linnetknot::{Budget, Micros, Settings};
 use linnetknot_budgets::{kinds, limit::Whole};
 use linnetknot_consul::{Consistency, Identity, Mapping, MetaKeys, Options, Registrant};
-use linnetknot_membership::Damping;
+use linnetknot_discovery::Damping;
 use schemars::JsonSchema;
 use serde::Deserialize;
 use std::collections::{BTreeMap, BTreeSet};
@@ -240,7 +240,7 @@
         }
         let names = list.iter().map(|b| format!("{} {} {}", b.name, b.whole.floor, b.whole.felt_us));
         let text = names.fold(format!("{members}"), |text, name| text + "\n" + &name);
-        Ok(Budgets { place, members, form: linnetknot_membership::server_id(&text), list })
+        Ok(Budgets { place, members, form: linnetknot_discovery::server_id(&text), list })
     }
 }
 
--- a/daemon/src/limits.rs
+++ b/daemon/src/limits.rs
@@ -188,8 +188,8 @@
     }
 
     /// The bounds of the book of boxes.
-    pub fn members(&self) -> linnetknot_membership::Bounds {
-        linnetknot_membership::Bounds { boxes: self.boxes, remembered: self.gone_boxes }
+    pub fn members(&self) -> linnetknot_discovery::Bounds {
+        linnetknot_discovery::Bounds { boxes: self.boxes, remembered: self.gone_boxes }
     }
 
     /// The bounds of the logs of purges, and what is promised of them.
--- a/membership/src/book.rs
+++ b/discovery/src/book.rs
@@ -81,7 +81,7 @@
 
 /// The book.
 #[derive(Clone, Debug)]
-pub struct Membership {
+pub struct Discovery {
     sources: Vec<Source>,
     damping: Damping,
     bounds: Bounds,
@@ -108,11 +108,11 @@
     of(a) != of(b) || a.server.zone != b.server.zone || a.server.kind != b.server.kind
 }
 
-impl Membership {
+impl Discovery {
     /// An empty book. The order of the sources is that of their precedence: where two differ on anything but the
     /// state of a box, the first holds.
     pub fn new(sources: Vec<Source>, damping: Damping, bounds: Bounds) -> Self {
-        Membership {
+        Discovery {
             sources,
             damping,
             bounds,
--- a/membership/src/lib.rs
+++ b/discovery/src/lib.rs
@@ -1,7 +1,7 @@
 //! What a proxy believes of its boxes.
 //!
 //! Sources - the event bus, Consul, a kept list - give [`Evidence`] with the time at which it was told. A
-//! [`Membership`] weighs it and gives out the list events for the decision module, who may be given fresh work,
+//! [`Discovery`] weighs it and gives out the list events for the decision module, who may be given fresh work,
 //! and for each box why. The package is sans-IO: it has no sockets and no clock; time is the `now` of each call.
 //!
 //! What holds, whatever the sources say and in whatever order (checked by `tests/model.rs`, the last
@@ -19,7 +19,7 @@
 pub mod kept;
 mod vet;
 
-pub use book::{Bounds, Membership, Output};
+pub use book::{Bounds, Discovery, Output};
 pub use damping::{BadFigure, Damping, Penalty};
 pub use evidence::{
     server_id, Change, Entry, Evidence, Explanation, Notice, Reason, Report, Source, SourceId, Standing,
--- a/membership/tests/book.rs
+++ b/discovery/tests/book.rs
@@ -4,11 +4,11 @@
 
 use common::*;
 use linnetknot::{ListMode, State};
-use linnetknot_membership::*;
+use linnetknot_discovery::*;
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 
-fn ready(book: &mut Membership, mirror: &mut Mirror, now: u64, uids: &[(&str, State)]) -> Output {
+fn ready(book: &mut Discovery, mirror: &mut Mirror, now: u64, uids: &[(&str, State)]) -> Output {
     let reports = uids.iter().enumerate().map(|(n, (uid, state))| report(uid, 7000 + n as u16, *state));
     let out = book.tell(now, CONSUL, full(reports.collect()));
     mirror.hear(&out);
@@ -20,7 +20,7 @@
     let (mut book, mut mirror) = (book(), Mirror::default());
     let mut now = S;
     let others = ["b", "c", "d"].map(|uid| (uid, State::Ready));
-    let tell = |book: &mut Membership, mirror: &mut Mirror, now, state| {
+    let tell = |book: &mut Discovery, mirror: &mut Mirror, now, state| {
         ready(book, mirror, now, &[&[("a", state)], &others[..]].concat())
     };
     tell(&mut book, &mut mirror, now, State::Ready);
@@ -99,7 +99,7 @@
 #[test]
 fn an_address_goes_with_the_box_that_was_told_there_last() {
     let (mut book, mut mirror) = (book(), Mirror::default());
-    let tell = |book: &mut Membership, mirror: &mut Mirror, now, list: &[(&str, u16)]| {
+    let tell = |book: &mut Discovery, mirror: &mut Mirror, now, list: &[(&str, u16)]| {
         let reports = list.iter().map(|(uid, port)| report(uid, *port, State::Ready)).collect();
         let out = book.tell(now, CONSUL, full(reports));
         mirror.hear(&out);
@@ -169,7 +169,7 @@
 fn a_full_table_refuses_newcomers_by_name_and_keeps_whom_it_has() {
     let bounds = Bounds { boxes: 2, remembered: 1 };
     let sources = vec![source("bus", true), source("consul", false)];
-    let mut book = Membership::new(sources, Damping::default(), bounds);
+    let mut book = Discovery::new(sources, Damping::default(), bounds);
     let three: Vec<Report> = (0..3).map(|n| report(&format!("s-{n}"), n, State::Ready)).collect();
     let out = book.tell(S, CONSUL, full(three.clone()));
     assert_eq!(out.notices, [Notice::Full("s-2".into())]);
@@ -246,7 +246,7 @@
     #[test]
     fn words_of_two_sources_are_kept(steps in proptest::collection::vec(
         (any::<bool>(), any::<bool>(), 0u64..4000, proptest::collection::vec((0u8..4, state()), 0..5)), 1..30)) {
-        let mut book = Membership::new(
+        let mut book = Discovery::new(
             vec![source("file", false), source("consul", false)], Damping::default(), Bounds { boxes: 100, remembered: 4 });
         let mut mirror = Mirror::default();
         let mut told = [std::collections::BTreeMap::new(), std::collections::BTreeMap::new()];
--- a/membership/tests/common/mod.rs
+++ b/discovery/tests/common/mod.rs
@@ -2,8 +2,8 @@
 #![allow(dead_code)]
 
 use linnetknot::{ListMode, Micros, Server, State};
-use linnetknot_membership::{
-    server_id, Bounds, Damping, Entry, Evidence, Membership, Output, Reason, Report, Source, SourceId,
+use linnetknot_discovery::{
+    server_id, Bounds, Damping, Discovery, Entry, Evidence, Output, Reason, Report, Source, SourceId,
 };
 use std::collections::BTreeMap;
 
@@ -27,9 +27,9 @@
 }
 
 /// A book with a relayed bus and a damped Consul.
-pub fn book() -> Membership {
+pub fn book() -> Discovery {
     let sources = vec![source("bus", true), source("consul", false)];
-    Membership::new(sources, Damping::default(), Bounds { boxes: 100, remembered: 8 })
+    Discovery::new(sources, Damping::default(), Bounds { boxes: 100, remembered: 8 })
 }
 
 /// The list as the module holds it, from the events alone.
--- a/membership/tests/model.rs
+++ b/discovery/tests/model.rs
@@ -9,7 +9,7 @@
 
 use common::*;
 use linnetknot::State;
-use linnetknot_membership::*;
+use linnetknot_discovery::*;
 use stateright::{Checker, Model, Property};
 use std::collections::BTreeMap;
 use std::hash::{Hash, Hasher};
@@ -18,7 +18,7 @@
 
 #[derive(Clone, Debug)]
 struct Seen {
-    book: Membership,
+    book: Discovery,
     mirror: Mirror,
     told: [BTreeMap<usize, State>; 2],
     now: u64,
@@ -66,7 +66,7 @@
     fn init_states(&self) -> Vec<Seen> {
         let damping = Damping { suppress: 0.85, reuse: 0.5, most_share: 0.34, ..Damping::default() };
         let sources = vec![source("file", false), source("consul", false)];
-        let mut book = Membership::new(sources, damping, Bounds { boxes: 8, remembered: 2 });
+        let mut book = Discovery::new(sources, damping, Bounds { boxes: 8, remembered: 2 });
         let mut mirror = Mirror::default();
         let all = (0..3).map(|n| report(NAMES[n], n as u16, State::Ready)).collect();
         mirror.hear(&book.tell(S, SourceId(1), full(all)));
@@ -168,7 +168,7 @@
     assert!(states > 20_000, "{states} states were seen");
 }
 
-/// Some minutes: `cargo test --release -p linnetknot-membership --test model -- --ignored`.
+/// Some minutes: `cargo test --release -p linnetknot-discovery --test model -- --ignored`.
 #[test]
 #[ignore = "long"]
 fn all_interleavings_of_seven_words_keep_the_promises() {
--- a/membership/tests/vet.rs
+++ b/discovery/tests/vet.rs
@@ -1,7 +1,7 @@
 //! Answers of discovery that are empty, partial, stale, torn or at odds with themselves.
 
 use linnetknot::{ListMode, Server, State};
-use linnetknot_membership::{server_id, Answer, Entry, PassedOver, Vetting};
+use linnetknot_discovery::{server_id, Answer, Entry, PassedOver, Vetting};
 
 fn entry(uid: &str, zone: &str, state: State) -> Entry {
     let server = Server {
