--- a/daemon/src/daemon/budgets.rs
+++ b/daemon/src/daemon/budgets.rs
@@ -110,7 +110,7 @@
         let (held, is_stopping) = (self.core.asking() as Amount, self.is_stopping());
         let share = |used: Option<f64>| used.map(|used| (used * Unit::Millionths.one() as f64) as Amount);
         let (caches, parents) = (share(self.core.cold_use(now, false)), share(self.core.cold_use(now, true)));
-        let up: Vec<(Place, bool)> = self.members_of_fleet.as_ref().map_or_else(Vec::new, |fleet| {
+        let up: Vec<(Place, bool)> = self.membership.as_ref().map_or_else(Vec::new, |fleet| {
             let up = fleet.members().iter().enumerate();
             up.map(|(peer, member)| (self.place_of(peer), member.is_up())).collect()
         });
@@ -243,7 +243,7 @@
             std::cmp::Ordering::Equal => self.config.name.clone(),
             order => {
                 let peer = place - usize::from(order == std::cmp::Ordering::Greater);
-                let named = self.members_of_fleet.as_ref().and_then(|fleet| fleet.members().get(peer));
+                let named = self.membership.as_ref().and_then(|fleet| fleet.members().get(peer));
                 let name = named.and_then(|m| m.names.as_ref()).map(|(name, _)| name.clone());
                 let address = || self.config.copies.machines.get(peer).map(|(a, _)| a.to_string());
                 name.or_else(address).unwrap_or_default()
--- a/daemon/src/daemon/fleet.rs
+++ b/daemon/src/daemon/fleet.rs
@@ -1,10 +1,10 @@
-//! The other proxies: who of them is there (`linnetknot_fleet`), and what the admin listener tells of them and of the copies.
+//! The other proxies: who of them is there (`linnetknot_membership`), and what the admin listener tells of them and of the copies.
 
 use super::Daemon;
 use crate::fleet::{LogStatus, PeerStatus, Status, MOST_LOGS, MOST_PEERS};
 use linnetknot::Micros;
 use linnetknot_discovery::server_id;
-use linnetknot_fleet::{Change, DecodeError, Fleet, Options, Standing};
+use linnetknot_membership::{Change, DecodeError, Membership, Options, Standing};
 use std::net::SocketAddr;
 
 fn shown(standing: Option<Standing>) -> &'static str {
@@ -23,14 +23,15 @@
         let Some(ledger) = self.ledger.as_ref().filter(|_| self.config.copies.on) else { return };
         let (name, machine) = (&self.config.name, &self.config.copies.machine);
         let (me, peers) = ((server_id(name), ledger.member()), self.config.copies.machines.len());
-        let fleet = Fleet::new(me, (name, machine), peers, (self.config.seed, now), Options::default());
-        self.members_of_fleet = Some(fleet);
+        let membership =
+            Membership::new(me, (name, machine), peers, (self.config.seed, now), Options::default());
+        self.membership = Some(membership);
         self.plan_fleet(now);
     }
 
     /// Whether a later process of this name has begun.
     pub(super) fn is_replaced(&self) -> bool {
-        self.members_of_fleet.as_ref().is_some_and(Fleet::is_replaced)
+        self.membership.as_ref().is_some_and(Membership::is_replaced)
     }
 
     /// Whether it may promise anything: one that was replaced leaves that to its successor.
@@ -41,10 +42,10 @@
 
     /// Takes in a word of a member; false where it is none.
     pub(super) fn hear_member(&mut self, now: Micros, place: usize, bytes: &[u8]) -> bool {
-        let Some(fleet) = &mut self.members_of_fleet else { return false };
-        let named = |fleet: &Fleet| fleet.members().get(place).and_then(|m| m.names.clone());
-        let before = (fleet.is_replaced(), named(fleet));
-        match fleet.hear(now, place, bytes) {
+        let Some(membership) = &mut self.membership else { return false };
+        let named = |membership: &Membership| membership.members().get(place).and_then(|m| m.names.clone());
+        let before = (membership.is_replaced(), named(membership));
+        match membership.receive(now, place, bytes) {
             Err(DecodeError::Foreign) => return false,
             Err(e) => {
                 log::debug!(place = place; "{e}");
@@ -53,7 +54,7 @@
             }
             Ok(()) => {}
         }
-        let after = (fleet.is_replaced(), named(fleet));
+        let after = (membership.is_replaced(), named(membership));
         if after.0 && !before.0 {
             log::error!(
                 "another process of this name has begun after this one: nothing more is promised here"
@@ -68,16 +69,16 @@
 
     /// Sends what is to be said, and says what has changed.
     fn tend_fleet(&mut self, now: Micros) {
-        let Some(fleet) = &mut self.members_of_fleet else { return };
-        let (sends, changes) = (fleet.sends(), fleet.changes());
-        sends.iter().for_each(|(place, bytes)| self.send_to_place(*place, bytes));
+        let Some(membership) = &mut self.membership else { return };
+        let (outgoing, changes) = (membership.outgoing(), membership.changes());
+        outgoing.iter().for_each(|(place, bytes)| self.send_to_place(*place, bytes));
         changes.into_iter().for_each(|change| self.say_member(change));
         self.plan_fleet(now);
     }
 
     fn say_member(&self, Change { peer, old, new }: Change) {
-        let fleet = self.members_of_fleet.as_ref();
-        let member = fleet.and_then(|f| f.members().get(peer));
+        let membership = self.membership.as_ref();
+        let member = membership.and_then(|m| m.members().get(peer));
         let name = member.and_then(|m| m.names.as_ref()).map_or("", |names| names.0.as_str());
         let address = self.config.copies.machines.get(peer).map_or_else(String::new, |(a, _)| a.to_string());
         let level = match new.standing {
@@ -87,19 +88,19 @@
         };
         log::log!(
             level, peer = address.as_str(), member = name, old = shown(old.map(|c| c.standing)),
-            new = shown(Some(new.standing)), life = new.life, up = fleet.map_or(0, Fleet::up);
+            new = shown(Some(new.standing)), life = new.process, up = membership.map_or(0, Membership::up);
             "a member's standing has changed"
         );
     }
 
     fn plan_fleet(&mut self, now: Micros) {
-        let Some(fleet) = &self.members_of_fleet else { return };
-        let due = fleet.due().max(now + 1);
+        let Some(membership) = &self.membership else { return };
+        let due = membership.due().max(now + 1);
         if self.fleet_due.is_none_or(|(at, _)| at > due || at <= now) {
             let old = self.fleet_due.take();
             self.fleet_due = self.instead(old, Some(due), |daemon, now| {
                 daemon.fleet_due = None;
-                daemon.members_of_fleet.iter_mut().for_each(|fleet| fleet.tick(now));
+                daemon.membership.iter_mut().for_each(|membership| membership.tick(now));
                 daemon.tend_fleet(now);
             });
         }
@@ -107,12 +108,12 @@
 
     /// The process ends: the others need not find it out.
     pub(super) fn leave_fleet(&mut self, now: Micros) {
-        let Some(fleet) = &mut self.members_of_fleet else { return };
-        fleet.leave();
-        let t = fleet.tally();
+        let Some(membership) = &mut self.membership else { return };
+        membership.leave();
+        let t = membership.counters();
         log::info!(
-            up = fleet.up(), probes = t.probes, failed = t.failed, refuted = t.refuted, stalls = t.stalls,
-            unreadable = t.unreadable, health = fleet.health();
+            up = membership.up(), probes = t.probes, failed = t.failed, refuted = t.refuted, stalls = t.stalls,
+            unreadable = t.unreadable, health = membership.health();
             "members of the fleet, as this one leaves"
         );
         self.tend_fleet(now);
@@ -124,17 +125,17 @@
         let ledger = self.ledger.as_ref().filter(|_| copies.on)?.replica();
         let (own, counters, ends) = (ledger.own(), ledger.counters(), ledger.log_store().last_indexes());
         let end = ledger.log_store().last_index(own);
-        let fleet = self.members_of_fleet.as_ref();
+        let membership = self.membership.as_ref();
         let peer = |(place, (address, machine)): (usize, &(SocketAddr, String))| {
             let held = ledger.acked_by(place);
-            let member = fleet.and_then(|f| f.members().get(place));
+            let member = membership.and_then(|m| m.members().get(place));
             let (claim, names) = (member.and_then(|m| m.claim), member.and_then(|m| m.names.as_ref()));
             PeerStatus {
                 address: *address,
                 machine: names.map_or(machine, |(_, told)| told).clone(),
                 name: names.map_or_else(String::new, |(name, _)| name.clone()),
                 standing: shown(claim.map(|c| c.standing)).to_owned(),
-                life: claim.map_or_else(String::new, |c| format!("{:x}", c.life)),
+                life: claim.map_or_else(String::new, |c| format!("{:x}", c.process)),
                 held,
                 behind: end.saturating_sub(held),
             }
@@ -160,7 +161,7 @@
             short: ledger.under_replicated(),
             promised: counters.committed,
             refused: counters.commits_rejected,
-            up: fleet.map_or(1, Fleet::up),
+            up: membership.map_or(1, Membership::up),
             replaced: self.is_replaced(),
             peers: copies.machines.iter().enumerate().take(MOST_PEERS).map(peer).collect(),
             peers_in_all: copies.machines.len(),
--- a/daemon/src/daemon/mod.rs
+++ b/daemon/src/daemon/mod.rs
@@ -210,7 +210,7 @@
     /// The answers that wait for it, and when it is due to be looked at again.
     promised: promises::Promised,
     /// Who of the peers is there, and when that is due to be looked at again.
-    members_of_fleet: Option<linnetknot_fleet::Fleet>,
+    membership: Option<linnetknot_membership::Membership>,
     /// What all proxies spend together.
     sharing: Option<budgets::Sharing>,
     fleet_due: Option<Due>,
@@ -343,7 +343,7 @@
             desk,
             ledger,
             promised: promises::Promised::default(),
-            members_of_fleet: None,
+            membership: None,
             sharing: None,
             fleet_due: None,
             store_word,
@@ -608,7 +608,7 @@
         if machines != self.config.copies.machines {
             self.share_alone();
             let peers = self.config.copies.machines.len();
-            self.members_of_fleet.iter_mut().for_each(|fleet| fleet.peers(peers));
+            self.membership.iter_mut().for_each(|fleet| fleet.peers(peers));
             self.know_machines();
             if !self.promised.has_recovered() {
                 self.begin_recovery(now);
--- a/daemon/src/daemon/promises.rs
+++ b/daemon/src/daemon/promises.rs
@@ -446,7 +446,7 @@
     /// file here says.
     pub(super) fn know_machines(&mut self) {
         let copies = &self.config.copies;
-        let members = self.members_of_fleet.as_ref().map_or(&[][..], |fleet| fleet.members());
+        let members = self.membership.as_ref().map_or(&[][..], |fleet| fleet.members());
         let machine = |(place, (_, said)): (usize, &(SocketAddr, String))| {
             let told = members.get(place).and_then(|m| m.names.as_ref()).map(|(_, machine)| machine);
             server_id(told.filter(|machine| !machine.is_empty()).unwrap_or(said))
--- a/fleet/src/membership.rs
+++ b/membership/src/member.rs
@@ -1,9 +1,9 @@
 //! What is believed of each member, and which claim beats which.
 
-use crate::{Id, Life, Peer};
+use crate::{Id, Peer, ProcessId};
 use serde::{Deserialize, Serialize};
 
-/// What is claimed of a member, in the order in which claims of one life and incarnation beat each other.
+/// What is claimed of a member, in the order in which claims of one process and incarnation beat each other.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub enum Standing {
     /// It runs.
@@ -16,13 +16,13 @@
     Left,
 }
 
-/// A claim on a member. One of a later life beats all others; in one life that of the higher incarnation, which the
+/// A claim on a member. One of a later process beats all others; in one process that of the higher incarnation, which the
 /// member alone may raise; in one incarnation the worse one.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Claim {
-    /// Its life.
-    pub life: Life,
-    /// How often it has refuted in that life.
+    /// Its process.
+    pub process: ProcessId,
+    /// How often it has refuted in that process.
     pub incarnation: u32,
     /// What it is claimed to be.
     pub standing: Standing,
--- a/fleet/src/suspicion.rs
+++ b/membership/src/suspicion.rs
@@ -5,7 +5,7 @@
 use std::collections::BTreeSet;
 
 /// Independent confirmations after which the time is at its shortest, where there are members enough to give them.
-const ENOUGH: usize = 3;
+const MAX_CONFIRMATIONS: usize = 3;
 
 /// A suspicion that runs.
 #[derive(Clone, Debug)]
@@ -24,7 +24,7 @@
         let rounds = (members.max(2) as f64).log10().max(1.0);
         let least = (3.0 * rounds * period as f64) as Micros;
         // Besides the suspect and whoever began it.
-        let enough = ENOUGH.min(members.saturating_sub(2));
+        let enough = MAX_CONFIRMATIONS.min(members.saturating_sub(2));
         Suspicion { since: now, least, most: least * 5, enough, by: BTreeSet::from([by]) }
     }
 
--- a/fleet/src/swim.rs
+++ b/membership/src/swim.rs
@@ -5,10 +5,10 @@
 //! slow itself, more often than all others are gone: it then waits longer before it blames them.
 
 use crate::gossip::Gossip;
-use crate::membership::{Change, Claim, Member, Standing};
+use crate::member::{Change, Claim, Member, Standing};
 use crate::suspicion::Suspicion;
-use crate::wire::{told, About, Body, Message, Sender};
-use crate::{DecodeError, Id, Life, Micros, Peer};
+use crate::wire::{truncated, Body, Message, Sender, Update};
+use crate::{DecodeError, Id, Micros, Peer, ProcessId};
 use linnetknot_datagram::Random;
 use std::collections::BTreeMap;
 
@@ -20,15 +20,15 @@
     /// An answer is due within this; others are asked then.
     pub ack_us: Micros,
     /// So many others.
-    pub helpers: usize,
+    pub indirect_probes: usize,
     /// The greatest multiple, less one, by which a slow detector waits longer.
-    pub most_health: u32,
+    pub max_health: u32,
     /// Members that are dead or left are probed in one of so many rounds, as they may be back.
-    pub rare: u64,
+    pub dead_probe_interval: u64,
     /// Pings on behalf of others that wait for their answers.
-    pub helped: usize,
+    pub max_indirect: usize,
     /// Members that were never heard and are greeted in one period, besides the probe.
-    pub greet: usize,
+    pub greetings_per_period: usize,
 }
 
 impl Default for Options {
@@ -36,18 +36,18 @@
         Options {
             period_us: 500_000,
             ack_us: 150_000,
-            helpers: 3,
-            most_health: 4,
-            rare: 8,
-            helped: 64,
-            greet: 8,
+            indirect_probes: 3,
+            max_health: 4,
+            dead_probe_interval: 8,
+            max_indirect: 64,
+            greetings_per_period: 8,
         }
     }
 }
 
 /// Counts for the operators.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Tally {
+pub struct Counters {
     /// Probes begun.
     pub probes: u64,
     /// Probes that nobody answered.
@@ -72,7 +72,7 @@
 
 /// A ping on behalf of another.
 #[derive(Clone, Debug)]
-struct Helped {
+struct IndirectProbe {
     asker: Peer,
     number: u32,
     target: Id,
@@ -81,7 +81,7 @@
 
 /// The members of an installation, as one of them sees the others.
 #[derive(Clone, Debug)]
-pub struct Fleet {
+pub struct Membership {
     me: Sender,
     names: (String, String),
     options: Options,
@@ -94,7 +94,7 @@
     /// Peers that were not greeted yet: one that starts is to know all soon, and not after a whole round.
     ungreeted: Vec<Peer>,
     probe: Option<Probe>,
-    helped: BTreeMap<u32, Helped>,
+    indirect: BTreeMap<u32, IndirectProbe>,
     next: Micros,
     number: u32,
     /// How much this detector distrusts itself.
@@ -102,23 +102,23 @@
     random: Random,
     left: bool,
     replaced: bool,
-    sends: Vec<(Peer, Vec<u8>)>,
+    outgoing: Vec<(Peer, Vec<u8>)>,
     changes: Vec<Change>,
-    tally: Tally,
+    counters: Counters,
 }
 
-impl Fleet {
-    /// A member of this id in this life, called by these names (its own and its machine's), among so many peers.
+impl Membership {
+    /// A member of this id in this process, called by these names (its own and its machine's), among so many peers.
     pub fn new(
-        (id, life): (Id, Life),
+        (id, process): (Id, ProcessId),
         names: (&str, &str),
         peers: usize,
         (seed, now): (u64, Micros),
         options: Options,
     ) -> Self {
-        let mut fleet = Fleet {
-            me: Sender { id, life, incarnation: 0 },
-            names: (told(names.0), told(names.1)),
+        let mut membership = Membership {
+            me: Sender { id, process, incarnation: 0 },
+            names: (truncated(names.0), truncated(names.1)),
             options,
             members: Vec::new(),
             by_id: BTreeMap::new(),
@@ -127,21 +127,21 @@
             round: Vec::new(),
             ungreeted: Vec::new(),
             probe: None,
-            helped: BTreeMap::new(),
+            indirect: BTreeMap::new(),
             next: now,
             number: 0,
             health: 0,
-            random: Random::new(seed ^ id.rotate_left(17) ^ life),
+            random: Random::new(seed ^ id.rotate_left(17) ^ process),
             left: false,
             replaced: false,
-            sends: Vec::new(),
+            outgoing: Vec::new(),
             changes: Vec::new(),
-            tally: Tally::default(),
+            counters: Counters::default(),
         };
         // Members that are started together must not probe in step.
-        fleet.next += fleet.random.below(options.period_us);
-        fleet.peers(peers);
-        fleet
+        membership.next += membership.random.below(options.period_us);
+        membership.peers(peers);
+        membership
     }
 
     /// The list of peers is another from now on: who stands at which place is found out anew. What this member knows of
@@ -151,7 +151,7 @@
         self.ungreeted = (0..peers).collect();
         self.by_id.clear();
         self.suspicions.clear();
-        self.helped.clear();
+        self.indirect.clear();
         self.round.clear();
         self.probe = None;
     }
@@ -171,7 +171,7 @@
         1 + self.members.iter().filter(|m| m.is_up()).count()
     }
 
-    /// Whether a later life of its own name has begun: this process was replaced.
+    /// Whether a later process of its own name has begun: this process was replaced.
     pub fn is_replaced(&self) -> bool {
         self.replaced
     }
@@ -182,13 +182,13 @@
     }
 
     /// Counts so far.
-    pub fn tally(&self) -> Tally {
-        self.tally
+    pub fn counters(&self) -> Counters {
+        self.counters
     }
 
     /// Datagrams to be sent.
-    pub fn sends(&mut self) -> Vec<(Peer, Vec<u8>)> {
-        std::mem::take(&mut self.sends)
+    pub fn outgoing(&mut self) -> Vec<(Peer, Vec<u8>)> {
+        std::mem::take(&mut self.outgoing)
     }
 
     /// What has changed since it was last asked.
@@ -200,16 +200,16 @@
     pub fn due(&self) -> Micros {
         let probe = self.probe.as_ref().filter(|p| p.asked.is_none()).map(|p| p.begun + self.ack_us());
         let suspects = self.suspicions.values().map(Suspicion::until).min();
-        let helped = self.helped.values().map(|h| h.until).min();
-        [probe, suspects, helped].into_iter().flatten().fold(self.next, Micros::min)
+        let indirect = self.indirect.values().map(|h| h.until).min();
+        [probe, suspects, indirect].into_iter().flatten().fold(self.next, Micros::min)
     }
 
     fn ack_us(&self) -> Micros {
         self.options.ack_us * Micros::from(1 + self.health)
     }
 
-    fn sick(&mut self, by: u32) {
-        self.health = (self.health + by).min(self.options.most_health);
+    fn degrade_health(&mut self, by: u32) {
+        self.health = (self.health + by).min(self.options.max_health);
     }
 
     /// Time has passed.
@@ -222,7 +222,7 @@
         if let Some(probe) =
             self.probe.clone().filter(|p| p.asked.is_none() && p.begun + self.ack_us() <= now)
         {
-            self.ask_others(&probe);
+            self.request_indirect_probes(&probe);
         }
         let over: Vec<Peer> =
             self.suspicions.iter().filter(|(_, s)| s.until() <= now).map(|(peer, _)| *peer).collect();
@@ -241,10 +241,10 @@
     fn notice_stall(&mut self, now: Micros) {
         let late = now.saturating_sub(self.due());
         if late > 2 * self.options.ack_us {
-            self.tally.stalls += 1;
-            self.sick(2);
+            self.counters.stalls += 1;
+            self.degrade_health(2);
             self.probe = None;
-            self.helped.clear();
+            self.indirect.clear();
             self.suspicions.values_mut().for_each(|s| s.put_off(late));
             // What came meanwhile is read before anybody is probed again.
             self.next = now + self.options.ack_us;
@@ -261,15 +261,15 @@
         }
         let Some(peer) = self.round.pop() else { return };
         self.number = self.number.wrapping_add(1);
-        self.tally.probes += 1;
+        self.counters.probes += 1;
         self.probe = Some(Probe { peer, number: self.number, begun: now, asked: None, nacks: 0 });
         self.ping(peer, self.number);
     }
 
     /// Pings members that were never heard: many at first, and one in a period once each was greeted.
     fn greet(&mut self) {
-        let unheard = |fleet: &Self, peer: &Peer| fleet.members[*peer].claim.is_none();
-        let mut most = self.options.greet;
+        let unheard = |membership: &Self, peer: &Peer| membership.members[*peer].claim.is_none();
+        let mut most = self.options.greetings_per_period;
         if self.ungreeted.is_empty() {
             most = 1;
             let all = 0..self.members.len();
@@ -292,7 +292,7 @@
     fn draw_round(&mut self) {
         for peer in 0..self.members.len() {
             let rests = self.members[peer].claim.is_some() && !self.members[peer].is_up();
-            if !rests || self.random.below(self.options.rare) == 0 {
+            if !rests || self.random.below(self.options.dead_probe_interval) == 0 {
                 let place = self.random.below(self.round.len() as u64 + 1) as usize;
                 self.round.insert(place, peer);
             }
@@ -305,14 +305,14 @@
     }
 
     /// It did not answer here: others may hear it.
-    fn ask_others(&mut self, probe: &Probe) {
+    fn request_indirect_probes(&mut self, probe: &Probe) {
         let mut others: Vec<Peer> =
             (0..self.members.len()).filter(|p| *p != probe.peer && self.members[*p].is_up()).collect();
         let mut asked = 0;
         if let Some(target) = self.members[probe.peer].id {
-            while asked < self.options.helpers && !others.is_empty() {
-                let helper = others.swap_remove(self.random.below(others.len() as u64) as usize);
-                self.send(helper, Body::Ask { number: probe.number, target }, None);
+            while asked < self.options.indirect_probes && !others.is_empty() {
+                let proxy = others.swap_remove(self.random.below(others.len() as u64) as usize);
+                self.send(proxy, Body::PingRequest { number: probe.number, target }, None);
                 asked += 1;
             }
         }
@@ -324,25 +324,25 @@
     /// The period is over: whoever did not answer by any way is suspected.
     fn end_probe(&mut self, now: Micros) {
         let Some(probe) = self.probe.take() else { return };
-        self.tally.failed += 1;
+        self.counters.failed += 1;
         if !self.members[probe.peer].is_up() {
             return;
         }
         // Helpers say so where the member does not answer them. Where some say nothing at all, they were not reached or
-        // their words not heard: that speaks against this detector, though no more for each of them, as one of them
+        // their messages not heard: that speaks against this detector, though no more for each of them, as one of them
         // may be gone itself and links cut, and a detector that waits ever longer would not find that out.
         if probe.asked.is_none_or(|asked| asked == 0 || probe.nacks < asked) {
-            self.sick(1);
+            self.degrade_health(1);
         }
         self.claim_own(now, probe.peer, Standing::Suspect);
     }
 
     /// Pings on behalf of others that were not answered in time.
     fn nack(&mut self, now: Micros) {
-        let over: Vec<u32> = self.helped.iter().filter(|(_, h)| h.until <= now).map(|(n, _)| *n).collect();
+        let over: Vec<u32> = self.indirect.iter().filter(|(_, h)| h.until <= now).map(|(n, _)| *n).collect();
         for number in over {
-            if let Some(helped) = self.helped.remove(&number) {
-                self.send(helped.asker, Body::Nack { number: helped.number }, None);
+            if let Some(indirect) = self.indirect.remove(&number) {
+                self.send(indirect.asker, Body::Nack { number: indirect.number }, None);
             }
         }
     }
@@ -350,39 +350,39 @@
     // ---- Words ----
 
     /// A datagram with claims; one of them on its receiver, where it is to know it.
-    fn send(&mut self, peer: Peer, body: Body, on_receiver: Option<About>) {
+    fn send(&mut self, peer: Peer, body: Body, on_receiver: Option<Update>) {
         let (members, receiver) = (self.members.len() + 1, self.members[peer].id);
-        let mut about: Vec<About> = on_receiver.into_iter().collect();
+        let mut updates: Vec<Update> = on_receiver.into_iter().collect();
         for claim in self.gossip.take(6, members, receiver) {
-            if !about.contains(&claim) {
-                about.push(claim);
+            if !updates.contains(&claim) {
+                updates.push(claim);
             }
         }
-        self.sends.push((peer, Message { from: self.me, body, about }.write()));
+        self.outgoing.push((peer, Message { from: self.me, body, updates }.write()));
     }
 
     /// Takes in a datagram from a peer's address.
     ///
     /// # Errors
     /// Where it can't be read. It has no effect then, and is counted.
-    pub fn hear(&mut self, now: Micros, peer: Peer, bytes: &[u8]) -> Result<(), DecodeError> {
-        let message = Message::read(bytes).inspect_err(|_| self.tally.unreadable += 1)?;
+    pub fn receive(&mut self, now: Micros, peer: Peer, bytes: &[u8]) -> Result<(), DecodeError> {
+        let message = Message::read(bytes).inspect_err(|_| self.counters.unreadable += 1)?;
         if peer >= self.members.len() || self.left {
             return Ok(());
         }
         let from = message.from;
         if from.id == self.me.id {
             // Another process under this name.
-            self.replaced |= from.life > self.me.life;
+            self.replaced |= from.process > self.me.process;
             return Ok(());
         }
-        self.know(now, peer, from);
-        message.about.iter().for_each(|about| self.claim(now, *about));
+        self.observe(now, peer, from);
+        message.updates.iter().for_each(|updates| self.claim(now, *updates));
         // Whoever is believed to be worse than it says is to hear it: it alone can refute, or learn its successor.
-        let said = Claim { life: from.life, incarnation: from.incarnation, standing: Standing::Alive };
+        let said = Claim { process: from.process, incarnation: from.incarnation, standing: Standing::Alive };
         let known = self.place(from.id).and_then(|place| self.members[place].claim);
         let worse = known.filter(|claim| *claim > said);
-        let on_receiver = worse.map(|claim| About { id: from.id, by: self.me.id, claim });
+        let on_receiver = worse.map(|claim| Update { id: from.id, by: self.me.id, claim });
         match message.body {
             Body::Ping { number, names } => {
                 let names = names.then(|| self.names.clone());
@@ -390,11 +390,11 @@
             }
             Body::Ack { number, of, names } => {
                 if let Some(names) = names.filter(|_| of.is_none()) {
-                    self.members[peer].names = Some((told(&names.0), told(&names.1)));
+                    self.members[peer].names = Some((truncated(&names.0), truncated(&names.1)));
                 }
                 self.acked(number, of.unwrap_or(from.id));
             }
-            Body::Ask { number, target } => self.help(now, peer, number, target),
+            Body::PingRequest { number, target } => self.probe_for(now, peer, number, target),
             Body::Nack { number } => {
                 if let Some(probe) = self.probe.as_mut().filter(|p| p.number == number) {
                     probe.nacks += 1;
@@ -402,17 +402,17 @@
             }
             Body::Leave => {
                 let claim = Claim { standing: Standing::Left, ..said };
-                self.claim(now, About { id: from.id, by: from.id, claim });
+                self.claim(now, Update { id: from.id, by: from.id, claim });
             }
         }
         Ok(())
     }
 
-    /// A peer is heard itself, by this id and life.
-    fn know(&mut self, now: Micros, peer: Peer, from: Sender) {
+    /// A peer is heard itself, by this id and process.
+    fn observe(&mut self, now: Micros, peer: Peer, from: Sender) {
         if let Some(other) = self.place(from.id).filter(|other| *other != peer) {
             // Two processes of one name: the later one stands for it, wherever it is.
-            if self.members[other].claim.is_some_and(|claim| claim.life > from.life) {
+            if self.members[other].claim.is_some_and(|claim| claim.process > from.process) {
                 return;
             }
             self.members[other] = Member::default();
@@ -428,18 +428,18 @@
             self.suspicions.remove(&peer);
             self.by_id.insert(from.id, peer);
         }
-        if known.claim.is_some_and(|claim| claim.life < from.life) {
+        if known.claim.is_some_and(|claim| claim.process < from.process) {
             // It may have been given other names.
             known.names = None;
         }
-        let claim = Claim { life: from.life, incarnation: from.incarnation, standing: Standing::Alive };
-        self.claim(now, About { id: from.id, by: from.id, claim });
+        let claim = Claim { process: from.process, incarnation: from.incarnation, standing: Standing::Alive };
+        self.claim(now, Update { id: from.id, by: from.id, claim });
     }
 
     fn acked(&mut self, number: u32, of: Id) {
-        if let Some(helped) = self.helped.get(&number).filter(|h| h.target == of) {
-            let (asker, theirs, of) = (helped.asker, helped.number, Some(helped.target));
-            self.helped.remove(&number);
+        if let Some(indirect) = self.indirect.get(&number).filter(|h| h.target == of) {
+            let (asker, theirs, of) = (indirect.asker, indirect.number, Some(indirect.target));
+            self.indirect.remove(&number);
             return self.send(asker, Body::Ack { number: theirs, of, names: None }, None);
         }
         let probed =
@@ -450,12 +450,12 @@
         }
     }
 
-    fn help(&mut self, now: Micros, asker: Peer, number: u32, target: Id) {
+    fn probe_for(&mut self, now: Micros, asker: Peer, number: u32, target: Id) {
         match self.place(target) {
-            Some(peer) if self.helped.len() < self.options.helped && peer != asker => {
+            Some(peer) if self.indirect.len() < self.options.max_indirect && peer != asker => {
                 self.number = self.number.wrapping_add(1);
                 let until = now + self.options.ack_us;
-                self.helped.insert(self.number, Helped { asker, number, target, until });
+                self.indirect.insert(self.number, IndirectProbe { asker, number, target, until });
                 self.ping(peer, self.number);
             }
             _ => self.send(asker, Body::Nack { number }, None),
@@ -468,56 +468,56 @@
     fn claim_own(&mut self, now: Micros, peer: Peer, standing: Standing) {
         let member = &self.members[peer];
         if let (Some(id), Some(claim)) = (member.id, member.claim) {
-            self.claim(now, About { id, by: self.me.id, claim: Claim { standing, ..claim } });
+            self.claim(now, Update { id, by: self.me.id, claim: Claim { standing, ..claim } });
         }
     }
 
     /// Takes in a claim, its own or another's.
-    fn claim(&mut self, now: Micros, about: About) {
-        if about.id == self.me.id {
-            return self.claimed_of_me(about.claim);
+    fn claim(&mut self, now: Micros, update: Update) {
+        if update.id == self.me.id {
+            return self.refute(update.claim);
         }
         // Members come from the configuration, and are known once they were heard.
-        let Some(peer) = self.place(about.id) else { return };
+        let Some(peer) = self.place(update.id) else { return };
         let known = &mut self.members[peer];
-        let Some(old) = known.believe(about.claim) else {
-            let again = known.claim == Some(about.claim) && about.claim.standing == Standing::Suspect;
-            if again && self.suspicions.get_mut(&peer).is_some_and(|s| s.confirm(about.by)) {
-                self.gossip.add(about);
+        let Some(old) = known.believe(update.claim) else {
+            let again = known.claim == Some(update.claim) && update.claim.standing == Standing::Suspect;
+            if again && self.suspicions.get_mut(&peer).is_some_and(|s| s.confirm(update.by)) {
+                self.gossip.add(update);
             }
             return;
         };
         self.suspicions.remove(&peer);
-        if about.claim.standing == Standing::Suspect {
-            let suspicion = Suspicion::new(now, about.by, self.up(), self.options.period_us);
+        if update.claim.standing == Standing::Suspect {
+            let suspicion = Suspicion::new(now, update.by, self.up(), self.options.period_us);
             self.suspicions.insert(peer, suspicion);
         }
         // That a member is there each finds out by itself, and cares for no claim on one that it has not heard. In a large
         // fleet that starts, such claims would leave no room for refutations.
-        if old.is_some() || about.claim.standing != Standing::Alive {
-            self.gossip.add(about);
+        if old.is_some() || update.claim.standing != Standing::Alive {
+            self.gossip.add(update);
         }
-        self.changes.push(Change { peer, old, new: about.claim });
+        self.changes.push(Change { peer, old, new: update.claim });
     }
 
-    fn claimed_of_me(&mut self, claim: Claim) {
-        if claim.life > self.me.life {
+    fn refute(&mut self, claim: Claim) {
+        if claim.process > self.me.process {
             self.replaced = true;
-        } else if claim.life == self.me.life
+        } else if claim.process == self.me.process
             && claim.standing != Standing::Alive
             && claim.incarnation >= self.me.incarnation
         {
             self.me.incarnation = claim.incarnation + 1;
-            self.tally.refuted += 1;
-            self.sick(1);
-            self.say_self();
+            self.counters.refuted += 1;
+            self.degrade_health(1);
+            self.announce_self();
         }
     }
 
-    fn say_self(&mut self) {
-        let Sender { id, life, incarnation } = self.me;
-        let claim = Claim { life, incarnation, standing: Standing::Alive };
-        self.gossip.add(About { id, by: id, claim });
+    fn announce_self(&mut self) {
+        let Sender { id, process, incarnation } = self.me;
+        let claim = Claim { process, incarnation, standing: Standing::Alive };
+        self.gossip.add(Update { id, by: id, claim });
     }
 
     /// It ends: the others are told, and it says nothing more.
@@ -530,6 +530,6 @@
         // Nothing is due any more.
         (self.left, self.next, self.probe) = (true, Micros::MAX, None);
         self.suspicions.clear();
-        self.helped.clear();
+        self.indirect.clear();
     }
 }
--- a/fleet/src/wire.rs
+++ b/membership/src/wire.rs
@@ -1,18 +1,18 @@
 //! Datagrams: a mark with the version of the form, then a message by postcard. At most 256 bytes, the bound of what
 //! proxies may send each other on any installation.
 
-use crate::{Claim, Id, Life};
+use crate::{Claim, Id, ProcessId};
 use linnetknot_datagram::{payload, DecodeError, MAX_DATAGRAM_BYTES};
 use serde::{Deserialize, Serialize};
 
 /// The first bytes; the digit is the form's version.
 const MARK: &str = "fleet1";
 /// Bytes of a name or a machine's name that are told.
-const MOST_NAME: usize = 40;
+const MAX_NAME_BYTES: usize = 40;
 
 /// A claim on a member, and by whom.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct About {
+pub struct Update {
     /// The member.
     pub id: Id,
     /// Who claims it of its own knowledge: two that suspect a member confirm each other.
@@ -26,8 +26,8 @@
 pub struct Sender {
     /// Itself.
     pub id: Id,
-    /// Its life.
-    pub life: Life,
+    /// Its process.
+    pub process: ProcessId,
     /// Its incarnation.
     pub incarnation: u32,
 }
@@ -52,7 +52,7 @@
         names: Option<(String, String)>,
     },
     /// Ask this member for me.
-    Ask {
+    PingRequest {
         /// Names the answer.
         number: u32,
         /// The member.
@@ -75,12 +75,12 @@
     /// What it says.
     pub body: Body,
     /// Claims that ride along.
-    pub about: Vec<About>,
+    pub updates: Vec<Update>,
 }
 
 /// A name as it is told: cut where it is too long for a datagram.
-pub(crate) fn told(name: &str) -> String {
-    let end = (0..=MOST_NAME.min(name.len())).rev().find(|at| name.is_char_boundary(*at)).unwrap_or(0);
+pub(crate) fn truncated(name: &str) -> String {
+    let end = (0..=MAX_NAME_BYTES.min(name.len())).rev().find(|at| name.is_char_boundary(*at)).unwrap_or(0);
     name[..end].to_owned()
 }
 
@@ -91,7 +91,7 @@
             let mut bytes = MARK.as_bytes().to_vec();
             // Writing to a vector does not fail.
             bytes.extend(postcard::to_stdvec(&self).unwrap_or_default());
-            if bytes.len() <= MAX_DATAGRAM_BYTES || self.about.pop().is_none() {
+            if bytes.len() <= MAX_DATAGRAM_BYTES || self.updates.pop().is_none() {
                 return bytes;
             }
         }
--- a/fleet/tests/net.rs
+++ b/membership/tests/net.rs
@@ -1,7 +1,7 @@
 //! Many members on virtual time: deaths, half of all at once, one-way cuts, processes that stand still, splits,
 //! successors under an old name. All by seeds.
 
-use linnetknot_fleet::*;
+use linnetknot_membership::*;
 use linnetknot_simnet::{self as simnet, member_at, peer_index, Step};
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
@@ -10,8 +10,8 @@
 const S: Micros = 1_000_000;
 
 struct Node {
-    fleet: Option<Fleet>,
-    life: Life,
+    membership: Option<Membership>,
+    process: ProcessId,
     /// What came while it stood still.
     stalled: Option<Vec<(usize, Vec<u8>)>>,
 }
@@ -36,7 +36,7 @@
             bytes: 0,
             deaths: Vec::new(),
         };
-        net.nodes.extend((0..nodes).map(|_| Node { fleet: None, life: 0, stalled: None }));
+        net.nodes.extend((0..nodes).map(|_| Node { membership: None, process: 0, stalled: None }));
         (0..nodes).for_each(|n| net.start(n));
         net
     }
@@ -45,26 +45,26 @@
         let seed = self.links.draw(u64::MAX);
         let (name, machine) = (format!("p{n}"), format!("machine-{n}"));
         let node = &mut self.nodes[n];
-        (node.life, node.stalled) = (node.life.max(self.links.now) + 1, None);
+        (node.process, node.stalled) = (node.process.max(self.links.now) + 1, None);
         let names = (name.as_str(), machine.as_str());
         let peers = self.nodes.len() - 1;
-        let life = self.nodes[n].life;
-        let new = Fleet::new((id(n), life), names, peers, (seed, self.links.now), Options::default());
-        self.nodes[n].fleet = Some(new);
+        let process = self.nodes[n].process;
+        let new = Membership::new((id(n), process), names, peers, (seed, self.links.now), Options::default());
+        self.nodes[n].membership = Some(new);
     }
 
     fn kill(&mut self, n: usize) {
-        (self.nodes[n].fleet, self.nodes[n].stalled) = (None, None);
+        (self.nodes[n].membership, self.nodes[n].stalled) = (None, None);
     }
 
     fn send(&mut self, n: usize) {
-        let sends = self.nodes[n].fleet.as_mut().map(Fleet::sends).unwrap_or_default();
-        for (peer, bytes) in sends {
+        let outgoing = self.nodes[n].membership.as_mut().map(Membership::outgoing).unwrap_or_default();
+        for (peer, bytes) in outgoing {
             assert!(bytes.len() <= MAX_DATAGRAM_BYTES);
             self.bytes += bytes.len() as u64;
             self.links.send(n, member_at(peer, n), &bytes);
         }
-        let changes = self.nodes[n].fleet.as_mut().map(Fleet::changes).unwrap_or_default();
+        let changes = self.nodes[n].membership.as_mut().map(Membership::changes).unwrap_or_default();
         for change in changes.iter().filter(|c| c.new.standing == Standing::Dead) {
             self.deaths.push((self.links.now, n, member_at(change.peer, n)));
         }
@@ -75,8 +75,8 @@
             return waiting.push((from, bytes));
         }
         let now = self.links.now;
-        if let Some(fleet) = &mut self.nodes[to].fleet {
-            fleet.hear(now, peer_index(from, to), &bytes).expect("whole");
+        if let Some(membership) = &mut self.nodes[to].membership {
+            membership.receive(now, peer_index(from, to), &bytes).expect("whole");
             self.send(to);
         }
     }
@@ -85,7 +85,7 @@
         let end = self.links.now + for_us;
         loop {
             let due = |(n, node): (usize, &Node)| {
-                Some((node.fleet.as_ref().filter(|_| node.stalled.is_none())?.due(), n))
+                Some((node.membership.as_ref().filter(|_| node.stalled.is_none())?.due(), n))
             };
             let due = self.nodes.iter().enumerate().filter_map(due).min();
             match self.links.step(end, due) {
@@ -98,7 +98,7 @@
 
     fn tick(&mut self, n: usize) {
         let now = self.links.now;
-        self.nodes[n].fleet.iter_mut().for_each(|f| f.tick(now));
+        self.nodes[n].membership.iter_mut().for_each(|f| f.tick(now));
         self.send(n);
     }
 
@@ -115,12 +115,12 @@
 
     /// What a node believes of another.
     fn standing(&self, at: usize, of: usize) -> Option<Standing> {
-        Some(self.nodes[at].fleet.as_ref()?.members()[peer_index(of, at)].claim?.standing)
+        Some(self.nodes[at].membership.as_ref()?.members()[peer_index(of, at)].claim?.standing)
     }
 
     /// Whether all that run believe that exactly those run.
     fn agree(&self) -> bool {
-        let runs = |n: usize| self.nodes[n].fleet.is_some();
+        let runs = |n: usize| self.nodes[n].membership.is_some();
         let all = || 0..self.nodes.len();
         let right = |at: usize, of: usize| match self.standing(at, of) {
             Some(Standing::Alive) => runs(of),
@@ -248,20 +248,20 @@
         // It stands still, and a successor begins under its name, by the same address.
         net.stall(0);
         net.run(2 * S);
-        let old = net.nodes[0].fleet.take();
+        let old = net.nodes[0].membership.take();
         net.start(0);
         assert!(net.until_agreed(20 * S).is_some(), "seed {seed}");
-        let life = net.nodes[0].life;
+        let process = net.nodes[0].process;
         // The old process goes on: whoever hears it tells it of its successor, and does not believe it.
-        let successor = std::mem::replace(&mut net.nodes[0].fleet, old);
+        let successor = std::mem::replace(&mut net.nodes[0].membership, old);
         net.go_on(0);
         net.run(3 * S);
-        assert!(net.nodes[0].fleet.as_ref().unwrap().is_replaced(), "seed {seed}");
+        assert!(net.nodes[0].membership.as_ref().unwrap().is_replaced(), "seed {seed}");
         for at in 1..4 {
-            let known = net.nodes[at].fleet.as_ref().unwrap().members()[0].claim.unwrap();
-            assert_eq!(known.life, life, "seed {seed}: p{at} keeps to the successor");
+            let known = net.nodes[at].membership.as_ref().unwrap().members()[0].claim.unwrap();
+            assert_eq!(known.process, process, "seed {seed}: p{at} keeps to the successor");
         }
-        net.nodes[0].fleet = successor;
+        net.nodes[0].membership = successor;
         assert!(
             net.until_agreed(30 * S).is_some(),
             "seed {seed}: it refutes what was said while it was not heard"
@@ -273,21 +273,21 @@
 fn who_leaves_is_gone_at_once_and_is_no_death() {
     let mut net = Net::new(5, 3);
     net.until_agreed(20 * S).unwrap();
-    net.nodes[0].fleet.as_mut().unwrap().leave();
+    net.nodes[0].membership.as_mut().unwrap().leave();
     net.send(0);
     net.run(10 * MS);
     assert!((1..5).all(|n| net.standing(n, 0) == Some(Standing::Left)));
     net.kill(0);
     net.run(30 * S);
     assert_eq!(net.deaths, []);
-    let names = net.nodes[1].fleet.as_ref().unwrap().members()[1].names.clone();
+    let names = net.nodes[1].membership.as_ref().unwrap().members()[1].names.clone();
     assert_eq!(names, Some(("p2".into(), "machine-2".into())), "names are told when they are asked for");
     net.start(0);
-    assert!(net.until_agreed(10 * S).is_some(), "and is back with its next life");
+    assert!(net.until_agreed(10 * S).is_some(), "and is back with its next process");
 }
 
 /// The figures of `docs/FIGURES.md`: how soon a death is known to one and to all, members taken for dead that were not,
-/// and bytes at rest. `cargo test --release -p linnetknot-fleet -- --ignored --nocapture`
+/// and bytes at rest. `cargo test --release -p linnetknot-membership -- --ignored --nocapture`
 #[test]
 #[ignore = "a measurement of some minutes"]
 fn figures_of_fleets_of_many_sizes() {
@@ -340,19 +340,23 @@
     let mut net = Net::new(3, 9);
     net.until_agreed(20 * S).unwrap();
     let now = net.links.now;
-    let asker = wire(net.nodes[1].life, Body::Ask { number: 7, target: id(2) });
-    let fleet = net.nodes[0].fleet.as_mut().unwrap();
+    let asker = wire(net.nodes[1].process, Body::PingRequest { number: 7, target: id(2) });
+    let membership = net.nodes[0].membership.as_mut().unwrap();
     for _ in 0..500 {
-        fleet.hear(now, peer_index(1, 0), &asker).unwrap();
+        membership.receive(now, peer_index(1, 0), &asker).unwrap();
     }
-    let sends = fleet.sends();
-    let pings = sends.iter().filter(|(peer, _)| *peer == peer_index(2, 0)).count();
-    assert_eq!((pings, sends.len()), (Options::default().helped, 500), "the others had a no at once");
+    let outgoing = membership.outgoing();
+    let pings = outgoing.iter().filter(|(peer, _)| *peer == peer_index(2, 0)).count();
+    assert_eq!(
+        (pings, outgoing.len()),
+        (Options::default().max_indirect, 500),
+        "the others had a no at once"
+    );
 }
 
-fn wire(life: Life, body: Body) -> Vec<u8> {
-    let from = Sender { id: id(1), life, incarnation: 0 };
-    Message { from, body, about: vec![] }.write()
+fn wire(process: ProcessId, body: Body) -> Vec<u8> {
+    let from = Sender { id: id(1), process, incarnation: 0 };
+    Message { from, body, updates: vec![] }.write()
 }
 
 proptest! {
@@ -365,29 +369,29 @@
         let mut net = Net::new(3, 1);
         let whole = if marked { [b"fleet1".as_slice(), &bytes].concat() } else { bytes };
         let now = net.links.now;
-        let fleet = net.nodes[0].fleet.as_mut().unwrap();
+        let membership = net.nodes[0].membership.as_mut().unwrap();
         let said = Message::read(&whole);
-        prop_assert_eq!(fleet.hear(now, 0, &whole).is_err(), said.is_err());
-        prop_assert_eq!(fleet.tally().unreadable, u64::from(said.is_err()));
-        fleet.tick(now + S);
+        prop_assert_eq!(membership.receive(now, 0, &whole).is_err(), said.is_err());
+        prop_assert_eq!(membership.counters().unreadable, u64::from(said.is_err()));
+        membership.tick(now + S);
     }
 
     #[test]
-    fn a_message_cut_anywhere_is_torn_and_no_other_message(number: u32, life: u64, claims in proptest::collection::vec(any::<(u64, u64, u64, u32)>(), 0..20)) {
-        let about = claims.into_iter().map(|(id, by, life, incarnation)| {
-            About { id, by, claim: Claim { life, incarnation, standing: Standing::Suspect } }
+    fn a_message_cut_anywhere_is_torn_and_no_other_message(number: u32, process: u64, claims in proptest::collection::vec(any::<(u64, u64, u64, u32)>(), 0..20)) {
+        let updates = claims.into_iter().map(|(id, by, process, incarnation)| {
+            Update { id, by, claim: Claim { process, incarnation, standing: Standing::Suspect } }
         });
         let names = Some(("n".repeat(40), "m".repeat(40)));
         let message = Message {
-            from: Sender { id: 1, life, incarnation: 3 },
+            from: Sender { id: 1, process, incarnation: 3 },
             body: Body::Ack { number, of: None, names },
-            about: about.collect(),
+            updates: updates.collect(),
         };
         let bytes = message.clone().write();
         prop_assert!(bytes.len() <= MAX_DATAGRAM_BYTES);
         let read = Message::read(&bytes).unwrap();
         prop_assert_eq!(&read.body, &message.body);
-        prop_assert!(message.about.starts_with(&read.about), "claims that do not fit are left out from the end");
+        prop_assert!(message.updates.starts_with(&read.updates), "claims that do not fit are left out from the end");
         for cut in 6..bytes.len() {
             prop_assert!(Message::read(&bytes[..cut]).is_err());
         }
--- a/rehearse/src/fleet.rs
+++ b/rehearse/src/fleet.rs
@@ -176,7 +176,7 @@
         let proxies = names.len();
         static FLEETS: AtomicU64 = AtomicU64::new(0);
         let n = FLEETS.fetch_add(1, Ordering::Relaxed);
-        let folder = std::env::temp_dir().join(format!("linnetknot-fleet-{}-{n}", std::process::id()));
+        let folder = std::env::temp_dir().join(format!("linnetknot-membership-{}-{n}", std::process::id()));
         let boxes = ["s-0a", "s-0b"].into_iter().map(StandIn::start).collect::<io::Result<Vec<_>>>()?;
         let origin = StandIn::start("s-0f")?;
         let mut targets: Vec<Value> = boxes.iter().map(|b| entry(b, "here", "box", "ready")).collect();
