--- a/daemon/src/daemon/feeds/peers.rs
+++ b/daemon/src/daemon/feeds/peers.rs
@@ -32,7 +32,7 @@
             if place.is_some_and(heard) {
                 continue;
             }
-            if self.hearsay.as_mut().is_some_and(|h| h.hear(now, from, bytes)) {
+            if self.origin_health.as_mut().is_some_and(|h| h.receive(now, from, bytes)) {
                 self.heed(now);
             } else if let Some((object, group, at)) = peers::read(bytes) {
                 self.purge_heard(now, object, group, at);
@@ -44,14 +44,14 @@
 
     /// What others find of the origin, as far as enough of them agree.
     fn heed(&mut self, now: Micros) {
-        if let Some((share, until)) = self.hearsay.as_ref().and_then(|h| h.origin(now)) {
+        if let Some((share, until)) = self.origin_health.as_ref().and_then(|h| h.origin_share(now)) {
             self.core.heard(now, share, until);
         }
     }
 
     /// The origin is late for this proxy.
     pub(in crate::daemon) fn tell_found(&mut self, now: Micros, share: f64) {
-        let Some(word) = self.hearsay.as_mut().and_then(|h| h.found(now, share)) else { return };
+        let Some(word) = self.origin_health.as_mut().and_then(|h| h.observe(now, share)) else { return };
         log::debug!(target: TRACE, share = share; "peers are told of a late origin");
         self.send_to_peers(&word);
     }
--- a/daemon/src/daemon/mod.rs
+++ b/daemon/src/daemon/mod.rs
@@ -13,7 +13,7 @@
 use crate::wire::WireError;
 use linnetknot::{Micros, Outcome, ServerId};
 use linnetknot_discovery::{Damping, Discovery, Source as ListSource, Vetting};
-use linnetknot_hearsay::{Hearsay, Place};
+use linnetknot_origin_health::{OriginHealth, ZonePlace};
 use rustix::fd::OwnedFd;
 use rustix::pipe::{pipe_with, PipeFlags};
 use std::collections::{btree_map::Entry, BTreeMap};
@@ -202,7 +202,7 @@
     consul: Option<consul::State>,
     keeper: Option<consul::Keeper>,
     peers: Option<(UdpSocket, Vec<SocketAddr>)>,
-    hearsay: Option<Hearsay>,
+    origin_health: Option<OriginHealth>,
     /// Datagrams dropped: from nobody who is a peer, and of no known kind.
     dropped: (u64, u64),
     desk: Option<(TcpListener, Desk)>,
@@ -307,8 +307,8 @@
         }
         let ops_folder = config.ops_folder.clone();
         let ops = linnetknot_ops::Operations::new(linnetknot_ops::store::load(&ops_folder), clock.now());
-        let place = Place::of(&config.settings);
-        let hearsay = config.tell.then(|| Hearsay::new(place, clock.now()));
+        let place = ZonePlace::of(&config.settings);
+        let origin_health = config.tell.then(|| OriginHealth::new(place, clock.now()));
         let core = Core::new(config.settings.clone(), config.seed, &limits).map_err(|e| e.to_string())?;
         let (last_event, known) = std::mem::take(&mut config.known);
         let damping = config.consul.as_ref().map_or(Damping::default(), |c| c.damping);
@@ -338,7 +338,7 @@
             consul,
             keeper,
             peers,
-            hearsay,
+            origin_health,
             dropped: (0, 0),
             desk,
             ledger,
@@ -464,16 +464,16 @@
                 "entries of logs copied to and from peers, and promises of them"
             );
         }
-        if let Some(t) = self.hearsay.as_ref().map(Hearsay::tally) {
+        if let Some(t) = self.origin_health.as_ref().map(OriginHealth::counters) {
             log::info!(
-                told = t.told,
-                spared = t.spared,
-                heard = t.heard,
+                sent = t.sent,
+                suppressed = t.suppressed,
+                received = t.received,
                 old = t.old,
                 torn = t.torn,
                 version = t.version,
                 too_long = t.too_long;
-                "words of a late origin to and from peers"
+                "reports of a late origin to and from peers"
             );
         }
         Ok(())
@@ -592,7 +592,7 @@
         }
         if let (Some((_, known)), Some((_, peers))) = (&mut self.peers, &new.peers) {
             known.clone_from(peers);
-            self.hearsay.iter_mut().for_each(|h| h.keep(|peer| peers.contains(peer)));
+            self.origin_health.iter_mut().for_each(|h| h.retain_peers(|peer| peers.contains(peer)));
         }
         if self.config.budgets != new.budgets {
             self.reload_budgets(&new.budgets);
--- a/daemon/tests/loopback.rs
+++ b/daemon/tests/loopback.rs
@@ -2,7 +2,7 @@
 
 mod rig;
 
-use linnetknot_hearsay::Word;
+use linnetknot_origin_health::Report;
 use linnetknot_rehearse::boxes::Manner;
 use linnetknot_rehearse::bus::{entry, Bus};
 use linnetknot_rehearse::clients::{call, exchange, WebServer};
@@ -354,7 +354,7 @@
     assert!(is_asked(1));
     let mut bytes = [0; 512];
     let (length, from) = peer.recv_from(&mut bytes).unwrap();
-    let told = Word::read(&bytes[..length]).unwrap();
+    let told = Report::read(&bytes[..length]).unwrap();
     assert!(told.number == 1 && told.origin < 0.7, "{told:?}");
     rig.boxes[0].behave(Manner { origin_ms: 1, ..Manner::default() });
     // It is well again: by its own answers the daemon goes back to asking for all.
@@ -365,7 +365,7 @@
         in_a_row = if is_asked(next) { in_a_row + 1 } else { 0 };
         next += 1;
     }
-    let late = Word { start: told.start, number: 1, origin: 0.0, zone: told.zone }.write();
+    let late = Report { start: told.start, number: 1, origin: 0.0, zone: told.zone }.write();
     stranger.send_to(&late, from).unwrap();
     peer.send_to(&late[..20], from).unwrap();
     // Once this is in force, what came before it was heard.
@@ -378,7 +378,7 @@
     let mut number = 1;
     while is_asked(next) {
         assert!(number < 5_000, "a peer's words change nothing");
-        let word = Word { start: told.start, number, origin: 0.0, zone: told.zone };
+        let word = Report { start: told.start, number, origin: 0.0, zone: told.zone };
         peer.send_to(&word.write(), from).unwrap();
         (number, next) = (number + 1, next + 1);
     }
