Hold every purge for good: the module forgets and refuses none

Need: the module forgot purges beyond 16,384 that boxes are told of, and the daemon refused those beyond 20,000 that they are not. With 110 purges a second both bounds are reached within minutes.

Change: the module holds its purges in linnetknot-purges (16,384 exactly, behind them 4 MiB, allocated when first needed). Event::Purged has no `lasting`: all last. Router::merge_purges, raise_purges, set_purge_capacity and purges give whole buckets to it and show its state; Core has the same. Core::purged can't refuse, so the front no longer answers "too many purges are held", and the error line of a peer's purge without room is gone.

Tests replaced, as strict: that the older half is forgotten, and that lasting purges take no room from others, were the old distinction. Now of 26,000 purges none is forgotten, the young stay exact and the old are at most a millisecond stricter; and each of 40,000 purges binds over three hours and 120,000 further purges, with no bound eased and memory flat. What held for good with `lasting` holds so without.

--- a/daemon/src/core.rs
+++ b/daemon/src/core.rs
@@ -3,11 +3,12 @@
 
 use crate::limits::Limits;
 use crate::net::{Key, Slots};
+use linnetknot::purges::{Bucket, BucketBits, BucketIndex, BucketIndexError, PurgeTable};
 use linnetknot::{
     Action, Event, Fill, ListMode, Load, Micros, Note, Outcome, Repeat, Request, Router, ServerId, Settings,
     SettingsError, State,
 };
-use std::collections::{BTreeMap, BTreeSet, HashSet};
+use std::collections::{BTreeMap, HashSet};
 use std::net::SocketAddr;
 
 /// Log target under which each attempt, each final answer and each connection to a box is told, at the level debug.
@@ -217,9 +218,6 @@
     keyed: Vec<String>,
     boxes: Boxes,
     answer_ahead_us: Micros,
-    /// Purges that hold for good.
-    lasting: BTreeSet<(Option<String>, u64)>,
-    most_lasting: usize,
     /// Bytes of the bodies of all open requests.
     bodies: usize,
     most_bodies: usize,
@@ -241,8 +239,6 @@
             requests: Slots::new(limits.requests),
             boxes: BTreeMap::new(),
             answer_ahead_us: limits.answer_ahead_us,
-            lasting: BTreeSet::new(),
-            most_lasting: limits.purges,
             bodies: 0,
             most_bodies: limits.bodies,
             actions: Vec::new(),
@@ -347,25 +343,34 @@
         }
     }
 
-    /// A purge of an object, or with none of a whole group. The boxes hear of it by themselves.
+    /// A purge of an object, or with none of a whole group. It holds for good.
     pub fn purged(&mut self, now: Micros, object: Option<String>, group: u64, at: Micros) {
-        self.feed(now, Event::Purged { object, group, age_us: now.saturating_sub(at), lasting: false });
+        self.feed(now, Event::Purged { object, group, age_us: now.saturating_sub(at) });
     }
 
-    /// As `purged`, but told to this proxy and its peers alone: it has to hold for good. False: too many do.
-    pub fn purged_for_good(&mut self, now: Micros, object: Option<String>, group: u64, at: Micros) -> bool {
-        let what = (object.clone(), group);
-        if self.room_for_purges() == 0 && !self.lasting.contains(&what) {
-            return false;
-        }
-        self.lasting.insert(what);
-        self.feed(now, Event::Purged { object, group, age_us: now.saturating_sub(at), lasting: true });
-        true
+    /// A bucket of the purges that another proxy or an earlier process knows. Returns the own buckets that changed.
+    pub fn merge_purges(
+        &mut self,
+        bucket_bits: BucketBits,
+        index: BucketIndex,
+        bucket: &Bucket,
+    ) -> Result<Vec<BucketIndex>, BucketIndexError> {
+        self.router.merge_purges(bucket_bits, index, bucket)
+    }
+
+    /// Takes every object as purged at a time, as this process can't learn which purges it has missed.
+    pub fn raise_purges(&mut self, at: Micros) {
+        self.router.raise_purges(at);
+    }
+
+    /// How many purges are held exactly, and the size of the table behind them.
+    pub fn set_purge_capacity(&mut self, exact: usize, bucket_bits: BucketBits) {
+        self.router.set_purge_capacity(exact, bucket_bits);
     }
 
-    /// How many purges more can hold for good.
-    pub fn room_for_purges(&self) -> usize {
-        self.most_lasting.saturating_sub(self.lasting.len())
+    /// The purges that are in force.
+    pub fn purges(&self) -> &PurgeTable {
+        self.router.purges()
     }
 
     /// Takes a request. None where the front has to refuse it: the table is full, it has the id of one that is open,
--- a/daemon/src/daemon/feeds/peers.rs
+++ b/daemon/src/daemon/feeds/peers.rs
@@ -75,12 +75,10 @@
         };
         let heard = ledger.hear(peer, datagram);
         let same = told == Some(ledger.copies().book().sum());
-        // What there is no room to keep is in force all the same, as far as the module has room.
+        // What there is no room to keep is in force all the same.
         for entry in heard.new.iter().chain(&heard.early).chain(&heard.refused) {
             let Some((object, group, at)) = ledger::purge(entry) else { continue };
-            if !self.core.purged_for_good(now, object, group, at) {
-                log::error!(writer = entry.log.0, seq = entry.seq; "there is no room for a purge that a peer told");
-            }
+            self.core.purged(now, object, group, at);
         }
         // What its operators decided, and not each purge of a long log that comes back.
         if heard.new.iter().any(|entry| entry.log.0 == own && ledger::purge(entry).is_none()) {
--- a/daemon/src/daemon/mod.rs
+++ b/daemon/src/daemon/mod.rs
@@ -365,7 +365,7 @@
         let now = daemon.clock.now();
         let kept = daemon.ledger.as_ref().map(Ledger::purges).unwrap_or_default();
         for (object, group, at) in kept {
-            daemon.core.purged_for_good(now, object, group, at);
+            daemon.core.purged(now, object, group, at);
         }
         known.into_iter().for_each(|event| daemon.news(now, event));
         daemon.bus.last = last_event;
--- a/daemon/src/daemon/neighbours.rs
+++ b/daemon/src/daemon/neighbours.rs
@@ -95,7 +95,7 @@
                 }
             };
             let Some((_, desk)) = &mut self.desk else { return Ok(()) };
-            let reply = desk.take(now, ready, self.core.room_for_purges(), &head, &body);
+            let reply = desk.take(now, ready, &head, &body);
             match reply {
                 Reply::Now(response) => session.respond(&response),
                 Reply::Promise(response, trigger, effects) => {
--- a/daemon/src/daemon/promises.rs
+++ b/daemon/src/daemon/promises.rs
@@ -311,9 +311,7 @@
         object: Option<String>,
         group: u64,
     ) -> Result<Option<Seq>, String> {
-        if !self.core.purged_for_good(now, object.clone(), group, now) {
-            return Err("there is no room for one more purge".into());
-        }
+        self.core.purged(now, object.clone(), group, now);
         let text = peers::write(object.as_deref(), group, now);
         let entry = self.ledger.as_mut().map(|ledger| ledger.add(object.as_deref(), group, now)).transpose();
         fail::fail_point!("peers-tell");
@@ -331,12 +329,10 @@
 
     /// A purge that a peer told: in force, and known to the next process too.
     pub(super) fn purge_heard(&mut self, now: Micros, object: Option<String>, group: u64, at: Micros) {
-        if self.core.purged_for_good(now, object.clone(), group, at) {
-            let kept =
-                self.ledger.as_mut().map_or(Ok(()), |ledger| ledger.tell(object.as_deref(), group, at));
-            if let Err(e) = kept {
-                log::error!("a purge that a peer told is in force but not kept for the next start: {e}");
-            }
+        self.core.purged(now, object.clone(), group, at);
+        let kept = self.ledger.as_mut().map_or(Ok(()), |ledger| ledger.tell(object.as_deref(), group, at));
+        if let Err(e) = kept {
+            log::error!("a purge that a peer told is in force but not kept for the next start: {e}");
         }
     }
 
--- a/daemon/src/front/cdni/mod.rs
+++ b/daemon/src/front/cdni/mod.rs
@@ -155,9 +155,8 @@
         Desk { id, triggers: Triggers::new(most_triggers), heard: Vec::new(), asked: 0, seed }
     }
 
-    /// Takes a request. `ready` tells whether content can be served, `room` whether so many purges more can be
-    /// remembered, and `now` is Unix time.
-    pub fn take(&mut self, now: Micros, ready: bool, room: usize, head: &Head, body: &[u8]) -> Reply {
+    /// Takes a request. `ready` tells whether content can be served, and `now` is Unix time.
+    pub fn take(&mut self, now: Micros, ready: bool, head: &Head, body: &[u8]) -> Reply {
         let Some((method, target)) = head.request() else {
             return Reply::Now(Response::bare(400));
         };
@@ -170,8 +169,7 @@
             ("GET", path) if path.starts_with("/content/") => return self.content(head, target),
             ("POST", "/cdni/triggers") => match json() {
                 Some(command) => {
-                    let (response, made) =
-                        self.triggers.command(&self.id, seconds, room, &command, &mut effects);
+                    let (response, made) = self.triggers.command(&self.id, seconds, &command, &mut effects);
                     if made.is_some() {
                         return Reply::Promise(response, made, effects);
                     }
--- a/daemon/src/front/cdni/triggers.rs
+++ b/daemon/src/front/cdni/triggers.rs
@@ -178,7 +178,6 @@
         &mut self,
         id: &Identity,
         now: u64,
-        room: usize,
         command: &Value,
         effects: &mut Vec<Effect>,
     ) -> (Response, Option<Name>) {
@@ -189,7 +188,7 @@
         match (command["trigger"].as_object(), command["cancel"].as_array()) {
             // All triggers are over before a cancellation can come: there is nothing to stop, which is no error.
             (None, Some(urls)) if urls.iter().all(Value::is_string) => (Response::bare(200), None),
-            (Some(spec), None) => self.trigger(id, now, room, (spec, cdn_path), effects),
+            (Some(spec), None) => self.trigger(id, now, (spec, cdn_path), effects),
             _ => (Response::bare(400), None),
         }
     }
@@ -198,7 +197,6 @@
         &mut self,
         id: &Identity,
         now: u64,
-        room: usize,
         (spec, cdn_path): (&Map<String, Value>, &[Value]),
         effects: &mut Vec<Effect>,
     ) -> (Response, Option<Name>) {
@@ -222,9 +220,6 @@
             spec.iter().filter(|(key, _)| *key != "type").map(|(k, v)| (k.clone(), v.clone())).collect();
         let error = match kind {
             // Invalidated copies are not shown to be good again here: they are purged, which is stricter.
-            "purge" | "invalidate" if plan.purges.len() > room => {
-                error("ereject", &all, "too many purges are held")
-            }
             "purge" | "invalidate" if !plan.unable.is_empty() => error(
                 "ereject",
                 &plan.unable,
@@ -234,7 +229,7 @@
             "preposition" => error("ereject", &all, "content is fetched when it is asked for"),
             _ => return (Response::bare(501), None),
         };
-        if kind != "preposition" && plan.purges.len() <= room {
+        if kind != "preposition" {
             effects.extend(plan.purges.iter().map(|(object, group)| Effect::Purge(object.clone(), *group)));
             effects.extend(posts(id, &Value::Object(spec.clone()), cdn_path).into_iter().map(Effect::Post));
         }
--- a/daemon/src/limits.rs
+++ b/daemon/src/limits.rs
@@ -60,7 +60,7 @@
     pub gone_boxes: usize,
     /// Lines of the log that are remembered, so that each is said once.
     pub said: usize,
-    /// Purges that hold for good.
+    /// Purges in the logs that are exchanged with the peers. What is in force has no bound.
     pub purges: usize,
     /// Pieces of the status of triggers, in all logs.
     pub statuses: usize,
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -5,9 +5,11 @@
 
 use crate::aging::{faded, Counts, Pace};
 use crate::checks::SettingsError;
-use crate::hashing::{group_key, hash_text, mix, share_of};
+use crate::hashing::share_of;
 use crate::interface::*;
 use crate::ramp::{Ramp, GOLDEN};
+use linnetknot_purges::hashing::mix;
+use linnetknot_purges::{BucketBits, KeyHash, PurgeTable};
 use std::collections::{btree_map, BTreeMap, VecDeque};
 
 // ---- Constants. Times in microseconds unless the name says otherwise. ----
@@ -57,11 +59,13 @@
 const CLEARLY: f64 = 2.0; // The second parent fills while the first's fills take so many times as long.
 const PACE_HALF_MS: u64 = 10_000; // Hits and fills of one server tell of its pace for so long, by halves.
 const PACE_TOLD: f64 = 2.0; // Aged number of hits or fills from which their pace is told.
-const PURGES: usize = 16_384; // Held also once carried out: a fill across one may leave an older copy.
+/// Purges held exactly, also once carried out: a fill across one may leave an older copy.
+const EXACT_PURGES: usize = 16_384;
 const WATCH_AGAIN_US: Micros = 1_000_000; // Wait before the list is asked for again after a failed call.
 const TICK_TAG: u64 = 0; // Tag of the recurring timer.
 const WATCH_TAG: u64 = 1; // Tag of the timer to ask for the list again.
 
+mod purges;
 mod retune;
 
 #[derive(Clone, Copy, Default, PartialEq, Eq)]
@@ -165,8 +169,8 @@
     origin_at: Micros,    // When that was last learned.
     found: Option<f64>,   // What it fell to by an answer that others should know of.
     heard: (f64, Micros), // What it may be at most by what others found, and until when.
-    /// By hash of the object, or of the group: when, and whether it holds for good.
-    purged: BTreeMap<u64, (Micros, bool)>,
+    /// The latest purge of each object and of each group.
+    purges: PurgeTable,
     parts_of: BTreeMap<Budget, Part>, // Of what all routers share, as far as it was told.
     ticking: bool,
 }
@@ -209,7 +213,7 @@
             origin_at: Micros::MAX, // The first answer speaks for itself alone.
             found: None,
             heard: (1.0, 0),
-            purged: BTreeMap::new(),
+            purges: PurgeTable::new(EXACT_PURGES, BucketBits::DEFAULT),
             parts_of: BTreeMap::new(),
             ticking: false,
         })
@@ -239,11 +243,9 @@
             Event::Timer { .. } | Event::Probed { .. } => {}
             Event::Heard { origin_share, for_us } => self.heard = (origin_share, now + for_us),
             Event::Part(part) => drop(self.parts_of.insert(part.budget, part)),
-            Event::Purged { object, group, age_us, lasting } => {
-                let at = now.saturating_sub(age_us);
-                let key = object.map_or(group_key(group), |object| hash_text(&object));
-                let last = self.purged.entry(key).or_insert((at, false));
-                *last = (at.max(last.0), lasting || last.1);
+            Event::Purged { object, group, age_us } => {
+                let key = object.map_or(KeyHash::of_group(group), |object| KeyHash::of_object(&object));
+                self.purges.record(key, now.saturating_sub(age_us));
             }
         }
     }
@@ -303,7 +305,7 @@
             actions.push(Action::Refuse { request: r.id, retry_after_us: None });
             return;
         };
-        let object = hash_text(&r.object);
+        let object = KeyHash::of_object(&r.object).value();
         let unit = mix(object.wrapping_add(r.part.wrapping_mul(0x9e37_79b9_7f4a_7c15)));
         let sized = self.settings.flow_kb_per_s > 0.0 && r.size_kb > 0.0;
         let work_s = if sized { r.size_kb / self.settings.flow_kb_per_s } else { self.usual_s[class].0 };
@@ -391,9 +393,9 @@
 
     /// The oldest copy that will do; none: whatever the class allows.
     fn max_age_us(&self, now: Micros, open: &Open) -> Option<Micros> {
-        let purges = [open.object, group_key(open.group)].map(|key| self.purged.get(&key));
+        let keys = [KeyHash::from(open.object), KeyHash::of_group(open.group)];
         let fresh = Some(self.settings.classes[open.class].fresh_us).filter(|us| *us > 0);
-        let purged = purges.into_iter().flatten().map(|p| p.0).max();
+        let purged = keys.into_iter().filter_map(|key| self.purges.latest(key)).max();
         purged.map(|at| now.saturating_sub(at).clamp(1, fresh.unwrap_or(Micros::MAX)))
     }
 
@@ -763,12 +765,7 @@
     /// called off and goes elsewhere.
     fn tick(&mut self, now: Micros, actions: &mut Vec<Action>) {
         actions.push(Action::Timer { at: now + TICK_US, tag: TICK_TAG });
-        let mut at: Vec<Micros> = self.purged.values().filter(|p| !p.1).map(|p| p.0).collect();
-        if at.len() > PURGES {
-            let done = now.saturating_sub(self.settings.rules.purge_done_us);
-            let done = done.min(*at.select_nth_unstable(PURGES / 2).1);
-            self.purged.retain(|_, (at, lasting)| *lasting || *at > done);
-        }
+        self.purges.compact(now, self.settings.rules.purge_done_us);
         let step = TICK_US as f64 / 1e6 / MEAN_S;
         for s in self.servers.values_mut() {
             s.mean_out += step * (s.out as f64 - s.mean_out);
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -430,8 +430,6 @@
         group: u64,
         /// Time since the purge.
         age_us: Micros,
-        /// The servers are not told of it: they drop nothing by themselves, so it holds for good.
-        lasting: bool,
     },
 }
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -72,3 +72,4 @@
 pub use checks::SettingsError;
 pub use decide::Router;
 pub use interface::*;
+pub use linnetknot_purges as purges;
