--- /dev/null
+++ b/purges/tests/common/mod.rs
@@ -0,0 +1,105 @@
+//! What the purge state costs: the share of cache hits lost by the age of the copy, measured on virtual time, and the
+//! formula of a plain table beside that of buckets.
+
+use linnetknot_purges::hashing::mix;
+use linnetknot_purges::{BucketBits, CompactTable, KeyHash, Micros, PurgeTable};
+
+mod formula;
+pub use formula::*;
+
+pub const SECOND_US: Micros = 1_000_000;
+/// Keeps the keys that are looked up apart from those that were purged.
+const LOOKUP_SALT: u64 = 0x5851_f42d_4c95_7f2d;
+
+/// A steady stream of purges, each of a new key.
+#[derive(Clone, Copy, Debug)]
+pub struct Stream {
+    pub seed: u64,
+    pub per_second: f64,
+    pub purges: u64,
+}
+
+impl Stream {
+    /// The time of a purge.
+    pub fn time(&self, number: u64) -> Micros {
+        (number as f64 * 1e6 / self.per_second) as Micros
+    }
+
+    /// The time of the last purge.
+    pub fn end(&self) -> Micros {
+        self.time(self.purges)
+    }
+
+    /// The key of a purge.
+    pub fn key(&self, number: u64) -> KeyHash {
+        KeyHash::from(mix(self.seed ^ mix(number + 1)))
+    }
+
+    /// How many purges there were on average since a copy of this age was made.
+    pub fn since(&self, age: Micros) -> f64 {
+        self.per_second * age as f64 / 1e6
+    }
+}
+
+/// What answers when a key was purged last.
+pub trait Lookup {
+    fn latest(&self, key: KeyHash) -> Option<Micros>;
+}
+
+impl Lookup for CompactTable {
+    fn latest(&self, key: KeyHash) -> Option<Micros> {
+        CompactTable::latest(self, key)
+    }
+}
+
+impl Lookup for PurgeTable {
+    fn latest(&self, key: KeyHash) -> Option<Micros> {
+        PurgeTable::latest(self, key)
+    }
+}
+
+/// The plain alternative: the latest purge of all keys with the same top bits, one word each.
+pub struct PlainTable {
+    rows: Vec<Option<Micros>>,
+    shift: u32,
+}
+
+impl PlainTable {
+    /// A plain table in the memory of a compact one: eight rows in place of each bucket, of the 8 bytes that a packed
+    /// time needs there.
+    pub fn in_memory_of(bucket_bits: BucketBits) -> Self {
+        let rows = bucket_bits.buckets() * 8;
+        PlainTable { rows: vec![None; rows], shift: u64::BITS - rows.trailing_zeros() }
+    }
+
+    pub fn record(&mut self, key: KeyHash, at: Micros) {
+        let row = &mut self.rows[(key.value() >> self.shift) as usize];
+        *row = (*row).max(Some(at));
+    }
+}
+
+impl Lookup for PlainTable {
+    fn latest(&self, key: KeyHash) -> Option<Micros> {
+        self.rows[(key.value() >> self.shift) as usize]
+    }
+}
+
+/// Share of copies that were never purged and are lost all the same, for each age. One look-up of a copy tells for all
+/// ages: it is lost from the age on at which it was made before the time that is told for its keys.
+pub fn lost_shares(table: &impl Lookup, now: Micros, ages: &[Micros], copies: u64) -> Vec<f64> {
+    let mut lost = vec![0u64; ages.len()];
+    for copy in 0..copies {
+        let keys = (0..LOOKUPS).map(|n| KeyHash::from(mix(LOOKUP_SALT ^ mix(copy * LOOKUPS + n))));
+        let Some(purged) = keys.filter_map(|key| table.latest(key)).max() else { continue };
+        for (age, lost) in ages.iter().zip(&mut lost) {
+            *lost += u64::from(now.saturating_sub(*age) < purged);
+        }
+    }
+    lost.into_iter().map(|lost| lost as f64 / copies as f64).collect()
+}
+
+/// The share that a plain table in the same memory loses.
+pub fn predicted_by_plain_rows(bucket_bits: BucketBits, purges: f64) -> f64 {
+    let mean = purges / (bucket_bits.buckets() * 8) as f64;
+    1.0 - (-mean * LOOKUPS as f64).exp()
+}
--- /dev/null
+++ b/tests/purge_cost.rs
@@ -0,0 +1,68 @@
+//! What a long stream of purges costs in cache hits, seen in what the router asks of copies, at the usual size of its
+//! purge state (4 MiB). The formula is that of `docs/design/purge-state.md`.
+
+mod common;
+#[path = "../purges/tests/common/formula.rs"]
+mod formula;
+
+use common::*;
+use formula::predicted_by_buckets;
+use linnetknot::*;
+
+const PURGES_PER_SECOND: u64 = 110;
+const PURGES: u64 = 1_000_000;
+const PURGES_PER_TICK: u64 = 100;
+const COPIES: u64 = 20_000;
+/// Three times the chance deviation of 20,000 copies.
+const TOLERANCE: f64 = 0.012;
+
+/// Purges of a million objects, with ticks between.
+fn purged_rig() -> Rig {
+    let mut rig = Rig::new(settings(), fleet());
+    let start = rig.now;
+    for number in 0..PURGES {
+        rig.now = start + number * S / PURGES_PER_SECOND;
+        rig.handle(Event::Purged { object: Some(format!("/purged/{number}")), group: 0, age_us: 0 });
+        if number % PURGES_PER_TICK == 0 {
+            rig.tick();
+        }
+    }
+    rig
+}
+
+/// How old a copy of an object that was never purged may be; none: of any age.
+fn allowed_age(rig: &mut Rig, number: u64) -> Option<Micros> {
+    let request = Request {
+        id: number,
+        class: "video".into(),
+        tenant: None,
+        object: format!("/kept/{number}"),
+        part: 0,
+        group: 1_000 + number,
+        size_kb: 500.0,
+        remaining_us: 5 * S,
+        repeated: false,
+    };
+    let actions = rig.handle(Event::Request(request));
+    let attempt = sent(&actions).expect("an attempt");
+    rig.end_with(number, 0, attempt.server, Outcome::Ok, Note::Hit);
+    attempt.fill.max_age_us
+}
+
+#[test]
+fn a_router_loses_the_share_of_hits_that_the_formula_says() {
+    let mut rig = purged_rig();
+    let state = rig.router.purges();
+    let (exact, bits) = (state.exact_len() as f64, state.compact_table().bucket_bits());
+    assert_eq!(state.compact_table().memory_bytes(), 4 << 20);
+    let allowed: Vec<_> = (0..COPIES).map(|number| allowed_age(&mut rig, number)).collect();
+    for minutes in [5, 10, 20, 30, 45, 60, 75, 90, 120] {
+        let age = minutes * 60 * S;
+        let lost = allowed.iter().flatten().filter(|most| age > **most).count();
+        let share = lost as f64 / COPIES as f64;
+        let purges = (PURGES_PER_SECOND * minutes * 60) as f64 - exact;
+        let expected = predicted_by_buckets(bits, purges);
+        println!("| {minutes} | {share:.4} | {expected:.4} |");
+        assert!((share - expected).abs() < TOLERANCE, "{minutes} min: {share:.4}, expected {expected:.4}");
+    }
+}
