--- a/purges/examples/hit_loss.rs
+++ b/purges/examples/hit_loss.rs
@@ -27,8 +27,8 @@
     let by_rows = lost_shares(&plain, DAY.end(), &ages, COPIES);
     println!("\n{} MiB, {} occupied slots\n", compact.memory_bytes() >> 20, compact.len());
     println!("| age, min | buckets | formula | plain table | formula |\n| --- | --- | --- | --- | --- |");
-    for (place, age) in ages.into_iter().enumerate() {
-        print_row(bucket_bits, age, by_buckets[place], by_rows[place]);
+    for (position, age) in ages.into_iter().enumerate() {
+        print_row(bucket_bits, age, by_buckets[position], by_rows[position]);
     }
 }
 
--- a/purges/src/bucket.rs
+++ b/purges/src/bucket.rs
@@ -107,13 +107,13 @@
         if stamp_of(slot) <= self.watermark {
             return false;
         }
-        let place = self.slots.partition_point(|other| *other > slot);
-        if self.slots.get(place) == Some(&slot) {
+        let position = self.slots.partition_point(|other| *other > slot);
+        if self.slots.get(position) == Some(&slot) {
             return false;
         }
         // Shifts the later part by one; what falls out at the end is the smallest of the eight.
         let mut moving = slot;
-        for other in &mut self.slots[place..] {
+        for other in &mut self.slots[position..] {
             std::mem::swap(other, &mut moving);
         }
         self.raise_to(stamp_of(moving));
--- a/purges/src/compact.rs
+++ b/purges/src/compact.rs
@@ -1,4 +1,4 @@
-//! A table of buckets: purges of any number of keys in memory of fixed size. What it has no place for it remembers as
+//! A table of buckets: purges of any number of keys in memory of fixed size. What does not fit it remembers as
 //! too strict, never as forgotten.
 
 use crate::bucket::{Bucket, Fingerprint};
@@ -57,7 +57,7 @@
 
 impl std::error::Error for BucketBitsError {}
 
-/// The place of a bucket in its table. It has a meaning only with the table's [`BucketBits`].
+/// The index of a bucket in its table. It has a meaning only with the table's [`BucketBits`].
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct BucketIndex(u32);
 
@@ -67,14 +67,14 @@
         BucketIndex((key.value() >> (u64::BITS - bits.0 as u32)) as u32)
     }
 
-    /// The place as a number.
+    /// The index as a number.
     pub const fn value(self) -> u32 {
         self.0
     }
 }
 
 impl From<u32> for BucketIndex {
-    /// A place from its number, as [`BucketIndex::value`] gave it.
+    /// An index from its number, as [`BucketIndex::value`] gave it.
     fn from(value: u32) -> Self {
         BucketIndex(value)
     }
@@ -85,7 +85,7 @@
 pub struct BucketIndexError {
     /// The table's size.
     pub bucket_bits: BucketBits,
-    /// The bucket's place.
+    /// The bucket's index.
     pub index: BucketIndex,
 }
 
@@ -190,7 +190,7 @@
         self.buckets.get(index.0 as usize)
     }
 
-    /// All buckets that are not empty, in order from a place on.
+    /// All buckets that are not empty, in order from an index on.
     pub fn occupied(&self, from: BucketIndex) -> impl Iterator<Item = (BucketIndex, &Bucket)> {
         let buckets = self.buckets.iter().enumerate().skip(from.0 as usize);
         let occupied = buckets.filter(|(_, bucket)| !bucket.is_empty());
