--- a/daemon/src/daemon/feeds/peers.rs
+++ b/daemon/src/daemon/feeds/peers.rs
@@ -4,13 +4,13 @@
 use crate::daemon::Daemon;
 use crate::{ledger, peers};
 use linnetknot::Micros;
-use linnetknot_replication::{Datagram, Entry, Outgoing, Unreadable};
+use linnetknot_replication::{Datagram, DecodeError, Entry, Outgoing};
 use std::io;
 use std::net::SocketAddr;
 
 impl Daemon {
     pub(in crate::daemon) fn hear_peers(&mut self, now: Micros) {
-        let mut bytes = [0; peers::MOST + 1];
+        let mut bytes = [0; peers::MAX_DATAGRAM_BYTES + 1];
         while let Some((socket, known)) = &self.peers {
             let (length, from) = match socket.recv_from(&mut bytes) {
                 Ok(received) => received,
@@ -32,7 +32,7 @@
             if place.is_some_and(heard) {
                 continue;
             }
-            if self.hearsay.as_mut().is_some_and(|h| h.hear(now, from, bytes)) {
+            if self.origin_health.as_mut().is_some_and(|h| h.receive(now, from, bytes)) {
                 self.heed(now);
             } else if let Some((object, group, at)) = peers::read(bytes) {
                 self.purge_heard(now, object, group, at);
@@ -44,14 +44,14 @@
 
     /// What others find of the origin, as far as enough of them agree.
     fn heed(&mut self, now: Micros) {
-        if let Some((share, until)) = self.hearsay.as_ref().and_then(|h| h.origin(now)) {
+        if let Some((share, until)) = self.origin_health.as_ref().and_then(|h| h.origin_share(now)) {
             self.core.heard(now, share, until);
         }
     }
 
     /// The origin is late for this proxy.
     pub(in crate::daemon) fn tell_found(&mut self, now: Micros, share: f64) {
-        let Some(word) = self.hearsay.as_mut().and_then(|h| h.found(now, share)) else { return };
+        let Some(word) = self.origin_health.as_mut().and_then(|h| h.observe(now, share)) else { return };
         log::debug!(target: TRACE, share = share; "peers are told of a late origin");
         self.send_to_peers(&word);
     }
@@ -60,7 +60,7 @@
     fn hear_copies(&mut self, now: Micros, peer: usize, bytes: &[u8]) -> bool {
         let datagram = match Datagram::read(bytes) {
             Ok(datagram) => datagram,
-            Err(Unreadable::Foreign) => return false,
+            Err(DecodeError::Foreign) => return false,
             Err(e) => {
                 log::debug!(place = peer; "{e}");
                 self.dropped.1 += 1;
@@ -75,12 +75,10 @@
         };
         let heard = ledger.receive(peer, datagram);
         let same = told == Some(ledger.replica().log_store().checksum());
-        // What there is no room to keep is in force all the same, as far as the module has room.
+        // What there is no room to keep is in force all the same.
         for entry in heard.new.iter().chain(&heard.out_of_order).chain(&heard.rejected) {
             let Some((object, group, at)) = ledger::purge(entry) else { continue };
-            if !self.core.purged_for_good(now, object, group, at) {
-                log::error!(writer = entry.log.writer, seq = entry.index; "there is no room for a purge that a peer told");
-            }
+            self.core.purged(now, object, group, at);
         }
         // What its operators decided, and not each purge of a long log that comes back.
         if heard.new.iter().any(|entry| entry.log.writer == own && ledger::purge(entry).is_none()) {
--- a/daemon/src/daemon/mod.rs
+++ b/daemon/src/daemon/mod.rs
@@ -12,8 +12,8 @@
 use crate::upstream::Link;
 use crate::wire::WireError;
 use linnetknot::{Micros, Outcome, ServerId};
-use linnetknot_hearsay::{Hearsay, Place};
-use linnetknot_membership::{Damping, Membership, Source as ListSource, Vetting};
+use linnetknot_discovery::{Damping, Discovery, Source as ListSource, Vetting};
+use linnetknot_origin_health::{OriginHealth, ZonePlace};
 use rustix::fd::OwnedFd;
 use rustix::pipe::{pipe_with, PipeFlags};
 use std::collections::{btree_map::Entry, BTreeMap};
@@ -194,7 +194,7 @@
     deadlines: Deadlines<Timer>,
     bus: bus::State,
     /// What is believed of the boxes, and when it is due to be looked at again.
-    members: Membership,
+    members: Discovery,
     /// What of the bus's lists is believed.
     vetting: Vetting,
     members_due: Option<Due>,
@@ -202,7 +202,7 @@
     consul: Option<consul::State>,
     keeper: Option<consul::Keeper>,
     peers: Option<(UdpSocket, Vec<SocketAddr>)>,
-    hearsay: Option<Hearsay>,
+    origin_health: Option<OriginHealth>,
     /// Datagrams dropped: from nobody who is a peer, and of no known kind.
     dropped: (u64, u64),
     desk: Option<(TcpListener, Desk)>,
@@ -210,7 +210,7 @@
     /// The answers that wait for it, and when it is due to be looked at again.
     promised: promises::Promised,
     /// Who of the peers is there, and when that is due to be looked at again.
-    members_of_fleet: Option<linnetknot_fleet::Fleet>,
+    membership: Option<linnetknot_membership::Membership>,
     /// What all proxies spend together.
     sharing: Option<budgets::Sharing>,
     fleet_due: Option<Due>,
@@ -284,7 +284,7 @@
             poll.add(&listener, CDNI, Interest::READ).map_err(text)?;
             desk = Some((listener, Desk::new(cdni.identity, config.seed, limits.triggers)));
             if let Some(path) = cdni.purges {
-                let writer = linnetknot_membership::server_id(&config.name);
+                let writer = linnetknot_discovery::server_id(&config.name);
                 let word = Signal::new().map_err(text)?;
                 poll.add(&word.heard, STORE, Interest::READ).map_err(text)?;
                 let bounds = (limits.replication(&config.copies), limits.store_writes);
@@ -307,8 +307,8 @@
         }
         let ops_folder = config.ops_folder.clone();
         let ops = linnetknot_ops::Operations::new(linnetknot_ops::store::load(&ops_folder), clock.now());
-        let place = Place::of(&config.settings);
-        let hearsay = config.tell.then(|| Hearsay::new(place, clock.now()));
+        let place = ZonePlace::of(&config.settings);
+        let origin_health = config.tell.then(|| OriginHealth::new(place, clock.now()));
         let core = Core::new(config.settings.clone(), config.seed, &limits).map_err(|e| e.to_string())?;
         let (last_event, known) = std::mem::take(&mut config.known);
         let damping = config.consul.as_ref().map_or(Damping::default(), |c| c.damping);
@@ -331,19 +331,19 @@
             links: BTreeMap::new(),
             deadlines: Deadlines::default(),
             bus: bus::State::new(config.seed, &limits),
-            members: Membership::new(sources(&config), damping, limits.members()),
+            members: Discovery::new(sources(&config), damping, limits.members()),
             vetting: Vetting::default(),
             members_due: None,
             said: Said::default(),
             consul,
             keeper,
             peers,
-            hearsay,
+            origin_health,
             dropped: (0, 0),
             desk,
             ledger,
             promised: promises::Promised::default(),
-            members_of_fleet: None,
+            membership: None,
             sharing: None,
             fleet_due: None,
             store_word,
@@ -365,7 +365,7 @@
         let now = daemon.clock.now();
         let kept = daemon.ledger.as_ref().map(Ledger::purges).unwrap_or_default();
         for (object, group, at) in kept {
-            daemon.core.purged_for_good(now, object, group, at);
+            daemon.core.purged(now, object, group, at);
         }
         known.into_iter().for_each(|event| daemon.news(now, event));
         daemon.bus.last = last_event;
@@ -464,16 +464,16 @@
                 "entries of logs copied to and from peers, and promises of them"
             );
         }
-        if let Some(t) = self.hearsay.as_ref().map(Hearsay::tally) {
+        if let Some(t) = self.origin_health.as_ref().map(OriginHealth::counters) {
             log::info!(
-                told = t.told,
-                spared = t.spared,
-                heard = t.heard,
+                sent = t.sent,
+                suppressed = t.suppressed,
+                received = t.received,
                 old = t.old,
                 torn = t.torn,
                 version = t.version,
                 too_long = t.too_long;
-                "words of a late origin to and from peers"
+                "reports of a late origin to and from peers"
             );
         }
         Ok(())
@@ -592,7 +592,7 @@
         }
         if let (Some((_, known)), Some((_, peers))) = (&mut self.peers, &new.peers) {
             known.clone_from(peers);
-            self.hearsay.iter_mut().for_each(|h| h.keep(|peer| peers.contains(peer)));
+            self.origin_health.iter_mut().for_each(|h| h.retain_peers(|peer| peers.contains(peer)));
         }
         if self.config.budgets != new.budgets {
             self.reload_budgets(&new.budgets);
@@ -608,7 +608,7 @@
         if machines != self.config.copies.machines {
             self.share_alone();
             let peers = self.config.copies.machines.len();
-            self.members_of_fleet.iter_mut().for_each(|fleet| fleet.peers(peers));
+            self.membership.iter_mut().for_each(|fleet| fleet.peers(peers));
             self.know_machines();
             if !self.promised.has_recovered() {
                 self.begin_recovery(now);
--- a/daemon/src/daemon/promises.rs
+++ b/daemon/src/daemon/promises.rs
@@ -8,7 +8,7 @@
 use crate::net::{Due, Key};
 use crate::peers;
 use linnetknot::Micros;
-use linnetknot_membership::server_id;
+use linnetknot_discovery::server_id;
 use linnetknot_ops::{Effect as Done, Reply};
 use linnetknot_replication::{CommitId, Datagram, Entry, Index, Outgoing, Recovery, Subject};
 use std::collections::BTreeMap;
@@ -312,9 +312,7 @@
         object: Option<String>,
         group: u64,
     ) -> Result<Option<Index>, String> {
-        if !self.core.purged_for_good(now, object.clone(), group, now) {
-            return Err("there is no room for one more purge".into());
-        }
+        self.core.purged(now, object.clone(), group, now);
         let text = peers::write(object.as_deref(), group, now);
         let entry = self.ledger.as_mut().map(|ledger| ledger.add(object.as_deref(), group, now)).transpose();
         fail::fail_point!("peers-tell");
@@ -332,12 +330,10 @@
 
     /// A purge that a peer told: in force, and known to the next process too.
     pub(super) fn purge_heard(&mut self, now: Micros, object: Option<String>, group: u64, at: Micros) {
-        if self.core.purged_for_good(now, object.clone(), group, at) {
-            let kept =
-                self.ledger.as_mut().map_or(Ok(()), |ledger| ledger.tell(object.as_deref(), group, at));
-            if let Err(e) = kept {
-                log::error!("a purge that a peer told is in force but not kept for the next start: {e}");
-            }
+        self.core.purged(now, object.clone(), group, at);
+        let kept = self.ledger.as_mut().map_or(Ok(()), |ledger| ledger.tell(object.as_deref(), group, at));
+        if let Err(e) = kept {
+            log::error!("a purge that a peer told is in force but not kept for the next start: {e}");
         }
     }
 
@@ -447,7 +443,7 @@
     /// file here says.
     pub(super) fn know_machines(&mut self) {
         let copies = &self.config.copies;
-        let members = self.members_of_fleet.as_ref().map_or(&[][..], |fleet| fleet.members());
+        let members = self.membership.as_ref().map_or(&[][..], |fleet| fleet.members());
         let machine = |(place, (_, said)): (usize, &(SocketAddr, String))| {
             let told = members.get(place).and_then(|m| m.names.as_ref()).map(|(_, machine)| machine);
             server_id(told.filter(|machine| !machine.is_empty()).unwrap_or(said))
--- a/daemon/src/limits.rs
+++ b/daemon/src/limits.rs
@@ -60,7 +60,7 @@
     pub gone_boxes: usize,
     /// Lines of the log that are remembered, so that each is said once.
     pub said: usize,
-    /// Purges that hold for good.
+    /// Purges in the logs that are exchanged with the peers. What is in force has no bound.
     pub purges: usize,
     /// Pieces of the status of triggers, in all logs.
     pub statuses: usize,
@@ -188,8 +188,8 @@
     }
 
     /// The bounds of the book of boxes.
-    pub fn members(&self) -> linnetknot_membership::Bounds {
-        linnetknot_membership::Bounds { boxes: self.boxes, remembered: self.gone_boxes }
+    pub fn members(&self) -> linnetknot_discovery::Bounds {
+        linnetknot_discovery::Bounds { boxes: self.boxes, remembered: self.gone_boxes }
     }
 
     /// The bounds of the logs of purges, and what is promised of them.
--- a/membership/src/lib.rs
+++ b/membership/src/lib.rs
@@ -1,27 +1,38 @@
-//! What a proxy believes of its boxes.
+//! Who is there: membership between the proxies of an installation.
 //!
-//! Sources - the event bus, Consul, a kept list - give [`Evidence`] with the time at which it was told. A
-//! [`Membership`] weighs it and gives out the list events for the decision module, who may be given fresh work,
-//! and for each box why. The package is sans-IO: it has no sockets and no clock; time is the `now` of each call.
+//! Sans-IO. Members come from the configuration, which names an address for each; which of them run is found out as
+//! SWIM does (probes in random rounds, indirect probes, suspicion that its subject can refute, claims that ride on the
+//! probes) with the lessons of Lifeguard (a time to refute that falls as others confirm, a detector that distrusts
+//! itself when it is slow, a suspect that is told so first).
 //!
-//! What holds, whatever the sources say and in whatever order (checked by `tests/model.rs`, the last
-//! by `tests/book.rs`):
+//! - `member`: what is believed of each member, and which claim beats which.
+//! - `suspicion`: how long a suspect has to refute.
+//! - `gossip`: which claims ride on the next datagram.
+//! - `swim`: probes and their time-outs, and the detector's own health.
+//! - `wire`: datagrams of at most 256 bytes.
 //!
-//! - A box that any source says drains, fails or is gone is given out as not ready by the call that tells it.
-//! - Damping alone holds back at most a stated share of the boxes of a zone and kind, and none for ever.
-//! - A relayed source with no other beside it is given out as it came, to the event.
+//! A process id is one run of a process under a name. A later process beats all that was said of an earlier one, so a machine
+//! that comes back, with its disk or without, is not taken for the one that died, and an old process that goes on
+//! after its successor has begun learns that it was replaced.
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
-mod book;
-mod damping;
-mod evidence;
-pub mod kept;
-mod vet;
+mod gossip;
+mod member;
+mod suspicion;
+mod swim;
+mod wire;
 
-pub use book::{Bounds, Membership, Output};
-pub use damping::{BadFigure, Damping, Penalty};
-pub use evidence::{
-    server_id, Change, Entry, Evidence, Explanation, Notice, Reason, Report, Source, SourceId, Standing,
-};
-pub use vet::{Answer, PassedOver, Vetting};
+pub use linnetknot_datagram::{DecodeError, MAX_DATAGRAM_BYTES};
+pub use member::{Change, Claim, Member, Standing};
+pub use swim::{Counters, Membership, Options};
+pub use wire::{Body, Message, Sender, Update};
+
+/// Time or duration in microseconds.
+pub type Micros = u64;
+/// A member: a hash of its name.
+pub type Id = u64;
+/// A process id of a member: later ones are greater.
+pub type ProcessId = u64;
+/// A member's place in the list of peers, which is each proxy's own.
+pub type Peer = usize;
--- a/replication/src/replica/catch_up.rs
+++ b/replication/src/replica/catch_up.rs
@@ -5,7 +5,7 @@
 use crate::wire::MAX_LOGS_PER_DATAGRAM;
 use crate::{
     CompactedLog, Compaction, Datagram, Index, LogId, MergedBucket, Micros, Outgoing, Received,
-    SnapshotChunk, SnapshotContent, SnapshotCursor, SnapshotOffer, SnapshotRequest, MOST,
+    SnapshotChunk, SnapshotContent, SnapshotCursor, SnapshotOffer, SnapshotRequest, MAX_DATAGRAM_BYTES,
 };
 use std::collections::BTreeMap;
 
@@ -148,8 +148,8 @@
     fn send_snapshot(&mut self, from: SnapshotCursor, replies: &mut Vec<Datagram>) {
         let image = self.image_for(from);
         let reader = Reader { image: &image, store: &self.log_store, process: self.process };
-        let window = self.options.snapshot_window_bytes().max(MOST);
-        let max_chunks = window.min(self.snapshot_allowance) / MOST;
+        let window = self.options.snapshot_window_bytes().max(MAX_DATAGRAM_BYTES);
+        let max_chunks = window.min(self.snapshot_allowance) / MAX_DATAGRAM_BYTES;
         let end = if from < SnapshotCursor::BUCKETS { SnapshotCursor::BUCKETS } else { SnapshotCursor::End };
         let mut cursor = from;
         let mut chunks = 0;
@@ -161,7 +161,7 @@
             replies.push(Datagram::SnapshotChunk(chunk));
         }
         self.image = Some(image);
-        self.snapshot_allowance -= chunks * MOST;
+        self.snapshot_allowance -= chunks * MAX_DATAGRAM_BYTES;
         self.counters.snapshot_chunks_sent += chunks as u64;
     }
 
--- a/replication/src/replica/mod.rs
+++ b/replication/src/replica/mod.rs
@@ -13,7 +13,7 @@
     Outgoing, Subject,
 };
 use catch_up::{Offers, PendingSnapshot};
-use linnetknot_words::Random;
+use linnetknot_datagram::Random;
 use std::collections::BTreeMap;
 
 /// Logs of which what is missing is asked for at a time, and datagrams that name it of one.
--- a/replication/src/snapshot/encoding.rs
+++ b/replication/src/snapshot/encoding.rs
@@ -1,11 +1,11 @@
 //! Chunks as bytes. Numbers are big endian.
 
 use super::{PlacedBucket, SnapshotChunk, SnapshotContent, SnapshotCursor};
-use crate::{wire, CompactedLog, Entry, LogId, Subject, MOST};
+use crate::{wire, CompactedLog, Entry, LogId, Subject, MAX_DATAGRAM_BYTES};
 use linnetknot_purges::{Bucket, BucketBits, BucketIndex};
 
 /// Bytes that the items of a chunk may take.
-pub(crate) const MAX_CONTENT_BYTES: usize = MOST - wire::CHUNK_MARK.len() - encoded_len::HEAD;
+pub(crate) const MAX_CONTENT_BYTES: usize = MAX_DATAGRAM_BYTES - wire::CHUNK_MARK.len() - encoded_len::HEAD;
 /// Bytes of an entry besides its subject.
 const ENTRY_HEAD_BYTES: usize = 33;
 /// Bytes of a bucket besides its encoding.
--- a/replication/src/wire.rs
+++ b/replication/src/wire.rs
@@ -6,8 +6,8 @@
 
 use crate::snapshot::{self, SnapshotChunk, SnapshotCursor, SnapshotOffer, SnapshotRequest};
 use crate::{status, CompactedLog, Entry, Index, LogId, Subject};
+use linnetknot_datagram::{payload, DecodeError, MAX_DATAGRAM_BYTES};
 use linnetknot_purges::BucketIndex;
-use linnetknot_words::{behind, Unreadable, MOST};
 
 /// Logs of which one datagram can tell: three numbers of up to 17 bytes each behind a head.
 pub(crate) const MAX_LOGS_PER_DATAGRAM: usize = 4;
@@ -77,7 +77,7 @@
             }
             text => text.write_text().into_bytes(),
         };
-        (bytes.len() <= MOST).then_some(bytes)
+        (bytes.len() <= MAX_DATAGRAM_BYTES).then_some(bytes)
     }
 
     fn write_text(&self) -> String {
@@ -107,14 +107,14 @@
     }
 
     /// Reads one.
-    pub fn read(bytes: &[u8]) -> Result<Self, Unreadable> {
-        let body = behind(bytes, MARK)?;
+    pub fn read(bytes: &[u8]) -> Result<Self, DecodeError> {
+        let body = payload(bytes, MARK)?;
         if let Some(chunk) = bytes.strip_prefix(CHUNK_MARK.as_bytes()) {
-            return snapshot::read_chunk(chunk).map(Datagram::SnapshotChunk).ok_or(Unreadable::Torn);
+            return snapshot::read_chunk(chunk).map(Datagram::SnapshotChunk).ok_or(DecodeError::Malformed);
         }
-        let text = std::str::from_utf8(body).map_err(|_| Unreadable::Torn)?;
-        let mut words = text.strip_prefix(' ').ok_or(Unreadable::Torn)?.split(' ');
-        Self::read_words(&mut words).filter(|_| words.next().is_none()).ok_or(Unreadable::Torn)
+        let text = std::str::from_utf8(body).map_err(|_| DecodeError::Malformed)?;
+        let mut words = text.strip_prefix(' ').ok_or(DecodeError::Malformed)?.split(' ');
+        Self::read_words(&mut words).filter(|_| words.next().is_none()).ok_or(DecodeError::Malformed)
     }
 
     fn read_words(words: &mut Words) -> Option<Self> {
--- a/replication/tests/compaction_model.rs
+++ b/replication/tests/compaction_model.rs
@@ -8,7 +8,7 @@
 //! - is an index of a log given twice.
 
 use linnetknot_replication::*;
-use linnetknot_simnet::{member, place};
+use linnetknot_simnet::{member_at, peer_index};
 use stateright::{Checker, HasDiscoveries, Model, Property, UniformChooser};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
@@ -155,7 +155,7 @@
             max_exact_entries: 2,
             min_acks: 0,
             // Two chunks in answer to each request.
-            snapshot_bytes_per_s: 2 * 20 * MOST,
+            snapshot_bytes_per_s: 2 * 20 * MAX_DATAGRAM_BYTES,
             ..Options::default()
         };
         let epoch = if self.planted == Planted::SameEpoch { 1 } else { proxy.process };
@@ -230,7 +230,7 @@
         }
         let proxy = &mut state.proxies[to];
         let replica = proxy.replica.as_mut()?;
-        let received = replica.receive(place(from, to), datagram);
+        let received = replica.receive(peer_index(from, to), datagram);
         if self.planted == Planted::AckedEarly {
             replica.snapshot_synced(&received.compacted);
         }
@@ -253,7 +253,7 @@
         let replica = proxy.replica.as_mut()?;
         // So far apart that all is due each time.
         let outgoing = replica.tick(Micros::from(proxy.ticks) * 1_000 * MS);
-        outgoing.iter().for_each(|out| self.send(state, n, member(out.peer, n), &out.datagram));
+        outgoing.iter().for_each(|out| self.send(state, n, member_at(out.peer, n), &out.datagram));
         Some(())
     }
 
