--- a/replication/tests/statuses.rs
+++ b/replication/tests/statuses.rs
@@ -98,3 +98,33 @@
     assert!(replica.take_failed().is_empty(), "it is known to be nothing that is in force");
     assert_eq!((replica.durable_index(OWN), replica.is_synced()), (2, true));
 }
+
+#[test]
+fn a_text_of_any_characters_comes_back_from_pieces_that_each_fit_a_datagram() {
+    let odd = "{\"a\": \"50% of\u{7f} \u{1}\t\u{e9}\u{1f600} %zz\"}";
+    for text in [odd.to_owned(), odd.repeat(40), "%".repeat(500), " ".repeat(113), "x".repeat(112)] {
+        let cut = pieces(&text).unwrap();
+        assert_eq!(cut.iter().map(|(_, piece)| piece.as_str()).collect::<String>(), text);
+        for (part, text) in cut {
+            // All numbers as long as they can be.
+            let subject = Subject::Status { number: u64::MAX, part: u16::MAX - part, text };
+            let most = u64::MAX;
+            let entry = Entry {
+                log: LogId::new(most, most),
+                index: most,
+                prev: most - 1,
+                subject,
+                at: most,
+                revoked: false,
+            };
+            let bytes = Datagram::Entry(entry.clone()).write().expect("it fits");
+            assert_eq!(Datagram::read(&bytes), Ok(Datagram::Entry(entry)));
+        }
+    }
+    assert_eq!(pieces("").unwrap(), [(0, String::new())]);
+    for torn in ["%", "%4", "%zz", "%+1", "a%\u{e9}", "%41", "\u{1}", "%2A"] {
+        let datagram = format!("copies1 entry 1 1 0 1 1 status 1.0.{torn}");
+        assert_eq!(Datagram::read(datagram.as_bytes()), Err(DecodeError::Malformed), "{torn}");
+    }
+    assert!(pieces(&"x".repeat(112 * 65_536)).is_some() && pieces(&"x".repeat(112 * 65_536 + 1)).is_none());
+}
