Split the log store by job, measure its memory, and look logs up once in compaction

A purge that a later entry of an older writer supersedes with an earlier time, as its clock was set back, must not be left out of the table.

Change: log_store/ has capacity, statuses and decisions on their own; examples/memory.rs prints memory and times.

--- /dev/null
+++ b/replication/examples/memory.rs
@@ -0,0 +1,92 @@
+//! Prints the memory of a log store (Linux): logs of one entry each, purges up to the bound, and purges without end; and
+//! how long a step of compaction and an image of a snapshot take.
+//!
+//!     cargo run --release -p linnetknot-replication --example memory
+
+use linnetknot_replication::{
+    Capacity, Datagram, Entry, LogId, LogStore, Micros, Options, Replica, SnapshotCursor, SnapshotRequest,
+    Subject,
+};
+use std::io;
+use std::time::Instant;
+
+const LOGS: u64 = 16_384;
+const PER_SECOND: u64 = 110;
+const DAY_S: u64 = 86_400;
+const SECOND_US: Micros = 1_000_000;
+
+/// Resident memory of this process in KiB.
+fn resident_kib() -> io::Result<u64> {
+    let status = std::fs::read_to_string("/proc/self/status")?;
+    let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+    let number = line.and_then(|line| line.split_whitespace().next()).and_then(|n| n.parse().ok());
+    number.ok_or_else(|| io::Error::other("no resident memory is told"))
+}
+
+fn object(n: u64) -> Subject {
+    Subject::Object(format!("/v/{n:016x}/master.m3u8"))
+}
+
+/// Logs of one entry each: bytes a log.
+fn print_logs() -> io::Result<()> {
+    let before = resident_kib()?;
+    let mut store = LogStore::default();
+    for writer in 0..LOGS {
+        let log = LogId::new(writer, 1);
+        let entry = Entry { log, index: 1, prev: 0, subject: object(writer), at: 1, revoked: false };
+        store.take(&entry, Capacity::UNLIMITED);
+    }
+    let bytes = (resident_kib()? - before) * 1_024 / LOGS;
+    println!("{} logs of one entry: {bytes} bytes each", store.logs());
+    Ok(())
+}
+
+/// Purges of one log, as many as a day brings.
+fn print_purges() -> io::Result<()> {
+    let before = resident_kib()?;
+    let own = LogId::new(1, 1);
+    let mut replica = Replica::new(own, LogStore::default(), 1, Options::default());
+    let marks = [0, 20_000, 65_536, 131_072, 1_000_000, PER_SECOND * DAY_S];
+    let mut told = 0;
+    for mark in marks {
+        while told < mark {
+            let at = told * SECOND_US / PER_SECOND;
+            let entry = replica.append(object(told), at, false).map_err(io::Error::other)?;
+            replica.synced(entry.log, entry.index);
+            replica.compact(at);
+            told += 1;
+        }
+        let held = replica.log_store().len();
+        println!("{told} purges: {held} entries, {} KiB", resident_kib()? - before);
+    }
+    Ok(())
+}
+
+/// How long the loop is held up by a step of compaction and by the image of a snapshot, at the bound.
+fn print_times() {
+    let mut replica = Replica::new(LogId::new(0, 1), LogStore::default(), 1, Options::default());
+    for n in 0..65_537 {
+        let log = LogId::new(1 + n % 6_400, 1);
+        let index = 1 + n / 6_400;
+        let entry = Entry { log, index, prev: index - 1, subject: object(n), at: n, revoked: false };
+        replica.receive(0, Datagram::Entry(entry));
+        replica.synced(log, index);
+    }
+    let started = Instant::now();
+    let moved = replica.compact(SECOND_US).map_or(0, |compaction| compaction.entries.len());
+    println!("{moved} purges of 6,400 logs compacted in {:.1?}", started.elapsed());
+    let request = SnapshotRequest { process: 1, from: SnapshotCursor::START };
+    let started = Instant::now();
+    let chunks = replica.receive(0, Datagram::SnapshotRequest(request)).replies.len();
+    println!("an image, and {chunks} chunks of it, in {:.1?}", started.elapsed());
+    let started = Instant::now();
+    let chunks = replica.receive(0, Datagram::SnapshotRequest(request)).replies.len();
+    println!("{chunks} chunks more of it in {:.1?}", started.elapsed());
+}
+
+fn main() -> io::Result<()> {
+    print_logs()?;
+    print_purges()?;
+    print_times();
+    Ok(())
+}
--- a/replication/src/compaction.rs
+++ b/replication/src/compaction.rs
@@ -4,7 +4,7 @@
 //! table; what is no purge stays. So a replica whose position in the log is before that index can't get the log entry
 //! by entry any more, and is given a snapshot of the table first.
 
-use crate::log_store::{EntryKey, Record};
+use crate::log_store::EntryKey;
 use crate::{snapshot, Entry, Index, LogId, LogStore, Micros};
 use linnetknot_purges::BucketIndex;
 use std::collections::{BTreeMap, BTreeSet};
@@ -65,12 +65,19 @@
 
     /// The times of the purges that may be moved.
     fn movable_times(&self, durable: &BTreeMap<LogId, Index>) -> Vec<Micros> {
-        let movable = self.live.iter().filter(|(key, record)| {
-            let is_synced = durable.get(&key.log).is_some_and(|durable| key.index <= *durable);
-            let is_last = key.index == self.last_index(key.log);
-            record.subject.is_purge() && is_synced && !is_last
-        });
-        movable.map(|(_, record)| record.at).collect()
+        let mut times = Vec::with_capacity(self.live.len());
+        // Entries are in the order of their logs: the bound of each log is looked up once.
+        let mut bound = (LogId::default(), 0);
+        for (key, record) in self.live.iter().filter(|(_, record)| record.subject.is_purge()) {
+            if key.log != bound.0 {
+                let durable = durable.get(&key.log).copied().unwrap_or(0);
+                bound = (key.log, durable.min(self.last_index(key.log).saturating_sub(1)));
+            }
+            if key.index <= bound.1 {
+                times.push(record.at);
+            }
+        }
+        times
     }
 
     /// Moves of each log the purges before the first one that is later than `cutoff`.
@@ -79,11 +86,12 @@
         let mut buckets = BTreeSet::new();
         for (log, durable) in durable {
             let through = self.movable_through(*log, cutoff, *durable);
-            let superseded = self.superseded_through(*log, through, *durable);
-            let entries = self.take_purges_through(*log, through.min(*durable));
-            if entries.is_empty() {
+            let keys = self.purges_through(*log, through.min(*durable));
+            if keys.is_empty() {
                 continue;
             }
+            let superseded = self.superseded(&keys, *durable);
+            let entries: Vec<Entry> = keys.into_iter().filter_map(|key| self.remove(key)).collect();
             self.set_compacted(*log, through);
             compaction.logs.push(CompactedLog { log: *log, through });
             let unsuperseded = entries.iter().filter(|entry| !superseded.contains(&entry.index));
@@ -97,8 +105,9 @@
     /// Through which index a log can be compacted.
     fn movable_through(&self, log: LogId, cutoff: Micros, durable: Index) -> Index {
         let mut through = self.compacted(log);
+        let last_index = self.last_index(log);
         for (key, record) in self.live_after(log, through) {
-            if key.index > durable || key.index == self.last_index(log) {
+            if key.index > durable || key.index == last_index {
                 break;
             }
             if record.subject.is_purge() {
@@ -113,24 +122,24 @@
         through
     }
 
-    /// Purges of a log through an index that a later one supersedes which is on the disk, and so need not be in the
-    /// table: what is purged again and again must not fill a bucket.
-    fn superseded_through(&self, log: LogId, through: Index, durable: Index) -> BTreeSet<Index> {
+    /// The purges of a log through an index.
+    fn purges_through(&self, log: LogId, through: Index) -> Vec<EntryKey> {
         let keys = EntryKey { log, index: 0 }..=EntryKey { log, index: through };
         let purges = self.live.range(keys).filter(|(_, record)| record.subject.is_purge());
-        let is_superseded = |key: &EntryKey, record: &Record| {
-            let latest = self.latest_index(log, &record.subject);
-            latest.is_some_and(|latest| key.index < latest && latest <= durable)
-        };
-        let superseded = purges.filter(|(key, record)| is_superseded(key, record));
-        superseded.map(|(key, _)| key.index).collect()
+        purges.map(|(key, _)| *key).collect()
     }
 
-    fn take_purges_through(&mut self, log: LogId, through: Index) -> Vec<Entry> {
-        let keys = EntryKey { log, index: 0 }..=EntryKey { log, index: through };
-        let purges = self.live.range(keys).filter(|(_, record)| record.subject.is_purge());
-        let keys: Vec<EntryKey> = purges.map(|(key, _)| *key).collect();
-        keys.into_iter().filter_map(|key| self.remove(key)).collect()
+    /// Those of some purges of a log that a later one supersedes which is on the disk, and so need not be in the table:
+    /// what is purged again and again must not fill a bucket.
+    fn superseded(&self, keys: &[EntryKey], durable: Index) -> BTreeSet<Index> {
+        let is_superseded = |key: &&EntryKey| {
+            let at = |key: EntryKey| self.live.get(&key).map(|record| record.at);
+            let subject = self.live.get(key).map(|record| &record.subject);
+            let latest = subject.and_then(|subject| self.latest_index(key.log, subject));
+            let latest = latest.filter(|latest| key.index < *latest && *latest <= durable);
+            latest.is_some_and(|index| at(EntryKey { index, ..**key }) >= at(**key))
+        };
+        keys.iter().filter(is_superseded).map(|key| key.index).collect()
     }
 
     /// Records a purge in the table. Its time is never later than now: a copy that is made from now on is younger than
--- a/replication/src/log_store.rs
+++ b/replication/src/log_store/mod.rs
@@ -1,69 +1,15 @@
 //! The logs that a proxy has: each without holes up to some index, less what later entries superseded and what was
 //! compacted.
 
-use crate::{CompactedLog, Entry, Epoch, Index, LogId, Micros, Subject, Writer};
-use linnetknot_purges::{BucketBits, CompactTable};
-use std::collections::{BTreeMap, BTreeSet};
-use std::fmt;
-
-/// What a log store has room for.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Capacity {
-    /// Entries that hold for good.
-    pub entries: usize,
-    /// Entries that are of use for a time only: they must not take the room of the others.
-    pub expiring: usize,
-    /// Logs.
-    pub logs: usize,
-}
-
-impl Capacity {
-    /// For whatever comes.
-    pub const UNLIMITED: Capacity = Capacity { entries: usize::MAX, expiring: usize::MAX, logs: usize::MAX };
-}
-
-/// There is no room for one more entry or log.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct CapacityExceeded;
-
-impl fmt::Display for CapacityExceeded {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str("there is no capacity for one more entry")
-    }
-}
+mod capacity;
+mod decisions;
+mod statuses;
 
-impl std::error::Error for CapacityExceeded {}
+pub use capacity::{Capacity, CapacityExceeded, DuplicateIndex, Insertion};
 
-/// Two entries have one index of a log.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct DuplicateIndex {
-    /// The log.
-    pub log: LogId,
-    /// The index.
-    pub index: Index,
-}
-
-impl fmt::Display for DuplicateIndex {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let LogId { writer, epoch } = self.log;
-        write!(f, "two entries have index {} of the log {writer:x} {epoch:x}", self.index)
-    }
-}
-
-impl std::error::Error for DuplicateIndex {}
-
-/// What became of an entry.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Insertion {
-    /// It was the next one.
-    New,
-    /// It was there, or superseded.
-    Known,
-    /// Others before it are missing.
-    OutOfOrder,
-    /// There was no room.
-    Rejected(CapacityExceeded),
-}
+use crate::{CompactedLog, Entry, Index, LogId, Micros, Subject};
+use linnetknot_purges::{BucketBits, CompactTable};
+use std::collections::BTreeMap;
 
 /// How far a log is had.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
@@ -250,8 +196,9 @@
     pub(crate) fn remove(&mut self, key: EntryKey) -> Option<Entry> {
         let record = self.live.remove(&key)?;
         self.expiring -= usize::from(record.subject.is_expiring());
-        if self.is_latest(key, &record.subject) {
-            self.latest.remove(&SubjectKey { subject: record.subject.clone(), log: key.log });
+        let subject_key = SubjectKey { subject: record.subject.clone(), log: key.log };
+        if self.latest.get(&subject_key) == Some(&key.index) {
+            self.latest.remove(&subject_key);
         }
         Some(record.into_entry(key, 0))
     }
@@ -307,57 +254,6 @@
         self.live.range(keys).map(|(key, record)| record.clone().into_entry(*key, 0))
     }
 
-    /// Lets go what was said `keep` or longer ago and is of use for a time only. The last entry of a log stays, whatever
-    /// it is: it is what others learn from how far the log goes.
-    ///
-    /// That a status is gone is kept twice as long, as long as any proxy may have the status still.
-    pub fn expire(&mut self, now: Micros, keep: Micros) -> Vec<Entry> {
-        let first = SubjectKey::first(Subject::Status { number: 0, part: 0, text: String::new() });
-        let expiring = self.latest.range(first..);
-        let keys = expiring.map(|(key, index)| EntryKey { log: key.log, index: *index });
-        let is_over = |key: &EntryKey| {
-            let record = self.live.get(key);
-            key.index != self.last_index(key.log) && record.is_some_and(|record| is_over(record, now, keep))
-        };
-        let mut over: Vec<EntryKey> = keys.filter(is_over).collect();
-        over.sort_unstable();
-        over.into_iter().filter_map(|key| self.remove(key)).collect()
-    }
-
-    /// The status of a trigger, if all of its pieces are had and no neighbour has done with it. Whether they are all is for
-    /// the text to tell, of which no part is whole.
-    pub fn status(&self, writer: Writer, number: u64) -> Option<String> {
-        if self.latest(&Subject::Gone { writer, number }).is_some() {
-            return None;
-        }
-        let first = SubjectKey::first(Subject::Status { number, part: 0, text: String::new() });
-        let mut epochs = BTreeMap::<Epoch, Vec<&str>>::new();
-        for (key, _) in self.latest.range(first..) {
-            match &key.subject {
-                Subject::Status { number: n, part, text } if *n == number => {
-                    let pieces = epochs.entry(key.log.epoch).or_default();
-                    // Ordered by part; what comes behind a missing one is not told.
-                    if key.log.writer == writer && pieces.len() == usize::from(*part) {
-                        pieces.push(text);
-                    }
-                }
-                _ => break,
-            }
-        }
-        let mut texts = epochs.into_values().rev().map(|pieces| pieces.concat());
-        texts.find(|text| !text.is_empty())
-    }
-
-    /// The triggers of which a status, or a part of one, is had.
-    pub fn triggers(&self) -> BTreeSet<(Writer, u64)> {
-        let first = SubjectKey::first(Subject::Status { number: 0, part: 0, text: String::new() });
-        let number = |(key, _): (&SubjectKey, &Index)| match key.subject {
-            Subject::Status { number, .. } => Some((key.log.writer, number)),
-            _ => None,
-        };
-        self.latest.range(first..).map_while(number).collect()
-    }
-
     /// Up to which index a log is had; 0: not at all.
     pub fn last_index(&self, log: LogId) -> Index {
         self.tracks.get(&log).map_or(0, |t| t.through)
@@ -449,22 +345,6 @@
         self.latest(subject).max(compacted)
     }
 
-    /// What the operators of a writer decided, by its latest message on each, of all its epochs: whether it is revoked.
-    pub fn decisions(&self, writer: Writer) -> BTreeMap<Subject, bool> {
-        let mut latest = BTreeMap::<Subject, (Epoch, Index, bool)>::new();
-        let first = EntryKey { log: LogId::new(writer, 0), index: 0 };
-        let last = EntryKey { log: LogId::new(writer, Epoch::MAX), index: Index::MAX };
-        for (key, record) in self.live.range(first..=last) {
-            if matches!(record.subject, Subject::Ban(_) | Subject::Drain) {
-                // A later epoch's message counts, also where the clock was set back between the two.
-                let message = (key.log.epoch, key.index, record.revoked);
-                let known = latest.entry(record.subject.clone()).or_insert(message);
-                *known = message.max(*known);
-            }
-        }
-        latest.into_iter().map(|(subject, (.., revoked))| (subject, revoked)).collect()
-    }
-
     /// All entries in force, log by log.
     pub fn entries(&self) -> impl Iterator<Item = Entry> + '_ {
         self.tracks.keys().flat_map(|log| self.entries_after(*log, 0))
@@ -485,9 +365,3 @@
         self.live.is_empty()
     }
 }
-
-/// Whether the time of something is over that is of use for `keep` only.
-fn is_over(record: &Record, now: Micros, keep: Micros) -> bool {
-    let keep = if matches!(record.subject, Subject::Gone { .. }) { 2 * keep } else { keep };
-    record.at + keep <= now
-}
--- a/replication/src/snapshot/receiver.rs
+++ b/replication/src/snapshot/receiver.rs
@@ -18,7 +18,7 @@
 /// Parts that came early and are remembered.
 const MAX_EARLY: usize = 1_024;
 /// Logs of which it is remembered that this replica is behind.
-const MAX_WANTED: usize = 1_024;
+const MAX_MISSING: usize = 1_024;
 
 /// A snapshot that is being received.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
@@ -83,7 +83,7 @@
 pub(crate) struct CatchUp {
     transfer: Option<Transfer>,
     /// Through which index logs were offered of which less is had here.
-    wanted: BTreeMap<LogId, Index>,
+    missing: BTreeMap<LogId, Index>,
     /// How often peers were asked since the last offer, and when they are again.
     rounds: u32,
     ask_at: Micros,
@@ -99,8 +99,8 @@
         let mut is_behind = false;
         for offered in ahead {
             is_behind = true;
-            if self.wanted.len() < MAX_WANTED || self.wanted.contains_key(&offered.log) {
-                let through = self.wanted.entry(offered.log).or_default();
+            if self.missing.len() < MAX_MISSING || self.missing.contains_key(&offered.log) {
+                let through = self.missing.entry(offered.log).or_default();
                 *through = offered.through.max(*through);
             }
         }
@@ -138,7 +138,7 @@
         options: &Options,
         last_index: impl Fn(LogId) -> Index,
     ) -> Option<Ask> {
-        self.wanted.retain(|log, through| last_index(*log) < *through);
+        self.missing.retain(|log, through| last_index(*log) < *through);
         if self.is_settling(now, options) {
             return None;
         }
@@ -167,17 +167,17 @@
     }
 
     fn ask_any(&mut self, now: Micros, options: &Options) -> Option<Ask> {
-        if self.wanted.is_empty() || now < self.ask_at {
+        if self.missing.is_empty() || now < self.ask_at {
             return None;
         }
         if self.rounds >= MAX_ROUNDS {
             // Nobody has any more what was offered.
-            self.wanted.clear();
+            self.missing.clear();
             return None;
         }
         self.rounds += 1;
         self.ask_at = now + options.digest_period_us;
-        Some(Ask::Any(self.wanted.keys().copied().collect()))
+        Some(Ask::Any(self.missing.keys().copied().collect()))
     }
 
     /// When `tick` has something to do.
@@ -185,14 +185,14 @@
         match (&self.settling, &self.transfer) {
             (Some(until), _) => Some(until.unwrap_or(0)),
             (None, Some(transfer)) => Some(transfer.due),
-            (None, None) => (!self.wanted.is_empty()).then_some(self.ask_at),
+            (None, None) => (!self.missing.is_empty()).then_some(self.ask_at),
         }
     }
 
     /// Whether a snapshot is missing.
     pub(crate) fn is_open(&self, last_index: impl Fn(LogId) -> Index) -> bool {
         let is_behind = |(log, through): (&LogId, &Index)| last_index(*log) < *through;
-        self.transfer.is_some() || self.wanted.iter().any(is_behind)
+        self.transfer.is_some() || self.missing.iter().any(is_behind)
     }
 
     /// The peers' places have changed: what is being received is asked of any.
