Split the rehearsal's player by job, its longest function into named steps

Now: deployment (settings and nodes of a scenario), environment (nodes and event buses of a play), proxies (their processes), clients (answers and retries) and load_generator (the schedule), each with structs in place of tuples; figures that stood twice (a class's aim, worth and key window in the settings and in the record) stand once. The public world() is Deployment::of with named fields; the test that reads its nodes names them by field, its conditions are the same.

--- /dev/null
+++ b/rehearse/src/player/clients.rs
@@ -0,0 +1,131 @@
+//! The readers of the clients' connections: they take answers in, and have rejected requests retried.
+
+use crate::clients::{Answer, WebServer};
+use crate::load::Arrival;
+use crate::record::{Answered, Final, Micros};
+use crate::stand_ins::served::{made_of, unix_us};
+use std::collections::HashMap;
+use std::io;
+use std::sync::mpsc::Sender;
+use std::sync::{Mutex, MutexGuard, PoisonError};
+
+/// How often a client retries a request that was rejected.
+const MAX_RETRIES: u32 = 2;
+/// The wait before a retry where the answer advises none.
+const DEFAULT_RETRY_MS: u64 = 200;
+
+/// A request of a client, with its number among the retries of the first one.
+#[derive(Clone)]
+pub(super) struct ClientRequest {
+    pub(super) arrival: Arrival,
+    /// The id of the first request that this one retries; empty for a first request.
+    pub(super) first_id: String,
+    pub(super) retry: u32,
+}
+
+/// A request that is to be sent again.
+pub(super) struct Retry {
+    pub(super) at: Micros,
+    pub(super) request: ClientRequest,
+}
+
+/// What the clients know of their requests.
+#[derive(Default)]
+pub(super) struct ClientRecord {
+    pub(super) answered: Vec<Answered>,
+    /// All that was sent, by id.
+    pub(super) sent: HashMap<String, ClientRequest>,
+}
+
+/// What the readers of answers share with the load generator.
+pub(super) struct Clients {
+    record: Mutex<ClientRecord>,
+    retries: Sender<Retry>,
+}
+
+/// The requests that are open on one connection: their ids, by their numbers there.
+#[derive(Default)]
+pub(super) struct OpenRequests(Mutex<HashMap<u16, String>>);
+
+impl OpenRequests {
+    fn lock(&self) -> MutexGuard<'_, HashMap<u16, String>> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    pub(super) fn len(&self) -> usize {
+        self.lock().len()
+    }
+
+    pub(super) fn ids(&self) -> Vec<String> {
+        self.lock().values().cloned().collect()
+    }
+
+    /// Opens a request under the lowest number that is free.
+    pub(super) fn insert(&self, id: String) -> u16 {
+        let mut open = self.lock();
+        let number = (1..=u16::MAX).find(|n| !open.contains_key(n)).unwrap_or(1);
+        open.insert(number, id);
+        number
+    }
+
+    pub(super) fn remove(&self, number: u16) -> Option<String> {
+        self.lock().remove(&number)
+    }
+}
+
+impl Clients {
+    /// Clients that have sent nothing yet; what they retry goes to `retries`.
+    pub(super) fn new(retries: Sender<Retry>) -> Self {
+        Clients { record: Mutex::default(), retries }
+    }
+
+    pub(super) fn record(&self) -> MutexGuard<'_, ClientRecord> {
+        self.record.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Reads the answers of one connection until it ends, or has been idle for too long.
+    pub(super) fn read(&self, mut web: WebServer, open: &OpenRequests) {
+        loop {
+            match web.end() {
+                Ok((number, answer)) => {
+                    let at = unix_us();
+                    self.answered(at, open.remove(number), answer);
+                }
+                Err(e) if matches!(e.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::TimedOut) => {
+                    if open.len() == 0 {
+                        return;
+                    }
+                }
+                Err(_) => return,
+            }
+        }
+    }
+
+    /// Takes an answer in; none came to a request that was aborted.
+    fn answered(&self, at: Micros, id: Option<String>, answer: Option<Answer>) {
+        let (Some(id), Some(answer)) = (id, answer) else { return };
+        let mut record = self.record();
+        let Some(request) = record.sent.get(&id).cloned() else { return };
+        let advised_ms = answer.header("back-off-ms").and_then(|v| v.parse::<u64>().ok());
+        let verdict = judge(&request.arrival, &answer, advised_ms);
+        record.answered.push(Answered { id, at, answer: verdict });
+        drop(record);
+        if matches!(verdict, Final::Refused { .. }) && request.retry < MAX_RETRIES {
+            let at = at + advised_ms.unwrap_or(DEFAULT_RETRY_MS) * 1000;
+            let request = ClientRequest { retry: request.retry + 1, ..request };
+            let _ = self.retries.send(Retry { at, request });
+        }
+    }
+}
+
+/// What an answer is to the client of this request.
+fn judge(arrival: &Arrival, answer: &Answer, advised_ms: Option<u64>) -> Final {
+    match answer.status {
+        200 => {
+            let made = made_of((arrival.object, arrival.part), &answer.body);
+            Final::Served { made: made.map(|ms| ms * 1000 + 999), whole: made.is_some() }
+        }
+        429 | 503 => Final::Refused { advised: advised_ms.is_some() },
+        _ => Final::Failed,
+    }
+}
--- /dev/null
+++ b/rehearse/src/player/environment.rs
@@ -0,0 +1,153 @@
+//! What surrounds the proxies of a play: the nodes behind them, and the event buses that tell of these.
+
+use super::deployment::{cold, figures, fresh_us, settings, Deployment, Node};
+use super::Plant;
+use crate::bus::Bus;
+use crate::load::{group, Plan, Purge};
+use crate::record::{Cold, Micros, Told, Word};
+use crate::scenario::Scenario;
+use crate::stand_ins::served::{unix_us, Knows, Served};
+use crate::stand_ins::world::{Kind, World};
+use crate::timetable::Step;
+use serde_json::{json, Value};
+use std::io;
+
+/// The nodes and buses of a play, and what was told and started there.
+pub(super) struct Environment<'a> {
+    scenario: &'a Scenario,
+    plant: Option<Plant>,
+    served: Served,
+    nodes: Vec<Node>,
+    /// One for each proxy: each is told the addresses at which it reaches the nodes.
+    buses: Vec<Bus>,
+    told: Vec<Told>,
+    started: Vec<Cold>,
+}
+
+/// What remains of an environment once it has ended.
+pub(super) struct EnvironmentRecord {
+    pub(super) world: World,
+    pub(super) told: Vec<Told>,
+    pub(super) started: Vec<Cold>,
+    /// Kept until the proxies have ended, so that none of them loses its bus before.
+    _buses: Vec<Bus>,
+}
+
+/// What a bus tells of a node.
+struct Listing<'a> {
+    node: &'a Node,
+    state: &'static str,
+    boot_ms: u64,
+}
+
+impl<'a> Environment<'a> {
+    /// Starts the nodes of a scenario, and a bus for each of its proxies.
+    pub(super) fn start(scenario: &'a Scenario, plan: &Plan, plant: Option<Plant>) -> io::Result<Self> {
+        let proxies = scenario.proxies as usize;
+        let Deployment { world, nodes } = Deployment::of(scenario);
+        let uids: Vec<String> = nodes.iter().map(|node| node.uid.clone()).collect();
+        let served = Served::start(world, &uids, proxies, knows(scenario, plan, plant))?;
+        let buses = (0..proxies).map(|_| Bus::start()).collect::<io::Result<Vec<_>>>()?;
+        Ok(Environment { scenario, plant, served, nodes, buses, told: Vec::new(), started: Vec::new() })
+    }
+
+    /// A node as a proxy's bus lists it: at the address at which that proxy reaches it.
+    fn listed(&self, proxy: usize, listing: &Listing<'_>) -> Value {
+        let Listing { node, state, boot_ms } = listing;
+        let endpoint = self.served.addresses[&(proxy, node.uid.clone())].to_string();
+        json!({"uid": node.uid, "endpoint": endpoint, "az": node.zone, "model": node.model, "pod_group": 0,
+            "state": state, "capacity_hint": node.capacity, "boot_ms": boot_ms})
+    }
+
+    /// The configuration that a proxy is started with, the peers left out.
+    pub(super) fn proxy_config(&self, proxy: usize, seed: u64) -> Value {
+        let ready = |node| self.listed(proxy, &Listing { node, state: "ready", boot_ms: 0 });
+        let targets = self.nodes.iter().map(ready).collect::<Value>();
+        let known = json!({"offset": 0, "batch": [{"offset": 0, "topology": {"rev": 1, "all": true,
+            "targets": targets}}]});
+        json!({
+            "name": format!("p{proxy}"), "listen": "127.0.0.1:0",
+            "seed": format!("{:x}", seed * 64 + proxy as u64 + 1),
+            "bus": self.buses[proxy].address.to_string(), "known": known, "settings": settings(self.scenario),
+            "limits": {"memory_mb": 192, "sockets": 1024},
+        })
+    }
+
+    /// Carries out a step of the timetable on the nodes and buses.
+    pub(super) fn carry_out(&mut self, step: &Step) {
+        let at = unix_us();
+        match step {
+            Step::Drain(uid) => self.announce(at, uid, Word::Out(uid.clone()), "draining", 0),
+            Step::Back(uid) => {
+                self.announce(at, uid, Word::Ready(uid.clone()), "ready", at / 1000);
+                self.started.push(cold(uid, at, self.scenario.site.edge_box.capacity));
+            }
+            Step::CutBus => self.buses.iter().for_each(Bus::cut),
+            _ => {}
+        }
+        self.change_world(step.clone());
+    }
+
+    /// Tells every proxy of a node's new state, each on its own bus.
+    fn announce(&mut self, at: Micros, uid: &str, word: Word, state: &'static str, boot_ms: u64) {
+        let Some(node) = self.nodes.iter().find(|node| node.uid == uid) else { return };
+        let listing = Listing { node, state, boot_ms };
+        let is_sent = state == "ready" || self.plant != Some(Plant::DrainsUntold);
+        for (proxy, bus) in self.buses.iter().enumerate() {
+            if is_sent {
+                bus.list(false, vec![self.listed(proxy, &listing)]);
+            }
+            self.told.push(Told { proxy, at, word: word.clone() });
+        }
+    }
+
+    fn change_world(&self, step: Step) {
+        let form = self.scenario.site.edge_box.clone();
+        self.served.change(move |world, now| match step {
+            Step::Down(uid) => world.stop(now, &uid),
+            Step::Back(uid) => {
+                world.stop(now, &uid);
+                world.start(&uid, Kind::Box, figures(&form), Some(cold(&uid, now, form.capacity)));
+            }
+            Step::Stall(uid, lasts) => world.stall(now, &uid, lasts),
+            Step::Origin(times) => world.slow_origin(times),
+            _ => {}
+        });
+    }
+
+    /// Purges an object or a group: the proxies are told, and the nodes hear of it by themselves, each in its own time.
+    pub(super) fn purge(&mut self, purge: &Purge) {
+        let at = unix_us();
+        let what = purge.what;
+        let (object, lot) = (what.ok().map(|o| format!("{o:016x}")), what.err().unwrap_or(0));
+        let is_untold = self.plant == Some(Plant::PurgesUntold);
+        if !is_untold {
+            let ban = match &object {
+                Some(object) => json!({"ban": {"url": object, "ts": at / 1000}}),
+                None => json!({"ban": {"tag": lot, "ts": at / 1000}}),
+            };
+            self.buses.iter().for_each(|bus| bus.push(ban.clone()));
+        }
+        let word = Word::Purged { object, group: lot, at: at / 1000 * 1000 };
+        let proxies = 0..self.buses.len();
+        self.told.extend(proxies.map(|proxy| Told { proxy, at, word: word.clone() }));
+        if !is_untold {
+            self.served.change(move |world, now| world.purge_all(now, what, at));
+        }
+    }
+
+    /// Ends the nodes, and gives what is to be judged.
+    pub(super) fn end(self) -> io::Result<EnvironmentRecord> {
+        let world = self.served.end()?;
+        Ok(EnvironmentRecord { world, told: self.told, started: self.started, _buses: self.buses })
+    }
+}
+
+/// What the nodes must know of the load that the wire does not tell.
+fn knows(scenario: &Scenario, plan: &Plan, plant: Option<Plant>) -> Knows {
+    let parts = plan.arrivals.iter().map(|a| ((a.object, a.part), (a.size_kb, group(a.object)))).collect();
+    let classes = scenario.load.classes.iter();
+    let classes = classes.map(|c| (c.name.clone(), (fresh_us(scenario, c), c.keyed))).collect();
+    let spoil = plant == Some(Plant::WrongBytes);
+    Knows { parts, flow_kb_per_s: scenario.site.flow_kb_per_s, classes, spoil }
+}
--- /dev/null
+++ b/rehearse/src/player/load_generator.rs
@@ -0,0 +1,385 @@
+//! The load generator: sends what is planned, and what is retried, when its time comes, and has the timetable carried
+//! out meanwhile.
+
+use super::clients::{ClientRequest, Clients, OpenRequests, Retry};
+use super::environment::Environment;
+use super::proxies::Proxies;
+use super::Watch;
+use crate::clients::WebServer;
+use crate::load::{group, Arrival, Plan, Purge};
+use crate::record::{Asked, Micros};
+use crate::scenario::Scenario;
+use crate::stand_ins::served::unix_us;
+use crate::timetable::Step;
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, HashMap, HashSet};
+use std::io::{self, Write};
+use std::net::TcpStream;
+use std::sync::atomic::Ordering;
+use std::sync::mpsc::Receiver;
+use std::sync::Arc;
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// A connection is given up by its client before the proxy does so.
+const IDLE: Duration = Duration::from_secs(3);
+/// A connection with fewer open requests than this takes one more, however few connections there are.
+const BUSY_REQUESTS: usize = 4;
+/// The most requests that are open on a connection.
+const MAX_REQUESTS: usize = 32;
+/// As long as there are fewer connections than this to a proxy, a busy one takes no more.
+const CONNECTIONS: usize = 16;
+/// How often whoever watches is told how far the play is.
+const PROGRESS_INTERVAL: Duration = Duration::from_millis(100);
+/// How long the loop sleeps between looks at what is due.
+const TICK: Duration = Duration::from_micros(500);
+
+struct Connection {
+    writer: TcpStream,
+    open: Arc<OpenRequests>,
+    used: Instant,
+}
+
+/// What is to be sent and done, in the order of time from the start; each part shrinks as it is carried out.
+pub(super) struct Schedule<'a> {
+    start: Micros,
+    end: Micros,
+    arrivals: &'a [Arrival],
+    purges: &'a [Purge],
+    steps: &'a [(Micros, Step)],
+}
+
+impl<'a> Schedule<'a> {
+    /// The schedule of a plan that begins at a time and is over once the last request has been waited for.
+    pub(super) fn new(start: Micros, seconds: f64, plan: &'a Plan, steps: &'a [(Micros, Step)]) -> Self {
+        let longest_wait = plan.arrivals.iter().map(|a| a.budget).max().unwrap_or(0);
+        let end = start + (seconds * 1e6) as Micros + longest_wait;
+        Schedule { start, end, arrivals: &plan.arrivals, purges: &plan.purges, steps }
+    }
+
+    fn seconds_at(&self, now: Micros) -> f64 {
+        now.saturating_sub(self.start) as f64 / 1e6
+    }
+
+    fn next_arrival(&mut self, now: Micros) -> Option<&'a Arrival> {
+        let start = self.start;
+        take_first_if(&mut self.arrivals, |arrival| start + arrival.at <= now)
+    }
+
+    fn next_purge(&mut self, now: Micros) -> Option<&'a Purge> {
+        let start = self.start;
+        take_first_if(&mut self.purges, |purge| start + purge.at <= now)
+    }
+
+    fn next_step(&mut self, now: Micros) -> Option<&'a Step> {
+        let start = self.start;
+        take_first_if(&mut self.steps, |(at, _)| start + at <= now).map(|(_, step)| step)
+    }
+}
+
+fn take_first_if<'a, T>(items: &mut &'a [T], is_due: impl Fn(&T) -> bool) -> Option<&'a T> {
+    let (first, rest) = items.split_first()?;
+    if !is_due(first) {
+        return None;
+    }
+    *items = rest;
+    Some(first)
+}
+
+/// Requests that are to be retried, the earliest first.
+#[derive(Default)]
+struct RetryQueue {
+    due: BinaryHeap<Reverse<(Micros, u64)>>,
+    requests: HashMap<u64, ClientRequest>,
+    count: u64,
+}
+
+impl RetryQueue {
+    fn push(&mut self, retry: Retry) {
+        self.count += 1;
+        self.due.push(Reverse((retry.at, self.count)));
+        self.requests.insert(self.count, retry.request);
+    }
+
+    fn pop_due(&mut self, now: Micros) -> Option<Retry> {
+        let Reverse((at, number)) = self.due.peek().copied().filter(|Reverse((at, _))| *at <= now)?;
+        self.due.pop();
+        let request = self.requests.remove(&number)?;
+        Some(Retry { at, request })
+    }
+}
+
+/// A request as its fields are written.
+struct Fields {
+    id: String,
+    object: String,
+    part: String,
+    lot: String,
+    budget_ms: String,
+    size_kb: String,
+    key: Option<String>,
+}
+
+impl Fields {
+    fn new(id: String, arrival: &Arrival) -> Self {
+        Fields {
+            id,
+            object: format!("{:016x}", arrival.object),
+            part: arrival.part.to_string(),
+            lot: group(arrival.object).to_string(),
+            budget_ms: (arrival.budget / 1000).to_string(),
+            size_kb: format!("{:.1}", arrival.size_kb),
+            key: arrival.key.map(|k| format!("{k:032x}")),
+        }
+    }
+
+    /// The bytes of the request under this number.
+    fn frame(&self, number: u16, class: &str, body: &[u8]) -> Vec<u8> {
+        let mut fields = vec![
+            ("HTTP_REQUEST_ID", self.id.as_str()),
+            ("HTTP_RESOURCE_KEY", &self.object),
+            ("HTTP_X_PIECE", &self.part),
+            ("HTTP_X_LOT", &self.lot),
+            ("HTTP_BUDGET_MS", &self.budget_ms),
+            ("HTTP_FOOTPRINT_KB", &self.size_kb),
+        ];
+        fields.extend(self.key.as_ref().map(|k| ("HTTP_ONCE_KEY", k.as_str())));
+        WebServer::request(number, &format!("/invoke/{class}"), &fields, body)
+    }
+}
+
+/// Sends what is planned, and what is tried again, when its time comes.
+pub(super) struct LoadGenerator {
+    scenario: Scenario,
+    seed: u64,
+    proxies: Proxies,
+    clients: Arc<Clients>,
+    /// By proxy.
+    connections: Vec<Vec<Connection>>,
+    /// What was open at a killed proxy is owed no more; false only to plant a fault.
+    release_killed: bool,
+    sent: Sent,
+}
+
+/// What a load generator has sent.
+#[derive(Default)]
+pub(super) struct Sent {
+    /// All requests that were sent.
+    pub(super) asked: Vec<Asked>,
+    /// How much later than planned each of them was sent.
+    pub(super) lags: Vec<Micros>,
+    /// Requests that no proxy took: all were down, or the connection broke as it was written.
+    pub(super) unsent: usize,
+}
+
+impl LoadGenerator {
+    /// A generator that has sent nothing yet.
+    pub(super) fn new(
+        scenario: &Scenario,
+        seed: u64,
+        proxies: Proxies,
+        clients: Arc<Clients>,
+        release_killed: bool,
+    ) -> Self {
+        LoadGenerator {
+            scenario: scenario.clone(),
+            seed,
+            connections: proxies.fronts.iter().map(|_| Vec::new()).collect(),
+            proxies,
+            clients,
+            release_killed,
+            sent: Sent::default(),
+        }
+    }
+
+    /// Plays a schedule to its end, or until it is stopped by hand: then, after how many seconds.
+    pub(super) fn play(
+        &mut self,
+        mut schedule: Schedule<'_>,
+        environment: &mut Environment<'_>,
+        retries: &Receiver<Retry>,
+        watch: &Watch<'_>,
+    ) -> io::Result<Option<f64>> {
+        let mut retry_queue = RetryQueue::default();
+        let mut reported = Instant::now();
+        loop {
+            let now = unix_us();
+            if watch.stop.is_some_and(|stop| stop.load(Ordering::Relaxed)) {
+                // Ended by hand: clients give up on what is open, so it is owed no more.
+                self.release(now, |_| true);
+                return Ok(Some(schedule.seconds_at(now)));
+            }
+            if let Some(progress) = watch.progress.filter(|_| reported.elapsed() >= PROGRESS_INTERVAL) {
+                reported = Instant::now();
+                progress(schedule.seconds_at(now), self.sent.asked.len());
+            }
+            retries.try_iter().for_each(|retry| retry_queue.push(retry));
+            if now >= schedule.end {
+                return Ok(None);
+            }
+            while let Some(purge) = schedule.next_purge(now) {
+                environment.purge(purge);
+            }
+            self.take_restarted()?;
+            while let Some(step) = schedule.next_step(now) {
+                self.carry_out(now, step, environment)?;
+            }
+            while let Some(arrival) = schedule.next_arrival(now) {
+                let due = schedule.start + arrival.at;
+                self.send(
+                    due,
+                    ClientRequest { arrival: arrival.clone(), first_id: String::new(), retry: 0 },
+                )?;
+            }
+            while let Some(Retry { at, request }) = retry_queue.pop_due(now) {
+                self.send(at, request)?;
+            }
+            thread::sleep(TICK);
+        }
+    }
+
+    /// Ends the proxies, and gives what was sent.
+    pub(super) fn end(self) -> Sent {
+        self.sent
+    }
+
+    /// Takes in the proxies that have come up again; one that could not start ends the play.
+    fn take_restarted(&mut self) -> io::Result<()> {
+        while let Some(proxy) = self.proxies.take_restarted()? {
+            self.connections[proxy].clear();
+        }
+        Ok(())
+    }
+
+    /// Carries out a step of the timetable, on a proxy's process or on what surrounds the proxies.
+    fn carry_out(&mut self, now: Micros, step: &Step, environment: &mut Environment<'_>) -> io::Result<()> {
+        match *step {
+            Step::Freeze(proxy) => {
+                self.proxies.freeze(proxy)?;
+                // Whoever stands still can answer nobody: its clients turn to the next one.
+                self.release(now, |p| p == proxy);
+                self.connections[proxy].clear();
+            }
+            Step::Thaw(proxy) => self.proxies.thaw(proxy)?,
+            Step::Links(ref proxies, weather, one_way) => self.proxies.set_links(proxies, weather, one_way),
+            Step::Kill(proxy) => {
+                self.proxies.kill(proxy)?;
+                // What was open there is owed no more: the rehearsal ended it.
+                if self.release_killed {
+                    self.release(now, |p| p == proxy);
+                }
+                self.connections[proxy].clear();
+            }
+            // Its connections stay, to read what it still answers; nothing new is sent on them.
+            Step::Term(proxy) => self.proxies.terminate(proxy)?,
+            Step::Restart(proxy) => self.proxies.restart(proxy),
+            Step::Drain(_)
+            | Step::Down(_)
+            | Step::Back(_)
+            | Step::Stall(..)
+            | Step::Origin(_)
+            | Step::CutBus => environment.carry_out(step),
+        }
+        Ok(())
+    }
+
+    /// What is open at the proxies that `at` picks is owed no more from `now`: its client has left, or the rehearsal
+    /// ended the process that took it.
+    fn release(&mut self, now: Micros, at: impl Fn(usize) -> bool) {
+        let connections = self.connections.iter().enumerate().filter(|(proxy, _)| at(*proxy));
+        let open: HashSet<String> =
+            connections.flat_map(|(_, c)| c.iter().flat_map(|c| c.open.ids())).collect();
+        for asked in self.sent.asked.iter_mut().filter(|a| open.contains(&a.id)) {
+            asked.released.get_or_insert(now);
+        }
+    }
+
+    /// The place of a connection to a proxy that takes one more request; a new one where none does.
+    fn connection(&mut self, proxy: usize) -> io::Result<usize> {
+        let connections = &mut self.connections[proxy];
+        connections.retain(|c| c.used.elapsed() < IDLE || c.open.len() > 0);
+        let free = |(_, c): &(usize, &Connection)| c.open.len() < MAX_REQUESTS && c.used.elapsed() < IDLE;
+        let least_busy = connections.iter().enumerate().filter(free).min_by_key(|(_, c)| c.open.len());
+        // A few connections are kept, so that one that ends takes little with it.
+        let takes_more = |c: &Connection| c.open.len() < BUSY_REQUESTS || connections.len() >= CONNECTIONS;
+        if let Some((place, _)) = least_busy.filter(|(_, c)| takes_more(c)) {
+            return Ok(place);
+        }
+        let web = WebServer::connect(self.proxies.fronts[proxy])?;
+        let (writer, open) = (web.writer()?, Arc::new(OpenRequests::default()));
+        let (clients, shared) = (self.clients.clone(), open.clone());
+        thread::spawn(move || clients.read(web, &shared));
+        connections.push(Connection { writer, open, used: Instant::now() });
+        Ok(connections.len() - 1)
+    }
+
+    /// Sends a request that was due at this time; one that no proxy takes is counted.
+    fn send(&mut self, due: Micros, request: ClientRequest) -> io::Result<()> {
+        let Some(proxy) = self.proxies.route(request.arrival.proxy as usize) else {
+            self.sent.unsent += 1;
+            return Ok(());
+        };
+        let Ok(place) = self.connection(proxy) else {
+            self.sent.unsent += 1;
+            return Ok(());
+        };
+        let id = format!("{:016x}", (self.seed << 40) ^ (self.sent.asked.len() as u64 + 1));
+        let fields = Fields::new(id, &request.arrival);
+        if !self.write(proxy, place, &fields, &request) {
+            self.connections[proxy].remove(place);
+            self.sent.unsent += 1;
+            return Ok(());
+        }
+        self.connections[proxy][place].used = Instant::now();
+        let at = unix_us();
+        self.sent.lags.push(at.saturating_sub(due));
+        let asked = self.asked(fields, &request, proxy, due, at);
+        self.sent.asked.push(asked);
+        Ok(())
+    }
+
+    /// Writes a request to a connection, and notes it as sent. False: the proxy has ended this connection.
+    fn write(&mut self, proxy: usize, place: usize, fields: &Fields, request: &ClientRequest) -> bool {
+        let class = &self.scenario.load.classes[request.arrival.class];
+        let body: &[u8] = if class.keyed { b"a comment" } else { b"" };
+        let connection = &mut self.connections[proxy][place];
+        let number = connection.open.insert(fields.id.clone());
+        let known = ClientRequest { first_id: first_id(request, &fields.id), ..request.clone() };
+        self.clients.record().sent.insert(fields.id.clone(), known);
+        let frame = fields.frame(number, &class.name, body);
+        let is_written = connection.writer.write_all(&frame).is_ok();
+        if !is_written {
+            connection.open.remove(number);
+            self.clients.record().sent.remove(&fields.id);
+        }
+        is_written
+    }
+
+    /// A request as the record has it.
+    fn asked(&self, fields: Fields, request: &ClientRequest, proxy: usize, due: Micros, at: Micros) -> Asked {
+        let arrival = &request.arrival;
+        Asked {
+            first: first_id(request, &fields.id),
+            id: fields.id,
+            class: arrival.class,
+            proxy,
+            object: fields.object,
+            group: group(arrival.object),
+            key: fields.key,
+            work_us: (arrival.size_kb / self.scenario.site.flow_kb_per_s * 1e6) as Micros,
+            due,
+            at,
+            until: at + arrival.budget,
+            released: None,
+        }
+    }
+}
+
+/// The id of the first request that this one, sent under `id`, retries; its own where it is the first.
+fn first_id(request: &ClientRequest, id: &str) -> String {
+    if request.first_id.is_empty() {
+        id.to_owned()
+    } else {
+        request.first_id.clone()
+    }
+}
--- /dev/null
+++ b/rehearse/src/player/mod.rs
@@ -0,0 +1,166 @@
+//! Plays a scenario's plan against real daemons and a served world, and judges the record that remains.
+
+mod clients;
+mod deployment;
+mod environment;
+mod load_generator;
+mod proxies;
+
+pub use deployment::{Deployment, Node};
+
+use crate::latency::{waits, Waits};
+use crate::load::{plan, Plan};
+use crate::record::{Limits, Micros, Record};
+use crate::rules::{judge, Breach};
+use crate::scenario::Scenario;
+use crate::score::{score, Score};
+use crate::stand_ins::served::unix_us;
+use crate::timetable::timetable;
+use clients::Clients;
+use deployment::recorded_class;
+use environment::Environment;
+use load_generator::{LoadGenerator, Schedule, Sent};
+use proxies::Proxies;
+use std::io;
+use std::path::Path;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{mpsc, Arc};
+
+/// What a rehearsal came to.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Outcome {
+    /// Requests sent, retries with them.
+    pub asked: usize,
+    /// How much later than planned requests were sent, p99 and most, in microseconds.
+    pub lag_us: (Micros, Micros),
+    /// The score.
+    pub score: Score,
+    /// How long clients waited, by class.
+    pub waits: Vec<Waits>,
+    /// The rules that were broken.
+    pub breaches: Vec<Breach>,
+    /// Writes that ran, and those among them that ran under a key that had run before.
+    pub writes: (u64, u64),
+    /// Requests of the plan that no proxy took: all were down, or the connection broke as it was written.
+    pub unsent: usize,
+    /// Where it was ended by hand: after so many seconds of its load.
+    pub interrupted: Option<f64>,
+}
+
+impl Outcome {
+    /// Whether it has seen anything, or why not: a rehearsal that could not see must not pass for a good one.
+    pub fn has_seen(&self) -> Result<(), String> {
+        if self.score.whole.score().is_none() {
+            return Err("nothing was asked".into());
+        }
+        if self.score.whole.unanswered >= self.score.whole.asked {
+            return Err("nothing was answered".into());
+        }
+        if self.lag_us.0 > MOST_LAG_US {
+            return Err(format!("the load came {} ms late (p99)", self.lag_us.0 / 1000));
+        }
+        Ok(())
+    }
+}
+
+/// A load generator that is later than this has measured itself.
+pub const MOST_LAG_US: Micros = 50_000;
+/// The load begins this long after all has been started.
+const LEAD_US: Micros = 200_000;
+
+/// A fault of the stand-ins' own, to see that it is found.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Plant {
+    /// Purges count as told, but neither proxies nor nodes hear of them.
+    PurgesUntold,
+    /// Every tenth answer's bytes are another part's.
+    WrongBytes,
+    /// Drains count as told, but the proxies never hear of them.
+    DrainsUntold,
+    /// What was open at a proxy that the rehearsal killed is still counted as owed.
+    KillsOwed,
+}
+
+/// What watches a play from outside.
+#[derive(Clone, Copy, Default)]
+pub struct Watch<'a> {
+    /// Set, by a handler of SIGINT say, to end the play at once: what is open then is owed no more, and the outcome
+    /// is judged on what happened until then.
+    pub stop: Option<&'a AtomicBool>,
+    /// Told some ten times a second how far the play is: seconds from the start of its load, and requests sent.
+    pub progress: Option<&'a dyn Fn(f64, usize)>,
+}
+
+/// Plays a scenario with this daemon. Errors are those of the play itself.
+pub fn play(daemon: &Path, scenario: &Scenario, seed: u64, plant: Option<Plant>) -> io::Result<Outcome> {
+    play_watched(daemon, scenario, seed, plant, Watch::default())
+}
+
+/// Plays a scenario as `play` does, watched.
+pub fn play_watched(
+    daemon: &Path,
+    scenario: &Scenario,
+    seed: u64,
+    plant: Option<Plant>,
+    watch: Watch<'_>,
+) -> io::Result<Outcome> {
+    let plan = plan(scenario, seed);
+    // Plays may run side by side in one process, with the same seed and in the same microsecond: each has a number.
+    static PLAYS: AtomicU64 = AtomicU64::new(0);
+    let n = PLAYS.fetch_add(1, Ordering::Relaxed);
+    let folder = std::env::temp_dir().join(format!("linnetknot-play-{}-{seed}-{n}", std::process::id()));
+    std::fs::create_dir_all(&folder)?;
+    let result = play_in(&folder, daemon, scenario, &Play { plan: &plan, seed, plant, watch });
+    let _ = std::fs::remove_dir_all(&folder);
+    result
+}
+
+/// What is played, and how.
+struct Play<'a> {
+    plan: &'a Plan,
+    seed: u64,
+    plant: Option<Plant>,
+    watch: Watch<'a>,
+}
+
+/// Plays in a folder of its own, and judges the record.
+fn play_in(folder: &Path, daemon: &Path, scenario: &Scenario, play: &Play<'_>) -> io::Result<Outcome> {
+    let mut environment = Environment::start(scenario, play.plan, play.plant)?;
+    let proxies = Proxies::start(daemon, folder, scenario, play.seed, &environment)?;
+    let (retry_sender, retries) = mpsc::channel();
+    let clients = Arc::new(Clients::new(retry_sender));
+    let release_killed = play.plant != Some(Plant::KillsOwed);
+    let mut generator = LoadGenerator::new(scenario, play.seed, proxies, clients.clone(), release_killed);
+    let steps = timetable(scenario);
+    let schedule = Schedule::new(unix_us() + LEAD_US, scenario.seconds, play.plan, &steps);
+    let interrupted = generator.play(schedule, &mut environment, &retries, &play.watch)?;
+    let ended = environment.end()?;
+    let Sent { asked, mut lags, unsent } = generator.end();
+    let record = Record {
+        classes: scenario.load.classes.iter().map(recorded_class).collect(),
+        asked,
+        answered: std::mem::take(&mut clients.record().answered),
+        attempts: ended.world.attempts,
+        told: ended.told,
+        cold: ended.started,
+    };
+    lags.sort_unstable();
+    let lag_us = (quantile(&lags, 0.99), quantile(&lags, 1.0));
+    let limits = Limits { late_us: lag_us.0.min(MOST_LAG_US), ..Limits::default() };
+    Ok(Outcome {
+        asked: record.asked.len(),
+        lag_us,
+        score: score(&record),
+        waits: waits(&record),
+        breaches: judge(&record, &limits),
+        writes: ended.world.writes,
+        unsent,
+        interrupted,
+    })
+}
+
+/// A quantile of sorted lags; 0 where there are none.
+fn quantile(lags: &[Micros], share: f64) -> Micros {
+    let place = (lags.len() as f64 * share) as usize;
+    lags.get(place).or(lags.last()).copied().unwrap_or(0)
+}
--- /dev/null
+++ b/rehearse/src/player/proxies.rs
@@ -0,0 +1,180 @@
+//! The proxies' processes: started for a play, killed, stopped and started again by its timetable.
+
+use super::environment::Environment;
+use crate::fleet::free_ports;
+use crate::gates::{Gates, Weather};
+use crate::process::Process;
+use crate::scenario::Scenario;
+use rustix::process::Signal;
+use serde_json::{json, Value};
+use std::io;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::sync::mpsc::{self, Receiver, Sender};
+use std::thread;
+
+/// What it takes to start a proxy, besides its configuration.
+#[derive(Clone)]
+struct Launcher {
+    daemon: PathBuf,
+    folder: PathBuf,
+    /// The operators' own file of each.
+    own_file: Value,
+}
+
+impl Launcher {
+    fn start(&self, proxy: usize, config: &Value) -> io::Result<Process> {
+        Process::start(&self.daemon, &self.folder, &format!("p{proxy}"), config, &self.own_file)
+    }
+}
+
+/// A proxy that was started again, or could not be.
+struct Restarted {
+    proxy: usize,
+    process: io::Result<Process>,
+}
+
+/// The proxies' processes, and what it takes to start one again.
+pub(super) struct Proxies {
+    /// Where clients reach each.
+    pub(super) fronts: Vec<SocketAddr>,
+    running: Vec<Option<Process>>,
+    /// Those that stand still: they run, and nobody goes to them.
+    frozen: Vec<bool>,
+    /// What stands between those that have peers.
+    gates: Option<Gates>,
+    /// Told to end; a restart waits for the end.
+    ending: Vec<Option<Process>>,
+    configs: Vec<Value>,
+    launcher: Launcher,
+    restarted_sender: Sender<Restarted>,
+    restarted: Receiver<Restarted>,
+}
+
+impl Proxies {
+    /// Starts the proxies of a scenario in their environment.
+    pub(super) fn start(
+        daemon: &Path,
+        folder: &Path,
+        scenario: &Scenario,
+        seed: u64,
+        environment: &Environment<'_>,
+    ) -> io::Result<Self> {
+        let count = scenario.proxies as usize;
+        let ports = if scenario.peers { free_ports(count)? } else { Vec::new() };
+        let gates = scenario.peers.then(|| Gates::between(&ports, seed)).transpose()?;
+        // Nothing else of the operators' own file: a rehearsal is of the platform's side.
+        let own_file = if scenario.peers { json!({"peers": {"tell": true}}) } else { json!({}) };
+        let launcher = Launcher { daemon: daemon.to_owned(), folder: folder.to_owned(), own_file };
+        let (mut running, mut configs) = (Vec::new(), Vec::new());
+        for proxy in 0..count {
+            let mut config = environment.proxy_config(proxy, seed);
+            if let Some(gates) = &gates {
+                add_peers(&mut config, proxy, &ports, gates);
+            }
+            running.push(Some(launcher.start(proxy, &config)?));
+            configs.push(config);
+        }
+        let (restarted_sender, restarted) = mpsc::channel();
+        Ok(Proxies {
+            fronts: running.iter().flatten().map(|p| p.front).collect(),
+            running,
+            frozen: vec![false; count],
+            gates,
+            ending: (0..count).map(|_| None).collect(),
+            configs,
+            launcher,
+            restarted_sender,
+            restarted,
+        })
+    }
+
+    /// The proxy that takes a request meant for this one: itself if it is up, else the next that is, as a balancer
+    /// in front of them would do.
+    pub(super) fn route(&self, proxy: usize) -> Option<usize> {
+        let all = self.running.len();
+        (0..all).map(|k| (proxy + k) % all).find(|p| self.is_up(*p))
+    }
+
+    /// Whether its process runs, neither killed nor told to end, or started again since.
+    fn is_up(&self, proxy: usize) -> bool {
+        self.running[proxy].is_some() && !self.frozen[proxy]
+    }
+
+    fn signal(&self, proxy: usize, signal: Signal) -> io::Result<()> {
+        self.running[proxy].as_ref().map_or(Ok(()), |process| process.signal(signal))
+    }
+
+    /// Stops a proxy where it stands (SIGSTOP).
+    pub(super) fn freeze(&mut self, proxy: usize) -> io::Result<()> {
+        self.signal(proxy, Signal::STOP)?;
+        self.frozen[proxy] = true;
+        Ok(())
+    }
+
+    /// Lets a frozen proxy go on.
+    pub(super) fn thaw(&mut self, proxy: usize) -> io::Result<()> {
+        self.signal(proxy, Signal::CONT)?;
+        self.frozen[proxy] = false;
+        Ok(())
+    }
+
+    /// Kills a proxy's process.
+    pub(super) fn kill(&mut self, proxy: usize) -> io::Result<()> {
+        if let Some(mut process) = self.running[proxy].take() {
+            process.child.kill()?;
+            process.child.wait()?;
+        }
+        Ok(())
+    }
+
+    /// Tells a proxy to end.
+    pub(super) fn terminate(&mut self, proxy: usize) -> io::Result<()> {
+        if let Some(process) = self.running[proxy].take() {
+            process.signal(Signal::TERM)?;
+            self.ending[proxy] = Some(process);
+        }
+        Ok(())
+    }
+
+    /// Starts a proxy again on its address, once its old process has ended.
+    pub(super) fn restart(&mut self, proxy: usize) {
+        let ending = self.ending[proxy].take();
+        let mut config = self.configs[proxy].clone();
+        config["listen"] = self.fronts[proxy].to_string().into();
+        let (launcher, restarted) = (self.launcher.clone(), self.restarted_sender.clone());
+        thread::spawn(move || {
+            if let Some(mut old) = ending {
+                let _ = old.child.wait();
+            }
+            let process = launcher.start(proxy, &config);
+            let _ = restarted.send(Restarted { proxy, process });
+        });
+    }
+
+    /// Takes in a proxy that has come up again, if one has; one that could not start is an error.
+    pub(super) fn take_restarted(&mut self) -> io::Result<Option<usize>> {
+        let Ok(Restarted { proxy, process }) = self.restarted.try_recv() else { return Ok(None) };
+        self.running[proxy] = Some(process?);
+        Ok(Some(proxy))
+    }
+
+    /// Sets the weather of the links between these proxies and all others; only away from them where it is one way.
+    pub(super) fn set_links(&self, proxies: &[usize], weather: Weather, one_way: bool) {
+        let Some(gates) = &self.gates else { return };
+        for (from, to) in gates.directions() {
+            let sends = proxies.contains(&from) && !proxies.contains(&to);
+            let receives = proxies.contains(&to) && !proxies.contains(&from);
+            if sends || receives && !one_way {
+                gates.set((from, to), weather);
+            }
+        }
+    }
+}
+
+/// Adds a proxy's own port and its peers, each at the address at which it reaches them, to its configuration.
+fn add_peers(config: &mut Value, proxy: usize, ports: &[SocketAddr], gates: &Gates) {
+    let peer = |p: usize| gates.address((proxy, p)).unwrap_or(ports[proxy]).to_string();
+    config["peer_listen"] = ports[proxy].to_string().into();
+    config["peers"] = (0..ports.len()).map(peer).collect();
+}
--- a/rehearse/tests/load.rs
+++ b/rehearse/tests/load.rs
@@ -140,16 +140,16 @@
 #[test]
 fn the_site_stands_in_the_scenario_and_is_that_of_a_small_site_where_left_out() {
     let scenario = evening();
-    let (_, nodes) = linnetknot_rehearse::player::world(&scenario);
-    let count = |model: &str| nodes.iter().filter(|n| n.2 == model).count();
+    let nodes = linnetknot_rehearse::player::Deployment::of(&scenario).nodes;
+    let count = |model: &str| nodes.iter().filter(|n| n.model == model).count();
     assert_eq!((count("box"), count("hub"), count("origin")), (12, 2, 1));
     let mut bigger = scenario.clone();
     bigger.site.boxes_per_proxy = 6;
     bigger.site.hubs = 0;
     bigger.site.edge_box.capacity = 20.0;
-    let (_, nodes) = linnetknot_rehearse::player::world(&bigger);
+    let nodes = linnetknot_rehearse::player::Deployment::of(&bigger).nodes;
     assert_eq!(nodes.len(), 18 + 1);
-    assert!(nodes.iter().filter(|n| n.2 == "box").all(|n| n.3 == 20.0 && n.1 == "here"));
+    assert!(nodes.iter().filter(|n| n.model == "box").all(|n| n.capacity == 20.0 && n.zone == "here"));
     // Without a site the figures are the same as those the evening writes out.
     let mut text: serde_json::Value = serde_json::from_str(EVENING).unwrap();
     text.as_object_mut().unwrap().remove("site");
