Read settings in a function for each part

Now one function reads each part (rank, classes, zones, tenants, rules and the choices by name), in the order in which faults were found before, so that the first key at fault is the same; MOST_ATTEMPTS is MAX_ATTEMPTS.

--- a/settings/src/lib.rs
+++ b/settings/src/lib.rs
@@ -86,16 +86,59 @@
 }
 
 /// A request is tried no more often than this, however often a site would let it be.
-const MOST_ATTEMPTS: u64 = 6;
+const MAX_ATTEMPTS: u64 = 6;
+
+/// An object that is empty by default.
+fn object_or_empty<'a>(m: &'a Fields, key: &str, empty: &'a Fields) -> Result<&'a Fields> {
+    match get(m, key) {
+        None => Ok(empty),
+        Some(v) => v.as_object().ok_or_else(|| wrong(key)),
+    }
+}
 
 /// The settings, from the object that an instance is started with.
 pub fn settings(m: &Fields) -> Result<w::Settings> {
     let empty = Fields::new();
-    let sub = |key: &str| match get(m, key) {
-        None => Ok(&empty),
-        Some(v) => v.as_object().ok_or_else(|| wrong(key)),
-    };
-    let (family, limits, rules) = (sub("family-info")?, sub("limits")?, sub("rules")?);
+    let family = object_or_empty(m, "family-info", &empty)?;
+    let limits = object_or_empty(m, "limits", &empty)?;
+    let rule_fields = object_or_empty(m, "rules", &empty)?;
+    let rank = rank(m)?;
+    let classes = classes(m, family)?;
+    let kinds = list(m, "kinds")?;
+    let zones = zones(m, family)?;
+    let own_zone = text(m, "zone")?;
+    let zone = zones.iter().position(|z| z.name == own_zone).unwrap_or(usize::MAX);
+    let tenants = tenants(m)?;
+    let telemetry = object_or_empty(m, "telemetry", &empty)?;
+    Ok(w::Settings {
+        rank,
+        classes,
+        tenants,
+        zones,
+        zone,
+        parent_kind: kind(family, kinds, "mid-kind")?,
+        origin_kind: kind(family, kinds, "source-kind")?.unwrap_or_default(),
+        ask_for_list: text_or(m, "discovery", "push")? == "ask",
+        direct: flag(family, "may-pass-by")?,
+        joins: flag(family, "can-join")?,
+        siblings: siblings(family)?,
+        tells: tells(family)?,
+        reports: reports(telemetry)?,
+        weights_told: matches!(text_or(m, "weights", "off")?.as_str(), "nominal" | "rough"),
+        flow_kb_per_s: num_or(family, "one-flow-kb-per-s", 0.0)?,
+        max_attempts: int_or(limits, "try-limit", 1)?.min(MAX_ATTEMPTS) as u32,
+        second_copies: flag(limits, "second-copies")?,
+        cancel: flag(limits, "cancel")?,
+        probes: flag(limits, "probing")?,
+        retry_after: flag(limits, "retry-after")?,
+        max_retry_after_us: int_or(limits, "max-retry-after-us", 0)?,
+        origin_fall_multiple: num_or(family, "origin-fall-multiple", 0.0)?,
+        rules: rules(rule_fields, family)?,
+    })
+}
+
+/// The rank of this instance in its group, where one is given; both keys are checked in any case.
+fn rank(m: &Fields) -> Result<Option<u32>> {
     // Shares of what all proxies may do together are taken by these: nonsense here would be nonsense in all of them.
     let group = int_or(m, "group-size", u64::MAX)?;
     if group == 0 {
@@ -105,43 +148,58 @@
     if rank >= group {
         return Err(format!("field 'rank' is {rank}, outside a 'group-size' of {group}"));
     }
+    Ok(get(m, "rank").and(u32::try_from(rank).ok()))
+}
+
+/// The request classes, with what the family's lists say of each by its place.
+fn classes(m: &Fields, family: &Fields) -> Result<Vec<w::Class>> {
     let mut classes = Vec::new();
     for (i, v) in list(m, "categories")?.iter().enumerate() {
         let c = v.as_object().ok_or_else(|| wrong("categories"))?;
-        classes.push(w::Class {
-            name: text(c, "name")?,
-            aim_us: int(c, "aim-us")?,
-            aim_stretch: num_or(c, "aim-stretch", 0.0)?,
-            deadline_us: int(c, "deadline-us")?,
-            worth: num_or(c, "worth", 1.0)?,
-            late_worth: num_or(c, "late-worth", 0.0)?,
-            repeat: match text_or(c, "repeat", "side_effect")?.as_str() {
-                "pure" => w::Repeat::Safe,
-                "token" => w::Repeat::Keyed,
-                _ => w::Repeat::Unsafe,
-            },
-            scope: match text_or(c, "dedup-scope", "cell")?.as_str() {
-                "all" => w::DedupScope::All,
-                "zone" => w::DedupScope::Zone,
-                _ => w::DedupScope::Cell,
-            },
-            window_us: int_or(c, "window-us", 0)?,
-            streaming: flag(c, "streaming")?,
-            parts: at(family, "in-pieces", i, Value::as_bool)?.unwrap_or(false),
-            write: at(family, "never-kept", i, Value::as_bool)?.unwrap_or(false),
-            fresh_us: at(family, "good-for-us", i, as_int)?.unwrap_or(0),
-            grace_us: at(family, "usable-after-us", i, as_int)?.unwrap_or(0),
-            stale_worth: at(family, "old-copy-worth", i, Value::as_f64)?.unwrap_or(0.0),
-        });
+        classes.push(class(c, family, i)?);
     }
-    let kinds = list(m, "kinds")?;
-    let kind = |key: &str| -> Result<Option<String>> {
-        let place = num_or(family, key, -1.0)?;
-        Ok((place >= 0.0).then(|| kinds.get(place as usize)?.as_str().map(str::to_owned)).flatten())
-    };
-    let zone_names = list(m, "localities")?;
+    Ok(classes)
+}
+
+/// The request class at place `i`.
+fn class(c: &Fields, family: &Fields, i: usize) -> Result<w::Class> {
+    Ok(w::Class {
+        name: text(c, "name")?,
+        aim_us: int(c, "aim-us")?,
+        aim_stretch: num_or(c, "aim-stretch", 0.0)?,
+        deadline_us: int(c, "deadline-us")?,
+        worth: num_or(c, "worth", 1.0)?,
+        late_worth: num_or(c, "late-worth", 0.0)?,
+        repeat: match text_or(c, "repeat", "side_effect")?.as_str() {
+            "pure" => w::Repeat::Safe,
+            "token" => w::Repeat::Keyed,
+            _ => w::Repeat::Unsafe,
+        },
+        scope: match text_or(c, "dedup-scope", "cell")?.as_str() {
+            "all" => w::DedupScope::All,
+            "zone" => w::DedupScope::Zone,
+            _ => w::DedupScope::Cell,
+        },
+        window_us: int_or(c, "window-us", 0)?,
+        streaming: flag(c, "streaming")?,
+        parts: at(family, "in-pieces", i, Value::as_bool)?.unwrap_or(false),
+        write: at(family, "never-kept", i, Value::as_bool)?.unwrap_or(false),
+        fresh_us: at(family, "good-for-us", i, as_int)?.unwrap_or(0),
+        grace_us: at(family, "usable-after-us", i, as_int)?.unwrap_or(0),
+        stale_worth: at(family, "old-copy-worth", i, Value::as_f64)?.unwrap_or(0.0),
+    })
+}
+
+/// The name of the kind that a key of the family gives the place of; a negative place means none.
+fn kind(family: &Fields, kinds: &[Value], key: &str) -> Result<Option<String>> {
+    let place = num_or(family, key, -1.0)?;
+    Ok((place >= 0.0).then(|| kinds.get(place as usize)?.as_str().map(str::to_owned)).flatten())
+}
+
+/// The zones, with what the family's lists say of each by its place.
+fn zones(m: &Fields, family: &Fields) -> Result<Vec<w::Zone>> {
     let mut zones = Vec::new();
-    for (i, v) in zone_names.iter().enumerate() {
+    for (i, v) in list(m, "localities")?.iter().enumerate() {
         zones.push(w::Zone {
             name: v.as_str().ok_or_else(|| wrong("localities"))?.to_owned(),
             routers: at(family, "seats-by-zone", i, as_int)?.unwrap_or(1) as u32,
@@ -149,61 +207,59 @@
             link_kb_per_s: at(family, "zone-link-kb-per-s", i, Value::as_f64)?.unwrap_or(0.0),
         });
     }
-    let own = text(m, "zone")?;
-    let zone = zones.iter().position(|z| z.name == own).unwrap_or(usize::MAX);
+    Ok(zones)
+}
+
+/// The tenants.
+fn tenants(m: &Fields) -> Result<Vec<w::Tenant>> {
     let mut tenants = Vec::new();
     for v in list(m, "customers")? {
         let t = v.as_object().ok_or_else(|| wrong("customers"))?;
         tenants.push(w::Tenant { name: text(t, "name")?, quota_rps: num_or(t, "quota-rps", 0.0)? });
     }
-    let telemetry = sub("telemetry")?;
-    Ok(w::Settings {
-        rank: get(m, "rank").and(u32::try_from(rank).ok()),
-        classes,
-        tenants,
-        zones,
-        zone,
-        parent_kind: kind("mid-kind")?,
-        origin_kind: kind("source-kind")?.unwrap_or_default(),
-        ask_for_list: text_or(m, "discovery", "push")? == "ask",
-        direct: flag(family, "may-pass-by")?,
-        joins: flag(family, "can-join")?,
-        siblings: match text_or(family, "neighbours", "off")?.as_str() {
-            "location" => w::Siblings::Location,
-            "any" => w::Siblings::Any,
-            _ => w::Siblings::Off,
-        },
-        tells: match text_or(family, "note-level", "off")?.as_str() {
-            "all" => w::Tells::All,
-            "hit" => w::Tells::Hit,
-            _ => w::Tells::Off,
-        },
-        reports: match text_or(telemetry, "source", "off")?.as_str() {
-            "inline" => w::Reports::Answers,
-            "on_probe" => w::Reports::Probes,
-            _ => w::Reports::Off,
-        },
-        weights_told: matches!(text_or(m, "weights", "off")?.as_str(), "nominal" | "rough"),
-        flow_kb_per_s: num_or(family, "one-flow-kb-per-s", 0.0)?,
-        max_attempts: int_or(limits, "try-limit", 1)?.min(MOST_ATTEMPTS) as u32,
-        second_copies: flag(limits, "second-copies")?,
-        cancel: flag(limits, "cancel")?,
-        probes: flag(limits, "probing")?,
-        retry_after: flag(limits, "retry-after")?,
-        max_retry_after_us: int_or(limits, "max-retry-after-us", 0)?,
-        origin_fall_multiple: num_or(family, "origin-fall-multiple", 0.0)?,
-        rules: w::Rules {
-            drain_grace_us: int_or(rules, "drain-grace-us", 0)?,
-            cold_share: num_or(rules, "cold-share", 1.0)?,
-            cold_us: int_or(rules, "ramp-time-us", 0)?,
-            fall_multiple: num_or(rules, "fall-multiple", 1.0)?,
-            fall_us: int_or(rules, "tip-after-us", 1)?,
-            parent_cold_share: num_or(family, "parent-cold-from", 1.0)?,
-            parent_cold_us: int_or(family, "upper-cold-us", 0)?,
-            parent_fall_multiple: num_or(family, "upper-fall-multiple", 1.0)?,
-            purge_grace_us: int_or(family, "purge-slack-us", 0)?,
-            purge_done_us: int_or(family, "purge-takes-us", 0)?,
-            ask_within_us: int_or(rules, "ask-within-us", 0)?,
-        },
+    Ok(tenants)
+}
+
+/// Which caches may be filled from each other.
+fn siblings(family: &Fields) -> Result<w::Siblings> {
+    Ok(match text_or(family, "neighbours", "off")?.as_str() {
+        "location" => w::Siblings::Location,
+        "any" => w::Siblings::Any,
+        _ => w::Siblings::Off,
+    })
+}
+
+/// Which answers tell how they were made.
+fn tells(family: &Fields) -> Result<w::Tells> {
+    Ok(match text_or(family, "note-level", "off")?.as_str() {
+        "all" => w::Tells::All,
+        "hit" => w::Tells::Hit,
+        _ => w::Tells::Off,
+    })
+}
+
+/// Where load reports come from.
+fn reports(telemetry: &Fields) -> Result<w::Reports> {
+    Ok(match text_or(telemetry, "source", "off")?.as_str() {
+        "inline" => w::Reports::Answers,
+        "on_probe" => w::Reports::Probes,
+        _ => w::Reports::Off,
+    })
+}
+
+/// The platform's rules for drains, cold starts and purges.
+fn rules(rules: &Fields, family: &Fields) -> Result<w::Rules> {
+    Ok(w::Rules {
+        drain_grace_us: int_or(rules, "drain-grace-us", 0)?,
+        cold_share: num_or(rules, "cold-share", 1.0)?,
+        cold_us: int_or(rules, "ramp-time-us", 0)?,
+        fall_multiple: num_or(rules, "fall-multiple", 1.0)?,
+        fall_us: int_or(rules, "tip-after-us", 1)?,
+        parent_cold_share: num_or(family, "parent-cold-from", 1.0)?,
+        parent_cold_us: int_or(family, "upper-cold-us", 0)?,
+        parent_fall_multiple: num_or(family, "upper-fall-multiple", 1.0)?,
+        purge_grace_us: int_or(family, "purge-slack-us", 0)?,
+        purge_done_us: int_or(family, "purge-takes-us", 0)?,
+        ask_within_us: int_or(rules, "ask-within-us", 0)?,
     })
 }
