Split the scenario's form from its checks

Now scenario/mod.rs has the form, scenario/check.rs what its values may be, a function for each part, in the same order, so that the key at fault that is named first is the same.

--- /dev/null
+++ b/rehearse/src/scenario/check.rs
@@ -0,0 +1,183 @@
+//! What a scenario's values may be. Every message names the key at fault by its path.
+
+use super::{ClassLoad, Fault, NodeForm, Scenario, SiteForm, What};
+use crate::gates::Weather;
+
+/// The most proxies of a scenario, and the most boxes of each.
+const MAX_PROXIES: f64 = 64.0;
+/// The most seconds of a scenario.
+const MAX_SECONDS: f64 = 3600.0;
+/// All arrivals are drawn ahead and held: so many at the most.
+const MAX_ARRIVALS: f64 = 5e6;
+/// What the sum of the classes' shares may differ from 1.
+const SHARE_SUM_TOLERANCE: f64 = 0.001;
+
+/// An error unless a value is within bounds.
+fn within(key: String, value: f64, min: f64, max: f64) -> Result<(), String> {
+    if value.is_finite() && (min..=max).contains(&value) {
+        Ok(())
+    } else {
+        Err(format!("{key}: {value} is not from {min} to {max}"))
+    }
+}
+
+impl Scenario {
+    /// Checks all values; the message names the first key at fault.
+    pub(super) fn check(&self) -> Result<(), String> {
+        within("seconds".into(), self.seconds, 1.0, MAX_SECONDS)?;
+        within("proxies".into(), f64::from(self.proxies), 1.0, MAX_PROXIES)?;
+        self.check_load()?;
+        for (n, class) in self.load.classes.iter().enumerate() {
+            class.check(n)?;
+        }
+        self.site.check()?;
+        for (n, fault) in self.faults.iter().enumerate() {
+            FaultCheck { scenario: self, fault, n }.check()?;
+        }
+        Ok(())
+    }
+
+    fn check_load(&self) -> Result<(), String> {
+        within("load.rate".into(), self.load.rate, 0.1, 100_000.0)?;
+        within("load.purges".into(), self.load.purges, 0.0, 1000.0)?;
+        within("load.rate times seconds".into(), self.load.rate * self.seconds, 1.0, MAX_ARRIVALS)?;
+        let mut last = -1.0;
+        for (n, (at, factor)) in self.load.shape.iter().enumerate() {
+            within(format!("load.shape[{n}][1]"), *factor, 0.0, 1.0)?;
+            if *at <= last {
+                return Err(format!("load.shape[{n}][0]: {at} does not come after {last}"));
+            }
+            last = *at;
+        }
+        let sum: f64 = self.load.classes.iter().map(|c| c.share).sum();
+        let (min, max) = (1.0 - SHARE_SUM_TOLERANCE, 1.0 + SHARE_SUM_TOLERANCE);
+        within("load.classes: sum of 'share'".into(), sum, min, max)
+    }
+}
+
+impl ClassLoad {
+    /// Checks the values of the class at place `n`.
+    fn check(&self, n: usize) -> Result<(), String> {
+        let key = |key: &str| format!("load.classes[{n}].{key}");
+        within(key("share"), self.share, 0.0, 1.0)?;
+        within(key("objects"), self.objects as f64, 1.0, 1e9)?;
+        within(key("zipf"), self.zipf, 0.0, 5.0)?;
+        within(key("once"), self.once, 0.0, 1.0)?;
+        within(key("drift"), self.drift, 0.0, 1e6)?;
+        within(key("parts[0]"), self.parts.0 as f64, 1.0, 1000.0)?;
+        within(key("parts[1]"), self.parts.1 as f64, self.parts.0 as f64, 1000.0)?;
+        within(key("gap[0]"), self.gap.0, 0.0, 60.0)?;
+        within(key("gap[1]"), self.gap.1, self.gap.0, 60.0)?;
+        within(key("median_kb"), self.median_kb, 0.0, 1e6)?;
+        within(key("sigma"), self.sigma, 0.0, 3.0)?;
+        within(key("budget_ms"), self.budget_ms as f64, 1.0, 120_000.0)
+    }
+}
+
+impl SiteForm {
+    fn check(&self) -> Result<(), String> {
+        let key = |key: &str| format!("site.{key}");
+        within(key("boxes_per_proxy"), f64::from(self.boxes_per_proxy), 1.0, 64.0)?;
+        within(key("hubs"), f64::from(self.hubs), 0.0, 16.0)?;
+        self.edge_box.check("box")?;
+        self.hub.check("hub")?;
+        self.origin.check("origin")?;
+        within(key("link_per_box"), self.link_per_box, 0.1, 1e4)?;
+        within(key("fill_pace"), self.fill_pace, 0.1, 100.0)?;
+        within(key("flow_kb_per_s"), self.flow_kb_per_s, 1.0, 1e7)?;
+        within(key("near_ms"), self.near_ms, 0.0, 60_000.0)?;
+        within(key("far_ms"), self.far_ms, 0.0, 60_000.0)?;
+        within(key("origin_ms"), self.origin_ms, 0.0, 60_000.0)?;
+        within(key("key_ms"), self.key_ms, 0.0, 3_600_000.0)?;
+        within(key("purge_takes_ms"), self.purge_takes_ms, 0.0, 600_000.0)?;
+        within(key("photo_fresh_ms"), self.photo_fresh_ms, 0.0, 86_400_000.0)
+    }
+}
+
+impl NodeForm {
+    /// Checks the figures of the node under this key of the site.
+    fn check(&self, name: &str) -> Result<(), String> {
+        let key = |key: &str| format!("site.{name}.{key}");
+        within(key("slots"), f64::from(self.slots), 1.0, 10_000.0)?;
+        within(key("waiting"), f64::from(self.waiting), 0.0, 100_000.0)?;
+        within(key("capacity"), self.capacity, 0.1, 1e5)?;
+        within(key("memory_kb"), self.memory_kb as f64, 0.0, 1e9)?;
+        within(key("fills"), f64::from(self.fills), 1.0, 10_000.0)?;
+        within(key("fill_timeout_ms"), self.fill_timeout_ms as f64, 1.0, 600_000.0)
+    }
+}
+
+/// A fault of a scenario that is checked, with its place.
+struct FaultCheck<'a> {
+    scenario: &'a Scenario,
+    fault: &'a Fault,
+    n: usize,
+}
+
+impl FaultCheck<'_> {
+    fn key(&self, key: &str) -> String {
+        format!("faults[{}].{key}", self.n)
+    }
+
+    fn check(&self) -> Result<(), String> {
+        within(self.key("at"), self.fault.at, 0.0, self.scenario.seconds)?;
+        within(self.key("lasts"), self.fault.lasts, 0.0, self.scenario.seconds)?;
+        match &self.fault.what {
+            What::MassPurge { share } => within(self.key("what.mass-purge.share"), *share, 0.0, 1.0),
+            What::BoxDrains { boxes, first }
+            | What::BoxDies { boxes, first }
+            | What::BoxStalls { boxes, first } => self.check_boxes(*boxes, *first),
+            What::SlowOrigin { times } => within(self.key("what.slow-origin.times"), *times, 1.0, 1000.0),
+            What::BusBreaks => Ok(()),
+            What::ProxyKilled { proxies, first } | What::ProxyStopped { proxies, first } => {
+                self.check_proxies(*proxies, *first)
+            }
+            What::ProxyStalled { proxies, first } => {
+                if self.fault.lasts <= 0.0 {
+                    return Err(format!("{}: a stall must end", self.key("lasts")));
+                }
+                self.check_proxies(*proxies, *first)
+            }
+            What::Links { proxies, first, weather, .. } => {
+                self.check_links(*proxies, weather)?;
+                self.check_proxies(*proxies, *first)
+            }
+            What::HotObject { class, share } => self.check_hot_object(class, *share),
+        }
+    }
+
+    fn check_boxes(&self, boxes: u32, first: u32) -> Result<(), String> {
+        let all = self.scenario.site.boxes(self.scenario.proxies) as f64;
+        within(self.key("what.first"), f64::from(first), 0.0, all - 1.0)?;
+        within(self.key("what.boxes"), f64::from(boxes), 1.0, all - f64::from(first))
+    }
+
+    fn check_proxies(&self, proxies: u32, first: u32) -> Result<(), String> {
+        let all = f64::from(self.scenario.proxies);
+        within(self.key("what.first"), f64::from(first), 0.0, all - 1.0)?;
+        within(self.key("what.proxies"), f64::from(proxies), 1.0, all - f64::from(first))
+    }
+
+    fn check_links(&self, proxies: u32, weather: &Weather) -> Result<(), String> {
+        let key = self.key("what.links.weather");
+        weather.check().map_err(|e| format!("{key}.{e}"))?;
+        if !self.scenario.peers {
+            return Err(format!("{}: the proxies have no links: 'peers' is off", self.key("what.links")));
+        }
+        if let Some(stream) = weather.of_streams() {
+            return Err(format!("{key}.{stream}: the proxies send each other datagrams, no streams"));
+        }
+        if proxies >= self.scenario.proxies {
+            return Err(format!("{}: there are no others than these", self.key("what.links.proxies")));
+        }
+        Ok(())
+    }
+
+    fn check_hot_object(&self, class: &str, share: f64) -> Result<(), String> {
+        within(self.key("what.hot-object.share"), share, 0.0, 1.0)?;
+        if !self.scenario.load.classes.iter().any(|c| c.name == class) {
+            return Err(format!("{}: there is no class '{class}'", self.key("what.hot-object.class")));
+        }
+        Ok(())
+    }
+}
--- a/rehearse/src/scenario.rs
+++ b/rehearse/src/scenario/mod.rs
@@ -1,5 +1,7 @@
 //! The form of a scenario: JSON, read with the path of the key at fault, its JSON Schema made from the types.
 
+mod check;
+
 use crate::gates::Weather;
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
@@ -300,132 +302,9 @@
         de.end().map_err(|e| e.to_string())?;
         scenario.check().map(|()| scenario)
     }
-
-    fn check(&self) -> Result<(), String> {
-        let within = |key: String, value: f64, least: f64, most: f64| {
-            if value.is_finite() && (least..=most).contains(&value) {
-                Ok(())
-            } else {
-                Err(format!("{key}: {value} is not from {least} to {most}"))
-            }
-        };
-        within("seconds".into(), self.seconds, 1.0, 3600.0)?;
-        within("proxies".into(), f64::from(self.proxies), 1.0, 64.0)?;
-        within("load.rate".into(), self.load.rate, 0.1, 100_000.0)?;
-        within("load.purges".into(), self.load.purges, 0.0, 1000.0)?;
-        // All arrivals are drawn ahead and held.
-        within("load.rate times seconds".into(), self.load.rate * self.seconds, 1.0, 5e6)?;
-        let mut last = -1.0;
-        for (n, (at, factor)) in self.load.shape.iter().enumerate() {
-            within(format!("load.shape[{n}][1]"), *factor, 0.0, 1.0)?;
-            if *at <= last {
-                return Err(format!("load.shape[{n}][0]: {at} does not come after {last}"));
-            }
-            last = *at;
-        }
-        let sum: f64 = self.load.classes.iter().map(|c| c.share).sum();
-        within("load.classes: sum of 'share'".into(), sum, 0.999, 1.001)?;
-        for (n, c) in self.load.classes.iter().enumerate() {
-            let key = |key: &str| format!("load.classes[{n}].{key}");
-            within(key("share"), c.share, 0.0, 1.0)?;
-            within(key("objects"), c.objects as f64, 1.0, 1e9)?;
-            within(key("zipf"), c.zipf, 0.0, 5.0)?;
-            within(key("once"), c.once, 0.0, 1.0)?;
-            within(key("drift"), c.drift, 0.0, 1e6)?;
-            within(key("parts[0]"), c.parts.0 as f64, 1.0, 1000.0)?;
-            within(key("parts[1]"), c.parts.1 as f64, c.parts.0 as f64, 1000.0)?;
-            within(key("gap[0]"), c.gap.0, 0.0, 60.0)?;
-            within(key("gap[1]"), c.gap.1, c.gap.0, 60.0)?;
-            within(key("median_kb"), c.median_kb, 0.0, 1e6)?;
-            within(key("sigma"), c.sigma, 0.0, 3.0)?;
-            within(key("budget_ms"), c.budget_ms as f64, 1.0, 120_000.0)?;
-        }
-        self.site.check(&within)?;
-        for (n, f) in self.faults.iter().enumerate() {
-            let key = |key: &str| format!("faults[{n}].{key}");
-            within(key("at"), f.at, 0.0, self.seconds)?;
-            within(key("lasts"), f.lasts, 0.0, self.seconds)?;
-            match &f.what {
-                What::MassPurge { share } => within(key("what.mass-purge.share"), *share, 0.0, 1.0)?,
-                What::BoxDrains { boxes, first }
-                | What::BoxDies { boxes, first }
-                | What::BoxStalls { boxes, first } => {
-                    let all = self.site.boxes(self.proxies) as f64;
-                    within(key("what.first"), f64::from(*first), 0.0, all - 1.0)?;
-                    within(key("what.boxes"), f64::from(*boxes), 1.0, all - f64::from(*first))?;
-                }
-                What::SlowOrigin { times } => within(key("what.slow-origin.times"), *times, 1.0, 1000.0)?,
-                What::BusBreaks => {}
-                What::ProxyKilled { proxies, first }
-                | What::ProxyStopped { proxies, first }
-                | What::ProxyStalled { proxies, first }
-                | What::Links { proxies, first, .. } => {
-                    if let What::Links { weather, .. } = &f.what {
-                        weather.check().map_err(|e| format!("{}.{e}", key("what.links.weather")))?;
-                        if !self.peers {
-                            return Err(format!(
-                                "{}: the proxies have no links: 'peers' is off",
-                                key("what.links")
-                            ));
-                        }
-                        if let Some(stream) = weather.of_streams() {
-                            let at = key("what.links.weather");
-                            return Err(format!(
-                                "{at}.{stream}: the proxies send each other datagrams, no streams"
-                            ));
-                        }
-                        if *proxies >= self.proxies {
-                            return Err(format!(
-                                "{}: there are no others than these",
-                                key("what.links.proxies")
-                            ));
-                        }
-                    }
-                    if matches!(f.what, What::ProxyStalled { .. }) && f.lasts <= 0.0 {
-                        return Err(format!("{}: a stall must end", key("lasts")));
-                    }
-                    let all = f64::from(self.proxies);
-                    within(key("what.first"), f64::from(*first), 0.0, all - 1.0)?;
-                    within(key("what.proxies"), f64::from(*proxies), 1.0, all - f64::from(*first))?;
-                }
-                What::HotObject { class, share } => {
-                    within(key("what.hot-object.share"), *share, 0.0, 1.0)?;
-                    if !self.load.classes.iter().any(|c| c.name == *class) {
-                        return Err(format!("{}: there is no class '{class}'", key("what.hot-object.class")));
-                    }
-                }
-            }
-        }
-        Ok(())
-    }
 }
 
 impl SiteForm {
-    fn check(&self, within: &dyn Fn(String, f64, f64, f64) -> Result<(), String>) -> Result<(), String> {
-        let key = |key: &str| format!("site.{key}");
-        within(key("boxes_per_proxy"), f64::from(self.boxes_per_proxy), 1.0, 64.0)?;
-        within(key("hubs"), f64::from(self.hubs), 0.0, 16.0)?;
-        for (name, node) in [("box", &self.edge_box), ("hub", &self.hub), ("origin", &self.origin)] {
-            let key = |k: &str| format!("site.{name}.{k}");
-            within(key("slots"), f64::from(node.slots), 1.0, 10_000.0)?;
-            within(key("waiting"), f64::from(node.waiting), 0.0, 100_000.0)?;
-            within(key("capacity"), node.capacity, 0.1, 1e5)?;
-            within(key("memory_kb"), node.memory_kb as f64, 0.0, 1e9)?;
-            within(key("fills"), f64::from(node.fills), 1.0, 10_000.0)?;
-            within(key("fill_timeout_ms"), node.fill_timeout_ms as f64, 1.0, 600_000.0)?;
-        }
-        within(key("link_per_box"), self.link_per_box, 0.1, 1e4)?;
-        within(key("fill_pace"), self.fill_pace, 0.1, 100.0)?;
-        within(key("flow_kb_per_s"), self.flow_kb_per_s, 1.0, 1e7)?;
-        for (name, ms) in [("near_ms", self.near_ms), ("far_ms", self.far_ms), ("origin_ms", self.origin_ms)]
-        {
-            within(key(name), ms, 0.0, 60_000.0)?;
-        }
-        within(key("key_ms"), self.key_ms, 0.0, 3_600_000.0)?;
-        within(key("purge_takes_ms"), self.purge_takes_ms, 0.0, 600_000.0)?;
-        within(key("photo_fresh_ms"), self.photo_fresh_ms, 0.0, 86_400_000.0)
-    }
-
     /// The edge boxes in all.
     pub fn boxes(&self, proxies: u32) -> usize {
         (self.boxes_per_proxy * proxies) as usize
