Split the judge of promises, the plays of moments and their matrix

promises::judge had 58 lines and is a function for each rule now; moments::play had 96 and is one for each kind of fault, with what is known of a play in a struct; the matrix stands in a file of its own, its rows write and add themselves (both stood inline). Breaches come in the order in which they came before.

--- a/rehearse/src/moments.rs
+++ b/rehearse/src/moments/mod.rs
@@ -2,13 +2,16 @@
 //! a moment of a promise drawn in advance, and comes back with its disk or on a new machine. What was answered yes must
 //! hold. The daemon needs its named points (`--features points`).
 
+mod matrix;
+
+pub use matrix::Matrix;
+
 use crate::clients::becomes;
 use crate::fleet::{status_path, Disk, Fleet, Setup};
 use crate::gates::Weather;
 use crate::rules::promises::{judge, Answer, Held, Promises, Told};
 use crate::rules::Breach;
-use std::collections::BTreeMap;
-use std::fmt::{self, Write};
+use std::collections::BTreeSet;
 use std::io;
 use std::path::Path;
 use std::time::{Duration, Instant};
@@ -177,202 +180,157 @@
 /// Where it could not be played: a daemon did not start, or has no points.
 pub fn play(daemon: &Path, case: Case, planted: &str) -> io::Result<Played> {
     let (moment, _, points) = MOMENTS[case.moment % MOMENTS.len()];
-    let (writer, holder) = ((case.seed % 3) as usize, ((case.seed + 1 + case.seed / 3 % 2) % 3) as usize);
+    let writer = (case.seed % 3) as usize;
+    let holder = ((case.seed + 1 + case.seed / 3 % 2) % 3) as usize;
     let successor = format!("p{writer}");
     let later: &[&str] = if moment == Moment::Successor { &[&successor] } else { &[] };
     let setup = Setup { later, planted, ..Setup::copying(daemon, PROXIES, case.seed) };
     let fleet = Fleet::with(setup)?;
     let record = Promises { within_us: WITHIN_US, late_us: LATE_US, ..Promises::default() };
     let mut play = Play { fleet, begun: Instant::now(), record, objects: 0 };
-    let all = 0..PROXIES + later.len();
     play.fleet.gates.set_all(weather(case.seed));
     for proxy in 0..PROXIES {
         play.tell(proxy, false);
     }
-    let (mut victim, mut dead) = (writer, true);
-    match moment {
-        Moment::WriterBeforeTelling
-        | Moment::WriterAfterTelling
-        | Moment::WriterBeforeDisk
-        | Moment::WriterAfterDisk
-        | Moment::WriterBeforeYes => {
-            play.rearm(writer, points)?;
-            if play.tell(writer, true) != Answer::Nothing && planted.is_empty() {
-                return Err(io::Error::other("the writer did not die: this daemon has no points"));
-            }
-        }
-        Moment::WriterAfterYes => drop(play.tell(writer, false)),
-        Moment::WriterCut => {
-            play.fleet.gates.split(&[writer], Weather::CUT);
-            play.tell(writer, false);
-        }
-        Moment::WriterDiskFails => {
-            play.rearm(writer, points)?;
-            play.tell(writer, false);
-        }
-        Moment::HolderBeforeDisk | Moment::HolderAfterDisk | Moment::HolderBeforeWord => {
-            victim = holder;
-            play.rearm(holder, points)?;
-            play.tell(writer, false);
-            if !play.until(KNOWN, |fleet| fleet.status(holder).is_err()) {
-                return Err(io::Error::other("the holder did not die: this daemon has no points"));
-            }
-        }
-        Moment::HolderStalled => {
-            victim = holder;
-            play.fleet.stall(holder)?;
-            play.tell(writer, false);
-        }
-        Moment::HolderCut => {
-            play.agree(AGREE)?;
-            play.fleet.gates.split(&[holder], Weather::CUT);
-            play.tell(writer, false);
-            play.fleet.gates.split(&[holder], weather(case.seed));
-            play.tell(writer, false);
-        }
-        Moment::Successor => {
-            dead = false;
-            play.agree(AGREE)?;
-            play.fleet.stall(writer)?;
-            play.fleet.restart(PROXIES, Disk::Lost)?;
-            play.tell(PROXIES, false);
-            play.fleet.go_on(writer)?;
-            if !play.until(KNOWN, |fleet| fleet.status(writer).is_ok_and(|s| s.replaced)) {
-                return Err(io::Error::other("the old process did not learn of its successor"));
-            }
-            play.tell(writer, false);
-        }
-    }
-    if dead {
-        play.fleet.kill(victim)?;
-        // The others go on without it.
-        let other = (0..PROXIES).find(|proxy| *proxy != victim).unwrap_or_default();
-        play.tell(other, false);
-        play.fleet.gates.split(&[writer], weather(case.seed));
-        play.fleet.restart(victim, case.disk)?;
-    } else {
-        // The old machine is switched off at last.
-        play.fleet.kill(victim)?;
+    let cast = Cast { writer, holder, points, is_planted: !planted.is_empty(), weather: weather(case.seed) };
+    let victim = play.break_at(moment, &cast)?;
+    play.fleet.kill(victim)?;
+    if moment != Moment::Successor {
+        play.recover(victim, &cast, case.disk)?;
     }
     let agreed = play.agree(AGREE)?;
-    let runs: Vec<usize> = all.filter(|proxy| play.fleet.process(*proxy).is_ok()).collect();
-    for proxy in runs {
-        let told = play.record.told.clone();
-        let mut objects = std::collections::BTreeSet::new();
-        for told in &told {
-            if play.fleet.holds_floor(proxy, &told.object)? {
-                objects.insert(told.object.clone());
-            }
-        }
-        let short = if agreed.is_some() { play.fleet.status(proxy)?.short } else { 0 };
-        let triggers = play.fleet.triggers(proxy)?;
-        play.record.held.push(Held { proxy, objects, triggers, short });
-    }
+    play.record_held(PROXIES + later.len(), agreed.is_some())?;
     let breaches = judge(&play.record);
     Ok(Played { record: play.record, breaches, agreed })
 }
 
-/// One row of the matrix.
-#[derive(Clone, Debug, Default, PartialEq)]
-struct Row {
-    plays: usize,
-    answers: [usize; 3],
-    lost: usize,
-    broken: BTreeMap<&'static str, usize>,
-    apart: usize,
-    agreed: Vec<Duration>,
-    nothing: usize,
+/// Who is who in a play, and what it happens under.
+struct Cast {
+    /// The proxy that is told the promise.
+    writer: usize,
+    /// One that holds a copy.
+    holder: usize,
+    /// What is armed at the one it happens to.
+    points: &'static str,
+    /// Whether a fault is planted in all daemons.
+    is_planted: bool,
+    weather: Weather,
 }
 
-/// What all plays came to, by moment and disk.
-#[derive(Clone, Debug, Default)]
-pub struct Matrix {
-    rows: BTreeMap<(usize, bool), Row>,
-    /// Why plays proved nothing, and each breach with its case.
-    pub said: Vec<String>,
-}
-
-impl Matrix {
-    /// Takes a play in.
-    pub fn add(&mut self, case: Case, played: io::Result<Played>) {
-        let row = self.rows.entry((case.moment, case.disk == Disk::Lost)).or_default();
-        let name = format!("{}, disk {:?}, seed {}", MOMENTS[case.moment].1, case.disk, case.seed);
-        match played {
-            Err(e) => {
-                row.nothing += 1;
-                self.said.push(format!("{name}: proved nothing: {e}"));
+impl Play {
+    /// Brings the fault of a moment about: the proxy that is lost by it.
+    fn break_at(&mut self, moment: Moment, cast: &Cast) -> io::Result<usize> {
+        let Cast { writer, holder, .. } = *cast;
+        match moment {
+            Moment::WriterBeforeTelling
+            | Moment::WriterAfterTelling
+            | Moment::WriterBeforeDisk
+            | Moment::WriterAfterDisk
+            | Moment::WriterBeforeYes => {
+                self.writer_dies(cast)?;
+                Ok(writer)
             }
-            Ok(played) => {
-                row.plays += 1;
-                for told in &played.record.told {
-                    let place = match told.answer {
-                        Answer::Yes => 0,
-                        Answer::No => 1,
-                        Answer::Nothing => 2,
-                    };
-                    row.answers[place] += 1;
-                }
-                row.lost += played.breaches.iter().filter(|b| b.rule == "promises").count();
-                played.breaches.iter().for_each(|b| *row.broken.entry(b.rule).or_default() += 1);
-                row.apart += usize::from(played.agreed.is_none());
-                row.agreed.extend(played.agreed);
-                if played.agreed.is_none() {
-                    self.said.push(format!("{name}: not all agreed within {} s", AGREE.as_secs()));
-                }
-                self.said.extend(played.breaches.iter().map(|breach| format!("{name}: {breach}")));
+            Moment::WriterAfterYes => {
+                self.tell(writer, false);
+                Ok(writer)
+            }
+            Moment::WriterCut => {
+                self.fleet.gates.split(&[writer], Weather::CUT);
+                self.tell(writer, false);
+                Ok(writer)
+            }
+            Moment::WriterDiskFails => {
+                self.rearm(writer, cast.points)?;
+                self.tell(writer, false);
+                Ok(writer)
+            }
+            Moment::HolderBeforeDisk | Moment::HolderAfterDisk | Moment::HolderBeforeWord => {
+                self.holder_dies(cast)?;
+                Ok(holder)
+            }
+            Moment::HolderStalled => {
+                self.fleet.stall(holder)?;
+                self.tell(writer, false);
+                Ok(holder)
+            }
+            Moment::HolderCut => {
+                self.holder_is_cut(cast)?;
+                Ok(writer)
+            }
+            Moment::Successor => {
+                self.writer_is_replaced(writer)?;
+                // The old machine is switched off at last.
+                Ok(writer)
             }
         }
     }
 
-    /// 0 where no rule was broken and all agreed, 1 where one was or they did not, 2 where nothing was proved.
-    pub fn status(&self) -> u8 {
-        let broken = self.rows.values().any(|row| !row.broken.is_empty() || row.apart > 0);
-        match (broken, self.rows.values().map(|row| row.plays).sum::<usize>()) {
-            (true, _) => 1,
-            (false, 0) => 2,
-            (false, _) => u8::from(self.rows.values().any(|row| row.nothing > 0)) * 2,
+    /// The writer dies of its point when it is told.
+    fn writer_dies(&mut self, cast: &Cast) -> io::Result<()> {
+        self.rearm(cast.writer, cast.points)?;
+        if self.tell(cast.writer, true) != Answer::Nothing && !cast.is_planted {
+            return Err(io::Error::other("the writer did not die: this daemon has no points"));
         }
+        Ok(())
     }
-}
 
-impl fmt::Display for Matrix {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        writeln!(f, "| moment | disk | plays | yes | no | no answer | promises lost | rules broken | did not agree | agree p50, p99 ms | proved nothing |")?;
-        writeln!(f, "| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |")?;
-        let mut whole = Row::default();
-        let line = |f: &mut fmt::Formatter<'_>, name: &str, disk: &str, row: &Row| {
-            let mut agreed = row.agreed.clone();
-            agreed.sort_unstable();
-            let at =
-                |share: usize| agreed.get((agreed.len() * share / 100).min(agreed.len().saturating_sub(1)));
-            let ms = |share| at(share).map_or_else(|| "-".to_owned(), |d| d.as_millis().to_string());
-            let mut broken = String::new();
-            for (rule, times) in &row.broken {
-                write!(broken, "{}{rule} {times}", if broken.is_empty() { "" } else { ", " })?;
+    /// The holder dies of its point when the writer is told.
+    fn holder_dies(&mut self, cast: &Cast) -> io::Result<()> {
+        let holder = cast.holder;
+        self.rearm(holder, cast.points)?;
+        self.tell(cast.writer, false);
+        if !self.until(KNOWN, |fleet| fleet.status(holder).is_err()) {
+            return Err(io::Error::other("the holder did not die: this daemon has no points"));
+        }
+        Ok(())
+    }
+
+    /// The holder is cut off for one promise and joined for the next.
+    fn holder_is_cut(&mut self, cast: &Cast) -> io::Result<()> {
+        self.agree(AGREE)?;
+        self.fleet.gates.split(&[cast.holder], Weather::CUT);
+        self.tell(cast.writer, false);
+        self.fleet.gates.split(&[cast.holder], cast.weather);
+        self.tell(cast.writer, false);
+        Ok(())
+    }
+
+    /// The writer stands still while another takes its name, and goes on.
+    fn writer_is_replaced(&mut self, writer: usize) -> io::Result<()> {
+        self.agree(AGREE)?;
+        self.fleet.stall(writer)?;
+        self.fleet.restart(PROXIES, Disk::Lost)?;
+        self.tell(PROXIES, false);
+        self.fleet.go_on(writer)?;
+        if !self.until(KNOWN, |fleet| fleet.status(writer).is_ok_and(|s| s.replaced)) {
+            return Err(io::Error::other("the old process did not learn of its successor"));
+        }
+        self.tell(writer, false);
+        Ok(())
+    }
+
+    /// The others go on without the one that was lost, and then it comes back.
+    fn recover(&mut self, victim: usize, cast: &Cast, disk: Disk) -> io::Result<()> {
+        let other = (0..PROXIES).find(|proxy| *proxy != victim).unwrap_or_default();
+        self.tell(other, false);
+        self.fleet.gates.split(&[cast.writer], cast.weather);
+        self.fleet.restart(victim, disk)
+    }
+
+    /// Writes down what each proxy that runs holds in the end.
+    fn record_held(&mut self, proxies: usize, has_agreed: bool) -> io::Result<()> {
+        let running: Vec<usize> = (0..proxies).filter(|n| self.fleet.process(*n).is_ok()).collect();
+        for proxy in running {
+            let mut objects = BTreeSet::new();
+            for told in &self.record.told {
+                if self.fleet.holds_floor(proxy, &told.object)? {
+                    objects.insert(told.object.clone());
+                }
             }
-            let [yes, no, none] = row.answers;
-            let broken = if broken.is_empty() { "0" } else { &broken };
-            writeln!(
-                f,
-                "| {name} | {disk} | {} | {yes} | {no} | {none} | {} | {broken} | {} | {}, {} | {} |",
-                row.plays,
-                row.lost,
-                row.apart,
-                ms(50),
-                ms(99),
-                row.nothing
-            )
-        };
-        for ((moment, lost), row) in &self.rows {
-            line(f, MOMENTS[*moment].1, if *lost { "lost" } else { "kept" }, row)?;
-            whole.plays += row.plays;
-            (0..3).for_each(|n| whole.answers[n] += row.answers[n]);
-            whole.lost += row.lost;
-            row.broken.iter().for_each(|(rule, times)| *whole.broken.entry(rule).or_default() += times);
-            whole.apart += row.apart;
-            whole.agreed.extend(&row.agreed);
-            whole.nothing += row.nothing;
+            let short = if has_agreed { self.fleet.status(proxy)?.short } else { 0 };
+            let triggers = self.fleet.triggers(proxy)?;
+            self.record.held.push(Held { proxy, objects, triggers, short });
         }
-        line(f, "all", "", &whole)
+        Ok(())
     }
 }
--- a/rehearse/src/rules/promises.rs
+++ b/rehearse/src/rules/promises.rs
@@ -78,62 +78,97 @@
 
 /// Every breach in a record.
 pub fn judge(record: &Promises) -> Vec<Breach> {
-    let mut breaches = Vec::new();
-    let mut say = |rule, told: &Told, evidence: String| {
-        let request = Some(told.object.clone());
-        breaches.push(Breach { rule, request, target: None, at: told.answered, evidence });
-    };
+    let mut breaches = judge_objects(record);
+    breaches.extend(judge_listed_triggers(record));
+    breaches.extend(judge_answers(record));
+    breaches.extend(judge_unknown_triggers(record));
+    breaches.extend(judge_copies(record));
+    breaches
+}
+
+/// A breach over what a neighbour told.
+fn breach(rule: &'static str, told: &Told, evidence: String) -> Breach {
+    Breach { rule, request: Some(told.object.clone()), target: None, at: told.answered, evidence }
+}
+
+/// A breach that is seen in what proxies held in the end.
+fn breach_at_end(rule: &'static str, evidence: String) -> Breach {
+    Breach { rule, request: None, target: None, at: 0, evidence }
+}
+
+/// What was answered yes is held by all, anything else by all or by none.
+fn judge_objects(record: &Promises) -> Vec<Breach> {
     // One object may be told several times: a yes to any of them counts.
     let mut by_object: BTreeMap<&str, Vec<&Told>> = BTreeMap::new();
     record.told.iter().for_each(|told| by_object.entry(&told.object).or_default().push(told));
-    for (object, told) in by_object {
-        let without = |held: &&Held| !held.objects.contains(object);
-        let lacking: Vec<usize> = record.held.iter().filter(without).map(|held| held.proxy).collect();
-        if let Some(yes) = told.iter().find(|t| t.answer == Answer::Yes).filter(|_| !lacking.is_empty()) {
-            say("promises", yes, format!("answered yes by p{} and not held by {lacking:?}", yes.proxy));
-        } else if !lacking.is_empty() && lacking.len() < record.held.len() {
-            say("agreement", told[0], format!("not held by {lacking:?}, and by the others"));
-        }
+    by_object.into_iter().filter_map(|(object, told)| judge_object(record, object, &told)).collect()
+}
+
+fn judge_object(record: &Promises, object: &str, told: &[&Told]) -> Option<Breach> {
+    let without = |held: &&Held| !held.objects.contains(object);
+    let lacking: Vec<usize> = record.held.iter().filter(without).map(|held| held.proxy).collect();
+    if lacking.is_empty() {
+        return None;
     }
+    if let Some(yes) = told.iter().find(|t| t.answer == Answer::Yes) {
+        let evidence = format!("answered yes by p{} and not held by {lacking:?}", yes.proxy);
+        return Some(breach("promises", yes, evidence));
+    }
+    let is_divided = lacking.len() < record.held.len();
+    is_divided.then(|| breach("agreement", told[0], format!("not held by {lacking:?}, and by the others")))
+}
+
+/// The trigger of each yes is listed by all.
+fn judge_listed_triggers(record: &Promises) -> Vec<Breach> {
+    let mut breaches = Vec::new();
     for told in &record.told {
-        let listed =
-            |held: &&Held| told.trigger.as_ref().is_none_or(|trigger| held.triggers.contains(trigger));
-        if let Some(held) = record.held.iter().find(|held| !listed(held)) {
-            say(
-                "statuses",
-                told,
-                format!("answered yes by p{} and not listed by p{}", told.proxy, held.proxy),
-            );
+        let Some(trigger) = &told.trigger else { continue };
+        if let Some(held) = record.held.iter().find(|held| !held.triggers.contains(trigger)) {
+            let evidence = format!("answered yes by p{} and not listed by p{}", told.proxy, held.proxy);
+            breaches.push(breach("statuses", told, evidence));
         }
     }
-    let known: BTreeSet<&String> = record.told.iter().filter_map(|told| told.trigger.as_ref()).collect();
+    breaches
+}
+
+/// Each answer comes in time, and none of a process that knew that it was replaced is yes.
+fn judge_answers(record: &Promises) -> Vec<Breach> {
+    let mut breaches = Vec::new();
+    let max_us = record.within_us + record.late_us;
     for told in &record.told {
-        let took = told.answered.saturating_sub(told.at);
-        let most = record.within_us + record.late_us;
+        let took_us = told.answered.saturating_sub(told.at);
         if told.answer == Answer::Nothing && !told.excused {
-            say("answers", told, format!("p{} lived and answered nothing", told.proxy));
-        } else if told.answer != Answer::Nothing && took > most && !told.excused {
-            say("answers", told, format!("p{} took {took} us of {most}", told.proxy));
+            breaches.push(breach("answers", told, format!("p{} lived and answered nothing", told.proxy)));
+        } else if told.answer != Answer::Nothing && took_us > max_us && !told.excused {
+            let evidence = format!("p{} took {took_us} us of {max_us}", told.proxy);
+            breaches.push(breach("answers", told, evidence));
         }
         if told.answer == Answer::Yes && told.replaced {
-            say("fence", told, format!("p{} knew that it was replaced", told.proxy));
+            breaches.push(breach("fence", told, format!("p{} knew that it was replaced", told.proxy)));
         }
     }
-    // Those that nobody was answered yes of: a proxy that died over its answer may have made them, and then all know.
-    let others = |held: &Held| -> BTreeSet<String> {
+    breaches
+}
+
+/// The triggers that nobody was answered yes of are the same at all: a proxy that died over its answer may have made
+/// them, and then all know.
+fn judge_unknown_triggers(record: &Promises) -> Vec<Breach> {
+    let known: BTreeSet<&String> = record.told.iter().filter_map(|told| told.trigger.as_ref()).collect();
+    let unknown = |held: &Held| -> BTreeSet<String> {
         held.triggers.iter().filter(|trigger| !known.contains(trigger)).cloned().collect()
     };
-    if let [first, rest @ ..] = record.held.as_slice() {
-        for held in rest.iter().filter(|held| others(held) != others(first)) {
-            let evidence = format!("p{} and p{} list different triggers", first.proxy, held.proxy);
-            breaches.push(Breach { rule: "statuses", request: None, target: None, at: 0, evidence });
-        }
-    }
-    for held in record.held.iter().filter(|held| held.short > 0) {
-        let evidence = format!("p{} has {} promises with fewer copies than wanted", held.proxy, held.short);
-        breaches.push(Breach { rule: "copies", request: None, target: None, at: 0, evidence });
-    }
-    breaches
+    let [first, rest @ ..] = record.held.as_slice() else { return Vec::new() };
+    let differing = rest.iter().filter(|held| unknown(held) != unknown(first));
+    let evidence = |held: &Held| format!("p{} and p{} list different triggers", first.proxy, held.proxy);
+    differing.map(|held| breach_at_end("statuses", evidence(held))).collect()
+}
+
+/// No promise has fewer copies than wanted.
+fn judge_copies(record: &Promises) -> Vec<Breach> {
+    let short = record.held.iter().filter(|held| held.short > 0);
+    let evidence =
+        |held: &Held| format!("p{} has {} promises with fewer copies than wanted", held.proxy, held.short);
+    short.map(|held| breach_at_end("copies", evidence(held))).collect()
 }
 
 #[cfg(test)]
