--- a/consul/src/answer.rs
+++ b/consul/src/answer.rs
@@ -202,7 +202,7 @@
 }
 
 /// The longest element: an instance with its checks takes some KB.
-const MOST_ELEMENT: usize = 1 << 20;
+const MAX_ELEMENT: usize = 1 << 20;
 
 impl Elements {
     /// Takes bytes in, and gives each element that has become whole.
@@ -214,52 +214,65 @@
         let mut from = 0;
         for (at, &b) in bytes.iter().enumerate() {
             if self.place == Place::Inside {
-                if self.quoted {
-                    match b {
-                        _ if self.escaped => self.escaped = false,
-                        b'\\' => self.escaped = true,
-                        b'"' => self.quoted = false,
-                        _ => {}
-                    }
-                    continue;
-                }
-                match b {
-                    b'"' => self.quoted = true,
-                    b'{' | b'[' => self.depth += 1,
-                    b'}' | b']' if self.depth > 0 => self.depth -= 1,
-                    b',' | b']' if self.depth == 0 => {
-                        self.part.extend_from_slice(&bytes[from..at]);
-                        each(&self.part)?;
-                        self.part.clear();
-                        self.place = if b == b',' { Place::Next } else { Place::AfterList };
-                    }
-                    _ => {}
+                if self.is_end(b) {
+                    self.part.extend_from_slice(&bytes[from..at]);
+                    each(&self.part)?;
+                    self.part.clear();
+                    self.place = if b == b',' { Place::Next } else { Place::AfterList };
                 }
                 continue;
             }
-            self.place = match (self.place, b) {
-                (place, b' ' | b'\t' | b'\r' | b'\n') => place,
-                (Place::BeforeList, b'[') => Place::First,
-                (Place::First, b']') => Place::AfterList,
-                (Place::First | Place::Next, b',' | b']' | b'}') => return Err("a list is malformed".into()),
-                (Place::First | Place::Next, _) => {
-                    from = at;
-                    self.quoted = b == b'"';
-                    self.depth = u32::from(matches!(b, b'{' | b'['));
-                    Place::Inside
-                }
-                _ => return Err("it is no list".into()),
-            };
+            self.place = self.between(b)?;
+            if self.place == Place::Inside {
+                from = at;
+            }
         }
         if self.place == Place::Inside {
             self.part.extend_from_slice(&bytes[from..]);
-            if self.part.len() > MOST_ELEMENT {
+            if self.part.len() > MAX_ELEMENT {
                 return Err("an instance is too long".into());
             }
         }
         Ok(())
     }
 
+    /// Takes a byte in an element; true if it is the first one behind it.
+    fn is_end(&mut self, b: u8) -> bool {
+        if self.quoted {
+            match b {
+                _ if self.escaped => self.escaped = false,
+                b'\\' => self.escaped = true,
+                b'"' => self.quoted = false,
+                _ => {}
+            }
+            return false;
+        }
+        match b {
+            b'"' => self.quoted = true,
+            b'{' | b'[' => self.depth += 1,
+            b'}' | b']' if self.depth > 0 => self.depth -= 1,
+            b',' | b']' if self.depth == 0 => return true,
+            _ => {}
+        }
+        false
+    }
+
+    /// Takes a byte outside of elements: the place behind it.
+    fn between(&mut self, b: u8) -> Result<Place, String> {
+        match (self.place, b) {
+            (place, b' ' | b'\t' | b'\r' | b'\n') => Ok(place),
+            (Place::BeforeList, b'[') => Ok(Place::First),
+            (Place::First, b']') => Ok(Place::AfterList),
+            (Place::First | Place::Next, b',' | b']' | b'}') => Err("a list is malformed".into()),
+            (Place::First | Place::Next, _) => {
+                self.quoted = b == b'"';
+                self.depth = u32::from(matches!(b, b'{' | b'['));
+                Ok(Place::Inside)
+            }
+            _ => Err("it is no list".into()),
+        }
+    }
+
     /// Whether the list is whole.
     pub fn is_whole(&self) -> bool {
         self.place == Place::AfterList
--- a/consul/src/mapping.rs
+++ b/consul/src/mapping.rs
@@ -67,12 +67,71 @@
 }
 
 /// The longest id of a box.
-const MOST_ID: usize = 128;
+const MAX_ID: usize = 128;
 
 /// Whether an id can stand in the lists of fields that boxes are sent.
 fn is_usable(uid: &str) -> bool {
     let sound = |b: u8| b.is_ascii_graphic() && !matches!(b, b',' | b'=' | b'+');
-    !uid.is_empty() && uid.len() <= MOST_ID && uid.bytes().all(sound)
+    !uid.is_empty() && uid.len() <= MAX_ID && uid.bytes().all(sound)
+}
+
+/// What a service's `Meta` says of a box.
+struct Meta<'a> {
+    uid: &'a str,
+    values: &'a BTreeMap<String, Field<String>>,
+}
+
+impl Meta<'_> {
+    fn bad(&self, key: &str, why: String) -> Skipped {
+        Skipped { uid: self.uid.to_owned(), key: format!("Service.Meta.{key}"), why }
+    }
+
+    fn text(&self, key: &str) -> Result<Option<&str>, Skipped> {
+        let text = self.values.get(key).map_or(Ok(None), Field::needed);
+        text.map(|text| text.map(String::as_str)).map_err(|why| self.bad(key, why))
+    }
+
+    fn text_or(&self, key: &str, default: &str) -> Result<String, Skipped> {
+        Ok(self.text(key)?.unwrap_or(default).to_owned())
+    }
+
+    /// A figure: finite and not negative.
+    fn number(&self, key: &str) -> Result<Option<f64>, Skipped> {
+        let Some(text) = self.text(key)? else { return Ok(None) };
+        let number = text.trim().parse::<f64>().ok().filter(|n| n.is_finite() && *n >= 0.0);
+        match number {
+            Some(number) => Ok(Some(number)),
+            None => Err(self.bad(key, format!("'{}' is no figure", text.escape_default()))),
+        }
+    }
+}
+
+/// The weight of a service: its capacity where that is told, else by its weights in Consul.
+fn weight(service: &Service, capacity: Option<f64>, warns: bool) -> f64 {
+    // Weights that can't be read are as those that are not told: a box with a wrong share is better than none.
+    let weigh = |of: fn(&Weights) -> &Field<f64>| {
+        service.weights.known().and_then(|w| of(w).known().copied()).unwrap_or(1.0)
+    };
+    let passing = weigh(|w| &w.passing).max(0.0);
+    let warning = weigh(|w| &w.warning);
+    match capacity {
+        None if warns => warning,
+        None => passing,
+        Some(capacity) if warns && passing > 0.0 => capacity * warning / passing,
+        Some(capacity) => capacity,
+    }
+}
+
+/// Whether a service of this weight takes work, by its checks, and why.
+fn standing(checks: &Checks<'_>, weight: f64) -> (State, Reason) {
+    if let Some(reason) = checks.fault() {
+        return (State::Draining, reason);
+    }
+    match checks.warning() {
+        // Weighed with nothing while it warns: it is to be given nothing.
+        Some(check) if weight.is_nan() || weight <= 0.0 => (State::Draining, Reason::Check(check.to_owned())),
+        _ => (State::Ready, Reason::Told),
+    }
 }
 
 impl Mapping {
@@ -96,75 +155,26 @@
         })
     }
 
-    /// An instance as a word on a box, or the key at fault. Only what this mapping needs can be at fault.
+    /// An instance as a report on a box, or the key at fault. Only what this mapping needs can be at fault.
     pub(crate) fn report(&self, i: &Instance) -> Result<Report, Skipped> {
         let (no_node, no_service) = (Node::default(), Service::default());
         let node = i.node.known().unwrap_or(&no_node);
         let service = i.service.known().unwrap_or(&no_service);
-        let nameless = |key: &str, why| Skipped { uid: "?".to_owned(), key: key.to_owned(), why };
-        // A part that can't be read at all is at fault itself, where anything of it is needed.
-        let whole = |part: Part, why: String| match (part, i.node.needed(), i.service.needed()) {
-            (Part::Node, Err(why), _) => ("Node", why),
-            (Part::Service, _, Err(why)) => ("Service", why),
-            (Part::Service, _, Ok(None)) => ("Service", MISSING.to_owned()),
-            (Part::Node, ..) => ("Node.Node", why),
-            (Part::Service, ..) => ("Service.ID", why),
-        };
-        let uid = self.uid(&node.node, &service.id).map_err(|(part, why)| {
-            let (key, why) = whole(part, why);
-            nameless(key, why)
-        })?;
+        let uid = self.checked_uid(i, node, service)?;
         let bad = |key: &str, why: String| Skipped { uid: uid.clone(), key: key.to_owned(), why };
-        if !is_usable(&uid) {
-            let key = if self.identity == Identity::Node { "Node.Node" } else { "Service.ID" };
-            return Err(bad(key, format!("'{}' can't be the id of a box", uid.escape_default())));
-        }
         let none = BTreeMap::new();
-        let meta = service.meta.needed().map_err(|why| bad("Service.Meta", why))?.unwrap_or(&none);
-        let said = |key: &str| match meta.get(key).map_or(Ok(None), Field::needed) {
-            Ok(text) => Ok(text.map(String::as_str)),
-            Err(why) => Err(bad(&format!("Service.Meta.{key}"), why)),
-        };
-        let number = |key: &str| match said(key)?.map(|text| (text, text.trim().parse::<f64>())) {
-            None => Ok(None),
-            Some((_, Ok(n))) if n.is_finite() && n >= 0.0 => Ok(Some(n)),
-            Some((text, _)) => {
-                Err(bad(&format!("Service.Meta.{key}"), format!("'{}' is no figure", text.escape_default())))
-            }
-        };
-        let word = |key: &str, default: &str| Ok::<_, Skipped>(said(key)?.unwrap_or(default).to_owned());
-        let (zone, kind) = (word(&self.keys.zone, &self.zone)?, word(&self.keys.kind, &self.kind)?);
-        if !self.zones.is_empty() && !self.zones.contains(&zone) {
-            let known = self.zones.join(", ");
-            let why = format!("'{}' is no zone of this deployment ({known})", zone.escape_default());
-            return Err(bad(&format!("Service.Meta.{}", self.keys.zone), why));
-        }
+        let values = service.meta.needed().map_err(|why| bad("Service.Meta", why))?.unwrap_or(&none);
+        let meta = Meta { uid: &uid, values };
+        let zone = meta.text_or(&self.keys.zone, &self.zone)?;
+        let kind = meta.text_or(&self.keys.kind, &self.kind)?;
+        self.check_zone(&meta, &zone)?;
         let endpoint = self.endpoint(node, service).map_err(|(key, why)| bad(&key, why))?;
         let checks = i.checks().map_err(|(key, why)| bad(&key, why))?;
-        let (mut state, mut reason) = match Checks(&checks).fault() {
-            None => (State::Ready, Reason::Told),
-            Some(reason) => (State::Draining, reason),
-        };
-        let warned = Checks(&checks).warning();
-        // Weights that can't be read are as those that are not told: a box with a wrong share is better than none.
-        let weigh = |of: fn(&Weights) -> &Field<f64>| {
-            service.weights.known().and_then(|w| of(w).known().copied()).unwrap_or(1.0)
-        };
-        let told = number(&self.keys.capacity)?.filter(|n| *n > 0.0);
-        let (passing, warning) = (weigh(|w| &w.passing).max(0.0), weigh(|w| &w.warning));
-        let weight = match (told, warned) {
-            (None, None) => passing,
-            (None, Some(_)) => warning,
-            (Some(told), None) => told,
-            (Some(told), Some(_)) if passing > 0.0 => told * warning / passing,
-            (Some(told), Some(_)) => told,
-        };
-        if let (Some(check), State::Ready, false) = (warned, state, weight > 0.0) {
-            // Weighed with nothing while it warns: it is to be given nothing.
-            (state, reason) = (State::Draining, Reason::Check(check.to_owned()));
-        }
-        let started = number(&self.keys.started_ms)?.map(|ms| (ms * 1000.0) as Micros);
-        let cell = number(&self.keys.cell)?.unwrap_or(0.0) as u64;
+        let capacity = meta.number(&self.keys.capacity)?.filter(|n| *n > 0.0);
+        let weight = weight(service, capacity, Checks(&checks).warning().is_some());
+        let (state, reason) = standing(&Checks(&checks), weight);
+        let started = meta.number(&self.keys.started_ms)?.map(|ms| (ms * 1000.0) as Micros);
+        let cell = meta.number(&self.keys.cell)?.unwrap_or(0.0) as u64;
         let server = Server {
             id: server_id(&uid),
             zone,
@@ -177,6 +187,38 @@
         Ok(Report { entry: Entry { server, uid, endpoint }, reason })
     }
 
+    /// The id of an instance, if it can be that of a box.
+    fn checked_uid(&self, i: &Instance, node: &Node, service: &Service) -> Result<String, Skipped> {
+        // A part that can't be read at all is at fault itself, where anything of it is needed.
+        let fault = |part: Part, why: String| match (part, i.node.needed(), i.service.needed()) {
+            (Part::Node, Err(why), _) => ("Node", why),
+            (Part::Service, _, Err(why)) => ("Service", why),
+            (Part::Service, _, Ok(None)) => ("Service", MISSING.to_owned()),
+            (Part::Node, ..) => ("Node.Node", why),
+            (Part::Service, ..) => ("Service.ID", why),
+        };
+        let uid = self.uid(&node.node, &service.id).map_err(|(part, why)| {
+            let (key, why) = fault(part, why);
+            Skipped { uid: "?".to_owned(), key: key.to_owned(), why }
+        })?;
+        if !is_usable(&uid) {
+            let key = if self.identity == Identity::Node { "Node.Node" } else { "Service.ID" };
+            let why = format!("'{}' can't be the id of a box", uid.escape_default());
+            return Err(Skipped { uid, key: key.to_owned(), why });
+        }
+        Ok(uid)
+    }
+
+    /// An error unless the deployment has the zone, where its zones are known.
+    fn check_zone(&self, meta: &Meta<'_>, zone: &String) -> Result<(), Skipped> {
+        if self.zones.is_empty() || self.zones.contains(zone) {
+            return Ok(());
+        }
+        let known = self.zones.join(", ");
+        let why = format!("'{}' is no zone of this deployment ({known})", zone.escape_default());
+        Err(meta.bad(&self.keys.zone, why))
+    }
+
     fn endpoint(&self, node: &Node, service: &Service) -> Result<SocketAddr, (String, String)> {
         let (mut address, mut key) = (None, String::new());
         let mut port = (&service.port, "Service.Port".to_owned());
