--- a/discovery/src/kept.rs
+++ b/discovery/src/kept.rs
@@ -13,6 +13,8 @@
 const MARK: &str = "linnetknot-list";
 /// The format that is written.
 pub const FORMAT: u32 = 1;
+/// The first line ends within so many bytes.
+const MAX_HEAD: usize = 80;
 /// The clock may have been set back a little between two starts.
 const FUTURE_US: Micros = 5_000_000;
 
@@ -120,54 +122,65 @@
     bytes: &[u8],
     scope: &str,
     now: Micros,
-    most_bytes: usize,
-    most_age: Micros,
+    max_bytes: usize,
+    max_age: Micros,
 ) -> Result<Kept, KeptError> {
-    if bytes.len() > most_bytes {
+    if bytes.len() > max_bytes {
         return Err(KeptError::TooLong);
     }
-    let end = bytes.iter().take(80).position(|b| *b == b'\n').ok_or(KeptError::Foreign)?;
+    let body = verified_body(bytes)?;
+    let body: Body = serde_json::from_slice(body).map_err(|e| KeptError::Unreadable(e.to_string()))?;
+    if body.scope != scope {
+        return Err(KeptError::Scope { told: body.scope, wanted: scope.to_owned() });
+    }
+    if body.at_us > now + FUTURE_US {
+        return Err(KeptError::Future(body.at_us - now));
+    }
+    let age = now.saturating_sub(body.at_us);
+    if age > max_age {
+        return Err(KeptError::Old(age));
+    }
+    Ok(Kept { at: body.at_us, entries: body.boxes.into_iter().map(Entry::from).collect() })
+}
+
+/// The body of a list whose head is of a known format and fits it in length and checksum.
+fn verified_body(bytes: &[u8]) -> Result<&[u8], KeptError> {
+    let end = bytes.iter().take(MAX_HEAD).position(|b| *b == b'\n').ok_or(KeptError::Foreign)?;
     let head = std::str::from_utf8(&bytes[..end]).map_err(|_| KeptError::Foreign)?;
     let body = &bytes[end + 1..];
-    let mut words = head.split(' ');
-    if words.next() != Some(MARK) {
+    let mut fields = head.split(' ');
+    if fields.next() != Some(MARK) {
         return Err(KeptError::Foreign);
     }
-    let format = words.next().and_then(|w| w.parse().ok()).ok_or(KeptError::Foreign)?;
+    let format = fields.next().and_then(|w| w.parse().ok()).ok_or(KeptError::Foreign)?;
     if format != FORMAT {
         return Err(KeptError::Format(format));
     }
-    let sum = words.next().and_then(|w| u32::from_str_radix(w, 16).ok()).ok_or(KeptError::Foreign)?;
-    let told: usize = words.next().and_then(|w| w.parse().ok()).ok_or(KeptError::Foreign)?;
-    if told != body.len() {
-        return Err(KeptError::Torn { told, there: body.len() });
+    let checksum = fields.next().and_then(|w| u32::from_str_radix(w, 16).ok()).ok_or(KeptError::Foreign)?;
+    let length: usize = fields.next().and_then(|w| w.parse().ok()).ok_or(KeptError::Foreign)?;
+    if length != body.len() {
+        return Err(KeptError::Torn { told: length, there: body.len() });
     }
-    if crc32fast::hash(body) != sum {
+    if crc32fast::hash(body) != checksum {
         return Err(KeptError::Damaged);
     }
-    let body: Body = serde_json::from_slice(body).map_err(|e| KeptError::Unreadable(e.to_string()))?;
-    if body.scope != scope {
-        return Err(KeptError::Scope { told: body.scope, wanted: scope.to_owned() });
-    }
-    if body.at_us > now + FUTURE_US {
-        return Err(KeptError::Future(body.at_us - now));
-    }
-    let age = now.saturating_sub(body.at_us);
-    if age > most_age {
-        return Err(KeptError::Old(age));
+    Ok(body)
+}
+
+impl From<KeptBox> for Entry {
+    fn from(kept: KeptBox) -> Self {
+        Entry {
+            server: Server {
+                id: server_id(&kept.uid),
+                zone: kept.zone,
+                cell: kept.cell,
+                kind: kept.kind,
+                weight: kept.weight,
+                state: if kept.draining { State::Draining } else { State::Ready },
+                started: kept.started_us,
+            },
+            uid: kept.uid,
+            endpoint: kept.endpoint,
+        }
     }
-    let entry = |b: KeptBox| Entry {
-        server: Server {
-            id: server_id(&b.uid),
-            zone: b.zone,
-            cell: b.cell,
-            kind: b.kind,
-            weight: b.weight,
-            state: if b.draining { State::Draining } else { State::Ready },
-            started: b.started_us,
-        },
-        uid: b.uid,
-        endpoint: b.endpoint,
-    };
-    Ok(Kept { at: body.at_us, entries: body.boxes.into_iter().map(entry).collect() })
 }
