Split the links to caches by job: streams, frames, answers

Now: mod.rs (the link), stream.rs (what is open on it), frames.rs (attempts as frames, answers as outcomes; the frame has a struct in place of a tuple) and answers.rs (an answer by what is open under its id). The loop that begins frames has one function for aborts and one for attempts. Statements and their order are the same.

--- a/daemon/src/upstream.rs
+++ b/daemon/src/upstream/mod.rs
@@ -5,65 +5,19 @@
 //! from where it can be recalled without a trace: whoever gives it up, a box that drains and a connection that never
 //! comes up only take it out there. What an attempt may still do is asked when it begins, not when it was queued.
 
-use crate::core::{Asked, AttemptId, Content, Core, Ended};
+mod answers;
+mod frames;
+mod stream;
+
+use crate::core::{AttemptId, Core, Ended};
 use crate::limits::Limits;
 use crate::net::{Conn, Progress};
-use crate::wire::{resp, Parser, WireError};
-use linnetknot::{Load, Micros, Note, Outcome, ServerId};
+use crate::wire::resp;
+use frames::frame;
+use linnetknot::{Load, Micros, Outcome, ServerId};
 use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
-
-/// What is open on a link under an id.
-enum Stream {
-    Attempt(Sent),
-    /// Given up at this time. A further attempt of the request at this box must come behind the abort, so it takes this
-    /// connection: on another one the box might read it first and have two at once.
-    GivenUp(Micros, Option<Unreported>),
-    /// Answered without being served, at this time. A box may say it twice, and a further attempt of the request here
-    /// would take the repeat for its own answer: it goes by another connection.
-    Answered(Micros),
-    /// A probe, sent at this time.
-    Probe(Micros),
-}
-
-impl Stream {
-    /// Whether something is out under its id.
-    fn is_live(&self) -> bool {
-        matches!(self, Stream::Attempt(_) | Stream::Probe(_))
-    }
-}
-
-/// An attempt on its way.
-struct Sent {
-    attempt: AttemptId,
-    at: Micros,
-    /// So many bytes are written once it is whole.
-    whole: u64,
-    /// The oldest copy that will do, as its box was told.
-    max_age_us: Option<Micros>,
-    /// An attempt of the same request was given up here before it.
-    behind: bool,
-}
-
-impl Sent {
-    /// Whether an answer brings a copy from before what the attempt asked for: no box may give one, so it is
-    /// not passed on.
-    fn is_too_old(&self, fields: &[u8]) -> bool {
-        let made = resp::field(fields, "made").and_then(|ms| ms.parse::<u64>().ok());
-        made.zip(self.max_age_us).is_some_and(|(ms, age)| (ms + 1) * 1000 + age < self.at)
-    }
-}
-
-/// An attempt that was given up and is not reported as ended yet.
-struct Unreported {
-    attempt: AttemptId,
-    /// How it will be reported.
-    ended: Ended,
-    /// So many bytes are written once its abort is; none: that has not begun.
-    whole: Option<u64>,
-    /// When that was seen.
-    written: Option<Micros>,
-}
+use stream::{Sent, Stream, Unreported};
 
 /// An attempt that has not begun.
 struct Queued {
@@ -110,103 +64,6 @@
     stalled: Option<(u64, Micros)>,
 }
 
-fn note(fields: &[u8]) -> Note {
-    match resp::field(fields, "how") {
-        Some("local") => Note::Hit,
-        Some("pulled") => Note::Filled,
-        Some("pulled_far") => Note::FilledByOrigin,
-        Some("rode") => Note::Joined,
-        Some("expired") => Note::Stale,
-        Some("turned_away") => Note::SourceRefused,
-        Some("cut_off") => Note::SourceLost,
-        Some("not_there") => Note::SourceLacks,
-        Some("no_place") => Note::NoFillPlace,
-        Some("far_fault") => Note::OriginFailed,
-        _ => Note::None,
-    }
-}
-
-fn load(fields: &[u8]) -> Option<Load> {
-    let stats = resp::field(fields, "stats")?;
-    let value = |name: &str| {
-        let of = |pair: &str| pair.split_once(':').filter(|(n, _)| *n == name)?.1.parse().ok();
-        stats.split(';').find_map(of)
-    };
-    let (util, inflight) = (value("util"), value("inflight"));
-    Some(Load { util, inflight, hit_share: value("x0"), link_use: value("x1") })
-}
-
-fn ended(word: &[u8], fields: &[u8], body: Vec<u8>, asked: Option<&Asked>) -> Ended {
-    let (outcome, content) = match word {
-        b"200" => (
-            Outcome::Ok,
-            Some(Content::Object { bytes: body, tag: resp::field(fields, "etag").map(str::to_owned) }),
-        ),
-        // A copy is only called current where the box names it: an answer that names none, or another, may belong to
-        // something else.
-        b"304"
-            if asked
-                .is_some_and(|a| a.have.is_some() && a.have.as_deref() == resp::field(fields, "etag")) =>
-        {
-            (Outcome::Ok, Some(Content::Unchanged))
-        }
-        b"404" => (Outcome::Miss, None),
-        b"503" => (Outcome::Full, None),
-        b"504" => (Outcome::Moot, None),
-        // Also what this page does not know: it may have run.
-        _ => (Outcome::Error, None),
-    };
-    let waited = resp::field(fields, "ttfb").and_then(|ms| ms.parse::<f64>().ok()).unwrap_or(0.0);
-    Ended {
-        outcome,
-        note: note(fields),
-        waited_us: (waited.max(0.0) * 1e3) as Micros,
-        load: load(fields),
-        content,
-    }
-}
-
-/// The frame of an attempt, and the oldest copy that it lets pass; none where it must not begin any more.
-fn frame(core: &Core, now: Micros, attempt: AttemptId) -> Option<(Vec<u8>, Option<Micros>)> {
-    let (asked, sending) = core.beginning(now, attempt)?;
-    let mut fields = format!("class={},key={},part={}", asked.class, asked.object, asked.part);
-    let mut add = |name: &str, value: &str| {
-        fields.extend([",", name, "=", value]);
-    };
-    add("wait", &(sending.until.saturating_sub(now) / 1000).max(1).to_string());
-    if let Some(once) = &asked.once {
-        add("once", once);
-    }
-    if let Some(fill) = &sending.fill {
-        if fill.source != sending.server {
-            add("src", core.location(fill.source)?.0);
-        }
-        if fill.keep > 0 {
-            add("keep", &fill.keep.to_string());
-        }
-        if let Some(age) = fill.max_age_us {
-            // Rounded down, so that no copy from before a purge passes; 0 would mean the class's fresh time.
-            add("maxage", &(age / 1000).max(1).to_string());
-        }
-        let words = [
-            (fill.join, "wait-for"),
-            (fill.only_held, "no-fetch"),
-            (fill.bypass_parent, "no-keep"),
-            (fill.renew, "background"),
-        ];
-        let words: Vec<&str> = words.iter().filter(|w| w.0).map(|w| w.1).collect();
-        if !words.is_empty() {
-            add("flags", &words.join("+"));
-        }
-    }
-    if let Some(have) = &asked.have {
-        add("have", have);
-    }
-    let mut out = Vec::with_capacity(fields.len() + asked.body.len() + 80);
-    resp::write_array(&mut out, &[b"fetch", asked.id.as_bytes(), fields.as_bytes(), &asked.body]);
-    Some((out, sending.fill.and_then(|f| f.max_age_us)))
-}
-
 impl Link {
     /// A connection to a box, just begun.
     pub fn new(server: ServerId, limits: &Limits, now: Micros) -> Self {
@@ -372,40 +229,64 @@
     ) -> bool {
         conn.unblock();
         while conn.up && conn.output.is_empty() {
-            if let Some(id) = self.aborts.front() {
-                let mut frame = Vec::new();
-                resp::write_array(&mut frame, &[b"abort", id.as_bytes()]);
-                match conn.begin(&frame) {
-                    Progress::Moved => {}
-                    end => return end != Progress::Broken,
-                }
-                let whole = conn.written + conn.output.len() as u64;
-                if let Some(Stream::GivenUp(_, Some(r))) = self.open.get_mut(id) {
-                    r.whole = Some(whole);
-                }
-                self.aborts.pop_front();
-                continue;
+            let progress = if let Some(id) = self.aborts.front().cloned() {
+                self.begin_abort(conn, &id)
+            } else if let Some(attempt) = self.queue.front().map(|q| q.attempt) {
+                self.begin_attempt(now, conn, core, limits, attempt, told)
+            } else {
+                break;
+            };
+            match progress {
+                Progress::Moved => {}
+                end => return end != Progress::Broken,
             }
-            let Some(attempt) = self.queue.front().map(|q| q.attempt) else { break };
-            let frame = frame(core, now, attempt).filter(|(frame, _)| frame.len() <= limits.output_ring);
-            match frame.zip(core.sending(attempt)) {
-                None => told.push(Told::Ended(attempt, Outcome::Moot.into())),
-                Some(((frame, max_age_us), (asked, _))) => {
-                    match conn.begin(&frame) {
-                        Progress::Moved => {}
-                        end => return end != Progress::Broken,
-                    }
-                    let whole = conn.written + conn.output.len() as u64;
-                    let behind = self.gave_up(&asked.id);
-                    let sent = Sent { attempt, at: now, whole, max_age_us, behind };
-                    self.open.insert(asked.id.clone(), Stream::Attempt(sent));
-                    self.last_used = now;
-                    told.push(Told::Begun(attempt));
-                }
+        }
+        true
+    }
+
+    /// Begins the abort at the head of its queue, and takes it out there if the socket takes it.
+    fn begin_abort(&mut self, conn: &mut Conn, id: &str) -> Progress {
+        let mut frame = Vec::new();
+        resp::write_array(&mut frame, &[b"abort", id.as_bytes()]);
+        let progress = conn.begin(&frame);
+        if progress == Progress::Moved {
+            let whole = conn.written + conn.output.len() as u64;
+            if let Some(Stream::GivenUp(_, Some(r))) = self.open.get_mut(id) {
+                r.whole = Some(whole);
             }
+            self.aborts.pop_front();
+        }
+        progress
+    }
+
+    /// Begins the attempt at the head of the queue, and takes it out there if the socket takes it. One that must not
+    /// begin any more ends.
+    fn begin_attempt(
+        &mut self,
+        now: Micros,
+        conn: &mut Conn,
+        core: &Core,
+        limits: &Limits,
+        attempt: AttemptId,
+        told: &mut Vec<Told>,
+    ) -> Progress {
+        let frame = frame(core, now, attempt).filter(|frame| frame.bytes.len() <= limits.output_ring);
+        let Some((frame, (asked, _))) = frame.zip(core.sending(attempt)) else {
+            told.push(Told::Ended(attempt, Outcome::Moot.into()));
+            self.queue.pop_front();
+            return Progress::Moved;
+        };
+        let progress = conn.begin(&frame.bytes);
+        if progress == Progress::Moved {
+            let whole = conn.written + conn.output.len() as u64;
+            let behind = self.gave_up(&asked.id);
+            let sent = Sent { attempt, at: now, whole, max_age_us: frame.max_age_us, behind };
+            self.open.insert(asked.id.clone(), Stream::Attempt(sent));
+            self.last_used = now;
+            told.push(Told::Begun(attempt));
             self.queue.pop_front();
         }
-        true
+        progress
     }
 
     /// Gives an attempt up: takes it out of the queue, or has its box told by an abort, ahead of all that has not begun.
@@ -460,84 +341,6 @@
         });
     }
 
-    /// Reads what came in.
-    pub fn read(
-        &mut self,
-        now: Micros,
-        conn: &mut Conn,
-        core: &Core,
-        told: &mut Vec<Told>,
-    ) -> Result<(), WireError> {
-        while !conn.input.is_empty() {
-            let (taken, array) = self.arrays.parse(conn.input.front())?;
-            conn.input.consume(taken);
-            let since = self.half_since.filter(|_| array.is_none()).unwrap_or(now);
-            self.half_since = self.arrays.is_half().then_some(since);
-            (self.last_heard, self.last_used) = (now, now);
-            self.suspect = false;
-            let Some(array) = array else { continue };
-            let mut items = array.into_iter();
-            let (Some(id), Some(word)) = (items.next(), items.next()) else {
-                return Err(WireError::Malformed("a box's answer"));
-            };
-            let (fields, body) = (items.next().unwrap_or_default(), items.next().unwrap_or_default());
-            let Ok(id) = std::str::from_utf8(&id) else { continue };
-            match self.open.get_mut(id) {
-                Some(Stream::Attempt(sent)) => {
-                    if sent.whole > conn.written {
-                        // Nobody can have read what it answers: whatever speaks there, it is not the protocol.
-                        return Err(WireError::Malformed(
-                            "a box's answer to what it has not been sent whole",
-                        ));
-                    }
-                    let (attempt, old) = (sent.attempt, sent.is_too_old(&fields));
-                    // The answer to the attempt before may have crossed its abort: which of the two this one ends is
-                    // not known.
-                    let unclear = std::mem::take(&mut sent.behind);
-                    if old && unclear {
-                        log::info!("an answer from before the attempt that it would end was passed over");
-                        continue;
-                    }
-                    if old {
-                        log::warn!("a box gave a copy from before what was asked for");
-                    }
-                    let asked = core.sending(attempt).map(|s| s.0);
-                    let ended = if old { Outcome::Error.into() } else { ended(&word, &fields, body, asked) };
-                    if ended.outcome == Outcome::Ok {
-                        self.open.remove(id);
-                    } else if unclear {
-                        // What is still out must be over before a further attempt begins.
-                        self.abort(now, id.to_owned(), attempt, ended);
-                        continue;
-                    } else {
-                        self.open.insert(id.to_owned(), Stream::Answered(now));
-                    }
-                    told.push(Told::Ended(attempt, ended));
-                }
-                // It came before the attempt was over: then this is how it ended.
-                Some(Stream::GivenUp(at, report @ Some(_))) => {
-                    let (at, Some(r)) = (*at, report.take()) else { continue };
-                    let asked = core.sending(r.attempt).map(|s| s.0);
-                    told.push(Told::Ended(r.attempt, ended(&word, &fields, body, asked)));
-                    if r.whole.is_none() {
-                        self.aborts.retain(|abort| abort != id);
-                        self.open.insert(id.to_owned(), Stream::Answered(at));
-                    }
-                }
-                Some(Stream::Probe(sent)) => {
-                    let alive = matches!(word.as_slice(), b"alive" | b"status" | b"200");
-                    let outcome = if alive { Outcome::Ok } else { Outcome::Error };
-                    told.push(Told::Probed(outcome, now.saturating_sub(*sent), load(&fields)));
-                    self.open.remove(id);
-                }
-                Some(Stream::GivenUp(_, None) | Stream::Answered(_)) | None => {
-                    log::debug!("a box answered what is not open")
-                }
-            }
-        }
-        Ok(())
-    }
-
     /// The connection is over. What never arrived whole can't have run, and ends as `unsent`; the rest may have.
     pub fn broken(&mut self, unsent: Outcome, written: u64, told: &mut Vec<Told>) {
         for q in self.queue.drain(..) {
