--- a/daemon/src/wire/http.rs
+++ b/daemon/src/wire/http.rs
@@ -69,9 +69,9 @@
 #[derive(Clone, Debug)]
 pub struct Messages {
     responses: bool,
-    most_line: usize,
-    most_body: usize,
-    most_headers: usize,
+    max_line: usize,
+    max_body: usize,
+    max_headers: usize,
     line: Vec<u8>,
     head: Option<Head>,
     place: Place,
@@ -81,12 +81,12 @@
 
 impl Messages {
     /// A reader of requests.
-    pub fn requests(most_line: usize, most_body: usize) -> Self {
+    pub fn requests(max_line: usize, max_body: usize) -> Self {
         Messages {
             responses: false,
-            most_line,
-            most_body,
-            most_headers: 64,
+            max_line,
+            max_body,
+            max_headers: 64,
             line: Vec::new(),
             head: None,
             place: Place::Head,
@@ -95,9 +95,9 @@
         }
     }
 
-    /// A reader of responses; `most_body` is `usize::MAX` for streams.
-    pub fn responses(most_line: usize, most_body: usize) -> Self {
-        Messages { responses: true, ..Self::requests(most_line, most_body) }
+    /// A reader of responses; `max_body` is `usize::MAX` for streams.
+    pub fn responses(max_line: usize, max_body: usize) -> Self {
+        Messages { responses: true, ..Self::requests(max_line, max_body) }
     }
 
     /// Whether the connection's end now would also be the message's.
@@ -105,6 +105,7 @@
         matches!(self.place, Place::ToTheEnd) || matches!(self.place, Place::Head) && self.head.is_none()
     }
 
+    /// How the body behind this head ends.
     fn place_of_body(&self, head: &Head) -> Result<Place, WireError> {
         const BAD: WireError = WireError::Malformed("an HTTP body's length");
         let length = head.header("content-length");
@@ -121,7 +122,7 @@
         if let Some(length) = length {
             let digits = !length.is_empty() && length.bytes().all(|b| b.is_ascii_digit());
             let length: usize = length.parse().ok().filter(|_| digits).ok_or(BAD)?;
-            return if length > self.most_body {
+            return if length > self.max_body {
                 Err(WireError::TooLong("an HTTP body"))
             } else {
                 Ok(Place::Length(length))
@@ -131,12 +132,15 @@
         Ok(if empty { Place::Length(0) } else { Place::ToTheEnd })
     }
 
+    /// Takes a line of a head: the head, if the line ends it.
     fn head_line(&mut self, line: Vec<u8>) -> Result<Option<Head>, WireError> {
         let line = String::from_utf8(line).map_err(|_| WireError::Malformed("an HTTP head"))?;
         let Some(head) = &mut self.head else {
             if !line.is_empty() {
                 let head = Head { start: line, headers: Vec::new() };
-                if if self.responses { head.status().is_none() } else { head.request().is_none() } {
+                let is_sound =
+                    if self.responses { head.status().is_some() } else { head.request().is_some() };
+                if !is_sound {
                     return Err(WireError::Malformed("an HTTP message's first line"));
                 }
                 self.head = Some(head);
@@ -146,7 +150,7 @@
         if line.is_empty() {
             return Ok(self.head.take());
         }
-        if head.headers.len() >= self.most_headers {
+        if head.headers.len() >= self.max_headers {
             return Err(WireError::TooLong("an HTTP head"));
         }
         let named = line.split_once(':').filter(|(n, _)| !n.is_empty() && !n.contains([' ', '\t']));
@@ -154,6 +158,58 @@
         head.headers.push((name.to_ascii_lowercase(), value.trim().to_owned()));
         Ok(None)
     }
+
+    /// Takes what belongs to a body from the front of the input; none where a line comes next.
+    fn take_body(&mut self, input: &[u8]) -> Option<Vec<u8>> {
+        let (left, is_chunk) = match self.place {
+            Place::Length(left) => (left, false),
+            Place::Chunk(left) => (left, true),
+            Place::ToTheEnd => return Some(input.to_vec()),
+            _ => return None,
+        };
+        let taken = left.min(input.len());
+        self.done = !is_chunk && taken == left;
+        self.place = match (is_chunk, left - taken) {
+            (true, 0) => Place::ChunkEnd,
+            (true, left) => Place::Chunk(left),
+            (false, left) => Place::Length(left),
+        };
+        Some(input[..taken].to_vec())
+    }
+
+    /// Takes a line of a head, of the frame of a chunk or of the trailers: the piece that it ends, if any.
+    fn take_whole_line(&mut self, line: Vec<u8>) -> Result<Option<Piece>, WireError> {
+        match self.place {
+            Place::Head => {
+                let Some(head) = self.head_line(line)? else { return Ok(None) };
+                self.place = self.place_of_body(&head)?;
+                self.done = matches!(self.place, Place::Length(0));
+                return Ok(Some(Piece::Head(head)));
+            }
+            Place::ChunkSize => self.place = self.chunk(&line)?,
+            Place::ChunkEnd if line.is_empty() => self.place = Place::ChunkSize,
+            Place::Trailers if line.is_empty() => {
+                self.place = Place::Head;
+                self.body = 0;
+                return Ok(Some(Piece::End));
+            }
+            Place::Trailers => {}
+            _ => return Err(WireError::Malformed("an HTTP chunk's end")),
+        }
+        Ok(None)
+    }
+
+    /// What comes behind the line that gives a chunk's size.
+    fn chunk(&mut self, line: &[u8]) -> Result<Place, WireError> {
+        let text = std::str::from_utf8(line).unwrap_or("").split(';').next().unwrap_or("").trim();
+        let size = usize::from_str_radix(text, 16).ok().filter(|_| !text.starts_with('+'));
+        let size = size.ok_or(WireError::Malformed("an HTTP chunk"))?;
+        self.body = self.body.saturating_add(size);
+        if self.body > self.max_body && self.max_body != usize::MAX {
+            return Err(WireError::TooLong("an HTTP body"));
+        }
+        Ok(if size == 0 { Place::Trailers } else { Place::Chunk(size) })
+    }
 }
 
 impl Parser for Messages {
@@ -168,54 +224,17 @@
         let mut at = 0;
         while at < input.len() {
             let rest = &input[at..];
-            if let Place::Length(left) | Place::Chunk(left) = self.place {
-                let taken = left.min(rest.len());
-                let piece = Piece::Body(rest[..taken].to_vec());
-                let chunk = matches!(self.place, Place::Chunk(_));
-                self.done = !chunk && taken == left;
-                self.place = match (chunk, left - taken) {
-                    (true, 0) => Place::ChunkEnd,
-                    (true, left) => Place::Chunk(left),
-                    (false, left) => Place::Length(left),
-                };
-                return Ok((at + taken, Some(piece)));
+            if let Some(body) = self.take_body(rest) {
+                return Ok((at + body.len(), Some(Piece::Body(body))));
             }
-            if matches!(self.place, Place::ToTheEnd) {
-                return Ok((input.len(), Some(Piece::Body(rest.to_vec()))));
-            }
-            let (taken, whole) = take_line(rest, &mut self.line, self.most_line)?;
+            let (taken, whole) = take_line(rest, &mut self.line, self.max_line)?;
             at += taken;
             if !whole {
                 break;
             }
             let line = std::mem::take(&mut self.line);
-            match self.place {
-                Place::Head => {
-                    if let Some(head) = self.head_line(line)? {
-                        self.place = self.place_of_body(&head)?;
-                        self.done = matches!(self.place, Place::Length(0));
-                        return Ok((at, Some(Piece::Head(head))));
-                    }
-                }
-                Place::ChunkSize => {
-                    let text =
-                        std::str::from_utf8(&line).unwrap_or("").split(';').next().unwrap_or("").trim();
-                    let size = usize::from_str_radix(text, 16).ok().filter(|_| !text.starts_with('+'));
-                    let size = size.ok_or(WireError::Malformed("an HTTP chunk"))?;
-                    self.body = self.body.saturating_add(size);
-                    if self.body > self.most_body && self.most_body != usize::MAX {
-                        return Err(WireError::TooLong("an HTTP body"));
-                    }
-                    self.place = if size == 0 { Place::Trailers } else { Place::Chunk(size) };
-                }
-                Place::ChunkEnd if line.is_empty() => self.place = Place::ChunkSize,
-                Place::Trailers if line.is_empty() => {
-                    self.place = Place::Head;
-                    self.body = 0;
-                    return Ok((at, Some(Piece::End)));
-                }
-                Place::Trailers => {}
-                _ => return Err(WireError::Malformed("an HTTP chunk's end")),
+            if let Some(piece) = self.take_whole_line(line)? {
+                return Ok((at, Some(piece)));
             }
         }
         Ok((at, None))
