Split CDNI's triggers and redirections into named steps

trigger() had 55 lines: its kind is a type, which tells the error of its status. answer() had 51: where a client is sent is found in a function of its own, with a struct in place of a tuple.

--- a/daemon/src/front/cdni/redirect.rs
+++ b/daemon/src/front/cdni/redirect.rs
@@ -12,6 +12,33 @@
     Response::payload(200, PTYPE, &json!({"error": {"error-code": code, "reason": reason}}))
 }
 
+/// Where a client is sent.
+struct Target<'a> {
+    /// The network of the footprint that its address lies in.
+    network: footprint::Network,
+    /// What the URL begins with.
+    base: &'a str,
+}
+
+/// Where a client is sent: here if we are ready and reach it, else to the first neighbour not in the path that does.
+fn target<'a>(
+    id: &'a Identity,
+    heard: &[(String, Vec<footprint::Network>)],
+    ready: bool,
+    cdn_path: &[Value],
+    client: Ipv4Addr,
+) -> Option<Target<'a>> {
+    let within = |networks: &[footprint::Network]| networks.iter().find(|n| n.holds(client)).copied();
+    if let Some(network) = within(&id.footprint).filter(|_| ready) {
+        return Some(Target { network, base: &id.base });
+    }
+    let unseen = heard.iter().filter(|(provider, _)| !cdn_path.iter().any(|p| p == provider));
+    let mut reached = unseen.filter_map(|(provider, networks)| Some((provider, within(networks)?)));
+    let (provider, network) = reached.next()?;
+    let neighbour = id.neighbours.iter().find(|n| n.provider == *provider)?;
+    Some(Target { network, base: &neighbour.content })
+}
+
 /// Answers a redirection request: to our own content where the client lies in our footprint and we can serve,
 /// else to a neighbour that said it reaches the client.
 pub(super) fn answer(
@@ -43,18 +70,10 @@
         return error(500, "the URI names no content of ours");
     };
     let Ok(client) = client.parse::<Ipv4Addr>() else { return error(400, "c-ip is no IPv4 address") };
-    let within = |networks: &[footprint::Network]| networks.iter().find(|n| n.holds(client)).copied();
-    let own = within(&id.footprint).filter(|_| ready).map(|n| (n, id.base.as_str()));
-    let neighbour = || {
-        let unseen = heard.iter().filter(|(provider, _)| !cdn_path.iter().any(|p| p == provider));
-        let mut reached = unseen.filter_map(|(provider, networks)| Some((provider, within(networks)?)));
-        let (provider, network) = reached.next()?;
-        let base = id.neighbours.iter().find(|n| n.provider == *provider)?;
-        Some((network, base.content.as_str()))
-    };
-    let Some((network, base)) = own.or_else(neighbour) else {
+    let Some(target) = target(id, heard, ready, cdn_path, client) else {
         return error(504, "nothing here can serve this client");
     };
+    let Target { network, base } = target;
     let query = uri.split_once('?').map_or(String::new(), |(_, query)| format!("?{query}"));
     let response = json!({
         "http": {
--- a/daemon/src/front/cdni/triggers.rs
+++ b/daemon/src/front/cdni/triggers.rs
@@ -117,6 +117,48 @@
     Some(plan)
 }
 
+/// What a trigger asks for.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Kind {
+    /// To purge, or to invalidate: invalidated copies are not shown to be good again here, so they are purged, which is
+    /// stricter.
+    Purge,
+    /// To fetch ahead.
+    Preposition,
+}
+
+impl Kind {
+    fn read(text: &str) -> Option<Self> {
+        match text {
+            "purge" | "invalidate" => Some(Kind::Purge),
+            "preposition" => Some(Kind::Preposition),
+            _ => None,
+        }
+    }
+
+    /// The error that the status of such a trigger tells, where it can't be carried out whole.
+    fn error(self, spec: &Map<String, Value>, plan: &Plan, room: usize) -> Option<Value> {
+        let mut all = spec.clone();
+        all.retain(|key, _| key != "type");
+        match self {
+            Kind::Purge if plan.purges.len() > room => Some(rejected(&all, "too many purges are held")),
+            Kind::Purge if !plan.unable.is_empty() => {
+                Some(rejected(&plan.unable, "only content named by its URL or its collection can be purged"))
+            }
+            Kind::Purge => None,
+            Kind::Preposition => Some(rejected(&all, "content is fetched when it is asked for")),
+        }
+    }
+}
+
+/// An error of the code `ereject` on these selectors.
+fn rejected(selectors: &Map<String, Value>, why: &str) -> Value {
+    let mut error = selectors.clone();
+    error.insert("error".to_owned(), "ereject".into());
+    error.insert("description".to_owned(), why.into());
+    Value::Object(error)
+}
+
 /// A command to purge, for every neighbour that has not seen it.
 fn posts(id: &Identity, spec: &Value, cdn_path: &[Value]) -> Vec<Post> {
     let mut path = cdn_path.to_vec();
@@ -212,29 +254,9 @@
         if self.held.keys().filter(|name| name.writer == self.next.writer).count() >= self.most {
             return (Response::bare(503), None);
         }
-        let error = |code: &str, what: &Map<String, Value>, why: &str| {
-            let mut error = what.clone();
-            error.insert("error".to_owned(), code.into());
-            error.insert("description".to_owned(), why.into());
-            Some(Value::Object(error))
-        };
-        let all: Map<_, _> =
-            spec.iter().filter(|(key, _)| *key != "type").map(|(k, v)| (k.clone(), v.clone())).collect();
-        let error = match kind {
-            // Invalidated copies are not shown to be good again here: they are purged, which is stricter.
-            "purge" | "invalidate" if plan.purges.len() > room => {
-                error("ereject", &all, "too many purges are held")
-            }
-            "purge" | "invalidate" if !plan.unable.is_empty() => error(
-                "ereject",
-                &plan.unable,
-                "only content named by its URL or its collection can be purged",
-            ),
-            "purge" | "invalidate" => None,
-            "preposition" => error("ereject", &all, "content is fetched when it is asked for"),
-            _ => return (Response::bare(501), None),
-        };
-        if kind != "preposition" && plan.purges.len() <= room {
+        let Some(kind) = Kind::read(kind) else { return (Response::bare(501), None) };
+        let error = kind.error(spec, &plan, room);
+        if kind == Kind::Purge && plan.purges.len() <= room {
             effects.extend(plan.purges.iter().map(|(object, group)| Effect::Purge(object.clone(), *group)));
             effects.extend(posts(id, &Value::Object(spec.clone()), cdn_path).into_iter().map(Effect::Post));
         }
