Split the rehearsal's world of nodes: forms, fills, timers

Now: forms.rs (figures, requests and answers), fills.rs (how a request begins, with a struct for what a source answers), timers.rs (a function for each thing that comes due) and mod.rs.

--- /dev/null
+++ b/rehearse/src/stand_ins/world/mod.rs
@@ -0,0 +1,338 @@
+//! Boxes, hub caches and the origin store that behave: slots, waiting rooms, shared links, copies, fills, cold starts and
+//! falling over. Sans-IO: requests go in with their time, answers come out with theirs; sockets are the driver's.
+//!
+//! All figures are data (`Figures`, `Site`). Left out on purpose: sizes of answers on the wire, noise in load reports,
+//! and the transfer from a hub cache by its own link, which is wider than a site's.
+
+mod fills;
+mod forms;
+mod timers;
+
+pub use forms::{Fetch, Figures, Kind, Out, Purged, Site};
+
+use super::link::Link;
+use super::memory::{Memory, Part};
+use crate::record::{Attempt, Cold, Ended, Micros};
+use std::collections::{BTreeMap, HashMap, VecDeque};
+use timers::Timer;
+
+/// For so long a node keeps out what a fill brings from before a purge: no fill takes longer.
+const STRUCK_US: Micros = 600_000_000;
+
+#[derive(Clone, Debug, PartialEq)]
+enum Phase {
+    Waiting,
+    Filling,
+    Sending { how: &'static str, made: Micros, waited_us: Micros },
+}
+
+#[derive(Clone, Debug)]
+struct Open {
+    fetch: Fetch,
+    phase: Phase,
+    since: Micros,
+    /// Its place among the attempts.
+    attempt: usize,
+}
+
+/// A fill under way at a node, by its part.
+#[derive(Clone, Debug)]
+struct Filling {
+    number: u64,
+    how: &'static str,
+    made: Micros,
+    began: Micros,
+    /// Those who were or are sent it; who gives up is none of them any more.
+    waiters: Vec<u64>,
+    /// The first request for it, which tells its size; the rank is the highest that was asked for.
+    fetch: Fetch,
+}
+
+struct Node {
+    kind: Kind,
+    figures: Figures,
+    link: Link,
+    memory: Memory,
+    cold: Option<Cold>,
+    sent: VecDeque<(Micros, f64)>,
+    up: bool,
+    stalled: bool,
+    open: BTreeMap<u64, Open>,
+    waiting: VecDeque<u64>,
+    filling: HashMap<Part, Filling>,
+    /// Of a hub cache: what it fetches, and when that will be there.
+    fetching: HashMap<Part, (Micros, Micros)>,
+    /// The purges that it has carried out, each with its time.
+    struck: HashMap<Purged, Micros>,
+}
+
+/// All nodes of a rehearsal.
+pub struct World {
+    site: Site,
+    inward: Link,
+    /// Fills on the site's link: node and part.
+    inward_fills: HashMap<u64, (String, Part)>,
+    nodes: BTreeMap<String, Node>,
+    timers: BTreeMap<(Micros, u64), Timer>,
+    next: u64,
+    origin_busy: usize,
+    /// How many times slower the origin is.
+    origin_slow: f64,
+    keys: HashMap<String, Micros>,
+    /// Writes that ran, and of them those that ran under a key that had run before.
+    pub writes: (u64, u64),
+    /// All that has arrived.
+    pub attempts: Vec<Attempt>,
+}
+
+impl World {
+    /// A world without nodes.
+    pub fn new(site: Site) -> Self {
+        World {
+            inward: Link::new(site.link),
+            site,
+            inward_fills: HashMap::new(),
+            nodes: BTreeMap::new(),
+            timers: BTreeMap::new(),
+            next: 0,
+            origin_busy: 0,
+            origin_slow: 1.0,
+            keys: HashMap::new(),
+            writes: (0, 0),
+            attempts: Vec::new(),
+        }
+    }
+
+    /// Adds a node, or starts one anew with an empty memory. One that is given a `Cold` starts cold.
+    pub fn start(&mut self, uid: &str, kind: Kind, figures: Figures, cold: Option<Cold>) {
+        let capacity = cold.as_ref().map_or(figures.capacity, |c| c.capacity_at(c.at));
+        let node = Node {
+            kind,
+            link: Link::new(capacity),
+            memory: Memory::new(figures.memory_kb),
+            cold,
+            sent: VecDeque::new(),
+            up: true,
+            stalled: false,
+            open: BTreeMap::new(),
+            waiting: VecDeque::new(),
+            filling: HashMap::new(),
+            fetching: HashMap::new(),
+            struck: HashMap::new(),
+            figures,
+        };
+        self.nodes.insert(uid.to_owned(), node);
+    }
+
+    /// Takes a node down: what was open there is over.
+    pub fn stop(&mut self, now: Micros, uid: &str) {
+        let Some(node) = self.nodes.get_mut(uid) else { return };
+        node.up = false;
+        for open in std::mem::take(&mut node.open).into_values() {
+            self.attempts[open.attempt].ended = Some((now, Ended::GivenUp));
+        }
+        node.waiting.clear();
+        node.filling.clear();
+        node.link = Link::new(node.figures.capacity);
+    }
+
+    /// A node sends nothing for a while.
+    pub fn stall(&mut self, now: Micros, uid: &str, lasts: Micros) {
+        if let Some(node) = self.nodes.get_mut(uid) {
+            node.stalled = true;
+            node.link.change(0.0);
+            self.at(now + lasts, Timer::Goes(uid.to_owned()));
+        }
+    }
+
+    /// The origin is so many times slower from here on.
+    pub fn slow_origin(&mut self, times: f64) {
+        self.origin_slow = times;
+    }
+
+    /// A purge is made: each box and hub cache drops its older copies in its own time.
+    pub fn purge_all(&mut self, now: Micros, what: Purged, at: Micros) {
+        let uids: Vec<String> = self.nodes.keys().cloned().collect();
+        for uid in uids {
+            self.next += 1;
+            // Spread over the whole time, differently for each purge and node, and alike in each play.
+            let spread = self.next.wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 40;
+            let after = self.site.purge_takes_us * spread / (1 << 24);
+            self.at(now + after, Timer::Drops(uid, what, at));
+        }
+    }
+
+    /// A node carries out a purge.
+    pub fn purge(&mut self, uid: &str, what: Purged, at: Micros) {
+        if let Some(node) = self.nodes.get_mut(uid) {
+            node.memory.purge(what, at);
+            node.struck.retain(|_, then| *then + STRUCK_US > at);
+            let last = node.struck.entry(what).or_insert(at);
+            *last = at.max(*last);
+        }
+    }
+
+    /// Whether a node runs.
+    pub fn is_up(&self, uid: &str) -> bool {
+        self.nodes.get(uid).is_some_and(|n| n.up)
+    }
+
+    /// Requests that a node holds.
+    pub fn inflight(&self, uid: &str) -> usize {
+        self.nodes.get(uid).map_or(0, |n| n.open.len())
+    }
+
+    fn at(&mut self, at: Micros, timer: Timer) {
+        self.next += 1;
+        self.timers.insert((at, self.next), timer);
+    }
+
+    /// When `advance` has something to do.
+    pub fn next_due(&self) -> Option<Micros> {
+        let links = self.nodes.values().filter(|n| n.up && !n.stalled).filter_map(|n| n.link.next_due());
+        let timer = self.timers.keys().next().map(|t| t.0);
+        links.chain(timer).chain(self.inward.next_due()).min()
+    }
+
+    /// Lets time pass.
+    pub fn advance(&mut self, now: Micros) -> Vec<Out> {
+        let mut out = Vec::new();
+        while let Some(due) = self.next_due().filter(|due| *due <= now) {
+            self.step(due, &mut out);
+        }
+        self.step(now, &mut out);
+        out
+    }
+
+    /// All that comes due at one moment.
+    fn step(&mut self, now: Micros, out: &mut Vec<Out>) {
+        for (fill, _) in self.inward.advance(now) {
+            if let Some((uid, part)) = self.inward_fills.remove(&fill) {
+                self.filled(&uid, part, fill);
+            }
+        }
+        let uids: Vec<String> = self.nodes.keys().cloned().collect();
+        for uid in &uids {
+            let Some(node) = self.nodes.get_mut(uid) else { continue };
+            let ended = node.link.advance(now);
+            if let Some(cold) = node.cold.as_ref().filter(|_| !node.stalled) {
+                node.link.change(cold.capacity_at(now));
+            }
+            for (request, at) in ended {
+                let Some(open) = node.open.remove(&request) else { continue };
+                let Phase::Sending { how, made, waited_us } = open.phase else { continue };
+                self.attempts[open.attempt].ended = Some((at, Ended::Ran));
+                let Fetch { connection, id, part, .. } = open.fetch;
+                out.push(Out::Answer { connection, id, word: "200", how, waited_us, made, part });
+            }
+            self.admit(now, uid, out);
+        }
+        while let Some(entry) = self.timers.first_entry().filter(|e| e.key().0 <= now) {
+            let timer = entry.remove();
+            self.timer(now, timer, out);
+        }
+    }
+
+    /// A request arrives. `advance` must have been called up to now.
+    pub fn fetch(&mut self, now: Micros, uid: &str, fetch: Fetch) -> Vec<Out> {
+        let mut out = Vec::new();
+        let Some(node) = self.nodes.get_mut(uid).filter(|n| n.up) else { return out };
+        self.next += 1;
+        let request = self.next;
+        self.attempts.push(Attempt {
+            id: fetch.id.clone(),
+            proxy: fetch.proxy,
+            target: uid.to_owned(),
+            source: fetch.source.clone(),
+            first_byte: now,
+            at: now,
+            ended: None,
+            work_us: fetch.work_us,
+            fill_us: 0,
+        });
+        let attempt = self.attempts.len() - 1;
+        let full = node.open.len() >= node.figures.slots + node.figures.waiting;
+        let work = fetch.work_us as f64;
+        node.open.insert(request, Open { fetch, phase: Phase::Waiting, since: now, attempt });
+        if self.push(now, uid, work, &mut out) {
+            return out;
+        }
+        if full {
+            self.turn_away(now, uid, request, "503", "", &mut out);
+        } else if let Some(node) = self.nodes.get_mut(uid) {
+            node.waiting.push_back(request);
+            self.admit(now, uid, &mut out);
+        }
+        out
+    }
+
+    /// A request is given up, or its connection has ended.
+    pub fn abort(&mut self, now: Micros, uid: &str, connection: u64, id: Option<&str>) {
+        let Some(node) = self.nodes.get_mut(uid) else { return };
+        let meant = |o: &Open| o.fetch.connection == connection && id.is_none_or(|id| o.fetch.id == id);
+        let over: Vec<u64> = node.open.iter().filter(|(_, o)| meant(o)).map(|(r, _)| *r).collect();
+        for request in &over {
+            node.link.call_off(*request);
+            node.waiting.retain(|r| r != request);
+            if let Some(open) = node.open.remove(request) {
+                self.attempts[open.attempt].ended = Some((now, Ended::GivenUp));
+            }
+        }
+        // A fill whose clients have all left is dropped.
+        let (inward, fills) = (&mut self.inward, &mut self.inward_fills);
+        node.filling.retain(|_, f| {
+            f.waiters.retain(|r| !over.contains(r));
+            if f.waiters.is_empty() {
+                inward.call_off(f.number);
+                fills.remove(&f.number);
+            }
+            !f.waiters.is_empty()
+        });
+    }
+
+    /// Work is sent to a node: one that is cold falls over if that is too much. Whether it has.
+    fn push(&mut self, now: Micros, uid: &str, work_us: f64, out: &mut Vec<Out>) -> bool {
+        let Some(node) = self.nodes.get_mut(uid) else { return false };
+        let Some(cold) = node.cold.clone().filter(|c| now < c.at + c.warm_us) else { return false };
+        node.sent.push_back((now, work_us));
+        while node.sent.front().is_some_and(|s| s.0 + cold.fall_us < now) {
+            node.sent.pop_front();
+        }
+        let sum: f64 = node.sent.iter().map(|s| s.1).sum();
+        let from = now.saturating_sub(cold.fall_us).max(cold.at);
+        if sum <= cold.multiple * cold.able(from, from + cold.fall_us) {
+            return false;
+        }
+        self.stop(now, uid);
+        out.push(Out::Fell(uid.to_owned()));
+        true
+    }
+
+    fn turn_away(
+        &mut self,
+        now: Micros,
+        uid: &str,
+        request: u64,
+        word: &'static str,
+        how: &'static str,
+        out: &mut Vec<Out>,
+    ) {
+        let Some(open) = self.nodes.get_mut(uid).and_then(|n| n.open.remove(&request)) else { return };
+        self.attempts[open.attempt].ended = Some((now, Ended::Unseen));
+        let Fetch { connection, id, part, .. } = open.fetch;
+        out.push(Out::Answer { connection, id, word, how, waited_us: now - open.since, made: 0, part });
+    }
+
+    /// Begins what waits, as far as there are slots.
+    fn admit(&mut self, now: Micros, uid: &str, out: &mut Vec<Out>) {
+        loop {
+            let Some(node) = self.nodes.get_mut(uid) else { return };
+            let busy = node.open.len() - node.waiting.len();
+            if busy >= node.figures.slots || node.stalled {
+                return;
+            }
+            let Some(request) = node.waiting.pop_front() else { return };
+            self.begin(now, uid, request, out);
+        }
+    }
+}
--- /dev/null
+++ b/rehearse/src/stand_ins/world/timers.rs
@@ -0,0 +1,92 @@
+//! What comes due at a time: fills that begin to come or never do, writes, stalls and purges.
+
+use super::{Ended, Fetch, Filling, Out, Phase, Purged, World};
+use crate::record::Micros;
+use crate::stand_ins::memory::Part;
+
+/// What comes due at a time.
+pub(super) enum Timer {
+    /// The first byte of a fill has come: node, part and number of the fill.
+    Begins(String, Part, u64),
+    /// Nothing may have come of a fill.
+    Late(String, Part, u64),
+    /// The origin has worked off something.
+    OriginFree,
+    /// A write has run: node and request.
+    Written(String, u64),
+    /// A stall is over.
+    Goes(String),
+    /// A node carries out a purge of that time.
+    Drops(String, Purged, Micros),
+}
+
+impl World {
+    /// Carries out what has come due.
+    pub(super) fn timer(&mut self, now: Micros, timer: Timer, out: &mut Vec<Out>) {
+        match timer {
+            Timer::Begins(uid, part, number) => self.fill_begins(now, uid, part, number),
+            Timer::Late(uid, part, number) => self.fill_is_late(now, &uid, part, number, out),
+            Timer::OriginFree => self.origin_busy = self.origin_busy.saturating_sub(1),
+            Timer::Written(uid, request) => self.written(now, &uid, request, out),
+            Timer::Drops(uid, what, at) => self.purge(&uid, what, at),
+            Timer::Goes(uid) => self.stall_ends(now, &uid),
+        }
+    }
+
+    /// The first byte of a fill has come. Passed on while it comes: clients are sent what there is by now.
+    fn fill_begins(&mut self, now: Micros, uid: String, part: Part, number: u64) {
+        let Some(node) = self.nodes.get_mut(&uid) else { return };
+        let Some(fill) = node.filling.get(&part).filter(|f| f.number == number) else { return };
+        let (how, made, began) = (fill.how, fill.made, fill.began);
+        let (waiters, work) = (fill.waiters.clone(), fill.fetch.work_us);
+        for (n, request) in waiters.into_iter().enumerate() {
+            let Some(open) = node.open.get_mut(&request) else { continue };
+            let how = if n == 0 { how } else { "rode" };
+            open.phase = Phase::Sending { how, made, waited_us: now - began };
+            node.link.begin(request, open.fetch.work_us);
+        }
+        self.inward_fills.insert(number, (uid, part));
+        self.inward.begin(number, (work as f64 / self.site.fill_pace) as Micros);
+    }
+
+    /// A fill of which nothing has come in time is given up.
+    fn fill_is_late(&mut self, now: Micros, uid: &str, part: Part, number: u64, out: &mut Vec<Out>) {
+        let Some(node) = self.nodes.get_mut(uid) else { return };
+        let waits = |f: &&Filling| {
+            let all = f.waiters.iter().filter_map(|r| node.open.get(r));
+            f.number == number && all.into_iter().any(|o| o.phase == Phase::Filling)
+        };
+        if node.filling.get(&part).filter(waits).is_some() {
+            let fill = node.filling.remove(&part);
+            let waiters = fill.map(|f| f.waiters).unwrap_or_default();
+            waiters.into_iter().for_each(|r| self.turn_away(now, uid, r, "503", "cut_off", out));
+        }
+    }
+
+    /// A write has run at the origin, and is answered.
+    fn written(&mut self, now: Micros, uid: &str, request: u64, out: &mut Vec<Out>) {
+        let Some(open) = self.nodes.get_mut(uid).and_then(|n| n.open.remove(&request)) else { return };
+        self.attempts[open.attempt].ended = Some((now, Ended::Ran));
+        let Fetch { connection, id, write, part, .. } = open.fetch;
+        self.count_write(now, write.flatten());
+        let (word, how) = ("200", "local");
+        out.push(Out::Answer { connection, id, word, how, waited_us: 0, made: now, part });
+    }
+
+    /// Counts a write, unless the origin drops it as a repeat of its key.
+    fn count_write(&mut self, now: Micros, key: Option<String>) {
+        let known = key.as_ref().and_then(|k| self.keys.get(k)).copied();
+        if known.is_none_or(|at| now >= at + self.site.key_us) {
+            self.writes.0 += 1;
+            self.writes.1 += u64::from(known.is_some());
+            self.keys.extend(key.map(|k| (k, now)));
+        }
+    }
+
+    /// A stall is over.
+    fn stall_ends(&mut self, now: Micros, uid: &str) {
+        let Some(node) = self.nodes.get_mut(uid) else { return };
+        node.stalled = false;
+        node.link.change(node.cold.as_ref().map_or(node.figures.capacity, |c| c.capacity_at(now)));
+    }
+}
