--- a/rehearse/src/play.rs
+++ b/rehearse/src/play.rs
@@ -12,7 +12,7 @@
 use std::path::Path;
 use std::process::Command;
 use std::sync::mpsc;
-use std::thread;
+use std::thread::{self, JoinHandle};
 use std::time::{Duration, Instant};
 
 /// A fault that the stand-ins are made to show, to see that it is reported.
@@ -170,6 +170,12 @@
     Ok(())
 }
 
+/// A request that was redirected here and is under way.
+struct Redirected {
+    number: usize,
+    answer: JoinHandle<io::Result<Answer>>,
+}
+
 /// Requests that were redirected here while their target box drains: one final answer each, and nothing new at
 /// the box from the grace on.
 fn drain(
@@ -180,52 +186,14 @@
     report: &mut Report,
 ) -> io::Result<()> {
     boxes.iter().for_each(|b| b.behave(Manner { hold_ms: 150, ..Manner::default() }));
-    let mut clients = Vec::new();
-    for n in 0..REDIRECTED {
-        let uri = format!("http://cdn.example/content/photo/{:016x}/0?kb=40", 0xb000 + n);
-        let asked = json!({"http": {"c-ip": "127.0.0.9", "cs-uri": uri, "cs-method": "GET"}, "cdn-path": ["AS64501:0"]});
-        let answer = call(running.cdni, "POST", "/cdni/redirect", &asked.to_string())?;
-        let value: Value = serde_json::from_slice(&answer.body).map_err(|e| failed(e.to_string()))?;
-        let location =
-            value["http"]["sc-(location)"].as_str().and_then(|l| l.strip_prefix("http://cdn.example"));
-        let Some(target) = location.map(str::to_owned) else {
-            report.hold("redirection", false, || format!("no redirection but {value}"));
-            continue;
-        };
-        let to = running.cdni;
-        clients.push(thread::spawn(move || (n, call(to, "GET", &target, ""))));
-    }
+    let clients = redirect(running, report)?;
     // The box that the first of them waits at drains.
-    let keys: Vec<_> = (0..REDIRECTED).map(|n| format!("{:016x}", 0xb000 + n)).collect();
-    let redirected = |a: &Arrival| a.field("key").is_some_and(|key| keys.iter().any(|k| k == key));
-    let at = |b: &&StandIn| b.arrivals().iter().any(redirected);
-    let until = Instant::now() + PATIENCE;
-    let target = loop {
-        match boxes.iter().find(at) {
-            Some(target) => break target,
-            None if Instant::now() > until => return Err(failed("a redirected request reached no box")),
-            None => thread::sleep(Duration::from_millis(2)),
-        }
-    };
+    let target = redirected_to(boxes)?;
     if plant != Some(Plant::DrainUntold) {
         bus.list(false, vec![entry(target, "here", "box", "draining")]);
     }
     let drained = unix_ms();
-    for client in clients {
-        let (n, answer) = client.join().map_err(|_| failed("a client gave up"))?;
-        match answer {
-            Err(e) => report.hold("one answer", false, || format!("redirected request {n} got none: {e}")),
-            Ok(answer) => {
-                let known = matches!(answer.status, 200 | 502 | 503 | 504);
-                report.hold("one answer", known && !answer.surplus, || {
-                    format!(
-                        "redirected request {n} got {} with more behind it: {}",
-                        answer.status, answer.surplus
-                    )
-                });
-            }
-        }
-    }
+    judge_redirected(clients, report)?;
     boxes.iter().for_each(|b| b.behave(Manner::default()));
     while unix_ms() < drained + DRAIN_GRACE_MS + 10 {
         thread::sleep(Duration::from_millis(5));
@@ -247,6 +215,66 @@
     Ok(())
 }
 
+/// The object that a redirected request asks for.
+fn redirected_object(number: usize) -> String {
+    format!("{:016x}", 0xb000 + number)
+}
+
+/// Has requests redirected, and sends each where its redirection leads.
+fn redirect(running: &Process, report: &mut Report) -> io::Result<Vec<Redirected>> {
+    let mut clients = Vec::new();
+    for number in 0..REDIRECTED {
+        let uri = format!("http://cdn.example/content/photo/{}/0?kb=40", redirected_object(number));
+        let http = json!({"c-ip": "127.0.0.9", "cs-uri": uri, "cs-method": "GET"});
+        let asked = json!({"http": http, "cdn-path": ["AS64501:0"]});
+        let answer = call(running.cdni, "POST", "/cdni/redirect", &asked.to_string())?;
+        let value: Value = serde_json::from_slice(&answer.body).map_err(|e| failed(e.to_string()))?;
+        let location =
+            value["http"]["sc-(location)"].as_str().and_then(|l| l.strip_prefix("http://cdn.example"));
+        let Some(target) = location.map(str::to_owned) else {
+            report.hold("redirection", false, || format!("no redirection but {value}"));
+            continue;
+        };
+        let to = running.cdni;
+        let answer = thread::spawn(move || call(to, "GET", &target, ""));
+        clients.push(Redirected { number, answer });
+    }
+    Ok(clients)
+}
+
+/// The box that a redirected request has reached first.
+fn redirected_to(boxes: &[StandIn]) -> io::Result<&StandIn> {
+    let objects: Vec<_> = (0..REDIRECTED).map(redirected_object).collect();
+    let redirected = |a: &Arrival| a.field("key").is_some_and(|key| objects.iter().any(|o| o == key));
+    let until = Instant::now() + PATIENCE;
+    loop {
+        match boxes.iter().find(|b| b.arrivals().iter().any(redirected)) {
+            Some(target) => return Ok(target),
+            None if Instant::now() > until => return Err(failed("a redirected request reached no box")),
+            None => thread::sleep(Duration::from_millis(2)),
+        }
+    }
+}
+
+/// Each redirected request has one final answer.
+fn judge_redirected(clients: Vec<Redirected>, report: &mut Report) -> io::Result<()> {
+    for Redirected { number, answer } in clients {
+        match answer.join().map_err(|_| failed("a client gave up"))? {
+            Err(e) => {
+                report.hold("one answer", false, || format!("redirected request {number} got none: {e}"))
+            }
+            Ok(answer) => {
+                let known = matches!(answer.status, 200 | 502 | 503 | 504);
+                report.hold("one answer", known && !answer.surplus, || {
+                    let (status, surplus) = (answer.status, answer.surplus);
+                    format!("redirected request {number} got {status} with more behind it: {surplus}")
+                });
+            }
+        }
+    }
+    Ok(())
+}
+
 /// No request had more than six attempts.
 fn attempts(boxes: &[StandIn], origin: &StandIn, report: &mut Report) {
     let mut counts: BTreeMap<String, u32> = BTreeMap::new();
--- a/rehearse/src/stand_ins/consul.rs
+++ b/rehearse/src/stand_ins/consul.rs
@@ -9,6 +9,9 @@
 use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
+/// How long a query waits that does not say.
+const DEFAULT_WAIT_MS: u64 = 300_000;
+
 /// How an agent behaves from now on, also towards queries that wait.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Manner {
@@ -223,24 +226,18 @@
     }
 
     fn answer(&self, asked: &Asked, socket: &mut TcpStream) -> io::Result<()> {
+        let Some(answer) = self.answer_to(asked) else { return Ok(()) };
+        self.state.1.notify_all();
+        answer.write(socket)
+    }
+
+    /// What a call is answered, once it has waited for a change if it asks for that; none: nothing at all.
+    fn answer_to(&self, asked: &Asked) -> Option<HttpAnswer> {
         let (path, query) = asked.target.split_once('?').unwrap_or((&asked.target, ""));
-        let value = |name: &str| {
-            let mut pairs = query.split('&').filter_map(|p| p.split_once('='));
-            pairs.find(|(n, _)| *n == name).map(|(_, v)| v)
-        };
-        let state = self.state();
-        let turns = state.turns;
-        let index: u64 = value("index").and_then(|v| v.parse().ok()).unwrap_or(0);
-        let wait = value("wait").and_then(|v| v.strip_suffix("ms")?.parse().ok()).unwrap_or(300_000);
-        let waits = |s: &mut State| {
-            s.turns == turns
-                && (s.manner == Manner::Mute || index > 0 && s.index == index && s.manner != Manner::Gone)
-        };
-        let waited = self.state.1.wait_timeout_while(state, Duration::from_millis(wait), waits);
-        let (mut state, _) = waited.unwrap_or_else(PoisonError::into_inner);
+        let mut state = self.wait_for_change(query);
         let denied = state.token.is_some() && state.token != asked.token;
         let (status, body) = match state.manner {
-            Manner::Gone | Manner::Mute => return Ok(()),
+            Manner::Gone | Manner::Mute => return None,
             Manner::Leaderless => ("500 Internal Server Error", "No cluster leader".to_owned()),
             Manner::Busy => ("429 Too Many Requests", "rate limit exceeded".to_owned()),
             Manner::Denied => ("403 Forbidden", "Permission denied".to_owned()),
@@ -253,34 +250,26 @@
             }
             _ => ("200 OK", format!("[{}]", state.instances.join(","))),
         };
-        let (index, manner) = (state.index, state.manner);
-        drop(state);
-        self.state.1.notify_all();
-        let mut out =
-            format!("HTTP/1.1 {status}\r\nContent-Type: application/json\r\nX-Consul-Index: {index}\r\n");
-        out += "X-Consul-KnownLeader: true\r\nX-Consul-LastContact: 0\r\n";
-        match manner {
-            Manner::Busy => out += "Retry-After: 1\r\n",
-            Manner::Endless => {
-                out += "Transfer-Encoding: chunked\r\n\r\n";
-                socket.write_all(out.as_bytes())?;
-                let chunk = format!("10000\r\n{}\r\n", " ".repeat(0x10000));
-                // Until whoever reads has had enough, or a GB has gone.
-                return (0..0x4000).try_for_each(|_| socket.write_all(chunk.as_bytes()));
-            }
-            Manner::Chunked => {
-                out += "Transfer-Encoding: chunked\r\n\r\n";
-                for part in body.as_bytes().chunks(100) {
-                    out += &format!("{:x}\r\n{}\r\n", part.len(), String::from_utf8_lossy(part));
-                }
-                return socket.write_all((out + "0\r\n\r\n").as_bytes());
-            }
-            _ => {}
-        }
-        out += &format!("Content-Length: {}\r\n\r\n", body.len());
-        let whole = out + &body;
-        let sent = if manner == Manner::CutOff { whole.len() - body.len() / 2 - 1 } else { whole.len() };
-        socket.write_all(&whole.as_bytes()[..sent])
+        Some(HttpAnswer { status, body, index: state.index, manner: state.manner })
+    }
+
+    /// Blocks a query that waits for an index until there is a newer one, or its wait is over.
+    fn wait_for_change(&self, query: &str) -> MutexGuard<'_, State> {
+        let value = |name: &str| {
+            let mut pairs = query.split('&').filter_map(|p| p.split_once('='));
+            pairs.find(|(n, _)| *n == name).map(|(_, v)| v)
+        };
+        let state = self.state();
+        let turns = state.turns;
+        let index: u64 = value("index").and_then(|v| v.parse().ok()).unwrap_or(0);
+        let wait_ms = value("wait").and_then(|v| v.strip_suffix("ms")?.parse().ok());
+        let wait = Duration::from_millis(wait_ms.unwrap_or(DEFAULT_WAIT_MS));
+        let waits = |s: &mut State| {
+            s.turns == turns
+                && (s.manner == Manner::Mute || index > 0 && s.index == index && s.manner != Manner::Gone)
+        };
+        let waited = self.state.1.wait_timeout_while(state, wait, waits);
+        waited.unwrap_or_else(PoisonError::into_inner).0
     }
 
     fn put(state: &mut State, path: &str, body: &str) -> (&'static str, String) {
@@ -302,3 +291,47 @@
         ("200 OK", String::new())
     }
 }
+
+/// An answer, and how it is written.
+struct HttpAnswer {
+    status: &'static str,
+    body: String,
+    index: u64,
+    manner: Manner,
+}
+
+impl HttpAnswer {
+    fn write(&self, socket: &mut TcpStream) -> io::Result<()> {
+        let HttpAnswer { status, body, index, .. } = self;
+        let mut out =
+            format!("HTTP/1.1 {status}\r\nContent-Type: application/json\r\nX-Consul-Index: {index}\r\n");
+        out += "X-Consul-KnownLeader: true\r\nX-Consul-LastContact: 0\r\n";
+        match self.manner {
+            Manner::Endless => return Self::write_endless(socket, out),
+            Manner::Chunked => return self.write_chunked(socket, out),
+            Manner::Busy => out += "Retry-After: 1\r\n",
+            _ => {}
+        }
+        out += &format!("Content-Length: {}\r\n\r\n", body.len());
+        let whole = out + body;
+        let cut_off = self.manner == Manner::CutOff;
+        let sent = if cut_off { whole.len() - body.len() / 2 - 1 } else { whole.len() };
+        socket.write_all(&whole.as_bytes()[..sent])
+    }
+
+    /// Writes until whoever reads has had enough, or a GB has gone.
+    fn write_endless(socket: &mut TcpStream, mut out: String) -> io::Result<()> {
+        out += "Transfer-Encoding: chunked\r\n\r\n";
+        socket.write_all(out.as_bytes())?;
+        let chunk = format!("10000\r\n{}\r\n", " ".repeat(0x10000));
+        (0..0x4000).try_for_each(|_| socket.write_all(chunk.as_bytes()))
+    }
+
+    fn write_chunked(&self, socket: &mut TcpStream, mut out: String) -> io::Result<()> {
+        out += "Transfer-Encoding: chunked\r\n\r\n";
+        for part in self.body.as_bytes().chunks(100) {
+            out += &format!("{:x}\r\n{}\r\n", part.len(), String::from_utf8_lossy(part));
+        }
+        socket.write_all((out + "0\r\n\r\n").as_bytes())
+    }
+}
