Rename gates and weather to fault-injecting links and link conditions

The glossary's terms: the module gates is links, Gates is FaultyLinks, StreamGate is FaultyStream, Weather is LinkConditions, Tally is Counters; docs, the schema's texts and the tests with them. A scenario's key stays 'weather'. The field gates of Fleet and daemon/tests/budgets.rs keep the old names, by an alias in lib.rs, as others work on them. Nothing else changes.

--- a/daemon/tests/between.rs
+++ b/daemon/tests/between.rs
@@ -1,10 +1,10 @@
-//! Several processes of the daemon with gates between them: links that lose, cut and delay, peers that stand still,
+//! Several processes of the daemon with fault-injecting links between them: links that lose, cut and delay, peers that stand still,
 //! processes killed and started again. What each of them was told of a purge is what it must keep, and what it was
 //! not told of it can't.
 
 use linnetknot_rehearse::clients::{becomes, call, PATIENCE};
 use linnetknot_rehearse::fleet::{purge_at, status_path, Disk, Fleet, Setup};
-use linnetknot_rehearse::gates::Weather;
+use linnetknot_rehearse::links::LinkConditions;
 use std::collections::BTreeSet;
 use std::path::Path;
 use std::time::Instant;
@@ -42,7 +42,13 @@
 
 #[test]
 fn a_purge_told_at_one_process_reaches_all_over_links_that_lose_double_and_reorder() {
-    let rough = Weather { drop: 0.4, duplicate: 0.5, reorder: 0.5, jitter_ms: 20.0, ..Weather::default() };
+    let rough = LinkConditions {
+        drop: 0.4,
+        duplicate: 0.5,
+        reorder: 0.5,
+        jitter_ms: 20.0,
+        ..LinkConditions::default()
+    };
     let fleet = fleet(4, 11);
     fleet.gates.set_all(rough);
     for n in 0..3 {
@@ -54,8 +60,8 @@
         }
     }
     // All three have gone by then.
-    until("all three are sent", || (1..4).all(|b| fleet.gates.tally((0, b)).sent >= 3));
-    let lost: u64 = (1..4).map(|b| fleet.gates.tally((0, b)).lost).sum();
+    until("all three are sent", || (1..4).all(|b| fleet.gates.counters((0, b)).sent >= 3));
+    let lost: u64 = (1..4).map(|b| fleet.gates.counters((0, b)).lost).sum();
     assert!(lost > 0, "else the links were clear");
 }
 
@@ -65,10 +71,10 @@
 fn a_one_way_cut_keeps_a_purge_from_one_process_and_from_no_other() {
     let fleet = fleet(3, 5);
     let (object, after) = (object(1), object(2));
-    fleet.gates.set((0, 2), Weather::CUT);
+    fleet.gates.set((0, 2), LinkConditions::CUT);
     assert_eq!(fleet.purge(0, &object).unwrap(), 201);
     assert!(fleet.hears(0, &object).unwrap() && fleet.hears(1, &object).unwrap());
-    assert!(fleet.gates.tally((0, 2)).came == 0 && fleet.gates.tally((0, 1)).came > 0);
+    assert!(fleet.gates.counters((0, 2)).came == 0 && fleet.gates.counters((0, 1)).came > 0);
     assert!(!floor(&fleet, 2, &object), "what is behind the cut has no word");
     // The other way is open: what it tells is heard.
     assert_eq!(fleet.purge(2, &after).unwrap(), 201);
@@ -83,7 +89,7 @@
     assert_eq!(fleet.purge(0, &object).unwrap(), 201);
     assert!(fleet.hears(2, &object).unwrap());
     // All three datagrams have reached its socket.
-    until("all three came", || fleet.gates.tally((0, 1)).came >= 3);
+    until("all three came", || fleet.gates.counters((0, 1)).came >= 3);
     fleet.go_on(1).unwrap();
     assert!(fleet.hears(1, &object).unwrap(), "it goes on and has heard");
 }
@@ -111,12 +117,12 @@
 fn with_copies_a_purge_comes_to_a_process_behind_a_one_way_cut_by_way_of_another() {
     let fleet = copying(3, 21);
     let object = object(1);
-    fleet.gates.set((0, 2), Weather::CUT);
+    fleet.gates.set((0, 2), LinkConditions::CUT);
     // What was on its way at the cut may still come. It is all that was sent and not lost by then.
-    let before = fleet.gates.tally((0, 2));
+    let before = fleet.gates.counters((0, 2));
     assert_eq!(fleet.purge(0, &object).unwrap(), 201);
     assert!(fleet.hears(2, &object).unwrap(), "from 0 to 1 to 2");
-    let after = fleet.gates.tally((0, 2));
+    let after = fleet.gates.counters((0, 2));
     assert!(after.came <= before.sent - before.lost, "{after:?}: something has come by the cut link");
     assert!(after.lost > before.lost, "{after:?}: and it was tried");
 }
@@ -128,7 +134,7 @@
     fleet.kill(1).unwrap();
     assert_eq!(fleet.purge(0, &object).unwrap(), 201);
     // The datagrams are sent three times within 80 ms; it comes back when all of them are gone.
-    until("all of them are sent", || fleet.gates.tally((0, 1)).sent >= 4);
+    until("all of them are sent", || fleet.gates.counters((0, 1)).sent >= 4);
     fleet.restart(1, Disk::Kept).unwrap();
     assert!(fleet.hears(1, &object).unwrap());
 }
@@ -157,7 +163,7 @@
 #[test]
 fn with_copies_both_sides_of_a_split_agree_after_it() {
     let mut fleet = copying(5, 24);
-    fleet.gates.split(&[0, 1], Weather::CUT);
+    fleet.gates.split(&[0, 1], LinkConditions::CUT);
     for n in 0..5 {
         assert_eq!(fleet.purge(n, &object(100 + n as u64)).unwrap(), 201);
     }
@@ -168,7 +174,7 @@
     fleet.kill(4).unwrap();
     fleet.restart(4, Disk::Kept).unwrap();
     assert!((0..2).all(|n| !floor(&fleet, n, &object(102))), "nothing passes the split");
-    fleet.gates.split(&[0, 1], Weather::default());
+    fleet.gates.split(&[0, 1], LinkConditions::default());
     until("the sides agree", || (0..5).all(|n| (0..5).all(|o| floor(&fleet, n, &object(100 + o)))));
 }
 
@@ -181,7 +187,7 @@
     }
     agree("each purge is in each store", &fleet);
     // All texts that repeat them have come by then, and were known.
-    let came = |a, b| a == b || fleet.gates.tally((a, b)).came >= 5 * 4;
+    let came = |a, b| a == b || fleet.gates.counters((a, b)).came >= 5 * 4;
     until("all texts came", || (0..4).all(|a| (0..4).all(|b| came(a, b))));
     for n in 0..4 {
         let status = fleet.status(n).unwrap();
@@ -256,7 +262,13 @@
 /// yes was only given once a further machine had it on its disk, so each promise holds.
 #[test]
 fn a_machine_lost_the_moment_after_its_yes_takes_no_promise_along() {
-    let rough = Weather { drop: 0.3, duplicate: 0.3, reorder: 0.3, jitter_ms: 10.0, ..Weather::default() };
+    let rough = LinkConditions {
+        drop: 0.3,
+        duplicate: 0.3,
+        reorder: 0.3,
+        jitter_ms: 10.0,
+        ..LinkConditions::default()
+    };
     let mut fleet = copying(3, 41);
     fleet.gates.set_all(rough);
     let mut promised = Vec::new();
@@ -282,20 +294,20 @@
 #[test]
 fn a_proxy_that_no_further_machine_answers_promises_nothing() {
     let fleet = copying(3, 42);
-    fleet.gates.split(&[0], Weather::CUT);
+    fleet.gates.split(&[0], LinkConditions::CUT);
     assert_eq!(fleet.purge(0, &object(500)).unwrap(), 503);
     assert!(floor(&fleet, 0, &object(500)), "in force here");
     assert_eq!(fleet.purge(1, &object(501)).unwrap(), 201, "the other side has a second machine");
     // One way: the others hear and their word does not come back.
-    fleet.gates.split(&[0], Weather::default());
-    fleet.gates.set((1, 0), Weather::CUT);
-    fleet.gates.set((2, 0), Weather::CUT);
+    fleet.gates.split(&[0], LinkConditions::default());
+    fleet.gates.set((1, 0), LinkConditions::CUT);
+    fleet.gates.set((2, 0), LinkConditions::CUT);
     assert_eq!(fleet.purge(0, &object(502)).unwrap(), 503);
     assert!(fleet.hears(1, &object(502)).unwrap());
     let status = fleet.status(0).unwrap();
     assert_eq!((status.promised, status.refused, status.waiting), (0, 2, 0));
     assert!(status.short > 0, "and they are known to be short of copies");
-    fleet.gates.split(&[0], Weather::default());
+    fleet.gates.split(&[0], LinkConditions::default());
     assert_eq!(fleet.purge(0, &object(503)).unwrap(), 201);
     agree("all agree, none short", &fleet);
     assert!((0..3).all(|n| (500..504).all(|o| floor(&fleet, n, &object(o)))));
@@ -508,16 +520,16 @@
 fn a_cut_link_makes_nobody_dead_and_a_cut_proxy_is() {
     let fleet = copying(5, 61);
     (0..5).for_each(|of| believe(&fleet, &(0..5).filter(|n| *n != of).collect::<Vec<_>>(), of, "alive"));
-    fleet.gates.set((0, 1), Weather::CUT);
-    fleet.gates.set((1, 2), Weather::CUT);
-    fleet.gates.set((2, 1), Weather::CUT);
-    fleet.gates.split(&[4], Weather::CUT);
+    fleet.gates.set((0, 1), LinkConditions::CUT);
+    fleet.gates.set((1, 2), LinkConditions::CUT);
+    fleet.gates.set((2, 1), LinkConditions::CUT);
+    fleet.gates.split(&[4], LinkConditions::CUT);
     believe(&fleet, &[0, 1, 2, 3], 4, "dead");
     believe(&fleet, &[4], 0, "dead");
     for (at, of) in [(0, 1), (1, 0), (1, 2), (2, 1), (3, 1)] {
         assert_ne!(standing(&fleet, at, of), "dead", "p{at} of p{of}");
     }
-    fleet.gates.split(&[4], Weather::default());
+    fleet.gates.split(&[4], LinkConditions::default());
     believe(&fleet, &[0, 1, 2, 3], 4, "alive");
     believe(&fleet, &[4], 0, "alive");
 }
@@ -602,12 +614,12 @@
 fn a_ban_that_no_further_machine_has_is_refused_and_nothing_has_changed() {
     let fleet = copying(3, 71);
     until("it has heard the others", || ready(&fleet, 0));
-    fleet.gates.split(&[0], Weather::CUT);
+    fleet.gates.split(&[0], LinkConditions::CUT);
     assert_eq!(fleet.operate(0, "POST", "/control/pop-caches/s-0a/offline").unwrap(), 503);
     assert_eq!(fleet.operate(0, "POST", "/control/out-of-service").unwrap(), 503);
     assert!(ready(&fleet, 0));
     comes_to_use(&fleet, 0, 0, 1100);
-    fleet.gates.split(&[0], Weather::default());
+    fleet.gates.split(&[0], LinkConditions::default());
     assert_eq!(fleet.operate(0, "POST", "/control/pop-caches/s-0a/offline").unwrap(), 200);
     // The same again is yes only because the first one is kept by now.
     assert_eq!(fleet.operate(0, "POST", "/control/pop-caches/s-0a/offline").unwrap(), 200);
@@ -624,7 +636,7 @@
     assert_eq!(fleet.operate(0, "POST", "/control/pop-caches/s-0a/offline").unwrap(), 200);
     agree("all agree", &fleet);
     fleet.kill(0).unwrap();
-    fleet.gates.split(&[0], Weather::CUT);
+    fleet.gates.split(&[0], LinkConditions::CUT);
     fleet.restart(0, Disk::Kept).unwrap();
     until("with its disk it needs nobody", || ready(&fleet, 0));
     assert!(!uses_box(&fleet, 0, 0, 1300));
@@ -632,12 +644,12 @@
     fleet.restart(0, Disk::Lost).unwrap();
     let begun = Instant::now();
     assert!(!ready(&fleet, 0));
-    fleet.gates.split(&[0], Weather::default());
+    fleet.gates.split(&[0], LinkConditions::default());
     until("it has heard the others", || ready(&fleet, 0));
     assert!(begun.elapsed().as_secs() < 5, "that took no longer than it must");
     assert!(!uses_box(&fleet, 0, 0, 1400));
     fleet.kill(0).unwrap();
-    fleet.gates.split(&[0], Weather::CUT);
+    fleet.gates.split(&[0], LinkConditions::CUT);
     fleet.restart(0, Disk::Lost).unwrap();
     let begun = Instant::now();
     until("it does not wait for ever", || ready(&fleet, 0));
@@ -655,7 +667,13 @@
 #[test]
 fn a_triggers_status_is_told_by_all_and_outlives_the_machine_that_was_told() {
     let mut fleet = copying(3, 80);
-    let rough = Weather { drop: 0.25, duplicate: 0.2, reorder: 0.3, jitter_ms: 5.0, ..Weather::default() };
+    let rough = LinkConditions {
+        drop: 0.25,
+        duplicate: 0.2,
+        reorder: 0.3,
+        jitter_ms: 5.0,
+        ..LinkConditions::default()
+    };
     fleet.gates.set_all(rough);
     let objects: Vec<String> = (2000..2060).map(object).collect();
     let all: Vec<&str> = objects.iter().map(String::as_str).collect();
@@ -711,14 +729,14 @@
 #[test]
 fn a_trigger_that_was_not_promised_is_told_by_nobody() {
     let fleet = copying(3, 82);
-    fleet.gates.split(&[0], Weather::CUT);
+    fleet.gates.split(&[0], LinkConditions::CUT);
     assert_eq!(fleet.purge(0, &object(2200)).unwrap(), 503);
     assert!(fleet.triggers(0).unwrap().is_empty());
     let odd = r#"{"trigger": {"type": "purge", "content.patterns": ["*"]}, "cdn-path": ["AS64501:0"]}"#;
     let cdni = fleet.process(0).unwrap().cdni;
     let failed = || call(cdni, "POST", "/cdni/triggers", odd).unwrap();
     assert_eq!(failed().status, 503, "nobody else could tell what became of it");
-    fleet.gates.split(&[0], Weather::default());
+    fleet.gates.split(&[0], LinkConditions::default());
     let path = status_path(&failed()).expect("it is promised");
     agree("all agree", &fleet);
     for n in 0..3 {
--- a/rehearse/src/lib.rs
+++ b/rehearse/src/lib.rs
@@ -7,8 +7,8 @@
 pub mod bus;
 pub mod clients;
 pub mod fleet;
-pub mod gates;
 pub mod latency;
+pub mod links;
 pub mod load;
 pub mod moments;
 mod play;
@@ -27,6 +27,11 @@
 
 pub use play::{rehearse, settings, Plant};
 
+/// The former names of `links`, which `fleet` and a test of the daemon still use.
+pub mod gates {
+    pub use crate::links::{FaultyLinks as Gates, LinkConditions as Weather};
+}
+
 use linnetknot_daemon::wire::{resp, Parser};
 use std::fmt;
 use std::io::{self, Read};
--- a/rehearse/src/gates/weather.rs
+++ b/rehearse/src/links/conditions.rs
@@ -10,7 +10,7 @@
 /// The state of one direction of a link. The default is a clear one: all passes at once.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize, JsonSchema)]
 #[serde(default, deny_unknown_fields)]
-pub struct Weather {
+pub struct LinkConditions {
     /// Nothing passes, and nobody is told.
     pub cut: bool,
     /// Everything comes later by this, in milliseconds.
@@ -34,9 +34,9 @@
 /// How long a datagram that is held back waits at the least, in microseconds.
 const HELD_US: Micros = 20_000;
 
-impl Weather {
+impl LinkConditions {
     /// A link over which nothing passes.
-    pub const CUT: Weather = Weather {
+    pub const CUT: LinkConditions = LinkConditions {
         cut: true,
         delay_ms: 0.0,
         jitter_ms: 0.0,
@@ -89,16 +89,16 @@
     }
 
     /// After how many microseconds the next datagram comes, for each time that it comes: none where it is lost. As
-    /// many draws are made whatever the weather is, so that a change of weather shifts no later fate.
-    pub fn of(&mut self, weather: &Weather) -> Vec<Micros> {
+    /// many draws are made whatever the conditions are, so that a change of conditions shifts no later fate.
+    pub fn of(&mut self, conditions: &LinkConditions) -> Vec<Micros> {
         let [lost, twice, held, late, later] = std::array::from_fn(|_| self.random.random::<f64>());
-        if weather.cut || lost < weather.drop {
+        if conditions.cut || lost < conditions.drop {
             return Vec::new();
         }
-        let delay = |jitter: f64| ((weather.delay_ms + jitter * weather.jitter_ms) * 1e3) as Micros;
-        let held_back = if held < weather.reorder { HELD_US + delay(1.0) } else { 0 };
+        let delay = |jitter: f64| ((conditions.delay_ms + jitter * conditions.jitter_ms) * 1e3) as Micros;
+        let held_back = if held < conditions.reorder { HELD_US + delay(1.0) } else { 0 };
         let mut comes = vec![delay(late) + held_back];
-        if twice < weather.duplicate {
+        if twice < conditions.duplicate {
             comes.push(delay(later) + held_back);
         }
         comes
@@ -127,22 +127,22 @@
 
 impl Flow {
     /// What may pass of so many bytes that wait.
-    pub fn may(&mut self, now: Micros, weather: &Weather, waiting: usize) -> Pass {
-        if weather.cut || weather.half_open {
+    pub fn may(&mut self, now: Micros, conditions: &LinkConditions, waiting: usize) -> Pass {
+        if conditions.cut || conditions.half_open {
             // Time under a cut earns nothing.
             self.reckoned = None;
             return Pass::Nothing;
         }
         let mut most = waiting as u64;
-        if weather.trickle > 0 {
+        if conditions.trickle > 0 {
             let since = now.saturating_sub(self.reckoned.replace(now).unwrap_or(now));
             // A tenth of a second's worth at most is saved up.
-            let rate = weather.trickle as f64;
+            let rate = conditions.trickle as f64;
             self.allowance = (self.allowance + since as f64 / 1e6 * rate).min((rate / 10.0).max(1.0));
             most = most.min(self.allowance as u64);
         }
-        if weather.reset_after > 0 {
-            let left = weather.reset_after.saturating_sub(self.passed);
+        if conditions.reset_after > 0 {
+            let left = conditions.reset_after.saturating_sub(self.passed);
             if left == 0 {
                 return Pass::Reset;
             }
@@ -168,19 +168,19 @@
     #[test]
     fn a_clear_link_passes_each_datagram_once_and_at_once_and_a_cut_one_none() {
         let mut fate = Fate::new(7, 0, 1);
-        assert!((0..100).all(|_| fate.of(&Weather::default()) == [0]));
-        assert!((0..100).all(|_| fate.of(&Weather::CUT).is_empty()));
+        assert!((0..100).all(|_| fate.of(&LinkConditions::default()) == [0]));
+        assert!((0..100).all(|_| fate.of(&LinkConditions::CUT).is_empty()));
     }
 
     #[test]
     fn losses_doubles_and_delays_come_in_their_shares_and_alike_for_one_seed() {
-        let rough = Weather {
+        let rough = LinkConditions {
             drop: 0.3,
             duplicate: 0.2,
             reorder: 0.1,
             delay_ms: 5.0,
             jitter_ms: 2.0,
-            ..Weather::default()
+            ..LinkConditions::default()
         };
         let all = |seed, to| {
             let mut fate = Fate::new(seed, 0, to);
@@ -200,41 +200,41 @@
     }
 
     #[test]
-    fn a_change_of_weather_shifts_no_later_fate() {
+    fn a_change_of_conditions_shifts_no_later_fate() {
         let (mut a, mut b) = (Fate::new(3, 1, 2), Fate::new(3, 1, 2));
-        let rough = Weather { drop: 0.5, duplicate: 0.5, jitter_ms: 9.0, ..Weather::default() };
+        let rough = LinkConditions { drop: 0.5, duplicate: 0.5, jitter_ms: 9.0, ..LinkConditions::default() };
         for _ in 0..50 {
             a.of(&rough);
-            b.of(&Weather::CUT);
+            b.of(&LinkConditions::CUT);
         }
         assert!((0..50).all(|_| a.of(&rough) == b.of(&rough)));
     }
 
     #[test]
     fn a_stream_trickles_breaks_in_the_midst_and_stands_still_while_cut() {
-        let slow = Weather { trickle: 1000, ..Weather::default() };
+        let slow = LinkConditions { trickle: 1000, ..LinkConditions::default() };
         let mut flow = Flow::default();
         assert_eq!(flow.may(0, &slow, 500), Pass::Nothing, "nothing is earned yet");
         assert_eq!(flow.may(50_000, &slow, 500), Pass::Bytes(50));
         flow.passed(50);
         assert_eq!(flow.may(50_000, &slow, 500), Pass::Nothing);
         assert_eq!(flow.may(5_000_000, &slow, 500), Pass::Bytes(100), "not all of an idle time at once");
-        assert_eq!(flow.may(5_000_000, &Weather::CUT, 500), Pass::Nothing);
-        assert_eq!(flow.may(9_000_000, &Weather::default(), 500), Pass::Bytes(500));
-        let breaks = Weather { reset_after: 70, ..Weather::default() };
+        assert_eq!(flow.may(5_000_000, &LinkConditions::CUT, 500), Pass::Nothing);
+        assert_eq!(flow.may(9_000_000, &LinkConditions::default(), 500), Pass::Bytes(500));
+        let breaks = LinkConditions { reset_after: 70, ..LinkConditions::default() };
         assert_eq!(flow.may(9_000_000, &breaks, 500), Pass::Bytes(20), "50 have passed");
         flow.passed(20);
         assert_eq!(flow.may(9_000_000, &breaks, 1), Pass::Reset);
-        let deaf = Weather { half_open: true, ..Weather::default() };
+        let deaf = LinkConditions { half_open: true, ..LinkConditions::default() };
         assert_eq!(Flow::default().may(0, &deaf, 9), Pass::Nothing);
     }
 
     #[test]
     fn what_can_not_be_is_told_by_its_key() {
-        let bad = Weather { drop: 1.5, ..Weather::default() };
+        let bad = LinkConditions { drop: 1.5, ..LinkConditions::default() };
         assert_eq!(bad.check(), Err("drop: 1.5 is not from 0 to 1".into()));
-        let bad = Weather { delay_ms: f64::NAN, ..Weather::default() };
+        let bad = LinkConditions { delay_ms: f64::NAN, ..LinkConditions::default() };
         assert!(bad.check().unwrap_err().starts_with("delay_ms"));
-        assert_eq!(Weather::CUT.check(), Ok(()));
+        assert_eq!(LinkConditions::CUT.check(), Ok(()));
     }
 }
--- a/rehearse/src/gates/mod.rs
+++ b/rehearse/src/links/mod.rs
@@ -1,14 +1,15 @@
-//! Gates between proxies: all that two of them say to each other passes through one, which loses, delays, doubles,
-//! holds back, trickles or breaks it as its weather says. `weather` decides; here are sockets and threads.
+//! Fault-injecting links between proxies: all that two of them send each other passes through one, which loses,
+//! delays, doubles, holds back, trickles or breaks it by its conditions. `conditions` decides; here are sockets and
+//! threads.
 //!
-//! Proxies take datagrams only from the addresses of their peers. So a gate has a socket that faces each of its two
+//! Proxies take datagrams only from the addresses of their peers. So a link has a socket that faces each of its two
 //! proxies: what the one sends to the socket that faces it comes to the other from the socket that faces that one.
 
+mod conditions;
 mod stream;
-mod weather;
 
-pub use stream::StreamGate;
-pub use weather::{Fate, Flow, Pass, Weather};
+pub use conditions::{Fate, Flow, LinkConditions, Pass};
+pub use stream::FaultyStream;
 
 use crate::record::Micros;
 use crate::stand_ins::served::unix_us;
@@ -27,7 +28,7 @@
 
 /// What passed over one direction.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Tally {
+pub struct Counters {
     /// Datagrams that were sent.
     pub sent: u64,
     /// Datagrams that came, doubles with them.
@@ -38,15 +39,15 @@
 
 #[derive(Default)]
 struct State {
-    weather: BTreeMap<Direction, Weather>,
-    tally: BTreeMap<Direction, Tally>,
+    conditions: BTreeMap<Direction, LinkConditions>,
+    counters: BTreeMap<Direction, Counters>,
 }
 
 /// A datagram on its way: when it comes, its place in the order, its way and its bytes.
 type OnItsWay = (Micros, u64, Direction, Vec<u8>);
 
-/// The gates between all proxies of a play.
-pub struct Gates {
+/// The links between all proxies of a play.
+pub struct FaultyLinks {
     state: Arc<Mutex<State>>,
     /// The address at which the first proxy of a direction reaches the second.
     addresses: BTreeMap<Direction, SocketAddr>,
@@ -63,8 +64,8 @@
     state.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
-impl Gates {
-    /// Gates between proxies that listen for datagrams at these addresses.
+impl FaultyLinks {
+    /// FaultyLinks between proxies that listen for datagrams at these addresses.
     pub fn between(proxies: &[SocketAddr], seed: u64) -> io::Result<Self> {
         let state = Arc::new(Mutex::new(State::default()));
         let over = Arc::new(AtomicBool::new(false));
@@ -97,11 +98,11 @@
                 // It comes from the socket that faces the receiver and stands for the sender.
                 let (from, to) = direction;
                 if sockets[&(to, from)].send_to(bytes, proxies[to]).is_ok() {
-                    lock(&counted).tally.entry(direction).or_default().came += 1;
+                    lock(&counted).counters.entry(direction).or_default().came += 1;
                 }
             })
         }));
-        Ok(Gates { state, addresses, over, threads })
+        Ok(FaultyLinks { state, addresses, over, threads })
     }
 
     /// Where the first proxy of a direction reaches the second: an entry of its `peers`.
@@ -114,32 +115,32 @@
         self.addresses.keys().copied()
     }
 
-    /// Sets the weather of one direction, for what is sent from now on.
-    pub fn set(&self, direction: Direction, weather: Weather) {
-        lock(&self.state).weather.insert(direction, weather);
+    /// Sets the conditions of one direction, for what is sent from now on.
+    pub fn set(&self, direction: Direction, conditions: LinkConditions) {
+        lock(&self.state).conditions.insert(direction, conditions);
     }
 
-    /// The same weather between all.
-    pub fn set_all(&self, weather: Weather) {
-        self.addresses.keys().for_each(|direction| self.set(*direction, weather));
+    /// The same conditions between all.
+    pub fn set_all(&self, conditions: LinkConditions) {
+        self.addresses.keys().for_each(|direction| self.set(*direction, conditions));
     }
 
     /// Splits the proxies in two: nothing passes between those of one side and all others, until they are joined.
-    pub fn split(&self, side: &[usize], weather: Weather) {
+    pub fn split(&self, side: &[usize], conditions: LinkConditions) {
         for (a, b) in self.addresses.keys() {
             if side.contains(a) != side.contains(b) {
-                self.set((*a, *b), weather);
+                self.set((*a, *b), conditions);
             }
         }
     }
 
     /// What passed over a direction so far.
-    pub fn tally(&self, direction: Direction) -> Tally {
-        lock(&self.state).tally.get(&direction).copied().unwrap_or_default()
+    pub fn counters(&self, direction: Direction) -> Counters {
+        lock(&self.state).counters.get(&direction).copied().unwrap_or_default()
     }
 }
 
-impl Drop for Gates {
+impl Drop for FaultyLinks {
     fn drop(&mut self) {
         self.over.store(true, Ordering::Relaxed);
         for thread in self.threads.drain(..) {
@@ -168,11 +169,11 @@
         let now = unix_us();
         let comes = {
             let mut state = lock(state);
-            let weather = state.weather.get(&direction).copied().unwrap_or_default();
-            let comes = fate.of(&weather);
-            let tally = state.tally.entry(direction).or_default();
-            tally.sent += 1;
-            tally.lost += u64::from(comes.is_empty());
+            let conditions = state.conditions.get(&direction).copied().unwrap_or_default();
+            let comes = fate.of(&conditions);
+            let counters = state.counters.entry(direction).or_default();
+            counters.sent += 1;
+            counters.lost += u64::from(comes.is_empty());
             comes
         };
         for after in comes {
--- a/rehearse/src/gates/stream.rs
+++ b/rehearse/src/links/stream.rs
@@ -1,6 +1,6 @@
-//! A gate for streams: connections to its address go on to another, each direction by its own weather.
+//! A link for streams: connections to its address go on to another, each direction by its own conditions.
 
-use super::weather::{Flow, Pass, Weather};
+use super::conditions::{Flow, LinkConditions, Pass};
 use crate::stand_ins::served::unix_us;
 use rustix::net::sockopt;
 use std::io::{self, Read, Write};
@@ -14,29 +14,29 @@
 const LOOK: Duration = Duration::from_millis(2);
 const CHUNK: usize = 16 << 10;
 
-/// Weather there and back.
+/// LinkConditions there and back.
 #[derive(Clone, Copy, Debug, Default)]
 struct Both {
-    there: Weather,
-    back: Weather,
+    there: LinkConditions,
+    back: LinkConditions,
 }
 
-/// A gate in front of an address.
-pub struct StreamGate {
+/// A link in front of an address.
+pub struct FaultyStream {
     /// Where to connect in place of the address behind it.
     pub address: SocketAddr,
-    weather: Arc<Mutex<Both>>,
+    conditions: Arc<Mutex<Both>>,
     over: Arc<AtomicBool>,
 }
 
-impl StreamGate {
-    /// A clear gate in front of an address.
+impl FaultyStream {
+    /// A clear link in front of an address.
     pub fn to(behind: SocketAddr) -> io::Result<Self> {
         let listener = TcpListener::bind("127.0.0.1:0")?;
         let address = listener.local_addr()?;
-        let weather = Arc::new(Mutex::new(Both::default()));
+        let conditions = Arc::new(Mutex::new(Both::default()));
         let over = Arc::new(AtomicBool::new(false));
-        let (shared, ended) = (weather.clone(), over.clone());
+        let (shared, ended) = (conditions.clone(), over.clone());
         thread::spawn(move || {
             for near in listener.incoming().flatten() {
                 if ended.load(Ordering::Relaxed) {
@@ -46,21 +46,21 @@
                 thread::spawn(move || join(near, behind, &shared, &ended));
             }
         });
-        Ok(StreamGate { address, weather, over })
+        Ok(FaultyStream { address, conditions, over })
     }
 
-    /// Sets the weather from who connects to who is behind, for all connections.
-    pub fn there(&self, weather: Weather) {
-        self.weather.lock().unwrap_or_else(PoisonError::into_inner).there = weather;
+    /// Sets the conditions from who connects to who is behind, for all connections.
+    pub fn there(&self, conditions: LinkConditions) {
+        self.conditions.lock().unwrap_or_else(PoisonError::into_inner).there = conditions;
     }
 
-    /// Sets the weather from who is behind to who connects, for all connections.
-    pub fn back(&self, weather: Weather) {
-        self.weather.lock().unwrap_or_else(PoisonError::into_inner).back = weather;
+    /// Sets the conditions from who is behind to who connects, for all connections.
+    pub fn back(&self, conditions: LinkConditions) {
+        self.conditions.lock().unwrap_or_else(PoisonError::into_inner).back = conditions;
     }
 }
 
-impl Drop for StreamGate {
+impl Drop for FaultyStream {
     fn drop(&mut self) {
         self.over.store(true, Ordering::Relaxed);
         // Wakes the listener, so that it ends too.
@@ -72,10 +72,10 @@
 fn join(
     near: TcpStream,
     behind: SocketAddr,
-    weather: &Arc<Mutex<Both>>,
+    conditions: &Arc<Mutex<Both>>,
     over: &Arc<AtomicBool>,
 ) -> Option<()> {
-    let now = || *weather.lock().unwrap_or_else(PoisonError::into_inner);
+    let now = || *conditions.lock().unwrap_or_else(PoisonError::into_inner);
     // Whoever is half-open takes connections and does nothing with them; over a cut link they never come up.
     while now().there.half_open || now().there.cut {
         if over.load(Ordering::Relaxed) {
@@ -85,7 +85,7 @@
     }
     let far = TcpStream::connect(behind).ok()?;
     let (near_in, far_in) = (near.try_clone().ok()?, far.try_clone().ok()?);
-    let (shared, ended) = (weather.clone(), over.clone());
+    let (shared, ended) = (conditions.clone(), over.clone());
     thread::spawn(move || {
         let now = || shared.lock().unwrap_or_else(PoisonError::into_inner).back;
         pump(far_in, near_in, now, &ended);
@@ -101,12 +101,12 @@
 }
 
 /// Passes what comes on until one side ends it.
-fn pump(mut from: TcpStream, mut to: TcpStream, weather: impl Fn() -> Weather, over: &AtomicBool) {
+fn pump(mut from: TcpStream, mut to: TcpStream, conditions: impl Fn() -> LinkConditions, over: &AtomicBool) {
     let mut flow = Flow::default();
     let mut bytes = vec![0; CHUNK];
     let _ = from.set_read_timeout(Some(Duration::from_millis(50)));
     while !over.load(Ordering::Relaxed) {
-        let now = weather();
+        let now = conditions();
         // Asked before it is read: what stands still here fills the sender's window, as on a real link.
         let most = match flow.may(unix_us(), &now, CHUNK) {
             Pass::Bytes(n) => n,
@@ -148,10 +148,10 @@
 mod tests {
     use super::*;
 
-    /// A gate in front of a server that sends everything back, and a connection through it.
-    fn through() -> (StreamGate, TcpStream) {
+    /// A link in front of a server that sends everything back, and a connection through it.
+    fn through() -> (FaultyStream, TcpStream) {
         let server = TcpListener::bind("127.0.0.1:0").unwrap();
-        let gate = StreamGate::to(server.local_addr().unwrap()).unwrap();
+        let link = FaultyStream::to(server.local_addr().unwrap()).unwrap();
         thread::spawn(move || {
             for mut socket in server.incoming().flatten() {
                 thread::spawn(move || {
@@ -160,9 +160,9 @@
                 });
             }
         });
-        let near = TcpStream::connect(gate.address).unwrap();
+        let near = TcpStream::connect(link.address).unwrap();
         near.set_read_timeout(Some(Duration::from_secs(10))).unwrap();
-        (gate, near)
+        (link, near)
     }
 
     fn echo(near: &mut TcpStream, text: &[u8]) -> io::Result<Vec<u8>> {
@@ -172,7 +172,7 @@
     }
 
     #[test]
-    fn a_clear_gate_passes_all_both_ways_and_tells_the_end() {
+    fn a_clear_link_passes_all_both_ways_and_tells_the_end() {
         let (_gate, mut near) = through();
         let text = vec![7; 200_000];
         let mut other = near.try_clone().unwrap();
@@ -187,15 +187,15 @@
 
     #[test]
     fn over_a_cut_nothing_comes_and_all_of_it_once_that_is_over() {
-        let (gate, mut near) = through();
+        let (link, mut near) = through();
         assert_eq!(echo(&mut near, b"clear").unwrap(), b"clear");
-        gate.back(Weather::CUT);
+        link.back(LinkConditions::CUT);
         near.set_read_timeout(Some(Duration::from_millis(200))).unwrap();
-        // What the gate was reading when it was cut may still pass; the next does not.
+        // What the link was reading when it was cut may still pass; the next does not.
         let _ = echo(&mut near, b"a");
         let lost = echo(&mut near, b"b").unwrap_err().kind();
         assert!(matches!(lost, io::ErrorKind::WouldBlock | io::ErrorKind::TimedOut), "{lost}");
-        gate.back(Weather::default());
+        link.back(LinkConditions::default());
         near.set_read_timeout(Some(Duration::from_secs(10))).unwrap();
         let mut got = [0];
         while got != *b"b" {
@@ -205,8 +205,8 @@
 
     #[test]
     fn a_reset_comes_in_the_midst_of_a_frame() {
-        let (gate, mut near) = through();
-        gate.there(Weather { reset_after: 10, ..Weather::default() });
+        let (link, mut near) = through();
+        link.there(LinkConditions { reset_after: 10, ..LinkConditions::default() });
         let mut got = Vec::new();
         near.write_all(b"twelve bytes").unwrap();
         let end = near.read_to_end(&mut got).map_err(|e| e.kind());
@@ -218,10 +218,10 @@
     }
 
     #[test]
-    fn a_half_open_gate_takes_a_connection_and_says_nothing() {
-        let (gate, _) = through();
-        gate.there(Weather { half_open: true, ..Weather::default() });
-        let mut near = TcpStream::connect(gate.address).unwrap();
+    fn a_half_open_link_takes_a_connection_and_says_nothing() {
+        let (link, _) = through();
+        link.there(LinkConditions { half_open: true, ..LinkConditions::default() });
+        let mut near = TcpStream::connect(link.address).unwrap();
         near.set_read_timeout(Some(Duration::from_millis(200))).unwrap();
         let silent = echo(&mut near, b"hello").unwrap_err().kind();
         assert!(matches!(silent, io::ErrorKind::WouldBlock | io::ErrorKind::TimedOut), "{silent}");
--- a/rehearse/src/moments/mod.rs
+++ b/rehearse/src/moments/mod.rs
@@ -8,7 +8,7 @@
 
 use crate::clients::becomes;
 use crate::fleet::{status_path, Disk, Fleet, Setup};
-use crate::gates::Weather;
+use crate::links::LinkConditions;
 use crate::rules::promises::{judge, Answer, Held, Promises, Told};
 use crate::rules::Breach;
 use std::collections::BTreeSet;
@@ -92,7 +92,7 @@
     pub moment: usize,
     /// How the one it happens to comes back.
     pub disk: Disk,
-    /// For the weather, who is who, and what the gates draw.
+    /// For the conditions, who is who, and what the links draw.
     pub seed: u64,
 }
 
@@ -165,12 +165,18 @@
     }
 }
 
-/// The weather of a play: calm, rough or slow.
-fn weather(seed: u64) -> Weather {
+/// The conditions of a play: calm, rough or slow.
+fn conditions(seed: u64) -> LinkConditions {
     match seed % 3 {
-        0 => Weather::default(),
-        1 => Weather { drop: 0.2, duplicate: 0.2, reorder: 0.2, jitter_ms: 5.0, ..Weather::default() },
-        _ => Weather { delay_ms: 10.0, jitter_ms: 20.0, ..Weather::default() },
+        0 => LinkConditions::default(),
+        1 => LinkConditions {
+            drop: 0.2,
+            duplicate: 0.2,
+            reorder: 0.2,
+            jitter_ms: 5.0,
+            ..LinkConditions::default()
+        },
+        _ => LinkConditions { delay_ms: 10.0, jitter_ms: 20.0, ..LinkConditions::default() },
     }
 }
 
@@ -188,11 +194,12 @@
     let fleet = Fleet::with(setup)?;
     let record = Promises { within_us: WITHIN_US, late_us: LATE_US, ..Promises::default() };
     let mut play = Play { fleet, begun: Instant::now(), record, objects: 0 };
-    play.fleet.gates.set_all(weather(case.seed));
+    play.fleet.gates.set_all(conditions(case.seed));
     for proxy in 0..PROXIES {
         play.tell(proxy, false);
     }
-    let cast = Cast { writer, holder, points, is_planted: !planted.is_empty(), weather: weather(case.seed) };
+    let cast =
+        Cast { writer, holder, points, is_planted: !planted.is_empty(), conditions: conditions(case.seed) };
     let victim = play.break_at(moment, &cast)?;
     play.fleet.kill(victim)?;
     if moment != Moment::Successor {
@@ -214,7 +221,7 @@
     points: &'static str,
     /// Whether a fault is planted in all daemons.
     is_planted: bool,
-    weather: Weather,
+    conditions: LinkConditions,
 }
 
 impl Play {
@@ -235,7 +242,7 @@
                 Ok(writer)
             }
             Moment::WriterCut => {
-                self.fleet.gates.split(&[writer], Weather::CUT);
+                self.fleet.gates.split(&[writer], LinkConditions::CUT);
                 self.tell(writer, false);
                 Ok(writer)
             }
@@ -288,9 +295,9 @@
     /// The holder is cut off for one promise and joined for the next.
     fn holder_is_cut(&mut self, cast: &Cast) -> io::Result<()> {
         self.agree(AGREE)?;
-        self.fleet.gates.split(&[cast.holder], Weather::CUT);
+        self.fleet.gates.split(&[cast.holder], LinkConditions::CUT);
         self.tell(cast.writer, false);
-        self.fleet.gates.split(&[cast.holder], cast.weather);
+        self.fleet.gates.split(&[cast.holder], cast.conditions);
         self.tell(cast.writer, false);
         Ok(())
     }
@@ -313,7 +320,7 @@
     fn recover(&mut self, victim: usize, cast: &Cast, disk: Disk) -> io::Result<()> {
         let other = (0..PROXIES).find(|proxy| *proxy != victim).unwrap_or_default();
         self.tell(other, false);
-        self.fleet.gates.split(&[cast.writer], cast.weather);
+        self.fleet.gates.split(&[cast.writer], cast.conditions);
         self.fleet.restart(victim, disk)
     }
 
--- a/rehearse/src/player/load_generator.rs
+++ b/rehearse/src/player/load_generator.rs
@@ -261,7 +261,9 @@
                 self.connections[proxy].clear();
             }
             Step::Thaw(proxy) => self.proxies.thaw(proxy)?,
-            Step::Links(ref proxies, weather, one_way) => self.proxies.set_links(proxies, weather, one_way),
+            Step::Links(ref proxies, conditions, one_way) => {
+                self.proxies.set_links(proxies, conditions, one_way)
+            }
             Step::Kill(proxy) => {
                 self.proxies.kill(proxy)?;
                 // What was open there is owed no more: the rehearsal ended it.
--- a/rehearse/src/player/proxies.rs
+++ b/rehearse/src/player/proxies.rs
@@ -2,7 +2,7 @@
 
 use super::environment::Environment;
 use crate::fleet::free_ports;
-use crate::gates::{Gates, Weather};
+use crate::links::{FaultyLinks, LinkConditions};
 use crate::process::Process;
 use crate::scenario::Scenario;
 use rustix::process::Signal;
@@ -42,7 +42,7 @@
     /// Those that stand still: they run, and nobody goes to them.
     frozen: Vec<bool>,
     /// What stands between those that have peers.
-    gates: Option<Gates>,
+    links: Option<FaultyLinks>,
     /// Told to end; a restart waits for the end.
     ending: Vec<Option<Process>>,
     configs: Vec<Value>,
@@ -62,15 +62,15 @@
     ) -> io::Result<Self> {
         let count = scenario.proxies as usize;
         let ports = if scenario.peers { free_ports(count)? } else { Vec::new() };
-        let gates = scenario.peers.then(|| Gates::between(&ports, seed)).transpose()?;
+        let links = scenario.peers.then(|| FaultyLinks::between(&ports, seed)).transpose()?;
         // Nothing else of the operators' own file: a rehearsal is of the platform's side.
         let own_file = if scenario.peers { json!({"peers": {"tell": true}}) } else { json!({}) };
         let launcher = Launcher { daemon: daemon.to_owned(), folder: folder.to_owned(), own_file };
         let (mut running, mut configs) = (Vec::new(), Vec::new());
         for proxy in 0..count {
             let mut config = environment.proxy_config(proxy, seed);
-            if let Some(gates) = &gates {
-                add_peers(&mut config, proxy, &ports, gates);
+            if let Some(links) = &links {
+                add_peers(&mut config, proxy, &ports, links);
             }
             running.push(Some(launcher.start(proxy, &config)?));
             configs.push(config);
@@ -80,7 +80,7 @@
             fronts: running.iter().flatten().map(|p| p.front).collect(),
             running,
             frozen: vec![false; count],
-            gates,
+            links,
             ending: (0..count).map(|_| None).collect(),
             configs,
             launcher,
@@ -159,22 +159,22 @@
         Ok(Some(proxy))
     }
 
-    /// Sets the weather of the links between these proxies and all others; only away from them where it is one way.
-    pub(super) fn set_links(&self, proxies: &[usize], weather: Weather, one_way: bool) {
-        let Some(gates) = &self.gates else { return };
-        for (from, to) in gates.directions() {
+    /// Sets the conditions of the links between these proxies and all others; only away from them where it is one way.
+    pub(super) fn set_links(&self, proxies: &[usize], conditions: LinkConditions, one_way: bool) {
+        let Some(links) = &self.links else { return };
+        for (from, to) in links.directions() {
             let sends = proxies.contains(&from) && !proxies.contains(&to);
             let receives = proxies.contains(&to) && !proxies.contains(&from);
             if sends || receives && !one_way {
-                gates.set((from, to), weather);
+                links.set((from, to), conditions);
             }
         }
     }
 }
 
 /// Adds a proxy's own port and its peers, each at the address at which it reaches them, to its configuration.
-fn add_peers(config: &mut Value, proxy: usize, ports: &[SocketAddr], gates: &Gates) {
-    let peer = |p: usize| gates.address((proxy, p)).unwrap_or(ports[proxy]).to_string();
+fn add_peers(config: &mut Value, proxy: usize, ports: &[SocketAddr], links: &FaultyLinks) {
+    let peer = |p: usize| links.address((proxy, p)).unwrap_or(ports[proxy]).to_string();
     config["peer_listen"] = ports[proxy].to_string().into();
     config["peers"] = (0..ports.len()).map(peer).collect();
 }
--- a/rehearse/src/scenario/check.rs
+++ b/rehearse/src/scenario/check.rs
@@ -1,7 +1,7 @@
 //! What a scenario's values may be. Every message names the key at fault by its path.
 
 use super::{ClassLoad, Fault, NodeForm, Scenario, SiteForm, What};
-use crate::gates::Weather;
+use crate::links::LinkConditions;
 
 /// The most proxies of a scenario, and the most boxes of each.
 const MAX_PROXIES: f64 = 64.0;
@@ -138,8 +138,8 @@
                 }
                 self.check_proxies(*proxies, *first)
             }
-            What::Links { proxies, first, weather, .. } => {
-                self.check_links(*proxies, weather)?;
+            What::Links { proxies, first, conditions, .. } => {
+                self.check_links(*proxies, conditions)?;
                 self.check_proxies(*proxies, *first)
             }
             What::HotObject { class, share } => self.check_hot_object(class, *share),
@@ -158,13 +158,13 @@
         within(self.key("what.proxies"), f64::from(proxies), 1.0, all - f64::from(first))
     }
 
-    fn check_links(&self, proxies: u32, weather: &Weather) -> Result<(), String> {
+    fn check_links(&self, proxies: u32, conditions: &LinkConditions) -> Result<(), String> {
         let key = self.key("what.links.weather");
-        weather.check().map_err(|e| format!("{key}.{e}"))?;
+        conditions.check().map_err(|e| format!("{key}.{e}"))?;
         if !self.scenario.peers {
             return Err(format!("{}: the proxies have no links: 'peers' is off", self.key("what.links")));
         }
-        if let Some(stream) = weather.of_streams() {
+        if let Some(stream) = conditions.of_streams() {
             return Err(format!("{key}.{stream}: the proxies send each other datagrams, no streams"));
         }
         if proxies >= self.scenario.proxies {
--- a/rehearse/src/scenario/mod.rs
+++ b/rehearse/src/scenario/mod.rs
@@ -2,7 +2,7 @@
 
 mod check;
 
-use crate::gates::Weather;
+use crate::links::LinkConditions;
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
 
@@ -23,7 +23,7 @@
     /// The boxes, hub caches and origin behind the proxies; the figures of a small site where left out.
     #[serde(default)]
     pub site: SiteForm,
-    /// The proxies talk to each other, as peers on the platform do, each pair through a gate of the kit's own.
+    /// The proxies talk to each other, as peers on the platform do, each pair through a fault-injecting link of the kit's own.
     #[serde(default)]
     pub peers: bool,
     /// What goes wrong, and when.
@@ -252,7 +252,7 @@
         #[serde(default)]
         first: u32,
     },
-    /// The links between these proxies and all others have this weather for as long as the fault lasts; needs
+    /// The links between these proxies and all others have these conditions for as long as the fault lasts; needs
     /// `peers`.
     Links {
         /// How many.
@@ -261,7 +261,9 @@
         #[serde(default)]
         first: u32,
         /// What the links do.
-        weather: Weather,
+        // Scenarios call the conditions `weather`.
+        #[serde(rename = "weather")]
+        conditions: LinkConditions,
         /// Only what these proxies send, not what is sent to them.
         #[serde(default)]
         one_way: bool,
--- a/rehearse/src/timetable.rs
+++ b/rehearse/src/timetable.rs
@@ -3,7 +3,7 @@
 //! Sans-IO: the player carries each step out on the served world and the event buses. Steps come in the order of
 //! their time; of two at one time, in the order of the faults that make them.
 
-use crate::gates::Weather;
+use crate::links::LinkConditions;
 use crate::record::Micros;
 use crate::scenario::{Scenario, What};
 
@@ -32,9 +32,9 @@
     Freeze(usize),
     /// It goes on.
     Thaw(usize),
-    /// The links of these proxies with all others have this weather from now on; only those away from them where
+    /// The links of these proxies with all others have these conditions from now on; only those away from them where
     /// it is one way.
-    Links(Vec<usize>, Weather, bool),
+    Links(Vec<usize>, LinkConditions, bool),
 }
 
 /// The uid of the box at this place; the player names boxes so.
@@ -80,10 +80,12 @@
                     steps.extend(end.map(|end| (end, Step::Thaw(n))));
                 }
             }
-            What::Links { proxies, first, weather, one_way } => {
+            What::Links { proxies, first, conditions, one_way } => {
                 let which: Vec<usize> = (*first..first + proxies).map(|n| n as usize).collect();
-                steps.extend(end.map(|end| (end, Step::Links(which.clone(), Weather::default(), *one_way))));
-                steps.push((at, Step::Links(which, *weather, *one_way)));
+                steps.extend(
+                    end.map(|end| (end, Step::Links(which.clone(), LinkConditions::default(), *one_way))),
+                );
+                steps.push((at, Step::Links(which, *conditions, *one_way)));
             }
             What::MassPurge { .. } | What::HotObject { .. } => {}
         }
@@ -115,7 +117,11 @@
             fault(16.0, 2.0, What::ProxyKilled { proxies: 2, first: 1 }),
             fault(17.0, 0.0, What::ProxyStopped { proxies: 1, first: 0 }),
             fault(20.0, 2.0, What::ProxyStalled { proxies: 1, first: 2 }),
-            fault(21.0, 3.0, What::Links { proxies: 1, first: 0, weather: Weather::CUT, one_way: true }),
+            fault(
+                21.0,
+                3.0,
+                What::Links { proxies: 1, first: 0, conditions: LinkConditions::CUT, one_way: true },
+            ),
         ]);
         let steps = timetable(&scenario);
         let (a, b) = (box_uid(0), box_uid(1));
@@ -137,9 +143,9 @@
                 (18_000_000, Step::Restart(1)),
                 (18_000_000, Step::Restart(2)),
                 (20_000_000, Step::Freeze(2)),
-                (21_000_000, Step::Links(vec![0], Weather::CUT, true)),
+                (21_000_000, Step::Links(vec![0], LinkConditions::CUT, true)),
                 (22_000_000, Step::Thaw(2)),
-                (24_000_000, Step::Links(vec![0], Weather::default(), true)),
+                (24_000_000, Step::Links(vec![0], LinkConditions::default(), true)),
             ]
         );
         assert_eq!(timetable(&with(vec![])), []);
