Keep an ack that waits for the disk when a peer's machine becomes known

A log of each entry, sync and list of machines showed an entry that came at 993.9, the member's names (know_machines) at 995.3 and its sync at 1000.7 ms: no ack went out. Ruled out: lost datagrams and the plain purges themselves.

Cause: Replica::peers cleared pending_acks at each call, also where only a machine's name had become known. The writer asked again 50 ms later, so that a commit took that much longer.

Change: acks are dropped only for places that the new list no longer has; one that reaches another peer is still true.

--- a/replication/src/lib.rs
+++ b/replication/src/lib.rs
@@ -262,8 +262,11 @@
     /// Whose machine is which: this proxy's own and those of its peers, by whose indexes in this list they are known
     /// from here on.
     pub fn peers(&mut self, own: Machine, peers: Vec<Machine>) {
+        let count = peers.len();
         self.pending.peers(own, peers);
-        self.pending_acks.clear();
+        // An ack is true whoever is told it. Dropped where a peer's machine becomes known between an entry and its sync,
+        // the writer would have to ask for it.
+        self.pending_acks.retain(|(_, peer), _| *peer < count);
     }
 
     /// A new entry of its own log. It is for the caller to put it on the disk and to send it to all peers at once;
--- a/replication/tests/fleet.rs
+++ b/replication/tests/fleet.rs
@@ -523,6 +523,23 @@
     assert_eq!(replica.under_replicated(), 0);
 }
 
+/// A member's name and machine become known at any moment, also between an entry and its sync.
+#[test]
+fn an_ack_that_waits_for_the_disk_outlives_news_of_the_peers_machines() {
+    let mut replica = Replica::new((1, 7), LogStore::default(), 1, Options::default());
+    replica.peers(10, vec![20, 30]);
+    let entry = Entry { log: (2, 9), index: 1, prev: 0, subject: object(1), at: 1, revoked: false };
+    replica.receive(1, Datagram::Entry(entry));
+    replica.peers(10, vec![20, 31]);
+    let ack = Datagram::Ack { process: 1, positions: vec![((2, 9), 1)] };
+    assert_eq!(replica.synced((2, 9), 1), [(1, ack)]);
+    // One whose peer is no longer in the list has nobody to go to.
+    let entry = Entry { log: (2, 9), index: 2, prev: 1, subject: object(2), at: 1, revoked: false };
+    replica.receive(1, Datagram::Entry(entry));
+    replica.peers(10, vec![20]);
+    assert_eq!(replica.synced((2, 9), 2), []);
+}
+
 /// The disk fails at the n-th write: that commit is refused at once, none behind it is given until it is there.
 #[test]
 fn what_the_disk_did_not_take_is_refused_and_given_to_it_again() {
