Send and write plain purges only where a peer does not replicate logs

A proxy that missed an entry wrote the plain datagram behind it (purge_heard, Ledger::tell) into its own log and sent that entry to nobody; its next entry was out of order everywhere, and each proxy that got its plain datagram then wrote that purge as well, as the reorder buffer is not looked at. From then on every purge stood in every log. Ruled out: the replication core alone does not do so (no plain datagrams: none rejected).

Change: a peer that membership knows to run replicates; it is sent no plain purges, which were three of four datagrams of each purge, and one that comes from it is in force and not written. A sender that was not met yet is pinged, and its purge written only if it does not answer within a second (daemon/src/daemon/plain_purges.rs). Peers are found by address in one step (peer_index.rs) in place of two searches through the list for each datagram.

--- a/daemon/src/daemon/feeds/peers.rs
+++ b/daemon/src/daemon/feeds/peers.rs
@@ -11,31 +11,30 @@
 impl Daemon {
     pub(in crate::daemon) fn hear_peers(&mut self, now: Micros) {
         let mut bytes = [0; peers::MAX_DATAGRAM_BYTES + 1];
-        while let Some((socket, known)) = &self.peers {
+        while let Some((socket, _)) = &self.peers {
             let (length, from) = match socket.recv_from(&mut bytes) {
                 Ok(received) => received,
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => return,
                 Err(_) => continue,
             };
             // What does not come from a peer is not listened to.
-            if !known.contains(&from) {
+            let Some(peer) = self.peer_index.find(&from) else {
                 self.dropped.0 += 1;
                 continue;
-            }
+            };
             let bytes = &bytes[..length];
-            let place = self.config.copies.machines.iter().position(|(peer, _)| *peer == from);
             let heard = |p| {
                 self.hear_member(now, p, bytes)
                     || self.hear_budgets(now, p, bytes)
                     || self.hear_copies(now, p, bytes)
             };
-            if place.is_some_and(heard) {
+            if peer.place.is_some_and(heard) {
                 continue;
             }
             if self.origin_health.as_mut().is_some_and(|h| h.receive(now, from, bytes)) {
                 self.heed(now);
             } else if let Some((object, group, at)) = peers::read(bytes) {
-                self.purge_heard(now, object, group, at);
+                self.receive_plain_purge(now, peer.place, object, group, at);
             } else {
                 self.dropped.1 += 1;
             }
@@ -117,13 +116,13 @@
     }
 
     /// The peers besides this proxy itself.
-    fn other_peers(&self) -> Vec<SocketAddr> {
+    pub(in crate::daemon) fn other_peers(&self) -> Vec<SocketAddr> {
         let Some((socket, known)) = &self.peers else { return Vec::new() };
         let own = socket.local_addr().ok();
         known.iter().filter(|peer| Some(**peer) != own).copied().collect()
     }
 
-    fn send_to_peer(&self, peer: SocketAddr, datagram: &[u8]) {
+    pub(in crate::daemon) fn send_to_peer(&self, peer: SocketAddr, datagram: &[u8]) {
         if let Some((socket, _)) = &self.peers {
             // A datagram may be lost anyway: one that can't be sent is one of those.
             let _ = socket.send_to(datagram, peer);
@@ -133,17 +132,4 @@
     fn send_to_peers(&self, datagram: &[u8]) {
         self.other_peers().into_iter().for_each(|peer| self.send_to_peer(peer, datagram));
     }
-
-    /// Sends a purge to the peers, and again: any datagram may be lost.
-    pub(in crate::daemon) fn tell_peers(&mut self, now: Micros, text: String, left: u8) {
-        if self.peers.is_none() {
-            return;
-        }
-        self.send_to_peers(text.as_bytes());
-        if left > 0 {
-            self.later(now + self.limits.repeat_us, move |daemon, now| {
-                daemon.tell_peers(now, text, left - 1)
-            });
-        }
-    }
 }
--- a/daemon/src/daemon/fleet.rs
+++ b/daemon/src/daemon/fleet.rs
@@ -63,12 +63,12 @@
         if after.1 != before.1 {
             self.know_machines();
         }
-        self.tend_fleet(now);
+        self.tend_membership(now);
         true
     }
 
     /// Sends what is to be said, and says what has changed.
-    fn tend_fleet(&mut self, now: Micros) {
+    pub(super) fn tend_membership(&mut self, now: Micros) {
         let Some(membership) = &mut self.membership else { return };
         let (outgoing, changes) = (membership.outgoing(), membership.changes());
         outgoing.iter().for_each(|(place, bytes)| self.send_to_place(*place, bytes));
@@ -101,7 +101,7 @@
             self.fleet_due = self.instead(old, Some(due), |daemon, now| {
                 daemon.fleet_due = None;
                 daemon.membership.iter_mut().for_each(|membership| membership.tick(now));
-                daemon.tend_fleet(now);
+                daemon.tend_membership(now);
             });
         }
     }
@@ -116,7 +116,7 @@
             unreadable = t.unreadable, health = membership.health();
             "members of the fleet, as this one leaves"
         );
-        self.tend_fleet(now);
+        self.tend_membership(now);
     }
 
     /// Where this proxy's copies and promises stand; none where it makes no copies.
--- a/daemon/src/daemon/mod.rs
+++ b/daemon/src/daemon/mod.rs
@@ -30,11 +30,14 @@
 mod lifecycle;
 mod members;
 mod neighbours;
+mod peer_index;
+mod plain_purges;
 mod promises;
 
 use exchange::{Effect, Exchange};
 use feeds::{bus, consul};
 use members::Said;
+use peer_index::PeerIndex;
 
 const LISTENER: u64 = u64::MAX;
 const SIGNAL: u64 = u64::MAX - 1;
@@ -202,6 +205,10 @@
     consul: Option<consul::State>,
     keeper: Option<consul::Keeper>,
     peers: Option<(UdpSocket, Vec<SocketAddr>)>,
+    /// The same peers by address.
+    peer_index: PeerIndex,
+    /// Plain purges whose senders have still to show whether they replicate logs.
+    unwritten_purges: usize,
     origin_health: Option<OriginHealth>,
     /// Datagrams dropped: from nobody who is a peer, and of no known kind.
     dropped: (u64, u64),
@@ -338,6 +345,8 @@
             consul,
             keeper,
             peers,
+            peer_index: PeerIndex::default(),
+            unwritten_purges: 0,
             origin_health,
             dropped: (0, 0),
             desk,
@@ -362,6 +371,7 @@
             config,
             source,
         };
+        daemon.index_peers();
         let now = daemon.clock.now();
         let kept = daemon.ledger.as_ref().map(Ledger::purges).unwrap_or_default();
         for (object, group, at) in kept {
@@ -618,6 +628,7 @@
             "SIGHUP: the configuration is read again{}",
             if moved { "; the event bus has moved" } else { "" }
         );
+        self.index_peers();
         if moved {
             self.move_bus(now);
         }
--- a/daemon/src/daemon/promises.rs
+++ b/daemon/src/daemon/promises.rs
@@ -63,6 +63,9 @@
 /// RejectReason a process promises nothing whose name another has taken.
 const REPLACED: &str = "another process of this name has begun after this one";
 
+/// How often a purge is sent again to peers that do not replicate logs, and so do not ask for what they miss.
+const PLAIN_PURGE_RESENDS: u8 = 2;
+
 /// Never: only a fault that rehearsals plant has a yes go out before the copy.
 fn gives_credit() -> bool {
     fail::fail_point!("plant-credit", |_| true);
@@ -315,27 +318,16 @@
         let text = peers::write(object.as_deref(), group, now);
         let entry = self.ledger.as_mut().map(|ledger| ledger.add(object.as_deref(), group, now)).transpose();
         fail::fail_point!("peers-tell");
-        // The entry goes first: a peer that knows it does not write the datagram behind it into a log of its own, as it
-        // must for peers of an earlier version.
         if let Ok(Some(entry)) = &entry {
             self.tell_entry(entry.clone());
         }
         if let Some(text) = text {
-            self.tell_peers(now, text, 2);
+            self.send_plain_purge(now, text, PLAIN_PURGE_RESENDS);
         }
         fail::fail_point!("peers-told");
         entry.map(|entry| entry.map(|entry| entry.index))
     }
 
-    /// A purge that a peer told: in force, and known to the next process too.
-    pub(super) fn purge_heard(&mut self, now: Micros, object: Option<String>, group: u64, at: Micros) {
-        self.core.purged(now, object.clone(), group, at);
-        let kept = self.ledger.as_mut().map_or(Ok(()), |ledger| ledger.tell(object.as_deref(), group, at));
-        if let Err(e) = kept {
-            log::error!("a purge that a peer told is in force but not kept for the next start: {e}");
-        }
-    }
-
     /// The store's worker has word of what is on the disk.
     pub(super) fn hear_store(&mut self, now: Micros) {
         if let Some(word) = &mut self.store_word {
--- a/daemon/src/limits.rs
+++ b/daemon/src/limits.rs
@@ -88,6 +88,10 @@
     pub keep_seldom_us: u64,
     /// Wait between the datagrams that repeat a purge to the peers: any of them may be lost.
     pub repeat_us: u64,
+    /// A peer that sent a purge as a plain datagram shows within this whether it replicates logs.
+    pub plain_purge_grace_us: u64,
+    /// Such purges that wait for that; more are written at once.
+    pub unwritten_purges: usize,
     /// When a client comes back that a full table turned away.
     pub back_off_us: u64,
     /// A connection must be up within this: what waits for one to a box goes on elsewhere then.
@@ -280,6 +284,8 @@
             keep_soon_us: 500_000,
             keep_seldom_us: 60_000_000,
             repeat_us: 40_000,
+            plain_purge_grace_us: 1_000_000,
+            unwritten_purges: 1_024,
             back_off_us: 200_000,
             connect_us: 400_000,
             dial_us: 2_000_000,
--- a/daemon/tests/between.rs
+++ b/daemon/tests/between.rs
@@ -336,7 +336,7 @@
         fleet.kill(1).unwrap();
         fleet.restart_armed(1, Disk::Kept, &format!("{point}=die")).unwrap();
         assert_eq!(fleet.purge(0, &object(520)).unwrap(), 201, "{point}: by p2");
-        until("it died of it", || fleet.status(1).is_err());
+        until(&format!("{point}: it died of it"), || fleet.status(1).is_err());
         // Now the writer's machine is lost too: the promise was given on p2's word alone.
         fleet.kill(0).unwrap();
         fleet.kill(1).unwrap();
--- a/membership/src/swim.rs
+++ b/membership/src/swim.rs
@@ -45,6 +45,9 @@
     }
 }
 
+/// The number of pings that greet a member and are no probes.
+const GREETING: u32 = 0;
+
 /// Counts for the operators.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Counters {
@@ -255,7 +258,7 @@
 
     fn begin_probe(&mut self, now: Micros) {
         self.next = now + self.options.period_us * Micros::from(1 + self.health);
-        self.greet();
+        self.greet_some();
         if self.round.is_empty() {
             self.draw_round();
         }
@@ -266,8 +269,16 @@
         self.ping(peer, self.number);
     }
 
+    /// Pings a member that was not heard yet. No probe has this ping's number: whoever does not answer is blamed for
+    /// nothing.
+    pub fn greet(&mut self, peer: Peer) {
+        if !self.left && self.members.get(peer).is_some_and(|member| !member.is_up()) {
+            self.ping(peer, GREETING);
+        }
+    }
+
     /// Pings members that were never heard: many at first, and one in a period once each was greeted.
-    fn greet(&mut self) {
+    fn greet_some(&mut self) {
         let unheard = |membership: &Self, peer: &Peer| membership.members[*peer].claim.is_none();
         let mut most = self.options.greetings_per_period;
         if self.ungreeted.is_empty() {
@@ -279,8 +290,7 @@
             let place = self.random.below(self.ungreeted.len() as u64) as usize;
             let peer = self.ungreeted.swap_remove(place);
             if unheard(self, &peer) {
-                // No probe has this number: whoever does not answer is blamed for nothing.
-                self.ping(peer, 0);
+                self.ping(peer, GREETING);
             }
         }
         if most == 1 {
