--- a/daemon/src/front/cdni/triggers.rs
+++ b/daemon/src/front/cdni/triggers.rs
@@ -137,16 +137,17 @@
     }
 
     /// The error that the status of such a trigger tells, where it can't be carried out whole.
-    fn error(self, spec: &Map<String, Value>, plan: &Plan, room: usize) -> Option<Value> {
-        let mut all = spec.clone();
-        all.retain(|key, _| key != "type");
+    fn error(self, spec: &Map<String, Value>, plan: &Plan) -> Option<Value> {
         match self {
-            Kind::Purge if plan.purges.len() > room => Some(rejected(&all, "too many purges are held")),
-            Kind::Purge if !plan.unable.is_empty() => {
+            Kind::Purge if plan.unable.is_empty() => None,
+            Kind::Purge => {
                 Some(rejected(&plan.unable, "only content named by its URL or its collection can be purged"))
             }
-            Kind::Purge => None,
-            Kind::Preposition => Some(rejected(&all, "content is fetched when it is asked for")),
+            Kind::Preposition => {
+                let mut all = spec.clone();
+                all.retain(|key, _| key != "type");
+                Some(rejected(&all, "content is fetched when it is asked for"))
+            }
         }
     }
 }
@@ -220,7 +221,6 @@
         &mut self,
         id: &Identity,
         now: u64,
-        room: usize,
         command: &Value,
         effects: &mut Vec<Effect>,
     ) -> (Response, Option<Name>) {
@@ -231,7 +231,7 @@
         match (command["trigger"].as_object(), command["cancel"].as_array()) {
             // All triggers are over before a cancellation can come: there is nothing to stop, which is no error.
             (None, Some(urls)) if urls.iter().all(Value::is_string) => (Response::bare(200), None),
-            (Some(spec), None) => self.trigger(id, now, room, (spec, cdn_path), effects),
+            (Some(spec), None) => self.trigger(id, now, (spec, cdn_path), effects),
             _ => (Response::bare(400), None),
         }
     }
@@ -240,7 +240,6 @@
         &mut self,
         id: &Identity,
         now: u64,
-        room: usize,
         (spec, cdn_path): (&Map<String, Value>, &[Value]),
         effects: &mut Vec<Effect>,
     ) -> (Response, Option<Name>) {
@@ -255,8 +254,8 @@
             return (Response::bare(503), None);
         }
         let Some(kind) = Kind::read(kind) else { return (Response::bare(501), None) };
-        let error = kind.error(spec, &plan, room);
-        if kind == Kind::Purge && plan.purges.len() <= room {
+        let error = kind.error(spec, &plan);
+        if kind == Kind::Purge {
             effects.extend(plan.purges.iter().map(|(object, group)| Effect::Purge(object.clone(), *group)));
             effects.extend(posts(id, &Value::Object(spec.clone()), cdn_path).into_iter().map(Effect::Post));
         }
