--- a/budgets/src/kinds.rs
+++ b/budgets/src/kinds.rs
@@ -4,7 +4,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Unit {
     /// Things held at a time.
-    Held,
+    Concurrent,
     /// Millionths of what a server bears.
     Millionths,
 }
@@ -13,7 +13,7 @@
     /// As it stands behind an amount.
     pub fn name(self) -> &'static str {
         match self {
-            Unit::Held => "held at a time",
+            Unit::Concurrent => "held at a time",
             Unit::Millionths => "millionths",
         }
     }
@@ -21,7 +21,7 @@
     /// How many of it are one: a thing that is held, or all that a server bears.
     pub fn one(self) -> crate::Amount {
         match self {
-            Unit::Held => 1,
+            Unit::Concurrent => 1,
             Unit::Millionths => 1_000_000,
         }
     }
@@ -37,7 +37,7 @@
 }
 
 /// Requests that the origin holds at a time, straight or behind a fill.
-pub const ORIGIN: Kind = Kind { name: "origin", unit: Unit::Held };
+pub const ORIGIN: Kind = Kind { name: "origin", unit: Unit::Concurrent };
 /// What each cold parent bears.
 pub const PARENTS: Kind = Kind { name: "cold-parents", unit: Unit::Millionths };
 /// What each cold cache of a zone bears; there is one for each zone.
--- a/budgets/src/member.rs
+++ b/budgets/src/member.rs
@@ -1,10 +1,10 @@
-//! One member's side: what it may spend, whom it votes for, and, where it is the divider, what the others get.
+//! One member's side: what it may spend, whom it votes for, and, where it is the allocator, what the others get.
 
-use crate::ledger::{Granted, Said};
-use crate::limit::{TooSmall, Whole};
-use crate::share::Wants;
+use crate::fair_share::Demands;
+use crate::ledger::{LeaseRequest, Ledger};
+use crate::spec::{BudgetSpec, LimitTooSmall};
 use crate::vote::{Candidate, Vote, Votes};
-use crate::{Amount, Life, Micros, Place};
+use crate::{Amount, MemberIndex, Micros, ProcessId};
 use std::collections::BTreeMap;
 
 /// Times and bounds, the same at all members.
@@ -12,76 +12,82 @@
 pub struct Options {
     /// A vote is given for this.
     pub vote_us: Micros,
-    /// A part is granted for this at most.
+    /// A lease is granted for this at most.
     pub lease_us: Micros,
-    /// Votes and parts are asked for so often.
-    pub ask_us: Micros,
+    /// Votes and leases are asked for so often.
+    pub request_interval_us: Micros,
     /// How far two clocks may drift apart, in millionths of the time that passes.
     pub drift_ppm: u64,
-    /// Budgets whose divider is one and the same; each group has its own.
+    /// Budgets whose allocator is one and the same; each group has its own.
     pub groups: usize,
 }
 
 impl Default for Options {
     fn default() -> Self {
-        Options { vote_us: 2_000_000, lease_us: 1_000_000, ask_us: 200_000, drift_ppm: 1_000, groups: 4 }
+        Options {
+            vote_us: 2_000_000,
+            lease_us: 1_000_000,
+            request_interval_us: 200_000,
+            drift_ppm: 1_000,
+            groups: 4,
+        }
     }
 }
 
 impl Options {
     /// What is counted of a time that another counts too: by this much less it is over first, however the two clocks
     /// drift.
-    fn less_drift(&self, us: Micros) -> Micros {
+    fn shortened_by_drift(&self, us: Micros) -> Micros {
         us.saturating_sub(us.saturating_mul(2 * self.drift_ppm) / 1_000_000 + 1)
     }
 
     /// What is counted of a time that another counts, too, where this one must not be over first.
-    fn more_drift(&self, us: Micros) -> Micros {
+    fn extended_by_drift(&self, us: Micros) -> Micros {
         us.saturating_add(us.saturating_mul(2 * self.drift_ppm) / 1_000_000 + 1)
     }
 
-    /// These times, for budgets of which a spend is felt for as long: votes last for a part and what is felt of it.
-    pub fn felt_for(self, felt_us: Micros) -> Self {
-        Options { vote_us: self.vote_us.saturating_add(self.more_drift(felt_us)), ..self }
+    /// These times, for budgets of which a spend is felt for as long: votes last for a lease and what is felt of it.
+    pub fn with_settling_time(self, settling_us: Micros) -> Self {
+        Options { vote_us: self.vote_us.saturating_add(self.extended_by_drift(settling_us)), ..self }
     }
 }
 
-/// What members say to each other. A word says who sends it by the address it comes from, and its life.
+/// What members say to each other. A message says who sends it by the address it comes from, and its process.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub enum Word {
+pub enum Message {
     /// The sender would divide the budgets of a group: is the receiver's vote its?
-    Stand {
+    VoteRequest {
         /// The group.
         group: usize,
         /// Names the answer.
         number: u64,
     },
     /// It is, for the time that is the same at all, or belongs to another still.
-    Vote {
+    VoteResponse {
         /// The group.
         group: usize,
         /// Of the question.
         number: u64,
         /// Whether it is.
-        yes: bool,
+        granted: bool,
         /// Whose it is.
-        of: Option<Place>,
+        voted_for: Option<MemberIndex>,
     },
     /// The sender wants so much of a budget.
-    Want {
+    LeaseRequest {
         /// The budget.
         budget: usize,
         /// Names the answer.
         number: u64,
-        /// How much, beyond its floor.
-        wanted: Amount,
-        /// The question that brought the part that it goes by; 0: none.
-        of: u64,
-        /// What is felt still of what it spent beyond its floor.
-        felt: Amount,
+        /// How much, beyond its reserved minimum.
+        demand: Amount,
+        /// The question that brought the lease that it goes by; 0: none.
+        current_lease: u64,
+        /// What is felt still of what it spent beyond its reserved minimum.
+        unsettled: Amount,
     },
-    /// The receiver may spend so much beyond its floor, for so long from when it asked.
-    Part {
+    /// The receiver may spend so much beyond its reserved minimum, for so long from when it asked.
+    LeaseGrant {
         /// The budget.
         budget: usize,
         /// Of the question.
@@ -89,22 +95,22 @@
         /// How much.
         amount: Amount,
         /// How long.
-        for_us: Micros,
+        duration_us: Micros,
     },
 }
 
 /// A change that operators are told of.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum Change {
-    /// This member divides a group from now on, or no longer.
-    Divides {
+    /// This member leads a group from now on, or no longer.
+    Leads {
         /// The group.
         group: usize,
         /// From now on.
         begins: bool,
     },
-    /// This member lives on its floor of a budget, or no longer.
-    Floor {
+    /// This member lives on its reserved minimum of a budget, or no longer.
+    ReservedOnly {
         /// The budget.
         budget: usize,
         /// From now on.
@@ -114,66 +120,66 @@
 
 /// Counts for the operators.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
-pub struct Tally {
-    /// Parts granted to others and itself.
+pub struct Counters {
+    /// Leases granted to others and itself.
     pub granted: u64,
-    /// Parts taken.
-    pub taken: u64,
-    /// Parts that came after their end or a later one, and wants that were overtaken.
-    pub late: u64,
-    /// Wants that came while this member did not divide.
-    pub astray: u64,
+    /// Leases taken.
+    pub accepted: u64,
+    /// Leases that came after their end or a later one, and requests that were overtaken.
+    pub stale: u64,
+    /// Requests that came while this member did not lead.
+    pub misdirected: u64,
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 struct Group {
     vote: Vote,
     /// Whose vote this member's is, or who was heard to have another's, and until when that counts. It must end, and is
-    /// never told on: members that believed each other's word of a third would go on doing so for ever.
-    heard: Option<(Place, Micros)>,
+    /// never told on: members that believed each other's message about a third would go on doing so for ever.
+    known_leader: Option<(MemberIndex, Micros)>,
     /// Whose vote others said theirs is when they refused it, and until when that counts.
-    told: BTreeMap<Place, (Place, Micros)>,
+    refusals: BTreeMap<MemberIndex, (MemberIndex, Micros)>,
     /// Since when this member asks for votes without having them.
-    stood: Option<Micros>,
+    candidate_since: Option<Micros>,
     /// It asks for none until then, so that another candidate may have them.
-    rests: Micros,
+    backoff_until: Micros,
     votes: Votes,
     /// When each question for votes was sent.
-    asked: BTreeMap<u64, Micros>,
-    divides: bool,
-    /// Since when it answers those that want parts.
-    began: Option<Micros>,
+    requests: BTreeMap<u64, Micros>,
+    leads: bool,
+    /// Since when it answers those that want leases.
+    serving_since: Option<Micros>,
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 struct Budget {
-    whole: Whole,
-    wanted: Amount,
-    felt: Amount,
-    /// The part in force, until when, and the question that brought it.
-    part: (Amount, Micros, u64),
-    asked: BTreeMap<u64, Micros>,
-    granted: Granted,
-    wants: Wants,
-    on_floor: bool,
+    spec: BudgetSpec,
+    demand: Amount,
+    unsettled: Amount,
+    /// The lease in force, until when, and the question that brought it.
+    lease: (Amount, Micros, u64),
+    requests: BTreeMap<u64, Micros>,
+    ledger: Ledger,
+    demands: Demands,
+    reserved_only: bool,
 }
 
 /// Questions whose answers are still taken; older ones have been asked again.
-const QUESTIONS: usize = 8;
+const MAX_PENDING_REQUESTS: usize = 8;
 
 /// Notes when a question was sent; the oldest are forgotten.
-fn note(asked: &mut BTreeMap<u64, Micros>, number: u64, now: Micros) {
-    asked.insert(number, now);
-    while asked.len() > QUESTIONS {
-        asked.pop_first();
+fn record_request(requests: &mut BTreeMap<u64, Micros>, number: u64, now: Micros) {
+    requests.insert(number, now);
+    while requests.len() > MAX_PENDING_REQUESTS {
+        requests.pop_first();
     }
 }
 
 /// A member.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Member {
-    place: Place,
-    life: Life,
+    index: MemberIndex,
+    process: ProcessId,
     /// Which of the configured members are believed to run.
     up: Vec<bool>,
     options: Options,
@@ -181,14 +187,14 @@
     budgets: Vec<Budget>,
     number: u64,
     due: Micros,
-    sends: Vec<(Place, Word)>,
+    outgoing: Vec<(MemberIndex, Message)>,
     changes: Vec<Change>,
-    tally: Tally,
+    counters: Counters,
 }
 
-/// A member's weight for a group: the highest of those that run is to divide it.
-fn weight(place: Place, group: usize) -> u64 {
-    let mut x = (place as u64 + 1).wrapping_mul(0x9e37_79b9_7f4a_7c15) ^ (group as u64 + 1).rotate_left(32);
+/// A member's weight for a group: the highest of those that run is to lead it.
+fn weight(member: MemberIndex, group: usize) -> u64 {
+    let mut x = (member as u64 + 1).wrapping_mul(0x9e37_79b9_7f4a_7c15) ^ (group as u64 + 1).rotate_left(32);
     for by in [0xbf58_476d_1ce4_e5b9, 0x94d0_49bb_1331_11eb] {
         x = (x ^ (x >> 30)).wrapping_mul(by);
     }
@@ -196,120 +202,123 @@
 }
 
 impl Member {
-    /// A member at this place of so many that are configured, in this life, with these budgets.
+    /// A member at this index of so many that are configured, in this process, with these budgets.
     ///
     /// # Errors
-    /// Where a whole is less than its floors: the budget's place, and by how much.
+    /// Where a limit is less than its reserved minimums: the budget's index, and by how much.
     pub fn new(
-        (place, life): (Place, Life),
+        (index, process): (MemberIndex, ProcessId),
         members: usize,
-        wholes: &[Whole],
+        specs: &[BudgetSpec],
         now: Micros,
         options: Options,
-    ) -> Result<Self, (usize, TooSmall)> {
-        for (budget, whole) in wholes.iter().enumerate() {
-            whole.shared(members).map_err(|e| (budget, e))?;
+    ) -> Result<Self, (usize, LimitTooSmall)> {
+        for (budget, spec) in specs.iter().enumerate() {
+            spec.shared(members).map_err(|e| (budget, e))?;
         }
         let group = |_| Group {
             vote: Vote::new(now, options.vote_us),
-            heard: None,
-            told: BTreeMap::new(),
-            stood: None,
-            rests: 0,
+            known_leader: None,
+            refusals: BTreeMap::new(),
+            candidate_since: None,
+            backoff_until: 0,
             votes: Votes::default(),
-            asked: BTreeMap::new(),
-            divides: false,
-            began: None,
+            requests: BTreeMap::new(),
+            leads: false,
+            serving_since: None,
         };
-        let budget = |whole: &Whole| Budget {
-            whole: *whole,
-            wanted: 0,
-            felt: 0,
-            part: (0, 0, 0),
-            asked: BTreeMap::new(),
-            granted: Granted::default(),
-            wants: Wants::default(),
-            on_floor: false,
+        let budget = |spec: &BudgetSpec| Budget {
+            spec: *spec,
+            demand: 0,
+            unsettled: 0,
+            lease: (0, 0, 0),
+            requests: BTreeMap::new(),
+            ledger: Ledger::default(),
+            demands: Demands::default(),
+            reserved_only: false,
         };
         Ok(Member {
-            place,
-            life,
-            up: (0..members).map(|m| m == place).collect(),
+            index,
+            process,
+            up: (0..members).map(|m| m == index).collect(),
             options,
             groups: (0..options.groups.max(1)).map(group).collect(),
-            budgets: wholes.iter().map(budget).collect(),
+            budgets: specs.iter().map(budget).collect(),
             number: 0,
             due: now,
-            sends: Vec::new(),
+            outgoing: Vec::new(),
             changes: Vec::new(),
-            tally: Tally::default(),
+            counters: Counters::default(),
         })
     }
 
     // ---- To be told ----
 
     /// Whether another member is believed to run.
-    pub fn believe(&mut self, place: Place, up: bool) {
-        if let Some(known) = self.up.get_mut(place).filter(|_| place != self.place) {
+    pub fn set_up(&mut self, member: MemberIndex, up: bool) {
+        if let Some(known) = self.up.get_mut(member).filter(|_| member != self.index) {
             *known = up;
         }
     }
 
-    /// How much of a budget would be spent if it could be, and what is felt still of what was; floors included.
-    pub fn want(&mut self, budget: usize, wanted: Amount, felt: Amount) {
+    /// How much of a budget would be spent if it could be, and what is felt still of what was; reserved minimums included.
+    pub fn set_demand(&mut self, budget: usize, demand: Amount, unsettled: Amount) {
         if let Some(b) = self.budgets.get_mut(budget) {
-            (b.wanted, b.felt) = (wanted.saturating_sub(b.whole.floor), felt.saturating_sub(b.whole.floor));
+            (b.demand, b.unsettled) =
+                (demand.saturating_sub(b.spec.reserved), unsettled.saturating_sub(b.spec.reserved));
         }
     }
 
-    /// A budget's whole is another from now on. What was granted of the one before holds until it ends. Floors, and how
+    /// A budget's limit is another from now on. What was granted of the one before holds until it ends. Reserved minimums, and how
     /// long a spend is felt, belong to a start: votes are given for longer than that.
     ///
     /// # Errors
-    /// Where it is less than its floors; it stays as it was.
-    pub fn set(&mut self, budget: usize, whole: Amount) -> Result<(), TooSmall> {
+    /// Where it is less than its reserved minimums; it stays as it was.
+    pub fn set_limit(&mut self, budget: usize, limit: Amount) -> Result<(), LimitTooSmall> {
         let Some(b) = self.budgets.get_mut(budget) else { return Ok(()) };
-        let next = Whole { whole, ..b.whole };
+        let next = BudgetSpec { limit, ..b.spec };
         next.shared(self.up.len())?;
-        b.whole = next;
+        b.spec = next;
         Ok(())
     }
 
     // ---- To be asked ----
 
-    /// How much of a budget may be spent now, and until when that holds without more word: floor and part. It is to be
+    /// How much of a budget may be spent now, and until when that holds without more message: reserved minimum and lease. It is to be
     /// asked at the moment of each spend.
-    pub fn part(&self, now: Micros, budget: usize) -> (Amount, Micros) {
+    pub fn lease(&self, now: Micros, budget: usize) -> (Amount, Micros) {
         let Some(b) = self.budgets.get(budget) else { return (0, Micros::MAX) };
-        match b.part {
-            (amount, until, _) if now < until => (b.whole.floor + amount, until),
-            _ => (b.whole.floor, Micros::MAX),
+        match b.lease {
+            (amount, until, _) if now < until => (b.spec.reserved + amount, until),
+            _ => (b.spec.reserved, Micros::MAX),
         }
     }
 
-    /// Whether this member divides a group: more than half of all vote for it.
-    pub fn divides(&self, now: Micros, group: usize) -> bool {
-        self.groups.get(group).is_some_and(|g| g.votes.until(self.up.len()) > now)
+    /// Whether this member leads a group: more than half of all vote for it.
+    pub fn leads(&self, now: Micros, group: usize) -> bool {
+        self.groups.get(group).is_some_and(|g| g.votes.majority_until(self.up.len()) > now)
     }
 
-    /// What this member wants of a budget beyond its floor, and has out.
-    pub fn wants(&self, budget: usize) -> (Amount, Amount) {
-        self.budgets.get(budget).map_or((0, 0), |b| (b.wanted, b.felt))
+    /// What this member wants of a budget beyond its reserved minimum, and has out.
+    pub fn demand(&self, budget: usize) -> (Amount, Amount) {
+        self.budgets.get(budget).map_or((0, 0), |b| (b.demand, b.unsettled))
     }
 
-    /// Its life.
-    pub fn life(&self) -> Life {
-        self.life
+    /// Its process.
+    pub fn process(&self) -> ProcessId {
+        self.process
     }
 
     /// A budget as it is set here.
-    pub fn whole(&self, budget: usize) -> Option<Whole> {
-        self.budgets.get(budget).map(|b| b.whole)
+    pub fn spec(&self, budget: usize) -> Option<BudgetSpec> {
+        self.budgets.get(budget).map(|b| b.spec)
     }
 
-    /// What this member has granted of a budget and may be felt still, by holder; floors are not in it.
-    pub fn parts_granted(&self, budget: usize) -> Vec<(Place, Amount)> {
-        self.budgets.get(budget).map_or_else(Vec::new, |b| b.granted.all().filter(|(_, a)| *a > 0).collect())
+    /// What this member has granted of a budget and may be felt still, by holder; reserved minimums are not in it.
+    pub fn granted_leases(&self, budget: usize) -> Vec<(MemberIndex, Amount)> {
+        self.budgets
+            .get(budget)
+            .map_or_else(Vec::new, |b| b.ledger.outstanding_by_holder().filter(|(_, a)| *a > 0).collect())
     }
 
     /// The group of a budget.
@@ -317,26 +326,26 @@
         budget % self.groups.len()
     }
 
-    /// Who divides a group, as far as this member knows.
-    pub fn divider(&self, now: Micros, group: usize) -> Place {
-        if self.divides(now, group) {
-            return self.place;
+    /// Who leads a group, as far as this member knows.
+    pub fn allocator(&self, now: Micros, group: usize) -> MemberIndex {
+        if self.leads(now, group) {
+            return self.index;
         }
         // Whoever has the votes goes on: a member that comes back must not take them away.
-        let heard = self.groups.get(group).and_then(|g| g.heard).filter(|(_, until)| now < *until);
-        let up = (0..self.up.len()).filter(|place| self.up[*place]);
-        let best = || up.max_by_key(|place| weight(*place, group)).unwrap_or(self.place);
-        heard.map_or_else(best, |(place, _)| place)
+        let known = self.groups.get(group).and_then(|g| g.known_leader).filter(|(_, until)| now < *until);
+        let up = (0..self.up.len()).filter(|member| self.up[*member]);
+        let best = || up.max_by_key(|member| weight(*member, group)).unwrap_or(self.index);
+        known.map_or_else(best, |(member, _)| member)
     }
 
     /// Counts so far.
-    pub fn tally(&self) -> Tally {
-        self.tally
+    pub fn counters(&self) -> Counters {
+        self.counters
     }
 
     /// Words to be sent.
-    pub fn sends(&mut self) -> Vec<(Place, Word)> {
-        std::mem::take(&mut self.sends)
+    pub fn outgoing(&mut self) -> Vec<(MemberIndex, Message)> {
+        std::mem::take(&mut self.outgoing)
     }
 
     /// What has changed.
@@ -351,190 +360,213 @@
 
     // ---- Time ----
 
-    /// Asks for votes where this member is to divide, and for parts of whoever does.
+    /// Asks for votes where this member is to lead, and for leases of whoever does.
     pub fn tick(&mut self, now: Micros) {
         if now < self.due {
             return;
         }
-        self.due = now + self.options.ask_us;
+        self.due = now + self.options.request_interval_us;
         for group in 0..self.groups.len() {
-            if self.divider(now, group) == self.place {
-                self.stand(now, group);
+            if self.allocator(now, group) == self.index {
+                self.request_votes(now, group);
             } else {
-                self.groups[group].stood = None;
+                self.groups[group].candidate_since = None;
             }
-            self.say_divides(now, group);
+            self.report_leads(now, group);
         }
         for budget in 0..self.budgets.len() {
-            let divider = self.divider(now, self.group(budget));
+            let allocator = self.allocator(now, self.group(budget));
             self.number += 1;
             let number = self.number;
             let b = &mut self.budgets[budget];
-            note(&mut b.asked, number, now);
-            let want = Word::Want { budget, number, wanted: b.wanted, of: b.part.2, felt: b.felt };
-            self.send(now, divider, want);
-            self.say_floor(now, budget);
+            record_request(&mut b.requests, number, now);
+            let request = Message::LeaseRequest {
+                budget,
+                number,
+                demand: b.demand,
+                current_lease: b.lease.2,
+                unsettled: b.unsettled,
+            };
+            self.send(now, allocator, request);
+            self.report_reserved_only(now, budget);
         }
     }
 
     /// Asks for votes. Candidates that share them out among themselves would renew them for ever and none would have
     /// enough: one that does not get them rests, each for a time of its own, until they are over.
-    fn stand(&mut self, now: Micros, group: usize) {
-        let (divides, vote_us) = (self.divides(now, group), self.options.vote_us);
+    fn request_votes(&mut self, now: Micros, group: usize) {
+        let (leads, vote_us) = (self.leads(now, group), self.options.vote_us);
         let g = &mut self.groups[group];
-        if now < g.rests {
+        if now < g.backoff_until {
             return;
         }
-        let since = *g.stood.get_or_insert(now);
-        if divides {
-            g.stood = Some(now);
+        let since = *g.candidate_since.get_or_insert(now);
+        if leads {
+            g.candidate_since = Some(now);
         } else if now >= since + (2 + g.votes.count(now)) * vote_us {
             // The fewer it has the sooner, so that they come together.
-            let own = weight(self.place, group) ^ self.life.rotate_left(17) ^ self.number;
-            (g.stood, g.rests) = (None, now + vote_us + own % vote_us.max(1));
+            let own = weight(self.index, group) ^ self.process.rotate_left(17) ^ self.number;
+            (g.candidate_since, g.backoff_until) = (None, now + vote_us + own % vote_us.max(1));
             return;
         }
         self.number += 1;
         let number = self.number;
-        note(&mut self.groups[group].asked, number, now);
-        for place in 0..self.up.len() {
+        record_request(&mut self.groups[group].requests, number, now);
+        for member in 0..self.up.len() {
             // All that are configured, as more than half of all must vote, and who runs is a belief.
-            self.send(now, place, Word::Stand { group, number });
+            self.send(now, member, Message::VoteRequest { group, number });
         }
     }
 
-    fn say_divides(&mut self, now: Micros, group: usize) {
-        let begins = self.divides(now, group);
-        if std::mem::replace(&mut self.groups[group].divides, begins) != begins {
-            self.changes.push(Change::Divides { group, begins });
+    fn report_leads(&mut self, now: Micros, group: usize) {
+        let begins = self.leads(now, group);
+        if std::mem::replace(&mut self.groups[group].leads, begins) != begins {
+            self.changes.push(Change::Leads { group, begins });
         }
     }
 
-    fn say_floor(&mut self, now: Micros, budget: usize) {
+    fn report_reserved_only(&mut self, now: Micros, budget: usize) {
         let b = &mut self.budgets[budget];
-        let begins = now >= b.part.1;
-        if std::mem::replace(&mut b.on_floor, begins) != begins {
-            self.changes.push(Change::Floor { budget, begins });
+        let begins = now >= b.lease.1;
+        if std::mem::replace(&mut b.reserved_only, begins) != begins {
+            self.changes.push(Change::ReservedOnly { budget, begins });
         }
     }
 
-    /// Sends a word; one to itself is heard at once.
-    fn send(&mut self, now: Micros, to: Place, word: Word) {
-        if to == self.place {
-            self.hear(now, (self.place, self.life), word);
+    /// Sends a message; one to itself is heard at once.
+    fn send(&mut self, now: Micros, to: MemberIndex, message: Message) {
+        if to == self.index {
+            self.receive(now, (self.index, self.process), message);
         } else {
-            self.sends.push((to, word));
+            self.outgoing.push((to, message));
         }
     }
 
     // ---- Words ----
 
-    /// Takes in a word of a member in one of its lives. `now` is when it was read: what is granted on it counts from
+    /// Takes in a message of a member in one of its processes. `now` is when it was read: what is granted on it counts from
     /// the holder's question, so that a process which stands still before it sends the answer grants nothing late.
-    pub fn hear(&mut self, now: Micros, from: Candidate, word: Word) {
+    pub fn receive(&mut self, now: Micros, from: Candidate, message: Message) {
         if from.0 >= self.up.len() {
             return;
         }
-        match word {
-            Word::Stand { group, number } => self.asked_for_vote(now, from, group, number),
-            Word::Vote { group, number, yes, of } => self.voted(now, from.0, (group, number), yes, of),
-            Word::Want { budget, number, wanted, of, felt } => {
-                let said = Said { holder: from.0, life: from.1, number, of, felt };
-                self.wanted(now, budget, said, wanted);
+        match message {
+            Message::VoteRequest { group, number } => self.receive_vote_request(now, from, group, number),
+            Message::VoteResponse { group, number, granted, voted_for } => {
+                self.receive_vote_response(now, from.0, (group, number), granted, voted_for)
+            }
+            Message::LeaseRequest { budget, number, demand, current_lease, unsettled } => {
+                let request =
+                    LeaseRequest { holder: from.0, process: from.1, number, current_lease, unsettled };
+                self.receive_lease_request(now, budget, request, demand);
             }
-            Word::Part { budget, number, amount, for_us } => {
-                self.granted(now, (budget, number), amount, for_us);
+            Message::LeaseGrant { budget, number, amount, duration_us } => {
+                self.receive_lease_grant(now, (budget, number), amount, duration_us);
             }
         }
     }
 
-    fn asked_for_vote(&mut self, now: Micros, from: Candidate, group: usize, number: u64) {
-        let (vote_us, own) = (self.options.vote_us, self.place);
-        let divides = self.divides(now, group);
+    fn receive_vote_request(&mut self, now: Micros, from: Candidate, group: usize, number: u64) {
+        let (vote_us, own) = (self.options.vote_us, self.index);
+        let leads = self.leads(now, group);
         let Some(g) = self.groups.get_mut(group) else { return };
-        let yes = g.vote.ask(now, from, vote_us);
+        let granted = g.vote.request(now, from, vote_us);
         // A candidate that has not the votes gives way to one that comes before it; should that one not get them either,
         // it rests.
-        let stands = g.heard.is_none_or(|(heard, until)| heard == own || now >= until);
-        let gives_way = !divides && stands && weight(from.0, group) > weight(own, group);
-        if yes || gives_way {
-            g.heard = Some((from.0, now + vote_us));
+        let is_candidate = g.known_leader.is_none_or(|(leader, until)| leader == own || now >= until);
+        let yields = !leads && is_candidate && weight(from.0, group) > weight(own, group);
+        if granted || yields {
+            g.known_leader = Some((from.0, now + vote_us));
         }
-        let of = g.vote.whose(now);
-        self.send(now, from.0, Word::Vote { group, number, yes, of });
+        let voted_for = g.vote.voted_for(now);
+        self.send(now, from.0, Message::VoteResponse { group, number, granted, voted_for });
     }
 
-    fn voted(
+    fn receive_vote_response(
         &mut self,
         now: Micros,
-        from: Place,
+        from: MemberIndex,
         (group, number): (usize, u64),
-        yes: bool,
-        of: Option<Place>,
+        granted: bool,
+        voted_for: Option<MemberIndex>,
     ) {
-        let (vote_us, own, members) = (self.options.vote_us, self.place, self.up.len());
-        let counted = self.options.less_drift(vote_us);
+        let (vote_us, own, members) = (self.options.vote_us, self.index, self.up.len());
+        let counted = self.options.shortened_by_drift(vote_us);
         let Some(g) = self.groups.get_mut(group) else { return };
-        let Some(sent) = g.asked.get(&number) else { return };
-        match (yes, of) {
+        let Some(sent) = g.requests.get(&number) else { return };
+        match (granted, voted_for) {
             (true, _) => {
-                g.told.remove(&from);
+                g.refusals.remove(&from);
                 g.votes.add(from, sent + counted);
             }
-            // Where more than half say so another divides, and parts are asked of that one.
-            (false, Some(of)) if of != own => {
-                g.told.insert(from, (of, now + vote_us));
-                let same = g.told.values().filter(|(told, until)| *told == of && now < *until).count();
-                if same > members / 2 && g.votes.until(members) <= now {
-                    g.heard = Some((of, now + vote_us));
+            // Where more than half say so another leads, and leases are asked of that one.
+            (false, Some(leader)) if leader != own => {
+                g.refusals.insert(from, (leader, now + vote_us));
+                let same = g
+                    .refusals
+                    .values()
+                    .filter(|(voted_for, until)| *voted_for == leader && now < *until)
+                    .count();
+                if same > members / 2 && g.votes.majority_until(members) <= now {
+                    g.known_leader = Some((leader, now + vote_us));
                 }
             }
             _ => {}
         }
     }
 
-    fn wanted(&mut self, now: Micros, budget: usize, said: Said, wanted: Amount) {
+    fn receive_lease_request(&mut self, now: Micros, budget: usize, request: LeaseRequest, demand: Amount) {
         let (members, options, group) = (self.up.len(), self.options, self.group(budget));
         let Some(b) = self.budgets.get_mut(budget) else { return };
-        // What is spent at the last moment of a part is felt before the votes are over, too.
-        let felt_us = options.more_drift(b.whole.felt_us);
-        let votes = self.groups[group].votes.until(members).saturating_sub(felt_us);
+        // What is spent at the last moment of a lease is felt before the votes are over, too.
+        let settling_us = options.extended_by_drift(b.spec.settling_us);
+        let votes = self.groups[group].votes.majority_until(members).saturating_sub(settling_us);
         let until = votes.min(now + options.lease_us);
         if until <= now {
-            self.groups[group].began = None;
-            self.tally.astray += 1;
+            self.groups[group].serving_since = None;
+            self.counters.misdirected += 1;
             return;
         }
-        let began = *self.groups[group].began.get_or_insert(now);
-        if !b.granted.heard(now, said) {
-            self.tally.late += 1;
+        let serving_since = *self.groups[group].serving_since.get_or_insert(now);
+        if !b.ledger.record(now, request) {
+            self.counters.stale += 1;
             return;
         }
-        let holder = said.holder;
-        let shared = b.whole.shared(members).unwrap_or(0);
-        b.wants.say(now, holder, wanted, options.lease_us);
-        let (mut fair, has) = (b.wants.fair(holder, shared), b.granted.of(holder));
-        if now < began + 2 * options.ask_us {
-            // Not all have asked this divider yet: the first must not get what the others will want.
-            fair = fair.min(shared / members as u64);
+        let holder = request.holder;
+        let shared = b.spec.shared(members).unwrap_or(0);
+        b.demands.set(now, holder, demand, options.lease_us);
+        let (mut share, held) = (b.demands.fair_share(holder, shared), b.ledger.outstanding(holder));
+        if now < serving_since + 2 * options.request_interval_us {
+            // Not all have asked this allocator yet: the first must not get what the others will want.
+            share = share.min(shared / members as u64);
         }
-        // Up at once, as far as there is room; down by halves, so that no part swings with each question.
-        let due = if fair < has && wanted > 0 { fair + (has - fair) / 2 } else { fair };
-        let amount = b.granted.grant(said, due, shared, until + felt_us);
-        self.tally.granted += 1;
-        self.send(now, holder, Word::Part { budget, number: said.number, amount, for_us: until - now });
-    }
-
-    fn granted(&mut self, now: Micros, (budget, number): (usize, u64), amount: Amount, for_us: Micros) {
-        let counted = self.options.less_drift(for_us.min(self.options.lease_us));
+        // Up at once, as far as there is room; down by halves, so that no lease swings with each question.
+        let due = if share < held && demand > 0 { share + (held - share) / 2 } else { share };
+        let amount = b.ledger.grant(request, due, shared, until + settling_us);
+        self.counters.granted += 1;
+        self.send(
+            now,
+            holder,
+            Message::LeaseGrant { budget, number: request.number, amount, duration_us: until - now },
+        );
+    }
+
+    fn receive_lease_grant(
+        &mut self,
+        now: Micros,
+        (budget, number): (usize, u64),
+        amount: Amount,
+        duration_us: Micros,
+    ) {
+        let counted = self.options.shortened_by_drift(duration_us.min(self.options.lease_us));
         let Some(b) = self.budgets.get_mut(budget) else { return };
-        let until = b.asked.remove(&number).map_or(0, |sent| sent + counted);
-        if number < b.part.2 || until <= now {
-            self.tally.late += 1;
+        let until = b.requests.remove(&number).map_or(0, |sent| sent + counted);
+        if number < b.lease.2 || until <= now {
+            self.counters.stale += 1;
             return;
         }
-        b.part = (amount, until, number);
-        self.tally.taken += 1;
-        self.say_floor(now, budget);
+        b.lease = (amount, until, number);
+        self.counters.accepted += 1;
+        self.report_reserved_only(now, budget);
     }
 }
--- a/daemon/src/budgets.rs
+++ b/daemon/src/budgets.rs
@@ -4,24 +4,27 @@
 use std::fmt::Write as _;
 
 /// Budgets that one answer tells of: with their grants they fit the admin listener's ring.
-pub const MOST_BUDGETS: usize = 16;
+pub const MAX_BUDGETS: usize = 16;
 /// Holders that one budget tells of.
-pub const MOST_GRANTS: usize = 8;
+pub const MAX_GRANTS: usize = 8;
 
-/// Where a proxy's parts of what all spend stand.
+/// Where a proxy's leases of what all spend stand.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Status {
     /// Its name.
     pub name: String,
-    /// Proxies that are configured, for each of which a floor is set aside.
+    /// Proxies that are configured, for each of which a minimum is set aside.
     pub members: usize,
     /// What is shared.
     pub budgets: Vec<BudgetStatus>,
     /// How many there are.
-    pub budgets_in_all: usize,
+    #[serde(rename = "budgets_in_all")]
+    pub budgets_total: usize,
 }
 
 /// One budget, as the asked proxy knows it.
+// Keys of the JSON, which tools read: `whole` stands for the limit, `floor` for the reserved minimum, `part` for the lease,
+// `wanted` for the demand, `out` for what is spent and not settled, `divider` for the allocator, `divides` for leading.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct BudgetStatus {
     /// Its name.
@@ -29,37 +32,46 @@
     /// What its amounts count.
     pub unit: String,
     /// In all.
-    pub whole: u64,
+    #[serde(rename = "whole")]
+    pub limit: u64,
     /// Set aside for each proxy.
-    pub floor: u64,
-    /// What the asked proxy may spend now, its floor with it.
-    pub part: u64,
-    /// When that ends without more word; null: it is the floor, which does not.
+    #[serde(rename = "floor")]
+    pub reserved: u64,
+    /// What the asked proxy may spend now, its reserved minimum with it.
+    #[serde(rename = "part")]
+    pub lease: u64,
+    /// When that ends without a further message; null: it is the reserved minimum, which does not.
     pub ends_in_ms: Option<u64>,
-    /// What it wants beyond its floor.
-    pub wanted: u64,
-    /// What it has out beyond its floor.
-    pub out: u64,
-    /// Who divides, as far as it knows.
-    pub divider: String,
-    /// It divides, by the votes of more than half.
-    pub divides: bool,
-    /// It lives on its floor: no part is in force.
-    pub on_floor: bool,
-    /// Where it divides: what is granted and may be felt still, floors aside.
-    pub granted_in_all: u64,
+    /// What it wants beyond its reserved minimum.
+    #[serde(rename = "wanted")]
+    pub demand: u64,
+    /// What it has out beyond its reserved minimum.
+    #[serde(rename = "out")]
+    pub unsettled: u64,
+    /// Who allocates, as far as it knows.
+    #[serde(rename = "divider")]
+    pub allocator: String,
+    /// It leads, by the votes of more than half.
+    #[serde(rename = "divides")]
+    pub leads: bool,
+    /// Only its reserved minimum may be spent: no lease is in force.
+    #[serde(rename = "on_floor")]
+    pub reserved_only: bool,
+    /// Where it leads: what is granted or not settled yet, reserved minimums aside.
+    #[serde(rename = "granted_in_all")]
+    pub granted_total: u64,
     /// To how many.
     pub holders: usize,
     /// To whom, the first of them.
     pub granted: Vec<GrantStatus>,
 }
 
-/// What a divider granted to one proxy.
+/// What the allocator granted to one proxy.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct GrantStatus {
     /// Its name, or its address until that is known.
     pub name: String,
-    /// The most that may be felt of it, its floor aside.
+    /// The most that it may have unsettled, its reserved minimum aside.
     pub amount: u64,
 }
 
@@ -78,17 +90,18 @@
                 Some(ms) => format!("in {ms} ms"),
                 None => "on its floor".to_owned(),
             };
-            let (out_now, wanted) = (b.out, b.wanted);
+            let (unsettled, demand) = (b.unsettled, b.demand);
             let _ = writeln!(
                 out,
                 "{:<22} {:>9} {:>8} {:>9} {:>9} {:>9}  {:<14} {ends}",
-                b.name, b.whole, b.floor, b.part, out_now, wanted, b.divider
+                b.name, b.limit, b.reserved, b.lease, unsettled, demand, b.allocator
             );
         }
-        for b in self.budgets.iter().filter(|b| b.divides) {
-            let floors = b.floor * self.members as u64;
-            let free = b.whole.saturating_sub(floors + b.granted_in_all);
-            let _ = writeln!(out, "\n{} ({}): {floors} in floors, {free} not granted", b.name, b.unit);
+        for b in self.budgets.iter().filter(|b| b.leads) {
+            let reserved_total = b.reserved * self.members as u64;
+            let free = b.limit.saturating_sub(reserved_total + b.granted_total);
+            let _ =
+                writeln!(out, "\n{} ({}): {reserved_total} in floors, {free} not granted", b.name, b.unit);
             for grant in &b.granted {
                 let _ = writeln!(out, "    {:<22} {:>9}", grant.name, grant.amount);
             }
@@ -96,8 +109,8 @@
                 let _ = writeln!(out, "    and {} more", b.holders - b.granted.len());
             }
         }
-        if self.budgets_in_all > self.budgets.len() {
-            let _ = writeln!(out, "\nand {} budgets more", self.budgets_in_all - self.budgets.len());
+        if self.budgets_total > self.budgets.len() {
+            let _ = writeln!(out, "\nand {} budgets more", self.budgets_total - self.budgets.len());
         }
         out
     }
@@ -114,21 +127,21 @@
         let budget = |n| BudgetStatus {
             name: format!("cold-caches:a-zone-with-a-name-{n}"),
             unit: "held at a time".into(),
-            whole: 1_000_000,
-            floor: 1_000,
-            part: 100_000,
+            limit: 1_000_000,
+            reserved: 1_000,
+            lease: 100_000,
             ends_in_ms: Some(1_000),
-            wanted: 1_000_000,
-            out: 1_000_000,
-            divider: "proxy-with-a-long-name".into(),
-            divides: true,
-            on_floor: false,
-            granted_in_all: 900_000,
+            demand: 1_000_000,
+            unsettled: 1_000_000,
+            allocator: "proxy-with-a-long-name".into(),
+            leads: true,
+            reserved_only: false,
+            granted_total: 900_000,
             holders: 9,
-            granted: (0..MOST_GRANTS).map(grant).collect(),
+            granted: (0..MAX_GRANTS).map(grant).collect(),
         };
-        let budgets = (0..MOST_BUDGETS).map(budget).collect();
-        let status = Status { name: "p0".into(), members: 9, budgets, budgets_in_all: MOST_BUDGETS + 2 };
+        let budgets = (0..MAX_BUDGETS).map(budget).collect();
+        let status = Status { name: "p0".into(), members: 9, budgets, budgets_total: MAX_BUDGETS + 2 };
         let ring = crate::limits::Limits::for_machine(256, 32).admin_output;
         assert!(to_json(&status).len() + 256 < ring, "{}", to_json(&status).len());
         assert_eq!(serde_json::from_str::<Status>(&to_json(&status)).unwrap(), status);
--- a/daemon/src/core.rs
+++ b/daemon/src/core.rs
@@ -465,8 +465,8 @@
     }
 
     /// What this proxy may spend of what all spend together.
-    pub fn part(&mut self, now: Micros, part: linnetknot::Part) {
-        self.feed(now, Event::Part(part));
+    pub fn receive_lease(&mut self, now: Micros, lease: linnetknot::Lease) {
+        self.feed(now, Event::Lease(lease));
     }
 
     /// Requests of this proxy that the origin holds, or may hold.
--- a/daemon/src/daemon/budgets.rs
+++ b/daemon/src/daemon/budgets.rs
@@ -1,73 +1,75 @@
 //! What all proxies spend together, divided among them (`linnetknot_budgets`): its datagrams, what this proxy wants and
-//! has out, and what the module is told of its parts.
+//! has out, and what the module is told of its leases.
 
 use super::Daemon;
-use crate::budgets::{BudgetStatus, GrantStatus, Status, MOST_BUDGETS, MOST_GRANTS};
+use crate::budgets::{BudgetStatus, GrantStatus, Status, MAX_BUDGETS, MAX_GRANTS};
 use crate::net::Due;
-use linnetknot::{Budget, Micros, Part};
+use linnetknot::{Budget, Lease, Micros};
 use linnetknot_budgets::kinds::Unit;
-use linnetknot_budgets::{wire, Amount, Change, Member, Options, Place, Word};
+use linnetknot_budgets::{wire, Amount, Change, Member, MemberIndex, Message, Options};
 
 /// A member of those who share, and what goes with it.
-pub(super) struct Sharing {
+pub(super) struct SharedBudgets {
     member: Member,
-    /// What was last told to the module, by budget.
-    told: Vec<Option<Part>>,
+    /// What was last passed to the module, by budget.
+    delivered: Vec<Option<Lease>>,
     due: Option<Due>,
     /// Words of proxies that share something else, or among others, were dropped: said once.
-    strange: bool,
+    mismatch_logged: bool,
     /// The list of peers has changed under it, and with it who stands at which place: nothing is said or heard any more,
-    /// and the floor is lived on until the next start.
-    alone: bool,
+    /// and the reserved minimum is lived on until the next start.
+    detached: bool,
 }
 
-/// More than is out now, so that a part is there before it is needed: this many times as much.
-const AHEAD: Amount = 2;
+/// More than is out now, so that a lease is there before it is needed: this many times as much.
+const DEMAND_FACTOR: Amount = 2;
 
 /// What is asked for by who has so much out.
 fn demand(out: Amount, unit: Unit) -> Amount {
     let more = match unit {
-        Unit::Held => 4,
+        Unit::Concurrent => 4,
         Unit::Millionths => unit.one() / 10,
     };
     if out == 0 {
         0
     } else {
-        AHEAD * out + more
+        DEMAND_FACTOR * out + more
     }
 }
 
 impl Daemon {
     /// Begins to share what the operators' file names.
     pub(super) fn join_budgets(&mut self, now: Micros) -> Result<(), String> {
-        let shared = &self.config.budgets;
-        let Some(ledger) = self.ledger.as_ref().filter(|_| !shared.list.is_empty()) else { return Ok(()) };
-        let mut wholes: Vec<_> = shared.list.iter().map(|budget| budget.whole).collect();
-        let felt_us = wholes.iter().map(|whole| whole.felt_us).max().unwrap_or(0);
+        let config = &self.config.budgets;
+        let Some(ledger) = self.ledger.as_ref().filter(|_| !config.list.is_empty()) else { return Ok(()) };
+        let mut specs: Vec<_> = config.list.iter().map(|budget| budget.spec).collect();
+        let settling_us = specs.iter().map(|spec| spec.settling_us).max().unwrap_or(0);
         if forgets_floors() {
-            wholes.iter_mut().for_each(|w| w.whole += w.floor * shared.members as Amount);
+            specs.iter_mut().for_each(|spec| spec.limit += spec.reserved * config.members as Amount);
         }
-        let me = (shared.place, ledger.member());
-        let member = Member::new(me, shared.members, &wholes, now, Options::default().felt_for(felt_us));
+        let me = (config.index, ledger.member());
+        let member =
+            Member::new(me, config.members, &specs, now, Options::default().with_settling_time(settling_us));
         // The file was checked, by the same figures.
-        let member = member.map_err(|(n, e)| format!("budgets: '{}': {e}", shared.list[n].name))?;
-        let told = vec![None; wholes.len()];
+        let member = member.map_err(|(n, e)| format!("budgets: '{}': {e}", config.list[n].name))?;
+        let delivered = vec![None; specs.len()];
         // One that were open for longer than its class allows would be felt for longer, too.
-        self.core.most_us = shared.longest_open_us().unwrap_or(Micros::MAX);
-        self.sharing = Some(Sharing { member, told, due: None, strange: false, alone: false });
-        self.share(now);
+        self.core.most_us = config.longest_open_us().unwrap_or(Micros::MAX);
+        self.shared_budgets =
+            Some(SharedBudgets { member, delivered, due: None, mismatch_logged: false, detached: false });
+        self.tick_budgets(now);
         Ok(())
     }
 
-    /// A peer's place among all that are configured.
-    fn place_of(&self, peer: usize) -> Place {
-        peer + usize::from(peer >= self.config.budgets.place)
+    /// A peer's index among all that are configured.
+    fn member_index(&self, peer: usize) -> MemberIndex {
+        peer + usize::from(peer >= self.config.budgets.index)
     }
 
-    /// Takes in words of a peer; false where they are none.
-    pub(super) fn hear_budgets(&mut self, now: Micros, peer: usize, bytes: &[u8]) -> bool {
-        let (from, form) = (self.place_of(peer), self.config.budgets.form);
-        let (theirs, life, words) = match wire::read(bytes) {
+    /// Takes in messages of a peer; false where they are none.
+    pub(super) fn receive_budgets(&mut self, now: Micros, peer: usize, bytes: &[u8]) -> bool {
+        let (from, fingerprint) = (self.member_index(peer), self.config.budgets.fingerprint);
+        let (theirs, process, messages) = match wire::read(bytes) {
             Err(linnetknot_budgets::wire::DecodeError::Foreign) => return false,
             Err(e) => {
                 log::debug!(place = peer; "{e}");
@@ -76,45 +78,49 @@
             }
             Ok(read) => read,
         };
-        let Some(sharing) = self.sharing.as_mut().filter(|sharing| !sharing.alone) else { return true };
-        if theirs != form {
-            if !std::mem::replace(&mut sharing.strange, true) {
+        let Some(shared) = self.shared_budgets.as_mut().filter(|shared| !shared.detached) else {
+            return true;
+        };
+        if theirs != fingerprint {
+            if !std::mem::replace(&mut shared.mismatch_logged, true) {
                 log::warn!(peer = peer; "a peer's 'budgets' or list of peers is another: nothing is shared with it");
             }
             return true;
         }
-        for word in words {
-            sharing.member.hear(now, (from, life), word);
+        for message in messages {
+            shared.member.receive(now, (from, process), message);
         }
-        self.tend_budgets(now);
+        self.flush_budgets(now);
         true
     }
 
-    /// Once in a while: what is wanted and out, who runs, and what time has brought.
-    fn share(&mut self, now: Micros) {
-        self.tell_wants(now);
-        if let Some(sharing) = &mut self.sharing {
-            sharing.member.tick(now);
+    /// Once in a while: what is in demand and out, who runs, and what time has brought.
+    fn tick_budgets(&mut self, now: Micros) {
+        self.update_demand(now);
+        if let Some(shared) = &mut self.shared_budgets {
+            shared.member.tick(now);
         }
-        self.tend_budgets(now);
-        let due = self.sharing.as_ref().map(|sharing| sharing.member.due().max(now + 1_000));
-        let old = self.sharing.as_mut().and_then(|sharing| sharing.due.take());
+        self.flush_budgets(now);
+        let due = self.shared_budgets.as_ref().map(|shared| shared.member.due().max(now + 1_000));
+        let old = self.shared_budgets.as_mut().and_then(|shared| shared.due.take());
         let new = self.instead(old, due, |daemon, now| {
-            daemon.sharing.iter_mut().for_each(|sharing| sharing.due = None);
-            daemon.share(now);
+            daemon.shared_budgets.iter_mut().for_each(|shared| shared.due = None);
+            daemon.tick_budgets(now);
         });
-        self.sharing.iter_mut().for_each(|sharing| sharing.due = new);
+        self.shared_budgets.iter_mut().for_each(|shared| shared.due = new);
     }
 
-    fn tell_wants(&mut self, now: Micros) {
+    fn update_demand(&mut self, now: Micros) {
         let (held, is_stopping) = (self.core.asking() as Amount, self.is_stopping());
-        let share = |used: Option<f64>| used.map(|used| (used * Unit::Millionths.one() as f64) as Amount);
-        let (caches, parents) = (share(self.core.cold_use(now, false)), share(self.core.cold_use(now, true)));
-        let up: Vec<(Place, bool)> = self.membership.as_ref().map_or_else(Vec::new, |fleet| {
+        let millionths =
+            |used: Option<f64>| used.map(|used| (used * Unit::Millionths.one() as f64) as Amount);
+        let (caches, parents) =
+            (millionths(self.core.cold_use(now, false)), millionths(self.core.cold_use(now, true)));
+        let up: Vec<(MemberIndex, bool)> = self.membership.as_ref().map_or_else(Vec::new, |fleet| {
             let up = fleet.members().iter().enumerate();
-            up.map(|(peer, member)| (self.place_of(peer), member.is_up())).collect()
+            up.map(|(peer, member)| (self.member_index(peer), member.is_up())).collect()
         });
-        let Some(sharing) = &mut self.sharing else { return };
+        let Some(shared) = &mut self.shared_budgets else { return };
         for (n, budget) in self.config.budgets.list.iter().enumerate() {
             let out = match budget.of {
                 Some(Budget::Origin) => held,
@@ -124,125 +130,125 @@
                 None => 0,
             };
             // One that ends gives all up that it does not have out.
-            let wanted = if is_stopping { out } else { demand(out, budget.unit) };
-            sharing.member.want(n, wanted, out);
+            let demand = if is_stopping { out } else { demand(out, budget.unit) };
+            shared.member.set_demand(n, demand, out);
         }
-        up.into_iter().for_each(|(place, up)| sharing.member.believe(place, up));
+        up.into_iter().for_each(|(index, up)| shared.member.set_up(index, up));
     }
 
-    /// Sends what is to be said, says what has changed, and tells the module of its parts.
-    fn tend_budgets(&mut self, now: Micros) {
-        let form = self.config.budgets.form;
-        let Some(sharing) = &mut self.sharing else { return };
-        let (mut sends, changes) = (sharing.member.sends(), sharing.member.changes());
-        if sharing.alone {
-            sends.clear();
+    /// Sends what is to be said, says what has changed, and passes its leases to the module.
+    fn flush_budgets(&mut self, now: Micros) {
+        let fingerprint = self.config.budgets.fingerprint;
+        let Some(shared) = &mut self.shared_budgets else { return };
+        let (mut outgoing, changes) = (shared.member.outgoing(), shared.member.changes());
+        if shared.detached {
+            outgoing.clear();
         }
-        let life = sharing.member.life();
-        for (to, word) in sends.iter().filter(|_| waits_for_no_vote()) {
-            if let Word::Stand { group, number } = *word {
-                let vote = Word::Vote { group, number, yes: true, of: None };
-                sharing.member.hear(now, (*to, 0), vote);
+        let process = shared.member.process();
+        for (to, message) in outgoing.iter().filter(|_| waits_for_no_vote()) {
+            if let Message::VoteRequest { group, number } = *message {
+                let vote = Message::VoteResponse { group, number, granted: true, voted_for: None };
+                shared.member.receive(now, (*to, 0), vote);
             }
         }
-        let grants = sends.iter().any(|(_, word)| matches!(word, Word::Part { .. }));
+        let grants = outgoing.iter().any(|(_, message)| matches!(message, Message::LeaseGrant { .. }));
         if grants {
             fail::fail_point!("budgets-grant");
         }
-        let mut by_place = std::collections::BTreeMap::<Place, Vec<Word>>::new();
-        sends.into_iter().for_each(|(to, word)| by_place.entry(to).or_default().push(word));
-        for (to, words) in by_place {
-            let peer = to - usize::from(to > self.config.budgets.place);
-            for bytes in wire::write(form, life, &words) {
+        let mut by_member = std::collections::BTreeMap::<MemberIndex, Vec<Message>>::new();
+        outgoing.into_iter().for_each(|(to, message)| by_member.entry(to).or_default().push(message));
+        for (to, messages) in by_member {
+            let peer = to - usize::from(to > self.config.budgets.index);
+            for bytes in wire::write(fingerprint, process, &messages) {
                 self.send_to_place(peer, &bytes);
             }
         }
         if grants {
             fail::fail_point!("budgets-granted");
         }
-        changes.into_iter().for_each(|change| self.say_change(change));
-        self.tell_parts(now);
+        changes.into_iter().for_each(|change| self.log_change(change));
+        self.deliver_leases(now);
     }
 
-    fn tell_parts(&mut self, now: Micros) {
-        let Some(sharing) = &mut self.sharing else { return };
-        let mut parts = Vec::new();
+    fn deliver_leases(&mut self, now: Micros) {
+        let Some(shared) = &mut self.shared_budgets else { return };
+        let mut leases = Vec::new();
         for (n, budget) in self.config.budgets.list.iter().enumerate() {
-            let (Some(of), Some(whole)) = (budget.of, sharing.member.whole(n)) else { continue };
-            let (amount, until) = sharing.member.part(now, n);
+            let (Some(of), Some(spec)) = (budget.of, shared.member.spec(n)) else { continue };
+            let (amount, until) = shared.member.lease(now, n);
             let unit = budget.unit.one() as f64;
-            let (amount, floor) = (amount as f64 / unit, whole.floor as f64 / unit);
-            if ignores_ends() && sharing.told[n].is_some_and(|told| told.amount > amount) {
+            let (amount, reserved) = (amount as f64 / unit, spec.reserved as f64 / unit);
+            if ignores_ends() && shared.delivered[n].is_some_and(|delivered| delivered.amount > amount) {
                 continue;
             }
             let until = if ignores_ends() { Micros::MAX } else { until };
-            let part = Part { budget: of, amount, until, floor };
-            if sharing.told[n].replace(part) != Some(part) {
-                parts.push(part);
+            let lease = Lease { budget: of, amount, until, reserved };
+            if shared.delivered[n].replace(lease) != Some(lease) {
+                leases.push(lease);
             }
         }
-        parts.into_iter().for_each(|part| self.core.part(now, part));
+        leases.into_iter().for_each(|lease| self.core.receive_lease(now, lease));
     }
 
-    fn say_change(&self, change: Change) {
+    fn log_change(&self, change: Change) {
         let list = &self.config.budgets.list;
-        let Some(sharing) = &self.sharing else { return };
+        let Some(shared) = &self.shared_budgets else { return };
         match change {
-            Change::Divides { group, begins } => {
-                let all = list.iter().enumerate().filter(|(n, _)| sharing.member.group(*n) == group);
+            Change::Leads { group, begins } => {
+                let all = list.iter().enumerate().filter(|(n, _)| shared.member.group(*n) == group);
                 let names: Vec<&str> = all.map(|(_, budget)| budget.name.as_str()).collect();
                 if !names.is_empty() {
-                    log::info!(budgets = names.join(" ").as_str(), divides = begins; "who divides has changed");
+                    log::info!(budgets = names.join(" ").as_str(), leads = begins; "the allocator has changed");
                 }
             }
-            Change::Floor { budget, begins } => {
-                let (name, whole) = (list[budget].name.as_str(), sharing.member.whole(budget));
-                let floor = whole.map_or(0, |whole| whole.floor);
+            Change::ReservedOnly { budget, begins } => {
+                let (name, spec) = (list[budget].name.as_str(), shared.member.spec(budget));
+                let reserved = spec.map_or(0, |spec| spec.reserved);
                 match begins {
                     true => {
-                        log::warn!(budget = name, floor = floor; "no part is in force: the floor is lived on")
+                        log::warn!(budget = name, reserved = reserved; "no lease is in force: only the reserved minimum is spent")
                     }
-                    false => log::info!(budget = name; "a part is in force again"),
+                    false => log::info!(budget = name; "a lease is in force again"),
                 }
             }
         }
     }
 
-    /// Wholes that are others after a reload; all else of budgets waits for the next start.
+    /// Limits that are others after a reload; all else of budgets waits for the next start.
     pub(super) fn reload_budgets(&mut self, new: &crate::interconnect::Budgets) {
-        if new.form != self.config.budgets.form {
-            return log::warn!("SIGHUP: 'budgets' has changed beyond its wholes, which takes effect with the next start only");
+        if new.fingerprint != self.config.budgets.fingerprint {
+            return log::warn!("SIGHUP: 'budgets' has changed beyond its limits, which takes effect with the next start only");
         }
-        let Some(sharing) = &mut self.sharing else { return };
+        let Some(shared) = &mut self.shared_budgets else { return };
         for (n, (old, new)) in self.config.budgets.list.iter_mut().zip(&new.list).enumerate() {
-            if old.whole != new.whole {
-                match sharing.member.set(n, new.whole.whole) {
+            if old.spec != new.spec {
+                match shared.member.set_limit(n, new.spec.limit) {
                     Ok(()) => {
-                        log::info!(budget = new.name.as_str(), whole = new.whole.whole; "SIGHUP: a whole is another");
-                        old.whole = new.whole;
+                        log::info!(budget = new.name.as_str(), limit = new.spec.limit; "SIGHUP: the limit has changed");
+                        old.spec = new.spec;
                     }
-                    Err(e) => log::error!("SIGHUP: the whole of '{}' stays as it was: {e}", new.name),
+                    Err(e) => log::error!("SIGHUP: the limit of '{}' stays as it was: {e}", new.name),
                 }
             }
         }
     }
 
-    /// The list of peers is another, so that words would be taken for another member's: this proxy lives on its floors.
-    pub(super) fn share_alone(&mut self) {
-        if let Some(sharing) = &mut self.sharing {
-            sharing.alone = true;
+    /// The list of peers is another, so that messages would be taken for another member's: this proxy lives on its reserved minimums.
+    pub(super) fn detach_budgets(&mut self) {
+        if let Some(shared) = &mut self.shared_budgets {
+            shared.detached = true;
             log::error!("SIGHUP: the peers have changed: nothing is shared with them before the next start");
         }
     }
 
     /// Where the budgets stand; none where nothing is shared.
     pub(super) fn budgets_status(&self) -> Option<Status> {
-        let (sharing, now) = (self.sharing.as_ref()?, self.clock.now());
-        let (member, config) = (&sharing.member, &self.config.budgets);
-        let peer = |place: Place| match place.cmp(&config.place) {
+        let (shared, now) = (self.shared_budgets.as_ref()?, self.clock.now());
+        let (member, config) = (&shared.member, &self.config.budgets);
+        let peer = |index: MemberIndex| match index.cmp(&config.index) {
             std::cmp::Ordering::Equal => self.config.name.clone(),
             order => {
-                let peer = place - usize::from(order == std::cmp::Ordering::Greater);
+                let peer = index - usize::from(order == std::cmp::Ordering::Greater);
                 let named = self.membership.as_ref().and_then(|fleet| fleet.members().get(peer));
                 let name = named.and_then(|m| m.names.as_ref()).map(|(name, _)| name.clone());
                 let address = || self.config.copies.machines.get(peer).map(|(a, _)| a.to_string());
@@ -250,64 +256,64 @@
             }
         };
         let budget = |(n, budget): (usize, &crate::interconnect::Shared)| {
-            let whole = member.whole(n).unwrap_or(budget.whole);
-            let ((part, until), (wanted, out)) = (member.part(now, n), member.wants(n));
-            let (group, granted) = (member.group(n), member.parts_granted(n));
-            let divides = member.divides(now, group);
-            let granted = if divides { granted } else { Vec::new() };
+            let spec = member.spec(n).unwrap_or(budget.spec);
+            let ((lease, until), (demand, unsettled)) = (member.lease(now, n), member.demand(n));
+            let (group, granted) = (member.group(n), member.granted_leases(n));
+            let leads = member.leads(now, group);
+            let granted = if leads { granted } else { Vec::new() };
             BudgetStatus {
                 name: budget.name.clone(),
                 unit: budget.unit.name().to_owned(),
-                whole: whole.whole,
-                floor: whole.floor,
-                part,
+                limit: spec.limit,
+                reserved: spec.reserved,
+                lease,
                 ends_in_ms: (until != Micros::MAX).then_some(until.saturating_sub(now) / 1000),
-                wanted,
-                out,
-                divider: peer(member.divider(now, group)),
-                divides,
-                on_floor: until == Micros::MAX,
-                granted_in_all: granted.iter().map(|(_, amount)| amount).sum(),
+                demand,
+                unsettled,
+                allocator: peer(member.allocator(now, group)),
+                leads,
+                reserved_only: until == Micros::MAX,
+                granted_total: granted.iter().map(|(_, amount)| amount).sum(),
                 holders: granted.len(),
                 granted: granted
                     .into_iter()
-                    .take(MOST_GRANTS)
-                    .map(|(place, amount)| GrantStatus { name: peer(place), amount })
+                    .take(MAX_GRANTS)
+                    .map(|(index, amount)| GrantStatus { name: peer(index), amount })
                     .collect(),
             }
         };
         Some(Status {
             name: self.config.name.clone(),
             members: config.members,
-            budgets: config.list.iter().enumerate().take(MOST_BUDGETS).map(budget).collect(),
-            budgets_in_all: config.list.len(),
+            budgets: config.list.iter().enumerate().take(MAX_BUDGETS).map(budget).collect(),
+            budgets_total: config.list.len(),
         })
     }
 
     /// How the sharing went, as the process ends.
-    pub(super) fn say_budgets(&self) {
-        let Some(sharing) = &self.sharing else { return };
-        let t = sharing.member.tally();
+    pub(super) fn log_budgets(&self) {
+        let Some(shared) = &self.shared_budgets else { return };
+        let t = shared.member.counters();
         log::info!(
-            granted = t.granted, taken = t.taken, late = t.late, astray = t.astray;
-            "parts of what all proxies spend"
+            granted = t.granted, accepted = t.accepted, stale = t.stale, misdirected = t.misdirected;
+            "leases of what all proxies spend"
         );
     }
 }
 
-/// Never: only faults that rehearsals plant. A holder that goes by a part whose time is over.
+/// Never: only faults that rehearsals plant. A holder that goes by a lease whose time is over.
 fn ignores_ends() -> bool {
     fail::fail_point!("plant-lease", |_| true);
     false
 }
 
-/// A divider that does not wait for the votes of others.
+/// An allocator that does not wait for the votes of others.
 fn waits_for_no_vote() -> bool {
     fail::fail_point!("plant-votes", |_| true);
     false
 }
 
-/// Floors that are not set aside of the whole.
+/// Floors that are not set aside of the limit.
 fn forgets_floors() -> bool {
     fail::fail_point!("plant-floors", |_| true);
     false
--- a/daemon/src/daemon/feeds/peers.rs
+++ b/daemon/src/daemon/feeds/peers.rs
@@ -26,7 +26,7 @@
             let place = self.config.copies.machines.iter().position(|(peer, _)| *peer == from);
             let heard = |p| {
                 self.hear_member(now, p, bytes)
-                    || self.hear_budgets(now, p, bytes)
+                    || self.receive_budgets(now, p, bytes)
                     || self.hear_copies(now, p, bytes)
             };
             if place.is_some_and(heard) {
--- a/daemon/src/daemon/mod.rs
+++ b/daemon/src/daemon/mod.rs
@@ -212,7 +212,7 @@
     /// Who of the peers is there, and when that is due to be looked at again.
     membership: Option<linnetknot_membership::Membership>,
     /// What all proxies spend together.
-    sharing: Option<budgets::Sharing>,
+    shared_budgets: Option<budgets::SharedBudgets>,
     fleet_due: Option<Due>,
     /// Raised by the store's worker when there is word of what is on the disk.
     store_word: Option<Signal>,
@@ -344,7 +344,7 @@
             ledger,
             promised: promises::Promised::default(),
             membership: None,
-            sharing: None,
+            shared_budgets: None,
             fleet_due: None,
             store_word,
             posts: 0,
@@ -447,7 +447,7 @@
             c.left,
             c.attempts
         );
-        self.say_budgets();
+        self.log_budgets();
         if self.peers.is_some() {
             let (strangers, foreign) = self.dropped;
             log::info!(strangers = strangers, foreign = foreign; "datagrams that were dropped");
@@ -606,7 +606,7 @@
             Err(e) => log::error!("SIGHUP: the machines of the peers stay as they were: {e}"),
         }
         if machines != self.config.copies.machines {
-            self.share_alone();
+            self.detach_budgets();
             let peers = self.config.copies.machines.len();
             self.membership.iter_mut().for_each(|fleet| fleet.peers(peers));
             self.know_machines();
--- a/daemon/src/fleet.rs
+++ b/daemon/src/fleet.rs
@@ -160,7 +160,7 @@
     ask_for(admin, "/control/fleet", "this proxy makes no copies ('peers.copies')")
 }
 
-/// Asks a proxy by its admin listener of its parts of what all proxies spend.
+/// Asks a proxy by its admin listener of its leases of what all proxies spend.
 ///
 /// # Errors
 /// As `ask`; the admin listener says no where nothing is shared.
--- a/daemon/src/interconnect.rs
+++ b/daemon/src/interconnect.rs
@@ -3,7 +3,7 @@
 //! from them (`linnetknot schema`).
 
 use linnetknot::{Budget, Micros, Settings};
-use linnetknot_budgets::{kinds, limit::Whole};
+use linnetknot_budgets::{kinds, spec::BudgetSpec};
 use linnetknot_consul::{Consistency, Identity, Mapping, MetaKeys, Options, Registrant};
 use linnetknot_discovery::Damping;
 use schemars::JsonSchema;
@@ -129,12 +129,14 @@
     pub cold: bool,
     /// Share of what cold servers bear that is set aside, in equal parts for all proxies, whatever they can reach.
     #[schemars(range(min = 0.01, max = 1.0))]
-    pub cold_floors: f64,
+    // The file's key `cold_floors` stands for the share that is reserved.
+    #[serde(rename = "cold_floors")]
+    pub cold_reserved: f64,
 }
 
 impl Default for BudgetsFile {
     fn default() -> Self {
-        BudgetsFile { origin: None, cold: false, cold_floors: 0.25 }
+        BudgetsFile { origin: None, cold: false, cold_reserved: 0.25 }
     }
 }
 
@@ -144,11 +146,14 @@
 pub struct OriginFile {
     /// Of all proxies together.
     #[schemars(range(min = 1, max = 1_000_000))]
-    pub whole: u64,
+    // The file's key `whole` stands for the limit.
+    #[serde(rename = "whole")]
+    pub limit: u64,
     /// Set aside of that for each proxy in `peers`, whatever it can reach.
-    #[serde(default = "one")]
+    // The file's key `floor` stands for the reserved minimum.
+    #[serde(rename = "floor", default = "one")]
     #[schemars(range(min = 0, max = 1_000_000))]
-    pub floor: u64,
+    pub reserved: u64,
 }
 
 fn one() -> u64 {
@@ -164,19 +169,19 @@
     pub unit: kinds::Unit,
     /// What the module knows it as; none: it is another zone's.
     pub of: Option<linnetknot::Budget>,
-    /// Its whole and floors.
-    pub whole: Whole,
+    /// Its limit and reserved minimum.
+    pub spec: BudgetSpec,
 }
 
 /// What is shared, checked.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Budgets {
-    /// This proxy's place in the list of all.
-    pub place: usize,
+    /// This proxy's index in the list of all.
+    pub index: usize,
     /// How many are in it.
     pub members: usize,
     /// Stands for what is shared among how many: whose is another does not share with this proxy.
-    pub form: u64,
+    pub fingerprint: u64,
     /// What is shared.
     pub list: Vec<Shared>,
 }
@@ -186,7 +191,7 @@
     /// that it need not be bounded.
     pub fn longest_open_us(&self) -> Option<Micros> {
         let origin = self.list.iter().find(|shared| shared.of == Some(Budget::Origin));
-        origin.map(|shared| shared.whole.felt_us)
+        origin.map(|shared| shared.spec.settling_us)
     }
 }
 
@@ -198,10 +203,10 @@
         copies: bool,
         peers: Option<&(SocketAddr, Vec<SocketAddr>)>,
     ) -> Result<Budgets> {
-        let share_of_floors = range("budgets.cold_floors", self.cold_floors, 0.01, 1.0)?;
+        let reserved_share = range("budgets.cold_floors", self.cold_reserved, 0.01, 1.0)?;
         if let Some(origin) = &self.origin {
-            range("budgets.origin.whole", origin.whole, 1, 1_000_000)?;
-            range("budgets.origin.floor", origin.floor, 0, 1_000_000)?;
+            range("budgets.origin.whole", origin.limit, 1, 1_000_000)?;
+            range("budgets.origin.floor", origin.reserved, 0, 1_000_000)?;
         }
         if self.origin.is_none() && !self.cold {
             return Ok(Budgets::default());
@@ -211,36 +216,36 @@
         }
         // Without peers a file is checked by itself, and nothing can be said of how many share.
         let Some((own, all)) = peers else { return Ok(Budgets::default()) };
-        let place = all.iter().position(|peer| peer == own).ok_or(
+        let index = all.iter().position(|peer| peer == own).ok_or(
             "budgets: 'peers' does not name this proxy's own 'peer_listen', by whose place there it is known",
         )?;
         let members = all.len();
-        let share = |kind: kinds::Kind, zone: &str, of, whole| {
+        let share = |kind: kinds::Kind, zone: &str, of, spec| {
             let name = if zone.is_empty() { kind.name.to_owned() } else { format!("{}:{zone}", kind.name) };
-            Shared { name, unit: kind.unit, of, whole }
+            Shared { name, unit: kind.unit, of, spec }
         };
         let mut list = Vec::new();
-        if let Some(OriginFile { whole, floor }) = self.origin {
-            let felt_us = settings.classes.iter().map(|class| class.deadline_us).max().unwrap_or(0);
-            let whole = Whole { whole, floor, felt_us };
-            whole.shared(members).map_err(|e| format!("budgets.origin.whole: {} is {e}", whole.whole))?;
-            list.push(share(kinds::ORIGIN, "", Some(Budget::Origin), whole));
+        if let Some(OriginFile { limit, reserved }) = self.origin {
+            let settling_us = settings.classes.iter().map(|class| class.deadline_us).max().unwrap_or(0);
+            let spec = BudgetSpec { limit, reserved, settling_us };
+            spec.shared(members).map_err(|e| format!("budgets.origin.whole: {} is {e}", spec.limit))?;
+            list.push(share(kinds::ORIGIN, "", Some(Budget::Origin), spec));
         }
         if self.cold {
             let all = kinds::CACHES.unit.one();
-            let floor = (share_of_floors * all as f64 / members as f64) as u64;
-            let whole = Whole { whole: all, floor, felt_us: settings.rules.fall_us };
+            let reserved = (reserved_share * all as f64 / members as f64) as u64;
+            let spec = BudgetSpec { limit: all, reserved, settling_us: settings.rules.fall_us };
             if settings.parent_kind.is_some() {
-                list.push(share(kinds::PARENTS, "", Some(Budget::Parents), whole));
+                list.push(share(kinds::PARENTS, "", Some(Budget::Parents), spec));
             }
             for (n, zone) in settings.zones.iter().enumerate() {
                 let of = (n == settings.zone).then_some(Budget::Caches);
-                list.push(share(kinds::CACHES, &zone.name, of, whole));
+                list.push(share(kinds::CACHES, &zone.name, of, spec));
             }
         }
-        let names = list.iter().map(|b| format!("{} {} {}", b.name, b.whole.floor, b.whole.felt_us));
+        let names = list.iter().map(|b| format!("{} {} {}", b.name, b.spec.reserved, b.spec.settling_us));
         let text = names.fold(format!("{members}"), |text, name| text + "\n" + &name);
-        Ok(Budgets { place, members, form: linnetknot_discovery::server_id(&text), list })
+        Ok(Budgets { index, members, fingerprint: linnetknot_discovery::server_id(&text), list })
     }
 }
 
--- a/daemon/src/points.rs
+++ b/daemon/src/points.rs
@@ -28,10 +28,10 @@
     "admin-keeps",
     "admin-kept-once",
     "admin-kept",
-    // A divider that has decided on parts of what all spend: before their holders hear of them and after.
+    // An allocator that has decided on leases of what all spend: before their holders learn of them and after.
     "budgets-grant",
     "budgets-granted",
-    // Faults that rehearsals plant: a holder that ignores its part's end, a divider that does not wait for its
+    // Faults that rehearsals plant: a holder that ignores its lease's end, an allocator that does not wait for its
     // forerunner's votes, floors that are not counted.
     "plant-lease",
     "plant-votes",
--- a/daemon/tests/budgets.rs
+++ b/daemon/tests/budgets.rs
@@ -1,5 +1,5 @@
 //! What all proxies spend together, on several processes with gates between them: places at the origin, counted by the
-//! origin itself. However links and processes fail, it never holds more than the whole; and what the others do not use is
+//! origin itself. However links and processes fail, it never holds more than the limit; and what the others do not use is
 //! used by those that have something to do.
 
 use linnetknot_daemon::budgets::BudgetStatus;
@@ -15,8 +15,8 @@
 
 const DAEMON: &str = env!("CARGO_BIN_EXE_linnetknot");
 /// Places at the origin, and those set aside for each proxy.
-const WHOLE: u64 = 24;
-const FLOOR: u64 = 2;
+const LIMIT: u64 = 24;
+const RESERVED: u64 = 2;
 /// How long a request may be open: what is spent is felt for no longer.
 const DEADLINE_US: u64 = 1_000_000;
 /// How long the origin holds each.
@@ -24,22 +24,22 @@
 /// More clients of each proxy than there are places.
 const CLIENTS: usize = 26;
 
-fn origin(whole: u64) -> Value {
-    json!({"origin": {"whole": whole, "floor": FLOOR}})
+fn origin(limit: u64) -> Value {
+    json!({"origin": {"whole": limit, "floor": RESERVED}})
 }
 
 struct Ground {
     fleet: Fleet,
     clients: Vec<Option<Pressure>>,
     begun: Instant,
-    wholes: Vec<(u64, u64)>,
+    limits: Vec<(u64, u64)>,
 }
 
 impl Ground {
     /// So many proxies, the first of which have clients.
     fn start(proxies: usize, pressed: usize, seed: u64, planted: &str) -> Ground {
         let setup = Setup {
-            budgets: origin(WHOLE),
+            budgets: origin(LIMIT),
             deadline_us: Some(DEADLINE_US),
             planted,
             ..Setup::copying(Path::new(DAEMON), proxies, seed)
@@ -47,7 +47,7 @@
         let fleet = Fleet::with(setup).unwrap();
         fleet.origin.behave(linnetknot_rehearse::boxes::Manner { hold_ms: HOLD_MS, ..Default::default() });
         let clients = (0..proxies).map(|_| None).collect();
-        let mut ground = Ground { fleet, clients, begun: Instant::now(), wholes: vec![(0, WHOLE)] };
+        let mut ground = Ground { fleet, clients, begun: Instant::now(), limits: vec![(0, LIMIT)] };
         (0..pressed).for_each(|n| ground.press(n));
         ground
     }
@@ -78,19 +78,19 @@
         self.fleet.budgets(n).ok().map(|status| status.budgets[0].clone())
     }
 
-    /// Who of these divides, as soon as one does.
-    fn divider(&self, of: &[usize]) -> usize {
-        let mut divider = None;
-        self.until("one divides", || {
-            divider = of.iter().copied().find(|n| self.places(*n).is_some_and(|b| b.divides));
-            divider.is_some()
+    /// Who of these leads, as soon as one does.
+    fn allocator(&self, of: &[usize]) -> usize {
+        let mut allocator = None;
+        self.until("one leads", || {
+            allocator = of.iter().copied().find(|n| self.places(*n).is_some_and(|b| b.leads));
+            allocator.is_some()
         });
-        divider.unwrap()
+        allocator.unwrap()
     }
 
     fn until(&self, what: &str, so: impl FnMut() -> bool) {
-        let told = || (0..self.clients.len()).map(|n| (n, self.places(n))).collect::<Vec<_>>();
-        assert!(becomes(3 * PATIENCE, so), "never: {what}: {:#?}", told());
+        let statuses = || (0..self.clients.len()).map(|n| (n, self.places(n))).collect::<Vec<_>>();
+        assert!(becomes(3 * PATIENCE, so), "never: {what}: {:#?}", statuses());
     }
 
     /// The mean of what the origin held in the last half second.
@@ -105,7 +105,7 @@
     }
 
     fn breaches(&self) -> Vec<Breach> {
-        judge(&self.fleet.origin.spans(self.begun), &self.wholes)
+        judge(&self.fleet.origin.spans(self.begun), &self.limits)
     }
 
     /// Time passes under load, as it does while something is broken.
@@ -113,7 +113,7 @@
         std::thread::sleep(time);
     }
 
-    /// All that was held fits the whole, something was, and each proxy that has clients still answers.
+    /// All that was held fits the limit, something was, and each proxy that has clients still answers.
     fn judge(&self) {
         assert_eq!(self.breaches(), []);
         assert!(!self.fleet.origin.spans(self.begun).is_empty());
@@ -127,28 +127,28 @@
 }
 
 const ALL: [usize; 3] = [0, 1, 2];
-/// Nearly all that is left to others while one lives on its floor.
-const REST: f64 = (WHOLE - FLOOR) as f64 * 0.8;
+/// Nearly all that is left to others while one lives on its reserved minimum.
+const REST: f64 = (LIMIT - RESERVED) as f64 * 0.8;
 
-/// So many proxies that use all places, and the one that divides them.
+/// So many proxies that use all places, and the one that leads them.
 fn full(proxies: usize, seed: u64, planted: &str) -> (Ground, usize) {
     let ground = Ground::start(proxies, proxies, seed, planted);
-    ground.until_used("all places are used", WHOLE as f64 * 0.8);
-    let divider = ground.divider(&(0..proxies).collect::<Vec<_>>());
-    (ground, divider)
+    ground.until_used("all places are used", LIMIT as f64 * 0.8);
+    let allocator = ground.allocator(&(0..proxies).collect::<Vec<_>>());
+    (ground, allocator)
 }
 
-/// The divider is lost in some way: another divides and the others use the rest. It is found again, and takes nothing
+/// The allocator is lost in some way: another leads and the others use the rest. It is found again, and takes nothing
 /// away.
 fn lost_and_found(seed: u64, lose: impl FnOnce(&mut Ground, usize), find: impl FnOnce(&mut Ground, usize)) {
-    let (mut ground, divider) = full(3, seed, "");
-    lose(&mut ground, divider);
-    let next = ground.divider(&others(divider));
+    let (mut ground, allocator) = full(3, seed, "");
+    lose(&mut ground, allocator);
+    let next = ground.allocator(&others(allocator));
     ground.until_used("the others use the rest", REST);
-    find(&mut ground, divider);
-    ground.until("it has a part again, and knows who divides", || {
-        let knows = |b: BudgetStatus| !b.on_floor && !b.divides && b.divider == format!("p{next}");
-        ground.places(divider).is_some_and(knows)
+    find(&mut ground, allocator);
+    ground.until("it has a lease again, and knows who leads", || {
+        let knows = |b: BudgetStatus| !b.reserved_only && !b.leads && b.allocator == format!("p{next}");
+        ground.places(allocator).is_some_and(knows)
     });
     ground.judge();
 }
@@ -160,80 +160,84 @@
 #[test]
 fn what_idle_proxies_do_not_use_is_used_by_the_busy_one_and_shared_when_others_come() {
     let mut ground = Ground::start(3, 1, 1, "");
-    ground.until_used("one alone has nearly all places", (WHOLE - 2 * FLOOR) as f64 * 0.85);
+    ground.until_used("one alone has nearly all places", (LIMIT - 2 * RESERVED) as f64 * 0.85);
     ground.press(1);
     ground.press(2);
-    ground.until("each has a fair part", || {
-        ALL.iter().all(|n| ground.places(*n).is_some_and(|b| b.part >= WHOLE / 3 - 2 && !b.on_floor))
+    ground.until("each has a fair lease", || {
+        ALL.iter().all(|n| ground.places(*n).is_some_and(|b| b.lease >= LIMIT / 3 - 2 && !b.reserved_only))
     });
-    ground.until_used("together they use nearly all", WHOLE as f64 * 0.85);
+    ground.until_used("together they use nearly all", LIMIT as f64 * 0.85);
     ground.judge();
 }
 
 #[test]
-fn a_divider_that_is_killed_is_followed_by_another_and_comes_back_as_one_of_them() {
-    lost_and_found(2, |ground, divider| ground.kill(divider), |ground, divider| ground.restart(divider, ""));
+fn an_allocator_that_is_killed_is_followed_by_another_and_comes_back_as_one_of_them() {
+    lost_and_found(
+        2,
+        |ground, allocator| ground.kill(allocator),
+        |ground, allocator| ground.restart(allocator, ""),
+    );
 }
 
 /// It stands still for longer than its votes last, another has them by then, and it goes on as if nothing was: two that
 /// both believe.
 #[test]
-fn a_divider_that_stands_still_and_goes_on_is_no_second_one() {
+fn an_allocator_that_stands_still_and_goes_on_is_no_second_one() {
     lost_and_found(
         5,
-        |ground, divider| ground.fleet.stall(divider).unwrap(),
-        |ground, divider| ground.fleet.go_on(divider).unwrap(),
+        |ground, allocator| ground.fleet.stall(allocator).unwrap(),
+        |ground, allocator| ground.fleet.go_on(allocator).unwrap(),
     );
 }
 
 #[test]
-fn a_divider_on_the_lesser_side_of_a_split_lives_on_its_floor_and_the_greater_side_goes_on() {
+fn an_allocator_on_the_lesser_side_of_a_split_lives_on_its_reserved_minimum_and_the_greater_side_goes_on() {
     lost_and_found(
         7,
-        |ground, divider| {
-            ground.fleet.gates.split(&[divider], Weather::CUT);
-            ground.until("it lives on its floor", || {
-                ground.places(divider).is_some_and(|b| b.on_floor && b.part == FLOOR && !b.divides)
+        |ground, allocator| {
+            ground.fleet.gates.split(&[allocator], Weather::CUT);
+            ground.until("it lives on its reserved minimum", || {
+                ground.places(allocator).is_some_and(|b| b.reserved_only && b.lease == RESERVED && !b.leads)
             });
         },
-        |ground, divider| ground.fleet.gates.split(&[divider], Weather::default()),
+        |ground, allocator| ground.fleet.gates.split(&[allocator], Weather::default()),
     );
 }
 
 /// It hears all and is not heard: it knows of every question, and none of its answers comes.
 #[test]
-fn a_divider_that_hears_and_is_not_heard_is_followed_by_another() {
-    let set = |ground: &mut Ground, divider, weather| {
-        others(divider).into_iter().for_each(|n| ground.fleet.gates.set((divider, n), weather));
+fn an_allocator_that_hears_and_is_not_heard_is_followed_by_another() {
+    let set = |ground: &mut Ground, allocator, weather| {
+        others(allocator).into_iter().for_each(|n| ground.fleet.gates.set((allocator, n), weather));
     };
     lost_and_found(
         8,
-        |ground, divider| set(ground, divider, Weather::CUT),
-        |ground, divider| set(ground, divider, Weather::default()),
+        |ground, allocator| set(ground, allocator, Weather::CUT),
+        |ground, allocator| set(ground, allocator, Weather::default()),
     );
 }
 
-/// In the middle of a division: it has decided on parts, and their holders have heard of them or have not.
+/// In the middle of a division: it has decided on leases, and their holders have heard of them or have not.
 #[test]
-fn a_divider_that_dies_before_and_after_its_holders_hear_of_their_parts_has_given_nothing_twice() {
+fn an_allocator_that_dies_before_and_after_its_holders_hear_of_their_leases_has_given_nothing_twice() {
     for (seed, point) in ["budgets-grant", "budgets-granted"].into_iter().enumerate() {
-        let (mut ground, divider) = full(3, 3 + seed as u64, "");
-        // Whichever divides next dies of its first grant.
-        for n in others(divider) {
+        let (mut ground, allocator) = full(3, 3 + seed as u64, "");
+        // Whichever leads next dies of its first grant.
+        for n in others(allocator) {
             ground.kill(n);
             ground.restart(n, &format!("{point}=die"));
-            ground.until("it is back", || ground.places(n).is_some_and(|b| !b.on_floor));
+            ground.until("it is back", || ground.places(n).is_some_and(|b| !b.reserved_only));
         }
-        ground.kill(divider);
+        ground.kill(allocator);
         ground.until("the next has died of its first grant", || {
-            others(divider).into_iter().any(|n| ground.fleet.process(n).is_err())
+            others(allocator).into_iter().any(|n| ground.fleet.process(n).is_err())
         });
-        ground.restart(divider, "");
-        for n in others(divider) {
+        ground.restart(allocator, "");
+        for n in others(allocator) {
             ground.kill(n);
             ground.restart(n, "");
         }
-        ground.until_used("all places are used again", WHOLE as f64 * 0.75);
+        ground.until_used("all places are used again", LIMIT as f64 * 0.75);
         ground.judge();
     }
 }
@@ -242,41 +246,43 @@
 /// for another's.
 #[test]
 fn a_proxy_whose_list_of_peers_changes_shares_nothing_before_its_next_start() {
-    let (mut ground, divider) = full(3, 14, "");
-    let changed = others(divider)[0];
+    let (mut ground, allocator) = full(3, 14, "");
+    let changed = others(allocator)[0];
     ground.fleet.reorder_peers(changed).unwrap();
-    ground.until("it lives on its floor", || {
-        ground.places(changed).is_some_and(|b| b.on_floor && b.part == FLOOR && !b.divides)
+    ground.until("it lives on its reserved minimum", || {
+        ground.places(changed).is_some_and(|b| b.reserved_only && b.lease == RESERVED && !b.leads)
     });
     ground.until_used("the others use the rest", REST);
     ground.judge();
 }
 
 #[test]
-fn a_holder_that_stands_still_past_its_end_goes_on_with_its_floor() {
-    let (ground, divider) = full(3, 6, "");
-    let holder = others(divider)[0];
+fn a_holder_that_stands_still_past_its_end_goes_on_with_its_reserved_minimum() {
+    let (ground, allocator) = full(3, 6, "");
+    let holder = others(allocator)[0];
     for _ in 0..3 {
         ground.fleet.stall(holder).unwrap();
         ground.until_used("the others use what was its", REST);
         ground.fleet.go_on(holder).unwrap();
-        ground.until("it has a part again", || {
-            ground.places(holder).is_some_and(|b| !b.on_floor && b.part > FLOOR)
+        ground.until("it has a lease again", || {
+            ground.places(holder).is_some_and(|b| !b.reserved_only && b.lease > RESERVED)
         });
     }
     ground.judge();
 }
 
 #[test]
-fn each_holders_link_to_the_divider_lost_for_long_leaves_it_its_floor_and_the_others_the_rest() {
-    let (ground, divider) = full(4, 9, "");
-    let holders: Vec<usize> = (0..4).filter(|n| *n != divider).collect();
+fn each_holders_link_to_the_allocator_lost_for_long_leaves_it_its_reserved_minimum_and_the_others_the_rest() {
+    let (ground, allocator) = full(4, 9, "");
+    let holders: Vec<usize> = (0..4).filter(|n| *n != allocator).collect();
     for holder in holders {
-        ground.fleet.gates.set((holder, divider), Weather::CUT);
-        ground.until("it lives on its floor", || ground.places(holder).is_some_and(|b| b.on_floor));
+        ground.fleet.gates.set((holder, allocator), Weather::CUT);
+        ground.until("it lives on its reserved minimum", || {
+            ground.places(holder).is_some_and(|b| b.reserved_only)
+        });
         ground.until_used("the others have the rest", REST);
-        ground.fleet.gates.set((holder, divider), Weather::default());
-        ground.until("it has a part again", || ground.places(holder).is_some_and(|b| !b.on_floor));
+        ground.fleet.gates.set((holder, allocator), Weather::default());
+        ground.until("it has a lease again", || ground.places(holder).is_some_and(|b| !b.reserved_only));
     }
     ground.judge();
 }
@@ -286,7 +292,7 @@
     let ground = Ground::start(3, 3, 10, "");
     let rough = Weather { drop: 0.33, duplicate: 0.33, reorder: 0.33, jitter_ms: 60.0, ..Weather::default() };
     ground.fleet.gates.set_all(rough);
-    ground.until_used("most places are used", WHOLE as f64 * 0.75);
+    ground.until_used("most places are used", LIMIT as f64 * 0.75);
     ground.pass(Duration::from_secs(2));
     ground.judge();
 }
@@ -294,46 +300,46 @@
 /// Half of the proxies die at once and are back at once, and know nothing of what they granted and had.
 #[test]
 fn half_of_all_killed_at_once_and_back_at_once_spend_nothing_twice() {
-    let (mut ground, divider) = full(4, 11, "");
-    for other in [(divider + 1) % 4, (divider + 2) % 4] {
-        ground.kill(divider);
+    let (mut ground, allocator) = full(4, 11, "");
+    for other in [(allocator + 1) % 4, (allocator + 2) % 4] {
+        ground.kill(allocator);
         ground.kill(other);
-        ground.restart(divider, "");
+        ground.restart(allocator, "");
         ground.restart(other, "");
-        ground.until_used("all places are used again", WHOLE as f64 * 0.75);
+        ground.until_used("all places are used again", LIMIT as f64 * 0.75);
     }
     ground.judge();
 }
 
 /// One after the other, as an upgrade goes, each told to end (SIGTERM).
 #[test]
-fn a_rolling_restart_of_all_keeps_the_whole() {
+fn a_rolling_restart_of_all_keeps_the_limit() {
     let (mut ground, _) = full(3, 12, "");
     for n in ALL {
         ground.clients[n].iter().for_each(|clients| clients.aim(None));
         assert!(ground.fleet.end(n).unwrap(), "p{n} ends well");
         ground.restart(n, "");
     }
-    ground.until_used("all places are used again", WHOLE as f64 * 0.75);
+    ground.until_used("all places are used again", LIMIT as f64 * 0.75);
     ground.judge();
 }
 
 #[test]
-fn a_whole_that_is_lowered_by_half_while_all_of_it_is_out_holds_once_that_has_ended() {
+fn a_limit_that_is_lowered_by_half_while_all_of_it_is_out_holds_once_that_has_ended() {
     let (mut ground, _) = full(3, 13, "");
-    ground.fleet.set_budgets(origin(WHOLE / 2)).unwrap();
+    ground.fleet.set_budgets(origin(LIMIT / 2)).unwrap();
     ground.until("all know of it", || {
-        ALL.iter().all(|n| ground.places(*n).is_some_and(|b| b.whole == WHOLE / 2))
+        ALL.iter().all(|n| ground.places(*n).is_some_and(|b| b.limit == LIMIT / 2))
     });
-    // What was granted of the whole before may be spent for a second more, and is felt for another.
+    // What was granted of the limit before may be spent for a second more, and is felt for another.
     ground.pass(Duration::from_micros(1_000_000 + DEADLINE_US));
-    ground.wholes.push((ground.now(), WHOLE / 2));
+    ground.limits.push((ground.now(), LIMIT / 2));
     ground.pass(Duration::from_secs(1));
-    ground.until_used("all of that is used", (WHOLE / 2) as f64 * 0.8);
-    // One that its floors don't fit stays out.
-    ground.fleet.set_budgets(origin(3 * FLOOR - 1)).unwrap();
+    ground.until_used("all of that is used", (LIMIT / 2) as f64 * 0.8);
+    // One that its reserved minimums don't fit stays out.
+    ground.fleet.set_budgets(origin(3 * RESERVED - 1)).unwrap();
     ground.pass(Duration::from_millis(300));
-    assert!(ALL.iter().all(|n| ground.places(*n).is_some_and(|b| b.whole == WHOLE / 2)));
+    assert!(ALL.iter().all(|n| ground.places(*n).is_some_and(|b| b.limit == LIMIT / 2)));
     ground.judge();
 }
 
@@ -344,15 +350,15 @@
     let ground = Ground::start(3, 3, 20, "plant-floors=fail");
     ground.until("more is held than may be", || !ground.breaches().is_empty());
     drop(ground);
-    // A holder that ignores its part's end: cut off, it goes on with what the others have been given by then.
-    let (ground, divider) = full(3, 21, "plant-lease=fail");
-    let holder = others(divider)[0];
+    // A holder that ignores its lease's end: cut off, it goes on with what the others have been given by then.
+    let (ground, allocator) = full(3, 21, "plant-lease=fail");
+    let holder = others(allocator)[0];
     ground.fleet.gates.split(&[holder], Weather::CUT);
     ground.until("more is held than may be", || !ground.breaches().is_empty());
     drop(ground);
-    // A divider that waits for nobody's vote: each side of a split has one.
+    // An allocator that waits for nobody's vote: each side of a split has one.
     let ground = Ground::start(3, 3, 22, "plant-votes=fail");
-    ground.until_used("all places are used", WHOLE as f64 * 0.8);
+    ground.until_used("all places are used", LIMIT as f64 * 0.8);
     ground.fleet.gates.split(&[0], Weather::CUT);
     ground.until("more is held than may be", || !ground.breaches().is_empty());
 }
--- a/daemon/tests/config.rs
+++ b/daemon/tests/config.rs
@@ -218,18 +218,21 @@
     };
     let both = || json!({"origin": {"whole": 9}, "cold": true});
     let (a, b) = (budgets("127.0.0.1:2", both()), budgets("127.0.0.1:4", both()));
-    assert_eq!((a.place, b.place, a.members, a.form), (0, 2, 3, b.form));
+    assert_eq!((a.index, b.index, a.members, a.fingerprint), (0, 2, 3, b.fingerprint));
     let names: Vec<&str> = a.list.iter().map(|b| b.name.as_str()).collect();
     assert_eq!(names, ["origin", "cold-caches:hub", "cold-caches:here"]);
-    // Work for cold boxes is felt for less time than requests may take, and bounds none.
-    assert_eq!(a.longest_open_us(), Some(a.list[0].whole.felt_us));
+    // Work for cold caches settles in less time than requests may take, and bounds none.
+    assert_eq!(a.longest_open_us(), Some(a.list[0].spec.settling_us));
     assert_eq!(budgets("127.0.0.1:2", json!({"cold": true})).longest_open_us(), None);
-    assert_eq!((a.list[0].whole.floor, a.list[1].of, a.list[2].whole.floor), (1, None, 83_333));
-    // A whole may differ for a while, as it is lowered at one after the other; all else makes them strangers.
-    assert_eq!(budgets("127.0.0.1:2", json!({"origin": {"whole": 8}, "cold": true})).form, a.form);
+    assert_eq!((a.list[0].spec.reserved, a.list[1].of, a.list[2].spec.reserved), (1, None, 83_333));
+    // A limit may differ for a while, as it is lowered at one after the other; all else makes them strangers.
+    assert_eq!(
+        budgets("127.0.0.1:2", json!({"origin": {"whole": 8}, "cold": true})).fingerprint,
+        a.fingerprint
+    );
     for other in [json!({"origin": {"whole": 9}}), json!({"origin": {"whole": 9, "floor": 2}, "cold": true})]
     {
-        assert_ne!(budgets("127.0.0.1:2", other).form, a.form);
+        assert_ne!(budgets("127.0.0.1:2", other).fingerprint, a.fingerprint);
     }
     assert!(budgets("127.0.0.1:2", json!({})).list.is_empty(), "off where nothing is said");
     // Two keys are enough, as before.
--- a/ops/src/admin.rs
+++ b/ops/src/admin.rs
@@ -30,7 +30,7 @@
     InService,
     /// `GET /control/fleet`: what this proxy's copies and promises stand at.
     Fleet,
-    /// `GET /control/budgets`: where its parts of what all proxies spend stand.
+    /// `GET /control/budgets`: where its leases of what all proxies spend stand.
     Budgets,
 }
 
--- a/rehearse/src/rules/budgets.rs
+++ b/rehearse/src/rules/budgets.rs
@@ -6,7 +6,7 @@
 
 /// The rule.
 pub const BUDGET: (&str, &str) =
-    ("budget", "what all proxies have out at a time is never more than the whole");
+    ("budget", "what all proxies have out at a time is never more than the limit");
 
 /// Something that was held, from one moment to another.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -32,23 +32,24 @@
     changes.into_iter().map(count).collect()
 }
 
-/// Where more was held than the whole, which may be another from some moments on: a breach for each time that it went
+/// Where more was held than the limit, which may be another from some moments on: a breach for each time that it went
 /// over, with the most of that time.
-pub fn judge(spans: &[Span], wholes: &[(Micros, u64)]) -> Vec<Breach> {
-    let whole_at = |at: Micros| wholes.iter().rev().find(|(from, _)| *from <= at).map_or(u64::MAX, |w| w.1);
+pub fn judge(spans: &[Span], limits: &[(Micros, u64)]) -> Vec<Breach> {
+    let limit_at =
+        |at: Micros| limits.iter().rev().find(|(from, _)| *from <= at).map_or(u64::MAX, |limit| limit.1);
     let mut breaches: Vec<(Micros, u64, u64)> = Vec::new();
     let mut is_over = false;
     for (at, held) in held(spans) {
-        let whole = whole_at(at);
-        match (held > whole, breaches.last_mut()) {
+        let limit = limit_at(at);
+        match (held > limit, breaches.last_mut()) {
             (true, Some(breach)) if is_over => breach.1 = held.max(breach.1),
-            (true, _) => breaches.push((at, held, whole)),
+            (true, _) => breaches.push((at, held, limit)),
             _ => {}
         }
-        is_over = held > whole;
+        is_over = held > limit;
     }
-    let breach = |(at, held, whole)| {
-        let evidence = format!("{held} of {whole} held at a time");
+    let breach = |(at, held, limit)| {
+        let evidence = format!("{held} of {limit} held at a time");
         Breach { rule: BUDGET.0, request: None, target: None, at, evidence }
     };
     breaches.into_iter().map(breach).collect()
@@ -71,8 +72,8 @@
     #[test]
     fn each_time_over_the_whole_is_named_with_its_most() {
         let spans = [span(0, 10), span(5, 20), span(10, 30), span(12, 14), span(13, 15), span(40, 50)];
-        let said = |wholes: &[(Micros, u64)]| {
-            judge(&spans, wholes).into_iter().map(|b| (b.at, b.evidence)).collect::<Vec<_>>()
+        let said = |limits: &[(Micros, u64)]| {
+            judge(&spans, limits).into_iter().map(|b| (b.at, b.evidence)).collect::<Vec<_>>()
         };
         assert_eq!(said(&[(0, 4)]), []);
         assert_eq!(said(&[(0, 3)]), [(13, "4 of 3 held at a time".to_owned())]);
@@ -81,9 +82,9 @@
             [(12, "4 of 2 held at a time".to_owned())],
             "the first two met, and the third took the place of one that ended with its beginning"
         );
-        // The whole is lowered: what was out before is not held against anybody, what comes after is.
+        // The limit is lowered: what was out before is not held against anybody, what comes after is.
         assert_eq!(said(&[(0, 4), (13, 0)]).len(), 2);
-        assert_eq!(said(&[]), [], "nothing is said of a whole");
+        assert_eq!(said(&[]), [], "nothing is said of a limit");
         assert_eq!(held(&[span(7, 7), span(7, 8)]), [(7, 1), (8, 0)], "what took no time was not held");
     }
 
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -171,7 +171,7 @@
     heard: (f64, Micros), // What it may be at most by what others found, and until when.
     /// The latest purge of each object and of each group.
     purges: PurgeTable,
-    parts_of: BTreeMap<Budget, Part>, // Of what all routers share, as far as it was told.
+    leases: BTreeMap<Budget, Lease>, // Of what all routers share.
     ticking: bool,
 }
 
@@ -214,7 +214,7 @@
             found: None,
             heard: (1.0, 0),
             purges: PurgeTable::new(EXACT_PURGES, BucketBits::DEFAULT),
-            parts_of: BTreeMap::new(),
+            leases: BTreeMap::new(),
             ticking: false,
         })
     }
@@ -242,7 +242,7 @@
             Event::Timer { tag: WATCH_TAG } => actions.push(Action::Watch),
             Event::Timer { .. } | Event::Probed { .. } => {}
             Event::Heard { origin_share, for_us } => self.heard = (origin_share, now + for_us),
-            Event::Part(part) => drop(self.parts_of.insert(part.budget, part)),
+            Event::Lease(lease) => drop(self.leases.insert(lease.budget, lease)),
             Event::Purged { object, group, age_us } => {
                 let key = object.map_or(KeyHash::of_group(group), |object| KeyHash::of_object(&object));
                 self.purges.record(key, now.saturating_sub(age_us));
@@ -670,10 +670,10 @@
         s.started.max(s.back).map_or(1.0, |started| self.ramp(s).at(at.saturating_sub(started)))
     }
 
-    /// This router's part of a budget of all: as it was told, else one of so many equal ones.
-    fn part_of(&self, budget: Budget, routers: u32, now: Micros) -> f64 {
-        let told = |part: &Part| if now < part.until { part.amount } else { part.floor };
-        self.parts_of.get(&budget).map_or(1.0 / f64::from(routers.max(1)), told)
+    /// What this router may spend of a budget of all: by its lease, else one of so many equal shares.
+    fn budget_share(&self, budget: Budget, routers: u32, now: Micros) -> f64 {
+        let leased = |lease: &Lease| if now < lease.until { lease.amount } else { lease.reserved };
+        self.leases.get(&budget).map_or(1.0 / f64::from(routers.max(1)), leased)
     }
 
     /// Requests from here that the origin holds, or may hold.
@@ -682,10 +682,10 @@
         self.open.values().filter_map(|o| o.out.as_ref()).filter(|a| a.asks || origin(a.server)).count()
     }
 
-    /// Whether the origin may hold one more: without word of a part of its places there is no bound.
+    /// Whether the origin may hold one more: without a lease of its places there is no bound.
     fn has_place(&self, now: Micros) -> bool {
         let of = Budget::Origin;
-        !self.parts_of.contains_key(&of) || self.asking() as f64 + 1.0 <= self.part_of(of, 1, now)
+        !self.leases.contains_key(&of) || self.asking() as f64 + 1.0 <= self.budget_share(of, 1, now)
     }
 
     /// The greatest share of what a cold cache, or parent, bears that was sent from here; none: none is cold.
@@ -708,17 +708,17 @@
         Some((bears, spent))
     }
 
-    /// Rule on cold servers: this router's part of the budget, retries and fills charged with the rest.
+    /// Rule on cold servers: this router's share of the budget, retries and fills charged with the rest.
     fn cold_room(&self, id: ServerId, s: &Known, now: Micros, work_s: f64) -> bool {
         let Some((bears, spent)) = self.cold(s, now) else { return true };
         let zones = &self.settings.zones;
-        let part = match s.role {
-            Role::Parent => self.part_of(Budget::Parents, zones.iter().map(|z| z.routers).sum(), now),
-            _ => self.part_of(Budget::Caches, zones[self.settings.zone].routers, now),
+        let share = match s.role {
+            Role::Parent => self.budget_share(Budget::Parents, zones.iter().map(|z| z.routers).sum(), now),
+            _ => self.budget_share(Budget::Caches, zones[self.settings.zone].routers, now),
         };
-        // A part smaller than one request is spent by turns, each of the largest class's usual work. A router
+        // A share below one request is spent by turns, each of the largest class's usual work. A router
         // that starts again, and has forgotten what it sent, finds them where they were, by its number.
-        let (budget, turn_s) = (bears * part, self.usual_s.iter().map(|u| u.0).fold(0.0, f64::max));
+        let (budget, turn_s) = (bears * share, self.usual_s.iter().map(|u| u.0).fold(0.0, f64::max));
         let since = s.started.max(s.back).unwrap_or(0);
         let number = self.settings.rank.map_or(share_of(mix(self.seed)), |rank| GOLDEN * f64::from(rank));
         let own = share_of(mix(id ^ mix(since))) + number;
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -338,17 +338,17 @@
     Parents,
 }
 
-/// A router's part of a budget. It goes before the router's own guess of what the others spend.
+/// A router's lease of a budget, its reserved minimum included. It goes before the router's own guess of what the others spend.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Part {
+pub struct Lease {
     /// Of which.
     pub budget: Budget,
     /// How much may be spent until `until`.
     pub amount: f64,
-    /// The time from which on the part is `floor`, unless another one was told.
+    /// The time from which on the lease is `reserved`, unless another one was received.
     pub until: Micros,
     /// How much may be spent for ever.
-    pub floor: f64,
+    pub reserved: f64,
 }
 
 /// What a router hears.
@@ -421,7 +421,7 @@
     },
     /// What this router may spend of a budget of all. It holds from now on, also for what is under way: nothing is
     /// called off for it, and nothing more is sent until enough of that has ended.
-    Part(Part),
+    Lease(Lease),
     /// An object, or with no object a whole group, was purged.
     Purged {
         /// The object.
