--- /dev/null
+++ b/budgets/src/election.rs
@@ -0,0 +1,215 @@
+//! The election of the allocator of one group of budgets, as one member takes part in it.
+//!
+//! The candidate is the member with the highest weight among those that are believed to run. Beliefs decide who is a
+//! candidate and nothing else: an allocator leads by the votes of more than half of all configured members.
+
+use crate::pending::PendingRequests;
+use crate::vote::{Vote, Votes};
+use crate::{MemberIndex, MemberProcess, Micros, Options, VoteRequest, VoteResponse};
+use std::collections::BTreeMap;
+
+/// A member that is known to have votes, and until when that knowledge counts.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+struct KnownLeader {
+    member: MemberIndex,
+    until: Micros,
+}
+
+impl KnownLeader {
+    fn is(&self, member: MemberIndex, now: Micros) -> bool {
+        self.member == member && now < self.until
+    }
+}
+
+/// One member's state in the election of one group.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub(crate) struct Election {
+    group: usize,
+    own: MemberProcess,
+    /// The number of configured members.
+    members: usize,
+    options: Options,
+    vote: Vote,
+    /// The member that has this member's vote, or that more than half voted for by their refusals. It expires, and is
+    /// never passed on: members that believed each other's reports of a third would do so for ever.
+    known_leader: Option<KnownLeader>,
+    /// The members that others voted for, by their refusals.
+    refusals: BTreeMap<MemberIndex, KnownLeader>,
+    /// Since when this member asks for votes without having a majority.
+    candidate_since: Option<Micros>,
+    /// Until when it asks for none, so that another candidate may have them.
+    backoff_until: Micros,
+    votes: Votes,
+    requests: PendingRequests,
+    /// Whether it led when that was last reported.
+    reported_leads: bool,
+    /// Since when it answers lease requests.
+    serving_since: Option<Micros>,
+}
+
+impl Election {
+    pub(crate) fn new(
+        group: usize,
+        own: MemberProcess,
+        members: usize,
+        now: Micros,
+        options: Options,
+    ) -> Self {
+        Election {
+            group,
+            own,
+            members,
+            options,
+            vote: Vote::new(now, options.vote_us),
+            known_leader: None,
+            refusals: BTreeMap::new(),
+            candidate_since: None,
+            backoff_until: 0,
+            votes: Votes::default(),
+            requests: PendingRequests::default(),
+            reported_leads: false,
+            serving_since: None,
+        }
+    }
+
+    /// Returns until when more than half of all configured members vote for this member.
+    pub(crate) fn majority_until(&self) -> Micros {
+        self.votes.majority_until(self.members)
+    }
+
+    /// Returns whether this member is the allocator.
+    pub(crate) fn leads(&self, now: Micros) -> bool {
+        now < self.majority_until()
+    }
+
+    /// Returns the allocator as far as this member knows, else the candidate among the members that are up.
+    pub(crate) fn leader(&self, now: Micros, up: &[bool]) -> MemberIndex {
+        if self.leads(now) {
+            return self.own.member;
+        }
+        // A known leader keeps its votes: a member that comes back must not take them away.
+        if let Some(leader) = self.known_leader.filter(|leader| now < leader.until) {
+            return leader.member;
+        }
+        let running = (0..up.len()).filter(|member| up[*member]);
+        running.max_by_key(|member| weight(*member, self.group)).unwrap_or(self.own.member)
+    }
+
+    /// Ends this member's candidacy.
+    pub(crate) fn withdraw(&mut self) {
+        self.candidate_since = None;
+    }
+
+    /// Decides whether this candidate asks for votes now; `last_number` is the number of its last request.
+    ///
+    /// Candidates that split the votes would renew them for ever, and none would have a majority: one that does not get
+    /// it backs off until those votes have expired, each for a time of its own.
+    pub(crate) fn may_request_votes(&mut self, now: Micros, last_number: u64) -> bool {
+        if now < self.backoff_until {
+            return false;
+        }
+        let candidate_since = *self.candidate_since.get_or_insert(now);
+        if self.leads(now) {
+            self.candidate_since = Some(now);
+            return true;
+        }
+        // The fewer votes it has the sooner it backs off, so that they come together.
+        let patience_us = (2 + self.votes.count(now)) * self.options.vote_us;
+        if now < candidate_since + patience_us {
+            return true;
+        }
+        self.back_off(now, last_number);
+        false
+    }
+
+    fn back_off(&mut self, now: Micros, last_number: u64) {
+        let vote_us = self.options.vote_us;
+        let spread = weight(self.own.member, self.group) ^ self.own.process.rotate_left(17) ^ last_number;
+        self.candidate_since = None;
+        self.backoff_until = now + vote_us + spread % vote_us.max(1);
+    }
+
+    /// Returns the request for votes of this number, and records that it was sent.
+    pub(crate) fn vote_request(&mut self, now: Micros, number: u64) -> VoteRequest {
+        self.requests.insert(number, now);
+        VoteRequest { group: self.group, number }
+    }
+
+    /// Votes on a candidate's request.
+    pub(crate) fn receive_request(
+        &mut self,
+        now: Micros,
+        from: MemberProcess,
+        request: VoteRequest,
+    ) -> VoteResponse {
+        let vote_us = self.options.vote_us;
+        let granted = self.vote.request(now, from, vote_us);
+        if granted || self.yields_to(now, from.member) {
+            self.known_leader = Some(KnownLeader { member: from.member, until: now + vote_us });
+        }
+        VoteResponse {
+            group: self.group,
+            number: request.number,
+            granted,
+            voted_for: self.vote.voted_for(now),
+        }
+    }
+
+    /// A candidate without a majority yields to one of a higher weight; should that one not get the votes either, it backs
+    /// off.
+    fn yields_to(&self, now: Micros, candidate: MemberIndex) -> bool {
+        let own = self.own.member;
+        let is_candidate = self.known_leader.is_none_or(|leader| leader.member == own || now >= leader.until);
+        !self.leads(now) && is_candidate && weight(candidate, self.group) > weight(own, self.group)
+    }
+
+    /// Counts the response to a request for votes.
+    pub(crate) fn receive_response(&mut self, now: Micros, voter: MemberIndex, response: VoteResponse) {
+        let Some(sent_at) = self.requests.sent_at(response.number) else { return };
+        if response.granted {
+            self.refusals.remove(&voter);
+            self.votes.add(voter, sent_at + self.options.shortened_by_drift(self.options.vote_us));
+            return;
+        }
+        let refused_for = response.voted_for.filter(|leader| *leader != self.own.member);
+        if let Some(leader) = refused_for {
+            self.receive_refusal(now, voter, leader);
+        }
+    }
+
+    /// Where more than half voted for the same other member, that one is taken for the allocator.
+    fn receive_refusal(&mut self, now: Micros, voter: MemberIndex, leader: MemberIndex) {
+        let known = KnownLeader { member: leader, until: now + self.options.vote_us };
+        self.refusals.insert(voter, known);
+        let agreeing = self.refusals.values().filter(|refusal| refusal.is(leader, now)).count();
+        if agreeing > self.members / 2 && !self.leads(now) {
+            self.known_leader = Some(known);
+        }
+    }
+
+    /// Returns whether this member leads, where that is another than when it was last reported.
+    pub(crate) fn leadership_change(&mut self, now: Micros) -> Option<bool> {
+        let leads = self.leads(now);
+        let reported = std::mem::replace(&mut self.reported_leads, leads);
+        (reported != leads).then_some(leads)
+    }
+
+    /// Returns since when this member serves lease requests: from now on, unless it did before.
+    pub(crate) fn serve(&mut self, now: Micros) -> Micros {
+        *self.serving_since.get_or_insert(now)
+    }
+
+    /// This member serves no lease requests, as its votes don't last.
+    pub(crate) fn stop_serving(&mut self) {
+        self.serving_since = None;
+    }
+}
+
+/// A member's weight for a group, by rendezvous hashing.
+fn weight(member: MemberIndex, group: usize) -> u64 {
+    let mut x = (member as u64 + 1).wrapping_mul(0x9e37_79b9_7f4a_7c15) ^ (group as u64 + 1).rotate_left(32);
+    for by in [0xbf58_476d_1ce4_e5b9, 0x94d0_49bb_1331_11eb] {
+        x = (x ^ (x >> 30)).wrapping_mul(by);
+    }
+    x ^ (x >> 31)
+}
--- a/budgets/src/ledger.rs
+++ b/budgets/src/ledger.rs
@@ -1,203 +1,128 @@
-//! What an allocator has granted of one budget, and what it may grant: the sum of all that may be spent or felt still,
-//! whether the holders have heard of their leases or not, is never over what there is to share.
+//! What an allocator has granted of one budget, and what it may grant: the sum of all that may be spent or unsettled,
+//! whether the holders have received their leases or not, is never over what there is to share.
 
-use crate::{Amount, MemberIndex, Micros, ProcessId};
+use crate::{Amount, LeaseRequest, MemberIndex, MemberProcess, Micros, ProcessId};
 use std::collections::BTreeMap;
 
-/// A lease granted.
+#[cfg(test)]
+mod tests;
+
+/// A lease granted to a process of a holder.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 struct Grant {
-    /// The process of the holder that asked for it.
     process: ProcessId,
-    /// Its question.
+    /// The number of the request that it answers.
     number: u64,
     amount: Amount,
-    /// Until when what was spent of it may be felt.
+    /// Until when what was spent of it may be unsettled.
     until: Micros,
 }
 
-/// What is known of one holder.
+/// The grants to one holder.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
-struct Holder {
+struct HolderGrants {
+    /// The process of the last request.
     process: ProcessId,
-    /// The last question of that process.
-    last: u64,
+    /// The number of the last request of that process.
+    last_number: u64,
     grants: Vec<Grant>,
 }
 
-impl Holder {
-    /// The most that may be felt of what it spends. In one process it takes one lease for another, and may have missed the
-    /// later one; what a process before it spent comes on top.
+impl HolderGrants {
+    /// Returns the most that the holder may spend or have unsettled. A process replaces one lease by the next and may not
+    /// have received the last one, so its largest counts; what its earlier processes spent comes on top.
     fn outstanding(&self) -> Amount {
-        let mut processes = BTreeMap::<ProcessId, Amount>::new();
+        let mut by_process = BTreeMap::<ProcessId, Amount>::new();
         for grant in &self.grants {
-            let most = processes.entry(grant.process).or_default();
-            *most = grant.amount.max(*most);
+            let largest = by_process.entry(grant.process).or_default();
+            *largest = grant.amount.max(*largest);
+        }
+        by_process.into_values().sum()
+    }
+
+    /// Returns the largest grant to one process.
+    fn largest_of(&self, process: ProcessId) -> Amount {
+        let own = self.grants.iter().filter(|grant| grant.process == process);
+        own.map(|grant| grant.amount).max().unwrap_or(0)
+    }
+
+    /// Drops the grants that the holder gave up by going by a later one. It never goes back to them, so that they need not
+    /// be counted until they expire, but for what is unsettled of them.
+    fn drop_given_up(&mut self, process: ProcessId, request: &LeaseRequest) {
+        let is_current = |grant: &&Grant| grant.process == process && grant.number == request.current_lease;
+        let Some(current) = self.grants.iter().find(is_current).copied() else { return };
+        let is_given_up = |grant: &Grant| grant.process == process && grant.number < current.number;
+        let given_up = self.grants.iter().filter(|grant| is_given_up(grant));
+        let last_until = given_up.map(|grant| grant.until).max();
+        self.grants.retain(|grant| !is_given_up(grant));
+        if let Some(until) = last_until.filter(|_| request.unsettled > current.amount) {
+            self.grants.push(Grant { amount: request.unsettled, until, ..current });
         }
-        processes.into_values().sum()
     }
 }
 
-/// What a holder says of itself when it asks.
+/// What a holder may spend or have unsettled, beyond its reserved minimum.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-pub(crate) struct LeaseRequest {
-    pub(crate) holder: MemberIndex,
-    pub(crate) process: ProcessId,
-    /// Its question.
-    pub(crate) number: u64,
-    /// The question that brought the lease which is in force at it.
-    pub(crate) current_lease: u64,
-    /// What is felt still of what it spent beyond its reserved minimum.
-    pub(crate) unsettled: Amount,
+pub struct OutstandingGrant {
+    /// The holder.
+    pub holder: MemberIndex,
+    /// How much.
+    pub amount: Amount,
 }
 
-/// leases granted, by holder.
+/// The grants to all holders of one budget.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
-pub(crate) struct Ledger(BTreeMap<MemberIndex, Holder>);
+pub(crate) struct Ledger(BTreeMap<MemberIndex, HolderGrants>);
 
 impl Ledger {
-    fn sweep(&mut self, now: Micros) {
-        for holder in self.0.values_mut() {
-            holder.grants.retain(|grant| grant.until > now);
+    /// Records a holder's request. Returns false where a later request, or one of a later process, came before it.
+    pub(crate) fn record(&mut self, now: Micros, from: MemberProcess, request: &LeaseRequest) -> bool {
+        self.drop_expired(now);
+        let holder = self.0.entry(from.member).or_default();
+        if (from.process, request.number) <= (holder.process, holder.last_number) {
+            return false;
         }
+        holder.process = from.process;
+        holder.last_number = request.number;
+        holder.drop_given_up(from.process, request);
+        true
     }
 
-    /// Takes in what a holder says: false where it was overtaken, or another process has asked since.
-    ///
-    /// A holder that has taken a later lease for an earlier one never goes back to that, so that what it gave up need not
-    /// be counted for all its time; only what is felt of it still.
-    pub(crate) fn record(&mut self, now: Micros, request: LeaseRequest) -> bool {
-        self.sweep(now);
-        let holder = self.0.entry(request.holder).or_default();
-        if (request.process, request.number) <= (holder.process, holder.last) {
-            return false;
-        }
-        (holder.process, holder.last) = (request.process, request.number);
-        let in_force =
-            |grant: &&Grant| grant.process == request.process && grant.number == request.current_lease;
-        let Some(amount) = holder.grants.iter().find(in_force).map(|grant| grant.amount) else {
-            return true;
-        };
-        let given_up =
-            |grant: &Grant| grant.process == request.process && grant.number < request.current_lease;
-        let until = holder.grants.iter().filter(|grant| given_up(grant)).map(|grant| grant.until).max();
-        holder.grants.retain(|grant| !given_up(grant));
-        if let Some(until) = until.filter(|_| request.unsettled > amount) {
-            holder.grants.push(Grant {
-                process: request.process,
-                number: request.current_lease,
-                amount: request.unsettled,
-                until,
-            });
+    fn drop_expired(&mut self, now: Micros) {
+        for holder in self.0.values_mut() {
+            holder.grants.retain(|grant| grant.until > now);
         }
-        true
     }
 
-    /// The most of a holder that may be felt.
+    /// Returns the most that a holder may spend or have unsettled.
     pub(crate) fn outstanding(&self, holder: MemberIndex) -> Amount {
-        self.0.get(&holder).map_or(0, Holder::outstanding)
+        self.0.get(&holder).map_or(0, HolderGrants::outstanding)
     }
 
-    /// The most that may be felt of each.
-    pub(crate) fn outstanding_by_holder(&self) -> impl Iterator<Item = (MemberIndex, Amount)> + '_ {
-        self.0.iter().map(|(holder_index, holder)| (*holder_index, holder.outstanding()))
+    /// Returns the same of each holder.
+    pub(crate) fn outstanding_by_holder(&self) -> impl Iterator<Item = OutstandingGrant> + '_ {
+        let outstanding = |(holder, grants): (&MemberIndex, &HolderGrants)| OutstandingGrant {
+            holder: *holder,
+            amount: grants.outstanding(),
+        };
+        self.0.iter().map(outstanding)
     }
 
-    /// Grants up to `demand`, to be felt until a time at most, as far as `shared` leaves.
+    /// Grants a recorded request up to `wanted`, as far as `shared` leaves; it may be unsettled until `until`.
     pub(crate) fn grant(
         &mut self,
-        request: LeaseRequest,
-        demand: Amount,
+        from: MemberProcess,
+        request: &LeaseRequest,
+        wanted: Amount,
         shared: Amount,
         until: Micros,
     ) -> Amount {
-        let Some(holder) = self.0.get(&request.holder) else { return 0 };
-        let own = holder
-            .grants
-            .iter()
-            .filter(|grant| grant.process == request.process)
-            .map(|grant| grant.amount)
-            .max();
-        let others = self.outstanding_by_holder().map(|(_, most)| most).sum::<Amount>() - own.unwrap_or(0);
-        let amount = demand.min(shared.saturating_sub(others));
-        // Nothing is a lease, too: that its holder goes by it says that it has given the one before up.
-        if let Some(holder) = self.0.get_mut(&request.holder) {
-            holder.grants.push(Grant { process: request.process, number: request.number, amount, until });
-        }
+        let total: Amount = self.outstanding_by_holder().map(|grant| grant.amount).sum();
+        let Some(holder) = self.0.get_mut(&from.member) else { return 0 };
+        let others = total - holder.largest_of(from.process);
+        let amount = wanted.min(shared.saturating_sub(others));
+        // An empty lease is one, too: that its holder goes by it says that it gave up the one before.
+        holder.grants.push(Grant { process: from.process, number: request.number, amount, until });
         amount
     }
 }
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    fn request(
-        holder: MemberIndex,
-        process: ProcessId,
-        number: u64,
-        current_lease: u64,
-        unsettled: Amount,
-    ) -> LeaseRequest {
-        LeaseRequest { holder, process, number, current_lease, unsettled }
-    }
-
-    /// Asks for so much of a hundred, until a time.
-    fn submit(
-        ledger: &mut Ledger,
-        now: Micros,
-        request: LeaseRequest,
-        demand: Amount,
-        until: Micros,
-    ) -> Option<Amount> {
-        ledger.record(now, request).then(|| ledger.grant(request, demand, 100, until))
-    }
-
-    #[test]
-    fn a_smaller_lease_counts_once_its_holder_has_taken_it_and_what_it_spent_before_as_long_as_it_is_unsettled(
-    ) {
-        let mut ledger = Ledger::default();
-        assert_eq!(submit(&mut ledger, 0, request(1, 1, 1, 0, 0), 80, 100), Some(80));
-        // It wants less and has 50 out; whether it has heard of the smaller lease is not known.
-        assert_eq!(submit(&mut ledger, 10, request(1, 1, 2, 1, 50), 10, 110), Some(10));
-        assert_eq!(
-            (ledger.outstanding(1), submit(&mut ledger, 10, request(2, 1, 1, 0, 0), 99, 110)),
-            (80, Some(20))
-        );
-        // It has, and 50 are felt still, until the first lease would have been over.
-        assert_eq!(submit(&mut ledger, 20, request(1, 1, 3, 2, 50), 10, 120), Some(10));
-        assert_eq!(
-            (ledger.outstanding(1), submit(&mut ledger, 20, request(2, 1, 2, 1, 20), 99, 120)),
-            (50, Some(50))
-        );
-        assert_eq!(submit(&mut ledger, 30, request(1, 1, 4, 3, 5), 10, 130), Some(10));
-        assert_eq!(
-            (ledger.outstanding(1), submit(&mut ledger, 30, request(2, 1, 3, 2, 50), 99, 130)),
-            (10, Some(90))
-        );
-    }
-
-    #[test]
-    fn a_request_that_was_overtaken_gives_nothing_up_and_gets_nothing() {
-        let mut ledger = Ledger::default();
-        submit(&mut ledger, 0, request(1, 1, 1, 0, 0), 30, 100);
-        submit(&mut ledger, 0, request(1, 1, 2, 1, 0), 60, 100);
-        for (process, number) in [(1, 2), (1, 1), (0, 9)] {
-            assert_eq!(submit(&mut ledger, 1, request(1, process, number, 1, 0), 99, 100), None);
-        }
-        assert_eq!(ledger.outstanding(1), 60);
-    }
-
-    #[test]
-    fn what_a_process_before_may_have_spent_comes_on_top() {
-        let mut ledger = Ledger::default();
-        assert_eq!(submit(&mut ledger, 0, request(1, 1, 7, 0, 0), 60, 100), Some(60));
-        // The next process gives the same numbers, and knows nothing of the one before.
-        assert_eq!(submit(&mut ledger, 50, request(1, 2, 8, 7, 0), 60, 150), Some(40));
-        assert_eq!(
-            (ledger.outstanding(1), submit(&mut ledger, 50, request(2, 1, 1, 0, 0), 60, 150)),
-            (100, Some(0))
-        );
-        assert_eq!(submit(&mut ledger, 100, request(2, 1, 2, 0, 0), 60, 200), Some(60));
-    }
-}
--- a/budgets/src/spec.rs
+++ b/budgets/src/spec.rs
@@ -1,20 +1,20 @@
-//! A budget's limit, and the reserved minimums that are set aside of it.
+//! The limit of a budget, and the minimums that are reserved of it.
 
 use crate::{Amount, Micros};
 use std::fmt;
 
-/// A budget: its limit, and how much of it each configured member may always spend.
+/// A budget as it is configured.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct BudgetSpec {
-    /// In all.
+    /// What all members may spend together.
     pub limit: Amount,
-    /// For each member, set aside.
+    /// What each configured member may always spend; part of the limit.
     pub reserved: Amount,
-    /// What is spent is felt for so long at most: what a holder has out when its lease is over counts until then.
+    /// The settling time: how long a spend may occupy the resource, also beyond the end of the lease that allowed it.
     pub settling_us: Micros,
 }
 
-/// Why a limit can't be divided.
+/// The error of a limit that does not cover the reserved minimums of all members.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct LimitTooSmall {
     /// The sum of the reserved minimums.
@@ -23,6 +23,7 @@
 
 impl fmt::Display for LimitTooSmall {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        // Operators know the reserved minimum by the key of their file, `floor`.
         write!(f, "less than {}, the sum of the floors", self.reserved_total)
     }
 }
@@ -30,7 +31,10 @@
 impl std::error::Error for LimitTooSmall {}
 
 impl BudgetSpec {
-    /// What is left to be shared by leases among so many members.
+    /// Returns what is left to be leased among so many members.
+    ///
+    /// # Errors
+    /// Fails where the limit is less than the sum of the reserved minimums.
     pub fn shared(self, members: usize) -> Result<Amount, LimitTooSmall> {
         let reserved_total = self.reserved.saturating_mul(members as u64);
         self.limit.checked_sub(reserved_total).ok_or(LimitTooSmall { reserved_total })
--- a/budgets/src/vote.rs
+++ b/budgets/src/vote.rs
@@ -1,56 +1,54 @@
-//! Whom a member votes for, and for how long a candidate has the votes of more than half.
+//! A member's own vote, and the votes that a candidate has.
 
-use crate::{MemberIndex, Micros, ProcessId};
+use crate::{MemberIndex, MemberProcess, Micros};
 use std::collections::BTreeMap;
 
-/// A process that may be an allocator: a member in one of its processes. Another process of the same member knows nothing of what
-/// this one granted.
-pub(crate) type Candidate = (MemberIndex, ProcessId);
-
-/// A member's one vote.
+/// A member's own vote.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub(crate) struct Vote {
-    given: Option<Candidate>,
+    candidate: Option<MemberProcess>,
     until: Micros,
 }
 
 impl Vote {
-    /// Of a process that starts: it may have given its vote in its process before, and gives none until that is over.
+    /// The vote of a process that starts. An earlier process may have given it: it is free once that vote has expired.
     pub(crate) fn new(now: Micros, vote_us: Micros) -> Self {
-        Vote { given: None, until: now + vote_us }
+        Vote { candidate: None, until: now + vote_us }
     }
 
-    /// Whose it is.
+    /// Returns the member that has the vote.
     pub(crate) fn voted_for(&self, now: Micros) -> Option<MemberIndex> {
-        self.given.filter(|_| now < self.until).map(|(member, _)| member)
+        self.candidate.filter(|_| now < self.until).map(|candidate| candidate.member)
     }
 
-    /// Whether the candidate has it from now on for `vote_us`.
-    pub(crate) fn request(&mut self, now: Micros, candidate: Candidate, vote_us: Micros) -> bool {
-        if self.given != Some(candidate) && now < self.until {
+    /// Gives the vote to a candidate for `vote_us`, unless another one has it. Returns whether the candidate has it.
+    pub(crate) fn request(&mut self, now: Micros, candidate: MemberProcess, vote_us: Micros) -> bool {
+        if self.candidate != Some(candidate) && now < self.until {
             return false;
         }
-        (self.given, self.until) = (Some(candidate), now + vote_us);
+        self.candidate = Some(candidate);
+        self.until = now + vote_us;
         true
     }
 }
 
-/// The votes that a candidate has, by whom, each until a time by the candidate's clock.
+/// The votes that a candidate has, by voter: until when each lasts, by the candidate's clock.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
 pub(crate) struct Votes(BTreeMap<MemberIndex, Micros>);
 
 impl Votes {
-    pub(crate) fn add(&mut self, from: MemberIndex, until: Micros) {
-        let known = self.0.entry(from).or_insert(0);
+    /// Adds a vote, or extends it.
+    pub(crate) fn add(&mut self, voter: MemberIndex, until: Micros) {
+        let known = self.0.entry(voter).or_insert(0);
         *known = until.max(*known);
     }
 
-    /// How many there are.
+    /// Counts the votes that have not expired.
     pub(crate) fn count(&self, now: Micros) -> u64 {
         self.0.values().filter(|until| now < **until).count() as u64
     }
 
-    /// Until when more than half of so many members vote for it.
+    /// Returns until when more than half of so many members vote for the candidate; 0 where they never did.
     pub(crate) fn majority_until(&self, members: usize) -> Micros {
         let mut ends: Vec<Micros> = self.0.values().copied().collect();
         ends.sort_unstable_by(|a, b| b.cmp(a));
--- a/budgets/src/wire.rs
+++ b/budgets/src/wire.rs
@@ -1,73 +1,30 @@
-//! Datagrams, as text: several messages of one sender, at most 256 bytes, the bound of what proxies may send each other on
-//! any installation.
+//! Messages as datagrams, in text: several messages of one sender, at most 256 bytes, the bound of what proxies may send
+//! each other on any installation.
 
-use crate::{Message, ProcessId};
+use crate::{LeaseGrant, LeaseRequest, Message, ProcessId, VoteRequest, VoteResponse};
 pub use linnetknot_datagram::DecodeError;
 use linnetknot_datagram::{payload, MAX_DATAGRAM_BYTES};
 use std::fmt::Write as _;
+use std::str::Split;
 
-/// Its first message; the digit is the fingerprint's version.
-const MARK: &str = "budgets1";
+#[cfg(test)]
+mod tests;
 
-fn encode(message: &Message) -> String {
-    match *message {
-        Message::VoteRequest { group, number } => format!(" s.{group:x}.{number:x}"),
-        Message::VoteResponse { group, number, granted, voted_for } => {
-            let voted_for = voted_for.map_or(0, |member| member + 1);
-            format!(" v.{group:x}.{number:x}.{:x}.{voted_for:x}", u8::from(granted))
-        }
-        Message::LeaseRequest { budget, number, demand, current_lease, unsettled } => {
-            format!(" w.{budget:x}.{number:x}.{demand:x}.{current_lease:x}.{unsettled:x}")
-        }
-        Message::LeaseGrant { budget, number, amount, duration_us } => {
-            format!(" p.{budget:x}.{number:x}.{amount:x}.{duration_us:x}")
-        }
-    }
-}
+/// The first word of a datagram; the digit is the version of the form.
+const MARK: &str = "budgets1";
 
-fn decode(text: &str) -> Option<Message> {
-    let mut fields = text.split('.');
-    let kind = fields.next()?;
-    let mut next = || {
-        // `from_str_radix` would take a sign.
-        let digits = fields.next().filter(|p| !p.is_empty() && p.bytes().all(|b| b.is_ascii_hexdigit()))?;
-        u64::from_str_radix(digits, 16).ok()
-    };
-    let index = |n: u64| usize::try_from(n).ok();
-    let message = match kind {
-        "s" => Message::VoteRequest { group: index(next()?)?, number: next()? },
-        "v" => {
-            let (group, number, granted, voted_for) = (index(next()?)?, next()?, next()?, index(next()?)?);
-            Message::VoteResponse {
-                group,
-                number,
-                granted: (granted < 2).then_some(granted == 1)?,
-                voted_for: voted_for.checked_sub(1),
-            }
-        }
-        "w" => {
-            let (budget, number) = (index(next()?)?, next()?);
-            Message::LeaseRequest {
-                budget,
-                number,
-                demand: next()?,
-                current_lease: next()?,
-                unsettled: next()?,
-            }
-        }
-        "p" => Message::LeaseGrant {
-            budget: index(next()?)?,
-            number: next()?,
-            amount: next()?,
-            duration_us: next()?,
-        },
-        _ => return None,
-    };
-    fields.next().is_none().then_some(message)
+/// A datagram that was read.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Datagram {
+    /// Identifies what the sender shares with whom; members with another one must not share with it.
+    pub fingerprint: u64,
+    /// The sender's process.
+    pub process: ProcessId,
+    /// Its messages.
+    pub messages: Vec<Message>,
 }
 
-/// Words of a member in this process as few datagrams. `fingerprint` stands for what its messages mean: the same at all that share the
-/// same among the same.
+/// Writes messages of a member's process as few datagrams.
 pub fn write(fingerprint: u64, process: ProcessId, messages: &[Message]) -> Vec<Vec<u8>> {
     let head = format!("{MARK} {fingerprint:x} {process:x}");
     let mut datagrams: Vec<String> = Vec::new();
@@ -81,80 +38,86 @@
     datagrams.into_iter().map(String::into_bytes).collect()
 }
 
-/// Reads a datagram: its sender's `fingerprint`, its process, and its messages.
+/// Reads a datagram.
 ///
 /// # Errors
-/// Where it is of another kind or version, or torn. Nothing of a torn one is used.
-pub fn read(bytes: &[u8]) -> Result<(u64, ProcessId, Vec<Message>), DecodeError> {
+/// Fails where it is of another kind or version, or malformed; nothing of a malformed one is used.
+pub fn read(bytes: &[u8]) -> Result<Datagram, DecodeError> {
     let text = std::str::from_utf8(payload(bytes, MARK)?).map_err(|_| DecodeError::Malformed)?;
-    let mut messages = text.strip_prefix(' ').ok_or(DecodeError::Malformed)?.split(' ');
-    let mut number = || u64::from_str_radix(messages.next()?, 16).ok();
+    let mut words = text.strip_prefix(' ').ok_or(DecodeError::Malformed)?.split(' ');
+    let mut number = || u64::from_str_radix(words.next()?, 16).ok();
     let (fingerprint, process) = number().zip(number()).ok_or(DecodeError::Malformed)?;
-    let messages = messages.map(decode).collect::<Option<Vec<Message>>>().ok_or(DecodeError::Malformed)?;
-    Ok((fingerprint, process, messages))
+    let messages = words.map(decode).collect::<Option<Vec<Message>>>().ok_or(DecodeError::Malformed)?;
+    Ok(Datagram { fingerprint, process, messages })
 }
 
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn words_are_read_as_they_were_written_in_datagrams_that_are_no_longer_than_they_may_be() {
-        let most = u64::MAX;
-        let messages: Vec<Message> = (0..30)
-            .flat_map(|n| {
-                [
-                    Message::VoteRequest { group: n, number: most },
-                    Message::VoteResponse {
-                        group: n,
-                        number: 1,
-                        granted: n % 2 == 0,
-                        voted_for: (n % 3 > 0).then_some(n),
-                    },
-                    Message::LeaseRequest {
-                        budget: n,
-                        number: most,
-                        demand: most,
-                        current_lease: most,
-                        unsettled: most,
-                    },
-                    Message::LeaseGrant { budget: n, number: 3, amount: most, duration_us: 4 },
-                ]
-            })
-            .collect();
-        let datagrams = write(300, most, &messages);
-        assert!(
-            datagrams.iter().all(|d| d.len() <= MAX_DATAGRAM_BYTES) && datagrams.len() < 40,
-            "{}",
-            datagrams.len()
-        );
-        let mut again = Vec::new();
-        for datagram in &datagrams {
-            let (fingerprint, process, messages) = read(datagram).unwrap();
-            assert_eq!((fingerprint, process), (300, most));
-            again.extend(messages);
+/// A message as text. Its first letter stands for its kind: `s` for a vote request, `v` for a vote response, `w` for a lease
+/// request, `p` for a lease grant.
+fn encode(message: &Message) -> String {
+    match *message {
+        Message::VoteRequest(VoteRequest { group, number }) => format!(" s.{group:x}.{number:x}"),
+        Message::VoteResponse(VoteResponse { group, number, granted, voted_for }) => {
+            let voted_for = voted_for.map_or(0, |member| member + 1);
+            format!(" v.{group:x}.{number:x}.{:x}.{voted_for:x}", u8::from(granted))
         }
-        assert_eq!(again, messages);
-        assert!(write(3, 1, &[]).is_empty(), "nothing to say is no datagram");
+        Message::LeaseRequest(LeaseRequest { budget, number, demand, current_lease, unsettled }) => {
+            format!(" w.{budget:x}.{number:x}.{demand:x}.{current_lease:x}.{unsettled:x}")
+        }
+        Message::LeaseGrant(LeaseGrant { budget, number, amount, duration_us }) => {
+            format!(" p.{budget:x}.{number:x}.{amount:x}.{duration_us:x}")
+        }
+    }
+}
+
+/// Reads a message; none where it is malformed.
+fn decode(text: &str) -> Option<Message> {
+    let mut fields = Fields(text.split('.'));
+    let message = match fields.0.next()? {
+        "s" => Message::VoteRequest(VoteRequest { group: fields.index()?, number: fields.number()? }),
+        "v" => Message::VoteResponse(VoteResponse {
+            group: fields.index()?,
+            number: fields.number()?,
+            granted: fields.flag()?,
+            voted_for: fields.index()?.checked_sub(1),
+        }),
+        "w" => Message::LeaseRequest(LeaseRequest {
+            budget: fields.index()?,
+            number: fields.number()?,
+            demand: fields.number()?,
+            current_lease: fields.number()?,
+            unsettled: fields.number()?,
+        }),
+        "p" => Message::LeaseGrant(LeaseGrant {
+            budget: fields.index()?,
+            number: fields.number()?,
+            amount: fields.number()?,
+            duration_us: fields.number()?,
+        }),
+        _ => return None,
+    };
+    fields.0.next().is_none().then_some(message)
+}
+
+/// The fields of a message that are not read yet.
+struct Fields<'a>(Split<'a, char>);
+
+impl Fields<'_> {
+    fn number(&mut self) -> Option<u64> {
+        let field = self.0.next()?;
+        // `from_str_radix` would accept a sign.
+        let is_hexadecimal = !field.is_empty() && field.bytes().all(|b| b.is_ascii_hexdigit());
+        is_hexadecimal.then(|| u64::from_str_radix(field, 16).ok())?
+    }
+
+    fn index(&mut self) -> Option<usize> {
+        self.number().and_then(|number| usize::try_from(number).ok())
     }
 
-    #[test]
-    fn what_is_no_datagram_of_this_kind_and_version_is_an_error() {
-        for (bytes, error) in [
-            (b"copies1 ask".as_slice(), DecodeError::Foreign),
-            (b"budgets2 3 1", DecodeError::Version),
-            (b"budgets1", DecodeError::Malformed),
-            (b"budgets1 3", DecodeError::Malformed),
-            (b"budgets1 3 1 s.0", DecodeError::Malformed),
-            (b"budgets1 3 1 s.0.1.2", DecodeError::Malformed),
-            (b"budgets1 3 1 s.+0.1", DecodeError::Malformed),
-            (b"budgets1 3 1 v.0.1.2.0", DecodeError::Malformed),
-            (b"budgets1 3 1 s.0.1 x", DecodeError::Malformed),
-            (b"budgets1 3 1 s.0.11111111111111111", DecodeError::Malformed),
-            (b"budgets1 3 1 \xff", DecodeError::Malformed),
-        ] {
-            assert_eq!(read(bytes).err(), Some(error), "{}", String::from_utf8_lossy(bytes));
+    fn flag(&mut self) -> Option<bool> {
+        match self.number()? {
+            0 => Some(false),
+            1 => Some(true),
+            _ => None,
         }
-        assert_eq!(read(b"budgets1 3 1"), Ok((3, 1, vec![])));
     }
 }
--- /dev/null
+++ b/budgets/src/wire/tests.rs
@@ -0,0 +1,63 @@
+//! Tests of the datagrams.
+
+use super::*;
+
+#[test]
+fn messages_are_read_as_they_were_written_in_datagrams_that_are_no_longer_than_they_may_be() {
+    let max = u64::MAX;
+    let messages: Vec<Message> = (0..30)
+        .flat_map(|n| {
+            [
+                Message::VoteRequest(VoteRequest { group: n, number: max }),
+                Message::VoteResponse(VoteResponse {
+                    group: n,
+                    number: 1,
+                    granted: n % 2 == 0,
+                    voted_for: (n % 3 > 0).then_some(n),
+                }),
+                Message::LeaseRequest(LeaseRequest {
+                    budget: n,
+                    number: max,
+                    demand: max,
+                    current_lease: max,
+                    unsettled: max,
+                }),
+                Message::LeaseGrant(LeaseGrant { budget: n, number: 3, amount: max, duration_us: 4 }),
+            ]
+        })
+        .collect();
+    let datagrams = write(300, max, &messages);
+    assert!(
+        datagrams.iter().all(|d| d.len() <= MAX_DATAGRAM_BYTES) && datagrams.len() < 40,
+        "{}",
+        datagrams.len()
+    );
+    let mut again = Vec::new();
+    for datagram in &datagrams {
+        let datagram = read(datagram).unwrap();
+        assert_eq!((datagram.fingerprint, datagram.process), (300, max));
+        again.extend(datagram.messages);
+    }
+    assert_eq!(again, messages);
+    assert!(write(3, 1, &[]).is_empty(), "nothing to say is no datagram");
+}
+
+#[test]
+fn what_is_no_datagram_of_this_kind_and_version_is_an_error() {
+    for (bytes, error) in [
+        (b"copies1 ask".as_slice(), DecodeError::Foreign),
+        (b"budgets2 3 1", DecodeError::Version),
+        (b"budgets1", DecodeError::Malformed),
+        (b"budgets1 3", DecodeError::Malformed),
+        (b"budgets1 3 1 s.0", DecodeError::Malformed),
+        (b"budgets1 3 1 s.0.1.2", DecodeError::Malformed),
+        (b"budgets1 3 1 s.+0.1", DecodeError::Malformed),
+        (b"budgets1 3 1 v.0.1.2.0", DecodeError::Malformed),
+        (b"budgets1 3 1 s.0.1 x", DecodeError::Malformed),
+        (b"budgets1 3 1 s.0.11111111111111111", DecodeError::Malformed),
+        (b"budgets1 3 1 \xff", DecodeError::Malformed),
+    ] {
+        assert_eq!(read(bytes).err(), Some(error), "{}", String::from_utf8_lossy(bytes));
+    }
+    assert_eq!(read(b"budgets1 3 1"), Ok(Datagram { fingerprint: 3, process: 1, messages: vec![] }));
+}
--- a/budgets/tests/fleet.rs
+++ b/budgets/tests/fleet.rs
@@ -15,13 +15,19 @@
 };
 const S: Micros = 1_000_000;
 
+/// A message on its way, and the process that sent it.
+struct Envelope {
+    from: MemberProcess,
+    message: Message,
+}
+
 struct Node {
     member: Option<Member>,
     process: ProcessId,
     /// Its clock: how far it is ahead, and how much faster it runs, in millionths.
     ahead: Micros,
     faster: i64,
-    stalled: Option<Vec<(MemberIndex, ProcessId, Message)>>,
+    stalled: Option<Vec<Envelope>>,
     /// By budget, what it would spend if it could, and what was spent: how much, and until when that is felt.
     demand: Vec<Amount>,
     spent: Vec<Vec<(Amount, Micros)>>,
@@ -87,8 +93,14 @@
         let node = &mut self.nodes[n];
         (node.process, node.stalled) = (node.process + 1, None);
         let clock = node.clock(now);
-        let mut member =
-            Member::new((n, node.process), nodes, &self.specs, clock, self.options).expect("a valid spec");
+        let mut member = Member::new(
+            MemberProcess { member: n, process: node.process },
+            nodes,
+            &self.specs,
+            clock,
+            self.options,
+        )
+        .expect("a valid spec");
         (0..nodes).for_each(|m| member.set_up(m, true));
         node.member = Some(member);
         self.set_up();
@@ -142,15 +154,15 @@
             let max_us = self.specs[budget].settling_us;
             let node = &mut self.nodes[n];
             let Some(member) = node.member.as_ref().filter(|_| node.stalled.is_none()) else { return };
-            let lease = member.lease(node.clock(now), budget).0.min(node.demand[budget]);
+            let lease = member.lease(node.clock(now), budget).amount.min(node.demand[budget]);
             let room = lease.saturating_sub(node.unsettled(now, budget));
             if room > 0 {
                 // Often all of it, and mostly for as long as it can be.
                 let amount = if self.links.draw(2) == 0 { room } else { self.links.draw(room + 1) };
-                let for_us = max_us - if self.links.draw(3) == 0 { self.links.draw(max_us) } else { 0 };
+                let duration_us = max_us - if self.links.draw(3) == 0 { self.links.draw(max_us) } else { 0 };
                 let node = &mut self.nodes[n];
                 node.spent[budget].retain(|(_, until)| *until > now);
-                node.spent[budget].push((amount, now + for_us));
+                node.spent[budget].push((amount, now + duration_us));
             }
         }
     }
@@ -159,19 +171,21 @@
         let process = self.nodes[n].process;
         let outgoing = self.nodes[n].member.as_mut().map(Member::outgoing).unwrap_or_default();
         let mut by_member = std::collections::BTreeMap::<MemberIndex, Vec<Message>>::new();
-        outgoing.iter().for_each(|(to, message)| by_member.entry(*to).or_default().push(*message));
+        outgoing.iter().for_each(|outgoing| by_member.entry(outgoing.to).or_default().push(outgoing.message));
         let datagrams = by_member.values().flat_map(|messages| wire::write(u64::MAX, process, messages));
         self.bytes += datagrams.map(|datagram| datagram.len() as u64).sum::<u64>();
-        outgoing.into_iter().for_each(|(to, message)| self.links.send(n, to, &(process, message)));
+        for Outgoing { to, message } in outgoing {
+            self.links.send(n, to, &(process, message));
+        }
     }
 
-    fn arrive(&mut self, from: MemberIndex, process: ProcessId, to: MemberIndex, message: Message) {
+    fn arrive(&mut self, envelope: Envelope, to: MemberIndex) {
         if let Some(waiting) = &mut self.nodes[to].stalled {
-            return waiting.push((from, process, message));
+            return waiting.push(envelope);
         }
         let clock = self.nodes[to].clock(self.links.now);
         if let Some(member) = &mut self.nodes[to].member {
-            member.receive(clock, (from, process), message);
+            member.receive(clock, envelope.from, envelope.message);
             self.send(to);
             self.spend(to);
         }
@@ -182,7 +196,7 @@
     fn in_force(&self, budget: usize) -> Amount {
         let reserved_total = self.specs[budget].reserved * self.nodes.len() as u64;
         let beyond = |n: &Node| {
-            let lease = n.member.as_ref().map(|m| m.lease(n.clock(self.links.now), budget).0);
+            let lease = n.member.as_ref().map(|m| m.lease(n.clock(self.links.now), budget).amount);
             lease.map_or(0, |lease| lease - self.specs[budget].reserved)
         };
         // All reserved minimums count, whoever runs.
@@ -202,8 +216,8 @@
         }
     }
 
-    fn run(&mut self, for_us: Micros) {
-        let end = self.links.now + for_us;
+    fn run(&mut self, duration_us: Micros) {
+        let end = self.links.now + duration_us;
         loop {
             let now = self.links.now;
             // When a member's clock will show what it is due.
@@ -214,7 +228,8 @@
             let due = self.nodes.iter().enumerate().filter_map(due).min();
             match self.links.step(end, due) {
                 Step::Delivered { from, to, message: (process, message) } => {
-                    self.arrive(from, process, to, message)
+                    let from = MemberProcess { member: from, process };
+                    self.arrive(Envelope { from, message }, to)
                 }
                 Step::Due(n) => {
                     self.spend(n);
@@ -230,8 +245,8 @@
     }
 
     fn go_on(&mut self, n: usize) {
-        for (from, process, message) in self.nodes[n].stalled.take().unwrap_or_default() {
-            self.arrive(from, process, n, message);
+        for envelope in self.nodes[n].stalled.take().unwrap_or_default() {
+            self.arrive(envelope, n);
             self.check();
         }
     }
@@ -317,7 +332,7 @@
         (1..nodes).for_each(|n| net.demand(n, 0));
         net.run(2 * S);
         let clock = net.nodes[0].clock(net.links.now);
-        let lease = net.nodes[0].member.as_ref().unwrap().lease(clock, 0).0;
+        let lease = net.nodes[0].member.as_ref().unwrap().lease(clock, 0).amount;
         let reserved_total = 100 * nodes as u64;
         assert!(lease >= (100_000 - reserved_total) * 94 / 100, "{nodes}: the only one has {lease}");
     }
@@ -357,7 +372,7 @@
             let clock = net.nodes[n].clock(net.links.now);
             assert_eq!(
                 net.nodes[n].member.as_ref().unwrap().lease(clock, 0),
-                (100, Micros::MAX),
+                Lease { amount: 100, until: Micros::MAX },
                 "seed {seed}: p{n}"
             );
         }
@@ -381,7 +396,7 @@
     let less = net.nodes[0].member.as_mut().unwrap().set_limit(0, 399);
     assert_eq!(less.unwrap_err().reserved_total, 400, "a limit below its reserved minimums is refused");
     assert!(Member::new(
-        (0, 1),
+        MemberProcess { member: 0, process: 1 },
         4,
         &[BudgetSpec { limit: 399, reserved: 100, settling_us: 0 }],
         0,
@@ -414,7 +429,9 @@
                 let beliefs: Vec<bool> = (0..nodes).map(|m| m == n || seed % 3 == 1).collect();
                 net.nodes[n].process += 1;
                 let (process, clock) = (net.nodes[n].process, net.nodes[n].clock(net.links.now));
-                let mut member = Member::new((n, process), nodes, &net.specs, clock, net.options).unwrap();
+                let mut member =
+                    Member::new(MemberProcess { member: n, process }, nodes, &net.specs, clock, net.options)
+                        .unwrap();
                 beliefs.iter().enumerate().for_each(|(m, up)| member.set_up(m, *up));
                 net.nodes[n].member = Some(member);
                 let moment = net.links.draw(3 * S);
@@ -490,7 +507,7 @@
     net.run(12 * S);
     let lease = |net: &Net, n: usize| {
         let node = &net.nodes[n];
-        node.member.as_ref().unwrap().lease(node.clock(net.links.now), 0).0
+        node.member.as_ref().unwrap().lease(node.clock(net.links.now), 0).amount
     };
     assert!(lease(&net, 0) > 90_000, "{}", lease(&net, 0));
     // It has spent all of it, and wants no more; another does.
@@ -565,8 +582,9 @@
         // What the living may spend, in percent of what their reserved minimums and the shared part come to.
         let usable = |net: &Net| {
             let runs = net.nodes.iter().filter(|n| n.member.is_some());
-            let leases: Amount =
-                runs.map(|n| n.member.as_ref().map_or(0, |m| m.lease(n.clock(net.links.now), 0).0)).sum();
+            let leases: Amount = runs
+                .map(|n| n.member.as_ref().map_or(0, |m| m.lease(n.clock(net.links.now), 0).amount))
+                .sum();
             leases * 100 / limit
         };
         let mut net = start();
@@ -597,7 +615,7 @@
         (1..nodes).for_each(|n| net.demand(n, 0));
         let begun = net.links.now;
         let lease = |net: &Net| {
-            net.nodes[0].member.as_ref().map_or(0, |m| m.lease(net.nodes[0].clock(net.links.now), 0).0)
+            net.nodes[0].member.as_ref().map_or(0, |m| m.lease(net.nodes[0].clock(net.links.now), 0).amount)
         };
         while lease(&net) < limit * 3 / 4 * 9 / 10 && net.links.now < begun + 20 * S {
             net.run(50 * MS);
--- a/budgets/tests/model.rs
+++ b/budgets/tests/model.rs
@@ -33,12 +33,20 @@
     stalled: Option<Micros>,
 }
 
+/// A message on its way.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+struct Envelope {
+    from: MemberProcess,
+    to: MemberIndex,
+    message: Message,
+}
+
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 struct State {
     now: Micros,
     nodes: Vec<Node>,
-    /// From whom, in which process, to whom.
-    messages: Vec<(MemberIndex, ProcessId, MemberIndex, Message)>,
+    /// Those on their way.
+    messages: Vec<Envelope>,
     /// Who divided in calm.
     first: Option<MemberIndex>,
     demanding: MemberIndex,
@@ -70,7 +78,7 @@
 impl State {
     /// In thousandths it would be more exact; nothing here is less than one.
     fn in_force(&self) -> Amount {
-        let beyond = |node: &Node| node.member.lease(self.now, 0).0 - SPEC.reserved;
+        let beyond = |node: &Node| node.member.lease(self.now, 0).amount - SPEC.reserved;
         ALL as Amount * SPEC.reserved + self.nodes.iter().map(beyond).sum::<Amount>()
     }
 
@@ -79,8 +87,13 @@
     }
 
     fn send(&mut self, n: usize) {
-        let (process, outgoing) = (self.nodes[n].process, self.nodes[n].member.outgoing());
-        self.messages.extend(outgoing.into_iter().map(|(to, message)| (n, process, to, message)));
+        let from = MemberProcess { member: n, process: self.nodes[n].process };
+        let outgoing = self.nodes[n].member.outgoing();
+        self.messages.extend(outgoing.into_iter().map(|Outgoing { to, message }| Envelope {
+            from,
+            to,
+            message,
+        }));
         self.nodes[n].member.changes();
         let over = self.messages.len().saturating_sub(MAX_IN_FLIGHT);
         self.messages.drain(..over);
@@ -96,9 +109,14 @@
             drift_ppm: 0,
             groups: 1,
         };
-        let mut member =
-            Member::new((n, process), ALL, &[SPEC], now, options.with_settling_time(SPEC.settling_us))
-                .expect("it fits");
+        let mut member = Member::new(
+            MemberProcess { member: n, process },
+            ALL,
+            &[SPEC],
+            now,
+            options.with_settling_time(SPEC.settling_us),
+        )
+        .expect("it fits");
         (0..ALL).for_each(|m| member.set_up(m, true));
         member
     }
@@ -115,20 +133,14 @@
         }
     }
 
-    fn deliver(
-        &self,
-        state: &mut State,
-        (from, process, to, message): (MemberIndex, ProcessId, MemberIndex, Message),
-    ) {
+    fn deliver(&self, state: &mut State, Envelope { from, to, message }: Envelope) {
         let message = match message {
-            Message::LeaseRequest { budget, number, demand, unsettled, .. }
-                if self.planted == Planted::GivesUp =>
-            {
-                Message::LeaseRequest { budget, number, demand, current_lease: number - 1, unsettled }
+            Message::LeaseRequest(request) if self.planted == Planted::GivesUp => {
+                Message::LeaseRequest(LeaseRequest { current_lease: request.number - 1, ..request })
             }
             message => message,
         };
-        state.nodes[to].member.receive(state.now, (from, process), message);
+        state.nodes[to].member.receive(state.now, from, message);
         state.send(to);
     }
 
@@ -170,8 +182,8 @@
 
     fn actions(&self, state: &State, actions: &mut Vec<Action>) {
         actions.push(Action::Pass);
-        for (n, (.., to, _)) in state.messages.iter().enumerate() {
-            if state.nodes[*to].stalled.is_none() {
+        for (n, envelope) in state.messages.iter().enumerate() {
+            if state.nodes[envelope.to].stalled.is_none() {
                 actions.push(Action::Deliver(n));
                 if state.doubled < self.faults {
                     actions.push(Action::Double(n));
--- /dev/null
+++ b/daemon/src/daemon/budgets/mod.rs
@@ -0,0 +1,285 @@
+//! Budgets of the whole fleet (`linnetknot_budgets`): this proxy's demand, its datagrams, and its leases for the module.
+
+mod faults;
+mod status;
+
+use super::Daemon;
+use crate::net::Due;
+use linnetknot::{Budget, Lease, Micros};
+use linnetknot_budgets::kinds::Unit;
+use linnetknot_budgets::wire::{self, DecodeError};
+use linnetknot_budgets::{
+    Amount, Member, MemberIndex, MemberProcess, Message, Options, Outgoing, VoteResponse,
+};
+use std::collections::BTreeMap;
+
+/// The demand is so many times what is unsettled, so that a lease is there before it is needed.
+const DEMAND_FACTOR: Amount = 2;
+/// Requests that are asked for beyond that.
+const SPARE_REQUESTS: Amount = 4;
+/// One part in so many of what a server bears that is asked for beyond that.
+const SPARE_DIVISOR: Amount = 10;
+/// The shortest time between two ticks.
+const MIN_TICK_US: Micros = 1_000;
+
+/// This proxy's member, and what goes with it.
+pub(super) struct SharedBudgets {
+    member: Member,
+    /// The leases that the module received last, by budget.
+    delivered: Vec<Option<Lease>>,
+    due: Option<Due>,
+    /// Whether it was logged that datagrams of another fingerprint were dropped.
+    mismatch_logged: bool,
+    /// The list of peers has changed, and with it the members' indices: nothing is sent or received any more, and only the
+    /// reserved minimum is spent until the next start.
+    detached: bool,
+}
+
+/// Returns the demand of a proxy that has so much unsettled.
+fn demand(unsettled: Amount, unit: Unit) -> Amount {
+    let spare = match unit {
+        Unit::Concurrent => SPARE_REQUESTS,
+        Unit::Millionths => unit.one() / SPARE_DIVISOR,
+    };
+    if unsettled == 0 {
+        0
+    } else {
+        DEMAND_FACTOR * unsettled + spare
+    }
+}
+
+/// What this proxy has unsettled of each budget that the module knows.
+struct Unsettled {
+    origin: Amount,
+    caches: Amount,
+    parents: Amount,
+}
+
+impl Unsettled {
+    fn of(&self, budget: Option<Budget>) -> Amount {
+        match budget {
+            Some(Budget::Origin) => self.origin,
+            Some(Budget::Caches) => self.caches,
+            Some(Budget::Parents) => self.parents,
+            // Another zone's.
+            None => 0,
+        }
+    }
+}
+
+impl Daemon {
+    /// Joins the members that share the budgets of the operators' file.
+    pub(super) fn join_budgets(&mut self, now: Micros) -> Result<(), String> {
+        let config = &self.config.budgets;
+        let Some(ledger) = self.ledger.as_ref().filter(|_| !config.list.is_empty()) else { return Ok(()) };
+        let mut specs: Vec<_> = config.list.iter().map(|budget| budget.spec).collect();
+        let settling_us = specs.iter().map(|spec| spec.settling_us).max().unwrap_or(0);
+        if faults::forgets_reserved() {
+            specs.iter_mut().for_each(|spec| spec.limit += spec.reserved * config.members as Amount);
+        }
+        let own = MemberProcess { member: config.index, process: ledger.member() };
+        let options = Options::default().with_settling_time(settling_us);
+        // The file was checked, by the same figures.
+        let member = Member::new(own, config.members, &specs, now, options).map_err(|invalid| {
+            format!("budgets: '{}': {}", config.list[invalid.budget].name, invalid.error)
+        })?;
+        let delivered = vec![None; specs.len()];
+        // A request that stayed open for longer than its class allows would settle later, too.
+        self.core.most_us = config.longest_open_us().unwrap_or(Micros::MAX);
+        self.shared_budgets =
+            Some(SharedBudgets { member, delivered, due: None, mismatch_logged: false, detached: false });
+        self.tick_budgets(now);
+        Ok(())
+    }
+
+    /// Returns a peer's index among all configured members.
+    fn member_index(&self, peer: usize) -> MemberIndex {
+        peer + usize::from(peer >= self.config.budgets.index)
+    }
+
+    /// Returns the index among the peers of a member other than this one.
+    fn peer_index(&self, member: MemberIndex) -> usize {
+        member - usize::from(member > self.config.budgets.index)
+    }
+
+    /// Receives a datagram of a peer; false where it is of another kind.
+    pub(super) fn receive_budgets(&mut self, now: Micros, peer: usize, bytes: &[u8]) -> bool {
+        let datagram = match wire::read(bytes) {
+            Err(DecodeError::Foreign) => return false,
+            Err(e) => {
+                log::debug!(place = peer; "{e}");
+                self.dropped.1 += 1;
+                return true;
+            }
+            Ok(datagram) => datagram,
+        };
+        let from = MemberProcess { member: self.member_index(peer), process: datagram.process };
+        let Some(shared) = self.shared_budgets.as_mut().filter(|shared| !shared.detached) else {
+            return true;
+        };
+        if datagram.fingerprint != self.config.budgets.fingerprint {
+            if !std::mem::replace(&mut shared.mismatch_logged, true) {
+                log::warn!(peer = peer; "a peer's 'budgets' or list of peers is another: nothing is shared with it");
+            }
+            return true;
+        }
+        for message in datagram.messages {
+            shared.member.receive(now, from, message);
+        }
+        self.flush_budgets(now);
+        true
+    }
+
+    /// Passes the member what changed here and the time, and schedules the next tick.
+    fn tick_budgets(&mut self, now: Micros) {
+        self.update_up();
+        self.update_demand(now);
+        if let Some(shared) = &mut self.shared_budgets {
+            shared.member.tick(now);
+        }
+        self.flush_budgets(now);
+        let due = self.shared_budgets.as_ref().map(|shared| shared.member.due().max(now + MIN_TICK_US));
+        let old = self.shared_budgets.as_mut().and_then(|shared| shared.due.take());
+        let new = self.instead(old, due, |daemon, now| {
+            daemon.shared_budgets.iter_mut().for_each(|shared| shared.due = None);
+            daemon.tick_budgets(now);
+        });
+        self.shared_budgets.iter_mut().for_each(|shared| shared.due = new);
+    }
+
+    fn update_demand(&mut self, now: Micros) {
+        let is_stopping = self.is_stopping();
+        let all = self.unsettled(now);
+        let Some(shared) = &mut self.shared_budgets else { return };
+        for (n, budget) in self.config.budgets.list.iter().enumerate() {
+            let unsettled = all.of(budget.of);
+            // A process that ends gives up all that it has not spent.
+            let amount = if is_stopping { unsettled } else { demand(unsettled, budget.unit) };
+            shared.member.set_demand(n, amount, unsettled);
+        }
+    }
+
+    fn unsettled(&self, now: Micros) -> Unsettled {
+        let millionths =
+            |share: Option<f64>| (share.unwrap_or(0.0) * Unit::Millionths.one() as f64) as Amount;
+        Unsettled {
+            origin: self.core.asking() as Amount,
+            caches: millionths(self.core.cold_use(now, false)),
+            parents: millionths(self.core.cold_use(now, true)),
+        }
+    }
+
+    fn update_up(&mut self) {
+        let Some(fleet) = &self.membership else { return };
+        let members = fleet.members().iter().enumerate();
+        let up: Vec<(MemberIndex, bool)> =
+            members.map(|(peer, member)| (self.member_index(peer), member.is_up())).collect();
+        let Some(shared) = &mut self.shared_budgets else { return };
+        up.into_iter().for_each(|(index, up)| shared.member.set_up(index, up));
+    }
+
+    /// Sends the member's messages, logs its changes, and passes its leases to the module.
+    fn flush_budgets(&mut self, now: Micros) {
+        let Some(shared) = &mut self.shared_budgets else { return };
+        let mut outgoing = shared.member.outgoing();
+        let changes = shared.member.changes();
+        if shared.detached {
+            outgoing.clear();
+        }
+        if faults::assumes_votes() {
+            assume_votes(&mut shared.member, now, &outgoing);
+        }
+        self.send_budgets(outgoing);
+        changes.into_iter().for_each(|change| self.log_change(change));
+        self.deliver_leases(now);
+    }
+
+    fn send_budgets(&mut self, outgoing: Vec<Outgoing>) {
+        let Some(process) = self.shared_budgets.as_ref().map(|shared| shared.member.process()) else {
+            return;
+        };
+        let grants = outgoing.iter().any(|outgoing| matches!(outgoing.message, Message::LeaseGrant(_)));
+        if grants {
+            fail::fail_point!("budgets-grant");
+        }
+        let mut by_member = BTreeMap::<MemberIndex, Vec<Message>>::new();
+        for Outgoing { to, message } in outgoing {
+            by_member.entry(to).or_default().push(message);
+        }
+        for (to, messages) in by_member {
+            let peer = self.peer_index(to);
+            for bytes in wire::write(self.config.budgets.fingerprint, process, &messages) {
+                self.send_to_place(peer, &bytes);
+            }
+        }
+        if grants {
+            fail::fail_point!("budgets-granted");
+        }
+    }
+
+    /// Passes the leases that have changed to the module.
+    fn deliver_leases(&mut self, now: Micros) {
+        let Some(shared) = &mut self.shared_budgets else { return };
+        let mut changed = Vec::new();
+        for (n, budget) in self.config.budgets.list.iter().enumerate() {
+            let (Some(of), Some(spec)) = (budget.of, shared.member.spec(n)) else { continue };
+            let unit = budget.unit.one() as f64;
+            let lease = shared.member.lease(now, n);
+            let mut lease = Lease {
+                budget: of,
+                amount: lease.amount as f64 / unit,
+                until: lease.until,
+                reserved: spec.reserved as f64 / unit,
+            };
+            if faults::ignores_lease_ends() {
+                if shared.delivered[n].is_some_and(|delivered| delivered.amount > lease.amount) {
+                    continue;
+                }
+                lease.until = Micros::MAX;
+            }
+            if shared.delivered[n].replace(lease) != Some(lease) {
+                changed.push(lease);
+            }
+        }
+        changed.into_iter().for_each(|lease| self.core.receive_lease(now, lease));
+    }
+
+    /// Takes over the limits of a file that was read again; all else of budgets waits for the next start.
+    pub(super) fn reload_budgets(&mut self, new: &crate::interconnect::Budgets) {
+        if new.fingerprint != self.config.budgets.fingerprint {
+            return log::warn!("SIGHUP: 'budgets' has changed beyond its limits, which takes effect with the next start only");
+        }
+        let Some(shared) = &mut self.shared_budgets else { return };
+        let budgets = self.config.budgets.list.iter_mut().zip(&new.list).enumerate();
+        for (n, (old, new)) in budgets.filter(|(_, (old, new))| old.spec != new.spec) {
+            match shared.member.set_limit(n, new.spec.limit) {
+                Ok(()) => {
+                    log::info!(budget = new.name.as_str(), limit = new.spec.limit; "SIGHUP: the limit has changed");
+                    old.spec = new.spec;
+                }
+                Err(e) => log::error!("SIGHUP: the limit of '{}' stays as it was: {e}", new.name),
+            }
+        }
+    }
+
+    /// The list of peers has changed, so that messages would be taken for another member's: only the reserved minimums are
+    /// spent until the next start.
+    pub(super) fn detach_budgets(&mut self) {
+        if let Some(shared) = &mut self.shared_budgets {
+            shared.detached = true;
+            log::error!("SIGHUP: the peers have changed: nothing is shared with them before the next start");
+        }
+    }
+}
+
+/// Answers each request for a vote with a vote, in its receiver's place.
+fn assume_votes(member: &mut Member, now: Micros, outgoing: &[Outgoing]) {
+    for Outgoing { to, message } in outgoing {
+        if let Message::VoteRequest(request) = message {
+            let response =
+                VoteResponse { group: request.group, number: request.number, granted: true, voted_for: None };
+            let from = MemberProcess { member: *to, process: 0 };
+            member.receive(now, from, Message::VoteResponse(response));
+        }
+    }
+}
