Give the rehearsals' rule on budgets structs in place of tuples

Need: pairs of times and numbers in a public signature say not which is which.

Change: LimitFrom, HeldFrom and Excess; doc comments are sentences. The rule and its evidence stay.

--- a/daemon/tests/budgets.rs
+++ b/daemon/tests/budgets.rs
@@ -7,7 +7,7 @@
 use linnetknot_rehearse::fleet::{Disk, Fleet, Setup};
 use linnetknot_rehearse::gates::Weather;
 use linnetknot_rehearse::pressure::Pressure;
-use linnetknot_rehearse::rules::budgets::{judge, mean};
+use linnetknot_rehearse::rules::budgets::{judge, mean, LimitFrom};
 use linnetknot_rehearse::rules::Breach;
 use serde_json::{json, Value};
 use std::path::Path;
@@ -32,7 +32,7 @@
     fleet: Fleet,
     clients: Vec<Option<Pressure>>,
     begun: Instant,
-    limits: Vec<(u64, u64)>,
+    limits: Vec<LimitFrom>,
 }
 
 impl Ground {
@@ -47,7 +47,12 @@
         let fleet = Fleet::with(setup).unwrap();
         fleet.origin.behave(linnetknot_rehearse::boxes::Manner { hold_ms: HOLD_MS, ..Default::default() });
         let clients = (0..proxies).map(|_| None).collect();
-        let mut ground = Ground { fleet, clients, begun: Instant::now(), limits: vec![(0, LIMIT)] };
+        let mut ground = Ground {
+            fleet,
+            clients,
+            begun: Instant::now(),
+            limits: vec![LimitFrom { from: 0, limit: LIMIT }],
+        };
         (0..pressed).for_each(|n| ground.press(n));
         ground
     }
@@ -333,7 +338,7 @@
     });
     // What was granted of the limit before may be spent for a second more, and is felt for another.
     ground.pass(Duration::from_micros(1_000_000 + DEADLINE_US));
-    ground.limits.push((ground.now(), LIMIT / 2));
+    ground.limits.push(LimitFrom { from: ground.now(), limit: LIMIT / 2 });
     ground.pass(Duration::from_secs(1));
     ground.until_used("all of that is used", (LIMIT / 2) as f64 * 0.8);
     // One that its reserved minimums don't fit stays out.
--- a/rehearse/src/rules/budgets.rs
+++ b/rehearse/src/rules/budgets.rs
@@ -1,5 +1,5 @@
-//! What all proxies spend together, judged by those who receive it: what a stand-in held at each moment, whoever sent it,
-//! against what all may have there.
+//! The rule on fleet-wide budgets, judged where they are spent: what a stand-in held at each time, whichever proxy sent it,
+//! against the limit of all proxies.
 
 use super::Breach;
 use crate::record::Micros;
@@ -8,54 +8,86 @@
 pub const BUDGET: (&str, &str) =
     ("budget", "what all proxies have out at a time is never more than the limit");
 
-/// Something that was held, from one moment to another.
+/// A time in which a request was held.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Span {
-    /// From then on.
+    /// Its start.
     pub from: Micros,
-    /// Until then.
+    /// Its end.
     pub until: Micros,
 }
 
-/// How many were held at each change, in order.
-pub fn held(spans: &[Span]) -> Vec<(Micros, u64)> {
+/// A limit that holds from a time on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LimitFrom {
+    /// The time.
+    pub from: Micros,
+    /// The limit.
+    pub limit: u64,
+}
+
+/// How many requests were held from a time on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct HeldFrom {
+    /// The time.
+    pub from: Micros,
+    /// The number of requests.
+    pub held: u64,
+}
+
+/// Returns how many requests were held after each change, in order.
+pub fn held(spans: &[Span]) -> Vec<HeldFrom> {
     // What ends in the microsecond in which something else begins was out of the way by then.
     let spans = spans.iter().filter(|span| span.from < span.until);
     let mut changes: Vec<(Micros, bool)> =
         spans.flat_map(|span| [(span.from, true), (span.until, false)]).collect();
     changes.sort_unstable();
     let mut now = 0;
-    let count = |(at, begins): (Micros, bool)| {
+    let count = |(from, begins): (Micros, bool)| {
         now = if begins { now + 1 } else { now - 1 };
-        (at, now)
+        HeldFrom { from, held: now }
     };
     changes.into_iter().map(count).collect()
 }
 
-/// Where more was held than the limit, which may be another from some moments on: a breach for each time that it went
-/// over, with the most of that time.
-pub fn judge(spans: &[Span], limits: &[(Micros, u64)]) -> Vec<Breach> {
-    let limit_at =
-        |at: Micros| limits.iter().rev().find(|(from, _)| *from <= at).map_or(u64::MAX, |limit| limit.1);
-    let mut breaches: Vec<(Micros, u64, u64)> = Vec::new();
+/// A time in which more was held than the limit.
+struct Excess {
+    from: Micros,
+    /// The most that was held in that time.
+    held: u64,
+    /// The limit when it began.
+    limit: u64,
+}
+
+impl Excess {
+    fn breach(&self) -> Breach {
+        let evidence = format!("{} of {} held at a time", self.held, self.limit);
+        Breach { rule: BUDGET.0, request: None, target: None, at: self.from, evidence }
+    }
+}
+
+/// Returns a breach for each time in which more was held than the limit, with the most of that time. The limits are in the
+/// order of their times; before the first of them nothing is limited.
+pub fn judge(spans: &[Span], limits: &[LimitFrom]) -> Vec<Breach> {
+    let limit_at = |at: Micros| {
+        let last = limits.iter().rev().find(|limit| limit.from <= at);
+        last.map_or(u64::MAX, |limit| limit.limit)
+    };
+    let mut excesses: Vec<Excess> = Vec::new();
     let mut is_over = false;
-    for (at, held) in held(spans) {
-        let limit = limit_at(at);
-        match (held > limit, breaches.last_mut()) {
-            (true, Some(breach)) if is_over => breach.1 = held.max(breach.1),
-            (true, _) => breaches.push((at, held, limit)),
-            _ => {}
+    for HeldFrom { from, held } in held(spans) {
+        let limit = limit_at(from);
+        match excesses.last_mut() {
+            _ if held <= limit => {}
+            Some(excess) if is_over => excess.held = held.max(excess.held),
+            _ => excesses.push(Excess { from, held, limit }),
         }
         is_over = held > limit;
     }
-    let breach = |(at, held, limit)| {
-        let evidence = format!("{held} of {limit} held at a time");
-        Breach { rule: BUDGET.0, request: None, target: None, at, evidence }
-    };
-    breaches.into_iter().map(breach).collect()
+    excesses.iter().map(Excess::breach).collect()
 }
 
-/// The mean of what was held from one moment to another.
+/// Returns the mean of what was held from one time to another.
 pub fn mean(spans: &[Span], from: Micros, until: Micros) -> f64 {
     let within = |span: &Span| span.until.min(until).saturating_sub(span.from.max(from));
     spans.iter().map(within).sum::<Micros>() as f64 / until.saturating_sub(from).max(1) as f64
@@ -72,20 +104,26 @@
     #[test]
     fn each_time_over_the_whole_is_named_with_its_most() {
         let spans = [span(0, 10), span(5, 20), span(10, 30), span(12, 14), span(13, 15), span(40, 50)];
-        let said = |limits: &[(Micros, u64)]| {
-            judge(&spans, limits).into_iter().map(|b| (b.at, b.evidence)).collect::<Vec<_>>()
+        let judged = |limits: &[(Micros, u64)]| {
+            let limits: Vec<LimitFrom> =
+                limits.iter().map(|(from, limit)| LimitFrom { from: *from, limit: *limit }).collect();
+            judge(&spans, &limits).into_iter().map(|b| (b.at, b.evidence)).collect::<Vec<_>>()
         };
-        assert_eq!(said(&[(0, 4)]), []);
-        assert_eq!(said(&[(0, 3)]), [(13, "4 of 3 held at a time".to_owned())]);
+        assert_eq!(judged(&[(0, 4)]), []);
+        assert_eq!(judged(&[(0, 3)]), [(13, "4 of 3 held at a time".to_owned())]);
         assert_eq!(
-            said(&[(0, 2)]),
+            judged(&[(0, 2)]),
             [(12, "4 of 2 held at a time".to_owned())],
             "the first two met, and the third took the place of one that ended with its beginning"
         );
         // The limit is lowered: what was out before is not held against anybody, what comes after is.
-        assert_eq!(said(&[(0, 4), (13, 0)]).len(), 2);
-        assert_eq!(said(&[]), [], "nothing is said of a limit");
-        assert_eq!(held(&[span(7, 7), span(7, 8)]), [(7, 1), (8, 0)], "what took no time was not held");
+        assert_eq!(judged(&[(0, 4), (13, 0)]).len(), 2);
+        assert_eq!(judged(&[]), [], "nothing is said of a limit");
+        assert_eq!(
+            held(&[span(7, 7), span(7, 8)]),
+            [HeldFrom { from: 7, held: 1 }, HeldFrom { from: 8, held: 0 }],
+            "what took no time was not held"
+        );
     }
 
     #[test]
