Describe the budgets' status and kinds in ordinary technical English

Need: doc comments of the earlier house style were fragments.

Change: comments of kinds and of the status; the name 'target' for the amount that a grant aims at; long log calls broken into lines. The JSON's keys and the log's texts stay.

--- a/budgets/src/allocation.rs
+++ b/budgets/src/allocation.rs
@@ -38,8 +38,8 @@
         }
         self.demands.set(now, from.member, request.demand, terms.demand_lifetime_us);
         let share = self.demands.fair_share(from.member, terms.shared).min(terms.max_amount);
-        let wanted = self.next_amount(from.member, request.demand, share);
-        Some(self.ledger.grant(from, request, wanted, terms.shared, terms.until))
+        let target = self.next_amount(from.member, request.demand, share);
+        Some(self.ledger.grant(from, request, target, terms.shared, terms.until))
     }
 
     /// A lease grows at once and shrinks by halves, so that it does not swing with each request.
--- a/budgets/src/kinds.rs
+++ b/budgets/src/kinds.rs
@@ -1,16 +1,16 @@
-//! What is shared: the kinds of budgets, with their units, as one table.
+//! The kinds of budgets and their units.
 
-/// What an amount counts.
+/// The unit of an amount.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Unit {
-    /// Things held at a time.
+    /// Requests that are held at a time.
     Concurrent,
-    /// Millionths of what a server bears.
+    /// Millionths of what a server can bear.
     Millionths,
 }
 
 impl Unit {
-    /// As it stands behind an amount.
+    /// Returns the name that `fleet budgets` shows. It is read by tools and does not change.
     pub fn name(self) -> &'static str {
         match self {
             Unit::Concurrent => "held at a time",
@@ -18,7 +18,7 @@
         }
     }
 
-    /// How many of it are one: a thing that is held, or all that a server bears.
+    /// Returns the amount that stands for one request, or for all that a server can bear.
     pub fn one(self) -> crate::Amount {
         match self {
             Unit::Concurrent => 1,
@@ -30,15 +30,15 @@
 /// A kind of budget.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Kind {
-    /// Its name.
+    /// The name, as `fleet budgets` and the log show it.
     pub name: &'static str,
-    /// What its amounts count.
+    /// The unit of its amounts.
     pub unit: Unit,
 }
 
-/// Requests that the origin holds at a time, straight or behind a fill.
+/// Requests that the origin holds at a time, whether they came directly or for a fill.
 pub const ORIGIN: Kind = Kind { name: "origin", unit: Unit::Concurrent };
-/// What each cold parent bears.
+/// What each cold parent cache can bear.
 pub const PARENTS: Kind = Kind { name: "cold-parents", unit: Unit::Millionths };
-/// What each cold cache of a zone bears; there is one for each zone.
+/// What each cold cache of a zone can bear; there is one budget for each zone.
 pub const CACHES: Kind = Kind { name: "cold-caches", unit: Unit::Millionths };
--- a/budgets/src/ledger.rs
+++ b/budgets/src/ledger.rs
@@ -108,19 +108,19 @@
         self.0.iter().map(outstanding)
     }
 
-    /// Grants a recorded request up to `wanted`, as far as `shared` leaves; it may be unsettled until `until`.
+    /// Grants a recorded request up to `target`, as far as `shared` leaves; it may be unsettled until `until`.
     pub(crate) fn grant(
         &mut self,
         from: MemberProcess,
         request: &LeaseRequest,
-        wanted: Amount,
+        target: Amount,
         shared: Amount,
         until: Micros,
     ) -> Amount {
         let total: Amount = self.outstanding_by_holder().map(|grant| grant.amount).sum();
         let Some(holder) = self.0.get_mut(&from.member) else { return 0 };
         let others = total - holder.largest_of(from.process);
-        let amount = wanted.min(shared.saturating_sub(others));
+        let amount = target.min(shared.saturating_sub(others));
         // An empty lease is one, too: that its holder goes by it says that it gave up the one before.
         holder.grants.push(Grant { process: from.process, number: request.number, amount, until });
         amount
--- a/budgets/src/ledger/tests.rs
+++ b/budgets/src/ledger/tests.rs
@@ -23,10 +23,10 @@
     ledger: &mut Ledger,
     now: Micros,
     Submission { from, request }: Submission,
-    wanted: Amount,
+    target: Amount,
     until: Micros,
 ) -> Option<Amount> {
-    ledger.record(now, from, &request).then(|| ledger.grant(from, &request, wanted, 100, until))
+    ledger.record(now, from, &request).then(|| ledger.grant(from, &request, target, 100, until))
 }
 
 #[test]
--- a/daemon/src/budgets.rs
+++ b/daemon/src/budgets.rs
@@ -1,82 +1,82 @@
-//! `linnetknot fleet budgets`: what a running proxy tells, by its admin listener, of what all proxies spend together.
+//! `linnetknot fleet budgets`: the status of the fleet-wide budgets, as a running proxy's admin listener shows it.
 
 use serde::{Deserialize, Serialize};
 use std::fmt::Write as _;
 
-/// Budgets that one answer tells of: with their grants they fit the admin listener's ring.
+/// The number of budgets that one status shows: with their grants they fit the admin listener's ring.
 pub const MAX_BUDGETS: usize = 16;
-/// Holders that one budget tells of.
+/// The number of holders that the status of one budget shows.
 pub const MAX_GRANTS: usize = 8;
 
-/// Where a proxy's leases of what all spend stand.
+/// The status of a proxy's budgets.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Status {
-    /// Its name.
+    /// The name of the proxy.
     pub name: String,
-    /// Proxies that are configured, for each of which a minimum is set aside.
+    /// The number of configured proxies, for each of which a minimum is reserved.
     pub members: usize,
-    /// What is shared.
+    /// The budgets, the first of them.
     pub budgets: Vec<BudgetStatus>,
-    /// How many there are.
+    /// The number of all budgets.
     #[serde(rename = "budgets_in_all")]
     pub budgets_total: usize,
 }
 
-/// One budget, as the asked proxy knows it.
+/// The status of one budget, as the asked proxy knows it.
 // Keys of the JSON, which tools read: `whole` stands for the limit, `floor` for the reserved minimum, `part` for the lease,
 // `wanted` for the demand, `out` for what is spent and not settled, `divider` for the allocator, `divides` for leading.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct BudgetStatus {
-    /// Its name.
+    /// The name of the budget.
     pub name: String,
-    /// What its amounts count.
+    /// The unit of its amounts.
     pub unit: String,
-    /// In all.
+    /// What all proxies may spend together.
     #[serde(rename = "whole")]
     pub limit: u64,
-    /// Set aside for each proxy.
+    /// What is reserved for each proxy.
     #[serde(rename = "floor")]
     pub reserved: u64,
-    /// What the asked proxy may spend now, its reserved minimum with it.
+    /// What the asked proxy may spend now, its reserved minimum included.
     #[serde(rename = "part")]
     pub lease: u64,
-    /// When that ends without a further message; null: it is the reserved minimum, which does not.
+    /// When that expires unless it is renewed; null where it is the reserved minimum, which does not.
     pub ends_in_ms: Option<u64>,
-    /// What it wants beyond its reserved minimum.
+    /// What it demands beyond its reserved minimum.
     #[serde(rename = "wanted")]
     pub demand: u64,
-    /// What it has out beyond its reserved minimum.
+    /// What it spent beyond its reserved minimum and is not settled.
     #[serde(rename = "out")]
     pub unsettled: u64,
-    /// Who allocates, as far as it knows.
+    /// The name of the allocator, as far as it knows.
     #[serde(rename = "divider")]
     pub allocator: String,
-    /// It leads, by the votes of more than half.
+    /// Whether it is the allocator, by the votes of more than half.
     #[serde(rename = "divides")]
     pub leads: bool,
-    /// Only its reserved minimum may be spent: no lease is in force.
+    /// Whether only its reserved minimum may be spent, as no lease is in force.
     #[serde(rename = "on_floor")]
     pub reserved_only: bool,
-    /// Where it leads: what is granted or not settled yet, reserved minimums aside.
+    /// Where it is the allocator: what is granted or unsettled, without the reserved minimums.
     #[serde(rename = "granted_in_all")]
     pub granted_total: u64,
-    /// To how many.
+    /// The number of holders of that.
     pub holders: usize,
-    /// To whom, the first of them.
+    /// The holders, the first of them.
     pub granted: Vec<GrantStatus>,
 }
 
-/// What the allocator granted to one proxy.
+/// What the allocator has granted to one proxy.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct GrantStatus {
-    /// Its name, or its address until that is known.
+    /// The name of the proxy, or its address until that is known.
     pub name: String,
-    /// The most that it may have unsettled, its reserved minimum aside.
+    /// The most that it may spend or have unsettled, without its reserved minimum.
     pub amount: u64,
 }
 
 impl Status {
-    /// As tables, for people.
+    /// Formats the status as tables for people. The headings are the same words as the keys of the file and of the JSON.
     pub fn to_table(&self) -> String {
         let mut out = format!("{} shares with {} proxies, itself among them\n\n", self.name, self.members);
         // Writing to a string does not fail.
--- a/daemon/src/daemon/budgets/mod.rs
+++ b/daemon/src/daemon/budgets/mod.rs
@@ -119,7 +119,10 @@
         };
         if datagram.fingerprint != self.config.budgets.fingerprint {
             if !std::mem::replace(&mut shared.mismatch_logged, true) {
-                log::warn!(peer = peer; "a peer's 'budgets' or list of peers is another: nothing is shared with it");
+                log::warn!(
+                    peer = peer;
+                    "a peer's 'budgets' or list of peers is another: nothing is shared with it"
+                );
             }
             return true;
         }
@@ -247,14 +250,19 @@
     /// Takes over the limits of a file that was read again; all else of budgets waits for the next start.
     pub(super) fn reload_budgets(&mut self, new: &crate::interconnect::Budgets) {
         if new.fingerprint != self.config.budgets.fingerprint {
-            return log::warn!("SIGHUP: 'budgets' has changed beyond its limits, which takes effect with the next start only");
+            return log::warn!(
+                "SIGHUP: 'budgets' has changed beyond its limits, which takes effect with the next start only"
+            );
         }
         let Some(shared) = &mut self.shared_budgets else { return };
         let budgets = self.config.budgets.list.iter_mut().zip(&new.list).enumerate();
         for (n, (old, new)) in budgets.filter(|(_, (old, new))| old.spec != new.spec) {
             match shared.member.set_limit(n, new.spec.limit) {
                 Ok(()) => {
-                    log::info!(budget = new.name.as_str(), limit = new.spec.limit; "SIGHUP: the limit has changed");
+                    log::info!(
+                        budget = new.name.as_str(), limit = new.spec.limit;
+                        "SIGHUP: the limit has changed"
+                    );
                     old.spec = new.spec;
                 }
                 Err(e) => log::error!("SIGHUP: the limit of '{}' stays as it was: {e}", new.name),
