Pin the budgets' datagrams and the keys of their status by tests

Need: fields have other names than the form and the JSON, which must not follow them.

Change: a test of the bytes of each message and one of the JSON's keys; comments of the tests in the field's terms. No assertion changed.

--- a/budgets/src/wire/tests.rs
+++ b/budgets/src/wire/tests.rs
@@ -61,3 +61,23 @@
     }
     assert_eq!(read(b"budgets1 3 1"), Ok(Datagram { fingerprint: 3, process: 1, messages: vec![] }));
 }
+
+/// Proxies of released versions read this form: it does not change.
+#[test]
+fn the_form_of_each_message_is_fixed() {
+    let messages = [
+        Message::VoteRequest(VoteRequest { group: 1, number: 17 }),
+        Message::VoteResponse(VoteResponse { group: 1, number: 17, granted: true, voted_for: Some(2) }),
+        Message::VoteResponse(VoteResponse { group: 1, number: 17, granted: false, voted_for: None }),
+        Message::LeaseRequest(LeaseRequest {
+            budget: 1,
+            number: 18,
+            demand: 19,
+            current_lease: 20,
+            unsettled: 21,
+        }),
+        Message::LeaseGrant(LeaseGrant { budget: 1, number: 18, amount: 22, duration_us: 23 }),
+    ];
+    let expected = b"budgets1 a b s.1.11 v.1.11.1.3 v.1.11.0.0 w.1.12.13.14.15 p.1.12.16.17";
+    assert_eq!(write(10, 11, &messages), [expected.to_vec()]);
+}
--- a/budgets/tests/fleet.rs
+++ b/budgets/tests/fleet.rs
@@ -1,4 +1,4 @@
-//! Many members on virtual time, each with a clock that drifts: the sum of all parts in force, by the clock of whoever
+//! Many members on virtual time, each with a clock that drifts: the sum of all leases in force, by the clock of whoever
 //! holds them, is never over the limit, and leases flow where more than half can talk to each other.
 
 use linnetknot_budgets::spec::BudgetSpec;
@@ -28,7 +28,7 @@
     ahead: Micros,
     faster: i64,
     stalled: Option<Vec<Envelope>>,
-    /// By budget, what it would spend if it could, and what was spent: how much, and until when that is felt.
+    /// By budget, what it would spend if it could, and what was spent: how much, and until when it is unsettled.
     demand: Vec<Amount>,
     spent: Vec<Vec<(Amount, Micros)>>,
     /// What its processes before spent, which it knows nothing of.
@@ -44,7 +44,7 @@
         self.ahead + (now as i64 + now as i64 * self.faster / 1_000_000) as Micros
     }
 
-    /// What is felt still of what it spent of a budget.
+    /// What is unsettled of what it spent of a budget.
     fn unsettled(&self, now: Micros, budget: usize) -> Amount {
         unsettled(&self.spent[budget], now)
     }
@@ -57,7 +57,7 @@
     options: Options,
     /// Of all datagrams sent.
     bytes: u64,
-    /// The most that was in force at once, and felt at once, of each budget, in thousandths of its limit.
+    /// The most that was in force at once, and unsettled at once, of each budget, in thousandths of its limit.
     peak: Vec<(u64, u64)>,
 }
 
@@ -110,7 +110,7 @@
         let node = &mut self.nodes[n];
         (node.member, node.stalled) = (None, None);
         node.demand.fill(0);
-        // Its connections end with it, and what they held of its reserved minimum; the rest is felt as long as it can be.
+        // Its connections end with it, and what they held of its reserved minimum; the rest settles when it would have.
         for (spent, spec) in node.spent.iter_mut().zip(&self.specs) {
             let mut reserved = spec.reserved;
             for (amount, _) in spent.iter_mut() {
@@ -134,7 +134,7 @@
         self.nodes[n].demand.fill(demand);
     }
 
-    /// Tells a member what it wants and what is felt of it.
+    /// Sets a member's demand and what it has unsettled.
     fn report_demand(&mut self, n: usize) {
         let now = self.links.now;
         let unsettled: Vec<Amount> =
@@ -147,7 +147,7 @@
         }
     }
 
-    /// A member spends as much as it may and wants, for as long as that may be felt.
+    /// A member spends as much as it may and wants, which settles in time.
     fn spend(&mut self, n: usize) {
         let now = self.links.now;
         for budget in (0..self.specs.len()).filter(|budget| self.specs[*budget].settling_us > 0) {
@@ -191,7 +191,7 @@
         }
     }
 
-    /// What is in force of a budget now, by the clocks of those that hold it. One that stands still holds its part, as it
+    /// What is in force of a budget now, by the clocks of those that hold it. One that stands still holds its lease, as it
     /// may spend when it goes on, until its clock says otherwise.
     fn in_force(&self, budget: usize) -> Amount {
         let reserved_total = self.specs[budget].reserved * self.nodes.len() as u64;
@@ -451,7 +451,7 @@
     assert!(longest <= 10 * S, "{longest} us: not for long, either");
 }
 
-/// What was spent by the last votes of one allocator is felt no more when the next has its own.
+/// What was spent by the last votes of one allocator has settled when the next has its own.
 #[test]
 fn the_sum_of_what_is_unsettled_holds_from_one_allocator_to_the_next() {
     let specs = [BudgetSpec { limit: 100_000, reserved: 100, settling_us: 3 * S }];
@@ -497,7 +497,7 @@
     }
 }
 
-/// What is spent is felt for seconds: who wants less gives up what it does not have out at once, and not when all of it
+/// What is spent settles in seconds: who wants less gives up what it does not have out at once, and not when all of it
 /// could be over.
 #[test]
 fn what_is_given_up_is_free_long_before_it_could_have_settled() {
@@ -579,7 +579,7 @@
             net.run(12 * S);
             net
         };
-        // What the living may spend, in percent of what their reserved minimums and the shared part come to.
+        // What the living may spend, in percent of what their reserved minimums and what is shared come to.
         let usable = |net: &Net| {
             let runs = net.nodes.iter().filter(|n| n.member.is_some());
             let leases: Amount = runs
--- a/budgets/tests/model.rs
+++ b/budgets/tests/model.rs
@@ -1,5 +1,5 @@
-//! Model check of the leases, on the real types: three members, one budget, messages lost, doubled, late and in any order, a
-//! member that stands still, one that starts again at any step. The sum of all leases in force is never over the limit.
+//! Model check of the leases, on the real types: three members, one budget, messages that are lost, duplicated, delayed and
+//! reordered, members that stall or restart at any step. The sum of all leases in force is never over the limit.
 
 use linnetknot_budgets::spec::BudgetSpec;
 use linnetknot_budgets::*;
@@ -21,7 +21,7 @@
     NoSilence,
     /// It starts in the process that it had, and so still has the votes that it was given.
     SameProcess,
-    /// A holder is taken to go by the answer to its last question, whether that came or not.
+    /// A holder is taken to go by the response to its last request, whether that came or not.
     GivesUp,
 }
 
@@ -47,7 +47,7 @@
     nodes: Vec<Node>,
     /// Those on their way.
     messages: Vec<Envelope>,
-    /// Who divided in calm.
+    /// The allocator in calm.
     first: Option<MemberIndex>,
     demanding: MemberIndex,
     turns: u8,
--- a/daemon/tests/budgets.rs
+++ b/daemon/tests/budgets.rs
@@ -2,7 +2,7 @@
 //! origin itself. However links and processes fail, it never holds more than the limit; and what the others do not use is
 //! used by those that have something to do.
 
-use linnetknot_daemon::budgets::BudgetStatus;
+use linnetknot_daemon::budgets::{BudgetStatus, GrantStatus, Status};
 use linnetknot_rehearse::clients::{becomes, PATIENCE};
 use linnetknot_rehearse::fleet::{Disk, Fleet, Setup};
 use linnetknot_rehearse::gates::Weather;
@@ -17,7 +17,7 @@
 /// Places at the origin, and those set aside for each proxy.
 const LIMIT: u64 = 24;
 const RESERVED: u64 = 2;
-/// How long a request may be open: what is spent is felt for no longer.
+/// How long a request may be open: what is spent settles within it.
 const DEADLINE_US: u64 = 1_000_000;
 /// How long the origin holds each.
 const HOLD_MS: u64 = 100;
@@ -209,7 +209,7 @@
     );
 }
 
-/// It hears all and is not heard: it knows of every question, and none of its answers comes.
+/// It receives all and nothing that it sends arrives.
 #[test]
 fn an_allocator_that_hears_and_is_not_heard_is_followed_by_another() {
     let set = |ground: &mut Ground, allocator, weather| {
@@ -222,7 +222,7 @@
     );
 }
 
-/// In the middle of a division: it has decided on leases, and their holders have heard of them or have not.
+/// In the middle of an allocation: it has decided on leases, and their holders have received them or have not.
 #[test]
 fn an_allocator_that_dies_before_and_after_its_holders_hear_of_their_leases_has_given_nothing_twice() {
     for (seed, point) in ["budgets-grant", "budgets-granted"].into_iter().enumerate() {
@@ -247,7 +247,7 @@
     }
 }
 
-/// By the list of peers each knows who stands at which place. One whose list changes while it runs would take one's words
+/// The list of peers gives each member its index. A proxy whose list changes while it runs would take one member's messages
 /// for another's.
 #[test]
 fn a_proxy_whose_list_of_peers_changes_shares_nothing_before_its_next_start() {
@@ -336,7 +336,7 @@
     ground.until("all know of it", || {
         ALL.iter().all(|n| ground.places(*n).is_some_and(|b| b.limit == LIMIT / 2))
     });
-    // What was granted of the limit before may be spent for a second more, and is felt for another.
+    // What was granted of the limit before may be spent for a second more, and settles within another.
     ground.pass(Duration::from_micros(1_000_000 + DEADLINE_US));
     ground.limits.push(LimitFrom { from: ground.now(), limit: LIMIT / 2 });
     ground.pass(Duration::from_secs(1));
@@ -348,6 +348,37 @@
     ground.judge();
 }
 
+/// Tools read these keys, whatever the fields are called here.
+#[test]
+fn the_status_keeps_its_keys() {
+    let budget = BudgetStatus {
+        name: "origin".to_owned(),
+        unit: "held at a time".to_owned(),
+        limit: 1,
+        reserved: 2,
+        lease: 3,
+        ends_in_ms: Some(4),
+        demand: 5,
+        unsettled: 6,
+        allocator: "p1".to_owned(),
+        leads: true,
+        reserved_only: false,
+        granted_total: 7,
+        holders: 8,
+        granted: vec![GrantStatus { name: "p2".to_owned(), amount: 9 }],
+    };
+    let status = Status { name: "p0".to_owned(), members: 3, budgets: vec![budget], budgets_total: 10 };
+    let expected = json!({
+        "name": "p0", "members": 3, "budgets_in_all": 10,
+        "budgets": [{
+            "name": "origin", "unit": "held at a time", "whole": 1, "floor": 2, "part": 3, "ends_in_ms": 4,
+            "wanted": 5, "out": 6, "divider": "p1", "divides": true, "on_floor": false, "granted_in_all": 7,
+            "holders": 8, "granted": [{"name": "p2", "amount": 9}],
+        }],
+    });
+    assert_eq!(serde_json::to_value(status).unwrap(), expected);
+}
+
 /// Each planted fault is seen by the origin.
 #[test]
 fn planted_faults_are_found() {
