--- a/budgets/src/wire.rs
+++ b/budgets/src/wire.rs
@@ -1,133 +1,123 @@
-//! Datagrams, as text: several words of one sender, at most 256 bytes, the bound of what proxies may send each other on
-//! any installation.
+//! Messages as datagrams, in text: several messages of one sender, at most 256 bytes, the bound of what proxies may send
+//! each other on any installation.
 
-use crate::{Life, Word};
+use crate::{LeaseGrant, LeaseRequest, Message, ProcessId, VoteRequest, VoteResponse};
 pub use linnetknot_datagram::DecodeError;
 use linnetknot_datagram::{payload, MAX_DATAGRAM_BYTES};
 use std::fmt::Write as _;
+use std::str::Split;
 
-/// Its first word; the digit is the form's version.
-const MARK: &str = "budgets1";
+#[cfg(test)]
+mod tests;
 
-fn text(word: &Word) -> String {
-    match *word {
-        Word::Stand { group, number } => format!(" s.{group:x}.{number:x}"),
-        Word::Vote { group, number, yes, of } => {
-            let of = of.map_or(0, |of| of + 1);
-            format!(" v.{group:x}.{number:x}.{:x}.{of:x}", u8::from(yes))
-        }
-        Word::Want { budget, number, wanted, of, felt } => {
-            format!(" w.{budget:x}.{number:x}.{wanted:x}.{of:x}.{felt:x}")
-        }
-        Word::Part { budget, number, amount, for_us } => {
-            format!(" p.{budget:x}.{number:x}.{amount:x}.{for_us:x}")
-        }
-    }
-}
+/// The first word of a datagram; the digit is the version of the form.
+const MARK: &str = "budgets1";
 
-fn read_word(text: &str) -> Option<Word> {
-    let mut parts = text.split('.');
-    let kind = parts.next()?;
-    let mut next = || {
-        // `from_str_radix` would take a sign.
-        let digits = parts.next().filter(|p| !p.is_empty() && p.bytes().all(|b| b.is_ascii_hexdigit()))?;
-        u64::from_str_radix(digits, 16).ok()
-    };
-    let place = |n: u64| usize::try_from(n).ok();
-    let word = match kind {
-        "s" => Word::Stand { group: place(next()?)?, number: next()? },
-        "v" => {
-            let (group, number, yes, of) = (place(next()?)?, next()?, next()?, place(next()?)?);
-            Word::Vote { group, number, yes: (yes < 2).then_some(yes == 1)?, of: of.checked_sub(1) }
-        }
-        "w" => {
-            let (budget, number) = (place(next()?)?, next()?);
-            Word::Want { budget, number, wanted: next()?, of: next()?, felt: next()? }
-        }
-        "p" => Word::Part { budget: place(next()?)?, number: next()?, amount: next()?, for_us: next()? },
-        _ => return None,
-    };
-    parts.next().is_none().then_some(word)
+/// A datagram that was read.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Datagram {
+    /// Identifies what the sender shares with whom; members with another one must not share with it.
+    pub fingerprint: u64,
+    /// The sender's process.
+    pub process: ProcessId,
+    /// Its messages.
+    pub messages: Vec<Message>,
 }
 
-/// Words of a member in this life as few datagrams. `form` stands for what its words mean: the same at all that share the
-/// same among the same.
-pub fn write(form: u64, life: Life, words: &[Word]) -> Vec<Vec<u8>> {
-    let head = format!("{MARK} {form:x} {life:x}");
+/// Writes messages of a member's process as few datagrams.
+pub fn write(fingerprint: u64, process: ProcessId, messages: &[Message]) -> Vec<Vec<u8>> {
+    let head = format!("{MARK} {fingerprint:x} {process:x}");
     let mut datagrams: Vec<String> = Vec::new();
-    for word in words.iter().map(text) {
-        match datagrams.last_mut().filter(|last| last.len() + word.len() <= MAX_DATAGRAM_BYTES) {
+    for message in messages.iter().map(encode) {
+        match datagrams.last_mut().filter(|last| last.len() + message.len() <= MAX_DATAGRAM_BYTES) {
             // Writing to a string does not fail.
-            Some(last) => drop(write!(last, "{word}")),
-            None => datagrams.push(format!("{head}{word}")),
+            Some(last) => drop(write!(last, "{message}")),
+            None => datagrams.push(format!("{head}{message}")),
         }
     }
     datagrams.into_iter().map(String::into_bytes).collect()
 }
 
-/// Reads a datagram: its sender's `form`, its life, and its words.
+/// Reads a datagram.
 ///
 /// # Errors
-/// Where it is of another kind or version, or torn. Nothing of a torn one is used.
-pub fn read(bytes: &[u8]) -> Result<(u64, Life, Vec<Word>), DecodeError> {
+/// Fails where it is of another kind or version, or malformed; nothing of a malformed one is used.
+pub fn read(bytes: &[u8]) -> Result<Datagram, DecodeError> {
     let text = std::str::from_utf8(payload(bytes, MARK)?).map_err(|_| DecodeError::Malformed)?;
     let mut words = text.strip_prefix(' ').ok_or(DecodeError::Malformed)?.split(' ');
     let mut number = || u64::from_str_radix(words.next()?, 16).ok();
-    let (form, life) = number().zip(number()).ok_or(DecodeError::Malformed)?;
-    let words = words.map(read_word).collect::<Option<Vec<Word>>>().ok_or(DecodeError::Malformed)?;
-    Ok((form, life, words))
+    let (fingerprint, process) = number().zip(number()).ok_or(DecodeError::Malformed)?;
+    let messages = words.map(decode).collect::<Option<Vec<Message>>>().ok_or(DecodeError::Malformed)?;
+    Ok(Datagram { fingerprint, process, messages })
 }
 
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn words_are_read_as_they_were_written_in_datagrams_that_are_no_longer_than_they_may_be() {
-        let most = u64::MAX;
-        let words: Vec<Word> = (0..30)
-            .flat_map(|n| {
-                [
-                    Word::Stand { group: n, number: most },
-                    Word::Vote { group: n, number: 1, yes: n % 2 == 0, of: (n % 3 > 0).then_some(n) },
-                    Word::Want { budget: n, number: most, wanted: most, of: most, felt: most },
-                    Word::Part { budget: n, number: 3, amount: most, for_us: 4 },
-                ]
-            })
-            .collect();
-        let datagrams = write(300, most, &words);
-        assert!(
-            datagrams.iter().all(|d| d.len() <= MAX_DATAGRAM_BYTES) && datagrams.len() < 40,
-            "{}",
-            datagrams.len()
-        );
-        let mut again = Vec::new();
-        for datagram in &datagrams {
-            let (form, life, words) = read(datagram).unwrap();
-            assert_eq!((form, life), (300, most));
-            again.extend(words);
+/// A message as text. Its first letter stands for its kind: `s` for a vote request, `v` for a vote response, `w` for a lease
+/// request, `p` for a lease grant.
+fn encode(message: &Message) -> String {
+    match *message {
+        Message::VoteRequest(VoteRequest { group, number }) => format!(" s.{group:x}.{number:x}"),
+        Message::VoteResponse(VoteResponse { group, number, granted, voted_for }) => {
+            let voted_for = voted_for.map_or(0, |member| member + 1);
+            format!(" v.{group:x}.{number:x}.{:x}.{voted_for:x}", u8::from(granted))
+        }
+        Message::LeaseRequest(LeaseRequest { budget, number, demand, current_lease, unsettled }) => {
+            format!(" w.{budget:x}.{number:x}.{demand:x}.{current_lease:x}.{unsettled:x}")
         }
-        assert_eq!(again, words);
-        assert!(write(3, 1, &[]).is_empty(), "nothing to say is no datagram");
+        Message::LeaseGrant(LeaseGrant { budget, number, amount, duration_us }) => {
+            format!(" p.{budget:x}.{number:x}.{amount:x}.{duration_us:x}")
+        }
+    }
+}
+
+/// Reads a message; none where it is malformed.
+fn decode(text: &str) -> Option<Message> {
+    let mut fields = Fields(text.split('.'));
+    let message = match fields.0.next()? {
+        "s" => Message::VoteRequest(VoteRequest { group: fields.index()?, number: fields.number()? }),
+        "v" => Message::VoteResponse(VoteResponse {
+            group: fields.index()?,
+            number: fields.number()?,
+            granted: fields.flag()?,
+            voted_for: fields.index()?.checked_sub(1),
+        }),
+        "w" => Message::LeaseRequest(LeaseRequest {
+            budget: fields.index()?,
+            number: fields.number()?,
+            demand: fields.number()?,
+            current_lease: fields.number()?,
+            unsettled: fields.number()?,
+        }),
+        "p" => Message::LeaseGrant(LeaseGrant {
+            budget: fields.index()?,
+            number: fields.number()?,
+            amount: fields.number()?,
+            duration_us: fields.number()?,
+        }),
+        _ => return None,
+    };
+    fields.0.next().is_none().then_some(message)
+}
+
+/// The fields of a message that are not read yet.
+struct Fields<'a>(Split<'a, char>);
+
+impl Fields<'_> {
+    fn number(&mut self) -> Option<u64> {
+        let field = self.0.next()?;
+        // `from_str_radix` would accept a sign.
+        let is_hexadecimal = !field.is_empty() && field.bytes().all(|b| b.is_ascii_hexdigit());
+        is_hexadecimal.then(|| u64::from_str_radix(field, 16).ok())?
+    }
+
+    fn index(&mut self) -> Option<usize> {
+        self.number().and_then(|number| usize::try_from(number).ok())
     }
 
-    #[test]
-    fn what_is_no_datagram_of_this_kind_and_version_is_an_error() {
-        for (bytes, error) in [
-            (b"copies1 ask".as_slice(), DecodeError::Foreign),
-            (b"budgets2 3 1", DecodeError::Version),
-            (b"budgets1", DecodeError::Malformed),
-            (b"budgets1 3", DecodeError::Malformed),
-            (b"budgets1 3 1 s.0", DecodeError::Malformed),
-            (b"budgets1 3 1 s.0.1.2", DecodeError::Malformed),
-            (b"budgets1 3 1 s.+0.1", DecodeError::Malformed),
-            (b"budgets1 3 1 v.0.1.2.0", DecodeError::Malformed),
-            (b"budgets1 3 1 s.0.1 x", DecodeError::Malformed),
-            (b"budgets1 3 1 s.0.11111111111111111", DecodeError::Malformed),
-            (b"budgets1 3 1 \xff", DecodeError::Malformed),
-        ] {
-            assert_eq!(read(bytes).err(), Some(error), "{}", String::from_utf8_lossy(bytes));
+    fn flag(&mut self) -> Option<bool> {
+        match self.number()? {
+            0 => Some(false),
+            1 => Some(true),
+            _ => None,
         }
-        assert_eq!(read(b"budgets1 3 1"), Ok((3, 1, vec![])));
     }
 }
--- a/daemon/src/daemon/feeds/peers.rs
+++ b/daemon/src/daemon/feeds/peers.rs
@@ -25,7 +25,7 @@
             let bytes = &bytes[..length];
             let heard = |p| {
                 self.hear_member(now, p, bytes)
-                    || self.hear_budgets(now, p, bytes)
+                    || self.receive_budgets(now, p, bytes)
                     || self.hear_copies(now, p, bytes)
             };
             if peer.place.is_some_and(heard) {
