--- /dev/null
+++ b/rehearse/src/moments/mod.rs
@@ -0,0 +1,343 @@
+//! Faults by moments: several daemons that keep each other's promises, one of which dies, stands still or is cut off at
+//! a moment of a promise drawn in advance, and comes back with its disk or on a new machine. What was answered yes must
+//! hold. The daemon needs its named points (`--features points`).
+
+mod matrix;
+
+pub use matrix::Matrix;
+
+use crate::clients::becomes;
+use crate::fleet::{status_path, Disk, Fleet, Setup};
+use crate::links::LinkConditions;
+use crate::rules::promises::{judge, Answer, Held, Promises, Told};
+use crate::rules::Breach;
+use std::collections::BTreeSet;
+use std::io;
+use std::path::Path;
+use std::time::{Duration, Instant};
+
+/// Proxies of a play.
+const PROXIES: usize = 3;
+/// How long all may take to agree.
+const AGREE: Duration = Duration::from_secs(20);
+/// How long a death or a successor may take to be known.
+const KNOWN: Duration = Duration::from_secs(20);
+/// What the proxies are told of the time for an answer.
+const WITHIN_US: u64 = 1_000_000;
+/// How late the kit may be: its threads share the cores with the daemons.
+const LATE_US: u64 = 500_000;
+
+/// When and to whom it happens.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Moment {
+    /// The writer dies before it tells anybody.
+    WriterBeforeTelling,
+    /// It dies once it has told its peers.
+    WriterAfterTelling,
+    /// It dies before its disk has it.
+    WriterBeforeDisk,
+    /// It dies once its disk has it.
+    WriterAfterDisk,
+    /// It dies with all copies made, before its yes.
+    WriterBeforeYes,
+    /// It is killed the moment after its yes.
+    WriterAfterYes,
+    /// It is cut off from all, told, and lost before the links are back.
+    WriterCut,
+    /// Its disk takes nothing more.
+    WriterDiskFails,
+    /// A holder dies before its disk has the copy.
+    HolderBeforeDisk,
+    /// It dies once its disk has it.
+    HolderAfterDisk,
+    /// It dies before it says so.
+    HolderBeforeWord,
+    /// It stands still, and is lost.
+    HolderStalled,
+    /// It is cut off for one promise and joined for the next; the writer is lost then.
+    HolderCut,
+    /// The writer stands still while another takes its name, and goes on.
+    Successor,
+}
+
+/// All moments, with what is armed at them.
+pub const MOMENTS: [(Moment, &str, &str); 14] = [
+    (Moment::WriterBeforeTelling, "writer-before-telling", "peers-tell=die"),
+    (Moment::WriterAfterTelling, "writer-after-telling", "peers-told=die"),
+    (Moment::WriterBeforeDisk, "writer-before-disk", "store-commits=die"),
+    (Moment::WriterAfterDisk, "writer-after-disk", "store-committed=die"),
+    (Moment::WriterBeforeYes, "writer-before-yes", "promise-kept=die"),
+    (Moment::WriterAfterYes, "writer-after-yes", ""),
+    (Moment::WriterCut, "writer-cut", ""),
+    (Moment::WriterDiskFails, "writer-disk-fails", "store-fails=fail"),
+    (Moment::HolderBeforeDisk, "holder-before-disk", "store-commits=die"),
+    (Moment::HolderAfterDisk, "holder-after-disk", "store-committed=die"),
+    (Moment::HolderBeforeWord, "holder-before-word", "holder-says=die"),
+    (Moment::HolderStalled, "holder-stalled", ""),
+    (Moment::HolderCut, "holder-cut", ""),
+    (Moment::Successor, "successor", ""),
+];
+
+/// Faults that can be planted in the daemons, so that the rules have something to find.
+pub const PLANTS: [(&str, &str, &str); 3] = [
+    ("credit", "plant-credit=fail", "a yes before the copy"),
+    ("skip", "plant-skip=fail", "a catch-up that skips what is missing"),
+    ("no-fence", "plant-no-fence=fail", "a replaced process that goes on promising"),
+];
+
+/// One play to come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Case {
+    /// The moment, by its place in `MOMENTS`.
+    pub moment: usize,
+    /// How the one it happens to comes back.
+    pub disk: Disk,
+    /// For the conditions, who is who, and what the links draw.
+    pub seed: u64,
+}
+
+/// So many plays, through all moments and both disks in turn.
+pub fn cases(plays: usize, seed: u64) -> Vec<Case> {
+    let case = |n: usize| Case {
+        moment: n % MOMENTS.len(),
+        disk: if n / MOMENTS.len() % 2 == 0 { Disk::Kept } else { Disk::Lost },
+        seed: seed + n as u64,
+    };
+    (0..plays).map(case).collect()
+}
+
+/// What a play came to.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Played {
+    /// Its record.
+    pub record: Promises,
+    /// What it broke.
+    pub breaches: Vec<Breach>,
+    /// From the return of the one it happened to until all agreed; none: they did not.
+    pub agreed: Option<Duration>,
+}
+
+struct Play {
+    fleet: Fleet,
+    begun: Instant,
+    record: Promises,
+    objects: u64,
+}
+
+impl Play {
+    fn now(&self) -> u64 {
+        self.begun.elapsed().as_micros() as u64
+    }
+
+    /// A neighbour tells a proxy of one more object.
+    fn tell(&mut self, proxy: usize, excused: bool) -> Answer {
+        self.objects += 1;
+        let object = format!("{:016x}", self.objects);
+        let replaced = self.fleet.status(proxy).is_ok_and(|s| s.replaced);
+        let at = self.now();
+        let said = self.fleet.trigger(proxy, &[&object]);
+        let answer = match &said {
+            Ok(said) if said.status == 201 => Answer::Yes,
+            Ok(_) => Answer::No,
+            Err(_) => Answer::Nothing,
+        };
+        let (answered, trigger) = (self.now(), said.ok().as_ref().and_then(status_path));
+        self.record.told.push(Told { at, answered, proxy, object, trigger, answer, excused, replaced });
+        answer
+    }
+
+    /// Waits until something is so: whether it became so.
+    fn until(&self, patience: Duration, so: impl Fn(&Fleet) -> bool) -> bool {
+        becomes(patience, || so(&self.fleet))
+    }
+
+    fn rearm(&mut self, proxy: usize, points: &str) -> io::Result<()> {
+        self.fleet.kill(proxy)?;
+        self.fleet.restart_armed(proxy, Disk::Kept, points)?;
+        self.agree(AGREE).map(drop)
+    }
+
+    fn agree(&self, patience: Duration) -> io::Result<Option<Duration>> {
+        let begun = Instant::now();
+        // One that died of its point is none that could agree.
+        let agreed = self.until(patience, |fleet| fleet.agrees().unwrap_or(false));
+        Ok(agreed.then(|| begun.elapsed()))
+    }
+}
+
+/// The conditions of a play: calm, rough or slow.
+fn conditions(seed: u64) -> LinkConditions {
+    match seed % 3 {
+        0 => LinkConditions::default(),
+        1 => LinkConditions {
+            drop: 0.2,
+            duplicate: 0.2,
+            reorder: 0.2,
+            jitter_ms: 5.0,
+            ..LinkConditions::default()
+        },
+        _ => LinkConditions { delay_ms: 10.0, jitter_ms: 20.0, ..LinkConditions::default() },
+    }
+}
+
+/// Plays a case, with these points planted in all daemons.
+///
+/// # Errors
+/// Where it could not be played: a daemon did not start, or has no points.
+pub fn play(daemon: &Path, case: Case, planted: &str) -> io::Result<Played> {
+    let (moment, _, points) = MOMENTS[case.moment % MOMENTS.len()];
+    let writer = (case.seed % 3) as usize;
+    let holder = ((case.seed + 1 + case.seed / 3 % 2) % 3) as usize;
+    let successor = format!("p{writer}");
+    let later: &[&str] = if moment == Moment::Successor { &[&successor] } else { &[] };
+    let setup = Setup { later, planted, ..Setup::copying(daemon, PROXIES, case.seed) };
+    let fleet = Fleet::with(setup)?;
+    let record = Promises { within_us: WITHIN_US, late_us: LATE_US, ..Promises::default() };
+    let mut play = Play { fleet, begun: Instant::now(), record, objects: 0 };
+    play.fleet.gates.set_all(conditions(case.seed));
+    for proxy in 0..PROXIES {
+        play.tell(proxy, false);
+    }
+    let cast =
+        Cast { writer, holder, points, is_planted: !planted.is_empty(), conditions: conditions(case.seed) };
+    let victim = play.break_at(moment, &cast)?;
+    play.fleet.kill(victim)?;
+    if moment != Moment::Successor {
+        play.recover(victim, &cast, case.disk)?;
+    }
+    let agreed = play.agree(AGREE)?;
+    play.record_held(PROXIES + later.len(), agreed.is_some())?;
+    let breaches = judge(&play.record);
+    Ok(Played { record: play.record, breaches, agreed })
+}
+
+/// Who is who in a play, and what it happens under.
+struct Cast {
+    /// The proxy that is told the promise.
+    writer: usize,
+    /// One that holds a copy.
+    holder: usize,
+    /// What is armed at the one it happens to.
+    points: &'static str,
+    /// Whether a fault is planted in all daemons.
+    is_planted: bool,
+    conditions: LinkConditions,
+}
+
+impl Play {
+    /// Brings the fault of a moment about: the proxy that is lost by it.
+    fn break_at(&mut self, moment: Moment, cast: &Cast) -> io::Result<usize> {
+        let Cast { writer, holder, .. } = *cast;
+        match moment {
+            Moment::WriterBeforeTelling
+            | Moment::WriterAfterTelling
+            | Moment::WriterBeforeDisk
+            | Moment::WriterAfterDisk
+            | Moment::WriterBeforeYes => {
+                self.writer_dies(cast)?;
+                Ok(writer)
+            }
+            Moment::WriterAfterYes => {
+                self.tell(writer, false);
+                Ok(writer)
+            }
+            Moment::WriterCut => {
+                self.fleet.gates.split(&[writer], LinkConditions::CUT);
+                self.tell(writer, false);
+                Ok(writer)
+            }
+            Moment::WriterDiskFails => {
+                self.rearm(writer, cast.points)?;
+                self.tell(writer, false);
+                Ok(writer)
+            }
+            Moment::HolderBeforeDisk | Moment::HolderAfterDisk | Moment::HolderBeforeWord => {
+                self.holder_dies(cast)?;
+                Ok(holder)
+            }
+            Moment::HolderStalled => {
+                self.fleet.stall(holder)?;
+                self.tell(writer, false);
+                Ok(holder)
+            }
+            Moment::HolderCut => {
+                self.holder_is_cut(cast)?;
+                Ok(writer)
+            }
+            Moment::Successor => {
+                self.writer_is_replaced(writer)?;
+                // The old machine is switched off at last.
+                Ok(writer)
+            }
+        }
+    }
+
+    /// The writer dies of its point when it is told.
+    fn writer_dies(&mut self, cast: &Cast) -> io::Result<()> {
+        self.rearm(cast.writer, cast.points)?;
+        if self.tell(cast.writer, true) != Answer::Nothing && !cast.is_planted {
+            return Err(io::Error::other("the writer did not die: this daemon has no points"));
+        }
+        Ok(())
+    }
+
+    /// The holder dies of its point when the writer is told.
+    fn holder_dies(&mut self, cast: &Cast) -> io::Result<()> {
+        let holder = cast.holder;
+        self.rearm(holder, cast.points)?;
+        self.tell(cast.writer, false);
+        if !self.until(KNOWN, |fleet| fleet.status(holder).is_err()) {
+            return Err(io::Error::other("the holder did not die: this daemon has no points"));
+        }
+        Ok(())
+    }
+
+    /// The holder is cut off for one promise and joined for the next.
+    fn holder_is_cut(&mut self, cast: &Cast) -> io::Result<()> {
+        self.agree(AGREE)?;
+        self.fleet.gates.split(&[cast.holder], LinkConditions::CUT);
+        self.tell(cast.writer, false);
+        self.fleet.gates.split(&[cast.holder], cast.conditions);
+        self.tell(cast.writer, false);
+        Ok(())
+    }
+
+    /// The writer stands still while another takes its name, and goes on.
+    fn writer_is_replaced(&mut self, writer: usize) -> io::Result<()> {
+        self.agree(AGREE)?;
+        self.fleet.stall(writer)?;
+        self.fleet.restart(PROXIES, Disk::Lost)?;
+        self.tell(PROXIES, false);
+        self.fleet.go_on(writer)?;
+        if !self.until(KNOWN, |fleet| fleet.status(writer).is_ok_and(|s| s.replaced)) {
+            return Err(io::Error::other("the old process did not learn of its successor"));
+        }
+        self.tell(writer, false);
+        Ok(())
+    }
+
+    /// The others go on without the one that was lost, and then it comes back.
+    fn recover(&mut self, victim: usize, cast: &Cast, disk: Disk) -> io::Result<()> {
+        let other = (0..PROXIES).find(|proxy| *proxy != victim).unwrap_or_default();
+        self.tell(other, false);
+        self.fleet.gates.split(&[cast.writer], cast.conditions);
+        self.fleet.restart(victim, disk)
+    }
+
+    /// Writes down what each proxy that runs holds in the end.
+    fn record_held(&mut self, proxies: usize, has_agreed: bool) -> io::Result<()> {
+        let running: Vec<usize> = (0..proxies).filter(|n| self.fleet.process(*n).is_ok()).collect();
+        for proxy in running {
+            let mut objects = BTreeSet::new();
+            for told in &self.record.told {
+                if self.fleet.holds_floor(proxy, &told.object)? {
+                    objects.insert(told.object.clone());
+                }
+            }
+            let short = if has_agreed { self.fleet.status(proxy)?.short } else { 0 };
+            let triggers = self.fleet.triggers(proxy)?;
+            self.record.held.push(Held { proxy, objects, triggers, short });
+        }
+        Ok(())
+    }
+}
--- a/replication/src/replica/mod.rs
+++ b/replication/src/replica/mod.rs
@@ -121,11 +121,13 @@
     /// Whose machine is which: this proxy's own and those of its peers, by whose indexes in this list they are known
     /// from here on.
     pub fn peers(&mut self, own: Machine, peers: Vec<Machine>) {
-        if self.pending.peers(own, peers) {
-            self.catch_up.forget_sender();
-            self.offers.clear();
-        }
-        self.pending_acks.clear();
+        let count = peers.len();
+        self.pending.peers(own, peers);
+        // An ack is true whoever is told it. Dropped where a peer's machine becomes known between an entry and its sync,
+        // the writer would have to ask for it. So is a snapshot that is under way.
+        self.pending_acks.retain(|(_, peer), _| *peer < count);
+        self.offers.retain(|peer, _| *peer < count);
+        self.catch_up.retain_peers(count);
     }
 
     /// A new entry of its own log. It is for the caller to put it on the disk and to send it to all peers at once;
--- a/replication/src/snapshot/receiver.rs
+++ b/replication/src/snapshot/receiver.rs
@@ -195,9 +195,11 @@
         self.transfer.is_some() || self.missing.iter().any(is_behind)
     }
 
-    /// The peers' places have changed: what is being received is asked of any.
-    pub(crate) fn forget_sender(&mut self) {
-        self.transfer = None;
+    /// There are so many peers now: what is received of one that is no longer among them is asked of any.
+    pub(crate) fn retain_peers(&mut self, count: usize) {
+        if self.transfer.as_ref().is_some_and(|transfer| transfer.peer >= count) {
+            self.transfer = None;
+        }
     }
 
     /// Snapshots that were given up.
--- a/replication/tests/snapshot.rs
+++ b/replication/tests/snapshot.rs
@@ -232,3 +232,31 @@
     assert!((2..5).contains(&receiver.log_store().last_index(OWN)));
     assert!(receiver.log_store().effective(&group(1)) >= Some(S), "the purge at index 1 was told");
 }
+
+/// A peer's machine becomes known at any moment; its place in the list stays.
+#[test]
+fn a_snapshot_goes_on_when_the_peers_machines_become_known() {
+    let (mut sender, mut receiver) = (sender(1..400, options()), receiver());
+    receiver.peers(20, vec![10, 30]);
+    offer(&mut receiver, &mut sender);
+    for n in 1..10 {
+        ask(&mut receiver, &mut sender, n * S).into_iter().for_each(|chunk| drop(receiver.receive(0, chunk)));
+    }
+    let request = |receiver: &mut Replica, now| {
+        let requests = receiver.tick(now).into_iter().map(|out| out.datagram);
+        let from = requests.filter_map(|datagram| match datagram {
+            Datagram::SnapshotRequest(request) => Some(request.from),
+            _ => None,
+        });
+        from.collect::<Vec<_>>()
+    };
+    receiver.peers(20, vec![10, 31]);
+    let from = request(&mut receiver, 10 * S);
+    assert!(from.first() > Some(&SnapshotCursor::BUCKETS), "{from:?}");
+    receiver.peers(20, vec![]);
+    assert_eq!(
+        (request(&mut receiver, 11 * S), receiver.is_catching_up()),
+        (vec![], true),
+        "its sender is gone"
+    );
+}
