Name the events and end offsets of the links to caches as the field does

In daemon/src/upstream: the list 'told' is 'events', 'whole' (so many bytes are written then) is 'end_offset'. The type Told keeps its name, as daemon/src/daemon uses it. Nothing else changes.

--- a/daemon/src/upstream/answers.rs
+++ b/daemon/src/upstream/answers.rs
@@ -36,7 +36,7 @@
         now: Micros,
         conn: &mut Conn,
         core: &Core,
-        told: &mut Vec<Told>,
+        events: &mut Vec<Told>,
     ) -> Result<(), WireError> {
         while !conn.input.is_empty() {
             let (taken, array) = self.arrays.parse(conn.input.front())?;
@@ -47,7 +47,7 @@
             self.suspect = false;
             let Some(items) = array else { continue };
             let Some(answer) = Answer::new(items)? else { continue };
-            self.take_answer(now, conn.written, core, answer, told)?;
+            self.take_answer(now, conn.written, core, answer, events)?;
         }
         Ok(())
     }
@@ -59,19 +59,19 @@
         written: u64,
         core: &Core,
         answer: Answer,
-        told: &mut Vec<Told>,
+        events: &mut Vec<Told>,
     ) -> Result<(), WireError> {
         match self.open.get(&answer.id) {
-            Some(Stream::Attempt(sent)) if sent.whole > written => {
+            Some(Stream::Attempt(sent)) if sent.end_offset > written => {
                 // Nobody can have read what it answers: whatever speaks there, it is not the protocol.
                 return Err(WireError::Malformed("a box's answer to what it has not been sent whole"));
             }
-            Some(Stream::Attempt(_)) => self.answered(now, core, answer, told),
-            Some(Stream::GivenUp(_, Some(_))) => self.answered_given_up(core, answer, told),
+            Some(Stream::Attempt(_)) => self.answered(now, core, answer, events),
+            Some(Stream::GivenUp(_, Some(_))) => self.answered_given_up(core, answer, events),
             Some(Stream::Probe(sent)) => {
                 let alive = matches!(answer.word.as_slice(), b"alive" | b"status" | b"200");
                 let outcome = if alive { Outcome::Ok } else { Outcome::Error };
-                told.push(Told::Probed(outcome, now.saturating_sub(*sent), load(&answer.fields)));
+                events.push(Told::Probed(outcome, now.saturating_sub(*sent), load(&answer.fields)));
                 self.open.remove(&answer.id);
             }
             Some(Stream::GivenUp(_, None) | Stream::Answered(_)) | None => {
@@ -82,7 +82,7 @@
     }
 
     /// Takes the answer to an attempt.
-    fn answered(&mut self, now: Micros, core: &Core, answer: Answer, told: &mut Vec<Told>) {
+    fn answered(&mut self, now: Micros, core: &Core, answer: Answer, events: &mut Vec<Told>) {
         let Answer { id, word, fields, body } = answer;
         let Some(Stream::Attempt(sent)) = self.open.get_mut(&id) else { return };
         let (attempt, old) = (sent.attempt, sent.is_too_old(&fields));
@@ -106,17 +106,17 @@
         } else {
             self.open.insert(id, Stream::Answered(now));
         }
-        told.push(Told::Ended(attempt, ended));
+        events.push(Told::Ended(attempt, ended));
     }
 
     /// Takes the answer to an attempt that was given up. It came before the attempt was over: then this is how it ended.
-    fn answered_given_up(&mut self, core: &Core, answer: Answer, told: &mut Vec<Told>) {
+    fn answered_given_up(&mut self, core: &Core, answer: Answer, events: &mut Vec<Told>) {
         let Answer { id, word, fields, body } = answer;
         let Some(Stream::GivenUp(at, report)) = self.open.get_mut(&id) else { return };
         let (at, Some(r)) = (*at, report.take()) else { return };
         let asked = core.sending(r.attempt).map(|s| s.0);
-        told.push(Told::Ended(r.attempt, ended(&word, &fields, body, asked)));
-        if r.whole.is_none() {
+        events.push(Told::Ended(r.attempt, ended(&word, &fields, body, asked)));
+        if r.end_offset.is_none() {
             self.aborts.retain(|abort| *abort != id);
             self.open.insert(id, Stream::Answered(at));
         }
--- a/daemon/src/upstream/mod.rs
+++ b/daemon/src/upstream/mod.rs
@@ -184,25 +184,25 @@
         conn: &mut Conn,
         core: &Core,
         limits: &Limits,
-        told: &mut Vec<Told>,
+        events: &mut Vec<Told>,
     ) -> bool {
         // What waits for a connection goes on elsewhere in time, whether or not that comes up after all.
         let late = |q: &&Queued| !conn.up && q.since + limits.connect_us <= now;
         for q in self.queue.drain(..self.queue.iter().take_while(late).count()) {
-            told.push(Told::Ended(q.attempt, Outcome::Unreached.into()));
+            events.push(Told::Ended(q.attempt, Outcome::Unreached.into()));
         }
-        if conn.write() == Progress::Broken || !self.begin(now, conn, core, limits, told) {
+        if conn.write() == Progress::Broken || !self.begin(now, conn, core, limits, events) {
             return false;
         }
         for stream in self.open.values_mut() {
             if let Stream::GivenUp(_, report) = stream {
                 // The abort has a way to go: a further attempt at a nearer box must not overtake it.
                 let over = |r: &mut Unreported| {
-                    let written = r.whole.is_some_and(|whole| whole <= conn.written);
+                    let written = r.end_offset.is_some_and(|end| end <= conn.written);
                     written && *r.written.get_or_insert(now) + limits.give_up_us <= now
                 };
                 if let Some(r) = report.take_if(over) {
-                    told.push(Told::Ended(r.attempt, r.ended));
+                    events.push(Told::Ended(r.attempt, r.ended));
                 }
             }
         }
@@ -225,14 +225,14 @@
         conn: &mut Conn,
         core: &Core,
         limits: &Limits,
-        told: &mut Vec<Told>,
+        events: &mut Vec<Told>,
     ) -> bool {
         conn.unblock();
         while conn.up && conn.output.is_empty() {
             let progress = if let Some(id) = self.aborts.front().cloned() {
                 self.begin_abort(conn, &id)
             } else if let Some(attempt) = self.queue.front().map(|q| q.attempt) {
-                self.begin_attempt(now, conn, core, limits, attempt, told)
+                self.begin_attempt(now, conn, core, limits, attempt, events)
             } else {
                 break;
             };
@@ -250,9 +250,9 @@
         resp::write_array(&mut frame, &[b"abort", id.as_bytes()]);
         let progress = conn.begin(&frame);
         if progress == Progress::Moved {
-            let whole = conn.written + conn.output.len() as u64;
+            let end_offset = conn.written + conn.output.len() as u64;
             if let Some(Stream::GivenUp(_, Some(r))) = self.open.get_mut(id) {
-                r.whole = Some(whole);
+                r.end_offset = Some(end_offset);
             }
             self.aborts.pop_front();
         }
@@ -268,22 +268,22 @@
         core: &Core,
         limits: &Limits,
         attempt: AttemptId,
-        told: &mut Vec<Told>,
+        events: &mut Vec<Told>,
     ) -> Progress {
         let frame = frame(core, now, attempt).filter(|frame| frame.bytes.len() <= limits.output_ring);
         let Some((frame, (asked, _))) = frame.zip(core.sending(attempt)) else {
-            told.push(Told::Ended(attempt, Outcome::Moot.into()));
+            events.push(Told::Ended(attempt, Outcome::Moot.into()));
             self.queue.pop_front();
             return Progress::Moved;
         };
         let progress = conn.begin(&frame.bytes);
         if progress == Progress::Moved {
-            let whole = conn.written + conn.output.len() as u64;
+            let end_offset = conn.written + conn.output.len() as u64;
             let behind = self.gave_up(&asked.id);
-            let sent = Sent { attempt, at: now, whole, max_age_us: frame.max_age_us, behind };
+            let sent = Sent { attempt, at: now, end_offset, max_age_us: frame.max_age_us, behind };
             self.open.insert(asked.id.clone(), Stream::Attempt(sent));
             self.last_used = now;
-            told.push(Told::Begun(attempt));
+            events.push(Told::Begun(attempt));
             self.queue.pop_front();
         }
         progress
@@ -304,7 +304,7 @@
 
     /// Has the box told that an attempt is given up; it is reported as ended in this way once that is on its way.
     fn abort(&mut self, now: Micros, id: String, attempt: AttemptId, ended: Ended) {
-        let report = Unreported { attempt, ended, whole: None, written: None };
+        let report = Unreported { attempt, ended, end_offset: None, written: None };
         self.aborts.push_back(id.clone());
         self.open.insert(id, Stream::GivenUp(now, Some(report)));
     }
@@ -330,27 +330,29 @@
     }
 
     /// Takes back what is not written yet and would go to this box or be filled from it.
-    pub fn withdraw(&mut self, server: ServerId, core: &Core, told: &mut Vec<Told>) {
+    pub fn withdraw(&mut self, server: ServerId, core: &Core, events: &mut Vec<Told>) {
         self.queue.retain(|q| {
             let source = core.sending(q.attempt).and_then(|(_, s)| s.fill).map(|f| f.source);
             let keep = self.server != server && source != Some(server);
             if !keep {
-                told.push(Told::Ended(q.attempt, Outcome::Moot.into()));
+                events.push(Told::Ended(q.attempt, Outcome::Moot.into()));
             }
             keep
         });
     }
 
     /// The connection is over. What never arrived whole can't have run, and ends as `unsent`; the rest may have.
-    pub fn broken(&mut self, unsent: Outcome, written: u64, told: &mut Vec<Told>) {
+    pub fn broken(&mut self, unsent: Outcome, written: u64, events: &mut Vec<Told>) {
         for q in self.queue.drain(..) {
-            told.push(Told::Ended(q.attempt, unsent.into()));
+            events.push(Told::Ended(q.attempt, unsent.into()));
         }
         let mut open: Vec<_> = self.open.drain().collect();
         open.sort_by(|a, b| a.0.cmp(&b.0));
         for (_, stream) in open {
-            told.push(match stream {
-                Stream::Attempt(sent) if sent.whole > written => Told::Ended(sent.attempt, unsent.into()),
+            events.push(match stream {
+                Stream::Attempt(sent) if sent.end_offset > written => {
+                    Told::Ended(sent.attempt, unsent.into())
+                }
                 Stream::Attempt(sent) => Told::Ended(sent.attempt, Outcome::Reset.into()),
                 Stream::GivenUp(_, Some(r)) => Told::Ended(r.attempt, r.ended),
                 Stream::GivenUp(_, None) | Stream::Answered(_) => continue,
--- a/daemon/src/upstream/stream.rs
+++ b/daemon/src/upstream/stream.rs
@@ -29,7 +29,7 @@
     pub(super) attempt: AttemptId,
     pub(super) at: Micros,
     /// So many bytes are written once it is whole.
-    pub(super) whole: u64,
+    pub(super) end_offset: u64,
     /// The oldest copy that will do, as its box was told.
     pub(super) max_age_us: Option<Micros>,
     /// An attempt of the same request was given up here before it.
@@ -51,7 +51,7 @@
     /// How it will be reported.
     pub(super) ended: Ended,
     /// So many bytes are written once its abort is; none: that has not begun.
-    pub(super) whole: Option<u64>,
+    pub(super) end_offset: Option<u64>,
     /// When that was seen.
     pub(super) written: Option<Micros>,
 }
