Leave superseded purges out of what a log store says is in force

Need: since superseded purges are held until they are compacted, LogStore::entries gave them too, and the daemon's files_of_earlier_versions_are_taken_over_once_and_kept_aside found an older purge beside the later one.

Change: entries() gives what is in force; entries_after(), by which peers are sent, gives both.

--- a/replication/src/log_store/mod.rs
+++ b/replication/src/log_store/mod.rs
@@ -345,12 +345,16 @@
         self.latest(subject).max(compacted)
     }
 
-    /// All entries in force, log by log.
+    /// All entries in force, log by log. Purges that a later one of their log supersedes are none of them.
     pub fn entries(&self) -> impl Iterator<Item = Entry> + '_ {
-        self.tracks.keys().flat_map(|log| self.entries_after(*log, 0))
+        let held = self.tracks.keys().flat_map(|log| self.entries_after(*log, 0));
+        held.filter(|entry| {
+            let key = EntryKey { log: entry.log, index: entry.index };
+            self.is_latest(key, &entry.subject)
+        })
     }
 
-    /// How many entries are in force.
+    /// How many entries are held, with purges that are superseded and not compacted yet.
     pub fn len(&self) -> usize {
         self.live.len()
     }
--- a/replication/tests/snapshot.rs
+++ b/replication/tests/snapshot.rs
@@ -197,6 +197,18 @@
     assert_eq!(replica.log_store().effective(&group(4)), None);
 }
 
+/// A purge that is superseded is held for those who are behind both, and is not in force.
+#[test]
+fn a_superseded_purge_is_sent_and_not_in_force() {
+    let mut store = LogStore::default();
+    for (at, n) in [(1, 3), (2, 4), (3, 3)] {
+        store.append(OWN, (group(n), at * S, false), Capacity::UNLIMITED).expect("there is room");
+    }
+    assert_eq!(store.entries().map(|entry| entry.index).collect::<Vec<_>>(), [2, 3]);
+    let sent: Vec<_> = store.entries_after(OWN, 0).map(|entry| (entry.prev, entry.index)).collect();
+    assert_eq!((sent, store.len()), (vec![(0, 1), (1, 2), (2, 3)], 3));
+}
+
 /// A purge is never earlier than the one that it supersedes, whatever the clock does.
 #[test]
 fn a_clock_that_is_set_back_lowers_no_floor() {
