--- a/rehearse/src/lib.rs
+++ b/rehearse/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod record;
 pub mod report;
 pub mod rules;
+pub mod scale;
 pub mod scenario;
 pub mod score;
 pub mod series;
--- a/rehearse/src/main.rs
+++ b/rehearse/src/main.rs
@@ -7,6 +7,7 @@
 use linnetknot_rehearse::moments;
 use linnetknot_rehearse::player::{self, Outcome, Watch};
 use linnetknot_rehearse::report::{compare, Report};
+use linnetknot_rehearse::scale;
 use linnetknot_rehearse::scenario::{schema, Scenario};
 use linnetknot_rehearse::series::{all_at_once, Seeds, Summary, Verdict};
 use linnetknot_rehearse::shipped;
@@ -75,6 +76,9 @@
         #[arg(long)]
         plant: Option<String>,
     },
+    /// Runs a whole fleet of hollow proxies, thousands in one process, on virtual time, and prints what each role spends
+    /// beside its limit. Exits with 1 where something is wrong, with 2 where it can't be run.
+    Scale(scale::command::Arguments),
     /// Lists the shipped scenarios.
     List,
     /// Plays a scenario: proxies, boxes that behave, hub caches, an origin and the planned load, on this machine.
@@ -379,6 +383,7 @@
         Some(Command::Moments { plays, seed, jobs, daemon, plant }) => {
             run_moments(&moments::cases(plays as usize, seed), jobs.into(), &beside(daemon), plant.as_deref())
         }
+        Some(Command::Scale(arguments)) => scale::command::run(&arguments),
         Some(Command::List) => {
             for (name, text) in shipped::SHIPPED {
                 let about = Scenario::read(text).map_or_else(|e| format!("unsound: {e}"), |s| s.about);
--- /dev/null
+++ b/rehearse/src/scale/command.rs
@@ -0,0 +1,140 @@
+//! The command line of `scale`.
+
+use crate::scale::fault::Fault;
+use crate::scale::hollow::FleetConfig;
+use crate::scale::memory;
+use crate::scale::prefill;
+use crate::scale::report::Report;
+use crate::scale::simulation::{play, Run};
+use crate::scale::slopes;
+use crate::scale::target::Target;
+use clap::{value_parser, Args};
+use std::fmt::Display;
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+
+/// Something is wrong with what was run.
+const WRONG: u8 = 1;
+/// It can't be run.
+const NOT_RUN: u8 = 2;
+
+/// The largest fleet that is tried; the machine's memory mostly refuses smaller ones.
+const MAX_MEMBERS: u64 = 100_000;
+
+/// What `scale` takes.
+#[derive(Args, Clone, Debug)]
+pub struct Arguments {
+    /// Proxies of the fleet.
+    #[arg(long, default_value_t = 300, value_parser = value_parser!(u64).range(2..=MAX_MEMBERS))]
+    members: u64,
+    /// The same seed gives the same table, but for what is marked as read off a clock.
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    /// Seconds of virtual time that are measured, behind a warm-up.
+    #[arg(long, default_value_t = 10, value_parser = value_parser!(u64).range(1..=86_400))]
+    seconds: u64,
+    /// What happens.
+    #[arg(long, value_enum, default_value = "calm")]
+    fault: Fault,
+    /// Figures to measure against, in place of those that are built in.
+    #[arg(long)]
+    target: Option<PathBuf>,
+    /// Writes the result to this file too.
+    #[arg(long)]
+    json: Option<PathBuf>,
+    /// Leaves out what differs between two runs of one seed.
+    #[arg(long)]
+    stable: bool,
+    /// A trial: purges go out as entries of the logs alone, and not by the plain datagrams that the daemon sends
+    /// besides for peers of an earlier version.
+    #[arg(long)]
+    without_plain_purges: bool,
+    /// Runs fleets of these sizes (`100,400,1600`), each in a process of its own, and fits each figure to the size.
+    #[arg(long, value_delimiter = ',', conflicts_with_all = ["members", "json"],
+          value_parser = value_parser!(u64).range(2..=MAX_MEMBERS))]
+    slopes: Vec<u64>,
+    /// With `--slopes`: real seconds that each size may take; one that takes longer is ended and named.
+    #[arg(long, default_value_t = 600, value_parser = value_parser!(u64).range(1..=86_400), requires = "slopes")]
+    budget: u64,
+}
+
+/// Runs it; the exit status is 1 where something is wrong, 2 where it can't be run.
+pub fn run(arguments: &Arguments) -> ExitCode {
+    match prepare(arguments) {
+        Err(why) => {
+            eprintln!("{why}");
+            ExitCode::from(NOT_RUN)
+        }
+        Ok(run) if arguments.slopes.is_empty() => run_one(&run, arguments),
+        Ok(run) => run_slopes(&run, arguments),
+    }
+}
+
+fn named(path: &Path, error: impl Display) -> String {
+    format!("{}: {error}", path.display())
+}
+
+fn prepare(arguments: &Arguments) -> Result<Run, String> {
+    let target = Target::load(arguments.target.as_deref()).map_err(|error| {
+        let file = arguments.target.as_deref().unwrap_or(Path::new("the built-in target"));
+        named(file, error)
+    })?;
+    Ok(Run {
+        members: arguments.members as usize,
+        seed: arguments.seed,
+        seconds: arguments.seconds,
+        fault: arguments.fault,
+        target,
+        sends_plain_purges: !arguments.without_plain_purges,
+        plants: Vec::new(),
+    })
+}
+
+/// Whether the machine's memory holds a run.
+fn admit(run: &Run) -> Result<(), String> {
+    let Some(available) = memory::available() else { return Ok(()) };
+    let config = FleetConfig::new(&vec![0; run.members], &run.target);
+    let purges = run.target.purges_per_second * run.seconds;
+    let entries = (prefill::entries(run, &config) + purges as usize).min(config.replication.entries);
+    let too_large = memory::admit(run.members, entries, available).err();
+    too_large.map_or(Ok(()), |error| Err(format!("--members {}: {error}", run.members)))
+}
+
+fn run_one(run: &Run, arguments: &Arguments) -> ExitCode {
+    if let Err(why) = admit(run) {
+        eprintln!("{why}");
+        return ExitCode::from(NOT_RUN);
+    }
+    let outcome = play(run);
+    let report = Report::of(run, &outcome);
+    print!("{}", report.table(arguments.stable));
+    if let Some(Err(why)) = arguments.json.as_deref().map(|file| write(&report, file)) {
+        eprintln!("{why}");
+        return ExitCode::from(NOT_RUN);
+    }
+    ExitCode::from(if report.wrong.is_empty() { 0 } else { WRONG })
+}
+
+fn write(report: &Report, file: &Path) -> Result<(), String> {
+    let text = serde_json::to_string_pretty(report).map_err(|error| named(file, error))?;
+    std::fs::write(file, text).map_err(|error| named(file, error))
+}
+
+fn run_slopes(run: &Run, arguments: &Arguments) -> ExitCode {
+    let sizes: Vec<usize> = arguments.slopes.iter().map(|size| *size as usize).collect();
+    let options = slopes::Options {
+        seed: run.seed,
+        seconds: run.seconds,
+        fault: run.fault,
+        target: arguments.target.clone(),
+        sends_plain_purges: run.sends_plain_purges,
+        budget: std::time::Duration::from_secs(arguments.budget),
+    };
+    let runs = slopes::run(&sizes, &options);
+    print!("{}", slopes::table(&runs));
+    match slopes::status(&runs) {
+        slopes::Status::Sound => ExitCode::SUCCESS,
+        slopes::Status::Wrong => ExitCode::from(WRONG),
+        slopes::Status::NothingRan => ExitCode::from(NOT_RUN),
+    }
+}
--- /dev/null
+++ b/rehearse/src/scale/hollow/config.rs
@@ -0,0 +1,121 @@
+//! What all hollow members of one fleet have in common.
+
+use crate::scale::target::{BudgetFigures, Target};
+use linnetknot_budgets::kinds::{self, Unit};
+use linnetknot_budgets::limit::Whole as Limit;
+use linnetknot_budgets::Options as BudgetOptions;
+use linnetknot_daemon::limits::Limits;
+use linnetknot_discovery::server_id;
+use linnetknot_replication::Options as ReplicationOptions;
+use linnetknot_simnet::Micros;
+
+/// Descriptors and megabytes of a proxy's machine: they decide on clients, and on nothing that a hollow member has.
+const DESCRIPTORS: usize = 1_024;
+const MEMORY_MB: usize = 256;
+
+/// A member's names.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct MemberName {
+    /// Its own.
+    pub name: String,
+    /// The machine that it stands on.
+    pub machine: String,
+    /// By which its log and its claims are known.
+    pub id: u64,
+    /// The machine's.
+    pub machine_id: u64,
+    /// Its zone.
+    pub zone: usize,
+}
+
+/// A budget that all members share.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct SharedBudget {
+    /// What its amounts count.
+    pub unit: Unit,
+    /// Its limit and the minimum that is reserved for each member.
+    pub limit: Limit,
+    /// The zone whose members spend of it; none: all do.
+    pub zone: Option<usize>,
+}
+
+/// What all members have in common.
+#[derive(Clone, Debug)]
+pub struct FleetConfig {
+    /// All members, by their index.
+    pub members: Vec<MemberName>,
+    /// The budgets: the origin's, the cold parents', and one of cold caches for each zone of the target.
+    pub budgets: Vec<SharedBudget>,
+    /// The daemon's bounds.
+    pub replication: ReplicationOptions,
+    /// A purge is told again after this, by its plain datagram.
+    pub repeat_us: Micros,
+    /// Purges go out by plain datagrams too, as the daemon sends them for peers of an earlier version.
+    pub sends_plain_purges: bool,
+    /// Entries that may wait for the disk.
+    pub disk_queue: usize,
+    /// A member without a disk is ready after this, whatever is missing.
+    pub recovery_us: Micros,
+    /// It asks its peers so often.
+    pub recovery_ask_us: Micros,
+}
+
+fn budgets(members: usize, zones: usize, figures: &BudgetFigures) -> Vec<SharedBudget> {
+    let all = kinds::CACHES.unit.one();
+    let floor = (figures.cold_floors * all as f64 / members as f64) as u64;
+    let cold = Limit { whole: all, floor, felt_us: figures.cold_felt_ms * 1_000 };
+    let whole = figures.origin_requests_per_proxy * members as u64;
+    let origin = Limit { whole, floor: 1, felt_us: figures.origin_felt_ms * 1_000 };
+    let mut list = vec![
+        SharedBudget { unit: kinds::ORIGIN.unit, limit: origin, zone: None },
+        SharedBudget { unit: kinds::PARENTS.unit, limit: cold, zone: None },
+    ];
+    let of_zone = |zone| SharedBudget { unit: kinds::CACHES.unit, limit: cold, zone: Some(zone) };
+    list.extend((0..zones).map(of_zone));
+    list
+}
+
+impl FleetConfig {
+    /// The configuration of members that stand in these zones.
+    pub fn new(zones: &[usize], target: &Target) -> Self {
+        let limits = Limits::for_machine(DESCRIPTORS, MEMORY_MB);
+        let replication = ReplicationOptions {
+            entries: limits.purges,
+            logs: limits.purge_logs,
+            expiring: limits.statuses,
+            max_pending: limits.promises,
+            ..ReplicationOptions::default()
+        };
+        let member = |(index, zone): (usize, &usize)| {
+            let (name, machine) = (format!("edge-{index:05}"), format!("host-{index:05}"));
+            let (id, machine_id) = (server_id(&name), server_id(&machine));
+            MemberName { name, machine, id, machine_id, zone: *zone }
+        };
+        FleetConfig {
+            members: zones.iter().enumerate().map(member).collect(),
+            budgets: budgets(zones.len(), target.zones, &target.budgets),
+            replication,
+            repeat_us: limits.repeat_us,
+            sends_plain_purges: true,
+            disk_queue: limits.store_writes,
+            recovery_us: limits.recovery_us,
+            recovery_ask_us: limits.recovery_ask_us,
+        }
+    }
+
+    /// The limits of all budgets.
+    pub fn budget_limits(&self) -> Vec<Limit> {
+        self.budgets.iter().map(|budget| budget.limit).collect()
+    }
+
+    /// Times of the budgets' core.
+    pub fn budget_options(&self) -> BudgetOptions {
+        let felt_us = self.budgets.iter().map(|budget| budget.limit.felt_us).max().unwrap_or(0);
+        BudgetOptions::default().felt_for(felt_us)
+    }
+
+    /// The peers of a member, in the order of its list.
+    pub fn peers_of(&self, index: usize) -> impl Iterator<Item = &MemberName> {
+        self.members.iter().enumerate().filter(move |(peer, _)| *peer != index).map(|(_, member)| member)
+    }
+}
--- /dev/null
+++ b/rehearse/src/scale/hollow/mod.rs
@@ -0,0 +1,350 @@
+//! A hollow member: the daemon's sans-IO cores without clients, without sockets and with a simulated disk.
+//!
+//! The cores and their datagrams are the daemon's own. Whoever hosts a member gives it what comes (`receive`), the time
+//! (`tick`, when it is `due`) and purges, and sends what it has to send (`take_outgoing`): on virtual time, or on sockets.
+
+mod budget_share;
+pub mod config;
+mod disk;
+mod outbox;
+mod purge_log;
+
+pub use config::FleetConfig;
+pub use outbox::Outgoing;
+pub use purge_log::DiskContents;
+
+use budget_share::BudgetShare;
+use linnetknot_discovery::server_id;
+use linnetknot_hearsay::{Hearsay as OriginHealth, Place as ZonePlace};
+use linnetknot_membership::{Body, Membership, Message, Options as MembershipOptions, Sender, Standing};
+use linnetknot_replication::{Datagram, Index, LogId};
+use linnetknot_simnet::{peer_index, Micros};
+use outbox::Outbox;
+use purge_log::PurgeLog;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::Arc;
+
+/// Names a purge in a run.
+pub type PurgeNumber = u64;
+
+/// Why a purge is refused.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Refusal {
+    /// There is no room for one more entry, log or pending commit.
+    Capacity,
+    /// The disk is too far behind, or did not take it.
+    Disk,
+    /// Too few further machines acknowledged it in time.
+    Acknowledgements,
+}
+
+/// What happened at a member.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum MemberEvent {
+    /// A purge is in force here; it may be said again.
+    InForce {
+        /// Which.
+        purge: PurgeNumber,
+    },
+    /// A purge that was told here is committed.
+    Committed {
+        /// Which.
+        purge: PurgeNumber,
+    },
+    /// A purge that was told here is refused.
+    Refused {
+        /// Which.
+        purge: PurgeNumber,
+        /// Why.
+        why: Refusal,
+    },
+    /// A purge that a peer told is in force and can't be kept.
+    NotKept {
+        /// Which.
+        purge: PurgeNumber,
+        /// Why.
+        why: Refusal,
+    },
+    /// A peer is believed to be dead.
+    Died {
+        /// Its place in the list of peers.
+        peer: usize,
+    },
+}
+
+/// A fault that tests plant in a member: the run's verdict must find it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Defect {
+    /// It drops all entries and plain purges that peers send.
+    DropsPurges,
+    /// It counts its part of each budget twice.
+    SpendsTwice,
+}
+
+/// How much a member holds, by kind of state.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct StateSize {
+    /// Entries in force in all logs.
+    pub entries: usize,
+    /// Logs.
+    pub logs: usize,
+    /// Members of which something is believed.
+    pub claims: usize,
+    /// Commits that wait for acknowledgements.
+    pub pending_commits: usize,
+    /// Entries on their way to the disk.
+    pub disk_queue: usize,
+}
+
+/// A hollow member.
+#[derive(Debug)]
+pub struct HollowMember {
+    config: Arc<FleetConfig>,
+    index: usize,
+    membership: Membership,
+    membership_due: Micros,
+    purge_log: PurgeLog,
+    budgets: BudgetShare,
+    origin_health: OriginHealthState,
+    outbox: Outbox,
+    events: Vec<MemberEvent>,
+    defect: Option<Defect>,
+}
+
+/// The core of the origin's health has no `Debug` of its own.
+struct OriginHealthState(OriginHealth);
+
+impl std::fmt::Debug for OriginHealthState {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "{:?}", self.0.tally())
+    }
+}
+
+/// The address by which a peer's messages on the origin are known.
+fn address(peer: usize) -> SocketAddr {
+    let number = u32::try_from(peer).unwrap_or(u32::MAX);
+    (Ipv4Addr::from(number), 1).into()
+}
+
+impl HollowMember {
+    /// A member that starts now, with what its disk has, or without a disk.
+    ///
+    /// # Panics
+    /// Where a budget's limit is less than what is reserved of it.
+    pub fn start(
+        config: &Arc<FleetConfig>,
+        index: usize,
+        seed: u64,
+        now: Micros,
+        disk: Option<DiskContents>,
+    ) -> Self {
+        let me = &config.members[index];
+        let peers = config.members.len() - 1;
+        let names = (me.name.as_str(), me.machine.as_str());
+        let options = MembershipOptions::default();
+        let zones = config.members.iter().map(|member| member.zone).max().unwrap_or(0) + 1;
+        let short = |n: usize| u16::try_from(n).unwrap_or(u16::MAX);
+        let zone = ZonePlace { zone: short(me.zone), zones: short(zones) };
+        HollowMember {
+            config: config.clone(),
+            index,
+            membership: Membership::new((me.id, now), names, peers, (seed, now), options),
+            membership_due: now,
+            purge_log: PurgeLog::new(config, index, now, disk),
+            budgets: BudgetShare::new(config, index, now, seed),
+            origin_health: OriginHealthState(OriginHealth::new(zone, now)),
+            outbox: Outbox::new(peers),
+            events: Vec::new(),
+            defect: None,
+        }
+    }
+
+    /// Its index among all members.
+    pub fn index(&self) -> usize {
+        self.index
+    }
+
+    /// Plants a fault, for a test.
+    pub fn plant(&mut self, defect: Defect) {
+        self.defect = Some(defect);
+    }
+
+    /// Takes in a datagram of the peer at this place of its list.
+    pub fn receive(&mut self, from_place: usize, bytes: &[u8], now: Micros) {
+        if self.defect == Some(Defect::DropsPurges) && is_purge(bytes) {
+            return;
+        }
+        if self.receive_membership(from_place, bytes, now)
+            || self.budgets.receive(from_place, bytes, now, &mut self.outbox)
+            || self.purge_log.receive(from_place, bytes, now, &mut self.outbox, &mut self.events)
+            || self.origin_health.0.hear(now, address(from_place), bytes)
+        {
+            return;
+        }
+        self.purge_log.receive_plain(bytes, now, &mut self.events);
+    }
+
+    fn receive_membership(&mut self, from: usize, bytes: &[u8], now: Micros) -> bool {
+        let is_named = |membership: &Membership| membership.members()[from].names.is_some();
+        let was_named = is_named(&self.membership);
+        match self.membership.receive(now, from, bytes) {
+            Err(linnetknot_membership::DecodeError::Foreign) => return false,
+            Err(_) => return true,
+            Ok(()) => {}
+        }
+        if is_named(&self.membership) != was_named {
+            self.know_machines();
+        }
+        self.tend_membership(now);
+        true
+    }
+
+    /// The machines of the peers: as each says itself, and until it has as the configuration says.
+    fn know_machines(&mut self) {
+        let known = self.membership.members().iter().zip(self.config.peers_of(self.index));
+        let machine = |(member, peer): (&linnetknot_membership::Member, &config::MemberName)| {
+            let said = member.names.as_ref().map(|(_, machine)| machine.as_str());
+            server_id(said.unwrap_or(&peer.machine))
+        };
+        let machines = known.map(machine).collect();
+        self.purge_log.set_machines(self.config.members[self.index].machine_id, machines);
+    }
+
+    fn tend_membership(&mut self, now: Micros) {
+        for (peer, bytes) in self.membership.outgoing() {
+            self.outbox.send(peer, bytes);
+        }
+        for change in self.membership.changes() {
+            if change.new.standing == Standing::Dead {
+                self.events.push(MemberEvent::Died { peer: change.peer });
+            }
+        }
+        let due = self.membership.due().max(now + 1);
+        if self.membership_due > due || self.membership_due <= now {
+            self.membership_due = due;
+        }
+    }
+
+    /// Lets it know all peers, as one that has run for long does, by the answers to its greetings.
+    pub fn acquaint(&mut self, introductions: &[Vec<u8>], now: Micros) {
+        for (index, bytes) in introductions.iter().enumerate().filter(|(index, _)| *index != self.index) {
+            // What is built here can be read.
+            let _ = self.membership.receive(now, peer_index(index, self.index), bytes);
+        }
+        self.membership.outgoing();
+        self.membership.changes();
+        self.know_machines();
+    }
+
+    /// The answer to a greeting by the member at an index, by which `acquaint` makes it known.
+    pub fn introduction(config: &FleetConfig, index: usize, started: Micros) -> Vec<u8> {
+        let me = &config.members[index];
+        let names = Some((me.name.clone(), me.machine.clone()));
+        let from = Sender { id: me.id, process: started, incarnation: 0 };
+        Message { from, body: Body::Ack { number: 0, of: None, names }, updates: Vec::new() }.write()
+    }
+
+    /// When `tick` has something to do.
+    pub fn due(&self) -> Micros {
+        self.membership_due.min(self.purge_log.due()).min(self.budgets.due())
+    }
+
+    /// Does what is due.
+    pub fn tick(&mut self, now: Micros) {
+        self.purge_log.tick(now, &mut self.outbox, &mut self.events);
+        if self.membership_due <= now {
+            self.membership.tick(now);
+            self.tend_membership(now);
+        }
+        if self.budgets.due() <= now {
+            let is_up = self.membership.members().iter().map(linnetknot_membership::Member::is_up);
+            self.budgets.tick(now, is_up, &mut self.outbox);
+        }
+    }
+
+    /// A client tells it of a purge.
+    pub fn purge(&mut self, purge: PurgeNumber, now: Micros) {
+        self.purge_log.purge(purge, now, &mut self.outbox, &mut self.events);
+    }
+
+    /// An answer of the origin was late: this share of its requests may still ask it.
+    pub fn find_origin_late(&mut self, share: f64, now: Micros) {
+        if let Some(bytes) = self.origin_health.0.found(now, share) {
+            self.outbox.broadcast(&bytes);
+        }
+    }
+
+    /// It ends in order, and tells its peers.
+    pub fn leave(&mut self, now: Micros) {
+        self.membership.leave();
+        self.tend_membership(now);
+    }
+
+    /// What the next process finds on its disk, after an end in order or a crash.
+    pub fn disk_contents(&self, is_in_order: bool) -> DiskContents {
+        self.purge_log.disk_contents(is_in_order)
+    }
+
+    /// What it has to send.
+    pub fn take_outgoing(&mut self) -> Vec<Outgoing> {
+        self.outbox.take()
+    }
+
+    /// What happened since it was last asked.
+    pub fn take_events(&mut self) -> Vec<MemberEvent> {
+        std::mem::take(&mut self.events)
+    }
+
+    /// How much it may spend of a budget now.
+    pub fn may_spend(&self, budget: usize, now: Micros) -> u64 {
+        let (amount, _) = self.budgets.core().part(now, budget);
+        match self.defect {
+            Some(Defect::SpendsTwice) => 2 * amount,
+            _ => amount,
+        }
+    }
+
+    /// Whether it allocates any budget.
+    pub fn is_allocator(&self, now: Micros) -> bool {
+        let core = self.budgets.core();
+        (0..self.config.budgets.len()).any(|budget| core.divides(now, core.group(budget)))
+    }
+
+    /// A sum over all its logs: members with the same sum have the same logs.
+    pub fn digest(&self) -> u64 {
+        self.purge_log.replica().log_store().checksum()
+    }
+
+    /// Its logs and how far it has each.
+    pub fn log_ends(&self) -> Vec<(LogId, Index)> {
+        self.purge_log.replica().log_store().last_indexes()
+    }
+
+    /// Whether it has logs up to these places at least.
+    pub fn has_logs(&self, ends: &[(LogId, Index)]) -> bool {
+        let store = self.purge_log.replica().log_store();
+        ends.iter().all(|(log, end)| store.last_index(*log) >= *end)
+    }
+
+    /// Whether it has all that it committed before it lost its disk, or has waited for that as long as it may.
+    pub fn has_recovered(&self) -> bool {
+        self.purge_log.has_recovered()
+    }
+
+    /// How much it holds.
+    pub fn state_size(&self) -> StateSize {
+        let store = self.purge_log.replica().log_store();
+        StateSize {
+            entries: store.len(),
+            logs: store.logs(),
+            claims: self.membership.members().iter().filter(|member| member.claim.is_some()).count(),
+            pending_commits: self.purge_log.pending_commits(),
+            disk_queue: self.purge_log.disk_queue(),
+        }
+    }
+}
+
+/// Whether a datagram is an entry or a plain purge.
+fn is_purge(bytes: &[u8]) -> bool {
+    matches!(Datagram::read(bytes), Ok(Datagram::Entry(_))) || linnetknot_daemon::peers::read(bytes).is_some()
+}
--- /dev/null
+++ b/rehearse/src/scale/hollow/purge_log.rs
@@ -0,0 +1,345 @@
+//! A hollow member's replicated logs, as the daemon drives them: purges, their commits, and the disk beside them.
+
+use super::config::FleetConfig;
+use super::disk::{SimulatedDisk, Write};
+use super::outbox::Outbox;
+use super::{MemberEvent, PurgeNumber, Refusal};
+use linnetknot_daemon::peers as plain;
+use linnetknot_replication::{
+    Capacity, CommitId, Datagram, DecodeError, Entry, Index, LogId, LogStore, Received, Recovery,
+    RejectReason, Replica, Subject,
+};
+use linnetknot_simnet::Micros;
+use std::collections::{BTreeMap, VecDeque};
+
+/// The loop comes to its sockets between two looks at the logs.
+const MIN_PAUSE_US: Micros = 1_000;
+
+/// How often entries whose time is over are looked for.
+const EXPIRE_US: Micros = 60_000_000;
+
+/// How often a purge is told again by its plain datagram.
+const REPEATS: u8 = 2;
+
+/// The object that a purge of this number is about.
+fn object(purge: PurgeNumber) -> String {
+    format!("{purge:032x}")
+}
+
+/// The purge that is about an object.
+fn purge_of(object: &str) -> Option<PurgeNumber> {
+    PurgeNumber::from_str_radix(object, 16).ok()
+}
+
+/// What a member's disk has when its process ends, for the next one.
+#[derive(Clone, Debug, Default)]
+pub struct DiskContents {
+    logs: LogStore,
+    /// The log that goes on, where the process ended in order.
+    own: Option<LogId>,
+}
+
+impl DiskContents {
+    /// A disk with these logs, of which `own` goes on.
+    pub fn with_logs(logs: LogStore, own: LogId) -> Self {
+        DiskContents { logs, own: Some(own) }
+    }
+
+    /// The purges that are on it.
+    pub fn purges(&self) -> impl Iterator<Item = PurgeNumber> + '_ {
+        self.logs.entries().filter_map(|entry| entry_purge(&entry))
+    }
+}
+
+fn entry_purge(entry: &Entry) -> Option<PurgeNumber> {
+    match &entry.subject {
+        Subject::Object(object) => purge_of(object),
+        _ => None,
+    }
+}
+
+/// A plain purge datagram that is to be sent again.
+#[derive(Clone, Debug)]
+struct Repeat {
+    at: Micros,
+    text: String,
+    left: u8,
+}
+
+/// The logs of one member.
+#[derive(Clone, Debug)]
+pub(super) struct PurgeLog {
+    replica: Replica,
+    disk: SimulatedDisk,
+    due: Micros,
+    expires: Micros,
+    commits: BTreeMap<CommitId, PurgeNumber>,
+    repeats: VecDeque<Repeat>,
+    recovery: Option<Recovery>,
+    repeat_us: Micros,
+    sends_plain: bool,
+}
+
+impl PurgeLog {
+    pub(super) fn new(config: &FleetConfig, index: usize, now: Micros, disk: Option<DiskContents>) -> Self {
+        let me = &config.members[index];
+        let is_fresh = disk.is_none();
+        let DiskContents { logs, own } = disk.unwrap_or_default();
+        let own = own.unwrap_or((me.id, now));
+        let mut replica = Replica::new(own, logs, now, config.replication);
+        let machines: Vec<u64> = config.peers_of(index).map(|peer| peer.machine_id).collect();
+        let times = (now, now + config.recovery_us, config.recovery_ask_us);
+        let min_acks = config.replication.min_acks;
+        let recovery = is_fresh.then(|| Recovery::new(me.machine_id, machines.clone(), min_acks, times));
+        replica.peers(me.machine_id, machines);
+        PurgeLog {
+            replica,
+            disk: SimulatedDisk::new(config.disk_queue),
+            due: now,
+            expires: now,
+            commits: BTreeMap::new(),
+            repeats: VecDeque::new(),
+            recovery,
+            repeat_us: config.repeat_us,
+            sends_plain: config.sends_plain_purges,
+        }
+    }
+
+    pub(super) fn replica(&self) -> &Replica {
+        &self.replica
+    }
+
+    pub(super) fn pending_commits(&self) -> usize {
+        self.commits.len()
+    }
+
+    pub(super) fn disk_queue(&self) -> usize {
+        self.disk.len()
+    }
+
+    /// Whether it has all that it ever committed.
+    pub(super) fn has_recovered(&self) -> bool {
+        self.recovery.as_ref().is_none_or(Recovery::is_over)
+    }
+
+    /// The machines of the peers, as they are known now.
+    pub(super) fn set_machines(&mut self, own: u64, machines: Vec<u64>) {
+        self.replica.peers(own, machines);
+    }
+
+    pub(super) fn due(&self) -> Micros {
+        let recovery = self.recovery.as_ref().and_then(Recovery::due);
+        let repeat = self.repeats.front().map(|repeat| repeat.at);
+        [self.disk.due(), recovery, repeat].into_iter().flatten().fold(self.due, Micros::min)
+    }
+
+    /// What is due: entries that are synced, the logs' own period, plain purges that go out again, and recovery.
+    pub(super) fn tick(&mut self, now: Micros, outbox: &mut Outbox, events: &mut Vec<MemberEvent>) {
+        self.sync(now, outbox, events);
+        if self.due <= now {
+            self.exchange(now, outbox, events);
+        }
+        self.repeat(now, outbox);
+        self.recover(now, outbox);
+    }
+
+    fn sync(&mut self, now: Micros, outbox: &mut Outbox, events: &mut Vec<MemberEvent>) {
+        let synced = self.disk.synced(now);
+        if synced.is_empty() {
+            return;
+        }
+        for Write { log, index } in synced {
+            let acknowledgements = self.replica.synced(log, index);
+            send_all(acknowledgements, outbox);
+        }
+        self.settle(now, events);
+    }
+
+    fn exchange(&mut self, now: Micros, outbox: &mut Outbox, events: &mut Vec<MemberEvent>) {
+        if !self.disk.is_full() {
+            self.replica.take_failed().iter().for_each(|entry| self.write(entry, now));
+        }
+        if now >= self.expires {
+            self.expires = now + EXPIRE_US;
+            self.replica.expire(now);
+        }
+        send_all(self.replica.tick(now), outbox);
+        // The daemon logs whether anything is under-replicated.
+        let _ = self.replica.under_replicated();
+        self.settle(now, events);
+        self.plan(now);
+    }
+
+    fn plan(&mut self, now: Micros) {
+        let due = self.replica.due().max(now + MIN_PAUSE_US);
+        if self.due > due || self.due <= now {
+            self.due = due;
+        }
+    }
+
+    fn repeat(&mut self, now: Micros, outbox: &mut Outbox) {
+        while self.repeats.front().is_some_and(|repeat| repeat.at <= now) {
+            let Some(Repeat { text, left, .. }) = self.repeats.pop_front() else { return };
+            self.tell_plain(text, left, now, outbox);
+        }
+    }
+
+    fn tell_plain(&mut self, text: String, left: u8, now: Micros, outbox: &mut Outbox) {
+        outbox.broadcast(text.as_bytes());
+        if left > 0 {
+            self.repeats.push_back(Repeat { at: now + self.repeat_us, text, left: left - 1 });
+        }
+    }
+
+    fn recover(&mut self, now: Micros, outbox: &mut Outbox) {
+        let Some(recovery) = &mut self.recovery else { return };
+        let (peers, _) = recovery.tick(now);
+        send_all(peers.into_iter().map(|peer| (peer, Datagram::DigestRequest)).collect(), outbox);
+    }
+
+    fn write(&mut self, entry: &Entry, now: Micros) {
+        let write = Write { log: entry.log, index: entry.index };
+        if !self.disk.write(write, now) {
+            self.replica.sync_failed(entry.log, entry.index);
+        }
+    }
+
+    fn append(&mut self, purge: PurgeNumber, at: Micros, now: Micros) -> Result<Entry, Refusal> {
+        if self.disk.is_full() {
+            return Err(Refusal::Disk);
+        }
+        let entry = self.replica.append(Subject::Object(object(purge)), at, false);
+        let entry = entry.map_err(|_| Refusal::Capacity)?;
+        self.write(&entry, now);
+        Ok(entry)
+    }
+
+    /// A client tells this member of a purge.
+    pub(super) fn purge(
+        &mut self,
+        purge: PurgeNumber,
+        now: Micros,
+        outbox: &mut Outbox,
+        events: &mut Vec<MemberEvent>,
+    ) {
+        events.push(MemberEvent::InForce { purge });
+        let entry = self.append(purge, now, now);
+        if let Some(bytes) = entry.as_ref().ok().and_then(|entry| Datagram::Entry(entry.clone()).write()) {
+            outbox.broadcast(&bytes);
+        }
+        let text = plain::write(Some(&object(purge)), 0, now).filter(|_| self.sends_plain);
+        if let Some(text) = text {
+            self.tell_plain(text, REPEATS, now, outbox);
+        }
+        match entry {
+            Ok(entry) => self.commit(purge, entry.index, now, events),
+            Err(why) => events.push(MemberEvent::Refused { purge, why }),
+        }
+        self.settle(now, events);
+        self.plan(now);
+    }
+
+    fn commit(&mut self, purge: PurgeNumber, index: Index, now: Micros, events: &mut Vec<MemberEvent>) {
+        match self.replica.open_commit(now, index) {
+            Ok(commit) => drop(self.commits.insert(commit, purge)),
+            Err(why) => events.push(MemberEvent::Refused { purge, why: refusal(why) }),
+        }
+    }
+
+    fn settle(&mut self, now: Micros, events: &mut Vec<MemberEvent>) {
+        for settled in self.replica.resolve_commits(now) {
+            let Some(purge) = self.commits.remove(&settled.commit) else { continue };
+            events.push(match settled.result {
+                Ok(_) => MemberEvent::Committed { purge },
+                Err(why) => MemberEvent::Refused { purge, why: refusal(why) },
+            });
+        }
+    }
+
+    /// Takes in a datagram of the logs; false where it is none.
+    pub(super) fn receive(
+        &mut self,
+        from: usize,
+        bytes: &[u8],
+        now: Micros,
+        outbox: &mut Outbox,
+        events: &mut Vec<MemberEvent>,
+    ) -> bool {
+        let datagram = match Datagram::read(bytes) {
+            Ok(datagram) => datagram,
+            Err(DecodeError::Foreign) => return false,
+            Err(_) => return true,
+        };
+        let their_sum = match &datagram {
+            Datagram::Digest { sum, .. } => Some(*sum),
+            _ => None,
+        };
+        let received = self.replica.receive(from, datagram);
+        received.new.iter().for_each(|entry| self.write(entry, now));
+        in_force(&received, events);
+        if their_sum == Some(self.replica.log_store().checksum()) {
+            // Whether that ended the wait is asked for when it matters.
+            let _ = self.recovery.as_mut().map(|recovery| recovery.settled(from));
+        }
+        send_all(received.replies.into_iter().map(|reply| (from, reply)).collect(), outbox);
+        self.settle(now, events);
+        true
+    }
+
+    /// Takes in a plain purge datagram, which goes into this member's own log if no log has it; false where it is none.
+    pub(super) fn receive_plain(&mut self, bytes: &[u8], now: Micros, events: &mut Vec<MemberEvent>) -> bool {
+        let Some((Some(object), _, at)) = plain::read(bytes) else { return false };
+        let Some(purge) = purge_of(&object) else { return true };
+        events.push(MemberEvent::InForce { purge });
+        let known = self.replica.log_store().latest(&Subject::Object(object));
+        if known.is_none_or(|known| known < at) {
+            if let Err(why) = self.append(purge, at, now) {
+                events.push(MemberEvent::NotKept { purge, why });
+            }
+        }
+        true
+    }
+
+    /// What the next process finds on the disk. Only one that ends in order, with all on the disk, goes on with its log.
+    pub(super) fn disk_contents(&self, is_in_order: bool) -> DiskContents {
+        let store = self.replica.log_store();
+        if is_in_order && self.replica.is_synced() {
+            return DiskContents { logs: store.clone(), own: Some(self.replica.own()) };
+        }
+        let mut logs = LogStore::default();
+        for entry in store.entries().filter(|entry| entry.index <= self.replica.durable_index(entry.log)) {
+            logs.take(&entry, Capacity::UNLIMITED);
+        }
+        DiskContents { logs, own: None }
+    }
+}
+
+fn refusal(why: RejectReason) -> Refusal {
+    match why {
+        RejectReason::Disk => Refusal::Disk,
+        RejectReason::TooManyPending => Refusal::Capacity,
+        RejectReason::TooFewReplicas { .. } => Refusal::Acknowledgements,
+    }
+}
+
+/// What is received is in force, whether or not there is room to keep it.
+fn in_force(received: &Received, events: &mut Vec<MemberEvent>) {
+    for entry in received.new.iter().chain(&received.out_of_order).chain(&received.rejected) {
+        if let Some(purge) = entry_purge(entry) {
+            events.push(MemberEvent::InForce { purge });
+        }
+    }
+    for entry in &received.rejected {
+        if let Some(purge) = entry_purge(entry) {
+            events.push(MemberEvent::NotKept { purge, why: Refusal::Capacity });
+        }
+    }
+}
+
+fn send_all(datagrams: Vec<(usize, Datagram)>, outbox: &mut Outbox) {
+    for (peer, datagram) in datagrams {
+        if let Some(bytes) = datagram.write() {
+            outbox.send(peer, bytes);
+        }
+    }
+}
--- /dev/null
+++ b/rehearse/src/scale/mod.rs
@@ -0,0 +1,18 @@
+//! A whole fleet in one process, on virtual time: the daemon's sans-IO cores as thousands of hollow members, on links by
+//! distance, measured against the figures of a target.
+
+pub mod command;
+pub mod delivery;
+pub mod fault;
+pub mod fit;
+pub mod hollow;
+pub mod layout;
+pub mod memory;
+pub mod meter;
+pub mod network;
+mod prefill;
+pub mod report;
+pub mod simulation;
+pub mod slopes;
+pub mod target;
+pub mod verdict;
--- /dev/null
+++ b/rehearse/src/scale/simulation.rs
@@ -0,0 +1,567 @@
+//! The event loop: members, links and what happens to them, on virtual time.
+
+use crate::scale::delivery::{delays, PurgeTracker};
+use crate::scale::fault::{joiner, schedule, writers, Action, Fault, Window};
+use crate::scale::hollow::{
+    Defect, DiskContents, FleetConfig, HollowMember, MemberEvent, Outgoing, Refusal, StateSize,
+};
+use crate::scale::layout::{Layout, MemberIndex};
+use crate::scale::meter::Meter;
+use crate::scale::network::Network;
+use crate::scale::prefill;
+use crate::scale::target::Target;
+use crate::scale::verdict::{Rule, Verdict};
+use hdrhistogram::Histogram;
+use linnetknot_datagram::Random;
+use linnetknot_replication::{Index, LogId};
+use linnetknot_simnet::{member_at, peer_index, EventQueue, Micros};
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+const SECOND_US: Micros = 1_000_000;
+
+/// The time at which a run begins.
+const START: Micros = SECOND_US;
+
+/// Before anything is measured: budgets have their allocators after some five seconds.
+const WARM_UP_US: Micros = 7 * SECOND_US;
+
+/// After the measured time the fleet is left alone, for so long at most.
+const MAX_SETTLING_US: Micros = 60 * SECOND_US;
+
+/// How often members' states are compared then.
+const COMPARE_US: Micros = SECOND_US / 4;
+
+/// How often the sums of the budgets are checked.
+const CHECK_BUDGETS_US: Micros = SECOND_US / 10;
+
+/// How often it is looked who allocates budgets, which costs more.
+const LOOK_FOR_ALLOCATORS_US: Micros = SECOND_US;
+
+/// How often a member that joined is looked at.
+const LOOK_AT_JOINER_US: Micros = SECOND_US / 10;
+
+/// A fault planted in a member, for tests.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Plant {
+    /// In whom.
+    pub member: MemberIndex,
+    /// What.
+    pub defect: Defect,
+}
+
+/// What is run.
+#[derive(Clone, Debug)]
+pub struct Run {
+    /// Members.
+    pub members: usize,
+    /// The same seed gives the same run, but for what clocks say.
+    pub seed: u64,
+    /// Seconds of virtual time that are measured.
+    pub seconds: u64,
+    /// What happens.
+    pub fault: Fault,
+    /// What it is measured against.
+    pub target: Target,
+    /// Purges go out by plain datagrams too, as the daemon sends them.
+    pub sends_plain_purges: bool,
+    /// Planted faults; none but in tests.
+    pub plants: Vec<Plant>,
+}
+
+/// What a run came to.
+#[derive(Debug)]
+pub struct Outcome {
+    /// Where the members stood.
+    pub layout: Layout,
+    /// What each member spent while it was measured.
+    pub meters: Vec<Meter>,
+    /// What each member that ran held when the measured time ended.
+    pub states: BTreeMap<MemberIndex, StateSize>,
+    /// Those that allocated a budget at any time.
+    pub allocators: BTreeSet<MemberIndex>,
+    /// Those that started while it was measured.
+    pub starters: BTreeSet<MemberIndex>,
+    /// The purges.
+    pub purges: PurgeTracker,
+    /// From a member's death until each other believed it.
+    pub death_delays: Histogram<u64>,
+    /// Times that a member which ran was believed to be dead.
+    pub false_deaths: u64,
+    /// How long a member that joined took until it had all that was there when it started.
+    pub join_us: Option<Micros>,
+    /// How long it took after the last purge until all connected members had the same logs.
+    pub settling_us: Option<Micros>,
+    /// What is wrong.
+    pub verdict: Verdict,
+    /// Events handled.
+    pub events: u64,
+    /// Real time of the whole run.
+    pub real: Duration,
+}
+
+/// Something that is due.
+#[derive(Debug)]
+enum Event {
+    Arrival { from: u32, to: u32, bytes: Arc<[u8]> },
+    Wake { member: u32 },
+    Purge { writer: u32 },
+    PurgeDeadline { purge: u64 },
+    Happens { action: Action },
+    CheckBudgets,
+    LookForAllocators,
+    LookAtJoiner,
+}
+
+/// Never: a member that is not running, or has no timer.
+const NEVER: Micros = Micros::MAX;
+
+/// A member and its process.
+#[derive(Debug)]
+struct Node {
+    member: Option<HollowMember>,
+    /// The time of its timer.
+    wakes: Micros,
+    running_since: Micros,
+    disk: Option<DiskContents>,
+    crashed_at: Option<Micros>,
+}
+
+struct Joining {
+    member: MemberIndex,
+    since: Micros,
+    /// What the fleet had then.
+    ends: Vec<(LogId, Index)>,
+}
+
+struct Simulation<'a> {
+    run: &'a Run,
+    config: Arc<FleetConfig>,
+    network: Network,
+    nodes: Vec<Node>,
+    queue: EventQueue<Event>,
+    now: Micros,
+    window: Window,
+    meters: Vec<Meter>,
+    purges: PurgeTracker,
+    allocators: BTreeSet<MemberIndex>,
+    starters: BTreeSet<MemberIndex>,
+    deaths_known: BTreeSet<(MemberIndex, MemberIndex)>,
+    death_delays: Histogram<u64>,
+    false_deaths: u64,
+    joining: Option<Joining>,
+    join_us: Option<Micros>,
+    verdict: Verdict,
+    events: u64,
+}
+
+/// Plays a run.
+pub fn play(run: &Run) -> Outcome {
+    let begun = Instant::now();
+    let mut simulation = Simulation::new(run);
+    simulation.start_fleet();
+    simulation.plan_run();
+    simulation.run_until(simulation.window.until);
+    let states = simulation.states();
+    let settling_us = simulation.settle();
+    simulation.judge_end();
+    let Simulation { network, meters, purges, allocators, starters, .. } = simulation;
+    Outcome {
+        layout: network.layout().clone(),
+        meters,
+        states,
+        allocators,
+        starters,
+        purges,
+        death_delays: simulation.death_delays,
+        false_deaths: simulation.false_deaths,
+        join_us: simulation.join_us,
+        settling_us,
+        verdict: simulation.verdict,
+        events: simulation.events,
+        real: begun.elapsed(),
+    }
+}
+
+impl<'a> Simulation<'a> {
+    fn new(run: &'a Run) -> Self {
+        let layout = Layout::new(run.members, &run.target);
+        let zones: Vec<usize> = (0..run.members).map(|member| layout.position(member).zone).collect();
+        let from = START + WARM_UP_US;
+        let sends_plain_purges = run.sends_plain_purges;
+        let config = FleetConfig { sends_plain_purges, ..FleetConfig::new(&zones, &run.target) };
+        let node = || Node { member: None, wakes: NEVER, running_since: NEVER, disk: None, crashed_at: None };
+        Simulation {
+            run,
+            config: Arc::new(config),
+            network: Network::new(layout, &run.target.links, run.seed),
+            nodes: (0..run.members).map(|_| node()).collect(),
+            queue: EventQueue::default(),
+            now: START,
+            window: Window { from, until: from + run.seconds * SECOND_US },
+            meters: vec![Meter::default(); run.members],
+            purges: PurgeTracker::new(run.members),
+            allocators: BTreeSet::new(),
+            starters: BTreeSet::new(),
+            deaths_known: BTreeSet::new(),
+            death_delays: delays(),
+            false_deaths: 0,
+            joining: None,
+            join_us: None,
+            verdict: Verdict::default(),
+            events: 0,
+        }
+    }
+
+    // ---- The plan ----
+
+    /// All members run and know each other, as in a fleet that has run for long.
+    fn start_fleet(&mut self) {
+        let members = self.nodes.len();
+        let absent = joiner(self.run.fault, self.network.layout());
+        let introduction = |member| HollowMember::introduction(&self.config, member, START);
+        let introductions: Vec<Vec<u8>> = (0..members).map(introduction).collect();
+        let disks = prefill::disks(self.run, &self.config, START);
+        for (member, disk) in disks.into_iter().enumerate().filter(|(member, _)| Some(*member) != absent) {
+            self.start(member, Some(disk));
+            if let Some(hollow) = &mut self.nodes[member].member {
+                hollow.acquaint(&introductions, START);
+            }
+            self.plan_wake(member);
+        }
+    }
+
+    fn plan_run(&mut self) {
+        let mut random = Random::new(self.run.seed ^ 0x7265_6865_6172_7365);
+        let layout = self.network.layout();
+        let writers = writers(self.run.fault, layout);
+        let actions = schedule(self.run.fault, layout, &self.run.target, self.window, &mut random);
+        for scheduled in actions {
+            self.queue.schedule(scheduled.at, Event::Happens { action: scheduled.action });
+        }
+        let purges = self.run.target.purges_per_second * self.run.seconds;
+        for number in 0..purges {
+            let at = self.window.from + self.window.length() * number / purges;
+            let writer = writers[random.below(writers.len() as u64) as usize] as u32;
+            self.queue.schedule(at, Event::Purge { writer });
+        }
+        self.queue.schedule(START, Event::CheckBudgets);
+        self.queue.schedule(self.window.from, Event::LookForAllocators);
+    }
+
+    // ---- Time ----
+
+    fn run_until(&mut self, end: Micros) {
+        while let Some((at, event)) = self.queue.next_until(end) {
+            self.now = at;
+            self.events += 1;
+            self.handle(event);
+        }
+        self.now = end;
+    }
+
+    fn handle(&mut self, event: Event) {
+        match event {
+            Event::Arrival { from, to, bytes } => self.arrive(from as usize, to as usize, &bytes),
+            Event::Wake { member } => self.wake(member as usize),
+            Event::Purge { writer } => self.tell_purge(writer as usize),
+            Event::PurgeDeadline { purge } => self.check_purge(purge),
+            Event::Happens { action } => self.act(action),
+            Event::CheckBudgets => self.check_budgets(),
+            Event::LookForAllocators => self.look_for_allocators(),
+            Event::LookAtJoiner => self.look_at_joiner(),
+        }
+    }
+
+    fn is_measured(&self) -> bool {
+        (self.window.from..self.window.until).contains(&self.now)
+    }
+
+    /// Gives a member something to do; what it has to send then goes out, and its timer is set.
+    fn drive(&mut self, index: MemberIndex, work: impl FnOnce(&mut HollowMember, Micros)) {
+        let (now, is_measured) = (self.now, self.is_measured());
+        let Some(member) = &mut self.nodes[index].member else { return };
+        let begun = Instant::now();
+        work(member, now);
+        let outgoing = member.take_outgoing();
+        let events = member.take_events();
+        if is_measured {
+            self.meters[index].busy += begun.elapsed();
+        }
+        self.send(index, outgoing);
+        events.into_iter().for_each(|event| self.note(index, event));
+        self.plan_wake(index);
+    }
+
+    fn plan_wake(&mut self, index: MemberIndex) {
+        let node = &mut self.nodes[index];
+        let Some(member) = &node.member else { return };
+        let due = member.due().max(self.now);
+        // A timer that comes too early is set anew when it is over; only one that would come too late is replaced.
+        if due < node.wakes {
+            node.wakes = due;
+            self.queue.schedule(due, Event::Wake { member: index as u32 });
+        }
+    }
+
+    fn wake(&mut self, index: MemberIndex) {
+        let now = self.now;
+        let node = &mut self.nodes[index];
+        if node.wakes != now {
+            return;
+        }
+        node.wakes = NEVER;
+        if node.member.as_ref().is_some_and(|member| member.due() > now) {
+            return self.plan_wake(index);
+        }
+        self.drive(index, HollowMember::tick);
+    }
+
+    // ---- Datagrams ----
+
+    fn send(&mut self, from: MemberIndex, outgoing: Vec<Outgoing>) {
+        let is_measured = self.is_measured();
+        for Outgoing { to, bytes } in outgoing {
+            if is_measured {
+                self.meters[from].sent(bytes.len());
+            }
+            let to = member_at(to, from);
+            let arrivals = self.network.send(from, to, self.now);
+            for at in [arrivals.first, arrivals.second].into_iter().flatten() {
+                let arrival = Event::Arrival { from: from as u32, to: to as u32, bytes: bytes.clone() };
+                self.queue.schedule(at, arrival);
+            }
+        }
+    }
+
+    fn arrive(&mut self, from: MemberIndex, to: MemberIndex, bytes: &[u8]) {
+        if self.nodes[to].member.is_none() {
+            return;
+        }
+        if self.is_measured() {
+            self.meters[to].received(bytes.len());
+        }
+        let place = peer_index(from, to);
+        self.drive(to, |member, now| member.receive(place, bytes, now));
+    }
+
+    // ---- Purges ----
+
+    /// A client tells a member of a purge, or the next one where that is away.
+    fn tell_purge(&mut self, writer: MemberIndex) {
+        let members = self.nodes.len();
+        let candidates = (0..members).map(|offset| (writer + offset) % members);
+        let Some(writer) = candidates.into_iter().find(|member| self.nodes[*member].member.is_some()) else {
+            return;
+        };
+        let purge = self.purges.tell(writer, self.now);
+        let limit = self.run.target.purge_limit_ms * 1_000;
+        self.queue.schedule(self.now + limit, Event::PurgeDeadline { purge });
+        self.drive(writer, |member, now| member.purge(purge, now));
+    }
+
+    /// Since when a member has been there, and not cut off from another.
+    fn connected_since(&self, member: MemberIndex, from: MemberIndex, told_at: Micros) -> Micros {
+        match self.network.was_cut_since(member, from, told_at) {
+            true => NEVER,
+            false => self.nodes[member].running_since,
+        }
+    }
+
+    fn note(&mut self, member: MemberIndex, event: MemberEvent) {
+        match event {
+            MemberEvent::InForce { purge } => {
+                let Some(record) = self.purges.get(purge) else { return };
+                let since = self.connected_since(member, record.writer, record.told_at);
+                self.purges.in_force(purge, member, self.now, since);
+            }
+            MemberEvent::Committed { purge } => self.purges.commit(purge),
+            MemberEvent::Refused { purge, why } => {
+                let rule = match why {
+                    Refusal::Capacity => Rule::PurgeHasRoom,
+                    Refusal::Disk | Refusal::Acknowledgements => Rule::PurgeCommitted,
+                };
+                self.verdict.add(rule, || format!("purge {purge} at its writer {member}: {why:?}"));
+            }
+            MemberEvent::NotKept { purge, why } => {
+                let example = || format!("purge {purge}, told by a peer, at member {member}: {why:?}");
+                self.verdict.add(Rule::PurgeHasRoom, example);
+            }
+            MemberEvent::Died { peer } => self.note_death(member, member_at(peer, member)),
+        }
+    }
+
+    fn check_purge(&mut self, purge: u64) {
+        let Some(record) = self.purges.get(purge).filter(|record| !record.is_abandoned) else { return };
+        let (writer, told_at) = (record.writer, record.told_at);
+        for member in 0..self.nodes.len() {
+            if self.purges.has(purge, member) || self.nodes[member].member.is_none() {
+                continue;
+            }
+            if self.connected_since(member, writer, told_at) <= told_at {
+                let example = || format!("purge {purge}, told at member {writer}, at member {member}");
+                self.verdict.add(Rule::PurgeInTime, example);
+            }
+        }
+    }
+
+    // ---- Faults ----
+
+    fn act(&mut self, action: Action) {
+        match action {
+            Action::Crash { members } => members.into_iter().for_each(|member| self.crash(member)),
+            Action::Stop { members } => members.into_iter().for_each(|member| self.stop(member)),
+            Action::Start { members } => {
+                for member in members {
+                    let disk = self.nodes[member].disk.take().unwrap_or_default();
+                    self.purges.restarted(member, disk.purges());
+                    self.start(member, Some(disk));
+                }
+            }
+            Action::Join { member } => self.join(member),
+            Action::Cut { pair, until } => self.network.cut(pair, until),
+        }
+    }
+
+    fn start(&mut self, index: MemberIndex, disk: Option<DiskContents>) {
+        let mut member = HollowMember::start(&self.config, index, self.run.seed, self.now, disk);
+        let planted = self.run.plants.iter().filter(|plant| plant.member == index);
+        planted.for_each(|plant| member.plant(plant.defect));
+        let node = &mut self.nodes[index];
+        node.member = Some(member);
+        node.running_since = self.now;
+        node.crashed_at = None;
+        if self.now > START {
+            self.starters.insert(index);
+        }
+        self.plan_wake(index);
+    }
+
+    /// Its process is gone.
+    fn end(&mut self, index: MemberIndex, is_in_order: bool) {
+        let node = &mut self.nodes[index];
+        let Some(member) = node.member.take() else { return };
+        node.disk = Some(member.disk_contents(is_in_order));
+        node.wakes = NEVER;
+        self.purges.abandon(index);
+    }
+
+    fn crash(&mut self, index: MemberIndex) {
+        self.end(index, false);
+        self.nodes[index].crashed_at = Some(self.now);
+        self.deaths_known.retain(|(_, victim)| *victim != index);
+    }
+
+    fn stop(&mut self, index: MemberIndex) {
+        self.drive(index, HollowMember::leave);
+        self.end(index, true);
+    }
+
+    fn join(&mut self, index: MemberIndex) {
+        let known = self.nodes.iter().filter_map(|node| node.member.as_ref()).next();
+        let ends = known.map_or_else(Vec::new, HollowMember::log_ends);
+        self.joining = Some(Joining { member: index, since: self.now, ends });
+        self.start(index, None);
+        self.queue.schedule(self.now + LOOK_AT_JOINER_US, Event::LookAtJoiner);
+    }
+
+    fn look_at_joiner(&mut self) {
+        let Some(Joining { member, since, ends }) = &self.joining else { return };
+        let has_all = self.nodes[*member].member.as_ref().is_some_and(|member| member.has_logs(ends));
+        if has_all {
+            self.join_us = Some(self.now - since);
+            self.joining = None;
+        } else {
+            self.queue.schedule(self.now + LOOK_AT_JOINER_US, Event::LookAtJoiner);
+        }
+    }
+
+    fn note_death(&mut self, observer: MemberIndex, victim: MemberIndex) {
+        let node = &self.nodes[victim];
+        let Some(crashed_at) = node.crashed_at else {
+            self.false_deaths += u64::from(node.member.is_some());
+            return;
+        };
+        if self.deaths_known.insert((observer, victim)) {
+            self.death_delays.saturating_record((self.now - crashed_at).max(1));
+        }
+    }
+
+    // ---- Checks ----
+
+    fn running(&self) -> impl Iterator<Item = (MemberIndex, &HollowMember)> + '_ {
+        let nodes = self.nodes.iter().enumerate();
+        nodes.filter_map(|(index, node)| node.member.as_ref().map(|member| (index, member)))
+    }
+
+    fn check_budgets(&mut self) {
+        self.queue.schedule(self.now + CHECK_BUDGETS_US, Event::CheckBudgets);
+        for number in 0..self.config.budgets.len() {
+            let limit = self.config.budgets[number].limit.whole;
+            let sum: u64 = self.running().map(|(_, member)| member.may_spend(number, self.now)).sum();
+            if sum > limit {
+                let example = || format!("budget {number}: {sum} of {limit}");
+                self.verdict.add(Rule::BudgetLimit, example);
+            }
+        }
+    }
+
+    fn look_for_allocators(&mut self) {
+        if !self.is_measured() {
+            return;
+        }
+        self.queue.schedule(self.now + LOOK_FOR_ALLOCATORS_US, Event::LookForAllocators);
+        let allocators = self.running().filter(|(_, member)| member.is_allocator(self.now));
+        let allocators: Vec<MemberIndex> = allocators.map(|(index, _)| index).collect();
+        self.allocators.extend(allocators);
+    }
+
+    fn states(&self) -> BTreeMap<MemberIndex, StateSize> {
+        self.running().map(|(index, member)| (index, member.state_size())).collect()
+    }
+
+    /// Waits until all members have all purges and the same logs: how long that took.
+    fn settle(&mut self) -> Option<Micros> {
+        let until = self.window.until + MAX_SETTLING_US;
+        while !self.is_settled() {
+            if self.now >= until {
+                return None;
+            }
+            self.run_until(self.now + COMPARE_US);
+        }
+        Some(self.now - self.window.until)
+    }
+
+    fn is_settled(&self) -> bool {
+        let mut digests = self.running().map(|(_, member)| member.digest());
+        let first = digests.next();
+        if digests.any(|digest| Some(digest) != first) || self.joining.is_some() {
+            return false;
+        }
+        let running: Vec<MemberIndex> = self.running().map(|(index, _)| index).collect();
+        let is_complete = self.purges.missing(&running).next().is_none();
+        is_complete
+    }
+
+    fn judge_end(&mut self) {
+        let running: Vec<MemberIndex> = self.running().map(|(index, _)| index).collect();
+        let missing: Vec<(u64, MemberIndex)> = self.purges.missing(&running).collect();
+        for (purge, member) in missing {
+            self.verdict.add(Rule::PurgeEverywhere, || format!("purge {purge} at member {member}"));
+        }
+        let mut by_digest = BTreeMap::<u64, Vec<MemberIndex>>::new();
+        for (index, member) in self.running() {
+            by_digest.entry(member.digest()).or_default().push(index);
+        }
+        let states = by_digest.len();
+        let mut groups: Vec<Vec<MemberIndex>> = by_digest.into_values().collect();
+        // The largest group is right, as far as anybody is.
+        groups.sort_by_key(Vec::len);
+        groups.pop();
+        for member in groups.into_iter().flatten() {
+            let example = || format!("member {member}; {states} different states in all");
+            self.verdict.add(Rule::SameState, example);
+        }
+    }
+}
--- /dev/null
+++ b/rehearse/src/scale/slopes.rs
@@ -0,0 +1,203 @@
+//! Runs of several sizes, and how each figure grows with the size.
+//!
+//! Each size runs in a process of its own: its resident memory is its own, and one that takes too long can be ended.
+
+use crate::scale::fault::Fault;
+use crate::scale::fit::{exponent, line, Line, Point};
+use crate::scale::report::{shown, Report, Row};
+use std::fmt::Write as _;
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::time::{Duration, Instant};
+
+/// How often it is looked whether a size is done.
+const LOOK: Duration = Duration::from_millis(100);
+
+/// What all sizes have in common.
+#[derive(Clone, Debug)]
+pub struct Options {
+    /// The seed.
+    pub seed: u64,
+    /// Measured seconds.
+    pub seconds: u64,
+    /// What happens.
+    pub fault: Fault,
+    /// A file of figures.
+    pub target: Option<PathBuf>,
+    /// Purges go out by plain datagrams too.
+    pub sends_plain_purges: bool,
+    /// Real time for each size.
+    pub budget: Duration,
+}
+
+/// What became of a size.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Played {
+    /// It ran, whether or not something is wrong.
+    Ran(Box<Report>),
+    /// It did not, and why.
+    Skipped(String),
+}
+
+/// A size and what became of it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct SizeRun {
+    /// Members.
+    pub size: usize,
+    /// What became of it.
+    pub played: Played,
+}
+
+/// What all runs came to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Status {
+    /// Nothing is wrong.
+    Sound,
+    /// Something is, at one size at least.
+    Wrong,
+    /// No size ran.
+    NothingRan,
+}
+
+/// Runs all sizes in turn.
+pub fn run(sizes: &[usize], options: &Options) -> Vec<SizeRun> {
+    let played = |size| match run_size(size, options) {
+        Ok(report) => Played::Ran(Box::new(report)),
+        Err(why) => Played::Skipped(why),
+    };
+    sizes.iter().map(|size| SizeRun { size: *size, played: played(*size) }).collect()
+}
+
+fn run_size(size: usize, options: &Options) -> Result<Report, String> {
+    let file = std::env::temp_dir().join(format!("linnetknot-scale-{}-{size}.json", std::process::id()));
+    let result = run_process(size, options, &file).and_then(|()| {
+        let text = std::fs::read_to_string(&file).map_err(|error| format!("it left no result: {error}"))?;
+        serde_json::from_str(&text).map_err(|error| format!("its result can't be read: {error}"))
+    });
+    // There is none where it did not run.
+    let _ = std::fs::remove_file(&file);
+    result
+}
+
+fn run_process(size: usize, options: &Options, file: &std::path::Path) -> Result<(), String> {
+    let own = std::env::current_exe().map_err(|error| error.to_string())?;
+    let mut command = Command::new(own);
+    command.arg("scale").arg("--json").arg(file);
+    for (name, value) in [
+        ("--members", size.to_string()),
+        ("--seed", options.seed.to_string()),
+        ("--seconds", options.seconds.to_string()),
+        ("--fault", options.fault.name()),
+    ] {
+        command.arg(name).arg(value);
+    }
+    if !options.sends_plain_purges {
+        command.arg("--without-plain-purges");
+    }
+    if let Some(target) = &options.target {
+        command.arg("--target").arg(target);
+    }
+    let child = command.stdout(Stdio::null()).stderr(Stdio::piped()).spawn();
+    wait(child.map_err(|error| error.to_string())?, options.budget)
+}
+
+/// Waits for a process, and ends it when its time is over.
+fn wait(mut child: Child, budget: Duration) -> Result<(), String> {
+    let begun = Instant::now();
+    while begun.elapsed() < budget {
+        match child.try_wait() {
+            Ok(None) => std::thread::sleep(LOOK),
+            Ok(Some(status)) if matches!(status.code(), Some(0 | 1)) => return Ok(()),
+            Ok(Some(status)) => {
+                let output = child.wait_with_output().map(|output| output.stderr).unwrap_or_default();
+                let said = String::from_utf8_lossy(&output).trim().to_owned();
+                return Err(if said.is_empty() { status.to_string() } else { said });
+            }
+            Err(error) => return Err(error.to_string()),
+        }
+    }
+    // Both fail only where it has just ended by itself.
+    let _ = child.kill();
+    let _ = child.wait();
+    Err(format!("not done within the {} s that a size may take", budget.as_secs()))
+}
+
+/// What the runs came to.
+pub fn status(runs: &[SizeRun]) -> Status {
+    let mut reports = reports(runs).peekable();
+    if reports.peek().is_none() {
+        Status::NothingRan
+    } else if reports.all(|report| report.wrong.is_empty()) {
+        Status::Sound
+    } else {
+        Status::Wrong
+    }
+}
+
+fn reports(runs: &[SizeRun]) -> impl Iterator<Item = &Report> {
+    runs.iter().filter_map(|run| match &run.played {
+        Played::Ran(report) => Some(&**report),
+        Played::Skipped(_) => None,
+    })
+}
+
+/// A figure at all sizes that have it.
+fn points(runs: &[SizeRun], of: &Row) -> Vec<Point> {
+    let figure = |report: &Report| {
+        let row = report.rows.iter().find(|row| (row.role, &row.figure) == (of.role, &of.figure));
+        Some(Point { size: report.members as f64, figure: row?.most()? })
+    };
+    reports(runs).filter_map(figure).collect()
+}
+
+/// All runs and fits, as tables.
+pub fn table(runs: &[SizeRun]) -> String {
+    let mut out = String::new();
+    for run in runs {
+        // Writing to a string does not fail.
+        let _ = match &run.played {
+            Played::Ran(report) => {
+                writeln!(out, "{} members: {:.1} s of real time", run.size, report.real_seconds)
+            }
+            Played::Skipped(why) => writeln!(out, "{} members: SKIPPED: {why}", run.size),
+        };
+        if let Played::Ran(report) = &run.played {
+            for (verdict, (count, first)) in &report.wrong {
+                let _ = writeln!(out, "    {verdict} ({count} times; first: {first})");
+            }
+        }
+    }
+    out += "\nThe worst member's figure at each size; residual: the farthest point's, of the largest figure.\n\n";
+    out += "| role | figure | unit | at each size | slope x size + constant | residual | exponent | limit | at the target's size |\n";
+    out += "| --- | --- | --- | --- | --- | ---: | ---: | ---: | --- |\n";
+    let Some(largest) = reports(runs).max_by_key(|report| report.members) else { return out };
+    for row in &largest.rows {
+        let points = points(runs, row);
+        if let Some(line) = line(&points) {
+            out += &fitted(row, &points, line);
+        }
+    }
+    out
+}
+
+/// Members of the fleet for which the table says what the fit comes to.
+const TARGET_SIZE: f64 = 6_400.0;
+
+fn fitted(row: &Row, points: &[Point], line: Line) -> String {
+    let at: Vec<String> =
+        points.iter().map(|point| format!("{}: {}", point.size, shown(point.figure))).collect();
+    let exponent = exponent(points).map_or_else(String::new, |exponent| format!("{exponent:.2}"));
+    let limit = row.limit.map_or_else(String::new, shown);
+    let there = line.slope * TARGET_SIZE + line.constant;
+    let over = row.limit.is_some_and(|limit| there > limit);
+    let Row { role, figure, unit, .. } = row;
+    format!(
+        "| {role} | {figure} | {unit} | {} | {} x size + {} | {:.0}% | {exponent} | {limit} | {}{} |\n",
+        at.join(", "),
+        shown(line.slope),
+        shown(line.constant),
+        100.0 * line.residual,
+        shown(there),
+        if over { " OVER" } else { "" }
+    )
+}
--- /dev/null
+++ b/simnet/src/events.rs
@@ -0,0 +1,77 @@
+//! Events on virtual time, in the order in which they are due.
+
+use crate::Micros;
+use std::cmp::Ordering;
+use std::collections::BinaryHeap;
+
+/// An event and the time at which it is due. Of two that are due at once, the one that was scheduled first comes first.
+#[derive(Clone, Debug)]
+struct Scheduled<E> {
+    at: Micros,
+    order: u64,
+    event: E,
+}
+
+impl<E> Scheduled<E> {
+    fn key(&self) -> (Micros, u64) {
+        (self.at, self.order)
+    }
+}
+
+impl<E> PartialEq for Scheduled<E> {
+    fn eq(&self, other: &Self) -> bool {
+        self.key() == other.key()
+    }
+}
+
+impl<E> Eq for Scheduled<E> {}
+
+impl<E> PartialOrd for Scheduled<E> {
+    fn partial_cmp(&self, other: &Self) -> Option<Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl<E> Ord for Scheduled<E> {
+    /// The heap gives its greatest element first: the earliest event is the greatest.
+    fn cmp(&self, other: &Self) -> Ordering {
+        other.key().cmp(&self.key())
+    }
+}
+
+/// Scheduled events. Scheduling one and taking one out cost the logarithm of how many there are.
+#[derive(Clone, Debug)]
+pub struct EventQueue<E> {
+    heap: BinaryHeap<Scheduled<E>>,
+    order: u64,
+}
+
+impl<E> Default for EventQueue<E> {
+    fn default() -> Self {
+        EventQueue { heap: BinaryHeap::new(), order: 0 }
+    }
+}
+
+impl<E> EventQueue<E> {
+    /// Schedules an event.
+    pub fn schedule(&mut self, at: Micros, event: E) {
+        self.order += 1;
+        self.heap.push(Scheduled { at, order: self.order, event });
+    }
+
+    /// Takes out the first event if it is due by `end`, with its time.
+    pub fn next_until(&mut self, end: Micros) -> Option<(Micros, E)> {
+        self.heap.peek().filter(|first| first.at <= end)?;
+        self.heap.pop().map(|first| (first.at, first.event))
+    }
+
+    /// How many events are scheduled.
+    pub fn len(&self) -> usize {
+        self.heap.len()
+    }
+
+    /// Whether none is.
+    pub fn is_empty(&self) -> bool {
+        self.heap.is_empty()
+    }
+}
--- a/simnet/src/lib.rs
+++ b/simnet/src/lib.rs
@@ -3,6 +3,12 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+mod events;
+mod links;
+
+pub use events::EventQueue;
+pub use links::{Arrivals, LinkConditions};
+
 use linnetknot_datagram::Random;
 use std::collections::{BTreeMap, BTreeSet};
 
