Let scale leave out plain purges or budgets in trials, and count processor time

Need: one wall hides the next: the allocators' processor time grows with the square of the members, and the plain purge datagrams fill the logs. A shared machine's other load was in the processor time.

Change: `--without-plain-purges` and `--without-budgets` (trials); processor time is the thread's own.

--- a/rehearse/src/scale/command.rs
+++ b/rehearse/src/scale/command.rs
@@ -1,6 +1,7 @@
 //! The command line of `scale`.
 
 use crate::scale::fault::Fault;
+use crate::scale::hollow::config::Without;
 use crate::scale::hollow::FleetConfig;
 use crate::scale::memory;
 use crate::scale::prefill;
@@ -49,6 +50,9 @@
     /// besides for peers of an earlier version.
     #[arg(long)]
     without_plain_purges: bool,
+    /// A trial: members share no budgets.
+    #[arg(long)]
+    without_budgets: bool,
     /// Runs fleets of these sizes (`100,400,1600`), each in a process of its own, and fits each figure to the size.
     #[arg(long, value_delimiter = ',', conflicts_with_all = ["members", "json"],
           value_parser = value_parser!(u64).range(2..=MAX_MEMBERS))]
@@ -85,7 +89,7 @@
         seconds: arguments.seconds,
         fault: arguments.fault,
         target,
-        sends_plain_purges: !arguments.without_plain_purges,
+        without: Without { plain_purges: arguments.without_plain_purges, budgets: arguments.without_budgets },
         plants: Vec::new(),
     })
 }
@@ -93,7 +97,7 @@
 /// Whether the machine's memory holds a run.
 fn admit(run: &Run) -> Result<(), String> {
     let Some(available) = memory::available() else { return Ok(()) };
-    let config = FleetConfig::new(&vec![0; run.members], &run.target);
+    let config = FleetConfig::new(&vec![0; run.members], &run.target, run.without);
     let purges = run.target.purges_per_second * run.seconds;
     let entries = (prefill::entries(run, &config) + purges as usize).min(config.replication.entries);
     let too_large = memory::admit(run.members, entries, available).err();
@@ -127,7 +131,7 @@
         seconds: run.seconds,
         fault: run.fault,
         target: arguments.target.clone(),
-        sends_plain_purges: run.sends_plain_purges,
+        without: run.without,
         budget: std::time::Duration::from_secs(arguments.budget),
     };
     let runs = slopes::run(&sizes, &options);
--- a/rehearse/src/scale/hollow/config.rs
+++ b/rehearse/src/scale/hollow/config.rs
@@ -1,6 +1,6 @@
 //! What all hollow members of one fleet have in common.
 
-use crate::scale::target::{BudgetFigures, Target};
+use crate::scale::target::Target;
 use linnetknot_budgets::kinds::{self, Unit};
 use linnetknot_budgets::limit::Whole as Limit;
 use linnetknot_budgets::Options as BudgetOptions;
@@ -13,6 +13,15 @@
 const DESCRIPTORS: usize = 1_024;
 const MEMORY_MB: usize = 256;
 
+/// Parts of the daemon that a trial leaves out, to see what lies behind them.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Without {
+    /// The plain datagrams by which purges go out too, for peers of an earlier version.
+    pub plain_purges: bool,
+    /// The budgets that all members share.
+    pub budgets: bool,
+}
+
 /// A member's names.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct MemberName {
@@ -60,7 +69,8 @@
     pub recovery_ask_us: Micros,
 }
 
-fn budgets(members: usize, zones: usize, figures: &BudgetFigures) -> Vec<SharedBudget> {
+fn shared_budgets(members: usize, target: &Target) -> Vec<SharedBudget> {
+    let figures = &target.budgets;
     let all = kinds::CACHES.unit.one();
     let floor = (figures.cold_floors * all as f64 / members as f64) as u64;
     let cold = Limit { whole: all, floor, felt_us: figures.cold_felt_ms * 1_000 };
@@ -71,13 +81,13 @@
         SharedBudget { unit: kinds::PARENTS.unit, limit: cold, zone: None },
     ];
     let of_zone = |zone| SharedBudget { unit: kinds::CACHES.unit, limit: cold, zone: Some(zone) };
-    list.extend((0..zones).map(of_zone));
+    list.extend((0..target.zones).map(of_zone));
     list
 }
 
 impl FleetConfig {
     /// The configuration of members that stand in these zones.
-    pub fn new(zones: &[usize], target: &Target) -> Self {
+    pub fn new(zones: &[usize], target: &Target, without: Without) -> Self {
         let limits = Limits::for_machine(DESCRIPTORS, MEMORY_MB);
         let replication = ReplicationOptions {
             entries: limits.purges,
@@ -93,10 +103,10 @@
         };
         FleetConfig {
             members: zones.iter().enumerate().map(member).collect(),
-            budgets: budgets(zones.len(), target.zones, &target.budgets),
+            budgets: if without.budgets { Vec::new() } else { shared_budgets(zones.len(), target) },
             replication,
             repeat_us: limits.repeat_us,
-            sends_plain_purges: true,
+            sends_plain_purges: !without.plain_purges,
             disk_queue: limits.store_writes,
             recovery_us: limits.recovery_us,
             recovery_ask_us: limits.recovery_ask_us,
--- a/rehearse/src/scale/meter.rs
+++ b/rehearse/src/scale/meter.rs
@@ -1,8 +1,15 @@
 //! What each member spent while a run was measured.
 
 use crate::scale::network::HEADER_BYTES;
+use rustix::time::{clock_gettime, ClockId};
 use std::time::Duration;
 
+/// The processor time of this thread: what others do on the machine is not in it.
+pub fn processor_time() -> Duration {
+    let time = clock_gettime(ClockId::ThreadCPUTime);
+    Duration::new(time.tv_sec as u64, time.tv_nsec as u32)
+}
+
 /// What one member spent.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Meter {
@@ -14,7 +21,7 @@
     pub received_datagrams: u64,
     /// Their bytes, with headers.
     pub received_bytes: u64,
-    /// Time within the cores.
+    /// Processor time within the cores.
     pub busy: Duration,
 }
 
