Test scale: verdicts find planted faults, one seed gives one table, faults play

Word of a death counts where an observer ran before it, and is waited for; word of an earlier process that comes late is no false death. Slopes say after each size what became of it.

--- a/rehearse/src/scale/hollow/mod.rs
+++ b/rehearse/src/scale/hollow/mod.rs
@@ -69,6 +69,8 @@
     Died {
         /// Its place in the list of peers.
         peer: usize,
+        /// When the process began that is believed to be dead.
+        started: Micros,
     },
 }
 
@@ -222,7 +224,8 @@
         }
         for change in self.membership.changes() {
             if change.new.standing == Standing::Dead {
-                self.events.push(MemberEvent::Died { peer: change.peer });
+                let started = change.new.process;
+                self.events.push(MemberEvent::Died { peer: change.peer, started });
             }
         }
         let due = self.membership.due().max(now + 1);
--- a/rehearse/src/scale/simulation.rs
+++ b/rehearse/src/scale/simulation.rs
@@ -388,7 +388,9 @@
                 let example = || format!("purge {purge}, told by a peer, at member {member}: {why:?}");
                 self.verdict.add(Rule::PurgeHasRoom, example);
             }
-            MemberEvent::Died { peer } => self.note_death(member, member_at(peer, member)),
+            MemberEvent::Died { peer, started } => {
+                self.note_death(member, member_at(peer, member), started);
+            }
         }
     }
 
@@ -477,10 +479,13 @@
         }
     }
 
-    fn note_death(&mut self, observer: MemberIndex, victim: MemberIndex) {
+    /// A member believes that the process of another which started then is dead.
+    fn note_death(&mut self, observer: MemberIndex, victim: MemberIndex, started: Micros) {
         let node = &self.nodes[victim];
         let Some(crashed_at) = node.crashed_at else {
-            self.false_deaths += u64::from(node.member.is_some());
+            // Word of an earlier process that did die may come late.
+            let is_running = node.member.is_some() && node.running_since == started;
+            self.false_deaths += u64::from(is_running);
             return;
         };
         if self.deaths_known.insert((observer, victim)) {
@@ -521,7 +526,7 @@
         self.running().map(|(index, member)| (index, member.state_size())).collect()
     }
 
-    /// Waits until all members have all purges and the same logs: how long that took.
+    /// Waits until all members have all purges and the same logs: how long that took. Word of deaths is waited for, too.
     fn settle(&mut self) -> Option<Micros> {
         let until = self.window.until + MAX_SETTLING_US;
         while !self.is_settled() {
@@ -530,7 +535,25 @@
             }
             self.run_until(self.now + COMPARE_US);
         }
-        Some(self.now - self.window.until)
+        let settled = self.now - self.window.until;
+        while !self.deaths_are_known() && self.now < until {
+            self.run_until(self.now + COMPARE_US);
+        }
+        Some(settled)
+    }
+
+    /// Whether all that have run since before a crash believe who crashed and stayed away to be dead. One that started
+    /// later has never heard of that process, and takes it for absent anyway.
+    fn deaths_are_known(&self) -> bool {
+        let is_known = |victim: MemberIndex, crashed_at: Micros| {
+            let mut observers = self.running().map(|(observer, _)| observer);
+            observers.all(|observer| {
+                let ran_then = self.nodes[observer].running_since <= crashed_at;
+                !ran_then || self.deaths_known.contains(&(observer, victim))
+            })
+        };
+        let mut nodes = self.nodes.iter().enumerate();
+        nodes.all(|(victim, node)| node.crashed_at.is_none_or(|crashed_at| is_known(victim, crashed_at)))
     }
 
     fn is_settled(&self) -> bool {
@@ -540,8 +563,8 @@
             return false;
         }
         let running: Vec<MemberIndex> = self.running().map(|(index, _)| index).collect();
-        let is_complete = self.purges.missing(&running).next().is_none();
-        is_complete
+        let mut missing = self.purges.missing(&running);
+        missing.next().is_none()
     }
 
     fn judge_end(&mut self) {
--- a/rehearse/src/scale/slopes.rs
+++ b/rehearse/src/scale/slopes.rs
@@ -62,11 +62,18 @@
 
 /// Runs all sizes in turn.
 pub fn run(sizes: &[usize], options: &Options) -> Vec<SizeRun> {
-    let played = |size| match run_size(size, options) {
-        Ok(report) => Played::Ran(Box::new(report)),
-        Err(why) => Played::Skipped(why),
-    };
-    sizes.iter().map(|size| SizeRun { size: *size, played: played(*size) }).collect()
+    let mut runs = Vec::new();
+    for size in sizes {
+        let played = match run_size(*size, options) {
+            Ok(report) => Played::Ran(Box::new(report)),
+            Err(why) => Played::Skipped(why),
+        };
+        let run = SizeRun { size: *size, played };
+        // The table comes when all are done, which may take long.
+        eprint!("{}", said(&run));
+        runs.push(run);
+    }
+    runs
 }
 
 fn run_size(size: usize, options: &Options) -> Result<Report, String> {
@@ -151,23 +158,23 @@
     reports(runs).filter_map(figure).collect()
 }
 
-/// All runs and fits, as tables.
-pub fn table(runs: &[SizeRun]) -> String {
-    let mut out = String::new();
-    for run in runs {
+/// What became of one size.
+fn said(run: &SizeRun) -> String {
+    let report = match &run.played {
+        Played::Ran(report) => report,
+        Played::Skipped(why) => return format!("{} members: SKIPPED: {why}\n", run.size),
+    };
+    let mut out = format!("{} members: {:.1} s of real time\n", run.size, report.real_seconds);
+    for (verdict, (count, first)) in &report.wrong {
         // Writing to a string does not fail.
-        let _ = match &run.played {
-            Played::Ran(report) => {
-                writeln!(out, "{} members: {:.1} s of real time", run.size, report.real_seconds)
-            }
-            Played::Skipped(why) => writeln!(out, "{} members: SKIPPED: {why}", run.size),
-        };
-        if let Played::Ran(report) = &run.played {
-            for (verdict, (count, first)) in &report.wrong {
-                let _ = writeln!(out, "    {verdict} ({count} times; first: {first})");
-            }
-        }
+        let _ = writeln!(out, "    {verdict} ({count} times; first: {first})");
     }
+    out
+}
+
+/// All runs and fits, as tables.
+pub fn table(runs: &[SizeRun]) -> String {
+    let mut out: String = runs.iter().map(said).collect();
     out += "\nThe worst member's figure at each size; residual: the farthest point's, of the largest figure.\n\n";
     out += "| role | figure | unit | at each size | slope x size + constant | residual | exponent | limit | at the target's size |\n";
     out += "| --- | --- | --- | --- | --- | ---: | ---: | ---: | --- |\n";
--- /dev/null
+++ b/rehearse/tests/scale.rs
@@ -0,0 +1,299 @@
+//! Fleets of hollow members: what their verdicts find, and that a seed gives one table.
+
+use linnetknot_rehearse::scale::fault::Fault;
+use linnetknot_rehearse::scale::fit::{exponent, line, Point};
+use linnetknot_rehearse::scale::hollow::config::Without;
+use linnetknot_rehearse::scale::hollow::{Defect, DiskContents, FleetConfig, HollowMember, MemberEvent};
+use linnetknot_rehearse::scale::layout::{Distance, Layout};
+use linnetknot_rehearse::scale::memory::{admit, estimate, Bytes};
+use linnetknot_rehearse::scale::report::{Report, Role, Value};
+use linnetknot_rehearse::scale::simulation::{play, Outcome, Plant, Run};
+use linnetknot_rehearse::scale::target::Target;
+use linnetknot_rehearse::scale::verdict::Rule;
+use std::process::Command;
+use std::sync::Arc;
+
+const MEMBERS: usize = 40;
+
+fn target() -> Target {
+    Target::load(None).expect("the built-in target can be read")
+}
+
+/// A small fleet that sends purges by its logs alone: the daemon's plain datagrams are known to spoil the logs.
+fn run(fault: Fault) -> Run {
+    let without = Without { plain_purges: true, budgets: false };
+    Run { members: MEMBERS, seed: 4_711, seconds: 4, fault, target: target(), without, plants: Vec::new() }
+}
+
+/// Few purges, so that a run in which something is wrong is short as well.
+fn quiet(fault: Fault) -> Run {
+    let target = Target { purges_per_second: 10, purge_limit_ms: 2_000, ..target() };
+    Run { target, ..run(fault) }
+}
+
+fn row(report: &Report, role: Role, figure: &str) -> Value {
+    let row = report.rows.iter().find(|row| row.role == role && row.figure == figure);
+    row.unwrap_or_else(|| panic!("no row '{figure}'")).value.clone()
+}
+
+fn single(report: &Report, figure: &str) -> f64 {
+    match row(report, Role::Fleet, figure) {
+        Value::Single(figure) => figure,
+        other => panic!("'{figure}' is {other:?}"),
+    }
+}
+
+// ---- Verdicts ----
+
+#[test]
+fn a_calm_fleet_is_sound_and_one_seed_gives_one_table() {
+    let run = run(Fault::Calm);
+    let reports: Vec<Report> = (0..2).map(|_| Report::of(&run, &play(&run))).collect();
+    assert_eq!(reports[0].wrong, Default::default());
+    assert_eq!(reports[0].table(true), reports[1].table(true));
+    assert_eq!((single(&reports[0], "purges told"), single(&reports[0], "purges committed")), (440.0, 440.0));
+    let other = Run { seed: 4_712, ..run };
+    assert_ne!(Report::of(&other, &play(&other)).table(true), reports[0].table(true));
+}
+
+#[test]
+fn the_table_has_each_role_and_says_what_nothing_carries() {
+    let run = quiet(Fault::Calm);
+    let report = Report::of(&run, &play(&run));
+    for role in [Role::Member, Role::Allocator, Role::Writer] {
+        assert!(matches!(row(&report, role, "sent and received"), Value::Spread(_)), "{role}");
+    }
+    let change = row(&report, Role::Fleet, "change of configuration");
+    assert_eq!(change, Value::None("not carried".into()));
+    let table = report.table(false);
+    assert!(table.contains("OVER") && table.contains("by a clock"), "{table}");
+    assert!(!report.table(true).contains("processor"), "a stable table has no clock's figures");
+}
+
+#[test]
+fn a_member_that_drops_what_it_is_told_is_found() {
+    let plants = vec![Plant { member: 7, defect: Defect::DropsPurges }];
+    let run = Run { plants, ..quiet(Fault::Calm) };
+    let verdict = play(&run).verdict;
+    for rule in [Rule::PurgeInTime, Rule::PurgeEverywhere, Rule::SameState] {
+        assert!(verdict.breaks(rule), "{rule:?}");
+        assert!(verdict.violations[&rule].first.contains("member 7"), "{verdict:?}");
+    }
+}
+
+#[test]
+fn members_that_spend_more_than_their_parts_are_found() {
+    let plants = (0..MEMBERS).map(|member| Plant { member, defect: Defect::SpendsTwice }).collect();
+    let run = Run { plants, ..quiet(Fault::Calm) };
+    let verdict = play(&run).verdict;
+    assert!(verdict.breaks(Rule::BudgetLimit), "{verdict:?}");
+    assert_eq!(verdict.violations.len(), 1, "and nothing else is wrong: {verdict:?}");
+}
+
+#[test]
+fn purges_beyond_the_capacity_are_refused_and_said_so() {
+    // Plain purge datagrams make members write what others have written: a trial at a size where the logs fill is long,
+    // so that a target of many purges fills them here.
+    let target = Target { purges_per_second: 6_000, ..target() };
+    let without = Without { plain_purges: true, budgets: true };
+    let run = Run { members: 3, target, without, ..run(Fault::Calm) };
+    let verdict = play(&run).verdict;
+    assert!(verdict.breaks(Rule::PurgeHasRoom), "{verdict:?}");
+}
+
+// ---- Faults ----
+
+fn sound(fault: Fault) -> Outcome {
+    let outcome = play(&run(fault));
+    assert!(outcome.verdict.is_sound(), "{}: {:?}", fault.name(), outcome.verdict);
+    outcome
+}
+
+#[test]
+fn a_hot_site_tells_all_purges() {
+    let outcome = sound(Fault::HotWriter);
+    let sites: Vec<usize> = (0..outcome.purges.len() as u64)
+        .filter_map(|purge| outcome.purges.get(purge))
+        .map(|record| outcome.layout.position(record.writer).site)
+        .collect();
+    assert_eq!(sites.len(), 440);
+    assert!(sites.iter().all(|site| *site == 0));
+}
+
+#[test]
+fn a_day_has_failures_that_are_noticed_and_restarts_that_catch_up() {
+    let outcome = sound(Fault::Day);
+    // 730 restarts of 6,400 proxies are 5 of 40.
+    assert_eq!(outcome.starters.len(), 5);
+    assert_eq!(outcome.states.len(), MEMBERS - 1, "one failed and stays away");
+    let observers = MEMBERS - 1 - outcome.starters.len();
+    assert!(outcome.death_delays.len() >= observers as u64, "all that ran then know that one died");
+    assert!(!outcome.purges.catch_up_delays.is_empty());
+}
+
+#[test]
+fn a_rack_and_a_zone_go_and_come_back() {
+    for fault in [Fault::Rack, Fault::Zone] {
+        let outcome = sound(fault);
+        assert!(!outcome.starters.is_empty() && outcome.starters.len() < MEMBERS);
+        assert_eq!(outcome.states.len(), MEMBERS);
+        assert!(!outcome.purges.catch_up_delays.is_empty(), "{}", fault.name());
+    }
+}
+
+#[test]
+fn regions_that_lose_each_other_catch_up() {
+    let outcome = sound(Fault::RegionsApart);
+    assert!(!outcome.purges.catch_up_delays.is_empty());
+}
+
+#[test]
+fn a_fleet_is_restarted_a_tenth_at_a_time() {
+    assert_eq!(sound(Fault::FleetRestart).starters.len(), MEMBERS);
+}
+
+#[test]
+fn a_late_member_gets_all_that_a_full_fleet_has() {
+    let without = Without { plain_purges: true, budgets: true };
+    let run = Run { members: 12, without, ..quiet(Fault::LateJoin) };
+    let outcome = play(&run);
+    assert!(outcome.verdict.is_sound(), "{:?}", outcome.verdict);
+    let report = Report::of(&run, &outcome);
+    assert!(single(&report, "until who joined has all") > 0.0);
+    assert!(outcome.states[&11].entries >= 15_000, "{:?}", outcome.states[&11]);
+}
+
+// ---- One member by itself ----
+
+#[test]
+fn hollow_members_can_be_driven_by_any_loop() {
+    let config = Arc::new(FleetConfig::new(&[0, 0], &target(), Without::default()));
+    let start = |index| HollowMember::start(&config, index, 1, 1_000_000, Some(DiskContents::default()));
+    let mut members = [start(0), start(1)];
+    let mut events = [Vec::new(), Vec::new()];
+    members[0].purge(5, 1_000_000);
+    for now in (1_000_000..1_100_000).step_by(1_000) {
+        for index in [0, 1] {
+            if members[index].due() <= now {
+                members[index].tick(now);
+            }
+            for datagram in members[index].take_outgoing() {
+                assert_eq!(datagram.to, 0, "the only peer");
+                members[1 - index].receive(0, &datagram.bytes, now);
+            }
+            events[index].extend(members[index].take_events());
+        }
+    }
+    assert!(events[1].contains(&MemberEvent::InForce { purge: 5 }), "{:?}", events[1]);
+    assert!(events[0].contains(&MemberEvent::Committed { purge: 5 }), "{:?}", events[0]);
+    assert_eq!(members[0].digest(), members[1].digest());
+}
+
+// ---- Layout, target, memory and fits ----
+
+#[test]
+fn the_layout_is_the_targets_and_smaller_fleets_keep_its_distances() {
+    let target = target();
+    let whole = Layout::new(6_400, &target);
+    assert_eq!((whole.sites(), whole.zones(), whole.regions()), (330, 29, 10));
+    let small = Layout::new(300, &target);
+    assert_eq!((small.sites(), small.zones(), small.regions()), (15, 15, 10));
+    for layout in [whole, small] {
+        let last = layout.members() - 1;
+        assert_eq!(layout.distance(0, 1), Distance::Site);
+        assert_eq!(layout.distance(0, last), Distance::BetweenRegions);
+        let largest_rack = (0..=layout.position(last).rack)
+            .map(|rack| layout.members_where(|position| position.rack == rack).len())
+            .max();
+        assert_eq!(largest_rack, Some(target.faults.proxies_per_rack));
+        for member in 1..=last {
+            let (before, after) = (layout.position(member - 1), layout.position(member));
+            assert!(before.site == after.site || before.rack != after.rack, "a rack is in one site");
+            assert!(before.zone == after.zone || before.site != after.site, "a site is in one zone");
+            assert!(before.region == after.region || before.zone != after.zone, "a zone is in one region");
+        }
+    }
+}
+
+#[test]
+fn a_target_that_is_none_is_refused_by_its_key() {
+    for (text, key) in [
+        (r#"{"proxies": "many"}"#, "proxies"),
+        (r#"{"proxys": 5}"#, "proxys"),
+        (&altered_target("\"zones\": 29", "\"zones\": 0"), "zones: must be above 0"),
+    ] {
+        let error = Target::parse(text).expect_err("it is no target").to_string();
+        assert!(error.contains(key), "{error}");
+    }
+}
+
+/// The built-in target with something else in one place.
+fn altered_target(from: &str, to: &str) -> String {
+    let text = include_str!("../targets/fleet.json");
+    assert!(text.contains(from));
+    text.replacen(from, to, 1)
+}
+
+#[test]
+fn a_run_that_takes_more_than_half_of_the_memory_is_not_admitted() {
+    let needed = estimate(1_000, 1_000);
+    assert!(admit(1_000, 1_000, Bytes(2 * needed.0)).is_ok());
+    let error = admit(1_000, 1_000, Bytes(2 * needed.0 - 2)).expect_err("it does not fit");
+    assert_eq!(error.estimate, needed);
+    assert!(estimate(2_000, 1_000).0 > 2 * needed.0, "it grows faster than the fleet");
+}
+
+#[test]
+fn fits_find_a_line_a_square_and_a_step() {
+    let points = |of: fn(f64) -> f64| {
+        [100.0, 400.0, 1_600.0, 6_400.0].map(|size| Point { size, figure: of(size) }).to_vec()
+    };
+    let straight = line(&points(|size| 3.0 * size + 7.0)).expect("there are points enough");
+    assert!((straight.slope - 3.0).abs() < 1e-9 && (straight.constant - 7.0).abs() < 1e-6);
+    assert!(straight.residual < 1e-9);
+    let square = points(|size| size * size / 50.0);
+    assert!((exponent(&square).expect("all are positive") - 2.0).abs() < 1e-9);
+    assert!(line(&square).expect("there are points enough").residual > 0.05);
+    let step = points(|size| if size > 1_000.0 { 50.0 } else { 1.0 });
+    assert!(line(&step).expect("there are points enough").residual > 0.2);
+    assert_eq!(exponent(&points(|size| size - 100.0)), None, "a figure that is 0 has no power");
+    assert_eq!(line(&points(|size| size)[..1]), None);
+}
+
+// ---- The command line ----
+
+fn scale(arguments: &[&str]) -> (Option<i32>, String) {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_linnetknot-rehearse"));
+    let output = command.arg("scale").args(arguments).output().expect("the kit runs");
+    let said = [output.stdout, output.stderr].concat();
+    (output.status.code(), String::from_utf8_lossy(&said).into_owned())
+}
+
+#[test]
+fn what_cannot_be_run_ends_with_2_and_names_it() {
+    for (arguments, named) in [
+        (&["--fault", "storm"][..], "storm"),
+        (&["--members", "many"], "many"),
+        (&["--members", "1"], "--members"),
+        (&["--seed", "seven"], "seven"),
+        (&["--seconds", "0"], "--seconds"),
+        (&["--members", "100000"], "--members 100000: takes about"),
+        (&["--target", "no-such-target.json"], "no-such-target.json"),
+        (&["--slopes", "100,none"], "none"),
+    ] {
+        let (status, said) = scale(arguments);
+        assert_eq!(status, Some(2), "{arguments:?}: {said}");
+        assert!(said.contains(named), "{arguments:?}: {said}");
+    }
+}
+
+#[test]
+fn a_sound_run_ends_with_0_and_slopes_say_what_they_skip() {
+    let sound = ["--without-plain-purges", "--without-budgets", "--seconds", "1"];
+    let (status, said) = scale(&[&["--members", "20"], &sound[..]].concat());
+    assert_eq!(status, Some(0), "{said}");
+    let (status, said) = scale(&[&["--slopes", "10,20,100000"], &sound[..]].concat());
+    assert_eq!(status, Some(0), "{said}");
+    assert!(said.contains("100000 members: SKIPPED: --members 100000: takes about"), "{said}");
+    assert!(said.contains("x size +"), "{said}");
+}
