--- a/rehearse/src/scale/hollow/mod.rs
+++ b/rehearse/src/scale/hollow/mod.rs
@@ -15,8 +15,8 @@
 
 use budget_share::BudgetShare;
 use linnetknot_discovery::server_id;
-use linnetknot_hearsay::{Hearsay as OriginHealth, Place as ZonePlace};
 use linnetknot_membership::{Body, Membership, Message, Options as MembershipOptions, Sender, Standing};
+use linnetknot_origin_health::{OriginHealth, ZonePlace};
 use linnetknot_replication::{Datagram, Index, LogId};
 use linnetknot_simnet::{peer_index, Micros};
 use outbox::Outbox;
@@ -119,7 +119,7 @@
 
 impl std::fmt::Debug for OriginHealthState {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        write!(f, "{:?}", self.0.tally())
+        write!(f, "{:?}", self.0.counters())
     }
 }
 
@@ -180,7 +180,7 @@
         if self.receive_membership(from_place, bytes, now)
             || self.receive_budgets(from_place, bytes, now)
             || self.purge_log.receive(from_place, bytes, now, &mut self.outbox, &mut self.events)
-            || self.origin_health.0.hear(now, address(from_place), bytes)
+            || self.origin_health.0.receive(now, address(from_place), bytes)
         {
             return;
         }
@@ -279,7 +279,7 @@
 
     /// An answer of the origin was late: this share of its requests may still ask it.
     pub fn find_origin_late(&mut self, share: f64, now: Micros) {
-        if let Some(bytes) = self.origin_health.0.found(now, share) {
+        if let Some(bytes) = self.origin_health.0.observe(now, share) {
             self.outbox.broadcast(&bytes);
         }
     }
--- a/rehearse/src/scale/simulation.rs
+++ b/rehearse/src/scale/simulation.rs
@@ -530,7 +530,8 @@
     fn settle(&mut self) -> Option<Micros> {
         let until = self.window.until + MAX_SETTLING_US;
         while !self.is_settled() {
-            if self.now >= until {
+            // Logs that have no room for an entry never become the same.
+            if self.now >= until || self.verdict.breaks(Rule::PurgeHasRoom) {
                 return None;
             }
             self.run_until(self.now + COMPARE_US);
