Split scale's simulation, and show each member's worst second

Change: faults and checks are modules of their own; the table has bytes in the worst second; the fits name the loaded target's size; the command line's list, check and plan are functions of their own.

--- a/rehearse/src/main.rs
+++ b/rehearse/src/main.rs
@@ -354,6 +354,44 @@
     out
 }
 
+/// Lists the shipped scenarios.
+fn list() -> ExitCode {
+    for (name, text) in shipped::SHIPPED {
+        let about = Scenario::read(text).map_or_else(|e| format!("unsound: {e}"), |s| s.about);
+        println!("{name:<16} {about}");
+    }
+    ExitCode::SUCCESS
+}
+
+/// Checks scenario files.
+fn check(files: &[PathBuf]) -> ExitCode {
+    let mut sound = true;
+    for file in files {
+        match read(file) {
+            Ok(scenario) => println!("{}: sound: {}", file.display(), scenario.about),
+            Err(e) => {
+                sound = false;
+                eprintln!("{e}");
+            }
+        }
+    }
+    ExitCode::from(if sound { 0 } else { 2 })
+}
+
+/// Shows what a scenario asks for.
+fn show_plan(file: &Path, seed: u64) -> ExitCode {
+    match read(file) {
+        Ok(scenario) => {
+            say(&tables(&scenario, &plan(&scenario, seed)));
+            ExitCode::SUCCESS
+        }
+        Err(e) => {
+            eprintln!("{e}");
+            ExitCode::from(2)
+        }
+    }
+}
+
 /// Prints; whoever reads may have had enough, which is no failure.
 fn say(text: &str) {
     let _ = std::io::stdout().lock().write_all(text.as_bytes());
@@ -384,40 +422,13 @@
             run_moments(&moments::cases(plays as usize, seed), jobs.into(), &beside(daemon), plant.as_deref())
         }
         Some(Command::Scale(arguments)) => scale::command::run(&arguments),
-        Some(Command::List) => {
-            for (name, text) in shipped::SHIPPED {
-                let about = Scenario::read(text).map_or_else(|e| format!("unsound: {e}"), |s| s.about);
-                println!("{name:<16} {about}");
-            }
-            ExitCode::SUCCESS
-        }
+        Some(Command::List) => list(),
         Some(Command::Play { file, seed, daemon, json }) => {
             ExitCode::from(play(read(&file), seed, daemon, json))
         }
         Some(Command::Compare { a, b }) => side_by_side(&a, &b),
-        Some(Command::Check { files }) => {
-            let mut sound = true;
-            for file in &files {
-                match read(file) {
-                    Ok(scenario) => println!("{}: sound: {}", file.display(), scenario.about),
-                    Err(e) => {
-                        sound = false;
-                        eprintln!("{e}");
-                    }
-                }
-            }
-            ExitCode::from(if sound { 0 } else { 2 })
-        }
-        Some(Command::Plan { file, seed }) => match read(&file) {
-            Ok(scenario) => {
-                say(&tables(&scenario, &plan(&scenario, seed)));
-                ExitCode::SUCCESS
-            }
-            Err(e) => {
-                eprintln!("{e}");
-                ExitCode::from(2)
-            }
-        },
+        Some(Command::Check { files }) => check(&files),
+        Some(Command::Plan { file, seed }) => show_plan(&file, seed),
         Some(Command::Schema) => {
             say(&schema());
             ExitCode::SUCCESS
--- a/rehearse/src/scale/command.rs
+++ b/rehearse/src/scale/command.rs
@@ -135,7 +135,7 @@
         budget: std::time::Duration::from_secs(arguments.budget),
     };
     let runs = slopes::run(&sizes, &options);
-    print!("{}", slopes::table(&runs));
+    print!("{}", slopes::table(&runs, run.target.proxies));
     match slopes::status(&runs) {
         slopes::Status::Sound => ExitCode::SUCCESS,
         slopes::Status::Wrong => ExitCode::from(WRONG),
--- a/rehearse/src/scale/hollow/mod.rs
+++ b/rehearse/src/scale/hollow/mod.rs
@@ -83,6 +83,15 @@
     SpendsTwice,
 }
 
+/// How far a log goes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LogEnd {
+    /// The log.
+    pub log: LogId,
+    /// Its last index.
+    pub index: Index,
+}
+
 /// How much a member holds, by kind of state.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct StateSize {
@@ -327,14 +336,15 @@
     }
 
     /// Its logs and how far it has each.
-    pub fn log_ends(&self) -> Vec<(LogId, Index)> {
-        self.purge_log.replica().log_store().last_indexes()
+    pub fn log_ends(&self) -> Vec<LogEnd> {
+        let ends = self.purge_log.replica().log_store().last_indexes();
+        ends.into_iter().map(|(log, index)| LogEnd { log, index }).collect()
     }
 
     /// Whether it has logs up to these places at least.
-    pub fn has_logs(&self, ends: &[(LogId, Index)]) -> bool {
+    pub fn has_logs(&self, ends: &[LogEnd]) -> bool {
         let store = self.purge_log.replica().log_store();
-        ends.iter().all(|(log, end)| store.last_index(*log) >= *end)
+        ends.iter().all(|end| store.last_index(end.log) >= end.index)
     }
 
     /// Whether it has all that it committed before it lost its disk, or has waited for that as long as it may.
--- a/rehearse/src/scale/meter.rs
+++ b/rehearse/src/scale/meter.rs
@@ -1,9 +1,12 @@
 //! What each member spent while a run was measured.
 
 use crate::scale::network::HEADER_BYTES;
+use linnetknot_simnet::Micros;
 use rustix::time::{clock_gettime, ClockId};
 use std::time::Duration;
 
+const SECOND_US: Micros = 1_000_000;
+
 /// The processor time of this thread: what others do on the machine is not in it.
 pub fn processor_time() -> Duration {
     let time = clock_gettime(ClockId::ThreadCPUTime);
@@ -23,18 +26,35 @@
     pub received_bytes: u64,
     /// Processor time within the cores.
     pub busy: Duration,
+    /// Bytes sent and received in the worst second.
+    pub worst_second_bytes: u64,
+    /// The second that runs, and its bytes.
+    second: u64,
+    second_bytes: u64,
 }
 
 impl Meter {
     /// A datagram of so many bytes is sent.
-    pub fn sent(&mut self, bytes: usize) {
+    pub fn sent(&mut self, bytes: usize, now: Micros) {
         self.sent_datagrams += 1;
         self.sent_bytes += bytes as u64 + HEADER_BYTES;
+        self.count(bytes, now);
     }
 
     /// A datagram of so many bytes is received.
-    pub fn received(&mut self, bytes: usize) {
+    pub fn received(&mut self, bytes: usize, now: Micros) {
         self.received_datagrams += 1;
         self.received_bytes += bytes as u64 + HEADER_BYTES;
+        self.count(bytes, now);
+    }
+
+    fn count(&mut self, bytes: usize, now: Micros) {
+        let second = now / SECOND_US;
+        if second != self.second {
+            self.second = second;
+            self.second_bytes = 0;
+        }
+        self.second_bytes += bytes as u64 + HEADER_BYTES;
+        self.worst_second_bytes = self.worst_second_bytes.max(self.second_bytes);
     }
 }
--- a/rehearse/src/scale/report.rs
+++ b/rehearse/src/scale/report.rs
@@ -151,22 +151,27 @@
 fn meter_figures(outcome: &Outcome, run: &Run) -> Vec<MemberFigure> {
     let seconds = run.seconds as f64;
     let limits = &run.target.limits;
-    let figure = |name, unit, limit, is_volatile, of: fn(&Meter) -> f64| {
+    let figure = |name, unit, limit, is_volatile, per: f64, of: fn(&Meter) -> f64| {
         let meters = outcome.meters.clone();
-        let of = Box::new(move |member: MemberIndex| Some(of(&meters[member]) / seconds));
+        let of = Box::new(move |member: MemberIndex| Some(of(&meters[member]) / per));
         MemberFigure { name, unit, limit, is_volatile, of }
     };
     let kilobytes = Some(limits.kilobytes_per_second);
     let processor = Some(limits.processor_percent);
     vec![
-        figure("sent", "kB/s", None, false, |meter| meter.sent_bytes as f64 / 1e3),
-        figure("received", "kB/s", None, false, |meter| meter.received_bytes as f64 / 1e3),
-        figure("sent and received", "kB/s", kilobytes, false, |meter| {
+        figure("sent", "kB/s", None, false, seconds, |meter| meter.sent_bytes as f64 / 1e3),
+        figure("received", "kB/s", None, false, seconds, |meter| meter.received_bytes as f64 / 1e3),
+        figure("sent and received", "kB/s", kilobytes, false, seconds, |meter| {
             (meter.sent_bytes + meter.received_bytes) as f64 / 1e3
         }),
-        figure("datagrams sent", "1/s", None, false, |meter| meter.sent_datagrams as f64),
-        figure("datagrams received", "1/s", None, false, |meter| meter.received_datagrams as f64),
-        figure("processor", "% of a core", processor, true, |meter| meter.busy.as_secs_f64() * 100.0),
+        figure("sent and received in the worst second", "kB", None, false, 1.0, |meter| {
+            meter.worst_second_bytes as f64 / 1e3
+        }),
+        figure("datagrams sent", "1/s", None, false, seconds, |meter| meter.sent_datagrams as f64),
+        figure("datagrams received", "1/s", None, false, seconds, |meter| meter.received_datagrams as f64),
+        figure("processor", "% of a core", processor, true, seconds, |meter| {
+            meter.busy.as_secs_f64() * 100.0
+        }),
     ]
 }
 
--- /dev/null
+++ b/rehearse/src/scale/simulation/checks.rs
@@ -0,0 +1,118 @@
+//! What a run must keep, and what is looked at while it goes on.
+
+use super::{Event, Simulation, CHECK_BUDGETS_US, COMPARE_US, LOOK_FOR_ALLOCATORS_US, MAX_SETTLING_US};
+use crate::scale::hollow::{HollowMember, StateSize};
+use crate::scale::layout::MemberIndex;
+use crate::scale::verdict::Rule;
+use linnetknot_simnet::Micros;
+use std::collections::BTreeMap;
+
+impl Simulation<'_> {
+    pub(super) fn check_purge(&mut self, purge: u64) {
+        let Some(record) = self.purges.get(purge).filter(|record| !record.is_abandoned) else { return };
+        let (writer, told_at) = (record.writer, record.told_at);
+        for member in 0..self.nodes.len() {
+            if self.purges.has(purge, member) || self.nodes[member].member.is_none() {
+                continue;
+            }
+            if self.connected_since(member, writer, told_at) <= told_at {
+                let example = || format!("purge {purge}, told at member {writer}, at member {member}");
+                self.verdict.add(Rule::PurgeInTime, example);
+            }
+        }
+    }
+
+    pub(super) fn running(&self) -> impl Iterator<Item = (MemberIndex, &HollowMember)> + '_ {
+        let nodes = self.nodes.iter().enumerate();
+        nodes.filter_map(|(index, node)| node.member.as_ref().map(|member| (index, member)))
+    }
+
+    pub(super) fn check_budgets(&mut self) {
+        self.queue.schedule(self.now + CHECK_BUDGETS_US, Event::CheckBudgets);
+        for number in 0..self.config.budgets.len() {
+            let limit = self.config.budgets[number].limit.whole;
+            let sum: u64 = self.running().map(|(_, member)| member.may_spend(number, self.now)).sum();
+            if sum > limit {
+                let example = || format!("budget {number}: {sum} of {limit}");
+                self.verdict.add(Rule::BudgetLimit, example);
+            }
+        }
+    }
+
+    pub(super) fn look_for_allocators(&mut self) {
+        if !self.is_measured() {
+            return;
+        }
+        self.queue.schedule(self.now + LOOK_FOR_ALLOCATORS_US, Event::LookForAllocators);
+        let allocators = self.running().filter(|(_, member)| member.is_allocator(self.now));
+        let allocators: Vec<MemberIndex> = allocators.map(|(index, _)| index).collect();
+        self.allocators.extend(allocators);
+    }
+
+    pub(super) fn states(&self) -> BTreeMap<MemberIndex, StateSize> {
+        self.running().map(|(index, member)| (index, member.state_size())).collect()
+    }
+
+    /// Waits until all members have all purges and the same logs: how long that took. Word of deaths is waited for, too.
+    pub(super) fn settle(&mut self) -> Option<Micros> {
+        let until = self.window.until + MAX_SETTLING_US;
+        while !self.is_settled() {
+            // Logs that have no room for an entry never become the same.
+            if self.now >= until || self.verdict.breaks(Rule::PurgeHasRoom) {
+                return None;
+            }
+            self.run_until(self.now + COMPARE_US);
+        }
+        let settled = self.now - self.window.until;
+        while !self.deaths_are_known() && self.now < until {
+            self.run_until(self.now + COMPARE_US);
+        }
+        Some(settled)
+    }
+
+    /// Whether all that have run since before a crash believe who crashed and stayed away to be dead. One that started
+    /// later has never heard of that process, and takes it for absent anyway.
+    pub(super) fn deaths_are_known(&self) -> bool {
+        let is_known = |victim: MemberIndex, crashed_at: Micros| {
+            let mut observers = self.running().map(|(observer, _)| observer);
+            observers.all(|observer| {
+                let ran_then = self.nodes[observer].running_since <= crashed_at;
+                !ran_then || self.deaths_known.contains(&(observer, victim))
+            })
+        };
+        let mut nodes = self.nodes.iter().enumerate();
+        nodes.all(|(victim, node)| node.crashed_at.is_none_or(|crashed_at| is_known(victim, crashed_at)))
+    }
+
+    pub(super) fn is_settled(&self) -> bool {
+        let mut digests = self.running().map(|(_, member)| member.digest());
+        let first = digests.next();
+        if digests.any(|digest| Some(digest) != first) || self.joining.is_some() {
+            return false;
+        }
+        let running: Vec<MemberIndex> = self.running().map(|(index, _)| index).collect();
+        let mut missing = self.purges.missing(&running);
+        missing.next().is_none()
+    }
+
+    pub(super) fn judge_end(&mut self) {
+        let running: Vec<MemberIndex> = self.running().map(|(index, _)| index).collect();
+        let missing: Vec<(u64, MemberIndex)> = self.purges.missing(&running).collect();
+        for (purge, member) in missing {
+            self.verdict.add(Rule::PurgeEverywhere, || format!("purge {purge} at member {member}"));
+        }
+        let mut by_digest = BTreeMap::<u64, Vec<MemberIndex>>::new();
+        for (index, member) in self.running() {
+            by_digest.entry(member.digest()).or_default().push(index);
+        }
+        let states = by_digest.len();
+        let mut groups: Vec<Vec<MemberIndex>> = by_digest.into_values().collect();
+        // The largest group is right, as far as anybody is.
+        groups.sort_by_key(Vec::len);
+        groups.pop();
+        for member in groups.into_iter().flatten() {
+            let example = || format!("member {member}; {states} different states in all");
+            self.verdict.add(Rule::SameState, example);
+        }
+    }
+}
--- a/rehearse/src/scale/simulation.rs
+++ b/rehearse/src/scale/simulation/mod.rs
@@ -1,10 +1,13 @@
 //! The event loop: members, links and what happens to them, on virtual time.
 
+mod checks;
+mod faults;
+
 use crate::scale::delivery::{delays, PurgeTracker};
 use crate::scale::fault::{joiner, schedule, writers, Action, Fault, Window};
 use crate::scale::hollow::config::Without;
 use crate::scale::hollow::{
-    Defect, DiskContents, FleetConfig, HollowMember, MemberEvent, Outgoing, Refusal, StateSize,
+    Defect, DiskContents, FleetConfig, HollowMember, LogEnd, MemberEvent, Outgoing, Refusal, StateSize,
 };
 use crate::scale::layout::{Layout, MemberIndex};
 use crate::scale::meter::{processor_time, Meter};
@@ -14,7 +17,6 @@
 use crate::scale::verdict::{Rule, Verdict};
 use hdrhistogram::Histogram;
 use linnetknot_datagram::Random;
-use linnetknot_replication::{Index, LogId};
 use linnetknot_simnet::{member_at, peer_index, EventQueue, Micros};
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
@@ -133,7 +135,7 @@
     member: MemberIndex,
     since: Micros,
     /// What the fleet had then.
-    ends: Vec<(LogId, Index)>,
+    ends: Vec<LogEnd>,
 }
 
 struct Simulation<'a> {
@@ -324,7 +326,7 @@
         let is_measured = self.is_measured();
         for Outgoing { to, bytes } in outgoing {
             if is_measured {
-                self.meters[from].sent(bytes.len());
+                self.meters[from].sent(bytes.len(), self.now);
             }
             let to = member_at(to, from);
             let arrivals = self.network.send(from, to, self.now);
@@ -340,7 +342,7 @@
             return;
         }
         if self.is_measured() {
-            self.meters[to].received(bytes.len());
+            self.meters[to].received(bytes.len(), self.now);
         }
         let place = peer_index(from, to);
         self.drive(to, |member, now| member.receive(place, bytes, now));
@@ -393,199 +395,4 @@
             }
         }
     }
-
-    fn check_purge(&mut self, purge: u64) {
-        let Some(record) = self.purges.get(purge).filter(|record| !record.is_abandoned) else { return };
-        let (writer, told_at) = (record.writer, record.told_at);
-        for member in 0..self.nodes.len() {
-            if self.purges.has(purge, member) || self.nodes[member].member.is_none() {
-                continue;
-            }
-            if self.connected_since(member, writer, told_at) <= told_at {
-                let example = || format!("purge {purge}, told at member {writer}, at member {member}");
-                self.verdict.add(Rule::PurgeInTime, example);
-            }
-        }
-    }
-
-    // ---- Faults ----
-
-    fn act(&mut self, action: Action) {
-        match action {
-            Action::Crash { members } => members.into_iter().for_each(|member| self.crash(member)),
-            Action::Stop { members } => members.into_iter().for_each(|member| self.stop(member)),
-            Action::Start { members } => {
-                for member in members {
-                    let disk = self.nodes[member].disk.take().unwrap_or_default();
-                    self.purges.restarted(member, disk.purges());
-                    self.start(member, Some(disk));
-                }
-            }
-            Action::Join { member } => self.join(member),
-            Action::Cut { pair, until } => self.network.cut(pair, until),
-        }
-    }
-
-    fn start(&mut self, index: MemberIndex, disk: Option<DiskContents>) {
-        let mut member = HollowMember::start(&self.config, index, self.run.seed, self.now, disk);
-        let planted = self.run.plants.iter().filter(|plant| plant.member == index);
-        planted.for_each(|plant| member.plant(plant.defect));
-        let node = &mut self.nodes[index];
-        node.member = Some(member);
-        node.running_since = self.now;
-        node.crashed_at = None;
-        if self.now > START {
-            self.starters.insert(index);
-        }
-        self.plan_wake(index);
-    }
-
-    /// Its process is gone.
-    fn end(&mut self, index: MemberIndex, is_in_order: bool) {
-        let node = &mut self.nodes[index];
-        let Some(member) = node.member.take() else { return };
-        node.disk = Some(member.disk_contents(is_in_order));
-        node.wakes = NEVER;
-        self.purges.abandon(index);
-    }
-
-    fn crash(&mut self, index: MemberIndex) {
-        self.end(index, false);
-        self.nodes[index].crashed_at = Some(self.now);
-        self.deaths_known.retain(|(_, victim)| *victim != index);
-    }
-
-    fn stop(&mut self, index: MemberIndex) {
-        self.drive(index, HollowMember::leave);
-        self.end(index, true);
-    }
-
-    fn join(&mut self, index: MemberIndex) {
-        let known = self.nodes.iter().filter_map(|node| node.member.as_ref()).next();
-        let ends = known.map_or_else(Vec::new, HollowMember::log_ends);
-        self.joining = Some(Joining { member: index, since: self.now, ends });
-        self.start(index, None);
-        self.queue.schedule(self.now + LOOK_AT_JOINER_US, Event::LookAtJoiner);
-    }
-
-    fn look_at_joiner(&mut self) {
-        let Some(Joining { member, since, ends }) = &self.joining else { return };
-        let has_all = self.nodes[*member].member.as_ref().is_some_and(|member| member.has_logs(ends));
-        if has_all {
-            self.join_us = Some(self.now - since);
-            self.joining = None;
-        } else {
-            self.queue.schedule(self.now + LOOK_AT_JOINER_US, Event::LookAtJoiner);
-        }
-    }
-
-    /// A member believes that the process of another which started then is dead.
-    fn note_death(&mut self, observer: MemberIndex, victim: MemberIndex, started: Micros) {
-        let node = &self.nodes[victim];
-        let Some(crashed_at) = node.crashed_at else {
-            // Word of an earlier process that did die may come late.
-            let is_running = node.member.is_some() && node.running_since == started;
-            self.false_deaths += u64::from(is_running);
-            return;
-        };
-        if self.deaths_known.insert((observer, victim)) {
-            self.death_delays.saturating_record((self.now - crashed_at).max(1));
-        }
-    }
-
-    // ---- Checks ----
-
-    fn running(&self) -> impl Iterator<Item = (MemberIndex, &HollowMember)> + '_ {
-        let nodes = self.nodes.iter().enumerate();
-        nodes.filter_map(|(index, node)| node.member.as_ref().map(|member| (index, member)))
-    }
-
-    fn check_budgets(&mut self) {
-        self.queue.schedule(self.now + CHECK_BUDGETS_US, Event::CheckBudgets);
-        for number in 0..self.config.budgets.len() {
-            let limit = self.config.budgets[number].limit.whole;
-            let sum: u64 = self.running().map(|(_, member)| member.may_spend(number, self.now)).sum();
-            if sum > limit {
-                let example = || format!("budget {number}: {sum} of {limit}");
-                self.verdict.add(Rule::BudgetLimit, example);
-            }
-        }
-    }
-
-    fn look_for_allocators(&mut self) {
-        if !self.is_measured() {
-            return;
-        }
-        self.queue.schedule(self.now + LOOK_FOR_ALLOCATORS_US, Event::LookForAllocators);
-        let allocators = self.running().filter(|(_, member)| member.is_allocator(self.now));
-        let allocators: Vec<MemberIndex> = allocators.map(|(index, _)| index).collect();
-        self.allocators.extend(allocators);
-    }
-
-    fn states(&self) -> BTreeMap<MemberIndex, StateSize> {
-        self.running().map(|(index, member)| (index, member.state_size())).collect()
-    }
-
-    /// Waits until all members have all purges and the same logs: how long that took. Word of deaths is waited for, too.
-    fn settle(&mut self) -> Option<Micros> {
-        let until = self.window.until + MAX_SETTLING_US;
-        while !self.is_settled() {
-            // Logs that have no room for an entry never become the same.
-            if self.now >= until || self.verdict.breaks(Rule::PurgeHasRoom) {
-                return None;
-            }
-            self.run_until(self.now + COMPARE_US);
-        }
-        let settled = self.now - self.window.until;
-        while !self.deaths_are_known() && self.now < until {
-            self.run_until(self.now + COMPARE_US);
-        }
-        Some(settled)
-    }
-
-    /// Whether all that have run since before a crash believe who crashed and stayed away to be dead. One that started
-    /// later has never heard of that process, and takes it for absent anyway.
-    fn deaths_are_known(&self) -> bool {
-        let is_known = |victim: MemberIndex, crashed_at: Micros| {
-            let mut observers = self.running().map(|(observer, _)| observer);
-            observers.all(|observer| {
-                let ran_then = self.nodes[observer].running_since <= crashed_at;
-                !ran_then || self.deaths_known.contains(&(observer, victim))
-            })
-        };
-        let mut nodes = self.nodes.iter().enumerate();
-        nodes.all(|(victim, node)| node.crashed_at.is_none_or(|crashed_at| is_known(victim, crashed_at)))
-    }
-
-    fn is_settled(&self) -> bool {
-        let mut digests = self.running().map(|(_, member)| member.digest());
-        let first = digests.next();
-        if digests.any(|digest| Some(digest) != first) || self.joining.is_some() {
-            return false;
-        }
-        let running: Vec<MemberIndex> = self.running().map(|(index, _)| index).collect();
-        let mut missing = self.purges.missing(&running);
-        missing.next().is_none()
-    }
-
-    fn judge_end(&mut self) {
-        let running: Vec<MemberIndex> = self.running().map(|(index, _)| index).collect();
-        let missing: Vec<(u64, MemberIndex)> = self.purges.missing(&running).collect();
-        for (purge, member) in missing {
-            self.verdict.add(Rule::PurgeEverywhere, || format!("purge {purge} at member {member}"));
-        }
-        let mut by_digest = BTreeMap::<u64, Vec<MemberIndex>>::new();
-        for (index, member) in self.running() {
-            by_digest.entry(member.digest()).or_default().push(index);
-        }
-        let states = by_digest.len();
-        let mut groups: Vec<Vec<MemberIndex>> = by_digest.into_values().collect();
-        // The largest group is right, as far as anybody is.
-        groups.sort_by_key(Vec::len);
-        groups.pop();
-        for member in groups.into_iter().flatten() {
-            let example = || format!("member {member}; {states} different states in all");
-            self.verdict.add(Rule::SameState, example);
-        }
-    }
 }
--- a/rehearse/src/scale/slopes.rs
+++ b/rehearse/src/scale/slopes.rs
@@ -172,8 +172,8 @@
     out
 }
 
-/// All runs and fits, as tables.
-pub fn table(runs: &[SizeRun]) -> String {
+/// All runs and fits, as tables. At the target's size, the fits say what a figure would come to.
+pub fn table(runs: &[SizeRun], target_size: usize) -> String {
     let mut out: String = runs.iter().map(said).collect();
     out += "\nThe worst member's figure at each size; residual: the farthest point's, of the largest figure.\n\n";
     out += "| role | figure | unit | at each size | slope x size + constant | residual | exponent | limit | at the target's size |\n";
@@ -182,21 +182,18 @@
     for row in &largest.rows {
         let points = points(runs, row);
         if let Some(line) = line(&points) {
-            out += &fitted(row, &points, line);
+            out += &fitted(row, &points, line, target_size);
         }
     }
     out
 }
 
-/// Members of the fleet for which the table says what the fit comes to.
-const TARGET_SIZE: f64 = 6_400.0;
-
-fn fitted(row: &Row, points: &[Point], line: Line) -> String {
+fn fitted(row: &Row, points: &[Point], line: Line, target_size: usize) -> String {
     let at: Vec<String> =
         points.iter().map(|point| format!("{}: {}", point.size, shown(point.figure))).collect();
     let exponent = exponent(points).map_or_else(String::new, |exponent| format!("{exponent:.2}"));
     let limit = row.limit.map_or_else(String::new, shown);
-    let there = line.slope * TARGET_SIZE + line.constant;
+    let there = line.slope * target_size as f64 + line.constant;
     let over = row.limit.is_some_and(|limit| there > limit);
     let Row { role, figure, unit, .. } = row;
     format!(
