Send hollow members' plain purges only to peers that do not replicate

Change: `hollow/plain_purges.rs` follows `daemon/plain_purges.rs`, with its greeting and its grace time. The trial without plain purges has no use any more and is gone.

--- a/rehearse/src/scale/command.rs
+++ b/rehearse/src/scale/command.rs
@@ -46,10 +46,6 @@
     /// Leaves out what differs between two runs of one seed.
     #[arg(long)]
     stable: bool,
-    /// A trial: purges go out as entries of the logs alone, and not by the plain datagrams that the daemon sends
-    /// besides for peers of an earlier version.
-    #[arg(long)]
-    without_plain_purges: bool,
     /// A trial: members share no budgets.
     #[arg(long)]
     without_budgets: bool,
@@ -89,7 +85,7 @@
         seconds: arguments.seconds,
         fault: arguments.fault,
         target,
-        without: Without { plain_purges: arguments.without_plain_purges, budgets: arguments.without_budgets },
+        without: Without { budgets: arguments.without_budgets },
         plants: Vec::new(),
     })
 }
--- a/rehearse/src/scale/hollow/config.rs
+++ b/rehearse/src/scale/hollow/config.rs
@@ -16,8 +16,6 @@
 /// Parts of the daemon that a trial leaves out, to see what lies behind them.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Without {
-    /// The plain datagrams by which purges go out too, for peers of an earlier version.
-    pub plain_purges: bool,
     /// The budgets that all members share.
     pub budgets: bool,
 }
@@ -59,8 +57,10 @@
     pub replication: ReplicationOptions,
     /// A purge is told again after this, by its plain datagram.
     pub repeat_us: Micros,
-    /// Purges go out by plain datagrams too, as the daemon sends them for peers of an earlier version.
-    pub sends_plain_purges: bool,
+    /// A sender of plain purges shows within this whether it replicates logs.
+    pub plain_purge_grace_us: Micros,
+    /// Plain purges that may wait for that.
+    pub unwritten_purges: usize,
     /// Entries that may wait for the disk.
     pub disk_queue: usize,
     /// A member without a disk is ready after this, whatever is missing.
@@ -106,7 +106,8 @@
             budgets: if without.budgets { Vec::new() } else { shared_budgets(zones.len(), target) },
             replication,
             repeat_us: limits.repeat_us,
-            sends_plain_purges: !without.plain_purges,
+            plain_purge_grace_us: limits.plain_purge_grace_us,
+            unwritten_purges: limits.unwritten_purges,
             disk_queue: limits.store_writes,
             recovery_us: limits.recovery_us,
             recovery_ask_us: limits.recovery_ask_us,
--- a/rehearse/src/scale/hollow/mod.rs
+++ b/rehearse/src/scale/hollow/mod.rs
@@ -7,6 +7,7 @@
 pub mod config;
 mod disk;
 mod outbox;
+mod plain_purges;
 mod purge_log;
 
 pub use config::FleetConfig;
@@ -20,6 +21,7 @@
 use linnetknot_replication::{Datagram, Index, LogId};
 use linnetknot_simnet::{peer_index, Micros};
 use outbox::Outbox;
+use plain_purges::{PlainPurges, Treatment};
 use purge_log::PurgeLog;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::Arc;
@@ -115,6 +117,7 @@
     membership: Membership,
     membership_due: Micros,
     purge_log: PurgeLog,
+    plain_purges: PlainPurges,
     /// None: nothing is shared.
     budgets: Option<BudgetShare>,
     origin_health: OriginHealthState,
@@ -163,6 +166,7 @@
             membership: Membership::new((me.id, now), names, peers, (seed, now), options),
             membership_due: now,
             purge_log: PurgeLog::new(config, index, now, disk),
+            plain_purges: PlainPurges::new(config),
             budgets: (!config.budgets.is_empty()).then(|| BudgetShare::new(config, index, now, seed)),
             origin_health: OriginHealthState(OriginHealth::new(zone, now)),
             outbox: Outbox::new(peers),
@@ -193,7 +197,20 @@
         {
             return;
         }
-        self.purge_log.receive_plain(bytes, now, &mut self.events);
+        self.receive_plain_purge(from_place, bytes, now);
+    }
+
+    fn receive_plain_purge(&mut self, from: usize, bytes: &[u8], now: Micros) {
+        let Some(plain) = PlainPurges::read(bytes) else { return };
+        self.events.push(MemberEvent::InForce { purge: plain.purge });
+        match self.plain_purges.receive(from, plain, now, &self.membership) {
+            Treatment::None => {}
+            Treatment::Greet => {
+                self.membership.greet(from);
+                self.tend_membership(now);
+            }
+            Treatment::Write => self.purge_log.write_plain(plain, now, &mut self.events),
+        }
     }
 
     fn receive_budgets(&mut self, from: usize, bytes: &[u8], now: Micros) -> bool {
@@ -265,12 +282,16 @@
     /// When `tick` has something to do.
     pub fn due(&self) -> Micros {
         let budgets = self.budgets.as_ref().map(BudgetShare::due);
-        self.membership_due.min(self.purge_log.due()).min(budgets.unwrap_or(Micros::MAX))
+        let others = [budgets, self.plain_purges.due()].into_iter().flatten();
+        others.fold(self.membership_due.min(self.purge_log.due()), Micros::min)
     }
 
     /// Does what is due.
     pub fn tick(&mut self, now: Micros) {
         self.purge_log.tick(now, &mut self.outbox, &mut self.events);
+        for plain in self.plain_purges.tick(now, &self.membership, &mut self.outbox) {
+            self.purge_log.write_plain(plain, now, &mut self.events);
+        }
         if self.membership_due <= now {
             self.membership.tick(now);
             self.tend_membership(now);
@@ -284,6 +305,7 @@
     /// A client tells it of a purge.
     pub fn purge(&mut self, purge: PurgeNumber, now: Micros) {
         self.purge_log.purge(purge, now, &mut self.outbox, &mut self.events);
+        self.plain_purges.send(purge, now, &self.membership, &mut self.outbox);
     }
 
     /// An answer of the origin was late: this share of its requests may still ask it.
--- a/rehearse/src/scale/hollow/outbox.rs
+++ b/rehearse/src/scale/hollow/outbox.rs
@@ -29,8 +29,14 @@
     }
 
     pub(super) fn broadcast(&mut self, bytes: &[u8]) {
+        self.send_where(bytes, |_| true);
+    }
+
+    /// Sends a datagram to all peers that meet a condition.
+    pub(super) fn send_where(&mut self, bytes: &[u8], condition: impl Fn(usize) -> bool) {
         let bytes: Arc<[u8]> = bytes.into();
-        self.waiting.extend((0..self.peers).map(|to| Outgoing { to, bytes: bytes.clone() }));
+        let peers = (0..self.peers).filter(|peer| condition(*peer));
+        self.waiting.extend(peers.map(|to| Outgoing { to, bytes: bytes.clone() }));
     }
 
     pub(super) fn take(&mut self) -> Vec<Outgoing> {
--- a/rehearse/src/scale/hollow/purge_log.rs
+++ b/rehearse/src/scale/hollow/purge_log.rs
@@ -3,14 +3,14 @@
 use super::config::FleetConfig;
 use super::disk::{SimulatedDisk, Write};
 use super::outbox::Outbox;
+use super::plain_purges::{object, purge_of, PlainPurge};
 use super::{MemberEvent, PurgeNumber, Refusal};
-use linnetknot_daemon::peers as plain;
 use linnetknot_replication::{
     Capacity, CommitId, Datagram, DecodeError, Entry, Index, LogId, LogStore, Received, Recovery,
     RejectReason, Replica, Subject,
 };
 use linnetknot_simnet::Micros;
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::BTreeMap;
 
 /// The loop comes to its sockets between two looks at the logs.
 const MIN_PAUSE_US: Micros = 1_000;
@@ -18,19 +18,6 @@
 /// How often entries whose time is over are looked for.
 const EXPIRE_US: Micros = 60_000_000;
 
-/// How often a purge is told again by its plain datagram.
-const REPEATS: u8 = 2;
-
-/// The object that a purge of this number is about.
-fn object(purge: PurgeNumber) -> String {
-    format!("{purge:032x}")
-}
-
-/// The purge that is about an object.
-fn purge_of(object: &str) -> Option<PurgeNumber> {
-    PurgeNumber::from_str_radix(object, 16).ok()
-}
-
 /// What a member's disk has when its process ends, for the next one.
 #[derive(Clone, Debug, Default)]
 pub struct DiskContents {
@@ -58,14 +45,6 @@
     }
 }
 
-/// A plain purge datagram that is to be sent again.
-#[derive(Clone, Debug)]
-struct Repeat {
-    at: Micros,
-    text: String,
-    left: u8,
-}
-
 /// The logs of one member.
 #[derive(Clone, Debug)]
 pub(super) struct PurgeLog {
@@ -74,10 +53,7 @@
     due: Micros,
     expires: Micros,
     commits: BTreeMap<CommitId, PurgeNumber>,
-    repeats: VecDeque<Repeat>,
     recovery: Option<Recovery>,
-    repeat_us: Micros,
-    sends_plain: bool,
 }
 
 impl PurgeLog {
@@ -98,10 +74,7 @@
             due: now,
             expires: now,
             commits: BTreeMap::new(),
-            repeats: VecDeque::new(),
             recovery,
-            repeat_us: config.repeat_us,
-            sends_plain: config.sends_plain_purges,
         }
     }
 
@@ -129,17 +102,15 @@
 
     pub(super) fn due(&self) -> Micros {
         let recovery = self.recovery.as_ref().and_then(Recovery::due);
-        let repeat = self.repeats.front().map(|repeat| repeat.at);
-        [self.disk.due(), recovery, repeat].into_iter().flatten().fold(self.due, Micros::min)
+        [self.disk.due(), recovery].into_iter().flatten().fold(self.due, Micros::min)
     }
 
-    /// What is due: entries that are synced, the logs' own period, plain purges that go out again, and recovery.
+    /// What is due: entries that are synced, the logs' own period, and recovery.
     pub(super) fn tick(&mut self, now: Micros, outbox: &mut Outbox, events: &mut Vec<MemberEvent>) {
         self.sync(now, outbox, events);
         if self.due <= now {
             self.exchange(now, outbox, events);
         }
-        self.repeat(now, outbox);
         self.recover(now, outbox);
     }
 
@@ -177,20 +148,6 @@
         }
     }
 
-    fn repeat(&mut self, now: Micros, outbox: &mut Outbox) {
-        while self.repeats.front().is_some_and(|repeat| repeat.at <= now) {
-            let Some(Repeat { text, left, .. }) = self.repeats.pop_front() else { return };
-            self.tell_plain(text, left, now, outbox);
-        }
-    }
-
-    fn tell_plain(&mut self, text: String, left: u8, now: Micros, outbox: &mut Outbox) {
-        outbox.broadcast(text.as_bytes());
-        if left > 0 {
-            self.repeats.push_back(Repeat { at: now + self.repeat_us, text, left: left - 1 });
-        }
-    }
-
     fn recover(&mut self, now: Micros, outbox: &mut Outbox) {
         let Some(recovery) = &mut self.recovery else { return };
         let (peers, _) = recovery.tick(now);
@@ -227,10 +184,6 @@
         if let Some(bytes) = entry.as_ref().ok().and_then(|entry| Datagram::Entry(entry.clone()).write()) {
             outbox.broadcast(&bytes);
         }
-        let text = plain::write(Some(&object(purge)), 0, now).filter(|_| self.sends_plain);
-        if let Some(text) = text {
-            self.tell_plain(text, REPEATS, now, outbox);
-        }
         match entry {
             Ok(entry) => self.commit(purge, entry.index, now, events),
             Err(why) => events.push(MemberEvent::Refused { purge, why }),
@@ -286,18 +239,20 @@
         true
     }
 
-    /// Takes in a plain purge datagram, which goes into this member's own log if no log has it; false where it is none.
-    pub(super) fn receive_plain(&mut self, bytes: &[u8], now: Micros, events: &mut Vec<MemberEvent>) -> bool {
-        let Some((Some(object), _, at)) = plain::read(bytes) else { return false };
-        let Some(purge) = purge_of(&object) else { return true };
-        events.push(MemberEvent::InForce { purge });
-        let known = self.replica.log_store().latest(&Subject::Object(object));
-        if known.is_none_or(|known| known < at) {
-            if let Err(why) = self.append(purge, at, now) {
-                events.push(MemberEvent::NotKept { purge, why });
-            }
+    /// Writes a purge of a peer that does not replicate logs into this member's own log, if no log has it.
+    pub(super) fn write_plain(
+        &mut self,
+        PlainPurge { purge, at }: PlainPurge,
+        now: Micros,
+        events: &mut Vec<MemberEvent>,
+    ) {
+        let known = self.replica.log_store().latest(&Subject::Object(object(purge)));
+        if known.is_some_and(|known| known >= at) {
+            return;
+        }
+        if let Err(why) = self.append(purge, at, now) {
+            events.push(MemberEvent::NotKept { purge, why });
         }
-        true
     }
 
     /// What the next process finds on the disk. Only one that ends in order, with all on the disk, goes on with its log.
--- a/rehearse/src/scale/slopes.rs
+++ b/rehearse/src/scale/slopes.rs
@@ -99,9 +99,9 @@
     ] {
         command.arg(name).arg(value);
     }
-    let Without { plain_purges, budgets } = options.without;
-    let left_out = [("--without-plain-purges", plain_purges), ("--without-budgets", budgets)];
-    command.args(left_out.into_iter().filter(|(_, is_left_out)| *is_left_out).map(|(name, _)| name));
+    if options.without.budgets {
+        command.arg("--without-budgets");
+    }
     if let Some(target) = &options.target {
         command.arg("--target").arg(target);
     }
--- a/rehearse/tests/scale.rs
+++ b/rehearse/tests/scale.rs
@@ -19,9 +19,9 @@
     Target::load(None).expect("the built-in target can be read")
 }
 
-/// A small fleet that sends purges by its logs alone: the daemon's plain datagrams are known to spoil the logs.
+/// A small fleet.
 fn run(fault: Fault) -> Run {
-    let without = Without { plain_purges: true, budgets: false };
+    let without = Without::default();
     Run { members: MEMBERS, seed: 4_711, seconds: 4, fault, target: target(), without, plants: Vec::new() }
 }
 
@@ -92,10 +92,8 @@
 
 #[test]
 fn purges_beyond_the_capacity_are_refused_and_said_so() {
-    // Plain purge datagrams make members write what others have written: a trial at a size where the logs fill is long,
-    // so that a target of many purges fills them here.
     let target = Target { purges_per_second: 6_000, ..target() };
-    let without = Without { plain_purges: true, budgets: true };
+    let without = Without { budgets: true };
     let run = Run { members: 3, target, without, ..run(Fault::Calm) };
     let verdict = play(&run).verdict;
     assert!(verdict.breaks(Rule::PurgeHasRoom), "{verdict:?}");
@@ -154,7 +152,7 @@
 
 #[test]
 fn a_late_member_gets_all_that_a_full_fleet_has() {
-    let without = Without { plain_purges: true, budgets: true };
+    let without = Without { budgets: true };
     let run = Run { members: 12, without, ..quiet(Fault::LateJoin) };
     let outcome = play(&run);
     assert!(outcome.verdict.is_sound(), "{:?}", outcome.verdict);
@@ -289,7 +287,7 @@
 
 #[test]
 fn a_sound_run_ends_with_0_and_slopes_say_what_they_skip() {
-    let sound = ["--without-plain-purges", "--without-budgets", "--seconds", "1"];
+    let sound = ["--without-budgets", "--seconds", "1"];
     let (status, said) = scale(&[&["--members", "20"], &sound[..]].concat());
     assert_eq!(status, Some(0), "{said}");
     let (status, said) = scale(&[&["--slopes", "10,20,100000"], &sound[..]].concat());
