--- a/rehearse/src/scale/hollow/budget_share.rs
+++ b/rehearse/src/scale/hollow/budget_share.rs
@@ -3,7 +3,7 @@
 use super::config::{FleetConfig, SharedBudget};
 use super::outbox::Outbox;
 use linnetknot_budgets::kinds::Unit;
-use linnetknot_budgets::{wire, Amount, Member as Shareholder, Word as Message};
+use linnetknot_budgets::{wire, Amount, Member as Shareholder, MemberProcess, Message, Outgoing};
 use linnetknot_datagram::Random;
 use linnetknot_simnet::{member_at, peer_index, Micros};
 use std::collections::BTreeMap;
@@ -13,12 +13,12 @@
 
 /// More than is spent now is asked for: so many times as much, and a little besides.
 const AHEAD: Amount = 2;
-const AHEAD_HELD: Amount = 4;
+const AHEAD_CONCURRENT: Amount = 4;
 /// The little of what is counted in millionths.
 const AHEAD_SHARE: Amount = 10;
 
 /// Requests of the origin that a member would hold at a time, at most.
-const MAX_HELD: u64 = 6;
+const MAX_CONCURRENT: u64 = 6;
 /// Millionths of a cold cache that a member would spend, at most.
 const MAX_COLD: u64 = 30_000;
 
@@ -27,7 +27,7 @@
 pub(super) struct BudgetShare {
     index: usize,
     zone: usize,
-    form: u64,
+    fingerprint: u64,
     budgets: Vec<SharedBudget>,
     core: Shareholder,
     due: Micros,
@@ -36,7 +36,7 @@
 
 fn demand(spent: Amount, unit: Unit) -> Amount {
     let more = match unit {
-        Unit::Held => AHEAD_HELD,
+        Unit::Concurrent => AHEAD_CONCURRENT,
         Unit::Millionths => unit.one() / AHEAD_SHARE,
     };
     if spent == 0 {
@@ -49,13 +49,13 @@
 impl BudgetShare {
     pub(super) fn new(config: &FleetConfig, index: usize, now: Micros, seed: u64) -> Self {
         let members = config.members.len();
-        let core =
-            Shareholder::new((index, now), members, &config.budget_limits(), now, config.budget_options());
-        let core = core.unwrap_or_else(|(budget, why)| panic!("the target's budget {budget}: {why}"));
+        let own = MemberProcess { member: index, process: now };
+        let core = Shareholder::new(own, members, &config.budget_specs(), now, config.budget_options());
+        let core = core.unwrap_or_else(|error| panic!("the target's {error}"));
         BudgetShare {
             index,
             zone: config.members[index].zone,
-            form: members as u64,
+            fingerprint: members as u64,
             budgets: config.budgets.clone(),
             core,
             due: now,
@@ -75,7 +75,7 @@
     pub(super) fn tick(&mut self, now: Micros, is_up: impl Iterator<Item = bool>, outbox: &mut Outbox) {
         self.say_demand(now);
         for (peer, is_up) in is_up.enumerate() {
-            self.core.believe(member_at(peer, self.index), is_up);
+            self.core.set_up(member_at(peer, self.index), is_up);
         }
         self.core.tick(now);
         self.send(outbox);
@@ -86,26 +86,28 @@
         for (number, budget) in self.budgets.iter().enumerate() {
             let is_spent_here = budget.zone.is_none_or(|zone| zone == self.zone);
             let wish = match budget.unit {
-                Unit::Held => self.random.below(MAX_HELD + 1),
+                Unit::Concurrent => self.random.below(MAX_CONCURRENT + 1),
                 Unit::Millionths => self.random.below(MAX_COLD + 1),
             };
-            let (part, _) = self.core.part(now, number);
-            let spent = if is_spent_here { wish.min(part) } else { 0 };
+            let lease = self.core.lease(now, number);
+            let spent = if is_spent_here { wish.min(lease.amount) } else { 0 };
             let wanted = if is_spent_here { demand(wish, budget.unit) } else { 0 };
-            self.core.want(number, wanted, spent);
+            self.core.set_demand(number, wanted, spent);
         }
     }
 
     /// Takes in a datagram of the budgets; false where it is none.
     pub(super) fn receive(&mut self, from: usize, bytes: &[u8], now: Micros, outbox: &mut Outbox) -> bool {
-        let (form, life, messages) = match wire::read(bytes) {
+        let datagram = match wire::read(bytes) {
             Err(wire::DecodeError::Foreign) => return false,
             Err(_) => return true,
             Ok(read) => read,
         };
-        if form == self.form {
-            let from = member_at(from, self.index);
-            messages.into_iter().for_each(|message| self.core.hear(now, (from, life), message));
+        if datagram.fingerprint == self.fingerprint {
+            let from = MemberProcess { member: member_at(from, self.index), process: datagram.process };
+            for message in datagram.messages {
+                self.core.receive(now, from, message);
+            }
             self.send(outbox);
         }
         true
@@ -113,12 +115,12 @@
 
     fn send(&mut self, outbox: &mut Outbox) {
         let mut by_member = BTreeMap::<usize, Vec<Message>>::new();
-        for (to, message) in self.core.sends() {
+        for Outgoing { to, message } in self.core.outgoing() {
             by_member.entry(to).or_default().push(message);
         }
         for (to, messages) in by_member {
             let peer = peer_index(to, self.index);
-            for bytes in wire::write(self.form, self.core.life(), &messages) {
+            for bytes in wire::write(self.fingerprint, self.core.process(), &messages) {
                 outbox.send(peer, bytes);
             }
         }
--- a/rehearse/src/scale/hollow/config.rs
+++ b/rehearse/src/scale/hollow/config.rs
@@ -2,7 +2,7 @@
 
 use crate::scale::target::Target;
 use linnetknot_budgets::kinds::{self, Unit};
-use linnetknot_budgets::limit::Whole as Limit;
+use linnetknot_budgets::spec::BudgetSpec;
 use linnetknot_budgets::Options as BudgetOptions;
 use linnetknot_daemon::limits::Limits;
 use linnetknot_discovery::server_id;
@@ -41,7 +41,7 @@
     /// What its amounts count.
     pub unit: Unit,
     /// Its limit and the minimum that is reserved for each member.
-    pub limit: Limit,
+    pub spec: BudgetSpec,
     /// The zone whose members spend of it; none: all do.
     pub zone: Option<usize>,
 }
@@ -72,15 +72,15 @@
 fn shared_budgets(members: usize, target: &Target) -> Vec<SharedBudget> {
     let figures = &target.budgets;
     let all = kinds::CACHES.unit.one();
-    let floor = (figures.cold_floors * all as f64 / members as f64) as u64;
-    let cold = Limit { whole: all, floor, felt_us: figures.cold_felt_ms * 1_000 };
-    let whole = figures.origin_requests_per_proxy * members as u64;
-    let origin = Limit { whole, floor: 1, felt_us: figures.origin_felt_ms * 1_000 };
+    let reserved = (figures.cold_reserved_share * all as f64 / members as f64) as u64;
+    let cold = BudgetSpec { limit: all, reserved, settling_us: figures.cold_settling_ms * 1_000 };
+    let limit = figures.origin_requests_per_proxy * members as u64;
+    let origin = BudgetSpec { limit, reserved: 1, settling_us: figures.origin_settling_ms * 1_000 };
     let mut list = vec![
-        SharedBudget { unit: kinds::ORIGIN.unit, limit: origin, zone: None },
-        SharedBudget { unit: kinds::PARENTS.unit, limit: cold, zone: None },
+        SharedBudget { unit: kinds::ORIGIN.unit, spec: origin, zone: None },
+        SharedBudget { unit: kinds::PARENTS.unit, spec: cold, zone: None },
     ];
-    let of_zone = |zone| SharedBudget { unit: kinds::CACHES.unit, limit: cold, zone: Some(zone) };
+    let of_zone = |zone| SharedBudget { unit: kinds::CACHES.unit, spec: cold, zone: Some(zone) };
     list.extend((0..target.zones).map(of_zone));
     list
 }
@@ -114,15 +114,15 @@
         }
     }
 
-    /// The limits of all budgets.
-    pub fn budget_limits(&self) -> Vec<Limit> {
-        self.budgets.iter().map(|budget| budget.limit).collect()
+    /// All budgets as they are configured.
+    pub fn budget_specs(&self) -> Vec<BudgetSpec> {
+        self.budgets.iter().map(|budget| budget.spec).collect()
     }
 
     /// Times of the budgets' core.
     pub fn budget_options(&self) -> BudgetOptions {
-        let felt_us = self.budgets.iter().map(|budget| budget.limit.felt_us).max().unwrap_or(0);
-        BudgetOptions::default().felt_for(felt_us)
+        let settling_us = self.budgets.iter().map(|budget| budget.spec.settling_us).max().unwrap_or(0);
+        BudgetOptions::default().with_settling_time(settling_us)
     }
 
     /// The peers of a member, in the order of its list.
--- a/rehearse/src/scale/hollow/mod.rs
+++ b/rehearse/src/scale/hollow/mod.rs
@@ -81,7 +81,7 @@
 pub enum Defect {
     /// It drops all entries and plain purges that peers send.
     DropsPurges,
-    /// It counts its part of each budget twice.
+    /// It spends twice its lease of each budget.
     SpendsTwice,
 }
 
@@ -339,7 +339,7 @@
     /// How much it may spend of a budget now.
     pub fn may_spend(&self, budget: usize, now: Micros) -> u64 {
         let Some(budgets) = &self.budgets else { return 0 };
-        let (amount, _) = budgets.core().part(now, budget);
+        let amount = budgets.core().lease(now, budget).amount;
         match self.defect {
             Some(Defect::SpendsTwice) => 2 * amount,
             _ => amount,
@@ -349,7 +349,7 @@
     /// Whether it allocates any budget.
     pub fn is_allocator(&self, now: Micros) -> bool {
         let Some(core) = self.budgets.as_ref().map(BudgetShare::core) else { return false };
-        (0..self.config.budgets.len()).any(|budget| core.divides(now, core.group(budget)))
+        (0..self.config.budgets.len()).any(|budget| core.leads(now, core.group(budget)))
     }
 
     /// A sum over all its logs: members with the same sum have the same logs.
--- a/rehearse/src/scale/simulation/checks.rs
+++ b/rehearse/src/scale/simulation/checks.rs
@@ -30,7 +30,7 @@
     pub(super) fn check_budgets(&mut self) {
         self.queue.schedule(self.now + CHECK_BUDGETS_US, Event::CheckBudgets);
         for number in 0..self.config.budgets.len() {
-            let limit = self.config.budgets[number].limit.whole;
+            let limit = self.config.budgets[number].spec.limit;
             let sum: u64 = self.running().map(|(_, member)| member.may_spend(number, self.now)).sum();
             if sum > limit {
                 let example = || format!("budget {number}: {sum} of {limit}");
--- a/rehearse/src/scale/target.rs
+++ b/rehearse/src/scale/target.rs
@@ -65,11 +65,11 @@
     /// Requests that the origin holds at a time, for each proxy.
     pub origin_requests_per_proxy: u64,
     /// How long such a request is held at most.
-    pub origin_felt_ms: u64,
-    /// How long work for a cold cache is felt.
-    pub cold_felt_ms: u64,
+    pub origin_settling_ms: u64,
+    /// How long work for a cold cache occupies it.
+    pub cold_settling_ms: u64,
     /// Share of the budgets of cold caches that is reserved for all proxies, in equal parts.
-    pub cold_floors: f64,
+    pub cold_reserved_share: f64,
 }
 
 /// Conditions of a link by the distance between its ends.
