--- /dev/null
+++ b/rehearse/src/scale/hollow/budget_share.rs
@@ -0,0 +1,129 @@
+//! A hollow member's part of what all members spend, as the daemon drives it, with a demand that is drawn.
+
+use super::config::{FleetConfig, SharedBudget};
+use super::outbox::Outbox;
+use linnetknot_budgets::kinds::Unit;
+use linnetknot_budgets::{wire, Amount, Member as Shareholder, MemberProcess, Message, Outgoing};
+use linnetknot_datagram::Random;
+use linnetknot_simnet::{member_at, peer_index, Micros};
+use std::collections::BTreeMap;
+
+/// The loop comes to its sockets between two looks at the budgets.
+const MIN_PAUSE_US: Micros = 1_000;
+
+/// More than is spent now is asked for: so many times as much, and a little besides.
+const AHEAD: Amount = 2;
+const AHEAD_CONCURRENT: Amount = 4;
+/// The little of what is counted in millionths.
+const AHEAD_SHARE: Amount = 10;
+
+/// Requests of the origin that a member would hold at a time, at most.
+const MAX_CONCURRENT: u64 = 6;
+/// Millionths of a cold cache that a member would spend, at most.
+const MAX_COLD: u64 = 30_000;
+
+/// A member's part of all budgets.
+#[derive(Clone, Debug)]
+pub(super) struct BudgetShare {
+    index: usize,
+    zone: usize,
+    fingerprint: u64,
+    budgets: Vec<SharedBudget>,
+    core: Shareholder,
+    due: Micros,
+    random: Random,
+}
+
+fn demand(spent: Amount, unit: Unit) -> Amount {
+    let more = match unit {
+        Unit::Concurrent => AHEAD_CONCURRENT,
+        Unit::Millionths => unit.one() / AHEAD_SHARE,
+    };
+    if spent == 0 {
+        0
+    } else {
+        AHEAD * spent + more
+    }
+}
+
+impl BudgetShare {
+    pub(super) fn new(config: &FleetConfig, index: usize, now: Micros, seed: u64) -> Self {
+        let members = config.members.len();
+        let own = MemberProcess { member: index, process: now };
+        let core = Shareholder::new(own, members, &config.budget_specs(), now, config.budget_options());
+        let core = core.unwrap_or_else(|error| panic!("the target's {error}"));
+        BudgetShare {
+            index,
+            zone: config.members[index].zone,
+            fingerprint: members as u64,
+            budgets: config.budgets.clone(),
+            core,
+            due: now,
+            random: Random::new(seed ^ (index as u64).rotate_left(20)),
+        }
+    }
+
+    pub(super) fn core(&self) -> &Shareholder {
+        &self.core
+    }
+
+    pub(super) fn due(&self) -> Micros {
+        self.due
+    }
+
+    /// Once in a while: what is wanted and spent, who runs, and what time has brought.
+    pub(super) fn tick(&mut self, now: Micros, is_up: impl Iterator<Item = bool>, outbox: &mut Outbox) {
+        self.say_demand(now);
+        for (peer, is_up) in is_up.enumerate() {
+            self.core.set_up(member_at(peer, self.index), is_up);
+        }
+        self.core.tick(now);
+        self.send(outbox);
+        self.due = self.core.due().max(now + MIN_PAUSE_US);
+    }
+
+    fn say_demand(&mut self, now: Micros) {
+        for (number, budget) in self.budgets.iter().enumerate() {
+            let is_spent_here = budget.zone.is_none_or(|zone| zone == self.zone);
+            let wish = match budget.unit {
+                Unit::Concurrent => self.random.below(MAX_CONCURRENT + 1),
+                Unit::Millionths => self.random.below(MAX_COLD + 1),
+            };
+            let lease = self.core.lease(now, number);
+            let spent = if is_spent_here { wish.min(lease.amount) } else { 0 };
+            let wanted = if is_spent_here { demand(wish, budget.unit) } else { 0 };
+            self.core.set_demand(number, wanted, spent);
+        }
+    }
+
+    /// Takes in a datagram of the budgets; false where it is none.
+    pub(super) fn receive(&mut self, from: usize, bytes: &[u8], now: Micros, outbox: &mut Outbox) -> bool {
+        let datagram = match wire::read(bytes) {
+            Err(wire::DecodeError::Foreign) => return false,
+            Err(_) => return true,
+            Ok(read) => read,
+        };
+        if datagram.fingerprint == self.fingerprint {
+            let from = MemberProcess { member: member_at(from, self.index), process: datagram.process };
+            for message in datagram.messages {
+                self.core.receive(now, from, message);
+            }
+            self.send(outbox);
+        }
+        true
+    }
+
+    fn send(&mut self, outbox: &mut Outbox) {
+        let mut by_member = BTreeMap::<usize, Vec<Message>>::new();
+        for Outgoing { to, message } in self.core.outgoing() {
+            by_member.entry(to).or_default().push(message);
+        }
+        for (to, messages) in by_member {
+            let peer = peer_index(to, self.index);
+            for bytes in wire::write(self.fingerprint, self.core.process(), &messages) {
+                outbox.send(peer, bytes);
+            }
+        }
+        self.core.changes();
+    }
+}
