--- a/rehearse/src/scale/command.rs
+++ b/rehearse/src/scale/command.rs
@@ -49,6 +49,12 @@
     /// A trial: members share no budgets.
     #[arg(long)]
     without_budgets: bool,
+    /// Entries that a member holds exactly before it compacts the oldest; by default the daemon's bound.
+    #[arg(long, value_parser = value_parser!(u64).range(16..=1 << 24))]
+    exact_entries: Option<u64>,
+    /// Purges a second over the whole fleet, in place of the target's.
+    #[arg(long, value_parser = value_parser!(u64).range(1..=100_000))]
+    purges_per_second: Option<u64>,
     /// Runs fleets of these sizes (`100,400,1600`), each in a process of its own, and fits each figure to the size.
     #[arg(long, value_delimiter = ',', conflicts_with_all = ["members", "json"],
           value_parser = value_parser!(u64).range(2..=MAX_MEMBERS))]
@@ -79,6 +85,8 @@
         let file = arguments.target.as_deref().unwrap_or(Path::new("the built-in target"));
         named(file, error)
     })?;
+    let purges_per_second = arguments.purges_per_second.unwrap_or(target.purges_per_second);
+    let target = Target { purges_per_second, ..target };
     Ok(Run {
         members: arguments.members as usize,
         seed: arguments.seed,
@@ -86,6 +94,7 @@
         fault: arguments.fault,
         target,
         without: Without { budgets: arguments.without_budgets },
+        exact_entries: arguments.exact_entries.map(|entries| entries as usize),
         plants: Vec::new(),
     })
 }
@@ -93,9 +102,10 @@
 /// Whether the machine's memory holds a run.
 fn admit(run: &Run) -> Result<(), String> {
     let Some(available) = memory::available() else { return Ok(()) };
-    let config = FleetConfig::new(&vec![0; run.members], &run.target, run.without);
+    let config = FleetConfig::of(run, &vec![0; run.members]);
     let purges = run.target.purges_per_second * run.seconds;
-    let entries = (prefill::entries(run, &config) + purges as usize).min(config.replication.entries);
+    let entries =
+        (prefill::entries(run, &config) + purges as usize).min(config.replication.max_exact_entries);
     let too_large = memory::admit(run.members, entries, available).err();
     too_large.map_or(Ok(()), |error| Err(format!("--members {}: {error}", run.members)))
 }
--- a/rehearse/src/scale/hollow/mod.rs
+++ b/rehearse/src/scale/hollow/mod.rs
@@ -83,6 +83,8 @@
     DropsPurges,
     /// It spends twice its lease of each budget.
     SpendsTwice,
+    /// It never compacts its logs.
+    NeverCompacts,
 }
 
 /// How far a log goes.
@@ -288,6 +290,9 @@
 
     /// Does what is due.
     pub fn tick(&mut self, now: Micros) {
+        if self.defect != Some(Defect::NeverCompacts) {
+            self.purge_log.compact(now);
+        }
         self.purge_log.tick(now, &mut self.outbox, &mut self.events);
         for plain in self.plain_purges.tick(now, &self.membership, &mut self.outbox) {
             self.purge_log.write_plain(plain, now, &mut self.events);
@@ -352,6 +357,11 @@
         (0..self.config.budgets.len()).any(|budget| core.leads(now, core.group(budget)))
     }
 
+    /// Whether no copy of a purge's object from before the purge would be served.
+    pub fn is_in_force(&self, purge: PurgeNumber, at: Micros) -> bool {
+        self.purge_log.is_in_force(purge, at)
+    }
+
     /// A sum over all its logs: members with the same sum have the same logs.
     pub fn digest(&self) -> u64 {
         self.purge_log.replica().log_store().checksum()
--- a/rehearse/src/scale/simulation/mod.rs
+++ b/rehearse/src/scale/simulation/mod.rs
@@ -69,6 +69,8 @@
     pub target: Target,
     /// Parts of the daemon that are left out, in trials.
     pub without: Without,
+    /// Entries that a member holds exactly; none: as many as the daemon.
+    pub exact_entries: Option<usize>,
     /// Planted faults; none but in tests.
     pub plants: Vec<Plant>,
 }
@@ -192,7 +194,7 @@
         let layout = Layout::new(run.members, &run.target);
         let zones: Vec<usize> = (0..run.members).map(|member| layout.position(member).zone).collect();
         let from = START + WARM_UP_US;
-        let config = FleetConfig::new(&zones, &run.target, run.without);
+        let config = FleetConfig::of(run, &zones);
         let node = || Node { member: None, wakes: NEVER, running_since: NEVER, disk: None, crashed_at: None };
         Simulation {
             run,
