Run real daemons beside hollow proxies: rehearse scale-daemons

Virtual time tells what the cores do, and not what a daemon's process takes from the system.

Three daemons or more on loopback and hollow members in one process, each of these with a UDP socket of its own on one poll. A run whose hollow members do not keep pace is named as not measured. Hollow members take the daemons' budgets by a form in their configuration.

--- a/rehearse/src/main.rs
+++ b/rehearse/src/main.rs
@@ -79,6 +79,9 @@
     /// Runs a whole fleet of hollow proxies, thousands in one process, on virtual time, and prints what each role spends
     /// beside its limit. Exits with 1 where something is wrong, with 2 where it can't be run.
     Scale(scale::command::Arguments),
+    /// Runs real daemons beside hollow proxies that speak to them by sockets, and prints what each daemon spends on
+    /// control beside its limit. Exits with 1 where something is wrong, with 2 where it can't be run.
+    ScaleDaemons(scale::daemons::command::Arguments),
     /// Lists the shipped scenarios.
     List,
     /// Plays a scenario: proxies, boxes that behave, hub caches, an origin and the planned load, on this machine.
@@ -422,6 +425,7 @@
             run_moments(&moments::cases(plays as usize, seed), jobs.into(), &beside(daemon), plant.as_deref())
         }
         Some(Command::Scale(arguments)) => scale::command::run(&arguments),
+        Some(Command::ScaleDaemons(arguments)) => scale::daemons::command::run(&arguments),
         Some(Command::List) => list(),
         Some(Command::Play { file, seed, daemon, json }) => {
             ExitCode::from(play(read(&file), seed, daemon, json))
--- /dev/null
+++ b/rehearse/src/scale/daemons/purge_plan.rs
@@ -0,0 +1,102 @@
+//! Which purges are told when and where, and the clients that tell the daemons of theirs.
+
+use super::real;
+use crate::scale::hollow::PurgeNumber;
+use hdrhistogram::Histogram;
+use linnetknot_datagram::Random;
+use linnetknot_simnet::Micros;
+use std::net::SocketAddr;
+use std::thread::{self, JoinHandle};
+use std::time::{Duration, Instant};
+
+const SECOND_US: Micros = 1_000_000;
+
+/// A purge that is to be told.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct PlannedPurge {
+    /// How long after the beginning.
+    pub after_us: Micros,
+    /// Which.
+    pub number: PurgeNumber,
+    /// Whom.
+    pub member: usize,
+}
+
+/// The object that a purge of this number is about, as hollow members name it.
+fn object(purge: PurgeNumber) -> String {
+    format!("{purge:032x}")
+}
+
+/// Purges at an even rate, each told to one of all members, which are drawn with equal chances.
+pub fn plan(members: usize, per_second: u64, seconds: u64, seed: u64) -> Vec<PlannedPurge> {
+    let mut random = Random::new(seed);
+    let purges = per_second * seconds;
+    let planned = (0..purges).map(|number| PlannedPurge {
+        after_us: seconds * SECOND_US * number / purges,
+        number,
+        member: random.below(members as u64) as usize,
+    });
+    planned.collect()
+}
+
+/// What became of the purges that one daemon was told by its second front.
+#[derive(Debug)]
+pub struct ToldDaemon {
+    /// How long each answer took, in microseconds.
+    pub answers: Histogram<u64>,
+    /// Those that were refused, and why.
+    pub refused: Vec<String>,
+}
+
+/// A client that tells one daemon of its purges, each when it is due, on a thread of its own.
+pub struct TriggerClient(JoinHandle<ToldDaemon>);
+
+impl TriggerClient {
+    /// Begins.
+    pub fn start(cdni: SocketAddr, purges: Vec<PlannedPurge>) -> Self {
+        let begun = Instant::now();
+        TriggerClient(thread::spawn(move || tell(cdni, &purges, begun)))
+    }
+
+    /// Whether all are answered.
+    pub fn is_finished(&self) -> bool {
+        self.0.is_finished()
+    }
+
+    /// Waits until all are answered.
+    pub fn join(self) -> ToldDaemon {
+        let gave_up = |_| ToldDaemon {
+            answers: super::acks::delay_histogram(),
+            refused: vec!["the client that tells purges gave up".to_owned()],
+        };
+        self.0.join().unwrap_or_else(gave_up)
+    }
+}
+
+fn tell(cdni: SocketAddr, purges: &[PlannedPurge], begun: Instant) -> ToldDaemon {
+    let mut told = ToldDaemon { answers: super::acks::delay_histogram(), refused: Vec::new() };
+    for purge in purges {
+        let due = begun + Duration::from_micros(purge.after_us);
+        thread::sleep(due.saturating_duration_since(Instant::now()));
+        let sent = Instant::now();
+        match real::purge(cdni, &object(purge.number)) {
+            Ok(()) => told.answers.saturating_record(sent.elapsed().as_micros() as u64),
+            Err(why) => told.refused.push(format!("purge {}: {why}", purge.number)),
+        }
+    }
+    told
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn purges_come_at_an_even_rate_and_reach_all_members() {
+        let purges = plan(4, 100, 2, 1);
+        assert_eq!((purges.len(), purges[100].after_us), (200, SECOND_US));
+        assert!((0..4).all(|member| purges.iter().any(|purge| purge.member == member)));
+        assert_eq!(purges, plan(4, 100, 2, 1));
+        assert!(plan(4, 0, 2, 1).is_empty());
+    }
+}
--- /dev/null
+++ b/rehearse/src/scale/daemons/slopes.rs
@@ -0,0 +1,111 @@
+//! Runs of several sizes, and how each figure of the worst daemon grows with the size.
+
+use super::report::{DaemonReport, Report};
+use crate::scale::fit::{exponent, line, Point};
+use std::fmt::Write;
+
+/// A figure that is fitted.
+struct Figure {
+    name: &'static str,
+    of: fn(&DaemonReport) -> f64,
+}
+
+const FIGURES: [Figure; 7] = [
+    Figure { name: "CPU % at rest", of: |daemon| daemon.at_rest.processor_percent },
+    Figure { name: "CPU % under load", of: |daemon| daemon.under_load.processor_percent },
+    Figure { name: "RSS MB at rest", of: |daemon| daemon.at_rest.memory_mb },
+    Figure { name: "RSS MB under load", of: |daemon| daemon.under_load.memory_mb },
+    Figure { name: "KB/s at rest", of: |daemon| daemon.at_rest.estimated_kilobytes },
+    Figure { name: "KB/s under load", of: |daemon| daemon.under_load.estimated_kilobytes },
+    Figure { name: "ms acknowledged, p99", of: |daemon| daemon.acknowledged.p99_ms },
+];
+
+/// What came of a size.
+#[derive(Debug)]
+pub enum SizeOutcome {
+    /// It ran.
+    Ran(Box<Report>),
+    /// It was not run, or does not count, and why.
+    NotRun(String),
+}
+
+/// A size and what came of it.
+#[derive(Debug)]
+pub struct SizeRun {
+    /// Hollow members.
+    pub members: usize,
+    /// What came of it.
+    pub outcome: SizeOutcome,
+}
+
+impl SizeRun {
+    /// Its report, if it ran.
+    pub fn report(&self) -> Option<&Report> {
+        match &self.outcome {
+            SizeOutcome::Ran(report) => Some(report),
+            SizeOutcome::NotRun(_) => None,
+        }
+    }
+}
+
+/// The runs that count: those in which the hollow members kept pace.
+fn measured(runs: &[SizeRun]) -> impl Iterator<Item = &Report> {
+    runs.iter().filter_map(|run| match &run.outcome {
+        SizeOutcome::Ran(report) if report.kept_pace => Some(&**report),
+        _ => None,
+    })
+}
+
+/// A table of the worst daemon's figures by size, with their fits.
+pub fn table(runs: &[SizeRun], fleet: usize) -> String {
+    let mut out =
+        "figures of the worst daemon; size: all members, daemons and hollow ones\n\n| figure |".to_owned();
+    measured(runs).for_each(|report| out += &format!(" {} |", report.daemons + report.members));
+    out += &format!(" slope a member | constant | residual | power | line at {fleet} (not run) |\n");
+    out += &"| --- ".repeat(measured(runs).count() + 6);
+    out += "|\n";
+    FIGURES.iter().for_each(|figure| out += &row(figure, runs, fleet));
+    out += "\n";
+    for SizeRun { members, outcome } in runs {
+        // Writing to a string does not fail.
+        let _ = match outcome {
+            SizeOutcome::NotRun(why) => writeln!(out, "NOT RUN {members} hollow members: {why}"),
+            SizeOutcome::Ran(report) if !report.kept_pace => {
+                writeln!(out, "NOT MEASURED {members} hollow members: they did not keep pace")
+            }
+            SizeOutcome::Ran(report) => writeln!(
+                out,
+                "ran {members} hollow members: {} wrong, {} over",
+                report.wrong.len(),
+                report.over.len()
+            ),
+        };
+    }
+    out
+}
+
+fn row(figure: &Figure, runs: &[SizeRun], fleet: usize) -> String {
+    let points: Vec<Point> = measured(runs)
+        .map(|report| Point {
+            size: (report.daemons + report.members) as f64,
+            figure: report.worst_figure(figure.of),
+        })
+        .collect();
+    let cells: String = points.iter().map(|point| format!(" {:.2} |", point.figure)).collect();
+    let fitted = match line(&points) {
+        None => " - | - | - | - | - |".to_owned(),
+        Some(line) => {
+            let power = exponent(&points).map_or("-".to_owned(), |power| format!("{power:.2}"));
+            let at_fleet = line.slope * fleet as f64 + line.constant;
+            // A line that falls says that the figure does not grow with the size, and nothing of a larger one.
+            let at_fleet = if line.slope > 0.0 { format!("{at_fleet:.1}") } else { "-".to_owned() };
+            format!(
+                " {:.5} | {:.2} | {:.0}% | {power} | {at_fleet} |",
+                line.slope,
+                line.constant,
+                100.0 * line.residual
+            )
+        }
+    };
+    format!("| {} |{cells}{fitted}\n", figure.name)
+}
--- a/rehearse/src/scale/hollow/budget_share.rs
+++ b/rehearse/src/scale/hollow/budget_share.rs
@@ -55,7 +55,7 @@
         BudgetShare {
             index,
             zone: config.members[index].zone,
-            fingerprint: members as u64,
+            fingerprint: config.budget_fingerprint,
             budgets: config.budgets.clone(),
             core,
             due: now,
--- a/rehearse/src/scale/hollow/config.rs
+++ b/rehearse/src/scale/hollow/config.rs
@@ -54,6 +54,8 @@
     pub members: Vec<MemberName>,
     /// The budgets: the origin's, the cold parents', and one of cold caches for each zone of the target.
     pub budgets: Vec<SharedBudget>,
+    /// Stands for what is shared, and among how many: members with another one do not share.
+    pub budget_fingerprint: u64,
     /// The daemon's bounds.
     pub replication: ReplicationOptions,
     /// A purge is told again after this, by its plain datagram.
@@ -105,6 +107,7 @@
         FleetConfig {
             members: zones.iter().enumerate().map(member).collect(),
             budgets: if without.budgets { Vec::new() } else { shared_budgets(zones.len(), target) },
+            budget_fingerprint: zones.len() as u64,
             replication,
             repeat_us: limits.repeat_us,
             plain_purge_grace_us: limits.plain_purge_grace_us,
--- a/rehearse/src/scale/mod.rs
+++ b/rehearse/src/scale/mod.rs
@@ -2,6 +2,7 @@
 //! distance, measured against the figures of a target.
 
 pub mod command;
+pub mod daemons;
 pub mod delivery;
 pub mod fault;
 pub mod fit;
--- /dev/null
+++ b/rehearse/tests/scale_daemons.rs
@@ -0,0 +1,123 @@
+//! The verdict and the tables of runs with real daemons, on outcomes that are made up.
+
+use linnetknot_rehearse::scale::daemons::acks::delay_histogram;
+use linnetknot_rehearse::scale::daemons::host::{RefusedPurge, Traffic};
+use linnetknot_rehearse::scale::daemons::purge_plan::ToldDaemon;
+use linnetknot_rehearse::scale::daemons::report::Report;
+use linnetknot_rehearse::scale::daemons::run::{DaemonOutcome, Outcome, Run, Spent};
+use linnetknot_rehearse::scale::daemons::slopes::{table, SizeOutcome, SizeRun};
+use linnetknot_rehearse::scale::hollow::Refusal;
+use linnetknot_rehearse::scale::target::Target;
+use std::path::PathBuf;
+use std::time::Duration;
+
+const MEGABYTE: u64 = 1_000_000;
+const SECONDS: f64 = 10.0;
+
+fn run(members: usize) -> Run {
+    Run {
+        program: PathBuf::new(),
+        daemons: 3,
+        members,
+        seconds: SECONDS as u64,
+        rest_seconds: SECONDS as u64,
+        purges_per_second: 110,
+        seed: 1,
+        target: Target::load(None).expect("the built-in target is sound"),
+    }
+}
+
+/// A daemon that spent so many hundredths of a core and sent so many bytes.
+fn spent(hundredths: u64, bytes_out: u64) -> Spent {
+    Spent {
+        seconds: SECONDS,
+        processor_time: Duration::from_millis(hundredths * 100),
+        resident_bytes: 10 * MEGABYTE,
+        peak_resident_bytes: 10 * MEGABYTE,
+        traffic: Traffic { bytes_out, ..Traffic::default() },
+        dropped: 0,
+    }
+}
+
+fn daemon(under_load: Spent) -> DaemonOutcome {
+    DaemonOutcome {
+        at_rest: spent(1, 0),
+        under_load,
+        ack_delays: delay_histogram(),
+        unacknowledged: 0,
+        told: ToldDaemon { answers: delay_histogram(), refused: Vec::new() },
+        entries: 1_100,
+        logs: 19,
+        is_settled: true,
+    }
+}
+
+fn sound(daemons: Vec<DaemonOutcome>) -> Outcome {
+    Outcome {
+        daemons,
+        hollow_purges: 1_000,
+        refused: Vec::new(),
+        false_deaths: 0,
+        warm_up_us: Some(1),
+        settling_us: Some(1),
+        lateness_p99_us: 10,
+        lateness_max_us: 20,
+        host_processor_share: 0.1,
+    }
+}
+
+#[test]
+fn a_sound_run_is_told_without_a_word_of_wrong_or_over() {
+    let report = Report::of(&run(16), &sound(vec![daemon(spent(4, MEGABYTE / 10))]));
+    assert_eq!((report.wrong.len(), report.over.len(), report.kept_pace), (0, 0, true));
+    let figures = report.by_daemon[0].under_load;
+    assert_eq!((figures.processor_percent, figures.memory_mb, figures.counted_kilobytes), (4.0, 10.0, 10.0));
+    // What went between daemons is estimated as if each of them were one hollow member more.
+    assert_eq!(figures.estimated_kilobytes, 10.0 * 18.0 / 16.0);
+}
+
+#[test]
+fn the_worst_daemon_counts_and_not_the_mean() {
+    let report = Report::of(&run(16), &sound(vec![daemon(spent(1, 0)), daemon(spent(6, 0))]));
+    assert_eq!(report.over, ["CPU % under load: 6.00 of 4.9"]);
+    assert!(report.table(&run(16).target.limits).contains("OVER CPU % under load"));
+}
+
+#[test]
+fn each_fault_is_named() {
+    let mut lacking = daemon(spent(1, 0));
+    (lacking.unacknowledged, lacking.is_settled) = (2, false);
+    lacking.told.refused.push("purge 7: answered 503".to_owned());
+    let outcome = Outcome {
+        refused: vec![RefusedPurge { member: 5, purge: 9, why: Refusal::Acknowledgements }],
+        settling_us: None,
+        warm_up_us: None,
+        ..sound(vec![daemon(spent(1, 0)), lacking])
+    };
+    let wrong = Report::of(&run(16), &outcome).wrong;
+    let expected = [
+        "not all members knew each other before the run",
+        "not all members had the same logs after quiet time",
+        "daemon 1 acknowledged 2 of 1000 purges of hollow members not at all",
+        "daemon 1 has other logs than the hollow members",
+        "daemon 1 refused purge 7: answered 503",
+        "hollow member 5 refused purge 9: Acknowledgements",
+    ];
+    assert_eq!(wrong, expected);
+}
+
+#[test]
+fn sizes_that_did_not_run_or_keep_pace_are_named_and_not_fitted() {
+    let ran = |members: usize, hundredths: u64, lateness_p99_us: u64| {
+        let outcome = Outcome { lateness_p99_us, ..sound(vec![daemon(spent(hundredths, 0))]) };
+        SizeRun { members, outcome: SizeOutcome::Ran(Box::new(Report::of(&run(members), &outcome))) }
+    };
+    let refused = SizeRun { members: 9_997, outcome: SizeOutcome::NotRun("too few descriptors".to_owned()) };
+    let text = table(&[ran(17, 2, 0), ran(37, 4, 0), ran(997, 90, 5_000_000), refused], 120);
+    assert!(
+        text.contains("| CPU % under load | 2.00 | 4.00 | 0.10000 | 0.00 | 0% | 1.00 | 12.0 |"),
+        "{text}"
+    );
+    assert!(text.contains("NOT MEASURED 997 hollow members"), "{text}");
+    assert!(text.contains("NOT RUN 9997 hollow members: too few descriptors"), "{text}");
+}
