--- a/rehearse/src/scale/daemons/host.rs
+++ b/rehearse/src/scale/daemons/host.rs
@@ -4,6 +4,7 @@
 //! as any datagram, and handed over within the process: it would cost the system's time and no daemon's.
 
 use super::acks::PurgeAcks;
+use super::kind::Kind;
 use super::sockets::MemberSockets;
 use crate::scale::hollow::{
     DiskContents, FleetConfig, HollowMember, MemberEvent, Outgoing, PurgeNumber, Refusal,
@@ -41,6 +42,28 @@
     pub bytes_out: u64,
     /// Datagrams for it that this machine did not take.
     pub unsent: u64,
+    /// The bytes of both directions by kind, in the order of `Kind::ALL`.
+    pub bytes_by_kind: [u64; Kind::ALL.len()],
+}
+
+impl Traffic {
+    /// It was sent a datagram.
+    fn received(&mut self, bytes: &[u8]) {
+        self.datagrams_in += 1;
+        self.bytes_in += self.count_kind(bytes);
+    }
+
+    /// It sent a datagram.
+    fn sent(&mut self, bytes: &[u8]) {
+        self.datagrams_out += 1;
+        self.bytes_out += self.count_kind(bytes);
+    }
+
+    fn count_kind(&mut self, bytes: &[u8]) -> u64 {
+        let with_headers = bytes.len() as u64 + HEADER_BYTES;
+        self.bytes_by_kind[Kind::of(bytes) as usize] += with_headers;
+        with_headers
+    }
 }
 
 /// A purge that a hollow member was refused, or can't keep.
@@ -305,8 +328,7 @@
         for _ in 0..MAX_RECEIVE_BATCH {
             let Some(received) = self.sockets.receive(place, &mut buffer) else { return };
             let bytes = &buffer[..received.length];
-            self.traffic[received.daemon].datagrams_out += 1;
-            self.traffic[received.daemon].bytes_out += bytes.len() as u64 + HEADER_BYTES;
+            self.traffic[received.daemon].sent(bytes);
             self.note_ack(index, received.daemon, bytes);
             self.drive(index, |member, now| member.receive(peer_index(received.daemon, index), bytes, now));
         }
@@ -352,12 +374,10 @@
     fn send_to_daemon(&mut self, from: usize, daemon: usize, bytes: &[u8]) {
         let is_sent = self.sockets.send(from - self.daemons.len(), self.daemons[daemon], bytes);
         let traffic = &mut self.traffic[daemon];
-        if !is_sent {
-            traffic.unsent += 1;
-            return;
+        match is_sent {
+            true => traffic.received(bytes),
+            false => traffic.unsent += 1,
         }
-        traffic.datagrams_in += 1;
-        traffic.bytes_in += bytes.len() as u64 + HEADER_BYTES;
     }
 
     fn note(&mut self, member: usize, event: MemberEvent) {
--- a/rehearse/src/scale/daemons/mod.rs
+++ b/rehearse/src/scale/daemons/mod.rs
@@ -9,6 +9,7 @@
 pub mod acks;
 pub mod command;
 pub mod host;
+pub mod kind;
 pub mod proc_stat;
 pub mod purge_plan;
 pub mod real;
--- a/rehearse/src/scale/daemons/report.rs
+++ b/rehearse/src/scale/daemons/report.rs
@@ -1,5 +1,6 @@
 //! What a run came to, as a table and as JSON, beside the limits.
 
+use super::kind::Kind;
 use super::run::{DaemonOutcome, Outcome, Run, Spent};
 use crate::scale::target::{ControlLimits, Target};
 use hdrhistogram::Histogram;
@@ -26,6 +27,8 @@
     pub counted_kilobytes: f64,
     /// The same and what went between daemons, as if each of them sent as much as a hollow member.
     pub estimated_kilobytes: f64,
+    /// The counted ones by kind, in the order of `Kind::ALL`.
+    pub kilobytes_by_kind: [f64; Kind::ALL.len()],
     /// Datagrams that found no room in its socket.
     pub dropped: u64,
 }
@@ -108,6 +111,7 @@
         datagrams_out: per_second(traffic.datagrams_out),
         counted_kilobytes,
         estimated_kilobytes: counted_kilobytes * all_peers / run.members as f64,
+        kilobytes_by_kind: traffic.bytes_by_kind.map(|bytes| per_second(bytes) / 1e3),
         dropped: spent.dropped,
     }
 }
@@ -187,9 +191,23 @@
                 daemon.entries, daemon.logs
             );
         }
+        out += &self.kinds();
         out + &self.lines()
     }
 
+    /// Kilobytes by kind under load.
+    fn kinds(&self) -> String {
+        let names: String = Kind::ALL.iter().map(|kind| format!(" {} |", kind.name())).collect();
+        let mut out = format!("\n| daemon, KB/s counted under load |{names}\n|");
+        out += &" --- |".repeat(Kind::ALL.len() + 1);
+        for (number, daemon) in self.by_daemon.iter().enumerate() {
+            let cells = daemon.under_load.kilobytes_by_kind.iter();
+            out += &format!("\n| {number} |");
+            cells.for_each(|cell| out += &format!(" {cell:.2} |"));
+        }
+        out + "\n"
+    }
+
     fn head(&self) -> String {
         let known = |ms: Option<u64>| ms.map_or("never".to_owned(), |ms| format!("{ms} ms"));
         format!(
