Look through the acks of all machines only where a commit is pending

Cause: resolve_commits runs after each datagram and sorted the acks of all machines at once (PendingCommits::furthest), also with nothing pending: 13 and 31% of the processor time of scale runs at 300 members and of three daemons beside 200 (perf).

Change: nothing is looked through where no commit is open. scale-daemons follows LogId.

--- a/rehearse/src/scale/daemons/host.rs
+++ b/rehearse/src/scale/daemons/host.rs
@@ -337,8 +337,8 @@
     fn note_ack(&mut self, index: usize, daemon: usize, bytes: &[u8]) {
         let Ok(Datagram::Ack { positions, .. }) = Datagram::read(bytes) else { return };
         let (own, now) = (self.config.members[index].id, self.clock.now());
-        for ((writer, _), durable_index) in positions {
-            if writer == own {
+        for (log, durable_index) in positions {
+            if log.writer == own {
                 self.acks.acknowledged(index, daemon, durable_index, now);
             }
         }
@@ -395,7 +395,7 @@
 fn own_entry(outgoing: &[Outgoing], own: Writer) -> Option<Index> {
     let mut to_first = outgoing.iter().filter(|outgoing| outgoing.to == 0);
     to_first.find_map(|outgoing| match Datagram::read(&outgoing.bytes) {
-        Ok(Datagram::Entry(entry)) if entry.log.0 == own => Some(entry.index),
+        Ok(Datagram::Entry(entry)) if entry.log.writer == own => Some(entry.index),
         _ => None,
     })
 }
--- a/replication/src/commit.rs
+++ b/replication/src/commit.rs
@@ -213,8 +213,12 @@
         (durable_index, unsynced): (Index, &Unsynced),
         (min_acks, timeout_us): (usize, Micros),
     ) -> Vec<CommitOutcome> {
-        let replicated = self.through(log.epoch, min_acks);
         let mut outcomes = Vec::new();
+        if self.open.is_empty() {
+            // This is asked after each datagram: the acks of all machines are looked through only where it matters.
+            return outcomes;
+        }
+        let replicated = self.through(log.epoch, min_acks);
         while let Some(Open { commit, index, since }) = self.open.front().copied() {
             let result = if durable_index >= index && replicated >= index {
                 Ok(now.saturating_sub(since))
