Split the ledger by job, with typed errors

It is now daemon/src/ledger/{mod,codec,legacy,identity,error}.rs; its unit tests are daemon/tests/ledger.rs.

--- a/daemon/src/daemon/mod.rs
+++ b/daemon/src/daemon/mod.rs
@@ -4,7 +4,7 @@
 use crate::core::{Command, Core, Wake, TRACE};
 use crate::front::cdni::{self, Desk, Waiting};
 use crate::front::fastcgi::Session;
-use crate::ledger::Ledger;
+use crate::ledger::{Bounds, Ledger};
 use crate::limits::Limits;
 use crate::net::{
     bind_shared_udp, connect, Clock, Conn, Deadlines, Due, Interest, Key, Poll, Progress, Ready, Slots,
@@ -287,7 +287,8 @@
                 let writer = linnetknot_membership::server_id(&config.name);
                 let word = Signal::new().map_err(text)?;
                 poll.add(&word.heard, STORE, Interest::READ).map_err(text)?;
-                let bounds = (limits.replication(&config.copies), limits.store_writes);
+                let bounds =
+                    Bounds { replication: limits.replication(&config.copies), queue: limits.store_writes };
                 let wake = word.raiser().map_err(text)?;
                 let open = Ledger::open(&path, writer, clock.now(), bounds, wake);
                 ledger = Some(open.map_err(|e| format!("cdni.purges: {}: {e}", path.display()))?);
--- a/daemon/src/daemon/promises.rs
+++ b/daemon/src/daemon/promises.rs
@@ -167,7 +167,7 @@
     /// An entry of what the operators decided: on its way to the disk and to the peers.
     fn say_decided(&mut self, now: Micros, what: &Subject, lifted: bool) -> Result<(), String> {
         let Some(ledger) = &mut self.ledger else { return Ok(()) };
-        let entry = ledger.append(what.clone(), now, lifted)?;
+        let entry = ledger.append(what.clone(), now, lifted).map_err(|e| e.to_string())?;
         self.tell_entry(entry);
         Ok(())
     }
@@ -175,7 +175,7 @@
     /// The status of a trigger as entries: the place of the last; none where there is no log.
     fn say_status(&mut self, now: Micros, name: Name, text: &str) -> Result<Option<Index>, String> {
         let Some(ledger) = &mut self.ledger else { return Ok(None) };
-        let entries = ledger.append_status(name.number, text, now)?;
+        let entries = ledger.append_status(name.number, text, now).map_err(|e| e.to_string())?;
         let place = entries.last().map(|entry| entry.index);
         entries.into_iter().for_each(|entry| self.tell_entry(entry));
         Ok(place)
@@ -184,7 +184,7 @@
     /// An entry of a trigger that is gone: its place; none where there is no log.
     fn say_gone(&mut self, now: Micros, Name { writer, number }: Name) -> Result<Option<Index>, String> {
         let Some(ledger) = &mut self.ledger else { return Ok(None) };
-        let entry = ledger.append(Subject::Gone { writer, number }, now, false)?;
+        let entry = ledger.append(Subject::Gone { writer, number }, now, false).map_err(|e| e.to_string())?;
         let place = entry.index;
         self.tell_entry(entry);
         Ok(Some(place))
@@ -315,7 +315,8 @@
             return Err("there is no room for one more purge".into());
         }
         let text = peers::write(object.as_deref(), group, now);
-        let entry = self.ledger.as_mut().map(|ledger| ledger.add(object.as_deref(), group, now)).transpose();
+        let entry =
+            self.ledger.as_mut().map(|ledger| ledger.append_purge(object.as_deref(), group, now)).transpose();
         fail::fail_point!("peers-tell");
         // The entry goes first: a peer that knows it does not write the datagram behind it into a log of its own, as it
         // must for peers of an earlier version.
@@ -326,14 +327,16 @@
             self.tell_peers(now, text, 2);
         }
         fail::fail_point!("peers-told");
-        entry.map(|entry| entry.map(|entry| entry.index))
+        entry.map(|entry| entry.map(|entry| entry.index)).map_err(|e| e.to_string())
     }
 
     /// A purge that a peer told: in force, and known to the next process too.
     pub(super) fn purge_heard(&mut self, now: Micros, object: Option<String>, group: u64, at: Micros) {
         if self.core.purged_for_good(now, object.clone(), group, at) {
-            let kept =
-                self.ledger.as_mut().map_or(Ok(()), |ledger| ledger.tell(object.as_deref(), group, at));
+            let kept = self
+                .ledger
+                .as_mut()
+                .map_or(Ok(()), |ledger| ledger.learn_purge(object.as_deref(), group, at));
             if let Err(e) = kept {
                 log::error!("a purge that a peer told is in force but not kept for the next start: {e}");
             }
@@ -345,7 +348,7 @@
         if let Some(word) = &mut self.store_word {
             word.clear();
         }
-        let told = self.ledger.as_mut().map(ledger::Ledger::words).unwrap_or_default();
+        let told = self.ledger.as_mut().map(ledger::Ledger::take_completions).unwrap_or_default();
         if !told.is_empty() {
             fail::fail_point!("holder-says");
         }
--- /dev/null
+++ b/daemon/src/ledger/error.rs
@@ -0,0 +1,48 @@
+//! Why a ledger can't be opened, and why it does not take an entry.
+
+use linnetknot_replication::CapacityExceeded;
+use linnetknot_store::Fault;
+use std::io;
+use std::path::PathBuf;
+
+/// Why the ledger can't be opened or closed.
+#[derive(Debug, thiserror::Error)]
+pub enum LedgerError {
+    /// The store can't be used.
+    #[error(transparent)]
+    Store(#[from] Fault),
+    /// A file of an earlier version can't be read or moved.
+    #[error("the disk: {path}: {source}")]
+    Legacy {
+        /// Which file.
+        path: PathBuf,
+        /// What the system says of it.
+        source: io::Error,
+    },
+    /// The store's worker thread can't be started.
+    #[error("the disk: {0}")]
+    Worker(io::Error),
+    /// The store's worker thread has ended before its time.
+    #[error("the disk: the worker has ended")]
+    WorkerEnded,
+    /// The process ends, and the disk has not taken all entries.
+    #[error("the disk: not all of the log is on it")]
+    Unsynced,
+    /// Purges of an earlier version's file have no room in the log.
+    #[error("the disk: {0}")]
+    Capacity(#[from] CapacityExceeded),
+}
+
+/// Why an entry is not appended to this proxy's log.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum AppendError {
+    /// The queue to the disk is full.
+    #[error("the disk is too far behind")]
+    DiskBehind,
+    /// The log has no room.
+    #[error(transparent)]
+    Capacity(#[from] CapacityExceeded),
+    /// A trigger's status takes more entries than the queue to the disk has room for, or than can be numbered.
+    #[error("its status has no room on the way to the disk")]
+    StatusTooLong,
+}
