--- a/daemon/src/ledger/codec.rs
+++ b/daemon/src/ledger/codec.rs
@@ -1,7 +1,7 @@
 //! How entries stand in the store: as a key of log and subject, under which a later entry on the same subject takes the
 //! place of the one before, and a value of index and time.
 
-use linnetknot_replication::{Capacity, Entry, Insertion, LogStore, Subject};
+use linnetknot_replication::{Capacity, Entry, Insertion, LogId, LogStore, Subject};
 use linnetknot_store::{Fault, Pair, Space, Write};
 
 /// Entries in force.
@@ -22,8 +22,8 @@
 /// An entry's key.
 pub(super) fn key(entry: &Entry) -> Vec<u8> {
     let mut key = Vec::with_capacity(40);
-    key.extend(entry.log.0.to_be_bytes());
-    key.extend(entry.log.1.to_be_bytes());
+    key.extend(entry.log.writer.to_be_bytes());
+    key.extend(entry.log.epoch.to_be_bytes());
     match &entry.subject {
         Subject::Object(object) => {
             key.push(OBJECT);
@@ -69,7 +69,7 @@
 
 /// The entry of a key and its value. Which entry stands before it follows from the others (`log_store`).
 fn read((key, value): &Pair) -> Option<Entry> {
-    let log = (number(key.get(..8)?)?, number(key.get(8..LOG_BYTES)?)?);
+    let log = LogId::new(number(key.get(..8)?)?, number(key.get(8..LOG_BYTES)?)?);
     let subject = subject(*key.get(LOG_BYTES)?, key.get(LOG_BYTES + 1..)?, value)?;
     let revoked = !subject.is_expiring() && value.len() > VALUE_BYTES;
     let (index, at) = (number(value.get(..8)?)?, number(value.get(8..VALUE_BYTES)?)?);
--- a/daemon/src/ledger/mod.rs
+++ b/daemon/src/ledger/mod.rs
@@ -13,7 +13,7 @@
 use linnetknot::Micros;
 use linnetknot_replication::{
     pieces, Capacity, CommitId, CommitOutcome, Datagram, Entry, Epoch, Index, LogId, LogStore, Options,
-    Received, RejectReason, Replica, Subject, Writer,
+    Outgoing, Received, RejectReason, Replica, Subject, Writer,
 };
 use linnetknot_store::{Keeper, Store, Ticket, Write};
 use std::collections::{BTreeMap, VecDeque};
@@ -108,7 +108,7 @@
         }
         let mut writes: Vec<Write> = legacy.entries.iter().map(codec::put).collect();
         entries.append(&mut legacy.entries);
-        let own = (writer, identity.epoch);
+        let own = LogId::new(writer, identity.epoch);
         let mut log_store = codec::log_store(entries)?;
         let capacity = Capacity { entries: bounds.replication.entries, ..Capacity::UNLIMITED };
         writes.extend(adopt(&mut log_store, own, legacy.purges, capacity)?);
@@ -137,7 +137,7 @@
 
     /// What this proxy's operators decided, and whether it is lifted.
     pub fn decided(&self) -> BTreeMap<Subject, bool> {
-        self.replica.log_store().decisions(self.replica.own().0)
+        self.replica.log_store().decisions(self.replica.own().writer)
     }
 
     /// The logs, to look at.
@@ -196,7 +196,7 @@
     /// A number for this writer's next trigger that none of its lives has given, as far as their entries tell: from the
     /// time of its start on, as nobody starts again sooner than it can answer.
     pub fn first_number(&self) -> u64 {
-        let own = self.replica.own().0;
+        let own = self.replica.own().writer;
         let known = self.replica.log_store().triggers().into_iter().filter(|(writer, _)| *writer == own);
         known.map(|(_, number)| number + 1).max().unwrap_or(0).max(self.identity.incarnation)
     }
@@ -234,7 +234,7 @@
     }
 
     /// Takes in the worker's word of what is on the disk: what peers are to be told of it.
-    pub fn take_completions(&mut self) -> Vec<(usize, Datagram)> {
+    pub fn take_completions(&mut self) -> Vec<Outgoing> {
         let mut outgoing = Vec::new();
         while let Some(done) = self.keeper.done() {
             while let Some((log, index)) = next_written(&mut self.in_flight, done.to) {
@@ -253,7 +253,7 @@
     }
 
     /// What to tell which peer now. What the disk did not take is given to it again.
-    pub fn tick(&mut self, now: Micros) -> Vec<(usize, Datagram)> {
+    pub fn tick(&mut self, now: Micros) -> Vec<Outgoing> {
         if self.keeper.room() > 0 {
             self.replica.take_failed().iter().for_each(|entry| self.write(entry));
         }
--- a/daemon/tests/ledger.rs
+++ b/daemon/tests/ledger.rs
@@ -3,7 +3,7 @@
 
 use linnetknot::Micros;
 use linnetknot_daemon::ledger::{Bounds, Ledger, LedgerError};
-use linnetknot_replication::{CommitOutcome, Datagram, Entry, Options, Subject};
+use linnetknot_replication::{CommitOutcome, Datagram, Entry, LogId, Options, Outgoing, Subject};
 use linnetknot_store::Fault;
 use std::fs;
 use std::path::{Path, PathBuf};
@@ -26,7 +26,7 @@
 }
 
 /// Waits until all is on the disk: what peers are told of it.
-fn written((ledger, woken): &mut (Ledger, Receiver<()>)) -> Vec<(usize, Datagram)> {
+fn written((ledger, woken): &mut (Ledger, Receiver<()>)) -> Vec<Outgoing> {
     let mut told = Vec::new();
     while !ledger.replica().is_synced() {
         woken.recv_timeout(Duration::from_secs(10)).expect("the worker has a word");
@@ -53,12 +53,16 @@
     let both = [(None, 7, 3), (Some("0a".into()), 0, 30)];
     assert_eq!(again.0.purges(), both);
     let next = again.0.append_purge(Some("0b"), 0, 9).unwrap();
-    assert_eq!((next.log, next.index), ((1, 78), 1), "a place that others may know is not given again");
+    assert_eq!(
+        (next.log, next.index),
+        (LogId::new(1, 78), 1),
+        "a place that others may know is not given again"
+    );
     again.0.close().unwrap();
     let mut again = open(&path, 7).unwrap();
     assert_eq!(again.0.member(), 79, "it grows though the clock was set back");
     let next = again.0.append_purge(Some("0c"), 0, 9).unwrap();
-    assert_eq!((next.log, next.index), ((1, 78), 2), "the life of a store that was closed goes on");
+    assert_eq!((next.log, next.index), (LogId::new(1, 78), 2), "the life of a store that was closed goes on");
     let second = open(&path, 80).err().unwrap();
     assert!(matches!(second, LedgerError::Store(Fault::Busy)), "one process has it: {second}");
     written(&mut again);
@@ -82,7 +86,7 @@
         let mut purges = ledger.0.purges();
         purges.sort();
         assert_eq!(purges, [(None, 7, 6), (Some("0a".into()), 0, 9)], "{name}");
-        assert_eq!(ledger.0.replica().own(), (1, 99), "{name}: in a life of its own");
+        assert_eq!(ledger.0.replica().own(), LogId::new(1, 99), "{name}: in a life of its own");
         let mut aside = path.as_os_str().to_owned();
         aside.push(".old");
         assert_eq!(fs::read_to_string(&aside).unwrap(), text, "{name}: for a way back");
@@ -91,14 +95,14 @@
         ledger.0.close().unwrap();
         let again = open(&path, 120).unwrap();
         assert!(again.0.purges().contains(&(Some("0a".into()), 0, 50)), "{name}: it is not taken over again");
-        assert_eq!(again.0.replica().own(), (1, 99), "{name}: and has its life from then on");
+        assert_eq!(again.0.replica().own(), LogId::new(1, 99), "{name}: and has its life from then on");
         assert!(!again.0.is_fresh());
         drop(again);
         // The store is lost and the old file is still there: what it has is better than nothing, and no place in the
         // logs that were written since is given again.
         fs::remove_file(&path).unwrap();
         let twice = open(&path, 130).unwrap();
-        assert_eq!((twice.0.replica().own(), twice.0.is_fresh()), ((1, 130), true), "{name}");
+        assert_eq!((twice.0.replica().own(), twice.0.is_fresh()), (LogId::new(1, 130), true), "{name}");
         drop(twice);
         fs::remove_file(&aside).unwrap();
         fs::remove_file(&path).unwrap();
@@ -110,22 +114,23 @@
     let path = file("peer");
     let mut ledger = open(&path, 77).unwrap();
     ledger.0.peers(10, vec![20, 30]);
-    let theirs = Entry { log: (2, 5), index: 1, prev: 0, subject: Subject::Group(3), at: 8, revoked: false };
+    let theirs =
+        Entry { log: LogId::new(2, 5), index: 1, prev: 0, subject: Subject::Group(3), at: 8, revoked: false };
     let received = ledger.0.receive(1, Datagram::Entry(theirs.clone()));
     assert_eq!((received.new, received.replies), (vec![theirs.clone()], vec![]), "not before");
-    let held = Datagram::Ack { process: 77, positions: vec![((2, 5), 1)] };
-    assert_eq!(written(&mut ledger), [(1, held.clone())]);
+    let held = Datagram::Ack { process: 77, positions: vec![(LogId::new(2, 5), 1)] };
+    assert_eq!(written(&mut ledger), [Outgoing { peer: 1, datagram: held.clone() }]);
     assert_eq!(ledger.0.receive(0, Datagram::Entry(theirs.clone())).replies, [held]);
     // Its own log of an earlier life comes back from a peer; what it writes now stands in another.
-    ledger.0.receive(0, Datagram::Entry(Entry { log: (1, 4), ..theirs }));
+    ledger.0.receive(0, Datagram::Entry(Entry { log: LogId::new(1, 4), ..theirs }));
     let new = ledger.0.append_purge(Some("0c"), 0, 9).unwrap();
-    assert_eq!((new.log, new.index), ((1, 77), 1));
+    assert_eq!((new.log, new.index), (LogId::new(1, 77), 1));
     let ban = || Subject::Ban("pc-1".into());
     assert!(ledger.0.is_fresh() && ledger.0.decided().is_empty());
     ledger.0.open_commit(100, 1).unwrap();
     written(&mut ledger);
     assert_eq!(ledger.0.resolve_commits(100), [], "on this disk alone");
-    ledger.0.receive(0, Datagram::Ack { process: 1, positions: vec![((1, 77), 1)] });
+    ledger.0.receive(0, Datagram::Ack { process: 1, positions: vec![(LogId::new(1, 77), 1)] });
     assert_eq!(ledger.0.resolve_commits(200), [CommitOutcome { commit: 1, result: Ok(100) }]);
     ledger.0.append(ban(), 10, false).unwrap();
     ledger.0.append(Subject::Drain, 11, false).unwrap();
@@ -139,7 +144,11 @@
         (again.0.decided().into_iter().collect::<Vec<_>>(), again.0.is_fresh()),
         (decided.into(), false)
     );
-    assert_eq!(again.0.replica().own(), (1, 77), "the life of the store, not of the log that came back");
+    assert_eq!(
+        again.0.replica().own(),
+        LogId::new(1, 77),
+        "the life of the store, not of the log that came back"
+    );
     drop(again);
     fs::remove_file(&path).unwrap();
 }
