Store: two known formats, and removals that name the value they mean

Need: a file with a compact table of purges must not be opened by a program that would pass the table over, and an entry that was compacted must be taken off the disk without taking a later one on the same subject along. Change: Format::{Entries, Compacted}; a file is begun in the first and gets the second by a write. Write has a Change: Put, Remove or RemoveIf(value). Runs of writes to one space open its table once.

--- a/daemon/src/ledger/codec.rs
+++ b/daemon/src/ledger/codec.rs
@@ -20,7 +20,7 @@
 const GONE: u8 = b'x';
 
 /// An entry's key.
-pub(super) fn key(entry: &Entry) -> Vec<u8> {
+fn key(entry: &Entry) -> Vec<u8> {
     let mut key = Vec::with_capacity(40);
     key.extend(entry.log.writer.to_be_bytes());
     key.extend(entry.log.epoch.to_be_bytes());
@@ -52,19 +52,24 @@
     key
 }
 
-/// The write that puts an entry into the store.
-pub(super) fn put(entry: &Entry) -> Write {
+/// An entry's value.
+fn value(entry: &Entry) -> Vec<u8> {
     let mut value = [entry.index.to_be_bytes(), entry.at.to_be_bytes()].concat();
     match &entry.subject {
         Subject::Status { text, .. } => value.extend(text.as_bytes()),
         _ => value.extend(entry.revoked.then_some(1)),
     }
-    Write { space: ENTRIES, key: key(entry), value: Some(value) }
+    value
+}
+
+/// The write that puts an entry into the store.
+pub(super) fn put(entry: &Entry) -> Write {
+    Write::put(ENTRIES, key(entry), value(entry))
 }
 
-/// The write that takes an entry out of the store.
+/// The write that takes an entry out of the store, but no later one on the same subject, which has the same key.
 pub(super) fn remove(entry: &Entry) -> Write {
-    Write { space: ENTRIES, key: key(entry), value: None }
+    Write::remove_if(ENTRIES, key(entry), value(entry))
 }
 
 /// The entry of a key and its value. Which entry stands before it follows from the others (`log_store`).
--- a/daemon/src/ledger/identity.rs
+++ b/daemon/src/ledger/identity.rs
@@ -45,20 +45,20 @@
     /// The writes that begin this process: from then on the store counts as not closed.
     pub(super) fn begin(&self) -> [Write; 3] {
         [
-            put(EPOCH, Some(&self.epoch.to_be_bytes())),
-            put(INCARNATION, Some(&self.incarnation.to_be_bytes())),
-            put(CLOSED, None),
+            put(EPOCH, &self.epoch.to_be_bytes()),
+            put(INCARNATION, &self.incarnation.to_be_bytes()),
+            Write::remove(OWN, CLOSED.to_vec()),
         ]
     }
 }
 
 /// The write that ends a process in order.
 pub(super) fn closed() -> Write {
-    put(CLOSED, Some(b"1"))
+    put(CLOSED, b"1")
 }
 
-fn put(key: &[u8], value: Option<&[u8]>) -> Write {
-    Write { space: OWN, key: key.to_vec(), value: value.map(<[u8]>::to_vec) }
+fn put(key: &[u8], value: &[u8]) -> Write {
+    Write::put(OWN, key.to_vec(), value.to_vec())
 }
 
 fn number(store: &mut Store, key: &[u8]) -> Result<Option<u64>, Fault> {
--- a/store/src/file.rs
+++ b/store/src/file.rs
@@ -2,14 +2,44 @@
 
 use redb::{
     AccessGuard, Database, DatabaseError, ReadOnlyTable, ReadableDatabase, ReadableTable, StorageBackend,
-    StorageError, TableDefinition, TableError,
+    StorageError, Table, TableDefinition, TableError,
 };
 use std::fmt;
 use std::panic::{catch_unwind, AssertUnwindSafe};
 use std::path::Path;
 
-/// The version of the format. Another is refused by name.
-pub const FORMAT: &[u8] = b"linnetknot state 1";
+/// A version of the file's format. The file says which it is, and a program refuses one that it does not know by name.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Format {
+    /// Entries alone. New files have it.
+    Entries,
+    /// Entries and the compact table of older purges, which a program that knows only entries must not pass over.
+    Compacted,
+}
+
+impl Format {
+    /// All that this program knows, the oldest first.
+    pub const KNOWN: [Format; 2] = [Format::Entries, Format::Compacted];
+
+    /// The format's name in the file.
+    pub const fn name(self) -> &'static str {
+        match self {
+            Format::Entries => "linnetknot state 1",
+            Format::Compacted => "linnetknot state 2",
+        }
+    }
+
+    /// The write that gives a file this format. Whoever gives a file an older one than it has loses what only the newer
+    /// one tells of.
+    pub fn write(self) -> Write {
+        Write::put(HEAD, VERSION.to_vec(), self.name().into())
+    }
+
+    fn of(name: &[u8]) -> Option<Self> {
+        Self::KNOWN.into_iter().find(|format| format.name().as_bytes() == name)
+    }
+}
+
 /// Where the version stands.
 const HEAD: Space = Space("head");
 const VERSION: &[u8] = b"format";
@@ -24,15 +54,43 @@
     }
 }
 
-/// A key put in its space with its value, or taken out.
+/// What a write does to its key.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Change {
+    /// Gives it a value.
+    Put(Vec<u8>),
+    /// Takes it out.
+    Remove,
+    /// Takes it out if this is its value when the write is carried out; another value stays.
+    RemoveIf(Vec<u8>),
+}
+
+/// A change of one key.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Write {
     /// The space.
     pub space: Space,
     /// The key.
     pub key: Vec<u8>,
-    /// The value; none takes the key out.
-    pub value: Option<Vec<u8>>,
+    /// What is done to it.
+    pub change: Change,
+}
+
+impl Write {
+    /// Gives a key a value.
+    pub fn put(space: Space, key: Vec<u8>, value: Vec<u8>) -> Self {
+        Write { space, key, change: Change::Put(value) }
+    }
+
+    /// Takes a key out.
+    pub fn remove(space: Space, key: Vec<u8>) -> Self {
+        Write { space, key, change: Change::Remove }
+    }
+
+    /// Takes a key out if it has a value.
+    pub fn remove_if(space: Space, key: Vec<u8>, value: Vec<u8>) -> Self {
+        Write { space, key, change: Change::RemoveIf(value) }
+    }
 }
 
 /// Why the file can't be used.
@@ -58,8 +116,8 @@
                 "it is damaged ({why}); move it away and start again: what was promised comes back from the peers"
             ),
             Fault::Format(found) => {
-                let known = String::from_utf8_lossy(FORMAT);
-                write!(f, "its format is '{found}', this program's is '{known}'; start the program that wrote it")
+                let known = Format::KNOWN.map(Format::name).join("' and '");
+                write!(f, "its format is '{found}', this program's are '{known}'; start the program that wrote it")
             }
         }
     }
@@ -84,9 +142,26 @@
     Fault::Damaged("its structure does not hold".into())
 }
 
+/// Carries out a write in its space.
+fn apply(table: &mut WritableTable<'_>, write: &Write) -> Result<(), StorageError> {
+    let key = write.key.as_slice();
+    match &write.change {
+        Change::Put(value) => drop(table.insert(key, value.as_slice())?),
+        Change::Remove => drop(table.remove(key)?),
+        Change::RemoveIf(value) => {
+            let is_same = table.get(key)?.is_some_and(|found| found.value() == value.as_slice());
+            if is_same {
+                drop(table.remove(key)?);
+            }
+        }
+    }
+    Ok(())
+}
+
 /// A key and its value.
 pub type Pair = (Vec<u8>, Vec<u8>);
 
+type WritableTable<'a> = Table<'a, &'static [u8], &'static [u8]>;
 type Guard<'a> = AccessGuard<'a, &'static [u8]>;
 type Opener = Box<dyn FnMut() -> Result<Database, DatabaseError> + Send>;
 
@@ -142,16 +217,26 @@
         store.reopen()?;
         match store.get(HEAD, VERSION)? {
             None if store.is_new()? => {
-                let version = Write { space: HEAD, key: VERSION.to_vec(), value: Some(FORMAT.to_vec()) };
-                store.commit(&[version])?;
+                store.commit(&[Format::Entries.write()])?;
             }
-            Some(found) if found == FORMAT => {}
-            Some(found) => return Err(Fault::Format(String::from_utf8_lossy(&found).into_owned())),
             None => return Err(Fault::Damaged("it names no format".into())),
+            Some(found) => drop(Self::known(&found)?),
         }
         Ok(store)
     }
 
+    fn known(found: &[u8]) -> Result<Format, Fault> {
+        Format::of(found).ok_or_else(|| Fault::Format(String::from_utf8_lossy(found).into_owned()))
+    }
+
+    /// The file's format.
+    pub fn format(&mut self) -> Result<Format, Fault> {
+        match self.get(HEAD, VERSION)? {
+            Some(found) => Self::known(&found),
+            None => Err(Fault::Damaged("it names no format".into())),
+        }
+    }
+
     /// Opens the file anew where it is not open.
     fn reopen(&mut self) -> Result<&Database, Fault> {
         let db = match self.db.take() {
@@ -210,12 +295,10 @@
         let write = || -> Result<(), redb::Error> {
             // The store's default is to sync with each commit.
             let transaction = db.begin_write()?;
-            for Write { space, key, value } in group {
-                let mut table = transaction.open_table(space.table())?;
-                match value {
-                    Some(value) => drop(table.insert(key.as_slice(), value.as_slice())?),
-                    None => drop(table.remove(key.as_slice())?),
-                }
+            // A table of a transaction is opened once for all that follow each other in it.
+            for run in group.chunk_by(|a, b| a.space == b.space) {
+                let mut table = transaction.open_table(run[0].space.table())?;
+                run.iter().try_for_each(|write| apply(&mut table, write))?;
             }
             Ok(transaction.commit()?)
         };
--- a/store/src/lib.rs
+++ b/store/src/lib.rs
@@ -10,5 +10,5 @@
 mod file;
 mod keeper;
 
-pub use file::{Fault, Pair, Space, Store, Write, FORMAT};
+pub use file::{Change, Fault, Format, Pair, Space, Store, Write};
 pub use keeper::{Done, Keeper, Ticket};
--- a/store/tests/crash.rs
+++ b/store/tests/crash.rs
@@ -1,7 +1,7 @@
 //! The store on a medium that stops at its n-th operation and then loses what was not synced: what was acknowledged is
 //! there, and of a group that was not acknowledged all is there or nothing.
 
-use linnetknot_store::{Done, Fault, Keeper, Space, Store, Write};
+use linnetknot_store::{Done, Fault, Format, Keeper, Space, Store, Write};
 use redb::StorageBackend;
 use std::sync::{Arc, Mutex};
 
@@ -105,8 +105,7 @@
 }
 
 fn put(key: u64, value: u64) -> Write {
-    let (key, value) = (key.to_be_bytes().to_vec(), Some(value.to_be_bytes().to_vec()));
-    Write { space: SPACE, key, value }
+    Write::put(SPACE, key.to_be_bytes().to_vec(), value.to_be_bytes().to_vec())
 }
 
 fn open(medium: &Medium) -> Result<Store, Fault> {
@@ -119,7 +118,7 @@
 fn run(medium: &Medium) -> u64 {
     let Ok(mut store) = open(medium) else { return 0 };
     for group in 1..=12u64 {
-        let gone = Write { space: SPACE, key: (1000 + group - 1).to_be_bytes().to_vec(), value: None };
+        let gone = Write::remove(SPACE, (1000 + group - 1).to_be_bytes().to_vec());
         if store.commit(&[put(1, group), put(1000 + group, group), put(2, group), gone]).is_err() {
             return group - 1;
         }
@@ -233,8 +232,7 @@
     assert_eq!(Store::open(&path).unwrap().all(SPACE).unwrap().len(), 200, "closed and opened");
     // Another format.
     let mut store = Store::open(&path).unwrap();
-    let other =
-        Write { space: Space("head"), key: b"format".to_vec(), value: Some(b"linnetknot state 9".to_vec()) };
+    let other = Write::put(Space("head"), b"format".to_vec(), b"linnetknot state 9".to_vec());
     store.commit(&[other]).unwrap();
     drop(store);
     let said = Store::open(&path).unwrap_err().to_string();
@@ -248,3 +246,25 @@
     assert!(matches!(said, Fault::Damaged(_)), "{said:?}");
     std::fs::remove_dir_all(&folder).unwrap();
 }
+
+#[test]
+fn a_key_is_taken_out_only_where_it_has_the_value_that_was_meant() {
+    let mut store = open(&Medium::default()).unwrap();
+    let key = |n: u64| n.to_be_bytes().to_vec();
+    store.commit(&[put(1, 5), put(2, 5)]).unwrap();
+    let stale = |n| Write::remove_if(SPACE, key(n), 5u64.to_be_bytes().to_vec());
+    store.commit(&[put(1, 9), stale(1), stale(2), stale(3)]).unwrap();
+    assert_eq!(store.all(SPACE).unwrap(), [(key(1), 9u64.to_be_bytes().to_vec())]);
+}
+
+#[test]
+fn a_file_is_begun_in_the_oldest_format_and_has_a_newer_one_from_its_write_on() {
+    let medium = Medium::default();
+    let mut store = open(&medium).unwrap();
+    assert_eq!(store.format().unwrap(), Format::Entries);
+    store.commit(&[Format::Compacted.write(), put(1, 1)]).unwrap();
+    drop(store);
+    let mut store = open(&medium).unwrap();
+    assert_eq!(store.format().unwrap(), Format::Compacted);
+    assert_eq!(store.get(Space("head"), b"format").unwrap().unwrap(), b"linnetknot state 2");
+}
