--- a/daemon/src/ledger/mod.rs
+++ b/daemon/src/ledger/mod.rs
@@ -110,7 +110,7 @@
         entries.append(&mut legacy.entries);
         let own = LogId::new(writer, identity.epoch);
         let mut log_store = codec::log_store(entries)?;
-        let capacity = Capacity { entries: bounds.replication.entries, ..Capacity::UNLIMITED };
+        let capacity = Capacity { entries: bounds.replication.max_exact_entries, ..Capacity::UNLIMITED };
         writes.extend(adopt(&mut log_store, own, legacy.purges, capacity)?);
         writes.extend(identity.begin());
         // All of this is there, or nothing and the old file still is.
