--- a/replication/tests/compaction/fleet.rs
+++ b/replication/tests/compaction/fleet.rs
@@ -69,7 +69,7 @@
 }
 
 pub struct Fleet {
-    pub links: simnet::Net<Vec<u8>>,
+    pub links: simnet::Network<Vec<u8>>,
     pub members: Vec<Member>,
     pub options: Options,
     pub bits: BucketBits,
@@ -102,7 +102,7 @@
     pub fn new(members: usize, running: usize, max_exact_entries: usize, seed: u64) -> Fleet {
         let options = Options { max_exact_entries, ..Options::default() };
         let mut fleet = Fleet {
-            links: simnet::Net::new(seed, (MS, 5 * MS)),
+            links: simnet::Network::new(seed, (MS, 5 * MS)),
             members: Vec::new(),
             options,
             bits: BucketBits::DEFAULT,
@@ -236,7 +236,7 @@
                 Vec::new()
             }
         };
-        outgoing.iter().for_each(|out| self.send(n, simnet::member(out.peer, n), &out.datagram));
+        outgoing.iter().for_each(|out| self.send(n, simnet::member_at(out.peer, n), &out.datagram));
         self.compact(n);
     }
 
@@ -255,7 +255,7 @@
             member.received_chunks += 1;
             member.received_bytes += bytes.len() as u64;
         }
-        let received = replica.receive(simnet::place(from, to), datagram);
+        let received = replica.receive(simnet::peer_index(from, to), datagram);
         for entry in received.out_of_order.iter().chain(&received.rejected) {
             let floor = member.floors.entry(entry.subject.clone()).or_default();
             *floor = entry.at.max(*floor);
@@ -283,10 +283,10 @@
             };
             let due = self.members.iter().enumerate().filter_map(due).min();
             match self.links.step(end, due) {
-                Step::Arrives { from, to, word } => self.arrive(from, to, &word),
+                Step::Delivered { from, to, message } => self.arrive(from, to, &message),
                 Step::Due(Due::Write(n)) => self.written(n),
                 Step::Due(Due::Tick(n)) => self.tick(n),
-                Step::Over => return,
+                Step::Finished => return,
             }
         }
     }
@@ -295,7 +295,7 @@
         let now = self.links.now;
         let Some(replica) = self.members[n].replica.as_mut() else { return };
         let outgoing = replica.tick(now);
-        outgoing.iter().for_each(|out| self.send(n, simnet::member(out.peer, n), &out.datagram));
+        outgoing.iter().for_each(|out| self.send(n, simnet::member_at(out.peer, n), &out.datagram));
         self.compact(n);
     }
 
--- a/replication/tests/compaction/main.rs
+++ b/replication/tests/compaction/main.rs
@@ -133,7 +133,7 @@
         let mut fleet = Fleet::new(3, 2, 100, seed);
         tell(&mut fleet, &[0, 1], 0..2_500, MS);
         fleet.run(S);
-        (fleet.links.lost, fleet.links.doubled, fleet.links.late) = (30, 20, 150 * MS);
+        (fleet.links.loss_percent, fleet.links.duplicate_percent, fleet.links.jitter_us) = (30, 20, 150 * MS);
         fleet.start(2);
         tell(&mut fleet, &[0, 1, 2], 2_500..2_700, 20 * MS);
         fleet.settle(120 * S);
