Store: a file's growth is synced at once, and unknown formats are left untouched

Need: the embedded store lengthens its file and writes a header that tells of the new length with one sync for both; a power failure before it could leave the header alone, and the file could not be opened (found by stopping the rewriting of a purge table at each operation). A file of an unknown format was opened for writing before it was refused, which changed its bytes. Change: SyncedGrowth before each medium; the format is read from a read-only opening first. The medium that loses what was not synced is a module of its own, for the daemon's tests too.

--- a/store/src/file.rs
+++ b/store/src/file.rs
@@ -1,8 +1,9 @@
 //! The file: spaces of keys and values, written in groups that are there whole or not at all.
 
+use crate::medium;
 use redb::{
-    AccessGuard, Database, DatabaseError, ReadOnlyTable, ReadableDatabase, ReadableTable, StorageBackend,
-    StorageError, Table, TableDefinition, TableError,
+    AccessGuard, Database, DatabaseError, ReadOnlyDatabase, ReadOnlyTable, ReadableDatabase, ReadableTable,
+    StorageBackend, StorageError, Table, TableDefinition, TableError,
 };
 use std::fmt;
 use std::panic::{catch_unwind, AssertUnwindSafe};
@@ -184,8 +185,22 @@
         if !path.exists() {
             Self::begin(path)?;
         }
+        Self::refuse_unknown(path)?;
         let path = path.to_owned();
-        Self::by(Box::new(move || Database::open(&path)))
+        Self::by(Box::new(move || medium::open_file(&path)))
+    }
+
+    /// Refuses a file of an unknown format before it is opened for writing, which changes its bytes. What else is wrong
+    /// with a file, or what only a repair can tell of it, is left to the opening.
+    fn refuse_unknown(path: &Path) -> Result<(), Fault> {
+        let format = || -> Result<Option<Vec<u8>>, redb::Error> {
+            let table = ReadOnlyDatabase::open(path)?.begin_read()?.open_table(HEAD.table())?;
+            Ok(table.get(VERSION)?.map(|found| found.value().to_vec()))
+        };
+        match catch_unwind(AssertUnwindSafe(format)) {
+            Ok(Ok(Some(found))) => Self::known(&found).map(drop),
+            _ => Ok(()),
+        }
     }
 
     /// Begins a file beside its place and puts it there once it is whole: a file whose first words were cut off by a
@@ -199,7 +214,7 @@
             _ => {}
         }
         let made = std::path::PathBuf::from(&beside);
-        drop(Self::by(Box::new(move || Database::create(&made)))?);
+        drop(Self::by(Box::new(move || medium::create_file(&made)))?);
         std::fs::rename(&beside, path).map_err(disk)?;
         match path.parent().filter(|p| !p.as_os_str().is_empty()) {
             Some(folder) => std::fs::File::open(folder).and_then(|f| f.sync_all()).map_err(disk),
@@ -209,7 +224,7 @@
 
     /// Opens a store on a medium of the caller's, as tests do that lose what was not synced.
     pub fn on<B: StorageBackend>(mut medium: impl FnMut() -> B + Send + 'static) -> Result<Self, Fault> {
-        Self::by(Box::new(move || Database::builder().create_with_backend(medium())))
+        Self::by(Box::new(move || medium::open_on(medium())))
     }
 
     fn by(opener: Opener) -> Result<Self, Fault> {
--- a/store/src/lib.rs
+++ b/store/src/lib.rs
@@ -9,6 +9,7 @@
 
 mod file;
 mod keeper;
+mod medium;
 
 pub use file::{Change, Fault, Format, Pair, Space, Store, Write};
 pub use keeper::{Done, Keeper, Ticket};
--- a/store/tests/crash.rs
+++ b/store/tests/crash.rs
@@ -2,107 +2,12 @@
 //! there, and of a group that was not acknowledged all is there or nothing.
 
 use linnetknot_store::{Done, Fault, Format, Keeper, Space, Store, Write};
-use redb::StorageBackend;
-use std::sync::{Arc, Mutex};
+use medium::Medium;
 
-const SPACE: Space = Space("test");
-
-/// A change that the medium was told of and that is not synced.
-#[derive(Clone, Debug)]
-enum Change {
-    Length(usize),
-    Bytes(usize, Vec<u8>),
-}
-
-#[derive(Debug, Default)]
-struct Disk {
-    /// What a reader sees while the power is on.
-    seen: Vec<u8>,
-    /// What is there for good.
-    lasting: Vec<u8>,
-    unsynced: Vec<Change>,
-    /// Operations until it stops; none: it goes on.
-    left: Option<u64>,
-    operations: u64,
-}
-
-fn apply(bytes: &mut Vec<u8>, change: &Change) {
-    match change {
-        Change::Length(length) => bytes.resize(*length, 0),
-        Change::Bytes(at, new) => {
-            bytes.resize(bytes.len().max(at + new.len()), 0);
-            bytes[*at..at + new.len()].copy_from_slice(new);
-        }
-    }
-}
-
-impl Disk {
-    fn operate(&mut self) -> Result<(), std::io::Error> {
-        if self.left == Some(0) {
-            return Err(std::io::Error::other("the medium has stopped"));
-        }
-        self.left = self.left.map(|left| left - 1);
-        self.operations += 1;
-        Ok(())
-    }
-
-    fn change(&mut self, change: Change) -> Result<(), std::io::Error> {
-        self.operate()?;
-        apply(&mut self.seen, &change);
-        self.unsynced.push(change);
-        Ok(())
-    }
-
-    /// The power goes: of what was not synced some is there, by the seed, one of them in part.
-    fn lose(&mut self, mut seed: u64) {
-        for change in std::mem::take(&mut self.unsynced) {
-            seed = seed.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
-            match (seed >> 60, change) {
-                (0..=6, change) => apply(&mut self.lasting, &change),
-                (7..=8, Change::Bytes(at, bytes)) => {
-                    // Torn at a sector, which a disk writes whole.
-                    let part = (bytes.len() / 2) & !511;
-                    apply(&mut self.lasting, &Change::Bytes(at, bytes[..part].to_vec()));
-                }
-                _ => {}
-            }
-        }
-        self.seen.clone_from(&self.lasting);
-        self.left = None;
-    }
-}
-
-#[derive(Clone, Debug, Default)]
-struct Medium(Arc<Mutex<Disk>>);
-
-impl StorageBackend for Medium {
-    fn len(&self) -> Result<u64, std::io::Error> {
-        Ok(self.0.lock().unwrap().seen.len() as u64)
-    }
-
-    fn read(&self, offset: u64, out: &mut [u8]) -> Result<(), std::io::Error> {
-        let disk = self.0.lock().unwrap();
-        let part = disk.seen.get(offset as usize..offset as usize + out.len());
-        out.copy_from_slice(part.ok_or_else(|| std::io::Error::from(std::io::ErrorKind::UnexpectedEof))?);
-        Ok(())
-    }
+#[path = "common/medium.rs"]
+mod medium;
 
-    fn set_len(&self, length: u64) -> Result<(), std::io::Error> {
-        self.0.lock().unwrap().change(Change::Length(length as usize))
-    }
-
-    fn sync_data(&self) -> Result<(), std::io::Error> {
-        let mut disk = self.0.lock().unwrap();
-        disk.operate()?;
-        disk.lasting = disk.seen.clone();
-        disk.unsynced.clear();
-        Ok(())
-    }
-
-    fn write(&self, offset: u64, data: &[u8]) -> Result<(), std::io::Error> {
-        self.0.lock().unwrap().change(Change::Bytes(offset as usize, data.to_vec()))
-    }
-}
+const SPACE: Space = Space("test");
 
 fn put(key: u64, value: u64) -> Write {
     Write::put(SPACE, key.to_be_bytes().to_vec(), value.to_be_bytes().to_vec())
