--- a/daemon/src/daemon/feeds/peers.rs
+++ b/daemon/src/daemon/feeds/peers.rs
@@ -4,10 +4,16 @@
 use crate::daemon::Daemon;
 use crate::{ledger, peers};
 use linnetknot::Micros;
-use linnetknot_replication::{Datagram, DecodeError, Entry, Outgoing};
+use linnetknot_replication::{Datagram, DecodeError, Entry, Outgoing, Received};
 use std::io;
 use std::net::SocketAddr;
 
+/// Never: only a test has all chunks of snapshots lost.
+fn loses_chunks() -> bool {
+    fail::fail_point!("snapshot-lost", |_| true);
+    false
+}
+
 impl Daemon {
     pub(in crate::daemon) fn hear_peers(&mut self, now: Micros) {
         let mut bytes = [0; peers::MAX_DATAGRAM_BYTES + 1];
@@ -73,18 +79,25 @@
             Datagram::Digest { sum, .. } => Some(*sum),
             _ => None,
         };
+        let is_chunk = matches!(datagram, Datagram::SnapshotChunk(_));
+        if is_chunk && loses_chunks() {
+            return true;
+        }
         let heard = ledger.receive(peer, datagram);
         let same = told == Some(ledger.replica().log_store().checksum());
-        // What there is no room to keep is in force all the same.
-        for entry in heard.new.iter().chain(&heard.out_of_order).chain(&heard.rejected) {
-            let Some((object, group, at)) = ledger::purge(entry) else { continue };
-            self.core.purged(now, object, group, at);
-        }
+        self.enforce(now, &heard);
         // What its operators decided, and not each purge of a long log that comes back.
         if heard.new.iter().any(|entry| entry.log.writer == own && ledger::purge(entry).is_none()) {
             self.recall_decided(now);
         }
         self.hear_triggers(now, &heard.new);
+        if is_chunk {
+            fail::fail_point!("snapshot-chunk");
+        }
+        if is_chunk || !heard.new.is_empty() {
+            self.extend_recovery(now);
+        }
+        self.watch_snapshot(now);
         if same {
             self.same_as(now, peer);
         }
@@ -94,9 +107,24 @@
         let replies = heard.replies.into_iter().map(|datagram| Outgoing { peer, datagram });
         self.send_words(replies.collect());
         self.settle_promises(now);
+        // The next part of a snapshot, or of what is missing, may be due sooner now.
+        self.plan_copies(now);
         true
     }
 
+    /// Puts in force what a peer told of purges. What there is no room to keep is in force all the same.
+    fn enforce(&mut self, now: Micros, received: &Received) {
+        for entry in received.new.iter().chain(&received.out_of_order).chain(&received.rejected) {
+            let Some((object, group, at)) = ledger::purge(entry) else { continue };
+            self.core.purged(now, object, group, at);
+        }
+        for merged in &received.buckets {
+            if let Err(e) = self.core.merge_purges(merged.bucket_bits, merged.index, &merged.bucket) {
+                log::error!("{e}");
+            }
+        }
+    }
+
     /// Tells all peers of a new entry at once; those whom that misses get it with the logs.
     pub(in crate::daemon) fn tell_entry(&mut self, entry: Entry) {
         if let Some(bytes) = Datagram::Entry(entry).write().filter(|_| self.config.copies.on) {
--- a/daemon/src/daemon/mod.rs
+++ b/daemon/src/daemon/mod.rs
@@ -31,6 +31,7 @@
 mod members;
 mod neighbours;
 mod promises;
+mod recovery;
 
 use exchange::{Effect, Exchange};
 use feeds::{bus, consul};
@@ -287,8 +288,11 @@
                 let writer = linnetknot_discovery::server_id(&config.name);
                 let word = Signal::new().map_err(text)?;
                 poll.add(&word.heard, STORE, Interest::READ).map_err(text)?;
-                let bounds =
-                    Bounds { replication: limits.replication(&config.copies), queue: limits.store_writes };
+                let bounds = Bounds {
+                    replication: limits.replication(&config.copies),
+                    queue: limits.store_writes,
+                    bucket_bits: config.copies.purge_table.bucket_bits,
+                };
                 let wake = word.raiser().map_err(text)?;
                 let open = Ledger::open(&path, writer, clock.now(), bounds, wake);
                 ledger = Some(open.map_err(|e| format!("cdni.purges: {}: {e}", path.display()))?);
@@ -364,10 +368,7 @@
             source,
         };
         let now = daemon.clock.now();
-        let kept = daemon.ledger.as_ref().map(Ledger::purges).unwrap_or_default();
-        for (object, group, at) in kept {
-            daemon.core.purged(now, object, group, at);
-        }
+        daemon.restore_purges(now);
         known.into_iter().for_each(|event| daemon.news(now, event));
         daemon.bus.last = last_event;
         daemon.know_machines();
--- a/daemon/src/daemon/promises.rs
+++ b/daemon/src/daemon/promises.rs
@@ -1,7 +1,7 @@
 //! Promises to neighbours and operators: what they tell is in force at once, and its answer waits until it is on this
 //! proxy's disk and on those of enough further machines (`linnetknot_replication`). What can't be had in time is answered no.
-//! A proxy that began without its disk is not ready until it has what it promised back.
 
+use super::recovery::SnapshotWait;
 use super::{Connection, Daemon, Kind, Timer};
 use crate::front::cdni::{Effect, Name, Response};
 use crate::ledger;
@@ -10,7 +10,7 @@
 use linnetknot::Micros;
 use linnetknot_discovery::server_id;
 use linnetknot_ops::{Effect as Done, Reply};
-use linnetknot_replication::{CommitId, Datagram, Entry, Index, Outgoing, Recovery, Subject};
+use linnetknot_replication::{CommitId, Entry, Index, Recovery, Subject};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
@@ -51,9 +51,13 @@
     /// By their promises, oldest first.
     answers: BTreeMap<CommitId, Answer>,
     /// Of a proxy that began without its disk.
-    recovery: Option<Recovery>,
+    pub(super) recovery: Option<Recovery>,
     /// When that is looked at again.
-    recovers: Option<Due>,
+    pub(super) recovers: Option<Due>,
+    /// Of a proxy that is behind what its peers have compacted.
+    pub(super) snapshot: Option<SnapshotWait>,
+    /// Peers that were offered a snapshot and did not answer.
+    without_snapshot: usize,
     /// When the logs are looked at again.
     due: Option<Due>,
     /// Entries that were last found to be on fewer machines than they are to be.
@@ -84,9 +88,10 @@
         self.answers.values_mut().filter_map(decided)
     }
 
-    /// Whether the proxy has all that it ever promised.
+    /// Whether the proxy has all that it ever promised and what its peers have compacted, as far as it waits for that.
     pub(super) fn has_recovered(&self) -> bool {
         self.recovery.as_ref().is_none_or(Recovery::is_over)
+            && self.snapshot.as_ref().is_none_or(SnapshotWait::has_ended)
     }
 }
 
@@ -259,51 +264,6 @@
         changed
     }
 
-    // ---- A proxy that began without its disk ----
-
-    /// Waits for what it promised before, if it began without a disk.
-    pub(super) fn begin_recovery(&mut self, now: Micros) {
-        let copies = &self.config.copies;
-        if copies.on && self.ledger.as_ref().is_some_and(ledger::Ledger::is_fresh) {
-            let machines = copies.machines.iter().map(|(_, machine)| server_id(machine)).collect();
-            let times = (now, now + self.limits.recovery_us, self.limits.recovery_ask_us);
-            let recovery = Recovery::new(server_id(&copies.machine), machines, copies.wait, times);
-            self.promised.recovery = Some(recovery);
-            self.recover(now);
-        }
-    }
-
-    fn recover(&mut self, now: Micros) {
-        let Some(recovery) = &mut self.promised.recovery else { return };
-        let (ask, missing) = recovery.tick(now);
-        if let Some(machines) = missing {
-            log::error!(machines = machines; "not all that this proxy promised may have come back, and it is ready all the same");
-        }
-        let due = recovery.due();
-        let ask = ask.into_iter().map(|peer| Outgoing { peer, datagram: Datagram::DigestRequest });
-        self.send_words(ask.collect());
-        match due {
-            Some(due) => {
-                let due = due.max(now + 1_000);
-                let old = self.promised.recovers.take();
-                self.promised.recovers = self.instead(old, Some(due), |daemon, now| {
-                    daemon.promised.recovers = None;
-                    daemon.recover(now);
-                });
-            }
-            None => self.notify(now),
-        }
-    }
-
-    /// A peer has the same logs as this proxy.
-    pub(super) fn same_as(&mut self, now: Micros, peer: usize) {
-        if self.promised.recovery.as_mut().is_some_and(|recovery| recovery.settled(peer)) {
-            let entries = self.ledger.as_ref().map_or(0, |ledger| ledger.replica().log_store().len());
-            log::info!(entries = entries; "what this proxy promised has come back");
-            self.notify(now);
-        }
-    }
-
     /// A purge that a neighbour told here: in force from now on, told to the peers, and on its way to the disk. Gives its
     /// place in this proxy's log; none where there is no log.
     pub(super) fn purge_told(
@@ -344,7 +304,7 @@
         if let Some(word) = &mut self.store_word {
             word.clear();
         }
-        let told = self.ledger.as_mut().map(ledger::Ledger::take_completions).unwrap_or_default();
+        let told = self.ledger.as_mut().map(|ledger| ledger.take_completions(now)).unwrap_or_default();
         if !told.is_empty() {
             fail::fail_point!("holder-says");
         }
@@ -423,12 +383,18 @@
         if self.config.copies.on && (short == 0) != (before == 0) {
             log::info!(short = short; "promises with fewer copies than wanted");
         }
+        let without_snapshot = ledger.replica().peers_without_snapshot().len();
+        let before = std::mem::replace(&mut self.promised.without_snapshot, without_snapshot);
+        if without_snapshot > before {
+            log::warn!(peers = without_snapshot; "peers of an earlier version are behind what was compacted here, and know no snapshots");
+        }
         self.send_words(told);
+        self.watch_snapshot(now);
         self.settle_promises(now);
         self.plan_copies(now);
     }
 
-    fn plan_copies(&mut self, now: Micros) {
+    pub(super) fn plan_copies(&mut self, now: Micros) {
         let Some(ledger) = &self.ledger else { return };
         // Never at once again, whatever the logs say: the loop must come to its sockets.
         let due = ledger.due().max(now + 1_000);
--- /dev/null
+++ b/daemon/src/daemon/recovery.rs
@@ -0,0 +1,166 @@
+//! Readiness of a proxy that lacks purges: one that began without its disk, until its peers have sent what it promised,
+//! and one that is behind what its peers have compacted, until it has their snapshot.
+
+use super::Daemon;
+use linnetknot::Micros;
+use linnetknot_discovery::server_id;
+use linnetknot_replication::{Datagram, Outgoing, Recovery};
+
+/// A wait for a snapshot. It is extended while chunks or entries come, up to a bound.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct SnapshotWait {
+    since: Micros,
+    /// When the wait ends if nothing more comes.
+    until: Micros,
+    /// When it ends in any case.
+    max_until: Micros,
+    has_ended: bool,
+}
+
+impl SnapshotWait {
+    fn begin(now: Micros, timeout_us: Micros, max_us: Micros) -> Self {
+        SnapshotWait { since: now, until: now + timeout_us, max_until: now + max_us, has_ended: false }
+    }
+
+    /// Something has come.
+    fn extend(&mut self, now: Micros, timeout_us: Micros) {
+        self.until = self.max_until.min(now + timeout_us);
+    }
+
+    /// Ends a wait that has taken too long. True where it ends now.
+    fn time_out(&mut self, now: Micros) -> bool {
+        let ends = !self.has_ended && now >= self.until;
+        self.has_ended |= ends;
+        ends
+    }
+
+    /// Whether readiness does not wait any more.
+    pub(super) fn has_ended(&self) -> bool {
+        self.has_ended
+    }
+}
+
+impl Daemon {
+    /// Waits for what it promised before, if it began without a disk. One with its disk asks its peers as well, so that
+    /// it soon knows whether it is behind what they have compacted.
+    pub(super) fn begin_recovery(&mut self, now: Micros) {
+        let copies = &self.config.copies;
+        let Some(ledger) = self.ledger.as_ref().filter(|_| copies.on) else { return };
+        if !ledger.is_fresh() {
+            return self.request_digests((0..copies.machines.len()).collect());
+        }
+        let machines = copies.machines.iter().map(|(_, machine)| server_id(machine)).collect();
+        let times = (now, now + self.limits.recovery_us, self.limits.recovery_ask_us);
+        let recovery = Recovery::new(server_id(&copies.machine), machines, copies.wait, times);
+        self.promised.recovery = Some(recovery);
+        self.recover(now);
+    }
+
+    fn request_digests(&self, peers: Vec<usize>) {
+        let requests = peers.into_iter().map(|peer| Outgoing { peer, datagram: Datagram::DigestRequest });
+        self.send_words(requests.collect());
+    }
+
+    fn recover(&mut self, now: Micros) {
+        let Some(recovery) = &mut self.promised.recovery else { return };
+        let (peers, missing) = recovery.tick(now);
+        if let Some(machines) = missing {
+            log::error!(machines = machines; "not all that this proxy promised may have come back, and it is ready all the same");
+        }
+        let due = recovery.due();
+        self.request_digests(peers);
+        match due {
+            Some(due) => {
+                let due = due.max(now + 1_000);
+                let old = self.promised.recovers.take();
+                self.promised.recovers = self.instead(old, Some(due), |daemon, now| {
+                    daemon.promised.recovers = None;
+                    daemon.recover(now);
+                });
+            }
+            None => self.notify(now),
+        }
+    }
+
+    /// A peer has the same logs as this proxy.
+    pub(super) fn same_as(&mut self, now: Micros, peer: usize) {
+        // With a snapshot half taken in, equal logs do not tell that all their purges are here.
+        if self.ledger.as_ref().is_some_and(|ledger| ledger.replica().is_catching_up()) {
+            return;
+        }
+        if self.promised.recovery.as_mut().is_some_and(|recovery| recovery.settled(peer)) {
+            let entries = self.ledger.as_ref().map_or(0, |ledger| ledger.replica().log_store().len());
+            log::info!(entries = entries; "what this proxy promised has come back");
+            self.notify(now);
+        }
+    }
+
+    /// A chunk of a snapshot has come, or entries behind it: the waits for them are extended.
+    pub(super) fn extend_recovery(&mut self, now: Micros) {
+        let timeout_us = self.limits.recovery_us;
+        let Some(wait) = &mut self.promised.snapshot else { return };
+        wait.extend(now, timeout_us);
+        if let Some(recovery) = &mut self.promised.recovery {
+            recovery.extend(wait.until);
+        }
+    }
+
+    /// Looks whether the replica is behind its peers' snapshots: the proxy is not ready until it has them, or the wait is
+    /// over.
+    pub(super) fn watch_snapshot(&mut self, now: Micros) {
+        let is_behind = self.ledger.as_ref().is_some_and(|ledger| ledger.replica().is_catching_up());
+        match &mut self.promised.snapshot {
+            None if is_behind => {
+                let limits = &self.limits;
+                let wait = SnapshotWait::begin(now, limits.recovery_us, limits.recovery_max_us);
+                self.promised.snapshot = Some(wait);
+                self.extend_recovery(now);
+                log::warn!("behind what peers have compacted: not ready until their snapshot is here");
+                self.notify(now);
+            }
+            Some(wait) if !is_behind => {
+                let took_ms = now.saturating_sub(wait.since) / 1_000;
+                self.promised.snapshot = None;
+                let compacted = self.ledger.as_ref().map_or(0, |ledger| ledger.table().len());
+                log::info!(took_ms = took_ms, compacted = compacted; "the peers' snapshot is here");
+                self.notify(now);
+            }
+            Some(wait) => {
+                let ends = wait.time_out(now);
+                if ends {
+                    self.give_up_snapshot(now);
+                }
+            }
+            None => {}
+        }
+    }
+
+    /// The snapshot did not come in time. Which copies its purges concern can't be known, so all are taken as purged.
+    fn give_up_snapshot(&mut self, now: Micros) {
+        self.core.raise_purges(now);
+        log::error!(
+            "the peers' snapshot has not come in time: every copy from before now is taken as purged"
+        );
+        self.notify(now);
+    }
+
+    /// Puts in force what the store holds: the purges held one by one, and the table of older ones.
+    pub(super) fn restore_purges(&mut self, now: Micros) {
+        let Some(ledger) = &self.ledger else { return };
+        let bucket_bits = ledger.table().bucket_bits();
+        self.core.set_purge_capacity(self.core.purges().exact_capacity(), bucket_bits);
+        for (index, bucket) in ledger.table().occupied(Default::default()) {
+            if let Err(e) = self.core.merge_purges(bucket_bits, index, bucket) {
+                log::error!("{e}");
+            }
+        }
+        let purges = ledger.purges();
+        let (compacted, bytes) = (ledger.table().len(), ledger.table().memory_bytes());
+        if !purges.is_empty() || compacted > 0 {
+            log::info!(exact = purges.len(), compacted = compacted, table_bytes = bytes; "the store's purges are in force");
+        }
+        for (object, group, at) in purges {
+            self.core.purged(now, object, group, at);
+        }
+    }
+}
--- a/daemon/src/fleet.rs
+++ b/daemon/src/fleet.rs
@@ -38,6 +38,15 @@
     pub on_disk: u64,
     /// Entries in force, of all logs.
     pub entries: usize,
+    /// Purges of the table behind them that have a slot of their own there.
+    #[serde(default)]
+    pub compacted: usize,
+    /// Memory of that table, in bytes.
+    #[serde(default)]
+    pub table_bytes: usize,
+    /// Peers have compacted what is missing here: a snapshot is on its way.
+    #[serde(default)]
+    pub catching_up: bool,
     /// A sum over all logs: proxies with the same have the same.
     pub digest: String,
     /// Answers that wait for copies.
@@ -107,6 +116,18 @@
                 "entries",
                 format!("{} in force of {} logs, digest {}", self.entries, self.logs_in_all, self.digest),
             ),
+            (
+                "compacted",
+                format!(
+                    "{} purges in a table of {} bytes{}",
+                    self.compacted,
+                    self.table_bytes,
+                    match self.catching_up {
+                        true => "; catching up with a snapshot",
+                        false => "",
+                    }
+                ),
+            ),
             (
                 "promises",
                 format!(
@@ -242,6 +263,9 @@
             end: 9,
             on_disk: 8,
             entries: 7,
+            compacted: 5,
+            table_bytes: 4_194_304,
+            catching_up: true,
             digest: "00".into(),
             waiting: 1,
             short: 3,
--- a/daemon/src/interconnect.rs
+++ b/daemon/src/interconnect.rs
@@ -6,6 +6,7 @@
 use linnetknot_budgets::{kinds, limit::Whole};
 use linnetknot_consul::{Consistency, Identity, Mapping, MetaKeys, Options, Registrant};
 use linnetknot_discovery::Damping;
+use linnetknot_purges::BucketBits;
 use schemars::JsonSchema;
 use serde::Deserialize;
 use std::collections::{BTreeMap, BTreeSet};
@@ -60,11 +61,27 @@
     pub machine: Option<String>,
     /// The machines of peers, by their addresses in `peers`; of those not named here, the address is the machine.
     pub machines: BTreeMap<SocketAddr, String>,
+    /// The size of the table in which older purges are held, in MiB: a power of two. It takes that twice in memory, a
+    /// third time while a peer reads a snapshot of it, and once on the disk. Proxies may differ.
+    #[schemars(range(min = 1, max = 1024))]
+    pub purge_table_mb: u32,
+    /// Purges that are held one by one before older ones move to the table; null: the daemon's own bound. For tests,
+    /// which can't tell a proxy of so many.
+    #[schemars(skip)]
+    pub exact_purges: Option<usize>,
 }
 
 impl Default for CopiesFile {
     fn default() -> Self {
-        CopiesFile { wait: 1, holders: None, within_ms: 1_000, machine: None, machines: BTreeMap::new() }
+        CopiesFile {
+            wait: 1,
+            holders: None,
+            within_ms: 1_000,
+            machine: None,
+            machines: BTreeMap::new(),
+            purge_table_mb: PurgeTableSize::DEFAULT_MB,
+            exact_purges: None,
+        }
     }
 }
 
@@ -83,15 +100,48 @@
     pub machine: String,
     /// Those of its peers, in the order of their list; itself left out.
     pub machines: Vec<(SocketAddr, String)>,
+    /// How many purges are held, and how.
+    pub purge_table: PurgeTableSize,
+}
+
+/// How many purges are held one by one, and the size of the compact table that takes all older ones.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct PurgeTableSize {
+    /// The size of the table.
+    pub bucket_bits: BucketBits,
+    /// Purges that are held one by one; none: the daemon's own bound.
+    pub exact: Option<usize>,
+}
+
+impl PurgeTableSize {
+    /// The usual size of the table, in MiB.
+    const DEFAULT_MB: u32 = 4;
+    /// The binary logarithm of the number of buckets in a MiB.
+    const BITS_OF_ONE_MB: u32 = 14;
+    /// The largest table, in MiB.
+    const MAX_MB: u32 = 1 << (BucketBits::MAX.value() as u32 - Self::BITS_OF_ONE_MB);
+
+    fn check(file: &CopiesFile) -> Result<Self> {
+        const KEY: &str = "copies.purge_table_mb";
+        let mb = range(KEY, file.purge_table_mb, 1, Self::MAX_MB)?;
+        if !mb.is_power_of_two() {
+            return Err(format!("{KEY}: {mb} is no power of two"));
+        }
+        let bits = Self::BITS_OF_ONE_MB + mb.ilog2();
+        let bucket_bits = BucketBits::new(bits as u8).map_err(|e| format!("{KEY}: {e}"))?;
+        let exact = file.exact_purges.map(|n| range("copies.exact_purges", n, 1, 1 << 24)).transpose()?;
+        Ok(PurgeTableSize { bucket_bits, exact })
+    }
 }
 
 impl CopiesFile {
     /// What the daemon uses, for the peers of the configuration.
     pub fn check(&self, on: bool, peers: Option<&(SocketAddr, Vec<SocketAddr>)>) -> Result<Copies> {
         let within_us = range("copies.within_ms", self.within_ms, 50, 30_000)? * 1000;
+        let purge_table = PurgeTableSize::check(self)?;
         if !on {
             // A promise is kept on this proxy's own disk alone.
-            return Ok(Copies { within_us, ..Copies::default() });
+            return Ok(Copies { within_us, purge_table, ..Copies::default() });
         }
         let name =
             |peer: &SocketAddr| self.machines.get(peer).cloned().unwrap_or_else(|| peer.ip().to_string());
@@ -114,7 +164,7 @@
             return Err(format!("copies.holders: fewer than the {} of 'copies.wait'", self.wait));
         }
         let holders = self.holders.unwrap_or(further.len().min(2).max(self.wait));
-        Ok(Copies { on, wait: self.wait, holders, within_us, machine, machines })
+        Ok(Copies { on, wait: self.wait, holders, within_us, machine, machines, purge_table })
     }
 }
 
--- a/daemon/src/ledger/codec.rs
+++ b/daemon/src/ledger/codec.rs
@@ -1,7 +1,7 @@
 //! How entries stand in the store: as a key of log and subject, under which a later entry on the same subject takes the
 //! place of the one before, and a value of index and time.
 
-use linnetknot_replication::{Capacity, Entry, Insertion, LogId, LogStore, Subject};
+use linnetknot_replication::{Entry, LogId, Subject};
 use linnetknot_store::{Fault, Pair, Space, Write};
 
 /// Entries in force.
@@ -72,7 +72,7 @@
     Write::remove_if(ENTRIES, key(entry), value(entry))
 }
 
-/// The entry of a key and its value. Which entry stands before it follows from the others (`log_store`).
+/// The entry of a key and its value. Which entry stands before it follows from the others.
 fn read((key, value): &Pair) -> Option<Entry> {
     let log = LogId::new(number(key.get(..8)?)?, number(key.get(8..LOG_BYTES)?)?);
     let subject = subject(*key.get(LOG_BYTES)?, key.get(LOG_BYTES + 1..)?, value)?;
@@ -107,17 +107,3 @@
     let entries: Option<Vec<Entry>> = pairs.iter().map(read).collect();
     entries.ok_or_else(|| Fault::Damaged("an entry can't be read".into()))
 }
-
-/// The logs that consist of these entries, in whatever order they come.
-pub(super) fn log_store(mut entries: Vec<Entry>) -> Result<LogStore, Fault> {
-    entries.sort_unstable_by_key(|e| (e.log, e.index));
-    let (mut store, mut before) = (LogStore::default(), None);
-    for mut entry in entries {
-        entry.prev = before.filter(|(log, _)| *log == entry.log).map_or(0, |(_, index)| index);
-        before = Some((entry.log, entry.index));
-        if store.take(&entry, Capacity::UNLIMITED) != Insertion::New {
-            return Err(Fault::Damaged("two entries stand in one place of a log".into()));
-        }
-    }
-    Ok(store)
-}
--- a/daemon/src/ledger/error.rs
+++ b/daemon/src/ledger/error.rs
@@ -11,6 +11,12 @@
     /// The store can't be used.
     #[error(transparent)]
     Store(#[from] Fault),
+    /// Another version of the program wrote the compact table.
+    #[error("its purge table has form {found}, this program knows form 1; start the program that wrote it")]
+    TableForm {
+        /// The form.
+        found: u8,
+    },
     /// A file of an earlier version can't be read or moved.
     #[error("the disk: {path}: {source}")]
     Legacy {
--- a/daemon/src/ledger/mod.rs
+++ b/daemon/src/ledger/mod.rs
@@ -1,26 +1,37 @@
 //! The purges that peer CDNs told this proxy and its peers alone: the boxes hear nothing of them, so a proxy that
 //! starts again must know them, and so must one that was away. A store (`linnetknot_store`) has them as logs
 //! (`linnetknot_replication`), its own and those of others; a worker thread writes it.
+//!
+//! Purges are held one by one up to a bound. Older ones are moved to a compact table of fixed size, in memory by the
+//! replica (`Replica::compact`) and on the disk by [`compaction`].
 
 mod codec;
+mod compaction;
 mod error;
 mod identity;
 mod legacy;
+mod table;
 
 use crate::peers::Purge;
+use compaction::CompactionWriter;
 use identity::Identity;
 use legacy::LegacyFile;
 use linnetknot::Micros;
+use linnetknot_purges::{BucketBits, CompactTable};
 use linnetknot_replication::{
     pieces, Capacity, CommitId, CommitOutcome, Datagram, Entry, Epoch, Index, LogId, LogStore, Options,
     Outgoing, Received, RejectReason, Replica, Subject, Writer,
 };
-use linnetknot_store::{Keeper, Store, Ticket, Write};
+use linnetknot_store::{Done, Fault, Keeper, Store, Ticket, Write};
 use std::collections::{BTreeMap, VecDeque};
-use std::path::Path;
+use std::path::{Path, PathBuf};
+use table::StoredTable;
 
 pub use error::{AppendError, LedgerError};
 
+/// The part of the queue to the disk that compaction leaves to entries.
+const RESERVE_DIVISOR: usize = 2;
+
 /// How often entries whose time is over are looked for: they are of use for an hour, and a look takes all of them.
 const EXPIRE_PERIOD_US: Micros = 60_000_000;
 
@@ -31,6 +42,8 @@
     pub replication: Options,
     /// Writes that may wait for the disk.
     pub queue: usize,
+    /// The size of the compact table.
+    pub bucket_bits: BucketBits,
 }
 
 /// The logs, and the store that has them.
@@ -40,6 +53,9 @@
     identity: Identity,
     /// Entries on their way to the disk, in order.
     in_flight: VecDeque<(Ticket, LogId, Index)>,
+    compaction: CompactionWriter,
+    /// Writes of the queue that compaction leaves to entries.
+    reserve: usize,
     /// When entries whose time is over are looked for again.
     expires: Micros,
 }
@@ -71,17 +87,12 @@
 }
 
 /// Takes purges of a file that had no logs into this writer's log: the writes that keep them.
-fn adopt(
-    store: &mut LogStore,
-    own: LogId,
-    purges: Vec<Purge>,
-    capacity: Capacity,
-) -> Result<Vec<Write>, LedgerError> {
+fn adopt(store: &mut LogStore, own: LogId, purges: Vec<Purge>) -> Result<Vec<Write>, LedgerError> {
     let mut writes = Vec::new();
     for (object, group, at) in purges {
         let subject = subject(object.as_deref(), group);
         if store.latest(&subject).is_none_or(|known| known < at) {
-            let entry = store.append(own, (subject, at, false), capacity)?;
+            let entry = store.append(own, (subject, at, false), Capacity::UNLIMITED)?;
             writes.push(codec::put(&entry));
         }
     }
@@ -99,7 +110,20 @@
         wake: impl Fn() + Send + 'static,
     ) -> Result<Self, LedgerError> {
         let aside = legacy::put_aside(path)?;
-        let mut store = Store::open(path)?;
+        Self::on_store(Store::open(path)?, aside, writer, now, bounds, wake)
+    }
+
+    /// As `open`, in a store that is open, with a file of an earlier version where there is one: for tests.
+    #[doc(hidden)]
+    pub fn on_store(
+        mut store: Store,
+        aside: Option<PathBuf>,
+        writer: Writer,
+        now: Micros,
+        bounds: Bounds,
+        wake: impl Fn() + Send + 'static,
+    ) -> Result<Self, LedgerError> {
+        let stored = StoredTable::load(&mut store, bounds.bucket_bits)?;
         let identity = Identity::of(&mut store, now)?;
         let mut entries = codec::read_all(&store.all(codec::ENTRIES)?)?;
         let mut legacy = LegacyFile::default();
@@ -109,22 +133,41 @@
         let mut writes: Vec<Write> = legacy.entries.iter().map(codec::put).collect();
         entries.append(&mut legacy.entries);
         let own = LogId::new(writer, identity.epoch);
-        let mut log_store = codec::log_store(entries)?;
-        let capacity = Capacity { entries: bounds.replication.max_exact_entries, ..Capacity::UNLIMITED };
-        writes.extend(adopt(&mut log_store, own, legacy.purges, capacity)?);
+        let mut log_store = LogStore::restore(stored.table, &stored.markers, entries)
+            .map_err(|e| Fault::Damaged(e.to_string()))?;
+        writes.extend(adopt(&mut log_store, own, legacy.purges)?);
+        writes.extend(stored.resize);
         writes.extend(identity.begin());
         // All of this is there, or nothing and the old file still is.
         store.commit(&writes)?;
         let replica = Replica::new(own, log_store, identity.incarnation, bounds.replication);
         let keeper = Keeper::start("store", store, bounds.queue, wake).map_err(LedgerError::Worker)?;
-        Ok(Ledger { keeper, replica, identity, in_flight: VecDeque::new(), expires: 0 })
+        Ok(Ledger {
+            keeper,
+            replica,
+            identity,
+            in_flight: VecDeque::new(),
+            compaction: CompactionWriter::new(stored.has_header),
+            reserve: bounds.queue / RESERVE_DIVISOR,
+            expires: 0,
+        })
     }
 
-    /// What stands in it. Of one that several logs have, the latest counts for whoever takes them all.
+    /// The purges that it holds one by one. Of one that several logs have, the latest counts for whoever takes them all.
     pub fn purges(&self) -> Vec<Purge> {
         self.replica.log_store().entries().filter_map(|entry| purge(&entry)).collect()
     }
 
+    /// The table of all older purges.
+    pub fn table(&self) -> &CompactTable {
+        self.replica.log_store().table()
+    }
+
+    /// Whether all that was compacted or came by a snapshot is on the disk.
+    pub fn is_compaction_synced(&self) -> bool {
+        self.compaction.is_idle()
+    }
+
     /// This process's life among the members: greater than that of any before it on this disk.
     pub fn member(&self) -> Epoch {
         self.identity.incarnation
@@ -230,20 +273,46 @@
         };
         let received = self.replica.receive(from, datagram);
         received.new.iter().for_each(|entry| self.write(entry));
+        received.buckets.iter().for_each(|merged| self.compaction.add_bucket(merged.index));
+        received.compacted.iter().for_each(|marker| self.compaction.add_snapshot(*marker));
         received
     }
 
+    /// Moves the oldest purges to the table where there are too many, and hands over what of that the disk is to have.
+    /// Gives what peers are to be told of it.
+    fn compact(&mut self, now: Micros) -> Vec<Outgoing> {
+        // Once the disk has the step before: entries must not leave memory faster than they leave the disk.
+        if self.compaction.is_idle() {
+            if let Some(compaction) = self.replica.compact(now) {
+                log::debug!(entries = compaction.entries.len(), buckets = compaction.buckets.len(); "purges are compacted");
+                self.compaction.add(compaction);
+            }
+        }
+        let table = self.replica.log_store().table();
+        let synced = self.compaction.give(&mut self.keeper, self.reserve, table);
+        self.replica.snapshot_synced(&synced)
+    }
+
     /// Takes in the worker's word of what is on the disk: what peers are to be told of it.
-    pub fn take_completions(&mut self) -> Vec<Outgoing> {
+    pub fn take_completions(&mut self, now: Micros) -> Vec<Outgoing> {
         let mut outgoing = Vec::new();
         while let Some(done) = self.keeper.done() {
-            while let Some((log, index)) = next_written(&mut self.in_flight, done.to) {
-                match done.result {
-                    Ok(()) => outgoing.extend(self.replica.synced(log, index)),
-                    Err(_) => self.replica.sync_failed(log, index),
-                }
+            outgoing.extend(self.settle(&done));
+        }
+        outgoing.extend(self.compact(now));
+        outgoing
+    }
+
+    /// Takes in what became of writes.
+    fn settle(&mut self, done: &Done) -> Vec<Outgoing> {
+        let mut outgoing = Vec::new();
+        while let Some((log, index)) = next_written(&mut self.in_flight, done.to) {
+            match done.result {
+                Ok(()) => outgoing.extend(self.replica.synced(log, index)),
+                Err(_) => self.replica.sync_failed(log, index),
             }
         }
+        self.compaction.settle(done);
         outgoing
     }
 
@@ -264,7 +333,10 @@
                 self.keeper.give(codec::remove(&entry));
             }
         }
-        self.replica.tick(now)
+        self.compaction.retry();
+        let mut outgoing = self.compact(now);
+        outgoing.extend(self.replica.tick(now));
+        outgoing
     }
 
     /// The process ends in order: the next one goes on with this life, if the disk has all of it. Waits for the disk.
--- /dev/null
+++ b/daemon/src/ledger/table.rs
@@ -0,0 +1,130 @@
+//! How the compact table of older purges stands in the store: its size, its buckets, and through which index each log
+//! is compacted (its marker).
+
+use super::error::LedgerError;
+use linnetknot_purges::{Bucket, BucketBits, BucketIndex, CompactTable};
+use linnetknot_replication::{CompactedLog, LogId};
+use linnetknot_store::{Fault, Format, Pair, Space, Store, Write};
+
+/// Buckets that are not empty: the index, big endian, and the bucket's encoding.
+const BUCKETS: Space = Space("buckets");
+/// Markers: the log's writer and epoch, and the index through which it is compacted, all big endian.
+const MARKERS: Space = Space("compacted");
+/// What is said of the table as a whole.
+const TABLE: Space = Space("table");
+/// The form of the three spaces and the binary logarithm of the number of buckets, a byte each.
+const HEADER: &[u8] = b"header";
+/// The form that this program reads and writes.
+const FORM: u8 = 1;
+
+/// What the store holds behind the entries.
+#[derive(Debug)]
+pub(super) struct StoredTable {
+    /// The table, in the size that was asked for.
+    pub(super) table: CompactTable,
+    /// The logs' markers.
+    pub(super) markers: Vec<CompactedLog>,
+    /// What brings the store to that size. All of it is to be written in one group, so that a crash leaves the table of
+    /// one size or of the other.
+    pub(super) resize: Vec<Write>,
+    /// Whether the store has its header, and with it the format that older programs refuse.
+    pub(super) has_header: bool,
+}
+
+impl StoredTable {
+    /// Reads the table and gives it in the wanted size.
+    pub(super) fn load(store: &mut Store, wanted: BucketBits) -> Result<Self, LedgerError> {
+        let header = store.get(TABLE, HEADER)?;
+        let buckets = store.all(BUCKETS)?;
+        let markers = store.all(MARKERS)?;
+        let Some(header) = header else {
+            return match buckets.is_empty() && markers.is_empty() {
+                true => Ok(StoredTable::empty(wanted)),
+                false => Err(damaged("the purge table has no header")),
+            };
+        };
+        if store.format()? < Format::Compacted && !(buckets.is_empty() && markers.is_empty()) {
+            return Err(damaged("its format has no purge table, and there is one"));
+        }
+        let bucket_bits = read_header(&header)?;
+        let table = read_buckets(bucket_bits, &buckets)?;
+        let markers = markers.iter().map(read_marker).collect::<Result<_, _>>()?;
+        if bucket_bits == wanted {
+            return Ok(StoredTable { table, markers, resize: Vec::new(), has_header: true });
+        }
+        let resized = table.resized(wanted);
+        log::info!(from = table.memory_bytes(), to = resized.memory_bytes(); "the purge table is given another size");
+        let resize = resize(&buckets, &resized);
+        Ok(StoredTable { table: resized, markers, resize, has_header: true })
+    }
+
+    fn empty(wanted: BucketBits) -> Self {
+        StoredTable {
+            table: CompactTable::new(wanted),
+            markers: Vec::new(),
+            resize: Vec::new(),
+            has_header: false,
+        }
+    }
+}
+
+/// The writes that begin a table of a size: from then on programs that know no table refuse the store.
+pub(super) fn begin(bucket_bits: BucketBits) -> [Write; 2] {
+    [Format::Compacted.write(), put_header(bucket_bits)]
+}
+
+/// The write that keeps a bucket. One that was never written to is empty.
+pub(super) fn put_bucket(table: &CompactTable, index: BucketIndex) -> Write {
+    let mut value = Vec::new();
+    table.bucket(index).copied().unwrap_or_default().encode(&mut value);
+    Write::put(BUCKETS, index.value().to_be_bytes().to_vec(), value)
+}
+
+/// The write that keeps through which index a log is compacted.
+pub(super) fn put_marker(marker: CompactedLog) -> Write {
+    let key = [marker.log.writer.to_be_bytes(), marker.log.epoch.to_be_bytes()].concat();
+    Write::put(MARKERS, key, marker.through.to_be_bytes().to_vec())
+}
+
+fn put_header(bucket_bits: BucketBits) -> Write {
+    Write::put(TABLE, HEADER.to_vec(), vec![FORM, bucket_bits.value()])
+}
+
+/// What takes the place of the buckets of another size.
+fn resize(old: &[Pair], table: &CompactTable) -> Vec<Write> {
+    let mut writes: Vec<Write> = old.iter().map(|(key, _)| Write::remove(BUCKETS, key.clone())).collect();
+    writes.extend(table.occupied(BucketIndex::default()).map(|(index, _)| put_bucket(table, index)));
+    writes.push(put_header(table.bucket_bits()));
+    writes
+}
+
+fn read_header(header: &[u8]) -> Result<BucketBits, LedgerError> {
+    match header {
+        [FORM, bits] => BucketBits::new(*bits).map_err(damaged),
+        [form, ..] if *form != FORM => Err(LedgerError::TableForm { found: *form }),
+        _ => Err(damaged("the purge table's header can't be read")),
+    }
+}
+
+fn read_buckets(bucket_bits: BucketBits, pairs: &[Pair]) -> Result<CompactTable, LedgerError> {
+    let mut table = CompactTable::new(bucket_bits);
+    for (key, value) in pairs {
+        let index = key.as_slice().try_into().map(u32::from_be_bytes);
+        let index = index.map_err(|_| damaged("a purge table's bucket has no index"))?;
+        let bucket = Bucket::decode(value).map_err(|e| damaged(format!("bucket {index}: {e}")))?;
+        table.merge_bucket(bucket_bits, index.into(), &bucket).map_err(damaged)?;
+    }
+    Ok(table)
+}
+
+fn read_marker((key, value): &Pair) -> Result<CompactedLog, LedgerError> {
+    let number = |bytes: Option<&[u8]>| bytes?.try_into().ok().map(u64::from_be_bytes);
+    let log = || Some(LogId::new(number(key.get(..8))?, number(key.get(8..))?));
+    let marker = log().zip(number(Some(value)));
+    let (log, through) = marker.ok_or_else(|| damaged("through where a log is compacted can't be read"))?;
+    Ok(CompactedLog { log, through })
+}
+
+fn damaged(why: impl ToString) -> LedgerError {
+    LedgerError::Store(Fault::Damaged(why.to_string()))
+}
--- a/daemon/src/limits.rs
+++ b/daemon/src/limits.rs
@@ -60,7 +60,7 @@
     pub gone_boxes: usize,
     /// Lines of the log that are remembered, so that each is said once.
     pub said: usize,
-    /// Purges in the logs that are exchanged with the peers. What is in force has no bound.
+    /// Purges that are held one by one in the logs that are exchanged with the peers. Older ones are held by a table.
     pub purges: usize,
     /// Pieces of the status of triggers, in all logs.
     pub statuses: usize,
@@ -70,6 +70,8 @@
     pub promises: usize,
     /// A proxy that began without its disk is ready after this, whatever of its own promises is missing.
     pub recovery_us: u64,
+    /// The same where a snapshot of what its peers have compacted is on its way and makes progress, in all.
+    pub recovery_max_us: u64,
     /// Meanwhile it asks its peers so often what they have.
     pub recovery_ask_us: u64,
     /// Writes that wait for the store's worker.
@@ -195,7 +197,7 @@
     /// The bounds of the logs of purges, and what is promised of them.
     pub fn replication(&self, promised: &crate::interconnect::Copies) -> linnetknot_replication::Options {
         linnetknot_replication::Options {
-            max_exact_entries: self.purges,
+            max_exact_entries: promised.purge_table.exact.unwrap_or(self.purges),
             max_logs: self.purge_logs,
             expiring: self.statuses,
             expiry_us: triggers::STALE_S * 1_000_000,
@@ -266,11 +268,12 @@
             boxes: 20_000,
             gone_boxes: 2_000,
             said: 1_000,
-            purges: 20_000,
+            purges: 65_536,
             statuses: 20_000,
-            purge_logs: 1_024,
+            purge_logs: 16_384,
             promises: 1_024,
             recovery_us: 5_000_000,
+            recovery_max_us: 25_000_000,
             recovery_ask_us: 100_000,
             store_writes: 4_096,
             triggers: 1024,
--- a/daemon/src/points.rs
+++ b/daemon/src/points.rs
@@ -7,7 +7,7 @@
 use rustix::process::{getpid, kill_process, Signal};
 
 /// The points, in the order in which a promise passes them.
-pub const POINTS: [&str; 18] = [
+pub const POINTS: [&str; 21] = [
     // A purge that a neighbour told: before the peers are told and after; before the store's worker writes and after;
     // and once enough have it, before the answer.
     "peers-tell",
@@ -19,11 +19,17 @@
     "store-fails",
     // At a peer that has it on its disk, before it says so.
     "holder-says",
+    // At a proxy that is behind what its peers compacted, when a chunk of their snapshot is in force; and one that gets
+    // no chunk at all (`fail`).
+    "snapshot-chunk",
+    "snapshot-lost",
     // Faults that rehearsals plant, so that their rules have something to find (`fail`): a yes before the copy, a
     // catch-up that skips what is missing, a replaced process that goes on promising.
     "plant-credit",
     "plant-skip",
     "plant-no-fence",
+    // And entries that leave the disk before the buckets that hold their purges are synced.
+    "plant-early-removal",
     // A ban or drain at the admin listener: before its file is put in place, between the two, and after both.
     "admin-keeps",
     "admin-kept-once",
--- /dev/null
+++ b/daemon/tests/common/ledger_on_medium.rs
@@ -0,0 +1,177 @@
+//! A ledger with a small window on a medium that stops at a chosen operation, and what it acknowledged.
+#![allow(dead_code)]
+
+use crate::medium::Medium;
+use linnetknot::Micros;
+use linnetknot_daemon::ledger::{Bounds, Ledger, LedgerError};
+use linnetknot_purges::BucketBits;
+use linnetknot_replication::{Entry, Options, Outgoing, Subject};
+use linnetknot_store::{Pair, Space, Store};
+use std::sync::mpsc::{channel, Receiver};
+use std::time::Duration;
+
+pub const WRITER: u64 = 1;
+/// Purges that a ledger holds one by one.
+pub const WINDOW: usize = 8;
+/// Steps of time between purges.
+pub const STEP_US: Micros = 10_000;
+/// The worker's word is waited for so long.
+const TIMEOUT: Duration = Duration::from_secs(10);
+/// The same between two ticks, after which there may be nothing to say.
+const TICK_TIMEOUT: Duration = Duration::from_millis(100);
+const MAX_TICKS: usize = 100;
+
+pub fn bounds(window: usize, bucket_bits: BucketBits) -> Bounds {
+    let replication = Options { max_exact_entries: window, ..Options::default() };
+    Bounds { replication, queue: 64, bucket_bits }
+}
+
+pub fn object(n: u64) -> String {
+    format!("{n:016x}")
+}
+
+pub fn subject(n: u64) -> Subject {
+    Subject::Object(object(n))
+}
+
+/// All pairs of the spaces that a ledger writes.
+pub fn all_pairs(store: &mut Store) -> Vec<(Space, Vec<Pair>)> {
+    let spaces = ["head", "own", "entries", "buckets", "compacted", "table"].map(Space);
+    spaces.into_iter().map(|space| (space, store.all(space).unwrap())).collect()
+}
+
+pub fn open_store(medium: &Medium) -> Store {
+    let clone = medium.clone();
+    Store::on(move || clone.clone()).unwrap()
+}
+
+/// A ledger and the word of its worker.
+pub struct Running {
+    pub ledger: Ledger,
+    pub medium: Medium,
+    woken: Receiver<()>,
+    pub now: Micros,
+}
+
+impl Running {
+    pub fn open(medium: &Medium, now: Micros, bounds: Bounds) -> Result<Running, LedgerError> {
+        Self::open_as(WRITER, medium, now, bounds)
+    }
+
+    pub fn open_as(
+        writer: u64,
+        medium: &Medium,
+        now: Micros,
+        bounds: Bounds,
+    ) -> Result<Running, LedgerError> {
+        let (wake, woken) = channel();
+        let clone = medium.clone();
+        let store = Store::on(move || clone.clone())?;
+        let wake = move || {
+            let _ = wake.send(());
+        };
+        let ledger = Ledger::on_store(store, None, writer, now, bounds, wake)?;
+        Ok(Running { ledger, medium: medium.clone(), woken, now })
+    }
+
+    pub fn is_stopped(&self) -> bool {
+        self.medium.0.lock().unwrap().left == Some(0)
+    }
+
+    pub fn is_synced(&self) -> bool {
+        self.ledger.replica().is_synced() && self.ledger.is_compaction_synced()
+    }
+
+    /// Takes in the worker's word until all is on the disk, or the medium has stopped.
+    pub fn settle(&mut self) -> Vec<Outgoing> {
+        let mut outgoing = self.ledger.take_completions(self.now);
+        while !self.is_synced() && !self.is_stopped() {
+            self.woken.recv_timeout(TIMEOUT).expect("the worker has a word");
+            outgoing.extend(self.ledger.take_completions(self.now));
+        }
+        outgoing
+    }
+
+    /// Lets time pass until all is on the disk: what it did not take is given to it again at each tick.
+    pub fn settle_in_time(&mut self) {
+        for _ in 0..MAX_TICKS {
+            self.now += 1_000_000;
+            self.ledger.tick(self.now);
+            self.await_disk();
+            self.ledger.take_completions(self.now);
+            if self.is_synced() {
+                return;
+            }
+        }
+        panic!("the disk has not all of it after {MAX_TICKS} ticks");
+    }
+
+    /// Waits a little for a word of the worker, if none has come. What it tells is left to be taken in.
+    pub fn await_disk(&self) {
+        let _ = self.woken.recv_timeout(TICK_TIMEOUT);
+    }
+
+    /// Waits for one word of the worker.
+    pub fn hear(&mut self) -> Vec<Outgoing> {
+        self.woken.recv_timeout(TIMEOUT).expect("the worker has a word");
+        self.ledger.take_completions(self.now)
+    }
+
+    /// Purges an object and waits for the disk. Gives the entry if it is acknowledged.
+    pub fn purge(&mut self, n: u64) -> Option<Entry> {
+        self.now += STEP_US;
+        let entry = self.ledger.append_purge(Some(&object(n)), 0, self.now).ok()?;
+        self.settle();
+        let durable = self.ledger.replica().durable_index(entry.log);
+        (durable >= entry.index).then_some(entry)
+    }
+
+    /// Whether a purge is in force: as an entry or in the table, no earlier than told.
+    pub fn holds(&self, entry: &Entry) -> bool {
+        self.ledger.replica().log_store().effective(&entry.subject) >= Some(entry.at)
+    }
+}
+
+/// Purges objects, some of them again, until the medium stops. Gives what was acknowledged.
+pub fn run_until_stopped(medium: &Medium, bounds: Bounds) -> Vec<Entry> {
+    let mut acknowledged = Vec::new();
+    // Some logs are begun by the crash before: their epoch is the time of their beginning.
+    let now = 1_000_000 + medium.0.lock().unwrap().operations * 1_000_000;
+    let Ok(mut running) = Running::open(medium, now, bounds) else { return acknowledged };
+    for n in 0..3 * WINDOW as u64 {
+        acknowledged.extend(running.purge(n % 20));
+        if running.is_stopped() {
+            break;
+        }
+    }
+    running.ledger.abandon();
+    acknowledged
+}
+
+/// Stops a ledger at each operation that it makes on the medium, loses what was not synced, and opens it again. Gives
+/// what was acknowledged and is not in force then, with the operation.
+pub fn lost_by_crashes(bounds: Bounds) -> Vec<(u64, Entry)> {
+    let calm = Medium::default();
+    drop(open_store(&calm));
+    let begun = calm.0.lock().unwrap().operations;
+    let all = run_until_stopped(&calm, bounds);
+    assert_eq!(all.len(), 3 * WINDOW, "on a calm medium all are acknowledged");
+    let operations = calm.0.lock().unwrap().operations;
+    let mut lost = Vec::new();
+    for n in begun..operations {
+        let medium = Medium::default();
+        drop(open_store(&medium));
+        medium.0.lock().unwrap().left = Some(n - begun);
+        let mut acknowledged = run_until_stopped(&medium, bounds);
+        medium.0.lock().unwrap().lose(n);
+        // The next process stops, too, a little later: in the midst of what it moves again.
+        medium.0.lock().unwrap().left = Some(20 + n % 40);
+        acknowledged.extend(run_until_stopped(&medium, bounds));
+        medium.0.lock().unwrap().lose(n + 1);
+        let again = Running::open(&medium, u64::MAX / 2, bounds);
+        let again = again.unwrap_or_else(|e| panic!("stopped at {n}: {e}"));
+        lost.extend(acknowledged.into_iter().filter(|entry| !again.holds(entry)).map(|entry| (n, entry)));
+        again.ledger.abandon();
+    }
+    lost
+}
--- /dev/null
+++ b/daemon/tests/compaction.rs
@@ -0,0 +1,279 @@
+//! Compaction on the disk: whatever stops the medium, each purge that was acknowledged is an entry or in the table
+//! afterwards; what can't be read is refused by name; the table's size may change; and a peer's snapshot is told of only
+//! once it is synced.
+
+#[path = "common/ledger_on_medium.rs"]
+mod ledger_on_medium;
+#[path = "../../store/tests/common/medium.rs"]
+mod medium;
+
+use ledger_on_medium::{
+    all_pairs, bounds, lost_by_crashes, object, open_store, run_until_stopped, subject, Running, STEP_US,
+    WINDOW, WRITER,
+};
+use linnetknot_daemon::ledger::LedgerError;
+use linnetknot_purges::BucketBits;
+use linnetknot_replication::{Datagram, LogId, Subject};
+use linnetknot_store::{Fault, Format, Space, Write};
+use medium::Medium;
+
+const BITS: BucketBits = BucketBits::MIN;
+
+fn entries_on_disk(medium: &Medium) -> usize {
+    open_store(medium).all(Space("entries")).unwrap().len()
+}
+
+fn stop(medium: &Medium, left: Option<u64>) {
+    medium.0.lock().unwrap().left = left;
+}
+
+#[test]
+fn stopped_at_every_operation_each_acknowledged_purge_is_an_entry_or_in_the_table() {
+    let lost = lost_by_crashes(bounds(WINDOW, BITS));
+    assert!(lost.is_empty(), "{} are lost, the first {:?}", lost.len(), lost[0]);
+}
+
+#[test]
+fn the_disk_holds_no_more_entries_than_the_window_and_the_store_gets_its_second_format() {
+    let medium = Medium::default();
+    let acknowledged = run_until_stopped(&medium, bounds(WINDOW, BITS));
+    assert_eq!(open_store(&medium).format(), Ok(Format::Compacted));
+    let on_disk = entries_on_disk(&medium);
+    assert!(on_disk <= WINDOW + 1, "{on_disk} entries on the disk");
+    let again = Running::open(&medium, 1 << 50, bounds(WINDOW, BITS)).unwrap();
+    assert!(!again.ledger.table().is_empty());
+    assert!(acknowledged.iter().all(|entry| again.holds(entry)));
+}
+
+/// A compaction of which no write can be synced takes no entry off the disk, and is written once the disk is back.
+#[test]
+fn a_compaction_that_is_not_synced_takes_nothing_off_the_disk_and_is_given_again() {
+    for writes in 0..12 {
+        let medium = Medium::default();
+        let mut running = Running::open(&medium, 1_000_000, bounds(WINDOW, BITS)).unwrap();
+        let acknowledged: Vec<_> = (0..WINDOW as u64).filter_map(|n| running.purge(n)).collect();
+        assert!(running.ledger.table().is_empty());
+        // The window is full. The entry beyond it is synced, and then the medium takes so many operations more.
+        running.now += STEP_US;
+        running.ledger.append_purge(Some(&object(90)), 0, running.now).unwrap();
+        running.hear();
+        stop(&medium, Some(writes));
+        while !running.is_synced() && !running.is_stopped() {
+            running.hear();
+        }
+        let before = entries_on_disk_while_stopped(&running, &medium);
+        assert!(before >= 1, "stopped after {writes}: {before} entries");
+        // The disk is back; the ledger gives it what is missing when its time has come.
+        stop(&medium, None);
+        running.settle_in_time();
+        assert!(!running.ledger.table().is_empty());
+        running.ledger.abandon();
+        let again = Running::open(&medium, 1 << 50, bounds(WINDOW, BITS)).unwrap();
+        assert!(acknowledged.iter().all(|entry| again.holds(entry)), "stopped after {writes}");
+    }
+}
+
+/// Entries or buckets for all that was acknowledged, on what the medium would have after a crash now.
+fn entries_on_disk_while_stopped(running: &Running, medium: &Medium) -> usize {
+    let copy = Medium::default();
+    {
+        let (from, mut to) = (medium.0.lock().unwrap(), copy.0.lock().unwrap());
+        to.seen.clone_from(&from.lasting);
+        to.lasting.clone_from(&from.lasting);
+    }
+    let crashed = Running::open(&copy, 1 << 50, bounds(WINDOW, BITS)).unwrap();
+    let store = running.ledger.replica().log_store();
+    let lost = (0..WINDOW as u64).filter(|n| {
+        let of = |store: &linnetknot_replication::LogStore| store.effective(&subject(*n));
+        of(crashed.ledger.replica().log_store()).is_none_or(|at| Some(at) < store.latest(&subject(*n)))
+    });
+    assert_eq!(lost.count(), 0);
+    crashed.ledger.abandon();
+    entries_on_disk(&copy)
+}
+
+/// What a program that knew no table wrote, byte by byte.
+#[test]
+fn a_store_of_the_first_format_is_taken_over() {
+    let medium = Medium::default();
+    let mut store = open_store(&medium);
+    let put = |n: u64| {
+        let name = object(n);
+        let key = [&WRITER.to_be_bytes()[..], &77u64.to_be_bytes(), b"o", name.as_bytes()].concat();
+        let value = [(n + 1).to_be_bytes(), (1_000 * n).to_be_bytes()].concat();
+        Write::put(Space("entries"), key, value)
+    };
+    store.commit(&(0..30).map(put).collect::<Vec<_>>()).unwrap();
+    let own = |key: &[u8], value: u64| Write::put(Space("own"), key.to_vec(), value.to_be_bytes().to_vec());
+    store.commit(&[own(b"life", 77), own(b"member", 77)]).unwrap();
+    assert_eq!(store.format(), Ok(Format::Entries));
+    drop(store);
+    let mut running = Running::open(&medium, 1_000_000, bounds(WINDOW, BITS)).unwrap();
+    assert!(!running.ledger.is_fresh());
+    running.ledger.tick(running.now);
+    running.settle();
+    let is_held = |running: &Running, n: u64| {
+        running.ledger.replica().log_store().effective(&subject(n)) >= Some(1_000 * n)
+    };
+    assert!((0..30).all(|n| is_held(&running, n)));
+    running.ledger.abandon();
+    assert_eq!(open_store(&medium).format(), Ok(Format::Compacted));
+    assert!(entries_on_disk(&medium) <= WINDOW);
+    let again = Running::open(&medium, 2_000_000, bounds(WINDOW, BITS)).unwrap();
+    assert!((0..30).all(|n| is_held(&again, n)));
+}
+
+#[test]
+fn a_newer_form_and_damage_are_refused_by_name_and_nothing_is_changed() {
+    let bucket = |value: Vec<u8>| Write::put(Space("buckets"), 3u32.to_be_bytes().to_vec(), value);
+    let header = |value: &[u8]| Write::put(Space("table"), b"header".to_vec(), value.to_vec());
+    let format = |name: &str| Write::put(Space("head"), b"format".to_vec(), name.into());
+    let cases = [
+        (bucket(vec![9; 5]), "it is damaged (bucket 3: "),
+        (bucket(vec![]), "it is damaged (bucket 3: "),
+        (Write::put(Space("buckets"), vec![0, 0, 1, 0], vec![0; 9]), "it is damaged (bucket 256 of "),
+        (Write::put(Space("buckets"), vec![1], vec![0; 9]), "it is damaged (a purge table's bucket"),
+        (header(&[2, 4]), "its purge table has form 2, this program knows form 1; start the program"),
+        (header(&[1, 99]), "it is damaged (a purge table of 2^99"),
+        (header(&[1]), "it is damaged (the purge table's header"),
+        (header(&[]), "it is damaged (the purge table's header"),
+        (Write::remove(Space("table"), b"header".to_vec()), "it is damaged (the purge table has no header)"),
+        (Write::put(Space("compacted"), vec![7; 9], vec![0; 8]), "it is damaged (through where a log"),
+        (Write::put(Space("compacted"), vec![7; 16], vec![0; 7]), "it is damaged (through where a log"),
+        (format("linnetknot state 1"), "it is damaged (its format has no purge table"),
+        (format("linnetknot state 3"), "its format is 'linnetknot state 3', this program's are"),
+    ];
+    for (damage, name) in cases {
+        let medium = Medium::default();
+        run_until_stopped(&medium, bounds(WINDOW, BITS));
+        let mut store = open_store(&medium);
+        store.commit(std::slice::from_ref(&damage)).unwrap();
+        let is_known = store.format().is_ok();
+        let before = all_pairs(&mut store);
+        drop(store);
+        let refused = Running::open(&medium, 1 << 50, bounds(WINDOW, BITS)).err();
+        let said = refused.map(|e| e.to_string()).unwrap_or_default();
+        assert!(said.starts_with(name), "{damage:?}: {said}");
+        if said.contains("damaged") {
+            assert!(said.contains("move it away and start again"), "{said}");
+        }
+        if is_known {
+            assert_eq!(all_pairs(&mut open_store(&medium)), before, "{damage:?}");
+        }
+    }
+}
+
+/// The bytes of the file, too, are those before.
+#[test]
+fn a_file_that_is_refused_is_left_as_it_is() {
+    let path = std::env::temp_dir().join(format!("linnetknot-refused-{}", std::process::id()));
+    let _ = std::fs::remove_file(&path);
+    let mut store = linnetknot_store::Store::open(&path).unwrap();
+    store.commit(&[Write::put(Space("head"), b"format".to_vec(), b"linnetknot state 3".to_vec())]).unwrap();
+    drop(store);
+    let before = std::fs::read(&path).unwrap();
+    let open = || linnetknot_daemon::ledger::Ledger::open(&path, WRITER, 5, bounds(WINDOW, BITS), || {});
+    assert!(matches!(open().err(), Some(LedgerError::Store(Fault::Format(_)))));
+    assert!(std::fs::read(&path).unwrap() == before, "the file has changed");
+    std::fs::remove_file(&path).unwrap();
+}
+
+#[test]
+fn a_table_of_another_size_is_rewritten_whole_or_not_at_all() {
+    let full = Medium::default();
+    let acknowledged = run_until_stopped(&full, bounds(WINDOW, BITS));
+    for bits in [5, 9] {
+        let bits = BucketBits::new(bits).unwrap();
+        let start = copy(&full);
+        let before = start.0.lock().unwrap().operations;
+        Running::open(&start, 1 << 50, bounds(WINDOW, bits)).unwrap().ledger.abandon();
+        let operations = start.0.lock().unwrap().operations - before;
+        for n in 0..operations {
+            let medium = copy(&full);
+            stop(&medium, Some(n));
+            if let Ok(running) = Running::open(&medium, 1 << 50, bounds(WINDOW, bits)) {
+                running.ledger.abandon();
+            }
+            medium.0.lock().unwrap().lose(n);
+            // Whichever size is on the disk, both settings open it.
+            for bits in [BITS, bits, BITS] {
+                let again = Running::open(&medium, 1 << 51, bounds(WINDOW, bits)).unwrap();
+                assert_eq!(again.ledger.table().bucket_bits(), bits);
+                assert!(acknowledged.iter().all(|entry| again.holds(entry)), "stopped at {n}");
+                again.ledger.abandon();
+            }
+        }
+    }
+}
+
+fn copy(medium: &Medium) -> Medium {
+    let copy = Medium::default();
+    let bytes = medium.0.lock().unwrap().lasting.clone();
+    copy.0.lock().unwrap().seen.clone_from(&bytes);
+    copy.0.lock().unwrap().lasting = bytes;
+    copy
+}
+
+/// Hands over all that two ledgers send each other, at one moment.
+fn exchange(sides: &mut [Running; 2], now: u64, acks: &mut Vec<(LogId, u64)>) {
+    let mut pending: Vec<(usize, Datagram)> = Vec::new();
+    for (n, side) in sides.iter_mut().enumerate() {
+        side.now = now;
+        let mut outgoing = side.ledger.tick(now);
+        outgoing.extend(side.ledger.take_completions(now));
+        pending.extend(outgoing.into_iter().map(|out| (n, out.datagram)));
+    }
+    while let Some((from, datagram)) = pending.pop() {
+        if let (1, Datagram::Ack { positions, .. }) = (from, &datagram) {
+            acks.extend(positions.iter().copied());
+        }
+        let datagram = Datagram::read(&datagram.write().unwrap()).unwrap();
+        let received = sides[1 - from].ledger.receive(0, datagram);
+        pending.extend(received.replies.into_iter().map(|reply| (1 - from, reply)));
+    }
+}
+
+#[test]
+fn a_peers_snapshot_is_acknowledged_only_once_its_buckets_and_markers_are_synced() {
+    let options = bounds(WINDOW, BITS);
+    let (ours, theirs) = (Medium::default(), Medium::default());
+    let mut sender = Running::open_as(1, &ours, 1_000_000, options).unwrap();
+    sender.ledger.peers(10, vec![20]);
+    let told: Vec<_> = (0..40).filter_map(|n| sender.purge(n)).collect();
+    assert_eq!(told.len(), 40);
+    let log = sender.ledger.replica().own();
+    let mut receiver = Running::open_as(2, &theirs, 1_000_001, options).unwrap();
+    receiver.ledger.peers(20, vec![10]);
+    let mut sides = [sender, receiver];
+    let mut now = sides[0].now + 1_000_000;
+    let mut acks = Vec::new();
+    // The receiver's disk takes nothing.
+    stop(&theirs, Some(0));
+    for _ in 0..200 {
+        now += 50_000;
+        exchange(&mut sides, now, &mut acks);
+    }
+    let store = sides[1].ledger.replica().log_store();
+    assert!(told.iter().all(|entry| sides[1].holds(entry)), "all are in force");
+    assert!(store.last_index(log) > 0 && !sides[1].ledger.replica().is_catching_up());
+    assert_eq!(acks, [], "and nothing is acknowledged");
+    assert!(!sides[1].is_synced());
+    // The disk is back.
+    stop(&theirs, None);
+    let begun = std::time::Instant::now();
+    while acks.last() != Some(&(log, 40)) {
+        assert!(begun.elapsed() < std::time::Duration::from_secs(20), "{acks:?}");
+        now += 500_000;
+        exchange(&mut sides, now, &mut acks);
+        if !sides[1].is_synced() {
+            sides[1].await_disk();
+        }
+    }
+    assert_eq!(sides[0].ledger.replica().acked_by(0), 40);
+    let [_, receiver] = sides;
+    receiver.ledger.abandon();
+    let again = Running::open_as(2, &theirs, now, options).unwrap();
+    assert!(told.iter().all(|entry| again.holds(entry)));
+    assert_eq!(again.ledger.replica().log_store().last_index(log), 40);
+    assert!(matches!(told[0].subject, Subject::Object(_)));
+}
--- /dev/null
+++ b/daemon/tests/compaction_planted.rs
@@ -0,0 +1,18 @@
+//! The check of `compaction.rs` finds a planted fault: entries that leave the disk before the buckets that hold their
+//! purges are synced. In a process of its own, as the fault is planted for all of it.
+
+#[path = "common/ledger_on_medium.rs"]
+mod ledger_on_medium;
+#[path = "../../store/tests/common/medium.rs"]
+mod medium;
+
+use ledger_on_medium::{bounds, lost_by_crashes, WINDOW};
+use linnetknot_purges::BucketBits;
+
+#[test]
+fn entries_that_leave_the_disk_before_their_buckets_are_found_missing() {
+    fail::cfg("plant-early-removal", "return").unwrap();
+    let lost = lost_by_crashes(bounds(WINDOW, BucketBits::MIN));
+    fail::remove("plant-early-removal");
+    assert!(!lost.is_empty(), "the check finds nothing");
+}
--- a/daemon/tests/config.rs
+++ b/daemon/tests/config.rs
@@ -177,6 +177,10 @@
         (copies(json!({"wait": 2, "holders": 1, "machines": named})), "copies.holders: fewer than the 2"),
         (copies(json!({"within_ms": 10})), "copies.within_ms: 10 is not"),
         (json!({"peers": {"copies": true}, "copies": {"wait": 0}}), "peers.copies: 'cdni.purges'"),
+        (copies(json!({"purge_table_mb": 0})), "copies.purge_table_mb: 0 is not from 1 to 1024"),
+        (copies(json!({"purge_table_mb": 2048})), "copies.purge_table_mb: 2048 is not from 1 to 1024"),
+        (copies(json!({"purge_table_mb": 12})), "copies.purge_table_mb: 12 is no power of two"),
+        (json!({"copies": {"purge_table_mb": 3}}), "copies.purge_table_mb: 3 is no power of two"),
     ] {
         let message = with_peers(&file).unwrap_err();
         assert!(message.starts_with(path), "{path} | {message}");
@@ -184,6 +188,13 @@
     let checked = with_peers(&copies(json!({"machine": "a", "machines": named}))).unwrap();
     assert_eq!((checked.wait, checked.holders, checked.machines.len()), (1, 2, 2), "itself left out");
     assert_eq!(with_peers(&copies(json!({"wait": 0}))).unwrap().holders, 0, "nobody is further away");
+    for (mb, bits) in [(1, 14), (4, 16), (1024, 24)] {
+        let checked = with_peers(&copies(json!({"wait": 0, "purge_table_mb": mb}))).unwrap();
+        assert_eq!(checked.purge_table.bucket_bits.value(), bits);
+        assert_eq!(checked.purge_table.bucket_bits.buckets() * 64, mb << 20, "64 bytes a bucket");
+    }
+    let usual = with_peers(&copies(json!({"wait": 0}))).unwrap().purge_table;
+    assert_eq!(usual, Default::default());
     // What is shared must be divisible among the proxies of the list, of which this is one.
     let shared = |budgets: Value| {
         let mut file = copies(json!({"wait": 0}));
--- a/daemon/tests/ledger.rs
+++ b/daemon/tests/ledger.rs
@@ -3,6 +3,7 @@
 
 use linnetknot::Micros;
 use linnetknot_daemon::ledger::{Bounds, Ledger, LedgerError};
+use linnetknot_purges::BucketBits;
 use linnetknot_replication::{CommitOutcome, Datagram, Entry, LogId, Options, Outgoing, Subject};
 use linnetknot_store::Fault;
 use std::fs;
@@ -15,7 +16,8 @@
     let wake = move || {
         let _ = wake.send(());
     };
-    Ok((Ledger::open(path, 1, now, Bounds { replication: Options::default(), queue: 64 }, wake)?, woken))
+    let bounds = Bounds { replication: Options::default(), queue: 64, bucket_bits: BucketBits::DEFAULT };
+    Ok((Ledger::open(path, 1, now, bounds, wake)?, woken))
 }
 
 fn file(name: &str) -> PathBuf {
@@ -30,7 +32,7 @@
     let mut told = Vec::new();
     while !ledger.replica().is_synced() {
         woken.recv_timeout(Duration::from_secs(10)).expect("the worker has a word");
-        told.extend(ledger.take_completions());
+        told.extend(ledger.take_completions(100));
     }
     told
 }
--- a/rehearse/src/fleet.rs
+++ b/rehearse/src/fleet.rs
@@ -53,6 +53,8 @@
     pub deadline_us: Option<u64>,
     /// Points that are armed in all of them, at each start (`Process::start_armed`).
     pub planted: &'a str,
+    /// Purges that each of them holds one by one before older ones are compacted; none: as many as usual.
+    pub exact_purges: Option<usize>,
 }
 
 impl<'a> Setup<'a> {
@@ -69,6 +71,7 @@
             budgets: Value::Null,
             deadline_us: None,
             planted: "",
+            exact_purges: None,
         }
     }
 }
@@ -93,6 +96,7 @@
     budgets: Value,
     machine: Option<String>,
     planted: String,
+    exact_purges: Option<usize>,
     /// The gates, to set the weather.
     pub gates: Gates,
     /// The boxes.
@@ -165,6 +169,7 @@
             budgets,
             deadline_us,
             planted,
+            exact_purges,
         } = setup;
         let mut settings = settings();
         if let Some(deadline_us) = deadline_us {
@@ -204,6 +209,7 @@
             budgets,
             machine: machine.map(str::to_owned),
             planted: planted.to_owned(),
+            exact_purges,
             members,
             gates,
             boxes,
@@ -230,6 +236,9 @@
         if let Some(within_ms) = self.within_ms {
             own["copies"]["within_ms"] = within_ms.into();
         }
+        if let Some(exact_purges) = self.exact_purges {
+            own["copies"]["exact_purges"] = exact_purges.into();
+        }
         if !self.budgets.is_null() {
             own["budgets"] = self.budgets.clone();
         }
--- a/replication/src/recovery.rs
+++ b/replication/src/recovery.rs
@@ -63,6 +63,11 @@
         ((0..self.machines.len()).filter(|peer| !self.settled.contains(peer)).collect(), None)
     }
 
+    /// What the peers have is on its way: the wait is over no sooner than this.
+    pub fn extend(&mut self, until: Micros) {
+        self.until = self.until.max(until);
+    }
+
     /// This proxy has all that a peer has. True where that ended the wait.
     pub fn settled(&mut self, peer: usize) -> bool {
         if self.over || peer >= self.machines.len() {
