--- a/daemon/src/ledger/legacy.rs
+++ b/daemon/src/ledger/legacy.rs
@@ -3,6 +3,7 @@
 use super::error::LedgerError;
 use crate::peers::{self, Purge};
 use linnetknot_replication::{Capacity, Datagram, Entry, LogStore};
+use std::collections::BTreeMap;
 use std::fs;
 use std::io;
 use std::path::{Path, PathBuf};
@@ -46,7 +47,9 @@
                 _ => log::warn!("{}: a line that is no purge is passed over", path.display()),
             }
         }
-        file.entries = store.entries().collect();
+        // As the store has them: a later purge in place of the one before.
+        let entries = store.entries().map(|entry| ((entry.log, entry.subject.clone()), entry));
+        file.entries = entries.collect::<BTreeMap<_, _>>().into_values().collect();
         file
     }
 }
--- a/daemon/src/ledger/mod.rs
+++ b/daemon/src/ledger/mod.rs
@@ -88,9 +88,13 @@
 
 /// Takes purges of a file that had no logs into this writer's log: the writes that keep them.
 fn adopt(store: &mut LogStore, own: LogId, purges: Vec<Purge>) -> Result<Vec<Write>, LedgerError> {
-    let mut writes = Vec::new();
+    let mut latest = BTreeMap::<Subject, Micros>::new();
     for (object, group, at) in purges {
-        let subject = subject(object.as_deref(), group);
+        let known = latest.entry(subject(object.as_deref(), group)).or_default();
+        *known = at.max(*known);
+    }
+    let mut writes = Vec::new();
+    for (subject, at) in latest {
         if store.latest(&subject).is_none_or(|known| known < at) {
             let entry = store.append(own, (subject, at, false), Capacity::UNLIMITED)?;
             writes.push(codec::put(&entry));
