--- a/daemon/src/daemon/mod.rs
+++ b/daemon/src/daemon/mod.rs
@@ -30,12 +30,15 @@
 mod lifecycle;
 mod members;
 mod neighbours;
+mod peer_index;
+mod plain_purges;
 mod promises;
 mod recovery;
 
 use exchange::{Effect, Exchange};
 use feeds::{bus, consul};
 use members::Said;
+use peer_index::PeerIndex;
 
 const LISTENER: u64 = u64::MAX;
 const SIGNAL: u64 = u64::MAX - 1;
@@ -203,6 +206,10 @@
     consul: Option<consul::State>,
     keeper: Option<consul::Keeper>,
     peers: Option<(UdpSocket, Vec<SocketAddr>)>,
+    /// The same peers by address.
+    peer_index: PeerIndex,
+    /// Plain purges whose senders have still to show whether they replicate logs.
+    unwritten_purges: usize,
     origin_health: Option<OriginHealth>,
     /// Datagrams dropped: from nobody who is a peer, and of no known kind.
     dropped: (u64, u64),
@@ -213,7 +220,7 @@
     /// Who of the peers is there, and when that is due to be looked at again.
     membership: Option<linnetknot_membership::Membership>,
     /// What all proxies spend together.
-    sharing: Option<budgets::Sharing>,
+    shared_budgets: Option<budgets::SharedBudgets>,
     fleet_due: Option<Due>,
     /// Raised by the store's worker when there is word of what is on the disk.
     store_word: Option<Signal>,
@@ -343,13 +350,15 @@
             consul,
             keeper,
             peers,
+            peer_index: PeerIndex::default(),
+            unwritten_purges: 0,
             origin_health,
             dropped: (0, 0),
             desk,
             ledger,
             promised: promises::Promised::default(),
             membership: None,
-            sharing: None,
+            shared_budgets: None,
             fleet_due: None,
             store_word,
             posts: 0,
@@ -367,6 +376,7 @@
             config,
             source,
         };
+        daemon.index_peers();
         let now = daemon.clock.now();
         daemon.restore_purges(now);
         known.into_iter().for_each(|event| daemon.news(now, event));
@@ -449,7 +459,7 @@
             c.left,
             c.attempts
         );
-        self.say_budgets();
+        self.log_budgets();
         if self.peers.is_some() {
             let (strangers, foreign) = self.dropped;
             log::info!(strangers = strangers, foreign = foreign; "datagrams that were dropped");
@@ -608,7 +618,7 @@
             Err(e) => log::error!("SIGHUP: the machines of the peers stay as they were: {e}"),
         }
         if machines != self.config.copies.machines {
-            self.share_alone();
+            self.detach_budgets();
             let peers = self.config.copies.machines.len();
             self.membership.iter_mut().for_each(|fleet| fleet.peers(peers));
             self.know_machines();
@@ -620,6 +630,7 @@
             "SIGHUP: the configuration is read again{}",
             if moved { "; the event bus has moved" } else { "" }
         );
+        self.index_peers();
         if moved {
             self.move_bus(now);
         }
