--- a/replication/src/replica/catch_up.rs
+++ b/replication/src/replica/catch_up.rs
@@ -37,13 +37,22 @@
     last: u64,
 }
 
+/// While a peer reads a snapshot, so large a part of the entries that may be held is held beyond them: the peer gets as
+/// entries what stands behind the snapshot, and not by another one.
+const MAX_DEFERRED_DIVISOR: usize = 2;
+
 impl Replica {
-    /// Moves the oldest purges to the compact table, if there are more entries than are to be held. To be called after
+    /// Moves the oldest purges to the compact table, if there are more entries than are to be held. It waits a while for a
+    /// snapshot that is being read. To be called after
     /// each change, or often: it is cheap as long as there is nothing to move. What it moved is in force as before; the
     /// disk is to be brought in line as [`Compaction`] says.
     pub fn compact(&mut self, now: Micros) -> Option<Compaction> {
         let max_entries = self.options.max_exact_entries;
-        if self.log_store.exact_len() <= max_entries || now < self.next_compaction {
+        let exact_len = self.log_store.exact_len();
+        if exact_len <= max_entries || now < self.next_compaction {
+            return None;
+        }
+        if self.image.is_some() && exact_len <= max_entries + max_entries / MAX_DEFERRED_DIVISOR {
             return None;
         }
         let logs = self.log_store.last_indexes().into_iter();
