--- a/daemon/src/daemon/mod.rs
+++ b/daemon/src/daemon/mod.rs
@@ -4,7 +4,7 @@
 use crate::core::{Command, Core, Wake, TRACE};
 use crate::front::cdni::{self, Desk, Waiting};
 use crate::front::fastcgi::Session;
-use crate::ledger::Ledger;
+use crate::ledger::{Bounds, Ledger};
 use crate::limits::Limits;
 use crate::net::{
     bind_shared_udp, connect, Clock, Conn, Deadlines, Due, Interest, Key, Poll, Progress, Ready, Slots,
@@ -33,6 +33,7 @@
 mod peer_index;
 mod plain_purges;
 mod promises;
+mod recovery;
 
 use exchange::{Effect, Exchange};
 use feeds::{bus, consul};
@@ -294,7 +295,11 @@
                 let writer = linnetknot_discovery::server_id(&config.name);
                 let word = Signal::new().map_err(text)?;
                 poll.add(&word.heard, STORE, Interest::READ).map_err(text)?;
-                let bounds = (limits.replication(&config.copies), limits.store_writes);
+                let bounds = Bounds {
+                    replication: limits.replication(&config.copies),
+                    queue: limits.store_writes,
+                    bucket_bits: config.copies.purge_table.bucket_bits,
+                };
                 let wake = word.raiser().map_err(text)?;
                 let open = Ledger::open(&path, writer, clock.now(), bounds, wake);
                 ledger = Some(open.map_err(|e| format!("cdni.purges: {}: {e}", path.display()))?);
@@ -373,10 +378,7 @@
         };
         daemon.index_peers();
         let now = daemon.clock.now();
-        let kept = daemon.ledger.as_ref().map(Ledger::purges).unwrap_or_default();
-        for (object, group, at) in kept {
-            daemon.core.purged(now, object, group, at);
-        }
+        daemon.restore_purges(now);
         known.into_iter().for_each(|event| daemon.news(now, event));
         daemon.bus.last = last_event;
         daemon.know_machines();
--- a/daemon/src/daemon/plain_purges.rs
+++ b/daemon/src/daemon/plain_purges.rs
@@ -63,7 +63,7 @@
     fn write_plain_purge(&mut self, purge: &PlainPurge) {
         let PlainPurge { object, group, at } = purge;
         let Some(ledger) = &mut self.ledger else { return };
-        if let Err(e) = ledger.tell(object.as_deref(), *group, *at) {
+        if let Err(e) = ledger.learn_purge(object.as_deref(), *group, *at) {
             log::error!("a purge that a peer told is in force but not kept for the next start: {e}");
         }
     }
--- a/store/tests/crash.rs
+++ b/store/tests/crash.rs
@@ -1,112 +1,16 @@
 //! The store on a medium that stops at its n-th operation and then loses what was not synced: what was acknowledged is
 //! there, and of a group that was not acknowledged all is there or nothing.
 
-use linnetknot_store::{Done, Fault, Keeper, Space, Store, Write};
-use redb::StorageBackend;
-use std::sync::{Arc, Mutex};
+use linnetknot_store::{Done, Fault, Format, Keeper, Space, Store, Write};
+use medium::Medium;
 
-const SPACE: Space = Space("test");
-
-/// A change that the medium was told of and that is not synced.
-#[derive(Clone, Debug)]
-enum Change {
-    Length(usize),
-    Bytes(usize, Vec<u8>),
-}
-
-#[derive(Debug, Default)]
-struct Disk {
-    /// What a reader sees while the power is on.
-    seen: Vec<u8>,
-    /// What is there for good.
-    lasting: Vec<u8>,
-    unsynced: Vec<Change>,
-    /// Operations until it stops; none: it goes on.
-    left: Option<u64>,
-    operations: u64,
-}
-
-fn apply(bytes: &mut Vec<u8>, change: &Change) {
-    match change {
-        Change::Length(length) => bytes.resize(*length, 0),
-        Change::Bytes(at, new) => {
-            bytes.resize(bytes.len().max(at + new.len()), 0);
-            bytes[*at..at + new.len()].copy_from_slice(new);
-        }
-    }
-}
-
-impl Disk {
-    fn operate(&mut self) -> Result<(), std::io::Error> {
-        if self.left == Some(0) {
-            return Err(std::io::Error::other("the medium has stopped"));
-        }
-        self.left = self.left.map(|left| left - 1);
-        self.operations += 1;
-        Ok(())
-    }
-
-    fn change(&mut self, change: Change) -> Result<(), std::io::Error> {
-        self.operate()?;
-        apply(&mut self.seen, &change);
-        self.unsynced.push(change);
-        Ok(())
-    }
-
-    /// The power goes: of what was not synced some is there, by the seed, one of them in part.
-    fn lose(&mut self, mut seed: u64) {
-        for change in std::mem::take(&mut self.unsynced) {
-            seed = seed.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
-            match (seed >> 60, change) {
-                (0..=6, change) => apply(&mut self.lasting, &change),
-                (7..=8, Change::Bytes(at, bytes)) => {
-                    // Torn at a sector, which a disk writes whole.
-                    let part = (bytes.len() / 2) & !511;
-                    apply(&mut self.lasting, &Change::Bytes(at, bytes[..part].to_vec()));
-                }
-                _ => {}
-            }
-        }
-        self.seen.clone_from(&self.lasting);
-        self.left = None;
-    }
-}
-
-#[derive(Clone, Debug, Default)]
-struct Medium(Arc<Mutex<Disk>>);
-
-impl StorageBackend for Medium {
-    fn len(&self) -> Result<u64, std::io::Error> {
-        Ok(self.0.lock().unwrap().seen.len() as u64)
-    }
-
-    fn read(&self, offset: u64, out: &mut [u8]) -> Result<(), std::io::Error> {
-        let disk = self.0.lock().unwrap();
-        let part = disk.seen.get(offset as usize..offset as usize + out.len());
-        out.copy_from_slice(part.ok_or_else(|| std::io::Error::from(std::io::ErrorKind::UnexpectedEof))?);
-        Ok(())
-    }
-
-    fn set_len(&self, length: u64) -> Result<(), std::io::Error> {
-        self.0.lock().unwrap().change(Change::Length(length as usize))
-    }
+#[path = "common/medium.rs"]
+mod medium;
 
-    fn sync_data(&self) -> Result<(), std::io::Error> {
-        let mut disk = self.0.lock().unwrap();
-        disk.operate()?;
-        disk.lasting = disk.seen.clone();
-        disk.unsynced.clear();
-        Ok(())
-    }
-
-    fn write(&self, offset: u64, data: &[u8]) -> Result<(), std::io::Error> {
-        self.0.lock().unwrap().change(Change::Bytes(offset as usize, data.to_vec()))
-    }
-}
+const SPACE: Space = Space("test");
 
 fn put(key: u64, value: u64) -> Write {
-    let (key, value) = (key.to_be_bytes().to_vec(), Some(value.to_be_bytes().to_vec()));
-    Write { space: SPACE, key, value }
+    Write::put(SPACE, key.to_be_bytes().to_vec(), value.to_be_bytes().to_vec())
 }
 
 fn open(medium: &Medium) -> Result<Store, Fault> {
@@ -119,7 +23,7 @@
 fn run(medium: &Medium) -> u64 {
     let Ok(mut store) = open(medium) else { return 0 };
     for group in 1..=12u64 {
-        let gone = Write { space: SPACE, key: (1000 + group - 1).to_be_bytes().to_vec(), value: None };
+        let gone = Write::remove(SPACE, (1000 + group - 1).to_be_bytes().to_vec());
         if store.commit(&[put(1, group), put(1000 + group, group), put(2, group), gone]).is_err() {
             return group - 1;
         }
@@ -233,8 +137,7 @@
     assert_eq!(Store::open(&path).unwrap().all(SPACE).unwrap().len(), 200, "closed and opened");
     // Another format.
     let mut store = Store::open(&path).unwrap();
-    let other =
-        Write { space: Space("head"), key: b"format".to_vec(), value: Some(b"linnetknot state 9".to_vec()) };
+    let other = Write::put(Space("head"), b"format".to_vec(), b"linnetknot state 9".to_vec());
     store.commit(&[other]).unwrap();
     drop(store);
     let said = Store::open(&path).unwrap_err().to_string();
@@ -248,3 +151,25 @@
     assert!(matches!(said, Fault::Damaged(_)), "{said:?}");
     std::fs::remove_dir_all(&folder).unwrap();
 }
+
+#[test]
+fn a_key_is_taken_out_only_where_it_has_the_value_that_was_meant() {
+    let mut store = open(&Medium::default()).unwrap();
+    let key = |n: u64| n.to_be_bytes().to_vec();
+    store.commit(&[put(1, 5), put(2, 5)]).unwrap();
+    let stale = |n| Write::remove_if(SPACE, key(n), 5u64.to_be_bytes().to_vec());
+    store.commit(&[put(1, 9), stale(1), stale(2), stale(3)]).unwrap();
+    assert_eq!(store.all(SPACE).unwrap(), [(key(1), 9u64.to_be_bytes().to_vec())]);
+}
+
+#[test]
+fn a_file_is_begun_in_the_oldest_format_and_has_a_newer_one_from_its_write_on() {
+    let medium = Medium::default();
+    let mut store = open(&medium).unwrap();
+    assert_eq!(store.format().unwrap(), Format::Entries);
+    store.commit(&[Format::Compacted.write(), put(1, 1)]).unwrap();
+    drop(store);
+    let mut store = open(&medium).unwrap();
+    assert_eq!(store.format().unwrap(), Format::Compacted);
+    assert_eq!(store.get(Space("head"), b"format").unwrap().unwrap(), b"linnetknot state 2");
+}
