Let hollow members ask for what is missing as soon as the daemon does

The daemon plans the next look at its logs after each datagram of theirs; the scale run's members waited for the next period, which made the worst delay of a purge longer than the daemon's.

--- a/rehearse/src/scale/hollow/purge_log.rs
+++ b/rehearse/src/scale/hollow/purge_log.rs
@@ -252,6 +252,8 @@
             send_all(self.replica.snapshot_synced(&received.compacted), outbox);
         }
         self.settle(now, events);
+        // The next part of a snapshot, or of what is missing, may be due sooner now.
+        self.plan(now);
         true
     }
 
