--- a/daemon/examples/purge_soak.rs
+++ b/daemon/examples/purge_soak.rs
@@ -8,7 +8,7 @@
 
 use linnetknot::purges::hashing::mix;
 use linnetknot::Micros;
-use linnetknot_daemon::core::Core;
+use linnetknot_daemon::core::{Command, Core, Wake};
 use linnetknot_daemon::interconnect::Copies;
 use linnetknot_daemon::ledger::{self, Bounds, Ledger};
 use linnetknot_daemon::limits::Limits;
@@ -42,6 +42,8 @@
 struct Process {
     ledger: Ledger,
     core: Core,
+    /// What the module wants to be woken for, and when.
+    timers: Vec<(Micros, Wake)>,
     woken: Receiver<()>,
 }
 
@@ -61,7 +63,8 @@
         ledger.peers(1, vec![2]);
         let settings = linnetknot_rehearse::settings();
         let settings = linnetknot_settings::settings(settings.as_object().ok_or("no settings")?)?;
-        Ok(Process { ledger, core: Core::new(settings, 1, limits)?, woken })
+        let core = Core::new(settings, 1, limits)?;
+        Ok(Process { ledger, core, timers: Vec::new(), woken })
     }
 
     /// Takes an entry as a datagram of a peer.
@@ -77,8 +80,24 @@
         Ok(())
     }
 
-    /// Waits for the disk, and lets the module do what it does at its ticks.
+    /// Does what is due: the ledger's periods and the module's timers.
+    fn tick(&mut self, now: Micros) {
+        self.ledger.tick(now);
+        let wakes = self.core.commands().into_iter().filter_map(|command| match command {
+            Command::Wake(at, wake) => Some((at, wake)),
+            _ => None,
+        });
+        self.timers.extend(wakes);
+        let (due, later) = self.timers.drain(..).partition(|(at, _)| *at <= now);
+        self.timers = later;
+        let due: Vec<(Micros, Wake)> = due;
+        due.into_iter().for_each(|(_, wake)| self.core.wake(now, wake));
+    }
+
+    /// Waits for the disk.
     fn sync(&mut self, now: Micros) -> Result<(), Box<dyn Error>> {
+        // What was told up to here is taken in at once. In a daemon this is a pipe, and not a queue that grows.
+        while self.woken.try_recv().is_ok() {}
         self.ledger.take_completions(now);
         while !(self.ledger.replica().is_synced() && self.ledger.is_compaction_synced()) {
             self.woken.recv_timeout(DISK_TIMEOUT)?;
@@ -131,7 +150,7 @@
         let entry = Entry { log, index, prev: index - 1, subject, at: now, revoked: false };
         process.receive(now, entry)?;
         if number % TICK == 0 {
-            process.ledger.tick(now);
+            process.tick(now);
         }
         if number % SYNC == 0 {
             process.sync(now)?;
