--- a/replication/tests/snapshot.rs
+++ b/replication/tests/snapshot.rs
@@ -197,6 +197,18 @@
     assert_eq!(replica.log_store().effective(&group(4)), None);
 }
 
+/// A purge that is superseded is held for those who are behind both, and is not in force.
+#[test]
+fn a_superseded_purge_is_sent_and_not_in_force() {
+    let mut store = LogStore::default();
+    for (at, n) in [(1, 3), (2, 4), (3, 3)] {
+        store.append(OWN, (group(n), at * S, false), Capacity::UNLIMITED).expect("there is room");
+    }
+    assert_eq!(store.entries().map(|entry| entry.index).collect::<Vec<_>>(), [2, 3]);
+    let sent: Vec<_> = store.entries_after(OWN, 0).map(|entry| (entry.prev, entry.index)).collect();
+    assert_eq!((sent, store.len()), (vec![(0, 1), (1, 2), (2, 3)], 3));
+}
+
 /// A purge is never earlier than the one that it supersedes, whatever the clock does.
 #[test]
 fn a_clock_that_is_set_back_lowers_no_floor() {
@@ -232,3 +244,31 @@
     assert!((2..5).contains(&receiver.log_store().last_index(OWN)));
     assert!(receiver.log_store().effective(&group(1)) >= Some(S), "the purge at index 1 was told");
 }
+
+/// A peer's machine becomes known at any moment; its place in the list stays.
+#[test]
+fn a_snapshot_goes_on_when_the_peers_machines_become_known() {
+    let (mut sender, mut receiver) = (sender(1..400, options()), receiver());
+    receiver.peers(20, vec![10, 30]);
+    offer(&mut receiver, &mut sender);
+    for n in 1..10 {
+        ask(&mut receiver, &mut sender, n * S).into_iter().for_each(|chunk| drop(receiver.receive(0, chunk)));
+    }
+    let request = |receiver: &mut Replica, now| {
+        let requests = receiver.tick(now).into_iter().map(|out| out.datagram);
+        let from = requests.filter_map(|datagram| match datagram {
+            Datagram::SnapshotRequest(request) => Some(request.from),
+            _ => None,
+        });
+        from.collect::<Vec<_>>()
+    };
+    receiver.peers(20, vec![10, 31]);
+    let from = request(&mut receiver, 10 * S);
+    assert!(from.first() > Some(&SnapshotCursor::BUCKETS), "{from:?}");
+    receiver.peers(20, vec![]);
+    assert_eq!(
+        (request(&mut receiver, 11 * S), receiver.is_catching_up()),
+        (vec![], true),
+        "its sender is gone"
+    );
+}
