--- /dev/null
+++ b/rehearse/src/scale/simulation/mod.rs
@@ -0,0 +1,400 @@
+//! The event loop: members, links and what happens to them, on virtual time.
+
+mod checks;
+mod faults;
+
+use crate::scale::delivery::{delays, PurgeTracker};
+use crate::scale::fault::{joiner, schedule, writers, Action, Fault, Window};
+use crate::scale::hollow::config::Without;
+use crate::scale::hollow::{
+    Defect, DiskContents, FleetConfig, HollowMember, LogEnd, MemberEvent, Outgoing, Refusal, StateSize,
+};
+use crate::scale::layout::{Layout, MemberIndex};
+use crate::scale::meter::{processor_time, Meter};
+use crate::scale::network::Network;
+use crate::scale::prefill;
+use crate::scale::target::Target;
+use crate::scale::verdict::{Rule, Verdict};
+use hdrhistogram::Histogram;
+use linnetknot_datagram::Random;
+use linnetknot_simnet::{member_at, peer_index, EventQueue, Micros};
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+const SECOND_US: Micros = 1_000_000;
+
+/// The time at which a run begins.
+const START: Micros = SECOND_US;
+
+/// Before anything is measured: budgets have their allocators after some five seconds.
+const WARM_UP_US: Micros = 7 * SECOND_US;
+
+/// After the measured time the fleet is left alone, for so long at most.
+const MAX_SETTLING_US: Micros = 20 * SECOND_US;
+
+/// How often members' states are compared then.
+const COMPARE_US: Micros = SECOND_US / 4;
+
+/// How often the sums of the budgets are checked.
+const CHECK_BUDGETS_US: Micros = SECOND_US / 10;
+
+/// How often it is looked who allocates budgets, which costs more.
+const LOOK_FOR_ALLOCATORS_US: Micros = SECOND_US;
+
+/// How often a member that joined is looked at.
+const LOOK_AT_JOINER_US: Micros = SECOND_US / 10;
+
+/// A fault planted in a member, for tests.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Plant {
+    /// In whom.
+    pub member: MemberIndex,
+    /// What.
+    pub defect: Defect,
+}
+
+/// What is run.
+#[derive(Clone, Debug)]
+pub struct Run {
+    /// Members.
+    pub members: usize,
+    /// The same seed gives the same run, but for what clocks say.
+    pub seed: u64,
+    /// Seconds of virtual time that are measured.
+    pub seconds: u64,
+    /// What happens.
+    pub fault: Fault,
+    /// What it is measured against.
+    pub target: Target,
+    /// Parts of the daemon that are left out, in trials.
+    pub without: Without,
+    /// Entries that a member holds exactly; none: as many as the daemon.
+    pub exact_entries: Option<usize>,
+    /// Planted faults; none but in tests.
+    pub plants: Vec<Plant>,
+}
+
+/// What a run came to.
+#[derive(Debug)]
+pub struct Outcome {
+    /// Where the members stood.
+    pub layout: Layout,
+    /// What each member spent while it was measured.
+    pub meters: Vec<Meter>,
+    /// What each member that ran held when the measured time ended.
+    pub states: BTreeMap<MemberIndex, StateSize>,
+    /// Those that allocated a budget at any time.
+    pub allocators: BTreeSet<MemberIndex>,
+    /// Those that started while it was measured.
+    pub starters: BTreeSet<MemberIndex>,
+    /// The purges.
+    pub purges: PurgeTracker,
+    /// From a member's death until each other believed it.
+    pub death_delays: Histogram<u64>,
+    /// Times that a member which ran was believed to be dead.
+    pub false_deaths: u64,
+    /// How long a member that joined took until it had all that was there when it started.
+    pub join_us: Option<Micros>,
+    /// How long it took after the last purge until all connected members had the same logs.
+    pub settling_us: Option<Micros>,
+    /// What is wrong.
+    pub verdict: Verdict,
+    /// Events handled.
+    pub events: u64,
+    /// Real time of the whole run.
+    pub real: Duration,
+}
+
+/// Something that is due.
+#[derive(Debug)]
+enum Event {
+    Arrival { from: u32, to: u32, bytes: Arc<[u8]> },
+    Wake { member: u32 },
+    Purge { writer: u32 },
+    PurgeDeadline { purge: u64 },
+    Happens { action: Action },
+    CheckBudgets,
+    LookForAllocators,
+    LookAtJoiner,
+}
+
+/// Never: a member that is not running, or has no timer.
+const NEVER: Micros = Micros::MAX;
+
+/// A member and its process.
+#[derive(Debug)]
+struct Node {
+    member: Option<HollowMember>,
+    /// The time of its timer.
+    wakes: Micros,
+    running_since: Micros,
+    disk: Option<DiskContents>,
+    crashed_at: Option<Micros>,
+}
+
+struct Joining {
+    member: MemberIndex,
+    since: Micros,
+    /// What the fleet had then.
+    ends: Vec<LogEnd>,
+}
+
+struct Simulation<'a> {
+    run: &'a Run,
+    config: Arc<FleetConfig>,
+    network: Network,
+    nodes: Vec<Node>,
+    queue: EventQueue<Event>,
+    now: Micros,
+    window: Window,
+    meters: Vec<Meter>,
+    purges: PurgeTracker,
+    allocators: BTreeSet<MemberIndex>,
+    starters: BTreeSet<MemberIndex>,
+    deaths_known: BTreeSet<(MemberIndex, MemberIndex)>,
+    death_delays: Histogram<u64>,
+    false_deaths: u64,
+    joining: Option<Joining>,
+    join_us: Option<Micros>,
+    verdict: Verdict,
+    events: u64,
+}
+
+/// Plays a run.
+pub fn play(run: &Run) -> Outcome {
+    let begun = Instant::now();
+    let mut simulation = Simulation::new(run);
+    simulation.start_fleet();
+    simulation.plan_run();
+    simulation.run_until(simulation.window.until);
+    let states = simulation.states();
+    let settling_us = simulation.settle();
+    simulation.judge_end();
+    let Simulation { network, meters, purges, allocators, starters, .. } = simulation;
+    Outcome {
+        layout: network.layout().clone(),
+        meters,
+        states,
+        allocators,
+        starters,
+        purges,
+        death_delays: simulation.death_delays,
+        false_deaths: simulation.false_deaths,
+        join_us: simulation.join_us,
+        settling_us,
+        verdict: simulation.verdict,
+        events: simulation.events,
+        real: begun.elapsed(),
+    }
+}
+
+impl<'a> Simulation<'a> {
+    fn new(run: &'a Run) -> Self {
+        let layout = Layout::new(run.members, &run.target);
+        let zones: Vec<usize> = (0..run.members).map(|member| layout.position(member).zone).collect();
+        let from = START + WARM_UP_US;
+        let config = FleetConfig::of(run, &zones);
+        let node = || Node { member: None, wakes: NEVER, running_since: NEVER, disk: None, crashed_at: None };
+        Simulation {
+            run,
+            config: Arc::new(config),
+            network: Network::new(layout, &run.target.links, run.seed),
+            nodes: (0..run.members).map(|_| node()).collect(),
+            queue: EventQueue::default(),
+            now: START,
+            window: Window { from, until: from + run.seconds * SECOND_US },
+            meters: vec![Meter::default(); run.members],
+            purges: PurgeTracker::new(run.members),
+            allocators: BTreeSet::new(),
+            starters: BTreeSet::new(),
+            deaths_known: BTreeSet::new(),
+            death_delays: delays(),
+            false_deaths: 0,
+            joining: None,
+            join_us: None,
+            verdict: Verdict::default(),
+            events: 0,
+        }
+    }
+
+    // ---- The plan ----
+
+    /// All members run and know each other, as in a fleet that has run for long.
+    fn start_fleet(&mut self) {
+        let members = self.nodes.len();
+        let absent = joiner(self.run.fault, self.network.layout());
+        let introduction = |member| HollowMember::introduction(&self.config, member, START);
+        let introductions: Vec<Vec<u8>> = (0..members).map(introduction).collect();
+        let disks = prefill::disks(self.run, &self.config, START);
+        for (member, disk) in disks.into_iter().enumerate().filter(|(member, _)| Some(*member) != absent) {
+            self.start(member, Some(disk));
+            if let Some(hollow) = &mut self.nodes[member].member {
+                hollow.acquaint(&introductions, START);
+            }
+            self.plan_wake(member);
+        }
+    }
+
+    fn plan_run(&mut self) {
+        let mut random = Random::new(self.run.seed ^ 0x7265_6865_6172_7365);
+        let layout = self.network.layout();
+        let writers = writers(self.run.fault, layout);
+        let actions = schedule(self.run.fault, layout, &self.run.target, self.window, &mut random);
+        for scheduled in actions {
+            self.queue.schedule(scheduled.at, Event::Happens { action: scheduled.action });
+        }
+        let purges = self.run.target.purges_per_second * self.run.seconds;
+        for number in 0..purges {
+            let at = self.window.from + self.window.length() * number / purges;
+            let writer = writers[random.below(writers.len() as u64) as usize] as u32;
+            self.queue.schedule(at, Event::Purge { writer });
+        }
+        self.queue.schedule(START, Event::CheckBudgets);
+        self.queue.schedule(self.window.from, Event::LookForAllocators);
+    }
+
+    // ---- Time ----
+
+    fn run_until(&mut self, end: Micros) {
+        while let Some((at, event)) = self.queue.next_until(end) {
+            self.now = at;
+            self.events += 1;
+            self.handle(event);
+        }
+        self.now = end;
+    }
+
+    fn handle(&mut self, event: Event) {
+        match event {
+            Event::Arrival { from, to, bytes } => self.arrive(from as usize, to as usize, &bytes),
+            Event::Wake { member } => self.wake(member as usize),
+            Event::Purge { writer } => self.tell_purge(writer as usize),
+            Event::PurgeDeadline { purge } => self.check_purge(purge),
+            Event::Happens { action } => self.act(action),
+            Event::CheckBudgets => self.check_budgets(),
+            Event::LookForAllocators => self.look_for_allocators(),
+            Event::LookAtJoiner => self.look_at_joiner(),
+        }
+    }
+
+    fn is_measured(&self) -> bool {
+        (self.window.from..self.window.until).contains(&self.now)
+    }
+
+    /// Gives a member something to do; what it has to send then goes out, and its timer is set.
+    fn drive(&mut self, index: MemberIndex, work: impl FnOnce(&mut HollowMember, Micros)) {
+        let (now, is_measured) = (self.now, self.is_measured());
+        let Some(member) = &mut self.nodes[index].member else { return };
+        let begun = is_measured.then(processor_time);
+        work(member, now);
+        let outgoing = member.take_outgoing();
+        let events = member.take_events();
+        if let Some(begun) = begun {
+            self.meters[index].busy += processor_time().saturating_sub(begun);
+        }
+        self.send(index, outgoing);
+        events.into_iter().for_each(|event| self.note(index, event));
+        self.plan_wake(index);
+    }
+
+    fn plan_wake(&mut self, index: MemberIndex) {
+        let node = &mut self.nodes[index];
+        let Some(member) = &node.member else { return };
+        let due = member.due().max(self.now);
+        // A timer that comes too early is set anew when it is over; only one that would come too late is replaced.
+        if due < node.wakes {
+            node.wakes = due;
+            self.queue.schedule(due, Event::Wake { member: index as u32 });
+        }
+    }
+
+    fn wake(&mut self, index: MemberIndex) {
+        let now = self.now;
+        let node = &mut self.nodes[index];
+        if node.wakes != now {
+            return;
+        }
+        node.wakes = NEVER;
+        if node.member.as_ref().is_some_and(|member| member.due() > now) {
+            return self.plan_wake(index);
+        }
+        self.drive(index, HollowMember::tick);
+    }
+
+    // ---- Datagrams ----
+
+    fn send(&mut self, from: MemberIndex, outgoing: Vec<Outgoing>) {
+        let is_measured = self.is_measured();
+        for Outgoing { to, bytes } in outgoing {
+            if is_measured {
+                self.meters[from].sent(bytes.len(), self.now);
+            }
+            let to = member_at(to, from);
+            let arrivals = self.network.send(from, to, self.now);
+            for at in [arrivals.first, arrivals.second].into_iter().flatten() {
+                let arrival = Event::Arrival { from: from as u32, to: to as u32, bytes: bytes.clone() };
+                self.queue.schedule(at, arrival);
+            }
+        }
+    }
+
+    fn arrive(&mut self, from: MemberIndex, to: MemberIndex, bytes: &[u8]) {
+        if self.nodes[to].member.is_none() {
+            return;
+        }
+        if self.is_measured() {
+            self.meters[to].received(bytes.len(), self.now);
+        }
+        let place = peer_index(from, to);
+        self.drive(to, |member, now| member.receive(place, bytes, now));
+    }
+
+    // ---- Purges ----
+
+    /// A client tells a member of a purge, or the next one where that is away.
+    fn tell_purge(&mut self, writer: MemberIndex) {
+        let members = self.nodes.len();
+        let candidates = (0..members).map(|offset| (writer + offset) % members);
+        let Some(writer) = candidates.into_iter().find(|member| self.nodes[*member].member.is_some()) else {
+            return;
+        };
+        let purge = self.purges.tell(writer, self.now);
+        let limit = self.run.target.purge_limit_ms * 1_000;
+        self.queue.schedule(self.now + limit, Event::PurgeDeadline { purge });
+        self.drive(writer, |member, now| member.purge(purge, now));
+    }
+
+    /// Since when a member has been there, and not cut off from another.
+    fn connected_since(&self, member: MemberIndex, from: MemberIndex, told_at: Micros) -> Micros {
+        match self.network.was_cut_since(member, from, told_at) {
+            true => NEVER,
+            false => self.nodes[member].running_since,
+        }
+    }
+
+    fn note(&mut self, member: MemberIndex, event: MemberEvent) {
+        match event {
+            MemberEvent::InForce { purge } => {
+                let Some(record) = self.purges.get(purge) else { return };
+                let since = self.connected_since(member, record.writer, record.told_at);
+                self.purges.in_force(purge, member, self.now, since);
+            }
+            MemberEvent::Committed { purge } => self.purges.commit(purge),
+            MemberEvent::Refused { purge, why } => {
+                let rule = match why {
+                    Refusal::Capacity => Rule::PurgeHasRoom,
+                    Refusal::Disk | Refusal::Acknowledgements => Rule::PurgeCommitted,
+                };
+                self.verdict.add(rule, || format!("purge {purge} at its writer {member}: {why:?}"));
+            }
+            MemberEvent::NotKept { purge, why } => {
+                let example = || format!("purge {purge}, told by a peer, at member {member}: {why:?}");
+                self.verdict.add(Rule::PurgeHasRoom, example);
+            }
+            MemberEvent::Died { peer, started } => {
+                self.note_death(member, member_at(peer, member), started);
+            }
+        }
+    }
+}
