--- a/replication/tests/fleet.rs
+++ b/replication/tests/fleet.rs
@@ -686,17 +686,36 @@
     }
 
     #[test]
-    fn what_is_written_is_read_again(writer: u64, epoch: u64, index in 1u64.., at: u64, group: u64, positions in proptest::collection::vec(any::<(u64, u64, u64)>(), 0..5), sum: u64) {
-        let positions: Vec<(LogId, Index)> = positions.into_iter().map(|(writer, epoch, index)| (LogId::new(writer, epoch), index)).collect();
-        let status = Subject::Status { number: group, part: (sum % 70_000) as u16, text: format!("{{\"a b\": \"{at}%\"}}") };
+    fn what_is_written_is_read_again(
+        writer: u64,
+        epoch: u64,
+        index in 1u64..,
+        at: u64,
+        group: u64,
+        positions in proptest::collection::vec(any::<(u64, u64, u64)>(), 0..5),
+        sum: u64,
+    ) {
+        let position = |(writer, epoch, index)| (LogId::new(writer, epoch), index);
+        let positions: Vec<(LogId, Index)> = positions.into_iter().map(position).collect();
+        let text = format!("{{\"a b\": \"{at}%\"}}");
+        let status = Subject::Status { number: group, part: (sum % 70_000) as u16, text };
         let gone = Subject::Gone { writer: sum, number: group };
-        let subjects = [Subject::Group(group), Subject::Ban(format!("pc-{group:x}")), Subject::Drain, object(group), status, gone];
+        let ban = Subject::Ban(format!("pc-{group:x}"));
+        let subjects = [Subject::Group(group), ban, Subject::Drain, object(group), status, gone];
         let revoked = matches!(group % 6, 1 | 2) && group % 12 > 5;
         let subject = subjects[(group % 6) as usize].clone();
         let gaps = positions.iter().map(|(_, index)| (*index / 2, *index / 2 + 1)).collect();
-        let lack = Datagram::GapRequest { log: LogId::new(writer, epoch), gaps };
+        let gap_request = Datagram::GapRequest { log: LogId::new(writer, epoch), gaps };
         let entry = Entry { log: LogId::new(writer, epoch), index, prev: index - 1, subject, at, revoked };
-        for d in [Datagram::Entry(entry), Datagram::Digest { positions: positions.clone(), all: 9, sum }, Datagram::Ack { process: at, positions: positions.clone() }, Datagram::DigestRequest, lack, Datagram::RangeRequest { positions }] {
+        let datagrams = [
+            Datagram::Entry(entry),
+            Datagram::Digest { positions: positions.clone(), all: 9, sum },
+            Datagram::Ack { process: at, positions: positions.clone() },
+            Datagram::DigestRequest,
+            gap_request,
+            Datagram::RangeRequest { positions },
+        ];
+        for d in datagrams {
             let bytes = d.write().expect("it fits");
             prop_assert!(bytes.len() <= MAX_DATAGRAM_BYTES);
             prop_assert_eq!(Datagram::read(&bytes), Ok(d));
