--- a/src/router/mod.rs
+++ b/src/router/mod.rs
@@ -107,13 +107,19 @@
         })
     }
 
+    /// Starts the periodic work and the polling of the server list at the first event.
+    fn start_once(&mut self, now: Micros, actions: &mut Vec<Action>) {
+        if self.started {
+            return;
+        }
+        self.started = true;
+        Self::schedule_tick(now, actions);
+        actions.extend(self.settings.polls_list.then_some(Action::Watch));
+    }
+
     /// Handles an event and appends the resulting actions in order.
     pub fn handle(&mut self, now: Micros, event: Event, actions: &mut Vec<Action>) {
-        if !self.started {
-            self.started = true;
-            Self::schedule_tick(now, actions);
-            actions.extend(self.settings.polls_list.then_some(Action::Watch));
-        }
+        self.start_once(now, actions);
         match event {
             Event::List { mode, servers } => self.update_endpoints(now, mode, servers, actions),
             Event::Request(request) => self.handle_request(now, &request, actions),
--- a/src/router/statistics.rs
+++ b/src/router/statistics.rs
@@ -67,8 +67,12 @@
 
     /// Adds the transfer time of one request.
     pub(super) fn add_transfer(&mut self, transfer_s: f64) {
+        self.add_weighted_transfer(transfer_s, TRANSFER_STEP);
+    }
+
+    fn add_weighted_transfer(&mut self, transfer_s: f64, min_weight: f64) {
         self.samples += 1.0;
-        self.transfer_s += (transfer_s - self.transfer_s) * TRANSFER_STEP.max(1.0 / self.samples);
+        self.transfer_s += (transfer_s - self.transfer_s) * min_weight.max(1.0 / self.samples);
     }
 
     /// Adds the measured transfer time of a request of unknown size. What a period of slow hits added is forgotten with
@@ -76,17 +80,24 @@
     fn add_measured_transfer(&mut self, now: Micros, transfer_s: f64) {
         let elapsed_s = now.saturating_sub(self.measured_at) as f64 / 1e6;
         self.measured_at = now;
-        self.samples += 1.0;
-        let by_time = 1.0 - (-elapsed_s / MEASURED_TRANSFER_HALF_LIFE_S).exp2();
-        let weight = TRANSFER_STEP.max(1.0 / self.samples).max(by_time);
-        self.transfer_s += (transfer_s - self.transfer_s) * weight;
+        let weight_by_time = 1.0 - (-elapsed_s / MEASURED_TRANSFER_HALF_LIFE_S).exp2();
+        self.add_weighted_transfer(transfer_s, TRANSFER_STEP.max(weight_by_time));
+    }
+
+    /// Returns whether an attempt that lasted this time took longer than `tail_factor` allows.
+    fn is_slow(&self, end: &AttemptEnd, lasted_s: f64) -> bool {
+        lasted_s > self.tail_factor * end.expected_s
+    }
+
+    /// Adjusts `tail_factor` by an answer.
+    fn record_answer(&mut self, end: &AttemptEnd, max_tail_factor: f64) {
+        let is_slow = self.is_slow(end, end.took_s());
+        self.adjust_tail_factor(end.now, is_slow, max_tail_factor);
     }
 
-    /// Adjusts `tail_factor` by an answer, or an attempt without an answer, that lasted this time.
-    fn adjust_tail_factor(&mut self, end: &AttemptEnd, lasted_s: f64, max_tail_factor: f64) {
-        let is_slow = lasted_s > self.tail_factor * end.expected_s;
+    fn adjust_tail_factor(&mut self, now: Micros, is_slow: bool, max_tail_factor: f64) {
         if is_slow {
-            self.last_slow_at = end.now;
+            self.last_slow_at = now;
         }
         let slow = f64::from(u8::from(is_slow));
         let adjusted = self.tail_factor * (1.0 + TAIL_STEP * (slow - TAIL_SHARE));
@@ -97,8 +108,8 @@
     /// together; those that lasted no longer than `tail_factor` allows by now say nothing about the longer answers.
     fn record_stuck(&mut self, end: &AttemptEnd, max_tail_factor: f64) {
         let waited_s = end.now.saturating_sub(end.attempt.sent_at) as f64 / 1e6;
-        if waited_s > self.tail_factor * end.expected_s {
-            self.adjust_tail_factor(end, waited_s, max_tail_factor);
+        if self.is_slow(end, waited_s) {
+            self.adjust_tail_factor(end.now, true, max_tail_factor);
         }
     }
 
@@ -190,7 +201,7 @@
     /// Updates the tail factor of the class and the miss rate with an answer.
     pub(super) fn record_answer_statistics(&mut self, end: &AttemptEnd) {
         let max_factor = max_tail_factor(&self.settings.classes[end.class]);
-        self.class_statistics[end.class].adjust_tail_factor(end, end.took_s(), max_factor);
+        self.class_statistics[end.class].record_answer(end, max_factor);
         let missed = f64::from(u8::from(!end.is_hit()));
         self.miss_rate += MISS_STEP * (missed - self.miss_rate);
     }
--- a/tests/learned_values.rs
+++ b/tests/learned_values.rs
@@ -1,5 +1,5 @@
 //! After any trouble that ends, the values that a router has learned from answers are within their bounds, and requests
-//! are served by one attempt each, as by a router that was restarted when the trouble ended.
+//! are served by one attempt each. If an answer is lost, this is noticed in time for another attempt.
 //!
 //! Each seed draws a deployment and a period of adversarial answers, silences, cancellations, resets and pauses of the
 //! process. A calm period of `RECOVERY_US` follows, and then the requests that are checked.
@@ -96,8 +96,9 @@
     /// The longest answer during the trouble.
     slowest_us: Micros,
     open: BTreeMap<RequestId, OpenRequest>,
-    /// Attempts of each request answered after the recovery, and of those refused.
+    /// Number of attempts of each answered request.
     answered: Vec<u32>,
+    /// Number of refused and failed requests.
     refused: u64,
 }
 
