--- a/daemon/tests/test_proxy/mod.rs
+++ b/daemon/tests/test_proxy/mod.rs
@@ -34,8 +34,28 @@
 /// Blocks the daemon before it reads its configuration while the gate is closed.
 #[derive(Default)]
 struct ReloadGate {
-    closed: Mutex<bool>,
-    opened: Condvar,
+    state: Mutex<GateState>,
+    changed: Condvar,
+}
+
+#[derive(Default)]
+struct GateState {
+    closed: bool,
+    /// Number of reads that may pass the closed gate.
+    passes: usize,
+}
+
+impl ReloadGate {
+    /// Waits until the gate is open or has a pass, and uses the pass.
+    fn enter(&self) {
+        let mut state = self
+            .changed
+            .wait_while(self.state.lock().unwrap(), |state| {
+                state.closed && state.passes == 0
+            })
+            .unwrap();
+        state.passes = state.passes.saturating_sub(1);
+    }
 }
 
 /// Guard that keeps a daemon's event loop blocked until it is dropped.
@@ -43,8 +63,8 @@
 
 impl Drop for HeldLoop {
     fn drop(&mut self) {
-        *self.0.closed.lock().unwrap() = false;
-        self.0.opened.notify_all();
+        *self.0.state.lock().unwrap() = GateState::default();
+        self.0.changed.notify_all();
     }
 }
 
@@ -81,11 +101,7 @@
         let gate = reload_gate.clone();
         let read = move || {
             read_counter.fetch_add(1, Ordering::SeqCst);
-            drop(
-                gate.opened
-                    .wait_while(gate.closed.lock().unwrap(), |closed| *closed)
-                    .unwrap(),
-            );
+            gate.enter();
             let mut file = shared_config.lock().unwrap().clone();
             let mut interconnect = json!({"cdni": {"listen": "127.0.0.1:0", "provider": "AS64500:0",
                 "base": "http://cdn.example", "footprint": ["127.0.0.0/8"], "purges": file["purges"].take()}});
@@ -150,13 +166,27 @@
     /// Blocks the daemon's event loop within a reload until the guard is dropped. All events that occur meanwhile are
     /// handled in the next iteration of the loop.
     pub(crate) fn hold(&mut self) -> HeldLoop {
-        *self.reload_gate.closed.lock().unwrap() = true;
+        self.reload_gate.state.lock().unwrap().closed = true;
+        self.await_next_reload(|| {});
+        HeldLoop(self.reload_gate.clone())
+    }
+
+    /// Releases the event loop and blocks it again in its next iteration, within the reload that is pending then.
+    pub(crate) fn hold_in_next_turn(&mut self, held: &HeldLoop) {
+        self.await_next_reload(|| {
+            held.0.state.lock().unwrap().passes += 1;
+            held.0.changed.notify_all();
+        });
+    }
+
+    /// Requests a reload, calls `release`, and waits until the daemon starts to read its configuration again.
+    fn await_next_reload(&mut self, release: impl FnOnce()) {
         let before = self.config_reads.load(Ordering::SeqCst);
         self.control.reload().unwrap();
+        release();
         while self.config_reads.load(Ordering::SeqCst) == before {
             std::thread::yield_now();
         }
-        HeldLoop(self.reload_gate.clone())
     }
 
     pub(crate) fn web(&self) -> WebServer {
