Share each turn of the event loop between kinds of events, and run due timers in every turn

Seen by callers: beside a flood of reconnecting clients a quiet client got its answer up to 8 s after its request, whose deadline is 2.5 s, also in release builds (4 of 48 answers over 3 s beside 20 busy processes), or a 503 while much of its time was left.

That step of 0.1 to 3.3 s was 72 to 88% of all time of the turns; it made the turn stale, which skips cache responses and all timers up to three times in a row, and the long turn made unread_delay positive again. Ruled out: the machine alone (75 s of turns were 61 s of processor time), long cache steps, late client threads, evictions.

Change: each kind of events has 10 ms of a turn, and within a kind the source that has waited longest comes first; timers run in each turn, in an interrupted one the deadlines of requests, which start no attempt. Accepting reads nothing any more and ends after 5 ms; a step processes 16 requests of a client. How long input may have waited belongs to the connection and to the listener's queue. Before an attempt starts, its client's unread input is looked at for an abort if it is older than 50 ms. The admin listener and eviction are bounded too. Statistics of turns, steps and timers are logged at exit, and a warning an episode.

--- a/daemon/src/core/requests.rs
+++ b/daemon/src/core/requests.rs
@@ -37,6 +37,11 @@
         Some(key)
     }
 
+    /// Returns the client of an open request.
+    pub fn client_of(&self, key: RequestKey) -> Option<Client> {
+        self.requests.get(key).map(|open| open.client)
+    }
+
     /// Returns the maximum duration for which a request may be open.
     fn time_for(&self, now: Micros, request: &ClientRequest) -> Micros {
         request
--- a/daemon/src/daemon/admin.rs
+++ b/daemon/src/daemon/admin.rs
@@ -38,18 +38,15 @@
     /// Accepts pending connections of the admin listener.
     pub(super) fn accept_admin(&mut self, now: Micros) {
         let mut has_evicted = false;
-        loop {
+        // Bounded per step, so that callers that reconnect immediately can't occupy the loop. The listener stays ready.
+        let mut remaining = self.limits.max_admin_connections;
+        while remaining > 0 {
             let Some(listener) = &mut self.admin_listener else {
                 return;
             };
             let socket = match listener.accept() {
                 Ok(Some(socket)) => socket,
-                Ok(None) => {
-                    if !listener.resume(&self.poll) {
-                        self.schedule_accept_retry(now);
-                    }
-                    return;
-                }
+                Ok(None) => break,
                 Err(failure) if failure.kind != FailureKind::NoDescriptors => {
                     return self.pause_admin(now);
                 }
@@ -69,6 +66,7 @@
                 }
             };
             has_evicted = false;
+            remaining -= 1;
             if self.admin_connection_count >= self.limits.max_admin_connections {
                 self.evict_oldest_admin_connection(now);
             }
@@ -93,6 +91,17 @@
                     .set(now + self.limits.admin_timeout_us, Timer::AdminTimeout(key));
             }
         }
+        self.resume_admin(now);
+    }
+
+    fn resume_admin(&mut self, now: Micros) {
+        let resumed = self
+            .admin_listener
+            .as_mut()
+            .is_none_or(|listener| listener.resume(&self.poll));
+        if !resumed {
+            self.schedule_accept_retry(now);
+        }
     }
 
     fn pause_admin(&mut self, now: Micros) {
--- a/daemon/src/daemon/cdni_listener.rs
+++ b/daemon/src/daemon/cdni_listener.rs
@@ -1,5 +1,6 @@
 //! The CDNI listener: serves the requests of peer CDNs and redirected clients, and delivers payloads to peer CDNs.
 
+use super::clients::AcceptLimit;
 use super::commits::CdniResponse;
 use super::exchange::{Exchange, ExchangeEnd, Flow, Task};
 use super::{Connection, ConnectionKind, Daemon, Timer};
@@ -71,12 +72,12 @@
     }
 
     /// Accepts pending connections of the CDNI listener.
-    pub(super) fn accept_cdni(&mut self, now: Micros) {
-        // The number of accepted connections per turn is bounded, so that reconnecting peers can't occupy the loop.
-        let mut accepted = 0;
+    pub(super) fn accept_cdni(&mut self, now: Micros, limit: AcceptLimit) {
+        let (began, mut accepted) = (self.clock.now(), 0);
+        let mut is_emptied = false;
         while self.cdni.is_some()
             && !self.shutdown_grace_over
-            && accepted < self.limits.max_client_connections
+            && self.continues_accepting(limit, began, accepted)
         {
             let Ok(evicted) = self.required_eviction(now) else {
                 return self.pause_accepting_cdni(now);
@@ -86,7 +87,10 @@
             };
             let socket = match listener.accept() {
                 Ok(Some(socket)) => socket,
-                Ok(None) => break,
+                Ok(None) => {
+                    is_emptied = true;
+                    break;
+                }
                 Err(_) => return self.pause_accepting_cdni(now),
             };
             accepted += 1;
@@ -97,10 +101,17 @@
                 self.limits.input_buffer_bytes,
                 self.limits.output_buffer_bytes,
             );
+            let input = self.cdni_queue.input_of_accepted(&self.turn);
             if let Ok(conn) = conn {
-                self.add_client(now, conn, ConnectionKind::Cdni(Box::new(session)), evicted);
+                let kind = ConnectionKind::Cdni(Box::new(session));
+                self.add_client(now, conn, kind, input, evicted);
             }
         }
+        if is_emptied {
+            self.cdni_queue.emptied(&self.turn);
+        } else {
+            self.cdni_queue.partly_accepted(now, &self.turn);
+        }
         let resumed = self
             .cdni
             .as_mut()
@@ -114,6 +125,7 @@
         if let Some((listener, _)) = &mut self.cdni {
             listener.pause(&self.poll);
         }
+        self.cdni_queue.emptied(&self.turn);
         self.schedule_accept_retry(now);
     }
 
@@ -201,7 +213,7 @@
 
     /// Admits the request of a redirected client to the core, or rejects it.
     fn admit_for_cdni(&mut self, now: Micros, key: Key, mut request: ClientRequest) {
-        let unread_delay_us = self.turn.unread_delay(now);
+        let unread_delay_us = self.input_delay(now, key);
         request.remaining_us = request.remaining_us.saturating_sub(unread_delay_us);
         let deadline = now + request.remaining_us;
         let client = Client {
--- a/daemon/src/daemon/clients/accept.rs
+++ b/daemon/src/daemon/clients/accept.rs
@@ -1,17 +1,42 @@
 //! Accepts client connections, and evicts others when the table is full.
 
+use crate::daemon::turn::UnhandledInput;
 use crate::daemon::{ConnectionKind, Daemon, Timer};
 use crate::limits::ClientState;
 use crate::net::{FailureKind, Key, TcpConnection};
 use linnetknot::Micros;
 use std::io;
 
+/// The time after which an accept step ends although further connections wait.
+const MAX_ACCEPT_STEP_US: Micros = 5_000;
+
+/// How many of the connections that wait an accept step accepts.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(in crate::daemon) enum AcceptLimit {
+    /// As many as the share of the step in a turn allows. The next turn continues.
+    StepTime,
+    /// As many as the connection table can hold, because no further step follows.
+    TableSize,
+}
+
 impl Daemon {
+    /// Returns whether an accept step that began at `began` and has accepted this number of connections continues.
+    pub(in crate::daemon) fn continues_accepting(
+        &self,
+        limit: AcceptLimit,
+        began: Micros,
+        accepted: usize,
+    ) -> bool {
+        let has_time = limit == AcceptLimit::TableSize
+            || self.clock.now().saturating_sub(began) <= MAX_ACCEPT_STEP_US;
+        accepted < self.limits.max_client_connections && (has_time || accepted == 0)
+    }
+
     /// Returns the client connection to evict for a new one, or an error if none may be evicted. Prefers connections
     /// that are least likely to be used again, so that idle clients can't exhaust the table. Connections that have just
-    /// changed state are not evicted, nor are those with unread input.
+    /// changed state are not evicted, nor are those with unread input. At most `max_eviction_polls` candidates are read.
     pub(in crate::daemon) fn eviction_candidate(&mut self, now: Micros) -> io::Result<Key> {
-        loop {
+        for _ in 0..self.limits.max_eviction_polls {
             let keys = self.connections.keys();
             let candidates = keys
                 .iter()
@@ -22,6 +47,7 @@
                 return Ok(key);
             }
         }
+        Err(io::ErrorKind::OutOfMemory.into())
     }
 
     /// Returns the eviction rank of a connection; the lowest is evicted first. `None` if it must not be evicted.
@@ -42,12 +68,12 @@
         self.eviction_candidate(now).map(Some)
     }
 
-    /// Accepts pending connections of the client listener.
-    pub(in crate::daemon) fn accept_clients(&mut self, now: Micros) {
+    /// Accepts pending connections of the client listener. They are read when epoll reports their input.
+    pub(in crate::daemon) fn accept_clients(&mut self, now: Micros, limit: AcceptLimit) {
         let mut has_evicted = false;
-        // Bounded per turn, so that clients that reconnect immediately can't occupy the loop.
-        let mut accepted = 0;
-        while self.client_listener.is_some() && accepted < self.limits.max_client_connections {
+        let (began, mut accepted) = (self.clock.now(), 0);
+        let mut is_emptied = false;
+        while self.client_listener.is_some() && self.continues_accepting(limit, began, accepted) {
             // While the table is full, new connections wait in the kernel's queue.
             let Ok(mut evicted) = self.required_eviction(now) else {
                 return self.pause_accepting_clients(now);
@@ -57,7 +83,10 @@
             };
             let socket = match listener.accept() {
                 Ok(Some(socket)) => socket,
-                Ok(None) => break,
+                Ok(None) => {
+                    is_emptied = true;
+                    break;
+                }
                 // Out of descriptors: one idle connection is evicted. If accepting still fails, further evictions would
                 // not help.
                 Err(failure) if failure.kind == FailureKind::NoDescriptors => {
@@ -83,15 +112,17 @@
                 self.limits.input_buffer_bytes,
                 self.limits.output_buffer_bytes,
             );
+            let input = self.client_queue.input_of_accepted(&self.turn);
             if let Ok(conn) = conn {
-                self.add_client(
-                    now,
-                    conn,
-                    ConnectionKind::Client(Default::default()),
-                    evicted,
-                );
+                let kind = ConnectionKind::Client(Default::default());
+                self.add_client(now, conn, kind, input, evicted);
             }
         }
+        if is_emptied {
+            self.client_queue.emptied(&self.turn);
+        } else {
+            self.client_queue.partly_accepted(now, &self.turn);
+        }
         let resumed = self
             .client_listener
             .as_mut()
@@ -106,6 +137,7 @@
         if let Some(listener) = &mut self.client_listener {
             listener.pause(&self.poll);
         }
+        self.client_queue.emptied(&self.turn);
         self.schedule_accept_retry(now);
     }
 
@@ -118,12 +150,14 @@
         }
     }
 
-    /// Adds an accepted FastCGI or CDNI connection to the table, after closing the evicted connection.
+    /// Adds an accepted FastCGI or CDNI connection to the table, after closing the evicted connection. `input` tells since
+    /// when requests may wait on it.
     pub(in crate::daemon) fn add_client(
         &mut self,
         now: Micros,
         conn: TcpConnection,
         kind: ConnectionKind,
+        input: UnhandledInput,
         evicted: Option<Key>,
     ) {
         if let Some(evicted) = evicted {
@@ -138,10 +172,8 @@
                 now + self.limits.partial_request_timeout_us,
                 Timer::CheckClient(key),
             );
-            if self.turn.unread_delay(now) > 0 {
-                // After a delay of the loop, requests may already have arrived on the connection. They are read now,
-                // because the delay would not be deducted from their time budgets in the next turn.
-                self.poll_client(now, key);
+            if let Some(connection) = self.connections.get_mut(key) {
+                connection.unhandled_input = Some(input);
             }
         }
     }
--- a/daemon/src/daemon/clients/mod.rs
+++ b/daemon/src/daemon/clients/mod.rs
@@ -3,6 +3,8 @@
 mod accept;
 mod requests;
 
+pub(super) use accept::AcceptLimit;
+
 use super::{Connection, ConnectionKind, Daemon, Timer};
 use crate::limits::ClientState;
 use crate::net::Key;
@@ -13,7 +15,7 @@
     fn client_state(connection: &Connection) -> Option<ClientState> {
         let (is_busy, is_partial, has_request) = match &connection.kind {
             ConnectionKind::Client(session) => (
-                session.has_pending_answers(),
+                session.has_pending_answers() || session.has_inputs(),
                 session.is_partial(),
                 session.has_received_request(),
             ),
--- a/daemon/src/daemon/clients/requests.rs
+++ b/daemon/src/daemon/clients/requests.rs
@@ -23,11 +23,14 @@
         now: Micros,
         key: Key,
     ) -> Result<bool, WireError> {
-        Ok(self.receive_requests(key)? && self.process_inputs(now, key))
+        Ok(self.receive_requests(now, key)? && self.process_inputs(now, key))
     }
 
     /// Reads the available input. Returns false if the client has disconnected.
-    fn receive_requests(&mut self, key: Key) -> Result<bool, WireError> {
+    fn receive_requests(&mut self, now: Micros, key: Key) -> Result<bool, WireError> {
+        if let Some(connection) = self.connections.get_mut(key) {
+            connection.last_read_at = now;
+        }
         for _ in 0..self.limits.max_reads_per_client {
             let Some(connection) = self.connections.get_mut(key) else {
                 return Ok(false);
@@ -50,9 +53,54 @@
         Ok(true)
     }
 
-    /// Processes the parsed input. Returns false if the connection was closed meanwhile.
+    /// Reads the clients of the attempts that wait on a connection to a cache server, if they may have sent an abort that
+    /// this turn has not read yet.
+    pub(in crate::daemon) fn read_clients_of_queued_attempts(&mut self, now: Micros, key: Key) {
+        for attempt in self.queued_attempts(key) {
+            let Some(client) = self.core.client_of(attempt.request) else {
+                continue;
+            };
+            if self.may_have_unread_abort(now, client.connection) {
+                self.read_aborts(now, client.connection);
+            }
+        }
+    }
+
+    fn may_have_unread_abort(&self, now: Micros, key: Key) -> bool {
+        self.connections.get(key).is_some_and(|connection| {
+            self.turn.current(connection.unhandled_input).is_some()
+                && connection.last_read_at + self.limits.max_unread_input_age_us < now
+        })
+    }
+
+    /// Reads the available input of a client and cancels the requests that the client has aborted. New requests remain
+    /// queued.
+    fn read_aborts(&mut self, now: Micros, key: Key) {
+        if !matches!(self.receive_requests(now, key), Ok(true)) {
+            return self.close(now, key);
+        }
+        while let Some(request) = self.client_session(key).and_then(Session::next_aborted) {
+            self.core.client_gone(now, request);
+        }
+    }
+
+    /// Records whether received requests of a client wait for a later step, which the next turn then resumes.
+    pub(in crate::daemon) fn update_unhandled_input(&mut self, key: Key) {
+        let Some(connection) = self.connections.get_mut(key) else {
+            return;
+        };
+        let is_unfinished =
+            matches!(&connection.kind, ConnectionKind::Client(session) if session.has_inputs());
+        connection.unhandled_input =
+            is_unfinished.then(|| self.turn.carry_over(connection.unhandled_input));
+        if is_unfinished {
+            self.unfinished_clients.push(key);
+        }
+    }
+
+    /// Processes the parsed input, up to the limit of a step. Returns false if the connection was closed meanwhile.
     fn process_inputs(&mut self, now: Micros, key: Key) -> bool {
-        loop {
+        for _ in 0..self.limits.max_requests_per_step {
             let Some(connection) = self.connections.get_mut(key) else {
                 return false;
             };
@@ -73,6 +121,7 @@
             // response is queued.
             self.execute_commands(now);
         }
+        self.connections.get(key).is_some()
     }
 
     fn answer_health_check(&mut self, key: Key, stream: u16) {
@@ -98,7 +147,7 @@
         is_first: bool,
     ) {
         // The client measures its time budget from when it sent the request.
-        let unread_delay_us = self.turn.unread_delay(now);
+        let unread_delay_us = self.input_delay(now, key);
         request.remaining_us = request.remaining_us.saturating_sub(unread_delay_us);
         let client = Client {
             connection: key,
@@ -119,6 +168,13 @@
         }
     }
 
+    /// Returns how long the input of a client may have waited before it is processed now; 0 if the delay is normal.
+    pub(in crate::daemon) fn input_delay(&self, now: Micros, key: Key) -> Micros {
+        let connection = self.connections.get(key);
+        let earlier = connection.and_then(|connection| connection.unhandled_input);
+        self.turn.input_delay(now, earlier)
+    }
+
     /// Returns whether a request is rejected before it reaches the core.
     fn is_shed(&self, now: Micros, key: Key, is_first: bool) -> bool {
         let Some(ConnectionKind::Client(session)) =
--- a/daemon/src/daemon/connection_table.rs
+++ b/daemon/src/daemon/connection_table.rs
@@ -3,6 +3,7 @@
 use super::admin;
 use super::exchange::{self, Exchange};
 use super::registration::Registration;
+use super::turn::UnhandledInput;
 use super::{Daemon, Timer};
 use crate::front::cdni::{self, Waiting};
 use crate::front::fastcgi::Session;
@@ -64,6 +65,12 @@
     /// The state of the epoll registration, and whether a retry is scheduled.
     pub(super) registration: Registration,
     pub(super) registration_retry_scheduled: bool,
+    /// For clients: input that the latest turn did not handle.
+    pub(super) unhandled_input: Option<UnhandledInput>,
+    /// For clients: when the socket was last read.
+    pub(super) last_read_at: Micros,
+    /// The latest turn that handled an event of this connection.
+    pub(super) last_handled_turn: u64,
 }
 
 impl Daemon {
@@ -84,6 +91,9 @@
             partial_request_bytes: 0,
             registration: Registration::Missing,
             registration_retry_scheduled: false,
+            unhandled_input: None,
+            last_read_at: now,
+            last_handled_turn: self.turn.number(),
         });
         let key = key.ok()?;
         if !self.register(now, key) {
@@ -192,6 +202,7 @@
         if !self.write(now, key) && !self.half_close(now, key) {
             return self.close(now, key);
         }
+        self.update_unhandled_input(key);
         self.update_client_state(now, key);
     }
 
--- a/daemon/src/daemon/lifecycle.rs
+++ b/daemon/src/daemon/lifecycle.rs
@@ -12,6 +12,7 @@
 //! before a half-close, and the connection is half-closed only if it is still idle. The socket is closed when the
 //! client closes its side or after a timeout.
 
+use super::clients::AcceptLimit;
 use super::{Connection, ConnectionKind, Daemon, Timer};
 use crate::net::{Key, Progress};
 use linnetknot::Micros;
@@ -94,6 +95,7 @@
             self.close(now, key);
             return false;
         }
+        self.update_unhandled_input(key);
         self.write(now, key);
         self.close_if_broken(now, key);
         self.update_client_state(now, key);
@@ -140,8 +142,8 @@
     /// Ends the grace period of a shutdown: accepts the connections that are pending in the kernel and then stops
     /// accepting. Half-closes each client connection once its requests are answered.
     pub(super) fn close_clients(&mut self, now: Micros) {
-        self.accept_clients(now);
-        self.accept_cdni(now);
+        self.accept_clients(now, AcceptLimit::TableSize);
+        self.accept_cdni(now, AcceptLimit::TableSize);
         self.shutdown_grace_over = true;
         self.close_client_listener();
         for key in self.connections.keys() {
--- a/daemon/src/daemon/mod.rs
+++ b/daemon/src/daemon/mod.rs
@@ -24,6 +24,7 @@
 use std::io;
 use std::net::{SocketAddr, UdpSocket};
 
+mod accept_queue;
 mod admin;
 mod budgets;
 mod cdni_listener;
@@ -35,6 +36,7 @@
 mod exchange;
 mod fleet_status;
 mod lifecycle;
+mod loop_statistics;
 mod membership;
 mod operator_state;
 mod peer_index;
@@ -55,9 +57,11 @@
 pub use signals::Control;
 pub use startup::StartError;
 
+use accept_queue::AcceptQueue;
 use connection_table::{ConnectError, Connection, ConnectionKind};
 use discovery::LoggedNotices;
 use event_loop::Timer;
+use loop_statistics::LoopStatistics;
 use peer_index::PeerIndex;
 use signals::Signal;
 use sources::{bus, consul};
@@ -71,6 +75,7 @@
     core: Core,
     poll: Poll,
     client_listener: Option<Listener>,
+    client_queue: AcceptQueue,
     accept_retry_scheduled: bool,
     /// Attempts that wait because this machine can't open connections at the moment.
     deferred_attempts: reconnect::DeferredAttempts,
@@ -81,6 +86,8 @@
     config_source: Source,
     connections: SlotTable<Connection>,
     client_count: usize,
+    /// Clients with received requests that this turn did not process.
+    unfinished_clients: Vec<Key>,
     cache_connections: BTreeMap<ServerId, Vec<Key>>,
     deadlines: Deadlines<Timer>,
     bus: bus::State,
@@ -103,6 +110,7 @@
     dropped_datagrams: (u64, u64),
     /// The CDNI listener, and the state that handles its requests.
     cdni: Option<(Listener, TriggerApi)>,
+    cdni_queue: AcceptQueue,
     ledger: Option<Ledger>,
     /// The store of the ledger, if it could not be opened at startup and is retried.
     pending_store: Option<PendingStore>,
@@ -126,6 +134,7 @@
     /// When SIGTERM was received; `None` before that.
     sigterm_at: Option<Micros>,
     turn: Turn,
+    loop_statistics: LoopStatistics,
     shutdown_grace_over: bool,
     /// The admin listener, its connections, and the operators' state.
     admin_listener: Option<Listener>,
--- a/daemon/src/daemon/shutdown.rs
+++ b/daemon/src/daemon/shutdown.rs
@@ -76,6 +76,7 @@
             log_replication(counters);
         }
         self.log_origin_health();
+        self.loop_statistics.log();
     }
 
     /// Closes the store. Returns the counters of its replication, if there is one.
--- a/daemon/src/daemon/startup/mod.rs
+++ b/daemon/src/daemon/startup/mod.rs
@@ -5,11 +5,13 @@
 
 pub use error::StartError;
 
+use super::accept_queue::AcceptQueue;
 use super::bus;
 use super::commits::PendingCommits;
 use super::consul;
 use super::discovery::LoggedNotices;
 use super::event_loop::STORE_TOKEN;
+use super::loop_statistics::LoopStatistics;
 use super::operator_state::OperatorFiles;
 use super::peer_index::PeerIndex;
 use super::reconnect;
@@ -214,12 +216,14 @@
             core: parts.core,
             poll: parts.sockets.poll,
             client_listener: Some(parts.sockets.client_listener),
+            client_queue: AcceptQueue::default(),
             accept_retry_scheduled: false,
             deferred_attempts: reconnect::DeferredAttempts::default(),
             sigterm: parts.sockets.sigterm,
             sighup: parts.sockets.sighup,
             connections: SlotTable::new(config.limits.max_connections),
             client_count: 0,
+            unfinished_clients: Vec::new(),
             cache_connections: BTreeMap::new(),
             deadlines: Deadlines::default(),
             bus: bus::State::new(config.seed, &config.limits),
@@ -240,6 +244,7 @@
             origin_health,
             dropped_datagrams: (0, 0),
             cdni: parts.trigger_api,
+            cdni_queue: AcceptQueue::default(),
             ledger: parts.store.ledger,
             pending_store: parts.store.pending,
             pending_commits: PendingCommits::default(),
@@ -253,6 +258,7 @@
             total_partial_request_bytes: 0,
             sigterm_at: None,
             turn: Turn::start(now),
+            loop_statistics: LoopStatistics::start(),
             shutdown_grace_over: false,
             admin_listener: parts.sockets.admin_listener,
             admin_connection_count: 0,
--- a/daemon/src/daemon/turn.rs
+++ b/daemon/src/daemon/turn.rs
@@ -3,6 +3,9 @@
 //! If the process is stopped or busy for a long time, client requests wait in the socket buffers before they are read,
 //! and events that epoll reported earlier are stale. `Turn` estimates how long requests have waited, and detects stale
 //! turns.
+//!
+//! Each kind of events has a share of the turn. Events that exceed the share are carried over to the next turn, so that
+//! due timers run between the shares and no kind of events delays the others.
 
 use linnetknot::Micros;
 
@@ -22,32 +25,89 @@
 /// The longest delay that is regarded as normal operation.
 const MAX_NORMAL_DELAY_US: Micros = 60_000;
 
+/// The time that the events of one kind may take in a turn. Each kind handles at least one event.
+const MAX_KIND_TIME_US: Micros = 10_000;
+/// The time that due timers may take in a turn.
+const MAX_TIMERS_TIME_US: Micros = 10_000;
+
+/// The kinds of events, in the order in which a turn handles them.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) enum EventKind {
+    /// A client has closed its connection.
+    HangUp,
+    /// Signals, and updates from operators, peers and other exchanges.
+    Notification,
+    /// Input of clients.
+    ClientInput,
+    /// Connections of clients that wait to be accepted.
+    NewClient,
+    /// Responses of cache servers, which may start further attempts.
+    CacheResponse,
+}
+
+impl EventKind {
+    /// All kinds, in the order in which a turn handles them.
+    pub(super) const ALL: [EventKind; 5] = [
+        EventKind::HangUp,
+        EventKind::Notification,
+        EventKind::ClientInput,
+        EventKind::NewClient,
+        EventKind::CacheResponse,
+    ];
+
+    /// Whether the time that events of this kind may take in a turn is limited. Hang-ups and notifications are always
+    /// handled, because no attempt may start after them that they rule out.
+    pub(super) fn has_share(self) -> bool {
+        self >= EventKind::ClientInput
+    }
+}
+
+/// Input of a connection that was reported or may have arrived in a turn, and that the turn did not handle.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct UnhandledInput {
+    /// The earliest time at which the input may have arrived.
+    arrived_since: Micros,
+    /// The turn that did not handle the input.
+    turn: u64,
+}
+
 /// The latest wait for events and the turn that follows it.
 #[derive(Default)]
 pub(super) struct Turn {
+    /// The number of this turn.
+    number: u64,
     /// epoll has reported all input that arrived before this time.
     reported_until: Micros,
     /// The earliest time at which the input that the latest wait reported may have arrived.
     arrived_since: Micros,
     wait_ended_at: Micros,
-    /// The value that `reported_until` gets when the turn ends without interruption.
+    /// The value that `reported_until` gets when the turn ends.
     reported_until_after_turn: Micros,
     last_step_ended_at: Micros,
     consecutive_interrupted_turns: u32,
+    /// The kind of the latest event of this turn, and when its share began.
+    current_kind: Option<(EventKind, Micros)>,
 }
 
 impl Turn {
     pub(super) fn start(now: Micros) -> Self {
         Turn {
+            number: 0,
             reported_until: now,
             arrived_since: now,
             wait_ended_at: now,
             reported_until_after_turn: now,
             last_step_ended_at: now,
             consecutive_interrupted_turns: 0,
+            current_kind: None,
         }
     }
 
+    /// Returns the number of this turn.
+    pub(super) fn number(&self) -> u64 {
+        self.number
+    }
+
     /// Records a wait from `began` to `ended` whose timeout was `wait`.
     pub(super) fn end_wait(&mut self, began: Micros, wait: Micros, ended: Micros) {
         let slept = ended.saturating_sub(began);
@@ -62,18 +122,75 @@
             self.reported_until
         };
         (self.wait_ended_at, self.last_step_ended_at) = (ended, ended);
+        self.current_kind = None;
+        self.number += 1;
     }
 
-    /// Returns how long input that is read now may have waited in the socket buffer; 0 if the delay is normal.
+    /// Returns how long input that is read now and was reported by the latest wait may have waited in the socket buffer;
+    /// 0 if the delay is normal.
     pub(super) fn unread_delay(&self, now: Micros) -> Micros {
-        let unread = now.saturating_sub(self.arrived_since);
-        if unread > MAX_NORMAL_DELAY_US {
-            unread
+        Self::abnormal_delay(now, self.arrived_since)
+    }
+
+    /// Returns how long input that is read now may have waited; 0 if the delay is normal. `earlier` tells whether an
+    /// earlier turn did not handle the input of the connection.
+    pub(super) fn input_delay(&self, now: Micros, earlier: Option<UnhandledInput>) -> Micros {
+        match self.current(earlier) {
+            Some(input) => Self::abnormal_delay(now, input.arrived_since),
+            None => self.unread_delay(now),
+        }
+    }
+
+    /// Returns the record for input that this turn does not handle.
+    pub(super) fn carry_over(&self, earlier: Option<UnhandledInput>) -> UnhandledInput {
+        let earlier_since = self.current(earlier).map(|input| input.arrived_since);
+        UnhandledInput {
+            arrived_since: earlier_since.unwrap_or(self.arrived_since),
+            turn: self.number,
+        }
+    }
+
+    /// Returns the record for input that may have arrived at any time since `arrived_since`.
+    pub(super) fn unhandled_since(&self, arrived_since: Micros) -> UnhandledInput {
+        UnhandledInput {
+            arrived_since,
+            turn: self.number,
+        }
+    }
+
+    /// Returns the record of unhandled input if it still applies. If the turn after it neither handled the input nor
+    /// renewed the record, there was no input, and later input is reported anew.
+    pub(super) fn current(&self, earlier: Option<UnhandledInput>) -> Option<UnhandledInput> {
+        earlier.filter(|input| input.turn + 1 >= self.number)
+    }
+
+    fn abnormal_delay(now: Micros, since: Micros) -> Micros {
+        let delay = now.saturating_sub(since);
+        if delay > MAX_NORMAL_DELAY_US {
+            delay
         } else {
             0
         }
     }
 
+    /// Returns whether the events of this kind have used their share of the turn.
+    pub(super) fn has_used_share(&mut self, now: Micros, kind: EventKind) -> bool {
+        match self.current_kind {
+            Some((current, since)) if current == kind => {
+                kind.has_share() && now.saturating_sub(since) > MAX_KIND_TIME_US
+            }
+            _ => {
+                self.current_kind = Some((kind, now));
+                false
+            }
+        }
+    }
+
+    /// Returns whether the timers, which began to run at `began`, have used their share of the turn.
+    pub(super) fn have_timers_used_share(began: Micros, now: Micros) -> bool {
+        now.saturating_sub(began) > MAX_TIMERS_TIME_US
+    }
+
     /// Returns whether the remaining events of this turn are stale, and records the end of a step. A stale turn is
     /// interrupted and its events are polled for again, so that clients that disconnected meanwhile are detected
     /// first.
@@ -85,13 +202,14 @@
             || turn > DELAYED_TURN_US && self.consecutive_interrupted_turns == 0
     }
 
-    /// Ends the turn. The events that an interrupted turn left unhandled are reported again by the next wait.
+    /// Ends the turn. The input that it did not handle is recorded in the connections (`UnhandledInput`), and the next
+    /// wait reports it again.
     pub(super) fn end_turn(&mut self, interrupted: bool) {
+        self.reported_until = self.reported_until_after_turn;
         if interrupted {
             self.consecutive_interrupted_turns += 1;
         } else {
             self.consecutive_interrupted_turns = 0;
-            self.reported_until = self.reported_until_after_turn;
         }
     }
 }
--- a/daemon/src/daemon/upstream_connections/mod.rs
+++ b/daemon/src/daemon/upstream_connections/mod.rs
@@ -83,6 +83,13 @@
         }
     }
 
+    /// Returns the attempts that wait on a connection to a cache server and have not started.
+    pub(super) fn queued_attempts(&self, key: Key) -> Vec<AttemptId> {
+        self.cache_connection(key)
+            .map(|(_, upstream)| upstream.queued_attempts().collect())
+            .unwrap_or_default()
+    }
+
     /// Selects or opens a connection to the cache server of an attempt, and sends the attempt.
     pub(super) fn send_attempt(&mut self, now: Micros, attempt: AttemptId) {
         let Some(dispatch) = self.core.dispatch(attempt) else {
@@ -220,6 +227,7 @@
     /// Sends queued attempts and applies the events of a connection. Returns false if the connection has to be
     /// closed.
     pub(super) fn flush_upstream(&mut self, now: Micros, key: Key) -> bool {
+        self.read_clients_of_queued_attempts(now, key);
         let Some(Connection {
             conn,
             kind: ConnectionKind::CacheServer(upstream),
--- a/daemon/src/front/fastcgi/session.rs
+++ b/daemon/src/front/fastcgi/session.rs
@@ -219,6 +219,23 @@
         Some((input, is_first))
     }
 
+    /// Whether `next_input` has further inputs.
+    pub fn has_inputs(&self) -> bool {
+        !self.inputs.is_empty()
+    }
+
+    /// Removes and returns the next request that the client has aborted, ahead of other inputs.
+    pub fn next_aborted(&mut self) -> Option<RequestKey> {
+        match self.inputs.front() {
+            Some(Input::ClientGone(request)) => {
+                let request = *request;
+                self.inputs.pop_front();
+                Some(request)
+            }
+            _ => None,
+        }
+    }
+
     /// Records the key of a request that the core has admitted.
     pub fn admitted(&mut self, id: u16, request: RequestKey) {
         if let Some(Stream::Waiting { key, .. }) = self.streams.get_mut(&id) {
--- a/daemon/src/limits/mod.rs
+++ b/daemon/src/limits/mod.rs
@@ -36,6 +36,13 @@
     /// The maximum number of reads from a client connection before its requests are processed. Several reads allow the
     /// proxy to detect that the client has closed the connection before its requests are started.
     pub max_reads_per_client: usize,
+    /// The maximum number of requests of a client connection that one step of the event loop processes. Further requests
+    /// wait until the other clients had their turn.
+    pub max_requests_per_step: usize,
+    /// The maximum number of client connections that are read in search of one that may be evicted.
+    pub max_eviction_polls: usize,
+    /// An attempt starts only if the input of its client was read within this time, unless the client has sent none.
+    pub max_unread_input_age_us: u64,
     /// The maximum number of bytes of the parameters of a request.
     pub max_params_bytes: usize,
     /// The maximum number of bytes of the bodies of all open requests. The same limit applies separately to the
--- a/daemon/src/net/deadlines.rs
+++ b/daemon/src/net/deadlines.rs
@@ -38,9 +38,9 @@
         due
     }
 
-    /// Cancels a deadline. Has no effect if the deadline was already removed by `pop`.
-    pub fn cancel(&mut self, due: DeadlineId) {
-        self.due.remove(&due);
+    /// Cancels a deadline and returns its item; `None` if the deadline was already removed by `pop`.
+    pub fn cancel(&mut self, due: DeadlineId) -> Option<T> {
+        self.due.remove(&due)
     }
 
     /// Returns the time of the earliest deadline.
@@ -53,4 +53,14 @@
         let first = self.due.first_entry().filter(|e| e.key().at <= now)?;
         Some(first.remove())
     }
+
+    /// Returns the deadlines that are due and whose items match, in order.
+    pub fn due_matching(&self, now: u64, matches: impl Fn(&T) -> bool) -> Vec<DeadlineId> {
+        self.due
+            .iter()
+            .take_while(|(due, _)| due.at <= now)
+            .filter(|(_, item)| matches(item))
+            .map(|(due, _)| *due)
+            .collect()
+    }
 }
--- a/daemon/src/upstream/connection.rs
+++ b/daemon/src/upstream/connection.rs
@@ -94,6 +94,11 @@
         live.count() + self.queue.len()
     }
 
+    /// Returns the attempts that have not started.
+    pub fn queued_attempts(&self) -> impl Iterator<Item = AttemptId> + '_ {
+        self.queue.iter().map(|queued| queued.attempt)
+    }
+
     /// Whether an attempt with this id is queued on this connection.
     fn is_queued(&self, id: &str, core: &Core) -> bool {
         self.queue.iter().any(|queued| {
