Keep one timer for the next check of a connection to a cache server

Cause: flush_upstream set up to four timers at each flush and cancelled none, and each of them flushed the connection again and set more.

Change: UpstreamConnection::next_check_at gives the earliest time limit of the connection (report of an abort, incomplete response, write stall, connect timeout of the first queued attempt, removal of finished streams); the daemon keeps one timer, replaced by an earlier one. A write stall is timed from its start, not from the latest flush.

--- a/daemon/src/daemon/upstream_connections/mod.rs
+++ b/daemon/src/daemon/upstream_connections/mod.rs
@@ -132,16 +132,10 @@
 
     /// Sends an attempt on a connection, or queues it until the connection is established.
     fn send_attempt_on(&mut self, now: Micros, key: Key, attempt: AttemptId) {
-        let Some((conn, upstream)) = self.cache_connection_mut(key) else {
+        let Some((_, upstream)) = self.cache_connection_mut(key) else {
             return;
         };
         upstream.enqueue(now, attempt);
-        if !conn.up {
-            self.deadlines.set(
-                now + self.limits.connect_timeout_us,
-                Timer::CheckCacheConnection(key),
-            );
-        }
         self.flush_or_close(now, key);
     }
 
@@ -238,22 +232,16 @@
         };
         let (server, mut events) = (upstream.server, Vec::new());
         let is_open = upstream.flush(now, conn, &self.core, &self.limits, &mut events);
-        let forget_at = upstream.next_removal_at(now, &self.limits);
-        let due = [
-            upstream.next_report_at(&self.limits),
-            upstream
-                .partial_response_deadline(&self.limits)
-                .filter(|_| is_open),
-            forget_at,
-        ];
-        for at in due.into_iter().flatten() {
-            self.deadlines.set(at, Timer::CheckCacheConnection(key));
-        }
-        if conn.is_waiting_to_write() {
-            self.deadlines.set(
-                now + self.limits.write_stall_timeout_us,
-                Timer::CheckCacheConnection(key),
-            );
+        let check_at = upstream.next_check_at(now, conn.up, &self.limits);
+        if let Some(at) = check_at.filter(|_| is_open) {
+            // One timer per connection: each check schedules the next one.
+            let earlier = upstream.check_due.filter(|due| due.at <= at);
+            if earlier.is_none() {
+                let due = self.deadlines.set(at, Timer::CheckCacheConnection(key));
+                if let Some(later) = upstream.check_due.replace(due) {
+                    self.deadlines.cancel(later);
+                }
+            }
         }
         // A server that is draining, gone or has a new address gets no new attempts on this connection, so the
         // connection is closed once idle. If the machine of the server has failed, nothing else would close it.
@@ -273,6 +261,9 @@
             ..
         }) = self.connections.get_mut(key)
         {
+            if let Some(due) = upstream.check_due.take() {
+                self.deadlines.cancel(due);
+            }
             upstream.remove_finished(now, &self.limits);
         }
         self.flush_or_close(now, key);
--- a/daemon/src/upstream/connection.rs
+++ b/daemon/src/upstream/connection.rs
@@ -3,6 +3,7 @@
 use super::stream::Stream;
 use crate::core::{AttemptId, Core};
 use crate::limits::Limits;
+use crate::net::DeadlineId;
 use crate::wire::resp;
 use linnetknot::{Micros, ServerId};
 use std::collections::{HashMap, VecDeque};
@@ -50,6 +51,8 @@
     /// without closing the connection.
     pub(super) suspect: bool,
     pub(super) stall: Option<Stall>,
+    /// The timer of the next check of this connection.
+    pub check_due: Option<DeadlineId>,
 }
 
 impl UpstreamConnection {
@@ -71,6 +74,7 @@
             suspect_us: limits.suspect_timeout_us,
             suspect: false,
             stall: None,
+            check_due: None,
         }
     }
 
--- a/daemon/src/upstream/recall.rs
+++ b/daemon/src/upstream/recall.rs
@@ -8,6 +8,23 @@
 use linnetknot::{Micros, Outcome, ServerId};
 
 impl UpstreamConnection {
+    /// Returns when the connection is to be checked next: when an attempt or the connection exceeds a time limit, a
+    /// cancelled attempt is reported, or a finished stream is removed.
+    pub fn next_check_at(&mut self, now: Micros, is_up: bool, limits: &Limits) -> Option<Micros> {
+        let stall = self.stall.as_ref();
+        let first_queued = self.queue.front().filter(|_| !is_up);
+        [
+            self.next_report_at(limits),
+            self.partial_response_deadline(limits),
+            stall.map(|stall| stall.since + limits.write_stall_timeout_us),
+            first_queued.map(|queued| queued.since + limits.connect_timeout_us),
+            self.next_removal_at(now, limits).or(self.next_removal),
+        ]
+        .into_iter()
+        .flatten()
+        .min()
+    }
+
     /// Returns when the oldest finished stream is to be removed. Returns `None` while the time returned by an earlier
     /// call is in the future, so that a connection has at most one such deadline.
     pub fn next_removal_at(&mut self, now: Micros, limits: &Limits) -> Option<Micros> {
--- a/daemon/tests/upstream.rs
+++ b/daemon/tests/upstream.rs
@@ -749,3 +749,40 @@
         None
     );
 }
+
+/// A connection has one timer for its next check, so each time limit has to be covered by it.
+#[test]
+fn the_next_check_is_at_the_earliest_time_limit_of_a_connection() {
+    let mut upstream = Upstream::new(false);
+    let limits = upstream.limits.clone();
+    let next_check = |upstream: &mut Upstream| {
+        let is_up = upstream.tcp.up;
+        let now = upstream.now;
+        upstream.connection.next_check_at(now, is_up, &limits)
+    };
+    assert_eq!(next_check(&mut upstream), None);
+    upstream.send("01");
+    assert_eq!(
+        next_check(&mut upstream),
+        Some(NOW + limits.connect_timeout_us),
+        "the attempt waits for the connection"
+    );
+    let mut upstream = Upstream::new(true);
+    upstream.send("01");
+    assert_eq!(next_check(&mut upstream), None);
+    receive_responses(&mut upstream, &[("01", "503", "-")]);
+    let removal = NOW + limits.finished_stream_retention_us + 1;
+    assert_eq!(next_check(&mut upstream), Some(removal));
+    assert_eq!(next_check(&mut upstream), Some(removal), "the same again");
+    upstream.cache_socket.write_all(b"*4\r\n$2\r\n").unwrap();
+    while upstream.tcp.read(false) != Progress::Moved {}
+    upstream
+        .connection
+        .read(NOW, &mut upstream.tcp, &upstream.core, &mut upstream.events)
+        .unwrap();
+    assert_eq!(
+        next_check(&mut upstream),
+        Some(NOW + limits.response_stall_timeout_us),
+        "a response is incomplete"
+    );
+}
