Read on before a response of a cache is regarded as cut off

Cause: each flush of a connection closes it if its incomplete response has paused for 150 ms, counted from the last read. After a delay of the event loop the rest of the response is in the socket, but input of clients comes first in a turn, and an abort flushes all connections to the cache: the connection was closed with all its attempts, and the cache blamed for a stall of the loop.

Change: before a connection is flushed whose incomplete response is overdue, the socket is read once. Nothing received still means a pause of the cache.

--- a/daemon/src/daemon/upstream_connections/mod.rs
+++ b/daemon/src/daemon/upstream_connections/mod.rs
@@ -4,7 +4,7 @@
 
 use super::{ConnectError, Connection, ConnectionKind, Daemon, Timer};
 use crate::core::{AttemptId, TRACE};
-use crate::net::{Failure, FailureKind, Key, TcpConnection};
+use crate::net::{Failure, FailureKind, Key, Progress, TcpConnection};
 use crate::upstream::{UpstreamConnection, UpstreamEvent};
 use linnetknot::{Micros, Outcome, ServerId};
 use selection::{CacheConnections, Selection};
@@ -222,6 +222,9 @@
     /// closed.
     pub(super) fn flush_upstream(&mut self, now: Micros, key: Key) -> bool {
         self.read_clients_of_queued_attempts(now, key);
+        if !self.read_overdue_response(now, key) {
+            return false;
+        }
         let Some(Connection {
             conn,
             kind: ConnectionKind::CacheServer(upstream),
@@ -254,6 +257,32 @@
         is_open && !is_done
     }
 
+    /// Reads on if the time limit of an incomplete response has passed: its rest may have arrived while the event loop was
+    /// delayed. Returns false if the connection has to be closed.
+    fn read_overdue_response(&mut self, now: Micros, key: Key) -> bool {
+        let Some(Connection {
+            conn,
+            kind: ConnectionKind::CacheServer(upstream),
+            ..
+        }) = self.connections.get_mut(key)
+        else {
+            return true;
+        };
+        let is_overdue = upstream
+            .partial_response_deadline(&self.limits)
+            .is_some_and(|at| at <= now);
+        if !is_overdue || conn.read(false) != Progress::Moved {
+            return true;
+        }
+        let (server, mut events) = (upstream.server, Vec::new());
+        let result = upstream.read(now, conn, &self.core, &mut events);
+        self.apply_upstream_events(now, server, events);
+        if let Err(e) = &result {
+            log::warn!("closing a connection to a cache server: {e}");
+        }
+        result.is_ok()
+    }
+
     /// Removes the finished streams of a connection to a cache server, and flushes the connection.
     pub(super) fn check_cache_connection(&mut self, now: Micros, key: Key) {
         if let Some(Connection {
