Put back reasons and numbers that the rewording of comments removed

The code at each comment was read as it is today; reasons that lie outside of the code (what an installation, a disk or the platform does) are taken from the old comments.

Back: - src/router/capacity.rs: LINK_MARGIN, UNKNOWN_SIZE_MARGIN (which had been compared with LINK_MARGIN alone), load - src/router/faults.rs: CONNECT_FAILURE_WEIGHT - src/router/origin.rs: MIN_REPORTED_LATENESS - src/router/outliers.rs: MAX_EJECTION_US - src/router/placement.rs: pick_source - replication/: status.rs MAX_PART_BYTES, LogStore::checksum, and the pending acknowledgements kept in replica/mod.rs - budgets/src/election.rs: yields_to - datagram/src/lib.rs: MAX_DATAGRAM_BYTES, for budgets/ and membership/ - consul/src/watch/reconcile.rs: on_contradiction - purges/src/compact.rs: CompactTable::digest - store/src/file.rs: Store::commit - daemon/src/daemon: turn.rs (module, MAX_WAIT_US, MAX_NORMAL_DELAY_US), clients/accept.rs eviction_candidate, reload.rs reload, sources/bus.rs check_bus, upstream_connections/mod.rs connect_cache - daemon/src/upstream/connection.rs: attempts with the same id - daemon/src/limits/mod.rs: list_store_interval_us

Left out: - src/router/reload.rs, 'never more than their class allowed when they began': a reload can also raise the number of attempts. - sources/bus.rs, the longest backoff being short against the time that events may take: the old comment does not say which time, and it could not be checked. - admin_timeout_us, 'callers that hold a connection for 4 s': the value is 5 s, so the 4 s does not explain it. - origin-health, 'one response of the origin a second': the number holds for one load only. - facts that stand at another item today, such as the eviction order of count tables and the majority of votes; reasons that the name or the code shows; schema texts (daemon/src/interconnect) and help texts.

--- a/budgets/src/election.rs
+++ b/budgets/src/election.rs
@@ -169,7 +169,8 @@
         }
     }
 
-    /// Returns whether this member, as a candidate without a majority, yields to a candidate with a higher weight.
+    /// Returns whether this member, as a candidate without a majority, yields to a candidate with a higher weight. If
+    /// that candidate does not get the votes either, it backs off.
     fn yields_to(&self, now: Micros, candidate: MemberIndex) -> bool {
         let own = self.own.member;
         let is_candidate = self
--- a/consul/src/watch/reconcile.rs
+++ b/consul/src/watch/reconcile.rs
@@ -175,7 +175,8 @@
     }
 
     /// Handles a contradiction between the health API and the catalog: the omissions are not applied, and the next
-    /// health query does not block.
+    /// health query does not block. The health query is repeated, because applying its result would cost more than
+    /// applying that of the catalog.
     fn on_contradiction(&mut self, registered: usize, update: &mut WatchUpdate) {
         self.contradictions += 1;
         self.index = 0;
--- a/daemon/src/daemon/clients/accept.rs
+++ b/daemon/src/daemon/clients/accept.rs
@@ -33,8 +33,10 @@
     }
 
     /// Returns the client connection to evict for a new one, or an error if none may be evicted. Prefers connections
-    /// that are least likely to be used again, so that idle clients can't exhaust the table. Connections that have just
-    /// changed state are not evicted, nor are those with unread input. At most `max_eviction_polls` candidates are read.
+    /// that are least likely to be used again, so that idle clients can't exhaust the table: neither those that send no
+    /// request, nor those that send one and keep the connection. Connections that have just changed state are not
+    /// evicted, because their request may be on its way, nor are those with unread input. At most `max_eviction_polls`
+    /// candidates are read.
     pub(in crate::daemon) fn eviction_candidate(&mut self, now: Micros) -> io::Result<Key> {
         for _ in 0..self.limits.max_eviction_polls {
             let keys = self.connections.keys();
--- a/daemon/src/daemon/reload.rs
+++ b/daemon/src/daemon/reload.rs
@@ -6,7 +6,7 @@
 
 impl Daemon {
     /// Reloads the configuration. Open connections and requests are kept, and an invalid configuration changes
-    /// nothing.
+    /// nothing: a daemon that exited because of it would disconnect all its clients.
     pub(super) fn reload(&mut self, now: Micros) {
         self.sighup.drain();
         let mut new = match (self.config_source)() {
--- a/daemon/src/daemon/sources/bus.rs
+++ b/daemon/src/daemon/sources/bus.rs
@@ -203,7 +203,7 @@
     }
 
     /// Reconnects if the connection has ended or has been silent for too long. A lost connection is not always reported
-    /// by the kernel.
+    /// by the kernel, and this proxy is expected to know the events of the bus all the same.
     fn check_bus(&mut self, now: Micros) {
         match self.bus.key {
             None => self.connect_bus(now),
--- a/daemon/src/daemon/turn.rs
+++ b/daemon/src/daemon/turn.rs
@@ -1,8 +1,8 @@
 //! Timing of one turn of the event loop.
 //!
-//! If the process is stopped or busy for a long time, client requests wait in the socket buffers before they are read,
-//! and events that epoll reported earlier are stale. `Turn` estimates how long requests have waited, and detects stale
-//! turns.
+//! If the process is stopped or busy for a long time, which may be a second or more, client requests wait in the socket
+//! buffers before they are read, and events that epoll reported earlier are stale. `Turn` estimates how long requests
+//! have waited, and detects stale turns.
 //!
 //! Each kind of events has a share of the turn. Events that exceed the share are carried over to the next turn, so that
 //! due timers run between the shares and no kind of events delays the others.
@@ -13,7 +13,8 @@
 mod tests;
 
 /// The longest wait for events. If the process is stopped during a wait, the stop can't be distinguished from the wait
-/// itself. The longest delay that may go undetected is therefore this plus `MAX_NORMAL_DELAY_US`.
+/// itself. The longest delay that may go undetected is therefore this plus `MAX_NORMAL_DELAY_US`. The sum must stay
+/// below the time by which a forwarded deadline may exceed the remaining time of the client.
 pub(super) const MAX_WAIT_US: Micros = 80_000;
 
 /// If one step of a turn takes longer than this, the rest of the turn is stale and its events are polled for again.
@@ -22,7 +23,7 @@
 const DELAYED_TURN_US: Micros = 100_000;
 /// The maximum number of consecutive interrupted turns, so that all events are handled eventually.
 const MAX_CONSECUTIVE_INTERRUPTED_TURNS: u32 = 3;
-/// The longest delay that is regarded as normal operation.
+/// The longest delay that is regarded as normal operation. See `MAX_WAIT_US` for the limit of their sum.
 const MAX_NORMAL_DELAY_US: Micros = 60_000;
 
 /// The time that the events of one kind may take in a turn. Each kind handles at least one event.
--- a/daemon/src/daemon/upstream_connections/mod.rs
+++ b/daemon/src/daemon/upstream_connections/mod.rs
@@ -168,7 +168,7 @@
     }
 
     /// Opens a connection to a cache server. The last slots of the table are reserved for other connections, such as
-    /// those to the sources of the endpoint list.
+    /// those to the sources of the endpoint list, which could otherwise no longer be queried.
     fn connect_cache(&mut self, now: Micros, server: ServerId) -> Result<Key, ConnectError> {
         let endpoint = self.core.endpoint(server).ok_or(ConnectError::NoCapacity)?;
         if self.connections.free_slots() <= self.limits.reserved_connections {
--- a/daemon/src/limits/mod.rs
+++ b/daemon/src/limits/mod.rs
@@ -130,7 +130,8 @@
     pub max_remembered_caches: usize,
     /// The delay after which a changed endpoint list is stored, so that several changes are stored once.
     pub list_store_delay_us: u64,
-    /// The interval at which an unchanged endpoint list is stored again to update its timestamp.
+    /// The interval at which an unchanged endpoint list is stored again to update its timestamp, which shows how old
+    /// the list is.
     pub list_store_interval_us: u64,
     /// The time without received bytes after which the connection to the event bus is replaced.
     pub bus_read_timeout_us: u64,
--- a/daemon/src/upstream/connection.rs
+++ b/daemon/src/upstream/connection.rs
@@ -88,7 +88,7 @@
     ) -> Option<usize> {
         let live = self.live_streams();
         // Two clients may use the same id. If both attempts were on this connection, the response to the first could be
-        // attributed to the second.
+        // attributed to the second. This also holds while both are still queued.
         let is_free = self.streams.get(id).is_none_or(Stream::is_free) && !self.is_queued(id, core);
         (!self.suspect && live < limits.max_attempts_per_connection && is_free).then_some(live)
     }
--- a/datagram/src/lib.rs
+++ b/datagram/src/lib.rs
@@ -3,7 +3,7 @@
 
 use std::fmt;
 
-/// The maximum length in bytes of a datagram between proxies.
+/// The maximum length in bytes of a datagram between proxies. It is the greatest length that every installation allows.
 pub const MAX_DATAGRAM_BYTES: usize = 256;
 
 /// Why a datagram can't be decoded.
--- a/purges/src/compact.rs
+++ b/purges/src/compact.rs
@@ -247,8 +247,8 @@
         self.buckets.capacity() * size_of::<Bucket>()
     }
 
-    /// Returns a 64-bit digest of the table. Equal tables of the same size have the same digest. It is updated
-    /// incrementally, so this call is cheap.
+    /// Returns a 64-bit digest of the table. Equal tables of the same size have the same digest, different ones with a
+    /// probability of 2^-64. It is updated incrementally, so this call is cheap.
     pub fn digest(&self) -> u64 {
         self.digest
     }
--- a/replication/src/log_store/queries.rs
+++ b/replication/src/log_store/queries.rs
@@ -48,7 +48,8 @@
         self.progress.len()
     }
 
-    /// Returns a checksum over the ids and last indexes of all logs.
+    /// Returns a checksum over the ids and last indexes of all logs. Equal log stores have equal checksums, and
+    /// different ones hardly ever do.
     pub fn checksum(&self) -> u64 {
         self.checksum
     }
--- a/replication/src/replica/mod.rs
+++ b/replication/src/replica/mod.rs
@@ -142,7 +142,7 @@
         let count = peers.len();
         self.pending_commits.set_peers(own, peers);
         // Pending acknowledgements and a snapshot transfer are retained when only the machine of a peer becomes known.
-        // Otherwise the writers would have to request the pending acknowledgements again.
+        // The acknowledgements stay true for any receiver, and the writers would otherwise have to request them again.
         self.pending_acks.retain(|(_, peer), _| *peer < count);
         self.offers.retain(|peer, _| *peer < count);
         self.catch_up.retain_peers(count);
--- a/replication/src/status.rs
+++ b/replication/src/status.rs
@@ -1,7 +1,8 @@
 //! The text of a trigger's status, split into parts that each fit into a datagram together with the other fields of an
 //! entry.
 
-/// The maximum length of an escaped part. The other fields of an entry take at most 98 + 29 bytes of a datagram.
+/// The maximum length of an escaped part. The other fields of an entry take at most 98 + 29 bytes of a datagram: its
+/// header 98, and its kind, number and part number 29.
 const MAX_PART_BYTES: usize = 112;
 
 /// Returns the escape sequence of a character that is not allowed in a word of a datagram, or `None` if it is allowed.
--- a/src/router/capacity.rs
+++ b/src/router/capacity.rs
@@ -7,9 +7,11 @@
 use crate::interface::{Micros, ServerId, State};
 use crate::statistics::{decayed, SlowdownEstimate};
 
-/// Maximum expected duration of a fill, as a fraction of the remaining time.
+/// Maximum expected duration of a fill, as a fraction of the remaining time. The rest is a reserve, because a late fill
+/// also delays others.
 const LINK_MARGIN: f64 = 0.4;
-/// Like `LINK_MARGIN`, for transfers of unknown size, which may be larger than typical.
+/// Like `LINK_MARGIN` and `CACHE_MARGIN`, for transfers of unknown size. The rest allows for sizes above the typical
+/// one, because large transfers must fit too.
 pub(super) const UNKNOWN_SIZE_MARGIN: f64 = 0.5;
 /// Maximum expected duration of a transfer from a cache, as a fraction of the remaining time. The rest allows for
 /// transfers that start later and share the link.
@@ -64,8 +66,9 @@
         self.fits_in_time(now, open, sharing.max(1.0), margin)
     }
 
-    /// Estimates the transfers in progress at a server, of this router and of others. Reported loads are not used,
-    /// because they include requests that wait for fills and are outdated when they arrive.
+    /// Estimates the transfers in progress at a server, of this router and of others. Reported loads are not used. They
+    /// predict the load less well, because they include requests that wait for fills and are outdated when they are
+    /// used.
     pub(super) fn load(&self, server: &Endpoint) -> f64 {
         server.in_flight as f64 + server.mean_in_flight * (self.local_routers() - 1.0)
     }
--- a/src/router/faults.rs
+++ b/src/router/faults.rs
@@ -5,7 +5,8 @@
 use super::Router;
 use crate::interface::{AnswerDetail, Note, Outcome, ServerId};
 
-/// Weight of a failure to connect. It ejects a server at once, even if the server list reports the server as ready.
+/// Weight of a failure to connect. It ejects a server at once, even if the server list reports the server as ready,
+/// because the server's process is assumed to be down.
 const CONNECT_FAILURE_WEIGHT: f64 = 2.0;
 /// Weight of a connection reset; if the server's process has ended, the next connection fails too.
 const RESET_WEIGHT: f64 = 0.5;
--- a/src/router/origin.rs
+++ b/src/router/origin.rs
@@ -17,7 +17,8 @@
 /// Additional weight of an answer per second since the previous answer. A router that receives few answers thus adjusts
 /// its share as fast as one that receives many.
 const ANSWER_WEIGHT_PER_S: f64 = 10.0;
-/// Lateness, as a multiple of the latency objective, from which an answer is reported to other routers.
+/// Lateness, as a multiple of the latency objective, from which an answer is reported to other routers. A smaller one
+/// may be chance.
 const MIN_REPORTED_LATENESS: f64 = 2.0;
 /// Maximum time since the previous answer for which weight is added.
 const MAX_ANSWER_GAP_US: Micros = 1_000_000;
--- a/src/router/outliers.rs
+++ b/src/router/outliers.rs
@@ -6,7 +6,7 @@
 
 /// Duration of the first ejection, doubled with each failed trial.
 const MIN_EJECTION_US: Micros = 1_500_000;
-/// Maximum duration of an ejection.
+/// Maximum duration of an ejection, and so the longest time for which a recovered server is left unused.
 const MAX_EJECTION_US: Micros = 4_000_000;
 /// Maximum number of times that the duration of a server's ejection is doubled.
 const MAX_DOUBLINGS: u32 = 4;
--- a/src/router/placement.rs
+++ b/src/router/placement.rs
@@ -123,8 +123,8 @@
     }
 
     /// Selects the source of a fill: the first eligible parent in the ranking, or the second while its fills are
-    /// clearly faster; the origin if no parent is healthy, within the admitted share of requests; otherwise an ejected
-    /// parent that accepted its last connection.
+    /// clearly faster; the origin if no parent is healthy, within the admitted share of requests, as the origin may be
+    /// slow or stopped; otherwise an ejected parent that accepted its last connection.
     fn pick_source(
         &self,
         now: Micros,
--- a/store/src/file.rs
+++ b/store/src/file.rs
@@ -323,7 +323,7 @@
     }
 
     /// Commits a group of writes atomically. If this succeeds, the whole group is on the disk. If it fails, either the
-    /// whole group or none of it is on the disk.
+    /// whole group or none of it is on the disk, because the disk may have written data that it did not confirm.
     pub fn commit(&mut self, group: &[Write]) -> Result<(), StoreError> {
         let database = self.database()?;
         let write = || -> Result<(), redb::Error> {
