--- a/daemon/tests/loop_shares.rs
+++ b/daemon/tests/loop_shares.rs
@@ -12,6 +12,8 @@
 };
 use serde_json::json;
 use std::collections::HashSet;
+use std::net::{SocketAddr, UdpSocket};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 use test_proxy::object_id;
 
@@ -90,10 +92,10 @@
     let mut web = proxy.web();
     await_processing(&mut web);
     let socket = web.writer().unwrap();
+    socket.set_nodelay(true).unwrap();
     let held = proxy.hold();
-    for id in 100..100 + OPEN {
-        web.send(&health_check(id)).unwrap();
-    }
+    let all: Vec<u8> = (100..100 + OPEN).flat_map(health_check).collect();
+    web.send(&all).unwrap();
     socket
         .set_read_timeout(Some(Duration::from_millis(5)))
         .unwrap();
@@ -101,10 +103,12 @@
     while started_at.elapsed() < BUDGET + Duration::from_millis(500) {
         proxy.hold_in_next_turn(&held);
         let turn_at = Instant::now();
-        // Each answered request is replaced by another.
+        // Each answered request is replaced by another, which the daemon reads in this turn.
+        let mut further = Vec::new();
         while let Ok((id, _)) = web.end() {
-            web.send(&health_check(id)).unwrap();
+            further.extend(health_check(id));
         }
+        web.send(&further).unwrap();
         busy_wait(PER_TURN.saturating_sub(turn_at.elapsed()));
     }
     web.send(&photo_request(1, &object_id(1), 0)).unwrap();
@@ -164,3 +168,99 @@
     drop(web);
     proxy.stop();
 }
+
+/// Guards against a deadline that a cache is given beyond the client's: while the connection table is full of busy
+/// clients, a connection and its request wait in the accept queue of a listener that is paused.
+#[test]
+fn a_request_that_waits_for_a_slot_of_the_connection_table_is_charged_for_its_wait() {
+    let (proxy, mut caches) = start_with_scripted_caches::<1>(|config| {
+        config["limits"]["sockets"] = json!(64);
+    });
+    let mut busy = Vec::new();
+    for n in 1..=24 {
+        let mut web = proxy.web();
+        web.ask(1, "photo", &object_id(n), 60_000).unwrap();
+        await_processing(&mut web);
+        busy.push(web);
+    }
+    let mut web = proxy.web();
+    let object = object_id(99);
+    web.send(&photo_request(1, &object, 0)).unwrap();
+    let sent_at = Instant::now();
+    let fetches_of = |caches: &mut [_; 1]| {
+        let fetches = take_fetches(caches).into_iter();
+        fetches.filter(|fetch| fetch.3.contains(&object)).collect::<Vec<_>>()
+    };
+    while sent_at.elapsed() < Duration::from_millis(350) {
+        let is_served = !fetches_of(&mut caches).is_empty();
+        assert!(!is_served, "the table is not full after {:?}", sent_at.elapsed());
+        std::thread::yield_now();
+    }
+    drop(busy.pop());
+    let mut fetches = Vec::new();
+    while fetches.is_empty() && sent_at.elapsed() < BUDGET {
+        fetches = fetches_of(&mut caches);
+        std::thread::yield_now();
+    }
+    let waited = sent_at.elapsed();
+    let forwarded = forwarded_deadline(&fetches.first().expect("no fetch").3);
+    println!("{forwarded:?} forwarded after {waited:?}");
+    assert!(
+        forwarded <= BUDGET.saturating_sub(waited) + SLACK,
+        "{forwarded:?} forwarded after {waited:?}"
+    );
+    drop((busy, web));
+    proxy.stop();
+}
+
+/// Returns the longest time that a health check takes while threads send datagrams to an address.
+fn longest_health_check(web: &mut WebServer, to: SocketAddr) -> Duration {
+    const SENDERS: usize = 4;
+    let (stop, mut longest) = (AtomicBool::new(false), Duration::ZERO);
+    std::thread::scope(|scope| {
+        for _ in 0..SENDERS {
+            scope.spawn(|| {
+                let socket = UdpSocket::bind("127.0.0.1:0").unwrap();
+                while !stop.load(Ordering::Relaxed) {
+                    let _ = socket.send_to(&[0; 64], to);
+                }
+            });
+        }
+        let started_at = Instant::now();
+        while started_at.elapsed() < Duration::from_secs(2) {
+            let sent_at = Instant::now();
+            let is_answered = web.send(&health_check(9)).is_ok() && web.end().is_ok();
+            longest = longest.max(sent_at.elapsed());
+            if !is_answered {
+                break;
+            }
+        }
+        stop.store(true, Ordering::Relaxed);
+    });
+    longest
+}
+
+/// Guards against a loop that reads datagrams for as long as some arrive: timers, clients and caches then wait. The
+/// sender is no peer, so its datagrams cost almost nothing each. The same load on another socket shows that the machine
+/// is fast enough.
+#[test]
+fn a_client_is_answered_while_datagrams_arrive_faster_than_they_are_read() {
+    const MAX_DELAY: Duration = Duration::from_millis(150);
+    let reserved = UdpSocket::bind("127.0.0.1:0").unwrap();
+    let address = reserved.local_addr().unwrap();
+    drop(reserved);
+    let proxy = test_proxy::TestProxy::with(&["s-0a"], |config| {
+        config["peer_listen"] = address.to_string().into();
+        config["peers"] = json!(["127.0.0.1:9"]);
+    });
+    let mut web = proxy.web();
+    await_processing(&mut web);
+    let other = UdpSocket::bind("127.0.0.1:0").unwrap();
+    let control = longest_health_check(&mut web, other.local_addr().unwrap());
+    let longest = longest_health_check(&mut web, address);
+    println!("at most {longest:?}, and {control:?} while another socket gets the datagrams");
+    assert!(control < MAX_DELAY, "the machine is too slow: {control:?}");
+    assert!(longest < MAX_DELAY, "{longest:?}");
+    drop(web);
+    proxy.stop();
+}
