--- a/daemon/tests/loop_shares.rs
+++ b/daemon/tests/loop_shares.rs
@@ -8,7 +8,7 @@
 
 use linnetknot_harness::clients::WebServer;
 use scripted_caches::{
-    busy_wait, fill_accept_queue, photo_request, start_with_scripted_caches, take_fetches,
+    busy_wait, fill_accept_queue, next_command, photo_request, start_with_scripted_caches, take_fetches,
 };
 use serde_json::json;
 use std::collections::HashSet;
@@ -264,3 +264,40 @@
     drop(web);
     proxy.stop();
 }
+
+/// Guards against aborts that are dropped unprocessed when the end of the connection is read behind them: the core is
+/// then not told, and makes further attempts for a client that is gone.
+#[test]
+fn an_abort_that_is_read_together_with_the_end_of_the_connection_starts_no_retry() {
+    let (mut proxy, mut caches) = start_with_scripted_caches::<2>(|_| {});
+    let mut other = proxy.web();
+    let mut n = 1_000;
+    // A retry needs a connection to each cache server.
+    while caches.iter().any(|cache| cache.connections.is_empty()) {
+        other.send(&photo_request(100, &object_id(n), 0)).unwrap();
+        let (at, connection, fetch) = next_command(&mut caches);
+        let fields = "how=local,made=1,etag=t1";
+        caches[at].connections[connection].respond(&fetch[1], "200", fields, "a copy");
+        assert_eq!(other.end().unwrap().1.unwrap().status, 200);
+        n += 1;
+    }
+    let mut web = proxy.web();
+    web.send(&photo_request(1, &object_id(1), 0)).unwrap();
+    let (at, connection, fetch) = next_command(&mut caches);
+    let held = proxy.hold();
+    web.abort(1).unwrap();
+    // The next turn has polled the abort, but not the end of the connection.
+    proxy.hold_in_next_turn(&held);
+    drop(web);
+    drop(held);
+    await_processing(&mut other);
+    caches[at].connections[connection].respond(&fetch[1], "503", "-", "");
+    let start = Instant::now();
+    while start.elapsed() < Duration::from_millis(700) {
+        let fetches = take_fetches(&mut caches);
+        assert!(fetches.is_empty(), "a retry for a client that is gone: {fetches:?}");
+        std::thread::yield_now();
+    }
+    drop(other);
+    proxy.stop();
+}
