Bound the datagrams of peers that one step receives

Seen by callers: while four senders that are no peers sent datagrams, a health check took 0.33, 0.64 and 1.98 s (5 to 7 ms with the same load on another socket).

Cause: receive_peer_datagrams read until the socket was empty, and notifications have no share of a turn. Change: 256 datagrams a step; the socket stays ready.

--- a/daemon/src/daemon/sources/peers.rs
+++ b/daemon/src/daemon/sources/peers.rs
@@ -20,7 +20,11 @@
     /// Receives all datagrams of the peers that are available on the socket, and processes them by protocol.
     pub(in crate::daemon) fn receive_peer_datagrams(&mut self, now: Micros) {
         let mut bytes = [0; peers::MAX_DATAGRAM_BYTES + 1];
-        while let Some((socket, _)) = &self.peers {
+        // Bounded per step, so that datagrams can't occupy the loop. The socket stays ready.
+        for _ in 0..self.limits.max_datagrams_per_step {
+            let Some((socket, _)) = &self.peers else {
+                return;
+            };
             let (length, from) = match receive_from(socket, &mut bytes) {
                 Ok(received) => received,
                 // The kernel reports the failure of a datagram that was sent earlier, so receiving continues.
--- a/daemon/src/limits/machine.rs
+++ b/daemon/src/limits/machine.rs
@@ -38,6 +38,7 @@
     max_pending_responses_per_client: 256,
     max_reads_per_client: 16,
     max_requests_per_step: 16,
+    max_datagrams_per_step: 256,
     max_eviction_polls: 8,
     max_unread_input_age_us: 50_000,
     max_params_bytes: 16 << 10,
--- a/daemon/src/limits/mod.rs
+++ b/daemon/src/limits/mod.rs
@@ -39,6 +39,8 @@
     /// The maximum number of requests of a client connection that one step of the event loop processes. Further requests
     /// wait until the other clients had their turn.
     pub max_requests_per_step: usize,
+    /// The maximum number of datagrams of peers that one step of the event loop receives.
+    pub max_datagrams_per_step: usize,
     /// The maximum number of client connections that are read in search of one that may be evicted.
     pub max_eviction_polls: usize,
     /// An attempt starts only if the input of its client was read within this time, unless the client has sent none.
