Count how long each queued request has waited by itself

Seen by callers: a client that kept 30 requests open, each of which waited for two turns, was charged 2.5 s and got its requests rejected, for as long as it went on; by reading the same for new connections while an accept step stops before the queue is empty, as it does beside load.

Cause: the record of unhandled input was renewed with its first time as long as inputs were queued. Change: each queued input has the time since which it may have arrived, set when it is read. An accept step is no longer ended by time unless it evicts, so that it empties the queue unless more connections wait than the table holds.

--- a/daemon/src/daemon/accept_queue.rs
+++ b/daemon/src/daemon/accept_queue.rs
@@ -50,14 +50,15 @@
         self.unhandled = Some(turn.carry_over(self.unhandled));
     }
 
-    /// Records that this turn has accepted all connections that waited, or that the listener is paused.
+    /// Records that this turn has accepted all connections that waited, or that how long others wait is not recorded: the
+    /// listener is paused, or evictions took the time of the step.
     pub(super) fn emptied(&mut self, turn: &Turn) {
         self.unhandled = None;
         self.checkpoint = None;
         self.last_handled_turn = turn.number();
     }
 
-    /// Records that this turn has accepted connections and that others may still wait.
+    /// Records that this turn has accepted as many connections as a step may, and that others may still wait.
     pub(super) fn partly_accepted(&mut self, now: Micros, turn: &Turn) {
         self.last_handled_turn = turn.number();
         let checkpoint = self.checkpoint.unwrap_or(Checkpoint {
--- a/daemon/src/daemon/accept_queue/tests.rs
+++ b/daemon/src/daemon/accept_queue/tests.rs
@@ -25,7 +25,7 @@
         next_turn(&mut turn, &mut now);
         let input = queue.input_of_accepted(&turn);
         let waited = turns * TURN;
-        let delay = turn.input_delay(now, Some(input));
+        let delay = Turn::delay_since(now, turn.input_arrived_since(Some(input)));
         assert!(delay == waited || waited <= 60 * MS, "{delay} of {waited}");
     }
     queue.emptied(&turn);
@@ -33,7 +33,10 @@
     next_turn(&mut turn, &mut now);
     next_turn(&mut turn, &mut now);
     let input = queue.input_of_accepted(&turn);
-    assert_eq!(turn.input_delay(now, Some(input)), 0);
+    assert_eq!(
+        Turn::delay_since(now, turn.input_arrived_since(Some(input))),
+        0
+    );
 }
 
 /// A queue that is never empty holds at most `MAX_QUEUED_CONNECTIONS`, so the time in it is bounded by the time that
@@ -48,7 +51,7 @@
     for _ in 0..10 * turns_per_queue {
         for _ in 0..PER_TURN {
             let input = queue.input_of_accepted(&turn);
-            let delay = turn.input_delay(now, Some(input));
+            let delay = Turn::delay_since(now, turn.input_arrived_since(Some(input)));
             assert!(delay <= (2 * turns_per_queue + 4) * TURN, "{delay}");
         }
         now += TURN;
--- a/daemon/src/daemon/cdni_listener.rs
+++ b/daemon/src/daemon/cdni_listener.rs
@@ -74,7 +74,6 @@
     /// Accepts pending connections of the CDNI listener.
     pub(super) fn accept_cdni(&mut self, now: Micros, limit: AcceptLimit) {
         let (began, mut accepted) = (self.clock.now(), 0);
-        let mut is_emptied = false;
         while self.cdni.is_some()
             && !self.shutdown_grace_over
             && self.continues_accepting(limit, began, accepted)
@@ -87,10 +86,7 @@
             };
             let socket = match listener.accept() {
                 Ok(Some(socket)) => socket,
-                Ok(None) => {
-                    is_emptied = true;
-                    break;
-                }
+                Ok(None) => break,
                 Err(_) => return self.pause_accepting_cdni(now),
             };
             accepted += 1;
@@ -107,7 +103,7 @@
                 self.add_client(now, conn, kind, input, evicted);
             }
         }
-        if is_emptied {
+        if accepted < self.limits.max_client_connections {
             self.cdni_queue.emptied(&self.turn);
         } else {
             self.cdni_queue.partly_accepted(now, &self.turn);
--- a/daemon/src/daemon/clients/accept.rs
+++ b/daemon/src/daemon/clients/accept.rs
@@ -7,15 +7,15 @@
 use linnetknot::Micros;
 use std::io;
 
-/// The time after which an accept step ends although further connections wait.
-const MAX_ACCEPT_STEP_US: Micros = 5_000;
+/// The time after which an accept step evicts no further connection, which may take long, although others wait.
+const MAX_EVICTING_STEP_US: Micros = 5_000;
 
 /// How many of the connections that wait an accept step accepts.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(in crate::daemon) enum AcceptLimit {
-    /// As many as the share of the step in a turn allows. The next turn continues.
+    /// As many as the table can hold, and as the time of a step allows if others are evicted. The next turn continues.
     StepTime,
-    /// As many as the connection table can hold, because no further step follows.
+    /// As many as the table can hold, because no further step follows.
     TableSize,
 }
 
@@ -28,10 +28,15 @@
         accepted: usize,
     ) -> bool {
         let has_time = limit == AcceptLimit::TableSize
-            || self.clock.now().saturating_sub(began) <= MAX_ACCEPT_STEP_US;
+            || !self.is_client_table_full()
+            || self.clock.now().saturating_sub(began) <= MAX_EVICTING_STEP_US;
         accepted < self.limits.max_client_connections && (has_time || accepted == 0)
     }
 
+    fn is_client_table_full(&self) -> bool {
+        self.client_count >= self.limits.max_client_connections || self.connections.is_full()
+    }
+
     /// Returns the client connection to evict for a new one, or an error if none may be evicted. Prefers connections
     /// that are least likely to be used again, so that idle clients can't exhaust the table: neither those that send no
     /// request, nor those that send one and keep the connection. Connections that have just changed state are not
@@ -64,7 +69,7 @@
     /// Returns the connection to evict for a new client, `None` if there is a free slot, and an error if there is
     /// neither.
     pub(in crate::daemon) fn required_eviction(&mut self, now: Micros) -> io::Result<Option<Key>> {
-        if self.client_count < self.limits.max_client_connections && !self.connections.is_full() {
+        if !self.is_client_table_full() {
             return Ok(None);
         }
         self.eviction_candidate(now).map(Some)
@@ -74,7 +79,6 @@
     pub(in crate::daemon) fn accept_clients(&mut self, now: Micros, limit: AcceptLimit) {
         let mut has_evicted = false;
         let (began, mut accepted) = (self.clock.now(), 0);
-        let mut is_emptied = false;
         while self.client_listener.is_some() && self.continues_accepting(limit, began, accepted) {
             // While the table is full, new connections wait in the kernel's queue.
             let Ok(mut evicted) = self.required_eviction(now) else {
@@ -85,10 +89,7 @@
             };
             let socket = match listener.accept() {
                 Ok(Some(socket)) => socket,
-                Ok(None) => {
-                    is_emptied = true;
-                    break;
-                }
+                Ok(None) => break,
                 // Out of descriptors: one idle connection is evicted. If accepting still fails, further evictions would
                 // not help.
                 Err(failure) if failure.kind == FailureKind::NoDescriptors => {
@@ -120,7 +121,7 @@
                 self.add_client(now, conn, kind, input, evicted);
             }
         }
-        if is_emptied {
+        if accepted < self.limits.max_client_connections {
             self.client_queue.emptied(&self.turn);
         } else {
             self.client_queue.partly_accepted(now, &self.turn);
--- a/daemon/src/daemon/clients/requests.rs
+++ b/daemon/src/daemon/clients/requests.rs
@@ -1,6 +1,7 @@
 //! Requests of clients on the FastCGI listener and their responses.
 
 use crate::core::{Answer, Client, ClientRequest};
+use crate::daemon::turn::Turn;
 use crate::daemon::{Connection, ConnectionKind, Daemon};
 use crate::front::fastcgi::{Input, Session};
 use crate::net::{Key, Progress};
@@ -30,6 +31,10 @@
     fn receive_requests(&mut self, now: Micros, key: Key) -> Result<bool, WireError> {
         if let Some(connection) = self.connections.get_mut(key) {
             connection.last_read_at = now;
+            let arrived_since = self.turn.input_arrived_since(connection.unhandled_input);
+            if let ConnectionKind::Client(session) = &mut connection.kind {
+                session.set_bytes_arrived_since(arrived_since);
+            }
         }
         for _ in 0..self.limits.max_reads_per_client {
             let Some(connection) = self.connections.get_mut(key) else {
@@ -84,16 +89,14 @@
         }
     }
 
-    /// Records whether received requests of a client wait for a later step, which the next turn then resumes.
+    /// Records that the input of a client was read. If received requests wait for a later step, the next turn resumes the
+    /// client.
     pub(in crate::daemon) fn update_unhandled_input(&mut self, key: Key) {
         let Some(connection) = self.connections.get_mut(key) else {
             return;
         };
-        let is_unfinished =
-            matches!(&connection.kind, ConnectionKind::Client(session) if session.has_inputs());
-        connection.unhandled_input =
-            is_unfinished.then(|| self.turn.carry_over(connection.unhandled_input));
-        if is_unfinished {
+        connection.unhandled_input = None;
+        if matches!(&connection.kind, ConnectionKind::Client(session) if session.has_inputs()) {
             self.unfinished_clients.push(key);
         }
     }
@@ -107,13 +110,17 @@
             let ConnectionKind::Client(session) = &mut connection.kind else {
                 return true;
             };
+            let arrived_since = session.next_input_arrived_since().unwrap_or(now);
             let Some((input, is_first)) = session.next_input() else {
                 return true;
             };
             match input {
                 Input::ClientGone(request_key) => self.core.client_gone(now, request_key),
                 Input::HealthCheck(stream) => self.answer_health_check(key, stream),
-                Input::Request(stream, request) => {
+                Input::Request(stream, mut request) => {
+                    // The client measures its time budget from when it sent the request.
+                    let waited_us = Turn::delay_since(now, arrived_since);
+                    request.remaining_us = request.remaining_us.saturating_sub(waited_us);
                     self.admit_request(now, key, stream, request, is_first);
                 }
             }
@@ -143,12 +150,9 @@
         now: Micros,
         key: Key,
         stream: u16,
-        mut request: ClientRequest,
+        request: ClientRequest,
         is_first: bool,
     ) {
-        // The client measures its time budget from when it sent the request.
-        let unread_delay_us = self.input_delay(now, key);
-        request.remaining_us = request.remaining_us.saturating_sub(unread_delay_us);
         let client = Client {
             connection: key,
             stream: u32::from(stream),
@@ -172,7 +176,7 @@
     pub(in crate::daemon) fn input_delay(&self, now: Micros, key: Key) -> Micros {
         let connection = self.connections.get(key);
         let earlier = connection.and_then(|connection| connection.unhandled_input);
-        self.turn.input_delay(now, earlier)
+        Turn::delay_since(now, self.turn.input_arrived_since(earlier))
     }
 
     /// Returns whether a request is rejected before it reaches the core.
--- a/daemon/src/daemon/turn.rs
+++ b/daemon/src/daemon/turn.rs
@@ -129,24 +129,22 @@
 
     /// Returns how long input that is read now and was reported by the latest wait may have waited in the socket buffer;
     /// 0 if the delay is normal.
+    #[cfg(test)]
     pub(super) fn unread_delay(&self, now: Micros) -> Micros {
-        Self::abnormal_delay(now, self.arrived_since)
+        Self::delay_since(now, self.arrived_since)
     }
 
-    /// Returns how long input that is read now may have waited; 0 if the delay is normal. `earlier` tells whether an
-    /// earlier turn did not handle the input of the connection.
-    pub(super) fn input_delay(&self, now: Micros, earlier: Option<UnhandledInput>) -> Micros {
-        match self.current(earlier) {
-            Some(input) => Self::abnormal_delay(now, input.arrived_since),
-            None => self.unread_delay(now),
-        }
+    /// Returns the earliest time at which input that is read now may have arrived. `earlier` tells whether an earlier turn
+    /// did not handle the input of the connection.
+    pub(super) fn input_arrived_since(&self, earlier: Option<UnhandledInput>) -> Micros {
+        self.current(earlier)
+            .map_or(self.arrived_since, |input| input.arrived_since)
     }
 
     /// Returns the record for input that this turn does not handle.
     pub(super) fn carry_over(&self, earlier: Option<UnhandledInput>) -> UnhandledInput {
-        let earlier_since = self.current(earlier).map(|input| input.arrived_since);
         UnhandledInput {
-            arrived_since: earlier_since.unwrap_or(self.arrived_since),
+            arrived_since: self.input_arrived_since(earlier),
             turn: self.number,
         }
     }
@@ -165,7 +163,8 @@
         earlier.filter(|input| input.turn + 1 >= self.number)
     }
 
-    fn abnormal_delay(now: Micros, since: Micros) -> Micros {
+    /// Returns how long input that arrived at `since` has waited; 0 if the delay is normal.
+    pub(super) fn delay_since(now: Micros, since: Micros) -> Micros {
         let delay = now.saturating_sub(since);
         if delay > MAX_NORMAL_DELAY_US {
             delay
--- a/daemon/src/front/fastcgi/records.rs
+++ b/daemon/src/front/fastcgi/records.rs
@@ -113,7 +113,7 @@
     /// Ends an aborted request. Returns the input that cancels the request in the core, if the core has admitted it.
     fn abort(&mut self, id: u16) -> Option<Input> {
         let stream = self.streams.remove(&id)?;
-        self.inputs.retain(|input| !input.is_for(id));
+        self.inputs.retain(|queued| !queued.input.is_for(id));
         let keep_open = stream.keep_open();
         self.output
             .push_response(id, Vec::new(), wire::REQUEST_COMPLETE, keep_open);
--- a/daemon/src/front/fastcgi/session.rs
+++ b/daemon/src/front/fastcgi/session.rs
@@ -8,6 +8,7 @@
 use crate::net::RingBuffer;
 use crate::wire::fastcgi::{self as wire, RecordParser};
 use crate::wire::{Parser, WireError};
+use linnetknot::Micros;
 use std::collections::{HashMap, VecDeque};
 
 /// An open request of a connection.
@@ -22,6 +23,13 @@
     },
 }
 
+/// An input that waits for `next_input`.
+pub(super) struct QueuedInput {
+    pub(super) input: Input,
+    /// The earliest time at which the input may have arrived.
+    arrived_since: Micros,
+}
+
 /// A request of which some records have not been received yet.
 pub(super) struct PartialRequest {
     pub(super) keep_open: bool,
@@ -61,7 +69,9 @@
     pub(super) records: RecordParser,
     pub(super) streams: HashMap<u16, Stream>,
     /// The inputs that `next_input` has not returned yet.
-    pub(super) inputs: VecDeque<Input>,
+    pub(super) inputs: VecDeque<QueuedInput>,
+    /// The earliest time at which the bytes that `read` parses may have arrived.
+    bytes_arrived_since: Micros,
     pub(super) output: Output,
     /// Whether any request has been received in full.
     pub(super) has_received_request: bool,
@@ -96,7 +106,10 @@
     /// Returns the number of unanswered requests that were returned by `next_input`.
     pub fn unanswered(&self) -> usize {
         let waiting = self.streams.values().filter(|stream| stream.is_waiting());
-        let not_taken_out = self.inputs.iter().filter(|input| input.requires_response());
+        let not_taken_out = self
+            .inputs
+            .iter()
+            .filter(|queued| queued.input.requires_response());
         waiting.count() - not_taken_out.count()
     }
 
@@ -138,7 +151,7 @@
         self.records = RecordParser::default();
         self.streams.retain(|_, stream| stream.is_waiting());
         let is_unadmitted = |(id, stream): (&u16, &Stream)| {
-            let is_input = self.inputs.iter().any(|input| input.is_for(*id));
+            let is_input = self.inputs.iter().any(|queued| queued.input.is_for(*id));
             matches!(stream, Stream::Waiting { key: None, .. }) && !is_input
         };
         let unadmitted: Vec<u16> = self
@@ -197,11 +210,8 @@
                 Some(record) => self.take_record(record, limits)?,
                 None => None,
             };
-            match input {
-                // Queued first, so that aborted requests are cancelled before new requests start.
-                Some(gone @ Input::ClientGone(_)) => self.inputs.push_front(gone),
-                Some(input) => self.inputs.push_back(input),
-                None => {}
+            if let Some(input) = input {
+                self.queue_input(input);
             }
             // Limits the queue for a client that sends requests but reads no responses.
             if self.output.len() > limits.max_pending_responses_per_client {
@@ -211,9 +221,33 @@
         Ok(())
     }
 
+    fn queue_input(&mut self, input: Input) {
+        let is_abort = matches!(input, Input::ClientGone(_));
+        let queued = QueuedInput {
+            input,
+            arrived_since: self.bytes_arrived_since,
+        };
+        if is_abort {
+            // Queued first, so that aborted requests are cancelled before new requests start.
+            self.inputs.push_front(queued);
+        } else {
+            self.inputs.push_back(queued);
+        }
+    }
+
+    /// Sets the earliest time at which the bytes that `read` parses from now on may have arrived.
+    pub fn set_bytes_arrived_since(&mut self, at: Micros) {
+        self.bytes_arrived_since = at;
+    }
+
+    /// Returns the earliest time at which the next input may have arrived.
+    pub fn next_input_arrived_since(&self) -> Option<Micros> {
+        self.inputs.front().map(|queued| queued.arrived_since)
+    }
+
     /// Removes and returns the next input, and whether it is the first of the connection that requires a response.
     pub fn next_input(&mut self) -> Option<(Input, bool)> {
-        let input = self.inputs.pop_front()?;
+        let input = self.inputs.pop_front()?.input;
         let is_first = !self.has_taken_input;
         self.has_taken_input |= input.requires_response();
         Some((input, is_first))
@@ -226,7 +260,7 @@
 
     /// Removes and returns the next request that the client has aborted, ahead of other inputs.
     pub fn next_aborted(&mut self) -> Option<RequestKey> {
-        match self.inputs.front() {
+        match self.inputs.front().map(|queued| &queued.input) {
             Some(Input::ClientGone(request)) => {
                 let request = *request;
                 self.inputs.pop_front();
