Resume a client whose socket was read in search of aborts

Seen by callers: a request that an interrupted turn left unread and that was then read before an attempt of the same client started had no answer 4 s later.

Cause: the bytes were moved to the session, so epoll reported nothing, and the client was not among those that the next turn resumes. Change: it is. Test: a_request_that_was_read_in_search_of_aborts_is_answered failed 3 of 3 before and passes now.

--- a/daemon/src/daemon/clients/requests.rs
+++ b/daemon/src/daemon/clients/requests.rs
@@ -87,6 +87,9 @@
         while let Some(request) = self.client_session(key).and_then(Session::next_aborted) {
             self.core.client_gone(now, request);
         }
+        // The event loop resumes the client, as epoll no longer reports what was read.
+        self.update_unhandled_input(key);
+        self.update_client_state(now, key);
     }
 
     /// Records that the input of a client was read. If received requests wait for a later step, the next turn resumes the
