Start no retry for a client whose abort and end are read together

Seen: a retry went out with 1,988 ms for a client that had aborted its request and closed its connection.

Cause: an abort removes the request from the session's streams; if the connection ended before the abort was processed, close() told the core of the open streams only. Change: open_requests includes the queued aborts. Test: an_abort_that_is_read_together_with_the_end_of_the_connection_starts_no_retry failed before and passes now.

--- a/daemon/src/front/fastcgi/session.rs
+++ b/daemon/src/front/fastcgi/session.rs
@@ -185,13 +185,19 @@
         self.output.pending_bytes()
     }
 
-    /// Returns the keys of the connection's requests in the core.
+    /// Returns the keys of the connection's requests in the core, also of those whose aborts are not processed yet.
     pub fn open_requests(&self) -> Vec<RequestKey> {
         let key = |stream: &Stream| match stream {
             Stream::Waiting { key, .. } => *key,
             Stream::Receiving(_) => None,
         };
-        self.streams.values().filter_map(key).collect()
+        let aborted = |queued: &QueuedInput| match queued.input {
+            Input::ClientGone(request) => Some(request),
+            Input::Request(..) | Input::HealthCheck(_) => None,
+        };
+        let aborted_requests = self.inputs.iter().filter_map(aborted);
+        let open = self.streams.values().filter_map(key);
+        open.chain(aborted_requests).collect()
     }
 
     /// Parses all received bytes. The resulting inputs are queued for `next_input` and not processed directly, because
