Look for aborts in a long turn, and start attempts by the time after their step

Found by the review, by reading; no test forces it. A client that closes after the wait of a turn is not reported in that turn, which may run many steps; and commands of a long step (a reload, a list) were executed with the time of its start, so that the deadline passed on was too long by the step. The tests of deadlines, clients that are gone and orders of events pass as before.

--- a/daemon/src/daemon/clients/requests.rs
+++ b/daemon/src/daemon/clients/requests.rs
@@ -73,8 +73,11 @@
 
     fn may_have_unread_abort(&self, now: Micros, key: Key) -> bool {
         self.connections.get(key).is_some_and(|connection| {
-            self.turn.current(connection.unhandled_input).is_some()
-                && connection.last_read_at + self.limits.max_unread_input_age_us < now
+            let max_age_us = self.limits.max_unread_input_age_us;
+            // Input that arrived during a long turn is not reported yet.
+            let may_have_input = self.turn.current(connection.unhandled_input).is_some()
+                || self.turn.age(now) > max_age_us;
+            may_have_input && connection.last_read_at + max_age_us < now
         })
     }
 
--- a/daemon/src/daemon/event_loop.rs
+++ b/daemon/src/daemon/event_loop.rs
@@ -249,6 +249,8 @@
                 self.handle_ready(now, key, event);
             }
         }
+        // The step may have taken long.
+        let now = self.clock.now();
         self.execute_commands(now);
         self.announce_readiness(now);
     }
--- a/daemon/src/daemon/turn.rs
+++ b/daemon/src/daemon/turn.rs
@@ -141,6 +141,11 @@
             .map_or(self.arrived_since, |input| input.arrived_since)
     }
 
+    /// Returns how long this turn has been running.
+    pub(super) fn age(&self, now: Micros) -> Micros {
+        now.saturating_sub(self.wait_ended_at)
+    }
+
     /// Returns the record for input that this turn does not handle.
     pub(super) fn carry_over(&self, earlier: Option<UnhandledInput>) -> UnhandledInput {
         UnhandledInput {
