Log a plain purge whose sender was lost before its entry arrived

The known failure of the fault matrix: 'agreement', request 4, which nobody was promised, in force at one or two proxies and not at the others.

Test: daemon/tests/lost_writer.rs loses membership datagrams to a restarted writer and entries from it, and nothing else; the writer ends at peers-told and comes back without its disk.

What callers saw: no answer, so no promise; but a purge at some proxies only, until those are restarted.

Cause: a writer that has just started does not know that its peers replicate and sends the plain datagram too. A peer that remembers the writer as replicating puts it in force and relies on the log entry to store it. When the entries are lost, and then the writer with its disk, no log has the purge.

Mend: a plain purge that no log contains is retained with the process of its sender. After each grace period it is dropped if a log contains it, retained if that process is up, and appended to the own log otherwise. Purges of living senders are still in one log only (plain_purge_datagrams.rs is unchanged). Wire forms are unchanged. The JSON of fleet status has one key more, 'unlogged', and Fleet::is_converged is stricter: it also asks that no proxy has a purge in force that no log contains.

--- a/daemon/src/daemon/fleet_status.rs
+++ b/daemon/src/daemon/fleet_status.rs
@@ -48,6 +48,7 @@
             digest: format!("{:016x}", log_store.checksum()),
             pending_commits: self.pending_commits.len(),
             under_replicated: replica.under_replicated(),
+            unlogged_purges: self.unlogged_purges(),
             committed: counters.committed,
             rejected: counters.commits_rejected,
             alive_members: self.membership.as_ref().map_or(1, Membership::up),
--- a/daemon/src/daemon/membership.rs
+++ b/daemon/src/daemon/membership.rs
@@ -4,7 +4,7 @@
 use linnetknot::Micros;
 use linnetknot_discovery::server_id;
 use linnetknot_membership::{
-    Change, DecodeError, Member, MemberState, Membership, MembershipConfig, Names, Options,
+    Change, DecodeError, MemberState, Membership, MembershipConfig, Names, Options,
 };
 
 const MIN_TICK_INTERVAL_US: Micros = 1;
@@ -29,10 +29,11 @@
     }
 }
 
-/// Returns whether a peer is known to replicate logs. All members that are up do.
-pub(super) fn replicates(membership: Option<&Membership>, peer: usize) -> bool {
+/// Returns the process of a peer that is known to replicate logs. All members that are up do.
+pub(super) fn replicating_process(membership: Option<&Membership>, peer: usize) -> Option<u64> {
     let member = membership.and_then(|membership| membership.members().get(peer));
-    member.is_some_and(Member::is_up)
+    let claim = member.filter(|member| member.is_up())?.claim?;
+    Some(claim.process)
 }
 
 impl Daemon {
--- a/daemon/src/daemon/plain_purges.rs
+++ b/daemon/src/daemon/plain_purges.rs
@@ -1,13 +1,19 @@
 //! Sends and receives purges as plain datagrams, for peers that do not replicate logs. `crate::plain_purges` decides
 //! which purges are resent or stored.
 
-use super::membership::replicates;
+use super::membership::replicating_process;
 use super::peer_index::PeerIndex;
 use super::Daemon;
+use crate::ledger::Ledger;
 use crate::peers::{self, Purge};
-use crate::plain_purges::Treatment;
+use crate::plain_purges::{PurgeSender, Treatment};
 use linnetknot::Micros;
 
+/// Returns whether a log contains a purge.
+fn is_logged(ledger: Option<&Ledger>, purge: &Purge) -> bool {
+    ledger.is_some_and(|ledger| ledger.contains_purge(purge))
+}
+
 impl Daemon {
     /// Applies a purge that was received as a plain datagram, and stores it if necessary.
     pub(super) fn receive_plain_purge(&mut self, now: Micros, from: Option<usize>, purge: Purge) {
@@ -15,9 +21,13 @@
         self.core.record_purge(now, object, group, at);
         // Without membership, no sender can be known to replicate logs.
         let from = from.filter(|_| self.membership.is_some());
-        let replicates = from.is_some_and(|peer| replicates(self.membership.as_ref(), peer));
-        match self.plain_purges.receive(now, from, replicates, purge) {
-            Treatment::Replicated => {}
+        let sender = from.map(|peer| PurgeSender {
+            peer,
+            process: replicating_process(self.membership.as_ref(), peer),
+        });
+        let is_logged = is_logged(self.ledger.as_ref(), &purge);
+        match self.plain_purges.receive(now, sender, is_logged, purge) {
+            Treatment::Replicated => self.schedule_plain_purges(),
             Treatment::Greet => {
                 if let (Some(membership), Some(peer)) = (&mut self.membership, from) {
                     membership.send_discovery_ping(peer);
@@ -29,8 +39,7 @@
         }
     }
 
-    /// Appends a purge of a peer that does not replicate logs to this proxy's log, so that it persists across
-    /// restarts.
+    /// Appends a purge that is in no log to this proxy's log, so that it persists across restarts and reaches all peers.
     pub(super) fn write_plain_purge(&mut self, purge: &Purge) {
         let Some(ledger) = &mut self.ledger else {
             return;
@@ -64,7 +73,8 @@
         let membership = self.membership.as_ref();
         for peer in self.other_peers() {
             let index = self.peer_index.find(&peer).and_then(|entry| entry.index);
-            if !index.is_some_and(|index| replicates(membership, index)) {
+            let process = index.and_then(|index| replicating_process(membership, index));
+            if process.is_none() {
                 self.send_to_peer(peer, text.as_bytes());
             }
         }
@@ -80,10 +90,12 @@
     }
 
     fn tick_plain_purges(&mut self, now: Micros) {
-        let membership = self.membership.as_ref();
-        let overdue = self
-            .plain_purges
-            .tick(now, |peer| replicates(membership, peer));
+        let (membership, ledger) = (self.membership.as_ref(), self.ledger.as_ref());
+        let overdue = self.plain_purges.tick(
+            now,
+            |peer| replicating_process(membership, peer),
+            |purge| is_logged(ledger, purge),
+        );
         overdue
             .resends
             .iter()
@@ -95,6 +107,12 @@
         self.schedule_plain_purges();
     }
 
+    /// Returns the number of received plain purges that are in force here and that no log contains yet.
+    pub(super) fn unlogged_purges(&self) -> usize {
+        let ledger = self.ledger.as_ref();
+        self.plain_purges.unlogged(|purge| is_logged(ledger, purge))
+    }
+
     /// Rebuilds the index of the peers by address. Has to be called after each change of the configured peers.
     pub(super) fn index_peers(&mut self) {
         let peers = self
--- a/daemon/src/fleet/mod.rs
+++ b/daemon/src/fleet/mod.rs
@@ -58,6 +58,9 @@
     /// The number of under-replicated entries; 0 once all peers have caught up.
     #[serde(rename = "short")]
     pub under_replicated: usize,
+    /// The number of purges that a peer sent as plain datagrams and that no log contains yet.
+    #[serde(rename = "unlogged", default)]
+    pub unlogged_purges: usize,
     /// The number of commits of this process.
     #[serde(rename = "promised")]
     pub committed: u64,
--- a/daemon/src/fleet/table.rs
+++ b/daemon/src/fleet/table.rs
@@ -53,8 +53,8 @@
             (
                 "lagging",
                 format!(
-                    "{} under-replicated entries of replication factor {}",
-                    self.under_replicated, self.replication_factor
+                    "{} under-replicated entries of replication factor {}; {} purges in no log yet",
+                    self.under_replicated, self.replication_factor, self.unlogged_purges
                 ),
             ),
         ]
--- a/daemon/src/ledger/append.rs
+++ b/daemon/src/ledger/append.rs
@@ -1,6 +1,7 @@
 //! Appends purges, operators' decisions and trigger statuses to the log of this proxy.
 
 use super::{purge_subject, AppendError, Ledger, TriggerStatus};
+use crate::peers::Purge;
 use linnetknot::Micros;
 use linnetknot_replication::{split_status, Entry, Subject};
 
@@ -85,7 +86,14 @@
         next.max(self.identity.incarnation)
     }
 
-    /// Appends a purge from a peer that does not replicate logs, unless a purge of the same subject with an equal or
+    /// Returns whether any log contains an entry that purges the same subject at the same time or later.
+    pub fn contains_purge(&self, purge: &Purge) -> bool {
+        let subject = purge_subject(purge.object.as_deref(), purge.group);
+        let latest = self.replica.log_store().latest_entry_time(&subject);
+        latest.is_some_and(|known| known >= purge.at)
+    }
+
+    /// Appends a purge that was received as a plain datagram, unless a purge of the same subject with an equal or
     /// later time is known.
     pub fn append_if_newer(
         &mut self,
--- a/daemon/src/plain_purges.rs
+++ b/daemon/src/plain_purges.rs
@@ -6,6 +6,11 @@
 //! proxy, because the purge would otherwise be in two logs. Membership shows whether a peer replicates logs. If a
 //! sender is unknown to membership, this proxy contacts it by a membership message, and appends the purge only if the
 //! sender does not reply within a grace period.
+//!
+//! A peer that replicates may send a plain purge too, while it does not know that this proxy replicates. If that peer is
+//! then lost with its disk before any of its entries arrive, no log contains the purge, but it is in force here. This
+//! proxy therefore retains the purge until it is in a log, and appends it to its own log if the sender's process ends
+//! before that.
 
 use crate::limits::Limits;
 use crate::peers::Purge;
@@ -18,7 +23,7 @@
 /// The treatment of a received plain purge, in addition to applying it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Treatment {
-    /// No further action, because the purge is also received as a log entry.
+    /// No further action now. The purge is in a log, or is retained until it is received as a log entry.
     Replicated,
     /// Send the sender a membership message. Whether the purge must be appended to the log is decided later.
     Greet,
@@ -31,7 +36,8 @@
 pub struct DueWork {
     /// Datagrams to resend to the peers that are not known to replicate logs.
     pub resends: Vec<String>,
-    /// Purges to append to the log of this proxy, because their senders are still not known to replicate logs.
+    /// Purges to append to the log of this proxy, because their senders are not known to replicate logs, or ended before
+    /// any log contained the purge.
     pub writes: Vec<Purge>,
 }
 
@@ -42,11 +48,21 @@
     remaining: u8,
 }
 
-/// A purge whose sender is not known to replicate logs. At `due` it is appended to the log unless that has changed.
+/// The sender of a plain purge.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct PurgeSender {
+    /// The index of the sender among the peers that may replicate logs.
+    pub peer: usize,
+    /// The process of the sender, if it is known to replicate logs.
+    pub process: Option<u64>,
+}
+
+/// A purge that was in no log when it was received, or whose sender was not known to replicate logs. At `due` its state
+/// is checked, and the purge is dropped, appended to the log or retained for another grace period.
 #[derive(Clone, Debug)]
 struct Unwritten {
     due: Micros,
-    from: usize,
+    from: PurgeSender,
     purge: Purge,
 }
 
@@ -81,29 +97,40 @@
         });
     }
 
-    /// Returns the treatment of a purge. `from` is the index of the sender, if known, and `replicates` states whether
-    /// the sender is known to replicate logs.
+    /// Returns the treatment of a purge. `from` is the sender, if known, and `is_logged` states whether a log contains
+    /// the purge.
     pub fn receive(
         &mut self,
         now: Micros,
-        from: Option<usize>,
-        replicates: bool,
+        from: Option<PurgeSender>,
+        is_logged: bool,
         purge: Purge,
     ) -> Treatment {
+        let replicates = from.is_some_and(|from| from.process.is_some());
         match from {
-            _ if replicates => Treatment::Replicated,
+            _ if replicates && is_logged => Treatment::Replicated,
             Some(from) if self.unwritten.len() < self.capacity => {
                 self.unwritten.push_back(Unwritten {
                     due: now + self.grace_us,
                     from,
                     purge,
                 });
-                Treatment::Greet
+                if replicates {
+                    Treatment::Replicated
+                } else {
+                    Treatment::Greet
+                }
             }
             _ => Treatment::Write(purge),
         }
     }
 
+    /// Returns the number of retained purges that no log contains, according to the function `is_logged`.
+    pub fn unlogged(&self, is_logged: impl Fn(&Purge) -> bool) -> usize {
+        let purges = self.unwritten.iter().map(|unwritten| &unwritten.purge);
+        purges.filter(|purge| !is_logged(purge)).count()
+    }
+
     /// Returns when the next tick is due.
     pub fn due(&self) -> Option<Micros> {
         let resend = self.resends.front().map(|resend| resend.at);
@@ -111,9 +138,14 @@
         resend.into_iter().chain(unwritten).min()
     }
 
-    /// Returns the work that is due at `now`. The function `replicates` returns whether a peer is known to replicate
-    /// logs.
-    pub fn tick(&mut self, now: Micros, replicates: impl Fn(usize) -> bool) -> DueWork {
+    /// Returns the work that is due at `now`. The function `process` returns the process of a peer that is known to
+    /// replicate logs, and `is_logged` whether a log contains a purge.
+    pub fn tick(
+        &mut self,
+        now: Micros,
+        process: impl Fn(usize) -> Option<u64>,
+        is_logged: impl Fn(&Purge) -> bool,
+    ) -> DueWork {
         let mut due_work = DueWork::default();
         while let Some(resend) = pop_if(&mut self.resends, |resend| resend.at <= now) {
             due_work.resends.push(resend.text.clone());
@@ -127,7 +159,19 @@
             }
         }
         while let Some(unwritten) = pop_if(&mut self.unwritten, |unwritten| unwritten.due <= now) {
-            if !replicates(unwritten.from) {
+            if is_logged(&unwritten.purge) {
+                continue;
+            }
+            let PurgeSender { peer, process: old } = unwritten.from;
+            let new = process(peer);
+            if new.is_some() && (old.is_none() || old == new) {
+                // The sender's process has the purge, and its log entry may still arrive.
+                self.unwritten.push_back(Unwritten {
+                    due: now + self.grace_us,
+                    from: PurgeSender { peer, process: new },
+                    ..unwritten
+                });
+            } else {
                 due_work.writes.push(unwritten.purge);
             }
         }
--- a/daemon/tests/fleet_status.rs
+++ b/daemon/tests/fleet_status.rs
@@ -41,6 +41,7 @@
         digest: "00".into(),
         pending_commits: 1,
         under_replicated: 3,
+        unlogged_purges: 6,
         committed: 4,
         rejected: 2,
         alive_members: 3,
@@ -76,7 +77,7 @@
     let json = serde_json::json!({
         "name": "p0", "machine": "m0", "life": "5", "wait": 1, "holders": 2, "end": 9, "on_disk": 8, "entries": 7,
         "compacted": 5, "table_bytes": 4_194_304, "store_error": "reason", "catching_up": true, "digest": "00",
-        "waiting": 1, "short": 3, "promised": 4, "refused": 2, "up": 3, "replaced": false,
+        "waiting": 1, "short": 3, "unlogged": 6, "promised": 4, "refused": 2, "up": 3, "replaced": false,
         "peers": [{
             "address": "255.255.255.200:65535", "machine": "machine-of-a-long-name",
             "name": "a-proxy-of-quite-a-long-name", "standing": "suspect", "life": "ffffffffffffff",
@@ -92,11 +93,20 @@
     assert_eq!(serde_json::to_value(&status).unwrap(), json);
     // Proxies of earlier versions omit some keys.
     let mut without_newer_keys = json;
-    for key in ["compacted", "table_bytes", "store_error", "catching_up"] {
+    for key in [
+        "compacted",
+        "table_bytes",
+        "store_error",
+        "catching_up",
+        "unlogged",
+    ] {
         without_newer_keys.as_object_mut().unwrap().remove(key);
     }
     let parsed: Status = serde_json::from_value(without_newer_keys).unwrap();
-    assert_eq!((parsed.compacted, parsed.store_error), (0, None));
+    assert_eq!(
+        (parsed.compacted, parsed.store_error, parsed.unlogged_purges),
+        (0, None, 0)
+    );
 }
 
 #[test]
--- /dev/null
+++ b/daemon/tests/lost_writer.rs
@@ -0,0 +1,102 @@
+//! Purges that only one proxy still knows after their writer was lost with its disk. Links lose chosen datagrams, so that
+//! the order of events is the same in every run.
+
+use linnetknot_harness::clients::{poll_until, TIMEOUT};
+use linnetknot_harness::fleet::{Disk, Fleet, Setup};
+use linnetknot_harness::links::LinkConditions;
+use std::path::Path;
+
+const DAEMON: &str = env!("CARGO_BIN_EXE_linnetknot");
+/// The proxy that receives the purge and is lost.
+const WRITER: usize = 1;
+/// The other proxies.
+const PEERS: [usize; 2] = [0, 2];
+/// The first bytes of each membership datagram.
+const MEMBERSHIP_PREFIX: &str = "fleet1";
+/// The first bytes of each datagram that carries a log entry.
+const ENTRY_PREFIX: &str = "copies1 entry";
+/// The object of the purge that nobody was promised.
+const OBJECT: &str = "00000000000000b2";
+
+/// Waits until a condition holds, and fails the test after a timeout.
+fn until(what: &str, condition: impl FnMut() -> bool) {
+    assert!(poll_until(TIMEOUT, condition), "never: {what}");
+}
+
+/// Returns the state of a peer in the membership of a proxy.
+fn peer_state(fleet: &Fleet, at: usize, of: usize) -> String {
+    let address = fleet.links.address((at, of));
+    let status = fleet.status(at).unwrap();
+    let peer = status
+        .peers
+        .into_iter()
+        .find(|peer| Some(peer.address) == address);
+    peer.map(|peer| peer.state).unwrap_or_default()
+}
+
+/// Starts a fleet in which all proxies know each other, and restarts the writer with a fail point. Until the prefixes of
+/// the links are cleared, the writer does not learn that its peers replicate, and none of its entries arrive.
+fn fleet_with_unaware_writer(seed: u64, fail_point: &str) -> Fleet {
+    let mut fleet = Fleet::with(Setup::replicating(Path::new(DAEMON), 3, seed)).unwrap();
+    until("all proxies know each other", || {
+        let is_known = |at| (0..3).all(|of| at == of || peer_state(&fleet, at, of) == "alive");
+        (0..3).all(is_known)
+    });
+    fleet.kill(WRITER).unwrap();
+    for peer in PEERS {
+        fleet.links.lose_prefix((peer, WRITER), MEMBERSHIP_PREFIX);
+        fleet.links.lose_prefix((WRITER, peer), ENTRY_PREFIX);
+    }
+    fleet
+        .restart_with_fail_points(WRITER, Disk::Kept, fail_point)
+        .unwrap();
+    for peer in PEERS {
+        assert_eq!(peer_state(&fleet, WRITER, peer), "unknown");
+        let remembered = peer_state(&fleet, peer, WRITER);
+        assert!(["alive", "suspect"].contains(&&*remembered), "{remembered}");
+    }
+    fleet
+}
+
+/// Returns the proxies at which the purge is in force.
+fn holders(fleet: &Fleet) -> Vec<usize> {
+    (0..3)
+        .filter(|proxy| fleet.holds_floor(*proxy, OBJECT).unwrap())
+        .collect()
+}
+
+/// The writer sends the purge as a plain datagram too, as it does not know that its peers replicate, and ends before any
+/// log entry of the purge arrives. It comes back without its disk, so that no log contains the purge.
+fn check_plain_purge_of_lost_writer(seed: u64, reached: &[usize]) {
+    let mut fleet = fleet_with_unaware_writer(seed, "peers-told=die");
+    for peer in PEERS.into_iter().filter(|peer| !reached.contains(peer)) {
+        fleet.links.set((WRITER, peer), LinkConditions::CUT);
+    }
+    let result = fleet.purge(WRITER, OBJECT);
+    assert!(result.is_err(), "answered {result:?} although it must end");
+    for peer in reached {
+        assert!(fleet.wait_for_purge(*peer, OBJECT).unwrap(), "p{peer}");
+    }
+    fleet.kill(WRITER).unwrap();
+    fleet.links.clear_lost_prefixes();
+    fleet.links.set_all(LinkConditions::default());
+    fleet.restart(WRITER, Disk::Lost).unwrap();
+    until("the logs are equal", || {
+        fleet.is_converged().unwrap_or(false)
+    });
+    let holders = holders(&fleet);
+    assert!(
+        holders.is_empty() || holders.len() == 3,
+        "the logs are equal and the purge is in force only at {holders:?}"
+    );
+}
+
+#[test]
+fn a_plain_purge_that_reached_one_peer_is_in_force_at_all_proxies_or_at_none() {
+    check_plain_purge_of_lost_writer(71, &PEERS[..1]);
+}
+
+#[test]
+fn a_plain_purge_that_reached_both_peers_is_in_force_at_all_proxies_or_at_none() {
+    check_plain_purge_of_lost_writer(72, &PEERS);
+}
--- /dev/null
+++ b/daemon/tests/plain_purge_retention.rs
@@ -0,0 +1,109 @@
+//! How long a plain purge of a replicating peer is retained, and when it is appended to the own log, without sockets.
+
+use linnetknot_daemon::limits::Limits;
+use linnetknot_daemon::peers::Purge;
+use linnetknot_daemon::plain_purges::{PlainPurges, PurgeSender, Treatment};
+
+/// The index of the sender.
+const PEER: usize = 1;
+/// The sender's process when it sends the purge.
+const PROCESS: u64 = 7;
+/// The sender's process after a restart.
+const LATER_PROCESS: u64 = 8;
+/// The time at which the purge is received, in microseconds.
+const RECEIVED_AT: u64 = 5_000_000;
+
+fn limits() -> Limits {
+    Limits::for_machine(256, 32)
+}
+
+fn purge() -> Purge {
+    Purge::of_object("00000000000000b2", RECEIVED_AT)
+}
+
+/// Receives a purge that no log contains, from a sender with this process.
+fn receive(process: Option<u64>) -> PlainPurges {
+    let mut purges = PlainPurges::new(&limits());
+    let sender = PurgeSender {
+        peer: PEER,
+        process,
+    };
+    let treatment = purges.receive(RECEIVED_AT, Some(sender), false, purge());
+    let expected = process.map_or(Treatment::Greet, |_| Treatment::Replicated);
+    assert_eq!(treatment, expected);
+    assert_eq!(purges.unlogged(|_| false), 1);
+    purges
+}
+
+/// Runs the tick at the end of the grace period with this number, and returns the purges to append. `process` is the
+/// process of the sender at that time, if it is known to replicate logs.
+fn writes(
+    purges: &mut PlainPurges,
+    periods: u64,
+    process: Option<u64>,
+    is_logged: bool,
+) -> Vec<Purge> {
+    let now = RECEIVED_AT + periods * limits().plain_purge_grace_us;
+    assert_eq!(purges.due(), Some(now));
+    let process_of = |peer| {
+        assert_eq!(peer, PEER);
+        process
+    };
+    purges.tick(now, process_of, |_| is_logged).writes
+}
+
+#[test]
+fn a_purge_is_retained_while_the_process_that_sent_it_runs() {
+    for known in [Some(PROCESS), None] {
+        let mut purges = receive(known);
+        for period in 1..=20 {
+            assert_eq!(writes(&mut purges, period, Some(PROCESS), false), []);
+            assert_eq!(purges.unlogged(|_| false), 1);
+        }
+        assert_eq!(
+            writes(&mut purges, 21, Some(LATER_PROCESS), false),
+            [purge()]
+        );
+        assert_eq!((purges.due(), purges.unlogged(|_| false)), (None, 0));
+    }
+}
+
+#[test]
+fn a_purge_of_a_sender_that_is_down_is_appended() {
+    for known in [Some(PROCESS), None] {
+        assert_eq!(writes(&mut receive(known), 1, None, false), [purge()]);
+    }
+}
+
+#[test]
+fn a_purge_that_a_log_contains_is_not_appended() {
+    for later in [Some(PROCESS), Some(LATER_PROCESS), None] {
+        let mut purges = receive(Some(PROCESS));
+        assert_eq!(purges.unlogged(|_| true), 0);
+        assert_eq!(writes(&mut purges, 1, later, true), []);
+        assert_eq!(purges.due(), None);
+    }
+    let mut purges = PlainPurges::new(&limits());
+    let sender = PurgeSender {
+        peer: PEER,
+        process: Some(PROCESS),
+    };
+    let treatment = purges.receive(RECEIVED_AT, Some(sender), true, purge());
+    assert_eq!((treatment, purges.due()), (Treatment::Replicated, None));
+}
+
+/// A purge beyond the capacity can't be retained, so it is appended at once.
+#[test]
+fn no_purge_is_forgotten_when_the_capacity_is_reached() {
+    let mut purges = receive(Some(PROCESS));
+    let sender = PurgeSender {
+        peer: PEER,
+        process: Some(PROCESS),
+    };
+    for _ in 1..limits().max_unwritten_purges {
+        let treatment = purges.receive(RECEIVED_AT, Some(sender), false, purge());
+        assert_eq!(treatment, Treatment::Replicated);
+    }
+    let treatment = purges.receive(RECEIVED_AT, Some(sender), false, purge());
+    assert_eq!(treatment, Treatment::Write(purge()));
+}
--- a/harness/src/fleet/queries.rs
+++ b/harness/src/fleet/queries.rs
@@ -29,7 +29,8 @@
         Ok(query_status(self.process(n)?.admin)?)
     }
 
-    /// Returns whether all running proxies have the same entries, all durable and none under-replicated.
+    /// Returns whether all running proxies have the same entries, all durable and none under-replicated, and no proxy
+    /// has received a purge that no log contains yet.
     pub fn is_converged(&self) -> io::Result<bool> {
         let running = (0..self.members.len()).filter(|n| self.members[*n].process.is_some());
         let all = running
@@ -38,6 +39,7 @@
         let is_settled = |s: &Status| {
             s.under_replicated == 0
                 && s.pending_commits == 0
+                && s.unlogged_purges == 0
                 && s.logs.iter().all(|l| l.last_index == l.durable_index)
         };
         Ok(all
--- a/harness/src/links/mod.rs
+++ b/harness/src/links/mod.rs
@@ -42,9 +42,19 @@
 #[derive(Default)]
 struct State {
     conditions: BTreeMap<Direction, LinkConditions>,
+    /// The datagrams that start with these bytes are lost, whatever the conditions of the direction are.
+    lost_prefixes: BTreeMap<Direction, Vec<u8>>,
     counters: BTreeMap<Direction, Counters>,
 }
 
+impl State {
+    /// Returns whether a datagram is lost because of its first bytes.
+    fn loses(&self, direction: Direction, datagram: &[u8]) -> bool {
+        let prefix = self.lost_prefixes.get(&direction);
+        prefix.is_some_and(|prefix| datagram.starts_with(prefix))
+    }
+}
+
 /// A datagram in flight: delivery time, sequence number, direction and bytes.
 type InFlight = (Micros, u64, Direction, Vec<u8>);
 
@@ -134,6 +144,19 @@
             .for_each(|direction| self.set(*direction, conditions));
     }
 
+    /// Loses all datagrams of one direction that start with these bytes, and no others, so that a test can decide which
+    /// protocol's datagrams arrive. Replaces the previous prefix of the direction.
+    pub fn lose_prefix(&self, direction: Direction, prefix: &str) {
+        lock(&self.state)
+            .lost_prefixes
+            .insert(direction, prefix.as_bytes().to_vec());
+    }
+
+    /// Removes the prefixes of all directions.
+    pub fn clear_lost_prefixes(&self) {
+        lock(&self.state).lost_prefixes.clear();
+    }
+
     /// Sets the conditions of all directions between the proxies of one side and all others.
     pub fn split(&self, side: &[usize], conditions: LinkConditions) {
         for (a, b) in self.addresses.keys() {
@@ -189,7 +212,10 @@
                 .get(&direction)
                 .copied()
                 .unwrap_or_default();
-            let delays = faults.next_delays(&conditions);
+            let mut delays = faults.next_delays(&conditions);
+            if state.loses(direction, &bytes[..length]) {
+                delays.clear();
+            }
             let counters = state.counters.entry(direction).or_default();
             counters.sent += 1;
             counters.lost += u64::from(delays.is_empty());
--- a/rehearse/src/scale/hollow/mod.rs
+++ b/rehearse/src/scale/hollow/mod.rs
@@ -22,7 +22,7 @@
 use crate::scale::run::Defect;
 use budget_share::BudgetShare;
 use linnetknot_daemon::peers::{self, Purge};
-use linnetknot_daemon::plain_purges::{PlainPurges, Treatment};
+use linnetknot_daemon::plain_purges::{PlainPurges, PurgeSender, Treatment};
 use linnetknot_discovery::server_id;
 use linnetknot_membership::{
     Body, MemberState, Membership, MembershipConfig, Message, Names, Options as MembershipOptions,
@@ -156,10 +156,14 @@
         if let Some(purge) = plain.object.as_deref().and_then(purge_of) {
             self.events.push(MemberEvent::InForce { purge });
         }
-        let replicates = replicates(&self.membership, from);
+        let sender = PurgeSender {
+            peer: from,
+            process: replicating_process(&self.membership, from),
+        };
+        let is_logged = is_logged(&self.purge_log, &plain);
         match self
             .plain_purges
-            .receive(now, Some(from), replicates, plain)
+            .receive(now, Some(sender), is_logged, plain)
         {
             Treatment::Replicated => {}
             Treatment::Greet => {
@@ -179,8 +183,9 @@
 
     fn send_where_not_replicated(&mut self, text: &str) {
         let membership = &self.membership;
-        self.outbox
-            .send_where(text.as_bytes(), |peer| !replicates(membership, peer));
+        self.outbox.send_where(text.as_bytes(), |peer| {
+            replicating_process(membership, peer).is_none()
+        });
     }
 
     fn receive_budgets(&mut self, from: usize, bytes: &[u8], now: Micros) -> bool {
@@ -292,9 +297,11 @@
             self.purge_log.compact(now);
         }
         self.purge_log.tick(now, &mut self.outbox, &mut self.events);
-        let overdue = self
-            .plain_purges
-            .tick(now, |peer| replicates(&self.membership, peer));
+        let overdue = self.plain_purges.tick(
+            now,
+            |peer| replicating_process(&self.membership, peer),
+            |purge| is_logged(&self.purge_log, purge),
+        );
         overdue
             .resends
             .iter()
@@ -356,12 +363,17 @@
     }
 }
 
-/// Returns whether a peer replicates logs. All peers that membership considers up do.
-fn replicates(membership: &Membership, peer: usize) -> bool {
-    membership
-        .members()
-        .get(peer)
-        .is_some_and(linnetknot_membership::Member::is_up)
+/// Returns the process of a peer that replicates logs. All peers that membership considers up do.
+fn replicating_process(membership: &Membership, peer: usize) -> Option<u64> {
+    let member = membership.members().get(peer);
+    let claim = member.filter(|member| member.is_up())?.claim?;
+    Some(claim.process)
+}
+
+/// Returns whether a log contains a plain purge. Only purges of objects are logged here.
+fn is_logged(purge_log: &PurgeLog, plain: &Purge) -> bool {
+    let purge = plain.object.as_deref().and_then(purge_of);
+    purge.is_none_or(|purge| purge_log.contains(purge, plain.at))
 }
 
 fn is_snapshot(bytes: &[u8]) -> bool {
--- a/rehearse/src/scale/hollow/purge_log.rs
+++ b/rehearse/src/scale/hollow/purge_log.rs
@@ -318,7 +318,14 @@
         true
     }
 
-    /// Appends a purge from a peer that does not replicate logs to this member's log, unless a log already contains it.
+    /// Returns whether a log contains an entry for this purge or a later one of its object.
+    pub(super) fn contains(&self, purge: PurgeNumber, at: Micros) -> bool {
+        let subject = Subject::Object(object(purge));
+        let known = self.replica.log_store().latest_entry_time(&subject);
+        known.is_some_and(|known| known >= at)
+    }
+
+    /// Appends a purge that was received as a plain datagram to this member's log, unless a log already contains it.
     pub(super) fn write_plain(
         &mut self,
         purge: PurgeNumber,
@@ -326,11 +333,7 @@
         now: Micros,
         events: &mut Vec<MemberEvent>,
     ) {
-        let known = self
-            .replica
-            .log_store()
-            .latest_entry_time(&Subject::Object(object(purge)));
-        if known.is_some_and(|known| known >= at) {
+        if self.contains(purge, at) {
             return;
         }
         if let Err(reason) = self.append(purge, at, now) {
