Log a purge that arrived out of order and whose writer was lost

Test: a_purge_that_arrived_out_of_order_is_in_force_at_all_proxies_or_at_none in daemon/tests/lost_writer.rs. The writer's first purge reaches nobody, its second reaches one peer; both are answered 503; the writer comes back without its disk.

What callers saw: a 503, so no promise; but the purge at one proxy only, against the guarantee 'at all proxies or at none in the end'.

Cause: an entry that arrived out of order is put in force at once, but stays in the reorder buffer, which no peer sees, until its predecessors arrive. When only the lost writer had those, they never do.

--- a/daemon/src/daemon/plain_purges.rs
+++ b/daemon/src/daemon/plain_purges.rs
@@ -4,16 +4,27 @@
 use super::membership::replicating_process;
 use super::peer_index::PeerIndex;
 use super::Daemon;
-use crate::ledger::Ledger;
+use crate::ledger::{self, Ledger};
 use crate::peers::{self, Purge};
-use crate::plain_purges::{PurgeSender, Treatment};
+use crate::plain_purges::{PurgeSender, RetainedPurge, Treatment};
 use linnetknot::Micros;
+use linnetknot_replication::{Entry, LogPosition};
 
 /// Returns whether a log contains a purge.
 fn is_logged(ledger: Option<&Ledger>, purge: &Purge) -> bool {
     ledger.is_some_and(|ledger| ledger.contains_purge(purge))
 }
 
+/// Returns whether a log contains a retained purge.
+fn is_retained_logged(ledger: Option<&Ledger>, retained: &RetainedPurge) -> bool {
+    let has_reached = |ledger: &Ledger| {
+        let log_store = ledger.replica().log_store();
+        let position = retained.position;
+        position.is_some_and(|position| log_store.last_index(position.log) >= position.index)
+    };
+    ledger.is_some_and(has_reached) || is_logged(ledger, &retained.purge)
+}
+
 impl Daemon {
     /// Applies a purge that was received as a plain datagram, and stores it if necessary.
     pub(super) fn receive_plain_purge(&mut self, now: Micros, from: Option<usize>, purge: Purge) {
@@ -39,6 +50,31 @@
         }
     }
 
+    /// Retains the purges of log entries that arrived out of order from a peer, until a log contains them.
+    pub(super) fn retain_out_of_order(&mut self, now: Micros, peer: usize, entries: &[Entry]) {
+        if self.membership.is_none() {
+            return;
+        }
+        let sender = PurgeSender {
+            peer,
+            process: replicating_process(self.membership.as_ref(), peer),
+        };
+        for entry in entries {
+            let Some(purge) = ledger::purge(entry) else {
+                continue;
+            };
+            let position = LogPosition {
+                log: entry.log,
+                index: entry.index,
+            };
+            self.plain_purges
+                .receive_out_of_order(now, sender, purge, position);
+        }
+        if !entries.is_empty() {
+            self.schedule_plain_purges();
+        }
+    }
+
     /// Appends a purge that is in no log to this proxy's log, so that it persists across restarts and reaches all peers.
     pub(super) fn write_plain_purge(&mut self, purge: &Purge) {
         let Some(ledger) = &mut self.ledger else {
@@ -94,7 +130,7 @@
         let overdue = self.plain_purges.tick(
             now,
             |peer| replicating_process(membership, peer),
-            |purge| is_logged(ledger, purge),
+            |retained| is_retained_logged(ledger, retained),
         );
         overdue
             .resends
@@ -107,10 +143,11 @@
         self.schedule_plain_purges();
     }
 
-    /// Returns the number of received plain purges that are in force here and that no log contains yet.
+    /// Returns the number of retained purges, which are in force here and which no log contains yet.
     pub(super) fn unlogged_purges(&self) -> usize {
         let ledger = self.ledger.as_ref();
-        self.plain_purges.unlogged(|purge| is_logged(ledger, purge))
+        self.plain_purges
+            .unlogged(|retained| is_retained_logged(ledger, retained))
     }
 
     /// Rebuilds the index of the peers by address. Has to be called after each change of the configured peers.
--- a/daemon/src/daemon/sources/peers.rs
+++ b/daemon/src/daemon/sources/peers.rs
@@ -106,6 +106,7 @@
         let received = ledger.receive(now, peer, datagram);
         let is_synced = peer_checksum == Some(ledger.replica().log_store().checksum());
         self.apply_received_purges(now, &received);
+        self.retain_out_of_order(now, peer, &received.out_of_order);
         // The operators' decisions are applied again only if entries other than purges of this proxy's own log were
         // received. A recovered log may contain many purges.
         if received
--- a/daemon/src/fleet/mod.rs
+++ b/daemon/src/fleet/mod.rs
@@ -58,7 +58,8 @@
     /// The number of under-replicated entries; 0 once all peers have caught up.
     #[serde(rename = "short")]
     pub under_replicated: usize,
-    /// The number of purges that a peer sent as plain datagrams and that no log contains yet.
+    /// The number of purges in force that no log contains yet: those that a peer sent as plain datagrams, and those of
+    /// entries that arrived out of order.
     #[serde(rename = "unlogged", default)]
     pub unlogged_purges: usize,
     /// The number of commits of this process.
--- a/daemon/src/limits/mod.rs
+++ b/daemon/src/limits/mod.rs
@@ -154,9 +154,11 @@
     /// The interval at which a plain purge datagram is resent, because datagrams may be lost.
     pub purge_resend_interval_us: u64,
     /// After a peer has sent a plain purge datagram, the time within which membership must show that the peer
-    /// replicates logs. Otherwise the purge is appended to the log of this proxy.
+    /// replicates logs. Otherwise the purge is appended to the log of this proxy. Also the interval at which a purge that
+    /// no log contains is checked again.
     pub plain_purge_grace_us: u64,
-    /// The maximum number of plain purges that wait for `plain_purge_grace_us`. Further purges are written immediately.
+    /// The maximum number of purges that wait for `plain_purge_grace_us`. Further plain purges are written immediately,
+    /// and further purges of entries that arrived out of order are not retained.
     pub max_unwritten_purges: usize,
 
     // Peer CDNs.
--- a/daemon/src/plain_purges.rs
+++ b/daemon/src/plain_purges.rs
@@ -10,11 +10,13 @@
 //! A peer that replicates may send a plain purge too, while it does not know that this proxy replicates. If that peer is
 //! then lost with its disk before any of its entries arrive, no log contains the purge, but it is in force here. This
 //! proxy therefore retains the purge until it is in a log, and appends it to its own log if the sender's process ends
-//! before that.
+//! before that. Purges of log entries that arrived out of order are retained in the same way, because the entries before
+//! them may be lost with their writer.
 
 use crate::limits::Limits;
 use crate::peers::Purge;
 use linnetknot::Micros;
+use linnetknot_replication::LogPosition;
 use std::collections::VecDeque;
 
 /// The number of times a purge is resent. Peers without replication do not request missing purges.
@@ -48,7 +50,7 @@
     remaining: u8,
 }
 
-/// The sender of a plain purge.
+/// The peer that sent a purge, as a plain datagram or as a log entry.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct PurgeSender {
     /// The index of the sender among the peers that may replicate logs.
@@ -63,7 +65,17 @@
 struct Unwritten {
     due: Micros,
     from: PurgeSender,
-    purge: Purge,
+    retained: RetainedPurge,
+}
+
+/// A purge that is in force and that no log contained when it was received.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RetainedPurge {
+    /// The purge.
+    pub purge: Purge,
+    /// The position of its log entry, if it was received as an entry. A log that has reached the position contains the
+    /// purge, possibly in compacted form.
+    pub position: Option<LogPosition>,
 }
 
 /// The plain purges to resend, and those that may have to be appended to the log.
@@ -109,12 +121,9 @@
         let replicates = from.is_some_and(|from| from.process.is_some());
         match from {
             _ if replicates && is_logged => Treatment::Replicated,
-            Some(from) if self.unwritten.len() < self.capacity => {
-                self.unwritten.push_back(Unwritten {
-                    due: now + self.grace_us,
-                    from,
-                    purge,
-                });
+            Some(from) if self.has_capacity() => {
+                let position = None;
+                self.retain(now, from, RetainedPurge { purge, position });
                 if replicates {
                     Treatment::Replicated
                 } else {
@@ -125,10 +134,38 @@
         }
     }
 
+    /// Retains the purge of a log entry that arrived out of order. The purge is in force, but no log contains it until
+    /// the entries before it arrive. Above the capacity the purge is not retained: appending it at once would put most
+    /// entries of a long catch-up into two logs.
+    pub fn receive_out_of_order(
+        &mut self,
+        now: Micros,
+        from: PurgeSender,
+        purge: Purge,
+        position: LogPosition,
+    ) {
+        if self.has_capacity() {
+            let position = Some(position);
+            self.retain(now, from, RetainedPurge { purge, position });
+        }
+    }
+
+    fn has_capacity(&self) -> bool {
+        self.unwritten.len() < self.capacity
+    }
+
+    fn retain(&mut self, now: Micros, from: PurgeSender, retained: RetainedPurge) {
+        self.unwritten.push_back(Unwritten {
+            due: now + self.grace_us,
+            from,
+            retained,
+        });
+    }
+
     /// Returns the number of retained purges that no log contains, according to the function `is_logged`.
-    pub fn unlogged(&self, is_logged: impl Fn(&Purge) -> bool) -> usize {
-        let purges = self.unwritten.iter().map(|unwritten| &unwritten.purge);
-        purges.filter(|purge| !is_logged(purge)).count()
+    pub fn unlogged(&self, is_logged: impl Fn(&RetainedPurge) -> bool) -> usize {
+        let is_unlogged = |unwritten: &&Unwritten| !is_logged(&unwritten.retained);
+        self.unwritten.iter().filter(is_unlogged).count()
     }
 
     /// Returns when the next tick is due.
@@ -144,7 +181,7 @@
         &mut self,
         now: Micros,
         process: impl Fn(usize) -> Option<u64>,
-        is_logged: impl Fn(&Purge) -> bool,
+        is_logged: impl Fn(&RetainedPurge) -> bool,
     ) -> DueWork {
         let mut due_work = DueWork::default();
         while let Some(resend) = pop_if(&mut self.resends, |resend| resend.at <= now) {
@@ -159,7 +196,7 @@
             }
         }
         while let Some(unwritten) = pop_if(&mut self.unwritten, |unwritten| unwritten.due <= now) {
-            if is_logged(&unwritten.purge) {
+            if is_logged(&unwritten.retained) {
                 continue;
             }
             let PurgeSender { peer, process: old } = unwritten.from;
@@ -172,7 +209,7 @@
                     ..unwritten
                 });
             } else {
-                due_work.writes.push(unwritten.purge);
+                due_work.writes.push(unwritten.retained.purge);
             }
         }
         due_work
@@ -183,7 +220,7 @@
     pub fn take_unwritten(&mut self) -> Vec<Purge> {
         self.unwritten
             .drain(..)
-            .map(|unwritten| unwritten.purge)
+            .map(|unwritten| unwritten.retained.purge)
             .collect()
     }
 }
--- a/daemon/tests/lost_writer.rs
+++ b/daemon/tests/lost_writer.rs
@@ -1,4 +1,4 @@
-//! Purges that only one proxy still knows after their writer was lost with its disk. Links lose chosen datagrams, so that
+//! Purges that no log contains after their writer was lost with its disk, although they are in force at a peer. Links lose chosen datagrams, so that
 //! the order of events is the same in every run.
 
 use linnetknot_harness::clients::{poll_until, TIMEOUT};
@@ -15,6 +15,12 @@
 const MEMBERSHIP_PREFIX: &str = "fleet1";
 /// The first bytes of each datagram that carries a log entry.
 const ENTRY_PREFIX: &str = "copies1 entry";
+/// The first bytes of each datagram of replication.
+const REPLICATION_PREFIX: &str = "copies1";
+/// The first bytes of each plain purge datagram.
+const PLAIN_PREFIX: &str = "purge ";
+/// The object of the purge that reaches no proxy but its writer.
+const EARLIER_OBJECT: &str = "00000000000000b1";
 /// The object of the purge that nobody was promised.
 const OBJECT: &str = "00000000000000b2";
 
@@ -34,14 +40,19 @@
     peer.map(|peer| peer.state).unwrap_or_default()
 }
 
+/// Waits until all proxies know from membership that the others replicate.
+fn await_acquaintance(fleet: &Fleet) {
+    until("all proxies know each other", || {
+        let is_known = |at| (0..3).all(|of| at == of || peer_state(fleet, at, of) == "alive");
+        (0..3).all(is_known)
+    });
+}
+
 /// Starts a fleet in which all proxies know each other, and restarts the writer with a fail point. Until the prefixes of
 /// the links are cleared, the writer does not learn that its peers replicate, and none of its entries arrive.
 fn fleet_with_unaware_writer(seed: u64, fail_point: &str) -> Fleet {
     let mut fleet = Fleet::with(Setup::replicating(Path::new(DAEMON), 3, seed)).unwrap();
-    until("all proxies know each other", || {
-        let is_known = |at| (0..3).all(|of| at == of || peer_state(&fleet, at, of) == "alive");
-        (0..3).all(is_known)
-    });
+    await_acquaintance(&fleet);
     fleet.kill(WRITER).unwrap();
     for peer in PEERS {
         fleet.links.lose_prefix((peer, WRITER), MEMBERSHIP_PREFIX);
@@ -65,6 +76,18 @@
         .collect()
 }
 
+/// Waits until the fleet has converged, and checks that the purge is then in force at all proxies or at none.
+fn check_agreement(fleet: &Fleet) {
+    until("the logs are equal", || {
+        fleet.is_converged().unwrap_or(false)
+    });
+    let holders = holders(fleet);
+    assert!(
+        holders.is_empty() || holders.len() == 3,
+        "the logs are equal and the purge is in force only at {holders:?}"
+    );
+}
+
 /// The writer sends the purge as a plain datagram too, as it does not know that its peers replicate, and ends before any
 /// log entry of the purge arrives. It comes back without its disk, so that no log contains the purge.
 fn check_plain_purge_of_lost_writer(seed: u64, reached: &[usize]) {
@@ -81,14 +104,7 @@
     fleet.links.clear_lost_prefixes();
     fleet.links.set_all(LinkConditions::default());
     fleet.restart(WRITER, Disk::Lost).unwrap();
-    until("the logs are equal", || {
-        fleet.is_converged().unwrap_or(false)
-    });
-    let holders = holders(&fleet);
-    assert!(
-        holders.is_empty() || holders.len() == 3,
-        "the logs are equal and the purge is in force only at {holders:?}"
-    );
+    check_agreement(&fleet);
 }
 
 #[test]
@@ -100,3 +116,27 @@
 fn a_plain_purge_that_reached_both_peers_is_in_force_at_all_proxies_or_at_none() {
     check_plain_purge_of_lost_writer(72, &PEERS);
 }
+
+/// The writer's first purge reaches nobody. Its second reaches one peer, out of order, and is in force there at once. Then
+/// the writer is lost with its disk, so that no proxy has the entries before it any more.
+#[test]
+fn a_purge_that_arrived_out_of_order_is_in_force_at_all_proxies_or_at_none() {
+    let mut fleet = Fleet::with(Setup::replicating(Path::new(DAEMON), 3, 73)).unwrap();
+    await_acquaintance(&fleet);
+    let [reached, unreached] = PEERS;
+    fleet.links.set((WRITER, unreached), LinkConditions::CUT);
+    fleet.links.lose_prefix((WRITER, reached), ENTRY_PREFIX);
+    // The requests of the reached peer for the missing entries do not arrive.
+    fleet
+        .links
+        .lose_prefix((reached, WRITER), REPLICATION_PREFIX);
+    assert_eq!(fleet.purge(WRITER, EARLIER_OBJECT).unwrap(), 503);
+    fleet.links.lose_prefix((WRITER, reached), PLAIN_PREFIX);
+    assert_eq!(fleet.purge(WRITER, OBJECT).unwrap(), 503);
+    assert!(fleet.wait_for_purge(reached, OBJECT).unwrap());
+    fleet.kill(WRITER).unwrap();
+    fleet.links.clear_lost_prefixes();
+    fleet.links.set_all(LinkConditions::default());
+    fleet.restart(WRITER, Disk::Lost).unwrap();
+    check_agreement(&fleet);
+}
--- a/daemon/tests/plain_purge_retention.rs
+++ b/daemon/tests/plain_purge_retention.rs
@@ -2,7 +2,8 @@
 
 use linnetknot_daemon::limits::Limits;
 use linnetknot_daemon::peers::Purge;
-use linnetknot_daemon::plain_purges::{PlainPurges, PurgeSender, Treatment};
+use linnetknot_daemon::plain_purges::{PlainPurges, PurgeSender, RetainedPurge, Treatment};
+use linnetknot_replication::{LogId, LogPosition};
 
 /// The index of the sender.
 const PEER: usize = 1;
@@ -92,6 +93,33 @@
     assert_eq!((treatment, purges.due()), (Treatment::Replicated, None));
 }
 
+#[test]
+fn a_purge_of_an_entry_that_arrived_out_of_order_is_retained_like_a_plain_purge() {
+    let mut purges = PlainPurges::new(&limits());
+    let sender = PurgeSender {
+        peer: PEER,
+        process: Some(PROCESS),
+    };
+    let capacity = limits().max_unwritten_purges;
+    let position = |index| LogPosition {
+        log: LogId::new(3, 4),
+        index,
+    };
+    for index in 0..=capacity as u64 {
+        purges.receive_out_of_order(RECEIVED_AT, sender, purge(), position(index));
+    }
+    let is_reached = |retained: &RetainedPurge| {
+        retained
+            .position
+            .is_some_and(|position| position.index < 10)
+    };
+    assert_eq!(purges.unlogged(is_reached), capacity - 10);
+    assert_eq!(purges.unlogged(|_| false), capacity);
+    assert_eq!(writes(&mut purges, 1, Some(PROCESS), false), []);
+    let appended = writes(&mut purges, 2, Some(LATER_PROCESS), false);
+    assert_eq!(appended, vec![purge(); capacity]);
+}
+
 /// A purge beyond the capacity can't be retained, so it is appended at once.
 #[test]
 fn no_purge_is_forgotten_when_the_capacity_is_reached() {
--- a/rehearse/src/scale/hollow/mod.rs
+++ b/rehearse/src/scale/hollow/mod.rs
@@ -300,7 +300,7 @@
         let overdue = self.plain_purges.tick(
             now,
             |peer| replicating_process(&self.membership, peer),
-            |purge| is_logged(&self.purge_log, purge),
+            |retained| is_logged(&self.purge_log, &retained.purge),
         );
         overdue
             .resends
