Append a retained purge after ten grace periods whatever its sender does

Test: a_purge_that_does_not_arrive_as_an_entry_is_appended_whatever_its_sender_does in daemon/tests/plain_purge_retention.rs, without sockets.

Cause: the process of a sender that was unknown at first is recorded at the end of the first grace period. When it was replaced by a process without its disk until then, the purge was retained for as long as that one ran.

Mend: after ten grace periods (10 s) the purge is appended in any case.

--- a/daemon/src/plain_purges.rs
+++ b/daemon/src/plain_purges.rs
@@ -10,7 +10,7 @@
 //! A peer that replicates may send a plain purge too, while it does not know that this proxy replicates. If that peer is
 //! then lost with its disk before any of its entries arrive, no log contains the purge, but it is in force here. This
 //! proxy therefore retains the purge until it is in a log, and appends it to its own log if the sender's process ends
-//! before that. Purges of log entries that arrived out of order are retained in the same way, because the entries before
+//! before that, or after `MAX_GRACE_PERIODS`. Purges of log entries that arrived out of order are retained in the same way, because the entries before
 //! them may be lost with their writer.
 
 use crate::limits::Limits;
@@ -21,6 +21,10 @@
 
 /// The number of times a purge is resent. Peers without replication do not request missing purges.
 const RESENDS: u8 = 2;
+/// The number of grace periods after which a retained purge is appended to the log of this proxy in any case. The
+/// sender's log then does not provide it, for example because the process that is known is a later one without its disk.
+/// A living sender that can be reached sends its entries again within a period. A purge in two logs does no harm.
+const MAX_GRACE_PERIODS: u8 = 10;
 
 /// The treatment of a received plain purge, in addition to applying it.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -64,6 +68,8 @@
 #[derive(Clone, Debug)]
 struct Unwritten {
     due: Micros,
+    /// The number of grace periods that began since the purge was received.
+    periods: u8,
     from: PurgeSender,
     retained: RetainedPurge,
 }
@@ -157,6 +163,7 @@
     fn retain(&mut self, now: Micros, from: PurgeSender, retained: RetainedPurge) {
         self.unwritten.push_back(Unwritten {
             due: now + self.grace_us,
+            periods: 1,
             from,
             retained,
         });
@@ -201,10 +208,12 @@
             }
             let PurgeSender { peer, process: old } = unwritten.from;
             let new = process(peer);
-            if new.is_some() && (old.is_none() || old == new) {
+            let has_same_process = new.is_some() && (old.is_none() || old == new);
+            if has_same_process && unwritten.periods < MAX_GRACE_PERIODS {
                 // The sender's process has the purge, and its log entry may still arrive.
                 self.unwritten.push_back(Unwritten {
                     due: now + self.grace_us,
+                    periods: unwritten.periods + 1,
                     from: PurgeSender { peer, process: new },
                     ..unwritten
                 });
