--- a/daemon/src/daemon/clients/accept.rs
+++ b/daemon/src/daemon/clients/accept.rs
@@ -81,7 +81,7 @@
         let (began, mut accepted) = (self.clock.now(), 0);
         while self.client_listener.is_some() && self.continues_accepting(limit, began, accepted) {
             // While the table is full, new connections wait in the kernel's queue.
-            let Ok(mut evicted) = self.required_eviction(now) else {
+            let Ok(evicted) = self.required_eviction(now) else {
                 return self.pause_accepting_clients(now);
             };
             let Some(listener) = &self.client_listener else {
@@ -93,15 +93,10 @@
                 // Out of descriptors: one idle connection is evicted. If accepting still fails, further evictions would
                 // not help.
                 Err(failure) if failure.kind == FailureKind::NoDescriptors => {
-                    let candidate = match evicted.take() {
-                        Some(key) => Ok(key),
-                        None => self.eviction_candidate(now),
-                    };
                     let already_evicted = std::mem::replace(&mut has_evicted, true);
-                    let Some(key) = candidate.ok().filter(|_| !already_evicted) else {
+                    if already_evicted || !self.evict(now, evicted) {
                         return self.pause_accepting_clients(now);
-                    };
-                    self.close(now, key);
+                    }
                     continue;
                 }
                 // Other failures, such as lack of memory, are not resolved by an eviction.
@@ -121,6 +116,21 @@
                 self.add_client(now, conn, kind, input, evicted);
             }
         }
+        self.finish_accepting_clients(now, accepted);
+    }
+
+    /// Closes this connection, or the eviction candidate if there is none. Returns false if nothing can be evicted.
+    fn evict(&mut self, now: Micros, key: Option<Key>) -> bool {
+        let candidate = key.map_or_else(|| self.eviction_candidate(now), Ok);
+        let Ok(key) = candidate else {
+            return false;
+        };
+        self.close(now, key);
+        true
+    }
+
+    /// Ends an accept step that was not paused.
+    fn finish_accepting_clients(&mut self, now: Micros, accepted: usize) {
         if accepted < self.limits.max_client_connections {
             self.client_queue.emptied(&self.turn);
         } else {
--- a/daemon/src/daemon/connection_table.rs
+++ b/daemon/src/daemon/connection_table.rs
@@ -171,32 +171,7 @@
             }
             return;
         }
-        let mut is_over = false;
-        if ready.read && connection.conn.up {
-            let progress = connection.conn.read(ready.broken);
-            let input_ended = matches!(progress, Progress::Ended | Progress::Broken);
-            // A client of the admin listener may half-close its connection after the call and still receive the reply.
-            is_over = input_ended
-                && !(matches!(connection.kind, ConnectionKind::Admin(_))
-                    && progress == Progress::Ended);
-            if let Err(e) = self.read_input(now, key, input_ended) {
-                // Malformed input of clients is logged at debug, so that it can't flood the log.
-                let is_client = self
-                    .connections
-                    .get(key)
-                    .is_some_and(|connection| connection.kind.is_client());
-                log::log!(
-                    if is_client {
-                        log::Level::Debug
-                    } else {
-                        log::Level::Warn
-                    },
-                    "closing a connection: {e}"
-                );
-                is_over = true;
-            }
-        }
-        if is_over {
+        if self.read_ready(now, key, ready) {
             return self.close(now, key);
         }
         if !self.write(now, key) && !self.half_close(now, key) {
@@ -206,6 +181,34 @@
         self.update_client_state(now, key);
     }
 
+    /// Reads and processes the input of a connection that is not read by `poll_client`. Returns true if the connection is
+    /// to be closed.
+    fn read_ready(&mut self, now: Micros, key: Key, ready: ReadyEvent) -> bool {
+        let Some(connection) = self.connections.get_mut(key) else {
+            return false;
+        };
+        if !ready.read || !connection.conn.up {
+            return false;
+        }
+        let progress = connection.conn.read(ready.broken);
+        let input_ended = matches!(progress, Progress::Ended | Progress::Broken);
+        // A client of the admin listener may half-close its connection after the call and still receive the reply.
+        let is_half_closed =
+            matches!(connection.kind, ConnectionKind::Admin(_)) && progress == Progress::Ended;
+        let is_client = connection.kind.is_client();
+        if let Err(e) = self.read_input(now, key, input_ended) {
+            // Malformed input of clients is logged at debug, so that it can't flood the log.
+            let level = if is_client {
+                log::Level::Debug
+            } else {
+                log::Level::Warn
+            };
+            log::log!(level, "closing a connection: {e}");
+            return true;
+        }
+        input_ended && !is_half_closed
+    }
+
     fn read_input(&mut self, now: Micros, key: Key, input_ended: bool) -> Result<(), WireError> {
         let Some(connection) = self.connections.get_mut(key) else {
             return Ok(());
--- a/daemon/src/daemon/upstream_connections/mod.rs
+++ b/daemon/src/daemon/upstream_connections/mod.rs
@@ -1,10 +1,11 @@
 //! Connections to cache servers: assigns attempts to connections and reports their outcomes to the core.
 
+mod checks;
 mod selection;
 
-use super::{ConnectError, Connection, ConnectionKind, Daemon, Timer};
+use super::{ConnectError, Connection, ConnectionKind, Daemon};
 use crate::core::{AttemptId, TRACE};
-use crate::net::{Failure, FailureKind, Key, Progress, TcpConnection};
+use crate::net::{Failure, FailureKind, Key, TcpConnection};
 use crate::upstream::{UpstreamConnection, UpstreamEvent};
 use linnetknot::{Micros, Outcome, ServerId};
 use selection::{CacheConnections, Selection};
@@ -196,28 +197,6 @@
             .map(|(_, key)| key)
     }
 
-    /// Handles a connection that is not established within the connect timeout. A connection to a cache server is kept
-    /// until a later deadline, while the attempts that waited for it are made elsewhere: if the connection were closed
-    /// each time, a server that accepts slowly could never be reached. Other connections are closed.
-    pub(super) fn check_connect_timeout(&mut self, now: Micros, key: Key) {
-        let Some(connection) = self
-            .connections
-            .get(key)
-            .filter(|connection| !connection.conn.up)
-        else {
-            return;
-        };
-        match &connection.kind {
-            ConnectionKind::CacheServer(upstream)
-                if upstream.connect_deadline(&self.limits) > now =>
-            {
-                let at = upstream.connect_deadline(&self.limits);
-                self.deadlines.set(at, Timer::ConnectTimeout(key));
-            }
-            _ => self.close(now, key),
-        }
-    }
-
     /// Sends queued attempts and applies the events of a connection. Returns false if the connection has to be
     /// closed.
     pub(super) fn flush_upstream(&mut self, now: Micros, key: Key) -> bool {
@@ -236,16 +215,6 @@
         let (server, mut events) = (upstream.server, Vec::new());
         let is_open = upstream.flush(now, conn, &self.core, &self.limits, &mut events);
         let check_at = upstream.next_check_at(now, conn.up, &self.limits);
-        if let Some(at) = check_at.filter(|_| is_open) {
-            // One timer per connection: each check schedules the next one.
-            let earlier = upstream.check_due.filter(|due| due.at <= at);
-            if earlier.is_none() {
-                let due = self.deadlines.set(at, Timer::CheckCacheConnection(key));
-                if let Some(later) = upstream.check_due.replace(due) {
-                    self.deadlines.cancel(later);
-                }
-            }
-        }
         // A server that is draining, gone or has a new address gets no new attempts on this connection, so the
         // connection is closed once idle. If the machine of the server has failed, nothing else would close it.
         let has_moved = self
@@ -253,49 +222,11 @@
             .endpoint(server)
             .is_some_and(|at| upstream.endpoint != Some(at));
         let is_done = upstream.is_idle() && (has_moved || !self.core.is_cache_ready(server));
-        self.apply_upstream_events(now, server, events);
-        is_open && !is_done
-    }
-
-    /// Reads on if the time limit of an incomplete response has passed: its rest may have arrived while the event loop was
-    /// delayed. Returns false if the connection has to be closed.
-    fn read_overdue_response(&mut self, now: Micros, key: Key) -> bool {
-        let Some(Connection {
-            conn,
-            kind: ConnectionKind::CacheServer(upstream),
-            ..
-        }) = self.connections.get_mut(key)
-        else {
-            return true;
-        };
-        let is_overdue = upstream
-            .partial_response_deadline(&self.limits)
-            .is_some_and(|at| at <= now);
-        if !is_overdue || conn.read(false) != Progress::Moved {
-            return true;
+        if let Some(at) = check_at.filter(|_| is_open) {
+            self.schedule_check(key, at);
         }
-        let (server, mut events) = (upstream.server, Vec::new());
-        let result = upstream.read(now, conn, &self.core, &mut events);
         self.apply_upstream_events(now, server, events);
-        if let Err(e) = &result {
-            log::warn!("closing a connection to a cache server: {e}");
-        }
-        result.is_ok()
-    }
-
-    /// Removes the finished streams of a connection to a cache server, and flushes the connection.
-    pub(super) fn check_cache_connection(&mut self, now: Micros, key: Key) {
-        if let Some(Connection {
-            kind: ConnectionKind::CacheServer(upstream),
-            ..
-        }) = self.connections.get_mut(key)
-        {
-            if let Some(due) = upstream.check_due.take() {
-                self.deadlines.cancel(due);
-            }
-            upstream.remove_finished(now, &self.limits);
-        }
-        self.flush_or_close(now, key);
+        is_open && !is_done
     }
 
     /// Finishes the attempts of a connection to a cache server that was closed.
