--- a/daemon/src/daemon/startup/mod.rs
+++ b/daemon/src/daemon/startup/mod.rs
@@ -26,6 +26,7 @@
 use crate::net::{Clock, Deadlines, Listener, Poll, SlotTable};
 use crate::plain_purges::PlainPurges;
 use error::{registration_error, system_error};
+use linnetknot::Micros;
 use linnetknot_discovery::{Damping, EndpointTable, ListValidator, Source as ListSource};
 use linnetknot_origin_health::{OriginHealth, ZonePosition};
 use sockets::{open_cdni, open_peers, Sockets};
@@ -93,6 +94,18 @@
     sources
 }
 
+/// Returns an empty endpoint list of the configured sources.
+fn endpoint_table(config: &Config, damping: Damping) -> EndpointTable {
+    EndpointTable::new(list_sources(config), damping, config.limits.discovery())
+}
+
+/// Returns the state of the shared health of the origin, if it is shared.
+fn origin_health(config: &Config, now: Micros) -> Option<OriginHealth> {
+    config
+        .share_origin_health
+        .then(|| OriginHealth::new(ZonePosition::of(&config.settings), now))
+}
+
 /// The state of Consul, if configured, and the writer of its cached lists.
 struct ConsulParts {
     state: Option<consul::State>,
@@ -208,9 +221,6 @@
     fn assemble(config: Config, source: Source, parts: PreparedParts) -> Self {
         let now = parts.clock.now();
         let stored = OperatorFiles::load(&config.operator_state_folder, config.seed, now);
-        let origin_health = config
-            .share_origin_health
-            .then(|| OriginHealth::new(ZonePosition::of(&config.settings), now));
         Daemon {
             clock: parts.clock,
             core: parts.core,
@@ -227,11 +237,7 @@
             cache_connections: BTreeMap::new(),
             deadlines: Deadlines::default(),
             bus: bus::State::new(config.seed, &config.limits),
-            endpoint_table: EndpointTable::new(
-                list_sources(&config),
-                parts.consul.damping,
-                config.limits.discovery(),
-            ),
+            endpoint_table: endpoint_table(&config, parts.consul.damping),
             list_validator: ListValidator::default(),
             endpoint_table_due: None,
             logged_notices: LoggedNotices::default(),
@@ -241,7 +247,7 @@
             peer_index: PeerIndex::default(),
             plain_purges: PlainPurges::new(&config.limits),
             plain_purges_due: None,
-            origin_health,
+            origin_health: origin_health(&config, now),
             dropped_datagrams: (0, 0),
             cdni: parts.trigger_api,
             cdni_queue: AcceptQueue::default(),
