--- a/daemon/src/daemon/turn.rs
+++ b/daemon/src/daemon/turn.rs
@@ -131,7 +131,7 @@
     /// 0 if the delay is normal.
     #[cfg(test)]
     pub(super) fn unread_delay(&self, now: Micros) -> Micros {
-        Self::delay_since(now, self.arrived_since)
+        Self::delay_since(now, self.input_arrived_since(None))
     }
 
     /// Returns the earliest time at which input that is read now may have arrived. `earlier` tells whether an earlier turn
