Report entries out of order, and the logs of a play that broke a rule

Change: fleet status has one key more, 'reordered', and its table 'entries out of order': the length of the reorder buffer. A play of the fault matrix that broke a rule prints for each proxy the digest and last indexes of its logs, the purges that no log contains and the entries out of order. No decision changes.

--- a/daemon/src/daemon/fleet_status.rs
+++ b/daemon/src/daemon/fleet_status.rs
@@ -49,6 +49,7 @@
             pending_commits: self.pending_commits.len(),
             under_replicated: replica.under_replicated(),
             unlogged_purges: self.unlogged_purges(),
+            reordered_entries: replica.reordered_entries(),
             committed: counters.committed,
             rejected: counters.commits_rejected,
             alive_members: self.membership.as_ref().map_or(1, Membership::up),
--- a/daemon/src/fleet/mod.rs
+++ b/daemon/src/fleet/mod.rs
@@ -62,6 +62,9 @@
     /// entries that arrived out of order.
     #[serde(rename = "unlogged", default)]
     pub unlogged_purges: usize,
+    /// The number of entries that arrived out of order and wait for the entries before them.
+    #[serde(rename = "reordered", default)]
+    pub reordered_entries: usize,
     /// The number of commits of this process.
     #[serde(rename = "promised")]
     pub committed: u64,
--- a/daemon/src/fleet/table.rs
+++ b/daemon/src/fleet/table.rs
@@ -53,8 +53,11 @@
             (
                 "lagging",
                 format!(
-                    "{} under-replicated entries of replication factor {}; {} purges in no log yet",
-                    self.under_replicated, self.replication_factor, self.unlogged_purges
+                    "{} under-replicated entries of replication factor {}; {} purges in no log yet; {} entries out of order",
+                    self.under_replicated,
+                    self.replication_factor,
+                    self.unlogged_purges,
+                    self.reordered_entries
                 ),
             ),
         ]
--- a/daemon/tests/fleet_status.rs
+++ b/daemon/tests/fleet_status.rs
@@ -42,6 +42,7 @@
         pending_commits: 1,
         under_replicated: 3,
         unlogged_purges: 6,
+        reordered_entries: 7,
         committed: 4,
         rejected: 2,
         alive_members: 3,
@@ -77,7 +78,7 @@
     let json = serde_json::json!({
         "name": "p0", "machine": "m0", "life": "5", "wait": 1, "holders": 2, "end": 9, "on_disk": 8, "entries": 7,
         "compacted": 5, "table_bytes": 4_194_304, "store_error": "reason", "catching_up": true, "digest": "00",
-        "waiting": 1, "short": 3, "unlogged": 6, "promised": 4, "refused": 2, "up": 3, "replaced": false,
+        "waiting": 1, "short": 3, "unlogged": 6, "reordered": 7, "promised": 4, "refused": 2, "up": 3, "replaced": false,
         "peers": [{
             "address": "255.255.255.200:65535", "machine": "machine-of-a-long-name",
             "name": "a-proxy-of-quite-a-long-name", "standing": "suspect", "life": "ffffffffffffff",
@@ -99,6 +100,7 @@
         "store_error",
         "catching_up",
         "unlogged",
+        "reordered",
     ] {
         without_newer_keys.as_object_mut().unwrap().remove(key);
     }
@@ -107,6 +109,7 @@
         (parsed.compacted, parsed.store_error, parsed.unlogged_purges),
         (0, None, 0)
     );
+    assert_eq!(parsed.reordered_entries, 0);
 }
 
 #[test]
--- a/rehearse/src/fault_matrix/matrix.rs
+++ b/rehearse/src/fault_matrix/matrix.rs
@@ -144,6 +144,8 @@
                         .iter()
                         .map(|breach| format!("{name}: {breach}")),
                 );
+                self.notes
+                    .extend(played.states.iter().map(|state| format!("{name}: {state}")));
             }
         }
     }
--- a/rehearse/src/fault_matrix/mod.rs
+++ b/rehearse/src/fault_matrix/mod.rs
@@ -4,9 +4,11 @@
 
 mod matrix;
 mod points;
+mod proxy_state;
 
 pub use matrix::Matrix;
 pub use points::{Defect, FaultPoint, FaultPointEntry, DEFECTS, FAULT_POINTS};
+pub use proxy_state::ProxyState;
 
 use crate::rules::commits::{judge, CommitRecord, FinalState, PurgeAnswer, PurgeRequest};
 use crate::rules::Breach;
@@ -61,6 +63,8 @@
     pub record: CommitRecord,
     /// The breaches of rules.
     pub breaches: Vec<Breach>,
+    /// The state of each running proxy, if a rule was broken.
+    pub states: Vec<ProxyState>,
     /// The time from the return of the failed proxy until all converged, if they did.
     pub converged_in: Option<Duration>,
 }
@@ -196,9 +200,15 @@
     let converged_in = play.wait_for_convergence(CONVERGENCE_TIMEOUT)?;
     play.record_final_states(PROXIES + later.len(), converged_in.is_some())?;
     let breaches = judge(&play.record);
+    let states = if breaches.is_empty() {
+        Vec::new()
+    } else {
+        play.proxy_states()
+    };
     Ok(PlayResult {
         record: play.record,
         breaches,
+        states,
         converged_in,
     })
 }
@@ -332,6 +342,16 @@
         self.fleet.restart(failed_proxy, disk)
     }
 
+    /// Returns the replication state of each proxy that answers.
+    fn proxy_states(&self) -> Vec<ProxyState> {
+        let state = |final_state: &FinalState| {
+            let proxy = final_state.proxy;
+            let status = self.fleet.status(proxy).ok()?;
+            Some(ProxyState::new(proxy, status))
+        };
+        self.record.final_states.iter().filter_map(state).collect()
+    }
+
     /// Records the final state of each running proxy.
     fn record_final_states(&mut self, proxies: usize, has_converged: bool) -> io::Result<()> {
         let running: Vec<usize> = (0..proxies)
--- a/replication/src/reorder.rs
+++ b/replication/src/reorder.rs
@@ -66,6 +66,11 @@
         self.logs.keys().copied()
     }
 
+    /// Returns the number of buffered entries.
+    pub(crate) fn len(&self) -> usize {
+        self.len
+    }
+
     pub(crate) fn is_empty(&self) -> bool {
         self.len == 0
     }
--- a/replication/src/replica/mod.rs
+++ b/replication/src/replica/mod.rs
@@ -129,6 +129,11 @@
         &self.log_store
     }
 
+    /// Returns the number of entries that arrived out of order and wait for the entries before them.
+    pub fn reordered_entries(&self) -> usize {
+        self.reorder_buffer.len()
+    }
+
     /// Returns the counters since the start.
     pub fn counters(&self) -> Counters {
         Counters {
