--- a/daemon/tests/lost_writer.rs
+++ b/daemon/tests/lost_writer.rs
@@ -1,6 +1,7 @@
-//! Purges that no log contains after their writer was lost with its disk, although they are in force at a peer. Links lose chosen datagrams, so that
-//! the order of events is the same in every run.
+//! Purges that no log contains after their writer was lost with its disk, although they are in force at a peer. Links lose
+//! chosen datagrams, so that the order of events is the same in every run.
 
+use linnetknot_discovery::server_id;
 use linnetknot_harness::clients::{poll_until, TIMEOUT};
 use linnetknot_harness::fleet::{Disk, Fleet, Setup};
 use linnetknot_harness::links::LinkConditions;
@@ -69,6 +70,13 @@
     fleet
 }
 
+/// Returns the first bytes of the datagram with the first entry of the log that the writer has begun.
+fn first_entry_prefix(fleet: &Fleet) -> String {
+    let writer = server_id(&format!("p{WRITER}"));
+    let epoch = fleet.status(WRITER).unwrap().epoch;
+    format!("{ENTRY_PREFIX} {writer:x} {epoch} 0 1 ")
+}
+
 /// Returns the proxies at which the purge is in force.
 fn holders(fleet: &Fleet) -> Vec<usize> {
     (0..3)
@@ -140,3 +148,24 @@
     fleet.restart(WRITER, Disk::Lost).unwrap();
     check_agreement(&fleet);
 }
+
+/// Only the entry of the purge is lost. The entries of the trigger's status after it arrive, and wait in the reorder buffer
+/// while the purge is in force as a plain purge.
+#[test]
+fn a_purge_whose_entry_alone_is_lost_is_in_force_at_all_proxies_or_at_none() {
+    let mut fleet = fleet_with_unaware_writer(74, "");
+    let [reached, unreached] = PEERS;
+    fleet.links.set((WRITER, unreached), LinkConditions::CUT);
+    let lost_entry = first_entry_prefix(&fleet);
+    fleet.links.lose_prefix((WRITER, reached), &lost_entry);
+    assert_eq!(fleet.purge(WRITER, OBJECT).unwrap(), 503);
+    until("the entries after the lost one arrived", || {
+        fleet.status(reached).unwrap().reordered_entries > 0
+    });
+    assert!(fleet.wait_for_purge(reached, OBJECT).unwrap());
+    fleet.kill(WRITER).unwrap();
+    fleet.links.clear_lost_prefixes();
+    fleet.links.set_all(LinkConditions::default());
+    fleet.restart(WRITER, Disk::Lost).unwrap();
+    check_agreement(&fleet);
+}
