--- a/daemon/tests/lost_writer.rs
+++ b/daemon/tests/lost_writer.rs
@@ -84,6 +84,14 @@
         .collect()
 }
 
+/// Replaces the writer by a process without its disk, and clears the faults of all links.
+fn lose_writer(fleet: &mut Fleet) {
+    fleet.kill(WRITER).unwrap();
+    fleet.links.clear_lost_prefixes();
+    fleet.links.set_all(LinkConditions::default());
+    fleet.restart(WRITER, Disk::Lost).unwrap();
+}
+
 /// Waits until the fleet has converged, and checks that the purge is then in force at all proxies or at none.
 fn check_agreement(fleet: &Fleet) {
     until("the logs are equal", || {
@@ -108,10 +116,7 @@
     for peer in reached {
         assert!(fleet.wait_for_purge(*peer, OBJECT).unwrap(), "p{peer}");
     }
-    fleet.kill(WRITER).unwrap();
-    fleet.links.clear_lost_prefixes();
-    fleet.links.set_all(LinkConditions::default());
-    fleet.restart(WRITER, Disk::Lost).unwrap();
+    lose_writer(&mut fleet);
     check_agreement(&fleet);
 }
 
@@ -142,10 +147,7 @@
     fleet.links.lose_prefix((WRITER, reached), PLAIN_PREFIX);
     assert_eq!(fleet.purge(WRITER, OBJECT).unwrap(), 503);
     assert!(fleet.wait_for_purge(reached, OBJECT).unwrap());
-    fleet.kill(WRITER).unwrap();
-    fleet.links.clear_lost_prefixes();
-    fleet.links.set_all(LinkConditions::default());
-    fleet.restart(WRITER, Disk::Lost).unwrap();
+    lose_writer(&mut fleet);
     check_agreement(&fleet);
 }
 
@@ -163,9 +165,6 @@
         fleet.status(reached).unwrap().reordered_entries > 0
     });
     assert!(fleet.wait_for_purge(reached, OBJECT).unwrap());
-    fleet.kill(WRITER).unwrap();
-    fleet.links.clear_lost_prefixes();
-    fleet.links.set_all(LinkConditions::default());
-    fleet.restart(WRITER, Disk::Lost).unwrap();
+    lose_writer(&mut fleet);
     check_agreement(&fleet);
 }
