--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -196,6 +196,17 @@
         self.record("%s answered %s 200 %s" % (self.uid, command[1].decode(), answer))
         self.write(connection, writing, [command[1], word, answer.encode(), body])
 
+    def drop_later(self, key, ts, after_s):
+        """Drops by itself, some time after a purge, the copies of an object that are older than the purge."""
+        def drop():
+            with self.lock:
+                for name in [name for name, made in self.copies.items() if name[0] == key and made < ts]:
+                    del self.copies[name]
+            self.record("%s has dropped its copies of %s from before the purge" % (self.uid, key))
+        timer = threading.Timer(after_s, drop)
+        timer.daemon = True
+        timer.start()
+
     def entry(self, state="ready", boot_ms=0):
         return {"uid": self.uid, "endpoint": self.endpoint, "az": self.zone, "model": self.kind, "pod_group": 0,
                 "state": state, "capacity_hint": 4, "boot_ms": boot_ms}
@@ -231,6 +242,12 @@
     def topology(self, entries, rev, whole=False):
         return self.publish({"topology": {"rev": rev, "all": whole, "targets": entries}})
 
+    def purge(self, key):
+        """Tells the purge of an object, made now."""
+        ts = now_ms()
+        self.publish({"ban": {"url": key, "ts": ts}})
+        return ts
+
     def go_down(self):
         with self.changed:
             self.open = False
