--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -5,6 +5,7 @@
 """
 import json
 import os
+import re
 import shutil
 import signal
 import socket
@@ -14,7 +15,6 @@
 import tempfile
 import threading
 import time
-import tomllib
 
 ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
 
@@ -445,8 +445,8 @@
         os.makedirs(self.tmpdir, exist_ok=True)
         self.config_path = os.path.join(self.folder, "config.json")
         self.write(configuration)
-        with open(os.path.join(ROOT, "deploy", "balancer.toml"), "rb") as file:
-            run = tomllib.load(file)["run"]
+        with open(os.path.join(ROOT, "deploy", "balancer.toml")) as file:
+            run = re.search(r'^run = "([^"]*)"$', file.read(), re.MULTILINE).group(1)
         environment = {"PATH": os.environ["PATH"], "ROUTER_NAME": configuration["name"],
                        "ROUTER_LISTEN": configuration["listen"], "ROUTER_CONFIG": self.config_path,
                        "TMPDIR": self.tmpdir, "RUST_LOG": "info"}
