--- a/daemon/tests/reload_of_broken_files.rs
+++ b/daemon/tests/reload_of_broken_files.rs
@@ -13,7 +13,7 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 use test_proxy::{object_id, send_and_receive, TestProxy};
 
 /// The time after SIGHUP by which an event of the bus must be known, with the grace of purges and the slack of sockets.
@@ -22,11 +22,10 @@
 const DRAIN_DEADLINE: Duration = Duration::from_millis(4_000 + 1_000 + 50);
 
 /// Reloads a configuration that lacks the key `bus`.
-fn reload_without_bus(proxy: &mut TestProxy) -> Instant {
+fn reload_without_bus(proxy: &mut TestProxy) {
     let file = proxy.config_file.clone();
     file.lock().unwrap().as_object_mut().unwrap().remove("bus");
     proxy.reload();
-    Instant::now()
 }
 
 /// Guards against a proxy that takes a file without `bus` as one without an event bus, and never reads a purge again
@@ -34,19 +33,8 @@
 #[test]
 fn a_purge_after_a_reload_of_a_file_without_the_bus_takes_effect() {
     let mut proxy = TestProxy::start();
-    let mut web = proxy.web();
-    let made = send_and_receive(&mut web, "photo", &object_id(1)).made();
-    let reloaded = reload_without_bus(&mut proxy);
-    let purged_at = made.unwrap() + 1;
-    proxy
-        .bus
-        .push(json!({"ban": {"url": object_id(1), "ts": purged_at}}));
-    while send_and_receive(&mut web, "photo", &object_id(1)).made() == made {
-        assert!(
-            reloaded.elapsed() < PURGE_DEADLINE,
-            "a copy older than the purge is served"
-        );
-    }
+    reload_without_bus(&mut proxy);
+    proxy.assert_purge_takes_effect(PURGE_DEADLINE);
     proxy.stop();
 }
 
@@ -54,28 +42,11 @@
 #[test]
 fn a_drain_after_a_reload_of_a_file_without_the_bus_takes_effect() {
     let mut proxy = TestProxy::with(&["s-0a", "s-0b"], |_| {});
-    let mut web = proxy.web();
-    let reloaded = reload_without_bus(&mut proxy);
-    let draining = entry(&proxy.caches[0], "here", "box", "draining");
-    proxy.bus.list(false, vec![draining]);
-    while fetches_at_first_cache(&proxy, &mut web) > 0 {
-        assert!(
-            reloaded.elapsed() < DRAIN_DEADLINE,
-            "the draining cache is used"
-        );
-    }
+    reload_without_bus(&mut proxy);
+    proxy.assert_drain_takes_effect(DRAIN_DEADLINE);
     proxy.stop();
 }
 
-/// Sends requests for several objects, and returns how many of them reach the first cache.
-fn fetches_at_first_cache(proxy: &TestProxy, web: &mut WebServer) -> usize {
-    let before = proxy.caches[0].arrivals().len();
-    for number in 0..20 {
-        send_and_receive(web, "photo", &object_id(100 + number));
-    }
-    proxy.caches[0].arrivals().len() - before
-}
-
 /// A daemon process, whose log lines show when it has handled a SIGHUP.
 struct Process {
     child: Child,
--- a/daemon/tests/test_proxy/mod.rs
+++ b/daemon/tests/test_proxy/mod.rs
@@ -12,6 +12,7 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::thread::JoinHandle;
+use std::time::{Duration, Instant};
 
 /// A daemon on its own thread, connected to fake caches, a fake origin and a fake event bus.
 pub(crate) struct TestProxy {
@@ -181,10 +182,8 @@
 
     /// Reloads the configuration and waits until the reload is complete, which it is once a further reload begins.
     pub(crate) fn reload(&mut self) {
-        let first = self.hold();
-        drop(first);
-        let second = self.hold();
-        drop(second);
+        let held = self.hold();
+        self.hold_in_next_turn(&held);
     }
 
     /// Requests a reload, calls `release`, and waits until the daemon starts to read its configuration again.
@@ -201,6 +200,44 @@
         WebServer::connect(self.client_address).unwrap()
     }
 
+    /// Sends a purge on the event bus, and asserts that it takes effect within a time. The proxy must have one cache:
+    /// with several, a new copy of another cache would look like the effect of the purge.
+    pub(crate) fn assert_purge_takes_effect(&self, within: Duration) {
+        assert_eq!(self.caches.len(), 1);
+        let (mut web, object) = (self.web(), object_id(1));
+        let made = send_and_receive(&mut web, "photo", &object).made();
+        let purged_at = made.unwrap() + 1;
+        let sent = Instant::now();
+        self.bus
+            .push(json!({"ban": {"url": object, "ts": purged_at}}));
+        while send_and_receive(&mut web, "photo", &object).made() == made {
+            assert!(
+                sent.elapsed() < within,
+                "a copy older than the purge is served"
+            );
+        }
+    }
+
+    /// Sends the drain of the first cache on the event bus, and asserts that it takes effect within a time.
+    pub(crate) fn assert_drain_takes_effect(&self, within: Duration) {
+        let mut web = self.web();
+        let draining = entry(&self.caches[0], "here", "box", "draining");
+        let sent = Instant::now();
+        self.bus.list(false, vec![draining]);
+        while self.fetches_at_first_cache(&mut web) > 0 {
+            assert!(sent.elapsed() < within, "the draining cache is used");
+        }
+    }
+
+    /// Sends requests for several objects, and returns how many of them reach the first cache.
+    fn fetches_at_first_cache(&self, web: &mut WebServer) -> usize {
+        let before = self.caches[0].arrivals().len();
+        for number in 0..20 {
+            send_and_receive(web, "photo", &object_id(100 + number));
+        }
+        self.caches[0].arrivals().len() - before
+    }
+
     /// Stops the daemon and checks that it exits without an error.
     pub(crate) fn stop(mut self) {
         self.control.stop().unwrap();
