Read events of the bus as long as the endpoint table and the memory allow

The log repeated 'a line is too long' ten times a second.

Cause: an event was one line, and a line could have 64 KiB (max_line_bytes, meant for HTTP), while the table holds 20,000 caches and the platform's largest fleet has 3,200 (464 KB in one event).

Change: events have a bound of their own, 512 bytes for each cache of the table and at most an eighth of the memory.

The tests failed before: the purge test with 'a copy older than the purge is served', the drain test with 'the draining cache is used', the bound with 'a line is too long'.

--- a/daemon/src/bus/mod.rs
+++ b/daemon/src/bus/mod.rs
@@ -1,14 +1,14 @@
 //! The event bus: purges and changes of the endpoint list, numbered by offsets and received as server-sent events.
 
-use crate::core::{server_id, Entry};
+mod event;
+
+pub use event::read_event;
+
 use crate::limits::Limits;
 use crate::wire::{http, sse, Parser, WireError};
-use linnetknot::{ListMode, Micros, Server, State};
+use event::{parse_event, EventError};
+use linnetknot::Micros;
 use linnetknot_discovery::ReceivedList;
-use linnetknot_settings::{
-    flag, get, int, int_or, list, number_or, object, text, text_or, wrong_type, Fields, Result,
-};
-use serde_json::Value;
 
 /// The update that an event carries.
 #[derive(Clone, Debug, PartialEq)]
@@ -35,83 +35,6 @@
     pub update: Option<BusUpdate>,
 }
 
-/// Parses an entry of the endpoint list.
-pub(crate) fn read_entry(m: &Fields) -> Result<Entry> {
-    let uid = text(m, "uid")?;
-    let endpoint = text(m, "endpoint")?;
-    let state = match text(m, "state")?.as_str() {
-        "ready" => State::Ready,
-        "draining" => State::Draining,
-        "gone" => State::Gone,
-        _ => return Err(wrong_type("state")),
-    };
-    let server = Server {
-        id: server_id(&uid),
-        zone: text_or(m, "az", "")?,
-        cell: int_or(m, "pod_group", 0)?,
-        kind: text_or(m, "model", "")?,
-        weight: number_or(m, "capacity_hint", 1.0)?,
-        state,
-        started: Some(int_or(m, "boot_ms", 0)? * 1000).filter(|at| *at > 0),
-    };
-    Ok(Entry {
-        server,
-        uid,
-        endpoint: endpoint.parse().map_err(|_| wrong_type("endpoint"))?,
-    })
-}
-
-/// Parses an event of the event bus from its JSON value.
-pub fn read_event(value: &Value) -> Result<BusEvent> {
-    let m = value.as_object().ok_or("an event is not an object")?;
-    let update = if get(m, "topology").is_some() {
-        let topology = object(m, "topology")?;
-        let mode = if flag(topology, "all")? {
-            ListMode::Full
-        } else {
-            ListMode::Delta
-        };
-        let rev = get(topology, "rev")
-            .map(|_| int(topology, "rev"))
-            .transpose()?;
-        let targets = list(topology, "targets")?;
-        let read = |v: &Value| read_entry(v.as_object().ok_or_else(|| wrong_type("targets"))?);
-        // Errors of entries that can't be parsed are collected, so that the other entries can still be applied.
-        let mut received = ReceivedList {
-            rev,
-            mode,
-            entries: Vec::new(),
-            unreadable: Vec::new(),
-        };
-        for target in targets {
-            match read(target) {
-                Ok(entry) => received.entries.push(entry),
-                Err(fault) => received.unreadable.push(fault),
-            }
-        }
-        Some(BusUpdate::List(received))
-    } else if get(m, "ban").is_some() {
-        let ban = object(m, "ban")?;
-        let object = get(ban, "url").map(|_| text(ban, "url")).transpose()?;
-        let group = if object.is_some() {
-            0
-        } else {
-            int(ban, "tag")?
-        };
-        Some(BusUpdate::Purge {
-            object,
-            group,
-            at: int(ban, "ts")? * 1000,
-        })
-    } else {
-        None
-    };
-    Ok(BusEvent {
-        offset: int(m, "offset")?,
-        update,
-    })
-}
-
 /// The response stream of one request to the bus.
 pub struct BusStream {
     http: http::MessageParser,
@@ -133,7 +56,7 @@
         let http = http::MessageParser::responses(limits.max_line_bytes, usize::MAX);
         BusStream {
             http,
-            events: sse::EventParser::new(limits.max_line_bytes),
+            events: sse::EventParser::new(limits.max_event_bytes),
         }
     }
 
@@ -171,9 +94,7 @@
             let (taken, event) = self.events.parse(bytes)?;
             bytes = &bytes[taken..];
             let Some(event) = event else { continue };
-            let value =
-                serde_json::from_str(&event.data).map_err(|_| WireError::Malformed("an event"))?;
-            match read_event(&value) {
+            match parse_event(&event.data) {
                 // Events that are repeated after a reconnect are skipped, so that the list does not return to an
                 // earlier state.
                 Ok(event) if event.offset > *last => {
@@ -181,7 +102,10 @@
                     events.push(event);
                 }
                 Ok(_) => {}
-                Err(e) => log::warn!("a malformed event of the event bus is ignored: {e}"),
+                Err(EventError::Field(e)) => {
+                    log::warn!("a malformed event of the event bus is ignored: {e}");
+                }
+                Err(EventError::NotJson) => return Err(WireError::Malformed("an event")),
             }
         }
         Ok(())
--- a/daemon/src/limits/machine.rs
+++ b/daemon/src/limits/machine.rs
@@ -10,6 +10,13 @@
 /// The maximum number of open requests, regardless of the memory.
 const MAX_REQUESTS: usize = 8192;
 
+/// The maximum number of cache servers.
+const MAX_CACHES: usize = 20_000;
+/// The space for an entry of the endpoint list in an event of the bus, in bytes of JSON.
+const EVENT_ENTRY_BYTES: usize = 512;
+/// An event of the bus may take up the memory divided by this number, as its text and its entries are held together.
+const EVENT_MEMORY_DIVISOR: usize = 8;
+
 /// The number of descriptors that are reserved for listeners, files and other uses than connections.
 const OTHER_DESCRIPTORS: usize = 24;
 /// The minimum number of connections for purposes other than clients: cache servers, the event bus and so on.
@@ -82,7 +89,8 @@
 
     // The endpoint list and the event bus.
     max_cached_list_bytes: 16 << 20,
-    max_caches: 20_000,
+    max_event_bytes: MIN_MEMORY_BYTES / EVENT_MEMORY_DIVISOR,
+    max_caches: MAX_CACHES,
     max_remembered_caches: 2_000,
     list_store_delay_us: 500_000,
     list_store_interval_us: 60_000_000,
@@ -155,5 +163,6 @@
         self.max_requests = MAX_REQUESTS.min(memory / REQUEST_BYTES);
         self.max_total_body_bytes = memory / 4;
         self.max_pending_response_bytes = memory / 4;
+        self.max_event_bytes = (memory / EVENT_MEMORY_DIVISOR).min(MAX_CACHES * EVENT_ENTRY_BYTES);
     }
 }
--- a/daemon/src/limits/mod.rs
+++ b/daemon/src/limits/mod.rs
@@ -73,7 +73,7 @@
     pub input_buffer_bytes: usize,
     /// The size of the send buffer of a connection, in bytes.
     pub output_buffer_bytes: usize,
-    /// The maximum number of bytes of a line of HTTP or an event of the bus.
+    /// The maximum number of bytes of a line of HTTP.
     pub max_line_bytes: usize,
 
     // Client connections.
@@ -126,6 +126,8 @@
     // The endpoint list and the event bus.
     /// The maximum size of a cached snapshot of the endpoint list, in bytes.
     pub max_cached_list_bytes: usize,
+    /// The maximum number of bytes of an event of the bus. One event may change the state of every cache server.
+    pub max_event_bytes: usize,
     /// The maximum number of cache servers that all sources together may list.
     pub max_caches: usize,
     /// The maximum number of cache servers that have left the list but are remembered for flap damping.
--- a/daemon/src/wire/sse.rs
+++ b/daemon/src/wire/sse.rs
@@ -29,6 +29,33 @@
             data: None,
         }
     }
+
+    /// Processes a line that is not empty: a field of an event, or a comment.
+    fn add_field(&mut self, mut line: String) -> Result<(), WireError> {
+        let name_end = line.find(':').unwrap_or(line.len());
+        let rest = line[name_end..].strip_prefix(':').unwrap_or("");
+        let value = rest.strip_prefix(' ').unwrap_or(rest);
+        let value_start = line.len() - value.len();
+        match &line[..name_end] {
+            "id" => self.id = value.to_owned(),
+            "data" => match &mut self.data {
+                Some(data) if data.len() + value.len() >= self.max_bytes => {
+                    return Err(WireError::TooLong("an event"));
+                }
+                Some(data) => {
+                    data.push('\n');
+                    data.push_str(value);
+                }
+                // A long line is not copied.
+                None => {
+                    line.drain(..value_start);
+                    self.data = Some(line);
+                }
+            },
+            _ => {} // Comments and unused fields.
+        }
+        Ok(())
+    }
 }
 
 impl Parser for EventParser {
@@ -44,33 +71,11 @@
             }
             let line = String::from_utf8(std::mem::take(&mut self.line))
                 .map_err(|_| WireError::Malformed("the text of an event"))?;
-            if line.is_empty() {
-                if let Some(data) = self.data.take() {
-                    return Ok((
-                        at,
-                        Some(Event {
-                            id: self.id.clone(),
-                            data,
-                        }),
-                    ));
-                }
-                continue;
-            }
-            let (name, value) = line.split_once(':').unwrap_or((&line, ""));
-            let value = value.strip_prefix(' ').unwrap_or(value);
-            match name {
-                "id" => self.id = value.to_owned(),
-                "data" => {
-                    let data = self.data.get_or_insert_default();
-                    if data.len() + value.len() > self.max_bytes {
-                        return Err(WireError::TooLong("an event"));
-                    }
-                    if !data.is_empty() {
-                        data.push('\n');
-                    }
-                    data.push_str(value);
-                }
-                _ => {} // Comments and unused fields.
+            if !line.is_empty() {
+                self.add_field(line)?;
+            } else if let Some(data) = self.data.take() {
+                let id = self.id.clone();
+                return Ok((at, Some(Event { id, data })));
             }
         }
         Ok((at, None))
--- /dev/null
+++ b/daemon/tests/event_bus.rs
@@ -0,0 +1,76 @@
+//! Events of the event bus that are long or can't be read: the events after them must take effect.
+
+mod test_proxy;
+
+use linnetknot_daemon::bus::{BusStream, BusUpdate};
+use linnetknot_daemon::limits::Limits;
+use serde_json::{json, Value};
+use std::time::Duration;
+use test_proxy::TestProxy;
+
+/// The time after a broken connection by which an event must be known, with the grace of purges and the slack of
+/// sockets.
+const PURGE_DEADLINE: Duration = Duration::from_millis(2_000 + 300 + 50);
+/// The same for a drain, with its grace.
+const DRAIN_DEADLINE: Duration = Duration::from_millis(2_000 + 1_000 + 50);
+/// The number of caches in the largest fleet of the platform.
+const FLEET_CACHES: usize = 3_200;
+
+/// Returns entries of the endpoint list for caches of another zone.
+fn foreign_entries(count: usize, state: &str) -> Vec<Value> {
+    let entry = |n: usize| {
+        json!({
+            "uid": format!("s-{:08x}", 0x10_0000 + n), "endpoint": format!("127.16.{}.{}:6565", n / 250, n % 250 + 1),
+            "az": "there", "model": "box", "pod_group": 0, "state": state, "capacity_hint": 4,
+            "boot_ms": 1_764_576_000_123_u64,
+        })
+    };
+    (0..count).map(entry).collect()
+}
+
+/// Tells of a zone with many caches that is lost and returns, one event for each.
+fn lose_and_return_a_zone(proxy: &TestProxy) {
+    for (state, count) in [("ready", 800), ("gone", 800), ("ready", FLEET_CACHES)] {
+        proxy.bus.list(false, foreign_entries(count, state));
+    }
+}
+
+/// Guards against a proxy that can't read an event of over 64 KB and asks for it again and again, so that it never
+/// learns of a purge after it (review, case 2).
+#[test]
+fn a_purge_after_the_loss_of_a_large_zone_takes_effect() {
+    let proxy = TestProxy::start();
+    lose_and_return_a_zone(&proxy);
+    proxy.assert_purge_takes_effect(PURGE_DEADLINE);
+    assert_eq!(proxy.bus.calls(), [0], "the stream is read without a break");
+    proxy.stop();
+}
+
+/// Guards against the same for a drain (review, case 2).
+#[test]
+fn a_drain_after_the_loss_of_a_large_zone_takes_effect() {
+    let proxy = TestProxy::with(&["s-0a", "s-0b"], |_| {});
+    lose_and_return_a_zone(&proxy);
+    proxy.assert_drain_takes_effect(DRAIN_DEADLINE);
+    proxy.stop();
+}
+
+/// The bound of an event follows from the number of caches and the memory of the machine, not from the size of a line.
+#[test]
+fn an_event_may_name_every_cache_of_the_largest_fleet_on_the_smallest_machine() {
+    for (memory_mb, count) in [(16, FLEET_CACHES), (32, FLEET_CACHES), (192, 20_000)] {
+        let limits = Limits::for_machine(256, memory_mb);
+        assert!(limits.max_event_bytes <= (memory_mb << 20) / 8);
+        let event = json!({"offset": 1, "topology": {"rev": 2, "all": false, "targets": foreign_entries(count, "gone")}});
+        let stream = format!(
+            "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\nid: 1\ndata: {event}\n\n"
+        );
+        let events = BusStream::new(&limits)
+            .read(stream.as_bytes(), &mut 0)
+            .unwrap();
+        let Some(BusUpdate::List(list)) = &events[0].update else {
+            panic!("not a list");
+        };
+        assert_eq!((list.entries.len(), list.unreadable.len()), (count, 0));
+    }
+}
--- a/harness/src/fakes/event_bus.rs
+++ b/harness/src/fakes/event_bus.rs
@@ -96,6 +96,11 @@
             .copied()
     }
 
+    /// Returns the `Last-Event-ID` of each read request so far.
+    pub fn calls(&self) -> Vec<u64> {
+        self.state().calls.clone()
+    }
+
     fn serve(&self, mut socket: TcpStream) -> io::Result<()> {
         let mut head = Vec::new();
         while !head.ends_with(b"\r\n\r\n") {
