Apply the events of the bus that precede an error in the same read

What callers saw: with a bus whose responses have an end, copies from before a purge were served; purges and drains never took effect.

Cause: a read that met an error, or the end of the response, returned the error alone. The events before it were dropped, and the next request named the same last event, so that the same bytes came again.

Change: the events that a read has completed are applied in any case, and the next request continues after them.

--- a/daemon/src/bus/mod.rs
+++ b/daemon/src/bus/mod.rs
@@ -60,23 +60,27 @@
         }
     }
 
-    /// Parses received bytes. Returns the complete events whose offsets are greater than `last`.
+    /// Parses received bytes. Adds the complete events whose offsets are greater than `last` to `events`, also those
+    /// that precede an error.
+    ///
+    /// # Errors
+    /// Fails on malformed input and at the end of the response, after which the stream must not be used.
     pub fn read(
         &mut self,
         mut input: &[u8],
         last: &mut u64,
-    ) -> std::result::Result<Vec<BusEvent>, WireError> {
-        let mut events = Vec::new();
+        events: &mut Vec<BusEvent>,
+    ) -> Result<(), WireError> {
         loop {
             let (taken, piece) = self.http.parse(input)?;
             input = &input[taken..];
             match piece {
-                None => return Ok(events),
+                None => return Ok(()),
                 Some(http::Piece::Head(head)) if head.status() != Some(200) => {
                     return Err(WireError::Malformed("the response of the event bus"));
                 }
                 Some(http::Piece::Head(_)) => {}
-                Some(http::Piece::Body(bytes)) => self.body(&bytes, last, &mut events)?,
+                Some(http::Piece::Body(bytes)) => self.body(&bytes, last, events)?,
                 Some(http::Piece::End) => {
                     return Err(WireError::Malformed("the end of the event stream"))
                 }
@@ -89,7 +93,7 @@
         mut bytes: &[u8],
         last: &mut u64,
         events: &mut Vec<BusEvent>,
-    ) -> std::result::Result<(), WireError> {
+    ) -> Result<(), WireError> {
         while !bytes.is_empty() {
             let (taken, event) = self.events.parse(bytes)?;
             bytes = &bytes[taken..];
--- a/daemon/src/daemon/sources/bus.rs
+++ b/daemon/src/daemon/sources/bus.rs
@@ -64,8 +64,10 @@
     }
 
     fn read(&mut self, _: Micros, input: &[u8], tasks: &mut Vec<Task>) -> Result<Flow, WireError> {
-        let events = self.feed.read(input, &mut self.last_offset)?;
+        let mut events = Vec::new();
+        let result = self.feed.read(input, &mut self.last_offset, &mut events);
         let last_offset = self.last_offset;
+        // Events that precede an error are applied, as the next request continues after them.
         tasks.push(Box::new(move |daemon, now| {
             (daemon.bus.last_offset, daemon.bus.read_at) = (last_offset, now);
             daemon.bus.backoff.reset();
@@ -73,7 +75,7 @@
                 .into_iter()
                 .for_each(|event| daemon.receive_bus_event(now, event));
         }));
-        Ok(Flow::NeedsInput)
+        result.map(|()| Flow::NeedsInput)
     }
 
     /// The bus is checked for silence by `schedule_bus_check`.
--- a/daemon/tests/event_bus.rs
+++ b/daemon/tests/event_bus.rs
@@ -55,6 +55,16 @@
     proxy.stop();
 }
 
+/// Guards against a proxy that drops the events of a response with an end, and asks for them again without an end
+/// (found beside review, case 2).
+#[test]
+fn events_of_a_response_that_ends_take_effect() {
+    let proxy = TestProxy::start();
+    proxy.bus.end_responses();
+    proxy.assert_purge_takes_effect(PURGE_DEADLINE);
+    proxy.stop();
+}
+
 /// The bound of an event follows from the number of caches and the memory of the machine, not from the size of a line.
 #[test]
 fn an_event_may_name_every_cache_of_the_largest_fleet_on_the_smallest_machine() {
@@ -65,8 +75,9 @@
         let stream = format!(
             "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\nid: 1\ndata: {event}\n\n"
         );
-        let events = BusStream::new(&limits)
-            .read(stream.as_bytes(), &mut 0)
+        let mut events = Vec::new();
+        BusStream::new(&limits)
+            .read(stream.as_bytes(), &mut 0, &mut events)
             .unwrap();
         let Some(BusUpdate::List(list)) = &events[0].update else {
             panic!("not a list");
--- a/harness/src/fakes/event_bus.rs
+++ b/harness/src/fakes/event_bus.rs
@@ -13,6 +13,18 @@
     events: Vec<Value>,
     calls: Vec<u64>,
     cuts: usize,
+    /// Whether each response has a length and ends after the events so far.
+    ends_responses: bool,
+}
+
+impl State {
+    /// Returns the events after the one with the number `last`, in the form of the stream.
+    fn events_after(&self, last: usize) -> String {
+        let numbered = self.events.iter().enumerate().skip(last);
+        numbered
+            .map(|(index, event)| format!("id: {}\ndata: {event}\n\n", index + 1))
+            .collect()
+    }
 }
 
 type Shared = Arc<(Mutex<State>, Condvar)>;
@@ -80,6 +92,13 @@
         self.state.1.notify_all();
     }
 
+    /// From now on each response waits for an event, states its length and ends after the events so far. The connections
+    /// of all readers are closed.
+    pub fn end_responses(&self) {
+        self.state().ends_responses = true;
+        self.cut();
+    }
+
     /// Waits up to ten seconds for the read request with this index. Returns the request's `Last-Event-ID`.
     pub fn call(&self, index: usize) -> Option<u64> {
         let waited = self
@@ -120,6 +139,9 @@
             self.state.1.notify_all();
             state.cuts
         };
+        if self.state().ends_responses {
+            return self.serve_ending_response(socket, at);
+        }
         socket.write_all(b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n")?;
         loop {
             let waits = |s: &mut State| s.events.len() <= at && s.cuts == cuts;
@@ -132,12 +154,25 @@
                 return Ok(());
             }
             let mut out = ":\n\n".to_owned();
-            for (number, event) in state.events.iter().enumerate().skip(at) {
-                out += &format!("id: {}\ndata: {event}\n\n", number + 1);
-            }
+            out += &state.events_after(at);
             at = state.events.len();
             drop(state);
             socket.write_all(out.as_bytes())?;
         }
     }
+
+    /// Waits for an event after the one with the number `last`, and writes a response that ends after the events so far.
+    fn serve_ending_response(&self, mut socket: TcpStream, last: usize) -> io::Result<()> {
+        let waits = |s: &mut State| s.events.len() <= last;
+        let waited = self
+            .state
+            .1
+            .wait_timeout_while(self.state(), Duration::from_secs(1), waits);
+        let body = waited
+            .unwrap_or_else(PoisonError::into_inner)
+            .0
+            .events_after(last);
+        let head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nContent-Length";
+        socket.write_all(format!("{head}: {}\r\n\r\n{body}", body.len()).as_bytes())
+    }
 }
