Skip an event of the bus that can't be read twice, instead of asking for it for ever

Cause: a failed read was repeated unchanged. The next request named the same last event and got the same bytes, whether the event was longer than its bound, not JSON or not UTF-8.

Change: an event that fails a second time is skipped, with an error in the log that names its number, and the next request continues after it. It is read twice as a damaged one may arrive intact. What a skipped event said is not in force.

--- a/daemon/src/bus/mod.rs
+++ b/daemon/src/bus/mod.rs
@@ -1,8 +1,10 @@
 //! The event bus: purges and changes of the endpoint list, numbered by offsets and received as server-sent events.
 
 mod event;
+mod unreadable;
 
 pub use event::read_event;
+pub use unreadable::UnreadableEvents;
 
 use crate::limits::Limits;
 use crate::wire::{http, sse, Parser, WireError};
@@ -35,6 +37,26 @@
     pub update: Option<BusUpdate>,
 }
 
+/// The reason why a stream of the bus can't be read on.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum StreamError {
+    /// The response is malformed, or it has ended.
+    Response(WireError),
+    /// An event can't be read.
+    Event {
+        /// The number of the event, if it was received.
+        id: Option<u64>,
+        /// The error of the event.
+        error: WireError,
+    },
+}
+
+impl From<WireError> for StreamError {
+    fn from(error: WireError) -> Self {
+        StreamError::Response(error)
+    }
+}
+
 /// The response stream of one request to the bus.
 pub struct BusStream {
     http: http::MessageParser,
@@ -70,19 +92,19 @@
         mut input: &[u8],
         last: &mut u64,
         events: &mut Vec<BusEvent>,
-    ) -> Result<(), WireError> {
+    ) -> Result<(), StreamError> {
         loop {
             let (taken, piece) = self.http.parse(input)?;
             input = &input[taken..];
             match piece {
                 None => return Ok(()),
                 Some(http::Piece::Head(head)) if head.status() != Some(200) => {
-                    return Err(WireError::Malformed("the response of the event bus"));
+                    return Err(WireError::Malformed("the response of the event bus").into());
                 }
                 Some(http::Piece::Head(_)) => {}
                 Some(http::Piece::Body(bytes)) => self.body(&bytes, last, events)?,
                 Some(http::Piece::End) => {
-                    return Err(WireError::Malformed("the end of the event stream"))
+                    return Err(WireError::Malformed("the end of the event stream").into())
                 }
             }
         }
@@ -93,9 +115,13 @@
         mut bytes: &[u8],
         last: &mut u64,
         events: &mut Vec<BusEvent>,
-    ) -> Result<(), WireError> {
+    ) -> Result<(), StreamError> {
         while !bytes.is_empty() {
-            let (taken, event) = self.events.parse(bytes)?;
+            let parsed = self.events.parse(bytes);
+            let (taken, event) = parsed.map_err(|error| StreamError::Event {
+                id: self.events.pending_id(),
+                error,
+            })?;
             bytes = &bytes[taken..];
             let Some(event) = event else { continue };
             match parse_event(&event.data) {
@@ -109,7 +135,12 @@
                 Err(EventError::Field(e)) => {
                     log::warn!("a malformed event of the event bus is ignored: {e}");
                 }
-                Err(EventError::NotJson) => return Err(WireError::Malformed("an event")),
+                Err(EventError::NotJson) => {
+                    return Err(StreamError::Event {
+                        id: event.id.parse().ok(),
+                        error: WireError::Malformed("an event"),
+                    });
+                }
             }
         }
         Ok(())
--- a/daemon/src/daemon/sources/bus.rs
+++ b/daemon/src/daemon/sources/bus.rs
@@ -1,6 +1,6 @@
 //! The event bus: keeps a long-lived connection, and reconnects if it ends or becomes silent.
 
-use crate::bus::{request, BusEvent, BusStream, BusUpdate};
+use crate::bus::{request, BusEvent, BusStream, BusUpdate, StreamError, UnreadableEvents};
 use crate::daemon::discovery::BUS;
 use crate::daemon::exchange::{Exchange, ExchangeEnd, Flow, Task};
 use crate::daemon::Daemon;
@@ -32,6 +32,8 @@
     /// The start times of caches. The local time for a reported date is computed once and kept, because a changed start
     /// time would be taken for a restart of the cache.
     starts: BTreeMap<ServerId, Start>,
+    /// The failed reads of the event after the last one.
+    unreadable: UnreadableEvents,
     /// The backoff between attempts to connect.
     backoff: Backoff,
 }
@@ -46,6 +48,7 @@
             last_offset: 0,
             read_at: 0,
             starts: BTreeMap::new(),
+            unreadable: UnreadableEvents::default(),
             backoff,
         }
     }
@@ -75,7 +78,17 @@
                 .into_iter()
                 .for_each(|event| daemon.receive_bus_event(now, event));
         }));
-        result.map(|()| Flow::NeedsInput)
+        match result {
+            Ok(()) => Ok(Flow::NeedsInput),
+            Err(StreamError::Response(error)) => Err(error),
+            Err(StreamError::Event { id, error }) => {
+                let cause = error.clone();
+                tasks.push(Box::new(move |daemon, _| {
+                    daemon.record_unreadable_event(id, &cause);
+                }));
+                Err(error)
+            }
+        }
     }
 
     /// The bus is checked for silence by `schedule_bus_check`.
@@ -169,6 +182,15 @@
         self.apply_bus_event(now, event);
     }
 
+    /// Records that the event after the last one can't be read, and skips it if that is not the first time.
+    fn record_unreadable_event(&mut self, id: Option<u64>, error: &WireError) {
+        let Some(skipped) = self.bus.unreadable.record(self.bus.last_offset, id) else {
+            return;
+        };
+        log::error!("event {skipped} of the bus can't be read and is skipped: {error}");
+        self.bus.last_offset = skipped;
+    }
+
     /// Connects to the bus and resumes after the last event.
     pub(in crate::daemon) fn connect_bus(&mut self, now: Micros) {
         let Some(bus) = self.config.bus else { return };
--- a/daemon/src/wire/sse.rs
+++ b/daemon/src/wire/sse.rs
@@ -30,6 +30,12 @@
         }
     }
 
+    /// Returns the number of the event that is being parsed, if its id is a number. Before the id of an event, it is
+    /// that of the event before.
+    pub fn pending_id(&self) -> Option<u64> {
+        self.id.parse().ok()
+    }
+
     /// Processes a line that is not empty: a field of an event, or a comment.
     fn add_field(&mut self, mut line: String) -> Result<(), WireError> {
         let name_end = line.find(':').unwrap_or(line.len());
--- a/daemon/tests/event_bus.rs
+++ b/daemon/tests/event_bus.rs
@@ -55,6 +55,43 @@
     proxy.stop();
 }
 
+/// Returns the data of events that can't be read, whatever the memory: one that is too long, some that are not JSON, and
+/// one that is not text.
+fn unreadable_events() -> [Vec<u8>; 4] {
+    [
+        vec![b'x'; 25 << 20],
+        b"{\"offset\": 1, \"ban\": {".to_vec(),
+        b"not JSON".to_vec(),
+        vec![0xff, 0xfe],
+    ]
+}
+
+/// Guards against a proxy that asks for an unreadable event again and again, and never learns of a purge after it
+/// (review, case 2).
+#[test]
+fn a_purge_after_unreadable_events_takes_effect() {
+    let proxy = TestProxy::start();
+    for data in unreadable_events() {
+        proxy.bus.push_data(&data);
+        proxy.assert_purge_takes_effect(PURGE_DEADLINE);
+    }
+    // Each unreadable event is read twice, as a damaged one may arrive intact when it is read again.
+    let calls = proxy.bus.calls();
+    assert_eq!(calls, [0, 0, 1, 2, 3, 4, 5, 6, 7], "{calls:?}");
+    proxy.stop();
+}
+
+/// Guards against the same for a drain (review, case 2).
+#[test]
+fn a_drain_after_unreadable_events_takes_effect() {
+    let proxy = TestProxy::with(&["s-0a", "s-0b"], |_| {});
+    for data in &unreadable_events()[1..] {
+        proxy.bus.push_data(data);
+    }
+    proxy.assert_drain_takes_effect(DRAIN_DEADLINE);
+    proxy.stop();
+}
+
 /// Guards against a proxy that drops the events of a response with an end, and asks for them again without an end
 /// (found beside review, case 2).
 #[test]
--- a/harness/src/fakes/event_bus.rs
+++ b/harness/src/fakes/event_bus.rs
@@ -10,7 +10,8 @@
 
 #[derive(Default)]
 struct State {
-    events: Vec<Value>,
+    /// The data of the events, usually JSON without line ends.
+    events: Vec<Vec<u8>>,
     calls: Vec<u64>,
     cuts: usize,
     /// Whether each response has a length and ends after the events so far.
@@ -19,11 +20,14 @@
 
 impl State {
     /// Returns the events after the one with the number `last`, in the form of the stream.
-    fn events_after(&self, last: usize) -> String {
-        let numbered = self.events.iter().enumerate().skip(last);
-        numbered
-            .map(|(index, event)| format!("id: {}\ndata: {event}\n\n", index + 1))
-            .collect()
+    fn events_after(&self, last: usize) -> Vec<u8> {
+        let mut out = Vec::new();
+        for (index, data) in self.events.iter().enumerate().skip(last) {
+            out.extend_from_slice(format!("id: {}\ndata: ", index + 1).as_bytes());
+            out.extend_from_slice(data);
+            out.extend_from_slice(b"\n\n");
+        }
+        out
     }
 }
 
@@ -82,7 +86,13 @@
     pub fn push(&self, mut event: Value) {
         let mut state = self.state();
         event["offset"] = (state.events.len() + 1).into();
-        state.events.push(event);
+        state.events.push(event.to_string().into_bytes());
+        self.state.1.notify_all();
+    }
+
+    /// Publishes an event with this data, which need not be JSON.
+    pub fn push_data(&self, data: &[u8]) {
+        self.state().events.push(data.to_vec());
         self.state.1.notify_all();
     }
 
@@ -153,11 +163,11 @@
             if state.cuts != cuts {
                 return Ok(());
             }
-            let mut out = ":\n\n".to_owned();
-            out += &state.events_after(at);
+            let mut out = b":\n\n".to_vec();
+            out.extend(state.events_after(at));
             at = state.events.len();
             drop(state);
-            socket.write_all(out.as_bytes())?;
+            socket.write_all(&out)?;
         }
     }
 
@@ -173,6 +183,7 @@
             .0
             .events_after(last);
         let head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nContent-Length";
-        socket.write_all(format!("{head}: {}\r\n\r\n{body}", body.len()).as_bytes())
+        socket.write_all(format!("{head}: {}\r\n\r\n", body.len()).as_bytes())?;
+        socket.write_all(&body)
     }
 }
