Share operators' calls between the two processes of an upgrade

'online', 'out-of-service' and 'in-service' were lost as well, and of two calls at both processes one was overwritten.

Cause: both processes keep the operators' state in memory and read its files once, at the start. The old one accepted calls up to its exit and stored them in files that nobody read any more. Ruled out: the storing itself (the files held the call) and the order of the start (before and after SIGTERM alike).

Change: the files are shared state. A merge takes each decision from the process that changed it. This works as every accepted call is in the files, and both read them.

--- a/admin-api/src/admin/call.rs
+++ b/admin-api/src/admin/call.rs
@@ -25,6 +25,16 @@
     Budgets,
 }
 
+impl Call {
+    /// Returns whether the call may change the state that operators set.
+    pub fn changes_state(&self) -> bool {
+        match self {
+            Call::Offline(_) | Call::Online(_) | Call::OutOfService | Call::InService => true,
+            Call::Ready | Call::Fleet | Call::Budgets => false,
+        }
+    }
+}
+
 /// The error of a rejected request. The connection is closed after a response with the status of [`CallError::status`].
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum CallError {
--- a/admin-api/src/state.rs
+++ b/admin-api/src/state.rs
@@ -63,6 +63,32 @@
     pub out_of_service: bool,
 }
 
+impl OperatorState {
+    /// Merges the state in effect with the state that another process has stored. `base` is the state that both had in
+    /// common. A decision that the stored state has changed since is taken from there, and any other from this state.
+    #[must_use]
+    pub fn merge(&self, base: &OperatorState, stored: &OperatorState) -> OperatorState {
+        let is_banned = |id: &String| {
+            let stored_ban = stored.bans.contains(id);
+            if stored_ban == base.bans.contains(id) {
+                self.bans.contains(id)
+            } else {
+                stored_ban
+            }
+        };
+        let ids = self.bans.union(&stored.bans);
+        OperatorState {
+            sequence: self.sequence.max(stored.sequence),
+            bans: ids.filter(|id| is_banned(id)).cloned().collect(),
+            out_of_service: if stored.out_of_service == base.out_of_service {
+                self.out_of_service
+            } else {
+                stored.out_of_service
+            },
+        }
+    }
+}
+
 /// Executes the calls of operators and holds the resulting state.
 #[derive(Clone, Debug)]
 pub struct AdminController {
@@ -149,6 +175,17 @@
         }
     }
 
+    /// Replaces the state by one that includes the calls of another process. Returns the actions to execute.
+    pub fn adopt(&mut self, now: Micros, state: OperatorState) -> Vec<Effect> {
+        let added = state.bans.difference(&self.state.bans);
+        let revoked = self.state.bans.difference(&state.bans);
+        let mut effects: Vec<Effect> = added.cloned().map(Effect::Ban).collect();
+        effects.extend(revoked.cloned().map(Effect::Unban));
+        effects.extend(self.set_out_of_service(now, state.out_of_service));
+        self.state = state;
+        effects
+    }
+
     /// Executes a call. `is_known` returns whether a source lists a pop cache. `ready` states whether the process can
     /// serve requests, ignoring the state set by operators: it has a list of pop caches and is not stopping.
     pub fn handle_call(
--- a/admin-api/src/store.rs
+++ b/admin-api/src/store.rs
@@ -18,6 +18,11 @@
     ]
 }
 
+/// Returns the path of the file that a process locks while it changes the copies. Both processes of an upgrade may.
+pub fn lock_path(folder: &Path) -> PathBuf {
+    folder.join("linnetknot-ops.lock")
+}
+
 /// Encodes the state for storage.
 pub fn encode(state: &OperatorState) -> Vec<u8> {
     serde_json::to_vec(state).expect("strings, a number and a flag can be encoded as JSON")
@@ -38,11 +43,23 @@
     select_copy(copy_paths(folder).iter().map(|path| read_copy(path)))
 }
 
-/// Selects the complete copy with the lower sequence. A call succeeds only once both copies contain its change, so this
-/// copy contains the changes of all successful calls.
+/// Loads the state from a folder, or `None` if no copy is complete. Otherwise like [`load`].
+pub fn load_complete(folder: &Path) -> io::Result<Option<OperatorState>> {
+    select_complete_copy(copy_paths(folder).iter().map(|path| read_copy(path)))
+}
+
+/// Selects the copy to use, or the default state if no copy is complete.
 fn select_copy(
     copies: impl Iterator<Item = io::Result<Option<OperatorState>>>,
 ) -> io::Result<OperatorState> {
+    Ok(select_complete_copy(copies)?.unwrap_or_default())
+}
+
+/// Selects the complete copy with the lower sequence. A call succeeds only once both copies contain its change, so this
+/// copy contains the changes of all successful calls.
+fn select_complete_copy(
+    copies: impl Iterator<Item = io::Result<Option<OperatorState>>>,
+) -> io::Result<Option<OperatorState>> {
     let mut complete = None::<OperatorState>;
     let mut read_error = None;
     for copy in copies {
@@ -59,9 +76,9 @@
         }
     }
     match (complete, read_error) {
-        (Some(state), _) => Ok(state),
+        (Some(state), _) => Ok(Some(state)),
         (None, Some(e)) => Err(e),
-        (None, None) => Ok(OperatorState::default()),
+        (None, None) => Ok(None),
     }
 }
 
--- a/admin-api/tests/state.rs
+++ b/admin-api/tests/state.rs
@@ -144,3 +144,47 @@
         "a drain continues after an upgrade"
     );
 }
+
+fn state(sequence: u64, bans: &[&str], out_of_service: bool) -> OperatorState {
+    OperatorState {
+        sequence,
+        bans: bans.iter().map(|id| (*id).to_owned()).collect(),
+        out_of_service,
+    }
+}
+
+/// Both processes of an upgrade accept calls. The merged state contains those of both.
+#[test]
+fn merged_states_contain_the_changes_of_both_processes() {
+    let base = state(5, &["a", "b"], false);
+    // This process has lifted the ban of a and set that of c; the other one that of b and d.
+    let own = state(7, &["b", "c"], false);
+    let stored = state(8, &["a", "d"], true);
+    let merged = state(8, &["c", "d"], true);
+    assert_eq!(own.merge(&base, &stored), merged);
+    assert_eq!(stored.merge(&base, &own), merged);
+    // Without changes of this process the stored state applies, and the other way round.
+    assert_eq!(base.merge(&base, &stored), stored);
+    assert_eq!(own.merge(&base, &base), own);
+}
+
+#[test]
+fn adopting_a_state_returns_the_actions_for_its_changes() {
+    let mut controller = AdminController::new(state(5, &["a", "b"], false), 0);
+    let adopted = state(9, &["b", "c"], true);
+    assert_eq!(
+        controller.adopt(77, adopted.clone()),
+        [
+            Effect::Ban("c".into()),
+            Effect::Unban("a".into()),
+            Effect::Drain
+        ]
+    );
+    assert_eq!(controller.state(), &adopted);
+    assert_eq!(controller.drain_state(), DrainState::Draining(77));
+    assert_eq!(controller.adopt(78, adopted), []);
+    assert_eq!(
+        controller.adopt(79, state(10, &["b", "c"], false)),
+        [Effect::Resume]
+    );
+}
--- a/daemon/src/daemon/admin.rs
+++ b/daemon/src/daemon/admin.rs
@@ -214,9 +214,17 @@
         if let Some(status) = status {
             return Some(Reply::new(200, status));
         }
-        let is_replicated =
-            self.ledger.is_some() && !matches!(call, Call::Ready | Call::Fleet | Call::Budgets);
+        let is_replicated = self.ledger.is_some() && call.changes_state();
         let call_text = format!("{call:?}");
+        // The files stay locked until the call is stored.
+        let _lock = if call.changes_state() {
+            match self.lock_operator_state(now) {
+                Ok(lock) => lock,
+                Err(e) => return Some(Reply::unavailable(format!("nothing changed: {e}"))),
+            }
+        } else {
+            None
+        };
         let members = &self.endpoint_table;
         let is_listed = |id: &str| members.listed().any(|(entry, _)| entry.uid == id);
         let can_serve = self.can_serve();
--- a/daemon/src/daemon/mod.rs
+++ b/daemon/src/daemon/mod.rs
@@ -46,6 +46,7 @@
 mod registration;
 mod reload;
 mod replication;
+mod shared_operator_state;
 mod shutdown;
 mod signals;
 mod sources;
--- a/daemon/src/daemon/operator_state.rs
+++ b/daemon/src/daemon/operator_state.rs
@@ -3,6 +3,7 @@
 //! The state is read at startup, with retries if that fails. Both copies are written before a call succeeds. While the
 //! copies may differ from the state in effect, writing is retried.
 
+use super::shared_operator_state::SharedFiles;
 use super::Daemon;
 use crate::disk::{remove_leftovers, replace_unsynced, FailedAttempts, StagedFile};
 use crate::net::DeadlineId;
@@ -27,6 +28,8 @@
     /// Whether the files may differ from the state in effect.
     write_pending: bool,
     due: Option<DeadlineId>,
+    /// What this process knows of the files, which the other process of an upgrade may change.
+    pub(super) shared: SharedFiles,
 }
 
 /// The operators' state at startup, and its files.
@@ -52,6 +55,7 @@
             load_pending: false,
             write_pending: false,
             due: None,
+            shared: SharedFiles::default(),
         };
         let state = load(directory).unwrap_or_else(|e| {
             files.load_pending = !is_permanent(&e);
@@ -61,6 +65,7 @@
             );
             OperatorState::default()
         });
+        files.shared = SharedFiles::read(&state);
         LoadedState {
             admin_controller: AdminController::new(state, now),
             files,
@@ -109,6 +114,8 @@
             return false;
         }
         self.operator_files.backoff.reset();
+        let state = self.admin_controller.state();
+        self.operator_files.shared.record_written(state);
         fail::fail_point!("admin-kept");
         true
     }
@@ -151,7 +158,10 @@
                 self.apply_stored_state(now, state);
             }
         } else if self.operator_files.write_pending {
-            self.save_operator_state();
+            match self.lock_operator_state(now) {
+                Ok(_lock) => drop(self.save_operator_state()),
+                Err(e) => log::debug!("the operators' state is stored later: {e}"),
+            }
         }
         self.schedule_operator_state(now);
     }
@@ -162,6 +172,7 @@
         self.operator_files.load_pending = false;
         self.operator_files.backoff.reset();
         let is_drained = state.out_of_service;
+        self.operator_files.shared = SharedFiles::read(&state);
         let bans: Vec<String> = state.bans.iter().cloned().collect();
         self.admin_controller = AdminController::new(state, now);
         bans.iter().for_each(|id| self.ban(now, id));
--- a/daemon/src/daemon/startup/mod.rs
+++ b/daemon/src/daemon/startup/mod.rs
@@ -204,6 +204,7 @@
         daemon.start_recovery(now);
         daemon.schedule_store_opening(now);
         daemon.schedule_operator_state(now);
+        daemon.check_shared_operator_state(now);
         daemon.tick_replication(now);
         daemon.load_snapshots(now);
         daemon.connect_bus(now);
