Split the notes of a readiness reply from the execution of a call

Change: the two notes of a readiness reply have a function of their own. Nothing that the program does changes.

--- a/daemon/src/daemon/admin.rs
+++ b/daemon/src/daemon/admin.rs
@@ -233,17 +233,8 @@
         let CallOutcome { mut reply, effect } = self
             .admin_controller
             .handle_call(now, call, is_listed, can_serve);
-        if let Some(pending) = self.pending_store.as_ref().filter(|_| is_ready_call) {
-            let note = format!(
-                "; commands are rejected, as the store can't be opened: {}",
-                pending.reason()
-            );
-            reply.text.push_str(&note);
-        }
-        if is_ready_call && self.operator_files.is_load_pending() {
-            let note =
-                "; calls that change the state are rejected, as the stored operator state can't be read yet";
-            reply.text.push_str(note);
+        if is_ready_call {
+            self.add_readiness_notes(&mut reply);
         }
         if effect.is_some() && (self.lacks_store() || self.operator_files.is_load_pending()) {
             self.admin_controller = previous;
@@ -276,6 +267,22 @@
         Some(reply)
     }
 
+    /// Adds to the reply of a readiness call which calls are rejected at present, and why.
+    fn add_readiness_notes(&self, reply: &mut Reply) {
+        if let Some(pending) = &self.pending_store {
+            let note = format!(
+                "; commands are rejected, as the store can't be opened: {}",
+                pending.reason()
+            );
+            reply.text.push_str(&note);
+        }
+        if self.operator_files.is_load_pending() {
+            let note =
+                "; calls that change the state are rejected, as the stored operator state can't be read yet";
+            reply.text.push_str(note);
+        }
+    }
+
     /// Applies the effect of a call, or of a log entry that was restored.
     pub(super) fn apply_operator_effect(&mut self, now: Micros, effect: Effect) {
         match effect {
