Retry a reload whose file can't be read at the moment

Cause: a reload was tried once. An I/O error, or a lack of descriptors, ended it like an error in the file, but operators send no second SIGHUP for a sound file. The same for the token file of Consul: the change of the agents was lost. Ruled out by reading: a vanished operators' file and its sections (kept, with a line that a restart is needed). Run: a removed token_file (the last list stays until the key is back, as that file documents its defaults).

Change: such a reload is retried with a backoff of 0.1 to 2 s until it succeeds, fails for another reason, or another SIGHUP comes. This works as a reload is applied from the file alone, so that a later read gives the same result.

--- a/daemon/src/config/error.rs
+++ b/daemon/src/config/error.rs
@@ -2,6 +2,7 @@
 
 use crate::interconnect::InterconnectError;
 use linnetknot::SettingsError;
+use linnetknot_store::is_permanent;
 use std::io;
 
 /// An error of the configuration. Every message names the key at fault, or the file that can't be read.
@@ -70,6 +71,11 @@
 }
 
 impl ConfigError {
+    /// Returns whether a later read of the same files may succeed.
+    pub fn is_transient(&self) -> bool {
+        matches!(self, ConfigError::Unreadable { source, .. } if !is_permanent(source))
+    }
+
     /// Adds the path of the file in which the error was found.
     pub(super) fn in_file(self, path: &str) -> Self {
         ConfigError::InFile {
--- a/daemon/src/daemon/mod.rs
+++ b/daemon/src/daemon/mod.rs
@@ -85,6 +85,7 @@
     /// The configuration in force, and the function that reads a new one on SIGHUP.
     config: Config,
     config_source: Source,
+    reload_retries: reload::ReloadRetries,
     connections: SlotTable<Connection>,
     client_count: usize,
     /// Clients with received requests that this turn did not process.
--- a/daemon/src/daemon/reload.rs
+++ b/daemon/src/daemon/reload.rs
@@ -1,18 +1,74 @@
 //! Reloads the configuration on SIGHUP. Changes that a running daemon can't apply are logged and require a restart.
+//!
+//! A reload whose files can't be read at the moment is retried until it succeeds, fails for another reason or is
+//! replaced by a later one: the operators send no second SIGHUP.
 
+use super::consul::ReloadError as ConsulReloadError;
 use super::Daemon;
 use crate::config::{Config, ConfigError};
+use crate::interconnect::Consul;
+use crate::net::DeadlineId;
 use linnetknot::{Micros, Settings};
+use linnetknot_consul::Backoff;
+use std::error::Error;
+
+/// The shortest and the longest backoff between two attempts of a reload, before jitter.
+const MIN_RETRY_US: Micros = 100_000;
+const MAX_RETRY_US: Micros = 2_000_000;
+
+/// The retries of a reload whose files could not be read.
+pub(super) struct ReloadRetries {
+    backoff: Backoff,
+    due: Option<DeadlineId>,
+}
+
+impl ReloadRetries {
+    /// Creates the state without a failed reload.
+    pub(super) fn new(seed: u64) -> Self {
+        ReloadRetries {
+            backoff: Backoff::new(MIN_RETRY_US, MAX_RETRY_US, seed),
+            due: None,
+        }
+    }
+}
 
 impl Daemon {
-    /// Reloads the configuration. Open connections and requests are kept, and an invalid configuration changes
-    /// nothing: a daemon that exited because of it would disconnect all its clients.
+    /// Handles SIGHUP: reloads the configuration. Replaces the retries of an earlier reload.
     pub(super) fn reload(&mut self, now: Micros) {
         self.sighup.drain();
-        let mut new = match self.read_reloaded_config() {
-            Ok(new) => new,
-            Err(e) => return log::error!("SIGHUP: configuration is unchanged: {e}"),
-        };
+        if let Some(due) = self.reload_retries.due.take() {
+            self.deadlines.cancel(due);
+        }
+        self.reload_retries.backoff.reset();
+        self.try_reload(now);
+    }
+
+    /// Reads and applies the configuration. Open connections and requests are kept, and an invalid configuration
+    /// changes nothing: a daemon that exited because of it would disconnect all its clients.
+    fn try_reload(&mut self, now: Micros) {
+        match self.read_reloaded_config() {
+            Ok(new) => self.apply_reloaded_config(now, new),
+            Err(e) if e.is_transient() => self.retry_reload(now, &e),
+            Err(e) => log::error!("SIGHUP: configuration is unchanged: {e}"),
+        }
+    }
+
+    /// Schedules the next attempt of a reload. Its first failure is logged.
+    fn retry_reload(&mut self, now: Micros, error: &dyn Error) {
+        let retries = &mut self.reload_retries;
+        if retries.backoff.failures() == 0 {
+            log::error!("SIGHUP: configuration can't be read at the moment, retrying: {error}");
+        }
+        let at = now + retries.backoff.next_delay();
+        let due = self.schedule(at, |daemon, now| {
+            daemon.reload_retries.due = None;
+            daemon.try_reload(now);
+        });
+        self.reload_retries.due = Some(due);
+    }
+
+    /// Applies a valid and complete configuration.
+    fn apply_reloaded_config(&mut self, now: Micros, mut new: Config) {
         self.config.adopt_keys_of(&new);
         self.reload_settings(&new);
         self.warn_of_fixed_changes(&new);
@@ -34,8 +90,20 @@
         if bus_moved {
             self.reconnect_moved_bus(now);
         }
-        if !self.reload_consul(now, new.consul.take()) {
-            log::warn!("SIGHUP: the change of 'consul' needs a restart");
+        self.reload_consul_section(now, new.consul.take());
+    }
+
+    /// Applies a changed section `consul`, and retries the reload if the token can't be read at the moment.
+    fn reload_consul_section(&mut self, now: Micros, new: Option<Consul>) {
+        match self.reload_consul(now, new) {
+            Ok(()) => {}
+            Err(ConsulReloadError::NeedsRestart) => {
+                log::warn!("SIGHUP: the change of 'consul' needs a restart");
+            }
+            Err(ConsulReloadError::Token(e)) if e.is_transient() => self.retry_reload(now, &e),
+            Err(ConsulReloadError::Token(e)) => {
+                log::error!("SIGHUP: 'consul' is unchanged: {e}");
+            }
         }
     }
 
--- a/daemon/src/daemon/sources/consul/mod.rs
+++ b/daemon/src/daemon/sources/consul/mod.rs
@@ -16,10 +16,10 @@
     WatchUpdate,
 };
 use linnetknot_discovery::{Entry, Evidence, SourceId};
-use std::error::Error;
-use std::fs;
+use linnetknot_store::is_permanent;
 use std::net::SocketAddr;
 use std::path::PathBuf;
+use std::{fs, io};
 
 /// The watch of the services in one data centre.
 struct WatchState {
@@ -49,7 +49,36 @@
 #[error("consul.token_file: {}: {reason}", path.display())]
 pub(in crate::daemon) struct TokenError {
     path: PathBuf,
-    reason: Box<dyn Error + Send + Sync>,
+    reason: TokenFault,
+}
+
+/// What is wrong with a token file.
+#[derive(Debug, thiserror::Error)]
+enum TokenFault {
+    /// The file can't be read.
+    #[error(transparent)]
+    Read(#[from] io::Error),
+    /// The content of the file is not a token.
+    #[error(transparent)]
+    Invalid(#[from] linnetknot_consul::TokenError),
+}
+
+impl TokenError {
+    /// Returns whether a later read of the file may succeed.
+    pub(in crate::daemon) fn is_transient(&self) -> bool {
+        matches!(&self.reason, TokenFault::Read(e) if !is_permanent(e))
+    }
+}
+
+/// The reason why a changed configuration of Consul was not applied.
+#[derive(Debug, thiserror::Error)]
+pub(in crate::daemon) enum ReloadError {
+    /// The change can't be applied while the daemon runs.
+    #[error("the change of 'consul' needs a restart")]
+    NeedsRestart,
+    /// The token can't be used.
+    #[error(transparent)]
+    Token(#[from] TokenError),
 }
 
 /// Reads the access token for Consul from the configured file; `None` if no file is configured.
@@ -61,8 +90,8 @@
         path: path.clone(),
         reason,
     };
-    let text = fs::read_to_string(path).map_err(|e| error(e.into()))?;
-    let token = Token::parse(&text).map_err(|e| error(e.into()))?;
+    let text = fs::read_to_string(path).map_err(|e| error(TokenFault::Read(e)))?;
+    let token = Token::parse(&text).map_err(|e| error(TokenFault::Invalid(e)))?;
     Ok(Some(token))
 }
 
@@ -342,28 +371,25 @@
             .is_none_or(|registration_state| registration_state.registration.is_finished())
     }
 
-    /// Applies a changed configuration of Consul. The endpoint list stays until a response changes it. Returns false
-    /// if the change requires a restart.
-    pub(in crate::daemon) fn reload_consul(&mut self, now: Micros, new: Option<Consul>) -> bool {
+    /// Applies a changed configuration of Consul. The endpoint list stays until a response changes it.
+    pub(in crate::daemon) fn reload_consul(
+        &mut self,
+        now: Micros,
+        new: Option<Consul>,
+    ) -> Result<(), ReloadError> {
         if self.config.consul == new {
             self.read_token();
-            return true;
+            return Ok(());
         }
         let (Some(old), Some(new)) = (&self.config.consul, new) else {
-            return false;
+            return Err(ReloadError::NeedsRestart);
         };
         if !old.can_reload_as(&new) {
-            return false;
+            return Err(ReloadError::NeedsRestart);
         }
-        let token = match token(&new) {
-            Ok(token) => token,
-            Err(e) => {
-                log::error!("SIGHUP: 'consul' is unchanged: {e}");
-                return true;
-            }
-        };
+        let token = token(&new)?;
         let Some(state) = &mut self.consul else {
-            return false;
+            return Err(ReloadError::NeedsRestart);
         };
         let mut keys = Vec::new();
         for (watch_state, options) in state.watches.iter_mut().zip(&new.options) {
@@ -380,6 +406,6 @@
         self.endpoint_table.set_damping(new.damping);
         self.config.consul = Some(new);
         self.drive_consul(now);
-        true
+        Ok(())
     }
 }
--- a/daemon/src/daemon/startup/mod.rs
+++ b/daemon/src/daemon/startup/mod.rs
@@ -15,6 +15,7 @@
 use super::operator_state::OperatorFiles;
 use super::peer_index::PeerIndex;
 use super::reconnect;
+use super::reload::ReloadRetries;
 use super::signals::Signal;
 use super::store_opening::{PendingStore, StoreConfig};
 use super::turn::Turn;
@@ -274,6 +275,7 @@
             operator_files: stored.files,
             listener_inherited: parts.sockets.listener_inherited,
             limits: config.limits.clone(),
+            reload_retries: ReloadRetries::new(config.seed),
             config,
             config_source: source,
         }
--- a/daemon/tests/discovery.rs
+++ b/daemon/tests/discovery.rs
@@ -451,3 +451,54 @@
     assert_eq!(fetches_per_cache(&proxy, &mut web)[..1], [0]);
     proxy.stop();
 }
+
+/// Guards against a change of the agents that is lost for good because the token file can't be read for a moment (found
+/// beside review, case 1).
+#[test]
+fn a_reload_whose_token_file_can_not_be_read_for_a_moment_is_applied_later() {
+    let folder = temp_folder("unreadable-token");
+    let file = folder.join("token");
+    // A symbolic link to itself can't be opened, with an error that may pass.
+    std::os::unix::fs::symlink(&file, &file).unwrap();
+    let (_, mut proxy, mut web) = start_with_list(|_| {});
+    let other = Agent::start().unwrap();
+    other.want_token("secret");
+    other.register(&instances(&proxy, ["passing", "passing", "critical"]));
+    proxy.config_file.lock().unwrap()["consul"] =
+        json!({"address": other.address.to_string(), "answer_ms": 500, "token_file": file});
+    proxy.reload_once();
+    let staged = folder.join("token.new");
+    std::fs::write(&staged, "secret\n").unwrap();
+    std::fs::rename(&staged, &file).unwrap();
+    assert!(other.wait_until_read());
+    assert_eq!(fetches_per_cache(&proxy, &mut web)[2], 0);
+    proxy.stop();
+    std::fs::remove_dir_all(&folder).unwrap();
+}
+
+/// A reload may remove `token_file`, which is optional in the operators' file. The last list stays in use while the agent
+/// denies the queries, and another reload ends that.
+#[test]
+fn a_reload_without_the_token_file_keeps_the_list_until_the_key_is_back() {
+    let folder = temp_folder("removed-token");
+    let file = folder.join("token");
+    std::fs::write(&file, "secret\n").unwrap();
+    let (agent, mut proxy, mut web) =
+        start_with_list(|config| config["consul"]["token_file"] = json!(file));
+    agent.want_token("secret");
+    let complete = proxy.config_file.lock().unwrap()["consul"].clone();
+    let mut short = complete.clone();
+    short.as_object_mut().unwrap().remove("token_file");
+    proxy.config_file.lock().unwrap()["consul"] = short;
+    proxy.reload();
+    assert!(agent.wait_for(|requests| requests.last().unwrap().token.is_none()));
+    let fetches = fetches_per_cache(&proxy, &mut web);
+    assert!(fetches.iter().all(|n| *n > 0), "the last list stays in use");
+    proxy.config_file.lock().unwrap()["consul"] = complete;
+    proxy.control.reload().unwrap();
+    agent.register(&instances(&proxy, ["critical", "passing", "passing"]));
+    assert!(agent.wait_until_read());
+    assert_eq!(fetches_per_cache(&proxy, &mut web)[0], 0);
+    proxy.stop();
+    std::fs::remove_dir_all(&folder).unwrap();
+}
--- a/daemon/tests/reload_of_broken_files.rs
+++ b/daemon/tests/reload_of_broken_files.rs
@@ -13,7 +13,7 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use test_proxy::{object_id, send_and_receive, TestProxy};
 
 /// The time after SIGHUP by which an event of the bus must be known, with the grace of purges and the slack of sockets.
@@ -21,6 +21,9 @@
 /// The same for a drain, with its grace.
 const DRAIN_DEADLINE: Duration = Duration::from_millis(4_000 + 1_000 + 50);
 
+/// A time within which the first retry of a failed reload begins.
+const LONGEST_FIRST_RETRY: Duration = Duration::from_millis(500);
+
 /// Reloads a configuration that lacks the key `bus`.
 fn reload_without_bus(proxy: &mut TestProxy) {
     let file = proxy.config_file.clone();
@@ -47,6 +50,34 @@
     proxy.stop();
 }
 
+/// Guards against a reload that is lost for good because its file can't be read for a moment: the old address of the
+/// event bus tells nothing more (found beside review, case 1).
+#[test]
+fn a_reload_whose_file_can_not_be_read_for_a_moment_is_applied_later() {
+    let mut proxy = TestProxy::start();
+    drop(proxy.move_bus());
+    proxy.fail_next_reads(3);
+    proxy.control.reload().unwrap();
+    proxy.assert_purge_takes_effect(PURGE_DEADLINE);
+    proxy.stop();
+}
+
+/// Guards against retries that go on after a later SIGHUP has succeeded, and would apply a file that no SIGHUP has
+/// announced.
+#[test]
+fn a_reload_ends_the_retries_of_an_earlier_one() {
+    let mut proxy = TestProxy::start();
+    proxy.fail_next_reads(1);
+    proxy.reload();
+    let reads = proxy.config_reads();
+    let (mut web, start) = (proxy.web(), Instant::now());
+    while start.elapsed() < LONGEST_FIRST_RETRY {
+        send_and_receive(&mut web, "photo", &object_id(1));
+    }
+    assert_eq!(proxy.config_reads(), reads);
+    proxy.stop();
+}
+
 /// A daemon process, whose log lines show when it has handled a SIGHUP.
 struct Process {
     child: Child,
--- a/daemon/tests/test_proxy/mod.rs
+++ b/daemon/tests/test_proxy/mod.rs
@@ -1,7 +1,7 @@
 //! Runs a daemon on loopback with the harness's fake caches, origin and event bus.
 #![allow(dead_code, reason = "each test file uses only some of these items")]
 
-use linnetknot_daemon::config::Config;
+use linnetknot_daemon::config::{Config, ConfigError};
 use linnetknot_daemon::daemon::{Control, Daemon};
 use linnetknot_harness::clients::{Answer, WebServer};
 use linnetknot_harness::fakes::cache::FakeCache;
@@ -26,6 +26,8 @@
     /// Number of times the daemon has started to read its configuration.
     config_reads: Arc<AtomicUsize>,
     reload_gate: Arc<ReloadGate>,
+    /// Number of further reads of the configuration that fail.
+    failing_reads: Arc<AtomicUsize>,
     pub thread: JoinHandle<std::io::Result<()>>,
     pub bus: Bus,
     pub caches: Vec<FakeCache>,
@@ -71,6 +73,18 @@
 
 pub(crate) const READY: &str = "ready";
 
+/// Returns an I/O error while the count is above 0, and counts down.
+fn fail_read_if_any_left(count: &AtomicUsize) -> Result<(), ConfigError> {
+    let decrement = |count: usize| count.checked_sub(1);
+    match count.fetch_update(Ordering::SeqCst, Ordering::SeqCst, decrement) {
+        Err(_) => Ok(()),
+        Ok(_) => Err(ConfigError::Unreadable {
+            path: "config.json".to_owned(),
+            source: std::io::Error::from_raw_os_error(rustix::io::Errno::IO.raw_os_error()),
+        }),
+    }
+}
+
 impl TestProxy {
     pub(crate) fn start() -> TestProxy {
         TestProxy::with(&["s-0a"], |_| {})
@@ -99,10 +113,12 @@
         let config_file = Arc::new(Mutex::new(config));
         let (shared_config, config_reads) = (config_file.clone(), Arc::new(AtomicUsize::new(0)));
         let (read_counter, reload_gate) = (config_reads.clone(), Arc::new(ReloadGate::default()));
-        let gate = reload_gate.clone();
+        let failing_reads = Arc::new(AtomicUsize::new(0));
+        let (gate, failures) = (reload_gate.clone(), failing_reads.clone());
         let read = move || {
             read_counter.fetch_add(1, Ordering::SeqCst);
             gate.enter();
+            fail_read_if_any_left(&failures)?;
             let mut file = shared_config.lock().unwrap().clone();
             let mut interconnect = json!({"cdni": {"listen": "127.0.0.1:0", "provider": "AS64500:0",
                 "base": "http://cdn.example", "footprint": ["127.0.0.0/8"], "purges": file["purges"].take()}});
@@ -157,6 +173,7 @@
             config_file,
             config_reads,
             reload_gate,
+            failing_reads,
             thread,
             bus,
             caches,
@@ -186,6 +203,30 @@
         self.hold_in_next_turn(&held);
     }
 
+    /// Reloads the configuration once, and waits until the reload is complete: the daemon handles a request of a client
+    /// after it.
+    pub(crate) fn reload_once(&mut self) {
+        self.await_next_reload(|| {});
+        send_and_receive(&mut self.web(), "photo", &object_id(1));
+    }
+
+    /// Lets the next reads of the configuration fail with an I/O error.
+    pub(crate) fn fail_next_reads(&self, count: usize) {
+        self.failing_reads.store(count, Ordering::SeqCst);
+    }
+
+    /// Returns how often the daemon has started to read its configuration.
+    pub(crate) fn config_reads(&self) -> usize {
+        self.config_reads.load(Ordering::SeqCst)
+    }
+
+    /// Starts another event bus and names it in the configuration. Returns the old one.
+    pub(crate) fn move_bus(&mut self) -> Bus {
+        let new = Bus::start().unwrap();
+        self.config_file.lock().unwrap()["bus"] = json!(new.address.to_string());
+        std::mem::replace(&mut self.bus, new)
+    }
+
     /// Requests a reload, calls `release`, and waits until the daemon starts to read its configuration again.
     fn await_next_reload(&mut self, release: impl FnOnce()) {
         let before = self.config_reads.load(Ordering::SeqCst);
