Continue after an event of the bus with a wrong field, and reject times out of range

What callers saw: nothing in the protocol's ordinary form. With a bus whose responses have an end the proxy asked for an ignored event ten times a second until another one came. A purge with a time that doesn't fit into microseconds got a wrapped date; a build with checks for overflow ended.

Cause: an event with a wrong field was ignored, but the number of the last event was raised by readable ones alone. The times of an event were multiplied without a check.

Change: the next request continues after an ignored event, as its bytes would be the same. A time out of range is a wrong field.

--- a/daemon/src/bus/event.rs
+++ b/daemon/src/bus/event.rs
@@ -5,7 +5,7 @@
 
 use super::{BusEvent, BusUpdate};
 use crate::core::{server_id, Entry};
-use linnetknot::{ListMode, Server, State};
+use linnetknot::{ListMode, Micros, Server, State};
 use linnetknot_discovery::ReceivedList;
 use linnetknot_settings::{
     flag, get, int, int_or, number_or, object, text, text_or, wrong_type, Fields, Result,
@@ -15,6 +15,8 @@
 use serde_json::Value;
 use std::fmt;
 
+const US_PER_MS: Micros = 1_000;
+
 /// The reason why the text of an event can't be used.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(super) enum EventError {
@@ -42,6 +44,11 @@
     message.into_event()
 }
 
+/// Converts the milliseconds in a field. A time that is out of range is an error of the field.
+fn micros(key: &str, ms: u64) -> Result<Micros> {
+    ms.checked_mul(US_PER_MS).ok_or_else(|| wrong_type(key))
+}
+
 /// Parses an entry of the endpoint list.
 pub(crate) fn read_entry(m: &Fields) -> Result<Entry> {
     let uid = text(m, "uid")?;
@@ -59,7 +66,7 @@
         kind: text_or(m, "model", "")?,
         weight: number_or(m, "capacity_hint", 1.0)?,
         state,
-        started: Some(int_or(m, "boot_ms", 0)? * 1000).filter(|at| *at > 0),
+        started: Some(micros("boot_ms", int_or(m, "boot_ms", 0)?)?).filter(|at| *at > 0),
     };
     Ok(Entry {
         server,
@@ -142,7 +149,7 @@
     Ok(BusUpdate::Purge {
         object,
         group,
-        at: int(ban, "ts")? * 1000,
+        at: micros("ts", int(ban, "ts")?)?,
     })
 }
 
--- a/daemon/src/bus/mod.rs
+++ b/daemon/src/bus/mod.rs
@@ -134,10 +134,12 @@
                 Ok(_) => {}
                 Err(EventError::Field(e)) => {
                     log::warn!("a malformed event of the event bus is ignored: {e}");
+                    // The event would be the same if it was read again.
+                    *last = event.number().map_or(*last, |number| number.max(*last));
                 }
                 Err(EventError::NotJson) => {
                     return Err(StreamError::Event {
-                        id: event.id.parse().ok(),
+                        id: event.number(),
                         error: WireError::Malformed("an event"),
                     });
                 }
--- a/daemon/src/wire/sse.rs
+++ b/daemon/src/wire/sse.rs
@@ -11,6 +11,13 @@
     pub data: String,
 }
 
+impl Event {
+    /// Returns the id of the event if it is a number.
+    pub fn number(&self) -> Option<u64> {
+        self.id.parse().ok()
+    }
+}
+
 /// Parses the events of a stream.
 pub struct EventParser {
     max_bytes: usize,
--- a/daemon/tests/event_bus.rs
+++ b/daemon/tests/event_bus.rs
@@ -5,7 +5,7 @@
 use linnetknot_daemon::bus::{BusStream, BusUpdate};
 use linnetknot_daemon::limits::Limits;
 use serde_json::{json, Value};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use test_proxy::TestProxy;
 
 /// The time after a broken connection by which an event must be known, with the grace of purges and the slack of
@@ -92,6 +92,69 @@
     proxy.stop();
 }
 
+/// Returns events that are JSON, but whose fields are missing, have the wrong type or are out of range.
+fn events_with_wrong_fields() -> Vec<Value> {
+    let entry = |key: &str, value: Value| {
+        let mut entry = foreign_entries(1, "ready").remove(0);
+        entry[key] = value;
+        json!({"topology": {"rev": 2, "all": false, "targets": [entry]}})
+    };
+    vec![
+        json!({"ban": 5}),
+        json!({"ban": {}}),
+        json!({"ban": {"url": 7, "ts": 1}}),
+        json!({"ban": {"tag": -1, "ts": 1}}),
+        json!({"ban": {"url": "00000000000000ff", "ts": u64::MAX}}),
+        json!({"topology": 5}),
+        json!({"topology": {"all": "no", "targets": []}}),
+        json!({"topology": {"rev": -1, "all": false, "targets": []}}),
+        json!({"topology": {"all": false, "targets": 5}}),
+        json!({"topology": {"all": false, "targets": [5, [], "x"]}}),
+        entry("boot_ms", json!(u64::MAX)),
+        entry("boot_ms", json!(-1)),
+        entry("endpoint", json!("nowhere")),
+        entry("state", json!("lost")),
+        entry("capacity_hint", json!("4")),
+        json!({"unknown": {}}),
+    ]
+}
+
+/// Guards against a proxy that an event with a wrong field ends, or that never learns of a purge after it (found beside
+/// review, case 2).
+#[test]
+fn a_purge_after_events_with_wrong_fields_takes_effect() {
+    let proxy = TestProxy::start();
+    for event in events_with_wrong_fields() {
+        proxy.bus.push(event);
+    }
+    proxy.assert_purge_takes_effect(PURGE_DEADLINE);
+    assert_eq!(proxy.bus.calls(), [0], "the stream is read without a break");
+    proxy.stop();
+}
+
+/// Guards against a proxy that asks again and again for an event with a wrong field, if no later one follows (found
+/// beside review, case 2).
+#[test]
+fn an_event_with_a_wrong_field_is_not_asked_for_again() {
+    let proxy = TestProxy::start();
+    proxy.bus.end_responses();
+    let mut last = 0;
+    for event in events_with_wrong_fields() {
+        proxy.bus.push(event);
+        last += 1;
+    }
+    let start = Instant::now();
+    while !proxy.bus.calls().contains(&last) {
+        let elapsed = start.elapsed();
+        assert!(
+            elapsed < PURGE_DEADLINE,
+            "asks for an event with a wrong field again"
+        );
+        std::thread::yield_now();
+    }
+    proxy.stop();
+}
+
 /// Guards against a proxy that drops the events of a response with an end, and asks for them again without an end
 /// (found beside review, case 2).
 #[test]
