Let a list of Consul be as long as the endpoint table holds

What callers saw: with Consul as the source and some 19,000 instances or more, a cache that a list calls critical went on getting requests: the response was over the default of 16 MB, was dropped and asked for again.

Ruled out: the time for the response (with the bound raised, and nothing else, the test passes).

Change: the default follows from the table, 2 KB for each cache, so 40 MB. A response is parsed as it arrives, so that this is not memory (read, not measured). The key and its range stay.

--- a/daemon/src/interconnect/consul/file.rs
+++ b/daemon/src/interconnect/consul/file.rs
@@ -1,5 +1,6 @@
 //! The section `consul` of the file, with its defaults.
 
+use crate::limits::MAX_CACHES;
 use linnetknot_consul::MetaKeys;
 use linnetknot_discovery::Damping;
 use schemars::JsonSchema;
@@ -8,6 +9,12 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 
+/// The space for an instance with its checks in a response, in bytes of JSON.
+const INSTANCE_BYTES: usize = 2 << 10;
+/// The default maximum size of a response, in MB: a response may list every cache that the endpoint table holds. It is
+/// parsed as it arrives, so that it is never in memory as a whole.
+const DEFAULT_RESPONSE_MB: usize = (MAX_CACHES * INSTANCE_BYTES).div_ceil(1 << 20);
+
 /// Consul as a source of the list of pop caches.
 #[derive(Clone, Debug, Deserialize, JsonSchema)]
 #[serde(default, deny_unknown_fields)]
@@ -79,7 +86,7 @@
             most_stale_ms: 1000,
             wait_s: 10,
             answer_ms: 2000,
-            most_answer_mb: 16,
+            most_answer_mb: DEFAULT_RESPONSE_MB,
             token_file: None,
             identity: IdentityFile::Service,
             meta: MetaFile::default(),
--- a/daemon/src/limits/machine.rs
+++ b/daemon/src/limits/machine.rs
@@ -11,7 +11,7 @@
 const MAX_REQUESTS: usize = 8192;
 
 /// The maximum number of cache servers.
-const MAX_CACHES: usize = 20_000;
+pub const MAX_CACHES: usize = 20_000;
 /// The space for an entry of the endpoint list in an event of the bus, in bytes of JSON.
 const EVENT_ENTRY_BYTES: usize = 512;
 /// An event of the bus may take up the memory divided by this number, as its text and its entries are held together.
--- a/daemon/src/limits/mod.rs
+++ b/daemon/src/limits/mod.rs
@@ -2,6 +2,8 @@
 
 mod machine;
 
+pub use machine::MAX_CACHES;
+
 use crate::front::cdni::triggers;
 use crate::interconnect::Replication;
 use linnetknot::Settings;
--- a/daemon/tests/discovery.rs
+++ b/daemon/tests/discovery.rs
@@ -10,6 +10,8 @@
 use std::path::PathBuf;
 use test_proxy::{object_id, send_and_receive, TestProxy};
 
+/// The number of caches that the endpoint table holds.
+const MAX_CACHES: usize = 20_000;
 const CACHES: [&str; 3] = ["s-0a", "s-0b", "s-0c"];
 
 fn start_with_agent(agent: &Agent, change: impl Fn(&mut Value)) -> TestProxy {
@@ -326,6 +328,26 @@
     proxy.stop();
 }
 
+/// Guards against a proxy that never reads a list again, because the list of a fleet that its table holds exceeds the
+/// default bound of a response (found beside review, case 2).
+#[test]
+fn a_drain_in_a_list_as_long_as_the_table_takes_effect() {
+    let (agent, proxy, _) = start_with_list(|_| {});
+    let mut list = instances(&proxy, ["critical", "passing", "passing"]);
+    // The origin is in the table as well.
+    list.extend((0..MAX_CACHES - list.len() - 1).map(|n| {
+        let address = ([127, 1, (n / 250) as u8, (n % 250) as u8], 7000).into();
+        let mut far = instance(&format!("far-{n}"), address, "passing");
+        far["Service"]["Meta"]["az"] = "hub".into();
+        far
+    }));
+    agent.register(&list);
+    assert!(agent.wait_until_read(), "the list is read to its end");
+    let fetches = fetches_per_cache(&proxy, &mut proxy.web());
+    assert!(fetches[0] == 0 && fetches[1] > 0, "{fetches:?}");
+    proxy.stop();
+}
+
 /// Creates an empty temporary folder.
 fn temp_folder(name: &str) -> PathBuf {
     let folder = std::env::temp_dir().join(format!("linnetknot-{name}-{}", std::process::id()));
