Share the purges of peers between the two processes of an upgrade

Cause: both processes bind the peers' UDP address with SO_REUSEPORT, and the kernel assigns each peer's datagrams to one of them. What one gets, the other never learns; what is in the old one's socket at its exit is lost. Ruled out: the event bus (each process reads it; the test for it passed before as well).

Change: each process appends the purges that it receives to a file under $TMPDIR and reads the other's every 50 ms, on a worker thread; a new process reads all of it at its start, and treats every earlier copy as purged if it can't. At its end a process connects its socket to itself, which ends further deliveries to it, and reads what is left. This works as every received purge is in the file, and the file outlives the processes.

--- a/daemon/src/daemon/event_loop.rs
+++ b/daemon/src/daemon/event_loop.rs
@@ -19,6 +19,7 @@
 pub(super) const SIGHUP_TOKEN: u64 = u64::MAX - 4;
 pub(super) const ADMIN_LISTENER_TOKEN: u64 = u64::MAX - 5;
 pub(super) const STORE_TOKEN: u64 = u64::MAX - 6;
+pub(super) const SHARED_PURGES_TOKEN: u64 = u64::MAX - 7;
 
 /// An action that is scheduled for a deadline.
 pub(super) enum Timer {
@@ -194,9 +195,8 @@
     /// of cache servers, which may start further attempts.
     fn event_kind(&self, event: &ReadyEvent) -> EventKind {
         match event.token {
-            SIGTERM_TOKEN | SIGHUP_TOKEN | PEERS_TOKEN | ADMIN_LISTENER_TOKEN | STORE_TOKEN => {
-                EventKind::Notification
-            }
+            SIGTERM_TOKEN | SIGHUP_TOKEN | PEERS_TOKEN | ADMIN_LISTENER_TOKEN | STORE_TOKEN
+            | SHARED_PURGES_TOKEN => EventKind::Notification,
             CLIENT_LISTENER_TOKEN | CDNI_LISTENER_TOKEN => EventKind::NewClient,
             token => match self
                 .connections
@@ -237,7 +237,8 @@
             CLIENT_LISTENER_TOKEN => self.accept_clients(now, AcceptLimit::StepTime),
             SIGTERM_TOKEN => self.handle_sigterm(now),
             SIGHUP_TOKEN => self.reload(now),
-            PEERS_TOKEN => self.receive_peer_datagrams(now),
+            PEERS_TOKEN => drop(self.receive_peer_datagrams(now)),
+            SHARED_PURGES_TOKEN => self.receive_shared_purges(now),
             CDNI_LISTENER_TOKEN => self.accept_cdni(now, AcceptLimit::StepTime),
             ADMIN_LISTENER_TOKEN => self.accept_admin(now),
             STORE_TOKEN => self.receive_store_completions(now),
--- a/daemon/src/daemon/plain_purges.rs
+++ b/daemon/src/daemon/plain_purges.rs
@@ -28,6 +28,7 @@
 impl Daemon {
     /// Applies a purge that was received as a plain datagram, and stores it if necessary.
     pub(super) fn receive_plain_purge(&mut self, now: Micros, from: Option<usize>, purge: Purge) {
+        self.share_purge(&purge);
         let Purge { object, group, at } = purge.clone();
         self.core.record_purge(now, object, group, at);
         // Without membership, no sender can be known to replicate logs.
--- a/daemon/src/daemon/shared_operator_state.rs
+++ b/daemon/src/daemon/shared_operator_state.rs
@@ -97,13 +97,17 @@
 }
 
 impl Daemon {
-    /// Returns whether another process may change the files: only a process that shares its client listener is upgraded
-    /// while it runs. A store of purges can be open in one process only, so there is no such upgrade with one.
+    /// Returns whether another process of this proxy may serve at the same time: only a process that shares its client
+    /// listener is upgraded while it runs. A store of purges can be open in one process only, so there is no such upgrade
+    /// with one.
+    pub(super) fn may_overlap_other_process(&self) -> bool {
+        self.listener_inherited && self.ledger.is_none() && self.pending_store.is_none()
+    }
+
+    /// Returns whether another process may change the files.
     fn shares_operator_state(&self) -> bool {
-        self.listener_inherited
+        self.may_overlap_other_process()
             && self.admin_listener.is_some()
-            && self.ledger.is_none()
-            && self.pending_store.is_none()
             && !self.operator_files.is_load_pending()
     }
 
--- a/daemon/src/daemon/shutdown.rs
+++ b/daemon/src/daemon/shutdown.rs
@@ -67,7 +67,9 @@
 
     /// Writes pending state, closes the store, and logs the counters of this process.
     pub(super) fn finish(&mut self) {
-        self.write_pending_snapshots(self.clock.now());
+        let now = self.clock.now();
+        self.write_pending_snapshots(now);
+        self.hand_over_purges(now);
         let replication = self.close_store();
         self.log_requests();
         self.log_budgets();
--- a/daemon/src/daemon/sources/peers.rs
+++ b/daemon/src/daemon/sources/peers.rs
@@ -17,20 +17,21 @@
 }
 
 impl Daemon {
-    /// Receives all datagrams of the peers that are available on the socket, and processes them by protocol.
-    pub(in crate::daemon) fn receive_peer_datagrams(&mut self, now: Micros) {
+    /// Receives datagrams of the peers that are available on the socket, and processes them by protocol. Returns whether
+    /// there may be more.
+    pub(in crate::daemon) fn receive_peer_datagrams(&mut self, now: Micros) -> bool {
         let mut bytes = [0; peers::MAX_DATAGRAM_BYTES + 1];
         // Bounded per step, so that datagrams can't occupy the loop. The socket stays ready.
         for _ in 0..self.limits.max_datagrams_per_step {
             let Some((socket, _)) = &self.peers else {
-                return;
+                return false;
             };
             let (length, from) = match receive_from(socket, &mut bytes) {
                 Ok(received) => received,
                 // The kernel reports the failure of a datagram that was sent earlier, so receiving continues.
                 Err(failure) if failure.kind == FailureKind::Broken => continue,
                 // epoll reports the socket again when more datagrams arrive.
-                Err(_) => return,
+                Err(_) => return false,
             };
             // Datagrams of unknown senders are dropped.
             let Some(peer) = self.peer_index.find(&from) else {
@@ -58,6 +59,7 @@
                 self.dropped_datagrams.1 += 1;
             }
         }
+        true
     }
 
     /// Passes the health of the origin to the core, if enough proxies agree on it.
--- a/daemon/src/daemon/startup/error.rs
+++ b/daemon/src/daemon/startup/error.rs
@@ -73,11 +73,13 @@
 }
 
 /// Returns the error of a system call that sets up `what`.
-pub(super) fn system_error(what: &'static str) -> impl FnOnce(io::Error) -> StartError {
+pub(in crate::daemon) fn system_error(what: &'static str) -> impl FnOnce(io::Error) -> StartError {
     move |source| StartError::SystemCall { what, source }
 }
 
 /// Returns the error of registering `what` with epoll.
-pub(super) fn registration_error(what: &'static str) -> impl FnOnce(Failure) -> StartError {
+pub(in crate::daemon) fn registration_error(
+    what: &'static str,
+) -> impl FnOnce(Failure) -> StartError {
     move |failure| StartError::EpollRegistration { what, failure }
 }
--- a/daemon/src/daemon/startup/mod.rs
+++ b/daemon/src/daemon/startup/mod.rs
@@ -26,7 +26,7 @@
 use crate::ledger::{Bounds, Ledger};
 use crate::net::{Clock, Deadlines, Listener, Poll, SlotTable};
 use crate::plain_purges::PlainPurges;
-use error::{registration_error, system_error};
+pub(super) use error::{registration_error, system_error};
 use linnetknot::Micros;
 use linnetknot_discovery::{Damping, EndpointTable, ListValidator, Source as ListSource};
 use linnetknot_origin_health::{OriginHealth, ZonePosition};
@@ -190,6 +190,7 @@
         daemon.index_peers();
         let now = daemon.clock.now();
         daemon.restore_purges(now);
+        daemon.start_sharing_purges(now)?;
         recorded
             .events
             .into_iter()
@@ -249,6 +250,7 @@
             peer_index: PeerIndex::default(),
             plain_purges: PlainPurges::new(&config.limits),
             plain_purges_due: None,
+            shared_purges: None,
             origin_health: origin_health(&config, now),
             dropped_datagrams: (0, 0),
             cdni: parts.trigger_api,
--- a/daemon/src/fail_points/mod.rs
+++ b/daemon/src/fail_points/mod.rs
@@ -31,7 +31,7 @@
 static CLOCK_OFFSET_US: AtomicI64 = AtomicI64::new(0);
 
 /// The names of all points, grouped by operation and in the order in which an operation passes them.
-pub const POINTS: [&str; 27] = [
+pub const POINTS: [&str; 29] = [
     // A purge by a peer CDN: before and after it is sent to the peers, before and after the worker of the store commits
     // it, and before the response, once enough proxies have acknowledged it.
     "peers-tell",
@@ -67,6 +67,10 @@
     "admin-keeps",
     "admin-kept-once",
     "admin-kept",
+    // The end of a process of an upgrade: before it hands its datagrams of peers over to the next process, and after it
+    // has read the last one.
+    "purge-hand-over",
+    "purge-handed-over",
     // An allocator of budgets: before and after it sends granted leases to their holders.
     "budgets-grant",
     "budgets-granted",
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -21,5 +21,6 @@
 pub mod origin_clock;
 pub mod peers;
 pub mod plain_purges;
+pub mod shared_purges;
 pub mod upstream;
 pub mod wire;
--- a/daemon/src/net/conn.rs
+++ b/daemon/src/net/conn.rs
@@ -68,6 +68,13 @@
     Ok(std::net::UdpSocket::from(socket))
 }
 
+/// Ends the delivery of further datagrams to a socket whose address another process shares, which receives them instead.
+/// Datagrams that were already delivered can still be received.
+pub fn detach_shared_udp(socket: &std::net::UdpSocket) -> io::Result<()> {
+    // A connected socket receives only the datagrams of one sender. Nobody sends from the shared address itself to it.
+    socket.connect(socket.local_addr()?)
+}
+
 /// Starts to establish a connection without waiting for it.
 ///
 /// # Errors
--- a/daemon/src/net/mod.rs
+++ b/daemon/src/net/mod.rs
@@ -13,7 +13,7 @@
 mod syscall;
 
 pub use clock::Clock;
-pub use conn::{bind_shared_udp, connect, Progress, TcpConnection};
+pub use conn::{bind_shared_udp, connect, detach_shared_udp, Progress, TcpConnection};
 pub use deadlines::{DeadlineId, Deadlines};
 pub use errno::{classify, Call, Failure, FailureKind};
 pub use listener::Listener;
--- a/daemon/tests/upgrade_site/mod.rs
+++ b/daemon/tests/upgrade_site/mod.rs
@@ -11,6 +11,7 @@
 use std::net::{SocketAddr, TcpListener};
 use std::os::fd::OwnedFd;
 use std::process::{Child, Command, Stdio};
+use std::sync::Mutex;
 use std::time::{Duration, Instant};
 
 /// The operators' own file in the folder of a site, if it has one.
@@ -75,7 +76,9 @@
     listener: TcpListener,
     pub client_address: SocketAddr,
     pub caches: [FakeCache; 2],
-    _bus: Bus,
+    pub bus: Bus,
+    /// The addresses of the processes' admin listeners, which no other socket may take before they are bound.
+    reserved: Mutex<Vec<ReservedAddress>>,
 }
 
 impl Site {
@@ -116,7 +119,8 @@
             listener,
             client_address,
             caches,
-            _bus: bus,
+            bus,
+            reserved: Mutex::default(),
         }
     }
 
@@ -143,6 +147,7 @@
             &self.folder,
             fail_points,
         );
+        self.reserved.lock().unwrap().push(reserved);
         (child, admin)
     }
 }
