--- a/daemon/src/daemon/sources/consul/mod.rs
+++ b/daemon/src/daemon/sources/consul/mod.rs
@@ -3,6 +3,8 @@
 
 mod cached_snapshot;
 mod call;
+mod registration;
+mod token;
 
 use crate::daemon::discovery::CONSUL;
 use crate::daemon::Daemon;
@@ -11,15 +13,12 @@
 pub(in crate::daemon) use cached_snapshot::SnapshotWriter;
 use call::{Call, Outcome};
 use linnetknot::Micros;
-use linnetknot_consul::{
-    Registration, RegistrationEvent, Response, Token, TransportError, Watch, WatchEvent,
-    WatchUpdate,
-};
+use linnetknot_consul::{Response, Token, TransportError, Watch, WatchEvent, WatchUpdate};
 use linnetknot_discovery::{Entry, Evidence, SourceId};
-use linnetknot_store::is_permanent;
+use registration::RegistrationState;
 use std::net::SocketAddr;
-use std::path::PathBuf;
-use std::{fs, io};
+use token::read_token;
+pub(in crate::daemon) use token::TokenError;
 
 /// The watch of the services in one data centre.
 struct WatchState {
@@ -29,12 +28,6 @@
     timer: Option<DeadlineId>,
 }
 
-/// The registration of this proxy as a service, and its calls to the agent.
-struct RegistrationState {
-    registration: Registration,
-    timer: Option<DeadlineId>,
-}
-
 /// The state of all connections to Consul.
 pub(in crate::daemon) struct State {
     agents: Vec<SocketAddr>,
@@ -44,32 +37,6 @@
     max_answer: usize,
 }
 
-/// An error of reading the token file. The message does not include the token.
-#[derive(Debug, thiserror::Error)]
-#[error("consul.token_file: {}: {reason}", path.display())]
-pub(in crate::daemon) struct TokenError {
-    path: PathBuf,
-    reason: TokenFault,
-}
-
-/// What is wrong with a token file.
-#[derive(Debug, thiserror::Error)]
-enum TokenFault {
-    /// The file can't be read.
-    #[error(transparent)]
-    Read(#[from] io::Error),
-    /// The content of the file is not a token.
-    #[error(transparent)]
-    Invalid(#[from] linnetknot_consul::TokenError),
-}
-
-impl TokenError {
-    /// Returns whether a later read of the file may succeed.
-    pub(in crate::daemon) fn is_transient(&self) -> bool {
-        matches!(&self.reason, TokenFault::Read(e) if !is_permanent(e))
-    }
-}
-
 /// The reason why a changed configuration of Consul was not applied.
 #[derive(Debug, thiserror::Error)]
 pub(in crate::daemon) enum ReloadError {
@@ -81,20 +48,6 @@
     Token(#[from] TokenError),
 }
 
-/// Reads the access token for Consul from the configured file; `None` if no file is configured.
-fn token(consul: &Consul) -> Result<Option<Token>, TokenError> {
-    let Some(path) = &consul.token_file else {
-        return Ok(None);
-    };
-    let error = |reason| TokenError {
-        path: path.clone(),
-        reason,
-    };
-    let text = fs::read_to_string(path).map_err(|e| error(TokenFault::Read(e)))?;
-    let token = Token::parse(&text).map_err(|e| error(TokenFault::Invalid(e)))?;
-    Ok(Some(token))
-}
-
 impl State {
     /// Creates the state at startup. `listen`, the address that clients connect to, is registered unless the
     /// configuration sets another address.
@@ -113,10 +66,7 @@
         };
         let registration_state = consul
             .registrant(listen)
-            .map(|registrant| RegistrationState {
-                registration: Registration::new(registrant, seed),
-                timer: None,
-            });
+            .map(|registrant| RegistrationState::new(registrant, seed));
         Ok(State {
             agents: consul.agents.clone(),
             watches: consul
@@ -127,7 +77,7 @@
                 .map(watch)
                 .collect(),
             registration_state,
-            token: token(consul)?,
+            token: read_token(consul)?,
             max_answer: consul.max_response_bytes,
         })
     }
@@ -228,7 +178,7 @@
         }
         if denied {
             // The token may have been replaced since it was read.
-            self.read_token();
+            self.refresh_token();
         }
         if let Some(evidence) = evidence {
             self.receive_evidence(now, source, evidence);
@@ -241,101 +191,17 @@
         self.drive_registration(now);
     }
 
-    fn read_token(&mut self) {
+    /// Reads the token file again.
+    fn refresh_token(&mut self) {
         let Some((state, consul)) = self.consul.as_mut().zip(self.config.consul.as_ref()) else {
             return;
         };
-        match token(consul) {
+        match read_token(consul) {
             Ok(token) => state.token = token,
             Err(e) => log::warn!("failed to reload the Consul token, keeping the old one: {e}"),
         }
     }
 
-    pub(in crate::daemon) fn drive_registration(&mut self, now: Micros) {
-        let ready = self.can_serve();
-        let Some(state) = &mut self.consul else {
-            return;
-        };
-        let Some(registration_state) = &mut state.registration_state else {
-            return;
-        };
-        let Some(call) = registration_state.registration.poll(now, ready) else {
-            let due = registration_state.registration.due(now, ready);
-            if due != registration_state.timer.map(|timer| timer.at) {
-                if let Some(timer) = registration_state.timer.take() {
-                    self.deadlines.cancel(timer);
-                }
-                let timer = due.map(|at| {
-                    self.schedule(at, |daemon, now| {
-                        if let Some(registration_state) = daemon
-                            .consul
-                            .as_mut()
-                            .and_then(|c| c.registration_state.as_mut())
-                        {
-                            registration_state.timer = None;
-                        }
-                        daemon.drive_registration(now);
-                    })
-                });
-                if let Some(registration_state) = self
-                    .consul
-                    .as_mut()
-                    .and_then(|c| c.registration_state.as_mut())
-                {
-                    registration_state.timer = timer;
-                }
-            }
-            return;
-        };
-        let to = state.agents[call.agent.min(state.agents.len() - 1)];
-        let request = call.to_bytes(&to.to_string(), state.token.as_ref());
-        let done =
-            |daemon: &mut Daemon, now, outcome: Outcome| daemon.registration_finished(now, outcome);
-        let exchange = Call::new(
-            now,
-            request,
-            call.timeouts,
-            self.limits.max_line_bytes,
-            self.limits.max_line_bytes,
-            done,
-        );
-        let key = self.start_exchange(now, to, exchange);
-        if key.is_none() {
-            self.registration_finished(now, Err(TransportError::Unreachable));
-        }
-    }
-
-    fn registration_finished(&mut self, now: Micros, outcome: Outcome) {
-        let Some(registration_state) = self
-            .consul
-            .as_mut()
-            .and_then(|c| c.registration_state.as_mut())
-        else {
-            return;
-        };
-        let step = match &outcome {
-            Ok((head, body)) => {
-                let response = Response {
-                    status: head.status().unwrap_or(0),
-                    headers: &head.headers,
-                    body,
-                };
-                registration_state.registration.on_response(now, &response)
-            }
-            Err(failure) => registration_state.registration.on_failure(now, *failure),
-        };
-        match step {
-            Some(RegistrationEvent::Registered) => log::info!("registered in Consul"),
-            Some(RegistrationEvent::RegistrationLost) => {
-                log::warn!("the Consul agent has lost the registration: registering again");
-            }
-            Some(RegistrationEvent::Deregistered) => log::info!("deregistered in Consul"),
-            Some(RegistrationEvent::Failed(why)) => log::warn!("registration failed: agent {why}"),
-            None => {}
-        }
-        self.drive_registration(now);
-    }
-
     /// Restores a watch from a cached snapshot, which is treated as the last response. An empty first response of the
     /// agent then can't remove all endpoints without confirmation.
     pub(super) fn restore_watch(&mut self, index: usize, entries: &[Entry]) -> Option<Evidence> {
@@ -349,28 +215,6 @@
         )
     }
 
-    /// Deregisters the proxy at shutdown, so that clients use other proxies.
-    pub(in crate::daemon) fn deregister_from_consul(&mut self, now: Micros) {
-        if let Some(registration_state) = self
-            .consul
-            .as_mut()
-            .and_then(|c| c.registration_state.as_mut())
-        {
-            registration_state.registration.deregister(now);
-        }
-        self.drive_registration(now);
-    }
-
-    /// Returns whether the deregistration is finished, or there is no registration.
-    pub(in crate::daemon) fn is_deregistered_from_consul(&self) -> bool {
-        let registration_state = self
-            .consul
-            .as_ref()
-            .and_then(|c| c.registration_state.as_ref());
-        registration_state
-            .is_none_or(|registration_state| registration_state.registration.is_finished())
-    }
-
     /// Applies a changed configuration of Consul. The endpoint list stays until a response changes it.
     pub(in crate::daemon) fn reload_consul(
         &mut self,
@@ -378,7 +222,7 @@
         new: Option<Consul>,
     ) -> Result<(), ReloadError> {
         if self.config.consul == new {
-            self.read_token();
+            self.refresh_token();
             return Ok(());
         }
         let (Some(old), Some(new)) = (&self.config.consul, new) else {
@@ -387,7 +231,7 @@
         if !old.can_reload_as(&new) {
             return Err(ReloadError::NeedsRestart);
         }
-        let token = token(&new)?;
+        let token = read_token(&new)?;
         let Some(state) = &mut self.consul else {
             return Err(ReloadError::NeedsRestart);
         };
