--- /dev/null
+++ b/review/10/run.sh
@@ -0,0 +1,2 @@
+#!/bin/sh
+exec python3 "$(dirname "$0")/case.py"
--- a/review/lib-2/edge.py
+++ b/review/lib-2/edge.py
@@ -301,7 +301,7 @@
     async def open(self):
         self.reader, self.writer = await asyncio.open_connection("127.0.0.1", self.proxy.port)
         self.writer.get_extra_info("socket").setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        asyncio.ensure_future(self.read())
+        self.world.keep.append(asyncio.ensure_future(self.read()))
         return self
 
     def send(self, call, params, body=b""):
@@ -472,6 +472,7 @@
         self.calls, self.attempts, self.breaches = [], {}, []
         self.settings = None
         self.counter = 0
+        self.keep = []           # tasks that nobody waits for
 
     # what stand-ins ask
     def server(self, uid):
@@ -516,7 +517,7 @@
         self.servers[s.uid] = s
         return s
 
-    def proxy(self, name, settings, peers=None, ops=False, **more):
+    def proxy(self, name, settings, ops=False, **more):
         port = free_port()
         config = {"name": name, "listen": "127.0.0.1:%d" % port, "seed": "%x" % (0x1f + len(self.processes)),
                   "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
@@ -646,7 +647,7 @@
                 for root, _, files in os.walk(world.folder):
                     for f in files:
                         if f == "log":
-                            shutil.copy(os.path.join(root, f), os.environ["KEEP_LOG"])
+                            shutil.copy(os.path.join(root, f), os.environ["KEEP_LOG"] + "." + os.path.basename(root))
             world.end()
         world.record(text)
         world.record.close()
