--- a/review/lib-2/edge.py
+++ b/review/lib-2/edge.py
@@ -298,8 +298,15 @@
         self.closed = False
         self.used_at = now()
 
-    async def open(self):
-        self.reader, self.writer = await asyncio.open_connection("127.0.0.1", self.proxy.port)
+    async def open(self, bytes_per_s=None):
+        """Opens the connection; with a rate, the client reads that much a second at most."""
+        self.bytes_per_s = bytes_per_s
+        s = socket.socket()
+        if bytes_per_s:
+            s.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 65536)
+        s.setblocking(False)
+        await asyncio.get_event_loop().sock_connect(s, ("127.0.0.1", self.proxy.port))
+        self.reader, self.writer = await asyncio.open_connection(sock=s, limit=65536)
         self.writer.get_extra_info("socket").setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self.world.keep.append(asyncio.ensure_future(self.read()))
         return self
@@ -329,6 +336,8 @@
                 head = await self.reader.readexactly(8)
                 _, kind, number, length, padding, _ = struct.unpack(">BBHHBB", head)
                 content = (await self.reader.readexactly(length + padding))[:length]
+                if self.bytes_per_s:
+                    await asyncio.sleep(length / self.bytes_per_s)
                 if kind == 6:
                     self.out[number] = self.out.get(number, b"") + content
                 elif kind == 3:
