--- a/review/7/case.py
+++ b/review/7/case.py
@@ -20,11 +20,7 @@
 
 
 def free_udp():
-    s = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-    s.bind(("127.0.0.1", 0))
-    port = s.getsockname()[1]
-    s.close()
-    return "127.0.0.1:%d" % port
+    return "127.0.0.1:%d" % edge.free_port(socket.SOCK_DGRAM)
 
 
 async def play(w):
--- a/review/lib-2/edge.py
+++ b/review/lib-2/edge.py
@@ -3,7 +3,7 @@
 One process runs all stand-ins on one asyncio loop: pop caches, the origin, the event bus and the front's web servers.
 The proxy under test is a process of its own, started with the `run` line of deploy/balancer.toml.
 """
-import asyncio, json, os, re, shutil, signal, socket, struct, subprocess, sys, tempfile, time
+import asyncio, json, os, random, re, shutil, signal, socket, struct, subprocess, sys, tempfile, time
 
 ROOT = os.path.abspath(os.path.join(os.path.dirname(__file__), "..", ".."))
 SLACK_S = 0.050          # "each time limit 50 ms longer"
@@ -586,12 +586,20 @@
         shutil.rmtree(self.folder, ignore_errors=True)
 
 
-def free_port():
-    s = socket.socket()
-    s.bind(("127.0.0.1", 0))
-    port = s.getsockname()[1]
-    s.close()
-    return port
+def free_port(kind=socket.SOCK_STREAM):
+    """A port for a process that is started later: below those that the system gives to outgoing connections, and drawn at
+    random, so that neither they nor another script take it meanwhile."""
+    draw = random.SystemRandom()
+    while True:
+        port = draw.randrange(10000, 32000)
+        s = socket.socket(socket.AF_INET, kind)
+        try:
+            s.bind(("127.0.0.1", port))
+            return port
+        except OSError:
+            pass
+        finally:
+            s.close()
 
 
 def settings(caches_zone="edge-1", **changes):
