Give a cache that Consul returns beside the event bus a slow start

Callers saw a cache overloaded that had been restarted while Consul had it out of service: it got its full share from its return on.

Cause: the endpoint table gave a start time to a returning cache only if Consul decides its state. A cache that the event bus lists too is ready by the report of the bus, so the return was not noticed.

Change: a cache that becomes ready after a source other than the bus had it draining counts as started then, and the entry carries it.

No real process was run. Why it works: the published entry is what the decision module warms up by.

--- a/discovery/src/endpoint_table/publish.rs
+++ b/discovery/src/endpoint_table/publish.rs
@@ -76,6 +76,11 @@
         batch: &mut Batch,
     ) {
         let relayed = self.sources[verdict.source.0].relayed;
+        let previous = self.caches.get(uid).and_then(|c| c.published.as_ref());
+        // A source that is not relayed does not tell whether it restarted the cache.
+        let may_have_restarted = previous.is_some_and(|previous| {
+            previous.status == EndpointStatus::Draining && !self.sources[previous.source.0].relayed
+        });
         let Some(cache) = self.caches.get_mut(uid) else {
             return;
         };
@@ -85,14 +90,15 @@
         let old = cache.status();
         let damping_reason = cache.damping_reason(old, status);
         let reason = damping_reason.unwrap_or(verdict.reason);
-        if status == EndpointStatus::Ready && old == EndpointStatus::Suppressed {
+        let was_out_of_service = old == EndpointStatus::Suppressed || may_have_restarted;
+        if status == EndpointStatus::Ready && was_out_of_service {
             cache.returned_at = Some(batch.now);
         }
         entry.server.state = status.state();
         if !relayed {
             entries.extend(cache.replace_identity(batch.now, status, &entry));
-            entry.server.started = entry.server.started.max(cache.returned_at);
         }
+        entry.server.started = entry.server.started.max(cache.returned_at);
         let is_known = cache.published.is_some() || status != EndpointStatus::Gone;
         if is_known && !cache.is_published(&entry) {
             entries.push(entry.clone());
--- a/discovery/tests/common/mod.rs
+++ b/discovery/tests/common/mod.rs
@@ -86,6 +86,10 @@
             .get(uid)
             .map_or(State::Gone, |entry| entry.server.state)
     }
+
+    pub(crate) fn started(&self, uid: &str) -> Option<Micros> {
+        self.0.get(uid)?.server.started
+    }
 }
 
 pub(crate) fn full_list(reports: Vec<Report>) -> Evidence {
--- a/discovery/tests/endpoint_table.rs
+++ b/discovery/tests/endpoint_table.rs
@@ -372,6 +372,25 @@
     assert_eq!(published.state("a"), State::Gone);
 }
 
+/// Guards against a full load on a cache that was restarted while Consul had it out of service, as the bus, which lists it
+/// too, does not report the restart yet.
+#[test]
+fn a_cache_that_one_source_returns_to_service_gets_a_start_time_beside_the_other() {
+    for out_of_service in [vec![report("a", 1, State::Draining)], vec![]] {
+        let (mut table, mut published) = (table(), PublishedList::default());
+        let ready = || vec![report("a", 1, State::Ready)];
+        published.apply(&table.apply(SECOND_US, BUS, full_list(ready())));
+        published.apply(&table.apply(2 * SECOND_US, CONSUL, full_list(ready())));
+        assert_eq!(published.started("a"), None, "it has not returned");
+        published.apply(&table.apply(3 * SECOND_US, CONSUL, full_list(out_of_service)));
+        assert_eq!(published.state("a"), State::Draining);
+        published.apply(&table.apply(4 * SECOND_US, CONSUL, full_list(ready())));
+        assert_eq!(published.started("a"), Some(4 * SECOND_US));
+        published.apply(&table.apply(5 * SECOND_US, BUS, Evidence::Delta(ready())));
+        assert_eq!(published.started("a"), Some(4 * SECOND_US), "it is kept");
+    }
+}
+
 #[test]
 fn a_full_table_rejects_new_caches_and_retains_known_ones() {
     let limits = Limits {
