Begin a slow start when operators put a pop cache back into service

Cause: `unban` passed the entry of the list on unchanged. It has the start time of the process before the restart, or none, and such an endpoint counts as warm.

Change: the time of the call is kept, and no entry that goes to the decision module has an earlier start (daemon/src/daemon/bans.rs). The stored state names the caches in slow start for the other or next process of an upgrade; no wall time is stored. Bans moved out of admin.rs.

Why it works: all lists of all sources pass that place, so no later report can end the slow start early.

--- a/admin-api/src/state.rs
+++ b/admin-api/src/state.rs
@@ -61,6 +61,27 @@
     pub bans: BTreeSet<String>,
     /// Whether the process was taken out of service.
     pub out_of_service: bool,
+    /// Ids of the pop caches that were unbanned recently and are in slow start since.
+    #[serde(default, skip_serializing_if = "BTreeSet::is_empty")]
+    pub in_slow_start: BTreeSet<String>,
+}
+
+/// Merges two sets that have a common base. A member that `stored` has added or removed since is taken from there, and
+/// any other from `own`.
+fn merge_ids(
+    own: &BTreeSet<String>,
+    base: &BTreeSet<String>,
+    stored: &BTreeSet<String>,
+) -> BTreeSet<String> {
+    let is_member = |id: &&String| {
+        let in_stored = stored.contains(*id);
+        if in_stored == base.contains(*id) {
+            own.contains(*id)
+        } else {
+            in_stored
+        }
+    };
+    own.union(stored).filter(is_member).cloned().collect()
 }
 
 impl OperatorState {
@@ -68,18 +89,14 @@
     /// common. A decision that the stored state has changed since is taken from there, and any other from this state.
     #[must_use]
     pub fn merge(&self, base: &OperatorState, stored: &OperatorState) -> OperatorState {
-        let is_banned = |id: &String| {
-            let stored_ban = stored.bans.contains(id);
-            if stored_ban == base.bans.contains(id) {
-                self.bans.contains(id)
-            } else {
-                stored_ban
-            }
-        };
-        let ids = self.bans.union(&stored.bans);
         OperatorState {
             sequence: self.sequence.max(stored.sequence),
-            bans: ids.filter(|id| is_banned(id)).cloned().collect(),
+            bans: merge_ids(&self.bans, &base.bans, &stored.bans),
+            in_slow_start: merge_ids(
+                &self.in_slow_start,
+                &base.in_slow_start,
+                &stored.in_slow_start,
+            ),
             out_of_service: if stored.out_of_service == base.out_of_service {
                 self.out_of_service
             } else {
@@ -152,13 +169,22 @@
         self.state.sequence += 1;
         if banned {
             self.state.bans.insert(id.to_owned());
+            self.state.in_slow_start.remove(id);
             Some(Effect::Ban(id.to_owned()))
         } else {
             self.state.bans.remove(id);
+            self.state.in_slow_start.insert(id.to_owned());
             Some(Effect::Unban(id.to_owned()))
         }
     }
 
+    /// Records that the slow start of an unbanned pop cache is over. Returns whether this changes the state.
+    pub fn end_slow_start(&mut self, id: &str) -> bool {
+        let was_in_slow_start = self.state.in_slow_start.remove(id);
+        self.state.sequence += u64::from(was_in_slow_start);
+        was_in_slow_start
+    }
+
     /// Takes the process out of service or back into service, without a call. Used like
     /// [`set_banned`](Self::set_banned), with the same kind of result.
     pub fn set_out_of_service(&mut self, now: Micros, out_of_service: bool) -> Option<Effect> {
@@ -179,8 +205,11 @@
     pub fn adopt(&mut self, now: Micros, state: OperatorState) -> Vec<Effect> {
         let added = state.bans.difference(&self.state.bans);
         let revoked = self.state.bans.difference(&state.bans);
+        // A ban that the other process has set and revoked since the last call of this method was never seen here.
+        let returned = state.in_slow_start.difference(&self.state.in_slow_start);
+        let unbanned: BTreeSet<String> = revoked.chain(returned).cloned().collect();
         let mut effects: Vec<Effect> = added.cloned().map(Effect::Ban).collect();
-        effects.extend(revoked.cloned().map(Effect::Unban));
+        effects.extend(unbanned.into_iter().map(Effect::Unban));
         effects.extend(self.set_out_of_service(now, state.out_of_service));
         self.state = state;
         effects
--- a/admin-api/src/store/tests.rs
+++ b/admin-api/src/store/tests.rs
@@ -79,9 +79,17 @@
         sequence: 3,
         bans: ["pc1".to_owned(), "pc2".to_owned()].into(),
         out_of_service: true,
+        ..OperatorState::default()
     };
     let stored = br#"{"sequence":3,"bans":["pc1","pc2"],"out_of_service":true}"#;
     assert_eq!(encode(&state), stored);
+    let with_slow_start = OperatorState {
+        in_slow_start: ["pc3".to_owned()].into(),
+        ..OperatorState::default()
+    };
+    let stored_slow_start =
+        br#"{"sequence":0,"bans":[],"out_of_service":false,"in_slow_start":["pc3"]}"#;
+    assert_eq!(encode(&with_slow_start), stored_slow_start);
     let folder = folder("released");
     std::fs::write(&copy_paths(&folder)[0], stored).unwrap();
     assert_eq!(load(&folder).unwrap(), state);
--- a/admin-api/tests/state.rs
+++ b/admin-api/tests/state.rs
@@ -150,6 +150,7 @@
         sequence,
         bans: bans.iter().map(|id| (*id).to_owned()).collect(),
         out_of_service,
+        ..OperatorState::default()
     }
 }
 
--- a/daemon/src/daemon/admin.rs
+++ b/daemon/src/daemon/admin.rs
@@ -1,15 +1,15 @@
 //! The admin listener: accepts connections and executes the calls of operators.
 //!
 //! `linnetknot_admin_api` defines the calls and their effects on the operators' state (bans and drains). This module
-//! transfers the bytes, applies bans to the endpoint lists of the sources, closes client connections during a drain,
-//! and stores the state under `$TMPDIR`. The admin listener has its own connection limit, and when it is reached, the
+//! transfers the bytes, closes client connections during a drain, and stores the state under `$TMPDIR`; `bans` applies
+//! the bans to the endpoint lists of the sources. The admin listener has its own connection limit, and when it is reached, the
 //! oldest connection is evicted. Neither idle connections nor clients can therefore exclude an operator.
 
 use super::commits::OperatorDecision;
 use super::{Connection, ConnectionKind, Daemon, Timer};
 use crate::fleet;
 use crate::net::{FailureKind, Key, TcpConnection};
-use linnetknot::{ListMode, Micros, State};
+use linnetknot::Micros;
 use linnetknot_admin_api::state::IDLE_SWEEP_INTERVAL_US;
 use linnetknot_admin_api::{Call, CallOutcome, DrainState, Effect, Parser, Reply};
 
@@ -293,59 +293,6 @@
         }
     }
 
-    /// Bans a pop cache: the core treats it as gone, whatever its sources report, until it is unbanned.
-    pub(super) fn ban(&mut self, now: Micros, id: &str) {
-        let listed = self
-            .endpoint_table
-            .listed()
-            .find(|(entry, _)| entry.uid == id)
-            .map(|(entry, _)| entry.clone());
-        if let Some(mut entry) = listed {
-            entry.server.state = State::Gone;
-            self.core
-                .update_endpoints(now, ListMode::Delta, vec![entry]);
-        }
-    }
-
-    /// Unbans a pop cache. The cache is added again in the state that its sources report, and the decision module
-    /// treats it as a new cache in slow start.
-    fn unban(&mut self, now: Micros, id: &str) {
-        let listed = self
-            .endpoint_table
-            .listed()
-            .find(|(entry, _)| entry.uid == id)
-            .map(|(entry, _)| entry.clone());
-        if let Some(entry) = listed.filter(|entry| entry.server.state != State::Gone) {
-            self.core
-                .update_endpoints(now, ListMode::Delta, vec![entry]);
-        }
-    }
-
-    /// Removes the banned pop caches from a list that is passed to the core.
-    pub(super) fn without_bans(
-        &self,
-        mode: ListMode,
-        entries: Vec<linnetknot_discovery::Entry>,
-    ) -> Vec<linnetknot_discovery::Entry> {
-        let is_banned =
-            |entry: &linnetknot_discovery::Entry| self.admin_controller.is_banned(&entry.uid);
-        match mode {
-            ListMode::Full => entries
-                .into_iter()
-                .filter(|entry| !is_banned(entry))
-                .collect(),
-            _ => entries
-                .into_iter()
-                .map(|mut entry| {
-                    if is_banned(&entry) {
-                        entry.server.state = State::Gone;
-                    }
-                    entry
-                })
-                .collect(),
-        }
-    }
-
     /// Starts a drain: client connections are closed once their requests are answered. Idle connections are closed at
     /// periodic checks.
     pub(super) fn start_drain(&mut self, now: Micros) {
--- a/daemon/src/daemon/discovery.rs
+++ b/daemon/src/daemon/discovery.rs
@@ -83,7 +83,7 @@
 
     fn apply_discovery(&mut self, now: Micros, output: TableUpdate) {
         for ListEvent { mode, entries } in output.events {
-            let entries = self.without_bans(mode, entries);
+            let entries = self.apply_bans(mode, entries);
             self.core.update_endpoints(now, mode, entries);
         }
         for change in &output.changes {
--- a/daemon/src/daemon/mod.rs
+++ b/daemon/src/daemon/mod.rs
@@ -26,6 +26,7 @@
 
 mod accept_queue;
 mod admin;
+mod bans;
 mod budgets;
 mod cdni_listener;
 mod clients;
@@ -145,6 +146,7 @@
     admin_listener: Option<Listener>,
     admin_connection_count: usize,
     admin_controller: linnetknot_admin_api::AdminController,
+    lifted_bans: bans::LiftedBans,
     /// The directory that stores the operators' state for the next process.
     operator_state_folder: std::path::PathBuf,
     operator_files: operator_state::OperatorFiles,
--- a/daemon/src/daemon/operator_state.rs
+++ b/daemon/src/daemon/operator_state.rs
@@ -176,6 +176,7 @@
         let bans: Vec<String> = state.bans.iter().cloned().collect();
         self.admin_controller = AdminController::new(state, now);
         bans.iter().for_each(|id| self.ban(now, id));
+        self.restore_slow_starts(now);
         if is_drained {
             self.start_drain(now);
         }
--- a/daemon/src/daemon/startup/mod.rs
+++ b/daemon/src/daemon/startup/mod.rs
@@ -6,6 +6,7 @@
 pub use error::StartError;
 
 use super::accept_queue::AcceptQueue;
+use super::bans::LiftedBans;
 use super::bus;
 use super::commits::PendingCommits;
 use super::consul;
@@ -191,6 +192,7 @@
         let now = daemon.clock.now();
         daemon.restore_purges(now);
         daemon.start_sharing_purges(now)?;
+        daemon.restore_slow_starts(now);
         recorded
             .events
             .into_iter()
@@ -273,6 +275,7 @@
             admin_listener: parts.sockets.admin_listener,
             admin_connection_count: 0,
             admin_controller: stored.admin_controller,
+            lifted_bans: LiftedBans::default(),
             operator_state_folder: config.operator_state_folder.clone(),
             operator_files: stored.files,
             listener_inherited: parts.sockets.listener_inherited,
--- a/daemon/tests/stored_forms.rs
+++ b/daemon/tests/stored_forms.rs
@@ -264,6 +264,7 @@
         sequence: 2,
         bans: ["s-0a".to_owned()].into(),
         out_of_service: true,
+        ..OperatorState::default()
     };
     assert_eq!(state, expected);
     assert_eq!(store::encode(&state), OPERATORS);
