Let a corrupt date move the origin's clock only if another date confirms it

Cause: the estimate of the origin's clock kept the greatest date for good. The ages of purges and the starts of pop caches go by it.

Change: a date counts once another distinct one within 0.25 s confirms it, and is forgotten after a minute. Dates over two hours ahead of the local clock are ignored, and dates of copies count up to 10 s ahead of those of events. Event dates have an estimate of their own.

Why it works: a single date can't move the clock, and a wrong bound ends with the dates that made it.

--- a/daemon/src/core/purging.rs
+++ b/daemon/src/core/purging.rs
@@ -27,10 +27,22 @@
         self.origin_clock.date_for_peers(now)
     }
 
-    /// Updates the estimate of the origin clock with a date just received from the origin or the event bus. The origin
-    /// clock is at or after this date.
+    /// Updates the estimate of the origin clock with the date of a copy or of the start of a pop cache that was just
+    /// received. The origin clock is at or after this date, unless the date is corrupt.
     pub fn observe_origin_date(&mut self, now: Micros, date: Micros) {
-        for (key, date) in self.origin_clock.observe(now, date) {
+        let redated = self.origin_clock.observe(now, date);
+        self.apply_origin_clock(redated);
+    }
+
+    /// Updates the estimate of the origin clock with the date of an event that was just received.
+    pub fn observe_event_date(&mut self, now: Micros, date: Micros) {
+        let redated = self.origin_clock.observe_event(now, date);
+        self.apply_origin_clock(redated);
+    }
+
+    /// Applies a changed estimate of the origin clock to the purges.
+    fn apply_origin_clock(&mut self, redated: Vec<(KeyHash, Micros)>) {
+        for (key, date) in redated {
             self.router.purges_mut().record(key, date);
         }
         self.router
--- a/daemon/src/daemon/sources/bus.rs
+++ b/daemon/src/daemon/sources/bus.rs
@@ -176,7 +176,7 @@
             }
         }
         if let Some(BusUpdate::Purge { object, group, at }) = &event.update {
-            self.core.observe_origin_date(now, *at);
+            self.core.observe_event_date(now, *at);
             self.forward_purge(now, object.as_deref(), *group);
         }
         self.apply_bus_event(now, event);
--- a/daemon/src/origin_clock.rs
+++ b/daemon/src/origin_clock/mod.rs
@@ -1,15 +1,26 @@
 //! Estimates the clock of the origin. Copies and purges carry dates of this clock, which the event bus also uses.
 //!
 //! A received date is never later than the time at which it was sent, so it is a lower bound of the origin clock. The
-//! greatest bound is kept and advances with the local monotonic clock. The bound is never ahead of the origin clock,
-//! and lags behind it by the shortest transfer time of any received date. Steps of the local wall clock have no effect.
+//! greatest bound that is confirmed advances with the local monotonic clock, and lags behind the origin clock by the
+//! shortest transfer time of the recent dates. Steps of the local wall clock have no effect.
+//!
+//! Dates of answers may be corrupt. One that is further ahead of the local clock than two clocks may differ is ignored,
+//! one that no other date confirms does not raise the bound, and all together can't raise it further above the dates of
+//! the event bus than an event may be late.
+
+mod lower_bound;
 
 use linnetknot::Micros;
 use linnetknot_purges::KeyHash;
+use lower_bound::LowerBound;
 use std::collections::VecDeque;
 
 /// The recorded purges are dated again only if the bound has increased by more than this.
 const REDATE_SLACK_US: i64 = 250_000;
+/// The maximum difference of two clocks: each may step by an hour.
+const MAX_CLOCK_DIFFERENCE_US: Micros = 7_200_000_000;
+/// The maximum time from the date of an event until the event is received.
+const MAX_EVENT_DELAY_US: i64 = 10_000_000;
 /// The maximum number of recorded purges. Purges beyond it, the oldest ones, are not dated again when the bound
 /// increases.
 const MAX_RECORDED_PURGES: usize = 4_096;
@@ -27,9 +38,11 @@
 /// A lower bound of the origin clock, and the purges whose dates are computed from that bound.
 #[derive(Debug, Default)]
 pub struct OriginClock {
-    /// The bound minus the local time; `None` until a date is received.
-    offset_us: Option<i64>,
-    /// The value of `offset_us` when the dates of the recorded purges were last computed.
+    /// The bound by the dates of events.
+    by_events: LowerBound,
+    /// The bound by the dates of copies, and of the starts of pop caches.
+    by_copies: LowerBound,
+    /// The value of `known_offset_us` by which the dates of the recorded purges were computed.
     dated_by: Option<i64>,
     recorded_purges: VecDeque<RecordedPurge>,
 }
@@ -40,10 +53,24 @@
     i64::try_from(wide).unwrap_or(if wide < 0 { i64::MIN } else { i64::MAX })
 }
 
+/// Returns whether a correct clock may show a date at the local time `now`.
+fn is_plausible(now: Micros, date: Micros) -> bool {
+    date <= now.saturating_add(MAX_CLOCK_DIFFERENCE_US)
+}
+
 impl OriginClock {
     /// Returns the lower bound of the origin clock minus the local time; 0 until a date is received.
     pub fn offset_us(&self) -> i64 {
-        self.offset_us.unwrap_or(0)
+        self.known_offset_us().unwrap_or(0)
+    }
+
+    fn known_offset_us(&self) -> Option<i64> {
+        let by_copies = self.by_copies.offset_us();
+        let Some(by_events) = self.by_events.offset_us() else {
+            return by_copies;
+        };
+        let max = by_events.saturating_add(MAX_EVENT_DELAY_US);
+        Some(by_copies.map_or(by_events, |offset| offset.clamp(by_events, max)))
     }
 
     /// Returns the lower bound of the origin clock at the local time `now`. Returns `now` until a date is received.
@@ -51,27 +78,45 @@
         now.saturating_add_signed(self.offset_us())
     }
 
-    /// Converts a time of the origin clock to the local clock. The result is not too early, because the bound is not
-    /// ahead of the origin clock.
+    /// Converts a time of the origin clock to the local clock. The result is not too early unless the bound is ahead of
+    /// the origin clock.
     pub fn to_local(&self, at: Micros) -> Micros {
         at.saturating_add_signed(self.offset_us().saturating_neg())
     }
 
-    /// Raises the bound with a date that was just received. Returns the recorded purges whose dates were computed
-    /// again, with their new dates.
+    /// Updates the bound with the date of a copy, or of the start of a pop cache, that was just received. Returns the
+    /// recorded purges whose dates were computed again, with their new dates.
     pub fn observe(&mut self, now: Micros, date: Micros) -> Vec<(KeyHash, Micros)> {
-        let offset = difference(date, now);
-        if self.offset_us.is_some_and(|known| known >= offset) {
+        if is_plausible(now, date) {
+            self.by_copies.record(now, date, difference(date, now));
+        }
+        self.redate()
+    }
+
+    /// Updates the bound with the date of an event that was just received. Like [`observe`](Self::observe) otherwise.
+    pub fn observe_event(&mut self, now: Micros, date: Micros) -> Vec<(KeyHash, Micros)> {
+        if is_plausible(now, date) {
+            self.by_events.record(now, date, difference(date, now));
+        }
+        self.redate()
+    }
+
+    /// Computes the dates of the recorded purges again if the bound has increased.
+    fn redate(&mut self) -> Vec<(KeyHash, Micros)> {
+        let Some(offset) = self.known_offset_us() else {
+            return Vec::new();
+        };
+        let before = self.dated_by;
+        let is_close =
+            |before: i64| (before..=before.saturating_add(REDATE_SLACK_US)).contains(&offset);
+        if before.is_some_and(is_close) {
             return Vec::new();
         }
-        self.offset_us = Some(offset);
-        if self
-            .dated_by
-            .is_some_and(|before| offset <= before.saturating_add(REDATE_SLACK_US))
-        {
+        self.dated_by = Some(offset);
+        if before.is_some_and(|before| offset < before) {
+            // The purges keep their dates, which are late enough.
             return Vec::new();
         }
-        self.dated_by = self.offset_us;
         let purges = self.recorded_purges.iter();
         purges.map(|purge| (purge.key, self.date(*purge))).collect()
     }
@@ -95,7 +140,11 @@
     /// Records a purge that arrives now with a date from another clock. A date later than the latest possible time is
     /// reduced to it. Returns the resulting date.
     pub fn record_dated(&mut self, now: Micros, key: KeyHash, date: Micros) -> Micros {
-        if self.offset_us.is_none() || date <= self.latest(now) {
+        let latest = match self.dated_by {
+            None => now.saturating_add(MAX_CLOCK_DIFFERENCE_US),
+            Some(_) => self.latest(now),
+        };
+        if date <= latest {
             return date;
         }
         self.record(RecordedPurge {
--- a/daemon/tests/origin_clock.rs
+++ b/daemon/tests/origin_clock.rs
@@ -9,6 +9,8 @@
 const SECOND: i64 = 1_000_000;
 /// Offsets by which the local clock is ahead of the origin's clock.
 const OFFSETS_S: [i64; 7] = [-3_600, -60, -4, 0, 4, 60, 3_600];
+/// The greatest error of a date that a correct one confirms. The grace after a purge is longer.
+const CONFIRMED_ERROR_US: Micros = 250_000;
 
 fn local_time(origin: Micros, ahead_s: i64) -> Micros {
     origin.saturating_add_signed(ahead_s * SECOND)
@@ -100,3 +102,54 @@
         assert!(date >= START + 1_000_000, "{ahead_s} s");
     }
 }
+
+/// Guards against ages of purges that are too great for good, after one corrupt date of a copy (review, case 8).
+#[test]
+fn a_single_corrupt_date_does_not_move_the_clock() {
+    // Each digit of a date in milliseconds, replaced by a greater one.
+    let errors_ms = (0..13).map(|digit| 8 * 10_u64.pow(digit));
+    for (error_ms, ahead_s) in errors_ms.flat_map(|error| OFFSETS_S.map(|ahead| (error, ahead))) {
+        let mut clock = OriginClock::default();
+        for n in 0..4 {
+            let made = START + n * 1_000_000;
+            clock.observe(local_time(made + 3_000, ahead_s), made);
+        }
+        let received = START + 4_000_000;
+        clock.observe(local_time(received, ahead_s), received + 1_000 * error_ms);
+        let at = START + 5_000_000;
+        let bound = clock.now(local_time(at, ahead_s));
+        assert!(
+            (at - 3_000..=at + CONFIRMED_ERROR_US).contains(&bound),
+            "{error_ms} ms, {ahead_s} s: {bound}"
+        );
+    }
+}
+
+/// Guards against a proxy whose first dates are corrupt, and which has no others to compare them with.
+#[test]
+fn corrupt_dates_are_forgotten() {
+    let mut clock = OriginClock::default();
+    for n in 0..3 {
+        let received = START + n * 100_000;
+        clock.observe(received, received + 60_000_000);
+    }
+    for n in 1..=70 {
+        let received = START + n * 1_000_000;
+        clock.observe(received, received - 3_000);
+    }
+    let at = START + 71_000_000;
+    assert_eq!(clock.now(at), at - 3_000);
+}
+
+/// Guards against dates of copies that agree with each other but not with the event bus.
+#[test]
+fn dates_of_copies_are_at_most_as_far_ahead_of_events_as_these_may_be_late() {
+    let mut clock = OriginClock::default();
+    clock.observe_event(START, START - 100_000);
+    for n in 1..=20 {
+        let received = START + n * 100_000;
+        clock.observe(received, received + 3_600_000_000);
+    }
+    let at = START + 3_000_000;
+    assert!(clock.now(at) <= at + 10_000_000);
+}
--- a/harness/src/fakes/cache.rs
+++ b/harness/src/fakes/cache.rs
@@ -24,6 +24,8 @@
     pub silent: bool,
     /// Serves stored copies of any age and reports them as new.
     pub any_age: bool,
+    /// Time by which the reported dates of copies are too late, in milliseconds.
+    pub made_ahead_ms: u64,
 }
 
 /// A command received by a cache.
@@ -304,6 +306,7 @@
     };
     let ttfb_ms = behaviour.origin_ms.max(1);
     let made_field = if behaviour.any_age { arrival.at } else { *made };
+    let made_field = made_field + behaviour.made_ahead_ms;
     let fields = format!("how={how},ttfb={ttfb_ms},made={made_field},etag=t{made}");
     let body = format!("{}{name}@{made}", ".".repeat(behaviour.padding));
     let mut out = Vec::new();
