Repeat a keyed request only at servers that know its key, whatever its class

Cause: whether a server knows the key was asked only for writes. pick_cache and pick_fallback, which may pick a parent of another zone, never asked.

Change: Router::may_run_at is asked for every target and again for a queued attempt. The location of the first run is recorded when it is sent, as the cache may have been replaced by the end, and cells of different roles are not the same.

Why it works: no target is chosen elsewhere.

--- a/src/router/dispatch.rs
+++ b/src/router/dispatch.rs
@@ -1,6 +1,6 @@
 //! Sends attempts: determines how a miss is filled and records the attempt.
 
-use super::state::{Attempt, Charge, OpenRequest, Role, Target};
+use super::state::{Attempt, Charge, Endpoint, OpenRequest, Role, Target};
 use super::Router;
 use crate::interface::{Action, Fill, Micros, RequestId, ServerId};
 
@@ -88,6 +88,7 @@
             number: open.attempts,
             server: target.server,
             source: target.source,
+            location: server.map(Endpoint::location),
             sent_at: now,
             overdue_at: now
                 .saturating_add(OVERDUE_US)
--- a/src/router/outcomes.rs
+++ b/src/router/outcomes.rs
@@ -172,11 +172,9 @@
                 .is_some_and(|id| !self.is_healthy(id, end.now));
         let source_failed =
             fault.is_source() || source_ejected && self.is_healthy(end.attempt.server, end.now);
-        let server = self.endpoints.get(&end.attempt.server);
         let run = FirstRun {
             sent_at: end.attempt.sent_at,
-            zone: server.map_or(usize::MAX, |server| server.zone),
-            cell: server.map_or(u64::MAX, |server| server.cell),
+            location: end.attempt.location,
         };
         let write = self.settings.classes[end.class].write;
         let Some(open) = self.requests.get_mut(&end.request) else {
--- a/src/router/placement.rs
+++ b/src/router/placement.rs
@@ -4,7 +4,7 @@
 use super::state::{Endpoint, OpenRequest, Role, Target};
 use super::statistics::MIN_SLOWDOWN_SAMPLES;
 use super::Router;
-use crate::interface::{DedupScope, Micros, ServerId, Siblings};
+use crate::interface::{Micros, ServerId, Siblings};
 use linnetknot_purges::hashing::mix;
 
 /// Lower bound of the total request count, so that the first objects in an almost empty table do not appear popular.
@@ -69,9 +69,8 @@
         let share = open.object_count / self.object_counts.total(now).max(MIN_TOTAL_COUNT);
         let copies = (share * caches.len() as f64).ceil().max(1.0) as usize;
         let is_eligible = |id: &&ServerId| {
-            !open.tried_servers.contains(id)
+            self.is_free(**id, now, open)
                 && self.is_healthy(**id, now)
-                && self.admits(**id, now, open)
                 && self.responds_in_time(**id, now, open)
         };
         let first = caches.iter().take(copies);
@@ -86,6 +85,12 @@
         Self::target_with_fill(open, server, source)
     }
 
+    /// Returns whether an attempt of a request may be sent to a server, by the request's earlier attempts and by the
+    /// limits of the server.
+    fn is_free(&self, id: ServerId, now: Micros, open: &OpenRequest) -> bool {
+        !open.tried_servers.contains(&id) && self.may_run_at(open, id) && self.admits(id, now, open)
+    }
+
     /// Returns a cache as target, unless the cache is known to need a fill and there is no source.
     fn target_with_fill(
         open: &OpenRequest,
@@ -181,14 +186,14 @@
     ) -> Option<Target> {
         // The origin is used even while it is ejected, because there is no other.
         let origin = ranked.origin.filter(|_| self.origin_has_capacity(now))?;
-        if self.settings.direct_to_upstream && self.deduplicates(open, origin) {
+        if self.settings.direct_to_upstream && self.may_run_at(open, origin) {
             return Some(Target {
                 server: origin,
                 source: None,
             });
         }
         let is_eligible = |id: &&ServerId| {
-            self.deduplicates(open, **id)
+            self.may_run_at(open, **id)
                 && self.is_healthy(**id, now)
                 && self.admits(**id, now, open)
         };
@@ -198,18 +203,6 @@
         })
     }
 
-    /// Returns whether a server would recognise the repeat of a request that may have run.
-    fn deduplicates(&self, open: &OpenRequest, id: ServerId) -> bool {
-        let (Some(run), Some(server)) = (open.may_have_run, self.endpoints.get(&id)) else {
-            return true;
-        };
-        match self.settings.classes[open.class].dedup_scope {
-            DedupScope::All => true,
-            DedupScope::Zone => server.zone == run.zone,
-            DedupScope::Cell => server.cell == run.cell,
-        }
-    }
-
     /// Selects a target when no healthy cache would answer in time. If all caches are ejected and direct attempts are
     /// allowed, it is the first healthy parent in the ranking. Otherwise it is the first cache that would answer in
     /// time, ejected or not, because ejections of all caches indicate overload rather than failures of single servers.
@@ -219,8 +212,7 @@
         open: &OpenRequest,
         ranked: &RankedServers,
     ) -> Option<Target> {
-        let is_free =
-            |id: &&ServerId| !open.tried_servers.contains(id) && self.admits(**id, now, open);
+        let is_free = |id: &&ServerId| self.is_free(**id, now, open);
         let is_healthy = |id: &ServerId| self.is_healthy(*id, now);
         let may_skip_caches = self.settings.direct_to_upstream
             && !ranked.caches.iter().any(is_healthy)
--- a/src/router/retries.rs
+++ b/src/router/retries.rs
@@ -1,9 +1,9 @@
 //! Retries: decides whether a request is sent, sent again or answered without another attempt. A request that may have
 //! run is repeated only if its class allows it, and every request gets exactly one final answer.
 
-use super::state::OpenRequest;
+use super::state::{Endpoint, OpenRequest};
 use super::Router;
-use crate::interface::{Action, DedupScope, Micros, Repeat, RequestId};
+use crate::interface::{Action, DedupScope, Micros, Repeat, RequestId, ServerId};
 use linnetknot_purges::hashing::mix;
 
 /// Number of errors without a reason after which the request itself is considered faulty.
@@ -57,11 +57,33 @@
         }
     }
 
+    /// Returns whether a request may be sent to a server as far as earlier attempts that may have run allow it: the
+    /// repeat of a keyed request must reach a server that recognises it.
+    pub(super) fn may_run_at(&self, open: &OpenRequest, id: ServerId) -> bool {
+        let class = &self.settings.classes[open.class];
+        let Some(run) = open.may_have_run.filter(|_| class.repeat == Repeat::Keyed) else {
+            return true;
+        };
+        let server = self.endpoints.get(&id).map(Endpoint::location);
+        let (Some(server), Some(first)) = (server, run.location) else {
+            return class.dedup_scope == DedupScope::All;
+        };
+        match class.dedup_scope {
+            DedupScope::All => true,
+            DedupScope::Zone => server.zone == first.zone,
+            // The servers of one cell have the same role, but the numbers of cells of other roles may be the same.
+            DedupScope::Cell => server.cell == first.cell && server.role == first.role,
+        }
+    }
+
     /// Decides again whether an attempt that waited for a connection may be sent. Returns `None` if it must not be
     /// sent, otherwise the maximum age of a copy that may be served.
     pub fn recheck_queued_attempt(&self, now: Micros, id: RequestId) -> Option<Option<Micros>> {
         let open = self.requests.get(&id)?;
-        let may_begin = !open.client_left && !self.must_not_rerun(now, open);
+        let queued = open.in_flight.as_ref();
+        let may_begin = !open.client_left
+            && !self.must_not_rerun(now, open)
+            && queued.is_none_or(|attempt| self.may_run_at(open, attempt.server));
         may_begin.then(|| self.max_age_us(now, open))
     }
 
--- a/src/router/state.rs
+++ b/src/router/state.rs
@@ -23,6 +23,15 @@
     pub(super) source: Option<ServerId>,
 }
 
+/// What decides which servers recognise the repeat of a request that ran at a server.
+#[derive(Clone, Copy, PartialEq, Eq)]
+pub(super) struct Location {
+    pub(super) role: Role,
+    /// Index of the zone in the settings.
+    pub(super) zone: usize,
+    pub(super) cell: u64,
+}
+
 /// A request charged to the slow-start budget of a server.
 pub(super) struct Charge {
     pub(super) at: Micros,
@@ -69,6 +78,15 @@
 }
 
 impl Endpoint {
+    /// Returns the server's location.
+    pub(super) fn location(&self) -> Location {
+        Location {
+            role: self.role,
+            zone: self.zone,
+            cell: self.cell,
+        }
+    }
+
     /// Returns when the server's process started or is assumed to have started; `None` if it started so long ago that
     /// it has its full capacity.
     pub(super) fn warming_since(&self) -> Option<Micros> {
@@ -82,6 +100,8 @@
     pub(super) number: u32,
     pub(super) server: ServerId,
     pub(super) source: Option<ServerId>,
+    /// Location of the server when the attempt was sent.
+    pub(super) location: Option<Location>,
     pub(super) sent_at: Micros,
     /// Time from which the missing answer counts as a sign that the server has stopped answering.
     pub(super) overdue_at: Micros,
@@ -104,9 +124,8 @@
 #[derive(Clone, Copy)]
 pub(super) struct FirstRun {
     pub(super) sent_at: Micros,
-    /// Zone and cell of the server to which the attempt was sent.
-    pub(super) zone: usize,
-    pub(super) cell: u64,
+    /// Location of the server to which the attempt was sent.
+    pub(super) location: Option<Location>,
 }
 
 /// A request without a final answer, or with an attempt still in flight after the client left.
--- a/tests/platform_rules.rs
+++ b/tests/platform_rules.rs
@@ -129,6 +129,103 @@
     );
 }
 
+/// Returns a harness in which pages are keyed requests that caches keep. Caches 1 and 2 are cell 0, 3 and 4 cell 1; the
+/// parents and the origin have the number 0, too.
+fn keyed_pages(scope: DedupScope) -> RouterHarness {
+    let mut s = settings();
+    s.classes[1].repeat = Repeat::Keyed;
+    s.classes[1].dedup_scope = scope;
+    let mut fleet = fleet();
+    for server in &mut fleet {
+        server.cell = u64::from([3, 4].contains(&server.id));
+    }
+    RouterHarness::new(s, fleet)
+}
+
+fn cell_of(id: ServerId) -> Option<u64> {
+    [(1..=2, 0), (3..=4, 1)]
+        .into_iter()
+        .find_map(|(ids, cell)| ids.contains(&id).then_some(cell))
+}
+
+/// Guards against a keyed request that runs twice, as a cache of another cell does not know its key (review, case 6).
+#[test]
+fn a_keyed_request_that_caches_keep_is_resent_only_within_its_cell() {
+    let mut harness = keyed_pages(DedupScope::Cell);
+    let mut resent = 0;
+    for n in 0..100 {
+        let first = harness.send_request("page", &format!("/o/{n}"));
+        let cell = cell_of(first.server);
+        assert!(cell.is_some(), "the first attempt goes to a cache");
+        let mut server = first.server;
+        let mut actions = harness.end_attempt(first.request, 0, server, Outcome::Reset);
+        for attempt in 1.. {
+            let Some(retry) = sent(&actions) else { break };
+            assert_eq!(cell_of(retry.server), cell, "/o/{n}: {}", retry.server);
+            resent += 1;
+            server = retry.server;
+            actions = harness.end_attempt(first.request, attempt, server, Outcome::Reset);
+        }
+        let failed = Action::Fail {
+            request: first.request,
+        };
+        assert_eq!(actions, vec![failed], "a refusal would be a second run");
+        harness.now += 5 * S;
+    }
+    assert!(resent > 0, "no request was sent again");
+}
+
+/// Guards against a repeat that skips the caches, which are all ejected, and goes to a parent of another zone.
+#[test]
+fn a_keyed_request_is_not_resent_to_a_parent_of_another_zone_or_cell() {
+    for scope in [DedupScope::Zone, DedupScope::Cell] {
+        let mut harness = keyed_pages(scope);
+        let first = harness.send_request("page", "/o/a");
+        for id in (1..=4).filter(|id| *id != first.server) {
+            let mut gone = server(id, "town", "cache");
+            gone.state = State::Gone;
+            harness.handle(Event::List {
+                mode: ListMode::Delta,
+                servers: vec![gone],
+            });
+        }
+        // The refused connections eject the only cache.
+        for n in 0..10 {
+            let (id, actions) = harness.request("video", &format!("/o/{n}"), 5 * S);
+            if let Some(s) = sent(&actions).filter(|s| s.server == first.server) {
+                harness.end_attempt(id, 0, s.server, Outcome::ConnectFailed);
+            }
+        }
+        let actions = harness.end_attempt(first.request, 0, first.server, Outcome::Reset);
+        let failed = Action::Fail {
+            request: first.request,
+        };
+        assert_eq!(actions, vec![failed], "{scope:?}");
+    }
+}
+
+/// Guards against a repeat that waits for its connection while the list moves its cache to another cell.
+#[test]
+fn a_queued_repeat_is_not_sent_once_its_cache_has_moved_to_another_cell() {
+    let mut harness = keyed_pages(DedupScope::Cell);
+    let first = harness.send_request("page", "/o/a");
+    let actions = harness.end_attempt(first.request, 0, first.server, Outcome::Reset);
+    let retry = sent(&actions).expect("the other cache of the cell");
+    let recheck = |harness: &RouterHarness| {
+        let router = &harness.router;
+        router.recheck_queued_attempt(harness.now, first.request)
+    };
+    assert!(recheck(&harness).is_some());
+    let mut moved = server(retry.server, "town", "cache");
+    moved.cell = 7;
+    moved.started = Some(harness.now);
+    harness.handle(Event::List {
+        mode: ListMode::Delta,
+        servers: vec![moved],
+    });
+    assert!(recheck(&harness).is_none());
+}
+
 #[test]
 fn draining_and_removed_servers_get_no_new_requests() {
     for state in [State::Draining, State::Gone] {
