Answer the front's health check only once the recovery is complete

Cause: `/_health` had a condition of its own, without the recovery that all other answers on readiness wait for.

Change: it is answered by `can_serve` like these.

--- a/daemon/src/daemon/clients/requests.rs
+++ b/daemon/src/daemon/clients/requests.rs
@@ -138,8 +138,7 @@
     }
 
     fn answer_health_check(&mut self, key: Key, stream: u16) {
-        let is_ready =
-            self.core.is_ready() && !self.is_stopping() && self.admin_controller.in_service();
+        let is_ready = self.can_serve() && self.admin_controller.in_service();
         let status = if is_ready {
             "200 OK"
         } else {
--- /dev/null
+++ b/daemon/tests/readiness.rs
@@ -0,0 +1,45 @@
+//! A process must not say that it is ready before the purges and bans that earlier processes accepted are in effect.
+
+use linnetknot_harness::clients::{poll_until, TIMEOUT};
+use linnetknot_harness::fleet::{Disk, Fleet, Setup};
+use linnetknot_harness::links::LinkConditions;
+use std::path::Path;
+
+const DAEMON: &str = env!("CARGO_BIN_EXE_linnetknot");
+const PHOTO: &str = "00000000000000a1";
+
+fn is_ready(fleet: &Fleet) -> bool {
+    fleet.admin_call(0, "GET", "/control/ready").unwrap() == 200
+}
+
+/// Starts a fleet that replicates. The first proxy has a copy of the photo and has accepted its purge.
+fn fleet_with_purge(seed: u64) -> Fleet {
+    let fleet = Fleet::with(Setup {
+        within_ms: Some(3_000),
+        ..Setup::replicating(Path::new(DAEMON), 3, seed)
+    })
+    .unwrap();
+    assert!(poll_until(TIMEOUT, || is_ready(&fleet)));
+    fleet.ask(0, PHOTO).unwrap();
+    assert_eq!(fleet.purge(0, PHOTO).unwrap(), 201);
+    fleet
+}
+
+/// Restarts the first proxy without its disk, cut off from its peers.
+fn restart_alone(fleet: &mut Fleet) {
+    fleet.kill(0).unwrap();
+    fleet.links.split(&[0], LinkConditions::CUT);
+    fleet.restart(0, Disk::Lost).unwrap();
+}
+
+/// Guards against a front that takes in a proxy which still lacks the purges that it accepted (review, case 7).
+#[test]
+fn the_health_check_fails_until_accepted_purges_are_in_force_again() {
+    let mut fleet = fleet_with_purge(91);
+    restart_alone(&mut fleet);
+    assert_eq!(fleet.health(0).unwrap(), 503);
+    assert!(!is_ready(&fleet));
+    fleet.links.split(&[0], LinkConditions::default());
+    assert!(poll_until(TIMEOUT, || fleet.health(0).unwrap() == 200));
+    assert!(fleet.holds_floor(0, PHOTO).unwrap());
+}
--- a/harness/src/fleet/queries.rs
+++ b/harness/src/fleet/queries.rs
@@ -56,6 +56,16 @@
             .ok_or_else(|| io::Error::other("the request was aborted"))
     }
 
+    /// Returns the status of the answer to a health check of the front.
+    pub fn health(&self, n: usize) -> io::Result<u16> {
+        let mut web = WebServer::connect(self.process(n)?.front)?;
+        web.send(&WebServer::request(1, "/_health", &[], b""))?;
+        let (_, answer) = web.end()?;
+        answer
+            .map(|answer| answer.status)
+            .ok_or_else(|| io::Error::other("the health check was aborted"))
+    }
+
     /// Returns whether a purge of a photo is in force at a proxy: whether the proxy's fetch limits the age of the copy.
     /// The response itself does not show this, as the caches are shared: a fetch of another proxy may have refreshed
     /// the copy.
