Treat earlier copies as purged if committed purges can't be recovered in time

Callers could get copies from before a purge that the proxy had accepted, once the time limit of its recovery had passed.

Cause: at the limit the proxy became ready although purges might be missing; only without an open store did it distrust earlier copies.

Why it works: a purge that is not known is covered by one of everything.

--- a/daemon/src/daemon/recovery.rs
+++ b/daemon/src/daemon/recovery.rs
@@ -125,13 +125,14 @@
             return;
         };
         let step = recovery.tick(now);
+        let due = recovery.due();
         if let Some(machines) = step.missing_machines {
-            log::error!(machines = machines; "recovery timed out: becoming ready although committed entries may be missing");
-            if self.pending_store.is_some() {
-                self.core.purges_mut().purge_all(now);
-            }
+            log::error!(
+                machines = machines;
+                "recovery timed out although committed entries may be missing: treating every earlier cached copy as purged"
+            );
+            self.purge_all(now);
         }
-        let due = recovery.due();
         self.request_digests(step.request_from);
         match due {
             Some(due) => {
@@ -226,11 +227,16 @@
         }
     }
 
+    /// Treats every cached copy from before now as purged, because purges may be unknown.
+    fn purge_all(&mut self, now: Micros) {
+        let at = self.core.purge_all_date(now);
+        self.core.purges_mut().purge_all(at);
+    }
+
     /// Ends the wait for a snapshot that was not received. Its purges are unknown, so all cached copies are treated as
     /// purged.
     fn end_snapshot_wait(&mut self, now: Micros) {
-        let at = self.core.purge_all_date(now);
-        self.core.purges_mut().purge_all(at);
+        self.purge_all(now);
         log::error!(
             "snapshot of the peers was not received in time: treating every earlier cached copy as purged"
         );
--- a/daemon/tests/readiness.rs
+++ b/daemon/tests/readiness.rs
@@ -4,8 +4,11 @@
 use linnetknot_harness::fleet::{Disk, Fleet, Setup};
 use linnetknot_harness::links::LinkConditions;
 use std::path::Path;
+use std::time::{Duration, Instant};
 
 const DAEMON: &str = env!("CARGO_BIN_EXE_linnetknot");
+/// The time within which a restarted process must be ready.
+const READY_WITHIN: Duration = Duration::from_secs(10);
 const PHOTO: &str = "00000000000000a1";
 
 fn is_ready(fleet: &Fleet) -> bool {
@@ -43,3 +46,14 @@
     assert!(poll_until(TIMEOUT, || fleet.health(0).unwrap() == 200));
     assert!(fleet.holds_floor(0, PHOTO).unwrap());
 }
+
+/// Guards against copies from before a purge that are served once the time limit of the recovery has passed.
+#[test]
+fn a_proxy_that_can_not_recover_treats_earlier_copies_as_purged() {
+    let mut fleet = fleet_with_purge(92);
+    restart_alone(&mut fleet);
+    let start = Instant::now();
+    assert!(poll_until(READY_WITHIN, || fleet.health(0).unwrap() == 200));
+    assert!(start.elapsed() < READY_WITHIN);
+    assert!(fleet.holds_floor(0, PHOTO).unwrap());
+}
