Delay readiness until the stored bans can be read, for five seconds at most

Callers saw requests at a pop cache that operators had banned, after an upgrade whose new process could not read the stored state at first.

Cause: the read is retried, but the process said that it was ready meanwhile, and the old one, which knew the ban, ended.

Change: `can_serve` waits for the stored state, for 5 s at most, so that a folder that fails for longer keeps nobody from service and the new process of an upgrade is ready within the 6 s that it has.

Why it works: the old process serves until the new one says yes.

--- a/daemon/src/daemon/admin.rs
+++ b/daemon/src/daemon/admin.rs
@@ -199,9 +199,13 @@
         }
     }
 
-    /// Returns whether the process can serve requests, ignoring states set by operators such as a drain.
+    /// Returns whether the process can serve requests, ignoring states set by operators such as a drain. All answers on
+    /// its readiness are derived from this. Purges and bans that earlier processes accepted must be in effect by then.
     pub(super) fn can_serve(&self) -> bool {
-        self.core.is_ready() && !self.is_stopping() && self.pending_commits.has_recovered()
+        self.core.is_ready()
+            && !self.is_stopping()
+            && self.pending_commits.has_recovered()
+            && !self.operator_files.delays_readiness(self.clock.now())
     }
 
     /// Executes a call. Returns `None` if the reply is sent later, after a commit.
--- a/daemon/src/daemon/operator_state.rs
+++ b/daemon/src/daemon/operator_state.rs
@@ -18,6 +18,8 @@
 const MIN_RETRY_US: Micros = 100_000;
 /// The longest backoff between two attempts to read or write the files, before jitter.
 const MAX_RETRY_US: Micros = 2_000_000;
+/// The time after which the process is ready even if the stored state can't be read.
+const MAX_READINESS_DELAY_US: Micros = 5_000_000;
 
 /// The files of the operators' state, and whether they have to be read or written again.
 pub(super) struct OperatorFiles {
@@ -25,6 +27,8 @@
     failed: FailedAttempts,
     /// Whether the stored state could not be read yet.
     load_pending: bool,
+    /// The time at which the process becomes ready without the stored state.
+    load_deadline: Micros,
     /// Whether the files may differ from the state in effect.
     write_pending: bool,
     due: Option<DeadlineId>,
@@ -53,6 +57,7 @@
             backoff: Backoff::new(MIN_RETRY_US, MAX_RETRY_US, seed),
             failed: FailedAttempts::default(),
             load_pending: false,
+            load_deadline: now.saturating_add(MAX_READINESS_DELAY_US),
             write_pending: false,
             due: None,
             shared: SharedFiles::default(),
@@ -72,6 +77,11 @@
         }
     }
 
+    /// Returns whether the process is not ready because the stored state, which may contain bans, can't be read yet.
+    pub(super) fn delays_readiness(&self, now: Micros) -> bool {
+        self.load_pending && now < self.load_deadline
+    }
+
     /// Returns whether the stored state can't be read yet. Calls can't change the state until then.
     pub(super) fn is_load_pending(&self) -> bool {
         self.load_pending
--- a/daemon/tests/readiness.rs
+++ b/daemon/tests/readiness.rs
@@ -1,10 +1,13 @@
 //! A process must not say that it is ready before the purges and bans that earlier processes accepted are in effect.
 
-use linnetknot_harness::clients::{poll_until, TIMEOUT};
+mod upgrade_site;
+
+use linnetknot_harness::clients::{call, poll_until, TIMEOUT};
 use linnetknot_harness::fleet::{Disk, Fleet, Setup};
 use linnetknot_harness::links::LinkConditions;
 use std::path::Path;
 use std::time::{Duration, Instant};
+use upgrade_site::{requests_at_first_cache, send_sigterm, Site};
 
 const DAEMON: &str = env!("CARGO_BIN_EXE_linnetknot");
 /// The time within which a restarted process must be ready.
@@ -57,3 +60,18 @@
     assert!(start.elapsed() < READY_WITHIN);
     assert!(fleet.holds_floor(0, PHOTO).unwrap());
 }
+
+/// Guards against a new process of an upgrade that uses a banned cache, as it can't read the stored ban at its start.
+#[test]
+fn a_new_process_is_not_ready_before_it_has_read_the_stored_bans() {
+    let site = Site::new("unread-bans");
+    let (mut old, old_admin) = site.start();
+    let offline = call(old_admin, "POST", "/control/pop-caches/s-0a/offline", "");
+    assert_eq!(offline.unwrap().status, 200);
+    let (mut new, _) = site.start_with_fail_points("disk-read=EIO@2500");
+    old.kill().unwrap();
+    old.wait().unwrap();
+    assert_eq!(requests_at_first_cache(&site, 1_000), 0);
+    send_sigterm(&new);
+    assert!(new.wait().unwrap().success());
+}
