Test that a value is answered once, however often a record names it

Cause: the answer held a value for each naming.

Why it works: an answer's size no longer depends on the question's.

--- a/daemon/tests/many_fields.rs
+++ b/daemon/tests/many_fields.rs
@@ -81,6 +81,29 @@
     proxy.stop();
 }
 
+/// Guards against answers that hold a value for each of thousands of equal names, which fill the memory while clients do
+/// not read them.
+#[test]
+fn a_question_for_a_value_is_answered_once_however_often_it_is_named() {
+    let proxy = TestProxy::start();
+    let mut names = Vec::new();
+    (0..3_000).for_each(|_| fastcgi::write_pair(&mut names, "FCGI_MPXS_CONNS", ""));
+    let mut question = Vec::new();
+    fastcgi::write_record(&mut question, kind::GET_VALUES, 0, &names);
+    let mut value = Vec::new();
+    fastcgi::write_pair(&mut value, "FCGI_MPXS_CONNS", "1");
+    let mut expected = Vec::new();
+    fastcgi::write_record(&mut expected, kind::GET_VALUES_RESULT, 0, &value);
+    let mut socket = TcpStream::connect(proxy.client_address).unwrap();
+    socket.set_read_timeout(Some(DEADLINE)).unwrap();
+    socket.write_all(&question).unwrap();
+    let mut answer = vec![0; expected.len()];
+    socket.read_exact(&mut answer).unwrap();
+    // The header of the record has its length.
+    assert_eq!(answer, expected);
+    proxy.stop();
+}
+
 /// Sends a request and waits for its answer, of any kind.
 fn send_on_new_connection(proxy: &TestProxy, number: u64) {
     let mut web = WebServer::connect(proxy.client_address).unwrap();
