Tell a purge of everything from an enforced purge in the fault matrix

The kit saw an age limit on the fetch and took it for the purge of request 4, which no proxy had received. The log of p0: 'recovery timed out although committed entries may be missing: treating every earlier cached copy as purged machines=1'. No purge was lost or divided; the check was wrong.

Change: the kit asks each proxy for an object that is never purged. 'agreement' counts a purge as in force only at proxies that don't treat everything as purged.

--- a/rehearse/src/fault_matrix/mod.rs
+++ b/rehearse/src/fault_matrix/mod.rs
@@ -28,6 +28,8 @@
 const DETECTION_TIMEOUT: Duration = Duration::from_secs(20);
 /// The time limit for an answer to a purge request.
 const TIMEOUT_US: u64 = 1_000_000;
+/// An object that is never purged.
+const UNPURGED_OBJECT: &str = "ffffffffffffffff";
 /// The allowance for the delay of the kit, whose threads share the cores with the daemons.
 const TOLERANCE_US: u64 = 500_000;
 
@@ -373,6 +375,7 @@
             self.record.final_states.push(FinalState {
                 proxy,
                 objects,
+                treats_all_as_purged: self.fleet.holds_floor(proxy, UNPURGED_OBJECT)?,
                 triggers,
                 under_replicated,
             });
--- a/rehearse/src/rules/commits.rs
+++ b/rehearse/src/rules/commits.rs
@@ -69,6 +69,9 @@
     pub proxy: usize,
     /// The objects whose purges are in force at the proxy.
     pub objects: BTreeSet<String>,
+    /// Whether the proxy treats copies of every object as purged, so that `objects` contains all objects. A proxy does so
+    /// if purges that it accepted may be missing.
+    pub treats_all_as_purged: bool,
     /// The status paths of the triggers that the proxy lists.
     pub triggers: BTreeSet<String>,
     /// The number of the proxy's commits that have fewer replicas than the replication factor.
@@ -154,7 +157,9 @@
         );
         return Some(breach("promises", committed, evidence));
     }
-    let is_divided = lacking.len() < record.final_states.len();
+    let has_purge =
+        |state: &FinalState| !state.treats_all_as_purged && state.objects.contains(object);
+    let is_divided = record.final_states.iter().any(has_purge);
     is_divided.then(|| {
         breach(
             "agreement",
--- a/rehearse/tests/rules_commits.rs
+++ b/rehearse/tests/rules_commits.rs
@@ -27,6 +27,7 @@
         proxy,
         triggers: ["/a".to_owned()].into(),
         objects,
+        treats_all_as_purged: false,
         under_replicated: 0,
     }
 }
@@ -101,6 +102,28 @@
     assert_eq!(broken_rules(vec![], vec![under_replicated]), ["copies"]);
 }
 
+/// Guards against a report that a purge which nobody received is in force at some proxies only, because one of them treats
+/// every copy as purged.
+#[test]
+fn treating_all_copies_as_purged_is_no_evidence_of_a_single_purge() {
+    let unanswered = PurgeRequest {
+        excused: true,
+        ..purge("c", PurgeAnswer::None)
+    };
+    let distrusting = FinalState {
+        treats_all_as_purged: true,
+        ..state(0, &["a", "c"])
+    };
+    let undivided = vec![distrusting.clone(), state(1, &[]), state(2, &[])];
+    let no_rules: [&str; 0] = [];
+    assert_eq!(broken_rules(vec![unanswered.clone()], undivided), no_rules);
+    let divided = vec![distrusting.clone(), state(1, &["c"]), state(2, &[])];
+    assert_eq!(broken_rules(vec![unanswered], divided), ["agreement"]);
+    let committed = purge("a", PurgeAnswer::Committed);
+    let lost = vec![distrusting, state(1, &[])];
+    assert_eq!(broken_rules(vec![committed], lost), ["promises"]);
+}
+
 #[test]
 fn differing_triggers_between_proxies_break_statuses() {
     let committed = purge("a", PurgeAnswer::Committed);
