Never run a request again whose id comes again and that may have run

Callers saw a request of a 'side_effect' class run twice: its client closed the connection while it was at the origin, and the same id came again on a new connection.

Cause: ids were compared with those of the open requests only, and forgotten with them.

Change: the core remembers for 60 s, 32,768 at most, the ids of requests that may have run and are not idempotent. A request under such an id, or under that of one in flight, fails (it is not refused: its effect is not known). What has not run, and what is idempotent, may come again. Outcome::may_have_run moved to the interface, as the core asks it too.

Why it works: every id of a run that is over or out is known where a request is admitted; only a full table or a kill forgets it.

--- a/daemon/src/core/attempts.rs
+++ b/daemon/src/core/attempts.rs
@@ -109,6 +109,7 @@
         if result.outcome == Outcome::Cancelled {
             result.outcome = outstanding.cancelled.unwrap_or(result.outcome);
         }
+        open.may_have_run |= result.outcome.may_have_run();
         self.log_end(now, attempt, &outstanding, &result);
         if let Some(content) = result.content.filter(|_| result.outcome == Outcome::Ok) {
             self.finish(now, attempt.request, Answer::Served(content));
@@ -130,7 +131,7 @@
                 .take_origin_share_report()
                 .map(Command::ShareOriginHealth),
         );
-        self.requests.release_if_finished(attempt.request);
+        self.requests.release_if_finished(now, attempt.request);
     }
 
     fn log_end(
--- a/daemon/src/core/mod.rs
+++ b/daemon/src/core/mod.rs
@@ -6,6 +6,7 @@
 //!
 //! * `request`, `attempt`, `command`, `counters`: the types of this interface;
 //! * `request_table`, `cache_table`: the open requests and the servers of the endpoint list;
+//! * `executed_ids`: the ids of requests that have ended and must not run again;
 //! * `requests`, `attempts`, `purging`: the operations on these tables and on purges.
 
 mod attempt;
@@ -13,6 +14,7 @@
 mod cache_table;
 mod command;
 mod counters;
+mod executed_ids;
 mod purging;
 mod request;
 mod request_table;
@@ -22,7 +24,7 @@
 pub use command::{Command, Wake};
 pub use counters::Counters;
 pub use linnetknot_discovery::{server_id, Entry};
-pub use request::{Answer, Client, ClientRequest, Content, RequestKey};
+pub use request::{AdmissionError, Answer, Client, ClientRequest, Content, RequestKey};
 
 use crate::limits::Limits;
 use crate::net::Key;
@@ -50,6 +52,8 @@
     caches: CacheTable,
     /// Classes whose requests must carry an idempotency key.
     keyed_classes: Vec<String>,
+    /// Classes whose requests may run any number of times.
+    idempotent_classes: Vec<String>,
     /// The time between the latest final answer and the deadline of the client, reserved for the transfer of the
     /// answer.
     response_margin_us: Micros,
@@ -60,12 +64,11 @@
     pub counters: Counters,
 }
 
-/// Returns the classes whose requests must carry an idempotency key.
-fn keyed_classes(settings: &Settings) -> Vec<String> {
-    settings
-        .classes
-        .iter()
-        .filter(|class| class.repeat == Repeat::Keyed)
+/// Returns the classes whose requests may be repeated in this way.
+fn classes_with(settings: &Settings, repeat: Repeat) -> Vec<String> {
+    let classes = settings.classes.iter();
+    classes
+        .filter(|class| class.repeat == repeat)
         .map(|class| class.name.clone())
         .collect()
 }
@@ -77,7 +80,8 @@
     /// Fails if the settings are invalid.
     pub fn new(settings: Settings, seed: u64, limits: &Limits) -> Result<Self, SettingsError> {
         Ok(Core {
-            keyed_classes: keyed_classes(&settings),
+            keyed_classes: classes_with(&settings, Repeat::Keyed),
+            idempotent_classes: classes_with(&settings, Repeat::Safe),
             router: Router::new(settings, seed)?,
             origin_clock: OriginClock::default(),
             max_request_us: Micros::MAX,
@@ -96,9 +100,11 @@
     /// # Errors
     /// Fails if the settings are invalid. The previous settings then stay in force.
     pub fn apply_settings(&mut self, settings: Settings) -> Result<(), SettingsError> {
-        let keyed_classes = keyed_classes(&settings);
+        let keyed_classes = classes_with(&settings, Repeat::Keyed);
+        let idempotent_classes = classes_with(&settings, Repeat::Safe);
         self.router.update_settings(settings)?;
         self.keyed_classes = keyed_classes;
+        self.idempotent_classes = idempotent_classes;
         Ok(())
     }
 
@@ -240,11 +246,13 @@
             } => {
                 let answer = Answer::Rejected { retry_after_us };
                 self.finish(now, Key::from_u64(request), answer);
-                self.requests.release_if_finished(Key::from_u64(request));
+                self.requests
+                    .release_if_finished(now, Key::from_u64(request));
             }
             Action::Fail { request } => {
                 self.finish(now, Key::from_u64(request), Answer::Failed);
-                self.requests.release_if_finished(Key::from_u64(request));
+                self.requests
+                    .release_if_finished(now, Key::from_u64(request));
             }
             Action::Timer { at, tag } => self.commands.push(Command::Wake(at, Wake::Router(tag))),
             Action::Probe { server } => self.commands.push(Command::Probe(server)),
--- a/daemon/src/core/request.rs
+++ b/daemon/src/core/request.rs
@@ -68,6 +68,27 @@
     Failed,
 }
 
+/// The reason for which a request is not admitted.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum AdmissionError {
+    /// There is no room for the request, or it is incomplete. Nothing has run, so a retry is safe.
+    #[error("the request is rejected")]
+    Rejected,
+    /// A request with the same id is open or has ended. It is not idempotent and may have run.
+    #[error("a request with the same id may have run")]
+    MayHaveRun,
+}
+
+impl AdmissionError {
+    /// Returns the final answer to the request. `retry_after_us` is the delay before a retry, where that is safe.
+    pub fn answer(self, retry_after_us: Option<Micros>) -> Answer {
+        match self {
+            AdmissionError::Rejected => Answer::Rejected { retry_after_us },
+            AdmissionError::MayHaveRun => Answer::Failed,
+        }
+    }
+}
+
 impl Answer {
     /// Returns the name of the answer in the log.
     pub fn name(&self) -> &'static str {
--- a/daemon/src/core/request_table.rs
+++ b/daemon/src/core/request_table.rs
@@ -1,7 +1,8 @@
 //! The table of open requests, bounded in the number of requests and the bytes of their bodies.
 
 use super::attempt::OutstandingAttempt;
-use super::{Client, ClientRequest, RequestKey};
+use super::executed_ids::ExecutedIds;
+use super::{AdmissionError, Client, ClientRequest, RequestKey};
 use crate::limits::Limits;
 use crate::net::SlotTable;
 use linnetknot::Micros;
@@ -19,6 +20,10 @@
     pub(super) outstanding: Option<OutstandingAttempt>,
     /// Whether the final answer was given, or the client has disconnected.
     pub(super) answered: bool,
+    /// Whether the request is idempotent, so that it may run again.
+    pub(super) is_idempotent: bool,
+    /// Whether an attempt that has ended may have run.
+    pub(super) may_have_run: bool,
 }
 
 /// The open requests by their keys.
@@ -26,6 +31,8 @@
     requests: SlotTable<OpenRequest>,
     /// The ids of the open requests. They must be unique, because caches identify requests by id.
     ids: HashSet<String>,
+    /// The ids of requests that are no longer open and must not run again.
+    executed_ids: ExecutedIds,
     /// The total bytes of the bodies of all open requests.
     body_bytes: usize,
     max_body_bytes: usize,
@@ -37,15 +44,33 @@
         RequestTable {
             requests: SlotTable::new(limits.max_requests),
             ids: HashSet::new(),
+            executed_ids: ExecutedIds::default(),
             body_bytes: 0,
             max_body_bytes: limits.max_total_body_bytes,
         }
     }
 
-    /// Whether the id of a request is unused and its body fits. The table may still be full.
-    pub(super) fn admits(&self, request: &ClientRequest) -> bool {
-        self.body_bytes + request.body.len() <= self.max_body_bytes
-            && !self.ids.contains(&request.id)
+    /// Checks that the id of a request is unused and its body fits. The table may still be full.
+    ///
+    /// # Errors
+    /// Fails with the reason for which the request must not run.
+    pub(super) fn check(
+        &mut self,
+        now: Micros,
+        request: &ClientRequest,
+        is_idempotent: bool,
+    ) -> Result<(), AdmissionError> {
+        let is_open = self.ids.contains(&request.id);
+        let may_have_run =
+            is_open && !is_idempotent || self.executed_ids.contains(now, &request.id);
+        if may_have_run {
+            return Err(AdmissionError::MayHaveRun);
+        }
+        let has_room = self.body_bytes + request.body.len() <= self.max_body_bytes;
+        if is_open || !has_room {
+            return Err(AdmissionError::Rejected);
+        }
+        Ok(())
     }
 
     /// Adds a request. Returns `None` if the table is full.
@@ -94,7 +119,7 @@
     }
 
     /// Frees the slot of a request that is answered and has no outstanding attempt.
-    pub(super) fn release_if_finished(&mut self, key: RequestKey) {
+    pub(super) fn release_if_finished(&mut self, now: Micros, key: RequestKey) {
         let is_finished = self
             .get(key)
             .is_some_and(|open| open.answered && open.outstanding.is_none());
@@ -103,6 +128,9 @@
         }
         if let Some(open) = self.requests.remove(key) {
             self.ids.remove(&open.request.id);
+            if open.may_have_run && !open.is_idempotent {
+                self.executed_ids.insert(now, &open.request.id);
+            }
             self.body_bytes -= open.request.body.len();
         }
     }
--- a/daemon/src/core/requests.rs
+++ b/daemon/src/core/requests.rs
@@ -1,40 +1,51 @@
 //! The life cycle of a request: its admission, the disconnect of its client, its deadline and its final answer.
 
 use super::request_table::OpenRequest;
-use super::{Answer, AttemptId, Client, ClientRequest, Command, Core, RequestKey, Wake, TRACE};
+use super::{
+    AdmissionError, Answer, AttemptId, Client, ClientRequest, Command, Core, RequestKey, Wake,
+    TRACE,
+};
 use linnetknot::{Event, Micros, Outcome, Request};
 
 impl Core {
-    /// Admits a request. Returns `None` if the caller has to reject it: the table is full, an open request has the same
-    /// id, or the class requires an idempotency key and the request has none.
+    /// Admits a request.
+    ///
+    /// # Errors
+    /// Fails if the caller has to answer the request: the table is full, the class requires an idempotency key and the
+    /// request has none, an open request has the same id, or one that has ended and must not run again.
     pub fn admit(
         &mut self,
         now: Micros,
         client: Client,
         mut request: ClientRequest,
-    ) -> Option<RequestKey> {
+    ) -> Result<RequestKey, AdmissionError> {
         let lacks_key =
             request.idempotency_key.is_none() && self.keyed_classes.contains(&request.class);
-        if lacks_key || !self.requests.admits(&request) {
-            return None;
+        if lacks_key {
+            return Err(AdmissionError::Rejected);
         }
+        let is_idempotent = self.idempotent_classes.contains(&request.class);
+        self.requests.check(now, &request, is_idempotent)?;
         request.remaining_us = self.time_for(now, &request);
         let deadline = now + request.remaining_us;
         let mut event = decision_request(&request);
-        let key = self.requests.insert(OpenRequest {
+        let open = OpenRequest {
             client,
             request,
             deadline,
             attempts: 0,
             outstanding: None,
             answered: false,
-        })?;
+            is_idempotent,
+            may_have_run: false,
+        };
+        let key = self.requests.insert(open).ok_or(AdmissionError::Rejected)?;
         self.counters.admitted += 1;
         self.commands
             .push(Command::Wake(deadline, Wake::Request(key)));
         event.id = key.to_u64();
         self.drive(now, Event::Request(event));
-        Some(key)
+        Ok(key)
     }
 
     /// Returns the client of an open request.
@@ -97,7 +108,7 @@
     fn notify_client_left(&mut self, now: Micros, key: RequestKey) {
         let request = key.to_u64();
         self.drive(now, Event::ClientLeft { request });
-        self.requests.release_if_finished(key);
+        self.requests.release_if_finished(now, key);
     }
 
     /// Processes the deadline of a request: the outstanding attempt times out, and the decision module gives the final
--- a/daemon/src/daemon/cdni_listener.rs
+++ b/daemon/src/daemon/cdni_listener.rs
@@ -228,15 +228,15 @@
             connection: key,
             stream: 0,
         };
-        let request_key = self.core.admit(now, client, request);
+        let admitted = self.core.admit(now, client, request);
         let retry_after_us = Some(self.limits.overload_retry_after_us);
         let Some((_, session)) = self.cdni_session(key) else {
             return;
         };
         session.deadline = deadline;
-        match request_key {
-            Some(request_key) => session.waiting = Some(Waiting::Core(request_key)),
-            None => session.respond(&cdni::response(Answer::Rejected { retry_after_us }, false)),
+        match admitted {
+            Ok(request_key) => session.waiting = Some(Waiting::Core(request_key)),
+            Err(error) => session.respond(&cdni::response(error.answer(retry_after_us), false)),
         }
     }
 
--- a/daemon/src/daemon/clients/requests.rs
+++ b/daemon/src/daemon/clients/requests.rs
@@ -1,6 +1,6 @@
 //! Requests of clients on the FastCGI listener and their responses.
 
-use crate::core::{Answer, Client, ClientRequest};
+use crate::core::{AdmissionError, Answer, Client, ClientRequest};
 use crate::daemon::turn::Turn;
 use crate::daemon::{Connection, ConnectionKind, Daemon};
 use crate::front::fastcgi::{Input, Session};
@@ -167,8 +167,8 @@
             connection: key,
             stream: u32::from(stream),
         };
-        let request_key = if self.is_shed(now, key, is_first) {
-            None
+        let admitted = if self.is_shed(now, key, is_first) {
+            Err(AdmissionError::Rejected)
         } else {
             self.core.admit(now, client, request)
         };
@@ -176,9 +176,9 @@
         let Some(session) = self.client_session(key) else {
             return;
         };
-        match request_key {
-            Some(request_key) => session.admitted(stream, request_key),
-            None => session.answer(stream, &Answer::Rejected { retry_after_us }),
+        match admitted {
+            Ok(request_key) => session.admitted(stream, request_key),
+            Err(error) => session.answer(stream, &error.answer(retry_after_us)),
         }
     }
 
--- a/daemon/tests/core.rs
+++ b/daemon/tests/core.rs
@@ -2,8 +2,8 @@
 
 use linnetknot::{ListMode, Outcome, Repeat, Server, Settings, State};
 use linnetknot_daemon::core::{
-    server_id, Answer, AttemptId, AttemptResult, Client, ClientRequest, Command, Content, Core,
-    Entry, Wake,
+    server_id, AdmissionError, Answer, AttemptId, AttemptResult, Client, ClientRequest, Command,
+    Content, Core, Entry, RequestKey, Wake,
 };
 use linnetknot_daemon::limits::Limits;
 use linnetknot_daemon::net::Key;
@@ -11,6 +11,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 
 const NOW: u64 = 1_000_000_000;
+const REJECTED: Result<RequestKey, AdmissionError> = Err(AdmissionError::Rejected);
 
 fn entry(uid: &str, zone: &str, kind: &str, state: State) -> Entry {
     let (zone, kind) = (zone.to_owned(), kind.to_owned());
@@ -311,15 +312,15 @@
     let first = core.admit(NOW, client(1), client_request(60)).unwrap();
     assert_eq!(
         core.admit(NOW, client(2), client_request(60)),
-        None,
+        REJECTED,
         "the bodies exceed the limit on total bytes"
     );
     core.admit(NOW, client(2), client_request(0)).unwrap();
-    assert_eq!(core.admit(NOW, client(3), client_request(0)), None);
+    assert_eq!(core.admit(NOW, client(3), client_request(0)), REJECTED);
     let attempt = sent_attempt(&core.take_commands()).unwrap();
     assert_eq!(attempt.request, first);
     core.attempt_finished(NOW, attempt, served_result());
-    assert!(core.admit(NOW, client(3), client_request(60)).is_some());
+    assert!(core.admit(NOW, client(3), client_request(60)).is_ok());
 }
 
 #[test]
@@ -365,16 +366,16 @@
     let attempt = sent_attempt(&core.take_commands()).unwrap();
     assert_eq!(
         core.admit(NOW, client(2), other.clone()),
-        None,
+        REJECTED,
         "a cache would treat the two requests as one"
     );
     core.attempt_finished(NOW, attempt, served_result());
-    assert!(core.admit(NOW, client(2), other).is_some());
+    assert!(core.admit(NOW, client(2), other).is_ok());
     let post = ClientRequest {
         class: "post".into(),
         ..client_request(0)
     };
-    assert_eq!(core.admit(NOW, client(3), post.clone()), None);
+    assert_eq!(core.admit(NOW, client(3), post.clone()), REJECTED);
     assert!(core
         .admit(
             NOW,
@@ -384,5 +385,5 @@
                 ..post
             }
         )
-        .is_some());
+        .is_ok());
 }
--- a/src/interface/events.rs
+++ b/src/interface/events.rs
@@ -51,6 +51,20 @@
     Miss,
 }
 
+impl Outcome {
+    /// Returns whether the request may have run at the server.
+    pub fn may_have_run(self) -> bool {
+        !matches!(
+            self,
+            Outcome::Full
+                | Outcome::ConnectFailed
+                | Outcome::Unreached
+                | Outcome::Moot
+                | Outcome::Miss
+        )
+    }
+}
+
 /// How the answer was produced, or why a fill failed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Note {
--- a/src/router/outcomes.rs
+++ b/src/router/outcomes.rs
@@ -68,18 +68,6 @@
             Note::SourceRefused | Note::SourceLost | Note::OriginFailed
         )
     }
-
-    /// Returns whether the request may have run at the server.
-    fn may_have_run(&self) -> bool {
-        !matches!(
-            self.outcome,
-            Outcome::Full
-                | Outcome::ConnectFailed
-                | Outcome::Unreached
-                | Outcome::Moot
-                | Outcome::Miss
-        )
-    }
 }
 
 impl Router {
@@ -180,7 +168,7 @@
         let Some(open) = self.requests.get_mut(&end.request) else {
             return;
         };
-        if end.may_have_run() {
+        if end.outcome.may_have_run() {
             open.may_have_run = open.may_have_run.or(Some(run));
         }
         open.excluded_sources.extend(end.silent_source);
