Share the ids of requests that must not run twice during an upgrade

Cause: each process knew the ids of its own requests only.

Change: each process appends the id of such a request to linnetknot-executions.log under TMPDIR with the first byte of its first attempt, and withdraws it if nothing has run; the other one reads the file every 10 ms, the next one at its start. The file and its worker are those of the shared purges, made generic (daemon/src/shared_log/); two tests of purges name the new module, unchanged otherwise. Only processes with an inherited listener do so.

Why it works: both processes are one proxy to clients, and what one has sent is known to the other before a client can notice that its request is out, but for the time of one read.

--- a/daemon/src/core/attempts.rs
+++ b/daemon/src/core/attempts.rs
@@ -41,14 +41,21 @@
 
     /// Records that the first byte of an attempt has been written.
     pub fn attempt_started(&mut self, attempt: AttemptId) {
-        let outstanding = self
-            .requests
-            .get_mut(attempt.request)
-            .and_then(|open| open.outstanding.as_mut())
+        let Some(open) = self.requests.get_mut(attempt.request) else {
+            return;
+        };
+        let outstanding = open
+            .outstanding
+            .as_mut()
             .filter(|outstanding| outstanding.number == attempt.number);
         if let Some(outstanding) = outstanding {
             outstanding.started = true;
         }
+        if !open.is_idempotent && !open.is_shared {
+            open.is_shared = true;
+            let id = open.request.id.clone();
+            self.share_execution(&id, true);
+        }
     }
 
     /// Starts an attempt that the decision module has requested.
@@ -131,7 +138,7 @@
                 .take_origin_share_report()
                 .map(Command::ShareOriginHealth),
         );
-        self.requests.release_if_finished(now, attempt.request);
+        self.release_if_finished(now, attempt.request);
     }
 
     fn log_end(
--- a/daemon/src/core/command.rs
+++ b/daemon/src/core/command.rs
@@ -32,4 +32,11 @@
     Withdraw(ServerId),
     /// The origin is slow: send the other proxies the fraction of requests (0 to 1) that may still go to the origin.
     ShareOriginHealth(f64),
+    /// Tell the other process of this proxy whether a request that must not run twice may have run.
+    ShareExecution {
+        /// The id of the request.
+        id: u64,
+        /// Whether the request may have run. If not, an earlier report is withdrawn.
+        may_have_run: bool,
+    },
 }
--- a/daemon/src/core/executed_ids.rs
+++ b/daemon/src/core/executed_ids.rs
@@ -5,7 +5,7 @@
 //! idempotent.
 
 use linnetknot::Micros;
-use std::collections::{HashSet, VecDeque};
+use std::collections::{HashMap, VecDeque};
 
 /// The time for which an id is remembered after its request has ended. No client waits as long for an answer.
 const RETENTION_US: Micros = 60_000_000;
@@ -15,34 +15,35 @@
 /// Ids by the time at which their requests ended.
 #[derive(Debug, Default)]
 pub(super) struct ExecutedIds {
-    ids: HashSet<u64>,
+    ended_at: HashMap<u64, Micros>,
     by_age: VecDeque<(Micros, u64)>,
 }
 
 /// Returns the number that an id denotes; `None` if it is not hexadecimal.
-fn number(id: &str) -> Option<u64> {
+pub(super) fn number(id: &str) -> Option<u64> {
     u64::from_str_radix(id, 16).ok()
 }
 
 impl ExecutedIds {
     /// Remembers the id of a request that may have run and has ended.
-    pub(super) fn insert(&mut self, now: Micros, id: &str) {
-        let Some(id) = number(id) else {
-            return;
-        };
+    pub(super) fn insert(&mut self, now: Micros, id: u64) {
         self.forget_old(now);
-        if self.ids.insert(id) {
-            self.by_age.push_back((now, id));
-        }
+        self.ended_at.insert(id, now);
+        self.by_age.push_back((now, id));
         if self.by_age.len() > MAX_IDS {
             self.forget_oldest();
         }
     }
 
+    /// Forgets the id of a request that has not run after all.
+    pub(super) fn remove(&mut self, id: u64) {
+        self.ended_at.remove(&id);
+    }
+
     /// Returns whether a request with this id may have run.
-    pub(super) fn contains(&mut self, now: Micros, id: &str) -> bool {
+    pub(super) fn contains(&mut self, now: Micros, id: u64) -> bool {
         self.forget_old(now);
-        number(id).is_some_and(|id| self.ids.contains(&id))
+        self.ended_at.contains_key(&id)
     }
 
     fn forget_old(&mut self, now: Micros) {
@@ -53,8 +54,12 @@
     }
 
     fn forget_oldest(&mut self) {
-        if let Some((_, id)) = self.by_age.pop_front() {
-            self.ids.remove(&id);
+        let Some((at, id)) = self.by_age.pop_front() else {
+            return;
+        };
+        // The id may have come again since.
+        if self.ended_at.get(&id) == Some(&at) {
+            self.ended_at.remove(&id);
         }
     }
 }
--- a/daemon/src/core/request_table.rs
+++ b/daemon/src/core/request_table.rs
@@ -1,7 +1,7 @@
 //! The table of open requests, bounded in the number of requests and the bytes of their bodies.
 
 use super::attempt::OutstandingAttempt;
-use super::executed_ids::ExecutedIds;
+use super::executed_ids::{number, ExecutedIds};
 use super::{AdmissionError, Client, ClientRequest, RequestKey};
 use crate::limits::Limits;
 use crate::net::SlotTable;
@@ -24,6 +24,14 @@
     pub(super) is_idempotent: bool,
     /// Whether an attempt that has ended may have run.
     pub(super) may_have_run: bool,
+    /// Whether the other process of this proxy was told that the request may have run.
+    pub(super) is_shared: bool,
+}
+
+impl OpenRequest {
+    fn must_not_run_again(&self) -> bool {
+        self.may_have_run && !self.is_idempotent
+    }
 }
 
 /// The open requests by their keys.
@@ -61,8 +69,8 @@
         is_idempotent: bool,
     ) -> Result<(), AdmissionError> {
         let is_open = self.ids.contains(&request.id);
-        let may_have_run =
-            is_open && !is_idempotent || self.executed_ids.contains(now, &request.id);
+        let is_executed = number(&request.id).is_some_and(|id| self.executed_ids.contains(now, id));
+        let may_have_run = is_open && !is_idempotent || is_executed;
         if may_have_run {
             return Err(AdmissionError::MayHaveRun);
         }
@@ -118,20 +126,31 @@
         self.requests.is_half_full()
     }
 
-    /// Frees the slot of a request that is answered and has no outstanding attempt.
-    pub(super) fn release_if_finished(&mut self, now: Micros, key: RequestKey) {
-        let is_finished = self
-            .get(key)
-            .is_some_and(|open| open.answered && open.outstanding.is_none());
-        if !is_finished {
-            return;
+    /// Remembers that another process may have run a request, or forgets it.
+    pub(super) fn record_other_execution(&mut self, now: Micros, id: u64, may_have_run: bool) {
+        if may_have_run {
+            self.executed_ids.insert(now, id);
+        } else {
+            self.executed_ids.remove(id);
+        }
+    }
+
+    /// Frees the slot of a request that is answered and has no outstanding attempt. Returns the request if so.
+    pub(super) fn release_if_finished(
+        &mut self,
+        now: Micros,
+        key: RequestKey,
+    ) -> Option<OpenRequest> {
+        let open = self.get(key)?;
+        if !open.answered || open.outstanding.is_some() {
+            return None;
         }
-        if let Some(open) = self.requests.remove(key) {
-            self.ids.remove(&open.request.id);
-            if open.may_have_run && !open.is_idempotent {
-                self.executed_ids.insert(now, &open.request.id);
-            }
-            self.body_bytes -= open.request.body.len();
+        let open = self.requests.remove(key)?;
+        self.ids.remove(&open.request.id);
+        self.body_bytes -= open.request.body.len();
+        if let Some(id) = number(&open.request.id).filter(|_| open.must_not_run_again()) {
+            self.executed_ids.insert(now, id);
         }
+        Some(open)
     }
 }
--- a/daemon/src/core/requests.rs
+++ b/daemon/src/core/requests.rs
@@ -1,5 +1,6 @@
 //! The life cycle of a request: its admission, the disconnect of its client, its deadline and its final answer.
 
+use super::executed_ids::number;
 use super::request_table::OpenRequest;
 use super::{
     AdmissionError, Answer, AttemptId, Client, ClientRequest, Command, Core, RequestKey, Wake,
@@ -38,6 +39,7 @@
             answered: false,
             is_idempotent,
             may_have_run: false,
+            is_shared: false,
         };
         let key = self.requests.insert(open).ok_or(AdmissionError::Rejected)?;
         self.counters.admitted += 1;
@@ -108,7 +110,7 @@
     fn notify_client_left(&mut self, now: Micros, key: RequestKey) {
         let request = key.to_u64();
         self.drive(now, Event::ClientLeft { request });
-        self.requests.release_if_finished(now, key);
+        self.release_if_finished(now, key);
     }
 
     /// Processes the deadline of a request: the outstanding attempt times out, and the decision module gives the final
@@ -142,6 +144,29 @@
         }
     }
 
+    /// Frees the slot of a request that is answered and has no outstanding attempt.
+    pub(super) fn release_if_finished(&mut self, now: Micros, key: RequestKey) {
+        let Some(open) = self.requests.release_if_finished(now, key) else {
+            return;
+        };
+        if open.is_shared && !open.may_have_run {
+            self.share_execution(&open.request.id, false);
+        }
+    }
+
+    /// Tells the other process of this proxy whether a request that must not run twice may have run.
+    pub(super) fn share_execution(&mut self, id: &str, may_have_run: bool) {
+        if let Some(id) = number(id) {
+            self.commands
+                .push(Command::ShareExecution { id, may_have_run });
+        }
+    }
+
+    /// Records that another process of this proxy may have run a request that must not run twice, or withdraws this.
+    pub fn record_other_execution(&mut self, now: Micros, id: u64, may_have_run: bool) {
+        self.requests.record_other_execution(now, id, may_have_run);
+    }
+
     /// Sends the final answer to a request. All final answers are sent by this function, so a request gets at most one.
     pub(super) fn finish(&mut self, now: Micros, key: RequestKey, answer: Answer) {
         let Some(open) = self.requests.unanswered_mut(key) else {
--- a/daemon/src/daemon/event_loop.rs
+++ b/daemon/src/daemon/event_loop.rs
@@ -20,6 +20,7 @@
 pub(super) const ADMIN_LISTENER_TOKEN: u64 = u64::MAX - 5;
 pub(super) const STORE_TOKEN: u64 = u64::MAX - 6;
 pub(super) const SHARED_PURGES_TOKEN: u64 = u64::MAX - 7;
+pub(super) const SHARED_EXECUTIONS_TOKEN: u64 = u64::MAX - 8;
 
 /// An action that is scheduled for a deadline.
 pub(super) enum Timer {
@@ -195,8 +196,13 @@
     /// of cache servers, which may start further attempts.
     fn event_kind(&self, event: &ReadyEvent) -> EventKind {
         match event.token {
-            SIGTERM_TOKEN | SIGHUP_TOKEN | PEERS_TOKEN | ADMIN_LISTENER_TOKEN | STORE_TOKEN
-            | SHARED_PURGES_TOKEN => EventKind::Notification,
+            SIGTERM_TOKEN
+            | SIGHUP_TOKEN
+            | PEERS_TOKEN
+            | ADMIN_LISTENER_TOKEN
+            | STORE_TOKEN
+            | SHARED_PURGES_TOKEN
+            | SHARED_EXECUTIONS_TOKEN => EventKind::Notification,
             CLIENT_LISTENER_TOKEN | CDNI_LISTENER_TOKEN => EventKind::NewClient,
             token => match self
                 .connections
@@ -239,6 +245,7 @@
             SIGHUP_TOKEN => self.reload(now),
             PEERS_TOKEN => drop(self.receive_peer_datagrams(now)),
             SHARED_PURGES_TOKEN => self.receive_shared_purges(now),
+            SHARED_EXECUTIONS_TOKEN => self.receive_shared_executions(now),
             CDNI_LISTENER_TOKEN => self.accept_cdni(now, AcceptLimit::StepTime),
             ADMIN_LISTENER_TOKEN => self.accept_admin(now),
             STORE_TOKEN => self.receive_store_completions(now),
@@ -301,6 +308,9 @@
                     Command::Probe(server) => self.send_health_check(now, server),
                     Command::ShareOriginHealth(share) => self.share_origin_health(now, share),
                     Command::Withdraw(server) => self.withdraw_server(now, server),
+                    Command::ShareExecution { id, may_have_run } => {
+                        self.share_execution(id, may_have_run);
+                    }
                 }
             }
         }
--- a/daemon/src/daemon/mod.rs
+++ b/daemon/src/daemon/mod.rs
@@ -47,6 +47,8 @@
 mod registration;
 mod reload;
 mod replication;
+mod shared_executions;
+mod shared_logs;
 mod shared_operator_state;
 mod shared_purges;
 mod shutdown;
@@ -109,8 +111,7 @@
     plain_purges: PlainPurges,
     /// The deadline at which the next plain purge datagram is sent again or the next received one is written to the log.
     plain_purges_due: Option<DeadlineId>,
-    /// The purges of peers that both processes of an upgrade share; `None` if there is no such upgrade.
-    shared_purges: Option<shared_purges::SharedPurgeState>,
+    shared_logs: shared_logs::SharedLogs,
     origin_health: Option<OriginHealth>,
     /// The numbers of dropped datagrams: those from unknown senders, and those that were malformed.
     dropped_datagrams: (u64, u64),
--- a/daemon/src/daemon/shared_purges.rs
+++ b/daemon/src/daemon/shared_purges.rs
@@ -2,22 +2,17 @@
 //! receives. `crate::shared_purges` has the file.
 
 use super::event_loop::SHARED_PURGES_TOKEN;
-use super::signals::Signal;
-use super::startup::{registration_error, system_error, StartError};
+use super::shared_logs::SharedLogState;
+use super::startup::StartError;
 use super::Daemon;
 use crate::net::detach_shared_udp;
-use crate::shared_purges::{PurgeFile, Record, SharedPurges};
+use crate::shared_log::SharedRecords;
+use crate::shared_purges::{PurgeFile, Record};
 use linnetknot::Micros;
 
 /// The name of the part of the daemon in errors of the start.
 const PART: &str = "shared purges";
 
-/// The purges that are shared with other processes, and the signal that some were read.
-pub(super) struct SharedPurgeState {
-    purges: SharedPurges,
-    signal: Signal,
-}
-
 impl Daemon {
     /// Applies the purges that other processes of this proxy have received, and begins to share purges.
     pub(super) fn start_sharing_purges(&mut self, now: Micros) -> Result<(), StartError> {
@@ -33,13 +28,8 @@
             );
             self.core.purges_mut().purge_all(now);
         }
-        let signal = Signal::new().map_err(system_error(PART))?;
-        self.poll
-            .add_at_start(&signal.reader, SHARED_PURGES_TOKEN)
-            .map_err(registration_error(PART))?;
-        let wake = signal.waker().map_err(system_error(PART))?;
-        let purges = SharedPurges::start(file, wake).map_err(system_error(PART))?;
-        self.shared_purges = Some(SharedPurgeState { purges, signal });
+        let state = SharedLogState::start(file, &self.poll, SHARED_PURGES_TOKEN, PART)?;
+        self.shared_logs.purges = Some(state);
         Ok(())
     }
 
@@ -55,18 +45,17 @@
 
     /// Shares a purge that this process has received.
     pub(super) fn share_purge(&self, purge: &crate::peers::Purge) {
-        if let Some(shared) = &self.shared_purges {
-            shared.purges.share(purge.clone());
+        if let Some(shared) = &self.shared_logs.purges {
+            shared.share(Record::Purge(purge.clone()));
         }
     }
 
     /// Applies the purges that were read from the file.
     pub(super) fn receive_shared_purges(&mut self, now: Micros) {
-        let Some(shared) = &mut self.shared_purges else {
+        let Some(shared) = &mut self.shared_logs.purges else {
             return;
         };
-        shared.signal.drain();
-        let received = shared.purges.take_received();
+        let received = shared.take_received();
         for record in received.into_records() {
             self.apply_shared_record(now, record);
         }
@@ -78,7 +67,7 @@
         let Some((socket, _)) = &self.peers else {
             return;
         };
-        if self.shared_purges.is_none() {
+        if self.shared_logs.purges.is_none() {
             return;
         }
         fail::fail_point!("purge-hand-over");
@@ -90,6 +79,6 @@
         }
         fail::fail_point!("purge-handed-over");
         // Dropping the handle writes the purges.
-        self.shared_purges = None;
+        self.shared_logs.purges = None;
     }
 }
--- a/daemon/src/daemon/shutdown.rs
+++ b/daemon/src/daemon/shutdown.rs
@@ -70,6 +70,8 @@
         let now = self.clock.now();
         self.write_pending_snapshots(now);
         self.hand_over_purges(now);
+        // Dropping the handle writes the executions for the next process.
+        self.shared_logs.executions = None;
         let replication = self.close_store();
         self.log_requests();
         self.log_budgets();
--- a/daemon/src/daemon/startup/mod.rs
+++ b/daemon/src/daemon/startup/mod.rs
@@ -17,6 +17,7 @@
 use super::peer_index::PeerIndex;
 use super::reconnect;
 use super::reload::ReloadRetries;
+use super::shared_logs::SharedLogs;
 use super::signals::Signal;
 use super::store_opening::{PendingStore, StoreConfig};
 use super::turn::Turn;
@@ -192,6 +193,7 @@
         let now = daemon.clock.now();
         daemon.restore_purges(now);
         daemon.start_sharing_purges(now)?;
+        daemon.start_sharing_executions(now)?;
         daemon.restore_slow_starts(now);
         recorded
             .events
@@ -252,7 +254,7 @@
             peer_index: PeerIndex::default(),
             plain_purges: PlainPurges::new(&config.limits),
             plain_purges_due: None,
-            shared_purges: None,
+            shared_logs: SharedLogs::default(),
             origin_health: origin_health(&config, now),
             dropped_datagrams: (0, 0),
             cdni: parts.trigger_api,
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -21,6 +21,8 @@
 pub mod origin_clock;
 pub mod peers;
 pub mod plain_purges;
+pub mod shared_executions;
+pub mod shared_log;
 pub mod shared_purges;
 pub mod upstream;
 pub mod wire;
--- a/daemon/src/shared_purges/file.rs
+++ b/daemon/src/shared_log/file.rs
@@ -1,23 +1,19 @@
-//! The file of shared purges. All calls may block.
+//! The file of a shared log. All calls may block.
 //!
 //! Processes append to the file without a lock. A process that compacts the file replaces it, and then appends to the
 //! new file what others have meanwhile appended to the old one. A process that has appended to a file which is no
 //! longer at the path appends again. Records may be read several times, which changes nothing.
 
-use super::records::{decode, Record, RecordSet};
+use super::records::SharedRecords;
 use crate::disk::{remove_leftovers, replace_unsynced};
-use linnetknot_datagram::MAX_DATAGRAM_BYTES;
 use linnetknot_store::fault_points;
 use rustix::fs::{flock, FlockOperation};
 use std::fs::{self, File, Metadata};
 use std::io::{self, ErrorKind, Write};
+use std::marker::PhantomData;
 use std::os::unix::fs::{FileExt, MetadataExt};
 use std::path::{Path, PathBuf};
 
-/// The name of the file in the folder that the processes of a proxy share.
-const FILE_NAME: &str = "linnetknot-purges.log";
-/// The length above which the file is compacted. A compacted file is at most half as long.
-const MAX_FILE_BYTES: u64 = 2 * (RecordSet::CAPACITY * MAX_DATAGRAM_BYTES) as u64;
 /// The number of bytes that are read at a time. A record is shorter.
 const READ_BYTES: usize = 64 << 10;
 /// The number of times that records are appended if the file is replaced meanwhile.
@@ -48,12 +44,12 @@
     }
 
     /// Reads the records from the offset on, and advances the offset.
-    fn read(&mut self, on_record: &mut dyn FnMut(Record)) -> io::Result<()> {
+    fn read<S: SharedRecords>(&mut self, on_record: &mut dyn FnMut(S::Record)) -> io::Result<()> {
         let mut bytes = vec![0; READ_BYTES];
         loop {
             fault_points::read()?;
             let length = self.file.read_at(&mut bytes, self.offset)?;
-            let decoded = decode(&bytes[..length]);
+            let decoded = S::decode(&bytes[..length]);
             decoded.records.into_iter().for_each(&mut *on_record);
             // A line that is longer than any record is not one.
             let consumed = if decoded.consumed == 0 && length == READ_BYTES {
@@ -94,18 +90,23 @@
     }
 }
 
-/// The file of shared purges in a folder.
-pub struct PurgeFile {
+/// The file of a shared log, with the records of the set `S`.
+pub struct SharedFile<S> {
     path: PathBuf,
     reader: Option<OpenFile>,
+    records: PhantomData<S>,
 }
 
-impl PurgeFile {
-    /// Names the file in a folder. It is created when a purge is appended.
+impl<S: SharedRecords> SharedFile<S> {
+    /// Names the file in a folder. It is created when a record is appended.
     pub fn in_folder(folder: &Path) -> Self {
-        let path = folder.join(FILE_NAME);
+        let path = folder.join(S::FILE_NAME);
         remove_leftovers(&path);
-        PurgeFile { path, reader: None }
+        SharedFile {
+            path,
+            reader: None,
+            records: PhantomData,
+        }
     }
 
     /// Returns the path of the file.
@@ -118,7 +119,7 @@
     ///
     /// # Errors
     /// The file can't be read.
-    pub fn read_new(&mut self, on_record: &mut dyn FnMut(Record)) -> io::Result<()> {
+    pub fn read_new(&mut self, on_record: &mut dyn FnMut(S::Record)) -> io::Result<()> {
         let Some(status) = status_at(&self.path)? else {
             return Ok(());
         };
@@ -129,21 +130,21 @@
         if reader.offset == status.length {
             return Ok(());
         }
-        reader.read(on_record)
+        reader.read::<S>(on_record)
     }
 
     /// Appends records, and compacts the file if it has become long.
     ///
     /// # Errors
     /// The file can't be written. Some of the records may have been appended.
-    pub fn append(&self, records: &RecordSet) -> io::Result<()> {
+    pub fn append(&self, records: &S) -> io::Result<()> {
         let bytes = records.encode();
         for _ in 0..MAX_APPENDS {
             let appended_to = self.append_once(&bytes)?;
             if !self.is_at_path(appended_to.inode)? {
                 continue;
             }
-            if appended_to.length > MAX_FILE_BYTES {
+            if appended_to.length > S::MAX_FILE_BYTES {
                 self.compact()?;
             }
             return Ok(());
@@ -166,18 +167,18 @@
         Ok(FileStatus::of(&file.metadata()?))
     }
 
-    /// Replaces the file by a shorter one with the same purges. Does nothing if another process is doing so.
+    /// Replaces the file by a shorter one with the same records. Does nothing if another process is doing so.
     fn compact(&self) -> io::Result<()> {
         let mut old = OpenFile::open(&self.path)?;
         let is_locked = flock(&old.file, FlockOperation::NonBlockingLockExclusive).is_ok();
         if !is_locked || !self.is_at_path(old.inode)? {
             return Ok(());
         }
-        let mut records = RecordSet::default();
-        old.read(&mut |record| records.add(record))?;
+        let mut records = S::default();
+        old.read::<S>(&mut |record| records.add(record))?;
         replace_unsynced(&self.path, &records.encode())?;
-        let mut late = RecordSet::default();
-        old.read(&mut |record| late.add(record))?;
+        let mut late = S::default();
+        old.read::<S>(&mut |record| late.add(record))?;
         if late.is_empty() {
             return Ok(());
         }
--- a/daemon/src/shared_purges/worker.rs
+++ b/daemon/src/shared_log/worker.rs
@@ -1,42 +1,37 @@
-//! The worker thread that writes and reads the file of shared purges.
+//! The worker thread that writes and reads the file of a shared log.
 
-use super::file::PurgeFile;
-use super::records::{Record, RecordSet};
+use super::file::SharedFile;
+use super::records::SharedRecords;
 use crate::disk::FailedAttempts;
-use crate::peers::Purge;
 use crossbeam_channel::{bounded, Receiver, RecvTimeoutError, Sender};
 use std::io;
 use std::mem;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::thread::{self, JoinHandle};
-use std::time::Duration;
-
-/// The interval at which the file is read, and at which failed writes are retried. A purge has to apply within 300 ms.
-const POLL_INTERVAL: Duration = Duration::from_millis(50);
 
 /// Records that one thread adds and another one takes.
-type Mailbox = Arc<Mutex<RecordSet>>;
+type Mailbox<S> = Arc<Mutex<S>>;
 
-fn lock(mailbox: &Mailbox) -> MutexGuard<'_, RecordSet> {
+fn lock<S>(mailbox: &Mailbox<S>) -> MutexGuard<'_, S> {
     mailbox.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
-/// The handle of the worker thread. Dropping it waits until the purges have been written, or their write has failed.
-pub struct SharedPurges {
-    outgoing: Mailbox,
-    incoming: Mailbox,
+/// The handle of the worker thread. Dropping it waits until the records have been written, or their write has failed.
+pub struct SharedLog<S> {
+    outgoing: Mailbox<S>,
+    incoming: Mailbox<S>,
     wake: Option<Sender<()>>,
     worker: Option<JoinHandle<()>>,
 }
 
-impl SharedPurges {
+impl<S: SharedRecords> SharedLog<S> {
     /// Starts the worker thread. It calls `notify` when it has read records.
     ///
     /// # Errors
     /// The thread can't be started.
-    pub fn start(file: PurgeFile, notify: impl Fn() + Send + 'static) -> io::Result<Self> {
+    pub fn start(file: SharedFile<S>, notify: impl Fn() + Send + 'static) -> io::Result<Self> {
         let (wake, wakes) = bounded(1);
-        let (outgoing, incoming) = (Mailbox::default(), Mailbox::default());
+        let (outgoing, incoming) = (Mailbox::<S>::default(), Mailbox::<S>::default());
         let worker = Worker {
             file,
             outgoing: outgoing.clone(),
@@ -45,9 +40,9 @@
             notify,
         };
         let worker = thread::Builder::new()
-            .name("linnetknot-purges".to_owned())
+            .name(S::THREAD_NAME.to_owned())
             .spawn(move || worker.run(&wakes))?;
-        Ok(SharedPurges {
+        Ok(SharedLog {
             outgoing,
             incoming,
             wake: Some(wake),
@@ -55,9 +50,9 @@
         })
     }
 
-    /// Writes a purge for the other process.
-    pub fn share(&self, purge: Purge) {
-        lock(&self.outgoing).add(Record::Purge(purge));
+    /// Writes a record for the other process.
+    pub fn share(&self, record: S::Record) {
+        lock(&self.outgoing).add(record);
         if let Some(wake) = &self.wake {
             // If the channel is full, the worker is already awake.
             let _ = wake.try_send(());
@@ -65,12 +60,12 @@
     }
 
     /// Returns the records that were read since the last call.
-    pub fn take_received(&self) -> RecordSet {
+    pub fn take_received(&self) -> S {
         mem::take(&mut lock(&self.incoming))
     }
 }
 
-impl Drop for SharedPurges {
+impl<S> Drop for SharedLog<S> {
     fn drop(&mut self) {
         self.wake = None;
         if let Some(worker) = self.worker.take() {
@@ -80,18 +75,18 @@
 }
 
 /// The state of the worker thread.
-struct Worker<N> {
-    file: PurgeFile,
-    outgoing: Mailbox,
-    incoming: Mailbox,
+struct Worker<S, N> {
+    file: SharedFile<S>,
+    outgoing: Mailbox<S>,
+    incoming: Mailbox<S>,
     failed_writes: FailedAttempts,
     notify: N,
 }
 
-impl<N: Fn()> Worker<N> {
+impl<S: SharedRecords, N: Fn()> Worker<S, N> {
     fn run(mut self, wakes: &Receiver<()>) {
         loop {
-            let wake = wakes.recv_timeout(POLL_INTERVAL);
+            let wake = wakes.recv_timeout(S::POLL_INTERVAL);
             self.write();
             if wake == Err(RecvTimeoutError::Disconnected) {
                 return;
@@ -115,7 +110,7 @@
 
     /// Reads the records that were appended, also those of this process. A failed read is repeated at the next interval.
     fn read(&mut self) {
-        let mut records = RecordSet::default();
+        let mut records = S::default();
         let result = self.file.read_new(&mut |record| records.add(record));
         if let Err(e) = result {
             log::debug!("{} can't be read: {e}", self.file.path().display());
--- a/daemon/tests/shared_purge_compaction.rs
+++ b/daemon/tests/shared_purge_compaction.rs
@@ -2,6 +2,7 @@
 //! lets the other process act at the worst instant.
 
 use linnetknot_daemon::peers::Purge;
+use linnetknot_daemon::shared_log::SharedRecords;
 use linnetknot_daemon::shared_purges::{PurgeFile, Record, RecordSet};
 use std::collections::BTreeSet;
 use std::fs::{self, File};
--- a/daemon/tests/shared_purges.rs
+++ b/daemon/tests/shared_purges.rs
@@ -1,7 +1,8 @@
 //! The file in which the processes of a proxy share the purges of peers.
 
 use linnetknot_daemon::peers::Purge;
-use linnetknot_daemon::shared_purges::{decode, PurgeFile, Record, RecordSet};
+use linnetknot_daemon::shared_log::SharedRecords;
+use linnetknot_daemon::shared_purges::{PurgeFile, Record, RecordSet};
 use std::collections::BTreeMap;
 use std::io::Write;
 use std::path::PathBuf;
@@ -112,7 +113,7 @@
 #[test]
 fn only_complete_lines_are_consumed() {
     let text = b"\npurge object 1 5\nnonsense\nall 4\npurge group 3 ";
-    let decoded = decode(text);
+    let decoded = RecordSet::decode(text);
     let expected = [Record::Purge(Purge::of_object("1", 5)), Record::PurgeAll(4)];
     assert_eq!(decoded.records, expected);
     assert_eq!(&text[decoded.consumed..], b"purge group 3 ");
