Send nothing on connections from before the listed start of a cache

Cause: a connection counted as one to the current process if its address was the listed one; the start was used for the slow start alone.

Change: the cache table knows from when on a connection leads to the listed process. Earlier ones get no attempts and no health checks and are closed once idle; attempts that wait on them are withdrawn and sent anew, as for a cache that drains or has a new address.

Why it works: what a list says of the start is asked wherever a connection is picked, and the queues are emptied when the news arrives.

Not mended: a new cache that the bus lists at the address of one that it still lists.

--- a/daemon/src/core/cache_table.rs
+++ b/daemon/src/core/cache_table.rs
@@ -1,7 +1,7 @@
 //! The endpoint list: pop caches, parents and origins by their ids.
 
 use super::Entry;
-use linnetknot::{ListMode, Server, ServerId, State};
+use linnetknot::{ListMode, Micros, Server, ServerId, State};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
@@ -11,13 +11,24 @@
     uid: String,
     endpoint: SocketAddr,
     state: State,
+    /// The start of its process, if the list names it.
+    started: Option<Micros>,
+    /// Connections that were opened earlier lead to an earlier process.
+    valid_from: Micros,
+}
+
+impl Cache {
+    /// Whether a new process has taken the place of the cache that the list named before.
+    fn is_replaced_by(&self, entry: &Entry) -> bool {
+        self.endpoint != entry.endpoint || self.started < entry.server.started
+    }
 }
 
 /// The changes that result from applying an endpoint list.
 pub(super) struct Update {
     /// The servers named in the list, in the format of the decision module.
     pub(super) servers: Vec<Server>,
-    /// The servers that were ready before the update and are draining or gone after it.
+    /// The servers that were ready before the update, and are draining, gone or replaced by a new process after it.
     pub(super) withdrawn: Vec<ServerId>,
 }
 
@@ -52,8 +63,21 @@
         self.caches.get(&id).map(|cache| cache.uid.as_str())
     }
 
+    /// Whether a connection leads to an earlier process of a cache: it was made to another address, or opened before the
+    /// start of the current process. True for a cache that is gone.
+    pub(super) fn is_outdated(
+        &self,
+        id: ServerId,
+        endpoint: Option<SocketAddr>,
+        opened_at: Micros,
+    ) -> bool {
+        self.caches
+            .get(&id)
+            .is_none_or(|cache| endpoint != Some(cache.endpoint) || opened_at < cache.valid_from)
+    }
+
     /// Applies a full endpoint list, or changes to the current one.
-    pub(super) fn update(&mut self, mode: ListMode, entries: Vec<Entry>) -> Update {
+    pub(super) fn update(&mut self, now: Micros, mode: ListMode, entries: Vec<Entry>) -> Update {
         let mut withdrawn = Vec::new();
         if mode == ListMode::Full {
             let is_listed = |id: &ServerId| entries.iter().any(|entry| entry.server.id == *id);
@@ -70,13 +94,24 @@
         let mut servers = Vec::new();
         for entry in entries {
             let id = entry.server.id;
+            let started = entry.server.started;
+            let known = self.caches.get(&id);
+            let is_replaced = known.is_some_and(|cache| cache.is_replaced_by(&entry));
             let cache = self.caches.entry(id).or_insert(Cache {
                 uid: entry.uid,
                 endpoint: entry.endpoint,
                 state: State::Ready,
+                started,
+                valid_from: 0,
             });
             cache.endpoint = entry.endpoint;
-            withdrawn.extend(self.set_state(id, entry.server.state));
+            cache.started = started;
+            if is_replaced {
+                // A start that is listed too late must not make later connections outdated.
+                cache.valid_from = started.map_or(0, |started| started.min(now));
+            }
+            let was_withdrawn = self.set_state(id, entry.server.state);
+            withdrawn.extend(was_withdrawn.or(is_replaced.then_some(id)));
             servers.push(entry.server);
         }
         // Restarted caches register under new ids, so entries in the state `Gone` are removed to bound the table.
--- a/daemon/src/core/mod.rs
+++ b/daemon/src/core/mod.rs
@@ -143,6 +143,16 @@
         self.caches.endpoint(id)
     }
 
+    /// Whether a connection to a cache that was opened at this time to this address leads to an earlier process.
+    pub fn is_connection_outdated(
+        &self,
+        id: ServerId,
+        endpoint: Option<SocketAddr>,
+        opened_at: Micros,
+    ) -> bool {
+        self.caches.is_outdated(id, endpoint, opened_at)
+    }
+
     /// Returns the id of a cache on the wire for the log; `-` if it is gone.
     pub fn wire_id_or_dash(&self, id: ServerId) -> &str {
         self.wire_id(id).unwrap_or("-")
@@ -150,7 +160,7 @@
 
     /// Applies the endpoint list, or changes to it.
     pub fn update_endpoints(&mut self, now: Micros, mode: ListMode, entries: Vec<Entry>) {
-        let update = self.caches.update(mode, entries);
+        let update = self.caches.update(now, mode, entries);
         let withdrawn = update.withdrawn.into_iter().map(Command::Withdraw);
         self.commands.extend(withdrawn);
         let servers = update.servers;
--- a/daemon/src/daemon/upstream_connections/mod.rs
+++ b/daemon/src/daemon/upstream_connections/mod.rs
@@ -215,13 +215,10 @@
         let (server, mut events) = (upstream.server, Vec::new());
         let is_open = upstream.flush(now, conn, &self.core, &self.limits, &mut events);
         let check_at = upstream.next_check_at(now, conn.up, &self.limits);
-        // A server that is draining, gone or has a new address gets no new attempts on this connection, so the
+        // A server that is draining, gone or replaced by a new process gets no new attempts on this connection, so the
         // connection is closed once idle. If the machine of the server has failed, nothing else would close it.
-        let has_moved = self
-            .core
-            .endpoint(server)
-            .is_some_and(|at| upstream.endpoint != Some(at));
-        let is_done = upstream.is_idle() && (has_moved || !self.core.is_cache_ready(server));
+        let is_retired = upstream.is_outdated(&self.core) || !self.core.is_cache_ready(server);
+        let is_done = upstream.is_idle() && is_retired;
         if let Some(at) = check_at.filter(|_| is_open) {
             self.schedule_check(key, at);
         }
@@ -296,7 +293,8 @@
             };
             let (to, mut events) = (upstream.server, Vec::new());
             upstream.withdraw(server, &self.core, &mut events);
-            let should_close = to == server && upstream.is_idle();
+            let is_retired = upstream.is_outdated(&self.core) || !self.core.is_cache_ready(to);
+            let should_close = to == server && upstream.is_idle() && is_retired;
             self.apply_upstream_events(now, to, events);
             if should_close {
                 // The address may be reassigned to another cache server.
@@ -307,7 +305,6 @@
 
     /// Sends a health check to a cache server.
     pub(super) fn send_health_check(&mut self, now: Micros, server: ServerId) {
-        let endpoint = self.core.endpoint(server);
         let mut connections = self
             .cache_connections
             .get(&server)
@@ -316,7 +313,7 @@
             .copied();
         let key = connections.find(|key| {
             self.cache_connection(*key)
-                .is_some_and(|(_, upstream)| upstream.endpoint == endpoint)
+                .is_some_and(|(_, upstream)| !upstream.is_outdated(&self.core))
         });
         let is_sent = key
             .and_then(|key| self.cache_connection_mut(key))
--- a/daemon/src/daemon/upstream_connections/selection.rs
+++ b/daemon/src/daemon/upstream_connections/selection.rs
@@ -6,7 +6,6 @@
 use crate::net::{Key, TcpConnection};
 use crate::upstream::UpstreamConnection;
 use linnetknot::{Micros, ServerId};
-use std::net::SocketAddr;
 
 /// The connection that was selected for an attempt.
 pub(super) enum Selection {
@@ -38,8 +37,6 @@
     now: Micros,
     core: &'a Core,
     limits: &'a Limits,
-    /// The current address of the cache server.
-    endpoint: Option<SocketAddr>,
     connections: Vec<(Key, &'a TcpConnection, &'a UpstreamConnection)>,
 }
 
@@ -54,7 +51,6 @@
             now,
             core: &daemon.core,
             limits: &daemon.limits,
-            endpoint: daemon.core.endpoint(server),
             connections: connections.collect(),
         }
     }
@@ -97,9 +93,7 @@
         upstream: &UpstreamConnection,
     ) -> Option<Preference> {
         let is_overdue = !conn.up && upstream.is_connect_overdue(self.now, self.limits);
-        if !self.has_current_endpoint(upstream)
-            || is_overdue
-            || upstream.is_stale(self.now, self.limits)
+        if upstream.is_outdated(self.core) || is_overdue || upstream.is_stale(self.now, self.limits)
         {
             return None;
         }
@@ -111,11 +105,6 @@
         })
     }
 
-    /// Returns whether a connection leads to the current address of the cache server.
-    fn has_current_endpoint(&self, upstream: &UpstreamConnection) -> bool {
-        upstream.endpoint == self.endpoint
-    }
-
     /// Returns whether to open a spare connection. A malformed response ends all attempts on its connection, so
     /// attempts are spread over several connections, and the next one is opened before it is needed.
     fn wants_spare(&self, open_attempts: usize) -> bool {
@@ -143,7 +132,7 @@
     fn connecting_count(&self) -> usize {
         self.connections
             .iter()
-            .filter(|(_, conn, upstream)| self.has_current_endpoint(upstream) && !conn.up)
+            .filter(|(_, conn, upstream)| !upstream.is_outdated(self.core) && !conn.up)
             .count()
     }
 }
--- a/daemon/src/upstream/connection.rs
+++ b/daemon/src/upstream/connection.rs
@@ -78,6 +78,11 @@
         }
     }
 
+    /// Whether the connection leads to an earlier process of its cache server.
+    pub fn is_outdated(&self, core: &Core) -> bool {
+        core.is_connection_outdated(self.server, self.endpoint, self.connecting_since)
+    }
+
     /// Returns the number of streams that await a response and queued attempts, if the connection accepts a further
     /// attempt with this id.
     pub fn live_streams_if_available(
