Ignore shared reports of executed requests after a minute

Cause: a process that starts takes every id in linnetknot-executions.log for one of the last minute, however old the file is.

Change: each report holds the time of the monotonic clock, which the processes of a machine share and which no step of the wall clock moves. One that is older than 60 s, or from before a restart of the machine, has no effect.

--- a/daemon/src/daemon/shared_executions.rs
+++ b/daemon/src/daemon/shared_executions.rs
@@ -5,7 +5,7 @@
 use super::shared_logs::SharedLogState;
 use super::startup::StartError;
 use super::Daemon;
-use crate::shared_executions::{Execution, ExecutionFile, ExecutionSet};
+use crate::shared_executions::{machine_time_ms, Execution, ExecutionFile, ExecutionSet};
 use crate::shared_log::SharedRecords;
 use linnetknot::Micros;
 use std::hash::{BuildHasher, Hasher, RandomState};
@@ -38,8 +38,10 @@
     }
 
     fn apply_execution(&mut self, now: Micros, execution: Execution) {
-        self.core
-            .record_other_execution(now, execution.id, execution.may_have_run);
+        if execution.is_recent(machine_time_ms()) {
+            self.core
+                .record_other_execution(now, execution.id, execution.may_have_run);
+        }
     }
 
     /// Shares whether a request that must not run twice may have run in this process.
@@ -48,6 +50,7 @@
             shared.log.share(Execution {
                 process: shared.process,
                 id,
+                at_ms: machine_time_ms(),
                 may_have_run,
             });
         }
--- a/daemon/src/shared_executions.rs
+++ b/daemon/src/shared_executions.rs
@@ -3,6 +3,7 @@
 //! a [shared log](crate::shared_log).
 
 use crate::shared_log::{SharedFile, SharedLog, SharedRecords};
+use rustix::time::{clock_gettime, ClockId};
 use std::collections::{HashMap, VecDeque};
 use std::time::Duration;
 
@@ -11,6 +12,11 @@
 /// The end of the line of a request that has not run after all.
 const HAS_NOT_RUN: &str = "has-not-run";
 
+/// The maximum length of a line with its end: three numbers of 16 digits and the state.
+const MAX_LINE_BYTES: usize = 3 * 17 + MAY_HAVE_RUN.len() + 1;
+/// The age above which a report has no effect. No client waits as long for an answer.
+const MAX_AGE_MS: u64 = 60_000;
+
 /// What a process reports of a request that must not run twice.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Execution {
@@ -18,14 +24,33 @@
     pub process: u64,
     /// The id of the request.
     pub id: u64,
+    /// The time of the report by the monotonic clock of the machine, in milliseconds.
+    pub at_ms: u64,
     /// Whether the request may have run. If not, an earlier report is withdrawn.
     pub may_have_run: bool,
 }
 
+impl Execution {
+    /// Returns whether the report is from the last `MAX_AGE_MS`. A report from before a restart of the machine, whose
+    /// clock began anew, may seem to be in the future.
+    pub fn is_recent(&self, now_ms: u64) -> bool {
+        now_ms
+            .checked_sub(self.at_ms)
+            .is_some_and(|age_ms| age_ms <= MAX_AGE_MS)
+    }
+}
+
+/// Returns the time by the monotonic clock of the machine, which all its processes share, in milliseconds.
+pub fn machine_time_ms() -> u64 {
+    let time = clock_gettime(ClockId::Monotonic);
+    let (seconds, nanos) = (time.tv_sec.unsigned_abs(), time.tv_nsec.unsigned_abs());
+    seconds * 1_000 + nanos / 1_000_000
+}
+
 /// The latest report of each process on each request. Above the capacity, the oldest report is dropped.
 #[derive(Clone, Debug, Default)]
 pub struct ExecutionSet {
-    may_have_run: HashMap<(u64, u64), bool>,
+    latest: HashMap<(u64, u64), Execution>,
     by_age: VecDeque<(u64, u64)>,
 }
 
@@ -45,12 +70,13 @@
 
     fn add(&mut self, record: Execution) {
         let key = (record.process, record.id);
-        if self.may_have_run.insert(key, record.may_have_run).is_none() {
+        if self.latest.insert(key, record).is_none() {
             self.by_age.push_back(key);
         }
         if self.by_age.len() > Self::CAPACITY {
-            let oldest = self.by_age.pop_front();
-            oldest.map(|key| self.may_have_run.remove(&key));
+            if let Some(oldest) = self.by_age.pop_front() {
+                self.latest.remove(&oldest);
+            }
         }
     }
 
@@ -59,12 +85,9 @@
     }
 
     fn into_records(self) -> impl Iterator<Item = Execution> {
-        let may_have_run = self.may_have_run;
-        self.by_age.into_iter().map(move |key| Execution {
-            process: key.0,
-            id: key.1,
-            may_have_run: may_have_run.get(&key).copied().unwrap_or_default(),
-        })
+        let mut latest = self.latest;
+        let by_age = self.by_age.into_iter();
+        by_age.filter_map(move |key| latest.remove(&key))
     }
 
     fn line(record: &Execution) -> Option<String> {
@@ -73,17 +96,17 @@
         } else {
             HAS_NOT_RUN
         };
-        Some(format!(
-            "{:016x} {:016x} {state}",
-            record.process, record.id
-        ))
+        let Execution {
+            process, id, at_ms, ..
+        } = record;
+        Some(format!("{process:016x} {id:016x} {at_ms:016x} {state}"))
     }
 
     fn parse(line: &[u8]) -> Option<Execution> {
         let text = std::str::from_utf8(line).ok()?;
         let mut words = text.split(' ');
         let mut number = || u64::from_str_radix(words.next()?, 16).ok();
-        let (process, id) = (number()?, number()?);
+        let (process, id, at_ms) = (number()?, number()?, number()?);
         let may_have_run = match words.next()? {
             MAY_HAVE_RUN => true,
             HAS_NOT_RUN => false,
@@ -92,14 +115,12 @@
         Some(Execution {
             process,
             id,
+            at_ms,
             may_have_run,
         })
     }
 }
 
-/// The maximum length of a line with its end: two numbers of 16 digits and the state.
-const MAX_LINE_BYTES: usize = 2 * 17 + MAY_HAVE_RUN.len() + 1;
-
 /// The file of shared executions.
 pub type ExecutionFile = SharedFile<ExecutionSet>;
 /// The handle of the thread that reads and writes the file.
--- a/daemon/tests/shared_executions.rs
+++ b/daemon/tests/shared_executions.rs
@@ -9,6 +9,7 @@
     Execution {
         process: PROCESS,
         id,
+        at_ms: 5_000,
         may_have_run,
     }
 }
@@ -41,6 +42,15 @@
     assert_eq!(records, [execution(1, false), other]);
 }
 
+/// Guards against requests that fail, as an earlier series of requests left the same ids in the file.
+#[test]
+fn old_reports_have_no_effect() {
+    let report = execution(1, true);
+    assert!(report.is_recent(report.at_ms) && report.is_recent(report.at_ms + 60_000));
+    assert!(!report.is_recent(report.at_ms + 60_001), "too old");
+    assert!(!report.is_recent(report.at_ms - 1), "the machine restarted");
+}
+
 #[test]
 fn a_full_set_keeps_the_latest_reports() {
     let count = 2 * ExecutionSet::CAPACITY as u64;
