Withdraw the report of a request that every cache has refused

Cause: where the decision module refuses or fails a request, the request left the table past the function that withdraws its report. At the other process of an upgrade a request under its id would have failed for 60 s, although nothing had run. And a withdrawal by one process could make the other one forget a run of its own. Found by reading the change again.

Change: all requests leave by the one function, and the ids that the other process reports are kept apart from the own ones.

The second half has no test of its own.

--- a/daemon/src/core/command.rs
+++ b/daemon/src/core/command.rs
@@ -27,8 +27,8 @@
     Wake(Micros, Wake),
     /// Check the health of a cache, which responds with its load report.
     Probe(ServerId),
-    /// A cache is draining, gone or replaced by a new process: withdraw every attempt that is to be sent to it, or filled from it, and has not
-    /// been written yet.
+    /// A cache is draining, gone or replaced by a new process: withdraw every attempt that is to be sent to it, or
+    /// filled from it, and has not been written yet.
     Withdraw(ServerId),
     /// The origin is slow: send the other proxies the fraction of requests (0 to 1) that may still go to the origin.
     ShareOriginHealth(f64),
--- a/daemon/src/core/mod.rs
+++ b/daemon/src/core/mod.rs
@@ -256,13 +256,11 @@
             } => {
                 let answer = Answer::Rejected { retry_after_us };
                 self.finish(now, Key::from_u64(request), answer);
-                self.requests
-                    .release_if_finished(now, Key::from_u64(request));
+                self.release_if_finished(now, Key::from_u64(request));
             }
             Action::Fail { request } => {
                 self.finish(now, Key::from_u64(request), Answer::Failed);
-                self.requests
-                    .release_if_finished(now, Key::from_u64(request));
+                self.release_if_finished(now, Key::from_u64(request));
             }
             Action::Timer { at, tag } => self.commands.push(Command::Wake(at, Wake::Router(tag))),
             Action::Probe { server } => self.commands.push(Command::Probe(server)),
--- a/daemon/src/core/request_table.rs
+++ b/daemon/src/core/request_table.rs
@@ -41,6 +41,8 @@
     ids: HashSet<String>,
     /// The ids of requests that are no longer open and must not run again.
     executed_ids: ExecutedIds,
+    /// The ids of requests that the other process of this proxy may have run.
+    other_executed_ids: ExecutedIds,
     /// The total bytes of the bodies of all open requests.
     body_bytes: usize,
     max_body_bytes: usize,
@@ -53,6 +55,7 @@
             requests: SlotTable::new(limits.max_requests),
             ids: HashSet::new(),
             executed_ids: ExecutedIds::default(),
+            other_executed_ids: ExecutedIds::default(),
             body_bytes: 0,
             max_body_bytes: limits.max_total_body_bytes,
         }
@@ -69,7 +72,9 @@
         is_idempotent: bool,
     ) -> Result<(), AdmissionError> {
         let is_open = self.ids.contains(&request.id);
-        let is_executed = number(&request.id).is_some_and(|id| self.executed_ids.contains(now, id));
+        let is_executed = number(&request.id).is_some_and(|id| {
+            self.executed_ids.contains(now, id) || self.other_executed_ids.contains(now, id)
+        });
         let may_have_run = is_open && !is_idempotent || is_executed;
         if may_have_run {
             return Err(AdmissionError::MayHaveRun);
@@ -129,13 +134,14 @@
     /// Remembers that another process may have run a request, or forgets it.
     pub(super) fn record_other_execution(&mut self, now: Micros, id: u64, may_have_run: bool) {
         if may_have_run {
-            self.executed_ids.insert(now, id);
+            self.other_executed_ids.insert(now, id);
         } else {
-            self.executed_ids.remove(id);
+            self.other_executed_ids.remove(id);
         }
     }
 
     /// Frees the slot of a request that is answered and has no outstanding attempt. Returns the request if so.
+    #[must_use]
     pub(super) fn release_if_finished(
         &mut self,
         now: Micros,
--- a/daemon/tests/core.rs
+++ b/daemon/tests/core.rs
@@ -387,3 +387,40 @@
         )
         .is_ok());
 }
+
+/// Returns what the other process of the proxy is told of requests that must not run twice.
+fn shared_executions(commands: &[Command]) -> Vec<bool> {
+    let shared = commands.iter().filter_map(|command| match command {
+        Command::ShareExecution { may_have_run, .. } => Some(*may_have_run),
+        _ => None,
+    });
+    shared.collect()
+}
+
+/// Guards against a request that fails at the other process of an upgrade, although every cache has refused it here.
+#[test]
+fn the_other_process_is_told_that_a_request_may_have_run_and_that_it_has_not() {
+    for (outcome, expected) in [
+        (Outcome::Full, vec![true, false]),
+        (Outcome::Reset, vec![true]),
+    ] {
+        let mut core = core(&limits());
+        let post = ClientRequest {
+            class: "post".into(),
+            idempotency_key: Some("5c".into()),
+            ..client_request(0)
+        };
+        let request = core.admit(NOW, client(1), post).unwrap();
+        let mut commands = core.take_commands();
+        let mut shared = Vec::new();
+        while let Some(attempt) = sent_attempt(&commands) {
+            core.attempt_started(attempt);
+            core.attempt_finished(NOW, attempt, outcome.into());
+            commands = core.take_commands();
+            shared.extend(shared_executions(&commands));
+        }
+        core.wake(NOW + 2_000_000, Wake::Request(request));
+        shared.extend(shared_executions(&core.take_commands()));
+        assert_eq!(shared, expected, "{outcome:?}");
+    }
+}
