Keep the newer of two reports on an executed request, and tidy the change

Cause, found by reading: after a failed write the worker puts its records back behind those added meanwhile, so an older 'may have run' could replace the withdrawal of it, and a request that never ran would fail at the other process of an upgrade for a minute.

Change: a report does not replace a newer one of its process.

--- a/daemon/src/daemon/upstream_connections/mod.rs
+++ b/daemon/src/daemon/upstream_connections/mod.rs
@@ -217,8 +217,7 @@
         let check_at = upstream.next_check_at(now, conn.up, &self.limits);
         // A server that is draining, gone or replaced by a new process gets no new attempts on this connection, so the
         // connection is closed once idle. If the machine of the server has failed, nothing else would close it.
-        let is_retired = upstream.is_outdated(&self.core) || !self.core.is_cache_ready(server);
-        let is_done = upstream.is_idle() && is_retired;
+        let is_done = upstream.is_idle() && upstream.is_retired(&self.core);
         if let Some(at) = check_at.filter(|_| is_open) {
             self.schedule_check(key, at);
         }
@@ -293,8 +292,8 @@
             };
             let (to, mut events) = (upstream.server, Vec::new());
             upstream.withdraw(server, &self.core, &mut events);
-            let is_retired = upstream.is_outdated(&self.core) || !self.core.is_cache_ready(to);
-            let should_close = to == server && upstream.is_idle() && is_retired;
+            let should_close =
+                to == server && upstream.is_idle() && upstream.is_retired(&self.core);
             self.apply_upstream_events(now, to, events);
             if should_close {
                 // The address may be reassigned to another cache server.
--- a/daemon/src/shared_executions.rs
+++ b/daemon/src/shared_executions.rs
@@ -2,7 +2,7 @@
 //! request that must not run twice may come to either of them, so each process appends the ids of those that it sends to
 //! a [shared log](crate::shared_log).
 
-use crate::shared_log::{SharedFile, SharedLog, SharedRecords};
+use crate::shared_log::{SharedFile, SharedRecords};
 use rustix::time::{clock_gettime, ClockId};
 use std::collections::{HashMap, VecDeque};
 use std::time::Duration;
@@ -68,8 +68,13 @@
     // A client that has left may send its request again at once.
     const POLL_INTERVAL: Duration = Duration::from_millis(10);
 
+    /// Adds a report. An older one, as after a failed write, does not replace a newer one.
     fn add(&mut self, record: Execution) {
         let key = (record.process, record.id);
+        let known = self.latest.get(&key);
+        if known.is_some_and(|known| known.at_ms > record.at_ms) {
+            return;
+        }
         if self.latest.insert(key, record).is_none() {
             self.by_age.push_back(key);
         }
@@ -123,5 +128,3 @@
 
 /// The file of shared executions.
 pub type ExecutionFile = SharedFile<ExecutionSet>;
-/// The handle of the thread that reads and writes the file.
-pub type SharedExecutions = SharedLog<ExecutionSet>;
--- a/daemon/src/shared_purges/mod.rs
+++ b/daemon/src/shared_purges/mod.rs
@@ -5,11 +5,9 @@
 
 mod records;
 
-use crate::shared_log::{SharedFile, SharedLog};
+use crate::shared_log::SharedFile;
 
 pub use records::{Record, RecordSet};
 
 /// The file of shared purges.
 pub type PurgeFile = SharedFile<RecordSet>;
-/// The handle of the thread that reads and writes the file.
-pub type SharedPurges = SharedLog<RecordSet>;
--- a/daemon/src/upstream/connection.rs
+++ b/daemon/src/upstream/connection.rs
@@ -83,6 +83,11 @@
         core.is_connection_outdated(self.server, self.endpoint, self.connecting_since)
     }
 
+    /// Whether the connection gets no new attempts: its cache server is draining, gone or replaced by a new process.
+    pub fn is_retired(&self, core: &Core) -> bool {
+        self.is_outdated(core) || !core.is_cache_ready(self.server)
+    }
+
     /// Returns the number of streams that await a response and queued attempts, if the connection accepts a further
     /// attempt with this id.
     pub fn live_streams_if_available(
--- a/daemon/tests/repeated_ids_in_upgrades.rs
+++ b/daemon/tests/repeated_ids_in_upgrades.rs
@@ -14,6 +14,10 @@
 const SHARING_TIME: Duration = Duration::from_millis(100);
 /// The class of requests that must not run twice.
 const CLASS: &str = "activate";
+/// The time budget of a request.
+const BUDGET_MS: &str = "1000";
+/// A time budget that leaves no time for any attempt.
+const NO_BUDGET_MS: &str = "1";
 /// Statuses that tell a client that a retry is harmless.
 const REFUSALS: [u16; 2] = [429, 503];
 
@@ -34,11 +38,11 @@
 }
 
 /// Sends a request under an id on a new connection.
-fn send(site: &Site, id: &str) -> WebServer {
+fn send(site: &Site, id: &str, budget_ms: &str) -> WebServer {
     let fields = [
         ("HTTP_REQUEST_ID", id),
         ("HTTP_RESOURCE_KEY", "00000000000000a1"),
-        ("HTTP_BUDGET_MS", "1000"),
+        ("HTTP_BUDGET_MS", budget_ms),
     ];
     let mut web = WebServer::connect(site.client_address).unwrap();
     let path = format!("/invoke/{CLASS}");
@@ -57,7 +61,7 @@
 
 /// Sends a request whose client leaves once it has come to a cache.
 fn run_and_leave(site: &Site, id: &str) {
-    let web = send(site, id);
+    let web = send(site, id, BUDGET_MS);
     let start = Instant::now();
     while runs(site, id) == 0 {
         assert!(start.elapsed() < Duration::from_secs(5), "no fetch of {id}");
@@ -67,7 +71,7 @@
 }
 
 fn assert_fails_without_second_run(site: &Site, id: &str) {
-    let status = send(site, id).end().unwrap().1.unwrap().status;
+    let status = send(site, id, BUDGET_MS).end().unwrap().1.unwrap().status;
     assert_eq!(runs(site, id), 1, "{id} answered with {status}");
     assert!(status >= 500 && !REFUSALS.contains(&status), "{status}");
 }
@@ -129,17 +133,7 @@
     let site = site("ids-refused");
     let (old, _) = site.start();
     let id = "00000000000000c3";
-    // Less time than is left for any attempt.
-    let fields = [
-        ("HTTP_REQUEST_ID", id),
-        ("HTTP_RESOURCE_KEY", "00000000000000a1"),
-        ("HTTP_BUDGET_MS", "1"),
-    ];
-    let mut web = WebServer::connect(site.client_address).unwrap();
-    let path = format!("/invoke/{CLASS}");
-    web.send(&WebServer::request(1, &path, &fields, b""))
-        .unwrap();
-    web.end().unwrap();
+    send(&site, id, NO_BUDGET_MS).end().unwrap();
     assert_eq!(runs(&site, id), 0);
     let (new, _) = site.start();
     end(old);
--- a/daemon/tests/reused_addresses.rs
+++ b/daemon/tests/reused_addresses.rs
@@ -17,8 +17,7 @@
 
 /// Starts a daemon with one scripted cache.
 fn start() -> (TestProxy, [ScriptedCache; 1]) {
-    let (proxy, caches) = scripted_caches::start_with_scripted_caches::<1>(|_| {});
-    (proxy, caches)
+    scripted_caches::start_with_scripted_caches(|_| {})
 }
 
 fn target(cache: &ScriptedCache, uid: &str, state: &str, boot_ms: u64) -> Value {
--- a/daemon/tests/shared_executions.rs
+++ b/daemon/tests/shared_executions.rs
@@ -42,6 +42,20 @@
     assert_eq!(records, [execution(1, false), other]);
 }
 
+/// Guards against a withdrawal that is lost, as a failed write puts an older report back behind it.
+#[test]
+fn an_older_report_does_not_replace_a_newer_one() {
+    let older = execution(1, true);
+    let withdrawal = Execution {
+        at_ms: older.at_ms + 1,
+        ..execution(1, false)
+    };
+    let mut outgoing = set([withdrawal]);
+    outgoing.merge(set([older]));
+    let records: Vec<Execution> = outgoing.into_records().collect();
+    assert_eq!(records, [withdrawal]);
+}
+
 /// Guards against requests that fail, as an earlier series of requests left the same ids in the file.
 #[test]
 fn old_reports_have_no_effect() {
